--- /dev/null
+++ b/standin/src/client.rs
@@ -0,0 +1,83 @@
+//! A small HTTP client for the load tool and for tests.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::SendRequest;
+use hyper::{HeaderMap, Request};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl Reply {
+    /// Returns a header as text, or nothing.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("")
+    }
+}
+
+/// A client of one address that keeps its connections.
+pub struct Client {
+    addr: SocketAddr,
+    idle: Mutex<Vec<SendRequest<Full<Bytes>>>>,
+}
+
+impl Client {
+    /// Makes a client; it connects when it is first used.
+    pub fn new(addr: SocketAddr) -> Self {
+        Self { addr, idle: Mutex::new(Vec::new()) }
+    }
+
+    async fn sender(&self) -> Result<SendRequest<Full<Bytes>>, String> {
+        while let Some(sender) = self.idle.lock().ok().and_then(|mut idle| idle.pop()) {
+            if sender.is_ready() {
+                return Ok(sender);
+            }
+        }
+        let stream = TcpStream::connect(self.addr).await.map_err(|error| error.to_string())?;
+        let _ = stream.set_nodelay(true);
+        let (sender, connection) =
+            hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.map_err(|error| error.to_string())?;
+        tokio::spawn(connection);
+        Ok(sender)
+    }
+
+    /// Makes one call.
+    ///
+    /// # Errors
+    ///
+    /// Returns, in words, why no whole answer came.
+    pub async fn call(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Result<Reply, String> {
+        let mut sender = self.sender().await?;
+        let mut request = Request::builder().method(method).uri(path).header("host", self.addr.to_string());
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Full::new(body.into())).map_err(|error| error.to_string())?;
+        let answer = sender.send_request(request).await.map_err(|error| error.to_string())?;
+        let (head, body) = answer.into_parts();
+        let body = body.collect().await.map_err(|error| error.to_string())?.to_bytes();
+        if let (true, Ok(mut idle)) = (sender.is_ready(), self.idle.lock()) {
+            idle.push(sender);
+        }
+        Ok(Reply { status: head.status.as_u16(), headers: head.headers, body })
+    }
+}
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,9 @@
+//! Stand-ins of the platform and of servers, with the load and experiment tool; not shipped.
+
+pub mod bench;
+pub mod client;
+pub mod list;
+pub mod load;
+pub mod server;
+pub mod store;
+pub mod web;
--- /dev/null
+++ b/standin/src/load/mod.rs
@@ -0,0 +1,187 @@
+//! The load tool: an open loop, whose arrivals do not wait for answers.
+//!
+//! Latency counts from the moment at which a call was due, so a pause of the tool or of the
+//! system under test is not left out.
+
+mod plot;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde_json::json;
+use tokio::time::{Instant, sleep_until};
+
+use crate::client::Client;
+
+pub use plot::{Series, write as write_plot};
+
+/// Highest latency that is told apart, in microseconds.
+const LATENCY_MAX_US: u64 = 60_000_000;
+/// Most calls under way; further ones count as failed rather than pile up without end.
+const UNDER_WAY_MAX: usize = 20_000;
+
+/// Settings of one run.
+#[derive(Debug, Clone)]
+pub struct LoadSettings {
+    /// Doors, used in turn.
+    pub doors: Vec<SocketAddr>,
+    /// Whether the doors are servers themselves, for comparison.
+    pub direct: bool,
+    /// The service that is called.
+    pub service: String,
+    /// Path of the calls.
+    pub path: String,
+    /// Calls a second.
+    pub rate_per_s: u64,
+    /// Length, in seconds.
+    pub seconds: u64,
+    /// Calls that are writes with a key, in hundredths.
+    pub keyed_percent: u64,
+    /// Seed of arrivals and keys.
+    pub seed: u64,
+    /// Where the plot goes.
+    pub plot: Option<PathBuf>,
+    /// Whether the result is printed as JSON.
+    pub json: bool,
+    /// Name of the run.
+    pub name: String,
+}
+
+/// What one run has shown.
+#[derive(Debug)]
+pub struct Tally {
+    /// Latencies of whole answers, in microseconds.
+    pub latency_us: Histogram<u64>,
+    /// Answers by outcome and status.
+    pub outcomes: BTreeMap<String, u64>,
+    /// Answers that were not to the own call.
+    pub wrong: u64,
+}
+
+impl Tally {
+    fn new() -> Self {
+        let latency_us = Histogram::new_with_bounds(1, LATENCY_MAX_US, 3).expect("bounds are right");
+        Self { latency_us, outcomes: BTreeMap::new(), wrong: 0 }
+    }
+
+    fn count(&mut self, outcome: String) {
+        *self.outcomes.entry(outcome).or_insert(0) += 1;
+    }
+}
+
+/// Runs a load and prints what it has shown.
+///
+/// # Errors
+///
+/// Returns why it could not run.
+pub async fn run(settings: LoadSettings) -> Result<(), String> {
+    if settings.doors.is_empty() {
+        return Err("--door is missing".into());
+    }
+    let tally = drive(&settings).await;
+    print(&settings, &tally);
+    if let Some(path) = &settings.plot {
+        let series = Series { name: settings.name.clone(), points: plot::quantiles(&tally.latency_us) };
+        plot::write(path, &settings.name, &[series])?;
+    }
+    Ok(())
+}
+
+/// Runs a load.
+///
+/// # Panics
+///
+/// Panics if a call's task does, which is a fault of this tool.
+pub async fn drive(settings: &LoadSettings) -> Tally {
+    let clients: Vec<Arc<Client>> = settings.doors.iter().map(|door| Arc::new(Client::new(*door))).collect();
+    let tally = Arc::new(Mutex::new(Tally::new()));
+    let mut rng = fastrand::Rng::with_seed(settings.seed);
+    let start = Instant::now();
+    let end = start + Duration::from_secs(settings.seconds);
+    let mut due = start;
+    let mut calls = tokio::task::JoinSet::new();
+    let mut number = 0u64;
+    let settings = Arc::new(settings.clone());
+    while due < end {
+        sleep_until(due).await;
+        if calls.len() < UNDER_WAY_MAX {
+            let client = clients[number as usize % clients.len()].clone();
+            let keyed = rng.u64(0..100) < settings.keyed_percent;
+            calls.spawn(one(client, settings.clone(), number, keyed, due, tally.clone()));
+        } else if let Ok(mut tally) = tally.lock() {
+            tally.count("too many under way".into());
+        }
+        while calls.try_join_next().is_some() {}
+        number += 1;
+        // Poisson arrivals.
+        let gap_s = -rng.f64().max(1e-12).ln() / settings.rate_per_s as f64;
+        due += Duration::from_secs_f64(gap_s);
+    }
+    while calls.join_next().await.is_some() {}
+    std::mem::replace(&mut *tally.lock().expect("no call has panicked"), Tally::new())
+}
+
+async fn one(
+    client: Arc<Client>,
+    settings: Arc<LoadSettings>,
+    number: u64,
+    keyed: bool,
+    due: Instant,
+    tally: Arc<Mutex<Tally>>,
+) {
+    let body = format!("call-{}-{number}", settings.seed);
+    let mut headers = vec![("valetrack-service", settings.service.as_str())];
+    if keyed {
+        headers.push(("idempotency-key", body.as_str()));
+    }
+    let method = if keyed { "POST" } else { "GET" };
+    let reply = client.call(method, &settings.path, &headers, body.clone()).await;
+    let took_us = due.elapsed().as_micros() as u64;
+    let Ok(mut tally) = tally.lock() else {
+        return;
+    };
+    match reply {
+        Ok(reply) => {
+            let outcome = if settings.direct { "direct" } else { reply.header("valetrack-outcome") };
+            if reply.status == 200 {
+                let _ = tally.latency_us.record(took_us.clamp(1, LATENCY_MAX_US));
+                tally.wrong += u64::from(reply.body != body.as_bytes());
+            }
+            let text = format!("{} {} {outcome}", reply.status, reply.header("valetrack-code"));
+            tally.count(text);
+        }
+        Err(error) => tally.count(format!("failed: {error}")),
+    }
+}
+
+fn print(settings: &LoadSettings, tally: &Tally) {
+    let quantile = |q: f64| tally.latency_us.value_at_quantile(q);
+    let good = tally.latency_us.len();
+    let goodput = good as f64 / settings.seconds.max(1) as f64;
+    if settings.json {
+        let row = json!({
+            "name": settings.name, "rate_per_s": settings.rate_per_s, "goodput_per_s": goodput,
+            "p50_us": quantile(0.5), "p99_us": quantile(0.99), "p999_us": quantile(0.999),
+            "max_us": tally.latency_us.max(), "wrong": tally.wrong, "outcomes": tally.outcomes,
+        });
+        println!("{row}");
+        return;
+    }
+    println!("{:<24} {:>9} {:>9} {:>9} {:>9} {:>9}", "run", "goodput/s", "p50 us", "p99 us", "p99.9 us", "max us");
+    println!(
+        "{:<24} {goodput:>9.1} {:>9} {:>9} {:>9} {:>9}",
+        settings.name,
+        quantile(0.5),
+        quantile(0.99),
+        quantile(0.999),
+        tally.latency_us.max()
+    );
+    println!("answers to another call: {}", tally.wrong);
+    for (outcome, count) in &tally.outcomes {
+        println!("  {count:>8}  {outcome}");
+    }
+}
--- /dev/null
+++ b/valetrack/src/admin/run.rs
@@ -0,0 +1,118 @@
+//! The admin thread.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::sync::{Semaphore, watch};
+
+use crate::bundle::InForce;
+use crate::member::{Member, Members};
+use crate::metric::Metrics;
+use crate::timeline::log as events;
+
+/// Most connections at once.
+const CONNECTIONS_MAX: usize = 32;
+
+/// What the admin port shows.
+#[derive(Clone)]
+pub struct AdminParts {
+    /// Name of this VM.
+    pub vm: Arc<str>,
+    /// Metrics.
+    pub metrics: Arc<Metrics>,
+    /// The bundle in force.
+    pub bundle: watch::Receiver<Option<Arc<InForce>>>,
+    /// VMs.
+    pub members: watch::Receiver<Arc<Members>>,
+    /// Whether this node takes work.
+    pub serving: watch::Receiver<bool>,
+    /// Whether this node leaves.
+    pub leaving: watch::Receiver<bool>,
+    /// Turns true when the port is to close.
+    pub closing: watch::Receiver<bool>,
+}
+
+#[derive(Serialize)]
+struct Status<'a> {
+    vm: &'a str,
+    release: &'static str,
+    ready: bool,
+    leaving: bool,
+    bundle_number: u64,
+    bundle_version: &'a str,
+    members: Vec<&'a Member>,
+}
+
+/// Serves operators until told to close; must run on a local task set.
+pub async fn run(listener: TcpListener, parts: AdminParts) {
+    let mut closing = parts.closing.clone();
+    let places = Arc::new(Semaphore::new(CONNECTIONS_MAX));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = closing.wait_for(|closing| *closing) => return,
+        };
+        let (Ok((stream, _)), Ok(place)) = (accepted, places.clone().try_acquire_owned()) else {
+            continue;
+        };
+        let parts = parts.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |request| {
+                let answer = answer(&request, &parts);
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            let mut builder = hyper::server::conn::http1::Builder::new();
+            builder.timer(TokioTimer::new());
+            let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+            drop(place);
+        });
+    }
+}
+
+fn answer(request: &Request<Incoming>, parts: &AdminParts) -> Response<Full<Bytes>> {
+    if request.method() != Method::GET {
+        return text(StatusCode::METHOD_NOT_ALLOWED, "only GET\n".into());
+    }
+    match request.uri().path() {
+        "/metrics" => text(StatusCode::OK, parts.metrics.render()),
+        "/health" => text(StatusCode::OK, "ok\n".into()),
+        "/ready" if ready(parts) => text(StatusCode::OK, "ready\n".into()),
+        "/ready" => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
+        "/status" => text(StatusCode::OK, status(parts)),
+        "/events" => text(StatusCode::OK, events::recent().iter().map(|line| format!("{line}\n")).collect()),
+        _ => text(StatusCode::NOT_FOUND, "/metrics /health /ready /status /events\n".into()),
+    }
+}
+
+fn ready(parts: &AdminParts) -> bool {
+    *parts.serving.borrow() && !*parts.leaving.borrow()
+}
+
+fn status(parts: &AdminParts) -> String {
+    let bundle = parts.bundle.borrow().clone();
+    let members = parts.members.borrow().clone();
+    let status = Status {
+        vm: &parts.vm,
+        release: env!("CARGO_PKG_VERSION"),
+        ready: ready(parts),
+        leaving: *parts.leaving.borrow(),
+        bundle_number: bundle.as_ref().map_or(0, |bundle| bundle.number),
+        bundle_version: bundle.as_ref().map_or("", |bundle| &bundle.version),
+        members: members.iter().collect(),
+    };
+    serde_json::to_string_pretty(&status).unwrap_or_default() + "\n"
+}
+
+fn text(status: StatusCode, body: String) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::new(Bytes::from(body)));
+    *answer.status_mut() = status;
+    answer
+}
--- /dev/null
+++ b/valetrack/src/bundle/operator.rs
@@ -0,0 +1,236 @@
+//! What operators do: write, approve, roll; each safe against a race and a lost answer.
+
+use snafu::Snafu;
+
+use super::check::check;
+use super::message::{
+    ApprovedDoc, CURRENT_KEY, CurrentDoc, Fault, HISTORY_MAX, RolledDoc, WrittenDoc, approval_key, text_key, version_of,
+};
+use crate::clock::wall_us;
+use crate::code::Code;
+use crate::store::{Store, StoreError, Versioned, Written};
+
+/// How often a write whose answer was lost is read back and tried again.
+const TRIES: usize = 5;
+
+/// How an operator's command may fail.
+#[derive(Debug, Snafu)]
+pub enum OperatorError {
+    /// The text has faults, so nothing was written.
+    #[snafu(display("the bundle has {} faults and was not written", faults.len()))]
+    Faulty {
+        /// All of them.
+        faults: Vec<Fault>,
+    },
+    /// No bundle of this version was written.
+    #[snafu(display("no bundle {version} was written"))]
+    NotFound {
+        /// The version.
+        version: String,
+    },
+    /// The stored text is not what its version says.
+    #[snafu(display("the stored text of {version} does not match it"))]
+    Damaged {
+        /// The version.
+        version: String,
+    },
+    /// Nobody has approved the bundle.
+    #[snafu(display("bundle {version} was approved by nobody yet"))]
+    NotApproved {
+        /// The version.
+        version: String,
+    },
+    /// The author wanted to approve it.
+    #[snafu(display("bundle {version} was written by {operator}, who cannot approve it"))]
+    SelfApproval {
+        /// The version.
+        version: String,
+        /// Who tried.
+        operator: String,
+    },
+    /// Somebody else rolled in between.
+    #[snafu(display("{winner} rolled bundle {version} as number {number} first"))]
+    RaceLost {
+        /// Who was faster.
+        winner: String,
+        /// What was rolled.
+        version: String,
+        /// Its number.
+        number: u64,
+    },
+    /// The store failed.
+    #[snafu(display("{source}"))]
+    Store {
+        /// How.
+        source: StoreError,
+    },
+}
+
+impl OperatorError {
+    /// Returns the numbered code.
+    pub const fn code(&self) -> Code {
+        match self {
+            Self::Faulty { .. } => Code::BundleValueInvalid,
+            Self::NotFound { .. } => Code::BundleNotFound,
+            Self::Damaged { .. } => Code::BundleDamaged,
+            Self::NotApproved { .. } => Code::BundleNotApproved,
+            Self::SelfApproval { .. } => Code::BundleSelfApproval,
+            Self::RaceLost { .. } => Code::BundleRaceLost,
+            Self::Store { source } => source.code(),
+        }
+    }
+}
+
+impl From<StoreError> for OperatorError {
+    fn from(source: StoreError) -> Self {
+        Self::Store { source }
+    }
+}
+
+/// Checks and writes a bundle; returns its version.
+///
+/// Writing the same text again changes nothing, whoever does it.
+///
+/// # Errors
+///
+/// Returns [`OperatorError::Faulty`] with every fault, or how the store failed.
+pub async fn write(store: &dyn Store, operator: &str, text: &str) -> Result<String, OperatorError> {
+    check(text).map_err(|faults| OperatorError::Faulty { faults })?;
+    let version = version_of(text);
+    let doc = WrittenDoc { author: operator.into(), written_ms: wall_us() / 1000, text: text.into() };
+    create(store, &text_key(&version), &doc).await?;
+    Ok(version)
+}
+
+/// Approves a written bundle as somebody else than its author.
+///
+/// # Errors
+///
+/// Returns why the bundle cannot be approved, or how the store failed.
+pub async fn approve(store: &dyn Store, operator: &str, version: &str) -> Result<(), OperatorError> {
+    let written = read_text(store, version).await?;
+    if written.author == operator {
+        return Err(OperatorError::SelfApproval { version: version.into(), operator: operator.into() });
+    }
+    let doc = ApprovedDoc { approver: operator.into(), approved_ms: wall_us() / 1000 };
+    create(store, &approval_key(version), &doc).await?;
+    Ok(())
+}
+
+/// Rolls an approved bundle; returns its number.
+///
+/// # Errors
+///
+/// Returns [`OperatorError::RaceLost`] with the winner when somebody else rolled in between, why
+/// the bundle cannot be rolled, or how the store failed.
+pub async fn roll(store: &dyn Store, operator: &str, version: &str) -> Result<u64, OperatorError> {
+    let written = read_text(store, version).await?;
+    let approval = store.read(&approval_key(version)).await?;
+    let approved = approval.and_then(|kv| serde_json::from_slice::<ApprovedDoc>(&kv.value).ok());
+    let Some(approved) = approved.filter(|doc| doc.approver != written.author) else {
+        return Err(OperatorError::NotApproved { version: version.into() });
+    };
+    log::debug!("event=bundle.roll version={version} approver={}", approved.approver);
+    let before = store.read(CURRENT_KEY).await?;
+    let (expected, next) = next_current(before, operator, version);
+    roll_at(store, expected, next).await
+}
+
+/// Reads the bundle in force, if one was rolled.
+///
+/// # Errors
+///
+/// Returns how the store failed.
+pub async fn current(store: &dyn Store) -> Result<Option<CurrentDoc>, OperatorError> {
+    let kv = store.read(CURRENT_KEY).await?;
+    Ok(kv.and_then(|kv| serde_json::from_slice(&kv.value).ok()))
+}
+
+/// Reads a written bundle and holds it against its version.
+///
+/// # Errors
+///
+/// Returns that it does not exist or is damaged, or how the store failed.
+pub async fn read_text(store: &dyn Store, version: &str) -> Result<WrittenDoc, OperatorError> {
+    let kv = store.read(&text_key(version)).await?;
+    let Some(kv) = kv else {
+        return Err(OperatorError::NotFound { version: version.into() });
+    };
+    let doc = serde_json::from_slice::<WrittenDoc>(&kv.value).ok();
+    doc.filter(|doc| version_of(&doc.text) == version).ok_or_else(|| OperatorError::Damaged { version: version.into() })
+}
+
+fn next_current(before: Option<Versioned>, operator: &str, version: &str) -> (u64, CurrentDoc) {
+    let expected = before.as_ref().map_or(0, |kv| kv.revision);
+    let doc = before.and_then(|kv| serde_json::from_slice::<CurrentDoc>(&kv.value).ok());
+    let mut history = Vec::new();
+    let mut number = 1;
+    if let Some(doc) = doc {
+        number = doc.number + 1;
+        let RolledParts { rolled, before } = split(doc);
+        history.push(rolled);
+        history.extend(before);
+        history.truncate(HISTORY_MAX);
+    }
+    let rolled_ms = wall_us() / 1000;
+    (expected, CurrentDoc { number, version: version.into(), operator: operator.into(), rolled_ms, before: history })
+}
+
+struct RolledParts {
+    rolled: RolledDoc,
+    before: Vec<RolledDoc>,
+}
+
+fn split(doc: CurrentDoc) -> RolledParts {
+    let rolled =
+        RolledDoc { number: doc.number, version: doc.version, operator: doc.operator, rolled_ms: doc.rolled_ms };
+    RolledParts { rolled, before: doc.before }
+}
+
+async fn roll_at(store: &dyn Store, expected: u64, next: CurrentDoc) -> Result<u64, OperatorError> {
+    let value = serde_json::to_vec(&next).unwrap_or_default();
+    for _ in 0..TRIES {
+        match store.swap(CURRENT_KEY, expected, value.clone()).await {
+            Ok(Written::At(_)) => return Ok(next.number),
+            Ok(Written::Refused) | Err(StoreError::Lost { .. }) => {}
+            Err(error) => return Err(error.into()),
+        }
+        // Whether it took effect stands in the store alone.
+        let Ok(found) = store.read(CURRENT_KEY).await else {
+            continue;
+        };
+        let unchanged = found.as_ref().map_or(0, |kv| kv.revision) == expected;
+        let doc = found.and_then(|kv| serde_json::from_slice::<CurrentDoc>(&kv.value).ok());
+        match doc {
+            Some(doc) if doc == next => return Ok(next.number),
+            Some(doc) if doc.before.iter().any(|old| is_roll(old, &next)) => return Ok(next.number),
+            Some(doc) if !unchanged => {
+                return Err(OperatorError::RaceLost { winner: doc.operator, version: doc.version, number: doc.number });
+            }
+            Some(_) | None => {}
+        }
+    }
+    let reason = "no answer to the roll, and it could not be read back".to_owned();
+    Err(StoreError::Lost { reason }.into())
+}
+
+fn is_roll(old: &RolledDoc, next: &CurrentDoc) -> bool {
+    old.number == next.number && old.rolled_ms == next.rolled_ms && old.operator == next.operator
+}
+
+/// Creates a document that never changes; one that is there already is as good.
+async fn create<T: serde::Serialize>(store: &dyn Store, key: &str, doc: &T) -> Result<(), OperatorError> {
+    let value = serde_json::to_vec(doc).unwrap_or_default();
+    let mut last = StoreError::Lost { reason: "not tried".into() };
+    for _ in 0..TRIES {
+        match store.swap(key, 0, value.clone()).await {
+            Ok(Written::At(_) | Written::Refused) => return Ok(()),
+            Err(error @ StoreError::Lost { .. }) => last = error,
+            Err(error) => return Err(error.into()),
+        }
+        if matches!(store.read(key).await, Ok(Some(_))) {
+            return Ok(());
+        }
+    }
+    Err(last.into())
+}
--- /dev/null
+++ b/valetrack/src/bundle/reader.rs
@@ -0,0 +1,160 @@
+//! Reads tables of a bundle and notes every fault with its place.
+
+use std::ops::{Range, RangeInclusive};
+use std::sync::Arc;
+
+use toml::Spanned;
+use toml::de::{DeString, DeTable, DeValue};
+
+use super::message::Fault;
+use crate::code::Code;
+
+/// Collects faults while tables are read.
+pub struct Reader<'t> {
+    text: &'t str,
+    /// Faults found so far.
+    pub faults: Vec<Fault>,
+}
+
+/// One table with the keys that were asked for, so that the others can be told.
+pub struct Section<'a, 't> {
+    table: &'a DeTable<'t>,
+    span: Range<usize>,
+    known: Vec<&'static str>,
+}
+
+impl<'a, 't> Section<'a, 't> {
+    /// Starts reading a table that stands at `span`.
+    pub fn new(table: &'a DeTable<'t>, span: Range<usize>) -> Self {
+        Self { table, span, known: Vec::new() }
+    }
+
+    /// Returns where the table stands in the text.
+    pub fn span(&self) -> &Range<usize> {
+        &self.span
+    }
+
+    fn get(&mut self, key: &'static str) -> Option<&'a Spanned<DeValue<'t>>> {
+        self.known.push(key);
+        self.table.iter().find(|(name, _)| name.get_ref().as_ref() == key).map(|(_, value)| value)
+    }
+}
+
+impl<'t> Reader<'t> {
+    /// Makes a reader of one text.
+    pub fn new(text: &'t str) -> Self {
+        Self { text, faults: Vec::new() }
+    }
+
+    /// Notes a fault at a place of the text.
+    pub fn fault(&mut self, code: Code, span: &Range<usize>, text: String) {
+        let before = &self.text.as_bytes()[..span.start.min(self.text.len())];
+        let line = before.iter().filter(|&&byte| byte == b'\n').count() + 1;
+        let column = before.iter().rev().take_while(|&&byte| byte != b'\n').count() + 1;
+        self.faults.push(Fault::new(code, line, column, text));
+    }
+
+    /// Reads a whole number, or takes the default where the key is missing.
+    pub fn number(
+        &mut self,
+        section: &mut Section<'_, '_>,
+        key: &'static str,
+        allowed: RangeInclusive<u64>,
+        default: u64,
+    ) -> u64 {
+        let Some(value) = section.get(key) else {
+            return default;
+        };
+        let parsed = value
+            .get_ref()
+            .as_integer()
+            .and_then(|number| u64::from_str_radix(&number.as_str().replace('_', ""), number.radix()).ok());
+        match parsed.filter(|number| allowed.contains(number)) {
+            Some(number) => number,
+            None => {
+                let (low, high) = (allowed.start(), allowed.end());
+                let text = format!("{key} must be a whole number from {low} to {high}");
+                self.fault(Code::BundleValueInvalid, &value.span(), text);
+                default
+            }
+        }
+    }
+
+    /// Reads true or false, or takes the default where the key is missing.
+    pub fn flag(&mut self, section: &mut Section<'_, '_>, key: &'static str, default: bool) -> bool {
+        let Some(value) = section.get(key) else {
+            return default;
+        };
+        value.get_ref().as_bool().unwrap_or_else(|| {
+            self.fault(Code::BundleValueInvalid, &value.span(), format!("{key} must be true or false"));
+            default
+        })
+    }
+
+    /// Reads a text that `allowed` accepts.
+    pub fn text(
+        &mut self,
+        section: &mut Section<'_, '_>,
+        key: &'static str,
+        right: &str,
+        allowed: impl Fn(&str) -> bool,
+    ) -> Option<Arc<str>> {
+        let value = section.get(key)?;
+        let found = value.get_ref().as_str().filter(|found| allowed(found));
+        if found.is_none() {
+            self.fault(Code::BundleValueInvalid, &value.span(), format!("{key} must be {right}"));
+        }
+        found.map(Arc::from)
+    }
+
+    /// Notes that a key which must be there is missing.
+    pub fn require<T>(&mut self, section: &Section<'_, '_>, key: &'static str, value: Option<T>) -> Option<T> {
+        let absent = !section.table.iter().any(|(name, _)| name.get_ref().as_ref() == key);
+        if value.is_none() && absent {
+            self.fault(Code::BundleKeyMissing, &section.span, format!("{key} is missing"));
+        }
+        value
+    }
+
+    /// Returns a table below a key.
+    pub fn table<'a, 'x>(&mut self, section: &mut Section<'a, 'x>, key: &'static str) -> Option<Section<'a, 'x>> {
+        let value = section.get(key)?;
+        let table = value.get_ref().as_table();
+        if table.is_none() {
+            self.fault(Code::BundleValueInvalid, &value.span(), format!("{key} must be a table, [{key}]"));
+        }
+        table.map(|table| Section::new(table, value.span()))
+    }
+
+    /// Returns the tables of an array below a key.
+    pub fn tables<'a, 'x>(&mut self, section: &mut Section<'a, 'x>, key: &'static str) -> Vec<Section<'a, 'x>> {
+        let Some(value) = section.get(key) else {
+            return Vec::new();
+        };
+        let Some(array) = value.get_ref().as_array() else {
+            self.fault(Code::BundleValueInvalid, &value.span(), format!("{key} must be tables, [[{key}]]"));
+            return Vec::new();
+        };
+        let mut sections = Vec::new();
+        for item in array.iter() {
+            match item.get_ref().as_table() {
+                Some(table) => sections.push(Section::new(table, item.span())),
+                None => self.fault(Code::BundleValueInvalid, &item.span(), format!("{key} must hold tables")),
+            }
+        }
+        sections
+    }
+
+    /// Notes every key of the table that was not asked for.
+    pub fn finish(&mut self, section: &Section<'_, '_>) {
+        let unknown = |(name, _): &(&Spanned<DeString<'_>>, &Spanned<DeValue<'_>>)| {
+            !section.known.contains(&name.get_ref().as_ref())
+        };
+        let names: Vec<_> = section.table.iter().filter(unknown).map(|(name, _)| name).collect();
+        for name in names {
+            let allowed = section.known.join(", ");
+            let text = format!("{} is not known here; known are {allowed}", name.get_ref());
+            self.fault(Code::BundleKeyUnknown, &name.span(), text);
+        }
+    }
+}
--- /dev/null
+++ b/valetrack/src/caller/mod.rs
@@ -0,0 +1,14 @@
+//! The HTTP door: callers' requests, their service, limits and ids, and whole answers.
+//!
+//! Contract: a caller gets the whole answer to its own request or a numbered one-line body that
+//! says whether the work ran; a call that was given up is answered at once.
+
+mod answer;
+pub mod keyed;
+mod request;
+pub mod run;
+#[cfg(test)]
+mod tests;
+
+pub use answer::{CALL_HEADER, CODE_HEADER, OUTCOME_HEADER, RETRY_HEADER};
+pub use request::{DEADLINE_HEADER, DEPTH_HEADER, KEY_HEADER, Rejection, SERVICE_HEADER};
--- /dev/null
+++ b/valetrack/src/caller/request.rs
@@ -0,0 +1,125 @@
+//! Pure reading of a caller's request head.
+
+use std::sync::Arc;
+
+use hyper::HeaderMap;
+use hyper::http::request::Parts;
+
+use crate::bundle::{Bundle, ServiceRule};
+use crate::code::Code;
+use crate::gate::AttemptId;
+use crate::gate::run::travelling;
+use crate::link::message::CallHead;
+
+/// Header that names the service; without it the first label of the host does.
+pub const SERVICE_HEADER: &str = "valetrack-service";
+/// Header with the time that is left, in milliseconds.
+pub const DEADLINE_HEADER: &str = "valetrack-deadline-ms";
+/// Header with the depth of nesting.
+pub const DEPTH_HEADER: &str = "valetrack-depth";
+/// Header with the caller's key for pressing again.
+pub const KEY_HEADER: &str = "idempotency-key";
+/// Longest key, in bytes.
+const KEY_MAX_BYTES: usize = 256;
+/// Longest call id that is taken from a caller, in bytes.
+const CALL_ID_MAX_BYTES: usize = 64;
+/// Largest sum of header names and values that travels, in bytes; it leaves room in a frame.
+const HEADERS_MAX_BYTES: usize = 48 * 1024;
+
+/// Why a request is refused before any server is asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Rejection {
+    /// The code.
+    pub code: Code,
+    /// HTTP status.
+    pub status: u16,
+}
+
+/// What the door knows of a call once its head is read.
+#[derive(Debug, Clone)]
+pub struct DoorCall {
+    /// The head as it goes to owners; the length of its body is not known yet.
+    pub head: CallHead,
+    /// Whether the work may run more than once.
+    pub repeatable: bool,
+    /// Largest body of the request, in bytes.
+    pub request_cap_bytes: usize,
+}
+
+const fn reject(code: Code, status: u16) -> Rejection {
+    Rejection { code, status }
+}
+
+/// Reads the head of a request by the bundle in force.
+///
+/// # Errors
+///
+/// Returns why the request is refused.
+pub fn read(parts: &Parts, bundle: &Bundle, new_id: impl Fn() -> String) -> Result<DoorCall, Rejection> {
+    let headers = &parts.headers;
+    let rule = service(parts, bundle).ok_or(reject(Code::ServiceUnknown, 404))?;
+    let depth = number(headers, DEPTH_HEADER)?.unwrap_or(0);
+    if depth >= u64::from(rule.depth_max) {
+        return Err(reject(Code::DepthExceeded, 508));
+    }
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let route = rule.route(parts.method.as_str(), parts.uri.path());
+    let safe = matches!(parts.method.as_str(), "GET" | "HEAD");
+    let repeatable = route.map_or(safe, |route| route.repeatable);
+    let limit_ms = route.map_or(rule.deadline_ms, |route| route.deadline_ms);
+    let asked_ms = number(headers, DEADLINE_HEADER)?.unwrap_or(limit_ms.into());
+    let key = text(headers, KEY_HEADER, KEY_MAX_BYTES)?;
+    let call_id = text(headers, super::CALL_HEADER, CALL_ID_MAX_BYTES)?.unwrap_or_else(&new_id);
+    let travelling = travelling(headers);
+    let size: usize = travelling.iter().map(|(name, value)| name.len() + value.len()).sum();
+    if size + path.len() > HEADERS_MAX_BYTES {
+        return Err(reject(Code::HeaderInvalid, 431));
+    }
+    let head = CallHead {
+        attempt: AttemptId { entry: 0, seq: 0 },
+        call_id: Arc::from(call_id),
+        service: rule.name.clone(),
+        method: parts.method.to_string(),
+        path: path.to_owned(),
+        headers: travelling.into_iter().filter(|(name, _)| !is_own(name)).collect(),
+        body_bytes: 0,
+        deadline_ms: asked_ms.min(limit_ms.into()) as u32,
+        depth: depth as u8 + 1,
+        bounces_left: 0,
+        key: key.filter(|_| !repeatable).map(Arc::from),
+        hlc: 0,
+    };
+    Ok(DoorCall { head, repeatable, request_cap_bytes: rule.request_cap_bytes as usize })
+}
+
+/// Headers that each hop writes anew.
+fn is_own(name: &str) -> bool {
+    matches!(name, SERVICE_HEADER | DEADLINE_HEADER | DEPTH_HEADER | super::CALL_HEADER)
+}
+
+fn service<'b>(parts: &Parts, bundle: &'b Bundle) -> Option<&'b ServiceRule> {
+    if let Some(named) = parts.headers.get(SERVICE_HEADER) {
+        return bundle.service(named.to_str().ok()?);
+    }
+    let host = parts.headers.get("host").and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| parts.uri.host())?;
+    bundle.service(host.split(['.', ':']).next()?)
+}
+
+fn number(headers: &HeaderMap, name: &str) -> Result<Option<u64>, Rejection> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let parsed = value.to_str().ok().and_then(|text| text.parse().ok());
+    parsed.map(Some).ok_or(reject(Code::HeaderInvalid, 400))
+}
+
+fn text(headers: &HeaderMap, name: &str, max_bytes: usize) -> Result<Option<String>, Rejection> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    let fits = |text: &&str| !text.is_empty() && text.len() <= max_bytes && !text.contains(['"', ' ']);
+    let one = value.to_str().ok().filter(fits).filter(|_| values.next().is_none());
+    one.map(|text| Some(text.to_owned())).ok_or(reject(Code::HeaderInvalid, 400))
+}
--- /dev/null
+++ b/valetrack/src/caller/run.rs
@@ -0,0 +1,244 @@
+//! The door's thread: callers' connections, and placement of their calls.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_channel::Receiver;
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use super::answer::{self, Answer};
+use super::keyed::KeyedRouter;
+use super::request::{self, DoorCall, Rejection};
+use crate::code::Code;
+use crate::placement::Verdict;
+use crate::placement::run::{PlaceJob, Placed, Placer};
+
+/// Largest head of a request, in bytes.
+const HEAD_MAX_BYTES: usize = 64 * 1024;
+/// Time that a caller has to send a head, in milliseconds.
+const HEAD_MS: u64 = 10_000;
+/// Most connections of callers at once; further ones are closed at once.
+const CONNECTIONS_MAX: usize = 10_000;
+/// How long a quiet connection may stay when the node leaves, in milliseconds.
+const QUIET_MS: u64 = 500;
+
+/// What the door is joined to.
+pub struct DoorParts {
+    /// Placement.
+    pub placer: Rc<Placer>,
+    /// Calls with keys.
+    pub keyed: KeyedRouter,
+    /// Calls of claims that are to be placed.
+    pub jobs: Receiver<PlaceJob>,
+    /// Time that a caller has to send a body.
+    pub body_limit: Duration,
+    /// Turns true when this node leaves.
+    pub leaving: watch::Receiver<bool>,
+    /// Turns true when the door is to close.
+    pub closing: watch::Receiver<bool>,
+    /// Told when no caller is connected any more after leaving has begun.
+    pub emptied: watch::Sender<bool>,
+}
+
+struct Door {
+    parts: DoorParts,
+    connections: Cell<usize>,
+    /// Calls that have no answer yet.
+    open_calls: Cell<usize>,
+}
+
+/// Serves callers until told to close; must run on a local task set.
+pub async fn run(listener: TcpListener, parts: DoorParts) {
+    let mut closing = parts.closing.clone();
+    let door = Rc::new(Door { parts, connections: Cell::new(0), open_calls: Cell::new(0) });
+    let mut duties = tokio::task::JoinSet::new();
+    duties.spawn_local(door.parts.placer.clone().follow());
+    duties.spawn_local(door.parts.placer.clone().probe());
+    duties.spawn_local(door.clone().place_jobs());
+    duties.spawn_local(door.clone().watch_emptied());
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = closing.wait_for(|closing| *closing) => break,
+        };
+        match accepted {
+            Ok((stream, _)) if door.connections.get() < CONNECTIONS_MAX => {
+                tokio::task::spawn_local(door.clone().serve(stream));
+            }
+            Ok(_) => door.parts.placer.metrics.bad_calls.inc(),
+            // Out of descriptors, say: a short pause lets some close.
+            Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
+        }
+    }
+    duties.shutdown().await;
+}
+
+impl Door {
+    async fn place_jobs(self: Rc<Self>) {
+        while let Ok(job) = self.parts.jobs.recv().await {
+            let placer = self.parts.placer.clone();
+            tokio::task::spawn_local(async move {
+                let placed = place(&placer, job.head, job.body, job.repeatable).await;
+                let _ = job.reply.send(placed);
+            });
+        }
+    }
+
+    async fn watch_emptied(self: Rc<Self>) {
+        let mut leaving = self.parts.leaving.clone();
+        if leaving.wait_for(|leaving| *leaving).await.is_err() {
+            return;
+        }
+        while self.connections.get() > 0 || self.open_calls.get() > 0 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        self.parts.emptied.send_replace(true);
+    }
+
+    async fn serve(self: Rc<Self>, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        self.connections.set(self.connections.get() + 1);
+        let mut builder = auto::Builder::new(LocalExecutor);
+        builder
+            .http1()
+            .timer(TokioTimer::new())
+            .header_read_timeout(Duration::from_millis(HEAD_MS))
+            .max_buf_size(HEAD_MAX_BYTES);
+        builder.http2().timer(TokioTimer::new()).max_header_list_size(HEAD_MAX_BYTES as u32);
+        let door = self.clone();
+        let service = service_fn(move |request| door.clone().answer(request));
+        let connection = builder.serve_connection(TokioIo::new(stream), service);
+        let mut connection = std::pin::pin!(connection);
+        let mut leaving = self.parts.leaving.clone();
+        let ended = tokio::select! {
+            ended = connection.as_mut() => Some(ended),
+            () = quiet(&mut leaving) => None,
+        };
+        let ended = match ended {
+            Some(ended) => ended,
+            None => {
+                // What is under way is finished, and the caller is told to go elsewhere.
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
+        if ended.is_err() {
+            self.parts.placer.metrics.bad_calls.inc();
+        }
+        self.connections.set(self.connections.get() - 1);
+    }
+
+    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Result<Answer, Infallible> {
+        let _open = OpenCall::new(self.clone());
+        let began = Instant::now();
+        let mut answer = self.clone().handle(request).await;
+        let metrics = &self.parts.placer.metrics;
+        metrics.call_seconds.observe(began.elapsed().as_secs_f64());
+        let outcome = answer.headers().get(answer::OUTCOME_HEADER).and_then(|value| value.to_str().ok());
+        metrics.calls.with_label_values(&[outcome.unwrap_or("unknown")]).inc();
+        if *self.parts.leaving.borrow() && answer.version() < hyper::Version::HTTP_2 {
+            answer.headers_mut().insert("connection", hyper::header::HeaderValue::from_static("close"));
+        }
+        Ok(answer)
+    }
+
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Answer {
+        let (parts, body) = request.into_parts();
+        let placer = &self.parts.placer;
+        let in_force = placer.bundle.borrow().clone();
+        let Some(in_force) = in_force else {
+            return answer::of_rejection(Rejection { code: Code::NoBundle, status: 503 }, "-");
+        };
+        let new_id = || placer.next_attempt().to_string();
+        let DoorCall { mut head, repeatable, request_cap_bytes } = match request::read(&parts, &in_force.bundle, new_id)
+        {
+            Ok(call) => call,
+            Err(rejection) => {
+                placer.metrics.bad_calls.inc();
+                return answer::of_rejection(rejection, "-");
+            }
+        };
+        let body = match self.read_body(body, request_cap_bytes).await {
+            Ok(body) => body,
+            Err(rejection) => {
+                placer.metrics.bad_calls.inc();
+                return answer::of_rejection(rejection, &head.call_id);
+            }
+        };
+        head.body_bytes = body.len() as u32;
+        let call_id = head.call_id.clone();
+        log::debug!("event=call.begin call={call_id} service={}", head.service);
+        let placed = if head.key.is_some() {
+            self.parts.keyed.press(head, body).await
+        } else {
+            place(placer, head, body, repeatable).await
+        };
+        let answer = answer::of_placed(placed, &call_id);
+        log::debug!("event=call.end call={call_id} status={}", answer.status().as_u16());
+        answer
+    }
+
+    async fn read_body(&self, body: Incoming, cap_bytes: usize) -> Result<Bytes, Rejection> {
+        let collecting = timeout(self.parts.body_limit, Limited::new(body, cap_bytes).collect());
+        match collecting.await {
+            Ok(Ok(body)) => Ok(body.to_bytes()),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => {
+                Err(Rejection { code: Code::BodyTooLarge, status: 413 })
+            }
+            Ok(Err(_)) => Err(Rejection { code: Code::BodyBroken, status: 400 }),
+            Err(_) => Err(Rejection { code: Code::BodyBroken, status: 408 }),
+        }
+    }
+}
+
+async fn place(placer: &Rc<Placer>, head: crate::link::message::CallHead, body: Bytes, repeatable: bool) -> Placed {
+    match placer.rule(&head.service, repeatable) {
+        Some(rule) => placer.clone().place(head, body, rule).await,
+        None => Placed::Verdict(Verdict::NotRun { code: Code::ServiceUnknown, retry_after_ms: 1_000 }),
+    }
+}
+
+/// Waits until the node leaves, and then as long as a quiet connection may stay.
+async fn quiet(leaving: &mut watch::Receiver<bool>) {
+    if leaving.wait_for(|leaving| *leaving).await.is_err() {
+        return std::future::pending().await;
+    }
+    tokio::time::sleep(Duration::from_millis(QUIET_MS)).await;
+}
+
+/// Counts a call as open until it is dropped, since a caller may go away in the middle.
+struct OpenCall(Rc<Door>);
+
+impl OpenCall {
+    fn new(door: Rc<Door>) -> Self {
+        door.open_calls.set(door.open_calls.get() + 1);
+        Self(door)
+    }
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        self.0.open_calls.set(self.0.open_calls.get() - 1);
+    }
+}
+
+/// Runs a connection's tasks on the door's own thread.
+#[derive(Debug, Clone, Copy)]
+struct LocalExecutor;
+
+impl<F: Future + 'static> hyper::rt::Executor<F> for LocalExecutor {
+    fn execute(&self, future: F) {
+        tokio::task::spawn_local(future);
+    }
+}
--- /dev/null
+++ b/valetrack/src/claim/mod.rs
@@ -0,0 +1,17 @@
+//! At most once: pressing again with the same key never runs the work twice.
+//!
+//! Contract: a key runs only after its claim is in the store, under the revision that this home
+//! last knew; a key that was claimed and is not known to have finished never runs again; a press
+//! told `not-run` did not run and will not, under that press or any before it.
+
+mod message;
+pub mod rank;
+pub mod run;
+mod state;
+#[cfg(test)]
+mod tests;
+
+pub use message::{
+    ClaimAction, ClaimEvent, Holder, Home, KeptAnswer, KeyDigest, Page, PageEntry, PressId, PressReply, Record, RunEnd,
+};
+pub use state::{ClaimRule, PageHome};
--- /dev/null
+++ b/valetrack/src/claim/state.rs
@@ -0,0 +1,588 @@
+//! Pure decisions of a home over one page of claims.
+//!
+//! The safety of a run rests on one rule: [`ClaimAction::Run`] is ordered only after the store
+//! has confirmed a write, made on the revision that this home last knew, which holds the claim.
+//! Whoever takes the page over does so by a write on the same revision, so one of the two
+//! fails. Time decides when a takeover is tried, never whether a run is safe.
+
+use std::collections::BTreeMap;
+
+use super::message::{
+    ClaimAction, ClaimEvent, Holder, Home, KeptAnswer, KeyDigest, Page, PageEntry, PressId, PressReply, Record, RunEnd,
+};
+use crate::code::Code;
+
+/// How claims of a service are kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct ClaimRule {
+    /// How long a key is remembered, in seconds.
+    pub lifetime_s: u64,
+    /// Whether to run on claims in memory while the store is away.
+    pub held: bool,
+    /// Most keys in one page.
+    pub entries_max: usize,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum Hold {
+    /// Another node may be the home.
+    Away,
+    /// The page is being read.
+    Reading,
+    /// This node is the home, as of this revision.
+    Held { revision: u64 },
+    /// A write on this revision is under way.
+    Writing { expected: u64, hand_over: bool },
+    /// This node was the home, and a write of its own may or may not have taken effect.
+    Unsure,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+enum State {
+    /// Claimed in memory; no write with the claim is confirmed.
+    Fresh,
+    /// The run is on.
+    Running,
+    /// It ran.
+    Finished(KeptAnswer),
+    /// It may have run.
+    Lost,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Entry {
+    call: u64,
+    claimed_s: u64,
+    state: State,
+    /// Presses that wait for the end.
+    presses: Vec<PressId>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Arrived {
+    press: PressId,
+    key: KeyDigest,
+    call: u64,
+}
+
+/// What one node knows and decides of one page.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct PageHome {
+    me: Home,
+    rule: ClaimRule,
+    hold: Hold,
+    term: u64,
+    blind_until_s: u64,
+    entries: BTreeMap<KeyDigest, Entry>,
+    /// Presses that came before it was known who the home is.
+    arrived: Vec<Arrived>,
+    /// Fresh keys that the write under way holds.
+    in_write: Vec<KeyDigest>,
+    /// Whether memory has something that the store lacks.
+    dirty: bool,
+    /// Whether that cannot wait for the next claim.
+    urgent: bool,
+    /// Whether a flush is due to come.
+    flush_due: bool,
+    /// Whether the last call to the store failed.
+    outage: bool,
+    releasing: bool,
+    /// Whether a retry is due to come.
+    retry_due: bool,
+    /// Whether the page in the store says that its home may run on claims in memory.
+    held_in_store: bool,
+    /// Whether another node may have taken the page over unseen.
+    doubted: bool,
+}
+
+impl PageHome {
+    /// Makes a page of which nothing is known yet.
+    pub fn new(me: Home, rule: ClaimRule) -> Self {
+        Self {
+            me,
+            rule,
+            hold: Hold::Away,
+            term: 0,
+            blind_until_s: 0,
+            entries: BTreeMap::new(),
+            arrived: Vec::new(),
+            in_write: Vec::new(),
+            dirty: false,
+            urgent: false,
+            flush_due: false,
+            outage: false,
+            releasing: false,
+            retry_due: false,
+            held_in_store: false,
+            doubted: false,
+        }
+    }
+
+    /// Returns whether this node believes that it is the home; only the store knows.
+    pub fn holds(&self) -> bool {
+        matches!(self.hold, Hold::Held { .. } | Hold::Writing { .. } | Hold::Unsure)
+    }
+
+    /// Returns whether nothing is left to hand over.
+    pub fn released(&self) -> bool {
+        matches!(self.hold, Hold::Away)
+    }
+
+    /// Returns the number of keys remembered.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether no key is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Takes new rules from the bundle in force.
+    pub fn configure(&mut self, rule: ClaimRule) {
+        self.rule = rule;
+    }
+
+    /// Takes one event at `now_s` (seconds since 1970) and appends what must be done to `out`.
+    pub fn handle(&mut self, event: ClaimEvent, now_s: u64, out: &mut Vec<ClaimAction>) {
+        match event {
+            ClaimEvent::Press { press, key, call } => self.press(Arrived { press, key, call }, now_s, out),
+            ClaimEvent::Expire { press } => self.expire(press, out),
+            ClaimEvent::RunEnded { key, end } => self.run_ended(key, end, out),
+            ClaimEvent::Read { revision, page, holder } => self.read(revision, page, holder, now_s, out),
+            ClaimEvent::ReadFailed => self.read_failed(out),
+            ClaimEvent::Wrote { revision } => self.wrote(revision, out),
+            ClaimEvent::Refused => self.refused(out),
+            ClaimEvent::WriteLost => self.write_lost(out),
+            ClaimEvent::Retry => self.retry(out),
+            ClaimEvent::Acquire => self.acquire(out),
+            ClaimEvent::Doubt => self.doubt(out),
+            ClaimEvent::Flush => self.flush(),
+            ClaimEvent::Release => self.releasing = true,
+        }
+        self.write_if_due(now_s, out);
+    }
+
+    fn press(&mut self, arrived: Arrived, now_s: u64, out: &mut Vec<ClaimAction>) {
+        match self.hold {
+            Hold::Away if self.releasing => self.reply(arrived.press, not_home(Code::Leaving), out),
+            Hold::Away => {
+                self.arrived.push(arrived);
+                self.start_read(out);
+            }
+            Hold::Reading => self.arrived.push(arrived),
+            Hold::Held { .. } | Hold::Writing { .. } | Hold::Unsure => self.admit(arrived, now_s, out),
+        }
+    }
+
+    /// Decides on a press as the home.
+    fn admit(&mut self, arrived: Arrived, now_s: u64, out: &mut Vec<ClaimAction>) {
+        let Arrived { press, key, call } = arrived;
+        if let Some(entry) = self.entries.get_mut(&key) {
+            if entry.call != call {
+                self.reply(press, PressReply::Reused, out);
+                return;
+            }
+            match &entry.state {
+                State::Fresh | State::Running => entry.presses.push(press),
+                State::Finished(answer) => {
+                    let reply = PressReply::Ran(answer.clone());
+                    self.reply(press, reply, out);
+                }
+                State::Lost => self.reply(press, PressReply::Unknown { code: Code::ClaimUnfinished }, out),
+            }
+            return;
+        }
+        if now_s < self.blind_until_s {
+            self.reply(press, PressReply::Unknown { code: Code::ClaimUnfinished }, out);
+            return;
+        }
+        if self.entries.len() >= self.rule.entries_max {
+            self.reply(press, self.not_run(Code::ClaimPageFull), out);
+            return;
+        }
+        if self.releasing {
+            self.reply(press, not_home(Code::Leaving), out);
+            return;
+        }
+        if self.outage && !self.held_in_store {
+            self.reply(press, self.not_run(Code::ClaimNotKept), out);
+            return;
+        }
+        let entry = Entry { call, claimed_s: now_s, state: State::Fresh, presses: vec![press] };
+        self.entries.insert(key, entry);
+        self.dirty = true;
+        self.urgent = true;
+        if self.outage {
+            self.run_fresh(&[key], out);
+        }
+    }
+
+    fn expire(&mut self, press: PressId, out: &mut Vec<ClaimAction>) {
+        if let Some(at) = self.arrived.iter().position(|arrived| arrived.press == press) {
+            self.arrived.remove(at);
+            self.reply(press, not_home(Code::ClaimNotKept), out);
+            return;
+        }
+        let waiting = self.entries.iter_mut().find(|(_, entry)| entry.presses.contains(&press));
+        let Some((&key, entry)) = waiting else {
+            return;
+        };
+        entry.presses.retain(|&waiting| waiting != press);
+        if entry.state != State::Fresh {
+            self.reply(press, PressReply::Unknown { code: Code::DeadlinePassed }, out);
+            return;
+        }
+        if entry.presses.is_empty() {
+            // Nobody waits for it any more, so it must not start when the write is confirmed.
+            self.entries.remove(&key);
+            self.dirty = true;
+        }
+        self.reply(press, self.not_run(Code::ClaimNotKept), out);
+    }
+
+    fn run_ended(&mut self, key: KeyDigest, end: RunEnd, out: &mut Vec<ClaimAction>) {
+        let Some(entry) = self.entries.get_mut(&key) else {
+            return;
+        };
+        if entry.state != State::Running {
+            return;
+        }
+        let presses = std::mem::take(&mut entry.presses);
+        let reply = match end {
+            RunEnd::Ran(answer) => {
+                entry.state = State::Finished(answer.trimmed());
+                PressReply::Ran(answer)
+            }
+            RunEnd::NeverStarted { code } => {
+                self.entries.remove(&key);
+                PressReply::NotRun { code }
+            }
+            RunEnd::Unknown { code } => {
+                entry.state = State::Lost;
+                PressReply::Unknown { code }
+            }
+        };
+        self.dirty = true;
+        for press in presses {
+            self.reply(press, reply.clone(), out);
+        }
+        if !self.holds() {
+            // The page has another home now; only that one speaks for the key from here on.
+            self.entries.remove(&key);
+        }
+    }
+
+    fn read(&mut self, revision: u64, page: Option<Page>, holder: Holder, now_s: u64, out: &mut Vec<ClaimAction>) {
+        if !matches!(self.hold, Hold::Reading | Hold::Unsure) {
+            return;
+        }
+        self.outage = false;
+        self.doubted = false;
+        let was_home = self.hold == Hold::Unsure;
+        let Some(page) = page else {
+            self.hold = Hold::Held { revision: 0 };
+            self.dirty = true;
+            self.urgent = true;
+            self.admit_arrived(now_s, out);
+            return;
+        };
+        let mine = page.home.as_ref() == Some(&self.me);
+        if mine {
+            self.held_in_store = page.held;
+            if !was_home && self.entries.is_empty() {
+                self.adopt(&page, State::Lost, now_s);
+            }
+            self.hold = Hold::Held { revision };
+            self.admit_arrived(now_s, out);
+            return;
+        }
+        let free = match (&page.home, holder) {
+            (None, _) | (Some(_), Holder::Over) => true,
+            (Some(_), Holder::Silent) => !page.held,
+            (Some(_), Holder::Alive) => false,
+        };
+        if free && !self.releasing {
+            self.take_over(revision, &page, now_s, out);
+        } else if let Some(home) = page.home {
+            self.step_down(&home, out);
+        } else {
+            self.hold = Hold::Away;
+            self.refuse_arrived(out);
+            self.refuse_fresh(out);
+        }
+    }
+
+    fn take_over(&mut self, revision: u64, page: &Page, now_s: u64, out: &mut Vec<ClaimAction>) {
+        self.refuse_fresh(out);
+        // A run of this node's own that outlived its hold is still its to end.
+        self.entries.retain(|_, entry| entry.state == State::Running);
+        let running = std::mem::take(&mut self.entries);
+        self.adopt(page, State::Lost, now_s);
+        self.entries.extend(running);
+        self.held_in_store = false;
+        self.term = page.term + 1;
+        if page.held && page.home.is_some() {
+            self.blind_until_s = self.blind_until_s.max(now_s + self.rule.lifetime_s);
+        }
+        self.hold = Hold::Held { revision };
+        self.dirty = true;
+        self.urgent = true;
+        self.admit_arrived(now_s, out);
+    }
+
+    fn adopt(&mut self, page: &Page, claimed_as: State, now_s: u64) {
+        self.term = page.term;
+        self.blind_until_s = page.blind_until_s;
+        for entry in &page.entries {
+            if now_s > entry.claimed_s + self.rule.lifetime_s {
+                continue;
+            }
+            let state = match &entry.record {
+                Record::Claimed => claimed_as.clone(),
+                Record::Finished(answer) => State::Finished(answer.clone()),
+                Record::Lost => State::Lost,
+            };
+            let kept = Entry { call: entry.call, claimed_s: entry.claimed_s, state, presses: Vec::new() };
+            self.entries.insert(entry.key, kept);
+        }
+    }
+
+    /// Gives way to another home: what has not started goes there.
+    fn step_down(&mut self, home: &Home, out: &mut Vec<ClaimAction>) {
+        self.hold = Hold::Away;
+        self.dirty = false;
+        for arrived in std::mem::take(&mut self.arrived) {
+            self.reply(arrived.press, PressReply::Moved { home: home.clone() }, out);
+        }
+        let fresh = self.drop_all_but_running();
+        for press in fresh {
+            self.reply(press, PressReply::Moved { home: home.clone() }, out);
+        }
+    }
+
+    fn drop_all_but_running(&mut self) -> Vec<PressId> {
+        let mut waiting = Vec::new();
+        self.entries.retain(|_, entry| {
+            if entry.state == State::Fresh {
+                waiting.append(&mut entry.presses);
+            }
+            entry.state == State::Running
+        });
+        waiting
+    }
+
+    fn admit_arrived(&mut self, now_s: u64, out: &mut Vec<ClaimAction>) {
+        for arrived in std::mem::take(&mut self.arrived) {
+            self.admit(arrived, now_s, out);
+        }
+    }
+
+    fn read_failed(&mut self, out: &mut Vec<ClaimAction>) {
+        self.outage = true;
+        match self.hold {
+            Hold::Reading => {
+                self.hold = Hold::Away;
+                self.outage = false;
+                self.refuse_arrived(out);
+            }
+            Hold::Unsure => self.retry_later(out),
+            Hold::Away | Hold::Held { .. } | Hold::Writing { .. } => {}
+        }
+    }
+
+    fn wrote(&mut self, revision: u64, out: &mut Vec<ClaimAction>) {
+        let Hold::Writing { hand_over, .. } = self.hold else {
+            return;
+        };
+        self.outage = false;
+        self.doubted = false;
+        self.held_in_store = self.rule.held;
+        let claimed = std::mem::take(&mut self.in_write);
+        if hand_over {
+            self.hold = Hold::Away;
+            self.entries.clear();
+            return;
+        }
+        self.hold = Hold::Held { revision };
+        self.run_fresh(&claimed, out);
+    }
+
+    fn run_fresh(&mut self, keys: &[KeyDigest], out: &mut Vec<ClaimAction>) {
+        for &key in keys {
+            let Some(entry) = self.entries.get_mut(&key) else {
+                continue;
+            };
+            let (State::Fresh, Some(&press)) = (&entry.state, entry.presses.first()) else {
+                continue;
+            };
+            entry.state = State::Running;
+            out.push(ClaimAction::Run { key, press });
+        }
+    }
+
+    fn refused(&mut self, out: &mut Vec<ClaimAction>) {
+        if !matches!(self.hold, Hold::Writing { .. }) {
+            return;
+        }
+        // A late write of this home's own may have come first, so the page tells who holds it.
+        self.in_write.clear();
+        self.dirty = true;
+        self.hold = Hold::Unsure;
+        out.push(ClaimAction::Read);
+    }
+
+    fn write_lost(&mut self, out: &mut Vec<ClaimAction>) {
+        if !matches!(self.hold, Hold::Writing { .. }) {
+            return;
+        }
+        self.in_write.clear();
+        self.hold = Hold::Unsure;
+        self.outage = true;
+        self.dirty = true;
+        if self.held_in_store {
+            let keys: Vec<KeyDigest> = self.entries.keys().copied().collect();
+            self.run_fresh(&keys, out);
+        }
+        self.refuse_fresh(out);
+        self.retry_later(out);
+    }
+
+    /// Sends away every press that came before it was known who the home is.
+    fn refuse_arrived(&mut self, out: &mut Vec<ClaimAction>) {
+        for arrived in std::mem::take(&mut self.arrived) {
+            self.reply(arrived.press, not_home(Code::ClaimNotKept), out);
+        }
+    }
+
+    /// Ends every press whose claim is not durable: what was not started never will be.
+    fn refuse_fresh(&mut self, out: &mut Vec<ClaimAction>) {
+        let mut refused = Vec::new();
+        self.entries.retain(|_, entry| {
+            let fresh = entry.state == State::Fresh;
+            if fresh {
+                refused.append(&mut entry.presses);
+            }
+            !fresh
+        });
+        for press in refused {
+            self.reply(press, self.not_run(Code::ClaimNotKept), out);
+        }
+    }
+
+    fn retry_later(&mut self, out: &mut Vec<ClaimAction>) {
+        if !self.retry_due {
+            self.retry_due = true;
+            out.push(ClaimAction::RetryLater);
+        }
+    }
+
+    fn acquire(&mut self, out: &mut Vec<ClaimAction>) {
+        if self.hold == Hold::Away && !self.releasing {
+            self.start_read(out);
+        }
+    }
+
+    /// Takes into account that this node may have been taken for dead.
+    fn doubt(&mut self, out: &mut Vec<ClaimAction>) {
+        match self.hold {
+            Hold::Held { .. } => {
+                self.doubted = true;
+                self.hold = Hold::Unsure;
+                out.push(ClaimAction::Read);
+            }
+            Hold::Writing { .. } | Hold::Unsure => self.doubted = true,
+            Hold::Away | Hold::Reading => {}
+        }
+    }
+
+    fn retry(&mut self, out: &mut Vec<ClaimAction>) {
+        self.retry_due = false;
+        if self.hold == Hold::Unsure {
+            out.push(ClaimAction::Read);
+        }
+    }
+
+    fn start_read(&mut self, out: &mut Vec<ClaimAction>) {
+        self.hold = Hold::Reading;
+        out.push(ClaimAction::Read);
+    }
+
+    /// Lets what no caller waits for ride on the next claim, or go by itself after a while.
+    fn flush_later(&mut self, out: &mut Vec<ClaimAction>) {
+        if !self.flush_due {
+            self.flush_due = true;
+            out.push(ClaimAction::FlushLater);
+        }
+    }
+
+    fn flush(&mut self) {
+        self.flush_due = false;
+        self.urgent |= self.dirty;
+    }
+
+    fn write_if_due(&mut self, now_s: u64, out: &mut Vec<ClaimAction>) {
+        let Hold::Held { revision } = self.hold else {
+            return;
+        };
+        if !self.dirty && !self.releasing {
+            return;
+        }
+        if !self.urgent && !self.releasing {
+            self.flush_later(out);
+            return;
+        }
+        let fresh = |entry: &&KeyDigest| self.entries[*entry].state == State::Fresh;
+        self.in_write = self.entries.keys().filter(fresh).copied().collect();
+        let running = self.entries.values().any(|entry| entry.state == State::Running);
+        let hand_over = self.releasing && !running && self.in_write.is_empty();
+        if self.releasing && !self.dirty && !hand_over {
+            return;
+        }
+        self.forget_old(now_s);
+        self.dirty = false;
+        self.urgent = false;
+        self.hold = Hold::Writing { expected: revision, hand_over };
+        out.push(ClaimAction::Write { expected: revision, page: self.page(hand_over) });
+    }
+
+    fn forget_old(&mut self, now_s: u64) {
+        let lifetime_s = self.rule.lifetime_s;
+        self.entries.retain(|_, entry| {
+            matches!(entry.state, State::Fresh | State::Running) || now_s <= entry.claimed_s + lifetime_s
+        });
+    }
+
+    fn page(&self, hand_over: bool) -> Page {
+        let entry = |(&key, entry): (&KeyDigest, &Entry)| PageEntry {
+            key,
+            call: entry.call,
+            claimed_s: entry.claimed_s,
+            record: match &entry.state {
+                State::Fresh | State::Running => Record::Claimed,
+                State::Finished(answer) => Record::Finished(answer.clone()),
+                State::Lost => Record::Lost,
+            },
+        };
+        Page {
+            home: if hand_over { None } else { Some(self.me.clone()) },
+            term: self.term,
+            held: self.rule.held,
+            blind_until_s: self.blind_until_s,
+            entries: self.entries.iter().map(entry).collect(),
+        }
+    }
+
+    /// Says that a press did not run, unless another home may have run the key unseen.
+    fn not_run(&self, code: Code) -> PressReply {
+        if self.doubted { PressReply::Unknown { code } } else { PressReply::NotRun { code } }
+    }
+
+    fn reply(&self, press: PressId, reply: PressReply, out: &mut Vec<ClaimAction>) {
+        out.push(ClaimAction::Reply { press, reply });
+    }
+}
+
+const fn not_home(code: Code) -> PressReply {
+    PressReply::NotHome { code }
+}
--- /dev/null
+++ b/valetrack/src/cli.rs
@@ -0,0 +1,392 @@
+//! The command line.
+
+use std::ffi::OsString;
+use std::fmt::Write as _;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+
+use lexopt::prelude::*;
+use serde_json::json;
+
+use crate::bundle::operator::{self, OperatorError};
+use crate::bundle::{Bundle, Fault, check};
+use crate::code::Code;
+use crate::link::tls::{self, EXPIRY_WARNING_DAYS, KeyError};
+use crate::settings::{ENV_PREFIX, NODE, NodeSettings, RawSettings, SettingFault};
+use crate::store::HttpStore;
+use crate::timeline::{self, Event};
+
+mod fetch;
+mod help;
+
+/// Exit code of a command that found something wrong with what it was given.
+const EXIT_FAULT: u8 = 1;
+/// Exit code of a command line that cannot be understood.
+const EXIT_USAGE: u8 = 2;
+/// Exit code of a command that could not reach the store.
+const EXIT_STORE: u8 = 3;
+/// Time limit of an operator's call to the store, in milliseconds.
+const STORE_MS: u64 = 3_000;
+
+/// What a command line asks for beside its command's own words.
+#[derive(Debug, Default)]
+struct Options {
+    words: Vec<String>,
+    json: bool,
+    help: bool,
+    version: bool,
+    operator: Option<String>,
+    store: Option<String>,
+    dir: Option<PathBuf>,
+    vm: Option<String>,
+    call: Option<String>,
+    admin: Vec<String>,
+    raw: RawSettings,
+    faults: Vec<SettingFault>,
+}
+
+/// A command that did not succeed.
+struct Failure {
+    exit: u8,
+    text: String,
+}
+
+type Outcome = Result<(), Failure>;
+
+fn failure(exit: u8, text: impl std::fmt::Display) -> Failure {
+    Failure { exit, text: text.to_string() }
+}
+
+/// Runs the command that the process was started with.
+pub fn main() -> ExitCode {
+    let args: Vec<OsString> = std::env::args_os().skip(1).collect();
+    match run(args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("{}", failure.text.trim_end());
+            ExitCode::from(failure.exit)
+        }
+    }
+}
+
+fn run(args: Vec<OsString>) -> Outcome {
+    let mut options = parse(args).map_err(|error| failure(EXIT_USAGE, format!("{}: {error}", Code::SettingUnknown)))?;
+    if options.version {
+        println!("valetrack {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
+    let words: Vec<&str> = options.words.iter().map(String::as_str).collect();
+    if options.help || words.is_empty() {
+        print!("{}", help::of(&words));
+        return if options.help { Ok(()) } else { Err(failure(EXIT_USAGE, "")) };
+    }
+    match words.as_slice() {
+        ["node"] => node(&mut options),
+        ["settings", "check"] => settings(&mut options).map(|_| println!("settings are right")),
+        ["bundle", "check", file] => bundle_check(Path::new(file), options.json),
+        ["bundle", "write", file] => bundle_write(&options, Path::new(file)),
+        ["bundle", "approve", version] => bundle_approve(&options, version),
+        ["bundle", "roll", version] => bundle_roll(&options, version),
+        ["bundle", "status"] => bundle_status(&options, false),
+        ["bundle", "history"] => bundle_status(&options, true),
+        ["timeline", files @ ..] => show_timeline(&options, files),
+        ["keys", "authority"] => tls::make_authority(&dir(&options)?).map_err(key_failure),
+        ["keys", "node"] => keys_node(&options),
+        ["keys", "check"] => keys_check(&options),
+        ["completions"] => {
+            print!("{}", help::completions());
+            Ok(())
+        }
+        ["man"] => {
+            print!("{}", help::man());
+            Ok(())
+        }
+        _ => {
+            let text = format!("{}: {}; see valetrack --help", Code::CommandUnknown, words.join(" "));
+            Err(failure(EXIT_USAGE, text))
+        }
+    }
+}
+
+fn parse(args: Vec<OsString>) -> Result<Options, lexopt::Error> {
+    let mut options = Options::default();
+    let mut parser = lexopt::Parser::from_args(args);
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Value(word) => options.words.push(word.string()?),
+            Short('h') | Long("help") => options.help = true,
+            Short('V') | Long("version") => options.version = true,
+            Long("json") => options.json = true,
+            Long("operator") => options.operator = Some(parser.value()?.string()?),
+            Long("dir") => options.dir = Some(parser.value()?.into()),
+            Long("call") => options.call = Some(parser.value()?.string()?),
+            Long("admin") => options.admin.push(parser.value()?.string()?),
+            Long(flag) if NODE.iter().any(|setting| setting.flag == flag) => {
+                let flag = flag.to_owned();
+                let value = parser.value()?;
+                match flag.as_str() {
+                    "store" => options.store = value.clone().into_string().ok(),
+                    "vm" => options.vm = value.clone().into_string().ok(),
+                    _ => {}
+                }
+                options.raw.set(&flag, value);
+            }
+            Long(flag) => {
+                // All unknown flags are told at once; a value behind one would only confuse.
+                options.faults.push(SettingFault {
+                    code: Code::SettingUnknown,
+                    flag: flag.to_owned(),
+                    right: "a flag of --help".into(),
+                });
+                let _ = parser.optional_value();
+            }
+            Short(_) => return Err(arg.unexpected()),
+        }
+    }
+    Ok(options)
+}
+
+fn settings(options: &mut Options) -> Result<NodeSettings, Failure> {
+    let mut raw = std::mem::take(&mut options.raw);
+    raw.fill_from(|name| std::env::var_os(name));
+    let mut faults = std::mem::take(&mut options.faults);
+    let checked = raw.check();
+    for name in unknown_variables() {
+        eprintln!("{}: {name} is no setting and is left out", Code::SettingUnknown);
+    }
+    match checked {
+        Ok(settings) if faults.is_empty() => Ok(settings),
+        Ok(_) => Err(setting_failure(&faults, options.json)),
+        Err(more) => {
+            faults.extend(more);
+            Err(setting_failure(&faults, options.json))
+        }
+    }
+}
+
+/// Returns environment variables that look like settings and are none.
+fn unknown_variables() -> Vec<String> {
+    let known = |name: &str| name == "VALETRACK_OPERATOR" || NODE.iter().any(|setting| setting.env() == name);
+    let names = std::env::vars_os().filter_map(|(name, _)| name.into_string().ok());
+    names.filter(|name| name.starts_with(ENV_PREFIX) && !known(name)).collect()
+}
+
+fn setting_failure(faults: &[SettingFault], as_json: bool) -> Failure {
+    let mut text = String::new();
+    for fault in faults {
+        if as_json {
+            let row = json!({ "code": fault.code.number(), "setting": fault.flag, "right": fault.right });
+            let _ = writeln!(text, "{row}");
+        } else {
+            let _ = writeln!(text, "{fault}");
+        }
+    }
+    failure(EXIT_FAULT, text)
+}
+
+fn node(options: &mut Options) -> Outcome {
+    let settings = settings(options)?;
+    timeline::log::start(&settings.vm, settings.log_level).map_err(|error| failure(EXIT_FAULT, error))?;
+    crate::node::run(settings).map_err(|error| failure(EXIT_FAULT, format!("{}: {error}", error.code())))
+}
+
+fn read_file(path: &Path) -> Result<String, Failure> {
+    std::fs::read_to_string(path)
+        .map_err(|error| failure(EXIT_FAULT, format!("{}: {}: {error}", Code::FileUnreadable, path.display())))
+}
+
+fn fault_lines(file: &Path, faults: &[Fault], as_json: bool) -> String {
+    let mut text = String::new();
+    for fault in faults {
+        let row = match as_json {
+            true => serde_json::to_string(fault).unwrap_or_default(),
+            false => format!("{}:{fault}", file.display()),
+        };
+        let _ = writeln!(text, "{row}");
+    }
+    text
+}
+
+fn bundle_check(file: &Path, as_json: bool) -> Outcome {
+    let text = read_file(file)?;
+    match check(&text) {
+        Ok(bundle) => {
+            print_checked(&bundle, &text, as_json);
+            Ok(())
+        }
+        Err(faults) => Err(failure(EXIT_FAULT, fault_lines(file, &faults, as_json))),
+    }
+}
+
+fn print_checked(bundle: &Bundle, text: &str, as_json: bool) {
+    let version = crate::bundle::version_of(text);
+    if as_json {
+        println!("{}", json!({ "version": version, "bundle": bundle }));
+    } else {
+        println!("{version}: {} services, no faults", bundle.services.len());
+    }
+}
+
+fn operator_name(options: &Options) -> Result<String, Failure> {
+    let name = options.operator.clone().or_else(|| std::env::var("VALETRACK_OPERATOR").ok());
+    let fault = || {
+        let fault = SettingFault {
+            code: Code::SettingMissing,
+            flag: "operator".into(),
+            right: "your name, by --operator or VALETRACK_OPERATOR".into(),
+        };
+        setting_failure(&[fault], options.json)
+    };
+    name.filter(|name| !name.trim().is_empty()).ok_or_else(fault)
+}
+
+fn store(options: &Options) -> Result<HttpStore, Failure> {
+    let addr = options.store.clone().or_else(|| std::env::var("VALETRACK_STORE").ok());
+    let fault = |code| {
+        let fault = SettingFault { code, flag: "store".into(), right: "IP:PORT of the store".into() };
+        setting_failure(&[fault], options.json)
+    };
+    let addr = addr.ok_or_else(|| fault(Code::SettingMissing))?;
+    let addr: SocketAddr = addr.parse().map_err(|_| fault(Code::SettingInvalid))?;
+    Ok(HttpStore::new(addr, Duration::from_millis(STORE_MS)))
+}
+
+fn block_on<F: Future>(future: F) -> Result<F::Output, Failure> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    Ok(runtime.map_err(|error| failure(EXIT_FAULT, error))?.block_on(future))
+}
+
+fn operator_failure(error: OperatorError, file: Option<&Path>, as_json: bool) -> Failure {
+    match &error {
+        OperatorError::Faulty { faults } => {
+            let file = file.unwrap_or(Path::new("-"));
+            failure(EXIT_FAULT, fault_lines(file, faults, as_json))
+        }
+        OperatorError::Store { .. } => failure(EXIT_STORE, format!("{}: {error}", error.code())),
+        _ => failure(EXIT_FAULT, format!("{}: {error}", error.code())),
+    }
+}
+
+fn bundle_write(options: &Options, file: &Path) -> Outcome {
+    let operator = operator_name(options)?;
+    let store = store(options)?;
+    let text = read_file(file)?;
+    let written = block_on(operator::write(&store, &operator, &text))?;
+    let version = written.map_err(|error| operator_failure(error, Some(file), options.json))?;
+    say(options, &json!({ "version": version }), &version);
+    Ok(())
+}
+
+fn bundle_approve(options: &Options, version: &str) -> Outcome {
+    let operator = operator_name(options)?;
+    let store = store(options)?;
+    let approved = block_on(operator::approve(&store, &operator, version))?;
+    approved.map_err(|error| operator_failure(error, None, options.json))?;
+    say(options, &json!({ "version": version, "approver": operator }), &format!("{version} approved by {operator}"));
+    Ok(())
+}
+
+fn bundle_roll(options: &Options, version: &str) -> Outcome {
+    let operator = operator_name(options)?;
+    let store = store(options)?;
+    let rolled = block_on(operator::roll(&store, &operator, version))?;
+    let number = rolled.map_err(|error| operator_failure(error, None, options.json))?;
+    say(options, &json!({ "version": version, "number": number }), &format!("{version} rolled as number {number}"));
+    Ok(())
+}
+
+fn bundle_status(options: &Options, history: bool) -> Outcome {
+    let store = store(options)?;
+    let current = block_on(operator::current(&store))?;
+    let current = current.map_err(|error| operator_failure(error, None, options.json))?;
+    let Some(current) = current else {
+        say(options, &json!(null), "no bundle was rolled yet");
+        return Ok(());
+    };
+    let mut text = format!("number {} version {} by {}", current.number, current.version, current.operator);
+    if history {
+        for old in &current.before {
+            let _ = write!(text, "\nnumber {} version {} by {}", old.number, old.version, old.operator);
+        }
+    }
+    let mut data = json!(current);
+    if !history && let Some(fields) = data.as_object_mut() {
+        fields.remove("before");
+    }
+    say(options, &data, &text);
+    Ok(())
+}
+
+fn say(options: &Options, data: &serde_json::Value, text: &str) {
+    if options.json { println!("{data}") } else { println!("{text}") }
+}
+
+fn show_timeline(options: &Options, files: &[&str]) -> Outcome {
+    let mut lines = Vec::new();
+    for file in files {
+        lines.extend(read_file(Path::new(file))?.lines().map(str::to_owned));
+    }
+    for admin in &options.admin {
+        let addr = admin.parse::<SocketAddr>().ok();
+        let addr = addr.ok_or_else(|| failure(EXIT_USAGE, format!("{}: --admin: IP:PORT", Code::SettingInvalid)))?;
+        let text = block_on(fetch::get(addr, "/events"))?;
+        let text = text.map_err(|error| failure(EXIT_FAULT, format!("{}: {addr}: {error}", Code::FileUnreadable)))?;
+        lines.extend(text.lines().map(str::to_owned));
+    }
+    let mut events: Vec<Event> = Vec::new();
+    let mut unread = 0;
+    for line in lines.iter().filter(|line| !line.trim().is_empty()) {
+        match timeline::parse(line) {
+            Ok(event) => events.push(event),
+            Err(_) => unread += 1,
+        }
+    }
+    for event in timeline::merge(events, options.call.as_deref()) {
+        match options.json {
+            true => println!("{}", json!(event)),
+            false => println!("{event}"),
+        }
+    }
+    if unread > 0 {
+        eprintln!("{}: {unread} lines are no events and were left out", Code::EventInvalid);
+    }
+    Ok(())
+}
+
+fn dir(options: &Options) -> Result<PathBuf, Failure> {
+    let fault = || {
+        let fault = SettingFault { code: Code::SettingMissing, flag: "dir".into(), right: "a folder".into() };
+        setting_failure(&[fault], options.json)
+    };
+    options.dir.clone().ok_or_else(fault)
+}
+
+fn key_failure(error: KeyError) -> Failure {
+    failure(EXIT_FAULT, format!("{}: {error}", error.code()))
+}
+
+fn keys_node(options: &Options) -> Outcome {
+    let fault = || {
+        let fault = SettingFault { code: Code::SettingMissing, flag: "vm".into(), right: "a VM's name".into() };
+        setting_failure(&[fault], options.json)
+    };
+    let vm = options.vm.as_deref().ok_or_else(fault)?;
+    tls::make_node(&dir(options)?, vm).map_err(key_failure)
+}
+
+fn keys_check(options: &Options) -> Outcome {
+    let expiries = tls::expiries(&dir(options)?).map_err(key_failure)?;
+    let mut soon = false;
+    for expiry in &expiries {
+        soon |= expiry.days_left < EXPIRY_WARNING_DAYS;
+        say(options, &json!(expiry), &format!("{}: {} days left", expiry.file, expiry.days_left));
+    }
+    if soon {
+        let text = format!("{}: less than {EXPIRY_WARNING_DAYS} days left", Code::KeyExpired);
+        return Err(failure(EXIT_FAULT, text));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/valetrack/src/code.rs
@@ -0,0 +1,96 @@
+//! Numbered result codes, shared by every error, log line and caller-visible answer.
+//!
+//! The table in `docs/CODES.md` is printed from [`ALL`] and held to it by a test.
+
+use std::fmt;
+
+macro_rules! codes {
+    ($($name:ident = $number:literal, $text:literal;)+) => {
+        /// A numbered result; the number never changes its meaning between versions.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+        pub enum Code {
+            $(#[doc = $text] $name,)+
+        }
+
+        /// Every code, in the order of its number.
+        pub const ALL: &[Code] = &[$(Code::$name,)+];
+
+        impl Code {
+            /// Returns the number that stands behind `VT`.
+            pub const fn number(self) -> u16 {
+                match self { $(Code::$name => $number,)+ }
+            }
+
+            /// Returns the one-line meaning shown to operators and callers.
+            pub const fn text(self) -> &'static str {
+                match self { $(Code::$name => $text,)+ }
+            }
+        }
+    };
+}
+
+codes! {
+    SettingMissing = 101, "a required setting is missing";
+    SettingInvalid = 102, "a setting has a value that is not allowed";
+    SettingUnknown = 103, "a flag is not known";
+    CommandUnknown = 104, "a command is not known";
+    FileUnreadable = 105, "a file could not be read or written";
+    AddressBusy = 106, "an address could not be listened on";
+    ServiceUnknown = 201, "the call names no service of the bundle in force";
+    BodyTooLarge = 202, "the body of the call is over the route's cap";
+    BodyBroken = 203, "the body of the call ended early or came too slowly";
+    DepthExceeded = 204, "the call is nested too deep";
+    HeaderInvalid = 205, "a header that valetrack reads has a value that is not allowed";
+    KeyReused = 206, "the idempotency key was used before with a different call";
+    NoBundle = 207, "this node has no bundle in force yet";
+    Overloaded = 301, "no server has room for the call before its deadline";
+    NoServer = 302, "no server of the service is in rotation";
+    DeadlinePassed = 303, "the deadline passed";
+    LinkLost = 304, "the link to the owner broke while the call was outstanding";
+    ServerFailed = 305, "the server broke its connection or its answer was not whole";
+    ServerRefused = 306, "the server took no connection, so the call did not start";
+    AnswerTooLarge = 307, "the answer of the server is over the route's cap";
+    Leaving = 308, "the server is leaving and takes no new work";
+    Cancelled = 309, "the attempt was cancelled before it started";
+    ClaimNotKept = 401, "the claim could not be made durable, so the call did not start";
+    ClaimUnfinished = 402, "the key was claimed before and its outcome is not known";
+    HomeUnreachable = 403, "the home of the key could not be reached";
+    HomeMoved = 404, "the home of the key is another node";
+    ClaimPageFull = 405, "the page of claims holds no more keys";
+    AnswerNotKept = 406, "the key ran before, and its answer was too large to keep";
+    BundleSyntax = 501, "the bundle is not valid TOML";
+    BundleKeyUnknown = 502, "the bundle has a key that is not known";
+    BundleValueInvalid = 503, "the bundle has a value that is not allowed";
+    BundleKeyMissing = 504, "the bundle lacks a required key";
+    BundleNotFound = 505, "no bundle of this version was written";
+    BundleNotApproved = 506, "the bundle was not approved by a second operator";
+    BundleSelfApproval = 507, "the author of a bundle cannot approve it";
+    BundleRaceLost = 508, "another operator rolled first";
+    BundleDamaged = 509, "the bundle does not match its version";
+    StoreUnreachable = 601, "the platform's store could not be reached";
+    StoreAnswerInvalid = 602, "the platform's store gave an answer that could not be read";
+    StoreOutcomeUnknown = 603, "a write to the platform's store may or may not have taken effect";
+    StoreBudget = 604, "the budget for calls to the platform's store is spent";
+    ListUnreachable = 605, "the platform's VM list could not be read";
+    FrameInvalid = 701, "a frame on a link could not be read";
+    FrameTooLarge = 702, "a frame on a link is over its cap";
+    LinkRefused = 703, "a link could not be opened";
+    KeyInvalid = 704, "a certificate or key could not be read or is not valid";
+    KeyExpired = 705, "a certificate has expired or expires soon";
+    EventInvalid = 801, "a line of a time line could not be read";
+}
+
+impl fmt::Display for Code {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "VT{}", self.number())
+    }
+}
+
+/// Prints the table of `docs/CODES.md`.
+pub fn table() -> String {
+    let mut out = String::from("| code | name | meaning |\n|---|---|---|\n");
+    for code in ALL {
+        out.push_str(&format!("| {code} | {code:?} | {} |\n", code.text()));
+    }
+    out
+}
--- /dev/null
+++ b/valetrack/src/gate/message.rs
@@ -0,0 +1,118 @@
+//! Messages of the gate: what it hears, what it orders, and the load that it reports.
+
+use serde::{Deserialize, Serialize};
+
+/// Names one attempt of one call; unique over all nodes and restarts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct AttemptId {
+    /// Random number drawn by the entry's process at its start.
+    pub entry: u64,
+    /// Counter of the entry's process.
+    pub seq: u64,
+}
+
+impl std::fmt::Display for AttemptId {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:016x}-{}", self.entry, self.seq)
+    }
+}
+
+/// Load of one server as its owner knows it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Calls that may run at once now, in slots.
+    pub limit: u16,
+    /// Calls that run now.
+    pub in_flight: u16,
+    /// Calls that wait for a slot.
+    pub queued: u16,
+    /// Smoothed service time, in microseconds.
+    pub service_us: u32,
+    /// Whether running calls have made no progress for much longer than usual.
+    pub stalled: bool,
+    /// Whether the server takes no new work.
+    pub leaving: bool,
+}
+
+/// What an owner says of an attempt that the entry wants cancelled.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Word {
+    /// The attempt has not started, and never will.
+    NeverStarted,
+    /// The attempt has started; its outcome is not known to be undone.
+    Started,
+}
+
+/// Why an owner gave a call back without starting it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum BounceReason {
+    /// No slot would be free in time.
+    Full,
+    /// The server is leaving.
+    Leaving,
+    /// Running calls make no progress, so the wait cannot be told.
+    Stalled,
+    /// The attempt was cancelled before it came, or came twice.
+    Cancelled,
+    /// The server took no connection.
+    Refused,
+}
+
+/// Something that happened to the gate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GateEvent {
+    /// A call came.
+    Arrive {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Latest useful end on this process's monotonic clock, in microseconds.
+        deadline_us: u64,
+        /// How often the entry may still try elsewhere.
+        bounces_left: u8,
+    },
+    /// A started attempt ended, whether well or not.
+    Done {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Whether the server gave a whole answer that is not a failure of its own.
+        healthy: bool,
+    },
+    /// The server took no connection for a started attempt, so nothing ran.
+    Refused {
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// The entry wants an attempt cancelled.
+    Cancel {
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// Time has passed.
+    Tick,
+    /// The server is to leave.
+    Drain,
+}
+
+/// What the shell of the gate must do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GateAction {
+    /// Send the call to the server.
+    Start {
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// Give the call back; it never starts here.
+    Bounce {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Why.
+        reason: BounceReason,
+    },
+    /// Answer a cancel.
+    Say {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The answer.
+        word: Word,
+    },
+}
--- /dev/null
+++ b/valetrack/src/gate/mod.rs
@@ -0,0 +1,15 @@
+//! The gate before this VM's server: slots, a short queue, warm connections, drain.
+//!
+//! Contract: all work reaches the server through its gate, so what the gate says of slots and of
+//! attempts is exact. The server never runs more than its slots; an attempt starts at most once;
+//! an attempt that was bounced, or of which [`Word::NeverStarted`] was said, never starts.
+
+mod message;
+pub mod pool;
+pub mod run;
+mod state;
+#[cfg(test)]
+mod tests;
+
+pub use message::{AttemptId, BounceReason, GateAction, GateEvent, LoadReport, Word};
+pub use state::{Gate, GateConfig, MEMORY_US};
--- /dev/null
+++ b/valetrack/src/gate/run.rs
@@ -0,0 +1,284 @@
+//! Shell of the gate; it shares the link thread, since every call comes over a link's stream.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{HeaderMap, Request};
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{sleep, timeout};
+
+use super::message::{AttemptId, BounceReason, GateAction, GateEvent, LoadReport, Word};
+use super::pool::{ATTEMPT_HEADER, ServerAnswer, ServerError, ServerPool};
+use super::state::{Gate, GateConfig};
+use crate::clock::now_us;
+use crate::code::Code;
+use crate::link::message::{AnswerHead, CallHead};
+use crate::metric::Metrics;
+use crate::placement::Outcome;
+
+/// A slot whose call passed its deadline stays taken this long, so that the server can see the
+/// closed connection and stop, in milliseconds.
+const LINGER_MS: u64 = 100;
+/// Header by which a server says that it is about to stop.
+pub const LEAVING_HEADER: &str = "valetrack-leaving";
+/// Headers that belong to one connection and do not travel.
+const HOP_HEADERS: &[&str] = &[
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "transfer-encoding",
+    "te",
+    "trailer",
+    "upgrade",
+    "content-length",
+    "expect",
+    ATTEMPT_HEADER,
+    LEAVING_HEADER,
+];
+
+/// How the gate answers an attempt.
+#[derive(Debug)]
+pub enum GateReply {
+    /// The server's answer, or a numbered failure after the start.
+    Answer(AnswerHead, Bytes),
+    /// The attempt did not start and never will.
+    Bounce(BounceReason),
+}
+
+struct Job {
+    head: CallHead,
+    body: Bytes,
+    deadline_us: u64,
+    reply: oneshot::Sender<GateReply>,
+}
+
+/// The gate with the jobs that it holds and the connections to its server.
+pub struct GateShell {
+    gate: RefCell<Gate>,
+    jobs: RefCell<HashMap<AttemptId, Job>>,
+    pool: ServerPool,
+    answer_cap_bytes: std::cell::Cell<usize>,
+    changed: Notify,
+    leaving: Arc<Notify>,
+    metrics: Arc<Metrics>,
+}
+
+impl GateShell {
+    /// Makes a gate; `leaving` is notified when the server says that it is about to stop.
+    pub fn new(pool: ServerPool, leaving: Arc<Notify>, metrics: Arc<Metrics>) -> Rc<Self> {
+        Rc::new(Self {
+            gate: RefCell::new(Gate::new(GateConfig::default(), now_us())),
+            jobs: Default::default(),
+            pool,
+            answer_cap_bytes: std::cell::Cell::new(crate::link::message::BODY_MAX_BYTES),
+            changed: Notify::new(),
+            leaving,
+            metrics,
+        })
+    }
+
+    /// Takes limits of the bundle in force, and opens connections ahead of calls.
+    pub async fn configure(&self, config: GateConfig, answer_cap_bytes: usize) {
+        self.gate.borrow_mut().configure(config);
+        self.answer_cap_bytes.set(answer_cap_bytes);
+        self.pool.warm(usize::from(config.slots)).await;
+    }
+
+    /// Returns the load now.
+    pub fn load(&self) -> LoadReport {
+        self.gate.borrow().load(now_us())
+    }
+
+    /// Returns whether nothing runs and nothing waits.
+    pub fn idle(&self) -> bool {
+        self.gate.borrow().idle()
+    }
+
+    /// Stops taking new work; what waits is given back.
+    pub fn drain(self: &Rc<Self>) {
+        self.handle(GateEvent::Drain);
+    }
+
+    /// Runs a call when the gate lets it, and waits for the end.
+    pub async fn call(self: &Rc<Self>, head: CallHead, body: Bytes) -> GateReply {
+        let attempt = head.attempt;
+        let bounces_left = head.bounces_left;
+        let deadline_us = now_us() + u64::from(head.deadline_ms) * 1000;
+        let (reply, answered) = oneshot::channel();
+        if self.jobs.borrow().contains_key(&attempt) {
+            return GateReply::Bounce(BounceReason::Cancelled);
+        }
+        self.jobs.borrow_mut().insert(attempt, Job { head, body, deadline_us, reply });
+        self.handle(GateEvent::Arrive { attempt, deadline_us, bounces_left });
+        answered.await.unwrap_or(GateReply::Bounce(BounceReason::Cancelled))
+    }
+
+    /// Cancels an attempt and returns the word on it.
+    pub fn cancel(self: &Rc<Self>, attempt: AttemptId) -> Word {
+        self.handle(GateEvent::Cancel { attempt }).unwrap_or(Word::Started)
+    }
+
+    /// Lets waiting calls go when their time has come; runs as long as the gate.
+    pub async fn keep_time(self: Rc<Self>) {
+        loop {
+            let next_us = self.gate.borrow().next_tick_us();
+            let pause = next_us.map(|next_us| Duration::from_micros(next_us.saturating_sub(now_us()).max(200)));
+            match pause {
+                Some(pause) => {
+                    let _ = timeout(pause, self.changed.notified()).await;
+                }
+                None => self.changed.notified().await,
+            }
+            self.handle(GateEvent::Tick);
+        }
+    }
+
+    fn handle(self: &Rc<Self>, event: GateEvent) -> Option<Word> {
+        let mut actions = Vec::new();
+        self.gate.borrow_mut().handle(event, now_us(), &mut actions);
+        let mut word = None;
+        for action in actions {
+            match action {
+                GateAction::Start { attempt } => self.start(attempt),
+                GateAction::Bounce { attempt, reason } => self.bounce(attempt, reason),
+                GateAction::Say { word: said, .. } => word = Some(said),
+            }
+        }
+        self.observe(event);
+        word
+    }
+
+    fn observe(&self, event: GateEvent) {
+        let load = self.load();
+        self.metrics.gate_in_flight.set(load.in_flight.into());
+        self.metrics.gate_queued.set(load.queued.into());
+        if load.queued > 0 && event != GateEvent::Tick {
+            self.changed.notify_one();
+        }
+    }
+
+    fn bounce(&self, attempt: AttemptId, reason: BounceReason) {
+        let Some(job) = self.jobs.borrow_mut().remove(&attempt) else {
+            return;
+        };
+        self.metrics.bounces.with_label_values(&[bounce_label(reason)]).inc();
+        log::debug!("event=gate.bounce call={} attempt={attempt} reason={reason:?}", job.head.call_id);
+        let _ = job.reply.send(GateReply::Bounce(reason));
+    }
+
+    fn start(self: &Rc<Self>, attempt: AttemptId) {
+        let Some(job) = self.jobs.borrow_mut().remove(&attempt) else {
+            return;
+        };
+        tokio::task::spawn_local(self.clone().run(job));
+    }
+
+    async fn run(self: Rc<Self>, job: Job) {
+        let attempt = job.head.attempt;
+        log::debug!("event=gate.start call={} attempt={attempt}", job.head.call_id);
+        let Some(request) = request(&job) else {
+            self.jobs.borrow_mut().insert(attempt, job);
+            self.handle(GateEvent::Refused { attempt });
+            return;
+        };
+        let left = Duration::from_micros(job.deadline_us.saturating_sub(now_us()));
+        let exchange = self.pool.exchange(request, attempt, self.answer_cap_bytes.get());
+        let ended = timeout(left, exchange).await;
+        let late = ended.is_err();
+        let (code, answer) = match ended {
+            Ok(Ok(answer)) => (None, Some(answer)),
+            Ok(Err(ServerError::NotStarted)) => {
+                self.jobs.borrow_mut().insert(attempt, job);
+                self.handle(GateEvent::Refused { attempt });
+                return;
+            }
+            Ok(Err(ServerError::Broken)) => (Some(Code::ServerFailed), None),
+            Ok(Err(ServerError::TooLarge)) => (Some(Code::AnswerTooLarge), None),
+            Ok(Err(ServerError::Misdirected)) => {
+                self.metrics.stray_answers.inc();
+                (Some(Code::ServerFailed), None)
+            }
+            Err(_) => (Some(Code::DeadlinePassed), None),
+        };
+        let healthy = answer.as_ref().is_some_and(|answer| answer.status < 500);
+        if answer.as_ref().is_some_and(|answer| answer.headers.contains_key(LEAVING_HEADER)) {
+            self.leaving.notify_one();
+        }
+        log::debug!("event=gate.done call={} attempt={attempt} healthy={healthy}", job.head.call_id);
+        let (head, body) = answer_head(attempt, code, answer);
+        let _ = job.reply.send(GateReply::Answer(head, body));
+        if late {
+            sleep(Duration::from_millis(LINGER_MS)).await;
+        }
+        self.handle(GateEvent::Done { attempt, healthy });
+    }
+}
+
+const fn bounce_label(reason: BounceReason) -> &'static str {
+    match reason {
+        BounceReason::Full => "full",
+        BounceReason::Leaving => "leaving",
+        BounceReason::Stalled => "stalled",
+        BounceReason::Cancelled => "cancelled",
+        BounceReason::Refused => "refused",
+    }
+}
+
+/// Returns whether a header travels from end to end.
+pub fn travels(name: &str) -> bool {
+    !HOP_HEADERS.contains(&name)
+}
+
+fn request(job: &Job) -> Option<Request<Full<Bytes>>> {
+    let head = &job.head;
+    let left_ms = job.deadline_us.saturating_sub(now_us()) / 1000;
+    let mut request = Request::builder().method(head.method.as_str()).uri(head.path.as_str());
+    for (name, value) in &head.headers {
+        request = request.header(name.as_str(), value.as_slice());
+    }
+    request
+        .header(ATTEMPT_HEADER, head.attempt.to_string())
+        .header("valetrack-call", &*head.call_id)
+        .header("valetrack-depth", u32::from(head.depth))
+        .header("valetrack-deadline-ms", left_ms)
+        .body(Full::new(job.body.clone()))
+        .ok()
+}
+
+fn answer_head(attempt: AttemptId, code: Option<Code>, answer: Option<ServerAnswer>) -> (AnswerHead, Bytes) {
+    let Some(answer) = answer else {
+        let head = AnswerHead {
+            attempt,
+            outcome: Outcome::Unknown,
+            code: code.unwrap_or(Code::ServerFailed).number(),
+            status: 502,
+            retry_after_ms: 0,
+            headers: Vec::new(),
+            body_bytes: 0,
+        };
+        return (head, Bytes::new());
+    };
+    let head = AnswerHead {
+        attempt,
+        outcome: Outcome::Ran,
+        code: 0,
+        status: answer.status,
+        retry_after_ms: 0,
+        headers: travelling(&answer.headers),
+        body_bytes: answer.body.len() as u32,
+    };
+    (head, answer.body)
+}
+
+/// Returns the headers that travel from end to end.
+pub fn travelling(headers: &HeaderMap) -> Vec<(String, Vec<u8>)> {
+    let pair = |(name, value): (&hyper::header::HeaderName, &hyper::header::HeaderValue)| {
+        travels(name.as_str()).then(|| (name.as_str().to_owned(), value.as_bytes().to_vec()))
+    };
+    headers.iter().filter_map(pair).collect()
+}
--- /dev/null
+++ b/valetrack/src/gate/state.rs
@@ -0,0 +1,314 @@
+//! Pure decisions of the gate.
+
+use std::collections::{HashMap, VecDeque};
+
+use super::message::{AttemptId, BounceReason, GateAction, GateEvent, LoadReport, Word};
+
+/// How long an ended or cancelled attempt is remembered, in microseconds.
+///
+/// It must outlast the idle timeout of a link, since no copy of a frame comes later than that.
+pub const MEMORY_US: u64 = 30_000_000;
+/// Weight of the newest sample in the smoothed service time, as a divisor.
+const SMOOTHING: i64 = 16;
+/// Service time assumed before the first sample, in microseconds.
+const FIRST_SERVICE_US: i64 = 2_000;
+/// A stall is at least this long, in microseconds.
+const STALL_MIN_US: u64 = 4_000;
+/// A stall is at least this many smoothed deviations over the smoothed service time.
+const STALL_DEVIATIONS: u64 = 6;
+/// A failed call counts as this many times the smoothed service time, so that a server that
+/// fails at once never looks idle.
+const FAILURE_PENALTY: i64 = 4;
+
+/// Limits of a gate, from the bundle in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GateConfig {
+    /// Calls that the server runs at once.
+    pub slots: u16,
+    /// Longest wait for a slot, in microseconds.
+    pub queue_max_us: u64,
+    /// Time over which a cold server is brought up to all its slots, in microseconds.
+    pub ramp_us: u64,
+    /// Whether waiting calls are given back when the server stalls.
+    pub rescue: bool,
+}
+
+impl Default for GateConfig {
+    fn default() -> Self {
+        Self { slots: 8, queue_max_us: 50_000, ramp_us: 0, rescue: true }
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Waiting {
+    attempt: AttemptId,
+    deadline_us: u64,
+    leave_at_us: u64,
+    bounces_left: u8,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Memory {
+    started: bool,
+    until_us: u64,
+}
+
+/// State of the gate before one server.
+///
+/// The gate never lets more than `slots` attempts run, starts no attempt twice, and never starts
+/// one of which it has said [`Word::NeverStarted`] or given a [`GateAction::Bounce`].
+#[derive(Debug)]
+pub struct Gate {
+    config: GateConfig,
+    opened_us: u64,
+    leaving: bool,
+    running: HashMap<AttemptId, u64>,
+    waiting: VecDeque<Waiting>,
+    memory: HashMap<AttemptId, Memory>,
+    forget: VecDeque<(u64, AttemptId)>,
+    service_us: i64,
+    deviation_us: i64,
+    progress_us: u64,
+}
+
+impl Gate {
+    /// Opens a gate for a server that is cold at `now_us`.
+    pub fn new(config: GateConfig, now_us: u64) -> Self {
+        Self {
+            config,
+            opened_us: now_us,
+            leaving: false,
+            running: HashMap::with_capacity(64),
+            waiting: VecDeque::with_capacity(64),
+            memory: HashMap::with_capacity(1024),
+            forget: VecDeque::with_capacity(1024),
+            service_us: FIRST_SERVICE_US,
+            deviation_us: FIRST_SERVICE_US / 2,
+            progress_us: now_us,
+        }
+    }
+
+    /// Takes new limits; calls that already run are let finish.
+    pub fn configure(&mut self, config: GateConfig) {
+        self.config = config;
+    }
+
+    /// Returns how many calls may run at once at `now_us`; a cold server starts with one slot.
+    pub fn limit(&self, now_us: u64) -> u16 {
+        let age_us = now_us.saturating_sub(self.opened_us);
+        if age_us >= self.config.ramp_us {
+            return self.config.slots;
+        }
+        let ramped = u64::from(self.config.slots) * age_us / self.config.ramp_us;
+        (ramped as u16).max(1)
+    }
+
+    /// Returns the load as it stands at `now_us`.
+    pub fn load(&self, now_us: u64) -> LoadReport {
+        LoadReport {
+            limit: self.limit(now_us),
+            in_flight: self.running.len() as u16,
+            queued: self.waiting.len() as u16,
+            service_us: self.service_us as u32,
+            stalled: self.stalled(now_us),
+            leaving: self.leaving,
+        }
+    }
+
+    /// Returns whether nothing runs and nothing waits.
+    pub fn idle(&self) -> bool {
+        self.running.is_empty() && self.waiting.is_empty()
+    }
+
+    /// Returns when the gate next needs a [`GateEvent::Tick`], if it does.
+    pub fn next_tick_us(&self) -> Option<u64> {
+        if self.waiting.is_empty() {
+            return None;
+        }
+        let leave = self.waiting.iter().map(|w| w.leave_at_us).min()?;
+        if self.config.rescue { Some(leave.min(self.progress_us + self.stall_us())) } else { Some(leave) }
+    }
+
+    /// Takes one event and appends what must be done to `out`.
+    pub fn handle(&mut self, event: GateEvent, now_us: u64, out: &mut Vec<GateAction>) {
+        self.expire(now_us);
+        match event {
+            GateEvent::Arrive { attempt, deadline_us, bounces_left } => {
+                self.arrive(attempt, deadline_us, bounces_left, now_us, out);
+            }
+            GateEvent::Done { attempt, healthy } => self.done(attempt, healthy, now_us),
+            GateEvent::Refused { attempt } => self.refused(attempt, now_us, out),
+            GateEvent::Cancel { attempt } => self.cancel(attempt, now_us, out),
+            GateEvent::Tick => {}
+            GateEvent::Drain => self.drain(now_us, out),
+        }
+        self.leave_queue(now_us, out);
+        self.start_waiting(now_us, out);
+    }
+
+    fn arrive(
+        &mut self,
+        attempt: AttemptId,
+        deadline_us: u64,
+        bounces_left: u8,
+        now_us: u64,
+        out: &mut Vec<GateAction>,
+    ) {
+        if self.knows(attempt) {
+            // A second copy must not run; the first copy has its own answer.
+            return;
+        }
+        if self.memory.contains_key(&attempt) {
+            out.push(GateAction::Bounce { attempt, reason: BounceReason::Cancelled });
+            return;
+        }
+        if self.leaving {
+            self.bounce(attempt, BounceReason::Leaving, now_us, out);
+            return;
+        }
+        let room = (self.running.len() as u16) < self.limit(now_us) && self.waiting.is_empty();
+        if !room && let Some(reason) = self.refuses_to_queue(deadline_us, bounces_left, now_us) {
+            self.bounce(attempt, reason, now_us, out);
+            return;
+        }
+        let leave_at_us = deadline_us.min(now_us + self.config.queue_max_us);
+        self.waiting.push_back(Waiting { attempt, deadline_us, leave_at_us, bounces_left });
+    }
+
+    fn refuses_to_queue(&self, deadline_us: u64, bounces_left: u8, now_us: u64) -> Option<BounceReason> {
+        if self.config.rescue && bounces_left > 0 && self.stalled(now_us) {
+            return Some(BounceReason::Stalled);
+        }
+        let limit = u64::from(self.limit(now_us).max(1));
+        let ahead = self.waiting.len() as u64 + 1;
+        let wait_us = ahead * self.service_us as u64 / limit;
+        let end_us = now_us + wait_us + self.service_us as u64;
+        // A caller that may go elsewhere is kept only for a short wait.
+        let patience_us = match bounces_left {
+            0 => self.config.queue_max_us,
+            _ => self.config.queue_max_us.min(self.service_us as u64 / 2),
+        };
+        if wait_us > patience_us || end_us > deadline_us {
+            return Some(BounceReason::Full);
+        }
+        None
+    }
+
+    fn done(&mut self, attempt: AttemptId, healthy: bool, now_us: u64) {
+        let Some(started_us) = self.running.remove(&attempt) else {
+            return;
+        };
+        self.remember(attempt, true, now_us);
+        self.progress_us = now_us;
+        let mut sample_us = now_us.saturating_sub(started_us) as i64;
+        if !healthy {
+            sample_us = sample_us.max(self.service_us.saturating_mul(FAILURE_PENALTY).min(1_000_000));
+        }
+        let off_us = sample_us - self.service_us;
+        self.service_us = (self.service_us + off_us / SMOOTHING).max(1);
+        self.deviation_us += (off_us.abs() - self.deviation_us) / SMOOTHING;
+    }
+
+    fn refused(&mut self, attempt: AttemptId, now_us: u64, out: &mut Vec<GateAction>) {
+        if self.running.remove(&attempt).is_some() {
+            self.bounce(attempt, BounceReason::Refused, now_us, out);
+        }
+    }
+
+    fn cancel(&mut self, attempt: AttemptId, now_us: u64, out: &mut Vec<GateAction>) {
+        let started =
+            self.running.contains_key(&attempt) || self.memory.get(&attempt).is_some_and(|memory| memory.started);
+        if started {
+            out.push(GateAction::Say { attempt, word: Word::Started });
+            return;
+        }
+        if let Some(at) = self.waiting.iter().position(|waiting| waiting.attempt == attempt) {
+            self.waiting.remove(at);
+            out.push(GateAction::Bounce { attempt, reason: BounceReason::Cancelled });
+        }
+        self.remember(attempt, false, now_us);
+        out.push(GateAction::Say { attempt, word: Word::NeverStarted });
+    }
+
+    fn drain(&mut self, now_us: u64, out: &mut Vec<GateAction>) {
+        self.leaving = true;
+        while let Some(waiting) = self.waiting.pop_front() {
+            self.bounce(waiting.attempt, BounceReason::Leaving, now_us, out);
+        }
+    }
+
+    fn leave_queue(&mut self, now_us: u64, out: &mut Vec<GateAction>) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let stalled = self.config.rescue && self.stalled(now_us);
+        let mut kept = 0;
+        while kept < self.waiting.len() {
+            let waiting = self.waiting[kept];
+            let reason = match () {
+                () if now_us >= waiting.leave_at_us => BounceReason::Full,
+                () if stalled && waiting.bounces_left > 0 => BounceReason::Stalled,
+                () => {
+                    kept += 1;
+                    continue;
+                }
+            };
+            self.waiting.remove(kept);
+            self.bounce(waiting.attempt, reason, now_us, out);
+        }
+    }
+
+    fn start_waiting(&mut self, now_us: u64, out: &mut Vec<GateAction>) {
+        let limit = self.limit(now_us) as usize;
+        while self.running.len() < limit {
+            let Some(waiting) = self.waiting.pop_front() else {
+                return;
+            };
+            if now_us >= waiting.deadline_us {
+                self.bounce(waiting.attempt, BounceReason::Full, now_us, out);
+                continue;
+            }
+            if self.running.is_empty() {
+                self.progress_us = now_us;
+            }
+            self.running.insert(waiting.attempt, now_us);
+            out.push(GateAction::Start { attempt: waiting.attempt });
+        }
+    }
+
+    fn stall_us(&self) -> u64 {
+        let usual_us = self.service_us as u64 + STALL_DEVIATIONS * self.deviation_us as u64;
+        usual_us.max(STALL_MIN_US)
+    }
+
+    fn stalled(&self, now_us: u64) -> bool {
+        !self.running.is_empty() && now_us.saturating_sub(self.progress_us) >= self.stall_us()
+    }
+
+    fn knows(&self, attempt: AttemptId) -> bool {
+        self.running.contains_key(&attempt) || self.waiting.iter().any(|waiting| waiting.attempt == attempt)
+    }
+
+    fn bounce(&mut self, attempt: AttemptId, reason: BounceReason, now_us: u64, out: &mut Vec<GateAction>) {
+        self.remember(attempt, false, now_us);
+        out.push(GateAction::Bounce { attempt, reason });
+    }
+
+    fn remember(&mut self, attempt: AttemptId, started: bool, now_us: u64) {
+        let until_us = now_us + MEMORY_US;
+        self.memory.insert(attempt, Memory { started, until_us });
+        self.forget.push_back((until_us, attempt));
+    }
+
+    fn expire(&mut self, now_us: u64) {
+        while let Some(&(until_us, attempt)) = self.forget.front() {
+            if until_us > now_us {
+                return;
+            }
+            self.forget.pop_front();
+            if self.memory.get(&attempt).is_some_and(|memory| memory.until_us <= now_us) {
+                self.memory.remove(&attempt);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/valetrack/src/gate/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of this slice.
--- /dev/null
+++ b/valetrack/src/link/codec.rs
@@ -0,0 +1,133 @@
+//! Heads and bodies on a stream: pure packing and unpacking with caps.
+
+use bytes::{BufMut, Bytes, BytesMut};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use snafu::Snafu;
+
+use super::message::{Ask, BODY_MAX_BYTES, HEAD_MAX_BYTES, Reply, ReplyHead};
+use crate::code::Code;
+
+/// Bytes of the length before a head.
+pub const LENGTH_BYTES: usize = 4;
+
+/// Why a frame could not be read.
+#[derive(Debug, Snafu, PartialEq, Eq)]
+pub enum FrameError {
+    /// The head is over its cap.
+    #[snafu(display("head of {bytes} bytes is over {HEAD_MAX_BYTES}"))]
+    HeadTooLarge {
+        /// Its length, in bytes.
+        bytes: usize,
+    },
+    /// The body is over its cap.
+    #[snafu(display("body of {bytes} bytes is over {BODY_MAX_BYTES}"))]
+    BodyTooLarge {
+        /// Its length, in bytes.
+        bytes: usize,
+    },
+    /// The stream ended before the frame did, or went on after it.
+    #[snafu(display("frame of {got} bytes where {wanted} were announced"))]
+    WrongLength {
+        /// Bytes that came.
+        got: usize,
+        /// Bytes that were announced.
+        wanted: usize,
+    },
+    /// The head does not decode.
+    #[snafu(display("head does not decode"))]
+    Undecodable,
+}
+
+impl FrameError {
+    /// Returns the numbered code.
+    pub const fn code(&self) -> Code {
+        match self {
+            Self::HeadTooLarge { .. } | Self::BodyTooLarge { .. } => Code::FrameTooLarge,
+            Self::WrongLength { .. } | Self::Undecodable => Code::FrameInvalid,
+        }
+    }
+}
+
+/// A head that knows how long its body is.
+pub trait Head: Serialize + DeserializeOwned {
+    /// Returns the announced length of the body, in bytes; none where any length up to the cap
+    /// is right.
+    fn body_bytes(&self) -> Option<usize>;
+}
+
+impl Head for Ask {
+    fn body_bytes(&self) -> Option<usize> {
+        match self {
+            Self::Run(call) | Self::RunKeyed(call) => Some(call.body_bytes as usize),
+            Self::Cancel(_) | Self::Probe | Self::Gossip { .. } | Self::Bundle => Some(0),
+        }
+    }
+}
+
+impl Head for ReplyHead {
+    fn body_bytes(&self) -> Option<usize> {
+        match &self.reply {
+            Reply::Answer(answer) => Some(answer.body_bytes as usize),
+            // The text is checked against its version, which is its hash.
+            Reply::Bundle { .. } => None,
+            Reply::Bounce { .. }
+            | Reply::Moved { .. }
+            | Reply::NotHome { .. }
+            | Reply::Cancelled { .. }
+            | Reply::Load
+            | Reply::Gossip { .. } => Some(0),
+        }
+    }
+}
+
+/// Packs the length and the head; the body is sent behind it as it is.
+///
+/// # Errors
+///
+/// Returns [`FrameError::HeadTooLarge`] when the head is over [`HEAD_MAX_BYTES`].
+pub fn pack(head: &impl Head) -> Result<Bytes, FrameError> {
+    let mut frame = BytesMut::with_capacity(256);
+    frame.put_u32(0);
+    let frame = postcard::to_extend(head, frame).map_err(|_| FrameError::Undecodable)?;
+    let bytes = frame.len() - LENGTH_BYTES;
+    if bytes > HEAD_MAX_BYTES {
+        return Err(FrameError::HeadTooLarge { bytes });
+    }
+    let mut frame = frame;
+    frame[..LENGTH_BYTES].copy_from_slice(&(bytes as u32).to_be_bytes());
+    Ok(frame.freeze())
+}
+
+/// Unpacks a whole stream into its head and its body.
+///
+/// # Errors
+///
+/// Returns a [`FrameError`] for anything that is cut short, too long, over a cap or undecodable.
+pub fn unpack<H: Head>(mut frame: Bytes) -> Result<(H, Bytes), FrameError> {
+    let length: [u8; LENGTH_BYTES] = frame
+        .get(..LENGTH_BYTES)
+        .and_then(|bytes| bytes.try_into().ok())
+        .ok_or(FrameError::WrongLength { got: frame.len(), wanted: LENGTH_BYTES })?;
+    let head_bytes = u32::from_be_bytes(length) as usize;
+    if head_bytes > HEAD_MAX_BYTES {
+        return Err(FrameError::HeadTooLarge { bytes: head_bytes });
+    }
+    let wanted = LENGTH_BYTES + head_bytes;
+    if frame.len() < wanted {
+        return Err(FrameError::WrongLength { got: frame.len(), wanted });
+    }
+    let body = frame.split_off(wanted);
+    let (head, rest): (H, &[u8]) =
+        postcard::take_from_bytes(&frame[LENGTH_BYTES..]).map_err(|_| FrameError::Undecodable)?;
+    if !rest.is_empty() {
+        return Err(FrameError::Undecodable);
+    }
+    if body.len() > BODY_MAX_BYTES {
+        return Err(FrameError::BodyTooLarge { bytes: body.len() });
+    }
+    match head.body_bytes() {
+        Some(wanted) if wanted != body.len() => Err(FrameError::WrongLength { got: body.len(), wanted }),
+        Some(_) | None => Ok((head, body)),
+    }
+}
--- /dev/null
+++ b/valetrack/src/link/message.rs
@@ -0,0 +1,177 @@
+//! Messages between nodes.
+//!
+//! A stream carries one question and one reply: four bytes of length (big endian), a head in
+//! postcard, then a body up to the end of the stream, whose length stands in the head.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::gate::{AttemptId, BounceReason, LoadReport, Word};
+use crate::member::Member;
+use crate::placement::Outcome;
+
+/// Version of the messages; nodes of other versions are refused in the TLS handshake.
+pub const ALPN: &[u8] = b"valetrack/1";
+/// Largest head, in bytes.
+pub const HEAD_MAX_BYTES: usize = 64 * 1024;
+/// Largest body, in bytes; routes have caps below it.
+pub const BODY_MAX_BYTES: usize = 16 * 1024 * 1024;
+
+/// A call on its way to an owner or to the home of its key.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallHead {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// Name of the call through all its attempts and nested calls.
+    pub call_id: Arc<str>,
+    /// The service.
+    pub service: Arc<str>,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// Headers that travel from end to end.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// Length of the body, in bytes.
+    pub body_bytes: u32,
+    /// Time left, in milliseconds.
+    pub deadline_ms: u32,
+    /// How deep the call is nested.
+    pub depth: u8,
+    /// How often the owner may still give it back.
+    pub bounces_left: u8,
+    /// The caller's idempotency key.
+    pub key: Option<Arc<str>>,
+    /// Hybrid clock of the sender.
+    pub hlc: u64,
+}
+
+/// An answer on its way back.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AnswerHead {
+    /// The attempt that it answers.
+    pub attempt: AttemptId,
+    /// Whether the work ran.
+    pub outcome: Outcome,
+    /// Number of the result code, or zero for an answer of the server's own.
+    pub code: u16,
+    /// HTTP status.
+    pub status: u16,
+    /// When to come back, in milliseconds, or zero.
+    pub retry_after_ms: u32,
+    /// Headers that travel from end to end.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// Length of the body, in bytes.
+    pub body_bytes: u32,
+}
+
+/// What rides on every reply: the owner's load and versions, at no message of its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Riding {
+    /// Load of the owner's server.
+    pub load: LoadReport,
+    /// Number of the bundle in force at the sender.
+    pub bundle: u64,
+    /// Hybrid clock of the sender.
+    pub hlc: u64,
+}
+
+/// A question on a stream of its own.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ask {
+    /// Run a call on the owner's server; the body follows.
+    Run(CallHead),
+    /// Run a call under its key at the key's home; the body follows.
+    RunKeyed(CallHead),
+    /// Cancel an attempt.
+    Cancel(AttemptId),
+    /// Say what the load is.
+    Probe,
+    /// Exchange what is known of VMs, and the number of the bundle in force.
+    Gossip {
+        /// VMs that the sender knows.
+        members: Vec<Member>,
+        /// Number of the bundle in force at the sender.
+        bundle: u64,
+    },
+    /// Send the bundle in force.
+    Bundle,
+}
+
+/// A reply on the stream of its question.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reply {
+    /// An answer; its body follows.
+    Answer(AnswerHead),
+    /// The attempt never starts at this owner.
+    Bounce {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Why.
+        reason: BounceReason,
+    },
+    /// The home of the key is elsewhere; nothing started.
+    Moved {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Name of the VM that is the home as far as is known.
+        home: Arc<str>,
+    },
+    /// This node is not the home of the key and does not know who is; nothing started.
+    NotHome {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Number of the code.
+        code: u16,
+    },
+    /// The word on a cancelled attempt.
+    Cancelled {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The word.
+        word: Word,
+    },
+    /// Nothing but what rides along.
+    Load,
+    /// What the node knows of VMs.
+    Gossip {
+        /// VMs that the sender knows.
+        members: Vec<Member>,
+    },
+    /// The bundle in force; its text follows.
+    Bundle {
+        /// Its number; zero when there is none.
+        number: u64,
+        /// Its version.
+        version: String,
+    },
+}
+
+/// A reply with what rides on it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplyHead {
+    /// The reply.
+    pub reply: Reply,
+    /// What rides along.
+    pub riding: Riding,
+}
+
+/// A question with its body.
+#[derive(Debug, Clone)]
+pub struct Question {
+    /// The head.
+    pub ask: Ask,
+    /// The body; empty where the question has none.
+    pub body: Bytes,
+}
+
+/// A reply with its body.
+#[derive(Debug, Clone)]
+pub struct Answered {
+    /// The head.
+    pub head: ReplyHead,
+    /// The body; empty where the reply has none.
+    pub body: Bytes,
+}
--- /dev/null
+++ b/valetrack/src/link/peer.rs
@@ -0,0 +1,151 @@
+//! Connections to other nodes, kept open and shared by all questions.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use quinn::{Connection, Endpoint};
+use tokio::sync::{Mutex, oneshot};
+use tokio::time::timeout;
+
+use super::codec::{self, FrameError};
+use super::message::{Answered, BODY_MAX_BYTES, HEAD_MAX_BYTES, Question, ReplyHead};
+use crate::clock::now_us;
+
+/// Time limit of a handshake, in milliseconds.
+const HANDSHAKE_MS: u64 = 400;
+/// After a failed handshake the next is tried no sooner than this, in microseconds.
+const REDIAL_US: u64 = 200_000;
+/// Largest whole frame, in bytes.
+pub const FRAME_MAX_BYTES: usize = codec::LENGTH_BYTES + HEAD_MAX_BYTES + BODY_MAX_BYTES;
+
+/// Where a node is, and which VM's certificate it must show.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Target {
+    /// Name of the VM.
+    pub vm: Arc<str>,
+    /// Address of its links.
+    pub addr: SocketAddr,
+}
+
+/// How a question ended.
+#[derive(Debug)]
+pub enum LinkResult {
+    /// The reply.
+    Reply(Box<Answered>),
+    /// The question was never sent.
+    Unsent,
+    /// The question was sent, at least in part, and no whole reply came.
+    Broken,
+}
+
+/// A question on its way through the ring to the link thread.
+#[derive(Debug)]
+pub struct LinkJob {
+    /// Whom to ask.
+    pub target: Target,
+    /// What to ask.
+    pub question: Question,
+    /// How long to wait for the reply.
+    pub limit: Duration,
+    /// Whether to leave out the connection that is open, since it may be broken.
+    pub fresh: bool,
+    /// Where the result goes.
+    pub reply: oneshot::Sender<LinkResult>,
+}
+
+#[derive(Default)]
+struct Slot {
+    connection: Option<Connection>,
+    failed_us: Option<u64>,
+}
+
+/// All connections that this node has opened.
+pub struct Peers {
+    endpoint: Endpoint,
+    slots: std::cell::RefCell<HashMap<Target, Rc<Mutex<Slot>>>>,
+}
+
+impl Peers {
+    /// Makes an empty set on an endpoint.
+    pub fn new(endpoint: Endpoint) -> Self {
+        Self { endpoint, slots: Default::default() }
+    }
+
+    /// Returns how many connections are open.
+    pub fn open_count(&self) -> usize {
+        let open = |slot: &&Rc<Mutex<Slot>>| slot.try_lock().is_ok_and(|slot| slot.connection.is_some());
+        self.slots.borrow().values().filter(open).count()
+    }
+
+    /// Asks a question; the wait for the reply is bounded by `limit`.
+    pub async fn ask(&self, target: &Target, question: Question, limit: Duration, fresh: bool) -> LinkResult {
+        let Ok(head) = codec::pack(&question.ask) else {
+            return LinkResult::Unsent;
+        };
+        let Some(connection) = self.connection(target, fresh).await else {
+            return LinkResult::Unsent;
+        };
+        let asked = timeout(limit, exchange(&connection, head, question.body)).await;
+        match asked {
+            Ok(Ok(answered)) => LinkResult::Reply(Box::new(answered)),
+            Ok(Err(ExchangeError::Unsent)) => LinkResult::Unsent,
+            Ok(Err(ExchangeError::Frame(error))) => {
+                log::warn!("event=link.frame_invalid peer={} code={} reason=\"{error}\"", target.vm, error.code());
+                LinkResult::Broken
+            }
+            Ok(Err(ExchangeError::Broken)) | Err(_) => LinkResult::Broken,
+        }
+    }
+
+    async fn connection(&self, target: &Target, fresh: bool) -> Option<Connection> {
+        let slot = self.slots.borrow_mut().entry(target.clone()).or_default().clone();
+        // Whoever comes while a handshake is under way waits for its result.
+        let mut slot = slot.lock().await;
+        let open = slot.connection.take().filter(|connection| connection.close_reason().is_none());
+        if let (Some(connection), false) = (open, fresh) {
+            slot.connection = Some(connection.clone());
+            return Some(connection);
+        }
+        if !fresh && slot.failed_us.is_some_and(|failed_us| now_us() < failed_us + REDIAL_US) {
+            return None;
+        }
+        let connecting = self.endpoint.connect(target.addr, &target.vm).ok()?;
+        let connected = timeout(Duration::from_millis(HANDSHAKE_MS), connecting).await;
+        match connected {
+            Ok(Ok(connection)) => {
+                slot.failed_us = None;
+                slot.connection = Some(connection.clone());
+                Some(connection)
+            }
+            Ok(Err(error)) => {
+                log::debug!("event=link.refused peer={} reason=\"{error}\"", target.vm);
+                slot.failed_us = Some(now_us());
+                None
+            }
+            Err(_) => {
+                slot.failed_us = Some(now_us());
+                None
+            }
+        }
+    }
+}
+
+enum ExchangeError {
+    Unsent,
+    Broken,
+    Frame(FrameError),
+}
+
+async fn exchange(connection: &Connection, head: Bytes, body: Bytes) -> Result<Answered, ExchangeError> {
+    let (mut send, mut receive) = connection.open_bi().await.map_err(|_| ExchangeError::Unsent)?;
+    let mut chunks = [head, body];
+    send.write_all_chunks(&mut chunks).await.map_err(|_| ExchangeError::Broken)?;
+    send.finish().map_err(|_| ExchangeError::Broken)?;
+    let frame = receive.read_to_end(FRAME_MAX_BYTES).await.map_err(|_| ExchangeError::Broken)?;
+    let (head, body) = codec::unpack::<ReplyHead>(Bytes::from(frame)).map_err(ExchangeError::Frame)?;
+    Ok(Answered { head, body })
+}
--- /dev/null
+++ b/valetrack/src/link/run.rs
@@ -0,0 +1,280 @@
+//! The link thread: the QUIC endpoint, questions of other nodes, and this VM's gate.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use bytes::Bytes;
+use quinn::{Endpoint, Incoming, RecvStream, SendStream};
+use tokio::sync::{Notify, oneshot, watch};
+use tokio::time::timeout;
+
+use super::codec;
+use super::message::{AnswerHead, Answered, Ask, CallHead, Question, Reply, ReplyHead, Riding};
+use super::peer::{FRAME_MAX_BYTES, LinkJob, LinkResult, Peers};
+use super::tls::LinkTls;
+use crate::bundle::InForce;
+use crate::claim::run::ClaimJob;
+use crate::gate::pool::ServerPool;
+use crate::gate::run::{GateReply, GateShell};
+use crate::gate::{BounceReason, GateConfig, Word};
+use crate::member::run::MemberJob;
+use crate::metric::Metrics;
+use crate::placement::Outcome;
+use crate::timeline::log as events;
+
+/// Time that a peer has to send its question, in milliseconds.
+const QUESTION_MS: u64 = 5_000;
+
+/// What the link thread is joined to.
+pub struct LinkParts {
+    /// Name of this VM.
+    pub vm: Arc<str>,
+    /// The service of this VM's server.
+    pub service: Arc<str>,
+    /// Address of that server.
+    pub server_addr: SocketAddr,
+    /// Questions of this node's other threads.
+    pub jobs: Receiver<LinkJob>,
+    /// Ring to the claims.
+    pub to_claim: Sender<ClaimJob>,
+    /// Ring to the members.
+    pub to_member: Sender<MemberJob>,
+    /// The bundle in force.
+    pub bundle: watch::Receiver<Option<Arc<InForce>>>,
+    /// Turns true when this node leaves.
+    pub leaving: watch::Receiver<bool>,
+    /// Notified when the server itself says that it is about to stop.
+    pub server_leaving: Arc<Notify>,
+    /// Told when the gate holds nothing any more after leaving has begun.
+    pub drained: watch::Sender<bool>,
+    /// Turns true when the thread is to end.
+    pub closing: watch::Receiver<bool>,
+    /// Metrics.
+    pub metrics: Arc<Metrics>,
+}
+
+struct Shell {
+    parts: LinkParts,
+    gate: Rc<GateShell>,
+    peers: Peers,
+}
+
+/// Binds the endpoint of links; it must be called inside the link thread's runtime.
+///
+/// # Errors
+///
+/// Returns why the address could not be bound.
+pub fn bind(addr: SocketAddr, tls: LinkTls) -> std::io::Result<Endpoint> {
+    let mut endpoint = Endpoint::server(tls.server, addr)?;
+    endpoint.set_default_client_config(tls.client);
+    Ok(endpoint)
+}
+
+/// Serves links until told to close; must run on a local task set.
+pub async fn run(endpoint: Endpoint, parts: LinkParts) {
+    let pool = ServerPool::new(parts.server_addr);
+    let gate = GateShell::new(pool, parts.server_leaving.clone(), parts.metrics.clone());
+    let shell = Rc::new(Shell { gate, peers: Peers::new(endpoint.clone()), parts });
+    let mut duties = tokio::task::JoinSet::new();
+    duties.spawn_local(shell.gate.clone().keep_time());
+    duties.spawn_local(shell.clone().follow_bundle());
+    duties.spawn_local(shell.clone().follow_leaving());
+    duties.spawn_local(shell.clone().accept(endpoint.clone()));
+    let mut closing = shell.parts.closing.clone();
+    loop {
+        let job = tokio::select! {
+            job = shell.parts.jobs.recv() => job,
+            _ = closing.wait_for(|closing| *closing) => break,
+        };
+        let Ok(job) = job else {
+            break;
+        };
+        tokio::task::spawn_local(shell.clone().ask(job));
+    }
+    duties.shutdown().await;
+    endpoint.close(0u32.into(), b"stopping");
+    let _ = timeout(Duration::from_millis(200), endpoint.wait_idle()).await;
+}
+
+impl Shell {
+    async fn ask(self: Rc<Self>, job: LinkJob) {
+        let result = if job.target.vm == self.parts.vm {
+            // The way to oneself needs no link.
+            let served = timeout(job.limit, self.serve(job.question)).await;
+            served.map_or(LinkResult::Broken, |answered| LinkResult::Reply(Box::new(answered)))
+        } else {
+            self.peers.ask(&job.target, job.question, job.limit, job.fresh).await
+        };
+        self.parts.metrics.links.set(self.peers.open_count() as i64);
+        let _ = job.reply.send(result);
+    }
+
+    async fn accept(self: Rc<Self>, endpoint: Endpoint) {
+        while let Some(incoming) = endpoint.accept().await {
+            tokio::task::spawn_local(self.clone().serve_connection(incoming));
+        }
+    }
+
+    async fn serve_connection(self: Rc<Self>, incoming: Incoming) {
+        let connection = match incoming.await {
+            Ok(connection) => connection,
+            Err(error) => {
+                self.parts.metrics.bad_frames.inc();
+                log::info!("event=link.rejected code={} reason=\"{error}\"", crate::code::Code::LinkRefused);
+                return;
+            }
+        };
+        while let Ok((send, receive)) = connection.accept_bi().await {
+            tokio::task::spawn_local(self.clone().serve_stream(send, receive));
+        }
+    }
+
+    async fn serve_stream(self: Rc<Self>, mut send: SendStream, mut receive: RecvStream) {
+        let reading = timeout(Duration::from_millis(QUESTION_MS), receive.read_to_end(FRAME_MAX_BYTES));
+        let Ok(Ok(frame)) = reading.await else {
+            self.parts.metrics.bad_frames.inc();
+            return;
+        };
+        let question = match codec::unpack::<Ask>(Bytes::from(frame)) {
+            Ok((ask, body)) => Question { ask, body },
+            Err(error) => {
+                self.parts.metrics.bad_frames.inc();
+                log::info!("event=link.frame_invalid code={} reason=\"{error}\"", error.code());
+                let _ = send.reset(u32::from(error.code().number()).into());
+                return;
+            }
+        };
+        let answered = self.serve(question).await;
+        let Ok(head) = codec::pack(&answered.head) else {
+            self.parts.metrics.bad_frames.inc();
+            return;
+        };
+        let mut chunks = [head, answered.body];
+        if send.write_all_chunks(&mut chunks).await.is_ok() {
+            let _ = send.finish();
+        }
+    }
+
+    async fn serve(&self, question: Question) -> Answered {
+        let Question { ask, body } = question;
+        let (reply, body) = match ask {
+            Ask::Run(head) => self.run_call(head, body).await,
+            Ask::RunKeyed(head) => self.run_keyed(head, body).await,
+            Ask::Cancel(attempt) => {
+                let word = self.gate.cancel(attempt);
+                (Reply::Cancelled { attempt, word }, Bytes::new())
+            }
+            Ask::Probe => (Reply::Load, Bytes::new()),
+            Ask::Gossip { members, bundle } => {
+                let members = self.gossip(members, bundle).await;
+                (Reply::Gossip { members }, Bytes::new())
+            }
+            Ask::Bundle => self.bundle(),
+        };
+        Answered { head: ReplyHead { reply, riding: self.riding() }, body }
+    }
+
+    async fn run_call(&self, head: CallHead, body: Bytes) -> (Reply, Bytes) {
+        events::observe(head.hlc);
+        let attempt = head.attempt;
+        if head.service != self.parts.service {
+            // The address belongs to another service now; the sender's view is old.
+            return (Reply::Bounce { attempt, reason: BounceReason::Refused }, Bytes::new());
+        }
+        match self.gate.call(head, body).await {
+            GateReply::Answer(answer, body) => (Reply::Answer(answer), body),
+            GateReply::Bounce(reason) => (Reply::Bounce { attempt, reason }, Bytes::new()),
+        }
+    }
+
+    async fn run_keyed(&self, head: CallHead, body: Bytes) -> (Reply, Bytes) {
+        events::observe(head.hlc);
+        let attempt = head.attempt;
+        let (reply, answered) = oneshot::channel();
+        let job = ClaimJob { head, body, reply };
+        if self.parts.to_claim.send(job).await.is_err() {
+            return (Reply::Bounce { attempt, reason: BounceReason::Leaving }, Bytes::new());
+        }
+        answered.await.unwrap_or_else(|_| {
+            let answer = AnswerHead {
+                attempt,
+                outcome: Outcome::Unknown,
+                code: crate::code::Code::ClaimUnfinished.number(),
+                status: 504,
+                retry_after_ms: 0,
+                headers: Vec::new(),
+                body_bytes: 0,
+            };
+            (Reply::Answer(answer), Bytes::new())
+        })
+    }
+
+    async fn gossip(&self, members: Vec<crate::member::Member>, bundle: u64) -> Vec<crate::member::Member> {
+        let (reply, known) = oneshot::channel();
+        let job = MemberJob::Heard { members, bundle, reply: Some(reply) };
+        if self.parts.to_member.send(job).await.is_err() {
+            return Vec::new();
+        }
+        known.await.unwrap_or_default()
+    }
+
+    fn bundle(&self) -> (Reply, Bytes) {
+        match self.parts.bundle.borrow().as_ref() {
+            Some(bundle) => {
+                let reply = Reply::Bundle { number: bundle.number, version: bundle.version.to_string() };
+                (reply, Bytes::copy_from_slice(bundle.text.as_bytes()))
+            }
+            None => (Reply::Bundle { number: 0, version: String::new() }, Bytes::new()),
+        }
+    }
+
+    fn riding(&self) -> Riding {
+        let bundle = self.parts.bundle.borrow().as_ref().map_or(0, |bundle| bundle.number);
+        Riding { load: self.gate.load(), bundle, hlc: events::stamp() }
+    }
+
+    async fn follow_bundle(self: Rc<Self>) {
+        let mut bundle = self.parts.bundle.clone();
+        loop {
+            let rule = bundle.borrow_and_update().as_ref().and_then(|b| b.bundle.service(&self.parts.service).cloned());
+            if let Some(rule) = rule {
+                let config = GateConfig {
+                    slots: rule.slots,
+                    queue_max_us: u64::from(rule.queue_ms) * 1000,
+                    ramp_us: u64::from(rule.ramp_ms) * 1000,
+                    rescue: true,
+                };
+                self.gate.configure(config, rule.answer_cap_bytes as usize).await;
+            }
+            if bundle.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    async fn follow_leaving(self: Rc<Self>) {
+        let mut leaving = self.parts.leaving.clone();
+        if leaving.wait_for(|leaving| *leaving).await.is_err() {
+            return;
+        }
+        self.gate.drain();
+        while !self.gate.idle() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        self.parts.drained.send_replace(true);
+    }
+}
+
+/// Returns the word of an owner's reply to a cancel, if it is one.
+pub fn word_of(result: &LinkResult) -> Option<Word> {
+    let LinkResult::Reply(answered) = result else {
+        return None;
+    };
+    match answered.head.reply {
+        Reply::Cancelled { word, .. } => Some(word),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/valetrack/src/link/tls.rs
@@ -0,0 +1,227 @@
+//! Keys of the fleet: its authority, node certificates, and the TLS of links.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
+use quinn::{ClientConfig, IdleTimeout, ServerConfig, TransportConfig, VarInt};
+use rcgen::{
+    BasicConstraints, CertificateParams, DnType, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair, KeyUsagePurpose,
+};
+use rustls::RootCertStore;
+use rustls::server::WebPkiClientVerifier;
+use rustls_pki_types::pem::PemObject;
+use rustls_pki_types::{CertificateDer, PrivateKeyDer};
+use snafu::Snafu;
+use time::OffsetDateTime;
+
+use super::message::ALPN;
+use crate::code::Code;
+
+/// A silent link is given up after this time, in milliseconds.
+pub const IDLE_MS: u32 = 2_000;
+/// A quiet link is kept alive this often, in milliseconds.
+const KEEP_ALIVE_MS: u64 = 600;
+/// Streams that a peer may have open at once.
+const STREAMS_MAX: u32 = 2_048;
+/// Bytes that one stream may have under way.
+const STREAM_WINDOW_BYTES: u32 = 1_048_576;
+/// Life of a certificate, in days.
+pub const CERTIFICATE_DAYS: i64 = 365;
+/// A certificate that expires within this time is reported, in days.
+pub const EXPIRY_WARNING_DAYS: i64 = 30;
+
+/// Why keys could not be made, read or used.
+#[derive(Debug, Snafu)]
+pub enum KeyError {
+    /// A file could not be read or written.
+    #[snafu(display("{}: {source}", path.display()))]
+    File {
+        /// Which.
+        path: PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// A certificate or key is not valid.
+    #[snafu(display("{}: {reason}", path.display()))]
+    Invalid {
+        /// Which.
+        path: PathBuf,
+        /// Why.
+        reason: String,
+    },
+}
+
+impl KeyError {
+    /// Returns the numbered code.
+    pub const fn code(&self) -> Code {
+        match self {
+            Self::File { .. } => Code::FileUnreadable,
+            Self::Invalid { .. } => Code::KeyInvalid,
+        }
+    }
+}
+
+fn invalid(path: &Path, reason: &dyn std::fmt::Display) -> KeyError {
+    KeyError::Invalid { path: path.to_owned(), reason: reason.to_string() }
+}
+
+fn read(path: &Path) -> Result<String, KeyError> {
+    fs::read_to_string(path).map_err(|source| KeyError::File { path: path.to_owned(), source })
+}
+
+fn write(path: &Path, text: &str, secret: bool) -> Result<(), KeyError> {
+    use std::io::Write;
+    use std::os::unix::fs::OpenOptionsExt;
+    let mode = if secret { 0o600 } else { 0o644 };
+    let file = fs::OpenOptions::new().write(true).create_new(true).mode(mode).open(path);
+    let written = file.and_then(|mut file| file.write_all(text.as_bytes()));
+    written.map_err(|source| KeyError::File { path: path.to_owned(), source })
+}
+
+/// Makes the fleet's authority: `ca.pem` and `ca.key`.
+///
+/// # Errors
+///
+/// Returns an error when a file is there already or cannot be written.
+pub fn make_authority(dir: &Path) -> Result<(), KeyError> {
+    let path = dir.join("ca.pem");
+    let key = KeyPair::generate().map_err(|error| invalid(&path, &error))?;
+    let mut params = dated(CertificateParams::default(), 10 * CERTIFICATE_DAYS);
+    params.is_ca = IsCa::Ca(BasicConstraints::Constrained(0));
+    params.key_usages = vec![KeyUsagePurpose::KeyCertSign, KeyUsagePurpose::CrlSign];
+    params.distinguished_name.push(DnType::CommonName, "valetrack authority");
+    let certificate = params.self_signed(&key).map_err(|error| invalid(&path, &error))?;
+    write(&dir.join("ca.key"), &key.serialize_pem(), true)?;
+    write(&path, &certificate.pem(), false)
+}
+
+/// Makes a node's certificate, signed by the authority in the same folder.
+///
+/// # Errors
+///
+/// Returns an error when the authority cannot be read or a file is there already.
+pub fn make_node(dir: &Path, vm: &str) -> Result<(), KeyError> {
+    let ca_path = dir.join("ca.pem");
+    let ca_key_path = dir.join("ca.key");
+    let ca_key = KeyPair::from_pem(&read(&ca_key_path)?).map_err(|error| invalid(&ca_key_path, &error))?;
+    let issuer = Issuer::from_ca_cert_pem(&read(&ca_path)?, ca_key).map_err(|error| invalid(&ca_path, &error))?;
+    let path = dir.join(format!("{vm}.pem"));
+    let params = CertificateParams::new(vec![vm.to_owned()]).map_err(|error| invalid(&path, &error))?;
+    let mut params = dated(params, CERTIFICATE_DAYS);
+    params.distinguished_name.push(DnType::CommonName, vm);
+    params.extended_key_usages = vec![ExtendedKeyUsagePurpose::ServerAuth, ExtendedKeyUsagePurpose::ClientAuth];
+    let key = KeyPair::generate().map_err(|error| invalid(&path, &error))?;
+    let certificate = params.signed_by(&key, &issuer).map_err(|error| invalid(&path, &error))?;
+    write(&dir.join(format!("{vm}.key")), &key.serialize_pem(), true)?;
+    write(&path, &certificate.pem(), false)
+}
+
+fn dated(mut params: CertificateParams, days: i64) -> CertificateParams {
+    let now = OffsetDateTime::now_utc();
+    // Clocks of VMs differ a little, so a new certificate is good from an hour ago.
+    params.not_before = now - time::Duration::hours(1);
+    params.not_after = now + time::Duration::days(days);
+    params
+}
+
+/// When a certificate expires.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
+pub struct Expiry {
+    /// File name.
+    pub file: String,
+    /// Days that are left; negative when it has expired.
+    pub days_left: i64,
+}
+
+/// Reads the expiry of every certificate in a folder, the soonest first.
+///
+/// # Errors
+///
+/// Returns an error when the folder or a certificate cannot be read.
+pub fn expiries(dir: &Path) -> Result<Vec<Expiry>, KeyError> {
+    let entries = fs::read_dir(dir).map_err(|source| KeyError::File { path: dir.to_owned(), source })?;
+    let mut found = Vec::new();
+    for entry in entries.flatten() {
+        let path = entry.path();
+        if path.extension().is_none_or(|extension| extension != "pem") {
+            continue;
+        }
+        let der = CertificateDer::from_pem_file(&path).map_err(|error| invalid(&path, &error))?;
+        let (_, certificate) = x509_parser::parse_x509_certificate(&der).map_err(|error| invalid(&path, &error))?;
+        let left_s = certificate.validity().not_after.timestamp() - OffsetDateTime::now_utc().unix_timestamp();
+        let file = entry.file_name().to_string_lossy().into_owned();
+        found.push(Expiry { file, days_left: left_s.div_euclid(86_400) });
+    }
+    found.sort_by(|a, b| (a.days_left, &a.file).cmp(&(b.days_left, &b.file)));
+    Ok(found)
+}
+
+/// TLS of both ends of links.
+#[derive(Debug, Clone)]
+pub struct LinkTls {
+    /// For links that others open.
+    pub server: ServerConfig,
+    /// For links that this node opens.
+    pub client: ClientConfig,
+}
+
+/// Reads a node's keys and makes the TLS of its links; both ends must show a certificate.
+///
+/// # Errors
+///
+/// Returns an error when a file cannot be read or does not fit.
+pub fn load(dir: &Path, vm: &str) -> Result<LinkTls, KeyError> {
+    let ca_path = dir.join("ca.pem");
+    let certificate_path = dir.join(format!("{vm}.pem"));
+    let key_path = dir.join(format!("{vm}.key"));
+    let authority = CertificateDer::from_pem_file(&ca_path).map_err(|error| invalid(&ca_path, &error))?;
+    let certificate =
+        CertificateDer::from_pem_file(&certificate_path).map_err(|error| invalid(&certificate_path, &error))?;
+    let key = PrivateKeyDer::from_pem_file(&key_path).map_err(|error| invalid(&key_path, &error))?;
+    let mut roots = RootCertStore::empty();
+    roots.add(authority).map_err(|error| invalid(&ca_path, &error))?;
+    let roots = Arc::new(roots);
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+
+    let verifier = WebPkiClientVerifier::builder_with_provider(roots.clone(), provider.clone())
+        .build()
+        .map_err(|error| invalid(&ca_path, &error))?;
+    let tls13 = &[&rustls::version::TLS13];
+    let mut server = rustls::ServerConfig::builder_with_provider(provider.clone())
+        .with_protocol_versions(tls13)
+        .map_err(|error| invalid(&key_path, &error))?
+        .with_client_cert_verifier(verifier)
+        .with_single_cert(vec![certificate.clone()], key.clone_key())
+        .map_err(|error| invalid(&certificate_path, &error))?;
+    server.alpn_protocols = vec![ALPN.to_vec()];
+    let mut client = rustls::ClientConfig::builder_with_provider(provider)
+        .with_protocol_versions(tls13)
+        .map_err(|error| invalid(&key_path, &error))?
+        .with_root_certificates(roots)
+        .with_client_auth_cert(vec![certificate], key)
+        .map_err(|error| invalid(&certificate_path, &error))?;
+    client.alpn_protocols = vec![ALPN.to_vec()];
+
+    let transport = Arc::new(transport());
+    let server = QuicServerConfig::try_from(server).map_err(|error| invalid(&key_path, &error))?;
+    let mut server = ServerConfig::with_crypto(Arc::new(server));
+    server.transport_config(transport.clone());
+    let client = QuicClientConfig::try_from(client).map_err(|error| invalid(&key_path, &error))?;
+    let mut client = ClientConfig::new(Arc::new(client));
+    client.transport_config(transport);
+    Ok(LinkTls { server, client })
+}
+
+fn transport() -> TransportConfig {
+    let mut transport = TransportConfig::default();
+    transport.max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_MS))));
+    transport.keep_alive_interval(Some(Duration::from_millis(KEEP_ALIVE_MS)));
+    transport.max_concurrent_bidi_streams(VarInt::from_u32(STREAMS_MAX));
+    transport.max_concurrent_uni_streams(VarInt::from_u32(0));
+    transport.stream_receive_window(VarInt::from_u32(STREAM_WINDOW_BYTES));
+    transport.datagram_receive_buffer_size(None);
+    transport
+}
--- /dev/null
+++ b/valetrack/src/main.rs
@@ -0,0 +1,7 @@
+//! Starts valetrack.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    valetrack::cli::main()
+}
--- /dev/null
+++ b/valetrack/src/member/message.rs
@@ -0,0 +1,83 @@
+//! Messages of membership.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// Life of one incarnation of a VM; it only goes forward.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Phase {
+    /// It starts and takes no work yet.
+    Joining,
+    /// It takes work.
+    Serving,
+    /// It takes no new work.
+    Leaving,
+    /// It is no more.
+    Gone,
+}
+
+/// What is known of one VM.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Name of the VM.
+    pub vm: Arc<str>,
+    /// Start of this life of the VM, in microseconds since 1970; a later life goes first.
+    pub incarnation: u64,
+    /// Where it is in this life.
+    pub phase: Phase,
+    /// Its failure domain.
+    pub domain: Arc<str>,
+    /// The service whose server it holds.
+    pub service: Arc<str>,
+    /// Where its node listens for links.
+    pub link_addr: SocketAddr,
+}
+
+/// One row of the platform's list of VMs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListedVm {
+    /// Name of the VM.
+    pub vm: Arc<str>,
+    /// Its failure domain.
+    pub domain: Arc<str>,
+    /// The service whose server it holds.
+    pub service: Arc<str>,
+    /// Where its node listens for links.
+    pub link_addr: SocketAddr,
+    /// Whether the platform is about to take the VM away.
+    #[serde(default)]
+    pub leaving: bool,
+}
+
+/// A VM whose server may get calls.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Candidate {
+    /// Name of the VM.
+    pub vm: Arc<str>,
+    /// Its life; zero while only the list has told of it.
+    pub incarnation: u64,
+    /// Its failure domain.
+    pub domain: Arc<str>,
+    /// Where its node listens for links.
+    pub link_addr: SocketAddr,
+}
+
+impl From<&Member> for Candidate {
+    fn from(member: &Member) -> Self {
+        Self {
+            vm: member.vm.clone(),
+            incarnation: member.incarnation,
+            domain: member.domain.clone(),
+            link_addr: member.link_addr,
+        }
+    }
+}
+
+impl From<&ListedVm> for Candidate {
+    fn from(row: &ListedVm) -> Self {
+        Self { vm: row.vm.clone(), incarnation: 0, domain: row.domain.clone(), link_addr: row.link_addr }
+    }
+}
--- /dev/null
+++ b/valetrack/src/member/mod.rs
@@ -0,0 +1,14 @@
+//! VMs: the platform's list, lives of VMs, leaving.
+//!
+//! Contract: phases only grow within one life of a VM, a later life replaces an earlier one, and
+//! no order of messages or age of the list brings an earlier state back.
+
+pub mod list;
+mod message;
+pub mod run;
+mod state;
+#[cfg(test)]
+mod tests;
+
+pub use message::{Candidate, ListedVm, Member, Phase};
+pub use state::{GONE_AFTER_US, Members};
--- /dev/null
+++ b/valetrack/src/member/run.rs
@@ -0,0 +1,325 @@
+//! The member thread: the VM list, exchanges with other nodes, and the spread of bundles.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use bytes::Bytes;
+use tokio::sync::{Notify, oneshot, watch};
+use tokio::time::{sleep, timeout};
+
+use super::list::VmList;
+use super::message::{Member, Phase};
+use super::state::Members;
+use crate::bundle::run::Bundler;
+use crate::clock::now_us;
+use crate::link::message::{Ask, Question, Reply};
+use crate::link::peer::{LinkJob, LinkResult, Target};
+use crate::timeline::log as events;
+
+/// Nodes outside the own service that one exchange goes to.
+const OTHERS: usize = 3;
+/// Most VMs in one exchange; news of one's own service and of leaving VMs goes first.
+const EXCHANGE_MAX: usize = 48;
+/// Time limit of one exchange, in milliseconds.
+const EXCHANGE_MS: u64 = 400;
+
+/// Something for the member thread.
+#[derive(Debug)]
+pub enum MemberJob {
+    /// Another node told what it knows.
+    Heard {
+        /// VMs.
+        members: Vec<Member>,
+        /// Number of the bundle in force there.
+        bundle: u64,
+        /// Where this node's own knowledge goes.
+        reply: Option<oneshot::Sender<Vec<Member>>>,
+    },
+    /// A reply showed that a later bundle is in force elsewhere.
+    Bundle {
+        /// Its number.
+        number: u64,
+        /// Who has it.
+        from: Target,
+    },
+}
+
+/// What the member thread is joined to.
+pub struct MemberParts {
+    /// This VM, as it starts.
+    pub me: Member,
+    /// Pause between two looks at the list.
+    pub list_poll: Duration,
+    /// Pause between two exchanges.
+    pub gossip: Duration,
+    /// The platform's list.
+    pub list: Arc<dyn VmList>,
+    /// News of other threads.
+    pub jobs: Receiver<MemberJob>,
+    /// Ring to the link thread.
+    pub to_link: Sender<LinkJob>,
+    /// Where the view of VMs is published.
+    pub members: watch::Sender<Arc<Members>>,
+    /// Bundles.
+    pub bundler: Rc<Bundler>,
+    /// Turns true when this node takes work.
+    pub serving: watch::Receiver<bool>,
+    /// Turns true when this node leaves.
+    pub leaving: watch::Receiver<bool>,
+    /// Turns true when this node is about to exit.
+    pub gone: watch::Receiver<bool>,
+    /// Told when the last exchange is over.
+    pub farewell: watch::Sender<bool>,
+    /// Turns true when the thread is to end.
+    pub closing: watch::Receiver<bool>,
+    /// Told when the platform's list says that this VM leaves.
+    pub listed_leaving: Arc<Notify>,
+    /// Seed of random choices.
+    pub seed: u64,
+}
+
+struct Shell {
+    parts: MemberParts,
+    members: RefCell<Members>,
+    me: RefCell<Member>,
+    rng: RefCell<fastrand::Rng>,
+    push: Notify,
+}
+
+/// Serves membership until told to close; must run on a local task set.
+pub async fn run(parts: MemberParts) {
+    let rng = fastrand::Rng::with_seed(parts.seed);
+    let shell = Rc::new(Shell {
+        members: RefCell::new(Members::default()),
+        me: RefCell::new(parts.me.clone()),
+        rng: RefCell::new(rng),
+        push: Notify::new(),
+        parts,
+    });
+    shell.merge(std::slice::from_ref(&shell.parts.me));
+    let mut duties = tokio::task::JoinSet::new();
+    duties.spawn_local(shell.clone().poll_list());
+    duties.spawn_local(shell.clone().gossip());
+    duties.spawn_local(shell.clone().follow_phase());
+    duties.spawn_local(shell.clone().push_bundles());
+    duties.spawn_local(shell.parts.bundler.clone().follow_store());
+    let mut closing = shell.parts.closing.clone();
+    loop {
+        let job = tokio::select! {
+            job = shell.parts.jobs.recv() => job,
+            _ = closing.wait_for(|closing| *closing) => break,
+        };
+        let Ok(job) = job else {
+            break;
+        };
+        shell.clone().take(job);
+    }
+    duties.shutdown().await;
+}
+
+impl Shell {
+    fn take(self: Rc<Self>, job: MemberJob) {
+        match job {
+            MemberJob::Heard { members, bundle, reply } => {
+                if let Some(first) = members.first().cloned() {
+                    self.hear(&first, bundle);
+                }
+                self.merge(&members);
+                if let Some(reply) = reply {
+                    let _ = reply.send(self.digest());
+                }
+            }
+            MemberJob::Bundle { number, from } => self.bundle_heard(number, from),
+        }
+    }
+
+    /// Notes that a node itself was heard, and what bundle it has.
+    fn hear(self: &Rc<Self>, member: &Member, bundle: u64) {
+        self.members.borrow_mut().heard(&member.vm, now_us());
+        let from = Target { vm: member.vm.clone(), addr: member.link_addr };
+        self.bundle_heard(bundle, from);
+    }
+
+    fn bundle_heard(self: &Rc<Self>, number: u64, from: Target) {
+        if !self.parts.bundler.wants(number) {
+            return;
+        }
+        let shell = self.clone();
+        tokio::task::spawn_local(async move {
+            let question = Question { ask: Ask::Bundle, body: Bytes::new() };
+            if let LinkResult::Reply(answered) = shell.ask(from, question).await
+                && let Reply::Bundle { number, version } = answered.head.reply
+            {
+                shell.parts.bundler.take_from_peer(number, &version, &answered.body);
+            }
+        });
+    }
+
+    async fn ask(&self, target: Target, question: Question) -> LinkResult {
+        let (reply, result) = oneshot::channel();
+        let limit = Duration::from_millis(EXCHANGE_MS);
+        let job = LinkJob { target, question, limit, fresh: false, reply };
+        if self.parts.to_link.send(job).await.is_err() {
+            return LinkResult::Unsent;
+        }
+        result.await.unwrap_or(LinkResult::Broken)
+    }
+
+    fn merge(&self, news: &[Member]) {
+        let mut members = self.members.borrow_mut();
+        let mut changed = false;
+        for member in news {
+            // Nobody else speaks for this life of this VM.
+            if member.vm == self.parts.me.vm && member.incarnation <= self.parts.me.incarnation {
+                changed |= members.merge(&self.me.borrow());
+                continue;
+            }
+            if members.merge(member) {
+                changed = true;
+                let Member { vm, incarnation, phase, .. } = member;
+                log::info!("event=member.{} peer={vm} incarnation={incarnation}", phase_label(*phase));
+            }
+        }
+        // Times of hearing are part of what claims read, so the view goes out in any case.
+        let _ = changed;
+        self.parts.members.send_replace(Arc::new(members.clone()));
+    }
+
+    /// Returns what goes out in an exchange, this VM first.
+    fn digest(&self) -> Vec<Member> {
+        let members = self.members.borrow();
+        let me = self.me.borrow().clone();
+        let mut others: Vec<Member> = members.iter().filter(|member| member.vm != me.vm).cloned().collect();
+        self.rng.borrow_mut().shuffle(&mut others);
+        others.sort_by_key(|member| (member.service != me.service, member.phase != Phase::Leaving));
+        others.truncate(EXCHANGE_MAX - 1);
+        let mut digest = vec![me];
+        digest.append(&mut others);
+        digest
+    }
+
+    async fn poll_list(self: Rc<Self>) {
+        loop {
+            match self.parts.list.read().await {
+                Ok(rows) => {
+                    let moved = self.members.borrow_mut().take_list(&rows, now_us());
+                    for member in &moved {
+                        log::info!("event=member.{} peer={} by=list", phase_label(member.phase), member.vm);
+                    }
+                    let me = &self.parts.me.vm;
+                    if rows.iter().any(|row| row.vm == *me && row.leaving) {
+                        self.parts.listed_leaving.notify_one();
+                    }
+                    let members = self.members.borrow().clone();
+                    self.parts.members.send_replace(Arc::new(members));
+                }
+                Err(error) => log::warn!("event=list.failed code={} reason=\"{error}\"", error.code()),
+            }
+            sleep(self.parts.list_poll).await;
+        }
+    }
+
+    async fn gossip(self: Rc<Self>) {
+        loop {
+            for target in self.partners(OTHERS) {
+                tokio::task::spawn_local(self.clone().exchange(target));
+            }
+            // A change goes out at once; the pause only bounds the time between two rounds.
+            let _ = timeout(self.parts.gossip, self.push.notified()).await;
+        }
+    }
+
+    /// Returns the nodes of the own service and some others.
+    fn partners(&self, others: usize) -> Vec<Target> {
+        let members = self.members.borrow();
+        let me = self.me.borrow();
+        let listed = members.unheard().map(|row| (row.service.clone(), row.vm.clone(), row.link_addr));
+        let known = members
+            .iter()
+            .filter(|member| member.phase < Phase::Gone)
+            .map(|member| (member.service.clone(), member.vm.clone(), member.link_addr));
+        let mut own = Vec::new();
+        let mut rest = Vec::new();
+        for (service, vm, addr) in known.chain(listed).filter(|(_, vm, _)| *vm != me.vm) {
+            let target = Target { vm, addr };
+            if service == me.service { own.push(target) } else { rest.push(target) }
+        }
+        self.rng.borrow_mut().shuffle(&mut rest);
+        own.extend(rest.into_iter().take(others));
+        own
+    }
+
+    async fn exchange(self: Rc<Self>, target: Target) {
+        let bundle = self.parts.bundler.number();
+        let question = Question { ask: Ask::Gossip { members: self.digest(), bundle }, body: Bytes::new() };
+        let LinkResult::Reply(answered) = self.ask(target, question).await else {
+            return;
+        };
+        events::observe(answered.head.riding.hlc);
+        let Reply::Gossip { members } = answered.head.reply else {
+            return;
+        };
+        if let Some(first) = members.first().cloned() {
+            self.hear(&first, answered.head.riding.bundle);
+        }
+        self.merge(&members);
+    }
+
+    /// Passes a bundle on as soon as it is in force here.
+    async fn push_bundles(self: Rc<Self>) {
+        let mut in_force = self.parts.bundler.subscribe();
+        while in_force.changed().await.is_ok() {
+            self.push.notify_one();
+        }
+    }
+
+    async fn follow_phase(self: Rc<Self>) {
+        let mut serving = self.parts.serving.clone();
+        let mut leaving = self.parts.leaving.clone();
+        let mut gone = self.parts.gone.clone();
+        tokio::select! {
+            Ok(_) = serving.wait_for(|serving| *serving) => self.move_on(Phase::Serving),
+            Ok(_) = leaving.wait_for(|leaving| *leaving) => {}
+        }
+        if leaving.wait_for(|leaving| *leaving).await.is_err() {
+            return;
+        }
+        self.move_on(Phase::Leaving);
+        self.tell_everybody().await;
+        if gone.wait_for(|gone| *gone).await.is_err() {
+            return;
+        }
+        self.move_on(Phase::Gone);
+        self.tell_everybody().await;
+        self.parts.farewell.send_replace(true);
+    }
+
+    fn move_on(&self, phase: Phase) {
+        self.me.borrow_mut().phase = phase;
+        log::info!("event=member.{} peer={}", phase_label(phase), self.parts.me.vm);
+        let me = self.me.borrow().clone();
+        self.merge(&[me]);
+        self.push.notify_one();
+    }
+
+    /// Tells every node that is known, at once.
+    async fn tell_everybody(self: &Rc<Self>) {
+        let mut told = tokio::task::JoinSet::new();
+        for target in self.partners(EXCHANGE_MAX) {
+            told.spawn_local(self.clone().exchange(target));
+        }
+        while told.join_next().await.is_some() {}
+    }
+}
+
+const fn phase_label(phase: Phase) -> &'static str {
+    match phase {
+        Phase::Joining => "joining",
+        Phase::Serving => "serving",
+        Phase::Leaving => "leaving",
+        Phase::Gone => "gone",
+    }
+}
--- /dev/null
+++ b/valetrack/src/metric.rs
@@ -0,0 +1,107 @@
+//! Metrics of a node, by the conventions of Prometheus.
+
+use prometheus::{Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+
+/// Bounds of the call histogram, in seconds.
+const CALL_BOUNDS_S: &[f64] =
+    &[0.0005, 0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.128, 0.256, 0.512, 1.0, 2.0, 5.0];
+
+/// All metrics of one node.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Calls of callers by outcome.
+    pub calls: IntCounterVec,
+    /// Time of calls at their entry, in seconds.
+    pub call_seconds: Histogram,
+    /// Attempts by how they ended.
+    pub attempts: IntCounterVec,
+    /// Attempts given back by reason.
+    pub bounces: IntCounterVec,
+    /// Calls that run at this VM's server.
+    pub gate_in_flight: IntGauge,
+    /// Calls that wait at this VM's server.
+    pub gate_queued: IntGauge,
+    /// Answers that belong to no open attempt.
+    pub stray_answers: IntCounter,
+    /// Frames that could not be read.
+    pub bad_frames: IntCounter,
+    /// Calls of callers that could not be read.
+    pub bad_calls: IntCounter,
+    /// Bytes spent only on measuring.
+    pub measure_bytes: IntCounter,
+    /// Budget for that, in bytes a second.
+    pub measure_budget: IntGauge,
+    /// Probes sent.
+    pub probes: IntCounter,
+    /// Calls to the store by kind.
+    pub store_calls: IntCounterVec,
+    /// Number of the bundle in force.
+    pub bundle_number: IntGauge,
+    /// Presses by how they ended.
+    pub presses: IntCounterVec,
+    /// Open links that this node opened.
+    pub links: IntGauge,
+}
+
+impl Metrics {
+    /// Registers all metrics.
+    ///
+    /// # Panics
+    ///
+    /// Panics if two metrics have the same name, which is a fault of this file.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help).expect("valid name");
+            registry.register(Box::new(counter.clone())).expect("unique name");
+            counter
+        };
+        let counters = |name: &str, help: &str, label: &str| {
+            let counters = IntCounterVec::new(Opts::new(name, help), &[label]).expect("valid name");
+            registry.register(Box::new(counters.clone())).expect("unique name");
+            counters
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help).expect("valid name");
+            registry.register(Box::new(gauge.clone())).expect("unique name");
+            gauge
+        };
+        let opts = HistogramOpts::new("valetrack_call_seconds", "Time of calls at their entry.");
+        let call_seconds = Histogram::with_opts(opts.buckets(CALL_BOUNDS_S.to_vec())).expect("valid name");
+        registry.register(Box::new(call_seconds.clone())).expect("unique name");
+        Self {
+            calls: counters("valetrack_calls_total", "Calls of callers by outcome.", "outcome"),
+            call_seconds,
+            attempts: counters("valetrack_attempts_total", "Attempts by how they ended.", "result"),
+            bounces: counters("valetrack_bounces_total", "Attempts given back unstarted.", "reason"),
+            gate_in_flight: gauge("valetrack_gate_in_flight_calls", "Calls that run at the server."),
+            gate_queued: gauge("valetrack_gate_queued_calls", "Calls that wait for a slot."),
+            stray_answers: counter("valetrack_stray_answers_total", "Answers of no open attempt, dropped."),
+            bad_frames: counter("valetrack_bad_frames_total", "Frames on links that could not be read."),
+            bad_calls: counter("valetrack_bad_calls_total", "Calls of callers that were refused as bad input."),
+            measure_bytes: counter("valetrack_measure_bytes_total", "Bytes spent only on measuring."),
+            measure_budget: gauge("valetrack_measure_budget_bytes_per_second", "Budget for measuring."),
+            probes: counter("valetrack_probes_total", "Probes sent."),
+            store_calls: counters("valetrack_store_calls_total", "Calls to the store by kind.", "kind"),
+            bundle_number: gauge("valetrack_bundle_number", "Number of the bundle in force."),
+            presses: counters("valetrack_presses_total", "Presses with a key by how they ended.", "reply"),
+            links: gauge("valetrack_links_open", "Links that this node has opened."),
+            registry,
+        }
+    }
+
+    /// Writes all metrics as text.
+    pub fn render(&self) -> String {
+        let mut out = Vec::new();
+        // The text encoder fails only when its writer does, and a vector never does.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut out);
+        String::from_utf8(out).unwrap_or_default()
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/valetrack/src/placement/budget.rs
@@ -0,0 +1,77 @@
+//! Token budgets: retries and hedges as a share of calls, anything else as a rate.
+
+/// A bucket that earns a share of each call and pays one token an extra attempt.
+#[derive(Debug, Clone, Copy)]
+pub struct ShareBudget {
+    share: f64,
+    tokens: f64,
+    most: f64,
+}
+
+impl ShareBudget {
+    /// Makes a budget of `percent` extra attempts per hundred calls, with a burst of `most`.
+    pub fn new(percent: u32, most: u32) -> Self {
+        Self { share: f64::from(percent) / 100.0, tokens: f64::from(most) / 2.0, most: f64::from(most) }
+    }
+
+    /// Earns for one call.
+    pub fn earn(&mut self) {
+        self.tokens = (self.tokens + self.share).min(self.most);
+    }
+
+    /// Takes one token if there is one.
+    pub fn take(&mut self) -> bool {
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
+
+/// A token bucket in units a second.
+///
+/// In no window of `w` seconds does it grant more than `rate * w + burst`.
+#[derive(Debug, Clone, Copy)]
+pub struct RateBudget {
+    rate_per_s: u64,
+    burst: u64,
+    /// Tokens in millionths, so that no rounding ever earns.
+    micro_tokens: u64,
+    filled_us: u64,
+}
+
+/// Millionths in one token.
+const MICRO: u64 = 1_000_000;
+
+impl RateBudget {
+    /// Makes a full bucket.
+    pub fn new(rate_per_s: u64, burst: u64, now_us: u64) -> Self {
+        Self { rate_per_s, burst, micro_tokens: burst.saturating_mul(MICRO), filled_us: now_us }
+    }
+
+    /// Takes a new rate and burst; what was saved above the new burst is lost.
+    pub fn configure(&mut self, rate_per_s: u64, burst: u64, now_us: u64) {
+        self.fill(now_us);
+        self.rate_per_s = rate_per_s;
+        self.burst = burst;
+        self.micro_tokens = self.micro_tokens.min(burst.saturating_mul(MICRO));
+    }
+
+    /// Takes `cost` units if the bucket holds them; a clock that goes back earns nothing.
+    pub fn take(&mut self, cost: u64, now_us: u64) -> bool {
+        self.fill(now_us);
+        let Some(left) = self.micro_tokens.checked_sub(cost.saturating_mul(MICRO)) else {
+            return false;
+        };
+        self.micro_tokens = left;
+        true
+    }
+
+    fn fill(&mut self, now_us: u64) {
+        let elapsed_us = now_us.saturating_sub(self.filled_us);
+        self.filled_us = self.filled_us.max(now_us);
+        let earned = elapsed_us.saturating_mul(self.rate_per_s);
+        self.micro_tokens = self.micro_tokens.saturating_add(earned).min(self.burst.saturating_mul(MICRO));
+    }
+}
--- /dev/null
+++ b/valetrack/src/placement/call.rs
@@ -0,0 +1,432 @@
+//! The life of one call at its entry, as a pure state machine.
+//!
+//! What holds whatever happens: work that may not repeat has at most one attempt that may have
+//! started; `NotRun` is said only when every attempt that was sent was given back or is under the
+//! owner's word that it never starts; exactly one verdict is given.
+
+use super::budget::ShareBudget;
+use super::message::{CallAction, CallEvent, ServerIndex, Verdict};
+use super::view::{ServerSet, ServiceView};
+use crate::code::Code;
+use crate::gate::{AttemptId, BounceReason, Word};
+
+/// Most attempts of one call that are remembered; a call makes fewer.
+const MAX_ATTEMPTS: usize = 12;
+/// Shortest time that a caller is told to stay away, in milliseconds.
+const RETRY_AFTER_MIN_MS: u32 = 50;
+/// Longest time that a caller is told to stay away, in milliseconds.
+const RETRY_AFTER_MAX_MS: u32 = 1_000;
+
+/// How calls of one route are placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallRule {
+    /// Whether the work may run more than once.
+    pub repeatable: bool,
+    /// How often owners may give one call back.
+    pub bounces: u8,
+    /// How often repeatable work is tried again after it may have started.
+    pub retries: u8,
+    /// Delay before a hedge in hundredths of the usual service time; none turns hedges off.
+    pub hedge_after_percent: Option<u32>,
+}
+
+/// Budgets that all calls of one service at one entry share.
+#[derive(Debug, Clone, Copy)]
+pub struct Budgets {
+    /// Extra attempts after failures.
+    pub retry: ShareBudget,
+    /// Extra attempts after delays.
+    pub hedge: ShareBudget,
+}
+
+/// What a call works with while it handles one event.
+pub struct CallContext<'a> {
+    /// The entry's view of the service.
+    pub view: &'a mut ServiceView,
+    /// The service's budgets.
+    pub budgets: &'a mut Budgets,
+    /// Seeded random numbers.
+    pub rng: &'a mut fastrand::Rng,
+    /// The moment, on this process's monotonic clock, in microseconds.
+    pub now_us: u64,
+    /// Draws the number of the next attempt.
+    pub next_seq: &'a mut u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AttemptState {
+    Sent,
+    /// The link broke or the deadline passed, and the owner was asked.
+    Asked,
+    /// The owner gave it back, or says that it never starts.
+    NeverStarted,
+    /// It may have run, and no answer will come.
+    Lost,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Attempt {
+    id: AttemptId,
+    server: ServerIndex,
+    state: AttemptState,
+}
+
+/// State of one call at its entry.
+#[derive(Debug)]
+pub struct Call {
+    rule: CallRule,
+    entry: u64,
+    attempts: [Option<Attempt>; MAX_ATTEMPTS],
+    count: usize,
+    excluded: ServerSet,
+    bounces_left: u8,
+    retries_left: u8,
+    hedged: bool,
+    past_deadline: bool,
+    last_code: Code,
+    finished: bool,
+}
+
+impl Call {
+    /// Makes a call that waits for [`CallEvent::Begin`].
+    pub fn new(rule: CallRule, entry: u64) -> Self {
+        Self {
+            rule,
+            entry,
+            attempts: [None; MAX_ATTEMPTS],
+            count: 0,
+            excluded: ServerSet::default(),
+            bounces_left: rule.bounces,
+            retries_left: rule.retries,
+            hedged: false,
+            past_deadline: false,
+            last_code: Code::NoServer,
+            finished: false,
+        }
+    }
+
+    /// Returns how many attempts were sent.
+    pub fn attempts(&self) -> usize {
+        self.count
+    }
+
+    /// Returns whether the verdict was given and no attempt is out.
+    pub fn closed(&self) -> bool {
+        self.finished && self.outstanding() == 0
+    }
+
+    /// Returns whether the verdict was given.
+    pub fn finished(&self) -> bool {
+        self.finished
+    }
+
+    /// Takes one event and appends what must be done to `out`.
+    pub fn handle(&mut self, event: CallEvent, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) {
+        match event {
+            CallEvent::Begin => self.begin(cx, out),
+            CallEvent::Ran { attempt, healthy } => self.ran(attempt, healthy, cx, out),
+            CallEvent::Bounced { attempt, reason } => self.bounced(attempt, reason, cx, out),
+            CallEvent::Failed { attempt, code } => self.failed(attempt, code, cx, out),
+            CallEvent::Unsent { attempt } => self.unsent(attempt, cx, out),
+            CallEvent::Broken { attempt } => self.broken(attempt, cx, out),
+            CallEvent::Word { attempt, word } => self.word(attempt, word, cx, out),
+            CallEvent::HedgeDue => self.hedge(cx, out),
+            CallEvent::DeadlineDue => self.deadline(cx, out),
+        }
+    }
+
+    fn begin(&mut self, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) {
+        if self.count > 0 || self.finished {
+            return;
+        }
+        cx.budgets.retry.earn();
+        cx.budgets.hedge.earn();
+        let Some(server) = self.send_next(cx, out) else {
+            return;
+        };
+        if let (true, Some(percent)) = (self.rule.repeatable, self.rule.hedge_after_percent) {
+            let after_us = u64::from(cx.view.service_us(server)) * u64::from(percent) / 100;
+            out.push(CallAction::ArmHedge { after_us });
+        }
+    }
+
+    fn ran(&mut self, id: AttemptId, healthy: bool, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) {
+        let Some(at) = self.close(id, AttemptState::Lost, cx) else {
+            return;
+        };
+        let server = self.server(at);
+        cx.view.judge(server, healthy, cx.now_us);
+        if self.finished {
+            return;
+        }
+        if !healthy && self.may_repeat(cx) {
+            self.excluded.insert(server);
+            if self.send_next_if_any(cx, out) {
+                return;
+            }
+        }
+        self.finish(Verdict::Answer(id), out);
+    }
+
+    fn bounced(&mut self, id: AttemptId, reason: BounceReason, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) {
+        let Some(at) = self.close(id, AttemptState::NeverStarted, cx) else {
+            return;
+        };
+        let server = self.server(at);
+        self.last_code = bounce_code(reason);
+        if reason == BounceReason::Leaving {
+            cx.view.set_leaving(server);
+        }
+        if reason == BounceReason::Refused {
+            cx.view.judge(server, false, cx.now_us);
+        }
+        if self.finished {
+            return;
+        }
+        if self.past_deadline || reason == BounceReason::Cancelled {
+            self.settle(cx, out);
+            return;
+        }
+        // A leaving server is no sign of load, so its bounce costs nothing of the allowance.
+        let free = reason == BounceReason::Leaving;
+        self.move_on(server, free, cx, out);
+    }
+
+    fn failed(&mut self, id: AttemptId, code: Code, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) {
+        let Some(at) = self.close(id, AttemptState::Lost, cx) else {
+            return;
+        };
+        cx.view.judge(self.server(at), false, cx.now_us);
+        self.last_code = code;
+        self.after_loss(self.server(at), cx, out);
+    }
+
+    fn unsent(&mut self, id: AttemptId, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) {
+        let Some(at) = self.close(id, AttemptState::NeverStarted, cx) else {
+            return;
+        };
+        let server = self.server(at);
+        cx.view.suspect(server, cx.now_us);
+        self.last_code = Code::LinkRefused;
+        if self.finished {
+            return;
+        }
+        if self.past_deadline {
+            self.settle(cx, out);
+            return;
+        }
+        self.move_on(server, true, cx, out);
+    }
+
+    fn broken(&mut self, id: AttemptId, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) {
+        let Some(at) = self.find(id) else {
+            return;
+        };
+        if self.state(at) != AttemptState::Sent {
+            return;
+        }
+        cx.view.suspect(self.server(at), cx.now_us);
+        self.last_code = Code::LinkLost;
+        self.ask(at, out);
+    }
+
+    fn word(&mut self, id: AttemptId, word: Option<Word>, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) {
+        let Some(at) = self.find(id) else {
+            return;
+        };
+        if self.state(at) != AttemptState::Asked {
+            return;
+        }
+        let never = word == Some(Word::NeverStarted);
+        let state = if never { AttemptState::NeverStarted } else { AttemptState::Lost };
+        self.close(id, state, cx);
+        if self.finished {
+            return;
+        }
+        if self.past_deadline {
+            self.settle(cx, out);
+        } else if never {
+            self.move_on(self.server(at), true, cx, out);
+        } else {
+            self.after_loss(self.server(at), cx, out);
+        }
+    }
+
+    fn hedge(&mut self, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) {
+        let idle = self.finished || self.past_deadline || self.hedged || !self.rule.repeatable;
+        if idle || self.outstanding() != 1 || self.count >= MAX_ATTEMPTS {
+            return;
+        }
+        let mut tried = self.excluded;
+        for attempt in self.attempts.iter().flatten() {
+            tried.insert(attempt.server);
+        }
+        let Some(server) = cx.view.pick(tried, cx.now_us, cx.rng) else {
+            return;
+        };
+        if !cx.budgets.hedge.take() {
+            return;
+        }
+        self.hedged = true;
+        self.send(server, cx, out);
+    }
+
+    fn deadline(&mut self, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) {
+        if self.finished || self.past_deadline {
+            return;
+        }
+        self.past_deadline = true;
+        self.last_code = Code::DeadlinePassed;
+        for at in 0..self.count {
+            if self.state(at) == AttemptState::Sent {
+                self.ask(at, out);
+            }
+        }
+        self.settle(cx, out);
+    }
+
+    /// Goes to another server after an attempt that certainly did not start.
+    fn move_on(&mut self, server: ServerIndex, free: bool, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) {
+        self.excluded.insert(server);
+        if !free {
+            if self.bounces_left == 0 {
+                self.settle(cx, out);
+                return;
+            }
+            self.bounces_left -= 1;
+        }
+        if !self.send_next_if_any(cx, out) {
+            self.settle(cx, out);
+        }
+    }
+
+    /// Decides after an attempt that may have started brought no answer.
+    fn after_loss(&mut self, server: ServerIndex, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) {
+        if self.finished {
+            return;
+        }
+        self.excluded.insert(server);
+        if !self.past_deadline && self.may_repeat(cx) && self.send_next_if_any(cx, out) {
+            return;
+        }
+        self.settle(cx, out);
+    }
+
+    fn may_repeat(&mut self, cx: &mut CallContext<'_>) -> bool {
+        if !self.rule.repeatable || self.retries_left == 0 || !cx.budgets.retry.take() {
+            return false;
+        }
+        self.retries_left -= 1;
+        true
+    }
+
+    /// Gives the verdict when no attempt can bring an answer any more.
+    fn settle(&mut self, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) {
+        if self.finished || self.outstanding() > 0 {
+            return;
+        }
+        let lost = self.attempts.iter().flatten().any(|attempt| attempt.state == AttemptState::Lost);
+        let verdict = if lost {
+            Verdict::Unknown { code: self.last_code }
+        } else {
+            Verdict::NotRun { code: self.last_code, retry_after_ms: retry_after_ms(cx) }
+        };
+        self.finish(verdict, out);
+    }
+
+    fn send_next(&mut self, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) -> Option<ServerIndex> {
+        let Some(server) = self.next_server(cx) else {
+            self.settle(cx, out);
+            return None;
+        };
+        self.send(server, cx, out);
+        Some(server)
+    }
+
+    fn send_next_if_any(&mut self, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) -> bool {
+        let Some(server) = self.next_server(cx) else {
+            return false;
+        };
+        self.send(server, cx, out);
+        true
+    }
+
+    fn next_server(&mut self, cx: &mut CallContext<'_>) -> Option<ServerIndex> {
+        if self.count >= MAX_ATTEMPTS {
+            return None;
+        }
+        cx.view.pick(self.excluded, cx.now_us, cx.rng)
+    }
+
+    fn send(&mut self, server: ServerIndex, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) {
+        let id = AttemptId { entry: self.entry, seq: *cx.next_seq };
+        *cx.next_seq += 1;
+        cx.view.sent(server);
+        self.attempts[self.count] = Some(Attempt { id, server, state: AttemptState::Sent });
+        self.count += 1;
+        out.push(CallAction::Send { attempt: id, server, bounces_left: self.bounces_left });
+    }
+
+    fn ask(&mut self, at: usize, out: &mut Vec<CallAction>) {
+        let Some(attempt) = self.attempts[at].as_mut() else {
+            return;
+        };
+        attempt.state = AttemptState::Asked;
+        out.push(CallAction::Cancel { attempt: attempt.id, server: attempt.server });
+    }
+
+    fn finish(&mut self, verdict: Verdict, out: &mut Vec<CallAction>) {
+        self.finished = true;
+        // What still runs is of no use; an owner that holds it in its queue can drop it.
+        for attempt in self.attempts.iter_mut().flatten() {
+            if attempt.state == AttemptState::Sent {
+                attempt.state = AttemptState::Asked;
+                out.push(CallAction::Cancel { attempt: attempt.id, server: attempt.server });
+            }
+        }
+        out.push(CallAction::Finish(verdict));
+    }
+
+    /// Closes an attempt that is still open, and returns its place.
+    fn close(&mut self, id: AttemptId, state: AttemptState, cx: &mut CallContext<'_>) -> Option<usize> {
+        let at = self.find(id)?;
+        let attempt = self.attempts[at].as_mut()?;
+        if !matches!(attempt.state, AttemptState::Sent | AttemptState::Asked) {
+            return None;
+        }
+        attempt.state = state;
+        cx.view.returned(attempt.server);
+        Some(at)
+    }
+
+    fn find(&self, id: AttemptId) -> Option<usize> {
+        self.attempts.iter().position(|attempt| attempt.is_some_and(|attempt| attempt.id == id))
+    }
+
+    fn server(&self, at: usize) -> ServerIndex {
+        self.attempts[at].map_or(0, |attempt| attempt.server)
+    }
+
+    fn state(&self, at: usize) -> AttemptState {
+        self.attempts[at].map_or(AttemptState::Lost, |attempt| attempt.state)
+    }
+
+    fn outstanding(&self) -> usize {
+        let open = |attempt: &&Attempt| matches!(attempt.state, AttemptState::Sent | AttemptState::Asked);
+        self.attempts.iter().flatten().filter(open).count()
+    }
+}
+
+const fn bounce_code(reason: BounceReason) -> Code {
+    match reason {
+        BounceReason::Full | BounceReason::Stalled => Code::Overloaded,
+        BounceReason::Leaving => Code::Leaving,
+        BounceReason::Cancelled => Code::Cancelled,
+        BounceReason::Refused => Code::ServerRefused,
+    }
+}
+
+/// Spreads callers over a second, so that they do not come back together.
+fn retry_after_ms(cx: &mut CallContext<'_>) -> u32 {
+    cx.rng.u32(RETRY_AFTER_MIN_MS..=RETRY_AFTER_MAX_MS)
+}
--- /dev/null
+++ b/valetrack/src/placement/message.rs
@@ -0,0 +1,134 @@
+//! Messages of placement: what happens to a call, and what is to be done for it.
+
+use crate::code::Code;
+use crate::gate::{AttemptId, BounceReason, LoadReport, Word};
+
+/// Index of a server in its service's view; stable as long as the view keeps the server.
+pub type ServerIndex = usize;
+
+/// What a caller is told about whether its work ran.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum Outcome {
+    /// The work ran and this is its answer.
+    Ran,
+    /// The work did not run and will not.
+    NotRun,
+    /// The work may or may not have run.
+    Unknown,
+}
+
+impl Outcome {
+    /// Returns the word in the `valetrack-outcome` header.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Ran => "ran",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// Something that happened to a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallEvent {
+    /// The call came from its caller.
+    Begin,
+    /// An attempt brought a whole answer.
+    Ran {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Whether the answer is not a failure of the server's own.
+        healthy: bool,
+    },
+    /// The owner gave the attempt back without starting it.
+    Bounced {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Why.
+        reason: BounceReason,
+    },
+    /// The attempt started, but its answer is lost for good.
+    Failed {
+        /// The attempt.
+        attempt: AttemptId,
+        /// How.
+        code: Code,
+    },
+    /// The link could not be opened, so the owner was never sent the attempt.
+    Unsent {
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// The link broke with the attempt outstanding.
+    Broken {
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// The owner's word on a cancelled attempt; none when it could not be had.
+    Word {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The word.
+        word: Option<Word>,
+    },
+    /// It is time to hedge.
+    HedgeDue,
+    /// The deadline passed.
+    DeadlineDue,
+}
+
+/// What the shell of placement must do for a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallAction {
+    /// Send an attempt to a server's owner.
+    Send {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The server.
+        server: ServerIndex,
+        /// How often the owner may still give it back.
+        bounces_left: u8,
+    },
+    /// Ask the owner to cancel an attempt, on a new connection where the old one broke.
+    Cancel {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The server.
+        server: ServerIndex,
+    },
+    /// Send [`CallEvent::HedgeDue`] after this time.
+    ArmHedge {
+        /// Delay, in microseconds.
+        after_us: u64,
+    },
+    /// Tell the caller.
+    Finish(Verdict),
+}
+
+/// The final answer of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Pass on the answer that this attempt brought.
+    Answer(AttemptId),
+    /// Say that the work did not run, and when to come back.
+    NotRun {
+        /// Why.
+        code: Code,
+        /// When to come back, in milliseconds.
+        retry_after_ms: u32,
+    },
+    /// Say that the work may have run.
+    Unknown {
+        /// Why.
+        code: Code,
+    },
+}
+
+/// A load report with the moment at which it came.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SeenLoad {
+    /// The report.
+    pub load: LoadReport,
+    /// When it came, on this process's monotonic clock, in microseconds.
+    pub seen_us: u64,
+}
--- /dev/null
+++ b/valetrack/src/placement/mod.rs
@@ -0,0 +1,18 @@
+//! Which server gets a call: picks, retries, hedges, ejection, budgets.
+//!
+//! Contract: a call gets exactly one verdict; work that may not repeat never has two attempts
+//! that may have started; retries and hedges stay within their budgets; at least half of the
+//! servers stay in rotation.
+
+mod budget;
+mod call;
+mod message;
+pub mod run;
+#[cfg(test)]
+mod tests;
+mod view;
+
+pub use budget::{RateBudget, ShareBudget};
+pub use call::{Budgets, Call, CallContext, CallRule};
+pub use message::{CallAction, CallEvent, Outcome, SeenLoad, ServerIndex, Verdict};
+pub use view::{MAX_SERVERS, Policy, ServerSet, ServiceView};
