--- /dev/null
+++ b/valetrack/src/placement/view.rs
@@ -0,0 +1,328 @@
+//! An entry's view of the servers of one service, and the pick.
+
+use super::message::{SeenLoad, ServerIndex};
+use crate::gate::LoadReport;
+
+/// Largest number of servers of one service that placement considers.
+pub const MAX_SERVERS: usize = 64;
+/// Service time assumed for a server that was never heard of, in microseconds.
+const FIRST_SERVICE_US: u32 = 2_000;
+/// Slots assumed for a server that was never heard of.
+const FIRST_LIMIT: u16 = 4;
+/// A report loses half its weight in this time, in microseconds.
+const HALF_LIFE_US: u64 = 20_000;
+/// Servers whose scores differ by less than this share of the best count as equal.
+const TIE_SHARE: f64 = 0.05;
+/// Consecutive failures after which a server is ejected.
+const EJECT_FAILURES: u32 = 5;
+/// Shortest ejection, in microseconds.
+const EJECT_US: u64 = 1_000_000;
+/// Longest ejection, in microseconds.
+const EJECT_MAX_US: u64 = 30_000_000;
+/// A stalled server's expected time grows by this much, in microseconds.
+const STALL_PENALTY_US: f64 = 25_000.0;
+/// Every failed call of late adds this many service times to the score.
+const FAILURE_WEIGHT: f64 = 4.0;
+
+/// Compact set of server indexes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct ServerSet(u64);
+
+impl ServerSet {
+    /// Adds a server.
+    pub fn insert(&mut self, server: ServerIndex) {
+        self.0 |= 1 << server;
+    }
+
+    /// Returns whether the server is in the set.
+    pub fn contains(self, server: ServerIndex) -> bool {
+        self.0 & (1 << server) != 0
+    }
+
+    /// Returns the number of servers in the set.
+    pub fn len(self) -> usize {
+        self.0.count_ones() as usize
+    }
+
+    /// Returns whether the set is empty.
+    pub fn is_empty(self) -> bool {
+        self.0 == 0
+    }
+}
+
+/// Which rule picks a server; all but [`Policy::Valetrack`] are baselines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Policy {
+    /// Least expected time by carried load and own calls.
+    Valetrack,
+    /// Any server, evenly.
+    Random,
+    /// One after the other.
+    RoundRobin,
+    /// Least calls of this entry in flight.
+    LeastInFlight,
+    /// The better of two by the last report alone, however old.
+    TwoChoices,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct ServerView {
+    /// Present in the roster; a slot of the view is free otherwise.
+    present: bool,
+    leaving: bool,
+    /// Expected time on the network there and back, in microseconds.
+    network_us: u32,
+    seen: Option<SeenLoad>,
+    /// Calls of this entry that have no answer yet.
+    outstanding: u32,
+    /// `outstanding` when the last report came.
+    outstanding_seen: u32,
+    failures: u32,
+    failure_share: f64,
+    ejected_until_us: u64,
+    ejections: u32,
+    probed_us: u64,
+}
+
+const EMPTY: ServerView = ServerView {
+    present: false,
+    leaving: false,
+    network_us: 0,
+    seen: None,
+    outstanding: 0,
+    outstanding_seen: 0,
+    failures: 0,
+    failure_share: 0.0,
+    ejected_until_us: 0,
+    ejections: 0,
+    probed_us: 0,
+};
+
+/// What one entry knows of the servers of one service.
+#[derive(Debug, Clone)]
+pub struct ServiceView {
+    servers: Vec<ServerView>,
+    policy: Policy,
+    turn: usize,
+    used_us: Option<u64>,
+}
+
+impl ServiceView {
+    /// Makes a view with no servers.
+    pub fn new(policy: Policy) -> Self {
+        Self { servers: Vec::new(), policy, turn: 0, used_us: None }
+    }
+
+    /// Sets whether a server is in the roster, and what the way to it costs.
+    ///
+    /// # Panics
+    ///
+    /// Panics if `server` is not below [`MAX_SERVERS`].
+    pub fn set_present(&mut self, server: ServerIndex, present: bool, network_us: u32) {
+        assert!(server < MAX_SERVERS);
+        if server >= self.servers.len() {
+            self.servers.resize(server + 1, EMPTY);
+        }
+        let view = &mut self.servers[server];
+        if present && !view.present {
+            *view = EMPTY;
+        }
+        view.present = present;
+        view.network_us = network_us;
+    }
+
+    /// Marks a server as leaving; it never comes back under the same index.
+    pub fn set_leaving(&mut self, server: ServerIndex) {
+        if let Some(view) = self.servers.get_mut(server) {
+            view.leaving = true;
+        }
+    }
+
+    /// Takes a load report that came at `now_us`.
+    pub fn report(&mut self, server: ServerIndex, load: LoadReport, now_us: u64) {
+        let Some(view) = self.servers.get_mut(server) else {
+            return;
+        };
+        view.leaving |= load.leaving;
+        view.seen = Some(SeenLoad { load, seen_us: now_us });
+        view.outstanding_seen = view.outstanding;
+    }
+
+    /// Counts an attempt that goes out to a server.
+    pub fn sent(&mut self, server: ServerIndex) {
+        if let Some(view) = self.servers.get_mut(server) {
+            view.outstanding += 1;
+        }
+    }
+
+    /// Counts an attempt that came back.
+    pub fn returned(&mut self, server: ServerIndex) {
+        if let Some(view) = self.servers.get_mut(server) {
+            view.outstanding = view.outstanding.saturating_sub(1);
+        }
+    }
+
+    /// Takes note of how an attempt that ran, or a link that broke, speaks of the server's health.
+    pub fn judge(&mut self, server: ServerIndex, healthy: bool, now_us: u64) {
+        let Some(view) = self.servers.get_mut(server) else {
+            return;
+        };
+        view.failure_share += (f64::from(u8::from(!healthy)) - view.failure_share) / 16.0;
+        if healthy {
+            view.failures = 0;
+            view.ejections = view.ejections.saturating_sub(u32::from(view.ejected_until_us < now_us));
+            return;
+        }
+        view.failures += 1;
+        if view.failures >= EJECT_FAILURES && view.ejected_until_us <= now_us {
+            let ejection_us = (EJECT_US << view.ejections.min(5)).min(EJECT_MAX_US);
+            view.ejected_until_us = now_us + ejection_us;
+            view.ejections += 1;
+            view.failures = 0;
+        }
+    }
+
+    /// Takes a server out of rotation at once, since its node cannot be reached.
+    pub fn suspect(&mut self, server: ServerIndex, now_us: u64) {
+        if let Some(view) = self.servers.get_mut(server) {
+            view.ejected_until_us = view.ejected_until_us.max(now_us + EJECT_US);
+        }
+    }
+
+    /// Returns how many attempts of this entry are out at a server.
+    pub fn outstanding(&self, server: ServerIndex) -> u32 {
+        self.servers.get(server).map_or(0, |view| view.outstanding)
+    }
+
+    /// Returns the servers that may get new work at `now_us`.
+    ///
+    /// At least half of those present and not leaving stay in rotation whatever their health:
+    /// when most look bad, it is the view that is bad.
+    pub fn rotation(&self, now_us: u64) -> ServerSet {
+        let mut all = ServerSet::default();
+        let mut sound = ServerSet::default();
+        for (server, view) in self.servers.iter().enumerate() {
+            if !view.present || view.leaving {
+                continue;
+            }
+            all.insert(server);
+            if view.ejected_until_us <= now_us {
+                sound.insert(server);
+            }
+        }
+        if sound.len() * 2 >= all.len() && !sound.is_empty() { sound } else { all }
+    }
+
+    /// Returns whether a server is in the roster.
+    pub fn is_present(&self, server: ServerIndex) -> bool {
+        self.servers.get(server).is_some_and(|view| view.present)
+    }
+
+    /// Returns when the last pick was, in microseconds.
+    pub fn used_us(&self) -> Option<u64> {
+        self.used_us
+    }
+
+    /// Notes that a server is being probed.
+    pub fn probed(&mut self, server: ServerIndex, now_us: u64) {
+        if let Some(view) = self.servers.get_mut(server) {
+            view.probed_us = now_us;
+        }
+    }
+
+    /// Returns how old the view of a server is that may get work, counting from its last report
+    /// or probe, in microseconds.
+    pub fn probe_age_us(&self, server: ServerIndex, now_us: u64) -> Option<u64> {
+        let view = self.servers.get(server).filter(|view| view.present && !view.leaving)?;
+        let seen_us = view.seen.map_or(0, |seen| seen.seen_us).max(view.probed_us);
+        Some(now_us.saturating_sub(seen_us))
+    }
+
+    /// Returns the smoothed service time of a server as last reported, in microseconds.
+    pub fn service_us(&self, server: ServerIndex) -> u32 {
+        self.servers.get(server).and_then(|view| view.seen).map_or(FIRST_SERVICE_US, |seen| seen.load.service_us)
+    }
+
+    /// Picks a server outside `excluded`, if there is one in rotation.
+    pub fn pick(&mut self, excluded: ServerSet, now_us: u64, rng: &mut fastrand::Rng) -> Option<ServerIndex> {
+        self.used_us = Some(now_us);
+        let rotation = self.rotation(now_us);
+        let mut open = [0usize; MAX_SERVERS];
+        let mut count = 0;
+        for server in 0..self.servers.len() {
+            if rotation.contains(server) && !excluded.contains(server) {
+                open[count] = server;
+                count += 1;
+            }
+        }
+        let open = &open[..count];
+        if open.is_empty() {
+            return None;
+        }
+        Some(match self.policy {
+            Policy::Valetrack => self.least_expected(open, now_us, rng),
+            Policy::Random => open[rng.usize(..open.len())],
+            Policy::RoundRobin => self.next_in_turn(open),
+            Policy::LeastInFlight => self.least_in_flight(open, rng),
+            Policy::TwoChoices => self.two_choices(open, rng),
+        })
+    }
+
+    /// Returns the expected time of a call sent now, in microseconds.
+    pub fn expected_us(&self, server: ServerIndex, now_us: u64) -> f64 {
+        let view = &self.servers[server];
+        let (load, age_us) = match view.seen {
+            Some(seen) => (seen.load, now_us.saturating_sub(seen.seen_us)),
+            None => (LoadReport { limit: FIRST_LIMIT, service_us: FIRST_SERVICE_US, ..LoadReport::default() }, 0),
+        };
+        let service_us = f64::from(load.service_us);
+        let limit = f64::from(load.limit.max(1));
+        let seen_others =
+            (f64::from(load.in_flight) + f64::from(load.queued) - f64::from(view.outstanding_seen)).max(0.0);
+        let weight = 0.5_f64.powf(age_us as f64 / HALF_LIFE_US as f64);
+        let own = f64::from(view.outstanding);
+        let busy = own + seen_others * weight;
+        let wait_us = (busy + 1.0 - limit).max(0.0) * service_us / limit;
+        let spread_us = service_us * busy / limit;
+        let stall_us = if load.stalled { STALL_PENALTY_US * weight } else { 0.0 };
+        let failure_us = view.failure_share * FAILURE_WEIGHT * service_us.max(f64::from(FIRST_SERVICE_US));
+        f64::from(view.network_us) + service_us + wait_us + spread_us + stall_us + failure_us
+    }
+
+    fn least_expected(&self, open: &[ServerIndex], now_us: u64, rng: &mut fastrand::Rng) -> ServerIndex {
+        let mut scores = [0.0; MAX_SERVERS];
+        let mut best = f64::INFINITY;
+        for (at, &server) in open.iter().enumerate() {
+            scores[at] = self.expected_us(server, now_us);
+            best = best.min(scores[at]);
+        }
+        let near = best * (1.0 + TIE_SHARE);
+        pick_where(open, rng, |at| scores[at] <= near)
+    }
+
+    fn next_in_turn(&mut self, open: &[ServerIndex]) -> ServerIndex {
+        self.turn = self.turn.wrapping_add(1);
+        open[self.turn % open.len()]
+    }
+
+    fn least_in_flight(&self, open: &[ServerIndex], rng: &mut fastrand::Rng) -> ServerIndex {
+        let least = open.iter().map(|&server| self.servers[server].outstanding).min().unwrap_or(0);
+        pick_where(open, rng, |at| self.servers[open[at]].outstanding == least)
+    }
+
+    fn two_choices(&self, open: &[ServerIndex], rng: &mut fastrand::Rng) -> ServerIndex {
+        let first = open[rng.usize(..open.len())];
+        let second = open[rng.usize(..open.len())];
+        let reported = |server: ServerIndex| {
+            self.servers[server].seen.map_or(0, |seen| u32::from(seen.load.in_flight) + u32::from(seen.load.queued))
+        };
+        if reported(second) < reported(first) { second } else { first }
+    }
+}
+
+/// Picks evenly among the places for which `fits` holds; at least one must.
+fn pick_where(open: &[ServerIndex], rng: &mut fastrand::Rng, fits: impl Fn(usize) -> bool) -> ServerIndex {
+    let count = (0..open.len()).filter(|&at| fits(at)).count();
+    let chosen = rng.usize(..count.max(1));
+    (0..open.len()).filter(|&at| fits(at)).nth(chosen).map_or(open[0], |at| open[at])
+}
--- /dev/null
+++ b/valetrack/src/settings.rs
@@ -0,0 +1,264 @@
+//! Settings of a node: flags and environment variables, checked all at once.
+
+use std::collections::BTreeMap;
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use crate::code::Code;
+
+/// Prefix of every environment variable.
+pub const ENV_PREFIX: &str = "VALETRACK_";
+
+/// One setting as it is shown in help, man page and completions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Setting {
+    /// Name as a flag, without the dashes.
+    pub flag: &'static str,
+    /// What it means.
+    pub help: &'static str,
+    /// What an allowed value looks like.
+    pub right: &'static str,
+    /// Value where none is set; none when it must be set.
+    pub default: Option<&'static str>,
+}
+
+impl Setting {
+    /// Returns the name of its environment variable.
+    pub fn env(&self) -> String {
+        format!("{ENV_PREFIX}{}", self.flag.replace('-', "_").to_ascii_uppercase())
+    }
+}
+
+/// Settings of `valetrack node`.
+pub const NODE: &[Setting] = &[
+    setting("vm", "Name of this VM, as in the VM list and in its certificate.", "a name of a-z, 0-9 and -", None),
+    setting("domain", "Failure domain of this VM.", "a name of a-z, 0-9 and -", None),
+    setting("service", "Service whose server runs beside this node.", "a name of a-z, 0-9 and -", None),
+    setting("server", "Address of that server.", ADDRESS, None),
+    setting("caller-listen", "Address for callers.", ADDRESS, Some("127.0.0.1:7000")),
+    setting("link-listen", "Address for links of other nodes.", ADDRESS, Some("127.0.0.1:7001")),
+    setting("admin-listen", "Address for metrics, health and status.", ADDRESS, Some("127.0.0.1:7002")),
+    setting("store", "Address of the platform's store.", ADDRESS, None),
+    setting("list", "Address of the platform's VM list.", ADDRESS, None),
+    setting("keys", "Folder with ca.pem, VM.pem and VM.key.", "a folder", None),
+    setting("store-timeout-ms", "Time limit of a call to the store.", "1 to 60000", Some("300")),
+    setting("store-writes-per-s", "Writes a second to the store at most.", "1 to 1000", Some("50")),
+    setting("store-reads-per-s", "Reads a second from the store at most.", "1 to 1000", Some("50")),
+    setting("list-poll-ms", "Pause between two looks at the VM list.", "10 to 60000", Some("1000")),
+    setting("gossip-ms", "Pause between two exchanges with other nodes.", "10 to 60000", Some("500")),
+    setting("silent-ms", "Silence after which a home may be replaced.", "100 to 60000", Some("2500")),
+    setting("drain-ms", "Longest time for a planned stop.", "0 to 600000", Some("30000")),
+    setting("domain-cost-us", "Cost of leaving the failure domain, both ways.", "0 to 1000000", Some("1000")),
+    setting("call-body-ms", "Time that a caller has to send its body.", "10 to 60000", Some("5000")),
+    setting("log-level", "Least weight of events that are logged.", "error, warn, info, debug or trace", Some("info")),
+    setting("seed", "Seed of random choices; 0 draws one.", "a whole number", Some("0")),
+];
+
+/// What an address looks like.
+const ADDRESS: &str = "IP:PORT";
+
+const fn setting(
+    flag: &'static str,
+    help: &'static str,
+    right: &'static str,
+    default: Option<&'static str>,
+) -> Setting {
+    Setting { flag, help, right, default }
+}
+
+/// A fault of one setting.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingFault {
+    /// Its code.
+    pub code: Code,
+    /// Which setting.
+    pub flag: String,
+    /// What would be right.
+    pub right: String,
+}
+
+impl std::fmt::Display for SettingFault {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Self { code, flag, right } = self;
+        write!(f, "{code}: --{flag}: {}; wanted: {right}", code.text())
+    }
+}
+
+/// Checked settings of a node.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NodeSettings {
+    /// Name of this VM.
+    pub vm: Arc<str>,
+    /// Its failure domain.
+    pub domain: Arc<str>,
+    /// The service of its server.
+    pub service: Arc<str>,
+    /// Address of its server.
+    pub server_addr: SocketAddr,
+    /// Address for callers.
+    pub caller_addr: SocketAddr,
+    /// Address for links.
+    pub link_addr: SocketAddr,
+    /// Address for operators.
+    pub admin_addr: SocketAddr,
+    /// Address of the store.
+    pub store_addr: SocketAddr,
+    /// Address of the VM list.
+    pub list_addr: SocketAddr,
+    /// Folder of keys.
+    pub keys_dir: PathBuf,
+    /// Time limit of a call to the store, in milliseconds.
+    pub store_timeout_ms: u64,
+    /// Writes a second to the store at most.
+    pub store_writes_per_s: u64,
+    /// Reads a second from the store at most.
+    pub store_reads_per_s: u64,
+    /// Pause between two looks at the VM list, in milliseconds.
+    pub list_poll_ms: u64,
+    /// Pause between two exchanges with other nodes, in milliseconds.
+    pub gossip_ms: u64,
+    /// Silence after which a home may be replaced, in milliseconds.
+    pub silent_ms: u64,
+    /// Longest time for a planned stop, in milliseconds.
+    pub drain_ms: u64,
+    /// Cost of leaving the failure domain, both ways, in microseconds.
+    pub domain_cost_us: u32,
+    /// Time that a caller has to send its body, in milliseconds.
+    pub call_body_ms: u64,
+    /// Least weight of events that are logged.
+    pub log_level: log::LevelFilter,
+    /// Seed of random choices.
+    pub seed: u64,
+}
+
+/// Values by flag, from the command line first and the environment second.
+#[derive(Debug, Clone, Default)]
+pub struct RawSettings {
+    values: BTreeMap<String, String>,
+    faults: Vec<SettingFault>,
+}
+
+impl RawSettings {
+    /// Takes the value of a flag.
+    pub fn set(&mut self, flag: &str, value: OsString) {
+        match value.into_string() {
+            Ok(value) => {
+                self.values.insert(flag.to_owned(), value);
+            }
+            Err(_) => self.faults.push(SettingFault {
+                code: Code::SettingInvalid,
+                flag: flag.to_owned(),
+                right: "text in UTF-8".into(),
+            }),
+        }
+    }
+
+    /// Takes what the flags left open from environment variables.
+    pub fn fill_from(&mut self, env: impl Fn(&str) -> Option<OsString>) {
+        for setting in NODE {
+            if let (false, Some(value)) = (self.values.contains_key(setting.flag), env(&setting.env())) {
+                self.set(setting.flag, value);
+            }
+        }
+    }
+
+    fn take<T>(&mut self, flag: &'static str, parse: impl Fn(&str) -> Option<T>) -> Option<T> {
+        let known = NODE.iter().find(|setting| setting.flag == flag);
+        let right = known.map_or("", |setting| setting.right);
+        let default = known.and_then(|setting| setting.default);
+        let given = self.values.get(flag).map(String::as_str).or(default);
+        let Some(given) = given else {
+            self.fault(Code::SettingMissing, flag, right);
+            return None;
+        };
+        let parsed = parse(given);
+        if parsed.is_none() {
+            self.fault(Code::SettingInvalid, flag, right);
+        }
+        parsed
+    }
+
+    fn fault(&mut self, code: Code, flag: &str, right: &str) {
+        self.faults.push(SettingFault { code, flag: flag.into(), right: right.into() });
+    }
+
+    fn number(&mut self, flag: &'static str, low: u64, high: u64) -> Option<u64> {
+        self.take(flag, |text| text.parse().ok().filter(|number| (low..=high).contains(number)))
+    }
+
+    fn parsed<T: FromStr>(&mut self, flag: &'static str) -> Option<T> {
+        self.take(flag, |text| text.parse().ok())
+    }
+
+    fn name(&mut self, flag: &'static str) -> Option<Arc<str>> {
+        self.take(flag, |text| is_name(text).then(|| Arc::from(text)))
+    }
+
+    /// Checks everything.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault at once.
+    pub fn check(mut self) -> Result<NodeSettings, Vec<SettingFault>> {
+        let settings = self.build();
+        match settings {
+            Some(settings) if self.faults.is_empty() => Ok(settings),
+            Some(_) | None => Err(self.faults),
+        }
+    }
+
+    fn build(&mut self) -> Option<NodeSettings> {
+        let vm = self.name("vm");
+        let domain = self.name("domain");
+        let service = self.name("service");
+        let server_addr = self.parsed("server");
+        let caller_addr = self.parsed("caller-listen");
+        let link_addr = self.parsed("link-listen");
+        let admin_addr = self.parsed("admin-listen");
+        let store_addr = self.parsed("store");
+        let list_addr = self.parsed("list");
+        let keys_dir = self.parsed("keys");
+        let store_timeout_ms = self.number("store-timeout-ms", 1, 60_000);
+        let store_writes_per_s = self.number("store-writes-per-s", 1, 1_000);
+        let store_reads_per_s = self.number("store-reads-per-s", 1, 1_000);
+        let list_poll_ms = self.number("list-poll-ms", 10, 60_000);
+        let gossip_ms = self.number("gossip-ms", 10, 60_000);
+        let silent_ms = self.number("silent-ms", 100, 60_000);
+        let drain_ms = self.number("drain-ms", 0, 600_000);
+        let domain_cost_us = self.number("domain-cost-us", 0, 1_000_000);
+        let call_body_ms = self.number("call-body-ms", 10, 60_000);
+        let log_level = self.parsed("log-level");
+        let seed = self.number("seed", 0, u64::MAX);
+        Some(NodeSettings {
+            vm: vm?,
+            domain: domain?,
+            service: service?,
+            server_addr: server_addr?,
+            caller_addr: caller_addr?,
+            link_addr: link_addr?,
+            admin_addr: admin_addr?,
+            store_addr: store_addr?,
+            list_addr: list_addr?,
+            keys_dir: keys_dir?,
+            store_timeout_ms: store_timeout_ms?,
+            store_writes_per_s: store_writes_per_s?,
+            store_reads_per_s: store_reads_per_s?,
+            list_poll_ms: list_poll_ms?,
+            gossip_ms: gossip_ms?,
+            silent_ms: silent_ms?,
+            drain_ms: drain_ms?,
+            domain_cost_us: domain_cost_us? as u32,
+            call_body_ms: call_body_ms?,
+            log_level: log_level?,
+            seed: seed?,
+        })
+    }
+}
+
+fn is_name(name: &str) -> bool {
+    let allowed = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-';
+    !name.is_empty() && name.len() <= 63 && name.bytes().all(allowed)
+}
