Proofs of the pure decisions: claims, gate, calls, budgets, views

Ruled out: proving claims on processes alone; two faults at a chosen step cannot be brought about reliably there.

Change: tests, and what they found, each failing first: - a node that had not yet a confirmed write of its own said "not run" for a key that the real home was running (model, after 9 steps); - a takeover refused waiting presses as "not run" before it gave up being home (13 steps); - a home whose write was answered before a pause counted that as proof after it (14 steps); - after a pause, reading the page back was not enough, since a takeover decided during the pause was still on its way; now only a new write on the page's revision counts (16 steps); - a call got a retry after its deadline and then never a verdict (property of calls); - an answer announced larger than the cap was told as broken, not as too large.

The model leaves out the ageing of keys and a third node.

--- a/valetrack/src/bundle/tests.rs
+++ b/valetrack/src/bundle/tests.rs
@@ -1,1 +1,5 @@
-//! Tests of this slice.
+//! Tests of bundles: checks, adoption, and operators against a store that fails.
+
+mod check;
+mod fake;
+mod operator;
--- /dev/null
+++ b/valetrack/src/bundle/tests/check.rs
@@ -0,0 +1,132 @@
+//! Every fault of a text is told at once, with its place.
+
+use proptest::prelude::*;
+
+use crate::bundle::{Adoption, Bundle, InForce, check, version_of};
+
+const GOOD: &str = r#"
+[measure]
+bytes_per_s = 1_000
+
+[[service]]
+name = "intake"
+slots = 12
+claims = "held"
+
+[[service.route]]
+method = "POST"
+path = "/pickups"
+repeatable = false
+deadline_ms = 3000
+
+[[service.route]]
+path = "/pickups/search"
+repeatable = true
+"#;
+
+fn faults(text: &str) -> String {
+    let faults = check(text).expect_err("faults");
+    faults.iter().map(|fault| format!("{fault}\n")).collect()
+}
+
+#[test]
+fn all_faults_are_told_with_line_and_column() {
+    let text = r#"
+[measure]
+bytes_per_s = "many"
+burst = 3
+
+[[service]]
+name = "Intake"
+slots = 0
+claims = "maybe"
+
+[[service.route]]
+repeatable = 1
+
+[[service]]
+slots = 3
+"#;
+    insta::assert_snapshot!(faults(text), @r#"
+    3:15: VT503: bytes_per_s must be a whole number from 0 to 1000000
+    4:1: VT502: burst is not known here; known are bytes_per_s, probes_per_s, stale_ms
+    7:8: VT503: name must be a name of a-z, 0-9 and -, up to 63 characters
+    8:9: VT503: slots must be a whole number from 1 to 10000
+    9:10: VT503: claims must be "durable" or "held"
+    11:1: VT504: path is missing
+    12:14: VT503: repeatable must be true or false
+    14:1: VT504: name is missing
+    "#);
+}
+
+#[test]
+fn a_text_that_is_no_toml_is_told_as_such() {
+    insta::assert_snapshot!(faults("[[service]\nname = \n"), @r#"
+    1:1: VT504: at least one [[service]] is needed
+    1:11: VT501: unclosed array table, expected `]`
+    2:1: VT502: name is not known here; known are measure, service
+    "#);
+}
+
+#[test]
+fn a_service_that_stands_twice_is_a_fault() {
+    insta::assert_snapshot!(faults("[[service]]\nname = \"a\"\n[[service]]\nname = \"a\"\n"), @"3:1: VT503: service a stands twice");
+}
+
+#[test]
+fn routes_are_matched_by_the_longest_prefix_and_default_to_caution() {
+    let bundle = check(GOOD).expect("no faults");
+    let service = bundle.service("intake").expect("the service");
+    let repeatable = |method, path| service.route(method, path).map(|route| route.repeatable);
+    assert_eq!(repeatable("POST", "/pickups"), Some(false));
+    assert_eq!(repeatable("POST", "/pickups/search?q=1"), Some(true));
+    assert_eq!(repeatable("GET", "/pickups"), None);
+    assert_eq!(service.deadline_ms, 2_000);
+}
+
+fn in_force(number: u64) -> InForce {
+    let bundle: Bundle = check(GOOD).expect("no faults");
+    InForce { number, version: version_of(GOOD).into(), text: GOOD.into(), bundle }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(9),
+        ..Default::default()
+    })]
+
+    #[test]
+    fn a_bundle_in_force_never_goes_back(offers in prop::collection::vec((0..30u64, any::<bool>()), 1..60)) {
+        let mut adoption = Adoption::default();
+        let mut highest = 0;
+        for (number, only_heard) in offers {
+            let before = adoption.number();
+            if only_heard {
+                adoption.hear(number);
+            } else {
+                prop_assert_eq!(adoption.offer(in_force(number)), number > before);
+                highest = highest.max(number);
+            }
+            prop_assert_eq!(adoption.number(), highest);
+        }
+    }
+
+    #[test]
+    fn no_text_makes_the_check_panic(text in "([a-z\\[\\]\\.=\" \\n0-9{},#-]{0,200})") {
+        let _ = check(&text);
+    }
+
+    #[test]
+    fn a_damaged_text_is_refused_or_still_sound(at in any::<usize>(), byte in 32..127u8) {
+        let mut text = GOOD.as_bytes().to_vec();
+        let at = at % text.len();
+        text[at] = byte;
+        let text = String::from_utf8(text).expect("plain letters");
+        if let Err(faults) = check(&text) {
+            prop_assert!(!faults.is_empty());
+            prop_assert!(faults.iter().all(|fault| fault.line >= 1 && fault.column >= 1));
+        }
+    }
+}
--- /dev/null
+++ b/valetrack/src/bundle/tests/fake.rs
@@ -0,0 +1,107 @@
+//! A store in memory that fails as it is told to.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+
+use futures::future::BoxFuture;
+use tokio::sync::mpsc;
+
+use crate::store::{Store, StoreError, Versioned, WatchNews, Written};
+
+/// What happens to one write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    Done,
+    /// It takes effect and its answer is lost.
+    AnswerLost,
+    /// It takes no effect and its answer is lost.
+    Dropped,
+}
+
+#[derive(Default)]
+struct State {
+    revision: u64,
+    entries: BTreeMap<String, Versioned>,
+    fates: Vec<Fate>,
+    down: bool,
+    /// Written just before the next write, as another operator would.
+    rival: Option<(String, Vec<u8>)>,
+}
+
+#[derive(Default)]
+pub struct FakeStore(Mutex<State>);
+
+impl FakeStore {
+    pub fn fate(&self, fates: &[Fate]) {
+        self.0.lock().expect("no panic").fates = fates.iter().rev().copied().collect();
+    }
+
+    pub fn set_down(&self, down: bool) {
+        self.0.lock().expect("no panic").down = down;
+    }
+
+    pub fn rival(&self, key: &str, value: Vec<u8>) {
+        self.0.lock().expect("no panic").rival = Some((key.to_owned(), value));
+    }
+
+    pub fn keys(&self) -> Vec<String> {
+        self.0.lock().expect("no panic").entries.keys().cloned().collect()
+    }
+}
+
+impl State {
+    fn put(&mut self, key: &str, value: Vec<u8>) -> u64 {
+        self.revision += 1;
+        let kv = Versioned { key: key.to_owned(), value, revision: self.revision };
+        self.entries.insert(key.to_owned(), kv);
+        self.revision
+    }
+
+    fn swap(&mut self, key: &str, expected: u64, value: Vec<u8>) -> Result<Written, StoreError> {
+        if self.down {
+            return Err(StoreError::Unreachable { reason: "down".into() });
+        }
+        let fate = self.fates.pop().unwrap_or(Fate::Done);
+        if fate == Fate::Dropped {
+            return Err(StoreError::Lost { reason: "dropped".into() });
+        }
+        if let Some((rival_key, rival)) = self.rival.take() {
+            self.put(&rival_key, rival);
+        }
+        let found = self.entries.get(key).map_or(0, |kv| kv.revision);
+        let written = if found == expected { Written::At(self.put(key, value)) } else { Written::Refused };
+        if fate == Fate::AnswerLost {
+            return Err(StoreError::Lost { reason: "answer lost".into() });
+        }
+        Ok(written)
+    }
+}
+
+impl Store for FakeStore {
+    fn read<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Versioned>, StoreError>> {
+        let state = self.0.lock().expect("no panic");
+        let found = match state.down {
+            true => Err(StoreError::Unreachable { reason: "down".into() }),
+            false => Ok(state.entries.get(key).cloned()),
+        };
+        Box::pin(async move { found })
+    }
+
+    fn list<'a>(&'a self, _prefix: &'a str, _limit: u32) -> BoxFuture<'a, Result<Vec<Versioned>, StoreError>> {
+        Box::pin(async { Ok(Vec::new()) })
+    }
+
+    fn swap<'a>(&'a self, key: &'a str, expected: u64, value: Vec<u8>) -> BoxFuture<'a, Result<Written, StoreError>> {
+        let written = self.0.lock().expect("no panic").swap(key, expected, value);
+        Box::pin(async move { written })
+    }
+
+    fn watch<'a>(
+        &'a self,
+        _key: &'a str,
+        _from_revision: u64,
+        _news: mpsc::Sender<WatchNews>,
+    ) -> BoxFuture<'a, Result<(), StoreError>> {
+        Box::pin(async { Ok(()) })
+    }
+}
--- /dev/null
+++ b/valetrack/src/bundle/tests/operator.rs
@@ -0,0 +1,92 @@
+//! Operators who race, approve their own work, or lose an answer.
+
+use test_case::test_case;
+
+use super::fake::{FakeStore, Fate};
+use crate::bundle::operator::{OperatorError, approve, current, roll, write};
+use crate::bundle::{CURRENT_KEY, CurrentDoc};
+use crate::code::Code;
+
+const TEXT: &str = "[[service]]\nname = \"intake\"\n";
+const OTHER: &str = "[[service]]\nname = \"prizes\"\n";
+
+async fn approved(store: &FakeStore, text: &str) -> String {
+    let version = write(store, "ana", text).await.expect("written");
+    approve(store, "bor", &version).await.expect("approved");
+    version
+}
+
+#[tokio::test]
+async fn a_faulty_bundle_is_never_written() {
+    let store = FakeStore::default();
+    let refused = write(&store, "ana", "[[service]]\nname = 7\n").await;
+    assert!(matches!(refused, Err(OperatorError::Faulty { faults }) if faults.len() == 1));
+    assert_eq!(store.keys(), Vec::<String>::new());
+}
+
+#[tokio::test]
+async fn one_operators_word_is_not_enough() {
+    let store = FakeStore::default();
+    let version = write(&store, "ana", TEXT).await.expect("written");
+    let early = roll(&store, "ana", &version).await;
+    assert_eq!(early.map_err(|error| error.code()), Err(Code::BundleNotApproved));
+    let own = approve(&store, "ana", &version).await;
+    assert_eq!(own.map_err(|error| error.code()), Err(Code::BundleSelfApproval));
+    approve(&store, "bor", &version).await.expect("approved");
+    assert_eq!(roll(&store, "ana", &version).await.ok(), Some(1));
+}
+
+#[tokio::test]
+async fn what_was_never_written_cannot_be_rolled() {
+    let store = FakeStore::default();
+    let missing = roll(&store, "ana", "00").await;
+    assert_eq!(missing.map_err(|error| error.code()), Err(Code::BundleNotFound));
+}
+
+#[tokio::test]
+async fn of_two_who_roll_at_once_one_is_told_who_won() {
+    let store = FakeStore::default();
+    let version = approved(&store, TEXT).await;
+    let rival =
+        CurrentDoc { number: 1, version: "rival".into(), operator: "cene".into(), rolled_ms: 5, before: Vec::new() };
+    store.rival(CURRENT_KEY, serde_json::to_vec(&rival).expect("a document"));
+    match roll(&store, "ana", &version).await {
+        Err(OperatorError::RaceLost { winner, number, .. }) => assert_eq!((winner.as_str(), number), ("cene", 1)),
+        other => panic!("{other:?}"),
+    }
+    assert_eq!(current(&store).await.expect("read"), Some(rival));
+}
+
+#[test_case(&[Fate::AnswerLost]; "the answer is lost")]
+#[test_case(&[Fate::Dropped]; "the write is lost")]
+#[test_case(&[Fate::Dropped, Fate::AnswerLost]; "the write and then the answer")]
+#[tokio::test]
+async fn a_lost_answer_is_read_back(fates: &[Fate]) {
+    let store = FakeStore::default();
+    let first = approved(&store, TEXT).await;
+    let second = approved(&store, OTHER).await;
+    assert_eq!(roll(&store, "ana", &first).await.ok(), Some(1));
+    store.fate(fates);
+    assert_eq!(roll(&store, "ana", &second).await.ok(), Some(2), "rolled once, and told so");
+    let doc = current(&store).await.expect("read").expect("a bundle in force");
+    assert_eq!((doc.number, doc.version, doc.before.len()), (2, second, 1));
+}
+
+#[test_case(&[Fate::AnswerLost]; "the answer is lost")]
+#[test_case(&[Fate::Dropped, Fate::Dropped]; "two writes are lost")]
+#[tokio::test]
+async fn a_lost_write_is_written_again(fates: &[Fate]) {
+    let store = FakeStore::default();
+    store.fate(fates);
+    let version = write(&store, "ana", TEXT).await.expect("written");
+    assert_eq!(store.keys(), [format!("/valetrack/bundle/text/{version}")]);
+}
+
+#[tokio::test]
+async fn a_store_that_is_down_is_told_as_such() {
+    let store = FakeStore::default();
+    let version = approved(&store, TEXT).await;
+    store.set_down(true);
+    let rolled = roll(&store, "ana", &version).await;
+    assert_eq!(rolled.map_err(|error| error.code()), Err(Code::StoreUnreachable));
+}
--- a/valetrack/src/caller/tests.rs
+++ b/valetrack/src/caller/tests.rs
@@ -1,1 +1,93 @@
-//! Tests of this slice.
+//! Reading of requests: the service, limits, keys, and what is refused.
+
+use hyper::Request;
+use test_case::test_case;
+
+use super::request::{self, DoorCall, Rejection};
+use crate::bundle::{Bundle, check};
+use crate::code::Code;
+
+const BUNDLE: &str = r#"
+[[service]]
+name = "intake"
+deadline_ms = 800
+depth_max = 3
+[[service.route]]
+method = "POST"
+path = "/search"
+repeatable = true
+deadline_ms = 50
+"#;
+
+fn bundle() -> Bundle {
+    check(BUNDLE).expect("no faults")
+}
+
+fn read(method: &str, path: &str, headers: &[(&str, &str)]) -> Result<DoorCall, Rejection> {
+    let mut request = Request::builder().method(method).uri(path);
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let (parts, ()) = request.body(()).expect("a right request").into_parts();
+    request::read(&parts, &bundle(), || "new".into())
+}
+
+#[test]
+fn a_service_is_named_by_header_or_host() {
+    for headers in [("valetrack-service", "intake"), ("host", "intake.farm.example:80"), ("host", "intake")] {
+        let call = read("GET", "/a?b=c", &[headers]).expect("a known service");
+        assert_eq!((&*call.head.service, call.head.path.as_str()), ("intake", "/a?b=c"));
+    }
+}
+
+#[test_case("GET", "/", true, 800; "a read is repeatable")]
+#[test_case("POST", "/", false, 800; "a write is not")]
+#[test_case("POST", "/search/x", true, 50; "unless its route says so")]
+fn routes_decide(method: &str, path: &str, repeatable: bool, deadline_ms: u32) {
+    let call = read(method, path, &[("host", "intake")]).expect("a call");
+    assert_eq!((call.repeatable, call.head.deadline_ms), (repeatable, deadline_ms));
+}
+
+#[test]
+fn a_nested_call_brings_its_deadline_depth_and_name() {
+    let headers =
+        [("host", "intake"), ("valetrack-deadline-ms", "70"), ("valetrack-depth", "2"), ("valetrack-call", "c-9")];
+    let call = read("POST", "/", &headers).expect("a call");
+    assert_eq!((call.head.deadline_ms, call.head.depth, &*call.head.call_id), (70, 3, "c-9"));
+}
+
+#[test]
+fn a_key_counts_only_where_work_may_not_repeat() {
+    let headers = [("host", "intake"), ("idempotency-key", "press-1")];
+    let write = read("POST", "/", &headers).expect("a call");
+    assert_eq!(write.head.key.as_deref(), Some("press-1"));
+    let search = read("POST", "/search", &headers).expect("a call");
+    assert_eq!(search.head.key, None);
+}
+
+#[test]
+fn headers_of_one_connection_do_not_travel() {
+    let headers = [("host", "intake"), ("connection", "close"), ("te", "x"), ("x-farm", "7"), ("valetrack-depth", "1")];
+    let call = read("GET", "/", &headers).expect("a call");
+    let names: Vec<&str> = call.head.headers.iter().map(|(name, _)| name.as_str()).collect();
+    assert_eq!(names, ["host", "x-farm"]);
+}
+
+#[test_case(&[], Code::ServiceUnknown, 404; "no service")]
+#[test_case(&[("host", "prizes")], Code::ServiceUnknown, 404; "an unknown service")]
+#[test_case(&[("host", "intake"), ("valetrack-depth", "3")], Code::DepthExceeded, 508; "too deep")]
+#[test_case(&[("host", "intake"), ("valetrack-depth", "deep")], Code::HeaderInvalid, 400; "a depth that is no number")]
+#[test_case(&[("host", "intake"), ("valetrack-deadline-ms", "-1")], Code::HeaderInvalid, 400; "a bad deadline")]
+#[test_case(&[("host", "intake"), ("idempotency-key", "a"), ("idempotency-key", "b")], Code::HeaderInvalid, 400; "two keys")]
+#[test_case(&[("host", "intake"), ("idempotency-key", "")], Code::HeaderInvalid, 400; "an empty key")]
+fn bad_requests_get_their_number(headers: &[(&str, &str)], code: Code, status: u16) {
+    let rejected = read("POST", "/", headers).map(|call| call.head.path);
+    assert_eq!(rejected, Err(Rejection { code, status }));
+}
+
+#[test]
+fn headers_that_would_not_fit_a_frame_are_refused() {
+    let long = "x".repeat(50_000);
+    let rejected = read("GET", "/", &[("host", "intake"), ("x-long", &long)]).map(|call| call.head.path);
+    assert_eq!(rejected, Err(Rejection { code: Code::HeaderInvalid, status: 431 }));
+}
--- a/valetrack/src/claim/state.rs
+++ b/valetrack/src/claim/state.rs
@@ -32,7 +32,7 @@
     /// This node is the home, as of this revision.
     Held { revision: u64 },
     /// A write on this revision is under way.
-    Writing { expected: u64, hand_over: bool },
+    Writing { expected: u64, hand_over: bool, doubted: bool },
     /// This node was the home, and a write of its own may or may not have taken effect.
     Unsure,
 }
@@ -91,7 +91,8 @@
     retry_due: bool,
     /// Whether the page in the store says that its home may run on claims in memory.
     held_in_store: bool,
-    /// Whether another node may have taken the page over unseen.
+    /// Whether another node may be the home unseen: until this node's first write is confirmed,
+    /// and after it may have been taken for dead.
     doubted: bool,
 }
 
@@ -278,10 +279,10 @@
             return;
         }
         self.outage = false;
-        self.doubted = false;
         let was_home = self.hold == Hold::Unsure;
         let Some(page) = page else {
             self.hold = Hold::Held { revision: 0 };
+            self.doubted = true;
             self.dirty = true;
             self.urgent = true;
             self.admit_arrived(now_s, out);
@@ -289,6 +290,10 @@
         };
         let mine = page.home.as_ref() == Some(&self.me);
         if mine {
+            // A takeover that was decided during a pause may still be on its way; only a write
+            // on this revision keeps it out.
+            self.dirty |= self.doubted;
+            self.urgent |= self.doubted;
             self.held_in_store = page.held;
             if !was_home && self.entries.is_empty() {
                 self.adopt(&page, State::Lost, now_s);
@@ -307,6 +312,7 @@
         } else if let Some(home) = page.home {
             self.step_down(&home, out);
         } else {
+            self.doubted = true;
             self.hold = Hold::Away;
             self.refuse_arrived(out);
             self.refuse_fresh(out);
@@ -314,6 +320,7 @@
     }
 
     fn take_over(&mut self, revision: u64, page: &Page, now_s: u64, out: &mut Vec<ClaimAction>) {
+        self.doubted = true;
         self.refuse_fresh(out);
         // A run of this node's own that outlived its hold is still its to end.
         self.entries.retain(|_, entry| entry.state == State::Running);
@@ -350,6 +357,7 @@
 
     /// Gives way to another home: what has not started goes there.
     fn step_down(&mut self, home: &Home, out: &mut Vec<ClaimAction>) {
+        self.doubted = true;
         self.hold = Hold::Away;
         self.dirty = false;
         for arrived in std::mem::take(&mut self.arrived) {
@@ -392,11 +400,11 @@
     }
 
     fn wrote(&mut self, revision: u64, out: &mut Vec<ClaimAction>) {
-        let Hold::Writing { hand_over, .. } = self.hold else {
+        let Hold::Writing { hand_over, doubted, .. } = self.hold else {
             return;
         };
         self.outage = false;
-        self.doubted = false;
+        self.doubted = doubted;
         self.held_in_store = self.rule.held;
         let claimed = std::mem::take(&mut self.in_write);
         if hand_over {
@@ -404,8 +412,14 @@
             self.entries.clear();
             return;
         }
-        self.hold = Hold::Held { revision };
         self.run_fresh(&claimed, out);
+        if doubted {
+            // The write may have taken effect before the pause, and a takeover after it.
+            self.hold = Hold::Unsure;
+            out.push(ClaimAction::Read);
+            return;
+        }
+        self.hold = Hold::Held { revision };
     }
 
     fn run_fresh(&mut self, keys: &[KeyDigest], out: &mut Vec<ClaimAction>) {
@@ -491,7 +505,11 @@
                 self.hold = Hold::Unsure;
                 out.push(ClaimAction::Read);
             }
-            Hold::Writing { .. } | Hold::Unsure => self.doubted = true,
+            Hold::Writing { expected, hand_over, .. } => {
+                self.doubted = true;
+                self.hold = Hold::Writing { expected, hand_over, doubted: true };
+            }
+            Hold::Unsure => self.doubted = true,
             Hold::Away | Hold::Reading => {}
         }
     }
@@ -542,7 +560,7 @@
         self.forget_old(now_s);
         self.dirty = false;
         self.urgent = false;
-        self.hold = Hold::Writing { expected: revision, hand_over };
+        self.hold = Hold::Writing { expected: revision, hand_over, doubted: false };
         out.push(ClaimAction::Write { expected: revision, page: self.page(hand_over) });
     }
 
@@ -575,7 +593,7 @@
 
     /// Says that a press did not run, unless another home may have run the key unseen.
     fn not_run(&self, code: Code) -> PressReply {
-        if self.doubted { PressReply::Unknown { code } } else { PressReply::NotRun { code } }
+        if self.doubted { not_home(Code::ClaimNotKept) } else { PressReply::NotRun { code } }
     }
 
     fn reply(&self, press: PressId, reply: PressReply, out: &mut Vec<ClaimAction>) {
--- a/valetrack/src/claim/tests.rs
+++ b/valetrack/src/claim/tests.rs
@@ -1,1 +1,6 @@
-//! Tests of this slice.
+//! Tests of claims: a small world of two homes and one store, searched to a depth and at random.
+
+mod model;
+mod search;
+mod steps;
+mod world;
--- a/valetrack/src/gate/pool.rs
+++ b/valetrack/src/gate/pool.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Body as _;
 use hyper::client::conn::http1::SendRequest;
 use hyper::{HeaderMap, Request, Response};
 use hyper_util::rt::TokioIo;
@@ -88,6 +89,9 @@
         if misdirected(&head.headers, attempt) {
             return Err(ServerError::Misdirected);
         }
+        if body.size_hint().lower() > cap_bytes as u64 {
+            return Err(ServerError::TooLarge);
+        }
         let body = Limited::new(body, cap_bytes).collect().await;
         let body = body.map_err(|error| match error.downcast_ref::<http_body_util::LengthLimitError>() {
             Some(_) => ServerError::TooLarge,
--- a/valetrack/src/gate/tests.rs
+++ b/valetrack/src/gate/tests.rs
@@ -1,1 +1,5 @@
-//! Tests of this slice.
+//! Tests of the gate: the pure decisions at random, and connections against a server that lies.
+
+mod connection;
+mod property;
+mod steps;
--- /dev/null
+++ b/valetrack/src/gate/tests/connection.rs
@@ -0,0 +1,157 @@
+//! Real connections to a server that breaks the rules.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use test_case::test_case;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+
+use crate::gate::AttemptId;
+use crate::gate::pool::{ServerError, ServerPool};
+
+const CAP_BYTES: usize = 1_000;
+
+fn attempt(seq: u64) -> AttemptId {
+    AttemptId { entry: 3, seq }
+}
+
+fn request() -> Request<Full<Bytes>> {
+    Request::get("/").header("host", "server").body(Full::default()).expect("a right request")
+}
+
+/// Serves each connection the given answers, one a request, then closes it.
+async fn server(answers: &'static [&'static str]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = listener.local_addr().expect("a bound port");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve(stream, answers));
+        }
+    });
+    addr
+}
+
+async fn serve(mut stream: TcpStream, answers: &[&str]) {
+    let mut buffer = [0; 4_096];
+    for answer in answers {
+        if stream.read(&mut buffer).await.unwrap_or(0) == 0 {
+            return;
+        }
+        if stream.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+#[test_case(&["HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf"], ServerError::Broken; "too few bytes")]
+#[test_case(&["HTTP/1.1 200 OK\r\ncontent-le"], ServerError::Broken; "a head cut short")]
+#[test_case(&["garbage\r\n\r\n"], ServerError::Broken; "garbage")]
+#[test_case(&["HTTP/1.1 200 OK\r\ncontent-length: 5000\r\n\r\n"], ServerError::TooLarge; "more than the cap")]
+#[test_case(
+    &["HTTP/1.1 200 OK\r\nvaletrack-attempt: 0000000000000003-77\r\ncontent-length: 2\r\n\r\nok"],
+    ServerError::Misdirected;
+    "an answer to another attempt"
+)]
+fn an_answer_that_is_not_whole_is_no_answer(answers: &'static [&'static str], expected: ServerError) {
+    run(async move {
+        let pool = ServerPool::new(server(answers).await);
+        let ended = timeout(Duration::from_secs(5), pool.exchange(request(), attempt(1), CAP_BYTES)).await;
+        assert_eq!(ended.expect("an end in time").map(|answer| answer.body).err(), Some(expected));
+    });
+}
+
+#[test]
+fn bytes_behind_an_answer_never_become_the_next_answer() {
+    const DOUBLE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirst\
+        HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nstray";
+    const SECOND: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirst";
+    run(async {
+        let pool = ServerPool::new(server(&[DOUBLE, SECOND]).await);
+        for seq in 0..50 {
+            let ended = pool.exchange(request(), attempt(seq), CAP_BYTES).await;
+            if let Ok(answer) = ended {
+                assert_eq!(answer.body, "first", "call {seq}");
+            }
+        }
+    });
+}
+
+#[test]
+fn bytes_that_come_late_on_a_quiet_connection_close_it() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let addr = listener.local_addr().expect("a bound port");
+        tokio::spawn(async move {
+            let mut number = 0;
+            while let Ok((mut stream, _)) = listener.accept().await {
+                number += 1;
+                let body = format!("con-{number}");
+                tokio::spawn(async move {
+                    let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+                    let mut buffer = [0; 4_096];
+                    let _ = stream.read(&mut buffer).await;
+                    let _ = stream.write_all(answer.as_bytes()).await;
+                    sleep(Duration::from_millis(20)).await;
+                    let _ = stream.write_all(answer.as_bytes()).await;
+                    sleep(Duration::from_secs(5)).await;
+                });
+            }
+        });
+        let pool = ServerPool::new(addr);
+        let first = pool.exchange(request(), attempt(1), CAP_BYTES).await.expect("an answer");
+        assert_eq!(first.body, "con-1");
+        sleep(Duration::from_millis(60)).await;
+        let second = pool.exchange(request(), attempt(2), CAP_BYTES).await.expect("an answer");
+        assert_eq!(second.body, "con-2", "the stray answer must not be taken for this one");
+    });
+}
+
+#[test]
+fn a_server_that_is_not_there_has_not_started_anything() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let addr = listener.local_addr().expect("a bound port");
+        drop(listener);
+        let pool = ServerPool::new(addr);
+        let ended = pool.exchange(request(), attempt(1), CAP_BYTES).await;
+        assert_eq!(ended.map(|answer| answer.status), Err(ServerError::NotStarted));
+    });
+}
+
+#[test]
+fn a_connection_with_a_dropped_call_is_not_used_again() {
+    run(async {
+        const SLOW: &str = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nlate";
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let addr = listener.local_addr().expect("a bound port");
+        let (opened, mut connections) = tokio::sync::mpsc::channel(8);
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let _ = opened.send(()).await;
+                tokio::spawn(async move {
+                    let mut buffer = [0; 4_096];
+                    while stream.read(&mut buffer).await.unwrap_or(0) > 0 {
+                        sleep(Duration::from_millis(50)).await;
+                        let _ = stream.write_all(SLOW.as_bytes()).await;
+                    }
+                });
+            }
+        });
+        let pool = ServerPool::new(addr);
+        let dropped = timeout(Duration::from_millis(10), pool.exchange(request(), attempt(1), CAP_BYTES)).await;
+        assert!(dropped.is_err());
+        let answer = pool.exchange(request(), attempt(2), CAP_BYTES).await.expect("an answer");
+        assert_eq!(answer.body, "late");
+        assert!(connections.recv().await.is_some() && connections.recv().await.is_some());
+    });
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    runtime.block_on(test);
+}
--- /dev/null
+++ b/valetrack/src/gate/tests/property.rs
@@ -0,0 +1,136 @@
+//! Any interleaving of arrivals, doubles, cancels, ends, pauses and a drain.
+
+use std::collections::{HashMap, HashSet};
+
+use proptest::prelude::*;
+
+use crate::gate::{AttemptId, Gate, GateAction, GateConfig, GateEvent, Word};
+
+#[derive(Debug, Clone)]
+enum Choice {
+    Arrive { seq: u64, limit_us: u64, bounces_left: u8 },
+    End { at: usize, healthy: bool },
+    Refuse { at: usize },
+    Cancel { seq: u64 },
+    Tick,
+    Drain,
+}
+
+fn choice() -> impl Strategy<Value = Choice> {
+    prop_oneof![
+        8 => (0..40u64, 0..200_000u64, 0..3u8)
+            .prop_map(|(seq, limit_us, bounces_left)| Choice::Arrive { seq, limit_us, bounces_left }),
+        6 => (any::<usize>(), any::<bool>()).prop_map(|(at, healthy)| Choice::End { at, healthy }),
+        1 => any::<usize>().prop_map(|at| Choice::Refuse { at }),
+        3 => (0..40u64).prop_map(|seq| Choice::Cancel { seq }),
+        3 => Just(Choice::Tick),
+        1 => Just(Choice::Drain),
+    ]
+}
+
+/// What an observer outside the gate has seen.
+#[derive(Default)]
+struct Observer {
+    running: Vec<AttemptId>,
+    started: HashSet<AttemptId>,
+    given_up: HashSet<AttemptId>,
+    waiting: HashSet<AttemptId>,
+    drained: bool,
+    most: usize,
+}
+
+impl Observer {
+    fn see(&mut self, actions: &[GateAction]) -> Result<(), TestCaseError> {
+        for action in actions {
+            match *action {
+                GateAction::Start { attempt } => {
+                    prop_assert!(self.started.insert(attempt), "{attempt} started twice");
+                    prop_assert!(!self.given_up.contains(&attempt), "{attempt} started after it was given up");
+                    prop_assert!(!self.drained, "{attempt} started after the drain");
+                    self.waiting.remove(&attempt);
+                    self.running.push(attempt);
+                }
+                GateAction::Bounce { attempt, .. } => {
+                    prop_assert!(!self.running.contains(&attempt), "{attempt} was given back while it ran");
+                    self.waiting.remove(&attempt);
+                    self.given_up.insert(attempt);
+                }
+                GateAction::Say { attempt, word: Word::NeverStarted } => {
+                    prop_assert!(!self.started.contains(&attempt), "{attempt} was told never started, but it had");
+                    self.given_up.insert(attempt);
+                }
+                GateAction::Say { attempt, word: Word::Started } => {
+                    prop_assert!(self.started.contains(&attempt), "{attempt} was told started, but it had not");
+                }
+            }
+        }
+        self.most = self.most.max(self.running.len());
+        Ok(())
+    }
+}
+
+fn attempt(seq: u64) -> AttemptId {
+    AttemptId { entry: 1, seq }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(5),
+        ..Default::default()
+    })]
+
+    #[test]
+    fn slots_hold_and_words_are_true(
+        slots in 1..5u16,
+        rescue in any::<bool>(),
+        choices in prop::collection::vec((choice(), 0..20_000u64), 1..150),
+    ) {
+        let config = GateConfig { slots, queue_max_us: 50_000, ramp_us: 0, rescue };
+        let mut gate = Gate::new(config, 0);
+        let mut observer = Observer::default();
+        let mut answered: HashMap<AttemptId, u32> = HashMap::new();
+        let mut now_us = 0;
+        for (choice, pause_us) in choices {
+            now_us += pause_us;
+            let mut actions = Vec::new();
+            let event = match choice {
+                Choice::Arrive { seq, limit_us, bounces_left } => {
+                    let attempt = attempt(seq);
+                    if !observer.started.contains(&attempt) && !observer.given_up.contains(&attempt) {
+                        observer.waiting.insert(attempt);
+                    }
+                    GateEvent::Arrive { attempt, deadline_us: now_us + limit_us, bounces_left }
+                }
+                Choice::End { .. } | Choice::Refuse { .. } if observer.running.is_empty() => GateEvent::Tick,
+                Choice::End { at, healthy } => {
+                    let at = at % observer.running.len();
+                    let attempt = observer.running.swap_remove(at);
+                    *answered.entry(attempt).or_default() += 1;
+                    GateEvent::Done { attempt, healthy }
+                }
+                Choice::Refuse { at } => {
+                    let at = at % observer.running.len();
+                    let attempt = observer.running.swap_remove(at);
+                    // It took no connection, so it counts as never started after all.
+                    observer.started.remove(&attempt);
+                    GateEvent::Refused { attempt }
+                }
+                Choice::Cancel { seq } => GateEvent::Cancel { attempt: attempt(seq) },
+                Choice::Tick => GateEvent::Tick,
+                Choice::Drain => {
+                    observer.drained = true;
+                    GateEvent::Drain
+                }
+            };
+            gate.handle(event, now_us, &mut actions);
+            observer.see(&actions)?;
+            prop_assert!(observer.running.len() <= usize::from(slots), "{} run", observer.running.len());
+            let load = gate.load(now_us);
+            prop_assert_eq!(usize::from(load.in_flight), observer.running.len());
+            prop_assert_eq!(usize::from(load.queued), observer.waiting.len());
+        }
+        prop_assert!(answered.values().all(|&count| count == 1));
+    }
+}
--- a/valetrack/src/link/tests.rs
+++ b/valetrack/src/link/tests.rs
@@ -1,1 +1,118 @@
-//! Tests of this slice.
+//! Tests of frames: whatever is packed comes back, and nothing else gets through.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use proptest::prelude::*;
+use test_case::test_case;
+
+use super::codec::{FrameError, LENGTH_BYTES, pack, unpack};
+use super::message::{Ask, CallHead, HEAD_MAX_BYTES, Reply, ReplyHead, Riding};
+use super::tls;
+use crate::gate::{AttemptId, LoadReport};
+
+fn call(path: String, headers: Vec<(String, Vec<u8>)>, body_bytes: usize, key: Option<String>) -> Ask {
+    Ask::Run(CallHead {
+        attempt: AttemptId { entry: 1, seq: 2 },
+        call_id: Arc::from("c"),
+        service: Arc::from("intake"),
+        method: "POST".into(),
+        path,
+        headers,
+        body_bytes: body_bytes as u32,
+        deadline_ms: 100,
+        depth: 1,
+        bounces_left: 2,
+        key: key.map(Arc::from),
+        hlc: 9,
+    })
+}
+
+fn whole(ask: &Ask, body: &[u8]) -> Vec<u8> {
+    let mut frame = pack(ask).expect("a head below its cap").to_vec();
+    frame.extend_from_slice(body);
+    frame
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 800,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(2),
+        ..Default::default()
+    })]
+
+    #[test]
+    fn a_frame_comes_back_as_it_went(
+        path in ".{0,80}",
+        headers in prop::collection::vec((".{0,20}", prop::collection::vec(any::<u8>(), 0..40)), 0..8),
+        body in prop::collection::vec(any::<u8>(), 0..500),
+        key in prop::option::of(".{1,20}"),
+    ) {
+        let ask = call(path, headers, body.len(), key);
+        let (back, rest) = unpack::<Ask>(Bytes::from(whole(&ask, &body))).expect("a whole frame");
+        prop_assert_eq!(back, ask);
+        prop_assert_eq!(rest, body);
+    }
+
+    #[test]
+    fn a_frame_cut_short_or_too_long_is_refused(
+        body in prop::collection::vec(any::<u8>(), 1..200),
+        cut in any::<usize>(),
+        extra in 1..50usize,
+    ) {
+        let ask = call("/".into(), Vec::new(), body.len(), None);
+        let frame = whole(&ask, &body);
+        let cut = cut % frame.len();
+        prop_assert!(unpack::<Ask>(Bytes::copy_from_slice(&frame[..cut])).is_err());
+        let mut long = frame;
+        long.extend(std::iter::repeat_n(0, extra));
+        prop_assert!(unpack::<Ask>(Bytes::from(long)).is_err());
+    }
+
+    #[test]
+    fn garbage_never_panics(frame in prop::collection::vec(any::<u8>(), 0..400)) {
+        let _ = unpack::<Ask>(Bytes::copy_from_slice(&frame));
+        let _ = unpack::<ReplyHead>(Bytes::from(frame));
+    }
+}
+
+#[test_case(&[], FrameError::WrongLength { got: 0, wanted: LENGTH_BYTES }; "nothing")]
+#[test_case(&[0xff; 8], FrameError::HeadTooLarge { bytes: 0xffff_ffff }; "a head of four gigabytes")]
+#[test_case(&[0, 0, 0, 2, 0xff, 0xff], FrameError::Undecodable; "a head that is no head")]
+fn bad_frames_are_told_apart(frame: &[u8], expected: FrameError) {
+    assert_eq!(unpack::<Ask>(Bytes::copy_from_slice(frame)), Err(expected));
+}
+
+#[test]
+fn a_head_over_its_cap_is_not_sent() {
+    let ask = call("x".repeat(HEAD_MAX_BYTES), Vec::new(), 0, None);
+    assert!(matches!(pack(&ask), Err(FrameError::HeadTooLarge { .. })));
+}
+
+#[test]
+fn what_rides_on_a_reply_is_small() {
+    let load = LoadReport { limit: 12, in_flight: 12, queued: 40, service_us: 50_000, ..LoadReport::default() };
+    let riding = Riding { load, bundle: 21_000, hlc: 117_716_773_567_922_176 };
+    let reply = ReplyHead { reply: Reply::Load, riding };
+    let frame = pack(&reply).expect("a small head");
+    assert!(frame.len() <= 28, "{} bytes", frame.len());
+}
+
+#[test]
+fn keys_are_made_once_and_say_when_they_expire() {
+    let dir = std::env::temp_dir().join(format!("valetrack-keys-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).expect("a folder");
+    tls::make_authority(&dir).expect("an authority");
+    assert!(tls::make_authority(&dir).is_err(), "an authority is never written over");
+    tls::make_node(&dir, "kranj-1").expect("a certificate");
+    let days: Vec<(String, i64)> =
+        tls::expiries(&dir).expect("both").into_iter().map(|expiry| (expiry.file, expiry.days_left)).collect();
+    assert_eq!(days[0].0, "kranj-1.pem");
+    // The last day counts as whole only within the second in which the certificate was made.
+    assert!((tls::CERTIFICATE_DAYS - 1..=tls::CERTIFICATE_DAYS).contains(&days[0].1), "{days:?}");
+    assert_eq!(days[1].0, "ca.pem");
+    assert!(tls::load(&dir, "kranj-1").is_ok());
+    assert!(tls::load(&dir, "kranj-2").is_err());
+    std::fs::remove_dir_all(&dir).expect("an empty place");
+}
--- a/valetrack/src/placement/call.rs
+++ b/valetrack/src/placement/call.rs
@@ -159,7 +159,7 @@
         if self.finished {
             return;
         }
-        if !healthy && self.may_repeat(cx) {
+        if !healthy && !self.past_deadline && self.may_repeat(cx) {
             self.excluded.insert(server);
             if self.send_next_if_any(cx, out) {
                 return;
--- a/valetrack/src/placement/tests.rs
+++ b/valetrack/src/placement/tests.rs
@@ -1,1 +1,5 @@
-//! Tests of this slice.
+//! Tests of placement: a call among lossy links, budgets, and the pick.
+
+mod budget;
+mod call;
+mod view;
--- /dev/null
+++ b/valetrack/src/placement/tests/view.rs
@@ -0,0 +1,90 @@
+//! Rotation and the pick.
+
+use proptest::prelude::*;
+
+use crate::gate::LoadReport;
+use crate::placement::{MAX_SERVERS, Policy, ServerSet, ServiceView};
+
+fn view(servers: usize) -> ServiceView {
+    let mut view = ServiceView::new(Policy::Valetrack);
+    for server in 0..servers {
+        view.set_present(server, true, 0);
+    }
+    view
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 500,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(4),
+        ..Default::default()
+    })]
+
+    #[test]
+    fn at_least_half_stay_in_rotation(
+        servers in 1..MAX_SERVERS,
+        judgements in prop::collection::vec((any::<usize>(), any::<bool>(), 0..100_000u64), 0..600),
+    ) {
+        let mut view = view(servers);
+        let mut now_us = 0;
+        for (server, healthy, pause_us) in judgements {
+            now_us += pause_us;
+            view.judge(server % servers, healthy, now_us);
+            prop_assert!(view.rotation(now_us).len() * 2 >= servers);
+        }
+    }
+
+    #[test]
+    fn a_pick_is_in_rotation_and_not_excluded(
+        servers in 1..8usize,
+        excluded in prop::collection::vec(0..8usize, 0..6),
+        leaving in 0..8usize,
+        policy in prop::sample::select(vec![
+            Policy::Valetrack, Policy::Random, Policy::RoundRobin, Policy::LeastInFlight, Policy::TwoChoices,
+        ]),
+        seed in any::<u64>(),
+    ) {
+        let mut view = ServiceView::new(policy);
+        for server in 0..servers {
+            view.set_present(server, true, 0);
+        }
+        view.set_leaving(leaving);
+        let mut set = ServerSet::default();
+        excluded.iter().for_each(|&server| set.insert(server));
+        let open = (0..servers).filter(|&server| server != leaving && !set.contains(server)).count();
+        match view.pick(set, 0, &mut fastrand::Rng::with_seed(seed)) {
+            Some(server) => {
+                prop_assert!(server < servers && server != leaving && !set.contains(server));
+            }
+            None => prop_assert_eq!(open, 0),
+        }
+    }
+}
+
+#[test]
+fn a_server_that_fails_at_once_is_ejected_and_comes_back() {
+    let mut view = view(4);
+    for _ in 0..5 {
+        view.judge(1, false, 1_000);
+    }
+    assert!(!view.rotation(1_000).contains(1));
+    assert!(view.rotation(1_100_000).contains(1));
+}
+
+#[test]
+fn a_later_life_under_an_index_starts_anew() {
+    let mut view = view(2);
+    view.set_leaving(0);
+    view.set_present(0, false, 0);
+    view.set_present(0, true, 0);
+    assert!(view.rotation(0).contains(0));
+}
+
+#[test]
+fn old_news_loses_its_weight() {
+    let mut view = view(1);
+    let load = LoadReport { limit: 4, in_flight: 4, queued: 4, service_us: 2_000, ..LoadReport::default() };
+    view.report(0, load, 0);
+    assert!(view.expected_us(0, 0) > 2.0 * view.expected_us(0, 200_000));
+}
--- a/valetrack/src/tests.rs
+++ b/valetrack/src/tests.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use crate::code::{self, ALL};
+use crate::settings::{NODE, RawSettings};
 
 #[test]
 fn codes_are_unique_and_ascend() {
@@ -16,3 +17,39 @@
     let page = include_str!("../../docs/CODES.md");
     assert!(page.contains(&code::table()), "docs/CODES.md should hold:\n{}", code::table());
 }
+
+#[test]
+fn all_faults_of_settings_are_told_at_once() {
+    let mut raw = RawSettings::default();
+    raw.set("vm", "Kranj 1".into());
+    raw.set("server", "localhost".into());
+    raw.set("drain-ms", "-3".into());
+    raw.fill_from(|name| (name == "VALETRACK_DOMAIN").then(|| "kranj".into()));
+    let faults = raw.check().expect_err("faults");
+    let lines: String = faults.iter().map(|fault| format!("{fault}\n")).collect();
+    insta::assert_snapshot!(lines, @r"
+    VT102: --vm: a setting has a value that is not allowed; wanted: a name of a-z, 0-9 and -
+    VT101: --service: a required setting is missing; wanted: a name of a-z, 0-9 and -
+    VT102: --server: a setting has a value that is not allowed; wanted: IP:PORT
+    VT101: --store: a required setting is missing; wanted: IP:PORT
+    VT101: --list: a required setting is missing; wanted: IP:PORT
+    VT101: --keys: a required setting is missing; wanted: a folder
+    VT102: --drain-ms: a setting has a value that is not allowed; wanted: 0 to 600000
+    ");
+}
+
+#[test]
+fn a_flag_goes_before_the_environment() {
+    let mut raw = RawSettings::default();
+    for setting in NODE.iter().filter(|setting| setting.default.is_none()) {
+        let value = if setting.right == "IP:PORT" { "127.0.0.1:1" } else { "flag" };
+        raw.set(setting.flag, value.into());
+    }
+    raw.fill_from(|name| match name {
+        "VALETRACK_VM" => Some("environment".into()),
+        "VALETRACK_DRAIN_MS" => Some("7".into()),
+        _ => None,
+    });
+    let settings = raw.check().expect("no faults");
+    assert_eq!((&*settings.vm, settings.drain_ms, settings.gossip_ms), ("flag", 7, 500));
+}
--- a/valetrack/src/timeline/tests.rs
+++ b/valetrack/src/timeline/tests.rs
@@ -1,1 +1,82 @@
-//! Tests of this slice.
+//! Stamps grow along messages, lines come back as they were written.
+
+use proptest::prelude::*;
+use test_case::test_case;
+
+use super::{AHEAD_MAX_MS, Event, Field, HybridClock, merge, parse, stamp_ms};
+
+fn event(hlc: u64, vm: &str, name: &str, call: Option<&str>) -> Event {
+    Event { hlc, vm: vm.into(), event: name.into(), call: call.map(str::to_owned), fields: Vec::new() }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 500,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        ..Default::default()
+    })]
+
+    /// Clocks of three nodes differ by up to half a minute; each message carries a stamp.
+    #[test]
+    fn a_cause_stands_before_its_effect(
+        skews_ms in prop::collection::vec(0..30_000u64, 3),
+        messages in prop::collection::vec((0..3usize, 0..3usize, 0..50u64), 1..60),
+    ) {
+        let mut clocks = [HybridClock::default(); 3];
+        let mut true_ms = 1_000_000;
+        for (from, to, pause_ms) in messages {
+            true_ms += pause_ms;
+            let sent = clocks[from].tick(true_ms + skews_ms[from]);
+            prop_assert!(clocks[to].observe(sent, true_ms + skews_ms[to]));
+            let received = clocks[to].tick(true_ms + skews_ms[to]);
+            prop_assert!(received > sent);
+        }
+    }
+
+    #[test]
+    fn a_line_comes_back_as_it_was(
+        hlc in 1..u64::MAX,
+        vm in "[a-z0-9-]{1,10}",
+        name in "[^\\p{Cc}]{1,10}",
+        call in prop::option::of("[^\\p{Cc}]{1,10}"),
+        value in "[^\\p{Cc}]{0,30}",
+    ) {
+        let field = Field { key: "reason".into(), value };
+        let written = Event { hlc, vm, event: name, call, fields: vec![field] };
+        prop_assert_eq!(parse(&written.to_string()), Ok(written));
+    }
+
+    #[test]
+    fn no_line_makes_the_reader_panic(line in ".{0,120}") {
+        let _ = parse(&line);
+    }
+}
+
+#[test]
+fn a_clock_that_runs_far_ahead_is_not_followed() {
+    let mut clock = HybridClock::default();
+    let far = (1_000_000 + AHEAD_MAX_MS + 1) << 16;
+    assert!(!clock.observe(far, 1_000_000));
+    assert_eq!(stamp_ms(clock.tick(1_000_000)), 1_000_000);
+}
+
+#[test]
+fn events_are_merged_in_order_and_once() {
+    let events = vec![
+        event(3, "b", "gate.start", Some("c1")),
+        event(2, "a", "call.send", Some("c1")),
+        event(5, "a", "call.end", Some("c2")),
+        event(2, "a", "call.send", Some("c1")),
+    ];
+    let names: Vec<String> = merge(events, Some("c1")).into_iter().map(|event| event.event).collect();
+    assert_eq!(names, ["call.send", "gate.start"]);
+}
+
+#[test_case("", "hlc, vm or event is missing"; "nothing")]
+#[test_case("hello there", "a word is no key=value pair"; "prose")]
+#[test_case("hlc=x vm=a event=b", "hlc is no number"; "no number")]
+#[test_case("hlc=1 vm=a event=\"b", "a quote is not closed"; "an open quote")]
+fn lines_that_are_no_events_say_why(line: &str, reason: &str) {
+    assert_eq!(parse(line).map_err(|error| error.reason), Err(reason));
+}
