Fleet of real processes for tests; a new VM is not gone for want of a row

Cause: in a fleet started at once, every node took itself and its peers for gone as soon as it read a VM list that did not show them yet, so views stayed empty.

Ruled out: the links (handshakes went through) and the order of start.

Change: absence from the list counts only for a VM that the list has shown before; a node never learns from the list that it is gone itself.

Conclusion: the list is a hint in both directions.

--- /dev/null
+++ b/standin/tests/common/mod.rs
@@ -0,0 +1,349 @@
+//! A fleet of real processes on loopback; all are ended and waited for when it is dropped.
+
+#![allow(dead_code, reason = "each test binary uses its own part of the fleet")]
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use standin::client::{Client, Reply};
+use standin::relay::{self, Cuts};
+
+/// How long anything that should come is waited for.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+pub const SHOP: &str = r#"
+[measure]
+bytes_per_s = 2048
+probes_per_s = 5
+
+[[service]]
+name = "intake"
+slots = 6
+deadline_ms = 1500
+
+[[service.route]]
+method = "POST"
+path = "/"
+repeatable = false
+deadline_ms = 1500
+"#;
+
+/// One VM: its server, its node, and the relay before the node's links.
+pub struct Vm {
+    pub name: String,
+    pub domain: String,
+    pub service: String,
+    pub server_addr: SocketAddr,
+    pub caller_addr: SocketAddr,
+    pub admin_addr: SocketAddr,
+    pub link_addr: SocketAddr,
+    pub advertise_addr: SocketAddr,
+    pub cuts: Arc<Cuts>,
+    server: Child,
+    node: Option<Child>,
+}
+
+pub struct Fleet {
+    dir: PathBuf,
+    pub store_addr: SocketAddr,
+    pub list_addr: SocketAddr,
+    platform: Vec<Child>,
+    pub vms: Vec<Vm>,
+    pub node_flags: Vec<(&'static str, &'static str)>,
+    pub server_flags: Vec<(&'static str, &'static str)>,
+}
+
+fn standin() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_standin"))
+}
+
+fn valetrack() -> PathBuf {
+    standin().with_file_name("valetrack")
+}
+
+fn tcp_addr() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("a bound port")
+}
+
+fn udp_addr() -> SocketAddr {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a free port");
+    socket.local_addr().expect("a bound port")
+}
+
+fn spawn(program: &Path, args: &[String], log: &Path) -> Child {
+    let log = std::fs::File::options().create(true).append(true).open(log).expect("a log file");
+    let child = Command::new(program).args(args).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn();
+    child.unwrap_or_else(|error| panic!("{}: {error}", program.display()))
+}
+
+fn args(words: &[&str], flags: &[(&str, String)]) -> Vec<String> {
+    let flags = flags.iter().flat_map(|(flag, value)| [format!("--{flag}"), value.clone()]);
+    words.iter().map(|word| (*word).to_owned()).chain(flags).collect()
+}
+
+impl Fleet {
+    /// Starts the platform only.
+    pub async fn start() -> Self {
+        static COUNT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+        let number = COUNT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let dir = std::env::temp_dir().join(format!("valetrack-fleet-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&dir).expect("a folder");
+        let (store_addr, list_addr) = (tcp_addr(), tcp_addr());
+        let start = |word: &str, addr: SocketAddr| {
+            spawn(standin(), &args(&[word], &[("listen", addr.to_string())]), &dir.join(format!("{word}.log")))
+        };
+        let platform = vec![start("store", store_addr), start("list", list_addr)];
+        let fleet = Self {
+            store_addr,
+            list_addr,
+            platform,
+            vms: Vec::new(),
+            node_flags: Vec::new(),
+            server_flags: Vec::new(),
+            dir,
+        };
+        fleet.valetrack(&["keys", "authority", "--dir", &fleet.dir.to_string_lossy()]).expect("an authority");
+        for addr in [store_addr, list_addr] {
+            wait_for("the platform", async || tokio::net::TcpStream::connect(addr).await.is_ok()).await;
+        }
+        fleet
+    }
+
+    /// Starts a platform, `count` VMs of one service over three domains, and rolls the bundle.
+    pub async fn with_intake(count: usize) -> Self {
+        let mut fleet = Self::start().await;
+        fleet.grow("intake", count).await;
+        fleet.roll(SHOP);
+        fleet.wait_ready().await;
+        fleet
+    }
+
+    pub async fn grow(&mut self, service: &str, count: usize) {
+        for _ in 0..count {
+            let at = self.vms.len();
+            self.add_vm(&format!("{service}-{at}"), ["kranj", "loka", "radovljica"][at % 3], service).await;
+        }
+        self.list(&[]).await;
+    }
+
+    pub async fn add_vm(&mut self, name: &str, domain: &str, service: &str) {
+        let server_addr = tcp_addr();
+        let link_addr = udp_addr();
+        let cuts = Arc::new(Cuts::default());
+        let advertise_addr = relay::start(link_addr, cuts.clone()).await.expect("a relay");
+        let dir = self.dir.to_string_lossy().into_owned();
+        self.valetrack(&["keys", "node", "--dir", &dir, "--vm", name]).expect("a certificate");
+        let mut flags = vec![("listen", server_addr.to_string()), ("slots", "6".into())];
+        flags.extend(self.server_flags.iter().map(|(flag, value)| (*flag, (*value).to_owned())));
+        let server = spawn(standin(), &args(&["server"], &flags), &self.dir.join("server.log"));
+        self.vms.push(Vm {
+            name: name.into(),
+            domain: domain.into(),
+            service: service.into(),
+            server_addr,
+            caller_addr: tcp_addr(),
+            admin_addr: tcp_addr(),
+            link_addr,
+            advertise_addr,
+            cuts,
+            server,
+            node: None,
+        });
+        let at = self.vms.len() - 1;
+        self.start_node(at);
+    }
+
+    /// Starts the node of a VM, again if need be.
+    pub fn start_node(&mut self, at: usize) {
+        let vm = &self.vms[at];
+        let mut flags = vec![
+            ("vm", vm.name.clone()),
+            ("domain", vm.domain.clone()),
+            ("service", vm.service.clone()),
+            ("server", vm.server_addr.to_string()),
+            ("caller-listen", vm.caller_addr.to_string()),
+            ("link-listen", vm.link_addr.to_string()),
+            ("link-advertise", vm.advertise_addr.to_string()),
+            ("admin-listen", vm.admin_addr.to_string()),
+            ("store", self.store_addr.to_string()),
+            ("list", self.list_addr.to_string()),
+            ("keys", self.dir.to_string_lossy().into_owned()),
+            ("log-level", "debug".into()),
+            ("list-poll-ms", "200".into()),
+        ];
+        flags.extend(self.node_flags.iter().map(|(flag, value)| (*flag, (*value).to_owned())));
+        let log = self.dir.join(format!("{}.log", vm.name));
+        self.vms[at].node = Some(spawn(&valetrack(), &args(&["node"], &flags), &log));
+    }
+
+    /// Runs a command of valetrack to its end.
+    pub fn valetrack(&self, words: &[&str]) -> Result<String, String> {
+        let output = Command::new(valetrack()).args(words).output().expect("valetrack");
+        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).trim().to_owned();
+        if output.status.success() { Ok(text(&output.stdout)) } else { Err(text(&output.stderr)) }
+    }
+
+    /// Writes, approves and rolls a bundle; returns its number.
+    pub fn roll(&self, text: &str) -> u64 {
+        let file = self.dir.join("bundle.toml");
+        std::fs::write(&file, text).expect("a file");
+        let store = self.store_addr.to_string();
+        let file = file.to_string_lossy();
+        let version =
+            self.valetrack(&["bundle", "write", &file, "--operator", "ana", "--store", &store]).expect("written");
+        self.valetrack(&["bundle", "approve", &version, "--operator", "bor", "--store", &store]).expect("approved");
+        let rolled = self.valetrack(&["bundle", "roll", &version, "--operator", "ana", "--store", &store, "--json"]);
+        let rolled: Value = serde_json::from_str(&rolled.expect("rolled")).expect("json");
+        rolled["number"].as_u64().expect("a number")
+    }
+
+    /// Writes the platform's list; the named VMs are shown as leaving.
+    pub async fn list(&self, leaving: &[&str]) {
+        let row = |vm: &Vm| {
+            json!({
+                "vm": vm.name, "domain": vm.domain, "service": vm.service,
+                "link_addr": vm.advertise_addr, "leaving": leaving.contains(&vm.name.as_str()),
+            })
+        };
+        let rows: Vec<Value> = self.vms.iter().map(row).collect();
+        let put = Client::new(self.list_addr).call("PUT", "/vms", &[], Value::from(rows).to_string()).await;
+        assert_eq!(put.expect("an answer").status, 200);
+    }
+
+    pub async fn fault(&self, addr: SocketAddr, query: &str) {
+        let fault = Client::new(addr).call("POST", &format!("/_fault?{query}"), &[], "").await;
+        assert_eq!(fault.expect("an answer").status, 200);
+    }
+
+    pub async fn wait_ready(&self) {
+        for vm in &self.vms {
+            wait_for("readiness", async || status(vm, "/ready").await == 200).await;
+        }
+        // The view of every node must hold every VM, and pages must have their homes.
+        for vm in &self.vms {
+            wait_for("members", async || self.sees_all(vm).await).await;
+        }
+        tokio::time::sleep(Duration::from_millis(600)).await;
+    }
+
+    async fn sees_all(&self, vm: &Vm) -> bool {
+        let Ok(reply) = Client::new(vm.admin_addr).call("GET", "/status", &[], "").await else {
+            return false;
+        };
+        let status: Value = serde_json::from_slice(&reply.body).unwrap_or_default();
+        let members = status["members"].as_array().cloned().unwrap_or_default();
+        members.iter().filter(|member| member["phase"] == "serving").count() >= self.vms.len()
+    }
+
+    /// Returns how often each key ran, over all servers.
+    pub async fn runs(&self) -> BTreeMap<String, u64> {
+        let mut runs = BTreeMap::new();
+        for vm in &self.vms {
+            let Ok(reply) = Client::new(vm.server_addr).call("GET", "/_runs", &[], "").await else {
+                continue;
+            };
+            let one: BTreeMap<String, u64> = serde_json::from_slice(&reply.body).expect("json");
+            for (key, count) in one {
+                *runs.entry(key).or_insert(0) += count;
+            }
+        }
+        runs
+    }
+
+    /// Returns the sum of a metric over all its labels at one node.
+    pub async fn metric(&self, at: usize, name: &str) -> f64 {
+        let Ok(reply) = Client::new(self.vms[at].admin_addr).call("GET", "/metrics", &[], "").await else {
+            return 0.0;
+        };
+        let text = String::from_utf8_lossy(&reply.body).into_owned();
+        let is = |line: &&str| line.starts_with(name) && matches!(line.as_bytes().get(name.len()), Some(b' ' | b'{'));
+        text.lines().filter(is).filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum()
+    }
+
+    pub async fn bundle_number(&self, at: usize) -> u64 {
+        self.metric(at, "valetrack_bundle_number").await as u64
+    }
+
+    pub fn kill_node(&mut self, at: usize) {
+        if let Some(mut node) = self.vms[at].node.take() {
+            node.kill().expect("a live node");
+            node.wait().expect("its end");
+        }
+    }
+
+    pub fn signal(&self, at: usize, signal: &str) {
+        if let Some(node) = &self.vms[at].node {
+            let sent = Command::new("kill").args([signal, &node.id().to_string()]).status();
+            assert!(sent.expect("kill").success());
+        }
+    }
+
+    /// Waits for a node to end by itself; returns how long that took.
+    pub async fn wait_end(&mut self, at: usize) -> Duration {
+        let began = Instant::now();
+        let mut node = self.vms[at].node.take().expect("a node");
+        while node.try_wait().expect("its state").is_none() {
+            assert!(began.elapsed() < PATIENCE * 2, "the node does not end");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        began.elapsed()
+    }
+
+    pub fn log(&self, at: usize) -> String {
+        std::fs::read_to_string(self.dir.join(format!("{}.log", self.vms[at].name))).unwrap_or_default()
+    }
+
+    pub fn door(&self, at: usize) -> Client {
+        Client::new(self.vms[at].caller_addr)
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        let children = self.platform.iter_mut().chain(self.vms.iter_mut().flat_map(|vm| {
+            std::iter::once(&mut vm.server).chain(vm.node.iter_mut())
+        }));
+        for child in children {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        if std::thread::panicking() {
+            eprintln!("logs are kept in {}", self.dir.display());
+        } else {
+            let _ = std::fs::remove_dir_all(&self.dir);
+        }
+    }
+}
+
+pub async fn status(vm: &Vm, path: &str) -> u16 {
+    Client::new(vm.admin_addr).call("GET", path, &[], "").await.map_or(0, |reply| reply.status)
+}
+
+/// Waits until something holds.
+pub async fn wait_for(what: &str, holds: impl AsyncFn() -> bool) {
+    let began = Instant::now();
+    while !holds().await {
+        assert!(began.elapsed() < PATIENCE, "waited too long for {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Presses once with a key.
+pub async fn press(door: &Client, key: &str) -> Result<Reply, String> {
+    let headers = [("valetrack-service", "intake"), ("idempotency-key", key)];
+    door.call("POST", "/pickups", &headers, key.to_owned()).await
+}
+
+/// Returns what a caller was told: the outcome, or that no answer came.
+pub fn told(reply: &Result<Reply, String>) -> String {
+    match reply {
+        Ok(reply) => reply.header("valetrack-outcome").to_owned(),
+        Err(_) => "no answer".into(),
+    }
+}
--- a/valetrack/src/member/run.rs
+++ b/valetrack/src/member/run.rs
@@ -205,6 +205,8 @@
         loop {
             match self.parts.list.read().await {
                 Ok(rows) => {
+                    // This node hears itself, whatever the list says.
+                    self.members.borrow_mut().heard(&self.parts.me.vm, now_us());
                     let moved = self.members.borrow_mut().take_list(&rows, now_us());
                     for member in &moved {
                         log::info!("event=member.{} peer={} by=list", phase_label(member.phase), member.vm);
--- a/valetrack/src/member/state.rs
+++ b/valetrack/src/member/state.rs
@@ -1,6 +1,6 @@
 //! Pure decisions of membership: a join of views, and how the lagging list is read.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use super::message::{Candidate, ListedVm, Member, Phase};
@@ -17,6 +17,8 @@
     all: BTreeMap<Arc<str>, Member>,
     listed: BTreeMap<Arc<str>, ListedVm>,
     heard_us: BTreeMap<Arc<str>, u64>,
+    /// VMs that the list has shown; one that it has not shown yet says nothing by its absence.
+    shown: BTreeSet<Arc<str>>,
 }
 
 impl Members {
@@ -42,8 +44,9 @@
     /// Takes the platform's list as read at `now_us`; returns the VMs whose phase moved on.
     ///
     /// The list lags, so it only ever says where a node may be found, that a VM leaves, and, when
-    /// the node has been silent as well, that it is gone.
+    /// the node was shown before and has been silent as well, that it is gone.
     pub fn take_list(&mut self, list: &[ListedVm], now_us: u64) -> Vec<Member> {
+        self.shown.extend(list.iter().map(|row| row.vm.clone()));
         self.listed = list.iter().map(|row| (row.vm.clone(), row.clone())).collect();
         let mut moved = Vec::new();
         for member in self.all.values_mut() {
@@ -51,7 +54,7 @@
             let row = self.listed.get(&member.vm);
             let phase = match row {
                 Some(row) if row.leaving && row.link_addr == member.link_addr => Phase::Leaving,
-                None if silent => Phase::Gone,
+                None if silent && self.shown.contains(&member.vm) => Phase::Gone,
                 Some(_) | None => continue,
             };
             if phase > member.phase {
--- a/valetrack/src/member/tests.rs
+++ b/valetrack/src/member/tests.rs
@@ -99,9 +99,19 @@
     assert_eq!(vms, [Arc::from("vm-1")]);
 }
 
+#[test]
+fn a_new_vm_that_the_list_does_not_show_yet_is_not_gone() {
+    let mut members = merged(&[member(1, 1, Phase::Serving)]);
+    for second in 0..60 {
+        assert!(members.take_list(&[row(2, false)], second * 1_000_000).is_empty());
+    }
+    assert_eq!(members.servers_of("intake").count(), 2);
+}
+
 #[test]
 fn a_vm_off_the_list_is_gone_only_when_it_is_silent_too() {
     let mut members = merged(&[member(1, 1, Phase::Serving)]);
+    members.take_list(&[row(1, false)], 0);
     members.heard(&Arc::from("vm-1"), 1_000_000);
     assert!(members.take_list(&[], 1_000_000 + GONE_AFTER_US - 1).is_empty());
     assert!(!members.is_over("vm-1", 1));
--- a/valetrack/src/node.rs
+++ b/valetrack/src/node.rs
@@ -115,7 +115,7 @@
         phase: Phase::Joining,
         domain: settings.domain.clone(),
         service: settings.service.clone(),
-        link_addr: settings.link_addr,
+        link_addr: settings.advertise_addr,
     };
     let words = Words::new();
     let metrics = Arc::new(Metrics::new());
--- a/valetrack/src/settings.rs
+++ b/valetrack/src/settings.rs
@@ -40,6 +40,7 @@
     setting("server", "Address of that server.", ADDRESS, None),
     setting("caller-listen", "Address for callers.", ADDRESS, Some("127.0.0.1:7000")),
     setting("link-listen", "Address for links of other nodes.", ADDRESS, Some("127.0.0.1:7001")),
+    setting("link-advertise", "Address that other nodes link to; empty for link-listen.", ADDRESS, Some("")),
     setting("admin-listen", "Address for metrics, health and status.", ADDRESS, Some("127.0.0.1:7002")),
     setting("store", "Address of the platform's store.", ADDRESS, None),
     setting("list", "Address of the platform's VM list.", ADDRESS, None),
@@ -102,6 +103,8 @@
     pub caller_addr: SocketAddr,
     /// Address for links.
     pub link_addr: SocketAddr,
+    /// Address that other nodes link to.
+    pub advertise_addr: SocketAddr,
     /// Address for operators.
     pub admin_addr: SocketAddr,
     /// Address of the store.
@@ -217,6 +220,8 @@
         let server_addr = self.parsed("server");
         let caller_addr = self.parsed("caller-listen");
         let link_addr = self.parsed("link-listen");
+        let advertise_addr =
+            self.take("link-advertise", |text| if text.is_empty() { link_addr } else { text.parse().ok() });
         let admin_addr = self.parsed("admin-listen");
         let store_addr = self.parsed("store");
         let list_addr = self.parsed("list");
@@ -239,6 +244,7 @@
             server_addr: server_addr?,
             caller_addr: caller_addr?,
             link_addr: link_addr?,
+            advertise_addr: advertise_addr?,
             admin_addr: admin_addr?,
             store_addr: store_addr?,
             list_addr: list_addr?,
