At most once through kills, freezes, cuts and a failing store, on real processes

Cause: with the store down, every press was told "unknown": pages had no home yet, since the first try to hold them came five seconds after the start and only by the clock.

Ruled out: the outage itself; a home that held its page said "not-run" as it should.

Change: a node tries to hold its pages as soon as a bundle is in force and whenever the nodes of its service change. Tests: callers press again at other doors through eleven kinds of trouble; takeover of a dead home; presses that join; an outage that ends new keys at once.

The test asserts "told not-run and nothing ran"; a press told not-run before the outage fix was already true.

--- a/standin/tests/common/mod.rs
+++ b/standin/tests/common/mod.rs
@@ -7,6 +7,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
@@ -66,14 +67,19 @@
     standin().with_file_name("valetrack")
 }
 
-fn tcp_addr() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("a bound port")
-}
-
-fn udp_addr() -> SocketAddr {
-    let socket = UdpSocket::bind("127.0.0.1:0").expect("a free port");
-    socket.local_addr().expect("a bound port")
+/// Returns an address that nobody uses, below the range that outgoing connections are given.
+fn free_addr() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    const LOW: u32 = 10_000;
+    const COUNT: u32 = 20_000;
+    loop {
+        let turn = u32::from(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = LOW + (std::process::id() * 211 + turn) % COUNT;
+        let addr = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok() {
+            return addr;
+        }
+    }
 }
 
 fn spawn(program: &Path, args: &[String], log: &Path) -> Child {
@@ -94,7 +100,7 @@
         let number = COUNT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         let dir = std::env::temp_dir().join(format!("valetrack-fleet-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a folder");
-        let (store_addr, list_addr) = (tcp_addr(), tcp_addr());
+        let (store_addr, list_addr) = (free_addr(), free_addr());
         let start = |word: &str, addr: SocketAddr| {
             spawn(standin(), &args(&[word], &[("listen", addr.to_string())]), &dir.join(format!("{word}.log")))
         };
@@ -133,8 +139,8 @@
     }
 
     pub async fn add_vm(&mut self, name: &str, domain: &str, service: &str) {
-        let server_addr = tcp_addr();
-        let link_addr = udp_addr();
+        let server_addr = free_addr();
+        let link_addr = free_addr();
         let cuts = Arc::new(Cuts::default());
         let advertise_addr = relay::start(link_addr, cuts.clone()).await.expect("a relay");
         let dir = self.dir.to_string_lossy().into_owned();
@@ -147,8 +153,8 @@
             domain: domain.into(),
             service: service.into(),
             server_addr,
-            caller_addr: tcp_addr(),
-            admin_addr: tcp_addr(),
+            caller_addr: free_addr(),
+            admin_addr: free_addr(),
             link_addr,
             advertise_addr,
             cuts,
@@ -306,9 +312,10 @@
 
 impl Drop for Fleet {
     fn drop(&mut self) {
-        let children = self.platform.iter_mut().chain(self.vms.iter_mut().flat_map(|vm| {
-            std::iter::once(&mut vm.server).chain(vm.node.iter_mut())
-        }));
+        let children = self
+            .platform
+            .iter_mut()
+            .chain(self.vms.iter_mut().flat_map(|vm| std::iter::once(&mut vm.server).chain(vm.node.iter_mut())));
         for child in children {
             let _ = child.kill();
             let _ = child.wait();
--- a/standin/tests/whole_path.rs
+++ b/standin/tests/whole_path.rs
@@ -43,8 +43,7 @@
     }
     let words: Vec<&str> = words.iter().map(String::as_str).collect();
     let lines = fleet.valetrack(&words).expect("a time line");
-    let events: Vec<&str> =
-        lines.lines().filter_map(|line| line.split("event=").nth(1)?.split(' ').next()).collect();
+    let events: Vec<&str> = lines.lines().filter_map(|line| line.split("event=").nth(1)?.split(' ').next()).collect();
     assert_eq!(
         events,
         ["call.begin", "claim.run", "call.send", "gate.start", "gate.done", "claim.reply", "call.end"],
--- a/valetrack/src/claim/run.rs
+++ b/valetrack/src/claim/run.rs
@@ -115,7 +115,10 @@
     /// Since when this process has run without a pause.
     awake_us: u64,
     doubted_us: u64,
-    acquired_us: u64,
+    /// When pages that this node should hold are next tried.
+    acquire_at_us: u64,
+    /// Nodes of the service as of the last try.
+    nodes: Vec<Arc<str>>,
 }
 
 /// Serves claims until told to close; must run on a local task set.
@@ -134,7 +137,8 @@
         rule: ClaimRule { lifetime_s: 600, held: false, entries_max: ENTRIES_MAX },
         awake_us: now,
         doubted_us: 0,
-        acquired_us: 0,
+        acquire_at_us: 0,
+        nodes: Vec::new(),
         parts,
     };
     shell.serve().await;
@@ -186,7 +190,7 @@
         for page in self.pages.values_mut() {
             page.configure(self.rule);
         }
-        self.acquired_us = 0;
+        self.acquire_at_us = 0;
     }
 
     fn release(&mut self) {
@@ -210,9 +214,13 @@
                 }
             }
         }
-        if now > self.acquired_us + ACQUIRE_US && self.parts.bundle.borrow().is_some() {
-            self.acquired_us = now;
-            self.acquire();
+        let nodes: Vec<Arc<str>> =
+            self.parts.members.borrow().servers_of(&self.parts.service).map(|node| node.vm).collect();
+        let due = now >= self.acquire_at_us || nodes != self.nodes;
+        if due && self.parts.bundle.borrow().is_some() {
+            self.acquire_at_us = now + ACQUIRE_US;
+            self.acquire(&nodes);
+            self.nodes = nodes;
         }
     }
 
@@ -229,18 +237,14 @@
     }
 
     /// Takes the pages that this node should hold, so that they are held before they are needed.
-    fn acquire(&mut self) {
+    fn acquire(&mut self, nodes: &[Arc<str>]) {
         if *self.parts.leaving.borrow() {
             return;
         }
         for page in 0..PAGES {
-            let first = {
-                let members = self.parts.members.borrow();
-                let mut nodes: Vec<_> = members.servers_of(&self.parts.service).collect();
-                rank(&self.parts.service, page, &mut nodes, |node| node.vm.clone());
-                nodes.first().map(|node| node.vm.clone())
-            };
-            if first.as_ref() == Some(&self.parts.me.vm) {
+            let mut nodes = nodes.to_vec();
+            rank(&self.parts.service, page, &mut nodes, Arc::clone);
+            if nodes.first() == Some(&self.parts.me.vm) {
                 self.handle(page, ClaimEvent::Acquire);
             }
         }
