Bench of placement and gate in virtual time, with baselines and the bound

Cause: decisions on stale news cannot be judged on processes alone; the machine's noise hides them.

Ruled out: a cluster simulator.

--- a/standin/src/bench/mod.rs
+++ b/standin/src/bench/mod.rs
@@ -1,7 +1,20 @@
-//! The bench: placement and gate in virtual time.
+//! The bench: placement and gate in virtual time, against small fakes of servers.
+//!
+//! Every run is decided by its seed alone, so that a figure that moved was moved by a change.
+
+mod report;
+mod scenario;
+mod server;
+#[cfg(test)]
+mod tests;
+mod world;
 
 use std::path::PathBuf;
 
+pub use report::Row;
+pub use scenario::{Contender, SCENARIOS, Scenario, contenders};
+pub use world::run as run_one;
+
 /// Settings of the bench.
 #[derive(Debug, Clone)]
 pub struct BenchSettings {
@@ -15,11 +28,22 @@
     pub only: String,
 }
 
-/// Runs all.
+/// Runs every contender in every scenario and prints a table.
 ///
 /// # Errors
 ///
 /// Returns why the plot could not be written.
-pub fn run(_settings: &BenchSettings) -> Result<(), String> {
-    Err("the bench is not written yet".into())
+pub fn run(settings: &BenchSettings) -> Result<(), String> {
+    report::head();
+    for scenario in SCENARIOS.iter().filter(|scenario| scenario.name.contains(&settings.only)) {
+        let rows: Vec<Row> = contenders()
+            .iter()
+            .map(|contender| run_one(scenario, contender, settings.seconds, settings.seed))
+            .collect();
+        rows.iter().for_each(report::line);
+        if let (Some(path), true) = (&settings.plot, scenario.name == "mlekopot 80%") {
+            report::plot(path, scenario.name, &rows)?;
+        }
+    }
+    Ok(())
 }
--- /dev/null
+++ b/standin/src/bench/report.rs
@@ -0,0 +1,181 @@
+//! What a run has shown, as a row of a table and a line of a plot.
+
+use std::path::Path;
+
+use hdrhistogram::Histogram;
+
+use super::server::{TROUBLE_END_US, TROUBLE_US};
+use crate::load::{Series, write_plot};
+
+/// After trouble has begun, this much time is given to see it, in microseconds.
+const SETTLE_US: u64 = 200_000;
+/// Width of the windows in which recovery is looked for, in microseconds.
+const WINDOW_US: u64 = 100_000;
+
+/// Figures of one contender in one scenario.
+#[derive(Debug)]
+pub struct Row {
+    /// Name of the scenario.
+    pub scenario: &'static str,
+    /// Name of the contender.
+    pub contender: &'static str,
+    /// Calls that were counted.
+    pub calls: u64,
+    /// Times of good answers, in microseconds.
+    pub latency_us: Histogram<u64>,
+    /// The same from shortly after trouble began, in microseconds.
+    pub settled_us: Histogram<u64>,
+    /// Times of refusals, in microseconds.
+    pub shed_us: Histogram<u64>,
+    /// Calls that were told that they did not run.
+    pub shed: u64,
+    /// Calls that failed or whose outcome is unknown.
+    pub failed: u64,
+    /// Attempts of counted calls.
+    pub attempts: u64,
+    /// Attempts given back, in the whole run.
+    pub bounces: u64,
+    /// Probes or polls, in the whole run.
+    pub probes: u64,
+    /// Bytes of probes and polls, in the whole run.
+    pub probe_bytes: u64,
+    /// Bytes that rode on replies, in the whole run.
+    pub riding_bytes: u64,
+    /// Most calls that one server ran at once.
+    pub most_running: u64,
+    /// Good answers a second.
+    pub goodput_per_s: f64,
+    /// Bytes a second that one entry spent on probes and polls.
+    pub probe_bytes_per_s: f64,
+    /// Probes a second of one entry.
+    pub probes_per_s: f64,
+    /// Highest latency of each window after the trouble has passed, in microseconds.
+    after_us: Vec<u64>,
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 60_000_000, 3).expect("bounds are right")
+}
+
+impl Row {
+    /// Makes an empty row.
+    pub fn new(scenario: &'static str, contender: &'static str) -> Self {
+        Self {
+            scenario,
+            contender,
+            calls: 0,
+            latency_us: histogram(),
+            settled_us: histogram(),
+            shed_us: histogram(),
+            shed: 0,
+            failed: 0,
+            attempts: 0,
+            bounces: 0,
+            probes: 0,
+            probe_bytes: 0,
+            riding_bytes: 0,
+            most_running: 0,
+            goodput_per_s: 0.0,
+            probe_bytes_per_s: 0.0,
+            probes_per_s: 0.0,
+            after_us: Vec::new(),
+        }
+    }
+
+    /// Counts a good answer.
+    pub fn answered(&mut self, took_us: u64, began_us: u64, now_us: u64) {
+        let _ = self.latency_us.record(took_us.max(1));
+        if began_us >= TROUBLE_US + SETTLE_US {
+            let _ = self.settled_us.record(took_us.max(1));
+        }
+        if now_us >= TROUBLE_END_US {
+            let window = ((now_us - TROUBLE_END_US) / WINDOW_US) as usize;
+            if window >= self.after_us.len() {
+                self.after_us.resize(window + 1, 0);
+            }
+            self.after_us[window] = self.after_us[window].max(took_us);
+        }
+    }
+
+    /// Works out the rates.
+    pub fn finish(&mut self, counted_s: f64, entries: usize) {
+        self.goodput_per_s = self.latency_us.len() as f64 / counted_s;
+        self.probe_bytes_per_s = self.probe_bytes as f64 / counted_s / entries as f64;
+        self.probes_per_s = self.probes as f64 / counted_s / entries as f64;
+    }
+
+    /// Returns a quantile of good answers, in microseconds.
+    pub fn quantile_us(&self, quantile: f64) -> u64 {
+        self.latency_us.value_at_quantile(quantile)
+    }
+
+    /// Returns attempts per call.
+    pub fn attempts_per_call(&self) -> f64 {
+        self.attempts as f64 / self.calls.max(1) as f64
+    }
+
+    /// Returns the share of calls that failed or are unknown.
+    pub fn failed_share(&self) -> f64 {
+        self.failed as f64 / self.calls.max(1) as f64
+    }
+
+    /// Returns when, after the trouble has passed, the highest latency of a window was last over
+    /// `limit_us`, in microseconds.
+    pub fn recovered_us(&self, limit_us: u64) -> u64 {
+        let last = self.after_us.iter().rposition(|&most_us| most_us > limit_us);
+        last.map_or(0, |window| (window as u64 + 1) * WINDOW_US)
+    }
+}
+
+/// Prints the head of the table.
+pub fn head() {
+    println!(
+        "{:<22} {:<26} {:>8} {:>7} {:>8} {:>8} {:>8} {:>8} {:>7} {:>7} {:>7} {:>8} {:>7}",
+        "scenario",
+        "policy",
+        "good/s",
+        "p50 ms",
+        "p99 ms",
+        "p99.9 ms",
+        "settled",
+        "shed p99",
+        "shed %",
+        "fail %",
+        "att/call",
+        "B/s node",
+        "prb/s"
+    );
+}
+
+/// Prints one row.
+pub fn line(row: &Row) {
+    let ms = |us: u64| us as f64 / 1_000.0;
+    let percent = |count: u64| 100.0 * count as f64 / row.calls.max(1) as f64;
+    println!(
+        "{:<22} {:<26} {:>8.0} {:>7.2} {:>8.2} {:>8.2} {:>8.2} {:>8.2} {:>7.2} {:>7.2} {:>7.3} {:>8.0} {:>7.1}",
+        row.scenario,
+        row.contender,
+        row.goodput_per_s,
+        ms(row.quantile_us(0.5)),
+        ms(row.quantile_us(0.99)),
+        ms(row.quantile_us(0.999)),
+        ms(row.settled_us.value_at_quantile(0.99)),
+        ms(row.shed_us.value_at_quantile(0.99)),
+        percent(row.shed),
+        percent(row.failed),
+        row.attempts_per_call(),
+        row.probe_bytes_per_s,
+        row.probes_per_s
+    );
+}
+
+/// Writes the plot of one scenario.
+///
+/// # Errors
+///
+/// Returns, in words, why it could not be drawn.
+pub fn plot(path: &Path, title: &str, rows: &[Row]) -> Result<(), String> {
+    let points = |row: &Row| crate::load::quantiles(&row.latency_us);
+    let series = rows.iter().map(|row| Series { name: row.contender.trim().to_owned(), points: points(row) });
+    write_plot(path, title, &series.collect::<Vec<_>>())
+}
--- a/standin/src/load/mod.rs
+++ b/standin/src/load/mod.rs
@@ -17,7 +17,7 @@
 
 use crate::client::Client;
 
-pub use plot::{Series, write as write_plot};
+pub use plot::{Series, quantiles, write as write_plot};
 
 /// Highest latency that is told apart, in microseconds.
 const LATENCY_MAX_US: u64 = 60_000_000;
--- a/valetrack/src/placement/run.rs
+++ b/valetrack/src/placement/run.rs
@@ -376,20 +376,11 @@
     fn next_probe(&self, stale_us: u64) -> Option<(Arc<str>, ServerIndex)> {
         let mut inner = self.inner.borrow_mut();
         let now = now_us();
-        let mut oldest: Option<(u64, Arc<str>, ServerIndex)> = None;
-        for (name, state) in &inner.services {
-            // A view that no call has used yet, or lately, is not worth a probe.
-            let used = state.view.used_us().is_some_and(|used_us| now < used_us + 10 * stale_us);
-            for server in (0..state.targets.len()).filter(|_| used) {
-                let Some(age_us) = state.view.probe_age_us(server, now) else {
-                    continue;
-                };
-                if age_us > stale_us && oldest.as_ref().is_none_or(|(oldest_us, ..)| age_us > *oldest_us) {
-                    oldest = Some((age_us, name.clone(), server));
-                }
-            }
-        }
-        let (_, name, server) = oldest?;
+        let stalest = |(name, state): (&Arc<str>, &ServiceState)| {
+            let (age_us, server) = state.view.stalest(now, stale_us)?;
+            Some((age_us, name.clone(), server))
+        };
+        let (_, name, server) = inner.services.iter().filter_map(stalest).max()?;
         let granted = inner.probes.take(1, now) && inner.measure.take(PROBE_BYTES, now);
         if !granted {
             return None;
--- a/valetrack/src/placement/view.rs
+++ b/valetrack/src/placement/view.rs
@@ -19,6 +19,8 @@
 const EJECT_US: u64 = 1_000_000;
 /// Longest ejection, in microseconds.
 const EJECT_MAX_US: u64 = 30_000_000;
+/// A service without a pick for this many stale times is not worth a probe.
+const USED_STALES: u64 = 10;
 /// A stalled server's expected time grows by this much, in microseconds.
 const STALL_PENALTY_US: f64 = 25_000.0;
 /// Every failed call of late adds this many service times to the score.
@@ -218,11 +220,6 @@
         self.servers.get(server).is_some_and(|view| view.present)
     }
 
-    /// Returns when the last pick was, in microseconds.
-    pub fn used_us(&self) -> Option<u64> {
-        self.used_us
-    }
-
     /// Notes that a server is being probed.
     pub fn probed(&mut self, server: ServerIndex, now_us: u64) {
         if let Some(view) = self.servers.get_mut(server) {
@@ -230,12 +227,20 @@
         }
     }
 
-    /// Returns how old the view of a server is that may get work, counting from its last report
-    /// or probe, in microseconds.
-    pub fn probe_age_us(&self, server: ServerIndex, now_us: u64) -> Option<u64> {
-        let view = self.servers.get(server).filter(|view| view.present && !view.leaving)?;
-        let seen_us = view.seen.map_or(0, |seen| seen.seen_us).max(view.probed_us);
-        Some(now_us.saturating_sub(seen_us))
+    /// Returns the server whose last report or probe is the oldest, with its age in
+    /// microseconds, if that is over `stale_us` and the service was lately used.
+    pub fn stalest(&self, now_us: u64, stale_us: u64) -> Option<(u64, ServerIndex)> {
+        let lately = self.used_us.is_some_and(|used_us| now_us < used_us + USED_STALES * stale_us);
+        if !lately {
+            return None;
+        }
+        let age_us = |view: &ServerView| {
+            let seen_us = view.seen.map_or(0, |seen| seen.seen_us).max(view.probed_us);
+            now_us.saturating_sub(seen_us)
+        };
+        let open = self.servers.iter().enumerate().filter(|(_, view)| view.present && !view.leaving);
+        let oldest = open.map(|(server, view)| (age_us(view), server)).max()?;
+        Some(oldest).filter(|(age_us, _)| *age_us > stale_us)
     }
 
     /// Returns the smoothed service time of a server as last reported, in microseconds.
