Gate: a stall is told by the ends that should have come; bench: same arrivals for all

Cause: six deviations over the mean let twelve running calls stand still for some 18 ms before the gate spoke of a stall; and contenders met different arrivals, so their figures were not paired.

Ruled out: a fixed time; it would fit one service time only.

Change: a server stalls when eight calls should have ended since the last one did, by the number that run. Arrivals of the bench come from their own random numbers.

--- a/standin/src/bench/world.rs
+++ b/standin/src/bench/world.rs
@@ -87,6 +87,9 @@
     gates: Vec<Gate>,
     servers: Vec<Server>,
     ticks: Vec<Option<u64>>,
+    /// Draws arrivals, the same for every contender.
+    arrivals: fastrand::Rng,
+    /// Draws service times.
     work: fastrand::Rng,
     callers: Vec<Caller>,
     waiting: HashMap<AttemptId, usize>,
@@ -146,6 +149,7 @@
             gates: (0..scenario.servers).map(|_| Gate::new(config, 0)).collect(),
             servers: (0..scenario.servers).map(|number| Server::new(scenario, number, end_us * 2, seed)).collect(),
             ticks: vec![None; scenario.servers],
+            arrivals: fastrand::Rng::with_seed(seed ^ 0x1234),
             work: fastrand::Rng::with_seed(seed ^ 0xabcd),
             callers: Vec::new(),
             waiting: HashMap::new(),
@@ -214,9 +218,9 @@
         self.swing();
         let burst = self.scenario.trouble == Trouble::Burst && (TROUBLE_US..TROUBLE_END_US).contains(&self.now_us);
         let rate_per_s = self.rate_per_s * self.level * if burst { 2.0 } else { 1.0 };
-        let gap_us = exponential(&mut self.work, 1_000_000) as f64 / rate_per_s;
+        let gap_us = exponential(&mut self.arrivals, 1_000_000) as f64 / rate_per_s;
         self.later(gap_us.round() as u64, Event::Caller);
-        let entry = self.work.usize(..self.scenario.entries);
+        let entry = self.arrivals.usize(..self.scenario.entries);
         let rule = self.rule();
         let call = self.callers.len();
         let caller = Caller { call: Call::new(rule, 1), entry, began_us: self.now_us, healthy: true };
@@ -237,7 +241,7 @@
     fn swing(&mut self) {
         if self.scenario.swing && self.now_us >= self.level_until_us {
             self.level = if self.level > 1.0 { 0.5 } else { 1.5 };
-            self.level_until_us = self.now_us + exponential(&mut self.work, SWING_US);
+            self.level_until_us = self.now_us + exponential(&mut self.arrivals, SWING_US);
         }
     }
 
--- a/valetrack/src/gate/state.rs
+++ b/valetrack/src/gate/state.rs
@@ -13,9 +13,10 @@
 /// Service time assumed before the first sample, in microseconds.
 const FIRST_SERVICE_US: i64 = 2_000;
 /// A stall is at least this long, in microseconds.
-const STALL_MIN_US: u64 = 4_000;
-/// A stall is at least this many smoothed deviations over the smoothed service time.
-const STALL_DEVIATIONS: u64 = 6;
+const STALL_MIN_US: u64 = 1_000;
+/// A server stalls when this many calls should have ended by now and none has. Were the ends
+/// independent, the chance of that by luck alone would be e to the minus eight.
+const STALL_MISSED_ENDS: u64 = 8;
 /// A failed call counts as this many times the smoothed service time, so that a server that
 /// fails at once never looks idle.
 const FAILURE_PENALTY: i64 = 4;
@@ -67,8 +68,41 @@
     memory: HashMap<AttemptId, Memory>,
     forget: VecDeque<(u64, AttemptId)>,
     service_us: i64,
-    deviation_us: i64,
-    progress_us: u64,
+    progress: Progress,
+}
+
+/// What says how many running calls should have ended since the last one did.
+#[derive(Debug, Clone, Copy, Default)]
+struct Progress {
+    /// When the last call ended, in microseconds.
+    last_us: u64,
+    /// Calls that ran at that moment.
+    ran: u64,
+    /// Calls that have started since.
+    started: u64,
+    /// Sum of the moments at which they have, in microseconds.
+    started_sum_us: u64,
+}
+
+impl Progress {
+    /// Notes the end of a call, with the number that run on.
+    fn ended(&mut self, running: usize, now_us: u64) {
+        *self = Self { last_us: now_us, ran: running as u64, started: 0, started_sum_us: 0 };
+    }
+
+    /// Notes the start of a call.
+    fn began(&mut self, now_us: u64) {
+        self.started += 1;
+        self.started_sum_us += now_us;
+    }
+
+    /// Returns when [`STALL_MISSED_ENDS`] calls of `service_us` should have ended.
+    fn stalls_at_us(&self, service_us: u64) -> Option<u64> {
+        let running = self.ran + self.started;
+        let begun_us = self.ran * self.last_us + self.started_sum_us;
+        let at_us = (STALL_MISSED_ENDS * service_us + begun_us).checked_div(running)?;
+        Some(at_us.max(self.last_us + STALL_MIN_US))
+    }
 }
 
 impl Gate {
@@ -83,8 +117,7 @@
             memory: HashMap::with_capacity(1024),
             forget: VecDeque::with_capacity(1024),
             service_us: FIRST_SERVICE_US,
-            deviation_us: FIRST_SERVICE_US / 2,
-            progress_us: now_us,
+            progress: Progress { last_us: now_us, ..Progress::default() },
         }
     }
 
@@ -126,7 +159,8 @@
             return None;
         }
         let leave = self.waiting.iter().map(|w| w.leave_at_us).min()?;
-        if self.config.rescue { Some(leave.min(self.progress_us + self.stall_us())) } else { Some(leave) }
+        let stall = self.stalls_at_us().filter(|_| self.config.rescue);
+        Some(stall.map_or(leave, |stall| leave.min(stall)))
     }
 
     /// Takes one event and appends what must be done to `out`.
@@ -199,18 +233,18 @@
             return;
         };
         self.remember(attempt, true, now_us);
-        self.progress_us = now_us;
+        self.progress.ended(self.running.len(), now_us);
         let mut sample_us = now_us.saturating_sub(started_us) as i64;
         if !healthy {
             sample_us = sample_us.max(self.service_us.saturating_mul(FAILURE_PENALTY).min(1_000_000));
         }
         let off_us = sample_us - self.service_us;
         self.service_us = (self.service_us + off_us / SMOOTHING).max(1);
-        self.deviation_us += (off_us.abs() - self.deviation_us) / SMOOTHING;
     }
 
     fn refused(&mut self, attempt: AttemptId, now_us: u64, out: &mut Vec<GateAction>) {
         if self.running.remove(&attempt).is_some() {
+            self.progress.ended(self.running.len(), now_us);
             self.bounce(attempt, BounceReason::Refused, now_us, out);
         }
     }
@@ -268,21 +302,18 @@
                 self.bounce(waiting.attempt, BounceReason::Full, now_us, out);
                 continue;
             }
-            if self.running.is_empty() {
-                self.progress_us = now_us;
-            }
+            self.progress.began(now_us);
             self.running.insert(waiting.attempt, now_us);
             out.push(GateAction::Start { attempt: waiting.attempt });
         }
     }
 
-    fn stall_us(&self) -> u64 {
-        let usual_us = self.service_us as u64 + STALL_DEVIATIONS * self.deviation_us as u64;
-        usual_us.max(STALL_MIN_US)
+    fn stalls_at_us(&self) -> Option<u64> {
+        self.progress.stalls_at_us(self.service_us as u64)
     }
 
     fn stalled(&self, now_us: u64) -> bool {
-        !self.running.is_empty() && now_us.saturating_sub(self.progress_us) >= self.stall_us()
+        !self.running.is_empty() && self.stalls_at_us().is_some_and(|at_us| now_us >= at_us)
     }
 
     fn knows(&self, attempt: AttemptId) -> bool {
