Attempts carry their patience; what waits behind a stall is always given back

Ruled out: more bounces (the call still ends behind a stall), and a longer queue.

Change: the count of bounces on the wire becomes a patience: none (a hedge wants a free slot), short (another server looks as if it had room), long (none does), last (every server was tried). A stall gives back all but the last, at no cost to the allowance; a hedge that is bounced is dropped; a call that was let in for long is not turned out later.

--- a/standin/src/bench/mod.rs
+++ b/standin/src/bench/mod.rs
@@ -26,6 +26,8 @@
     pub plot: Option<PathBuf>,
     /// Only scenarios whose name holds this text.
     pub only: String,
+    /// Only contenders whose name holds this text.
+    pub policy: String,
 }
 
 /// Runs every contender in every scenario and prints a table.
@@ -36,10 +38,11 @@
 pub fn run(settings: &BenchSettings) -> Result<(), String> {
     report::head();
     for scenario in SCENARIOS.iter().filter(|scenario| scenario.name.contains(&settings.only)) {
-        let rows: Vec<Row> = contenders()
-            .iter()
-            .map(|contender| run_one(scenario, contender, settings.seconds, settings.seed))
-            .collect();
+        let wanted = |contender: &&Contender| contender.name.contains(&settings.policy);
+        let contenders = contenders();
+        let rows = contenders.iter().filter(wanted);
+        let rows: Vec<Row> =
+            rows.map(|contender| run_one(scenario, contender, settings.seconds, settings.seed)).collect();
         rows.iter().for_each(report::line);
         if let (Some(path), true) = (&settings.plot, scenario.name == "mlekopot 80%") {
             report::plot(path, scenario.name, &rows)?;
--- a/standin/src/bench/world.rs
+++ b/standin/src/bench/world.rs
@@ -4,7 +4,7 @@
 use std::collections::{BinaryHeap, HashMap};
 
 use hdrhistogram::Histogram;
-use valetrack::gate::{AttemptId, Gate, GateAction, GateConfig, GateEvent, LoadReport, Word};
+use valetrack::gate::{AttemptId, Gate, GateAction, GateConfig, GateEvent, LoadReport, Patience, Word};
 use valetrack::placement::{
     Budgets, Call, CallAction, CallContext, CallEvent, CallRule, RateBudget, ServiceView, ShareBudget, Verdict,
 };
@@ -41,7 +41,7 @@
     /// A caller comes.
     Caller,
     /// An attempt reaches its owner.
-    Reach { call: usize, attempt: AttemptId, server: usize, bounces_left: u8 },
+    Reach { call: usize, attempt: AttemptId, server: usize, patience: Patience },
     /// A cancel reaches the owner.
     Cancel { call: usize, attempt: AttemptId, server: usize },
     /// A server is done.
@@ -176,10 +176,10 @@
     fn happen(&mut self, event: Event) {
         match event {
             Event::Caller => self.caller(),
-            Event::Reach { call, attempt, server, bounces_left } => {
+            Event::Reach { call, attempt, server, patience } => {
                 self.waiting.insert(attempt, call);
                 let deadline_us = self.callers[call].began_us + DEADLINE_US;
-                self.gate(server, GateEvent::Arrive { attempt, deadline_us, bounces_left });
+                self.gate(server, GateEvent::Arrive { attempt, deadline_us, patience });
             }
             Event::Cancel { call, attempt, server } => {
                 self.waiting.entry(attempt).or_insert(call);
@@ -269,10 +269,10 @@
     fn act(&mut self, call: usize, action: CallAction) {
         let entry = self.callers[call].entry;
         match action {
-            CallAction::Send { attempt, server, bounces_left } => {
+            CallAction::Send { attempt, server, patience } => {
                 self.row.attempts += u64::from(self.counted(call));
                 let way_us = way_us(self.scenario, entry, server);
-                self.later(way_us, Event::Reach { call, attempt, server, bounces_left });
+                self.later(way_us, Event::Reach { call, attempt, server, patience });
             }
             CallAction::Cancel { attempt, server } => {
                 let way_us = way_us(self.scenario, entry, server);
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -16,7 +16,7 @@
                [--noise-every-ms N] [--seed N]
 standin load   --door IP:PORT... [--direct] [--service NAME] [--rate CALLS_PER_S] [--seconds N]
                [--keyed-percent N] [--path PATH] [--seed N] [--plot FILE.svg] [--json] [--name TEXT]
-standin bench  [--seconds N] [--seed N] [--plot FILE.svg] [--only TEXT]
+standin bench  [--seconds N] [--seed N] [--plot FILE.svg] [--only TEXT] [--policy TEXT]
 ";
 
 #[derive(Default)]
@@ -89,6 +89,7 @@
             seed: args.number("seed", 7)?,
             plot: args.get("plot").map(Into::into),
             only: args.get("only").unwrap_or("").to_owned(),
+            policy: args.get("policy").unwrap_or("").to_owned(),
         }),
         _ => Err("a command is missing".into()),
     }
--- a/valetrack/src/caller/request.rs
+++ b/valetrack/src/caller/request.rs
@@ -7,8 +7,8 @@
 
 use crate::bundle::{Bundle, ServiceRule};
 use crate::code::Code;
-use crate::gate::AttemptId;
 use crate::gate::run::travelling;
+use crate::gate::{AttemptId, Patience};
 use crate::link::message::CallHead;
 
 /// Header that names the service; without it the first label of the host does.
@@ -85,7 +85,7 @@
         body_bytes: 0,
         deadline_ms: asked_ms.min(limit_ms.into()) as u32,
         depth: depth as u8 + 1,
-        bounces_left: 0,
+        patience: Patience::Long,
         key: key.filter(|_| !repeatable).map(Arc::from),
         hlc: 0,
     };
--- a/valetrack/src/gate/message.rs
+++ b/valetrack/src/gate/message.rs
@@ -58,6 +58,19 @@
     Refused,
 }
 
+/// How long an entry lets an attempt wait for a slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Patience {
+    /// Not at all: a hedge is worth a free slot, but no place in a queue.
+    None,
+    /// Shortly: another server looks as if it had room.
+    Short,
+    /// As long as the queue is bounded to, unless the server stalls.
+    Long,
+    /// As long as the queue is bounded to, come what may: every server was tried.
+    Last,
+}
+
 /// Something that happened to the gate.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum GateEvent {
@@ -67,8 +80,8 @@
         attempt: AttemptId,
         /// Latest useful end on this process's monotonic clock, in microseconds.
         deadline_us: u64,
-        /// How often the entry may still try elsewhere.
-        bounces_left: u8,
+        /// How long the entry lets it wait here.
+        patience: Patience,
     },
     /// A started attempt ended, whether well or not.
     Done {
--- a/valetrack/src/gate/mod.rs
+++ b/valetrack/src/gate/mod.rs
@@ -11,5 +11,5 @@
 #[cfg(test)]
 mod tests;
 
-pub use message::{AttemptId, BounceReason, GateAction, GateEvent, LoadReport, Word};
+pub use message::{AttemptId, BounceReason, GateAction, GateEvent, LoadReport, Patience, Word};
 pub use state::{Gate, GateConfig, MEMORY_US};
--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -107,14 +107,14 @@
     /// Runs a call when the gate lets it, and waits for the end.
     pub async fn call(self: &Rc<Self>, head: CallHead, body: Bytes) -> GateReply {
         let attempt = head.attempt;
-        let bounces_left = head.bounces_left;
+        let patience = head.patience;
         let deadline_us = now_us() + u64::from(head.deadline_ms) * 1000;
         let (reply, answered) = oneshot::channel();
         if self.jobs.borrow().contains_key(&attempt) {
             return GateReply::Bounce(BounceReason::Cancelled);
         }
         self.jobs.borrow_mut().insert(attempt, Job { head, body, deadline_us, reply });
-        self.handle(GateEvent::Arrive { attempt, deadline_us, bounces_left });
+        self.handle(GateEvent::Arrive { attempt, deadline_us, patience });
         answered.await.unwrap_or(GateReply::Bounce(BounceReason::Cancelled))
     }
 
--- a/valetrack/src/gate/state.rs
+++ b/valetrack/src/gate/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use super::message::{AttemptId, BounceReason, GateAction, GateEvent, LoadReport, Word};
+use super::message::{AttemptId, BounceReason, GateAction, GateEvent, LoadReport, Patience, Word};
 
 /// How long an ended or cancelled attempt is remembered, in microseconds.
 ///
@@ -45,7 +45,7 @@
     attempt: AttemptId,
     deadline_us: u64,
     leave_at_us: u64,
-    bounces_left: u8,
+    patience: Patience,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -167,8 +167,8 @@
     pub fn handle(&mut self, event: GateEvent, now_us: u64, out: &mut Vec<GateAction>) {
         self.expire(now_us);
         match event {
-            GateEvent::Arrive { attempt, deadline_us, bounces_left } => {
-                self.arrive(attempt, deadline_us, bounces_left, now_us, out);
+            GateEvent::Arrive { attempt, deadline_us, patience } => {
+                self.arrive(attempt, deadline_us, patience, now_us, out);
             }
             GateEvent::Done { attempt, healthy } => self.done(attempt, healthy, now_us),
             GateEvent::Refused { attempt } => self.refused(attempt, now_us, out),
@@ -184,7 +184,7 @@
         &mut self,
         attempt: AttemptId,
         deadline_us: u64,
-        bounces_left: u8,
+        patience: Patience,
         now_us: u64,
         out: &mut Vec<GateAction>,
     ) {
@@ -201,26 +201,30 @@
             return;
         }
         let room = (self.running.len() as u16) < self.limit(now_us) && self.waiting.is_empty();
-        if !room && let Some(reason) = self.refuses_to_queue(deadline_us, bounces_left, now_us) {
+        if !room && let Some(reason) = self.refuses_to_queue(deadline_us, patience, now_us) {
             self.bounce(attempt, reason, now_us, out);
             return;
         }
-        let leave_at_us = deadline_us.min(now_us + self.config.queue_max_us);
-        self.waiting.push_back(Waiting { attempt, deadline_us, leave_at_us, bounces_left });
+        let leave_at_us = match patience {
+            // Whoever has nowhere better to go is kept once it was let in.
+            Patience::Long | Patience::Last => deadline_us,
+            Patience::None | Patience::Short => deadline_us.min(now_us + self.service_us as u64),
+        };
+        self.waiting.push_back(Waiting { attempt, deadline_us, leave_at_us, patience });
     }
 
-    fn refuses_to_queue(&self, deadline_us: u64, bounces_left: u8, now_us: u64) -> Option<BounceReason> {
-        if self.config.rescue && bounces_left > 0 && self.stalled(now_us) {
+    fn refuses_to_queue(&self, deadline_us: u64, patience: Patience, now_us: u64) -> Option<BounceReason> {
+        if self.config.rescue && patience != Patience::Last && self.stalled(now_us) {
             return Some(BounceReason::Stalled);
         }
         let limit = u64::from(self.limit(now_us).max(1));
         let ahead = self.waiting.len() as u64 + 1;
         let wait_us = ahead * self.service_us as u64 / limit;
         let end_us = now_us + wait_us + self.service_us as u64;
-        // A caller that may go elsewhere is kept only for a short wait.
-        let patience_us = match bounces_left {
-            0 => self.config.queue_max_us,
-            _ => self.config.queue_max_us.min(self.service_us as u64 / 2),
+        let patience_us = match patience {
+            Patience::None => 0,
+            Patience::Short => self.config.queue_max_us.min(self.service_us as u64 / 2),
+            Patience::Long | Patience::Last => self.config.queue_max_us,
         };
         if wait_us > patience_us || end_us > deadline_us {
             return Some(BounceReason::Full);
@@ -281,7 +285,7 @@
             let waiting = self.waiting[kept];
             let reason = match () {
                 () if now_us >= waiting.leave_at_us => BounceReason::Full,
-                () if stalled && waiting.bounces_left > 0 => BounceReason::Stalled,
+                () if stalled && waiting.patience != Patience::Last => BounceReason::Stalled,
                 () => {
                     kept += 1;
                     continue;
--- a/valetrack/src/gate/tests/property.rs
+++ b/valetrack/src/gate/tests/property.rs
@@ -4,11 +4,11 @@
 
 use proptest::prelude::*;
 
-use crate::gate::{AttemptId, Gate, GateAction, GateConfig, GateEvent, Word};
+use crate::gate::{AttemptId, Gate, GateAction, GateConfig, GateEvent, Patience, Word};
 
 #[derive(Debug, Clone)]
 enum Choice {
-    Arrive { seq: u64, limit_us: u64, bounces_left: u8 },
+    Arrive { seq: u64, limit_us: u64, patience: Patience },
     End { at: usize, healthy: bool },
     Refuse { at: usize },
     Cancel { seq: u64 },
@@ -18,8 +18,8 @@
 
 fn choice() -> impl Strategy<Value = Choice> {
     prop_oneof![
-        8 => (0..40u64, 0..200_000u64, 0..3u8)
-            .prop_map(|(seq, limit_us, bounces_left)| Choice::Arrive { seq, limit_us, bounces_left }),
+        8 => (0..40u64, 0..200_000u64, prop::sample::select(vec![Patience::None, Patience::Short, Patience::Long, Patience::Last]))
+            .prop_map(|(seq, limit_us, patience)| Choice::Arrive { seq, limit_us, patience }),
         6 => (any::<usize>(), any::<bool>()).prop_map(|(at, healthy)| Choice::End { at, healthy }),
         1 => any::<usize>().prop_map(|at| Choice::Refuse { at }),
         3 => (0..40u64).prop_map(|seq| Choice::Cancel { seq }),
@@ -96,12 +96,12 @@
             now_us += pause_us;
             let mut actions = Vec::new();
             let event = match choice {
-                Choice::Arrive { seq, limit_us, bounces_left } => {
+                Choice::Arrive { seq, limit_us, patience } => {
                     let attempt = attempt(seq);
                     if !observer.started.contains(&attempt) && !observer.given_up.contains(&attempt) {
                         observer.waiting.insert(attempt);
                     }
-                    GateEvent::Arrive { attempt, deadline_us: now_us + limit_us, bounces_left }
+                    GateEvent::Arrive { attempt, deadline_us: now_us + limit_us, patience }
                 }
                 Choice::End { .. } | Choice::Refuse { .. } if observer.running.is_empty() => GateEvent::Tick,
                 Choice::End { at, healthy } => {
--- a/valetrack/src/gate/tests/steps.rs
+++ b/valetrack/src/gate/tests/steps.rs
@@ -2,7 +2,7 @@
 
 use test_case::test_case;
 
-use crate::gate::{AttemptId, BounceReason, Gate, GateAction, GateConfig, GateEvent, MEMORY_US, Word};
+use crate::gate::{AttemptId, BounceReason, Gate, GateAction, GateConfig, GateEvent, MEMORY_US, Patience, Word};
 
 const CONFIG: GateConfig = GateConfig { slots: 1, queue_max_us: 10_000, ramp_us: 0, rescue: true };
 
@@ -10,8 +10,8 @@
     AttemptId { entry: 9, seq }
 }
 
-fn arrive(seq: u64, bounces_left: u8) -> GateEvent {
-    GateEvent::Arrive { attempt: attempt(seq), deadline_us: 1_000_000, bounces_left }
+fn arrive(seq: u64, patience: Patience) -> GateEvent {
+    GateEvent::Arrive { attempt: attempt(seq), deadline_us: 1_000_000, patience }
 }
 
 fn feed(gate: &mut Gate, event: GateEvent, now_us: u64) -> Vec<GateAction> {
@@ -25,42 +25,46 @@
     let mut gate = Gate::new(CONFIG, 0);
     let said = feed(&mut gate, GateEvent::Cancel { attempt: attempt(1) }, 0);
     assert_eq!(said, [GateAction::Say { attempt: attempt(1), word: Word::NeverStarted }]);
-    let late = feed(&mut gate, arrive(1, 0), MEMORY_US - 1);
+    let late = feed(&mut gate, arrive(1, Patience::Long), MEMORY_US - 1);
     assert_eq!(late, [GateAction::Bounce { attempt: attempt(1), reason: BounceReason::Cancelled }]);
 }
 
-#[test]
-fn a_waiting_attempt_is_given_back_when_its_time_is_up() {
-    let mut gate = Gate::new(CONFIG, 0);
-    feed(&mut gate, arrive(1, 0), 0);
-    assert_eq!(feed(&mut gate, arrive(2, 0), 0), []);
-    assert!(gate.next_tick_us().is_some_and(|at| at <= 10_000));
-    let given_back = feed(&mut gate, GateEvent::Tick, 10_000);
-    assert_eq!(given_back, [GateAction::Bounce { attempt: attempt(2), reason: BounceReason::Full }]);
+#[test_case(Patience::Short, 2_000; "one that may go elsewhere leaves after a service time")]
+#[test_case(Patience::Last, 1_000_000; "one that was let in for long stays to its deadline")]
+fn a_waiting_attempt_is_given_back_when_its_time_is_up(patience: Patience, at_us: u64) {
+    let mut gate = Gate::new(GateConfig { slots: 4, ..CONFIG }, 0);
+    for seq in 0..4 {
+        feed(&mut gate, arrive(seq, Patience::Last), 0);
+    }
+    assert_eq!(feed(&mut gate, arrive(4, patience), 0), []);
+    assert!(gate.next_tick_us().is_some_and(|next_us| next_us <= at_us));
+    assert_eq!(feed(&mut gate, GateEvent::Tick, at_us - 1), []);
+    let given_back = feed(&mut gate, GateEvent::Tick, at_us);
+    assert_eq!(given_back, [GateAction::Bounce { attempt: attempt(4), reason: BounceReason::Full }]);
 }
 
 #[test]
 fn work_that_cannot_meet_its_deadline_is_refused_before_it_waits() {
     let mut gate = Gate::new(CONFIG, 0);
-    feed(&mut gate, arrive(1, 0), 0);
-    let hurried = GateEvent::Arrive { attempt: attempt(2), deadline_us: 500, bounces_left: 0 };
+    feed(&mut gate, arrive(1, Patience::Long), 0);
+    let hurried = GateEvent::Arrive { attempt: attempt(2), deadline_us: 500, patience: Patience::Long };
     let refused = feed(&mut gate, hurried, 0);
     assert_eq!(refused, [GateAction::Bounce { attempt: attempt(2), reason: BounceReason::Full }]);
 }
 
-#[test_case(1, Some(BounceReason::Stalled); "one that may go elsewhere goes")]
-#[test_case(0, None; "one that has nowhere to go stays")]
-fn a_stall_gives_waiting_work_back(bounces_left: u8, expected: Option<BounceReason>) {
+#[test_case(Patience::Long, Some(BounceReason::Stalled); "one that may go elsewhere goes")]
+#[test_case(Patience::Last, None; "one that has nowhere to go stays")]
+fn a_stall_gives_waiting_work_back(patience: Patience, expected: Option<BounceReason>) {
     let config = GateConfig { slots: 4, queue_max_us: 500_000, ..CONFIG };
     let mut gate = Gate::new(config, 0);
     for seq in 0..40 {
-        feed(&mut gate, arrive(100 + seq, 0), seq * 1_000);
+        feed(&mut gate, arrive(100 + seq, Patience::Long), seq * 1_000);
         feed(&mut gate, GateEvent::Done { attempt: attempt(100 + seq), healthy: true }, seq * 1_000 + 1_000);
     }
     for seq in 0..4 {
-        feed(&mut gate, arrive(seq, 0), 40_000);
+        feed(&mut gate, arrive(seq, Patience::Long), 40_000);
     }
-    assert_eq!(feed(&mut gate, arrive(4, bounces_left), 40_100), []);
+    assert_eq!(feed(&mut gate, arrive(4, patience), 40_100), []);
     let actions = feed(&mut gate, GateEvent::Tick, 60_000);
     assert!(gate.load(60_000).stalled);
     let reason = actions.iter().find_map(|action| match action {
@@ -73,14 +77,14 @@
 #[test]
 fn a_drain_gives_back_what_waits_and_lets_finish_what_runs() {
     let mut gate = Gate::new(CONFIG, 0);
-    feed(&mut gate, arrive(1, 2), 0);
-    feed(&mut gate, arrive(2, 0), 0);
+    feed(&mut gate, arrive(1, Patience::Short), 0);
+    feed(&mut gate, arrive(2, Patience::Long), 0);
     let actions = feed(&mut gate, GateEvent::Drain, 100);
     assert_eq!(actions, [GateAction::Bounce { attempt: attempt(2), reason: BounceReason::Leaving }]);
     assert!(!gate.idle());
     feed(&mut gate, GateEvent::Done { attempt: attempt(1), healthy: true }, 200);
     assert!(gate.idle());
-    let refused = feed(&mut gate, arrive(3, 2), 300);
+    let refused = feed(&mut gate, arrive(3, Patience::Short), 300);
     assert_eq!(refused, [GateAction::Bounce { attempt: attempt(3), reason: BounceReason::Leaving }]);
 }
 
@@ -96,7 +100,7 @@
     let mut gate = Gate::new(CONFIG, 0);
     let before_us = gate.load(0).service_us;
     for seq in 0..20 {
-        feed(&mut gate, arrive(seq, 0), seq * 100);
+        feed(&mut gate, arrive(seq, Patience::Long), seq * 100);
         feed(&mut gate, GateEvent::Done { attempt: attempt(seq), healthy: false }, seq * 100 + 10);
     }
     assert!(gate.load(3_000).service_us > before_us);
--- a/valetrack/src/link/message.rs
+++ b/valetrack/src/link/message.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::gate::{AttemptId, BounceReason, LoadReport, Word};
+use crate::gate::{AttemptId, BounceReason, LoadReport, Patience, Word};
 use crate::member::Member;
 use crate::placement::Outcome;
 
@@ -40,8 +40,8 @@
     pub deadline_ms: u32,
     /// How deep the call is nested.
     pub depth: u8,
-    /// How often the owner may still give it back.
-    pub bounces_left: u8,
+    /// How long the owner may let it wait.
+    pub patience: Patience,
     /// The caller's idempotency key.
     pub key: Option<Arc<str>>,
     /// Hybrid clock of the sender.
--- a/valetrack/src/link/tests.rs
+++ b/valetrack/src/link/tests.rs
@@ -9,7 +9,7 @@
 use super::codec::{FrameError, LENGTH_BYTES, pack, unpack};
 use super::message::{Ask, CallHead, HEAD_MAX_BYTES, Reply, ReplyHead, Riding};
 use super::tls;
-use crate::gate::{AttemptId, LoadReport};
+use crate::gate::{AttemptId, LoadReport, Patience};
 
 fn call(path: String, headers: Vec<(String, Vec<u8>)>, body_bytes: usize, key: Option<String>) -> Ask {
     Ask::Run(CallHead {
@@ -22,7 +22,7 @@
         body_bytes: body_bytes as u32,
         deadline_ms: 100,
         depth: 1,
-        bounces_left: 2,
+        patience: Patience::Short,
         key: key.map(Arc::from),
         hlc: 9,
     })
--- a/valetrack/src/placement/call.rs
+++ b/valetrack/src/placement/call.rs
@@ -8,7 +8,7 @@
 use super::message::{CallAction, CallEvent, ServerIndex, Verdict};
 use super::view::{ServerSet, ServiceView};
 use crate::code::Code;
-use crate::gate::{AttemptId, BounceReason, Word};
+use crate::gate::{AttemptId, BounceReason, Patience, Word};
 
 /// Most attempts of one call that are remembered; a call makes fewer.
 const MAX_ATTEMPTS: usize = 12;
@@ -68,6 +68,7 @@
 struct Attempt {
     id: AttemptId,
     server: ServerIndex,
+    patience: Patience,
     state: AttemptState,
 }
 
@@ -82,6 +83,8 @@
     bounces_left: u8,
     retries_left: u8,
     hedged: bool,
+    /// Whether an attempt was let wait come what may.
+    last_resort: bool,
     past_deadline: bool,
     last_code: Code,
     finished: bool,
@@ -99,6 +102,7 @@
             bounces_left: rule.bounces,
             retries_left: rule.retries,
             hedged: false,
+            last_resort: false,
             past_deadline: false,
             last_code: Code::NoServer,
             finished: false,
@@ -187,8 +191,17 @@
             self.settle(cx, out);
             return;
         }
-        // A leaving server is no sign of load, so its bounce costs nothing of the allowance.
-        let free = reason == BounceReason::Leaving;
+        if self.patience(at) == Patience::None && self.outstanding() > 0 {
+            // A hedge that found no free slot is no loss; the first attempt goes on.
+            return;
+        }
+        if matches!(self.patience(at), Patience::Long | Patience::Last) && reason == BounceReason::Full {
+            // It was the last resort, so no server has room.
+            self.settle(cx, out);
+            return;
+        }
+        // Leaving or standing still is no sign of load elsewhere, so it costs no allowance.
+        let free = matches!(reason, BounceReason::Leaving | BounceReason::Stalled);
         self.move_on(server, free, cx, out);
     }
 
@@ -268,7 +281,7 @@
             return;
         }
         self.hedged = true;
-        self.send(server, cx, out);
+        self.send(server, Patience::None, cx, out);
     }
 
     fn deadline(&mut self, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) {
@@ -289,13 +302,9 @@
     fn move_on(&mut self, server: ServerIndex, free: bool, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) {
         self.excluded.insert(server);
         if !free {
-            if self.bounces_left == 0 {
-                self.settle(cx, out);
-                return;
-            }
-            self.bounces_left -= 1;
+            self.bounces_left = self.bounces_left.saturating_sub(1);
         }
-        if !self.send_next_if_any(cx, out) {
+        if !self.send_next_if_any(cx, out) && !self.send_last(cx, out) {
             self.settle(cx, out);
         }
     }
@@ -339,7 +348,8 @@
             self.settle(cx, out);
             return None;
         };
-        self.send(server, cx, out);
+        let patience = self.patience_for(server, cx);
+        self.send(server, patience, cx, out);
         Some(server)
     }
 
@@ -347,10 +357,32 @@
         let Some(server) = self.next_server(cx) else {
             return false;
         };
-        self.send(server, cx, out);
+        let patience = self.patience_for(server, cx);
+        self.send(server, patience, cx, out);
         true
     }
 
+    /// Goes back to the best of the servers that were tried, to wait there, if that was not done.
+    fn send_last(&mut self, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) -> bool {
+        if self.last_resort || self.count >= MAX_ATTEMPTS {
+            return false;
+        }
+        let Some(server) = cx.view.pick(ServerSet::default(), cx.now_us, cx.rng) else {
+            return false;
+        };
+        self.send(server, Patience::Last, cx, out);
+        true
+    }
+
+    /// Returns how long an attempt may wait at a server: shortly only where another one looks as
+    /// if it had room and the allowance lets the call go there.
+    fn patience_for(&self, server: ServerIndex, cx: &CallContext<'_>) -> Patience {
+        let mut tried = self.excluded;
+        tried.insert(server);
+        let elsewhere = self.bounces_left > 0 && cx.view.has_room(tried, cx.now_us);
+        if elsewhere { Patience::Short } else { Patience::Long }
+    }
+
     fn next_server(&mut self, cx: &mut CallContext<'_>) -> Option<ServerIndex> {
         if self.count >= MAX_ATTEMPTS {
             return None;
@@ -358,13 +390,14 @@
         cx.view.pick(self.excluded, cx.now_us, cx.rng)
     }
 
-    fn send(&mut self, server: ServerIndex, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) {
+    fn send(&mut self, server: ServerIndex, patience: Patience, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) {
         let id = AttemptId { entry: self.entry, seq: *cx.next_seq };
         *cx.next_seq += 1;
         cx.view.sent(server);
-        self.attempts[self.count] = Some(Attempt { id, server, state: AttemptState::Sent });
+        self.last_resort |= patience == Patience::Last;
+        self.attempts[self.count] = Some(Attempt { id, server, patience, state: AttemptState::Sent });
         self.count += 1;
-        out.push(CallAction::Send { attempt: id, server, bounces_left: self.bounces_left });
+        out.push(CallAction::Send { attempt: id, server, patience });
     }
 
     fn ask(&mut self, at: usize, out: &mut Vec<CallAction>) {
@@ -407,6 +440,10 @@
         self.attempts[at].map_or(0, |attempt| attempt.server)
     }
 
+    fn patience(&self, at: usize) -> Patience {
+        self.attempts[at].map_or(Patience::Long, |attempt| attempt.patience)
+    }
+
     fn state(&self, at: usize) -> AttemptState {
         self.attempts[at].map_or(AttemptState::Lost, |attempt| attempt.state)
     }
--- a/valetrack/src/placement/message.rs
+++ b/valetrack/src/placement/message.rs
@@ -1,7 +1,7 @@
 //! Messages of placement: what happens to a call, and what is to be done for it.
 
 use crate::code::Code;
-use crate::gate::{AttemptId, BounceReason, LoadReport, Word};
+use crate::gate::{AttemptId, BounceReason, LoadReport, Patience, Word};
 
 /// Index of a server in its service's view; stable as long as the view keeps the server.
 pub type ServerIndex = usize;
@@ -86,8 +86,8 @@
         attempt: AttemptId,
         /// The server.
         server: ServerIndex,
-        /// How often the owner may still give it back.
-        bounces_left: u8,
+        /// How long it may wait there.
+        patience: Patience,
     },
     /// Ask the owner to cancel an attempt, on a new connection where the old one broke.
     Cancel {
--- a/valetrack/src/placement/run.rs
+++ b/valetrack/src/placement/run.rs
@@ -21,7 +21,7 @@
 use crate::bundle::{InForce, MeasureRule, ServiceRule};
 use crate::clock::now_us;
 use crate::code::Code;
-use crate::gate::{AttemptId, LoadReport};
+use crate::gate::{AttemptId, LoadReport, Patience};
 use crate::link::message::{AnswerHead, Answered, Ask, CallHead, Question, Reply};
 use crate::link::peer::{LinkJob, LinkResult, Target};
 use crate::link::run::word_of;
@@ -219,8 +219,8 @@
             }
             for action in actions.drain(..) {
                 match action {
-                    CallAction::Send { attempt, server, bounces_left } => {
-                        out.push(self.clone().send(&head, &body, attempt, server, bounces_left, deadline));
+                    CallAction::Send { attempt, server, patience } => {
+                        out.push(self.clone().send(&head, &body, attempt, server, patience, deadline));
                     }
                     CallAction::Cancel { attempt, server } => {
                         out.push(self.clone().cancel(&head.service, attempt, server));
@@ -280,11 +280,11 @@
         body: &Bytes,
         attempt: AttemptId,
         server: ServerIndex,
-        bounces_left: u8,
+        patience: Patience,
         deadline: Instant,
     ) -> LocalBoxFuture<'static, Event> {
         let left_ms = deadline.saturating_duration_since(Instant::now()).as_millis() as u32;
-        let mut head = CallHead { attempt, bounces_left, deadline_ms: left_ms, key: None, ..head.clone() };
+        let mut head = CallHead { attempt, patience, deadline_ms: left_ms, key: None, ..head.clone() };
         let body = body.clone();
         Box::pin(async move {
             let service = head.service.clone();
--- a/valetrack/src/placement/view.rs
+++ b/valetrack/src/placement/view.rs
@@ -19,6 +19,8 @@
 const EJECT_US: u64 = 1_000_000;
 /// Longest ejection, in microseconds.
 const EJECT_MAX_US: u64 = 30_000_000;
+/// For this long a report that a server is full is taken at its word, in microseconds.
+const ROOM_US: u64 = 10_000;
 /// A service without a pick for this many stale times is not worth a probe.
 const USED_STALES: u64 = 10;
 /// A stalled server's expected time grows by this much, in microseconds.
@@ -248,6 +250,24 @@
         self.servers.get(server).and_then(|view| view.seen).map_or(FIRST_SERVICE_US, |seen| seen.load.service_us)
     }
 
+    /// Returns whether a server outside `tried` looks as if it could start a call at once; one of
+    /// which little is known does.
+    pub fn has_room(&self, tried: ServerSet, now_us: u64) -> bool {
+        let rotation = self.rotation(now_us);
+        let open = |server: &ServerIndex| rotation.contains(*server) && !tried.contains(*server);
+        (0..self.servers.len()).filter(open).any(|server| self.looks_free(server, now_us))
+    }
+
+    fn looks_free(&self, server: ServerIndex, now_us: u64) -> bool {
+        let view = &self.servers[server];
+        let Some(seen) = view.seen.filter(|seen| now_us < seen.seen_us + ROOM_US) else {
+            return true;
+        };
+        let LoadReport { limit, in_flight, queued, stalled, .. } = seen.load;
+        let since = view.outstanding.saturating_sub(view.outstanding_seen);
+        !stalled && u32::from(in_flight) + u32::from(queued) + since < u32::from(limit)
+    }
+
     /// Picks a server outside `excluded`, if there is one in rotation.
     pub fn pick(&mut self, excluded: ServerSet, now_us: u64, rng: &mut fastrand::Rng) -> Option<ServerIndex> {
         self.used_us = Some(now_us);
