A queue of 20 ms; a call that a stall turned out is not turned away elsewhere

Cause: at 120% load a queue bounded at 50 ms was always full, and calls that a stall had turned out of one queue were refused by the others after they had waited: refusals up to 50 ms late.

Change: the bound of the queue in the bench is 20 ms; a call that was let in and turned out by a stall may wait up to twice the bound at the next server.

--- a/standin/src/bench/world.rs
+++ b/standin/src/bench/world.rs
@@ -34,7 +34,7 @@
 /// Age at which a view is probed, in microseconds.
 const STALE_US: u64 = 100_000;
 /// Longest wait for a slot, in microseconds.
-const QUEUE_US: u64 = 50_000;
+const QUEUE_US: u64 = 20_000;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Event {
--- a/valetrack/src/gate/state.rs
+++ b/valetrack/src/gate/state.rs
@@ -17,6 +17,8 @@
 /// A server stalls when this many calls should have ended by now and none has. Were the ends
 /// independent, the chance of that by luck alone would be e to the minus eight.
 const STALL_MISSED_ENDS: u64 = 8;
+/// A call on its last attempt may wait this many times the bound of the queue.
+const LAST_QUEUES: u64 = 2;
 /// A failed call counts as this many times the smoothed service time, so that a server that
 /// fails at once never looks idle.
 const FAILURE_PENALTY: i64 = 4;
@@ -224,7 +226,9 @@
         let patience_us = match patience {
             Patience::None => 0,
             Patience::Short => self.config.queue_max_us.min(self.service_us as u64 / 2),
-            Patience::Long | Patience::Last => self.config.queue_max_us,
+            Patience::Long => self.config.queue_max_us,
+            // It was let in elsewhere or turned away everywhere; turning it away now comes late.
+            Patience::Last => self.config.queue_max_us * LAST_QUEUES,
         };
         if wait_us > patience_us || end_us > deadline_us {
             return Some(BounceReason::Full);
--- a/valetrack/src/placement/call.rs
+++ b/valetrack/src/placement/call.rs
@@ -83,6 +83,8 @@
     bounces_left: u8,
     retries_left: u8,
     hedged: bool,
+    /// Whether a stall has turned the call out of a queue.
+    waited: bool,
     /// Whether an attempt was let wait come what may.
     last_resort: bool,
     past_deadline: bool,
@@ -102,6 +104,7 @@
             bounces_left: rule.bounces,
             retries_left: rule.retries,
             hedged: false,
+            waited: false,
             last_resort: false,
             past_deadline: false,
             last_code: Code::NoServer,
@@ -202,6 +205,8 @@
         }
         // Leaving or standing still is no sign of load elsewhere, so it costs no allowance.
         let free = matches!(reason, BounceReason::Leaving | BounceReason::Stalled);
+        // Whoever was let in and has waited is not to be turned away for a full queue.
+        self.waited |= reason == BounceReason::Stalled;
         self.move_on(server, free, cx, out);
     }
 
@@ -380,7 +385,11 @@
         let mut tried = self.excluded;
         tried.insert(server);
         let elsewhere = self.bounces_left > 0 && cx.view.has_room(tried, cx.now_us);
-        if elsewhere { Patience::Short } else { Patience::Long }
+        match () {
+            () if elsewhere => Patience::Short,
+            () if self.waited => Patience::Last,
+            () => Patience::Long,
+        }
     }
 
     fn next_server(&mut self, cx: &mut CallContext<'_>) -> Option<ServerIndex> {
