--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod load;
 pub mod relay;
 pub mod server;
+pub mod slope;
 pub mod store;
 pub mod web;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -6,7 +6,10 @@
 use lexopt::prelude::*;
 use standin::load::LoadSettings;
 use standin::server::ServerSettings;
-use standin::{bench, list, load, server, store};
+use standin::{bench, list, load, server, slope, store};
+
+#[global_allocator]
+static ALLOCATOR: slope::Counting = slope::Counting;
 
 const HELP: &str = "standin: stand-ins of the platform and of servers, and the load tool
 
@@ -17,6 +20,7 @@
 standin load   --door IP:PORT... [--direct] [--service NAME] [--rate CALLS_PER_S] [--seconds N]
                [--keyed-percent N] [--path PATH] [--seed N] [--plot FILE.svg] [--json] [--name TEXT]
 standin bench  [--seconds N] [--seed N] [--plot FILE.svg] [--only TEXT] [--policy TEXT]
+standin slope
 ";
 
 #[derive(Default)]
@@ -84,6 +88,10 @@
         Some("list") => io(runtime.block_on(list::run(args.addr("listen")?))),
         Some("server") => io(runtime.block_on(server::run(server_settings(args)?))),
         Some("load") => runtime.block_on(load::run(load_settings(args)?)),
+        Some("slope") => {
+            slope::run();
+            Ok(())
+        }
         Some("bench") => bench::run(&bench::BenchSettings {
             seconds: args.number("seconds", 10)?,
             seed: args.number("seed", 7)?,
--- a/valetrack/src/member/run.rs
+++ b/valetrack/src/member/run.rs
@@ -1,6 +1,6 @@
 //! The member thread: the VM list, exchanges with other nodes, and the spread of bundles.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,6 +23,8 @@
 const OTHERS: usize = 2;
 /// Most VMs in one exchange; news of one's own service and of leaving VMs goes first.
 const EXCHANGE_MAX: usize = 48;
+/// An unchanged view is published again after this time, in microseconds.
+const PUBLISH_US: u64 = 200_000;
 /// Time limit of one exchange, in milliseconds.
 const EXCHANGE_MS: u64 = 400;
 
@@ -87,6 +89,8 @@
     me: RefCell<Member>,
     rng: RefCell<fastrand::Rng>,
     push: Notify,
+    /// When the view was last published.
+    published_us: Cell<u64>,
 }
 
 /// Serves membership until told to close; must run on a local task set.
@@ -97,6 +101,7 @@
         me: RefCell::new(parts.me.clone()),
         rng: RefCell::new(rng),
         push: Notify::new(),
+        published_us: Cell::new(0),
         parts,
     });
     shell.merge(std::slice::from_ref(&shell.parts.me));
@@ -183,9 +188,13 @@
                 log::info!("event=member.{} peer={vm} incarnation={incarnation}", phase_label(*phase));
             }
         }
-        // Times of hearing are part of what claims read, so the view goes out in any case.
-        let _ = changed;
-        self.parts.members.send_replace(Arc::new(members.clone()));
+        // Times of hearing are part of what claims read, so the view goes out now and then also
+        // when nothing else has changed; a copy of a large view is dear.
+        let now = now_us();
+        if changed || now >= self.published_us.get() + PUBLISH_US {
+            self.published_us.set(now);
+            self.parts.members.send_replace(Arc::new(members.clone()));
+        }
     }
 
     /// Returns what goes out in an exchange, this VM first.
