--- a/standin/tests/common/mod.rs
+++ b/standin/tests/common/mod.rs
@@ -49,6 +49,13 @@
     node: Option<Child>,
 }
 
+impl Vm {
+    /// Returns whether the node's process is alive.
+    pub fn node_runs(&mut self) -> bool {
+        self.node.as_mut().is_some_and(|node| matches!(node.try_wait(), Ok(None)))
+    }
+}
+
 pub struct Fleet {
     dir: PathBuf,
     pub store_addr: SocketAddr,
--- a/standin/tests/planned_change.rs
+++ b/standin/tests/planned_change.rs
@@ -107,6 +107,37 @@
     fleet.wait_end(0).await;
 }
 
+#[tokio::test]
+async fn a_leaving_node_that_nobody_hears_refuses_new_work_itself() {
+    let mut fleet = Fleet::start().await;
+    fleet.server_flags.push(("slots", "64"));
+    fleet.grow("intake", 1).await;
+    fleet.grow("prizes", 1).await;
+    fleet.roll(&format!("{}\n[[service]]\nname = \"prizes\"\n", SHOP.replace("slots = 6", "slots = 64")));
+    fleet.wait_ready().await;
+    // Calls of the other door reach the leaving node, but no word of it reaches that door.
+    fleet.vms[1].cuts.set(true, true);
+    fleet.fault(fleet.vms[0].server_addr, "slow_us=1300000").await;
+    let door = fleet.door(0);
+    let held = tokio::spawn(async move { door.call("GET", "/", &[("valetrack-service", "intake")], "held").await });
+    sleep(Duration::from_millis(100)).await;
+    fleet.signal(0, "-TERM");
+    let stop = Arc::new(AtomicBool::new(false));
+    let load = tokio::spawn(callers(vec![fleet.door(1)], false, stop.clone()));
+    sleep(Duration::from_millis(300)).await;
+    let settled = runs_at(&fleet, 0).await;
+    sleep(Duration::from_millis(700)).await;
+    assert_eq!(runs_at(&fleet, 0).await, settled, "new work after the word");
+    assert!(fleet.vms[0].node_runs(), "the call in flight must keep the node");
+    stop.store(true, Ordering::Relaxed);
+    let words = load.await.expect("callers");
+    // The first call is given back, and its bounce tells the door; keys cannot be told "not run".
+    let refused = |word: &String| ["503 VT308", "503 VT302", "502 VT403"].contains(&word.as_str());
+    assert!(words.keys().all(refused), "{words:?}");
+    assert_eq!(told(&held.await.expect("a call")), "ran");
+    fleet.wait_end(0).await;
+}
+
 #[test_case("lag_ms=30000"; "a list that shows a dead and a leaving VM as serving")]
 #[tokio::test]
 async fn a_list_that_lags_brings_no_work_back(query: &str) {
--- a/valetrack/src/node.rs
+++ b/valetrack/src/node.rs
@@ -209,6 +209,7 @@
         vm: settings.vm.clone(),
         domain: settings.domain.clone(),
         domain_cost_us: settings.domain_cost_us,
+        policy: settings.policy,
         seed,
         entry: incarnation ^ seed.rotate_left(32),
         to_link,
--- a/valetrack/src/placement/run.rs
+++ b/valetrack/src/placement/run.rs
@@ -86,6 +86,7 @@
     vm: Arc<str>,
     domain: Arc<str>,
     domain_cost_us: u32,
+    policy: Policy,
     to_link: Sender<LinkJob>,
     to_member: Sender<MemberJob>,
     /// The bundle in force.
@@ -103,6 +104,8 @@
     pub domain: Arc<str>,
     /// Cost of leaving the failure domain, in microseconds.
     pub domain_cost_us: u32,
+    /// Rule of the pick.
+    pub policy: Policy,
     /// Seed of random choices.
     pub seed: u64,
     /// Random number of this process's life.
@@ -137,6 +140,7 @@
             vm: parts.vm,
             domain: parts.domain,
             domain_cost_us: parts.domain_cost_us,
+            policy: parts.policy,
             to_link: parts.to_link,
             to_member: parts.to_member,
             bundle: parts.bundle,
@@ -181,7 +185,7 @@
         self.metrics.measure_budget.set(bytes_per_s.into());
         inner.services.retain(|name, _| in_force.bundle.service(name).is_some());
         for rule in &in_force.bundle.services {
-            let state = inner.services.entry(rule.name.clone()).or_insert_with(|| new_service(rule));
+            let state = inner.services.entry(rule.name.clone()).or_insert_with(|| new_service(rule, self.policy));
             state.sync(members.servers_of(&rule.name), &self.domain, &self.vm, self.domain_cost_us);
         }
     }
@@ -455,12 +459,12 @@
     }
 }
 
-fn new_service(rule: &ServiceRule) -> ServiceState {
+fn new_service(rule: &ServiceRule, policy: Policy) -> ServiceState {
     let budgets = Budgets {
         retry: ShareBudget::new(rule.retry_percent, SHARE_BURST),
         hedge: ShareBudget::new(rule.hedge_percent, SHARE_BURST),
     };
-    ServiceState { view: ServiceView::new(Policy::Valetrack), budgets, targets: Vec::new() }
+    ServiceState { view: ServiceView::new(policy), budgets, targets: Vec::new() }
 }
 
 fn call_rule(rule: &ServiceRule, repeatable: bool) -> CallRule {
--- a/valetrack/src/placement/view.rs
+++ b/valetrack/src/placement/view.rs
@@ -69,6 +69,21 @@
     TwoChoices,
 }
 
+impl std::str::FromStr for Policy {
+    type Err = ();
+
+    fn from_str(name: &str) -> Result<Self, ()> {
+        match name {
+            "valetrack" => Ok(Self::Valetrack),
+            "random" => Ok(Self::Random),
+            "round-robin" => Ok(Self::RoundRobin),
+            "least-in-flight" => Ok(Self::LeastInFlight),
+            "two-choices" => Ok(Self::TwoChoices),
+            _ => Err(()),
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct ServerView {
     /// Present in the roster; a slot of the view is free otherwise.
--- a/valetrack/src/settings.rs
+++ b/valetrack/src/settings.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use crate::code::Code;
+use crate::placement::Policy;
 
 /// Prefix of every environment variable.
 pub const ENV_PREFIX: &str = "VALETRACK_";
@@ -54,6 +55,7 @@
     setting("drain-ms", "Longest time for a planned stop.", "0 to 600000", Some("30000")),
     setting("domain-cost-us", "Cost of leaving the failure domain, both ways.", "0 to 1000000", Some("1000")),
     setting("call-body-ms", "Time that a caller has to send its body.", "10 to 60000", Some("5000")),
+    setting("policy", "Rule of the pick; all but valetrack are for comparison.", POLICIES, Some("valetrack")),
     setting("log-level", "Least weight of events that are logged.", "error, warn, info, debug or trace", Some("info")),
     setting("seed", "Seed of random choices; 0 draws one.", "a whole number", Some("0")),
 ];
@@ -61,6 +63,9 @@
 /// What an address looks like.
 const ADDRESS: &str = "IP:PORT";
 
+/// Names of the rules of the pick.
+const POLICIES: &str = "valetrack, random, round-robin, least-in-flight or two-choices";
+
 const fn setting(
     flag: &'static str,
     help: &'static str,
@@ -131,6 +136,8 @@
     pub domain_cost_us: u32,
     /// Time that a caller has to send its body, in milliseconds.
     pub call_body_ms: u64,
+    /// Rule of the pick.
+    pub policy: Policy,
     /// Least weight of events that are logged.
     pub log_level: log::LevelFilter,
     /// Seed of random choices.
@@ -235,6 +242,7 @@
         let drain_ms = self.number("drain-ms", 0, 600_000);
         let domain_cost_us = self.number("domain-cost-us", 0, 1_000_000);
         let call_body_ms = self.number("call-body-ms", 10, 60_000);
+        let policy = self.parsed("policy");
         let log_level = self.parsed("log-level");
         let seed = self.number("seed", 0, u64::MAX);
         Some(NodeSettings {
@@ -258,6 +266,7 @@
             drain_ms: drain_ms?,
             domain_cost_us: domain_cost_us? as u32,
             call_body_ms: call_body_ms?,
+            policy: policy?,
             log_level: log_level?,
             seed: seed?,
         })
