Read as a newcomer: a node's start in steps, keys of a page in their own file, benches

Cause: the start of a node was one function of two hundred lines with tuples for its parts, and the decisions of claims had grown past 600 lines.

Ruled out: splitting the decisions of a page over files; they are one state machine.

Change: Joints holds what a node's threads are joined by and starts each of them; a key of a page reads and writes itself in entry.rs; criterion benches of the hot decisions. Behaviour as before.

--- /dev/null
+++ b/valetrack/benches/decision.rs
@@ -0,0 +1,48 @@
+//! Time of the hot decisions; run by command (`cargo bench -p valetrack`), not as a test.
+
+use criterion::{Criterion, criterion_group, criterion_main};
+use valetrack::gate::{AttemptId, Gate, GateConfig, GateEvent, LoadReport, Patience};
+use valetrack::link::codec::{pack, unpack};
+use valetrack::link::message::{Reply, ReplyHead, Riding};
+use valetrack::placement::{Policy, ServerSet, ServiceView};
+
+fn pick(c: &mut Criterion) {
+    for servers in [4, 16, 64] {
+        let mut view = ServiceView::new(Policy::Valetrack);
+        for server in 0..servers {
+            view.set_present(server, true, 100);
+            view.report(server, LoadReport { limit: 12, service_us: 4_000, ..LoadReport::default() }, 0);
+        }
+        let mut rng = fastrand::Rng::with_seed(1);
+        c.bench_function(&format!("pick among {servers}"), |b| {
+            b.iter(|| view.pick(ServerSet::default(), 10, &mut rng));
+        });
+    }
+}
+
+fn gate(c: &mut Criterion) {
+    let mut gate = Gate::new(GateConfig::default(), 0);
+    let mut actions = Vec::with_capacity(8);
+    let mut seq = 0;
+    c.bench_function("gate: arrive, start, done", |b| {
+        b.iter(|| {
+            seq += 1;
+            let (attempt, now_us) = (AttemptId { entry: 1, seq }, seq * 3_000);
+            let arrive = GateEvent::Arrive { attempt, deadline_us: now_us + 1_000_000, patience: Patience::Long };
+            gate.handle(arrive, now_us, &mut actions);
+            gate.handle(GateEvent::Done { attempt, healthy: true }, now_us + 2_000, &mut actions);
+            actions.clear();
+        });
+    });
+}
+
+fn codec(c: &mut Criterion) {
+    let riding = Riding { load: LoadReport::default(), bundle: 21_000, hlc: 1 << 56 };
+    let head = ReplyHead { reply: Reply::Load, riding };
+    let frame = pack(&head).expect("a small head");
+    c.bench_function("pack a reply", |b| b.iter(|| pack(&head)));
+    c.bench_function("unpack a reply", |b| b.iter(|| unpack::<ReplyHead>(frame.clone())));
+}
+
+criterion_group!(benches, pick, gate, codec);
+criterion_main!(benches);
--- a/valetrack/src/bundle/run.rs
+++ b/valetrack/src/bundle/run.rs
@@ -48,8 +48,8 @@
         members: watch::Receiver<Arc<Members>>,
         in_force: watch::Sender<Option<Arc<InForce>>>,
         metrics: Arc<Metrics>,
-    ) -> Rc<Self> {
-        Rc::new(Self { vm, domain, adoption: RefCell::new(Adoption::default()), store, members, in_force, metrics })
+    ) -> Self {
+        Self { vm, domain, adoption: RefCell::new(Adoption::default()), store, members, in_force, metrics }
     }
 
     /// Returns the number of the bundle in force; zero when there is none.
--- a/valetrack/src/claim/mod.rs
+++ b/valetrack/src/claim/mod.rs
@@ -4,6 +4,7 @@
 //! last knew; a key that was claimed and is not known to have finished never runs again; a press
 //! told `not-run` did not run and will not, under that press or any before it.
 
+mod entry;
 mod message;
 pub mod rank;
 pub mod run;
@@ -11,7 +12,8 @@
 #[cfg(test)]
 mod tests;
 
+pub use entry::ClaimRule;
 pub use message::{
     ClaimAction, ClaimEvent, Holder, Home, KeptAnswer, KeyDigest, Page, PageEntry, PressId, PressReply, Record, RunEnd,
 };
-pub use state::{ClaimRule, PageHome};
+pub use state::PageHome;
--- a/valetrack/src/claim/run.rs
+++ b/valetrack/src/claim/run.rs
@@ -13,9 +13,10 @@
 use tokio::sync::{oneshot, watch};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
+use super::entry::ClaimRule;
 use super::message::{ClaimAction, ClaimEvent, Holder, Home, KeptAnswer, KeyDigest, Page, PressId, PressReply, RunEnd};
 use super::rank::{PAGES, call_digest, digest, page_of, rank, store_key};
-use super::state::{ClaimRule, PageHome};
+use super::state::PageHome;
 use crate::bundle::{ClaimMode, InForce};
 use crate::clock::{now_us, wall_us};
 use crate::code::Code;
--- a/valetrack/src/claim/state.rs
+++ b/valetrack/src/claim/state.rs
@@ -7,64 +7,10 @@
 
 use std::collections::BTreeMap;
 
-use super::message::{
-    ClaimAction, ClaimEvent, Holder, Home, KeptAnswer, KeyDigest, Page, PageEntry, PressId, PressReply, Record, RunEnd,
-};
+use super::entry::{Arrived, ClaimRule, Entry, Hold, State};
+use super::message::{ClaimAction, ClaimEvent, Holder, Home, KeyDigest, Page, PressId, PressReply, RunEnd};
 use crate::code::Code;
 
-/// How claims of a service are kept.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct ClaimRule {
-    /// How long a key is remembered, in seconds.
-    pub lifetime_s: u64,
-    /// Whether to run on claims in memory while the store is away.
-    pub held: bool,
-    /// Most keys in one page.
-    pub entries_max: usize,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-enum Hold {
-    /// Another node may be the home.
-    Away,
-    /// The page is being read.
-    Reading,
-    /// This node is the home, as of this revision.
-    Held { revision: u64 },
-    /// A write on this revision is under way.
-    Writing { expected: u64, hand_over: bool, doubted: bool },
-    /// This node was the home, and a write of its own may or may not have taken effect.
-    Unsure,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-enum State {
-    /// Claimed in memory; no write with the claim is confirmed.
-    Fresh,
-    /// The run is on.
-    Running,
-    /// It ran.
-    Finished(KeptAnswer),
-    /// It may have run.
-    Lost,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-struct Entry {
-    call: u64,
-    claimed_s: u64,
-    state: State,
-    /// Presses that wait for the end.
-    presses: Vec<PressId>,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-struct Arrived {
-    press: PressId,
-    key: KeyDigest,
-    call: u64,
-}
-
 /// What one node knows and decides of one page.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct PageHome {
@@ -296,7 +242,7 @@
             self.urgent |= self.doubted;
             self.held_in_store = page.held;
             if !was_home && self.entries.is_empty() {
-                self.adopt(&page, State::Lost, now_s);
+                self.adopt(&page, now_s);
             }
             self.hold = Hold::Held { revision };
             self.admit_arrived(now_s, out);
@@ -325,7 +271,7 @@
         // A run of this node's own that outlived its hold is still its to end.
         self.entries.retain(|_, entry| entry.state == State::Running);
         let running = std::mem::take(&mut self.entries);
-        self.adopt(page, State::Lost, now_s);
+        self.adopt(page, now_s);
         self.entries.extend(running);
         self.held_in_store = false;
         self.term = page.term + 1;
@@ -338,19 +284,15 @@
         self.admit_arrived(now_s, out);
     }
 
-    fn adopt(&mut self, page: &Page, claimed_as: State, now_s: u64) {
+    /// Takes over what a page says; whoever claimed and did not finish may have run.
+    fn adopt(&mut self, page: &Page, now_s: u64) {
         self.term = page.term;
         self.blind_until_s = page.blind_until_s;
         for entry in &page.entries {
             if now_s > entry.claimed_s + self.rule.lifetime_s {
                 continue;
             }
-            let state = match &entry.record {
-                Record::Claimed => claimed_as.clone(),
-                Record::Finished(answer) => State::Finished(answer.clone()),
-                Record::Lost => State::Lost,
-            };
-            let kept = Entry { call: entry.call, claimed_s: entry.claimed_s, state, presses: Vec::new() };
+            let kept = Entry::read(entry);
             self.entries.insert(entry.key, kept);
         }
     }
@@ -572,22 +514,12 @@
     }
 
     fn page(&self, hand_over: bool) -> Page {
-        let entry = |(&key, entry): (&KeyDigest, &Entry)| PageEntry {
-            key,
-            call: entry.call,
-            claimed_s: entry.claimed_s,
-            record: match &entry.state {
-                State::Fresh | State::Running => Record::Claimed,
-                State::Finished(answer) => Record::Finished(answer.clone()),
-                State::Lost => Record::Lost,
-            },
-        };
         Page {
             home: if hand_over { None } else { Some(self.me.clone()) },
             term: self.term,
             held: self.rule.held,
             blind_until_s: self.blind_until_s,
-            entries: self.entries.iter().map(entry).collect(),
+            entries: self.entries.iter().map(|(&key, entry)| entry.written(key)).collect(),
         }
     }
 
--- a/valetrack/src/member/run.rs
+++ b/valetrack/src/member/run.rs
@@ -65,8 +65,6 @@
     pub to_link: Sender<LinkJob>,
     /// Where the view of VMs is published.
     pub members: watch::Sender<Arc<Members>>,
-    /// Bundles.
-    pub bundler: Rc<Bundler>,
     /// Turns true when this node takes work.
     pub serving: watch::Receiver<bool>,
     /// Turns true when this node leaves.
@@ -85,6 +83,7 @@
 
 struct Shell {
     parts: MemberParts,
+    bundler: Rc<Bundler>,
     members: RefCell<Members>,
     me: RefCell<Member>,
     rng: RefCell<fastrand::Rng>,
@@ -94,7 +93,7 @@
 }
 
 /// Serves membership until told to close; must run on a local task set.
-pub async fn run(parts: MemberParts) {
+pub async fn run(parts: MemberParts, bundler: Bundler) {
     let rng = fastrand::Rng::with_seed(parts.seed);
     let shell = Rc::new(Shell {
         members: RefCell::new(Members::default()),
@@ -102,6 +101,7 @@
         rng: RefCell::new(rng),
         push: Notify::new(),
         published_us: Cell::new(0),
+        bundler: Rc::new(bundler),
         parts,
     });
     shell.merge(std::slice::from_ref(&shell.parts.me));
@@ -110,7 +110,7 @@
     duties.spawn_local(shell.clone().gossip());
     duties.spawn_local(shell.clone().follow_phase());
     duties.spawn_local(shell.clone().push_bundles());
-    duties.spawn_local(shell.parts.bundler.clone().follow_store());
+    duties.spawn_local(shell.bundler.clone().follow_store());
     let mut closing = shell.parts.closing.clone();
     loop {
         let job = tokio::select! {
@@ -149,7 +149,7 @@
     }
 
     fn bundle_heard(self: &Rc<Self>, number: u64, from: Target) {
-        if !self.parts.bundler.wants(number) {
+        if !self.bundler.wants(number) {
             return;
         }
         let shell = self.clone();
@@ -158,7 +158,7 @@
             if let LinkResult::Reply(answered) = shell.ask(from, question).await
                 && let Reply::Bundle { number, version } = answered.head.reply
             {
-                shell.parts.bundler.take_from_peer(number, &version, &answered.body);
+                shell.bundler.take_from_peer(number, &version, &answered.body);
             }
         });
     }
@@ -264,7 +264,7 @@
     }
 
     async fn exchange(self: Rc<Self>, target: Target) {
-        let bundle = self.parts.bundler.number();
+        let bundle = self.bundler.number();
         let question = Question { ask: Ask::Gossip { members: self.digest(), bundle }, body: Bytes::new() };
         let LinkResult::Reply(answered) = self.ask(target, question).await else {
             return;
@@ -281,7 +281,7 @@
 
     /// Passes a bundle on as soon as it is in force here.
     async fn push_bundles(self: Rc<Self>) {
-        let mut in_force = self.parts.bundler.subscribe();
+        let mut in_force = self.bundler.subscribe();
         while in_force.changed().await.is_ok() {
             self.push.notify_one();
         }
--- a/valetrack/src/node.rs
+++ b/valetrack/src/node.rs
@@ -5,6 +5,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use async_channel::{Receiver, Sender};
 use snafu::Snafu;
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Runtime};
@@ -19,16 +20,17 @@
 use crate::caller::keyed::KeyedRouter;
 use crate::caller::run::DoorParts;
 use crate::claim::Home;
-use crate::claim::run::ClaimParts;
+use crate::claim::run::{ClaimJob, ClaimParts};
 use crate::clock::wall_us;
 use crate::code::Code;
+use crate::link::peer::LinkJob;
 use crate::link::run::LinkParts;
-use crate::link::tls::{self, KeyError};
+use crate::link::tls::{self, KeyError, LinkTls};
 use crate::member::list::HttpList;
-use crate::member::run::MemberParts;
+use crate::member::run::{MemberJob, MemberParts};
 use crate::member::{Member, Members, Phase};
 use crate::metric::Metrics;
-use crate::placement::run::{Placer, PlacerParts};
+use crate::placement::run::{PlaceJob, Placer, PlacerParts};
 use crate::settings::NodeSettings;
 use crate::store::HttpStore;
 
@@ -100,6 +102,36 @@
     }
 }
 
+/// Both ends of a ring between two threads.
+struct Ring<T> {
+    to: Sender<T>,
+    from: Receiver<T>,
+}
+
+impl<T> Ring<T> {
+    fn new() -> Self {
+        let (to, from) = async_channel::bounded(RING);
+        Self { to, from }
+    }
+}
+
+/// All that a node's threads are joined by.
+struct Joints {
+    settings: NodeSettings,
+    seed: u64,
+    incarnation: u64,
+    words: Words,
+    metrics: Arc<Metrics>,
+    bundle: watch::Sender<Option<Arc<InForce>>>,
+    members: watch::Sender<Arc<Members>>,
+    link: Ring<LinkJob>,
+    claim: Ring<ClaimJob>,
+    place: Ring<PlaceJob>,
+    member: Ring<MemberJob>,
+    server_leaving: Arc<Notify>,
+    listed_leaving: Arc<Notify>,
+}
+
 /// Runs a node until it is told to stop, and takes it out of service in order.
 ///
 /// # Errors
@@ -107,174 +139,194 @@
 /// Returns why the node could not start.
 pub fn run(settings: NodeSettings) -> Result<(), NodeError> {
     let tls = tls::load(&settings.keys_dir, &settings.vm)?;
-    let seed = if settings.seed == 0 { fastrand::u64(1..) } else { settings.seed };
-    let incarnation = wall_us();
-    let me = Member {
-        vm: settings.vm.clone(),
-        incarnation,
-        phase: Phase::Joining,
-        domain: settings.domain.clone(),
-        service: settings.service.clone(),
-        link_addr: settings.advertise_addr,
-    };
-    let words = Words::new();
-    let metrics = Arc::new(Metrics::new());
-    let bundle = watch::Sender::new(None::<Arc<InForce>>);
-    let members = watch::Sender::new(Arc::new(Members::default()));
-    let (to_link, link_jobs) = async_channel::bounded(RING);
-    let (to_claim, claim_jobs) = async_channel::bounded(RING);
-    let (to_place, place_jobs) = async_channel::bounded(RING);
-    let (to_member, member_jobs) = async_channel::bounded(RING);
-    let server_leaving = Arc::new(Notify::new());
-    let listed_leaving = Arc::new(Notify::new());
-
     // Sockets are bound before any thread starts, so that a busy address is told at once.
-    let caller_listener = listen(settings.caller_addr)?;
-    let admin_listener = listen(settings.admin_addr)?;
-    let link_socket = std::net::UdpSocket::bind(settings.link_addr)
-        .map_err(|source| NodeError::Listen { addr: settings.link_addr, source })?;
-    drop(link_socket);
+    let callers = listen(settings.caller_addr)?;
+    let operators = listen(settings.admin_addr)?;
+    try_links(settings.link_addr)?;
+    let joints = Joints::new(settings);
+    let threads = vec![
+        joints.start_claim()?,
+        joints.start_member()?,
+        joints.start_path(callers, tls)?,
+        joints.start_admin(operators)?,
+    ];
+    log::info!("event=node.start incarnation={} release={}", joints.incarnation, env!("CARGO_PKG_VERSION"));
+    runtime()?.block_on(stay(&joints));
+    join(threads);
+    log::info!("event=node.stop");
+    Ok(())
+}
 
-    let mut threads = Vec::new();
-    let link_parts = LinkParts {
-        vm: settings.vm.clone(),
-        service: settings.service.clone(),
-        server_addr: settings.server_addr,
-        jobs: link_jobs,
-        to_claim,
-        to_member: to_member.clone(),
-        bundle: bundle.subscribe(),
-        leaving: words.leaving.subscribe(),
-        server_leaving: server_leaving.clone(),
-        drained: words.drained.clone(),
-        closing: words.closing.subscribe(),
-        metrics: metrics.clone(),
-    };
-    let claim_parts = ClaimParts {
-        me: Home { vm: settings.vm.clone(), incarnation },
-        service: settings.service.clone(),
-        jobs: claim_jobs,
-        to_place,
-        store: store(&settings),
-        writes_per_s: settings.store_writes_per_s,
-        reads_per_s: settings.store_reads_per_s,
-        store_timeout_ms: settings.store_timeout_ms,
-        silent_us: settings.silent_ms * 1000,
-        bundle: bundle.subscribe(),
-        members: members.subscribe(),
-        leaving: words.leaving.subscribe(),
-        released: words.released.clone(),
-        closing: words.closing.subscribe(),
-        metrics: metrics.clone(),
-    };
-    threads.push(spawn("claim", move || crate::claim::run::run(claim_parts))?);
+impl Joints {
+    fn new(settings: NodeSettings) -> Self {
+        let seed = if settings.seed == 0 { fastrand::u64(1..) } else { settings.seed };
+        Self {
+            settings,
+            seed,
+            incarnation: wall_us(),
+            words: Words::new(),
+            metrics: Arc::new(Metrics::new()),
+            bundle: watch::Sender::new(None),
+            members: watch::Sender::new(Arc::new(Members::default())),
+            link: Ring::new(),
+            claim: Ring::new(),
+            place: Ring::new(),
+            member: Ring::new(),
+            server_leaving: Arc::new(Notify::new()),
+            listed_leaving: Arc::new(Notify::new()),
+        }
+    }
 
-    let member_store = store(&settings);
-    let bundler_parts = (settings.vm.clone(), settings.domain.clone(), members.subscribe(), bundle.clone());
-    let member_metrics = metrics.clone();
-    let (list_addr, list_poll_ms, gossip_ms) = (settings.list_addr, settings.list_poll_ms, settings.gossip_ms);
-    let member_words = (
-        words.serving.subscribe(),
-        words.leaving.subscribe(),
-        words.gone.subscribe(),
-        words.farewell.clone(),
-        words.closing.subscribe(),
-    );
-    let (member_link, member_view, member_leaving) = (to_link.clone(), members.clone(), listed_leaving.clone());
-    threads.push(spawn("member", move || async move {
-        let (vm, domain, view, in_force) = bundler_parts;
-        let bundler = Bundler::new(vm, domain, member_store, view, in_force, member_metrics);
-        let (serving, leaving, gone, farewell, closing) = member_words;
+    fn store(&self) -> Arc<HttpStore> {
+        let limit = Duration::from_millis(self.settings.store_timeout_ms);
+        Arc::new(HttpStore::new(self.settings.store_addr, limit))
+    }
+
+    fn start_claim(&self) -> std::io::Result<JoinHandle<()>> {
+        let settings = &self.settings;
+        let parts = ClaimParts {
+            me: Home { vm: settings.vm.clone(), incarnation: self.incarnation },
+            service: settings.service.clone(),
+            jobs: self.claim.from.clone(),
+            to_place: self.place.to.clone(),
+            store: self.store(),
+            writes_per_s: settings.store_writes_per_s,
+            reads_per_s: settings.store_reads_per_s,
+            store_timeout_ms: settings.store_timeout_ms,
+            silent_us: settings.silent_ms * 1000,
+            bundle: self.bundle.subscribe(),
+            members: self.members.subscribe(),
+            leaving: self.words.leaving.subscribe(),
+            released: self.words.released.clone(),
+            closing: self.words.closing.subscribe(),
+            metrics: self.metrics.clone(),
+        };
+        spawn("claim", move || crate::claim::run::run(parts))
+    }
+
+    fn start_member(&self) -> std::io::Result<JoinHandle<()>> {
+        let settings = &self.settings;
+        let me = Member {
+            vm: settings.vm.clone(),
+            incarnation: self.incarnation,
+            phase: Phase::Joining,
+            domain: settings.domain.clone(),
+            service: settings.service.clone(),
+            link_addr: settings.advertise_addr,
+        };
+        let bundler = Bundler::new(
+            settings.vm.clone(),
+            settings.domain.clone(),
+            self.store(),
+            self.members.subscribe(),
+            self.bundle.clone(),
+            self.metrics.clone(),
+        );
         let parts = MemberParts {
             me,
-            list_poll: Duration::from_millis(list_poll_ms),
-            gossip: Duration::from_millis(gossip_ms),
-            list: Arc::new(HttpList::new(list_addr)),
-            jobs: member_jobs,
-            to_link: member_link,
-            members: member_view,
-            bundler,
-            serving,
-            leaving,
-            gone,
-            farewell,
-            closing,
-            listed_leaving: member_leaving,
-            seed,
+            list_poll: Duration::from_millis(settings.list_poll_ms),
+            gossip: Duration::from_millis(settings.gossip_ms),
+            list: Arc::new(HttpList::new(settings.list_addr)),
+            jobs: self.member.from.clone(),
+            to_link: self.link.to.clone(),
+            members: self.members.clone(),
+            serving: self.words.serving.subscribe(),
+            leaving: self.words.leaving.subscribe(),
+            gone: self.words.gone.subscribe(),
+            farewell: self.words.farewell.clone(),
+            closing: self.words.closing.subscribe(),
+            listed_leaving: self.listed_leaving.clone(),
+            seed: self.seed,
         };
-        crate::member::run::run(parts).await;
-    })?);
+        spawn("member", move || crate::member::run::run(parts, bundler))
+    }
 
-    let placer_parts = PlacerParts {
-        vm: settings.vm.clone(),
-        domain: settings.domain.clone(),
-        domain_cost_us: settings.domain_cost_us,
-        policy: settings.policy,
-        seed,
-        entry: incarnation ^ seed.rotate_left(32),
-        to_link,
-        to_member,
-        bundle: bundle.subscribe(),
-        members: members.subscribe(),
-        metrics: metrics.clone(),
-    };
-    let door_members = members.subscribe();
-    let door_words = (words.leaving.subscribe(), words.closing.subscribe(), words.emptied.clone());
-    let body_limit = Duration::from_millis(settings.call_body_ms);
-    let link_addr = settings.link_addr;
-    // The door and the links share a thread: a call's way through both then costs no wake-up
-    // between them, which on a small VM is most of what a call would cost.
-    threads.push(spawn("path", move || async move {
-        let endpoint = match crate::link::run::bind(link_addr, tls) {
-            Ok(endpoint) => endpoint,
-            Err(error) => {
-                log::error!("event=link.bind_failed code={} reason=\"{error}\"", Code::AddressBusy);
+    /// Starts the thread of the door and the links: a call's way through both then costs no
+    /// wake-up between them, which on a small VM is most of what a call would cost.
+    fn start_path(&self, callers: std::net::TcpListener, tls: LinkTls) -> std::io::Result<JoinHandle<()>> {
+        let link_addr = self.settings.link_addr;
+        let links = self.link_parts();
+        let placer = self.placer_parts();
+        let members = self.members.subscribe();
+        let jobs = self.place.from.clone();
+        let body_limit = Duration::from_millis(self.settings.call_body_ms);
+        let leaving = self.words.leaving.subscribe();
+        let closing = self.words.closing.subscribe();
+        let emptied = self.words.emptied.clone();
+        spawn("path", move || async move {
+            let endpoint = match crate::link::run::bind(link_addr, tls) {
+                Ok(endpoint) => endpoint,
+                Err(error) => {
+                    log::error!("event=link.bind_failed code={} reason=\"{error}\"", Code::AddressBusy);
+                    return;
+                }
+            };
+            let Ok(listener) = TcpListener::from_std(callers) else {
                 return;
-            }
-        };
-        let Ok(listener) = TcpListener::from_std(caller_listener) else {
-            return;
-        };
-        let placer = Placer::new(placer_parts);
-        let keyed = KeyedRouter::new(placer.clone(), door_members);
-        let (leaving, closing, emptied) = door_words;
-        let parts = DoorParts { placer, keyed, jobs: place_jobs, body_limit, leaving, closing, emptied };
-        let links = crate::link::run::run(endpoint, link_parts);
-        let door = crate::caller::run::run(listener, parts);
-        futures::join!(links, door);
-    })?);
+            };
+            let placer = Placer::new(placer);
+            let keyed = KeyedRouter::new(placer.clone(), members);
+            let parts = DoorParts { placer, keyed, jobs, body_limit, leaving, closing, emptied };
+            let links = crate::link::run::run(endpoint, links);
+            futures::join!(links, crate::caller::run::run(listener, parts));
+        })
+    }
 
-    let admin_parts = AdminParts {
-        vm: settings.vm.clone(),
-        metrics,
-        bundle: bundle.subscribe(),
-        members: members.subscribe(),
-        serving: words.serving.subscribe(),
-        leaving: words.leaving.subscribe(),
-        closing: words.closing.subscribe(),
-    };
-    threads.push(spawn("admin", move || async move {
-        if let Ok(listener) = TcpListener::from_std(admin_listener) {
-            crate::admin::run::run(listener, admin_parts).await;
+    fn link_parts(&self) -> LinkParts {
+        LinkParts {
+            vm: self.settings.vm.clone(),
+            service: self.settings.service.clone(),
+            server_addr: self.settings.server_addr,
+            jobs: self.link.from.clone(),
+            to_claim: self.claim.to.clone(),
+            to_member: self.member.to.clone(),
+            bundle: self.bundle.subscribe(),
+            leaving: self.words.leaving.subscribe(),
+            server_leaving: self.server_leaving.clone(),
+            drained: self.words.drained.clone(),
+            closing: self.words.closing.subscribe(),
+            metrics: self.metrics.clone(),
         }
-    })?);
+    }
 
-    log::info!("event=node.start incarnation={incarnation} release={}", env!("CARGO_PKG_VERSION"));
-    let runtime = runtime()?;
-    runtime.block_on(stay(&settings, &words, bundle.subscribe(), &server_leaving, &listed_leaving));
-    join(threads);
-    log::info!("event=node.stop");
-    Ok(())
+    fn placer_parts(&self) -> PlacerParts {
+        PlacerParts {
+            vm: self.settings.vm.clone(),
+            domain: self.settings.domain.clone(),
+            domain_cost_us: self.settings.domain_cost_us,
+            policy: self.settings.policy,
+            seed: self.seed,
+            entry: self.incarnation ^ self.seed.rotate_left(32),
+            to_link: self.link.to.clone(),
+            to_member: self.member.to.clone(),
+            bundle: self.bundle.subscribe(),
+            members: self.members.subscribe(),
+            metrics: self.metrics.clone(),
+        }
+    }
+
+    fn start_admin(&self, operators: std::net::TcpListener) -> std::io::Result<JoinHandle<()>> {
+        let parts = AdminParts {
+            vm: self.settings.vm.clone(),
+            metrics: self.metrics.clone(),
+            bundle: self.bundle.subscribe(),
+            members: self.members.subscribe(),
+            serving: self.words.serving.subscribe(),
+            leaving: self.words.leaving.subscribe(),
+            closing: self.words.closing.subscribe(),
+        };
+        spawn("admin", move || async move {
+            if let Ok(listener) = TcpListener::from_std(operators) {
+                crate::admin::run::run(listener, parts).await;
+            }
+        })
+    }
 }
 
 /// Waits for the word to leave, then takes the node out of service step by step.
-async fn stay(
-    settings: &NodeSettings,
-    words: &Words,
-    mut bundle: watch::Receiver<Option<Arc<InForce>>>,
-    server_leaving: &Notify,
-    listed_leaving: &Notify,
-) {
+async fn stay(joints: &Joints) {
+    let Joints { settings, words, server_leaving, listed_leaving, .. } = joints;
+    let mut bundle = joints.bundle.subscribe();
     let told = async {
         tokio::select! {
             () = stop_signal() => "signal",
@@ -322,8 +374,9 @@
     }
 }
 
-fn store(settings: &NodeSettings) -> Arc<HttpStore> {
-    Arc::new(HttpStore::new(settings.store_addr, Duration::from_millis(settings.store_timeout_ms)))
+/// Finds out whether the address of links is free; the endpoint itself is bound in its thread.
+fn try_links(addr: std::net::SocketAddr) -> Result<(), NodeError> {
+    std::net::UdpSocket::bind(addr).map(drop).map_err(|source| NodeError::Listen { addr, source })
 }
 
 fn listen(addr: std::net::SocketAddr) -> Result<std::net::TcpListener, NodeError> {
