Load tool: the default path is that of a route sheet

Cause: the default path of calls read like a folder of a machine.

Ruled out: nothing depends on it; the stand-in server serves any path.

Change: the default is /sheet.

Measured: nothing; the tests set their own paths.

Conclusion: wording only.

--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -120,7 +120,7 @@
         doors: args.doors()?,
         direct: args.get("direct").is_some(),
         service: args.get("service").unwrap_or("intake").to_owned(),
-        path: args.get("path").unwrap_or("/work").to_owned(),
+        path: args.get("path").unwrap_or("/sheet").to_owned(),
         rate_per_s: args.number("rate", 300)?,
         seconds: args.number("seconds", 10)?,
         keyed_percent: args.number("keyed-percent", 0)?.min(100),
