Read once more: one way to ask another node, and dead parts taken out

Cause: placement and membership each had their own way through the ring of the link thread; a flag for a fresh connection was false everywhere; the store's client counted calls that nobody read, beside the metric that its callers count, and could list keys that nobody lists.

Ruled out: one client for the GETs of the VM list and of the time line, which have errors of their own; that twin stays for now.

Change: link::peer::ask serves both; the flag, the second counters and the listing are gone, as is an unused argument in a test. Behaviour as before: a cancel gets a new connection when the old one is closed, which the flag did not change.

--- a/standin/tests/at_most_once.rs
+++ b/standin/tests/at_most_once.rs
@@ -61,7 +61,7 @@
     }
 }
 
-async fn make(trouble: Trouble, fleet: &mut Fleet, rng: &mut fastrand::Rng, stop: &AtomicBool) {
+async fn make(trouble: Trouble, fleet: &mut Fleet, rng: &mut fastrand::Rng) {
     let at = rng.usize(..VMS);
     let pause = |low: u64, high: u64, rng: &mut fastrand::Rng| Duration::from_millis(rng.u64(low..high));
     match trouble {
@@ -97,7 +97,6 @@
             sleep(pause(100, 400, rng)).await;
         }
     }
-    let _ = stop;
 }
 
 #[test_case(&[Trouble::None]; "no trouble")]
@@ -121,7 +120,7 @@
     let mut rng = fastrand::Rng::with_seed(17);
     let mut turn = 0;
     while !stop.load(Ordering::Relaxed) {
-        make(troubles[turn % troubles.len()], &mut fleet, &mut rng, &stop).await;
+        make(troubles[turn % troubles.len()], &mut fleet, &mut rng).await;
         turn += 1;
     }
     load.await.expect("no caller has seen another call's answer");
--- a/valetrack/src/bundle/tests/fake.rs
+++ b/valetrack/src/bundle/tests/fake.rs
@@ -87,10 +87,6 @@
         Box::pin(async move { found })
     }
 
-    fn list<'a>(&'a self, _prefix: &'a str, _limit: u32) -> BoxFuture<'a, Result<Vec<Versioned>, StoreError>> {
-        Box::pin(async { Ok(Vec::new()) })
-    }
-
     fn swap<'a>(&'a self, key: &'a str, expected: u64, value: Vec<u8>) -> BoxFuture<'a, Result<Written, StoreError>> {
         let written = self.0.lock().expect("no panic").swap(key, expected, value);
         Box::pin(async move { written })
--- a/valetrack/src/caller/keyed.rs
+++ b/valetrack/src/caller/keyed.rs
@@ -148,7 +148,7 @@
         let head = CallHead { attempt, deadline_ms: left.as_millis() as u32, hlc: events::stamp(), ..head.clone() };
         let question = Question { ask: Ask::RunKeyed(head), body: body.clone() };
         let limit = left + Duration::from_millis(SLACK_MS);
-        match self.placer.ask(target.clone(), question, limit, false).await {
+        match self.placer.ask(target.clone(), question, limit).await {
             LinkResult::Reply(answered) => said(attempt, *answered),
             LinkResult::Unsent => Said::Unsent,
             LinkResult::Broken => Said::Broken,
--- a/valetrack/src/link/peer.rs
+++ b/valetrack/src/link/peer.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_channel::Sender;
 use bytes::Bytes;
 use quinn::{Connection, Endpoint};
 use tokio::sync::{Mutex, oneshot};
@@ -51,12 +52,19 @@
     pub question: Question,
     /// How long to wait for the reply.
     pub limit: Duration,
-    /// Whether to leave out the connection that is open, since it may be broken.
-    pub fresh: bool,
     /// Where the result goes.
     pub reply: oneshot::Sender<LinkResult>,
 }
 
+/// Asks another node through the ring of the link thread, and waits for the result.
+pub async fn ask(ring: &Sender<LinkJob>, target: Target, question: Question, limit: Duration) -> LinkResult {
+    let (reply, result) = oneshot::channel();
+    if ring.send(LinkJob { target, question, limit, reply }).await.is_err() {
+        return LinkResult::Unsent;
+    }
+    result.await.unwrap_or(LinkResult::Broken)
+}
+
 #[derive(Default)]
 struct Slot {
     connection: Option<Connection>,
@@ -82,11 +90,11 @@
     }
 
     /// Asks a question; the wait for the reply is bounded by `limit`.
-    pub async fn ask(&self, target: &Target, question: Question, limit: Duration, fresh: bool) -> LinkResult {
+    pub async fn ask(&self, target: &Target, question: Question, limit: Duration) -> LinkResult {
         let Ok(head) = codec::pack(&question.ask) else {
             return LinkResult::Unsent;
         };
-        let Some(connection) = self.connection(target, fresh).await else {
+        let Some(connection) = self.connection(target).await else {
             return LinkResult::Unsent;
         };
         let asked = timeout(limit, exchange(&connection, head, question.body)).await;
@@ -101,16 +109,16 @@
         }
     }
 
-    async fn connection(&self, target: &Target, fresh: bool) -> Option<Connection> {
+    async fn connection(&self, target: &Target) -> Option<Connection> {
         let slot = self.slots.borrow_mut().entry(target.clone()).or_default().clone();
         // Whoever comes while a handshake is under way waits for its result.
         let mut slot = slot.lock().await;
         let open = slot.connection.take().filter(|connection| connection.close_reason().is_none());
-        if let (Some(connection), false) = (open, fresh) {
+        if let Some(connection) = open {
             slot.connection = Some(connection.clone());
             return Some(connection);
         }
-        if !fresh && slot.failed_us.is_some_and(|failed_us| now_us() < failed_us + REDIAL_US) {
+        if slot.failed_us.is_some_and(|failed_us| now_us() < failed_us + REDIAL_US) {
             return None;
         }
         let connecting = self.endpoint.connect(target.addr, &target.vm).ok()?;
--- a/valetrack/src/link/run.rs
+++ b/valetrack/src/link/run.rs
@@ -106,7 +106,7 @@
             let served = timeout(job.limit, self.serve(job.question)).await;
             served.map_or(LinkResult::Broken, |answered| LinkResult::Reply(Box::new(answered)))
         } else {
-            self.peers.ask(&job.target, job.question, job.limit, job.fresh).await
+            self.peers.ask(&job.target, job.question, job.limit).await
         };
         self.parts.metrics.links.set(self.peers.open_count() as i64);
         let _ = job.reply.send(result);
--- a/valetrack/src/member/run.rs
+++ b/valetrack/src/member/run.rs
@@ -16,7 +16,7 @@
 use crate::bundle::run::Bundler;
 use crate::clock::now_us;
 use crate::link::message::{Ask, Question, Reply};
-use crate::link::peer::{LinkJob, LinkResult, Target};
+use crate::link::peer::{self, LinkJob, LinkResult, Target};
 use crate::timeline::log as events;
 
 /// Nodes outside the own service that one exchange goes to.
@@ -164,13 +164,7 @@
     }
 
     async fn ask(&self, target: Target, question: Question) -> LinkResult {
-        let (reply, result) = oneshot::channel();
-        let limit = Duration::from_millis(EXCHANGE_MS);
-        let job = LinkJob { target, question, limit, fresh: false, reply };
-        if self.parts.to_link.send(job).await.is_err() {
-            return LinkResult::Unsent;
-        }
-        result.await.unwrap_or(LinkResult::Broken)
+        peer::ask(&self.parts.to_link, target, question, Duration::from_millis(EXCHANGE_MS)).await
     }
 
     fn merge(&self, news: &[Member]) {
--- a/valetrack/src/placement/run.rs
+++ b/valetrack/src/placement/run.rs
@@ -23,7 +23,7 @@
 use crate::code::Code;
 use crate::gate::{AttemptId, LoadReport, Patience};
 use crate::link::message::{AnswerHead, Answered, Ask, CallHead, Question, Reply};
-use crate::link::peer::{LinkJob, LinkResult, Target};
+use crate::link::peer::{self, LinkJob, LinkResult, Target};
 use crate::link::run::word_of;
 use crate::member::run::MemberJob;
 use crate::member::{Candidate, Members};
@@ -302,7 +302,7 @@
             head.hlc = events::stamp();
             let question = Question { ask: Ask::Run(head), body };
             let limit = Duration::from_millis(u64::from(left_ms) + SLACK_MS);
-            let result = self.ask(target, question, limit, false).await;
+            let result = self.ask(target, question, limit).await;
             self.learn(&service, server, &result);
             let event = attempt_event(attempt, result, &self.metrics);
             self.metrics.attempts.with_label_values(&[event_label(event.0)]).inc();
@@ -323,7 +323,7 @@
             };
             let question = Question { ask: Ask::Cancel(attempt), body: Bytes::new() };
             let limit = Duration::from_millis(WORD_MS);
-            let asked = self.ask(target, question, limit, false);
+            let asked = self.ask(target, question, limit);
             // The limit covers a handshake as well: whoever gives up must give up at once.
             let result = tokio::time::timeout(limit, asked).await.unwrap_or(LinkResult::Broken);
             (CallEvent::Word { attempt, word: word_of(&result) }, None)
@@ -331,13 +331,8 @@
     }
 
     /// Asks another node through the ring of the link thread.
-    pub async fn ask(&self, target: Target, question: Question, limit: Duration, fresh: bool) -> LinkResult {
-        let (reply, result) = oneshot::channel();
-        let job = LinkJob { target, question, limit, fresh, reply };
-        if self.to_link.send(job).await.is_err() {
-            return LinkResult::Unsent;
-        }
-        result.await.unwrap_or(LinkResult::Broken)
+    pub async fn ask(&self, target: Target, question: Question, limit: Duration) -> LinkResult {
+        peer::ask(&self.to_link, target, question, limit).await
     }
 
     /// Takes what rode on a reply.
@@ -406,7 +401,7 @@
             return;
         };
         let question = Question { ask: Ask::Probe, body: Bytes::new() };
-        let result = self.ask(target, question, Duration::from_millis(WORD_MS), false).await;
+        let result = self.ask(target, question, Duration::from_millis(WORD_MS)).await;
         self.learn(service, server, &result);
     }
 }
--- a/valetrack/src/store/client.rs
+++ b/valetrack/src/store/client.rs
@@ -1,7 +1,6 @@
 //! The store's published JSON gateway over HTTP.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use base64::Engine;
@@ -25,27 +24,12 @@
 /// Longest line of a watch, in bytes.
 const LINE_MAX_BYTES: usize = 4 * 1024 * 1024;
 
-/// Calls made to the store since the start.
-#[derive(Debug, Default)]
-pub struct StoreCounts {
-    /// Reads.
-    pub reads: AtomicU64,
-    /// Writes.
-    pub writes: AtomicU64,
-    /// Watches opened.
-    pub watches: AtomicU64,
-    /// Calls that failed.
-    pub failures: AtomicU64,
-}
-
 /// A store behind the JSON gateway at one address.
 pub struct HttpStore {
     addr: SocketAddr,
     limit: Duration,
     /// One warm connection; a second caller at the same time opens its own.
     warm: Mutex<Option<SendRequest<Full<Bytes>>>>,
-    /// Calls made so far.
-    pub counts: StoreCounts,
 }
 
 enum CallError {
@@ -60,7 +44,7 @@
 impl HttpStore {
     /// Makes a client; it connects when it is first asked. No call takes longer than `limit`.
     pub fn new(addr: SocketAddr, limit: Duration) -> Self {
-        Self { addr, limit, warm: Mutex::new(None), counts: StoreCounts::default() }
+        Self { addr, limit, warm: Mutex::new(None) }
     }
 
     async fn connect(&self) -> Result<SendRequest<Full<Bytes>>, CallError> {
@@ -105,15 +89,10 @@
             serde_json::from_slice(&bytes).map_err(|error| CallError::Unanswered(error.to_string()))
         };
         let ended = timeout(self.limit, exchange).await;
-        let result = ended.unwrap_or_else(|_| Err(CallError::Unanswered("time limit".into())));
-        if result.is_err() {
-            self.counts.failures.fetch_add(1, Ordering::Relaxed);
-        }
-        result
+        ended.unwrap_or_else(|_| Err(CallError::Unanswered("time limit".into())))
     }
 
     async fn range(&self, body: Value) -> Result<Vec<Versioned>, StoreError> {
-        self.counts.reads.fetch_add(1, Ordering::Relaxed);
         let answer = self.call("/v3/kv/range", body).await.map_err(read_error)?;
         let none = Vec::new();
         let rows = answer.get("kvs").and_then(Value::as_array).unwrap_or(&none);
@@ -121,7 +100,6 @@
     }
 
     async fn swap_once(&self, key: &str, expected: u64, value: Vec<u8>) -> Result<Written, StoreError> {
-        self.counts.writes.fetch_add(1, Ordering::Relaxed);
         let key = STANDARD.encode(key);
         let body = json!({
             "compare": [{ "key": key, "target": "MOD", "result": "EQUAL", "mod_revision": expected.to_string() }],
@@ -138,7 +116,6 @@
     }
 
     async fn watch_once(&self, key: &str, from_revision: u64, news: mpsc::Sender<WatchNews>) -> Result<(), StoreError> {
-        self.counts.watches.fetch_add(1, Ordering::Relaxed);
         let body = json!({ "create_request": {
             "key": STANDARD.encode(key),
             "start_revision": from_revision.to_string(),
@@ -172,19 +149,6 @@
         })
     }
 
-    fn list<'a>(&'a self, prefix: &'a str, limit: u32) -> BoxFuture<'a, Result<Vec<Versioned>, StoreError>> {
-        let mut end = prefix.as_bytes().to_vec();
-        if let Some(last) = end.last_mut() {
-            *last += 1;
-        }
-        let body = json!({
-            "key": STANDARD.encode(prefix),
-            "range_end": STANDARD.encode(end),
-            "limit": limit.to_string(),
-        });
-        Box::pin(self.range(body))
-    }
-
     fn swap<'a>(&'a self, key: &'a str, expected: u64, value: Vec<u8>) -> BoxFuture<'a, Result<Written, StoreError>> {
         Box::pin(self.swap_once(key, expected, value))
     }
--- a/valetrack/src/store/message.rs
+++ b/valetrack/src/store/message.rs
@@ -72,9 +72,6 @@
     /// Reads one key; none when it does not exist.
     fn read<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Versioned>, StoreError>>;
 
-    /// Reads all keys with a prefix, at most `limit`.
-    fn list<'a>(&'a self, prefix: &'a str, limit: u32) -> BoxFuture<'a, Result<Vec<Versioned>, StoreError>>;
-
     /// Writes a key if the revision of its last change is `expected`; zero when it must not
     /// exist.
     fn swap<'a>(&'a self, key: &'a str, expected: u64, value: Vec<u8>) -> BoxFuture<'a, Result<Written, StoreError>>;
--- a/valetrack/src/store/mod.rs
+++ b/valetrack/src/store/mod.rs
@@ -1,6 +1,6 @@
 //! Client of the platform's store: compare-and-swap, leases and watches over HTTP.
 //!
-//! Contract: every call is counted, a waiting watch as one; a call ends within its time limit; a
+//! Contract: a call ends within its time limit and is counted by whoever makes it, by kind; a
 //! write whose answer is lost is told apart from one that was refused.
 
 mod client;
@@ -8,5 +8,5 @@
 #[cfg(test)]
 mod tests;
 
-pub use client::{HttpStore, StoreCounts};
+pub use client::HttpStore;
 pub use message::{Store, StoreError, Versioned, WatchNews, Written};
