--- a/standin/src/slope.rs
+++ b/standin/src/slope.rs
@@ -199,7 +199,13 @@
     let mut one = move || {
         seq += 1;
         let (attempt, now_us) = (AttemptId { entry: 1, seq }, seq * 3_000);
-        let arrive = GateEvent::Arrive { attempt, deadline_us: now_us + 1_000_000, patience: Patience::Long };
+        let arrive = GateEvent::Arrive {
+            attempt,
+            deadline_us: now_us + 1_000_000,
+            patience: Patience::Long,
+            priority: 0,
+            wait_max_us: None,
+        };
         gate.handle(arrive, now_us, &mut actions);
         gate.handle(GateEvent::Done { attempt, healthy: true }, now_us + 2_000, &mut actions);
         actions.clear();
--- a/standin/tests/common/mod.rs
+++ b/standin/tests/common/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code, reason = "each test binary uses its own part of the fleet")]
 
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
@@ -74,19 +74,17 @@
     standin().with_file_name("valetrack")
 }
 
-/// Returns an address that nobody uses, below the range that outgoing connections are given.
+/// Returns an address that nobody uses: a loopback host of this test process's own, and a port
+/// that it has not given out yet.
+///
+/// Nothing is bound to find that out. A listener that is opened for a look lives on in every
+/// child that another thread is just starting, until that child's exec, and the program that is
+/// then given the address finds it in use.
 fn free_addr() -> SocketAddr {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    const LOW: u32 = 10_000;
-    const COUNT: u32 = 20_000;
-    loop {
-        let turn = u32::from(NEXT.fetch_add(1, Ordering::Relaxed));
-        let port = LOW + (std::process::id() * 211 + turn) % COUNT;
-        let addr = SocketAddr::from(([127, 0, 0, 1], port as u16));
-        if TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok() {
-            return addr;
-        }
-    }
+    static NEXT: AtomicU16 = AtomicU16::new(10_000);
+    let process = std::process::id();
+    let host = [127, 1 + (process >> 8) as u8 % 254, process as u8, 1];
+    SocketAddr::from((host, NEXT.fetch_add(1, Ordering::Relaxed)))
 }
 
 fn spawn(program: &Path, args: &[String], log: &Path) -> Child {
--- a/valetrack/src/admin/run.rs
+++ b/valetrack/src/admin/run.rs
@@ -24,6 +24,8 @@
 /// What the admin port shows.
 #[derive(Clone)]
 pub struct AdminParts {
+    /// Path by which the platform asks whether the node is ready, beside `/ready`.
+    pub ready_path: &'static str,
     /// Name of this VM.
     pub vm: Arc<str>,
     /// Metrics.
@@ -84,14 +86,20 @@
     match request.uri().path() {
         "/metrics" => text(StatusCode::OK, parts.metrics.render()),
         "/health" => text(StatusCode::OK, "ok\n".into()),
-        "/ready" if ready(parts) => text(StatusCode::OK, "ready\n".into()),
-        "/ready" => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
+        path if path == "/ready" || path == parts.ready_path => readiness(parts),
         "/status" => text(StatusCode::OK, status(parts)),
         "/events" => text(StatusCode::OK, events::recent().iter().map(|line| format!("{line}\n")).collect()),
         _ => text(StatusCode::NOT_FOUND, "/metrics /health /ready /status /events\n".into()),
     }
 }
 
+fn readiness(parts: &AdminParts) -> Response<Full<Bytes>> {
+    match ready(parts) {
+        true => text(StatusCode::OK, "ready\n".into()),
+        false => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
+    }
+}
+
 fn ready(parts: &AdminParts) -> bool {
     *parts.serving.borrow() && !*parts.leaving.borrow()
 }
--- a/valetrack/src/bundle/check.rs
+++ b/valetrack/src/bundle/check.rs
@@ -4,6 +4,7 @@
 
 use super::message::{Bundle, ClaimMode, Fault, MeasureRule, RouteRule, ServiceRule};
 use super::reader::{Reader, Section};
+use super::route::RouteTable;
 use crate::code::Code;
 
 /// Largest text, in bytes: a value of the store holds a megabyte.
@@ -35,7 +36,7 @@
     reader.finish(&top);
     let mut faults = reader.faults;
     if faults.is_empty() {
-        return Ok(Bundle { measure, services });
+        return Ok(Bundle { measure, services, routes: RouteTable::default(), caller_limits: None });
     }
     faults.sort_by_key(|fault| (fault.line, fault.column));
     Err(faults)
@@ -115,10 +116,12 @@
         deadline_ms,
         request_cap_bytes,
         answer_cap_bytes,
+        health_path: None,
         depth_max,
         bounces,
         retries,
         retry_percent,
+        retry_reserve: None,
         hedge_percent,
         hedge_after_percent,
         claims,
--- a/valetrack/src/bundle/message.rs
+++ b/valetrack/src/bundle/message.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
+use super::route::RouteTable;
 use crate::code::Code;
 
 /// Budget of one node for all that it does only to measure.
@@ -60,6 +61,8 @@
     pub request_cap_bytes: u32,
     /// Largest body of an answer, in bytes.
     pub answer_cap_bytes: u32,
+    /// Path of the upstream's health check; none where it has none.
+    pub health_path: Option<Arc<str>>,
     /// Deepest nesting of calls.
     pub depth_max: u8,
     /// How often owners may give one call back.
@@ -68,6 +71,9 @@
     pub retries: u8,
     /// Retries per hundred calls.
     pub retry_percent: u32,
+    /// Retries that all nodes together may make beyond that share, within one window; none
+    /// where each node has a fixed burst of its own.
+    pub retry_reserve: Option<u32>,
     /// Hedges per hundred calls; zero turns them off.
     pub hedge_percent: u32,
     /// Delay before a hedge, in hundredths of the usual service time.
@@ -90,6 +96,19 @@
     }
 }
 
+/// Limits on what a caller may send and how long it may rest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct CallerLimits {
+    /// Largest request head, in bytes.
+    pub head_max_bytes: u32,
+    /// Largest request body, in bytes.
+    pub body_max_bytes: u32,
+    /// Longest time for a request head to arrive, in milliseconds.
+    pub head_timeout_ms: u32,
+    /// Longest rest of a kept connection, in milliseconds.
+    pub idle_timeout_ms: u32,
+}
+
 /// A checked bundle.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Bundle {
@@ -97,6 +116,10 @@
     pub measure: MeasureRule,
     /// Services.
     pub services: Vec<ServiceRule>,
+    /// Routes by host and path prefix; empty where calls name their service themselves.
+    pub routes: RouteTable,
+    /// Limits on callers; none where the node's own settings hold.
+    pub caller_limits: Option<CallerLimits>,
 }
 
 impl Bundle {
--- a/valetrack/src/bundle/mod.rs
+++ b/valetrack/src/bundle/mod.rs
@@ -4,18 +4,24 @@
 //! operators who roll at once, one wins and the other is told by whom; a node's bundle only goes
 //! forward.
 
+mod adopt;
 mod check;
+mod format;
 mod message;
 pub mod operator;
 mod reader;
+mod route;
 pub mod run;
 mod state;
 #[cfg(test)]
 mod tests;
 
+pub use adopt::Adopter;
 pub use check::{TEXT_MAX_BYTES, check};
+pub use format::{BundleFormat, TomlFormat};
 pub use message::{
-    Bundle, CURRENT_KEY, ClaimMode, CurrentDoc, Fault, InForce, MeasureRule, RolledDoc, RouteRule, ServiceRule,
-    VERSION_DIGITS, version_of,
+    Bundle, CURRENT_KEY, CallerLimits, ClaimMode, CurrentDoc, Fault, InForce, MeasureRule, RolledDoc, RouteRule,
+    ServiceRule, VERSION_DIGITS, version_of,
 };
+pub use route::{HostRoute, RouteTable, SplitPicker, SplitTarget};
 pub use state::Adoption;
--- a/valetrack/src/bundle/run.rs
+++ b/valetrack/src/bundle/run.rs
@@ -1,19 +1,15 @@
 //! Shell of bundles; it shares the member thread, since bundles spread with its exchanges.
 
-use std::cell::RefCell;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use std::rc::Rc;
-
-use bytes::Bytes;
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
-use super::check::check;
-use super::message::{CURRENT_KEY, CurrentDoc, InForce, version_of};
+use super::adopt::Adopter;
+use super::message::{CURRENT_KEY, CurrentDoc};
 use super::operator::read_text;
-use super::state::Adoption;
 use crate::code::Code;
 use crate::member::Members;
 use crate::metric::Metrics;
@@ -28,14 +24,14 @@
 /// Pause before a watch that ended is opened again, in milliseconds.
 const REWATCH_MS: u64 = 500;
 
-/// Adopts bundles from the store and from other nodes.
+/// Follows the store's bundles for a node.
 pub struct Bundler {
     vm: Arc<str>,
     domain: Arc<str>,
-    adoption: RefCell<Adoption>,
+    /// Puts bundles in force.
+    pub adopter: Adopter,
     store: Arc<dyn Store>,
     members: watch::Receiver<Arc<Members>>,
-    in_force: watch::Sender<Option<Arc<InForce>>>,
     metrics: Arc<Metrics>,
 }
 
@@ -46,59 +42,10 @@
         domain: Arc<str>,
         store: Arc<dyn Store>,
         members: watch::Receiver<Arc<Members>>,
-        in_force: watch::Sender<Option<Arc<InForce>>>,
+        adopter: Adopter,
         metrics: Arc<Metrics>,
     ) -> Self {
-        Self { vm, domain, adoption: RefCell::new(Adoption::default()), store, members, in_force, metrics }
-    }
-
-    /// Returns the number of the bundle in force; zero when there is none.
-    pub fn number(&self) -> u64 {
-        self.adoption.borrow().number()
-    }
-
-    /// Returns whether a bundle of this number is later than the one in force.
-    pub fn wants(&self, number: u64) -> bool {
-        number > self.adoption.borrow_mut().number() && self.adoption.borrow_mut().hear(number)
-    }
-
-    /// Returns a receiver that is told of every bundle that comes in force.
-    pub fn subscribe(&self) -> watch::Receiver<Option<Arc<InForce>>> {
-        let mut receiver = self.in_force.subscribe();
-        receiver.mark_unchanged();
-        receiver
-    }
-
-    /// Takes the bundle of another node, if it is sound and later.
-    pub fn take_from_peer(&self, number: u64, version: &str, text: &Bytes) {
-        let Ok(text) = std::str::from_utf8(text) else {
-            log::warn!("event=bundle.refused number={number} code={}", Code::BundleDamaged);
-            return;
-        };
-        self.offer(number, version, text, "peer");
-    }
-
-    fn offer(&self, number: u64, version: &str, text: &str, from: &str) {
-        if version_of(text) != version {
-            log::warn!("event=bundle.refused number={number} code={}", Code::BundleDamaged);
-            return;
-        }
-        let bundle = match check(text) {
-            Ok(bundle) => bundle,
-            Err(faults) => {
-                // It was written by a later release, say; the one in force stays.
-                log::error!("event=bundle.refused number={number} faults={}", faults.len());
-                return;
-            }
-        };
-        let in_force = InForce { number, version: Arc::from(version), text: Arc::from(text), bundle };
-        if !self.adoption.borrow_mut().offer(in_force) {
-            return;
-        }
-        log::info!("event=bundle.in_force number={number} version={version} from={from}");
-        self.metrics.bundle_number.set(number as i64);
-        let current = self.adoption.borrow().current().cloned();
-        self.in_force.send_replace(current);
+        Self { vm, domain, adopter, store, members, metrics }
     }
 
     /// Follows the store: by a watch where this node is one of its domain's watchers, else by a
@@ -111,9 +58,9 @@
                     self.watch(revision + 1).await;
                     REWATCH_MS
                 }
-                Ok(_) if self.number() > 0 => POLL_MS,
+                Ok(_) if self.adopter.number() > 0 => POLL_MS,
                 Ok(_) => FIRST_MS,
-                Err(()) if self.number() > 0 => REWATCH_MS,
+                Err(()) if self.adopter.number() > 0 => REWATCH_MS,
                 Err(()) => FIRST_MS,
             };
             // Not all come back to a store at once that has just got well.
@@ -168,12 +115,12 @@
             log::error!("event=bundle.current_damaged code={}", Code::BundleDamaged);
             return;
         };
-        if !self.wants(doc.number) {
+        if !self.adopter.wants(doc.number) {
             return;
         }
         self.metrics.store_calls.with_label_values(&["read"]).inc();
         match read_text(&*self.store, &doc.version).await {
-            Ok(written) => self.offer(doc.number, &doc.version, &written.text, "store"),
+            Ok(written) => self.adopter.offer(doc.number, &doc.version, &written.text, "store"),
             Err(error) => log::warn!("event=bundle.text_failed code={} reason=\"{error}\"", error.code()),
         }
     }
--- a/valetrack/src/caller/mod.rs
+++ b/valetrack/src/caller/mod.rs
@@ -5,10 +5,12 @@
 
 mod answer;
 pub mod keyed;
+mod protocol;
 mod request;
 pub mod run;
 #[cfg(test)]
 mod tests;
 
-pub use answer::{CALL_HEADER, CODE_HEADER, OUTCOME_HEADER, RETRY_HEADER};
-pub use request::{DEADLINE_HEADER, DEPTH_HEADER, KEY_HEADER, Rejection, SERVICE_HEADER};
+pub use answer::{Answer, CALL_HEADER, CODE_HEADER, OUTCOME_HEADER, RETRY_HEADER};
+pub use protocol::{CallerProtocol, NativeCaller, ReadContext};
+pub use request::{DEADLINE_HEADER, DEPTH_HEADER, DoorCall, KEY_HEADER, Rejection, SERVICE_HEADER};
--- /dev/null
+++ b/valetrack/src/caller/protocol.rs
@@ -0,0 +1,54 @@
+//! The border to callers: how a request names its service and what an answer looks like.
+
+use std::sync::Arc;
+
+use hyper::http::request::Parts;
+
+use super::answer::{self, Answer};
+use super::request::{self, DoorCall, Rejection};
+use crate::bundle::{Bundle, HostRoute};
+use crate::placement::run::Placed;
+
+/// What a request is read by.
+pub struct ReadContext<'a> {
+    /// The bundle in force.
+    pub bundle: &'a Bundle,
+    /// Makes an id for a call that brings none.
+    pub new_id: &'a dyn Fn() -> String,
+    /// Chooses the service that takes the next call of a route.
+    pub choose: &'a dyn Fn(&HostRoute) -> Arc<str>,
+}
+
+/// How a node speaks with its callers.
+pub trait CallerProtocol: Send + Sync {
+    /// Reads the head of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request is refused.
+    fn read(&self, parts: &Parts, cx: &ReadContext<'_>) -> Result<DoorCall, Rejection>;
+
+    /// Makes the answer to a call that was placed.
+    fn of_placed(&self, placed: Placed, call_id: &str) -> Answer;
+
+    /// Makes the answer to a request that was refused before it was placed.
+    fn of_rejection(&self, rejection: Rejection, call_id: &str) -> Answer;
+}
+
+/// Valetrack's own words to callers.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct NativeCaller;
+
+impl CallerProtocol for NativeCaller {
+    fn read(&self, parts: &Parts, cx: &ReadContext<'_>) -> Result<DoorCall, Rejection> {
+        request::read(parts, cx.bundle, cx.new_id)
+    }
+
+    fn of_placed(&self, placed: Placed, call_id: &str) -> Answer {
+        answer::of_placed(placed, call_id)
+    }
+
+    fn of_rejection(&self, rejection: Rejection, call_id: &str) -> Answer {
+        answer::of_rejection(rejection, call_id)
+    }
+}
--- a/valetrack/src/caller/request.rs
+++ b/valetrack/src/caller/request.rs
@@ -44,6 +44,8 @@
     pub repeatable: bool,
     /// Largest body of the request, in bytes.
     pub request_cap_bytes: usize,
+    /// Most upstreams that the call may run on; none where the service's own rule holds.
+    pub attempts_max: Option<u8>,
 }
 
 const fn reject(code: Code, status: u16) -> Rejection {
@@ -55,7 +57,7 @@
 /// # Errors
 ///
 /// Returns why the request is refused.
-pub fn read(parts: &Parts, bundle: &Bundle, new_id: impl Fn() -> String) -> Result<DoorCall, Rejection> {
+pub fn read(parts: &Parts, bundle: &Bundle, new_id: &dyn Fn() -> String) -> Result<DoorCall, Rejection> {
     let headers = &parts.headers;
     let rule = service(parts, bundle).ok_or(reject(Code::ServiceUnknown, 404))?;
     let depth = number(headers, DEPTH_HEADER)?.unwrap_or(0);
@@ -69,7 +71,7 @@
     let limit_ms = route.map_or(rule.deadline_ms, |route| route.deadline_ms);
     let asked_ms = number(headers, DEADLINE_HEADER)?.unwrap_or(limit_ms.into());
     let key = text(headers, KEY_HEADER, KEY_MAX_BYTES)?;
-    let call_id = text(headers, super::CALL_HEADER, CALL_ID_MAX_BYTES)?.unwrap_or_else(&new_id);
+    let call_id = text(headers, super::CALL_HEADER, CALL_ID_MAX_BYTES)?.unwrap_or_else(new_id);
     let travelling = travelling(headers);
     let size: usize = travelling.iter().map(|(name, value)| name.len() + value.len()).sum();
     if size + path.len() > HEADERS_MAX_BYTES {
@@ -79,17 +81,21 @@
         attempt: AttemptId { entry: 0, seq: 0 },
         call_id: Arc::from(call_id),
         service: rule.name.clone(),
+        origin: Arc::from(""),
         method: parts.method.to_string(),
         path: path.to_owned(),
         headers: travelling.into_iter().filter(|(name, _)| !is_own(name)).collect(),
         body_bytes: 0,
         deadline_ms: asked_ms.min(limit_ms.into()) as u32,
+        objective_ms: 0,
+        priority: 0,
+        repeatable,
         depth: depth as u8 + 1,
         patience: Patience::Long,
         key: key.filter(|_| !repeatable).map(Arc::from),
         hlc: 0,
     };
-    Ok(DoorCall { head, repeatable, request_cap_bytes: rule.request_cap_bytes as usize })
+    Ok(DoorCall { head, repeatable, request_cap_bytes: rule.request_cap_bytes as usize, attempts_max: None })
 }
 
 /// Headers that each hop writes anew.
--- a/valetrack/src/caller/run.rs
+++ b/valetrack/src/caller/run.rs
@@ -1,8 +1,10 @@
 //! The door's thread: callers' connections, and placement of their calls.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use async_channel::Receiver;
@@ -19,15 +21,16 @@
 
 use super::answer::{self, Answer};
 use super::keyed::KeyedRouter;
-use super::request::{self, DoorCall, Rejection};
+use super::protocol::{CallerProtocol, ReadContext};
+use super::request::{DoorCall, Rejection};
+use crate::bundle::{HostRoute, SplitPicker};
 use crate::code::Code;
+use crate::link::message::CallHead;
 use crate::placement::Verdict;
 use crate::placement::run::{PlaceJob, Placed, Placer};
 
 /// Largest head of a request, in bytes.
 const HEAD_MAX_BYTES: usize = 64 * 1024;
-/// Time that a caller has to send a head, in milliseconds.
-const HEAD_MS: u64 = 10_000;
 /// Most connections of callers at once; further ones are closed at once.
 const CONNECTIONS_MAX: usize = 10_000;
 /// Most calls that have no answer yet; further ones are refused at once.
@@ -43,6 +46,16 @@
     pub keyed: KeyedRouter,
     /// Calls of claims that are to be placed.
     pub jobs: Receiver<PlaceJob>,
+    /// How this node speaks with its callers.
+    pub protocol: Arc<dyn CallerProtocol>,
+    /// Service of the upstream beside this node.
+    pub service: Arc<str>,
+    /// Time that a caller has to send a head, which is also how long its connection may rest.
+    pub head_limit: Duration,
+    /// Time for which callers still come after leaving has begun.
+    pub linger: Duration,
+    /// Seed of random choices.
+    pub seed: u64,
     /// Time that a caller has to send a body.
     pub body_limit: Duration,
     /// Turns true when this node leaves.
@@ -58,12 +71,21 @@
     connections: Cell<usize>,
     /// Calls that have no answer yet.
     open_calls: Cell<usize>,
+    splits: RefCell<Splits>,
+}
+
+/// Where each split route stands in its cycle.
+struct Splits {
+    pickers: HashMap<Arc<str>, SplitPicker>,
+    rng: fastrand::Rng,
 }
 
 /// Serves callers until told to close; must run on a local task set.
 pub async fn run(listener: TcpListener, parts: DoorParts) {
     let mut closing = parts.closing.clone();
-    let door = Rc::new(Door { parts, connections: Cell::new(0), open_calls: Cell::new(0) });
+    let splits = Splits { pickers: HashMap::new(), rng: fastrand::Rng::with_seed(parts.seed) };
+    let door =
+        Rc::new(Door { parts, connections: Cell::new(0), open_calls: Cell::new(0), splits: RefCell::new(splits) });
     let mut duties = tokio::task::JoinSet::new();
     duties.spawn_local(door.parts.placer.clone().follow());
     duties.spawn_local(door.parts.placer.clone().probe());
@@ -91,7 +113,7 @@
         while let Ok(job) = self.parts.jobs.recv().await {
             let placer = self.parts.placer.clone();
             tokio::task::spawn_local(async move {
-                let placed = place(&placer, job.head, job.body, job.repeatable).await;
+                let placed = place(&placer, job.head, job.body, job.repeatable, None).await;
                 let _ = job.reply.send(placed);
             });
         }
@@ -102,6 +124,7 @@
         if leaving.wait_for(|leaving| *leaving).await.is_err() {
             return;
         }
+        tokio::time::sleep(self.parts.linger).await;
         while self.connections.get() > 0 || self.open_calls.get() > 0 {
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
@@ -115,7 +138,7 @@
         builder
             .http1()
             .timer(TokioTimer::new())
-            .header_read_timeout(Duration::from_millis(HEAD_MS))
+            .header_read_timeout(self.parts.head_limit)
             .max_buf_size(HEAD_MAX_BYTES);
         builder.http2().timer(TokioTimer::new()).max_header_list_size(HEAD_MAX_BYTES as u32);
         let door = self.clone();
@@ -125,7 +148,7 @@
         let mut leaving = self.parts.leaving.clone();
         let ended = tokio::select! {
             ended = connection.as_mut() => Some(ended),
-            () = quiet(&mut leaving) => None,
+            () = quiet(&mut leaving, self.parts.linger) => None,
         };
         let ended = match ended {
             Some(ended) => ended,
@@ -157,28 +180,33 @@
 
     async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Answer {
         if self.open_calls.get() > OPEN_CALLS_MAX {
-            return answer::of_rejection(Rejection { code: Code::Overloaded, status: 503 }, "-");
+            return self.reject(Rejection { code: Code::Overloaded, status: 503 }, "-");
         }
         let (parts, body) = request.into_parts();
         let placer = &self.parts.placer;
         let in_force = placer.bundle.borrow().clone();
         let Some(in_force) = in_force else {
-            return answer::of_rejection(Rejection { code: Code::NoBundle, status: 503 }, "-");
+            return self.reject(Rejection { code: Code::NoBundle, status: 503 }, "-");
         };
-        let new_id = || placer.next_attempt().to_string();
-        let DoorCall { mut head, repeatable, request_cap_bytes } = match request::read(&parts, &in_force.bundle, new_id)
-        {
-            Ok(call) => call,
-            Err(rejection) => {
-                placer.metrics.bad_calls.inc();
-                return answer::of_rejection(rejection, "-");
-            }
+        let cx = ReadContext {
+            bundle: &in_force.bundle,
+            new_id: &|| placer.next_attempt().to_string(),
+            choose: &|route| self.choose(route),
         };
+        let DoorCall { mut head, repeatable, request_cap_bytes, attempts_max } =
+            match self.parts.protocol.read(&parts, &cx) {
+                Ok(call) => call,
+                Err(rejection) => {
+                    placer.metrics.bad_calls.inc();
+                    return self.reject(rejection, "-");
+                }
+            };
+        head.origin = self.parts.service.clone();
         let body = match self.read_body(body, request_cap_bytes).await {
             Ok(body) => body,
             Err(rejection) => {
                 placer.metrics.bad_calls.inc();
-                return answer::of_rejection(rejection, &head.call_id);
+                return self.reject(rejection, &head.call_id);
             }
         };
         head.body_bytes = body.len() as u32;
@@ -187,13 +215,28 @@
         let placed = if head.key.is_some() {
             self.parts.keyed.press(head, body).await
         } else {
-            place(placer, head, body, repeatable).await
+            place(placer, head, body, repeatable, attempts_max).await
         };
-        let answer = answer::of_placed(placed, &call_id);
+        let answer = self.parts.protocol.of_placed(placed, &call_id);
         log::debug!("event=call.end call={call_id} status={}", answer.status().as_u16());
         answer
     }
 
+    fn reject(&self, rejection: Rejection, call_id: &str) -> Answer {
+        log::info!("event=call.rejected call={call_id} code={} status={}", rejection.code, rejection.status);
+        self.parts.protocol.of_rejection(rejection, call_id)
+    }
+
+    /// Chooses the service that takes the next call of a route.
+    fn choose(&self, route: &HostRoute) -> Arc<str> {
+        if let [only] = route.targets.as_slice() {
+            return only.service.clone();
+        }
+        let Splits { pickers, rng } = &mut *self.splits.borrow_mut();
+        let picker = pickers.entry(route.name.clone()).or_insert_with(|| SplitPicker::new(&route.targets, rng));
+        route.targets[picker.next(&route.targets)].service.clone()
+    }
+
     async fn read_body(&self, body: Incoming, cap_bytes: usize) -> Result<Bytes, Rejection> {
         let collecting = timeout(self.parts.body_limit, Limited::new(body, cap_bytes).collect());
         match collecting.await {
@@ -207,19 +250,19 @@
     }
 }
 
-async fn place(placer: &Rc<Placer>, head: crate::link::message::CallHead, body: Bytes, repeatable: bool) -> Placed {
-    match placer.rule(&head.service, repeatable) {
+async fn place(placer: &Rc<Placer>, head: CallHead, body: Bytes, repeatable: bool, attempts_max: Option<u8>) -> Placed {
+    match placer.rule(&head.service, repeatable, attempts_max) {
         Some(rule) => placer.clone().place(head, body, rule).await,
         None => Placed::Verdict(Verdict::NotRun { code: Code::ServiceUnknown, retry_after_ms: 1_000 }),
     }
 }
 
 /// Waits until the node leaves, and then as long as a quiet connection may stay.
-async fn quiet(leaving: &mut watch::Receiver<bool>) {
+async fn quiet(leaving: &mut watch::Receiver<bool>, linger: Duration) {
     if leaving.wait_for(|leaving| *leaving).await.is_err() {
         return std::future::pending().await;
     }
-    tokio::time::sleep(Duration::from_millis(QUIET_MS)).await;
+    tokio::time::sleep(linger.max(Duration::from_millis(QUIET_MS))).await;
 }
 
 /// Counts a call as open until it is dropped, since a caller may go away in the middle.
--- a/valetrack/src/caller/tests.rs
+++ b/valetrack/src/caller/tests.rs
@@ -29,7 +29,7 @@
         request = request.header(*name, *value);
     }
     let (parts, ()) = request.body(()).expect("a right request").into_parts();
-    request::read(&parts, &bundle(), || "new".into())
+    request::read(&parts, &bundle(), &|| "new".into())
 }
 
 #[test]
--- a/valetrack/src/cli.rs
+++ b/valetrack/src/cli.rs
@@ -15,6 +15,7 @@
 use crate::bundle::{Bundle, Fault, check};
 use crate::code::Code;
 use crate::link::tls::{self, EXPIRY_WARNING_DAYS, KeyError};
+use crate::platform::{NativePlatform, Platform, PlatformFactory};
 use crate::settings::{ENV_PREFIX, NODE, NodeSettings, RawSettings, SettingFault};
 use crate::store::HttpStore;
 use crate::timeline::{self, Event};
@@ -60,10 +61,11 @@
     Failure { exit, text: text.to_string() }
 }
 
-/// Runs the command that the process was started with.
-pub fn main() -> ExitCode {
+/// Runs the command that the process was started with; `platforms` are those that a node may run
+/// on beside the native one.
+pub fn main(platforms: &[&dyn PlatformFactory]) -> ExitCode {
     let args: Vec<OsString> = std::env::args_os().skip(1).collect();
-    match run(args) {
+    match run(args, platforms) {
         Ok(()) => ExitCode::SUCCESS,
         Err(failure) => {
             eprintln!("{}", failure.text.trim_end());
@@ -72,7 +74,7 @@
     }
 }
 
-fn run(args: Vec<OsString>) -> Outcome {
+fn run(args: Vec<OsString>, platforms: &[&dyn PlatformFactory]) -> Outcome {
     let mut options = parse(args).map_err(|error| failure(EXIT_USAGE, format!("{}: {error}", Code::SettingUnknown)))?;
     if options.version {
         println!("valetrack {}", env!("CARGO_PKG_VERSION"));
@@ -84,8 +86,8 @@
         return if options.help { Ok(()) } else { Err(failure(EXIT_USAGE, "")) };
     }
     match words.as_slice() {
-        ["node"] => node(&mut options),
-        ["settings", "check"] => settings(&mut options).map(|_| println!("settings are right")),
+        ["node"] => node(&mut options, platforms),
+        ["settings", "check"] => settings(&mut options, platforms).map(|_| println!("settings are right")),
         ["bundle", "check", file] => bundle_check(Path::new(file), options.json),
         ["bundle", "write", file] => bundle_write(&options, Path::new(file)),
         ["bundle", "approve", version] => bundle_approve(&options, version),
@@ -149,7 +151,7 @@
     Ok(options)
 }
 
-fn settings(options: &mut Options) -> Result<NodeSettings, Failure> {
+fn settings(options: &mut Options, platforms: &[&dyn PlatformFactory]) -> Result<(NodeSettings, Platform), Failure> {
     let mut raw = std::mem::take(&mut options.raw);
     raw.fill_from(|name| std::env::var_os(name));
     let mut faults = std::mem::take(&mut options.faults);
@@ -158,12 +160,22 @@
         eprintln!("{}: {name} is no setting and is left out", Code::SettingUnknown);
     }
     match checked {
-        Ok(settings) if faults.is_empty() => Ok(settings),
-        Ok(_) => Err(setting_failure(&faults, options.json)),
-        Err(more) => {
-            faults.extend(more);
-            Err(setting_failure(&faults, options.json))
-        }
+        Ok(settings) => match open_platform(&settings, platforms) {
+            Ok(platform) if faults.is_empty() => return Ok((settings, platform)),
+            Ok(_) => {}
+            Err(more) => faults.extend(more),
+        },
+        Err(more) => faults.extend(more),
+    }
+    Err(setting_failure(&faults, options.json))
+}
+
+fn open_platform(settings: &NodeSettings, platforms: &[&dyn PlatformFactory]) -> Result<Platform, Vec<SettingFault>> {
+    let native: &dyn PlatformFactory = &NativePlatform;
+    let mut all = std::iter::once(native).chain(platforms.iter().copied());
+    match all.find(|platform| platform.name() == &*settings.platform) {
+        Some(platform) => platform.open(settings),
+        None => Err(vec![SettingFault::invalid("platform")]),
     }
 }
 
@@ -187,10 +199,10 @@
     failure(EXIT_FAULT, text)
 }
 
-fn node(options: &mut Options) -> Outcome {
-    let settings = settings(options)?;
+fn node(options: &mut Options, platforms: &[&dyn PlatformFactory]) -> Outcome {
+    let (settings, platform) = settings(options, platforms)?;
     timeline::log::start(&settings.vm, settings.log_level).map_err(|error| failure(EXIT_FAULT, error))?;
-    crate::node::run(settings).map_err(|error| failure(EXIT_FAULT, format!("{}: {error}", error.code())))
+    crate::node::run(settings, platform).map_err(|error| failure(EXIT_FAULT, format!("{}: {error}", error.code())))
 }
 
 fn read_file(path: &Path) -> Result<String, Failure> {
--- a/valetrack/src/code.rs
+++ b/valetrack/src/code.rs
@@ -72,6 +72,11 @@
     StoreOutcomeUnknown = 603, "a write to the platform's store may or may not have taken effect";
     StoreBudget = 604, "the budget for calls to the platform's store is spent";
     ListUnreachable = 605, "the platform's VM list could not be read";
+    StoreRefused = 606, "the platform's store turned the call away";
+    StoreHistoryGone = 607, "the platform's store has dropped the history that a watch asked for";
+    LeaseOver = 608, "the lease of this node's entry is over";
+    AnnouncementInvalid = 609, "an announcement of the upstream could not be read";
+    EntryInvalid = 610, "a node's entry in the store could not be read";
     FrameInvalid = 701, "a frame on a link could not be read";
     FrameTooLarge = 702, "a frame on a link is over its cap";
     LinkRefused = 703, "a link could not be opened";
--- a/valetrack/src/gate/message.rs
+++ b/valetrack/src/gate/message.rs
@@ -32,6 +32,9 @@
     pub stalled: bool,
     /// Whether the server takes no new work.
     pub leaving: bool,
+    /// Time that work takes on the server's machine now, in hundredths of the usual time; zero
+    /// where the server does not say.
+    pub slowdown_percent: u16,
 }
 
 /// What an owner says of an attempt that the entry wants cancelled.
@@ -54,8 +57,10 @@
     Stalled,
     /// The attempt was cancelled before it came, or came twice.
     Cancelled,
-    /// The server took no connection.
+    /// The server took no connection, or said that it did not run the call.
     Refused,
+    /// Nothing was heard of the server yet.
+    NotReady,
 }
 
 /// How long an entry lets an attempt wait for a slot.
@@ -82,6 +87,10 @@
         deadline_us: u64,
         /// How long the entry lets it wait here.
         patience: Patience,
+        /// Rank under overload; zero goes first.
+        priority: u8,
+        /// Longest useful wait for a slot, in microseconds; none where the gate's own bound holds.
+        wait_max_us: Option<u64>,
     },
     /// A started attempt ended, whether well or not.
     Done {
@@ -104,6 +113,8 @@
     Tick,
     /// The server is to leave.
     Drain,
+    /// Another start of the server takes work.
+    Open,
 }
 
 /// What the shell of the gate must do.
--- a/valetrack/src/gate/mod.rs
+++ b/valetrack/src/gate/mod.rs
@@ -6,10 +6,14 @@
 
 mod message;
 pub mod pool;
+mod protocol;
 pub mod run;
 mod state;
 #[cfg(test)]
 mod tests;
+mod upstream;
 
 pub use message::{AttemptId, BounceReason, GateAction, GateEvent, LoadReport, Patience, Word};
+pub use protocol::{Classified, Health, HostLoad, NativeUpstream, UpstreamProtocol};
 pub use state::{Gate, GateConfig, MEMORY_US};
+pub use upstream::{Announcement, UpstreamPhase, UpstreamState};
--- a/valetrack/src/gate/pool.rs
+++ b/valetrack/src/gate/pool.rs
@@ -1,23 +1,28 @@
 //! Warm connections to this VM's server.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Body as _;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::SendRequest;
 use hyper::{HeaderMap, Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::message::AttemptId;
+use super::message::BounceReason;
+use super::protocol::{Classified, Health, UpstreamProtocol};
+use crate::link::message::CallHead;
 
 /// Header that names the attempt to the server; a server may send it back.
 pub const ATTEMPT_HEADER: &str = "valetrack-attempt";
 /// Time limit of a new connection, in milliseconds.
 const CONNECT_MS: u64 = 500;
+/// Time limit of a health check, in milliseconds: a check that waits for a slot tells nothing.
+const HEALTH_MS: u64 = 500;
 /// Time within which a connection must be ready again after a whole answer, in milliseconds.
 const READY_MS: u64 = 1;
 
@@ -32,6 +37,8 @@
     TooLarge,
     /// The answer belongs to another attempt.
     Misdirected,
+    /// The server says that it did not run the call and will not.
+    Rejected(BounceReason),
 }
 
 /// A whole answer of the server.
@@ -47,28 +54,53 @@
 
 type Sender = SendRequest<Full<Bytes>>;
 
+/// A connection that waits for its next call.
+struct Idle {
+    sender: Sender,
+    since: Instant,
+}
+
 /// Connections that wait for their next call.
 pub struct ServerPool {
     addr: SocketAddr,
-    idle: std::cell::RefCell<Vec<Sender>>,
+    protocol: Arc<dyn UpstreamProtocol>,
+    idle: std::cell::RefCell<Vec<Idle>>,
 }
 
 impl ServerPool {
     /// Makes an empty pool.
-    pub fn new(addr: SocketAddr) -> Self {
-        Self { addr, idle: Default::default() }
+    pub fn new(addr: SocketAddr, protocol: Arc<dyn UpstreamProtocol>) -> Self {
+        Self { addr, protocol, idle: Default::default() }
+    }
+
+    /// Returns how calls are put to the server and its answers are read.
+    pub fn protocol(&self) -> &dyn UpstreamProtocol {
+        &*self.protocol
+    }
+
+    /// Closes every connection that waits; what was sent to an earlier start of the server says
+    /// nothing about the next one.
+    pub fn clear(&self) {
+        self.idle.borrow_mut().clear();
     }
 
     /// Opens connections ahead of calls until `count` wait.
     pub async fn warm(&self, count: usize) {
+        if self.protocol.reuse_within().is_some() {
+            return;
+        }
         while self.idle.borrow().len() < count {
             let Some(sender) = self.connect().await else {
                 return;
             };
-            self.idle.borrow_mut().push(sender);
+            self.keep(sender);
         }
     }
 
+    fn keep(&self, sender: Sender) {
+        self.idle.borrow_mut().push(Idle { sender, since: Instant::now() });
+    }
+
     /// Makes one exchange.
     ///
     /// A connection goes back to the pool only after its answer came whole; one that is dropped
@@ -77,41 +109,52 @@
     /// # Errors
     ///
     /// Returns [`ServerError::NotStarted`] only when not a byte of the call reached a connection
-    /// that was open.
+    /// that was open, and [`ServerError::Rejected`] when the server itself says that it did not
+    /// run the call.
     pub async fn exchange(
         &self,
         request: Request<Full<Bytes>>,
-        attempt: AttemptId,
+        call: &CallHead,
         cap_bytes: usize,
     ) -> Result<ServerAnswer, ServerError> {
-        let (mut sender, answer) = self.send(request).await?;
+        let (mut sender, answer) = self.send(request, self.protocol.wants_fresh_connection(call)).await?;
         let (head, body) = answer.into_parts();
-        if misdirected(&head.headers, attempt) {
-            return Err(ServerError::Misdirected);
-        }
-        if body.size_hint().lower() > cap_bytes as u64 {
-            return Err(ServerError::TooLarge);
+        let status = head.status.as_u16();
+        match self.protocol.classify(call, status, &head.headers) {
+            Classified::Ran => {}
+            Classified::NotStarted(reason) => return Err(ServerError::Rejected(reason)),
+            Classified::Misdirected => return Err(ServerError::Misdirected),
+            Classified::Unusable => return Err(ServerError::Broken),
         }
-        let body = Limited::new(body, cap_bytes).collect().await;
-        let body = body.map_err(|error| match error.downcast_ref::<http_body_util::LengthLimitError>() {
-            Some(_) => ServerError::TooLarge,
-            None => ServerError::Broken,
-        })?;
+        let body = read_body(body, cap_bytes).await?;
         // Bytes behind the answer close the connection; let that be seen before it is used again.
         tokio::task::yield_now().await;
         let ready = timeout(Duration::from_millis(READY_MS), sender.ready()).await;
         if ready.is_ok_and(|ready| ready.is_ok()) {
-            self.idle.borrow_mut().push(sender);
+            self.keep(sender);
         }
-        Ok(ServerAnswer { status: head.status.as_u16(), headers: head.headers, body: body.to_bytes() })
+        Ok(ServerAnswer { status, headers: head.headers, body })
+    }
+
+    /// Asks the server for its health on a connection of its own; none when no whole answer
+    /// came in time.
+    pub async fn health(&self, path: &str) -> Option<Health> {
+        let request = Request::get(path).header("host", self.addr.to_string()).body(Full::default()).ok()?;
+        let asked = async {
+            let mut sender = self.connect().await?;
+            let answer = sender.send_request(request).await.ok()?;
+            self.protocol.health(answer.status().as_u16(), answer.headers())
+        };
+        timeout(Duration::from_millis(HEALTH_MS), asked).await.ok()?
     }
 
     async fn send(
         &self,
         mut request: Request<Full<Bytes>>,
-    ) -> Result<(Sender, Response<hyper::body::Incoming>), ServerError> {
+        fresh: bool,
+    ) -> Result<(Sender, Response<Incoming>), ServerError> {
         loop {
-            let warm = self.take_idle();
+            let warm = if fresh { None } else { self.take_idle() };
             let reused = warm.is_some();
             let mut sender = match warm {
                 Some(sender) => sender,
@@ -135,8 +178,9 @@
 
     fn take_idle(&self) -> Option<Sender> {
         let mut idle = self.idle.borrow_mut();
-        while let Some(sender) = idle.pop() {
-            if sender.is_ready() {
+        let within = self.protocol.reuse_within().unwrap_or(Duration::MAX);
+        while let Some(Idle { sender, since }) = idle.pop() {
+            if sender.is_ready() && since.elapsed() < within {
                 return Some(sender);
             }
         }
@@ -154,7 +198,14 @@
     }
 }
 
-/// Returns whether the server says that its answer is for another attempt.
-fn misdirected(headers: &HeaderMap, attempt: AttemptId) -> bool {
-    headers.get(ATTEMPT_HEADER).is_some_and(|said| said.as_bytes() != attempt.to_string().as_bytes())
+async fn read_body(body: Incoming, cap_bytes: usize) -> Result<Bytes, ServerError> {
+    if body.size_hint().lower() > cap_bytes as u64 {
+        return Err(ServerError::TooLarge);
+    }
+    let collected = Limited::new(body, cap_bytes).collect().await;
+    let collected = collected.map_err(|error| match error.downcast_ref::<LengthLimitError>() {
+        Some(_) => ServerError::TooLarge,
+        None => ServerError::Broken,
+    })?;
+    Ok(collected.to_bytes())
 }
--- /dev/null
+++ b/valetrack/src/gate/protocol.rs
@@ -0,0 +1,116 @@
+//! The border to this VM's upstream: how calls are put to it and how its answers are read.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{HeaderMap, Request};
+
+use super::message::BounceReason;
+use super::pool::ATTEMPT_HEADER;
+use super::run::LEAVING_HEADER;
+use crate::link::message::CallHead;
+
+/// What the head of an upstream's answer says of the call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Classified {
+    /// The upstream ran the call, and this is its answer.
+    Ran,
+    /// The upstream did not run the call and will not.
+    NotStarted(BounceReason),
+    /// The answer belongs to another call.
+    Misdirected,
+    /// The answer cannot be passed on as it stands; the call may have run.
+    Unusable,
+}
+
+/// What an upstream says of its machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HostLoad {
+    /// Calls that wait inside the upstream.
+    pub waiting: u16,
+    /// Time that work takes now, in hundredths of the usual time.
+    pub slowdown_percent: u32,
+}
+
+/// What a health check says of an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Health {
+    /// Id of the upstream that answered.
+    pub id: Arc<str>,
+    /// Whether it takes work.
+    pub ready: bool,
+}
+
+/// How one node speaks with its upstream.
+pub trait UpstreamProtocol: Send + Sync {
+    /// Makes the request for a call that has `left_ms` until its deadline; none when its head
+    /// cannot be written as HTTP.
+    fn request(&self, head: &CallHead, body: Bytes, left_ms: u64, id: Option<&str>) -> Option<Request<Full<Bytes>>>;
+
+    /// Reads the head of an answer.
+    fn classify(&self, head: &CallHead, status: u16, headers: &HeaderMap) -> Classified;
+
+    /// Reads what an answer says of the machine, if it does.
+    fn host_load(&self, headers: &HeaderMap) -> Option<HostLoad>;
+
+    /// Returns whether an answer says that the upstream is about to stop.
+    fn is_leaving(&self, headers: &HeaderMap) -> bool;
+
+    /// Returns whether the call must have a connection that nothing was sent on before.
+    fn wants_fresh_connection(&self, head: &CallHead) -> bool;
+
+    /// Returns how long a connection may rest and still be used again; none where connections
+    /// are opened ahead of calls and kept.
+    fn reuse_within(&self) -> Option<Duration>;
+
+    /// Reads the answer to a health check; none when it names no upstream.
+    fn health(&self, status: u16, headers: &HeaderMap) -> Option<Health>;
+}
+
+/// Valetrack's own words to upstreams.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct NativeUpstream;
+
+impl UpstreamProtocol for NativeUpstream {
+    fn request(&self, head: &CallHead, body: Bytes, left_ms: u64, _id: Option<&str>) -> Option<Request<Full<Bytes>>> {
+        let mut request = Request::builder().method(head.method.as_str()).uri(head.path.as_str());
+        for (name, value) in &head.headers {
+            request = request.header(name.as_str(), value.as_slice());
+        }
+        request
+            .header(ATTEMPT_HEADER, head.attempt.to_string())
+            .header("valetrack-call", &*head.call_id)
+            .header("valetrack-depth", u32::from(head.depth))
+            .header("valetrack-deadline-ms", left_ms)
+            .body(Full::new(body))
+            .ok()
+    }
+
+    fn classify(&self, head: &CallHead, _status: u16, headers: &HeaderMap) -> Classified {
+        let attempt = head.attempt.to_string();
+        let other = headers.get(ATTEMPT_HEADER).is_some_and(|named| named.as_bytes() != attempt.as_bytes());
+        if other { Classified::Misdirected } else { Classified::Ran }
+    }
+
+    fn host_load(&self, _headers: &HeaderMap) -> Option<HostLoad> {
+        None
+    }
+
+    fn is_leaving(&self, headers: &HeaderMap) -> bool {
+        headers.contains_key(LEAVING_HEADER)
+    }
+
+    fn wants_fresh_connection(&self, _head: &CallHead) -> bool {
+        false
+    }
+
+    fn reuse_within(&self) -> Option<Duration> {
+        None
+    }
+
+    fn health(&self, _status: u16, _headers: &HeaderMap) -> Option<Health> {
+        None
+    }
+}
--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -1,20 +1,21 @@
 //! Shell of the gate; it shares the link thread, since every call comes over a link's stream.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::{HeaderMap, Request};
-use tokio::sync::{Notify, oneshot};
+use hyper::HeaderMap;
+use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::{sleep, timeout};
 
 use super::message::{AttemptId, BounceReason, GateAction, GateEvent, LoadReport, Word};
 use super::pool::{ATTEMPT_HEADER, ServerAnswer, ServerError, ServerPool};
+use super::protocol::Health;
 use super::state::{Gate, GateConfig};
+use super::upstream::{UpstreamPhase, UpstreamState};
 use crate::clock::now_us;
 use crate::code::Code;
 use crate::link::message::{AnswerHead, CallHead};
@@ -24,6 +25,9 @@
 /// A slot whose call passed its deadline stays taken this long, so that the server can see the
 /// closed connection and stop, in milliseconds.
 const LINGER_MS: u64 = 100;
+/// A call waits for a slot at most this part of its objective, as a divisor: what waits longer
+/// is better offered elsewhere or refused while its caller can still come back in time.
+const WAIT_SHARE: u64 = 4;
 /// Header by which a server says that it is about to stop.
 pub const LEAVING_HEADER: &str = "valetrack-leaving";
 /// Headers that belong to one connection and do not travel.
@@ -50,6 +54,20 @@
     Bounce(BounceReason),
 }
 
+/// Takes a call out of the queue when nobody waits for its end any more.
+struct AbandonGuard {
+    shell: Rc<GateShell>,
+    attempt: Option<AttemptId>,
+}
+
+impl Drop for AbandonGuard {
+    fn drop(&mut self) {
+        if let Some(attempt) = self.attempt.take() {
+            self.shell.handle(GateEvent::Cancel { attempt });
+        }
+    }
+}
+
 struct Job {
     head: CallHead,
     body: Bytes,
@@ -62,7 +80,10 @@
     gate: RefCell<Gate>,
     jobs: RefCell<HashMap<AttemptId, Job>>,
     pool: ServerPool,
-    answer_cap_bytes: std::cell::Cell<usize>,
+    answer_cap_bytes: Cell<usize>,
+    upstream: watch::Receiver<UpstreamState>,
+    /// Whether the node itself leaves, so that its gate never opens again.
+    draining: Cell<bool>,
     changed: Notify,
     leaving: Arc<Notify>,
     metrics: Arc<Metrics>,
@@ -70,12 +91,19 @@
 
 impl GateShell {
     /// Makes a gate; `leaving` is notified when the server says that it is about to stop.
-    pub fn new(pool: ServerPool, leaving: Arc<Notify>, metrics: Arc<Metrics>) -> Rc<Self> {
+    pub fn new(
+        pool: ServerPool,
+        upstream: watch::Receiver<UpstreamState>,
+        leaving: Arc<Notify>,
+        metrics: Arc<Metrics>,
+    ) -> Rc<Self> {
         Rc::new(Self {
+            upstream,
+            draining: Cell::new(false),
             gate: RefCell::new(Gate::new(GateConfig::default(), now_us())),
             jobs: Default::default(),
             pool,
-            answer_cap_bytes: std::cell::Cell::new(crate::link::message::BODY_MAX_BYTES),
+            answer_cap_bytes: Cell::new(crate::link::message::BODY_MAX_BYTES),
             changed: Notify::new(),
             leaving,
             metrics,
@@ -84,6 +112,8 @@
 
     /// Takes limits of the bundle in force, and opens connections ahead of calls.
     pub async fn configure(&self, config: GateConfig, answer_cap_bytes: usize) {
+        let slots = self.upstream.borrow().slots.unwrap_or(config.slots);
+        let config = GateConfig { slots, ..config };
         self.gate.borrow_mut().configure(config);
         self.answer_cap_bytes.set(answer_cap_bytes);
         self.pool.warm(usize::from(config.slots)).await;
@@ -99,11 +129,45 @@
         self.gate.borrow().idle()
     }
 
-    /// Stops taking new work; what waits is given back.
+    /// Stops taking new work for good; what waits is given back.
     pub fn drain(self: &Rc<Self>) {
+        self.draining.set(true);
         self.handle(GateEvent::Drain);
     }
 
+    /// Asks the server for its health.
+    pub async fn health(&self, path: &str) -> Option<Health> {
+        self.pool.health(path).await
+    }
+
+    /// Opens and closes the gate as the upstream's announcements say; runs as long as the gate.
+    pub async fn follow_upstream(self: Rc<Self>) {
+        let mut upstream = self.upstream.clone();
+        let mut id = None;
+        loop {
+            let state = upstream.borrow_and_update().clone();
+            if state.id != id {
+                self.pool.clear();
+                id.clone_from(&state.id);
+            }
+            if let Some(slots) = state.slots {
+                self.gate.borrow_mut().set_slots(slots);
+            }
+            match state.phase {
+                UpstreamPhase::Ready if !self.draining.get() => {
+                    self.handle(GateEvent::Open);
+                }
+                UpstreamPhase::Ready | UpstreamPhase::Leaving => {
+                    self.handle(GateEvent::Drain);
+                }
+                UpstreamPhase::Unknown => {}
+            }
+            if upstream.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Runs a call when the gate lets it, and waits for the end.
     pub async fn call(self: &Rc<Self>, head: CallHead, body: Bytes) -> GateReply {
         let attempt = head.attempt;
@@ -113,9 +177,17 @@
         if self.jobs.borrow().contains_key(&attempt) {
             return GateReply::Bounce(BounceReason::Cancelled);
         }
+        if self.upstream.borrow().phase == UpstreamPhase::Unknown {
+            return GateReply::Bounce(BounceReason::NotReady);
+        }
+        let priority = head.priority;
+        let wait_max_us = (head.objective_ms > 0).then(|| u64::from(head.objective_ms) * 1000 / WAIT_SHARE);
         self.jobs.borrow_mut().insert(attempt, Job { head, body, deadline_us, reply });
-        self.handle(GateEvent::Arrive { attempt, deadline_us, patience });
-        answered.await.unwrap_or(GateReply::Bounce(BounceReason::Cancelled))
+        let mut abandon = AbandonGuard { shell: self.clone(), attempt: Some(attempt) };
+        self.handle(GateEvent::Arrive { attempt, deadline_us, patience, priority, wait_max_us });
+        let reply = answered.await;
+        abandon.attempt = None;
+        reply.unwrap_or(GateReply::Bounce(BounceReason::Cancelled))
     }
 
     /// Cancels an attempt and returns the word on it.
@@ -178,23 +250,44 @@
         tokio::task::spawn_local(self.clone().run(job));
     }
 
+    /// Gives a started attempt back, of which it is certain that the server did not run it.
+    fn give_back(self: &Rc<Self>, job: Job, reason: BounceReason) {
+        let attempt = job.head.attempt;
+        log::info!("event=gate.not_started call={} attempt={attempt} reason={reason:?}", job.head.call_id);
+        self.jobs.borrow_mut().insert(attempt, job);
+        self.handle(GateEvent::Refused { attempt });
+    }
+
     async fn run(self: Rc<Self>, job: Job) {
         let attempt = job.head.attempt;
         log::debug!("event=gate.start call={} attempt={attempt}", job.head.call_id);
-        let Some(request) = request(&job) else {
-            self.jobs.borrow_mut().insert(attempt, job);
-            self.handle(GateEvent::Refused { attempt });
+        let left_us = job.deadline_us.saturating_sub(now_us());
+        let id = self.upstream.borrow().id.clone();
+        let Some(request) = self.pool.protocol().request(&job.head, job.body.clone(), left_us / 1000, id.as_deref())
+        else {
+            self.give_back(job, BounceReason::Refused);
             return;
         };
-        let left = Duration::from_micros(job.deadline_us.saturating_sub(now_us()));
-        let exchange = self.pool.exchange(request, attempt, self.answer_cap_bytes.get());
-        let ended = timeout(left, exchange).await;
+        let mut job = job;
+        let exchange = self.pool.exchange(request, &job.head, self.answer_cap_bytes.get());
+        let ended = tokio::select! {
+            ended = timeout(Duration::from_micros(left_us), exchange) => ended,
+            // Whoever asked has gone away; the closed connection tells the server to stop.
+            () = job.reply.closed(), if job.head.repeatable => {
+                log::info!("event=gate.abandoned call={} attempt={attempt}", job.head.call_id);
+                self.handle(GateEvent::Done { attempt, healthy: true });
+                return;
+            }
+        };
         let late = ended.is_err();
         let (code, answer) = match ended {
             Ok(Ok(answer)) => (None, Some(answer)),
             Ok(Err(ServerError::NotStarted)) => {
-                self.jobs.borrow_mut().insert(attempt, job);
-                self.handle(GateEvent::Refused { attempt });
+                self.give_back(job, BounceReason::Refused);
+                return;
+            }
+            Ok(Err(ServerError::Rejected(reason))) => {
+                self.give_back(job, reason);
                 return;
             }
             Ok(Err(ServerError::Broken)) => (Some(Code::ServerFailed), None),
@@ -205,8 +298,11 @@
             }
             Err(_) => (Some(Code::DeadlinePassed), None),
         };
+        if let Some(load) = answer.as_ref().and_then(|answer| self.pool.protocol().host_load(&answer.headers)) {
+            self.gate.borrow_mut().set_slowdown(load.slowdown_percent.min(u32::from(u16::MAX)) as u16);
+        }
         let healthy = answer.as_ref().is_some_and(|answer| answer.status < 500);
-        if answer.as_ref().is_some_and(|answer| answer.headers.contains_key(LEAVING_HEADER)) {
+        if answer.as_ref().is_some_and(|answer| self.pool.protocol().is_leaving(&answer.headers)) {
             self.leaving.notify_one();
         }
         log::debug!("event=gate.done call={} attempt={attempt} healthy={healthy}", job.head.call_id);
@@ -226,6 +322,7 @@
         BounceReason::Stalled => "stalled",
         BounceReason::Cancelled => "cancelled",
         BounceReason::Refused => "refused",
+        BounceReason::NotReady => "not-ready",
     }
 }
 
@@ -234,22 +331,6 @@
     !HOP_HEADERS.contains(&name)
 }
 
-fn request(job: &Job) -> Option<Request<Full<Bytes>>> {
-    let head = &job.head;
-    let left_ms = job.deadline_us.saturating_sub(now_us()) / 1000;
-    let mut request = Request::builder().method(head.method.as_str()).uri(head.path.as_str());
-    for (name, value) in &head.headers {
-        request = request.header(name.as_str(), value.as_slice());
-    }
-    request
-        .header(ATTEMPT_HEADER, head.attempt.to_string())
-        .header("valetrack-call", &*head.call_id)
-        .header("valetrack-depth", u32::from(head.depth))
-        .header("valetrack-deadline-ms", left_ms)
-        .body(Full::new(job.body.clone()))
-        .ok()
-}
-
 fn answer_head(attempt: AttemptId, code: Option<Code>, answer: Option<ServerAnswer>) -> (AnswerHead, Bytes) {
     let Some(answer) = answer else {
         let head = AnswerHead {
--- a/valetrack/src/gate/state.rs
+++ b/valetrack/src/gate/state.rs
@@ -49,6 +49,7 @@
     deadline_us: u64,
     leave_at_us: u64,
     patience: Patience,
+    priority: u8,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -72,6 +73,7 @@
     forget: VecDeque<(u64, AttemptId)>,
     service_us: i64,
     progress: Progress,
+    slowdown_percent: u16,
 }
 
 /// What says how many running calls should have ended since the last one did.
@@ -121,6 +123,7 @@
             forget: VecDeque::with_capacity(1024),
             service_us: FIRST_SERVICE_US,
             progress: Progress { last_us: now_us, ..Progress::default() },
+            slowdown_percent: 0,
         }
     }
 
@@ -129,6 +132,11 @@
         self.config = config;
     }
 
+    /// Takes how many calls the server runs at once, as it says itself.
+    pub fn set_slots(&mut self, slots: u16) {
+        self.config.slots = slots;
+    }
+
     /// Returns how many calls may run at once at `now_us`; a cold server starts with one slot.
     pub fn limit(&self, now_us: u64) -> u16 {
         let age_us = now_us.saturating_sub(self.opened_us);
@@ -148,9 +156,15 @@
             service_us: self.service_us as u32,
             stalled: self.stalled(now_us),
             leaving: self.leaving,
+            slowdown_percent: self.slowdown_percent,
         }
     }
 
+    /// Notes how long work takes on the server's machine now, in hundredths of the usual time.
+    pub fn set_slowdown(&mut self, slowdown_percent: u16) {
+        self.slowdown_percent = slowdown_percent;
+    }
+
     /// Returns whether nothing runs and nothing waits.
     pub fn idle(&self) -> bool {
         self.running.is_empty() && self.waiting.is_empty()
@@ -170,27 +184,22 @@
     pub fn handle(&mut self, event: GateEvent, now_us: u64, out: &mut Vec<GateAction>) {
         self.expire(now_us);
         match event {
-            GateEvent::Arrive { attempt, deadline_us, patience } => {
-                self.arrive(attempt, deadline_us, patience, now_us, out);
-            }
+            GateEvent::Arrive { .. } => self.arrive(event, now_us, out),
             GateEvent::Done { attempt, healthy } => self.done(attempt, healthy, now_us),
             GateEvent::Refused { attempt } => self.refused(attempt, now_us, out),
             GateEvent::Cancel { attempt } => self.cancel(attempt, now_us, out),
             GateEvent::Tick => {}
             GateEvent::Drain => self.drain(now_us, out),
+            GateEvent::Open => self.open(now_us),
         }
         self.leave_queue(now_us, out);
         self.start_waiting(now_us, out);
     }
 
-    fn arrive(
-        &mut self,
-        attempt: AttemptId,
-        deadline_us: u64,
-        patience: Patience,
-        now_us: u64,
-        out: &mut Vec<GateAction>,
-    ) {
+    fn arrive(&mut self, event: GateEvent, now_us: u64, out: &mut Vec<GateAction>) {
+        let GateEvent::Arrive { attempt, deadline_us, patience, priority, wait_max_us } = event else {
+            return;
+        };
         if self.knows(attempt) {
             // A second copy must not run; the first copy has its own answer.
             return;
@@ -204,7 +213,8 @@
             return;
         }
         let room = (self.running.len() as u16) < self.limit(now_us) && self.waiting.is_empty();
-        if !room && let Some(reason) = self.refuses_to_queue(deadline_us, patience, now_us) {
+        let wait_max_us = wait_max_us.unwrap_or(self.config.queue_max_us);
+        if !room && let Some(reason) = self.refuses_to_queue(deadline_us, patience, priority, wait_max_us, now_us) {
             self.bounce(attempt, reason, now_us, out);
             return;
         }
@@ -213,23 +223,32 @@
             Patience::Long | Patience::Last => deadline_us,
             Patience::None | Patience::Short => deadline_us.min(now_us + self.service_us as u64),
         };
-        self.waiting.push_back(Waiting { attempt, deadline_us, leave_at_us, patience });
+        // Order by rank, and by arrival within one rank.
+        let at = self.waiting.partition_point(|other| other.priority <= priority);
+        self.waiting.insert(at, Waiting { attempt, deadline_us, leave_at_us, patience, priority });
     }
 
-    fn refuses_to_queue(&self, deadline_us: u64, patience: Patience, now_us: u64) -> Option<BounceReason> {
+    fn refuses_to_queue(
+        &self,
+        deadline_us: u64,
+        patience: Patience,
+        priority: u8,
+        wait_max_us: u64,
+        now_us: u64,
+    ) -> Option<BounceReason> {
         if self.config.rescue && patience != Patience::Last && self.stalled(now_us) {
             return Some(BounceReason::Stalled);
         }
         let limit = u64::from(self.limit(now_us).max(1));
-        let ahead = self.waiting.len() as u64 + 1;
+        let ahead = self.waiting.iter().filter(|other| other.priority <= priority).count() as u64 + 1;
         let wait_us = ahead * self.service_us as u64 / limit;
         let end_us = now_us + wait_us + self.service_us as u64;
         let patience_us = match patience {
             Patience::None => 0,
-            Patience::Short => self.config.queue_max_us.min(self.service_us as u64 / 2),
-            Patience::Long => self.config.queue_max_us,
+            Patience::Short => wait_max_us.min(self.service_us as u64 / 2),
+            Patience::Long => wait_max_us,
             // It was let in elsewhere or turned away everywhere; turning it away now comes late.
-            Patience::Last => self.config.queue_max_us * LAST_QUEUES,
+            Patience::Last => wait_max_us * LAST_QUEUES,
         };
         if wait_us > patience_us || end_us > deadline_us {
             return Some(BounceReason::Full);
@@ -273,6 +292,11 @@
         out.push(GateAction::Say { attempt, word: Word::NeverStarted });
     }
 
+    fn open(&mut self, now_us: u64) {
+        self.leaving = false;
+        self.opened_us = now_us;
+    }
+
     fn drain(&mut self, now_us: u64, out: &mut Vec<GateAction>) {
         self.leaving = true;
         while let Some(waiting) = self.waiting.pop_front() {
--- a/valetrack/src/gate/tests/connection.rs
+++ b/valetrack/src/gate/tests/connection.rs
@@ -1,6 +1,7 @@
 //! Real connections to a server that breaks the rules.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,13 +12,35 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
-use crate::gate::AttemptId;
 use crate::gate::pool::{ServerError, ServerPool};
+use crate::gate::{AttemptId, NativeUpstream, Patience};
+use crate::link::message::CallHead;
 
 const CAP_BYTES: usize = 1_000;
 
-fn attempt(seq: u64) -> AttemptId {
-    AttemptId { entry: 3, seq }
+fn call(seq: u64) -> CallHead {
+    CallHead {
+        attempt: AttemptId { entry: 3, seq },
+        call_id: "c".into(),
+        service: "intake".into(),
+        origin: "intake".into(),
+        method: "GET".into(),
+        path: "/".into(),
+        headers: Vec::new(),
+        body_bytes: 0,
+        deadline_ms: 1_000,
+        objective_ms: 0,
+        priority: 0,
+        repeatable: true,
+        depth: 1,
+        patience: Patience::Long,
+        key: None,
+        hlc: 0,
+    }
+}
+
+fn pool(addr: SocketAddr) -> ServerPool {
+    ServerPool::new(addr, Arc::new(NativeUpstream))
 }
 
 fn request() -> Request<Full<Bytes>> {
@@ -59,8 +82,8 @@
 )]
 fn an_answer_that_is_not_whole_is_no_answer(answers: &'static [&'static str], expected: ServerError) {
     run(async move {
-        let pool = ServerPool::new(server(answers).await);
-        let ended = timeout(Duration::from_secs(5), pool.exchange(request(), attempt(1), CAP_BYTES)).await;
+        let pool = pool(server(answers).await);
+        let ended = timeout(Duration::from_secs(5), pool.exchange(request(), &call(1), CAP_BYTES)).await;
         assert_eq!(ended.expect("an end in time").map(|answer| answer.body).err(), Some(expected));
     });
 }
@@ -71,9 +94,9 @@
         HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nstray";
     const SECOND: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirst";
     run(async {
-        let pool = ServerPool::new(server(&[DOUBLE, SECOND]).await);
+        let pool = pool(server(&[DOUBLE, SECOND]).await);
         for seq in 0..50 {
-            let ended = pool.exchange(request(), attempt(seq), CAP_BYTES).await;
+            let ended = pool.exchange(request(), &call(seq), CAP_BYTES).await;
             if let Ok(answer) = ended {
                 assert_eq!(answer.body, "first", "call {seq}");
             }
@@ -102,11 +125,11 @@
                 });
             }
         });
-        let pool = ServerPool::new(addr);
-        let first = pool.exchange(request(), attempt(1), CAP_BYTES).await.expect("an answer");
+        let pool = pool(addr);
+        let first = pool.exchange(request(), &call(1), CAP_BYTES).await.expect("an answer");
         assert_eq!(first.body, "con-1");
         sleep(Duration::from_millis(60)).await;
-        let second = pool.exchange(request(), attempt(2), CAP_BYTES).await.expect("an answer");
+        let second = pool.exchange(request(), &call(2), CAP_BYTES).await.expect("an answer");
         assert_eq!(second.body, "con-2", "the stray answer must not be taken for this one");
     });
 }
@@ -117,8 +140,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let addr = listener.local_addr().expect("a bound port");
         drop(listener);
-        let pool = ServerPool::new(addr);
-        let ended = pool.exchange(request(), attempt(1), CAP_BYTES).await;
+        let pool = pool(addr);
+        let ended = pool.exchange(request(), &call(1), CAP_BYTES).await;
         assert_eq!(ended.map(|answer| answer.status), Err(ServerError::NotStarted));
     });
 }
@@ -142,10 +165,10 @@
                 });
             }
         });
-        let pool = ServerPool::new(addr);
-        let dropped = timeout(Duration::from_millis(10), pool.exchange(request(), attempt(1), CAP_BYTES)).await;
+        let pool = pool(addr);
+        let dropped = timeout(Duration::from_millis(10), pool.exchange(request(), &call(1), CAP_BYTES)).await;
         assert!(dropped.is_err());
-        let answer = pool.exchange(request(), attempt(2), CAP_BYTES).await.expect("an answer");
+        let answer = pool.exchange(request(), &call(2), CAP_BYTES).await.expect("an answer");
         assert_eq!(answer.body, "late");
         assert!(connections.recv().await.is_some() && connections.recv().await.is_some());
     });
--- a/valetrack/src/gate/tests/steps.rs
+++ b/valetrack/src/gate/tests/steps.rs
@@ -11,7 +11,7 @@
 }
 
 fn arrive(seq: u64, patience: Patience) -> GateEvent {
-    GateEvent::Arrive { attempt: attempt(seq), deadline_us: 1_000_000, patience }
+    GateEvent::Arrive { attempt: attempt(seq), deadline_us: 1_000_000, patience, priority: 0, wait_max_us: None }
 }
 
 fn feed(gate: &mut Gate, event: GateEvent, now_us: u64) -> Vec<GateAction> {
@@ -47,7 +47,13 @@
 fn work_that_cannot_meet_its_deadline_is_refused_before_it_waits() {
     let mut gate = Gate::new(CONFIG, 0);
     feed(&mut gate, arrive(1, Patience::Long), 0);
-    let hurried = GateEvent::Arrive { attempt: attempt(2), deadline_us: 500, patience: Patience::Long };
+    let hurried = GateEvent::Arrive {
+        attempt: attempt(2),
+        deadline_us: 500,
+        patience: Patience::Long,
+        priority: 0,
+        wait_max_us: None,
+    };
     let refused = feed(&mut gate, hurried, 0);
     assert_eq!(refused, [GateAction::Bounce { attempt: attempt(2), reason: BounceReason::Full }]);
 }
--- a/valetrack/src/lib.rs
+++ b/valetrack/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod metric;
 pub mod node;
 pub mod placement;
+pub mod platform;
 pub mod settings;
 pub mod store;
 pub mod timeline;
--- a/valetrack/src/link/message.rs
+++ b/valetrack/src/link/message.rs
@@ -13,7 +13,7 @@
 use crate::placement::Outcome;
 
 /// Version of the messages; nodes of other versions are refused in the TLS handshake.
-pub const ALPN: &[u8] = b"valetrack/1";
+pub const ALPN: &[u8] = b"valetrack/2";
 /// Largest head, in bytes.
 pub const HEAD_MAX_BYTES: usize = 64 * 1024;
 /// Largest body, in bytes; routes have caps below it.
@@ -28,6 +28,8 @@
     pub call_id: Arc<str>,
     /// The service.
     pub service: Arc<str>,
+    /// Service of the VM at which the call began.
+    pub origin: Arc<str>,
     /// HTTP method.
     pub method: String,
     /// Path and query.
@@ -38,6 +40,12 @@
     pub body_bytes: u32,
     /// Time left, in milliseconds.
     pub deadline_ms: u32,
+    /// Time from its start within which an answer is worth the most, in milliseconds; zero for none.
+    pub objective_ms: u32,
+    /// Rank under overload; zero goes first.
+    pub priority: u8,
+    /// Whether the work may run more than once.
+    pub repeatable: bool,
     /// How deep the call is nested.
     pub depth: u8,
     /// How long the owner may let it wait.
--- a/valetrack/src/link/run.rs
+++ b/valetrack/src/link/run.rs
@@ -15,16 +15,20 @@
 use super::message::{AnswerHead, Answered, Ask, CallHead, Question, Reply, ReplyHead, Riding};
 use super::peer::{FRAME_MAX_BYTES, LinkJob, LinkResult, Peers};
 use super::tls::LinkTls;
-use crate::bundle::InForce;
+use crate::bundle::{InForce, ServiceRule};
 use crate::claim::run::ClaimJob;
 use crate::gate::pool::ServerPool;
 use crate::gate::run::{GateReply, GateShell};
-use crate::gate::{BounceReason, GateConfig, Word};
+use crate::gate::{
+    Announcement, BounceReason, GateConfig, Health, UpstreamPhase, UpstreamProtocol, UpstreamState, Word,
+};
 use crate::member::run::MemberJob;
 use crate::metric::Metrics;
 use crate::placement::Outcome;
 use crate::timeline::log as events;
 
+/// Pause between two health checks of an upstream of which nothing was heard, in milliseconds.
+const FIND_MS: u64 = 300;
 /// Time that a peer has to send its question, in milliseconds.
 const QUESTION_MS: u64 = 5_000;
 
@@ -44,6 +48,12 @@
     pub to_member: Sender<MemberJob>,
     /// The bundle in force.
     pub bundle: watch::Receiver<Option<Arc<InForce>>>,
+    /// How calls are put to the server and its answers are read.
+    pub upstream_protocol: Arc<dyn UpstreamProtocol>,
+    /// State of the server as its announcements tell it.
+    pub upstream: watch::Receiver<UpstreamState>,
+    /// Ring to whoever keeps that state, for what health checks find.
+    pub to_upstream: Option<Sender<Announcement>>,
     /// Turns true when this node leaves.
     pub leaving: watch::Receiver<bool>,
     /// Notified when the server itself says that it is about to stop.
@@ -75,11 +85,13 @@
 
 /// Serves links until told to close; must run on a local task set.
 pub async fn run(endpoint: Endpoint, parts: LinkParts) {
-    let pool = ServerPool::new(parts.server_addr);
-    let gate = GateShell::new(pool, parts.server_leaving.clone(), parts.metrics.clone());
+    let pool = ServerPool::new(parts.server_addr, parts.upstream_protocol.clone());
+    let gate = GateShell::new(pool, parts.upstream.clone(), parts.server_leaving.clone(), parts.metrics.clone());
     let shell = Rc::new(Shell { gate, peers: Peers::new(endpoint.clone()), parts });
     let mut duties = tokio::task::JoinSet::new();
     duties.spawn_local(shell.gate.clone().keep_time());
+    duties.spawn_local(shell.gate.clone().follow_upstream());
+    duties.spawn_local(shell.clone().find_upstream());
     duties.spawn_local(shell.clone().follow_bundle());
     duties.spawn_local(shell.clone().follow_leaving());
     duties.spawn_local(shell.clone().accept(endpoint.clone()));
@@ -101,15 +113,48 @@
 
 impl Shell {
     async fn ask(self: Rc<Self>, job: LinkJob) {
-        let result = if job.target.vm == self.parts.vm {
-            // The way to oneself needs no link.
-            let served = timeout(job.limit, self.serve(job.question)).await;
-            served.map_or(LinkResult::Broken, |answered| LinkResult::Reply(Box::new(answered)))
-        } else {
-            self.peers.ask(&job.target, job.question, job.limit).await
+        let LinkJob { target, question, limit, mut reply } = job;
+        let asked = async {
+            if target.vm == self.parts.vm {
+                // The way to oneself needs no link.
+                let served = timeout(limit, self.serve(question)).await;
+                return served.map_or(LinkResult::Broken, |answered| LinkResult::Reply(Box::new(answered)));
+            }
+            self.peers.ask(&target, question, limit).await
+        };
+        let result = tokio::select! {
+            result = asked => result,
+            // Dropping the question closes its stream, which tells the owner to stop.
+            () = reply.closed() => return,
         };
         self.parts.metrics.links.set(self.peers.open_count() as i64);
-        let _ = job.reply.send(result);
+        // Whoever asked may have gone away at this very moment; then the reply has no reader.
+        let _ = reply.send(result);
+    }
+
+    /// Asks the upstream itself for its state until something was heard of it, so that a node
+    /// that starts again need not wait for the next announcement.
+    async fn find_upstream(self: Rc<Self>) {
+        let Some(to_upstream) = self.parts.to_upstream.clone() else {
+            return;
+        };
+        while self.parts.upstream.borrow().phase == UpstreamPhase::Unknown {
+            let path = self.service_rule().and_then(|rule| rule.health_path);
+            if let Some(path) = path
+                && let Some(Health { id, ready: true }) = self.gate.health(&path).await
+            {
+                let found = Announcement { id, sequence: Some(0), ready: true, slots: None, cold_ms: 0 };
+                // The ring is read as long as the node runs.
+                let _ = to_upstream.send(found).await;
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(FIND_MS)).await;
+        }
+    }
+
+    fn service_rule(&self) -> Option<ServiceRule> {
+        let bundle = self.parts.bundle.borrow();
+        bundle.as_ref()?.bundle.service(&self.parts.service).cloned()
     }
 
     async fn accept(self: Rc<Self>, endpoint: Endpoint) {
@@ -147,7 +192,11 @@
                 return;
             }
         };
-        let answered = self.serve(question).await;
+        let answered = tokio::select! {
+            answered = self.serve(question) => answered,
+            // The entry wants no reply any more, or the link broke: whatever may be given up is.
+            _ = send.stopped() => return,
+        };
         let Ok(head) = codec::pack(&answered.head) else {
             self.parts.metrics.bad_frames.inc();
             return;
@@ -239,8 +288,8 @@
     async fn follow_bundle(self: Rc<Self>) {
         let mut bundle = self.parts.bundle.clone();
         loop {
-            let rule = bundle.borrow_and_update().as_ref().and_then(|b| b.bundle.service(&self.parts.service).cloned());
-            if let Some(rule) = rule {
+            bundle.mark_unchanged();
+            if let Some(rule) = self.service_rule() {
                 let config = GateConfig {
                     slots: rule.slots,
                     queue_max_us: u64::from(rule.queue_ms) * 1000,
--- a/valetrack/src/link/tls.rs
+++ b/valetrack/src/link/tls.rs
@@ -10,10 +10,12 @@
 use rcgen::{
     BasicConstraints, CertificateParams, DnType, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair, KeyUsagePurpose,
 };
-use rustls::RootCertStore;
+use rustls::client::danger::{HandshakeSignatureValid, ServerCertVerified, ServerCertVerifier};
+use rustls::crypto::CryptoProvider;
 use rustls::server::WebPkiClientVerifier;
+use rustls::{DigitallySignedStruct, RootCertStore, SignatureScheme};
 use rustls_pki_types::pem::PemObject;
-use rustls_pki_types::{CertificateDer, PrivateKeyDer};
+use rustls_pki_types::{CertificateDer, PrivateKeyDer, ServerName, UnixTime};
 use snafu::Snafu;
 use time::OffsetDateTime;
 
@@ -87,6 +89,7 @@
 ///
 /// Returns an error when a file is there already or cannot be written.
 pub fn make_authority(dir: &Path) -> Result<(), KeyError> {
+    fs::create_dir_all(dir).map_err(|source| KeyError::File { path: dir.to_owned(), source })?;
     let path = dir.join("ca.pem");
     let key = KeyPair::generate().map_err(|error| invalid(&path, &error))?;
     let mut params = dated(CertificateParams::default(), 10 * CERTIFICATE_DAYS);
@@ -205,14 +208,97 @@
         .map_err(|error| invalid(&certificate_path, &error))?;
     client.alpn_protocols = vec![ALPN.to_vec()];
 
-    let transport = Arc::new(transport());
     let server = QuicServerConfig::try_from(server).map_err(|error| invalid(&key_path, &error))?;
+    let client = QuicClientConfig::try_from(client).map_err(|error| invalid(&key_path, &error))?;
+    Ok(link_tls(server, client))
+}
+
+fn link_tls(server: QuicServerConfig, client: QuicClientConfig) -> LinkTls {
+    let transport = Arc::new(transport());
     let mut server = ServerConfig::with_crypto(Arc::new(server));
     server.transport_config(transport.clone());
-    let client = QuicClientConfig::try_from(client).map_err(|error| invalid(&key_path, &error))?;
     let mut client = ClientConfig::new(Arc::new(client));
     client.transport_config(transport);
-    Ok(LinkTls { server, client })
+    LinkTls { server, client }
+}
+
+/// Makes a key for one life of a node that can be given none, and the TLS of its links.
+///
+/// Links are then encrypted, but whoever reaches the address of a node may open one: such a
+/// node relies on its platform to keep strangers off the ports between nodes. Nothing in it
+/// depends on the time of day.
+///
+/// # Errors
+///
+/// Returns an error when no key can be made.
+pub fn generate(vm: &str) -> Result<LinkTls, KeyError> {
+    let path = Path::new("(made at start)");
+    let fault = |error: &dyn std::fmt::Display| invalid(path, error);
+    let key = KeyPair::generate().map_err(|error| fault(&error))?;
+    let params = CertificateParams::new(vec![vm.to_owned()]).map_err(|error| fault(&error))?;
+    let certificate = params.self_signed(&key).map_err(|error| fault(&error))?;
+    let key = PrivateKeyDer::try_from(key.serialize_der()).map_err(|error| fault(&error))?;
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let tls13 = &[&rustls::version::TLS13];
+    let mut server = rustls::ServerConfig::builder_with_provider(provider.clone())
+        .with_protocol_versions(tls13)
+        .map_err(|error| fault(&error))?
+        .with_no_client_auth()
+        .with_single_cert(vec![certificate.der().clone()], key)
+        .map_err(|error| fault(&error))?;
+    server.alpn_protocols = vec![ALPN.to_vec()];
+    let mut client = rustls::ClientConfig::builder_with_provider(provider.clone())
+        .with_protocol_versions(tls13)
+        .map_err(|error| fault(&error))?
+        .dangerous()
+        .with_custom_certificate_verifier(Arc::new(SelfSigned { provider }))
+        .with_no_client_auth();
+    client.alpn_protocols = vec![ALPN.to_vec()];
+    let server = QuicServerConfig::try_from(server).map_err(|error| fault(&error))?;
+    let client = QuicClientConfig::try_from(client).map_err(|error| fault(&error))?;
+    Ok(link_tls(server, client))
+}
+
+/// Takes any certificate whose key the peer holds.
+#[derive(Debug)]
+struct SelfSigned {
+    provider: Arc<CryptoProvider>,
+}
+
+impl ServerCertVerifier for SelfSigned {
+    fn verify_server_cert(
+        &self,
+        _end_entity: &CertificateDer<'_>,
+        _intermediates: &[CertificateDer<'_>],
+        _server_name: &ServerName<'_>,
+        _ocsp_response: &[u8],
+        _now: UnixTime,
+    ) -> Result<ServerCertVerified, rustls::Error> {
+        Ok(ServerCertVerified::assertion())
+    }
+
+    fn verify_tls12_signature(
+        &self,
+        _message: &[u8],
+        _cert: &CertificateDer<'_>,
+        _dss: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        Err(rustls::Error::General("links speak TLS 1.3 only".into()))
+    }
+
+    fn verify_tls13_signature(
+        &self,
+        message: &[u8],
+        cert: &CertificateDer<'_>,
+        dss: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        let algorithms = &self.provider.signature_verification_algorithms;
+        rustls::crypto::verify_tls13_signature(message, cert, dss, algorithms)
+    }
+
+    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
+        self.provider.signature_verification_algorithms.supported_schemes()
+    }
 }
 
 fn transport() -> TransportConfig {
--- a/valetrack/src/main.rs
+++ /dev/null
@@ -1,7 +0,0 @@
-//! Starts valetrack.
-
-use std::process::ExitCode;
-
-fn main() -> ExitCode {
-    valetrack::cli::main()
-}
--- a/valetrack/src/member/mod.rs
+++ b/valetrack/src/member/mod.rs
@@ -3,6 +3,9 @@
 //! Contract: phases only grow within one life of a VM, a later life replaces an earlier one, and
 //! no order of messages or age of the list brings an earlier state back.
 
+mod directory;
+mod lease;
+pub mod leased;
 pub mod list;
 mod message;
 pub mod run;
@@ -10,5 +13,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use directory::{Directory, ENTRY_PREFIX, MISSING_US, entry_key};
+pub use lease::{EntryKeeper, EntryStep};
 pub use message::{Candidate, ListedVm, Member, Phase};
 pub use state::{GONE_AFTER_US, Members};
--- a/valetrack/src/member/run.rs
+++ b/valetrack/src/member/run.rs
@@ -47,6 +47,11 @@
         /// Who has it.
         from: Target,
     },
+    /// A reply showed that another node lacks the bundle in force here.
+    Behind {
+        /// Which.
+        peer: Target,
+    },
 }
 
 /// What the member thread is joined to.
@@ -138,6 +143,9 @@
                 }
             }
             MemberJob::Bundle { number, from } => self.bundle_heard(number, from),
+            MemberJob::Behind { peer } => {
+                tokio::task::spawn_local(self.exchange(peer));
+            }
         }
     }
 
@@ -149,7 +157,7 @@
     }
 
     fn bundle_heard(self: &Rc<Self>, number: u64, from: Target) {
-        if !self.bundler.wants(number) {
+        if !self.bundler.adopter.wants(number) {
             return;
         }
         let shell = self.clone();
@@ -158,7 +166,7 @@
             if let LinkResult::Reply(answered) = shell.ask(from, question).await
                 && let Reply::Bundle { number, version } = answered.head.reply
             {
-                shell.bundler.take_from_peer(number, &version, &answered.body);
+                shell.bundler.adopter.take_from_peer(number, &version, &answered.body);
             }
         });
     }
@@ -258,7 +266,7 @@
     }
 
     async fn exchange(self: Rc<Self>, target: Target) {
-        let bundle = self.bundler.number();
+        let bundle = self.bundler.adopter.number();
         let question = Question { ask: Ask::Gossip { members: self.digest(), bundle }, body: Bytes::new() };
         let LinkResult::Reply(answered) = self.ask(target, question).await else {
             return;
@@ -275,7 +283,7 @@
 
     /// Passes a bundle on as soon as it is in force here.
     async fn push_bundles(self: Rc<Self>) {
-        let mut in_force = self.bundler.subscribe();
+        let mut in_force = self.bundler.adopter.subscribe();
         while in_force.changed().await.is_ok() {
             self.push.notify_one();
         }
@@ -320,7 +328,8 @@
     }
 }
 
-const fn phase_label(phase: Phase) -> &'static str {
+/// Returns the name of a phase in the log.
+pub const fn phase_label(phase: Phase) -> &'static str {
     match phase {
         Phase::Joining => "joining",
         Phase::Serving => "serving",
--- a/valetrack/src/member/state.rs
+++ b/valetrack/src/member/state.rs
@@ -35,6 +35,11 @@
         newer
     }
 
+    /// Sets what is known of one VM, whatever was known before.
+    pub fn set(&mut self, member: Member) {
+        self.all.insert(member.vm.clone(), member);
+    }
+
     /// Notes that a VM's node itself was heard at `now_us`.
     pub fn heard(&mut self, vm: &Arc<str>, now_us: u64) {
         let heard_us = self.heard_us.entry(vm.clone()).or_insert(now_us);
--- a/valetrack/src/node.rs
+++ b/valetrack/src/node.rs
@@ -15,30 +15,37 @@
 use tokio::time::{sleep, timeout};
 
 use crate::admin::run::AdminParts;
-use crate::bundle::InForce;
 use crate::bundle::run::Bundler;
+use crate::bundle::{Adopter, BundleFormat, InForce};
+use crate::caller::CallerProtocol;
 use crate::caller::keyed::KeyedRouter;
 use crate::caller::run::DoorParts;
 use crate::claim::Home;
 use crate::claim::run::{ClaimJob, ClaimParts};
-use crate::clock::wall_us;
+use crate::clock::{now_us, wall_us};
 use crate::code::Code;
+use crate::gate::{Announcement, UpstreamProtocol, UpstreamState};
 use crate::link::peer::LinkJob;
 use crate::link::run::LinkParts;
 use crate::link::tls::{self, KeyError, LinkTls};
-use crate::member::list::HttpList;
+use crate::member::leased::LeasedParts;
+use crate::member::list::VmList;
 use crate::member::run::{MemberJob, MemberParts};
 use crate::member::{Member, Members, Phase};
 use crate::metric::Metrics;
 use crate::placement::run::{PlaceJob, Placer, PlacerParts};
+use crate::platform::{Announcements, Membership, Platform};
 use crate::settings::NodeSettings;
-use crate::store::HttpStore;
+use crate::store::{LeaseStore, Store};
 
 /// Places in each ring between two threads.
 const RING: usize = 1_024;
 /// Time that the farewell to other nodes may take, in milliseconds.
 const FAREWELL_MS: u64 = 500;
 
+/// What is left of the time before a kill for the last words and the exit, in milliseconds.
+const STOP_MARGIN_MS: u64 = 800;
+
 /// Why a node could not start.
 #[derive(Debug, Snafu)]
 pub enum NodeError {
@@ -128,6 +135,14 @@
     claim: Ring<ClaimJob>,
     place: Ring<PlaceJob>,
     member: Ring<MemberJob>,
+    announcement: Ring<Announcement>,
+    upstream: watch::Sender<UpstreamState>,
+    caller_protocol: Arc<dyn CallerProtocol>,
+    upstream_protocol: Arc<dyn UpstreamProtocol>,
+    format: Arc<dyn BundleFormat>,
+    membership: Membership,
+    announces: bool,
+    ready_path: &'static str,
     server_leaving: Arc<Notify>,
     listed_leaving: Arc<Notify>,
 }
@@ -137,19 +152,24 @@
 /// # Errors
 ///
 /// Returns why the node could not start.
-pub fn run(settings: NodeSettings) -> Result<(), NodeError> {
-    let tls = tls::load(&settings.keys_dir, &settings.vm)?;
+pub fn run(settings: NodeSettings, platform: Platform) -> Result<(), NodeError> {
+    let tls = match platform.membership {
+        Membership::Listed { .. } => tls::load(&settings.keys_dir, &settings.vm)?,
+        // No key can be handed to such a node before it starts, so it makes its own.
+        Membership::Leased { .. } => tls::generate(&settings.vm)?,
+    };
     // Sockets are bound before any thread starts, so that a busy address is told at once.
     let callers = listen(settings.caller_addr)?;
     let operators = listen(settings.admin_addr)?;
     try_links(settings.link_addr)?;
-    let joints = Joints::new(settings);
-    let threads = vec![
-        joints.start_claim()?,
-        joints.start_member()?,
-        joints.start_path(callers, tls)?,
-        joints.start_admin(operators)?,
-    ];
+    let control = settings.control_addr.map(listen).transpose()?;
+    let (announcements, joints) = Joints::new(settings, platform);
+    let mut threads = joints.start_membership()?;
+    threads.push(joints.start_path(callers, tls)?);
+    threads.push(joints.start_admin(operators)?);
+    if let (Some(announcements), Some(listener)) = (announcements, control) {
+        threads.push(joints.start_announcements(announcements, listener)?);
+    }
     log::info!("event=node.start incarnation={} release={}", joints.incarnation, env!("CARGO_PKG_VERSION"));
     runtime()?.block_on(stay(&joints));
     join(threads);
@@ -158,12 +178,31 @@
 }
 
 impl Joints {
-    fn new(settings: NodeSettings) -> Self {
+    fn new(settings: NodeSettings, platform: Platform) -> (Option<Box<dyn Announcements>>, Self) {
+        let Platform { caller, upstream, format, membership, announcements, ready_path } = platform;
+        let state = match announcements {
+            Some(_) => UpstreamState::unknown(),
+            None => UpstreamState::unannounced(),
+        };
         let seed = if settings.seed == 0 { fastrand::u64(1..) } else { settings.seed };
-        Self {
+        // Where nodes have a list, a later life of a VM must have the greater number; elsewhere the
+        // time of day may jump, and the store tells which life is the later one.
+        let incarnation = match membership {
+            Membership::Listed { .. } => wall_us(),
+            Membership::Leased { .. } => fastrand::u64(1..),
+        };
+        let joints = Self {
             settings,
             seed,
-            incarnation: wall_us(),
+            incarnation,
+            announcement: Ring::new(),
+            upstream: watch::Sender::new(state),
+            caller_protocol: caller,
+            upstream_protocol: upstream,
+            format,
+            membership,
+            announces: announcements.is_some(),
+            ready_path,
             words: Words::new(),
             metrics: Arc::new(Metrics::new()),
             bundle: watch::Sender::new(None),
@@ -174,22 +213,97 @@
             member: Ring::new(),
             server_leaving: Arc::new(Notify::new()),
             listed_leaving: Arc::new(Notify::new()),
+        };
+        (announcements, joints)
+    }
+
+    fn start_membership(&self) -> std::io::Result<Vec<JoinHandle<()>>> {
+        match &self.membership {
+            Membership::Listed { list, store } => {
+                Ok(vec![self.start_claim(store.clone())?, self.start_listed(list.clone(), store.clone())?])
+            }
+            Membership::Leased { store, bundle_key } => {
+                // Without a roster of homes there are no claims: calls with keys are unknown here.
+                self.words.released.send_replace(true);
+                Ok(vec![self.start_leased(store.clone(), bundle_key.clone())?])
+            }
         }
     }
 
-    fn store(&self) -> Arc<HttpStore> {
-        let limit = Duration::from_millis(self.settings.store_timeout_ms);
-        Arc::new(HttpStore::new(self.settings.store_addr, limit))
+    fn me(&self) -> Member {
+        let settings = &self.settings;
+        Member {
+            vm: settings.vm.clone(),
+            incarnation: self.incarnation,
+            phase: Phase::Joining,
+            domain: settings.domain.clone(),
+            service: settings.service.clone(),
+            link_addr: settings.advertise_addr,
+        }
+    }
+
+    fn adopter(&self) -> Adopter {
+        Adopter::new(self.format.clone(), self.bundle.clone(), self.metrics.clone())
+    }
+
+    fn start_leased(&self, store: Arc<dyn LeaseStore>, bundle_key: Arc<str>) -> std::io::Result<JoinHandle<()>> {
+        let parts = LeasedParts {
+            me: self.me(),
+            store,
+            format: self.format.clone(),
+            bundle_key,
+            lease_ms: self.settings.lease_ms,
+            jobs: self.member.from.clone(),
+            to_link: self.link.to.clone(),
+            members: self.members.clone(),
+            upstream: self.upstream.subscribe(),
+            serving: self.words.serving.subscribe(),
+            leaving: self.words.leaving.subscribe(),
+            gone: self.words.gone.subscribe(),
+            farewell: self.words.farewell.clone(),
+            closing: self.words.closing.subscribe(),
+            metrics: self.metrics.clone(),
+            seed: self.seed,
+        };
+        let (format, in_force, metrics) = (self.format.clone(), self.bundle.clone(), self.metrics.clone());
+        spawn("member", move || crate::member::leased::run(parts, Adopter::new(format, in_force, metrics)))
+    }
+
+    /// Starts the thread that hears the upstream's announcements and keeps its state.
+    fn start_announcements(
+        &self,
+        announcements: Box<dyn Announcements>,
+        listener: std::net::TcpListener,
+    ) -> std::io::Result<JoinHandle<()>> {
+        let ring = self.announcement.from.clone();
+        let to = self.announcement.to.clone();
+        let upstream = self.upstream.clone();
+        let mut closing = self.words.closing.subscribe();
+        spawn("announcement", move || async move {
+            let Ok(listener) = TcpListener::from_std(listener) else {
+                return;
+            };
+            let keep = async {
+                while let Ok(news) = ring.recv().await {
+                    take_announcement(&upstream, &news);
+                }
+            };
+            tokio::select! {
+                () = announcements.listen(listener, to) => {}
+                () = keep => {}
+                _ = closing.wait_for(|closing| *closing) => {}
+            }
+        })
     }
 
-    fn start_claim(&self) -> std::io::Result<JoinHandle<()>> {
+    fn start_claim(&self, store: Arc<dyn Store>) -> std::io::Result<JoinHandle<()>> {
         let settings = &self.settings;
         let parts = ClaimParts {
             me: Home { vm: settings.vm.clone(), incarnation: self.incarnation },
             service: settings.service.clone(),
             jobs: self.claim.from.clone(),
             to_place: self.place.to.clone(),
-            store: self.store(),
+            store,
             writes_per_s: settings.store_writes_per_s,
             reads_per_s: settings.store_reads_per_s,
             store_timeout_ms: settings.store_timeout_ms,
@@ -204,29 +318,22 @@
         spawn("claim", move || crate::claim::run::run(parts))
     }
 
-    fn start_member(&self) -> std::io::Result<JoinHandle<()>> {
+    fn start_listed(&self, list: Arc<dyn VmList>, store: Arc<dyn Store>) -> std::io::Result<JoinHandle<()>> {
         let settings = &self.settings;
-        let me = Member {
-            vm: settings.vm.clone(),
-            incarnation: self.incarnation,
-            phase: Phase::Joining,
-            domain: settings.domain.clone(),
-            service: settings.service.clone(),
-            link_addr: settings.advertise_addr,
-        };
+        let me = self.me();
         let bundler = Bundler::new(
             settings.vm.clone(),
             settings.domain.clone(),
-            self.store(),
+            store,
             self.members.subscribe(),
-            self.bundle.clone(),
+            self.adopter(),
             self.metrics.clone(),
         );
         let parts = MemberParts {
             me,
             list_poll: Duration::from_millis(settings.list_poll_ms),
             gossip: Duration::from_millis(settings.gossip_ms),
-            list: Arc::new(HttpList::new(settings.list_addr)),
+            list,
             jobs: self.member.from.clone(),
             to_link: self.link.to.clone(),
             members: self.members.clone(),
@@ -253,6 +360,11 @@
         let leaving = self.words.leaving.subscribe();
         let closing = self.words.closing.subscribe();
         let emptied = self.words.emptied.clone();
+        let protocol = self.caller_protocol.clone();
+        let service = self.settings.service.clone();
+        let head_limit = Duration::from_millis(self.settings.caller_rest_ms);
+        let linger = Duration::from_millis(self.settings.linger_ms);
+        let seed = self.seed;
         spawn("path", move || async move {
             let endpoint = match crate::link::run::bind(link_addr, tls) {
                 Ok(endpoint) => endpoint,
@@ -266,7 +378,20 @@
             };
             let placer = Placer::new(placer);
             let keyed = KeyedRouter::new(placer.clone(), members);
-            let parts = DoorParts { placer, keyed, jobs, body_limit, leaving, closing, emptied };
+            let parts = DoorParts {
+                placer,
+                keyed,
+                jobs,
+                protocol,
+                service,
+                head_limit,
+                linger,
+                seed,
+                body_limit,
+                leaving,
+                closing,
+                emptied,
+            };
             let links = crate::link::run::run(endpoint, links);
             futures::join!(links, crate::caller::run::run(listener, parts));
         })
@@ -281,6 +406,9 @@
             to_claim: self.claim.to.clone(),
             to_member: self.member.to.clone(),
             bundle: self.bundle.subscribe(),
+            upstream_protocol: self.upstream_protocol.clone(),
+            upstream: self.upstream.subscribe(),
+            to_upstream: self.announces.then(|| self.announcement.to.clone()),
             leaving: self.words.leaving.subscribe(),
             server_leaving: self.server_leaving.clone(),
             drained: self.words.drained.clone(),
@@ -307,6 +435,7 @@
 
     fn start_admin(&self, operators: std::net::TcpListener) -> std::io::Result<JoinHandle<()>> {
         let parts = AdminParts {
+            ready_path: self.ready_path,
             vm: self.settings.vm.clone(),
             metrics: self.metrics.clone(),
             bundle: self.bundle.subscribe(),
@@ -353,8 +482,12 @@
             let _ = word.subscribe().wait_for(|word| *word).await;
         }
     };
-    if timeout(Duration::from_millis(settings.drain_ms), done).await.is_err() {
-        log::warn!("event=node.drain_cut after_ms={}", settings.drain_ms);
+    let drain_ms = match settings.stop_grace_ms {
+        0 => settings.drain_ms,
+        grace_ms => settings.drain_ms.min(grace_ms.saturating_sub(STOP_MARGIN_MS)),
+    };
+    if timeout(Duration::from_millis(drain_ms), done).await.is_err() {
+        log::warn!("event=node.drain_cut after_ms={drain_ms}");
     }
     words.gone.send_replace(true);
     let _ = timeout(Duration::from_millis(FAREWELL_MS), words.farewell.subscribe().wait_for(|word| *word)).await;
@@ -363,14 +496,30 @@
     sleep(Duration::from_millis(20)).await;
 }
 
+fn take_announcement(upstream: &watch::Sender<UpstreamState>, news: &Announcement) {
+    let changed = upstream.send_if_modified(|state| state.take(news, now_us()));
+    if changed {
+        let state = upstream.borrow();
+        let slots = state.slots.unwrap_or(0);
+        log::info!("event=upstream.state id={} phase={:?} slots={slots}", news.id, state.phase);
+    }
+}
+
 async fn stop_signal() {
     let (Ok(mut terminate), Ok(mut interrupt)) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
     else {
         return std::future::pending().await;
     };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    let Ok(mut hang_up) = signal(SignalKind::hangup()) else {
+        return std::future::pending().await;
+    };
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return,
+            _ = interrupt.recv() => return,
+            // Settings stand in flags and environment, which a running process keeps.
+            _ = hang_up.recv() => log::info!("event=node.reload settings=unchanged"),
+        }
     }
 }
 
--- a/valetrack/src/placement/budget.rs
+++ b/valetrack/src/placement/budget.rs
@@ -14,6 +14,13 @@
         Self { share: f64::from(percent) / 100.0, tokens: f64::from(most) / 2.0, most: f64::from(most) }
     }
 
+    /// Takes a new share and burst; what was saved above the new burst is lost.
+    pub fn configure(&mut self, percent: u32, most: u32) {
+        self.share = f64::from(percent) / 100.0;
+        self.most = f64::from(most);
+        self.tokens = self.tokens.min(self.most);
+    }
+
     /// Earns for one call.
     pub fn earn(&mut self) {
         self.tokens = (self.tokens + self.share).min(self.most);
--- a/valetrack/src/placement/call.rs
+++ b/valetrack/src/placement/call.rs
@@ -127,6 +127,17 @@
         self.finished
     }
 
+    /// Takes back all attempts that are out, since nobody waits for the call any more.
+    pub fn abandon(&mut self, cx: &mut CallContext<'_>) {
+        self.finished = true;
+        for at in 0..self.count {
+            let open = matches!(self.state(at), AttemptState::Sent | AttemptState::Asked);
+            if let (true, Some(attempt)) = (open, self.attempts[at]) {
+                self.close(attempt.id, AttemptState::Lost, cx);
+            }
+        }
+    }
+
     /// Takes one event and appends what must be done to `out`.
     pub fn handle(&mut self, event: CallEvent, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) {
         match event {
@@ -187,6 +198,9 @@
         if reason == BounceReason::Refused {
             cx.view.judge(server, false, cx.now_us);
         }
+        if reason == BounceReason::NotReady {
+            cx.view.suspect(server, cx.now_us);
+        }
         if self.finished {
             return;
         }
@@ -204,7 +218,7 @@
             return;
         }
         // Leaving or standing still is no sign of load elsewhere, so it costs no allowance.
-        let free = matches!(reason, BounceReason::Leaving | BounceReason::Stalled);
+        let free = matches!(reason, BounceReason::Leaving | BounceReason::Stalled | BounceReason::NotReady);
         // Whoever was let in and has waited is not to be turned away for a full queue.
         self.waited |= reason == BounceReason::Stalled;
         self.move_on(server, free, cx, out);
@@ -468,7 +482,7 @@
         BounceReason::Full | BounceReason::Stalled => Code::Overloaded,
         BounceReason::Leaving => Code::Leaving,
         BounceReason::Cancelled => Code::Cancelled,
-        BounceReason::Refused => Code::ServerRefused,
+        BounceReason::Refused | BounceReason::NotReady => Code::ServerRefused,
     }
 }
 
--- a/valetrack/src/placement/run.rs
+++ b/valetrack/src/placement/run.rs
@@ -186,6 +186,10 @@
         inner.services.retain(|name, _| in_force.bundle.service(name).is_some());
         for rule in &in_force.bundle.services {
             let state = inner.services.entry(rule.name.clone()).or_insert_with(|| new_service(rule, self.policy));
+            if let Some(reserve) = rule.retry_reserve {
+                let share = reserve / (members.iter().count().max(1) as u32);
+                state.budgets.retry.configure(rule.retry_percent, share);
+            }
             state.sync(members.servers_of(&rule.name), &self.domain, &self.vm, self.domain_cost_us);
         }
     }
@@ -199,11 +203,16 @@
         placed.await.unwrap_or(lost)
     }
 
-    /// Returns how calls of a service are placed.
-    pub fn rule(&self, service: &str, repeatable: bool) -> Option<CallRule> {
+    /// Returns how calls of a service are placed; `attempts_max` bounds the upstreams that a
+    /// call may run on.
+    pub fn rule(&self, service: &str, repeatable: bool, attempts_max: Option<u8>) -> Option<CallRule> {
         let in_force = self.bundle.borrow();
         let rule = in_force.as_ref()?.bundle.service(service)?;
-        Some(call_rule(rule, repeatable))
+        let mut rule = call_rule(rule, repeatable);
+        if let Some(most) = attempts_max {
+            rule.retries = rule.retries.min(most.saturating_sub(1));
+        }
+        Some(rule)
     }
 
     async fn drive(self: Rc<Self>, head: CallHead, body: Bytes, rule: CallRule, reply: oneshot::Sender<Placed>) {
@@ -240,6 +249,12 @@
             if call.closed() {
                 return;
             }
+            if reply.as_ref().is_some_and(oneshot::Sender::is_closed) {
+                // The caller has gone; dropping what is out tells the owners to stop.
+                log::info!("event=call.abandoned call={}", head.call_id);
+                self.abandon(&head.service, &mut call);
+                return;
+            }
             if call.finished() {
                 hedge_at = None;
                 late = true;
@@ -253,6 +268,7 @@
                     hedge_at = None;
                     CallEvent::HedgeDue
                 }
+                () = gone(&mut reply) => continue,
                 () = sleep_until(deadline), if !late => {
                     late = true;
                     CallEvent::DeadlineDue
@@ -261,6 +277,14 @@
         }
     }
 
+    fn abandon(&self, service: &str, call: &mut Call) {
+        let mut inner = self.inner.borrow_mut();
+        let Inner { services, rng, next_seq, .. } = &mut *inner;
+        if let Some(ServiceState { view, budgets, .. }) = services.get_mut(service) {
+            call.abandon(&mut CallContext { view, budgets, rng, now_us: now_us(), next_seq });
+        }
+    }
+
     /// Lets the pure call decide; returns whether the service is known.
     fn handle(&self, service: &str, call: &mut Call, event: CallEvent, actions: &mut Vec<CallAction>) -> bool {
         let mut inner = self.inner.borrow_mut();
@@ -343,11 +367,21 @@
         let riding = answered.head.riding;
         events::observe(riding.hlc);
         self.report(service, server, riding.load);
-        let behind = self.bundle.borrow().as_ref().is_none_or(|bundle| bundle.number < riding.bundle);
-        if let (true, Some(target)) = (behind, self.target(service, server)) {
-            // A full ring is no loss: the next reply tells it again.
-            let _ = self.to_member.try_send(MemberJob::Bundle { number: riding.bundle, from: target });
+        let number = self.bundle.borrow().as_ref().map_or(0, |bundle| bundle.number);
+        if number == riding.bundle {
+            return;
         }
+        let Some(target) = self.target(service, server) else {
+            return;
+        };
+        let job = match number < riding.bundle {
+            true => MemberJob::Bundle { number: riding.bundle, from: target },
+            // Only a node that has just started lacks a bundle for long; others are about to get it.
+            false if riding.bundle == 0 => MemberJob::Behind { peer: target },
+            false => return,
+        };
+        // A full ring is no loss: the next reply tells it again.
+        let _ = self.to_member.try_send(job);
     }
 
     fn report(&self, service: &str, server: ServerIndex, load: LoadReport) {
@@ -472,6 +506,14 @@
     }
 }
 
+/// Waits until nobody waits for the call's end any more, if somebody still does.
+async fn gone(reply: &mut Option<oneshot::Sender<Placed>>) {
+    match reply {
+        Some(reply) => reply.closed().await,
+        None => pending().await,
+    }
+}
+
 async fn sleep_maybe(at: Option<Instant>) {
     match at {
         Some(at) => sleep_until(at).await,
--- a/valetrack/src/settings.rs
+++ b/valetrack/src/settings.rs
@@ -44,8 +44,16 @@
     setting("link-advertise", "Address that other nodes link to; empty for link-listen.", ADDRESS, Some("")),
     setting("admin-listen", "Address for metrics, health and status.", ADDRESS, Some("127.0.0.1:7002")),
     setting("store", "Address of the platform's store.", ADDRESS, None),
-    setting("list", "Address of the platform's VM list.", ADDRESS, None),
-    setting("keys", "Folder with ca.pem, VM.pem and VM.key.", "a folder", None),
+    setting("platform", "Kind of platform that the node runs on.", "native or managed", Some(NATIVE)),
+    setting("list", "Address of the platform's VM list; native platform only.", ADDRESS, Some("")),
+    setting("keys", "Folder with ca.pem, VM.pem and VM.key; native platform only.", "a folder", Some("")),
+    setting("control-listen", "Address for the upstream's announcements; managed platform only.", ADDRESS, Some("")),
+    setting("lease-ms", "How long a node's entry in the store outlives its last word.", "1000 to 600000", Some("8000")),
+    setting("linger-ms", "Time for which callers still come after a stop has begun.", "0 to 60000", Some("0")),
+    setting("stop-grace-s", "Time from the signal to stop to the kill; 0 for none.", "0 to 3600", Some("0")),
+    setting("caller-rest-ms", "Time that a caller's connection may rest.", "1000 to 3600000", Some("10000")),
+    setting("retry-ratio", "Retries that the fleet may make for each call; managed platform only.", RATIO, Some("0.1")),
+    setting("retry-reserve", "Retries of the fleet beyond that; managed platform only.", "0 to 100000", Some("0")),
     setting("store-timeout-ms", "Time limit of a call to the store.", "1 to 60000", Some("300")),
     setting("store-writes-per-s", "Writes a second to the store at most.", "1 to 1000", Some("50")),
     setting("store-reads-per-s", "Reads a second from the store at most.", "1 to 1000", Some("50")),
@@ -60,9 +68,15 @@
     setting("seed", "Seed of random choices; 0 draws one.", "a whole number", Some("0")),
 ];
 
+/// Name of valetrack's own interface to a platform.
+pub const NATIVE: &str = "native";
+
 /// What an address looks like.
 const ADDRESS: &str = "IP:PORT";
 
+/// What a ratio looks like.
+const RATIO: &str = "0 to 1, with fractions";
+
 /// Names of the rules of the pick.
 const POLICIES: &str = "valetrack, random, round-robin, least-in-flight or two-choices";
 
@@ -86,6 +100,23 @@
     pub right: String,
 }
 
+impl SettingFault {
+    /// Makes the fault of a setting that is missing.
+    pub fn missing(flag: &str) -> Self {
+        Self::of(Code::SettingMissing, flag)
+    }
+
+    /// Makes the fault of a setting whose value is not allowed.
+    pub fn invalid(flag: &str) -> Self {
+        Self::of(Code::SettingInvalid, flag)
+    }
+
+    fn of(code: Code, flag: &str) -> Self {
+        let right = NODE.iter().find(|setting| setting.flag == flag).map_or("", |setting| setting.right);
+        Self { code, flag: flag.to_owned(), right: right.to_owned() }
+    }
+}
+
 impl std::fmt::Display for SettingFault {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         let Self { code, flag, right } = self;
@@ -94,7 +125,7 @@
 }
 
 /// Checked settings of a node.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct NodeSettings {
     /// Name of this VM.
     pub vm: Arc<str>,
@@ -114,10 +145,26 @@
     pub admin_addr: SocketAddr,
     /// Address of the store.
     pub store_addr: SocketAddr,
-    /// Address of the VM list.
-    pub list_addr: SocketAddr,
-    /// Folder of keys.
+    /// Kind of platform that the node runs on.
+    pub platform: Arc<str>,
+    /// Address of the platform's VM list.
+    pub list_addr: Option<SocketAddr>,
+    /// Folder of keys; empty where there is none.
     pub keys_dir: PathBuf,
+    /// Address for the upstream's announcements.
+    pub control_addr: Option<SocketAddr>,
+    /// How long a node's entry in the store outlives its last word, in milliseconds.
+    pub lease_ms: u64,
+    /// Time for which callers still come after a stop has begun, in milliseconds.
+    pub linger_ms: u64,
+    /// Time from the signal to stop to the kill, in milliseconds; zero for none.
+    pub stop_grace_ms: u64,
+    /// Time that a caller's connection may rest, in milliseconds.
+    pub caller_rest_ms: u64,
+    /// Retries that the fleet may make for each call.
+    pub retry_ratio: f64,
+    /// Retries of the fleet beyond that, within one window.
+    pub retry_reserve: u64,
     /// Time limit of a call to the store, in milliseconds.
     pub store_timeout_ms: u64,
     /// Writes a second to the store at most.
@@ -199,6 +246,28 @@
         self.take(flag, |text| text.parse().ok().filter(|number| (low..=high).contains(number)))
     }
 
+    fn fraction(&mut self, flag: &'static str, high: f64) -> Option<f64> {
+        self.take(flag, |text| text.parse().ok().filter(|number| (0.0..=high).contains(number)))
+    }
+
+    /// Reads an address that only some platforms need.
+    fn optional_addr(&mut self, flag: &'static str, needed: bool) -> Option<Option<SocketAddr>> {
+        let read = self.take(flag, |text| if text.is_empty() { Some(None) } else { text.parse().ok().map(Some) })?;
+        if needed && read.is_none() {
+            self.faults.push(SettingFault::missing(flag));
+        }
+        Some(read)
+    }
+
+    /// Reads the folder of keys, which only the native platform needs.
+    fn keys_dir(&mut self, needed: bool) -> Option<PathBuf> {
+        let dir: PathBuf = self.parsed("keys")?;
+        if needed && dir.as_os_str().is_empty() {
+            self.faults.push(SettingFault::missing("keys"));
+        }
+        Some(dir)
+    }
+
     fn parsed<T: FromStr>(&mut self, flag: &'static str) -> Option<T> {
         self.take(flag, |text| text.parse().ok())
     }
@@ -231,8 +300,17 @@
             self.take("link-advertise", |text| if text.is_empty() { link_addr } else { text.parse().ok() });
         let admin_addr = self.parsed("admin-listen");
         let store_addr = self.parsed("store");
-        let list_addr = self.parsed("list");
-        let keys_dir = self.parsed("keys");
+        let platform = self.name("platform");
+        let native = platform.as_deref() == Some(NATIVE);
+        let list_addr = self.optional_addr("list", native);
+        let keys_dir = self.keys_dir(native);
+        let control_addr = self.optional_addr("control-listen", !native);
+        let lease_ms = self.number("lease-ms", 1_000, 600_000);
+        let linger_ms = self.number("linger-ms", 0, 60_000);
+        let stop_grace_s = self.fraction("stop-grace-s", 3_600.0);
+        let caller_rest_ms = self.number("caller-rest-ms", 1_000, 3_600_000);
+        let retry_ratio = self.fraction("retry-ratio", 1.0);
+        let retry_reserve = self.number("retry-reserve", 0, 100_000);
         let store_timeout_ms = self.number("store-timeout-ms", 1, 60_000);
         let store_writes_per_s = self.number("store-writes-per-s", 1, 1_000);
         let store_reads_per_s = self.number("store-reads-per-s", 1, 1_000);
@@ -255,8 +333,16 @@
             advertise_addr: advertise_addr?,
             admin_addr: admin_addr?,
             store_addr: store_addr?,
+            platform: platform?,
             list_addr: list_addr?,
             keys_dir: keys_dir?,
+            control_addr: control_addr?,
+            lease_ms: lease_ms?,
+            linger_ms: linger_ms?,
+            stop_grace_ms: (stop_grace_s? * 1000.0) as u64,
+            caller_rest_ms: caller_rest_ms?,
+            retry_ratio: retry_ratio?,
+            retry_reserve: retry_reserve?,
             store_timeout_ms: store_timeout_ms?,
             store_writes_per_s: store_writes_per_s?,
             store_reads_per_s: store_reads_per_s?,
--- a/valetrack/src/store/message.rs
+++ b/valetrack/src/store/message.rs
@@ -35,6 +35,18 @@
         /// What happened.
         reason: String,
     },
+    /// The store turned the call away and did nothing.
+    #[snafu(display("store turned the call away: {reason}"))]
+    Refused {
+        /// What it said.
+        reason: String,
+    },
+    /// The store no longer knows what changed since the revision that was asked for.
+    #[snafu(display("store has dropped that part of its history"))]
+    HistoryGone,
+    /// The lease is over, or there never was one.
+    #[snafu(display("lease is over"))]
+    LeaseOver,
     /// The answer could not be read.
     #[snafu(display("store answered what cannot be read: {reason}"))]
     Invalid {
@@ -54,6 +66,9 @@
     pub const fn code(&self) -> Code {
         match self {
             Self::Unreachable { .. } => Code::StoreUnreachable,
+            Self::Refused { .. } => Code::StoreRefused,
+            Self::HistoryGone => Code::StoreHistoryGone,
+            Self::LeaseOver => Code::LeaseOver,
             Self::Invalid { .. } => Code::StoreAnswerInvalid,
             Self::Lost { .. } => Code::StoreOutcomeUnknown,
         }
--- a/valetrack/src/store/mod.rs
+++ b/valetrack/src/store/mod.rs
@@ -4,9 +4,11 @@
 //! write whose answer is lost is told apart from one that was refused.
 
 mod client;
+mod lease;
 mod message;
 #[cfg(test)]
 mod tests;
 
 pub use client::HttpStore;
+pub use lease::{Change, Changes, Committed, Item, Lease, LeaseStore, LeasedWrite, Page};
 pub use message::{Store, StoreError, Versioned, WatchNews, Written};
--- a/valetrack/src/tests.rs
+++ b/valetrack/src/tests.rs
@@ -41,7 +41,7 @@
 #[test]
 fn a_flag_goes_before_the_environment() {
     let mut raw = RawSettings::default();
-    for setting in NODE.iter().filter(|setting| setting.default.is_none()) {
+    for setting in NODE.iter().filter(|setting| setting.default.is_none_or(str::is_empty)) {
         let value = if setting.right == "IP:PORT" { "127.0.0.1:1" } else { "flag" };
         raw.set(setting.flag, value.into());
     }
