Pick by the chance to answer in time; owners tell their speed; hedges at the last useful moment

Change: the owner learns its server's base and average speed and how long slow episodes go on, takes the machine's own figure from each answer, and has both ride on replies (gate/speed). An entry learns the usual run of each route (placement/work) and takes the upstream with the best chance to answer before the objective, less the cost of leaving the failure domain. An owner gives a call back that would miss its objective while others look free. A repeatable call still out at the last moment at which a second run would end in time asks its owner once, and goes to another upstream if the first is slow.

--- a/standin/src/bench/scenario.rs
+++ b/standin/src/bench/scenario.rs
@@ -107,8 +107,9 @@
     pub bounded: bool,
 }
 
-const PLAIN: CallRule = CallRule { repeatable: false, bounces: 0, retries: 0, hedge_after_percent: None };
-const FULL: CallRule = CallRule { repeatable: true, bounces: 1, retries: 1, hedge_after_percent: Some(300) };
+const PLAIN: CallRule = CallRule { repeatable: false, bounces: 0, retries: 0, hedge_after_percent: None, demand: None };
+const FULL: CallRule =
+    CallRule { repeatable: true, bounces: 1, retries: 1, hedge_after_percent: Some(300), demand: None };
 
 const fn baseline(name: &'static str, policy: Policy, news: News) -> Contender {
     Contender { name, policy, news, rule: PLAIN, rescue: false, bounded: false }
--- a/standin/src/bench/world.rs
+++ b/standin/src/bench/world.rs
@@ -179,7 +179,7 @@
             Event::Reach { call, attempt, server, patience } => {
                 self.waiting.insert(attempt, call);
                 let deadline_us = self.callers[call].began_us + DEADLINE_US;
-                self.gate(server, GateEvent::Arrive { attempt, deadline_us, patience, priority: 0, wait_max_us: None });
+                self.gate(server, GateEvent::Arrive { attempt, deadline_us, patience, priority: 0, objective: None });
             }
             Event::Cancel { call, attempt, server } => {
                 self.waiting.entry(attempt).or_insert(call);
--- a/standin/src/slope.rs
+++ b/standin/src/slope.rs
@@ -175,7 +175,7 @@
     let mut rng = fastrand::Rng::with_seed(1);
     let mut next_seq = 1;
     let mut actions: Vec<CallAction> = Vec::with_capacity(8);
-    let rule = CallRule { repeatable: true, bounces: 1, retries: 1, hedge_after_percent: Some(300) };
+    let rule = CallRule { repeatable: true, bounces: 1, retries: 1, hedge_after_percent: Some(300), demand: None };
     cost(100_000, || {
         let attempt = AttemptId { entry: 1, seq: next_seq };
         let mut call = Call::new(rule, 1);
@@ -204,7 +204,7 @@
             deadline_us: now_us + 1_000_000,
             patience: Patience::Long,
             priority: 0,
-            wait_max_us: None,
+            objective: None,
         };
         gate.handle(arrive, now_us, &mut actions);
         gate.handle(GateEvent::Done { attempt, healthy: true }, now_us + 2_000, &mut actions);
--- a/standin/tests/steady_state.rs
+++ b/standin/tests/steady_state.rs
@@ -20,7 +20,7 @@
     let mut rng = fastrand::Rng::with_seed(1);
     let mut actions = Vec::with_capacity(16);
     let mut next_seq = 1;
-    let rule = CallRule { repeatable: true, bounces: 1, retries: 1, hedge_after_percent: Some(300) };
+    let rule = CallRule { repeatable: true, bounces: 1, retries: 1, hedge_after_percent: Some(300), demand: None };
     let before = allocations();
     let mut picked = 0;
     for _ in 0..1_000 {
--- a/valetrack/benches/decision.rs
+++ b/valetrack/benches/decision.rs
@@ -33,7 +33,7 @@
                 deadline_us: now_us + 1_000_000,
                 patience: Patience::Long,
                 priority: 0,
-                wait_max_us: None,
+                objective: None,
             };
             gate.handle(arrive, now_us, &mut actions);
             gate.handle(GateEvent::Done { attempt, healthy: true }, now_us + 2_000, &mut actions);
--- a/valetrack/src/bundle/route.rs
+++ b/valetrack/src/bundle/route.rs
@@ -1,6 +1,6 @@
 //! Routes by host and longest path prefix, and the split of one route over services.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use serde::Serialize;
@@ -41,18 +41,21 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
 pub struct RouteTable {
     by_host: HashMap<Arc<str>, Vec<Arc<HostRoute>>>,
+    names: HashSet<Arc<str>>,
 }
 
 impl FromIterator<HostRoute> for RouteTable {
     fn from_iter<I: IntoIterator<Item = HostRoute>>(routes: I) -> Self {
         let mut by_host: HashMap<Arc<str>, Vec<Arc<HostRoute>>> = HashMap::new();
+        let mut names = HashSet::new();
         for route in routes {
+            names.insert(route.name.clone());
             by_host.entry(route.host.clone()).or_default().push(Arc::new(route));
         }
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        Self { by_host }
+        Self { by_host, names }
     }
 }
 
@@ -62,6 +65,11 @@
         self.by_host.is_empty()
     }
 
+    /// Returns whether a route has this name.
+    pub fn contains(&self, name: &str) -> bool {
+        self.names.contains(name)
+    }
+
     /// Returns the route with the longest prefix of `path` among those of `host`; a port behind
     /// the host is left out, and letters of either case are the same.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<HostRoute>> {
--- a/valetrack/src/caller/request.rs
+++ b/valetrack/src/caller/request.rs
@@ -46,6 +46,8 @@
     pub request_cap_bytes: usize,
     /// Most upstreams that the call may run on; none where the service's own rule holds.
     pub attempts_max: Option<u8>,
+    /// The route that it takes, where routes are named.
+    pub route: Option<Arc<str>>,
 }
 
 const fn reject(code: Code, status: u16) -> Rejection {
@@ -88,6 +90,7 @@
         body_bytes: 0,
         deadline_ms: asked_ms.min(limit_ms.into()) as u32,
         objective_ms: 0,
+        work_us: 0,
         priority: 0,
         repeatable,
         depth: depth as u8 + 1,
@@ -95,7 +98,13 @@
         key: key.filter(|_| !repeatable).map(Arc::from),
         hlc: 0,
     };
-    Ok(DoorCall { head, repeatable, request_cap_bytes: rule.request_cap_bytes as usize, attempts_max: None })
+    Ok(DoorCall {
+        head,
+        repeatable,
+        request_cap_bytes: rule.request_cap_bytes as usize,
+        attempts_max: None,
+        route: None,
+    })
 }
 
 /// Headers that each hop writes anew.
--- a/valetrack/src/caller/run.rs
+++ b/valetrack/src/caller/run.rs
@@ -111,9 +111,9 @@
 impl Door {
     async fn place_jobs(self: Rc<Self>) {
         while let Ok(job) = self.parts.jobs.recv().await {
-            let placer = self.parts.placer.clone();
+            let door = self.clone();
             tokio::task::spawn_local(async move {
-                let placed = place(&placer, job.head, job.body, job.repeatable, None).await;
+                let placed = door.place_on_route(job.head, job.body, job.repeatable, None, None).await;
                 let _ = job.reply.send(placed);
             });
         }
@@ -193,7 +193,7 @@
             new_id: &|| placer.next_attempt().to_string(),
             choose: &|route| self.choose(route),
         };
-        let DoorCall { mut head, repeatable, request_cap_bytes, attempts_max } =
+        let DoorCall { mut head, repeatable, request_cap_bytes, attempts_max, route } =
             match self.parts.protocol.read(&parts, &cx) {
                 Ok(call) => call,
                 Err(rejection) => {
@@ -215,13 +215,37 @@
         let placed = if head.key.is_some() {
             self.parts.keyed.press(head, body).await
         } else {
-            place(placer, head, body, repeatable, attempts_max).await
+            self.place_on_route(head, body, repeatable, attempts_max, route).await
         };
         let answer = self.parts.protocol.of_placed(placed, &call_id);
         log::debug!("event=call.end call={call_id} status={}", answer.status().as_u16());
         answer
     }
 
+    async fn place_on_route(
+        &self,
+        head: CallHead,
+        body: Bytes,
+        repeatable: bool,
+        attempts_max: Option<u8>,
+        route: Option<Arc<str>>,
+    ) -> Placed {
+        let placer = &self.parts.placer;
+        let Some(mut rule) = placer.rule(&head.service, repeatable, attempts_max) else {
+            return Placed::Verdict(Verdict::NotRun { code: Code::ServiceUnknown, retry_after_ms: 1_000 });
+        };
+        if let Some(route) = &route {
+            rule.demand = Some(placer.demand(route, head.objective_ms));
+        }
+        let placed = placer.clone().place(head, body, rule).await;
+        if let (Some(route), Placed::Answer(head, _)) = (&route, &placed)
+            && head.status < 400
+        {
+            placer.ran(route, head.ran_us);
+        }
+        placed
+    }
+
     fn reject(&self, rejection: Rejection, call_id: &str) -> Answer {
         log::info!("event=call.rejected call={call_id} code={} status={}", rejection.code, rejection.status);
         self.parts.protocol.of_rejection(rejection, call_id)
@@ -250,13 +274,6 @@
     }
 }
 
-async fn place(placer: &Rc<Placer>, head: CallHead, body: Bytes, repeatable: bool, attempts_max: Option<u8>) -> Placed {
-    match placer.rule(&head.service, repeatable, attempts_max) {
-        Some(rule) => placer.clone().place(head, body, rule).await,
-        None => Placed::Verdict(Verdict::NotRun { code: Code::ServiceUnknown, retry_after_ms: 1_000 }),
-    }
-}
-
 /// Waits until the node leaves, and then as long as a quiet connection may stay.
 async fn quiet(leaving: &mut watch::Receiver<bool>, linger: Duration) {
     if leaving.wait_for(|leaving| *leaving).await.is_err() {
--- a/valetrack/src/gate/message.rs
+++ b/valetrack/src/gate/message.rs
@@ -32,9 +32,14 @@
     pub stalled: bool,
     /// Whether the server takes no new work.
     pub leaving: bool,
-    /// Time that work takes on the server's machine now, in hundredths of the usual time; zero
-    /// where the server does not say.
+    /// Time that a run takes now, in hundredths of the expected time; zero where nothing is known.
     pub slowdown_percent: u16,
+    /// Time that a run takes on average, in hundredths of the expected time.
+    pub mean_percent: u16,
+    /// Time for which `slowdown_percent` is likely to go on, in milliseconds; zero where unknown.
+    pub slow_lasts_ms: u16,
+    /// Runs that fail, in hundredths.
+    pub failing_percent: u8,
 }
 
 /// What an owner says of an attempt that the entry wants cancelled.
@@ -57,6 +62,8 @@
     Stalled,
     /// The attempt was cancelled before it came, or came twice.
     Cancelled,
+    /// The call would not end in time here, and another server may be faster.
+    Slow,
     /// The server took no connection, or said that it did not run the call.
     Refused,
     /// Nothing was heard of the server yet.
@@ -76,6 +83,15 @@
     Last,
 }
 
+/// What a call is worth the most by, and how long it should run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Objective {
+    /// Time from now within which an answer is worth the most, in microseconds.
+    pub left_us: u64,
+    /// Time that the run is expected to take on a usual server, in microseconds; zero when unknown.
+    pub work_us: u64,
+}
+
 /// Something that happened to the gate.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum GateEvent {
@@ -89,8 +105,9 @@
         patience: Patience,
         /// Rank under overload; zero goes first.
         priority: u8,
-        /// Longest useful wait for a slot, in microseconds; none where the gate's own bound holds.
-        wait_max_us: Option<u64>,
+        /// When an answer is worth the most and what the run is expected to take; none where the
+        /// gate's own bounds hold.
+        objective: Option<Objective>,
     },
     /// A started attempt ended, whether well or not.
     Done {
--- a/valetrack/src/gate/mod.rs
+++ b/valetrack/src/gate/mod.rs
@@ -8,12 +8,14 @@
 pub mod pool;
 mod protocol;
 pub mod run;
+mod speed;
 mod state;
 #[cfg(test)]
 mod tests;
 mod upstream;
 
-pub use message::{AttemptId, BounceReason, GateAction, GateEvent, LoadReport, Patience, Word};
+pub use message::{AttemptId, BounceReason, GateAction, GateEvent, LoadReport, Objective, Patience, Word};
 pub use protocol::{Classified, Health, HostLoad, NativeUpstream, UpstreamProtocol};
+pub use speed::{SLOWDOWN_LASTS_US, Speed, expected_run_us};
 pub use state::{Gate, GateConfig, MEMORY_US};
 pub use upstream::{Announcement, UpstreamPhase, UpstreamState};
--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -11,7 +11,7 @@
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::{sleep, timeout};
 
-use super::message::{AttemptId, BounceReason, GateAction, GateEvent, LoadReport, Word};
+use super::message::{AttemptId, BounceReason, GateAction, GateEvent, LoadReport, Objective, Word};
 use super::pool::{ATTEMPT_HEADER, ServerAnswer, ServerError, ServerPool};
 use super::protocol::Health;
 use super::state::{Gate, GateConfig};
@@ -25,9 +25,6 @@
 /// A slot whose call passed its deadline stays taken this long, so that the server can see the
 /// closed connection and stop, in milliseconds.
 const LINGER_MS: u64 = 100;
-/// A call waits for a slot at most this part of its objective, as a divisor: what waits longer
-/// is better offered elsewhere or refused while its caller can still come back in time.
-const WAIT_SHARE: u64 = 4;
 /// Header by which a server says that it is about to stop.
 pub const LEAVING_HEADER: &str = "valetrack-leaving";
 /// Headers that belong to one connection and do not travel.
@@ -181,10 +178,11 @@
             return GateReply::Bounce(BounceReason::NotReady);
         }
         let priority = head.priority;
-        let wait_max_us = (head.objective_ms > 0).then(|| u64::from(head.objective_ms) * 1000 / WAIT_SHARE);
+        let objective = (head.objective_ms > 0)
+            .then(|| Objective { left_us: u64::from(head.objective_ms) * 1000, work_us: head.work_us.into() });
         self.jobs.borrow_mut().insert(attempt, Job { head, body, deadline_us, reply });
         let mut abandon = AbandonGuard { shell: self.clone(), attempt: Some(attempt) };
-        self.handle(GateEvent::Arrive { attempt, deadline_us, patience, priority, wait_max_us });
+        self.handle(GateEvent::Arrive { attempt, deadline_us, patience, priority, objective });
         let reply = answered.await;
         abandon.attempt = None;
         reply.unwrap_or(GateReply::Bounce(BounceReason::Cancelled))
@@ -261,7 +259,8 @@
     async fn run(self: Rc<Self>, job: Job) {
         let attempt = job.head.attempt;
         log::debug!("event=gate.start call={} attempt={attempt}", job.head.call_id);
-        let left_us = job.deadline_us.saturating_sub(now_us());
+        let began_us = now_us();
+        let left_us = job.deadline_us.saturating_sub(began_us);
         let id = self.upstream.borrow().id.clone();
         let Some(request) = self.pool.protocol().request(&job.head, job.body.clone(), left_us / 1000, id.as_deref())
         else {
@@ -299,14 +298,18 @@
             Err(_) => (Some(Code::DeadlinePassed), None),
         };
         if let Some(load) = answer.as_ref().and_then(|answer| self.pool.protocol().host_load(&answer.headers)) {
-            self.gate.borrow_mut().set_slowdown(load.slowdown_percent.min(u32::from(u16::MAX)) as u16);
+            let slowdown_percent = load.slowdown_percent.min(u32::from(u16::MAX)) as u16;
+            self.gate.borrow_mut().speed_mut().told(slowdown_percent, now_us());
         }
         let healthy = answer.as_ref().is_some_and(|answer| answer.status < 500);
         if answer.as_ref().is_some_and(|answer| self.pool.protocol().is_leaving(&answer.headers)) {
             self.leaving.notify_one();
         }
-        log::debug!("event=gate.done call={} attempt={attempt} healthy={healthy}", job.head.call_id);
-        let (head, body) = answer_head(attempt, code, answer);
+        let ran_us = now_us().saturating_sub(began_us);
+        self.gate.borrow_mut().speed_mut().ran(ran_us, job.head.work_us.into(), healthy);
+        log::debug!("event=gate.done call={} attempt={attempt} healthy={healthy} ran_us={ran_us}", job.head.call_id);
+        let (mut head, body) = answer_head(attempt, code, answer);
+        head.ran_us = ran_us.min(u64::from(u32::MAX)) as u32;
         let _ = job.reply.send(GateReply::Answer(head, body));
         if late {
             sleep(Duration::from_millis(LINGER_MS)).await;
@@ -321,6 +324,7 @@
         BounceReason::Leaving => "leaving",
         BounceReason::Stalled => "stalled",
         BounceReason::Cancelled => "cancelled",
+        BounceReason::Slow => "slow",
         BounceReason::Refused => "refused",
         BounceReason::NotReady => "not-ready",
     }
@@ -341,6 +345,7 @@
             retry_after_ms: 0,
             headers: Vec::new(),
             body_bytes: 0,
+            ran_us: 0,
         };
         return (head, Bytes::new());
     };
@@ -352,6 +357,7 @@
         retry_after_ms: 0,
         headers: travelling(&answer.headers),
         body_bytes: answer.body.len() as u32,
+        ran_us: 0,
     };
     (head, answer.body)
 }
--- /dev/null
+++ b/valetrack/src/gate/speed.rs
@@ -0,0 +1,117 @@
+//! How fast one server is: learned from the runs at its gate, and told by its machine.
+
+use super::message::LoadReport;
+
+/// Time that a machine's slowdown is taken to go on until episodes were seen to end, in
+/// microseconds: neighbours' load changes several times a second.
+pub const SLOWDOWN_LASTS_US: u64 = 200_000;
+/// A machine is in a slow episode from this factor on.
+const EPISODE_FACTOR: f64 = 1.5;
+/// Longest episode that counts as one, in microseconds: what lasts longer is the usual speed.
+const EPISODE_MAX_US: u64 = 3_000_000;
+/// Step of the usual speed towards a new sample, as a share of itself.
+const BASE_STEP: f64 = 0.06;
+/// Place of the usual speed among the samples: below the middle, since noise only ever slows.
+const BASE_QUANTILE: f64 = 0.4;
+/// Weight of a new sample in the averages.
+const MEAN_WEIGHT: f64 = 1.0 / 16.0;
+/// Bounds of one sample, so that a single run cannot turn the averages over.
+const SAMPLE_MIN: f64 = 0.1;
+const SAMPLE_MAX: f64 = 20.0;
+/// What a share or factor of one is in a report.
+const PERCENT: f64 = 100.0;
+
+/// Speed of one server, as factors of the time that a run is expected to take.
+#[derive(Debug, Clone, Copy)]
+pub struct Speed {
+    /// Factor of a run without noise.
+    base: f64,
+    /// Factor of a run on average, noise included.
+    mean: f64,
+    /// Share of runs that failed.
+    failing: f64,
+    /// Factor that the machine told last.
+    slowdown: f64,
+    /// When it was told, in microseconds.
+    told_us: u64,
+    /// When the present slow episode began, in microseconds.
+    episode_us: Option<u64>,
+    /// How much longer an episode goes on at any moment in it, on average, in microseconds.
+    lasts_us: f64,
+}
+
+impl Default for Speed {
+    fn default() -> Self {
+        Self {
+            base: 1.0,
+            mean: 1.0,
+            failing: 0.0,
+            slowdown: 1.0,
+            told_us: 0,
+            episode_us: None,
+            lasts_us: SLOWDOWN_LASTS_US as f64,
+        }
+    }
+}
+
+impl Speed {
+    /// Takes a run that took `ran_us` where `work_us` were expected.
+    pub fn ran(&mut self, ran_us: u64, work_us: u64, healthy: bool) {
+        self.failing += (f64::from(u8::from(!healthy)) - self.failing) * MEAN_WEIGHT;
+        // A failure may come at once; only whole runs tell of speed.
+        if work_us == 0 || !healthy {
+            return;
+        }
+        let sample = (ran_us as f64 / work_us as f64).clamp(SAMPLE_MIN, SAMPLE_MAX);
+        self.mean += (sample - self.mean) * MEAN_WEIGHT;
+        let up = if sample > self.base { BASE_QUANTILE } else { BASE_QUANTILE - 1.0 };
+        self.base = (self.base * (1.0 + BASE_STEP * up)).clamp(SAMPLE_MIN, SAMPLE_MAX);
+    }
+
+    /// Takes what the machine told at `now_us`.
+    pub fn told(&mut self, slowdown_percent: u16, now_us: u64) {
+        self.slowdown = f64::from(slowdown_percent) / PERCENT;
+        self.told_us = now_us;
+        if self.slowdown >= EPISODE_FACTOR {
+            self.episode_us.get_or_insert(now_us);
+            return;
+        }
+        if let Some(began_us) = self.episode_us.take() {
+            let length_us = now_us.saturating_sub(began_us).min(EPISODE_MAX_US);
+            // Seen from a moment within it, half of an episode is still to come.
+            self.lasts_us += (length_us as f64 / 2.0 - self.lasts_us) * MEAN_WEIGHT;
+        }
+    }
+
+    /// Returns the factor of a run that starts now, before the present slowdown ends.
+    pub fn now(&self, now_us: u64) -> f64 {
+        let age_us = now_us.saturating_sub(self.told_us);
+        let weight = 0.5_f64.powf(age_us as f64 / self.lasts_us);
+        self.base * self.slowdown * weight + self.mean.max(self.base) * (1.0 - weight)
+    }
+
+    /// Returns how long a run of `work_us` takes that starts now, in microseconds.
+    pub fn expected_us(&self, work_us: u64, now_us: u64) -> u64 {
+        expected_run_us(work_us, self.now(now_us), self.mean.max(self.base), self.lasts_us)
+    }
+
+    /// Writes what is known into a report.
+    pub fn report(&self, load: &mut LoadReport, now_us: u64) {
+        let percent = |factor: f64| (factor * PERCENT).min(f64::from(u16::MAX)) as u16;
+        load.slowdown_percent = percent(self.now(now_us));
+        load.mean_percent = percent(self.mean.max(self.base));
+        load.slow_lasts_ms = (self.lasts_us / 1000.0) as u16;
+        load.failing_percent = percent(self.failing) as u8;
+    }
+}
+
+/// Returns how long `work_us` take when each microsecond of work takes `now` for `lasts_us`, and
+/// `mean` from then on.
+pub fn expected_run_us(work_us: u64, now: f64, mean: f64, lasts_us: f64) -> u64 {
+    let work = work_us as f64;
+    let done_in_time = lasts_us / now.max(SAMPLE_MIN);
+    if work <= done_in_time {
+        return (work * now) as u64;
+    }
+    (lasts_us + (work - done_in_time) * mean) as u64
+}
--- a/valetrack/src/gate/state.rs
+++ b/valetrack/src/gate/state.rs
@@ -2,7 +2,8 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use super::message::{AttemptId, BounceReason, GateAction, GateEvent, LoadReport, Patience, Word};
+use super::message::{AttemptId, BounceReason, GateAction, GateEvent, LoadReport, Objective, Patience, Word};
+use super::speed::Speed;
 
 /// How long an ended or cancelled attempt is remembered, in microseconds.
 ///
@@ -20,6 +21,9 @@
 const STALL_MISSED_ENDS: u64 = 8;
 /// A call on its last attempt may wait this many times the bound of the queue.
 const LAST_QUEUES: u64 = 2;
+/// A call waits for a slot at most this part of the time to its objective, as a divisor: what
+/// waits longer is better offered elsewhere or refused while its caller can still come back.
+const WAIT_SHARE: u64 = 4;
 /// A failed call counts as this many times the smoothed service time, so that a server that
 /// fails at once never looks idle.
 const FAILURE_PENALTY: i64 = 4;
@@ -73,7 +77,7 @@
     forget: VecDeque<(u64, AttemptId)>,
     service_us: i64,
     progress: Progress,
-    slowdown_percent: u16,
+    speed: Speed,
 }
 
 /// What says how many running calls should have ended since the last one did.
@@ -123,7 +127,7 @@
             forget: VecDeque::with_capacity(1024),
             service_us: FIRST_SERVICE_US,
             progress: Progress { last_us: now_us, ..Progress::default() },
-            slowdown_percent: 0,
+            speed: Speed::default(),
         }
     }
 
@@ -149,20 +153,22 @@
 
     /// Returns the load as it stands at `now_us`.
     pub fn load(&self, now_us: u64) -> LoadReport {
-        LoadReport {
+        let mut load = LoadReport {
             limit: self.limit(now_us),
             in_flight: self.running.len() as u16,
             queued: self.waiting.len() as u16,
             service_us: self.service_us as u32,
             stalled: self.stalled(now_us),
             leaving: self.leaving,
-            slowdown_percent: self.slowdown_percent,
-        }
+            ..LoadReport::default()
+        };
+        self.speed.report(&mut load, now_us);
+        load
     }
 
-    /// Notes how long work takes on the server's machine now, in hundredths of the usual time.
-    pub fn set_slowdown(&mut self, slowdown_percent: u16) {
-        self.slowdown_percent = slowdown_percent;
+    /// Returns what is known of the server's speed.
+    pub fn speed_mut(&mut self) -> &mut Speed {
+        &mut self.speed
     }
 
     /// Returns whether nothing runs and nothing waits.
@@ -197,7 +203,7 @@
     }
 
     fn arrive(&mut self, event: GateEvent, now_us: u64, out: &mut Vec<GateAction>) {
-        let GateEvent::Arrive { attempt, deadline_us, patience, priority, wait_max_us } = event else {
+        let GateEvent::Arrive { attempt, deadline_us, patience, priority, objective } = event else {
             return;
         };
         if self.knows(attempt) {
@@ -213,11 +219,15 @@
             return;
         }
         let room = (self.running.len() as u16) < self.limit(now_us) && self.waiting.is_empty();
-        let wait_max_us = wait_max_us.unwrap_or(self.config.queue_max_us);
+        let wait_max_us = objective.map_or(self.config.queue_max_us, |objective| objective.left_us / WAIT_SHARE);
         if !room && let Some(reason) = self.refuses_to_queue(deadline_us, patience, priority, wait_max_us, now_us) {
             self.bounce(attempt, reason, now_us, out);
             return;
         }
+        if patience == Patience::Short && objective.is_some_and(|objective| self.too_slow_for(objective, now_us)) {
+            self.bounce(attempt, BounceReason::Slow, now_us, out);
+            return;
+        }
         let leave_at_us = match patience {
             // Whoever has nowhere better to go is kept once it was let in.
             Patience::Long | Patience::Last => deadline_us,
@@ -228,6 +238,11 @@
         self.waiting.insert(at, Waiting { attempt, deadline_us, leave_at_us, patience, priority });
     }
 
+    /// Returns whether a call that starts now would miss its objective.
+    fn too_slow_for(&self, objective: Objective, now_us: u64) -> bool {
+        objective.work_us > 0 && self.speed.expected_us(objective.work_us, now_us) > objective.left_us
+    }
+
     fn refuses_to_queue(
         &self,
         deadline_us: u64,
@@ -293,6 +308,10 @@
     }
 
     fn open(&mut self, now_us: u64) {
+        if self.leaving {
+            // Another start of the server has a speed of its own.
+            self.speed = Speed::default();
+        }
         self.leaving = false;
         self.opened_us = now_us;
     }
--- a/valetrack/src/gate/tests/connection.rs
+++ b/valetrack/src/gate/tests/connection.rs
@@ -30,6 +30,7 @@
         body_bytes: 0,
         deadline_ms: 1_000,
         objective_ms: 0,
+        work_us: 0,
         priority: 0,
         repeatable: true,
         depth: 1,
--- a/valetrack/src/gate/tests/property.rs
+++ b/valetrack/src/gate/tests/property.rs
@@ -101,7 +101,7 @@
                     if !observer.started.contains(&attempt) && !observer.given_up.contains(&attempt) {
                         observer.waiting.insert(attempt);
                     }
-                    GateEvent::Arrive { attempt, deadline_us: now_us + limit_us, patience, priority: 0, wait_max_us: None }
+                    GateEvent::Arrive { attempt, deadline_us: now_us + limit_us, patience, priority: 0, objective: None }
                 }
                 Choice::End { .. } | Choice::Refuse { .. } if observer.running.is_empty() => GateEvent::Tick,
                 Choice::End { at, healthy } => {
--- a/valetrack/src/gate/tests/steps.rs
+++ b/valetrack/src/gate/tests/steps.rs
@@ -11,7 +11,7 @@
 }
 
 fn arrive(seq: u64, patience: Patience) -> GateEvent {
-    GateEvent::Arrive { attempt: attempt(seq), deadline_us: 1_000_000, patience, priority: 0, wait_max_us: None }
+    GateEvent::Arrive { attempt: attempt(seq), deadline_us: 1_000_000, patience, priority: 0, objective: None }
 }
 
 fn feed(gate: &mut Gate, event: GateEvent, now_us: u64) -> Vec<GateAction> {
@@ -52,7 +52,7 @@
         deadline_us: 500,
         patience: Patience::Long,
         priority: 0,
-        wait_max_us: None,
+        objective: None,
     };
     let refused = feed(&mut gate, hurried, 0);
     assert_eq!(refused, [GateAction::Bounce { attempt: attempt(2), reason: BounceReason::Full }]);
--- a/valetrack/src/link/message.rs
+++ b/valetrack/src/link/message.rs
@@ -40,8 +40,10 @@
     pub body_bytes: u32,
     /// Time left, in milliseconds.
     pub deadline_ms: u32,
-    /// Time from its start within which an answer is worth the most, in milliseconds; zero for none.
+    /// Time left within which an answer is worth the most, in milliseconds; zero for none.
     pub objective_ms: u32,
+    /// Time that the run is expected to take on a usual server, in microseconds; zero when unknown.
+    pub work_us: u32,
     /// Rank under overload; zero goes first.
     pub priority: u8,
     /// Whether the work may run more than once.
@@ -73,6 +75,8 @@
     pub headers: Vec<(String, Vec<u8>)>,
     /// Length of the body, in bytes.
     pub body_bytes: u32,
+    /// Time that the server took, in microseconds; zero where it was not asked.
+    pub ran_us: u32,
 }
 
 /// What rides on every reply: the owner's load and versions, at no message of its own.
--- a/valetrack/src/link/tests.rs
+++ b/valetrack/src/link/tests.rs
@@ -23,6 +23,7 @@
         body_bytes: body_bytes as u32,
         deadline_ms: 100,
         objective_ms: 0,
+        work_us: 0,
         priority: 0,
         repeatable: false,
         depth: 1,
--- a/valetrack/src/placement/call.rs
+++ b/valetrack/src/placement/call.rs
@@ -5,13 +5,15 @@
 //! owner's word that it never starts; exactly one verdict is given.
 
 use super::budget::ShareBudget;
-use super::message::{CallAction, CallEvent, ServerIndex, Verdict};
+use super::message::{CallAction, CallEvent, Demand, ServerIndex, Verdict};
 use super::view::{ServerSet, ServiceView};
 use crate::code::Code;
 use crate::gate::{AttemptId, BounceReason, Patience, Word};
 
 /// Most attempts of one call that are remembered; a call makes fewer.
 const MAX_ATTEMPTS: usize = 12;
+/// A second run is taken to need this share of the usual time, in hundredths.
+const HEDGE_RUN_PERCENT: u64 = 130;
 /// Shortest time that a caller is told to stay away, in milliseconds.
 const RETRY_AFTER_MIN_MS: u32 = 50;
 /// Longest time that a caller is told to stay away, in milliseconds.
@@ -28,6 +30,8 @@
     pub retries: u8,
     /// Delay before a hedge in hundredths of the usual service time; none turns hedges off.
     pub hedge_after_percent: Option<u32>,
+    /// What the call asks of a server; none where it has no objective.
+    pub demand: Option<Demand>,
 }
 
 /// Budgets that all calls of one service at one entry share.
@@ -83,6 +87,8 @@
     bounces_left: u8,
     retries_left: u8,
     hedged: bool,
+    /// When the call came, in microseconds.
+    began_us: u64,
     /// Whether a stall has turned the call out of a queue.
     waited: bool,
     /// Whether an attempt was let wait come what may.
@@ -104,6 +110,7 @@
             bounces_left: rule.bounces,
             retries_left: rule.retries,
             hedged: false,
+            began_us: 0,
             waited: false,
             last_resort: false,
             past_deadline: false,
@@ -117,6 +124,13 @@
         self.count
     }
 
+    /// Returns the server of the attempt that is out, if there is just one.
+    pub fn waits_for(&self) -> Option<ServerIndex> {
+        let mut sent = self.attempts.iter().flatten().filter(|attempt| attempt.state == AttemptState::Sent);
+        let server = sent.next()?.server;
+        sent.next().is_none().then_some(server)
+    }
+
     /// Returns whether the verdict was given and no attempt is out.
     pub fn closed(&self) -> bool {
         self.finished && self.outstanding() == 0
@@ -157,11 +171,19 @@
         if self.count > 0 || self.finished {
             return;
         }
+        self.began_us = cx.now_us;
         cx.budgets.retry.earn();
         cx.budgets.hedge.earn();
         let Some(server) = self.send_next(cx, out) else {
             return;
         };
+        if let (true, Some(demand)) = (self.rule.repeatable && self.retries_left > 0, self.rule.demand) {
+            // The last moment at which a second run would still end in time.
+            let run_us = u64::from(demand.work_us) * HEDGE_RUN_PERCENT / 100;
+            let after_us = demand.left_us.saturating_sub(run_us).max(demand.work_us.into());
+            out.push(CallAction::ArmHedge { after_us });
+            return;
+        }
         if let (true, Some(percent)) = (self.rule.repeatable, self.rule.hedge_after_percent) {
             let after_us = u64::from(cx.view.service_us(server)) * u64::from(percent) / 100;
             out.push(CallAction::ArmHedge { after_us });
@@ -293,10 +315,17 @@
         for attempt in self.attempts.iter().flatten() {
             tried.insert(attempt.server);
         }
-        let Some(server) = cx.view.pick(tried, cx.now_us, cx.rng) else {
+        let Some(server) = self.pick(tried, cx) else {
             return;
         };
-        if !cx.budgets.hedge.take() {
+        if self.rule.demand.is_some() {
+            // A hedge is one more run as a retry is, and both come out of one budget.
+            let first = self.attempts.iter().flatten().find(|attempt| attempt.state == AttemptState::Sent);
+            let slow = first.is_some_and(|attempt| cx.view.is_slow(attempt.server, cx.now_us));
+            if !slow || cx.view.is_slow(server, cx.now_us) || !self.may_repeat(cx) {
+                return;
+            }
+        } else if !cx.budgets.hedge.take() {
             return;
         }
         self.hedged = true;
@@ -386,7 +415,7 @@
         if self.last_resort || self.count >= MAX_ATTEMPTS {
             return false;
         }
-        let Some(server) = cx.view.pick(ServerSet::default(), cx.now_us, cx.rng) else {
+        let Some(server) = self.pick(ServerSet::default(), cx) else {
             return false;
         };
         self.send(server, Patience::Last, cx, out);
@@ -406,11 +435,20 @@
         }
     }
 
+    fn pick(&self, excluded: ServerSet, cx: &mut CallContext<'_>) -> Option<ServerIndex> {
+        let Some(demand) = self.rule.demand else {
+            return cx.view.pick(excluded, cx.now_us, cx.rng);
+        };
+        let gone_us = cx.now_us.saturating_sub(self.began_us);
+        let demand = Demand { left_us: demand.left_us.saturating_sub(gone_us), ..demand };
+        cx.view.pick_in_time(excluded, demand, cx.now_us, cx.rng)
+    }
+
     fn next_server(&mut self, cx: &mut CallContext<'_>) -> Option<ServerIndex> {
         if self.count >= MAX_ATTEMPTS {
             return None;
         }
-        cx.view.pick(self.excluded, cx.now_us, cx.rng)
+        self.pick(self.excluded, cx)
     }
 
     fn send(&mut self, server: ServerIndex, patience: Patience, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) {
@@ -479,7 +517,7 @@
 
 const fn bounce_code(reason: BounceReason) -> Code {
     match reason {
-        BounceReason::Full | BounceReason::Stalled => Code::Overloaded,
+        BounceReason::Full | BounceReason::Stalled | BounceReason::Slow => Code::Overloaded,
         BounceReason::Leaving => Code::Leaving,
         BounceReason::Cancelled => Code::Cancelled,
         BounceReason::Refused | BounceReason::NotReady => Code::ServerRefused,
--- a/valetrack/src/placement/message.rs
+++ b/valetrack/src/placement/message.rs
@@ -124,6 +124,15 @@
     },
 }
 
+/// What a call asks of a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Demand {
+    /// Time that its run usually takes, in microseconds; zero when unknown.
+    pub work_us: u32,
+    /// Time within which its answer is worth the most, in microseconds.
+    pub left_us: u64,
+}
+
 /// A load report with the moment at which it came.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SeenLoad {
--- a/valetrack/src/placement/mod.rs
+++ b/valetrack/src/placement/mod.rs
@@ -11,8 +11,10 @@
 #[cfg(test)]
 mod tests;
 mod view;
+mod work;
 
 pub use budget::{RateBudget, ShareBudget};
 pub use call::{Budgets, Call, CallContext, CallRule};
-pub use message::{CallAction, CallEvent, Outcome, SeenLoad, ServerIndex, Verdict};
+pub use message::{CallAction, CallEvent, Demand, Outcome, SeenLoad, ServerIndex, Verdict};
 pub use view::{MAX_SERVERS, Policy, ServerSet, ServiceView};
+pub use work::WorkEstimate;
--- a/valetrack/src/placement/run.rs
+++ b/valetrack/src/placement/run.rs
@@ -16,8 +16,9 @@
 
 use super::budget::{RateBudget, ShareBudget};
 use super::call::{Budgets, Call, CallContext, CallRule};
-use super::message::{CallAction, CallEvent, Outcome, ServerIndex, Verdict};
+use super::message::{CallAction, CallEvent, Demand, Outcome, ServerIndex, Verdict};
 use super::view::{MAX_SERVERS, Policy, ServiceView};
+use super::work::WorkEstimate;
 use crate::bundle::{InForce, MeasureRule, ServiceRule};
 use crate::clock::now_us;
 use crate::code::Code;
@@ -73,6 +74,8 @@
 
 struct Inner {
     services: HashMap<Arc<str>, ServiceState>,
+    /// Usual times of runs by route.
+    works: HashMap<Arc<str>, WorkEstimate>,
     rng: fastrand::Rng,
     next_seq: u64,
     measure: RateBudget,
@@ -129,6 +132,7 @@
     pub fn new(parts: PlacerParts) -> Rc<Self> {
         let inner = Inner {
             services: HashMap::new(),
+            works: HashMap::new(),
             rng: fastrand::Rng::with_seed(parts.seed),
             next_seq: 1,
             measure: RateBudget::new(0, 0, now_us()),
@@ -184,6 +188,7 @@
         inner.probes.configure(probes_per_s.into(), probes_per_s.into(), now_us());
         self.metrics.measure_budget.set(bytes_per_s.into());
         inner.services.retain(|name, _| in_force.bundle.service(name).is_some());
+        inner.works.retain(|route, _| in_force.bundle.routes.contains(route));
         for rule in &in_force.bundle.services {
             let state = inner.services.entry(rule.name.clone()).or_insert_with(|| new_service(rule, self.policy));
             if let Some(reserve) = rule.retry_reserve {
@@ -196,13 +201,32 @@
 
     /// Places one call; the future ends with the verdict, and what is still out is seen to its
     /// end behind it.
-    pub async fn place(self: Rc<Self>, head: CallHead, body: Bytes, rule: CallRule) -> Placed {
+    pub async fn place(self: Rc<Self>, mut head: CallHead, body: Bytes, rule: CallRule) -> Placed {
         let (reply, placed) = oneshot::channel();
+        head.work_us = rule.demand.map_or(0, |demand| demand.work_us);
         tokio::task::spawn_local(self.drive(head, body, rule, reply));
         let lost = Placed::Verdict(Verdict::Unknown { code: Code::LinkLost });
         placed.await.unwrap_or(lost)
     }
 
+    /// Returns what a call of a route asks of a server.
+    pub fn demand(&self, route: &Arc<str>, objective_ms: u32) -> Demand {
+        let inner = self.inner.borrow();
+        inner.works.get(route).copied().unwrap_or_default().demand(objective_ms)
+    }
+
+    /// Takes the time of one run of a route.
+    pub fn ran(&self, route: &Arc<str>, ran_us: u32) {
+        let mut inner = self.inner.borrow_mut();
+        if let Some(work) = inner.works.get_mut(route) {
+            work.ran(ran_us);
+            return;
+        }
+        let mut work = WorkEstimate::default();
+        work.ran(ran_us);
+        inner.works.insert(route.clone(), work);
+    }
+
     /// Returns how calls of a service are placed; `attempts_max` bounds the upstreams that a
     /// call may run on.
     pub fn rule(&self, service: &str, repeatable: bool, attempts_max: Option<u8>) -> Option<CallRule> {
@@ -223,10 +247,14 @@
         let mut answers: Vec<(AnswerHead, Bytes)> = Vec::new();
         let mut hedge_at: Option<Instant> = None;
         let mut late = false;
-        let mut event = CallEvent::Begin;
+        let mut event = Some(CallEvent::Begin);
         let mut actions = Vec::new();
         loop {
-            if !self.handle(&head.service, &mut call, event, &mut actions) {
+            let known = match event.take() {
+                Some(event) => self.handle(&head.service, &mut call, event, &mut actions),
+                None => true,
+            };
+            if !known {
                 let code = Code::ServiceUnknown;
                 let verdict = Verdict::NotRun { code, retry_after_ms: 1_000 };
                 finish(&mut reply, Placed::Verdict(verdict));
@@ -256,22 +284,29 @@
                 return;
             }
             if call.finished() {
-                hedge_at = None;
-                late = true;
+                // A run that lost to a hedge is of no use to anybody.
+                self.abandon(&head.service, &mut call);
+                return;
             }
             event = tokio::select! {
                 Some((event, answer)) = out.next(), if !out.is_empty() => {
                     answers.extend(answer);
-                    event
+                    Some(event)
                 }
                 () = sleep_maybe(hedge_at) => {
                     hedge_at = None;
-                    CallEvent::HedgeDue
+                    match call.waits_for() {
+                        Some(server) if rule.demand.is_some() => {
+                            out.push(self.clone().look(head.service.clone(), server));
+                            None
+                        }
+                        Some(_) | None => Some(CallEvent::HedgeDue),
+                    }
                 }
-                () = gone(&mut reply) => continue,
+                () = gone(&mut reply) => None,
                 () = sleep_until(deadline), if !late => {
                     late = true;
-                    CallEvent::DeadlineDue
+                    Some(CallEvent::DeadlineDue)
                 }
             };
         }
@@ -314,7 +349,9 @@
         deadline: Instant,
     ) -> LocalBoxFuture<'static, Event> {
         let left_ms = deadline.saturating_duration_since(Instant::now()).as_millis() as u32;
-        let mut head = CallHead { attempt, patience, deadline_ms: left_ms, key: None, ..head.clone() };
+        let gone_ms = head.deadline_ms.saturating_sub(left_ms);
+        let objective_ms = head.objective_ms.saturating_sub(gone_ms);
+        let mut head = CallHead { attempt, patience, deadline_ms: left_ms, objective_ms, key: None, ..head.clone() };
         let body = body.clone();
         Box::pin(async move {
             let service = head.service.clone();
@@ -430,6 +467,16 @@
         Some((name, server))
     }
 
+    /// Asks the owner of a call that takes long how its server does, so that a hedge is decided on
+    /// what holds now.
+    fn look(self: Rc<Self>, service: Arc<str>, server: ServerIndex) -> LocalBoxFuture<'static, Event> {
+        Box::pin(async move {
+            self.metrics.probes.inc();
+            self.probe_one(&service, server).await;
+            (CallEvent::HedgeDue, None)
+        })
+    }
+
     async fn probe_one(&self, service: &str, server: ServerIndex) {
         let Some(target) = self.target(service, server) else {
             return;
@@ -455,6 +502,7 @@
                 () => domain_cost_us,
             };
             self.view.set_present(server, true, network_us);
+            self.view.set_far(server, &*candidate.domain != domain);
             self.targets[server] = Some(candidate);
         }
         for (server, _) in kept.iter().enumerate().filter(|(_, kept)| !**kept) {
@@ -503,6 +551,7 @@
         bounces: rule.bounces,
         retries: rule.retries,
         hedge_after_percent: hedging.then_some(rule.hedge_after_percent),
+        demand: None,
     }
 }
 
--- a/valetrack/src/placement/tests/call.rs
+++ b/valetrack/src/placement/tests/call.rs
@@ -164,6 +164,7 @@
         bounces,
         retries,
         hedge_after_percent: Some(300),
+        demand: None,
     })
 }
 
@@ -218,7 +219,7 @@
     world
 }
 
-const ONCE: CallRule = CallRule { repeatable: false, bounces: 2, retries: 1, hedge_after_percent: None };
+const ONCE: CallRule = CallRule { repeatable: false, bounces: 2, retries: 1, hedge_after_percent: None, demand: None };
 
 #[test]
 fn a_final_answer_is_not_held_back_to_the_deadline() {
--- a/valetrack/src/placement/view.rs
+++ b/valetrack/src/placement/view.rs
@@ -1,7 +1,7 @@
 //! An entry's view of the servers of one service, and the pick.
 
-use super::message::{SeenLoad, ServerIndex};
-use crate::gate::LoadReport;
+use super::message::{Demand, SeenLoad, ServerIndex};
+use crate::gate::{LoadReport, SLOWDOWN_LASTS_US, expected_run_us};
 
 /// Largest number of servers of one service that placement considers.
 pub const MAX_SERVERS: usize = 64;
@@ -28,6 +28,51 @@
 /// Every failed call of late adds this many service times to the score.
 const FAILURE_WEIGHT: f64 = 4.0;
 
+/// Spread of a call's time around what is expected, as a share of it: runs of one route differ by
+/// a third, and calls that a server makes on its own come on top.
+const EXPECTED_SPREAD: f64 = 0.18;
+/// What leaving the failure domain costs, as a share of an answer in time. Its bytes are paid for;
+/// a platform does not say how dearly, so this is what two kilobytes cost at a middling price.
+const FAR_COST: f64 = 0.1;
+/// What an answer at its objective is worth less than one at once, so that of servers that are all
+/// in time the faster one is taken.
+const SOONER_VALUE: f64 = 0.05;
+/// Values that differ by less count as equal.
+const TIE_VALUE: f64 = 0.01;
+/// A full server counts as slower by this share, so that calls spread before queues form.
+const SPREAD_SHARE: f64 = 0.3;
+/// A server that fails every run counts as late by this many times what is left.
+const FAILING_WEIGHT: f64 = 2.0;
+
+/// A server is slow when it takes this many times its average.
+const SLOW_FACTOR: f64 = 1.2;
+
+/// How fast a server is now, by a report of some age.
+struct Pace {
+    /// Factor of a run now.
+    now: f64,
+    /// Factor of a run on average.
+    mean: f64,
+    /// How long the present factor is likely to go on, in microseconds.
+    lasts_us: f64,
+    /// What the report still says of the present, from one down to zero.
+    weight: f64,
+}
+
+impl Pace {
+    fn of(load: &LoadReport, age_us: u64) -> Self {
+        let factor = |percent: u16| if percent == 0 { 1.0 } else { f64::from(percent) / 100.0 };
+        let lasts_us = match load.slow_lasts_ms {
+            0 => SLOWDOWN_LASTS_US as f64,
+            lasts_ms => f64::from(lasts_ms) * 1000.0,
+        };
+        let mean = factor(load.mean_percent);
+        let weight = 0.5_f64.powf(age_us as f64 / lasts_us);
+        let now = factor(load.slowdown_percent) * weight + mean * (1.0 - weight);
+        Self { now, mean, lasts_us, weight }
+    }
+}
+
 /// Compact set of server indexes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct ServerSet(u64);
@@ -91,6 +136,8 @@
     leaving: bool,
     /// Expected time on the network there and back, in microseconds.
     network_us: u32,
+    /// Whether the way there leaves the failure domain, where bytes are dear.
+    far: bool,
     seen: Option<SeenLoad>,
     /// Calls of this entry that have no answer yet.
     outstanding: u32,
@@ -107,6 +154,7 @@
     present: false,
     leaving: false,
     network_us: 0,
+    far: false,
     seen: None,
     outstanding: 0,
     outstanding_seen: 0,
@@ -150,6 +198,13 @@
         view.network_us = network_us;
     }
 
+    /// Sets whether the way to a server leaves the failure domain.
+    pub fn set_far(&mut self, server: ServerIndex, far: bool) {
+        if let Some(view) = self.servers.get_mut(server) {
+            view.far = far;
+        }
+    }
+
     /// Marks a server as leaving; it never comes back under the same index.
     pub fn set_leaving(&mut self, server: ServerIndex) {
         if let Some(view) = self.servers.get_mut(server) {
@@ -283,6 +338,81 @@
         !stalled && u32::from(in_flight) + u32::from(queued) + since < u32::from(limit)
     }
 
+    /// Picks a server for a call that is worth the most before its objective: the cheapest to
+    /// reach of those that are likely to answer in time, and the fastest where none is.
+    ///
+    /// An answer is worth the same at any moment before the objective, so a faster server in
+    /// another failure domain is no gain where one of the own is fast enough.
+    pub fn pick_in_time(
+        &mut self,
+        excluded: ServerSet,
+        demand: Demand,
+        now_us: u64,
+        rng: &mut fastrand::Rng,
+    ) -> Option<ServerIndex> {
+        if self.policy != Policy::Valetrack {
+            return self.pick(excluded, now_us, rng);
+        }
+        self.used_us = Some(now_us);
+        let rotation = self.rotation(now_us);
+        let mut open = [0usize; MAX_SERVERS];
+        let mut values = [f64::NEG_INFINITY; MAX_SERVERS];
+        let mut count = 0;
+        let mut best = f64::NEG_INFINITY;
+        for server in 0..self.servers.len() {
+            if !rotation.contains(server) || excluded.contains(server) {
+                continue;
+            }
+            open[count] = server;
+            values[count] = self.value(server, demand, now_us);
+            best = best.max(values[count]);
+            count += 1;
+        }
+        if count == 0 {
+            return None;
+        }
+        Some(pick_where(&open[..count], rng, |at| values[at] >= best - TIE_VALUE))
+    }
+
+    /// Returns what a call with this demand is worth at a server, as a share of an answer in time:
+    /// the chance that it is in time, less what the way there costs.
+    fn value(&self, server: ServerIndex, demand: Demand, now_us: u64) -> f64 {
+        let expected_us = self.demanded_us(server, demand, now_us).max(1.0);
+        let left_us = demand.left_us as f64;
+        let in_time = 1.0 / (1.0 + ((expected_us - left_us) / (expected_us * EXPECTED_SPREAD)).exp());
+        let far = if self.servers[server].far { FAR_COST } else { 0.0 };
+        in_time - far - SOONER_VALUE * expected_us / left_us.max(1.0)
+    }
+
+    /// Returns the expected time of a call with this demand sent now, in microseconds.
+    pub fn demanded_us(&self, server: ServerIndex, demand: Demand, now_us: u64) -> f64 {
+        let view = &self.servers[server];
+        let unknown = LoadReport { limit: FIRST_LIMIT, ..LoadReport::default() };
+        let (load, age_us) = view.seen.map_or((unknown, 0), |seen| (seen.load, now_us.saturating_sub(seen.seen_us)));
+        let pace = Pace::of(&load, age_us);
+        let run_us = expected_run_us(demand.work_us.into(), pace.now, pace.mean, pace.lasts_us) as f64;
+        let limit = f64::from(load.limit.max(1));
+        let seen_others =
+            (f64::from(load.in_flight) + f64::from(load.queued) - f64::from(view.outstanding_seen)).max(0.0);
+        let busy = f64::from(view.outstanding) + seen_others * pace.weight;
+        let service_us = f64::from(load.service_us);
+        let wait_us = (busy + 1.0 - limit).max(0.0) * service_us / limit;
+        let spread_us = run_us * SPREAD_SHARE * (busy / limit).min(1.0);
+        let failing = view.failure_share.max(f64::from(load.failing_percent) / 100.0);
+        let failure_us = failing * FAILING_WEIGHT * demand.left_us as f64;
+        let stall_us = if load.stalled { STALL_PENALTY_US * pace.weight } else { 0.0 };
+        f64::from(view.network_us) + wait_us + run_us + spread_us + failure_us + stall_us
+    }
+
+    /// Returns whether a server was lately told to be much slower than it is on average.
+    pub fn is_slow(&self, server: ServerIndex, now_us: u64) -> bool {
+        let seen = self.servers.get(server).and_then(|view| view.seen);
+        seen.is_some_and(|seen| {
+            let pace = Pace::of(&seen.load, now_us.saturating_sub(seen.seen_us));
+            pace.now > pace.mean * SLOW_FACTOR
+        })
+    }
+
     /// Picks a server outside `excluded`, if there is one in rotation.
     pub fn pick(&mut self, excluded: ServerSet, now_us: u64, rng: &mut fastrand::Rng) -> Option<ServerIndex> {
         self.used_us = Some(now_us);
--- /dev/null
+++ b/valetrack/src/placement/work.rs
@@ -0,0 +1,32 @@
+//! How long the runs of a route usually take, as one entry learns it.
+
+use super::message::Demand;
+
+/// Step of the estimate towards a new sample, as a share of itself.
+const STEP: f64 = 0.06;
+/// Place of the estimate among the samples: below the middle, since noise only ever slows.
+const QUANTILE: f64 = 0.4;
+
+/// Usual time of the runs of one route, without noise.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct WorkEstimate {
+    work_us: f64,
+}
+
+impl WorkEstimate {
+    /// Takes the time of one run, in microseconds.
+    pub fn ran(&mut self, ran_us: u32) {
+        let sample = f64::from(ran_us);
+        if self.work_us == 0.0 {
+            self.work_us = sample;
+            return;
+        }
+        let up = if sample > self.work_us { QUANTILE } else { QUANTILE - 1.0 };
+        self.work_us *= 1.0 + STEP * up;
+    }
+
+    /// Returns what a call of the route asks for that has `objective_ms` to its objective.
+    pub fn demand(&self, objective_ms: u32) -> Demand {
+        Demand { work_us: self.work_us as u32, left_us: u64::from(objective_ms) * 1000 }
+    }
+}
