Stand-ins of the managed platform, and tests of all that the path grew

Change: standin/managed plays the platform's store (leases that run out, waits, lost history, lost answers, items taken away, refusing, silent, slow) and its servers (heartbeats, ids, stamps, spoilt answers). 14 tests run real nodes on them; the adapter's decoding, the entry keeper (property: back within two seconds of a store that answers), the directory, routes and splits, speed and announcements have tests of their own. A load report travels packed, so that what rides on a reply stays within its 28 bytes with its new figures.

--- a/standin/src/client.rs
+++ b/standin/src/client.rs
@@ -67,7 +67,10 @@
         body: impl Into<Bytes>,
     ) -> Result<Reply, String> {
         let mut sender = self.sender().await?;
-        let mut request = Request::builder().method(method).uri(path).header("host", self.addr.to_string());
+        let mut request = Request::builder().method(method).uri(path);
+        if !headers.iter().any(|(name, _)| *name == "host") {
+            request = request.header("host", self.addr.to_string());
+        }
         for (name, value) in headers {
             request = request.header(*name, *value);
         }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod client;
 pub mod list;
 pub mod load;
+pub mod managed;
 pub mod relay;
 pub mod server;
 pub mod slope;
--- /dev/null
+++ b/standin/src/managed/server.rs
@@ -0,0 +1,201 @@
+//! Stand-in of a server on the managed platform: heartbeats to the node beside it, its own id and
+//! stamp on answers, its load, and faults by command.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use serde_json::json;
+use tokio::net::TcpListener;
+
+use crate::client::Client;
+use crate::web::{self, Answer, answer};
+
+/// Pause between two heartbeats, in milliseconds.
+const HEARTBEAT_MS: u64 = 200;
+
+/// How a server spoils its answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Spoil {
+    /// Not at all.
+    Nothing,
+    /// The answer carries the id of another request.
+    OtherId,
+    /// The answer says that its body is encoded.
+    Encoded,
+    /// A success without the server's stamp.
+    NoStamp,
+    /// The connection closes without an answer.
+    Close,
+}
+
+/// One start of a server.
+pub struct ManagedServer {
+    /// Its id.
+    pub id: String,
+    service: String,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    slots: usize,
+    work_ms: AtomicU64,
+    running: AtomicUsize,
+    draining: AtomicBool,
+    spoil: Mutex<Spoil>,
+    /// How often each request id ran.
+    runs: Mutex<BTreeMap<String, u64>>,
+    /// What came with the last request.
+    seen: Mutex<BTreeMap<String, String>>,
+    acknowledged: AtomicU64,
+    abandoned: AtomicU64,
+}
+
+impl ManagedServer {
+    /// Starts a server at an address, and its heartbeats to `control`.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the address could not be listened on.
+    pub async fn start(
+        id: &str,
+        service: &str,
+        addr: SocketAddr,
+        slots: usize,
+        control: SocketAddr,
+    ) -> std::io::Result<Arc<Self>> {
+        let listener = TcpListener::bind(addr).await?;
+        let server = Arc::new(Self {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            addr,
+            slots,
+            work_ms: AtomicU64::new(20),
+            running: AtomicUsize::new(0),
+            draining: AtomicBool::new(false),
+            spoil: Mutex::new(Spoil::Nothing),
+            runs: Mutex::default(),
+            seen: Mutex::default(),
+            acknowledged: AtomicU64::new(0),
+            abandoned: AtomicU64::new(0),
+        });
+        let handler = server.clone();
+        tokio::spawn(web::serve_on(listener, Duration::ZERO, move |request| handle(handler.clone(), request)));
+        tokio::spawn(server.clone().announce(control));
+        Ok(server)
+    }
+
+    /// Sets how long each request takes, in milliseconds.
+    pub fn set_work_ms(&self, work_ms: u64) {
+        self.work_ms.store(work_ms, Ordering::Relaxed);
+    }
+
+    /// Says from now on that the server is draining.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Sets how answers are spoilt.
+    pub fn set_spoil(&self, spoil: Spoil) {
+        *self.spoil.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = spoil;
+    }
+
+    /// Returns how often each request id ran.
+    pub fn runs(&self) -> BTreeMap<String, u64> {
+        self.runs.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone()
+    }
+
+    /// Returns the headers of the last request.
+    pub fn seen(&self) -> BTreeMap<String, String> {
+        self.seen.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone()
+    }
+
+    /// Returns how many heartbeats were acknowledged.
+    pub fn acknowledged(&self) -> u64 {
+        self.acknowledged.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many runs were given up because their connection closed.
+    pub fn abandoned(&self) -> u64 {
+        self.abandoned.load(Ordering::Relaxed)
+    }
+
+    async fn announce(self: Arc<Self>, control: SocketAddr) {
+        for sequence in 1u64.. {
+            let state = if self.draining.load(Ordering::Relaxed) { "draining" } else { "ready" };
+            let heartbeat = json!({
+                "service": self.service, "address": self.addr, "zone": "kranj", "version": "v1",
+                "slots": self.slots, "state": state, "cold_ms": 0, "sequence": sequence,
+            });
+            let path = format!("/api/instances/{}/heartbeat", self.id);
+            let sent = Client::new(control).call("POST", &path, &[], heartbeat.to_string()).await;
+            if sent.is_ok_and(|reply| reply.status == 200) {
+                self.acknowledged.fetch_add(1, Ordering::Relaxed);
+            }
+            tokio::time::sleep(Duration::from_millis(HEARTBEAT_MS)).await;
+        }
+    }
+}
+
+/// Counts a run as given up unless it is told that it ended.
+struct Run<'a> {
+    server: &'a ManagedServer,
+    ended: bool,
+}
+
+impl Drop for Run<'_> {
+    fn drop(&mut self) {
+        self.server.running.fetch_sub(1, Ordering::Relaxed);
+        if !self.ended {
+            self.server.abandoned.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+async fn handle(server: Arc<ManagedServer>, request: Request<Incoming>) -> Answer {
+    if request.uri().path() == "/health" {
+        let status = if server.draining.load(Ordering::Relaxed) { 503 } else { 200 };
+        let mut reply = answer(status, "");
+        reply.headers_mut().insert("x-instance-id", HeaderValue::from_str(&server.id)?);
+        return Ok(reply);
+    }
+    let text = |name: &str| {
+        let value = request.headers().get(name).and_then(|value| value.to_str().ok());
+        value.unwrap_or("").to_owned()
+    };
+    let id = text("x-request-id");
+    if text("x-expected-instance") != server.id {
+        let mut reply = answer(421, "");
+        reply.headers_mut().insert("x-request-id", HeaderValue::from_str(&id)?);
+        return Ok(reply);
+    }
+    let headers = request.headers().iter();
+    let seen = headers.map(|(name, value)| (name.to_string(), value.to_str().unwrap_or("").to_owned())).collect();
+    *server.seen.lock().map_err(|_| "poisoned")? = seen;
+    let body = request.into_body().collect().await?.to_bytes();
+    let running = server.running.fetch_add(1, Ordering::Relaxed) + 1;
+    let mut run = Run { server: &server, ended: false };
+    *server.runs.lock().map_err(|_| "poisoned")?.entry(id.clone()).or_insert(0) += 1;
+    tokio::time::sleep(Duration::from_millis(server.work_ms.load(Ordering::Relaxed))).await;
+    run.ended = true;
+    let spoil = *server.spoil.lock().map_err(|_| "poisoned")?;
+    if spoil == Spoil::Close {
+        return Err("closed".into());
+    }
+    let mut reply = answer(200, body);
+    let headers = reply.headers_mut();
+    let id = if spoil == Spoil::OtherId { "another".to_owned() } else { id };
+    headers.insert("x-request-id", HeaderValue::from_str(&id)?);
+    headers.insert("x-server-load", HeaderValue::from_str(&format!("{running},0,{},100", server.slots))?);
+    if spoil != Spoil::NoStamp {
+        headers.insert("x-server-stamp", HeaderValue::from_str(&server.id)?);
+    }
+    if spoil == Spoil::Encoded {
+        headers.insert("content-encoding", HeaderValue::from_static("br"));
+    }
+    Ok(reply)
+}
--- /dev/null
+++ b/standin/src/managed/store.rs
@@ -0,0 +1,346 @@
+//! Stand-in of the managed platform's store: items, leases that run out, calls that wait for
+//! changes, history that goes, and faults by command.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::{Method, Request};
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+
+use crate::web::{self, Answer, answer};
+
+/// Pause between two looks at which leases have run out, in milliseconds.
+const EXPIRY_MS: u64 = 20;
+/// Items of one page, few enough that small tests need several pages.
+const PAGE_ITEMS: usize = 4;
+
+/// How the store treats calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mode {
+    /// It answers.
+    Up,
+    /// It turns every call away and does nothing.
+    Refusing,
+    /// It takes calls and says nothing; leases run on.
+    Silent,
+    /// Each call takes this long, in milliseconds.
+    Slow(u64),
+    /// Writes take effect and get no answer.
+    LosingAnswers,
+}
+
+struct Item {
+    value: String,
+    revision: u64,
+    created_revision: u64,
+    lease: u64,
+}
+
+struct State {
+    mode: Mode,
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    /// Keys by the revision that changed them.
+    history: Vec<(u64, String)>,
+    /// Revision up to which the history is gone.
+    forgotten: u64,
+    leases: BTreeMap<u64, (Instant, Duration)>,
+    next_lease: u64,
+    calls: u64,
+}
+
+/// The store; clones share it.
+#[derive(Clone)]
+pub struct ManagedStore {
+    state: Arc<Mutex<State>>,
+    changed: Arc<Notify>,
+}
+
+impl Default for ManagedStore {
+    fn default() -> Self {
+        let state = State {
+            mode: Mode::Up,
+            revision: 1,
+            items: BTreeMap::new(),
+            history: Vec::new(),
+            forgotten: 0,
+            leases: BTreeMap::new(),
+            next_lease: 100,
+            calls: 0,
+        };
+        Self { state: Arc::new(Mutex::new(state)), changed: Arc::new(Notify::new()) }
+    }
+}
+
+impl ManagedStore {
+    /// Serves on a free port until the runtime ends; returns the address.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no port could be had.
+    pub async fn start(&self) -> std::io::Result<SocketAddr> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let addr = listener.local_addr()?;
+        tokio::spawn(self.clone().expire());
+        let store = self.clone();
+        tokio::spawn(web::serve_on(listener, Duration::ZERO, move |request| store.clone().handle(request)));
+        Ok(addr)
+    }
+
+    /// Sets how calls are treated from now on; calls that wait are cut when the store goes away.
+    pub fn set_mode(&self, mode: Mode) {
+        self.lock().mode = mode;
+        self.changed.notify_waiters();
+    }
+
+    /// Writes an item as the operator does.
+    pub fn put(&self, key: &str, value: &str) -> u64 {
+        let revision = self.lock().put(key, STANDARD.encode(value), 0);
+        self.changed.notify_waiters();
+        revision
+    }
+
+    /// Takes away every item below a prefix, leases or not.
+    pub fn revoke(&self, prefix: &str) {
+        let mut state = self.lock();
+        let keys: Vec<String> = state.items.keys().filter(|key| key.starts_with(prefix)).cloned().collect();
+        for key in keys {
+            state.remove(&key);
+        }
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Lets every lease run out at once.
+    pub fn lapse(&self) {
+        let mut state = self.lock();
+        let leases: Vec<u64> = state.leases.keys().copied().collect();
+        for lease in leases {
+            state.end_lease(lease);
+        }
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Forgets which changes led to the present.
+    pub fn compact(&self) {
+        let mut state = self.lock();
+        state.forgotten = state.revision;
+        state.history.clear();
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Returns the keys below a prefix.
+    pub fn keys(&self, prefix: &str) -> BTreeSet<String> {
+        self.lock().items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
+    }
+
+    /// Returns how many calls came so far.
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    async fn expire(self) {
+        loop {
+            tokio::time::sleep(Duration::from_millis(EXPIRY_MS)).await;
+            let mut state = self.lock();
+            let now = Instant::now();
+            let over: Vec<u64> =
+                state.leases.iter().filter(|(_, (until, _))| *until <= now).map(|(id, _)| *id).collect();
+            if over.is_empty() {
+                continue;
+            }
+            for lease in over {
+                state.end_lease(lease);
+            }
+            drop(state);
+            self.changed.notify_waiters();
+        }
+    }
+
+    async fn handle(self, request: Request<Incoming>) -> Answer {
+        let query = web::query(request.uri());
+        let path = request.uri().path().to_owned();
+        let method = request.method().clone();
+        let bytes = request.into_body().collect().await?.to_bytes();
+        let body: Value = serde_json::from_slice(&bytes).unwrap_or(Value::Null);
+        let mode = {
+            let mut state = self.lock();
+            state.calls += 1;
+            state.mode
+        };
+        match mode {
+            Mode::Refusing => return Ok(answer(503, "{}")),
+            Mode::Silent => std::future::pending::<()>().await,
+            Mode::Slow(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
+            Mode::Up | Mode::LosingAnswers => {}
+        }
+        if path == "/api/kv-watch" {
+            return self.watch(&query).await;
+        }
+        let (status, reply) = self.lock().call(&method, &path, &query, &body);
+        self.changed.notify_waiters();
+        if mode == Mode::LosingAnswers && method != Method::GET {
+            return Err("answer lost".into());
+        }
+        Ok(answer(status, reply.to_string()))
+    }
+
+    async fn watch(&self, query: &BTreeMap<String, String>) -> Answer {
+        let after = web::number(query, "after").unwrap_or(0);
+        let prefix = query.get("path_prefix").cloned().unwrap_or_default();
+        let wait = Duration::from_millis(web::number(query, "wait_ms").unwrap_or(0));
+        let until = tokio::time::Instant::now() + wait;
+        loop {
+            let changed = self.changed.notified();
+            {
+                let state = self.lock();
+                if matches!(state.mode, Mode::Refusing | Mode::Silent) {
+                    // A call that waits is cut when the store goes away.
+                    return Err("cut".into());
+                }
+                if after < state.forgotten {
+                    return Ok(answer(410, "{}"));
+                }
+                let events = state.events(&prefix, after);
+                if !events.is_empty() || tokio::time::Instant::now() >= until {
+                    let reply = json!({ "events": events, "at_revision": state.revision });
+                    return Ok(answer(200, reply.to_string()));
+                }
+            }
+            // Either something changed or the wait is over; the state tells which.
+            let _ = tokio::time::timeout_at(until, changed).await;
+        }
+    }
+}
+
+impl State {
+    fn call(&mut self, method: &Method, path: &str, query: &BTreeMap<String, String>, body: &Value) -> (u16, Value) {
+        match (method, path) {
+            (&Method::GET, "/api/kv-range") => (200, self.range(query)),
+            (&Method::POST, "/api/kv-txn") => self.transact(body),
+            (&Method::POST, "/api/kv-lease") => (200, self.grant(body)),
+            (&Method::POST, path) if path.starts_with("/api/kv-keep/") => self.keep(number_behind(path)),
+            (&Method::DELETE, path) if path.starts_with("/api/kv-lease-end/") => {
+                self.end_lease(number_behind(path));
+                (200, json!({}))
+            }
+            _ => (404, json!({})),
+        }
+    }
+
+    fn put(&mut self, key: &str, value: String, lease: u64) -> u64 {
+        self.revision += 1;
+        let revision = self.revision;
+        let created_revision = self.items.get(key).map_or(revision, |item| item.created_revision);
+        self.items.insert(key.to_owned(), Item { value, revision, created_revision, lease });
+        self.history.push((revision, key.to_owned()));
+        revision
+    }
+
+    fn remove(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
+            self.revision += 1;
+            self.history.push((self.revision, key.to_owned()));
+        }
+    }
+
+    fn end_lease(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        let held = |(_, item): &(&String, &Item)| item.lease == lease;
+        let keys: Vec<String> = self.items.iter().filter(held).map(|(key, _)| key.clone()).collect();
+        for key in keys {
+            self.remove(&key);
+        }
+    }
+
+    fn item(&self, key: &str) -> Option<Value> {
+        let item = self.items.get(key)?;
+        Some(json!({
+            "key": key, "value": item.value, "revision": item.revision,
+            "created_revision": item.created_revision, "lease": item.lease,
+        }))
+    }
+
+    fn events(&self, prefix: &str, after: u64) -> Vec<Value> {
+        let fits = |(revision, key): &&(u64, String)| *revision > after && key.starts_with(prefix);
+        let event = |(revision, key): &(u64, String)| match self.items.get(key) {
+            Some(item) if item.revision == *revision => self.item(key),
+            // An earlier write of a key that was written again: the later event tells it.
+            Some(_) => None,
+            None => Some(json!({ "key": key, "revision": revision, "deleted": true })),
+        };
+        self.history.iter().filter(fits).filter_map(event).collect()
+    }
+
+    fn range(&self, query: &BTreeMap<String, String>) -> Value {
+        let prefix = query.get("path_prefix").map_or("", String::as_str);
+        let after = query.get("after").map_or("", String::as_str);
+        let mut keys: Vec<&String> =
+            self.items.keys().filter(|key| key.starts_with(prefix) && key.as_str() > after).collect();
+        let has_more = keys.len() > PAGE_ITEMS;
+        keys.truncate(PAGE_ITEMS);
+        let items: Vec<Value> = keys.iter().filter_map(|key| self.item(key)).collect();
+        json!({ "items": items, "has_more": has_more, "at_revision": self.revision })
+    }
+
+    fn transact(&mut self, body: &Value) -> (u16, Value) {
+        let none = Vec::new();
+        let rows = |name: &str| body[name].as_array().unwrap_or(&none).clone();
+        let key_of = |row: &Value| row["key"].as_str().unwrap_or("").to_owned();
+        let expected = rows("expected");
+        let holds = |row: &Value| {
+            let revision = self.items.get(&key_of(row)).map_or(0, |item| item.revision);
+            row["revision"].as_u64() == Some(revision)
+        };
+        if !expected.iter().all(holds) {
+            let items: Vec<Value> = expected.iter().filter_map(|row| self.item(&key_of(row))).collect();
+            return (412, json!({ "items": items }));
+        }
+        let puts = rows("put");
+        let lease_of = |row: &Value| row["lease"].as_u64().unwrap_or(0);
+        if puts.iter().any(|row| lease_of(row) > 0 && !self.leases.contains_key(&lease_of(row))) {
+            return (404, json!({}));
+        }
+        for row in &puts {
+            self.put(&key_of(row), row["value"].as_str().unwrap_or("").to_owned(), lease_of(row));
+        }
+        for key in rows("remove") {
+            self.remove(key.as_str().unwrap_or(""));
+        }
+        (200, json!({ "revision": self.revision }))
+    }
+
+    fn grant(&mut self, body: &Value) -> Value {
+        self.next_lease += 1;
+        let ttl_ms = body["ttl_ms"].as_u64().unwrap_or(1_000);
+        let ttl = Duration::from_millis(ttl_ms);
+        self.leases.insert(self.next_lease, (Instant::now() + ttl, ttl));
+        json!({ "lease": self.next_lease, "ttl_ms": ttl_ms })
+    }
+
+    fn keep(&mut self, lease: u64) -> (u16, Value) {
+        let Some((until, ttl)) = self.leases.get_mut(&lease) else {
+            return (404, json!({}));
+        };
+        *until = Instant::now() + *ttl;
+        (200, json!({ "ttl_ms": ttl.as_millis() as u64 }))
+    }
+}
+
+fn number_behind(path: &str) -> u64 {
+    path.rsplit('/').next().and_then(|text| text.parse().ok()).unwrap_or(0)
+}
--- a/standin/tests/common/mod.rs
+++ b/standin/tests/common/mod.rs
@@ -70,7 +70,7 @@
     Path::new(env!("CARGO_BIN_EXE_standin"))
 }
 
-fn valetrack() -> PathBuf {
+pub fn valetrack() -> PathBuf {
     standin().with_file_name("valetrack")
 }
 
@@ -80,7 +80,7 @@
 /// Nothing is bound to find that out. A listener that is opened for a look lives on in every
 /// child that another thread is just starting, until that child's exec, and the program that is
 /// then given the address finds it in use.
-fn free_addr() -> SocketAddr {
+pub fn free_addr() -> SocketAddr {
     static NEXT: AtomicU16 = AtomicU16::new(10_000);
     let process = std::process::id();
     let host = [127, 1 + (process >> 8) as u8 % 254, process as u8, 1];
--- /dev/null
+++ b/standin/tests/managed.rs
@@ -0,0 +1,347 @@
+//! Real nodes on the stand-in of the managed platform: the whole path, drains, outages of the
+//! store, and upstreams that break the rules.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::{free_addr, valetrack, wait_for};
+use serde_json::json;
+use standin::client::{Client, Reply};
+use standin::managed::server::{ManagedServer, Spoil};
+use standin::managed::store::{ManagedStore, Mode};
+use test_case::test_case;
+
+const HOST: (&str, &str) = ("host", "farm.example");
+
+/// One VM: its upstream, and the node beside it.
+struct Vm {
+    name: String,
+    service: &'static str,
+    caller_addr: SocketAddr,
+    ready_addr: SocketAddr,
+    control_addr: SocketAddr,
+    link_addr: SocketAddr,
+    upstream: Arc<ManagedServer>,
+    node: Option<Child>,
+}
+
+/// Nodes of two services over two domains, and their store; all are ended when it is dropped.
+struct Fleet {
+    store: ManagedStore,
+    store_addr: SocketAddr,
+    vms: Vec<Vm>,
+}
+
+fn config(version: u64, service: &str) -> String {
+    let route = |name: &str, prefix: &str, repeat: &str, timeout_ms: u64, service: &str| {
+        json!({
+            "name": name, "host": "farm.example", "path_prefix": prefix, "repeat": repeat,
+            "timeout_ms": timeout_ms, "objective_ms": 400, "priority": 1, "attempts_max": 2, "service": service,
+        })
+    };
+    let service_row = |name: &str| json!({ "name": name, "health_path": "/health", "connections_max": 220 });
+    json!({
+        "version": version,
+        "routes": [
+            route("sheet", "/sheet/", "safe", 2_000, service),
+            route("pickup", "/pickup/", "non_idempotent", 2_000, "ledger"),
+            route("hasty", "/hasty/", "safe", 150, "rounds"),
+        ],
+        "services": [service_row("rounds"), service_row("ledger")],
+    })
+    .to_string()
+}
+
+impl Fleet {
+    async fn start(services: &[&'static str]) -> Self {
+        let store = ManagedStore::default();
+        let store_addr = store.start().await.expect("a free port");
+        store.put("op/config", &config(3, "rounds"));
+        let mut fleet = Self { store, store_addr, vms: Vec::new() };
+        for service in services {
+            fleet.add(service).await;
+        }
+        fleet.wait_ready().await;
+        fleet
+    }
+
+    async fn add(&mut self, service: &'static str) {
+        let at = self.vms.len();
+        let control_addr = free_addr();
+        let upstream = ManagedServer::start(&format!("i-{at}"), service, free_addr(), 6, control_addr).await;
+        self.vms.push(Vm {
+            name: format!("vm-{at}"),
+            service,
+            caller_addr: free_addr(),
+            ready_addr: free_addr(),
+            control_addr,
+            link_addr: free_addr(),
+            upstream: upstream.expect("a free port"),
+            node: None,
+        });
+        self.start_node(at);
+    }
+
+    fn start_node(&mut self, at: usize) {
+        let store_addr = self.store_addr.to_string();
+        let vm = &mut self.vms[at];
+        let flags = [
+            ("platform", "managed".to_owned()),
+            ("vm", vm.name.clone()),
+            ("domain", ["kranj", "loka"][at % 2].to_owned()),
+            ("service", vm.service.to_owned()),
+            ("server", vm.upstream.addr.to_string()),
+            ("caller-listen", vm.caller_addr.to_string()),
+            ("admin-listen", vm.ready_addr.to_string()),
+            ("control-listen", vm.control_addr.to_string()),
+            ("link-listen", vm.link_addr.to_string()),
+            ("store", store_addr),
+            ("store-timeout-ms", "500".to_owned()),
+            ("lease-ms", "1500".to_owned()),
+            ("linger-ms", "600".to_owned()),
+            ("stop-grace-s", "4".to_owned()),
+        ];
+        let args = flags.into_iter().flat_map(|(flag, value)| [format!("--{flag}"), value]);
+        let node = Command::new(valetrack())
+            .arg("node")
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn();
+        vm.node = Some(node.expect("the program"));
+    }
+
+    fn kill_node(&mut self, at: usize) {
+        if let Some(mut node) = self.vms[at].node.take() {
+            node.kill().expect("a live node");
+            node.wait().expect("its end");
+        }
+    }
+
+    fn signal(&self, at: usize, signal: &str) {
+        if let Some(node) = &self.vms[at].node {
+            let sent = Command::new("kill").args([signal, &node.id().to_string()]).status();
+            assert!(sent.expect("kill").success());
+        }
+    }
+
+    async fn wait_ready(&self) {
+        for at in 0..self.vms.len() {
+            wait_for("readiness", async || self.readiness(at).await == 200).await;
+        }
+        wait_for("all entries", async || self.entries() == self.vms.len()).await;
+        // Changes are gathered for a quarter of a second before they are read.
+        tokio::time::sleep(Duration::from_millis(600)).await;
+    }
+
+    fn entries(&self) -> usize {
+        self.store.keys("valetrack/node/").len()
+    }
+
+    async fn readiness(&self, at: usize) -> u16 {
+        let asked = Client::new(self.vms[at].ready_addr).call("GET", "/api/readiness", &[], "").await;
+        asked.map_or(0, |reply| reply.status)
+    }
+
+    async fn call(&self, at: usize, method: &str, path: &str, id: &str) -> Result<Reply, String> {
+        call(self.vms[at].caller_addr, method, path, id).await
+    }
+
+    fn runs(&self, id: &str) -> u64 {
+        self.vms.iter().filter_map(|vm| vm.upstream.runs().get(id).copied()).sum()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for vm in &mut self.vms {
+            if let Some(mut node) = vm.node.take() {
+                // A node that ended by itself needs no kill.
+                let _ = node.kill();
+                let _ = node.wait();
+            }
+        }
+    }
+}
+
+async fn call(addr: SocketAddr, method: &str, path: &str, id: &str) -> Result<Reply, String> {
+    let headers = [HOST, ("x-request-id", id), ("x-deadline-milliseconds", "1500"), ("x-caller-service", "forged")];
+    Client::new(addr).call(method, path, &headers, format!("body of {id}")).await
+}
+
+fn status(reply: &Result<Reply, String>) -> u16 {
+    reply.as_ref().map_or(0, |reply| reply.status)
+}
+
+#[tokio::test]
+async fn a_call_reaches_an_upstream_of_its_route_and_comes_back_whole() {
+    let fleet = Fleet::start(&["rounds", "ledger"]).await;
+    let reply = fleet.call(1, "POST", "/sheet/today?farm=7", "a-1").await.expect("an answer");
+    assert_eq!((reply.status, &reply.body[..]), (200, b"body of a-1".as_slice()));
+    assert_eq!((reply.header("x-server-stamp"), reply.header("x-request-id")), ("i-0", "a-1"));
+    let seen = fleet.vms[0].upstream.seen();
+    assert_eq!(seen["x-caller-service"], "ledger", "the node names the service on whose VM the call began");
+    assert_eq!(seen["x-expected-instance"], "i-0");
+    assert!(seen["x-deadline-milliseconds"].parse::<u64>().expect("a number") <= 1_500);
+    assert_eq!(status(&fleet.call(0, "GET", "/nowhere/", "a-2").await), 404);
+}
+
+#[test_case(Spoil::OtherId; "an answer to another request")]
+#[test_case(Spoil::Encoded; "an encoded body")]
+#[test_case(Spoil::NoStamp; "a success without a stamp")]
+#[test_case(Spoil::Close; "a connection that closes")]
+fn a_spoilt_answer_is_no_answer_and_runs_once(spoil: Spoil) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("a runtime").block_on(async move {
+        let fleet = Fleet::start(&["ledger", "ledger"]).await;
+        fleet.vms.iter().for_each(|vm| vm.upstream.set_spoil(spoil));
+        let reply = fleet.call(0, "POST", "/pickup/1", "b-1").await.expect("an answer");
+        assert_eq!((reply.status, reply.header("x-server-stamp")), (502, ""), "nothing may say that it did not run");
+        assert_eq!(fleet.runs("b-1"), 1);
+    });
+}
+
+#[tokio::test]
+async fn a_draining_upstream_gets_nothing_new_and_its_node_serves_on() {
+    let fleet = Fleet::start(&["rounds", "rounds"]).await;
+    fleet.vms[0].upstream.drain();
+    let acknowledged = fleet.vms[0].upstream.acknowledged();
+    wait_for("an acknowledged heartbeat", async || fleet.vms[0].upstream.acknowledged() >= acknowledged + 2).await;
+    for call in 0..20 {
+        let reply = fleet.call(call % 2, "GET", "/sheet/", &format!("c-{call}")).await.expect("an answer");
+        assert_eq!((reply.status, reply.header("x-server-stamp")), (200, "i-1"));
+    }
+    assert_eq!(fleet.readiness(0).await, 200);
+}
+
+#[tokio::test]
+async fn a_stop_withdraws_readiness_at_once_and_cuts_nothing() {
+    let fleet = Fleet::start(&["rounds", "rounds"]).await;
+    fleet.vms.iter().for_each(|vm| vm.upstream.set_work_ms(400));
+    let addr = fleet.vms[0].caller_addr;
+    let running: Vec<_> = (0..8)
+        .map(|call_number| tokio::spawn(async move { call(addr, "GET", "/sheet/", &format!("d-{call_number}")).await }))
+        .collect();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    fleet.signal(0, "-TERM");
+    wait_for("no readiness", async || fleet.readiness(0).await == 503).await;
+    // Callers learn of it later, and are served until then.
+    assert_eq!(status(&fleet.call(0, "GET", "/sheet/", "d-late").await), 200);
+    for call in running {
+        assert_eq!(status(&call.await.expect("a result")), 200);
+    }
+    wait_for("the entry to be withdrawn", async || fleet.entries() == 1).await;
+}
+
+#[tokio::test]
+async fn an_outage_of_the_store_is_not_noticed_by_callers_and_entries_come_back() {
+    let fleet = Fleet::start(&["rounds", "ledger"]).await;
+    for mode in [Mode::Refusing, Mode::Silent] {
+        fleet.store.set_mode(mode);
+        // Longer than the leases hold.
+        tokio::time::sleep(Duration::from_millis(2_500)).await;
+        assert_eq!(fleet.entries(), 0, "{mode:?}");
+        assert_eq!(status(&fleet.call(1, "GET", "/sheet/", &format!("e-{mode:?}")).await), 200);
+        fleet.store.set_mode(Mode::Up);
+        let back = std::time::Instant::now();
+        wait_for("the entries", async || fleet.entries() == 2).await;
+        assert!(back.elapsed() < Duration::from_millis(2_200), "{mode:?}: {:?}", back.elapsed());
+    }
+}
+
+#[tokio::test]
+async fn entries_that_are_taken_away_or_lapse_are_written_anew() {
+    let fleet = Fleet::start(&["rounds", "ledger"]).await;
+    fleet.store.revoke("valetrack/");
+    wait_for("the entries", async || fleet.entries() == 2).await;
+    fleet.store.lapse();
+    wait_for("the entries", async || fleet.entries() == 2).await;
+    assert_eq!(status(&fleet.call(1, "GET", "/sheet/", "f-1").await), 200);
+}
+
+#[tokio::test]
+async fn a_configuration_is_in_force_after_lost_history_and_lost_answers() {
+    let fleet = Fleet::start(&["rounds", "ledger"]).await;
+    fleet.store.set_mode(Mode::LosingAnswers);
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    fleet.store.put("op/config", &config(5, "ledger"));
+    fleet.store.compact();
+    fleet.store.set_mode(Mode::Up);
+    wait_for("the new route", async || {
+        let reply = fleet.call(0, "GET", "/sheet/", "g-1").await;
+        reply.is_ok_and(|reply| reply.header("x-server-stamp") == "i-1")
+    })
+    .await;
+    // An older or unreadable one changes nothing.
+    fleet.store.put("op/config", &config(4, "rounds"));
+    fleet.store.put("op/config", "{\"version\":9,\"routes\":7}");
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let reply = fleet.call(0, "GET", "/sheet/", "g-2").await.expect("an answer");
+    assert_eq!(reply.header("x-server-stamp"), "i-1");
+}
+
+#[tokio::test]
+async fn a_node_that_starts_again_during_an_outage_learns_from_its_peers() {
+    let mut fleet = Fleet::start(&["rounds", "ledger"]).await;
+    fleet.store.set_mode(Mode::Refusing);
+    fleet.kill_node(0);
+    fleet.start_node(0);
+    wait_for("an answer", async || fleet.readiness(0).await != 0).await;
+    assert_eq!(fleet.readiness(0).await, 503);
+    assert_eq!(status(&fleet.call(0, "GET", "/pickup/", "h-0").await), 503, "it knows no configuration");
+    // Whoever calls it shows that it lives, and is shown that it lacks the bundle.
+    wait_for("readiness", async || {
+        let _ = fleet.call(1, "GET", "/sheet/", "h-1").await;
+        fleet.readiness(0).await == 200
+    })
+    .await;
+    wait_for("a served call", async || status(&fleet.call(1, "GET", "/sheet/", "h-2").await) == 200).await;
+    assert_eq!(status(&fleet.call(0, "GET", "/pickup/", "h-3").await), 200, "it has learnt its peers as well");
+}
+
+#[tokio::test]
+async fn a_call_whose_caller_leaves_is_given_up_at_its_upstream() {
+    let fleet = Fleet::start(&["rounds", "ledger"]).await;
+    fleet.vms[0].upstream.set_work_ms(3_000);
+    let left = tokio::time::timeout(Duration::from_millis(200), fleet.call(1, "GET", "/sheet/", "i-1")).await;
+    assert!(left.is_err());
+    wait_for("the end of the run", async || fleet.vms[0].upstream.abandoned() == 1).await;
+}
+
+#[tokio::test]
+async fn a_route_is_held_no_longer_than_its_time_limit() {
+    let fleet = Fleet::start(&["rounds"]).await;
+    fleet.vms[0].upstream.set_work_ms(3_000);
+    let began = std::time::Instant::now();
+    let reply = fleet.call(0, "GET", "/hasty/", "j-1").await.expect("an answer");
+    assert_eq!(reply.status, 504);
+    assert!(began.elapsed() < Duration::from_millis(600), "{:?}", began.elapsed());
+}
+
+#[tokio::test]
+async fn a_refusal_says_when_to_come_back_and_nothing_has_run() {
+    let fleet = Fleet::start(&["ledger"]).await;
+    fleet.vms[0].upstream.set_work_ms(1_000);
+    let addr = fleet.vms[0].caller_addr;
+    let calls: Vec<_> = (0..40)
+        .map(|number| {
+            tokio::spawn(async move { (number, call(addr, "POST", "/pickup/", &format!("k-{number}")).await) })
+        })
+        .collect();
+    let mut refused = 0;
+    for call in calls {
+        let (number, reply) = call.await.expect("a result");
+        let reply = reply.expect("an answer");
+        if reply.status == 503 {
+            refused += 1;
+            assert!(reply.header("retry-after").parse::<f64>().is_ok_and(|seconds| seconds > 0.0));
+            assert_eq!(fleet.runs(&format!("k-{number}")), 0);
+        }
+    }
+    assert!(refused > 0, "six slots cannot run forty calls of a second");
+}
--- a/valetrack/src/bundle/tests.rs
+++ b/valetrack/src/bundle/tests.rs
@@ -3,3 +3,4 @@
 mod check;
 mod fake;
 mod operator;
+mod route;
--- a/valetrack/src/gate/message.rs
+++ b/valetrack/src/gate/message.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::packed::PackedLoad;
+
 /// Names one attempt of one call; unique over all nodes and restarts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct AttemptId {
@@ -19,6 +21,7 @@
 
 /// Load of one server as its owner knows it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(from = "PackedLoad", into = "PackedLoad")]
 pub struct LoadReport {
     /// Calls that may run at once now, in slots.
     pub limit: u16,
--- a/valetrack/src/gate/mod.rs
+++ b/valetrack/src/gate/mod.rs
@@ -5,6 +5,7 @@
 //! an attempt that was bounced, or of which [`Word::NeverStarted`] was said, never starts.
 
 mod message;
+mod packed;
 pub mod pool;
 mod protocol;
 pub mod run;
--- a/valetrack/src/gate/tests.rs
+++ b/valetrack/src/gate/tests.rs
@@ -2,4 +2,6 @@
 
 mod connection;
 mod property;
+mod speed;
 mod steps;
+mod upstream;
--- /dev/null
+++ b/valetrack/src/gate/tests/upstream.rs
@@ -0,0 +1,49 @@
+//! What announcements make of the upstream's state.
+
+use std::sync::Arc;
+
+use crate::gate::{Announcement, UpstreamPhase, UpstreamState};
+
+fn heartbeat(id: &str, sequence: u64, ready: bool) -> Announcement {
+    Announcement { id: Arc::from(id), sequence: Some(sequence), ready, slots: Some(12), cold_ms: 0 }
+}
+
+fn farewell(id: &str) -> Announcement {
+    Announcement { id: Arc::from(id), sequence: None, ready: false, slots: None, cold_ms: 0 }
+}
+
+#[test]
+fn a_late_heartbeat_does_not_undo_leaving() {
+    let mut state = UpstreamState::unknown();
+    assert!(state.take(&heartbeat("a", 1, true), 0));
+    assert!(state.take(&heartbeat("a", 3, false), 0));
+    assert!(!state.take(&heartbeat("a", 2, true), 0));
+    assert!(!state.take(&heartbeat("a", 4, true), 0), "leaving is for good");
+    assert_eq!(state.phase, UpstreamPhase::Leaving);
+}
+
+#[test]
+fn an_upstream_that_only_says_goodbye_leaves_too() {
+    let mut state = UpstreamState::unknown();
+    state.take(&heartbeat("a", 1, true), 0);
+    assert!(state.take(&farewell("a"), 0));
+    assert_eq!((state.phase, state.slots), (UpstreamPhase::Leaving, Some(12)));
+}
+
+#[test]
+fn another_start_takes_work_and_the_earlier_one_is_not_heard_any_more() {
+    let mut state = UpstreamState::unknown();
+    state.take(&heartbeat("a", 9, false), 0);
+    assert!(state.take(&heartbeat("b", 1, true), 0));
+    assert!(!state.take(&farewell("a"), 0));
+    assert!(!state.take(&heartbeat("a", 10, true), 0));
+    assert_eq!((state.id.as_deref(), state.phase), (Some("b"), UpstreamPhase::Ready));
+}
+
+#[test]
+fn a_cold_start_ends_when_it_was_first_said_to() {
+    let mut state = UpstreamState::unknown();
+    state.take(&Announcement { cold_ms: 3_000, ..heartbeat("a", 1, true) }, 1_000_000);
+    state.take(&Announcement { cold_ms: 1_500, ..heartbeat("a", 2, true) }, 2_600_000);
+    assert_eq!(state.cold_until_us, 4_000_000);
+}
--- a/valetrack/src/link/tests.rs
+++ b/valetrack/src/link/tests.rs
@@ -97,7 +97,17 @@
 
 #[test]
 fn what_rides_on_a_reply_is_small() {
-    let load = LoadReport { limit: 12, in_flight: 12, queued: 40, service_us: 50_000, ..LoadReport::default() };
+    let load = LoadReport {
+        limit: 12,
+        in_flight: 12,
+        queued: 40,
+        service_us: 50_000,
+        slowdown_percent: 400,
+        mean_percent: 170,
+        slow_lasts_ms: 220,
+        failing_percent: 3,
+        ..LoadReport::default()
+    };
     let riding = Riding { load, bundle: 21_000, hlc: 117_716_773_567_922_176 };
     let reply = ReplyHead { reply: Reply::Load, riding };
     let frame = pack(&reply).expect("a small head");
--- /dev/null
+++ b/valetrack/src/member/tests/directory.rs
@@ -0,0 +1,107 @@
+//! Entries of other nodes: forward only, and missing ones are believed in for a while.
+
+use std::sync::Arc;
+
+use proptest::prelude::*;
+
+use crate::member::{Directory, MISSING_US, Member, Phase, entry_key};
+use crate::store::{Change, Item};
+
+fn member(vm: &str, phase: Phase) -> Member {
+    Member {
+        vm: Arc::from(vm),
+        incarnation: 1,
+        phase,
+        domain: Arc::from("kranj"),
+        service: Arc::from("intake"),
+        link_addr: ([127, 0, 0, 1], 7_000).into(),
+    }
+}
+
+fn item(vm: &str, phase: Phase, revision: u64) -> Item {
+    let value = serde_json::to_vec(&member(vm, phase)).expect("json");
+    Item { key: entry_key(vm), value, revision }
+}
+
+fn gone(vm: &str, revision: u64) -> Change {
+    Change::Gone { key: entry_key(vm), revision }
+}
+
+fn phases(directory: &Directory) -> Vec<(String, Phase)> {
+    directory.members().map(|member| (member.vm.to_string(), member.phase)).collect()
+}
+
+#[test]
+fn an_older_revision_never_comes_back() {
+    let mut directory = Directory::default();
+    assert!(directory.apply(&Change::Put(item("a", Phase::Leaving, 9)), 0));
+    assert!(!directory.apply(&Change::Put(item("a", Phase::Serving, 8)), 0));
+    assert!(!directory.replace(&[item("a", Phase::Serving, 8)], 0));
+    assert_eq!(phases(&directory), [("a".to_owned(), Phase::Leaving)]);
+}
+
+#[test]
+fn a_missing_entry_is_believed_in_until_its_time_is_over() {
+    let mut directory = Directory::default();
+    directory.replace(&[item("a", Phase::Serving, 1), item("b", Phase::Serving, 2)], 0);
+    directory.apply(&gone("a", 3), 1_000);
+    assert_eq!(directory.expire(1_000 + MISSING_US - 1), Vec::<Arc<str>>::new());
+    assert_eq!(directory.expire(1_000 + MISSING_US), [Arc::from("a")]);
+    assert_eq!(phases(&directory), [("b".to_owned(), Phase::Serving)]);
+}
+
+#[test]
+fn an_entry_that_comes_back_in_time_was_never_missing() {
+    let mut directory = Directory::default();
+    directory.replace(&[item("a", Phase::Serving, 1)], 0);
+    directory.apply(&gone("a", 2), 0);
+    directory.apply(&Change::Put(item("a", Phase::Serving, 3)), 1_000_000);
+    assert_eq!(directory.expire(10 * MISSING_US), Vec::<Arc<str>>::new());
+}
+
+#[test]
+fn the_time_of_missing_entries_starts_when_the_store_is_back() {
+    let mut directory = Directory::default();
+    directory.replace(&[item("a", Phase::Serving, 1)], 0);
+    directory.replace(&[], 1_000);
+    directory.store_is_back(9_000_000);
+    assert_eq!(directory.next_expiry_us(), Some(9_000_000 + MISSING_US));
+    assert_eq!(directory.expire(9_000_000 + MISSING_US - 1), Vec::<Arc<str>>::new());
+}
+
+#[test]
+fn an_entry_that_cannot_be_read_changes_nothing() {
+    let mut directory = Directory::default();
+    directory.replace(&[item("a", Phase::Serving, 1)], 0);
+    let damaged = Item { value: b"{".to_vec(), ..item("a", Phase::Leaving, 2) };
+    let foreign = Item { key: entry_key("a"), ..item("b", Phase::Leaving, 3) };
+    assert!(!directory.apply(&Change::Put(damaged), 0));
+    assert!(!directory.apply(&Change::Put(foreign), 0));
+    assert_eq!(phases(&directory), [("a".to_owned(), Phase::Serving)]);
+}
+
+#[test]
+fn a_hint_never_goes_before_what_the_store_has_shown() {
+    let mut directory = Directory::default();
+    directory.replace(&[item("a", Phase::Leaving, 1)], 0);
+    assert!(!directory.hint(&member("a", Phase::Serving), 0));
+    assert!(directory.hint(&member("b", Phase::Serving), 0));
+    assert_eq!(directory.expire(MISSING_US), [Arc::from("b")], "the store does not know it");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// The order in which changes come does not matter, since revisions order them.
+    #[test]
+    fn changes_in_any_order_show_the_newest(seed: u64, count in 1..12u64) {
+        let phases = [Phase::Joining, Phase::Serving, Phase::Leaving];
+        let mut changes: Vec<Item> = (1..=count).map(|n| item("a", phases[n as usize % 3], n)).collect();
+        fastrand::Rng::with_seed(seed).shuffle(&mut changes);
+        let mut directory = Directory::default();
+        for change in changes {
+            directory.apply(&Change::Put(change), 0);
+        }
+        prop_assert_eq!(directory.members().next().map(|member| member.phase), Some(phases[count as usize % 3]));
+    }
+}
