A fifth of the slots is left free until tries show that a full server is no slower; an owner vouches only for its own life

A node that was killed and started again said of an attempt of its earlier life that it never started, while the upstream ran on.

Change: gate/limit uses eight tenths of the slots, all of them for a tenth of the time, and all for good where the runs of both kinds say so; learn_limit in a bundle's service turns it on. A word on a cancelled attempt carries how long the owner has lived, and counts only where it lived when the attempt was sent.

--- a/standin/src/bench/world.rs
+++ b/standin/src/bench/world.rs
@@ -127,7 +127,13 @@
 impl<'a> World<'a> {
     fn new(scenario: &'a Scenario, contender: &'a Contender, end_us: u64, seed: u64) -> Self {
         let queue_max_us = if contender.bounded { QUEUE_US } else { DEADLINE_US * 10 };
-        let config = GateConfig { slots: scenario.slots, queue_max_us, ramp_us: 0, rescue: contender.rescue };
+        let config = GateConfig {
+            slots: scenario.slots,
+            queue_max_us,
+            ramp_us: 0,
+            rescue: contender.rescue,
+            learn_limit: false,
+        };
         let entry = |number: usize| {
             let mut view = ServiceView::new(contender.policy);
             for server in 0..scenario.servers {
--- a/standin/tests/managed.rs
+++ b/standin/tests/managed.rs
@@ -316,6 +316,28 @@
     assert!(back.elapsed() < Duration::from_millis(4_500), "{:?}", back.elapsed());
 }
 
+#[tokio::test]
+async fn a_node_that_starts_again_never_says_that_its_earlier_life_ran_nothing() {
+    let mut fleet = Fleet::start(&["ledger", "rounds", "ledger"]).await;
+    fleet.vms.iter().for_each(|vm| vm.upstream.set_work_ms(1_200));
+    let addr = fleet.vms[1].caller_addr;
+    let calls: Vec<_> = (0..6)
+        .map(|number| tokio::spawn(async move { call(addr, "POST", "/pickup/", &format!("o-{number}")).await }))
+        .collect();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    // The upstreams run on while their nodes are replaced.
+    for at in [0, 2] {
+        fleet.kill_node(at);
+        fleet.start_node(at);
+    }
+    for (number, call) in calls.into_iter().enumerate() {
+        let told = status(&call.await.expect("a result"));
+        let id = format!("o-{number}");
+        assert!(told != 503 || fleet.runs(&id) == 0, "{id} was told not to have run and ran {}", fleet.runs(&id));
+        assert!(fleet.runs(&id) <= 1, "{id} ran {} times", fleet.runs(&id));
+    }
+}
+
 #[tokio::test]
 async fn a_node_that_stands_still_is_left_out() {
     let fleet = Fleet::start(&["rounds", "ledger", "rounds"]).await;
--- a/valetrack/src/bundle/message.rs
+++ b/valetrack/src/bundle/message.rs
@@ -49,6 +49,8 @@
     pub name: Arc<str>,
     /// Calls that one of its servers runs at once.
     pub slots: u16,
+    /// Whether slots are left free where a full server is slower than one with some free.
+    pub learn_limit: bool,
     /// Connections to one of its servers.
     pub connections: u16,
     /// Longest wait for a slot, in milliseconds.
--- a/valetrack/src/gate/mod.rs
+++ b/valetrack/src/gate/mod.rs
@@ -4,6 +4,7 @@
 //! attempts is exact. The server never runs more than its slots; an attempt starts at most once;
 //! an attempt that was bounced, or of which [`Word::NeverStarted`] was said, never starts.
 
+mod limit;
 mod message;
 mod origin;
 mod packed;
@@ -16,6 +17,7 @@
 mod tests;
 mod upstream;
 
+pub use limit::ConcurrencyLimit;
 pub use message::{AttemptId, BounceReason, GateAction, GateEvent, LoadReport, Objective, Patience, Word};
 pub use origin::OriginTracker;
 pub use protocol::{Classified, Health, HostLoad, NativeUpstream, UpstreamProtocol};
--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -309,14 +309,14 @@
         };
         if let Some(load) = answer.as_ref().and_then(|answer| self.pool.protocol().host_load(&answer.headers)) {
             let slowdown_percent = load.slowdown_percent.min(u32::from(u16::MAX)) as u16;
-            self.gate.borrow_mut().speed_mut().told(slowdown_percent, now_us());
+            self.gate.borrow_mut().told(slowdown_percent, now_us());
         }
         let healthy = answer.as_ref().is_some_and(|answer| answer.status < 500);
         if answer.as_ref().is_some_and(|answer| self.pool.protocol().is_leaving(&answer.headers)) {
             self.leaving.notify_one();
         }
         let ran_us = now_us().saturating_sub(began_us);
-        self.gate.borrow_mut().speed_mut().ran(ran_us, job.head.work_us.into(), healthy);
+        self.gate.borrow_mut().ran(attempt, ran_us, job.head.work_us.into(), healthy);
         log::debug!("event=gate.done call={} attempt={attempt} healthy={healthy} ran_us={ran_us}", job.head.call_id);
         let (mut head, body) = answer_head(attempt, code, answer);
         head.ran_us = ran_us.min(u64::from(u32::MAX)) as u32;
--- a/valetrack/src/gate/state.rs
+++ b/valetrack/src/gate/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{HashMap, VecDeque};
 
+use super::limit::ConcurrencyLimit;
 use super::message::{AttemptId, BounceReason, GateAction, GateEvent, LoadReport, Objective, Patience, Word};
 use super::speed::Speed;
 
@@ -36,11 +37,13 @@
     pub ramp_us: u64,
     /// Whether waiting calls are given back when the server stalls.
     pub rescue: bool,
+    /// Whether slots are left free where a full server is slower than one with some free.
+    pub learn_limit: bool,
 }
 
 impl Default for GateConfig {
     fn default() -> Self {
-        Self { slots: 8, queue_max_us: 50_000, ramp_us: 0, rescue: true }
+        Self { slots: 8, queue_max_us: 50_000, ramp_us: 0, rescue: true, learn_limit: false }
     }
 }
 
@@ -53,6 +56,13 @@
     priority: u8,
 }
 
+#[derive(Debug, Clone, Copy)]
+struct Running {
+    started_us: u64,
+    /// Calls that ran when it started, itself included.
+    busy: u16,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Memory {
     started: bool,
@@ -68,13 +78,14 @@
     config: GateConfig,
     opened_us: u64,
     leaving: bool,
-    running: HashMap<AttemptId, u64>,
+    running: HashMap<AttemptId, Running>,
     waiting: VecDeque<Waiting>,
     memory: HashMap<AttemptId, Memory>,
     forget: VecDeque<(u64, AttemptId)>,
     service_us: i64,
     progress: Progress,
     speed: Speed,
+    learned: ConcurrencyLimit,
 }
 
 /// What says how many running calls should have ended since the last one did.
@@ -125,6 +136,7 @@
             service_us: FIRST_SERVICE_US,
             progress: Progress { last_us: now_us, ..Progress::default() },
             speed: Speed::default(),
+            learned: ConcurrencyLimit::default(),
         }
     }
 
@@ -140,11 +152,15 @@
 
     /// Returns how many calls may run at once at `now_us`; a cold server starts with one slot.
     pub fn limit(&self, now_us: u64) -> u16 {
+        let slots = match self.config.learn_limit {
+            true => self.learned.limit(self.config.slots, now_us),
+            false => self.config.slots,
+        };
         let age_us = now_us.saturating_sub(self.opened_us);
         if age_us >= self.config.ramp_us {
-            return self.config.slots;
+            return slots;
         }
-        let ramped = u64::from(self.config.slots) * age_us / self.config.ramp_us;
+        let ramped = u64::from(slots) * age_us / self.config.ramp_us;
         (ramped as u16).max(1)
     }
 
@@ -163,9 +179,21 @@
         load
     }
 
-    /// Returns what is known of the server's speed.
-    pub fn speed_mut(&mut self) -> &mut Speed {
-        &mut self.speed
+    /// Takes what the server's machine tells of its speed.
+    pub fn told(&mut self, slowdown_percent: u16, now_us: u64) {
+        self.speed.told(slowdown_percent, now_us);
+    }
+
+    /// Takes how long a run took that is about to end, where `work_us` were expected.
+    pub fn ran(&mut self, attempt: AttemptId, ran_us: u64, work_us: u64, healthy: bool) {
+        self.speed.ran(ran_us, work_us, healthy);
+        let Some(running) = self.running.get(&attempt) else {
+            return;
+        };
+        if healthy && work_us > 0 {
+            let busy = (usize::from(running.busy) + self.running.len()).div_ceil(2) as u16;
+            self.learned.ran(ran_us as f64 / work_us as f64, busy, self.config.slots);
+        }
     }
 
     /// Returns whether nothing runs and nothing waits.
@@ -269,7 +297,7 @@
     }
 
     fn done(&mut self, attempt: AttemptId, healthy: bool, now_us: u64) {
-        let Some(started_us) = self.running.remove(&attempt) else {
+        let Some(Running { started_us, .. }) = self.running.remove(&attempt) else {
             return;
         };
         self.remember(attempt, true, now_us);
@@ -308,6 +336,7 @@
         if self.leaving {
             // Another start of the server has a speed of its own.
             self.speed = Speed::default();
+            self.learned = ConcurrencyLimit::default();
         }
         self.leaving = false;
         self.opened_us = now_us;
@@ -352,7 +381,8 @@
                 continue;
             }
             self.progress.began(now_us);
-            self.running.insert(waiting.attempt, now_us);
+            let busy = self.running.len() as u16 + 1;
+            self.running.insert(waiting.attempt, Running { started_us: now_us, busy });
             out.push(GateAction::Start { attempt: waiting.attempt });
         }
     }
--- a/valetrack/src/gate/tests/steps.rs
+++ b/valetrack/src/gate/tests/steps.rs
@@ -4,7 +4,7 @@
 
 use crate::gate::{AttemptId, BounceReason, Gate, GateAction, GateConfig, GateEvent, MEMORY_US, Patience, Word};
 
-const CONFIG: GateConfig = GateConfig { slots: 1, queue_max_us: 10_000, ramp_us: 0, rescue: true };
+const CONFIG: GateConfig = GateConfig { slots: 1, queue_max_us: 10_000, ramp_us: 0, rescue: true, learn_limit: false };
 
 fn attempt(seq: u64) -> AttemptId {
     AttemptId { entry: 9, seq }
--- a/valetrack/src/link/message.rs
+++ b/valetrack/src/link/message.rs
@@ -146,6 +146,9 @@
         attempt: AttemptId,
         /// The word.
         word: Word,
+        /// How long the owner's process has lived, in milliseconds: one that started after the
+        /// attempt was sent cannot know what its earlier life did with it.
+        up_ms: u32,
     },
     /// Nothing but what rides along.
     Load,
--- a/valetrack/src/link/run.rs
+++ b/valetrack/src/link/run.rs
@@ -20,6 +20,7 @@
 use super::tls::LinkTls;
 use crate::bundle::{InForce, ServiceRule};
 use crate::claim::run::ClaimJob;
+use crate::clock::now_us;
 use crate::gate::pool::ServerPool;
 use crate::gate::run::{GateReply, GateShell};
 use crate::gate::{
@@ -228,7 +229,8 @@
             Ask::RunKeyed(head) => self.run_keyed(head, body).await,
             Ask::Cancel(attempt) => {
                 let word = self.gate.cancel(attempt);
-                (Reply::Cancelled { attempt, word }, Bytes::new())
+                let up_ms = (now_us() / 1000).min(u64::from(u32::MAX)) as u32;
+                (Reply::Cancelled { attempt, word, up_ms }, Bytes::new())
             }
             Ask::Probe => (Reply::Load, Bytes::new()),
             Ask::Gossip { members, bundle } => {
@@ -310,6 +312,7 @@
                     queue_max_us: u64::from(rule.queue_ms) * 1000,
                     ramp_us: u64::from(rule.ramp_ms) * 1000,
                     rescue: true,
+                    learn_limit: rule.learn_limit,
                 };
                 self.gate.configure(config, rule.answer_cap_bytes as usize).await;
             }
@@ -332,13 +335,15 @@
     }
 }
 
-/// Returns the word of an owner's reply to a cancel, if it is one.
-pub fn word_of(result: &LinkResult) -> Option<Word> {
+/// Returns the word of an owner's reply to a cancel of an attempt that was sent `sent_ago`, if it
+/// is one and its owner's process lived already when the attempt was sent.
+pub fn word_of(result: &LinkResult, sent_ago: Duration) -> Option<Word> {
     let LinkResult::Reply(answered) = result else {
         return None;
     };
-    match answered.head.reply {
-        Reply::Cancelled { word, .. } => Some(word),
-        _ => None,
-    }
+    let Reply::Cancelled { word, up_ms, .. } = answered.head.reply else {
+        return None;
+    };
+    let lived = Duration::from_millis(up_ms.into()) > sent_ago;
+    if lived || word == Word::Started { Some(word) } else { None }
 }
--- a/valetrack/src/placement/call.rs
+++ b/valetrack/src/placement/call.rs
@@ -6,7 +6,7 @@
 
 use super::budget::ShareBudget;
 use super::message::{CallAction, CallEvent, Demand, ServerIndex, Verdict};
-use super::view::{ServerSet, ServiceView};
+use super::view::{ROOM_US, ServerSet, ServiceView};
 use crate::code::Code;
 use crate::gate::{AttemptId, BounceReason, Patience, Word};
 
@@ -427,7 +427,9 @@
     fn patience_for(&self, server: ServerIndex, cx: &CallContext<'_>) -> Patience {
         let mut tried = self.excluded;
         tried.insert(server);
-        let elsewhere = self.bounces_left > 0 && cx.view.has_room(tried, cx.now_us);
+        // A queue changes about as fast as the calls in it run.
+        let fresh_us = self.rule.demand.map_or(ROOM_US, |demand| u64::from(demand.work_us).max(ROOM_US));
+        let elsewhere = self.bounces_left > 0 && cx.view.has_room(tried, fresh_us, cx.now_us);
         match () {
             () if elsewhere => Patience::Short,
             () if self.waited => Patience::Last,
--- a/valetrack/src/placement/run.rs
+++ b/valetrack/src/placement/run.rs
@@ -246,6 +246,7 @@
         let mut reply = Some(reply);
         let mut answers: Vec<(AnswerHead, Bytes)> = Vec::new();
         let mut hedge_at: Option<Instant> = None;
+        let mut sent: Vec<(AttemptId, Instant)> = Vec::new();
         let mut late = false;
         let mut event = Some(CallEvent::Begin);
         let mut actions = Vec::new();
@@ -263,10 +264,12 @@
             for action in actions.drain(..) {
                 match action {
                     CallAction::Send { attempt, server, patience } => {
+                        sent.push((attempt, Instant::now()));
                         out.push(self.clone().send(&head, &body, attempt, server, patience, deadline));
                     }
                     CallAction::Cancel { attempt, server } => {
-                        out.push(self.clone().cancel(&head.service, attempt, server));
+                        let at = sent.iter().find(|(known, _)| *known == attempt).map(|(_, at)| *at);
+                        out.push(self.clone().cancel(&head.service, attempt, server, at));
                     }
                     CallAction::ArmHedge { after_us } => {
                         hedge_at = Some(Instant::now() + Duration::from_micros(after_us));
@@ -376,10 +379,11 @@
         service: &Arc<str>,
         attempt: AttemptId,
         server: ServerIndex,
+        sent_at: Option<Instant>,
     ) -> LocalBoxFuture<'static, Event> {
         let target = self.target(service, server);
         Box::pin(async move {
-            let Some(target) = target else {
+            let (Some(target), Some(sent_at)) = (target, sent_at) else {
                 return (CallEvent::Word { attempt, word: None }, None);
             };
             let question = Question { ask: Ask::Cancel(attempt), body: Bytes::new() };
@@ -387,7 +391,7 @@
             let asked = self.ask(target, question, limit);
             // The limit covers a handshake as well: whoever gives up must give up at once.
             let result = tokio::time::timeout(limit, asked).await.unwrap_or(LinkResult::Broken);
-            (CallEvent::Word { attempt, word: word_of(&result) }, None)
+            (CallEvent::Word { attempt, word: word_of(&result, sent_at.elapsed()) }, None)
         })
     }
 
--- a/valetrack/src/placement/view.rs
+++ b/valetrack/src/placement/view.rs
@@ -23,7 +23,7 @@
 /// Longest ejection, in microseconds.
 const EJECT_MAX_US: u64 = 30_000_000;
 /// For this long a report that a server is full is taken at its word, in microseconds.
-const ROOM_US: u64 = 10_000;
+pub const ROOM_US: u64 = 10_000;
 /// A service without a pick for this many stale times is not worth a probe.
 const USED_STALES: u64 = 10;
 /// A stalled server's expected time grows by this much, in microseconds.
@@ -333,15 +333,16 @@
 
     /// Returns whether a server outside `tried` looks as if it could start a call at once; one of
     /// which little is known does.
-    pub fn has_room(&self, tried: ServerSet, now_us: u64) -> bool {
+    /// A report counts for `fresh_us`.
+    pub fn has_room(&self, tried: ServerSet, fresh_us: u64, now_us: u64) -> bool {
         let rotation = self.rotation(now_us);
         let open = |server: &ServerIndex| rotation.contains(*server) && !tried.contains(*server);
-        (0..self.servers.len()).filter(open).any(|server| self.looks_free(server, now_us))
+        (0..self.servers.len()).filter(open).any(|server| self.looks_free(server, fresh_us, now_us))
     }
 
-    fn looks_free(&self, server: ServerIndex, now_us: u64) -> bool {
+    fn looks_free(&self, server: ServerIndex, fresh_us: u64, now_us: u64) -> bool {
         let view = &self.servers[server];
-        let Some(seen) = view.seen.filter(|seen| now_us < seen.seen_us + ROOM_US) else {
+        let Some(seen) = view.seen.filter(|seen| now_us < seen.seen_us + fresh_us) else {
             return true;
         };
         let LoadReport { limit, in_flight, queued, stalled, .. } = seen.load;
