Logs to standard output through a bounded ring that never waits; lines that explain a request

Cause: lines went to standard error one by one, and whoever logged waited for its reader; what decided a call's way stood at debug level only.

Failures are at warn.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -29,7 +29,7 @@
     $bin/valetrack node --vm "$name" --domain "$domain" --service "$service" \
         --server 127.0.0.1:$((21100 + count)) --caller-listen 127.0.0.1:$((21200 + count)) \
         --link-listen 127.0.0.1:$((21300 + count)) --admin-listen 127.0.0.1:$((21400 + count)) \
-        --store $store --list $list --keys "$run/keys" --log-level "${log_level:-info}" 2>"$run/$name.log" &
+        --store $store --list $list --keys "$run/keys" --log-level "${log_level:-info}" >"$run/$name.log" 2>&1 &
     pids="$pids $!"
     node_pids="$node_pids $!"
     row="{\"vm\":\"$name\",\"domain\":\"$domain\",\"service\":\"$service\",\"link_addr\":\"127.0.0.1:$((21300 + count))\"}"
--- a/standin/tests/common/mod.rs
+++ b/standin/tests/common/mod.rs
@@ -89,7 +89,8 @@
 
 fn spawn(program: &Path, args: &[String], log: &Path) -> Child {
     let log = std::fs::File::options().create(true).append(true).open(log).expect("a log file");
-    let child = Command::new(program).args(args).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn();
+    let both = log.try_clone().expect("a second handle");
+    let child = Command::new(program).args(args).stdin(Stdio::null()).stdout(both).stderr(log).spawn();
     child.unwrap_or_else(|error| panic!("{}: {error}", program.display()))
 }
 
--- a/valetrack/src/caller/run.rs
+++ b/valetrack/src/caller/run.rs
@@ -27,7 +27,8 @@
 use crate::code::Code;
 use crate::link::message::CallHead;
 use crate::placement::Verdict;
-use crate::placement::run::{PlaceJob, Placed, Placer};
+use crate::placement::run::{PlaceJob, Placed, Placer, code_of};
+use crate::timeline::Quoted;
 
 /// Largest head of a request, in bytes.
 const HEAD_MAX_BYTES: usize = 64 * 1024;
@@ -179,6 +180,7 @@
     }
 
     async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Answer {
+        let began = Instant::now();
         if self.open_calls.get() > OPEN_CALLS_MAX {
             return self.reject(Rejection { code: Code::Overloaded, status: 503 }, "-");
         }
@@ -211,14 +213,26 @@
         };
         head.body_bytes = body.len() as u32;
         let call_id = head.call_id.clone();
+        let (route, service) = (head.route.clone(), head.service.clone());
         log::debug!("event=call.begin call={call_id} service={}", head.service);
         let placed = if head.key.is_some() {
             self.parts.keyed.press(head, body).await
         } else {
             self.place_on_route(head, body, repeatable, attempts_max).await
         };
+        let code = code_of_placed(&placed);
         let answer = self.parts.protocol.of_placed(placed, &call_id);
-        log::debug!("event=call.end call={call_id} status={}", answer.status().as_u16());
+        let level = if answer.status().is_success() { log::Level::Info } else { log::Level::Warn };
+        log::log!(
+            level,
+            "event=call.end call={call_id} route={} service={} status={} code={} after_ms={} bundle={}",
+            Quoted(&route),
+            Quoted(&service),
+            answer.status().as_u16(),
+            code.map_or_else(|| "none".to_owned(), |code| code.to_string()),
+            began.elapsed().as_millis(),
+            in_force.number
+        );
         answer
     }
 
@@ -242,7 +256,7 @@
     }
 
     fn reject(&self, rejection: Rejection, call_id: &str) -> Answer {
-        log::info!("event=call.rejected call={call_id} code={} status={}", rejection.code, rejection.status);
+        log::warn!("event=call.rejected call={call_id} code={} status={}", rejection.code, rejection.status);
         self.parts.protocol.of_rejection(rejection, call_id)
     }
 
@@ -269,6 +283,15 @@
     }
 }
 
+/// Returns why a call has no answer of a server, if it has none.
+fn code_of_placed(placed: &Placed) -> Option<Code> {
+    match placed {
+        Placed::Answer(head, _) => (head.code != 0).then(|| code_of(head.code)),
+        Placed::Verdict(Verdict::NotRun { code, .. } | Verdict::Unknown { code }) => Some(*code),
+        Placed::Verdict(Verdict::Answer(_)) => None,
+    }
+}
+
 /// Waits until the node leaves, and then as long as a quiet connection may stay.
 async fn quiet(leaving: &mut watch::Receiver<bool>, linger: Duration) {
     if leaving.wait_for(|leaving| *leaving).await.is_err() {
--- a/valetrack/src/cli.rs
+++ b/valetrack/src/cli.rs
@@ -202,7 +202,9 @@
 fn node(options: &mut Options, platforms: &[&dyn PlatformFactory]) -> Outcome {
     let (settings, platform) = settings(options, platforms)?;
     timeline::log::start(&settings.vm, settings.log_level).map_err(|error| failure(EXIT_FAULT, error))?;
-    crate::node::run(settings, platform).map_err(|error| failure(EXIT_FAULT, format!("{}: {error}", error.code())))
+    let ended = crate::node::run(settings, platform);
+    timeline::log::finish();
+    ended.map_err(|error| failure(EXIT_FAULT, format!("{}: {error}", error.code())))
 }
 
 fn read_file(path: &Path) -> Result<String, Failure> {
--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -247,7 +247,16 @@
             return;
         };
         self.metrics.bounces.with_label_values(&[bounce_label(reason)]).inc();
-        log::debug!("event=gate.bounce call={} attempt={attempt} reason={reason:?}", job.head.call_id);
+        let load = self.load();
+        log::info!(
+            "event=gate.bounce call={} attempt={attempt} reason={reason:?} running={} waiting={} limit={} \
+             slowdown_percent={}",
+            job.head.call_id,
+            load.in_flight,
+            load.queued,
+            load.limit,
+            load.slowdown_percent
+        );
         let _ = job.reply.send(GateReply::Bounce(reason));
     }
 
@@ -317,7 +326,14 @@
         }
         let ran_us = now_us().saturating_sub(began_us);
         self.gate.borrow_mut().ran(attempt, ran_us, job.head.work_us.into(), healthy);
-        log::debug!("event=gate.done call={} attempt={attempt} healthy={healthy} ran_us={ran_us}", job.head.call_id);
+        let level = if healthy { log::Level::Debug } else { log::Level::Warn };
+        let status = answer.as_ref().map_or(0, |answer| answer.status);
+        log::log!(
+            level,
+            "event=gate.done call={} attempt={attempt} status={status} code={} ran_us={ran_us}",
+            job.head.call_id,
+            code.map_or_else(|| "none".to_owned(), |code| code.to_string())
+        );
         let (mut head, body) = answer_head(attempt, code, answer);
         head.ran_us = ran_us.min(u64::from(u32::MAX)) as u32;
         let _ = job.reply.send(GateReply::Answer(head, body));
--- a/valetrack/src/metric.rs
+++ b/valetrack/src/metric.rs
@@ -42,6 +42,8 @@
     pub presses: IntCounterVec,
     /// Open links that this node opened.
     pub links: IntGauge,
+    /// Lines of the log that were dropped.
+    log_dropped: IntGauge,
 }
 
 impl Metrics {
@@ -87,12 +89,14 @@
             bundle_number: gauge("valetrack_bundle_number", "Number of the bundle in force."),
             presses: counters("valetrack_presses_total", "Presses with a key by how they ended.", "reply"),
             links: gauge("valetrack_links_open", "Links that this node has opened."),
+            log_dropped: gauge("valetrack_log_lines_dropped", "Log lines dropped since the start."),
             registry,
         }
     }
 
     /// Writes all metrics as text.
     pub fn render(&self) -> String {
+        self.log_dropped.set(crate::timeline::log::dropped() as i64);
         let mut out = Vec::new();
         // The text encoder fails only when its writer does, and a vector never does.
         let _ = TextEncoder::new().encode(&self.registry.gather(), &mut out);
--- a/valetrack/src/placement/run.rs
+++ b/valetrack/src/placement/run.rs
@@ -361,7 +361,15 @@
             let Some(target) = self.target(&service, server) else {
                 return (CallEvent::Unsent { attempt }, None);
             };
-            log::debug!("event=call.send call={} attempt={attempt} owner={}", head.call_id, target.vm);
+            let age_ms = self.report_age_ms(&service, server);
+            log::info!(
+                "event=call.send call={} attempt={attempt} owner={} patience={patience:?} left_ms={left_ms} \
+                 work_us={} load_age_ms={}",
+                head.call_id,
+                target.vm,
+                head.work_us,
+                age_ms.map_or_else(|| "none".to_owned(), |age_ms| age_ms.to_string())
+            );
             // Drawn after the event above, so that what the owner does stands behind it.
             head.hlc = events::stamp();
             let question = Question { ask: Ask::Run(head), body };
@@ -374,6 +382,13 @@
         })
     }
 
+    /// Returns how old the last report of a server's load is.
+    fn report_age_ms(&self, service: &str, server: ServerIndex) -> Option<u64> {
+        let inner = self.inner.borrow();
+        let seen_us = inner.services.get(service)?.view.seen_us(server)?;
+        Some(now_us().saturating_sub(seen_us) / 1000)
+    }
+
     fn cancel(
         self: Rc<Self>,
         service: &Arc<str>,
--- a/valetrack/src/placement/view.rs
+++ b/valetrack/src/placement/view.rs
@@ -326,6 +326,11 @@
         Some(oldest).filter(|(age_us, _)| *age_us > stale_us)
     }
 
+    /// Returns when the last report of a server's load came, in microseconds.
+    pub fn seen_us(&self, server: ServerIndex) -> Option<u64> {
+        self.servers.get(server)?.seen.map(|seen| seen.seen_us)
+    }
+
     /// Returns the smoothed service time of a server as last reported, in microseconds.
     pub fn service_us(&self, server: ServerIndex) -> u32 {
         self.servers.get(server).and_then(|view| view.seen).map_or(FIRST_SERVICE_US, |seen| seen.load.service_us)
--- a/valetrack/src/timeline/mod.rs
+++ b/valetrack/src/timeline/mod.rs
@@ -6,9 +6,11 @@
 
 pub mod log;
 mod message;
+mod sink;
 mod state;
 #[cfg(test)]
 mod tests;
 
 pub use message::{Event, Field, LineError, Quoted, parse};
+pub use sink::{LineSink, admits};
 pub use state::{AHEAD_MAX_MS, HybridClock, merge, stamp_ms};
--- a/valetrack/src/timeline/tests.rs
+++ b/valetrack/src/timeline/tests.rs
@@ -80,3 +80,47 @@
 fn lines_that_are_no_events_say_why(line: &str, reason: &str) {
     assert_eq!(parse(line).map_err(|error| error.reason), Err(reason));
 }
+
+#[test_case(log::Level::Info, 5, true; "an ordinary line while there is room")]
+#[test_case(log::Level::Info, 6, false; "none when the ring is three quarters full")]
+#[test_case(log::Level::Debug, 4, false; "a detail goes sooner")]
+#[test_case(log::Level::Warn, 7, true; "a failure is kept to the last place")]
+#[test_case(log::Level::Error, 8, false; "but never waits")]
+fn failures_are_kept_longer_than_the_rest(level: log::Level, filled: usize, taken: bool) {
+    assert_eq!(super::admits(level, filled, 8), taken);
+}
+
+/// A writer that takes nothing until it is let go.
+struct Stalled(std::sync::mpsc::Receiver<()>, std::sync::Arc<std::sync::Mutex<Vec<u8>>>);
+
+impl std::io::Write for Stalled {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        // Once its other end is dropped, the writer goes on.
+        let _ = self.0.recv();
+        self.1.lock().expect("no panic").extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_reader_that_stands_still_costs_lines_and_no_time() {
+    let written = std::sync::Arc::default();
+    let (go, stalled) = std::sync::mpsc::channel();
+    let out = Stalled(stalled, std::sync::Arc::clone(&written));
+    let sink = super::LineSink::start(out, |count| format!("dropped={count}")).expect("a thread");
+    for number in 0..10_000 {
+        sink.push(log::Level::Info, format!("line={number}"));
+    }
+    let dropped = sink.dropped();
+    assert!(dropped > 7_000, "{dropped}");
+    sink.push(log::Level::Error, "last=1".into());
+    drop(go);
+    sink.finish();
+    let text = String::from_utf8(written.lock().expect("no panic").clone()).expect("text");
+    assert!(text.starts_with("line=0\n") && text.contains("last=1\n"));
+    assert!(text.contains(&format!("dropped={dropped}")), "what was lost is told");
+}
