Store: changes gathered for 0.8 s, outages watched by renewals, renewals each 2 s

Cause: calls to the store are the greatest price of the grown deployments. Each event wakes every node's watch, and in an outage every node asked twice a second at full price where a renewal costs a tenth.

--- a/valetrack/src/member/lease.rs
+++ b/valetrack/src/member/lease.rs
@@ -7,7 +7,7 @@
 const RENEW_SHARE: u64 = 3;
 /// Longest time between two renewals, in microseconds: they are also how a node notices that the
 /// store does not answer, which a call that waits for changes would not show.
-const RENEW_MAX_US: u64 = 1_000_000;
+const RENEW_MAX_US: u64 = 2_000_000;
 /// Pause after the first failed call, in microseconds.
 const BACKOFF_MIN_US: u64 = 200_000;
 /// Longest pause between failed calls, in microseconds: an entry that lapsed in an outage is to
--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -28,10 +28,15 @@
 /// Longest wait of one call for changes, in milliseconds: the platform allows 30 seconds.
 const WATCH_MS: u64 = 25_000;
 /// Pause between two calls for changes, in milliseconds: changes that come together, as when a
-/// fleet starts, are then read in one call, since each call is paid for.
-const GATHER_MS: u64 = 250;
-/// Pause before a store that failed is read again, in milliseconds.
+/// fleet starts, are then read in one call, since each call of each node is paid for. An operator's
+/// change may take two seconds to be in force.
+const GATHER_MS: u64 = 800;
+/// Pause before a store that failed is read again by a node that has no entry in it yet, in
+/// milliseconds.
 const REREAD_MS: u64 = 400;
+/// The same for a node that has one, in milliseconds: its renewals, which cost less than reads, tell
+/// sooner when the store answers again.
+const REREAD_KEPT_MS: u64 = 3_000;
 /// Time limit of one question to another node, in milliseconds.
 const ASK_MS: u64 = 400;
 /// Time that ending the lease may take when the node stops, in milliseconds.
@@ -206,8 +211,10 @@
                 Ok(revision) => self.follow_changes(revision).await,
                 Err(error) => {
                     self.store_failed("read", &error);
-                    let pause_ms = self.rng.borrow_mut().u64(REREAD_MS / 2..=REREAD_MS);
-                    sleep(Duration::from_millis(pause_ms)).await;
+                    let longest_ms = if self.keeper.borrow().wanted() == 0 { REREAD_MS } else { REREAD_KEPT_MS };
+                    let pause_ms = self.rng.borrow_mut().u64(longest_ms / 2..=longest_ms);
+                    // Woken or not, the store is read again.
+                    let _ = timeout(Duration::from_millis(pause_ms), self.reread.notified()).await;
                 }
             }
         }
@@ -330,7 +337,6 @@
         self.directory.borrow_mut().store_is_back(now_us());
         self.keeper.borrow_mut().store_is_back();
         self.entry_due.notify_one();
-        self.reread.notify_one();
     }
 
     fn store_failed(&self, call: &str, error: &StoreError) {
@@ -381,11 +387,16 @@
             EntryStep::Write { lease, expected } => self.write(lease, expected).await,
             EntryStep::Wait { .. } => Ok(()),
         };
+        let was_away = !self.store_answers.get();
         match ended {
-            Ok(()) => self.store_answered(),
+            Ok(()) => {
+                self.store_answered();
+                self.reread_after(was_away);
+            }
             Err(StoreError::LeaseOver) => {
                 log::info!("event=member.lease_over code={}", Code::LeaseOver);
                 self.store_answered();
+                self.reread_after(was_away);
                 self.keeper.borrow_mut().lease_over();
             }
             Err(error) => {
@@ -395,6 +406,14 @@
         }
     }
 
+    /// Has the store read again when a call for the own entry shows that it is back: a call for
+    /// changes from before may hang for good.
+    fn reread_after(&self, was_away: bool) {
+        if was_away {
+            self.reread.notify_one();
+        }
+    }
+
     async fn write(&self, lease: u64, expected: u64) -> Result<(), StoreError> {
         let version = self.keeper.borrow().wanted();
         let me = self.me.borrow().clone();
