--- a/valetrack/src/bundle/check.rs
+++ b/valetrack/src/bundle/check.rs
@@ -100,6 +100,7 @@
     let hedge_percent = number("hedge_percent", 0..=100, 5) as u32;
     let hedge_after_percent = number("hedge_after_percent", 100..=10_000, 300) as u32;
     let key_lifetime_s = number("key_lifetime_s", 1..=86_400, 600) as u32;
+    let stall_rescue = reader.flag(section, "stall_rescue", true);
     let learn_limit = reader.flag(section, "learn_limit", false);
     let claims = read_claims(reader, section);
     let mut routes = Vec::new();
@@ -111,6 +112,7 @@
     Some(ServiceRule {
         name: name?,
         slots,
+        stall_rescue,
         learn_limit,
         connections,
         queue_ms,
--- a/valetrack/src/bundle/message.rs
+++ b/valetrack/src/bundle/message.rs
@@ -49,6 +49,9 @@
     pub name: Arc<str>,
     /// Calls that one of its servers runs at once.
     pub slots: u16,
+    /// Whether waiting calls are given back when running ones make no progress; it takes runs of
+    /// like length for granted.
+    pub stall_rescue: bool,
     /// Whether slots are left free where a full server is slower than one with some free.
     pub learn_limit: bool,
     /// Connections to one of its servers.
--- a/valetrack/src/link/run.rs
+++ b/valetrack/src/link/run.rs
@@ -311,7 +311,7 @@
                     slots: rule.slots,
                     queue_max_us: u64::from(rule.queue_ms) * 1000,
                     ramp_us: u64::from(rule.ramp_ms) * 1000,
-                    rescue: true,
+                    rescue: rule.stall_rescue,
                     learn_limit: rule.learn_limit,
                 };
                 self.gate.configure(config, rule.answer_cap_bytes as usize).await;
--- a/valetrack/src/placement/call.rs
+++ b/valetrack/src/placement/call.rs
@@ -95,6 +95,8 @@
     last_resort: bool,
     past_deadline: bool,
     last_code: Code,
+    /// Why the last attempt that may have run brought no answer.
+    lost_code: Option<Code>,
     finished: bool,
 }
 
@@ -115,6 +117,7 @@
             last_resort: false,
             past_deadline: false,
             last_code: Code::NoServer,
+            lost_code: None,
             finished: false,
         }
     }
@@ -200,6 +203,7 @@
             return;
         }
         if !healthy && !self.past_deadline && self.may_repeat(cx) {
+            self.lost_code = Some(Code::ServerFailed);
             self.excluded.insert(server);
             if self.send_next_if_any(cx, out) {
                 return;
@@ -252,6 +256,7 @@
         };
         cx.view.judge(self.server(at), false, cx.now_us);
         self.last_code = code;
+        self.lost_code = Some(code);
         self.after_loss(self.server(at), cx, out);
     }
 
@@ -384,7 +389,8 @@
         }
         let lost = self.attempts.iter().flatten().any(|attempt| attempt.state == AttemptState::Lost);
         let verdict = if lost {
-            Verdict::Unknown { code: self.last_code }
+            // What came after the loss, such as a full server, does not tell why it may have run.
+            Verdict::Unknown { code: self.lost_code.unwrap_or(self.last_code) }
         } else {
             Verdict::NotRun { code: self.last_code, retry_after_ms: retry_after_ms(cx) }
         };
