An upstream is used on while its node lingers after the signal to stop

Change: the gate closes, and other nodes are told, one second before the end of the time for which callers come. Tests: the only upstream of a service is used on; a long run does not close free slots; an unknown end is told with the code of its loss.

--- a/standin/tests/managed.rs
+++ b/standin/tests/managed.rs
@@ -34,6 +34,8 @@
     store: ManagedStore,
     store_addr: SocketAddr,
     vms: Vec<Vm>,
+    /// Time for which callers still come after a stop has begun, in milliseconds.
+    linger_ms: u64,
 }
 
 fn config(version: u64, service: &str) -> String {
@@ -58,10 +60,14 @@
 
 impl Fleet {
     async fn start(services: &[&'static str]) -> Self {
+        Self::start_lingering(services, 600).await
+    }
+
+    async fn start_lingering(services: &[&'static str], linger_ms: u64) -> Self {
         let store = ManagedStore::default();
         let store_addr = store.start().await.expect("a free port");
         store.put("op/config", &config(3, "rounds"));
-        let mut fleet = Self { store, store_addr, vms: Vec::new() };
+        let mut fleet = Self { store, store_addr, vms: Vec::new(), linger_ms };
         for service in services {
             fleet.add(service).await;
         }
@@ -88,6 +94,7 @@
 
     fn start_node(&mut self, at: usize) {
         let store_addr = self.store_addr.to_string();
+        let linger_ms = self.linger_ms.to_string();
         let vm = &mut self.vms[at];
         let flags = [
             ("platform", "managed".to_owned()),
@@ -102,7 +109,7 @@
             ("store", store_addr),
             ("store-timeout-ms", "500".to_owned()),
             ("lease-ms", "1500".to_owned()),
-            ("linger-ms", "600".to_owned()),
+            ("linger-ms", linger_ms),
             ("stop-grace-s", "4".to_owned()),
         ];
         let args = flags.into_iter().flat_map(|(flag, value)| [format!("--{flag}"), value]);
@@ -238,6 +245,20 @@
     wait_for("the entry to be withdrawn", async || fleet.entries() == 1).await;
 }
 
+#[tokio::test]
+async fn the_only_upstream_of_a_service_is_used_on_while_its_node_lingers() {
+    let fleet = Fleet::start_lingering(&["rounds", "ledger"], 2_500).await;
+    fleet.signal(0, "-TERM");
+    wait_for("no readiness", async || fleet.readiness(0).await == 503).await;
+    let began = std::time::Instant::now();
+    let mut number = 0;
+    while began.elapsed() < Duration::from_millis(1_000) {
+        number += 1;
+        assert_eq!(status(&fleet.call(1, "GET", "/sheet/", &format!("p-{number}")).await), 200);
+    }
+    assert!(number > 10, "{number}");
+}
+
 #[tokio::test]
 async fn an_outage_of_the_store_is_not_noticed_by_callers_and_entries_come_back() {
     let fleet = Fleet::start(&["rounds", "ledger"]).await;
--- a/valetrack/src/gate/tests/steps.rs
+++ b/valetrack/src/gate/tests/steps.rs
@@ -111,3 +111,13 @@
     }
     assert!(gate.load(3_000).service_us > before_us);
 }
+
+#[test]
+fn a_long_run_does_not_close_free_slots() {
+    let config = GateConfig { slots: 12, rescue: false, ..CONFIG };
+    let mut gate = Gate::new(config, 0);
+    feed(&mut gate, arrive(1, Patience::Short), 0);
+    // Long after eight runs of the first estimate should have ended.
+    let started = feed(&mut gate, arrive(2, Patience::Short), 500_000);
+    assert_eq!(started, [GateAction::Start { attempt: attempt(2) }]);
+}
--- a/valetrack/src/link/run.rs
+++ b/valetrack/src/link/run.rs
@@ -60,6 +60,8 @@
     pub to_upstream: Option<Sender<Announcement>>,
     /// Turns true when this node leaves.
     pub leaving: watch::Receiver<bool>,
+    /// Time for which the server still gets new work after leaving has begun.
+    pub drain_after: Duration,
     /// Notified when the server itself says that it is about to stop.
     pub server_leaving: Arc<Notify>,
     /// Told when the gate holds nothing any more after leaving has begun.
@@ -327,6 +329,8 @@
         if leaving.wait_for(|leaving| *leaving).await.is_err() {
             return;
         }
+        // Callers learn of it only after a while, and the server runs on until the end.
+        tokio::time::sleep(self.parts.drain_after).await;
         self.gate.drain();
         while !self.gate.idle() {
             tokio::time::sleep(Duration::from_millis(5)).await;
--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -66,6 +66,8 @@
     pub serving: watch::Receiver<bool>,
     /// Turns true when this node leaves.
     pub leaving: watch::Receiver<bool>,
+    /// Time for which the upstream still gets new work after leaving has begun.
+    pub drain_after: Duration,
     /// Turns true when this node is about to exit.
     pub gone: watch::Receiver<bool>,
     /// Told when the entry is withdrawn.
@@ -438,11 +440,21 @@
         let mut upstream = self.parts.upstream.clone();
         let mut serving = self.parts.serving.clone();
         let mut leaving = self.parts.leaving.clone();
+        let drained = Cell::new(false);
+        let drain_after = self.parts.drain_after;
+        let drain = async {
+            if leaving.wait_for(|leaving| *leaving).await.is_err() {
+                return std::future::pending().await;
+            }
+            sleep(drain_after).await;
+            drained.set(true);
+        };
+        let mut drain = std::pin::pin!(drain);
         let mut id = None;
         loop {
             let state = upstream.borrow_and_update().clone();
             let phase = match state.phase {
-                _ if *leaving.borrow_and_update() => Phase::Leaving,
+                _ if drained.get() => Phase::Leaving,
                 UpstreamPhase::Ready if *serving.borrow_and_update() => Phase::Serving,
                 UpstreamPhase::Ready | UpstreamPhase::Unknown => Phase::Joining,
                 UpstreamPhase::Leaving => Phase::Leaving,
@@ -456,7 +468,7 @@
             let changed = tokio::select! {
                 changed = upstream.changed() => changed,
                 changed = serving.changed() => changed,
-                changed = leaving.changed() => changed,
+                () = &mut drain, if !drained.get() => Ok(()),
             };
             if changed.is_err() {
                 return;
--- a/valetrack/src/node.rs
+++ b/valetrack/src/node.rs
@@ -43,6 +43,9 @@
 /// Time that the farewell to other nodes may take, in milliseconds.
 const FAREWELL_MS: u64 = 500;
 
+/// Time between the word to other nodes that this one takes no more work and the end of its own
+/// callers, in milliseconds: entries gather changes for 0.8 s before they read them.
+const DRAIN_LEAD_MS: u64 = 1_000;
 /// What is left of the time before a kill for the last words and the exit, in milliseconds.
 const STOP_MARGIN_MS: u64 = 800;
 
@@ -242,6 +245,12 @@
         }
     }
 
+    /// Returns for how long the upstream still gets new work after the signal to stop: other nodes
+    /// are told early enough that they have turned elsewhere when the last callers are gone.
+    fn drain_after(&self) -> Duration {
+        Duration::from_millis(self.settings.linger_ms.saturating_sub(DRAIN_LEAD_MS))
+    }
+
     fn adopter(&self) -> Adopter {
         Adopter::new(self.format.clone(), self.bundle.clone(), self.metrics.clone())
     }
@@ -259,6 +268,7 @@
             upstream: self.upstream.subscribe(),
             serving: self.words.serving.subscribe(),
             leaving: self.words.leaving.subscribe(),
+            drain_after: self.drain_after(),
             gone: self.words.gone.subscribe(),
             farewell: self.words.farewell.clone(),
             closing: self.words.closing.subscribe(),
@@ -411,6 +421,7 @@
             upstream: self.upstream.subscribe(),
             to_upstream: self.announces.then(|| self.announcement.to.clone()),
             leaving: self.words.leaving.subscribe(),
+            drain_after: self.drain_after(),
             server_leaving: self.server_leaving.clone(),
             drained: self.words.drained.clone(),
             closing: self.words.closing.subscribe(),
--- a/valetrack/src/placement/tests/call.rs
+++ b/valetrack/src/placement/tests/call.rs
@@ -266,3 +266,18 @@
         (0..5).map(|_| world.view.pick(Default::default(), 100, &mut world.rng)).collect();
     assert_eq!(picked, [Some(2); 5]);
 }
+
+#[test]
+fn an_unknown_end_is_told_with_the_code_of_its_loss() {
+    let mut world = single(CallRule { repeatable: true, bounces: 0, ..ONCE });
+    let attempt = world.attempts[0].id;
+    world.attempts[0].place = Place::Started;
+    world.attempts[0].closed = true;
+    world.tell(CallEvent::Failed { attempt, code: Code::ServerFailed }).expect("no broken promise");
+    while world.verdict.is_none() {
+        let attempt = world.attempts.last().expect("an attempt").id;
+        world.attempts.last_mut().expect("an attempt").place = Place::Dead;
+        world.tell(CallEvent::Bounced { attempt, reason: BounceReason::Full }).expect("no broken promise");
+    }
+    assert!(matches!(world.verdict, Some(Verdict::Unknown { code: Code::ServerFailed })), "{:?}", world.verdict);
+}
