--- a/standin/tests/managed.rs
+++ b/standin/tests/managed.rs
@@ -111,6 +111,7 @@
             ("lease-ms", "1500".to_owned()),
             ("linger-ms", linger_ms),
             ("stop-grace-s", "4".to_owned()),
+            ("retry-reserve", "60".to_owned()),
         ];
         let args = flags.into_iter().flat_map(|(flag, value)| [format!("--{flag}"), value]);
         let node = Command::new(valetrack())
@@ -369,11 +370,14 @@
     let stopped = std::time::Instant::now();
     let mut served_in_row = 0;
     let mut number = 0;
+    let mut lost = 0;
     while served_in_row < 10 {
         number += 1;
         let served = status(&fleet.call(1, "GET", "/sheet/", &format!("n-{number}")).await) == 200;
         served_in_row = if served { served_in_row + 1 } else { 0 };
+        lost += u32::from(!served);
     }
+    assert_eq!(lost, 0, "work that may repeat goes to another upstream in time");
     assert!(stopped.elapsed() < Duration::from_millis(6_000), "{:?}", stopped.elapsed());
     fleet.signal(0, "-CONT");
 }
--- a/valetrack/src/placement/call.rs
+++ b/valetrack/src/placement/call.rs
@@ -326,7 +326,9 @@
         if self.rule.demand.is_some() {
             // A hedge is one more run as a retry is, and both come out of one budget.
             let first = self.attempts.iter().flatten().find(|attempt| attempt.state == AttemptState::Sent);
-            let slow = first.is_some_and(|attempt| cx.view.is_slow(attempt.server, cx.now_us));
+            let slow = first.is_some_and(|attempt| {
+                cx.view.is_slow(attempt.server, cx.now_us) || cx.view.is_ejected(attempt.server, cx.now_us)
+            });
             if !slow || cx.view.is_slow(server, cx.now_us) || !self.may_repeat(cx) {
                 return;
             }
--- a/valetrack/src/placement/run.rs
+++ b/valetrack/src/placement/run.rs
@@ -461,7 +461,10 @@
             };
             while let Some((service, server)) = self.next_probe(u64::from(stale_ms) * 1000) {
                 let placer = self.clone();
-                tokio::task::spawn_local(async move { placer.probe_one(&service, server).await });
+                tokio::task::spawn_local(async move {
+                    // A view that stays old is probed again.
+                    placer.probe_one(&service, server).await;
+                });
             }
         }
     }
@@ -491,18 +494,30 @@
     fn look(self: Rc<Self>, service: Arc<str>, server: ServerIndex) -> LocalBoxFuture<'static, Event> {
         Box::pin(async move {
             self.metrics.probes.inc();
-            self.probe_one(&service, server).await;
+            if !self.probe_one(&service, server).await {
+                log::info!("event=call.owner_silent service={service} server={server}");
+                self.suspect(&service, server);
+            }
             (CallEvent::HedgeDue, None)
         })
     }
 
-    async fn probe_one(&self, service: &str, server: ServerIndex) {
+    fn suspect(&self, service: &str, server: ServerIndex) {
+        let mut inner = self.inner.borrow_mut();
+        if let Some(state) = inner.services.get_mut(service) {
+            state.view.suspect(server, now_us());
+        }
+    }
+
+    /// Asks an owner for its load; returns whether it replied.
+    async fn probe_one(&self, service: &str, server: ServerIndex) -> bool {
         let Some(target) = self.target(service, server) else {
-            return;
+            return false;
         };
         let question = Question { ask: Ask::Probe, body: Bytes::new() };
         let result = self.ask(target, question, Duration::from_millis(WORD_MS)).await;
         self.learn(service, server, &result);
+        matches!(result, LinkResult::Reply(_))
     }
 }
 
--- a/valetrack/src/placement/tests/call.rs
+++ b/valetrack/src/placement/tests/call.rs
@@ -5,7 +5,8 @@
 use crate::code::Code;
 use crate::gate::{AttemptId, BounceReason, LoadReport, Word};
 use crate::placement::{
-    Budgets, Call, CallAction, CallContext, CallEvent, CallRule, Policy, ServerIndex, ServiceView, ShareBudget, Verdict,
+    Budgets, Call, CallAction, CallContext, CallEvent, CallRule, Demand, Policy, ServerIndex, ServiceView, ShareBudget,
+    Verdict,
 };
 
 const SERVERS: usize = 4;
@@ -281,3 +282,15 @@
     }
     assert!(matches!(world.verdict, Some(Verdict::Unknown { code: Code::ServerFailed })), "{:?}", world.verdict);
 }
+
+#[test]
+fn a_call_on_a_silent_owner_is_hedged() {
+    let demand = Some(Demand { work_us: 20_000, left_us: 400_000 });
+    let mut world = single(CallRule { repeatable: true, demand, ..ONCE });
+    world.tell(CallEvent::HedgeDue).expect("no broken promise");
+    assert_eq!(world.attempts.len(), 1, "an owner that answers is waited for");
+    let silent = world.call.waits_for().expect("one attempt");
+    world.view.suspect(silent, 0);
+    world.tell(CallEvent::HedgeDue).expect("no broken promise");
+    assert_eq!(world.attempts.len(), 2);
+}
--- a/valetrack/src/placement/view.rs
+++ b/valetrack/src/placement/view.rs
@@ -274,6 +274,11 @@
         }
     }
 
+    /// Returns whether a server is left out for its failures or because its node was not reached.
+    pub fn is_ejected(&self, server: ServerIndex, now_us: u64) -> bool {
+        self.servers.get(server).is_some_and(|view| view.ejected_until_us > now_us)
+    }
+
     /// Returns how many attempts of this entry are out at a server.
     pub fn outstanding(&self, server: ServerIndex) -> u32 {
         self.servers.get(server).map_or(0, |view| view.outstanding)
