Results of a cancel by their own name; messages between threads stand with the other messages

What: gate's Word is CancelResult, GateAction::Say is ReportCancel, and CallEvent::Word is CallEvent::CancelResult; reading one off a reply is a method of LinkResult. PlaceJob and Placed, ClaimJob and MemberJob move from the shells to message.rs of their slices, and the code of a number to code.rs.

Why: a word, said, is no term of the field, and the shells of claims, links, members and placement needed each other for these types alone.

Behaviour unchanged: links pack fields by place, so their new names do not cross.

--- a/standin/src/bench/world.rs
+++ b/standin/src/bench/world.rs
@@ -4,7 +4,7 @@
 use std::collections::{BinaryHeap, HashMap};
 
 use hdrhistogram::Histogram;
-use valetrack::gate::{AttemptId, Gate, GateAction, GateConfig, GateEvent, LoadReport, Patience, Word};
+use valetrack::gate::{AttemptId, Gate, GateAction, GateConfig, GateEvent, LoadReport, Patience};
 use valetrack::placement::{
     Budgets, Call, CallAction, CallContext, CallEvent, CallRule, RateBudget, ServiceView, ShareBudget, Verdict,
 };
@@ -328,9 +328,9 @@
                     self.row.bounces += 1;
                     self.reply(attempt, server, CallEvent::Bounced { attempt, reason });
                 }
-                GateAction::Say { attempt, word } => {
-                    let word: Option<Word> = Some(word);
-                    self.reply(attempt, server, CallEvent::Word { attempt, word });
+                GateAction::ReportCancel { attempt, result } => {
+                    let result = Some(result);
+                    self.reply(attempt, server, CallEvent::CancelResult { attempt, result });
                 }
             }
         }
--- a/valetrack/src/caller/answer.rs
+++ b/valetrack/src/caller/answer.rs
@@ -8,7 +8,7 @@
 use super::request::Rejection;
 use crate::code::Code;
 use crate::link::message::AnswerHead;
-use crate::placement::run::{Placed, code_of};
+use crate::placement::Placed;
 use crate::placement::{Outcome, Verdict};
 
 /// Header that says whether the work ran.
@@ -52,7 +52,7 @@
 /// Makes the answer to a call from the head that a node sent.
 pub fn of_head(head: AnswerHead, body: Bytes, call_id: &str) -> Answer {
     if head.outcome != Outcome::Ran {
-        let code = code_of(head.code);
+        let code = Code::of_number(head.code);
         return line(head.outcome, code, status_of(code, head.outcome), head.retry_after_ms.max(RETRY_MS), call_id);
     }
     let mut answer = Response::new(Full::new(body));
@@ -65,7 +65,7 @@
         }
     }
     if head.code != 0 {
-        put(&mut answer, CODE_HEADER, &code_of(head.code).to_string());
+        put(&mut answer, CODE_HEADER, &Code::of_number(head.code).to_string());
     }
     put(&mut answer, OUTCOME_HEADER, head.outcome.as_str());
     put(&mut answer, CALL_HEADER, call_id);
--- a/valetrack/src/caller/keyed.rs
+++ b/valetrack/src/caller/keyed.rs
@@ -19,8 +19,8 @@
 use crate::link::message::{Answered, Ask, CallHead, Question, Reply};
 use crate::link::peer::{LinkResult, Target};
 use crate::member::{Candidate, Members};
-use crate::placement::Verdict;
-use crate::placement::run::{Placed, Placer};
+use crate::placement::run::Placer;
+use crate::placement::{Placed, Verdict};
 use crate::timeline::log as events;
 
 /// Pause before the same nodes are asked again, in milliseconds.
--- a/valetrack/src/caller/protocol.rs
+++ b/valetrack/src/caller/protocol.rs
@@ -7,7 +7,7 @@
 use super::answer::{self, Answer};
 use super::request::{self, DoorCall, Rejection};
 use crate::bundle::{Bundle, HostRoute};
-use crate::placement::run::Placed;
+use crate::placement::Placed;
 
 /// What a request is read by.
 pub struct ReadContext<'a> {
--- a/valetrack/src/caller/run.rs
+++ b/valetrack/src/caller/run.rs
@@ -26,8 +26,8 @@
 use crate::bundle::{HostRoute, SplitPicker};
 use crate::code::Code;
 use crate::link::message::CallHead;
-use crate::placement::Verdict;
-use crate::placement::run::{PlaceJob, Placed, Placer, code_of};
+use crate::placement::run::Placer;
+use crate::placement::{PlaceJob, Placed, Verdict};
 use crate::timeline::Quoted;
 
 /// Largest head of a request, in bytes.
@@ -286,7 +286,7 @@
 /// Returns why a call has no answer of a server, if it has none.
 fn code_of_placed(placed: &Placed) -> Option<Code> {
     match placed {
-        Placed::Answer(head, _) => (head.code != 0).then(|| code_of(head.code)),
+        Placed::Answer(head, _) => (head.code != 0).then(|| Code::of_number(head.code)),
         Placed::Verdict(Verdict::NotRun { code, .. } | Verdict::Unknown { code }) => Some(*code),
         Placed::Verdict(Verdict::Answer(_)) => None,
     }
--- a/valetrack/src/claim/message.rs
+++ b/valetrack/src/claim/message.rs
@@ -2,9 +2,12 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use tokio::sync::oneshot;
 
 use crate::code::Code;
+use crate::link::message::{CallHead, Reply};
 
 /// Digest of a service and an idempotency key.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -228,3 +231,14 @@
     /// Send [`ClaimEvent::Flush`] after a pause.
     FlushLater,
 }
+
+/// A call with a key, on its way through the ring to the claim thread.
+#[derive(Debug)]
+pub struct ClaimJob {
+    /// The call.
+    pub head: CallHead,
+    /// Its body.
+    pub body: Bytes,
+    /// Where the reply goes.
+    pub reply: oneshot::Sender<(Reply, Bytes)>,
+}
--- a/valetrack/src/claim/mod.rs
+++ b/valetrack/src/claim/mod.rs
@@ -14,6 +14,7 @@
 
 pub use entry::ClaimRule;
 pub use message::{
-    ClaimAction, ClaimEvent, Holder, Home, KeptAnswer, KeyDigest, Page, PageEntry, PressId, PressReply, Record, RunEnd,
+    ClaimAction, ClaimEvent, ClaimJob, Holder, Home, KeptAnswer, KeyDigest, Page, PageEntry, PressId, PressReply,
+    Record, RunEnd,
 };
 pub use state::PageHome;
--- a/valetrack/src/claim/run.rs
+++ b/valetrack/src/claim/run.rs
@@ -14,7 +14,9 @@
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use super::entry::ClaimRule;
-use super::message::{ClaimAction, ClaimEvent, Holder, Home, KeptAnswer, KeyDigest, Page, PressId, PressReply, RunEnd};
+use super::message::{
+    ClaimAction, ClaimEvent, ClaimJob, Holder, Home, KeptAnswer, KeyDigest, Page, PressId, PressReply, RunEnd,
+};
 use super::rank::{PAGES, call_digest, digest, page_of, rank, store_key};
 use super::state::PageHome;
 use crate::bundle::{ClaimMode, InForce};
@@ -24,8 +26,7 @@
 use crate::link::message::{AnswerHead, CallHead, Reply};
 use crate::member::{Members, Phase};
 use crate::metric::Metrics;
-use crate::placement::run::{PlaceJob, Placed};
-use crate::placement::{Outcome, RateBudget, Verdict};
+use crate::placement::{Outcome, PlaceJob, Placed, RateBudget, Verdict};
 use crate::store::{Store, Written};
 
 /// Pause before a failed store is tried again, in milliseconds.
@@ -48,17 +49,6 @@
 /// Pause while the store's budget is spent, in milliseconds.
 const BUDGET_MS: u64 = 10;
 
-/// A call with a key, on its way through the ring to the claim thread.
-#[derive(Debug)]
-pub struct ClaimJob {
-    /// The call.
-    pub head: CallHead,
-    /// Its body.
-    pub body: Bytes,
-    /// Where the reply goes.
-    pub reply: oneshot::Sender<(Reply, Bytes)>,
-}
-
 /// What the claim thread is joined to.
 pub struct ClaimParts {
     /// This life of this VM.
--- a/valetrack/src/code.rs
+++ b/valetrack/src/code.rs
@@ -85,6 +85,13 @@
     EventInvalid = 801, "a line of a time line could not be read";
 }
 
+impl Code {
+    /// Returns the code with this number; what is not known counts as a failed server.
+    pub fn of_number(number: u16) -> Self {
+        ALL.iter().copied().find(|code| code.number() == number).unwrap_or(Self::ServerFailed)
+    }
+}
+
 impl fmt::Display for Code {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "VT{}", self.number())
--- a/valetrack/src/gate/message.rs
+++ b/valetrack/src/gate/message.rs
@@ -45,9 +45,9 @@
     pub failing_percent: u8,
 }
 
-/// What an owner says of an attempt that the entry wants cancelled.
+/// What came of cancelling an attempt at its owner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Word {
+pub enum CancelResult {
     /// The attempt has not started, and never will.
     NeverStarted,
     /// The attempt has started; its outcome is not known to be undone.
@@ -154,11 +154,11 @@
         /// Why.
         reason: BounceReason,
     },
-    /// Answer a cancel.
-    Say {
+    /// Report the result of a cancel.
+    ReportCancel {
         /// The attempt.
         attempt: AttemptId,
-        /// The answer.
-        word: Word,
+        /// The result.
+        result: CancelResult,
     },
 }
--- a/valetrack/src/gate/mod.rs
+++ b/valetrack/src/gate/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Contract: all work reaches the server through its gate, so what the gate says of slots and of
 //! attempts is exact. The server never runs more than its slots; an attempt starts at most once;
-//! an attempt that was bounced, or of which [`Word::NeverStarted`] was said, never starts.
+//! an attempt that was bounced, or of which [`CancelResult::NeverStarted`] was said, never starts.
 
 mod limit;
 mod message;
@@ -18,7 +18,7 @@
 mod upstream;
 
 pub use limit::ConcurrencyLimit;
-pub use message::{AttemptId, BounceReason, GateAction, GateEvent, LoadReport, Objective, Patience, Word};
+pub use message::{AttemptId, BounceReason, CancelResult, GateAction, GateEvent, LoadReport, Objective, Patience};
 pub use origin::OriginTracker;
 pub use protocol::{Classified, Health, HostLoad, NativeUpstream, UpstreamProtocol};
 pub use speed::{SLOWDOWN_LASTS_US, Speed, expected_run_us};
--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -11,7 +11,7 @@
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::{sleep, timeout};
 
-use super::message::{AttemptId, BounceReason, GateAction, GateEvent, LoadReport, Objective, Word};
+use super::message::{AttemptId, BounceReason, CancelResult, GateAction, GateEvent, LoadReport, Objective};
 use super::origin::OriginTracker;
 use super::pool::{ATTEMPT_HEADER, ServerAnswer, ServerError, ServerPool};
 use super::protocol::Health;
@@ -198,9 +198,9 @@
         reply.unwrap_or(GateReply::Bounce(BounceReason::Cancelled))
     }
 
-    /// Cancels an attempt and returns the word on it.
-    pub fn cancel(self: &Rc<Self>, attempt: AttemptId) -> Word {
-        self.handle(GateEvent::Cancel { attempt }).unwrap_or(Word::Started)
+    /// Cancels an attempt and returns the result.
+    pub fn cancel(self: &Rc<Self>, attempt: AttemptId) -> CancelResult {
+        self.handle(GateEvent::Cancel { attempt }).unwrap_or(CancelResult::Started)
     }
 
     /// Lets waiting calls go when their time has come; runs as long as the gate.
@@ -218,19 +218,19 @@
         }
     }
 
-    fn handle(self: &Rc<Self>, event: GateEvent) -> Option<Word> {
+    fn handle(self: &Rc<Self>, event: GateEvent) -> Option<CancelResult> {
         let mut actions = Vec::new();
         self.gate.borrow_mut().handle(event, now_us(), &mut actions);
-        let mut word = None;
+        let mut cancelled = None;
         for action in actions {
             match action {
                 GateAction::Start { attempt } => self.start(attempt),
                 GateAction::Bounce { attempt, reason } => self.bounce(attempt, reason),
-                GateAction::Say { word: said, .. } => word = Some(said),
+                GateAction::ReportCancel { result, .. } => cancelled = Some(result),
             }
         }
         self.observe(event);
-        word
+        cancelled
     }
 
     fn observe(&self, event: GateEvent) {
--- a/valetrack/src/gate/state.rs
+++ b/valetrack/src/gate/state.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 
 use super::limit::ConcurrencyLimit;
-use super::message::{AttemptId, BounceReason, GateAction, GateEvent, LoadReport, Objective, Patience, Word};
+use super::message::{AttemptId, BounceReason, CancelResult, GateAction, GateEvent, LoadReport, Objective, Patience};
 use super::speed::Speed;
 
 /// How long an ended or cancelled attempt is remembered, in microseconds.
@@ -72,7 +72,7 @@
 /// State of the gate before one server.
 ///
 /// The gate never lets more than `slots` attempts run, starts no attempt twice, and never starts
-/// one of which it has said [`Word::NeverStarted`] or given a [`GateAction::Bounce`].
+/// one of which it has said [`CancelResult::NeverStarted`] or given a [`GateAction::Bounce`].
 #[derive(Debug)]
 pub struct Gate {
     config: GateConfig,
@@ -321,7 +321,7 @@
         let started =
             self.running.contains_key(&attempt) || self.memory.get(&attempt).is_some_and(|memory| memory.started);
         if started {
-            out.push(GateAction::Say { attempt, word: Word::Started });
+            out.push(GateAction::ReportCancel { attempt, result: CancelResult::Started });
             return;
         }
         if let Some(at) = self.waiting.iter().position(|waiting| waiting.attempt == attempt) {
@@ -329,7 +329,7 @@
             out.push(GateAction::Bounce { attempt, reason: BounceReason::Cancelled });
         }
         self.remember(attempt, false, now_us);
-        out.push(GateAction::Say { attempt, word: Word::NeverStarted });
+        out.push(GateAction::ReportCancel { attempt, result: CancelResult::NeverStarted });
     }
 
     fn open(&mut self, now_us: u64) {
--- a/valetrack/src/gate/tests/property.rs
+++ b/valetrack/src/gate/tests/property.rs
@@ -4,7 +4,7 @@
 
 use proptest::prelude::*;
 
-use crate::gate::{AttemptId, Gate, GateAction, GateConfig, GateEvent, Patience, Word};
+use crate::gate::{AttemptId, CancelResult, Gate, GateAction, GateConfig, GateEvent, Patience};
 
 #[derive(Debug, Clone)]
 enum Choice {
@@ -55,11 +55,11 @@
                     self.waiting.remove(&attempt);
                     self.given_up.insert(attempt);
                 }
-                GateAction::Say { attempt, word: Word::NeverStarted } => {
+                GateAction::ReportCancel { attempt, result: CancelResult::NeverStarted } => {
                     prop_assert!(!self.started.contains(&attempt), "{attempt} was told never started, but it had");
                     self.given_up.insert(attempt);
                 }
-                GateAction::Say { attempt, word: Word::Started } => {
+                GateAction::ReportCancel { attempt, result: CancelResult::Started } => {
                     prop_assert!(self.started.contains(&attempt), "{attempt} was told started, but it had not");
                 }
             }
--- a/valetrack/src/gate/tests/steps.rs
+++ b/valetrack/src/gate/tests/steps.rs
@@ -2,7 +2,9 @@
 
 use test_case::test_case;
 
-use crate::gate::{AttemptId, BounceReason, Gate, GateAction, GateConfig, GateEvent, MEMORY_US, Patience, Word};
+use crate::gate::{
+    AttemptId, BounceReason, CancelResult, Gate, GateAction, GateConfig, GateEvent, MEMORY_US, Patience,
+};
 
 const CONFIG: GateConfig = GateConfig { slots: 1, queue_max_us: 10_000, ramp_us: 0, rescue: true, learn_limit: false };
 
@@ -24,7 +26,7 @@
 fn a_late_copy_of_a_cancelled_attempt_is_refused() {
     let mut gate = Gate::new(CONFIG, 0);
     let said = feed(&mut gate, GateEvent::Cancel { attempt: attempt(1) }, 0);
-    assert_eq!(said, [GateAction::Say { attempt: attempt(1), word: Word::NeverStarted }]);
+    assert_eq!(said, [GateAction::ReportCancel { attempt: attempt(1), result: CancelResult::NeverStarted }]);
     let late = feed(&mut gate, arrive(1, Patience::Long), MEMORY_US - 1);
     assert_eq!(late, [GateAction::Bounce { attempt: attempt(1), reason: BounceReason::Cancelled }]);
 }
--- a/valetrack/src/link/message.rs
+++ b/valetrack/src/link/message.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::gate::{AttemptId, BounceReason, LoadReport, Patience, Word};
+use crate::gate::{AttemptId, BounceReason, CancelResult, LoadReport, Patience};
 use crate::member::Member;
 use crate::placement::Outcome;
 
@@ -140,12 +140,12 @@
         /// Number of the code.
         code: u16,
     },
-    /// The word on a cancelled attempt.
+    /// The result of a cancel.
     Cancelled {
         /// The attempt.
         attempt: AttemptId,
-        /// The word.
-        word: Word,
+        /// The result.
+        result: CancelResult,
         /// How long the owner's process has lived, in milliseconds: one that started after the
         /// attempt was sent cannot know what its earlier life did with it.
         up_ms: u32,
--- a/valetrack/src/link/peer.rs
+++ b/valetrack/src/link/peer.rs
@@ -13,8 +13,9 @@
 use tokio::time::timeout;
 
 use super::codec::{self, FrameError};
-use super::message::{Answered, BODY_MAX_BYTES, HEAD_MAX_BYTES, Question, ReplyHead};
+use super::message::{Answered, BODY_MAX_BYTES, HEAD_MAX_BYTES, Question, Reply, ReplyHead};
 use crate::clock::now_us;
+use crate::gate::CancelResult;
 
 /// Time limit of a handshake, in milliseconds.
 const HANDSHAKE_MS: u64 = 400;
@@ -53,6 +54,21 @@
     Broken,
 }
 
+impl LinkResult {
+    /// Returns the result of a cancel of an attempt that was sent `sent_ago`, if this is one and its
+    /// owner's process lived already when the attempt was sent.
+    pub fn cancel_result(&self, sent_ago: Duration) -> Option<CancelResult> {
+        let Self::Reply(answered) = self else {
+            return None;
+        };
+        let Reply::Cancelled { result, up_ms, .. } = answered.head.reply else {
+            return None;
+        };
+        let lived = Duration::from_millis(up_ms.into()) > sent_ago;
+        if lived || result == CancelResult::Started { Some(result) } else { None }
+    }
+}
+
 /// A question on its way through the ring to the link thread.
 #[derive(Debug)]
 pub struct LinkJob {
--- a/valetrack/src/link/run.rs
+++ b/valetrack/src/link/run.rs
@@ -19,14 +19,12 @@
 use super::peer::{FRAME_MAX_BYTES, LinkJob, LinkResult, Peers};
 use super::tls::LinkTls;
 use crate::bundle::{InForce, ServiceRule};
-use crate::claim::run::ClaimJob;
+use crate::claim::ClaimJob;
 use crate::clock::now_us;
 use crate::gate::pool::ServerPool;
 use crate::gate::run::{GateReply, GateShell};
-use crate::gate::{
-    Announcement, BounceReason, GateConfig, Health, UpstreamPhase, UpstreamProtocol, UpstreamState, Word,
-};
-use crate::member::run::MemberJob;
+use crate::gate::{Announcement, BounceReason, GateConfig, Health, UpstreamPhase, UpstreamProtocol, UpstreamState};
+use crate::member::MemberJob;
 use crate::metric::Metrics;
 use crate::placement::Outcome;
 use crate::timeline::log as events;
@@ -228,9 +226,9 @@
             Ask::Run(head) => self.run_call(head, body).await,
             Ask::RunKeyed(head) => self.run_keyed(head, body).await,
             Ask::Cancel(attempt) => {
-                let word = self.gate.cancel(attempt);
+                let result = self.gate.cancel(attempt);
                 let up_ms = (now_us() / 1000).min(u64::from(u32::MAX)) as u32;
-                (Reply::Cancelled { attempt, word, up_ms }, Bytes::new())
+                (Reply::Cancelled { attempt, result, up_ms }, Bytes::new())
             }
             Ask::Probe => (Reply::Load, Bytes::new()),
             Ask::Gossip { members, bundle } => {
@@ -334,16 +332,3 @@
         self.parts.drained.send_replace(true);
     }
 }
-
-/// Returns the word of an owner's reply to a cancel of an attempt that was sent `sent_ago`, if it
-/// is one and its owner's process lived already when the attempt was sent.
-pub fn word_of(result: &LinkResult, sent_ago: Duration) -> Option<Word> {
-    let LinkResult::Reply(answered) = result else {
-        return None;
-    };
-    let Reply::Cancelled { word, up_ms, .. } = answered.head.reply else {
-        return None;
-    };
-    let lived = Duration::from_millis(up_ms.into()) > sent_ago;
-    if lived || word == Word::Started { Some(word) } else { None }
-}
--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -13,8 +13,8 @@
 
 use super::directory::{Directory, ENTRY_PREFIX, entry_key};
 use super::lease::{EntryKeeper, EntryStep};
-use super::message::{Member, Phase};
-use super::run::{MemberJob, phase_label};
+use super::message::{Member, MemberJob, Phase};
+use super::run::phase_label;
 use super::state::Members;
 use crate::bundle::{Adopter, BundleFormat, version_of};
 use crate::clock::now_us;
--- a/valetrack/src/member/message.rs
+++ b/valetrack/src/member/message.rs
@@ -4,6 +4,9 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
+use tokio::sync::oneshot;
+
+use crate::link::peer::Target;
 
 /// Life of one incarnation of a VM; it only goes forward.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -81,3 +84,29 @@
         Self { vm: row.vm.clone(), incarnation: 0, domain: row.domain.clone(), link_addr: row.link_addr }
     }
 }
+
+/// Something for the member thread.
+#[derive(Debug)]
+pub enum MemberJob {
+    /// Another node told what it knows.
+    Heard {
+        /// VMs.
+        members: Vec<Member>,
+        /// Number of the bundle in force there.
+        bundle: u64,
+        /// Where this node's own knowledge goes.
+        reply: Option<oneshot::Sender<Vec<Member>>>,
+    },
+    /// A reply showed that a later bundle is in force elsewhere.
+    Bundle {
+        /// Its number.
+        number: u64,
+        /// Who has it.
+        from: Target,
+    },
+    /// A reply showed that another node lacks the bundle in force here.
+    Behind {
+        /// Which.
+        peer: Target,
+    },
+}
--- a/valetrack/src/member/mod.rs
+++ b/valetrack/src/member/mod.rs
@@ -15,5 +15,5 @@
 
 pub use directory::{Directory, ENTRY_PREFIX, MISSING_US, entry_key};
 pub use lease::{EntryKeeper, EntryStep};
-pub use message::{Candidate, ListedVm, Member, Phase};
+pub use message::{Candidate, ListedVm, Member, MemberJob, Phase};
 pub use state::{GONE_AFTER_US, Members};
--- a/valetrack/src/member/run.rs
+++ b/valetrack/src/member/run.rs
@@ -7,11 +7,11 @@
 
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
-use tokio::sync::{Notify, oneshot, watch};
+use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
 
 use super::list::VmList;
-use super::message::{Member, Phase};
+use super::message::{Member, MemberJob, Phase};
 use super::state::Members;
 use crate::bundle::run::Bundler;
 use crate::clock::now_us;
@@ -28,32 +28,6 @@
 /// Time limit of one exchange, in milliseconds.
 const EXCHANGE_MS: u64 = 400;
 
-/// Something for the member thread.
-#[derive(Debug)]
-pub enum MemberJob {
-    /// Another node told what it knows.
-    Heard {
-        /// VMs.
-        members: Vec<Member>,
-        /// Number of the bundle in force there.
-        bundle: u64,
-        /// Where this node's own knowledge goes.
-        reply: Option<oneshot::Sender<Vec<Member>>>,
-    },
-    /// A reply showed that a later bundle is in force elsewhere.
-    Bundle {
-        /// Its number.
-        number: u64,
-        /// Who has it.
-        from: Target,
-    },
-    /// A reply showed that another node lacks the bundle in force here.
-    Behind {
-        /// Which.
-        peer: Target,
-    },
-}
-
 /// What the member thread is joined to.
 pub struct MemberParts {
     /// This VM, as it starts.
--- a/valetrack/src/placement/call.rs
+++ b/valetrack/src/placement/call.rs
@@ -8,7 +8,7 @@
 use super::message::{CallAction, CallEvent, Demand, ServerIndex, Verdict};
 use super::view::{ROOM_US, ServerSet, ServiceView};
 use crate::code::Code;
-use crate::gate::{AttemptId, BounceReason, Patience, Word};
+use crate::gate::{AttemptId, BounceReason, CancelResult, Patience};
 
 /// Most attempts of one call that are remembered; a call makes fewer.
 const MAX_ATTEMPTS: usize = 12;
@@ -161,7 +161,7 @@
             CallEvent::Failed { attempt, code } => self.failed(attempt, code, cx, out),
             CallEvent::Unsent { attempt } => self.unsent(attempt, cx, out),
             CallEvent::Broken { attempt } => self.broken(attempt, cx, out),
-            CallEvent::Word { attempt, word } => self.word(attempt, word, cx, out),
+            CallEvent::CancelResult { attempt, result } => self.cancelled(attempt, result, cx, out),
             CallEvent::HedgeDue => self.hedge(cx, out),
             CallEvent::DeadlineDue => self.deadline(cx, out),
         }
@@ -284,14 +284,20 @@
         self.ask(at, out);
     }
 
-    fn word(&mut self, id: AttemptId, word: Option<Word>, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) {
+    fn cancelled(
+        &mut self,
+        id: AttemptId,
+        result: Option<CancelResult>,
+        cx: &mut CallContext<'_>,
+        out: &mut Vec<CallAction>,
+    ) {
         let Some(at) = self.find(id) else {
             return;
         };
         if self.state(at) != AttemptState::Asked {
             return;
         }
-        let never = word == Some(Word::NeverStarted);
+        let never = result == Some(CancelResult::NeverStarted);
         let state = if never { AttemptState::NeverStarted } else { AttemptState::Lost };
         self.close(id, state, cx);
         if self.finished {
--- a/valetrack/src/placement/message.rs
+++ b/valetrack/src/placement/message.rs
@@ -1,7 +1,11 @@
 //! Messages of placement: what happens to a call, and what is to be done for it.
 
+use bytes::Bytes;
+use tokio::sync::oneshot;
+
 use crate::code::Code;
-use crate::gate::{AttemptId, BounceReason, LoadReport, Patience, Word};
+use crate::gate::{AttemptId, BounceReason, CancelResult, LoadReport, Patience};
+use crate::link::message::{AnswerHead, CallHead};
 
 /// Index of a server in its service's view; stable as long as the view keeps the server.
 pub type ServerIndex = usize;
@@ -64,12 +68,12 @@
         /// The attempt.
         attempt: AttemptId,
     },
-    /// The owner's word on a cancelled attempt; none when it could not be had.
-    Word {
+    /// The owner's result of a cancel; none when it could not be had.
+    CancelResult {
         /// The attempt.
         attempt: AttemptId,
-        /// The word.
-        word: Option<Word>,
+        /// The result.
+        result: Option<CancelResult>,
     },
     /// It is time to hedge.
     HedgeDue,
@@ -141,3 +145,25 @@
     /// When it came, on this process's monotonic clock, in microseconds.
     pub seen_us: u64,
 }
+
+/// A call to be placed.
+#[derive(Debug)]
+pub struct PlaceJob {
+    /// The call; its attempt is filled in.
+    pub head: CallHead,
+    /// Its body.
+    pub body: Bytes,
+    /// Whether the work may run more than once.
+    pub repeatable: bool,
+    /// Where the result goes.
+    pub reply: oneshot::Sender<Placed>,
+}
+
+/// How a call ended.
+#[derive(Debug)]
+pub enum Placed {
+    /// The answer of a server.
+    Answer(AnswerHead, Bytes),
+    /// No answer; the verdict tells whether it ran.
+    Verdict(Verdict),
+}
--- a/valetrack/src/placement/mod.rs
+++ b/valetrack/src/placement/mod.rs
@@ -15,6 +15,6 @@
 
 pub use budget::{RateBudget, ShareBudget};
 pub use call::{Budgets, Call, CallContext, CallRule};
-pub use message::{CallAction, CallEvent, Demand, Outcome, SeenLoad, ServerIndex, Verdict};
+pub use message::{CallAction, CallEvent, Demand, Outcome, PlaceJob, Placed, SeenLoad, ServerIndex, Verdict};
 pub use view::{MAX_SERVERS, Policy, ServerSet, ServiceView};
 pub use work::WorkEstimate;
--- a/valetrack/src/placement/run.rs
+++ b/valetrack/src/placement/run.rs
@@ -16,7 +16,7 @@
 
 use super::budget::{RateBudget, ShareBudget};
 use super::call::{Budgets, Call, CallContext, CallRule};
-use super::message::{CallAction, CallEvent, Demand, Outcome, ServerIndex, Verdict};
+use super::message::{CallAction, CallEvent, Demand, Outcome, Placed, ServerIndex, Verdict};
 use super::view::{MAX_SERVERS, Policy, ServiceView};
 use super::work::WorkEstimate;
 use crate::bundle::{InForce, MeasureRule, ServiceRule};
@@ -25,14 +25,12 @@
 use crate::gate::{AttemptId, LoadReport, Patience};
 use crate::link::message::{AnswerHead, Answered, Ask, CallHead, Question, Reply};
 use crate::link::peer::{self, LinkJob, LinkResult, Target};
-use crate::link::run::word_of;
-use crate::member::run::MemberJob;
-use crate::member::{Candidate, Members};
+use crate::member::{Candidate, MemberJob, Members};
 use crate::metric::Metrics;
 use crate::timeline::log as events;
 
-/// Time that an owner has for its word on a cancelled attempt, in milliseconds.
-const WORD_MS: u64 = 150;
+/// Time that an owner has to answer a cancel or a probe, in milliseconds.
+const PROMPT_MS: u64 = 150;
 /// An attempt is waited for this much longer than its deadline, in milliseconds.
 const SLACK_MS: u64 = 50;
 /// Bytes on the wire of one probe, there and back, headers of UDP and QUIC included.
@@ -44,28 +42,6 @@
 /// Burst of retries and hedges at one entry.
 const SHARE_BURST: u32 = 20;
 
-/// A call to be placed.
-#[derive(Debug)]
-pub struct PlaceJob {
-    /// The call; its attempt is filled in.
-    pub head: CallHead,
-    /// Its body.
-    pub body: Bytes,
-    /// Whether the work may run more than once.
-    pub repeatable: bool,
-    /// Where the result goes.
-    pub reply: oneshot::Sender<Placed>,
-}
-
-/// How a call ended.
-#[derive(Debug)]
-pub enum Placed {
-    /// The answer of a server.
-    Answer(AnswerHead, Bytes),
-    /// No answer; whether it ran is the verdict's word.
-    Verdict(Verdict),
-}
-
 struct ServiceState {
     view: ServiceView,
     budgets: Budgets,
@@ -399,14 +375,14 @@
         let target = self.target(service, server);
         Box::pin(async move {
             let (Some(target), Some(sent_at)) = (target, sent_at) else {
-                return (CallEvent::Word { attempt, word: None }, None);
+                return (CallEvent::CancelResult { attempt, result: None }, None);
             };
             let question = Question { ask: Ask::Cancel(attempt), body: Bytes::new() };
-            let limit = Duration::from_millis(WORD_MS);
+            let limit = Duration::from_millis(PROMPT_MS);
             let asked = self.ask(target, question, limit);
             // The limit covers a handshake as well: whoever gives up must give up at once.
             let result = tokio::time::timeout(limit, asked).await.unwrap_or(LinkResult::Broken);
-            (CallEvent::Word { attempt, word: word_of(&result, sent_at.elapsed()) }, None)
+            (CallEvent::CancelResult { attempt, result: result.cancel_result(sent_at.elapsed()) }, None)
         })
     }
 
@@ -501,7 +477,7 @@
             return;
         };
         let question = Question { ask: Ask::Probe, body: Bytes::new() };
-        let result = self.ask(target, question, Duration::from_millis(WORD_MS)).await;
+        let result = self.ask(target, question, Duration::from_millis(PROMPT_MS)).await;
         self.learn(service, server, &result);
     }
 }
@@ -624,7 +600,7 @@
                 (CallEvent::Ran { attempt, healthy }, Some((answer, body)))
             }
             Outcome::NotRun | Outcome::Unknown => {
-                let code = code_of(answer.code);
+                let code = Code::of_number(answer.code);
                 (CallEvent::Failed { attempt, code }, None)
             }
         },
@@ -638,11 +614,6 @@
     }
 }
 
-/// Returns the code with this number; what is not known counts as a failed server.
-pub fn code_of(number: u16) -> Code {
-    crate::code::ALL.iter().copied().find(|code| code.number() == number).unwrap_or(Code::ServerFailed)
-}
-
 const fn event_label(event: CallEvent) -> &'static str {
     match event {
         CallEvent::Ran { healthy: true, .. } => "ran",
@@ -651,6 +622,6 @@
         CallEvent::Failed { .. } => "failed",
         CallEvent::Unsent { .. } => "unsent",
         CallEvent::Broken { .. } => "broken",
-        CallEvent::Begin | CallEvent::Word { .. } | CallEvent::HedgeDue | CallEvent::DeadlineDue => "other",
+        CallEvent::Begin | CallEvent::CancelResult { .. } | CallEvent::HedgeDue | CallEvent::DeadlineDue => "other",
     }
 }
--- a/valetrack/src/placement/tests/call.rs
+++ b/valetrack/src/placement/tests/call.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 
 use crate::code::Code;
-use crate::gate::{AttemptId, BounceReason, LoadReport, Word};
+use crate::gate::{AttemptId, BounceReason, CancelResult, LoadReport};
 use crate::placement::{
     Budgets, Call, CallAction, CallContext, CallEvent, CallRule, Policy, ServerIndex, ServiceView, ShareBudget, Verdict,
 };
@@ -136,10 +136,12 @@
             // The link may break before, during or after the run.
             (5, _) if !asked && !closed => (place, Some(CallEvent::Broken { attempt })),
             (6, Place::Sent) if asked => {
-                (Place::Dead, Some(CallEvent::Word { attempt, word: Some(Word::NeverStarted) }))
+                (Place::Dead, Some(CallEvent::CancelResult { attempt, result: Some(CancelResult::NeverStarted) }))
             }
-            (6, Place::Started) if asked => (place, Some(CallEvent::Word { attempt, word: Some(Word::Started) })),
-            (7, _) if asked => (place, Some(CallEvent::Word { attempt, word: None })),
+            (6, Place::Started) if asked => {
+                (place, Some(CallEvent::CancelResult { attempt, result: Some(CancelResult::Started) }))
+            }
+            (7, _) if asked => (place, Some(CallEvent::CancelResult { attempt, result: None })),
             _ => return Ok(()),
         };
         self.attempts[at].place = after;
@@ -250,7 +252,9 @@
     assert!(world.attempts[0].asked);
     assert_eq!(world.attempts.len(), 1, "nothing is sent again before the owner's word");
     world.attempts[0].place = Place::Dead;
-    world.tell(CallEvent::Word { attempt, word: Some(Word::NeverStarted) }).expect("no broken promise");
+    world
+        .tell(CallEvent::CancelResult { attempt, result: Some(CancelResult::NeverStarted) })
+        .expect("no broken promise");
     assert_eq!(world.attempts.len(), 2);
 }
 
