Placement: the driving of one call, its attempts and the state of a service in files of their own

The verdict on an unknown service, written twice, is a constant.

Why: one function of 85 lines drove a call, and one file had four duties.

Behaviour unchanged.

--- a/valetrack/src/caller/run.rs
+++ b/valetrack/src/caller/run.rs
@@ -27,7 +27,7 @@
 use crate::code::Code;
 use crate::link::message::CallHead;
 use crate::placement::run::Placer;
-use crate::placement::{PlaceJob, Placed, Verdict};
+use crate::placement::{PlaceJob, Placed, SERVICE_UNKNOWN, Verdict};
 use crate::timeline::Quoted;
 
 /// Largest head of a request, in bytes.
@@ -239,7 +239,7 @@
     async fn place_on_route(&self, head: CallHead, body: Bytes, repeatable: bool, attempts_max: Option<u8>) -> Placed {
         let placer = &self.parts.placer;
         let Some(mut rule) = placer.rule(&head.service, repeatable, attempts_max) else {
-            return Placed::Verdict(Verdict::NotRun { code: Code::ServiceUnknown, retry_after_ms: 1_000 });
+            return Placed::Verdict(SERVICE_UNKNOWN);
         };
         let route = head.route.clone();
         if !route.is_empty() {
--- /dev/null
+++ b/valetrack/src/placement/attempt.rs
@@ -0,0 +1,140 @@
+//! Attempts of a call: how each is put to its owner, and how it ends.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::future::LocalBoxFuture;
+use tokio::time::Instant;
+
+use super::message::{CallEvent, Outcome, ServerIndex};
+use super::run::{PROMPT_MS, Placer};
+use crate::code::Code;
+use crate::gate::{AttemptId, Patience};
+use crate::link::message::{AnswerHead, Answered, Ask, CallHead, Question, Reply};
+use crate::link::peer::LinkResult;
+use crate::metric::Metrics;
+use crate::timeline::log as events;
+
+/// An attempt is waited for this much longer than its deadline, in milliseconds.
+const SLACK_MS: u64 = 50;
+
+/// What came of something that was out for a call, with the answer if it brought one.
+pub(super) type AttemptEnd = (CallEvent, Option<(AnswerHead, Bytes)>);
+
+impl Placer {
+    /// Sends an attempt to the owner of a server and waits for its end.
+    pub(super) fn send(
+        self: Rc<Self>,
+        head: &CallHead,
+        body: &Bytes,
+        attempt: AttemptId,
+        server: ServerIndex,
+        patience: Patience,
+        deadline: Instant,
+    ) -> LocalBoxFuture<'static, AttemptEnd> {
+        let left_ms = deadline.saturating_duration_since(Instant::now()).as_millis() as u32;
+        let gone_ms = head.deadline_ms.saturating_sub(left_ms);
+        let objective_ms = head.objective_ms.saturating_sub(gone_ms);
+        let mut head = CallHead { attempt, patience, deadline_ms: left_ms, objective_ms, key: None, ..head.clone() };
+        let body = body.clone();
+        Box::pin(async move {
+            let service = head.service.clone();
+            let Some(target) = self.target(&service, server) else {
+                return (CallEvent::Unsent { attempt }, None);
+            };
+            let age_ms = self.report_age_ms(&service, server);
+            log::info!(
+                "event=call.send call={} attempt={attempt} owner={} patience={patience:?} left_ms={left_ms} \
+                 work_us={} load_age_ms={}",
+                head.call_id,
+                target.vm,
+                head.work_us,
+                age_ms.map_or_else(|| "none".to_owned(), |age_ms| age_ms.to_string())
+            );
+            // Drawn after the event above, so that what the owner does stands behind it.
+            head.hlc = events::stamp();
+            let question = Question { ask: Ask::Run(head), body };
+            let limit = Duration::from_millis(u64::from(left_ms) + SLACK_MS);
+            let result = self.ask(target, question, limit).await;
+            self.learn(&service, server, &result);
+            let event = attempt_event(attempt, result, &self.metrics);
+            self.metrics.attempts.with_label_values(&[event_label(event.0)]).inc();
+            event
+        })
+    }
+
+    /// Asks the owner of a server to cancel an attempt.
+    pub(super) fn cancel(
+        self: Rc<Self>,
+        service: &Arc<str>,
+        attempt: AttemptId,
+        server: ServerIndex,
+        sent_at: Option<Instant>,
+    ) -> LocalBoxFuture<'static, AttemptEnd> {
+        let target = self.target(service, server);
+        Box::pin(async move {
+            let (Some(target), Some(sent_at)) = (target, sent_at) else {
+                return (CallEvent::CancelResult { attempt, result: None }, None);
+            };
+            let question = Question { ask: Ask::Cancel(attempt), body: Bytes::new() };
+            let limit = Duration::from_millis(PROMPT_MS);
+            let asked = self.ask(target, question, limit);
+            // The limit covers a handshake as well: whoever gives up must give up at once.
+            let result = tokio::time::timeout(limit, asked).await.unwrap_or(LinkResult::Broken);
+            (CallEvent::CancelResult { attempt, result: result.cancel_result(sent_at.elapsed()) }, None)
+        })
+    }
+
+    /// Asks the owner of a call that takes long how its server does, so that a hedge is decided on
+    /// what holds now.
+    pub(super) fn look(self: Rc<Self>, service: Arc<str>, server: ServerIndex) -> LocalBoxFuture<'static, AttemptEnd> {
+        Box::pin(async move {
+            self.metrics.probes.inc();
+            self.probe_one(&service, server).await;
+            (CallEvent::HedgeDue, None)
+        })
+    }
+}
+
+/// Reads how an attempt ended; an answer for any other attempt is dropped.
+fn attempt_event(attempt: AttemptId, result: LinkResult, metrics: &Metrics) -> AttemptEnd {
+    let answered = match result {
+        LinkResult::Reply(answered) => *answered,
+        LinkResult::Unsent => return (CallEvent::Unsent { attempt }, None),
+        LinkResult::Broken => return (CallEvent::Broken { attempt }, None),
+    };
+    let Answered { head, body } = answered;
+    match head.reply {
+        Reply::Answer(answer) if answer.attempt == attempt => match answer.outcome {
+            Outcome::Ran => {
+                let healthy = answer.status < 500;
+                (CallEvent::Ran { attempt, healthy }, Some((answer, body)))
+            }
+            Outcome::NotRun | Outcome::Unknown => {
+                let code = Code::of_number(answer.code);
+                (CallEvent::Failed { attempt, code }, None)
+            }
+        },
+        Reply::Bounce { attempt: bounced, reason } if bounced == attempt => {
+            (CallEvent::Bounced { attempt, reason }, None)
+        }
+        _ => {
+            metrics.stray_answers.inc();
+            (CallEvent::Broken { attempt }, None)
+        }
+    }
+}
+
+const fn event_label(event: CallEvent) -> &'static str {
+    match event {
+        CallEvent::Ran { healthy: true, .. } => "ran",
+        CallEvent::Ran { healthy: false, .. } => "ran-unhealthy",
+        CallEvent::Bounced { .. } => "bounced",
+        CallEvent::Failed { .. } => "failed",
+        CallEvent::Unsent { .. } => "unsent",
+        CallEvent::Broken { .. } => "broken",
+        CallEvent::Begin | CallEvent::CancelResult { .. } | CallEvent::HedgeDue | CallEvent::DeadlineDue => "other",
+    }
+}
--- /dev/null
+++ b/valetrack/src/placement/driver.rs
@@ -0,0 +1,204 @@
+//! Drives one call: does what its pure part decides, and tells it what came of that.
+
+use std::future::pending;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::future::LocalBoxFuture;
+use futures::stream::{FuturesUnordered, StreamExt};
+use tokio::sync::oneshot;
+use tokio::time::{Instant, sleep_until};
+
+use super::attempt::AttemptEnd;
+use super::call::{Call, CallRule};
+use super::message::{CallAction, CallEvent, Placed, SERVICE_UNKNOWN, Verdict};
+use super::run::Placer;
+use crate::code::Code;
+use crate::gate::AttemptId;
+use crate::link::message::{AnswerHead, CallHead};
+
+/// Drives a call to its end. What it comes to goes to `reply`; what is still out then is seen to
+/// its end as well.
+pub(super) async fn drive(
+    placer: Rc<Placer>,
+    head: CallHead,
+    body: Bytes,
+    rule: CallRule,
+    reply: oneshot::Sender<Placed>,
+) {
+    let deadline = Instant::now() + Duration::from_millis(head.deadline_ms.into());
+    let driver = CallDriver {
+        call: Call::new(rule, placer.entry),
+        looks_before_hedge: rule.demand.is_some(),
+        reply: Some(reply),
+        out: FuturesUnordered::new(),
+        answers: Vec::new(),
+        sent: Vec::new(),
+        actions: Vec::new(),
+        hedge_at: None,
+        deadline,
+        late: false,
+        head,
+        body,
+        placer,
+    };
+    driver.run().await;
+}
+
+/// One call with all that is out for it.
+struct CallDriver {
+    call: Call,
+    /// Whether the owner is asked how its server does before a hedge is decided on.
+    looks_before_hedge: bool,
+    /// Where the call's end goes; none once it is told.
+    reply: Option<oneshot::Sender<Placed>>,
+    out: FuturesUnordered<LocalBoxFuture<'static, AttemptEnd>>,
+    answers: Vec<(AnswerHead, Bytes)>,
+    /// When each attempt was sent.
+    sent: Vec<(AttemptId, Instant)>,
+    /// Kept for its memory; empty between two events.
+    actions: Vec<CallAction>,
+    hedge_at: Option<Instant>,
+    deadline: Instant,
+    /// Whether the deadline has passed.
+    late: bool,
+    head: CallHead,
+    body: Bytes,
+    placer: Rc<Placer>,
+}
+
+impl CallDriver {
+    async fn run(mut self) {
+        let mut event = Some(CallEvent::Begin);
+        loop {
+            if let Some(event) = event
+                && !self.handle(event)
+            {
+                self.finish(Placed::Verdict(SERVICE_UNKNOWN));
+                return;
+            }
+            if self.is_over() {
+                return;
+            }
+            event = self.next_event().await;
+        }
+    }
+
+    /// Lets the pure call decide and does what it decides; returns whether the service is known.
+    fn handle(&mut self, event: CallEvent) -> bool {
+        let mut actions = std::mem::take(&mut self.actions);
+        let decided = self.placer.decide(&self.head.service, |cx| self.call.handle(event, cx, &mut actions));
+        for action in actions.drain(..) {
+            self.perform(action);
+        }
+        self.actions = actions;
+        decided.is_some()
+    }
+
+    fn perform(&mut self, action: CallAction) {
+        match action {
+            CallAction::Send { attempt, server, patience } => {
+                self.sent.push((attempt, Instant::now()));
+                let sending =
+                    self.placer.clone().send(&self.head, &self.body, attempt, server, patience, self.deadline);
+                self.out.push(sending);
+            }
+            CallAction::Cancel { attempt, server } => {
+                let sent_at = self.sent.iter().find(|(known, _)| *known == attempt).map(|(_, at)| *at);
+                self.out.push(self.placer.clone().cancel(&self.head.service, attempt, server, sent_at));
+            }
+            CallAction::ArmHedge { after_us } => {
+                self.hedge_at = Some(Instant::now() + Duration::from_micros(after_us));
+            }
+            CallAction::Finish(verdict) => {
+                let placed = self.placed(verdict);
+                self.finish(placed);
+            }
+        }
+    }
+
+    /// Returns whether nothing is left to be done for the call; its attempts are then given up.
+    fn is_over(&mut self) -> bool {
+        if self.call.closed() {
+            return true;
+        }
+        let caller_gone = self.reply.as_ref().is_some_and(oneshot::Sender::is_closed);
+        if caller_gone {
+            log::info!("event=call.abandoned call={}", self.head.call_id);
+        }
+        // Dropping what is out tells the owners to stop: a run that lost to a hedge, or whose caller
+        // has gone, is of no use to anybody.
+        let over = caller_gone || self.call.finished();
+        if over {
+            self.placer.decide(&self.head.service, |cx| self.call.abandon(cx));
+        }
+        over
+    }
+
+    /// Waits for what happens next; none when there is nothing to tell the call.
+    async fn next_event(&mut self) -> Option<CallEvent> {
+        tokio::select! {
+            Some((event, answer)) = self.out.next(), if !self.out.is_empty() => {
+                self.answers.extend(answer);
+                Some(event)
+            }
+            () = sleep_maybe(self.hedge_at) => {
+                self.hedge_at = None;
+                self.hedge_event()
+            }
+            () = gone(&mut self.reply) => None,
+            () = sleep_until(self.deadline), if !self.late => {
+                self.late = true;
+                Some(CallEvent::DeadlineDue)
+            }
+        }
+    }
+
+    /// Returns that a hedge is due, or none where the owner is asked first; its reply tells it then.
+    fn hedge_event(&mut self) -> Option<CallEvent> {
+        match self.call.waits_for() {
+            Some(server) if self.looks_before_hedge => {
+                self.out.push(self.placer.clone().look(self.head.service.clone(), server));
+                None
+            }
+            Some(_) | None => Some(CallEvent::HedgeDue),
+        }
+    }
+
+    fn finish(&mut self, placed: Placed) {
+        if let Some(reply) = self.reply.take() {
+            // A caller that has gone away needs no answer.
+            let _ = reply.send(placed);
+        }
+    }
+
+    /// Puts the answer that a verdict names in its place.
+    fn placed(&mut self, verdict: Verdict) -> Placed {
+        let Verdict::Answer(attempt) = verdict else {
+            return Placed::Verdict(verdict);
+        };
+        match self.answers.iter().position(|(head, _)| head.attempt == attempt) {
+            Some(at) => {
+                let (head, body) = self.answers.swap_remove(at);
+                Placed::Answer(head, body)
+            }
+            None => Placed::Verdict(Verdict::Unknown { code: Code::ServerFailed }),
+        }
+    }
+}
+
+/// Waits until nobody waits for the call's end any more, if somebody still does.
+async fn gone(reply: &mut Option<oneshot::Sender<Placed>>) {
+    match reply {
+        Some(reply) => reply.closed().await,
+        None => pending().await,
+    }
+}
+
+async fn sleep_maybe(at: Option<Instant>) {
+    match at {
+        Some(at) => sleep_until(at).await,
+        None => pending().await,
+    }
+}
--- a/valetrack/src/placement/message.rs
+++ b/valetrack/src/placement/message.rs
@@ -128,6 +128,12 @@
     },
 }
 
+/// When a call for a service that is not known may come back, in milliseconds: a bundle that names
+/// the service may be on its way.
+const UNKNOWN_RETRY_MS: u32 = 1_000;
+/// The verdict on a call for a service that is not known.
+pub const SERVICE_UNKNOWN: Verdict = Verdict::NotRun { code: Code::ServiceUnknown, retry_after_ms: UNKNOWN_RETRY_MS };
+
 /// What a call asks of a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Demand {
--- a/valetrack/src/placement/mod.rs
+++ b/valetrack/src/placement/mod.rs
@@ -4,10 +4,13 @@
 //! that may have started; retries and hedges stay within their budgets; at least half of the
 //! servers stay in rotation.
 
+mod attempt;
 mod budget;
 mod call;
+mod driver;
 mod message;
 pub mod run;
+mod service;
 #[cfg(test)]
 mod tests;
 mod view;
@@ -15,6 +18,8 @@
 
 pub use budget::{RateBudget, ShareBudget};
 pub use call::{Budgets, Call, CallContext, CallRule};
-pub use message::{CallAction, CallEvent, Demand, Outcome, PlaceJob, Placed, SeenLoad, ServerIndex, Verdict};
+pub use message::{
+    CallAction, CallEvent, Demand, Outcome, PlaceJob, Placed, SERVICE_UNKNOWN, SeenLoad, ServerIndex, Verdict,
+};
 pub use view::{MAX_SERVERS, Policy, ServerSet, ServiceView};
 pub use work::WorkEstimate;
--- a/valetrack/src/placement/run.rs
+++ b/valetrack/src/placement/run.rs
@@ -1,52 +1,41 @@
-//! Shell of placement; it shares the door's thread, since each caller's task drives its own call.
+//! Shell of placement: what an entry knows of servers, and how it stays fresh. It shares the thread
+//! of the caller listener, since each caller's task drives its own call.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::future::pending;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::Sender;
 use bytes::Bytes;
-use futures::future::LocalBoxFuture;
-use futures::stream::{FuturesUnordered, StreamExt};
 use tokio::sync::{oneshot, watch};
-use tokio::time::{Instant, sleep_until};
 
-use super::budget::{RateBudget, ShareBudget};
-use super::call::{Budgets, Call, CallContext, CallRule};
-use super::message::{CallAction, CallEvent, Demand, Outcome, Placed, ServerIndex, Verdict};
-use super::view::{MAX_SERVERS, Policy, ServiceView};
+use super::budget::RateBudget;
+use super::call::{CallContext, CallRule};
+use super::driver::drive;
+use super::message::{Demand, Placed, ServerIndex, Verdict};
+use super::service::{ServiceState, call_rule};
+use super::view::Policy;
 use super::work::WorkEstimate;
-use crate::bundle::{InForce, MeasureRule, ServiceRule};
+use crate::bundle::{InForce, MeasureRule};
 use crate::clock::now_us;
 use crate::code::Code;
-use crate::gate::{AttemptId, LoadReport, Patience};
-use crate::link::message::{AnswerHead, Answered, Ask, CallHead, Question, Reply};
+use crate::gate::{AttemptId, LoadReport};
+use crate::link::message::{Ask, CallHead, Question};
 use crate::link::peer::{self, LinkJob, LinkResult, Target};
-use crate::member::{Candidate, MemberJob, Members};
+use crate::member::{MemberJob, Members};
 use crate::metric::Metrics;
 use crate::timeline::log as events;
 
 /// Time that an owner has to answer a cancel or a probe, in milliseconds.
-const PROMPT_MS: u64 = 150;
-/// An attempt is waited for this much longer than its deadline, in milliseconds.
-const SLACK_MS: u64 = 50;
+pub(super) const PROMPT_MS: u64 = 150;
 /// Bytes on the wire of one probe, there and back, headers of UDP and QUIC included.
 pub const PROBE_BYTES: u64 = 220;
 /// Pause between two looks at which views are old while there are calls, in milliseconds.
 const PROBE_PERIOD_MS: u64 = 20;
 /// The same while there are none, in milliseconds.
 const PROBE_QUIET_MS: u64 = 250;
-/// Burst of retries and hedges at one entry.
-const SHARE_BURST: u32 = 20;
-
-struct ServiceState {
-    view: ServiceView,
-    budgets: Budgets,
-    targets: Vec<Option<Candidate>>,
-}
 
 struct Inner {
     services: HashMap<Arc<str>, ServiceState>,
@@ -61,7 +50,7 @@
 /// Places the calls of one entry.
 pub struct Placer {
     inner: RefCell<Inner>,
-    entry: u64,
+    pub(super) entry: u64,
     vm: Arc<str>,
     domain: Arc<str>,
     domain_cost_us: u32,
@@ -101,8 +90,6 @@
     pub metrics: Arc<Metrics>,
 }
 
-type Event = (CallEvent, Option<(AnswerHead, Bytes)>);
-
 impl Placer {
     /// Makes a placer that knows no service yet.
     pub fn new(parts: PlacerParts) -> Rc<Self> {
@@ -166,7 +153,7 @@
         inner.services.retain(|name, _| in_force.bundle.service(name).is_some());
         inner.works.retain(|route, _| in_force.bundle.routes.contains(route));
         for rule in &in_force.bundle.services {
-            let state = inner.services.entry(rule.name.clone()).or_insert_with(|| new_service(rule, self.policy));
+            let state = inner.services.entry(rule.name.clone()).or_insert_with(|| ServiceState::new(rule, self.policy));
             if let Some(reserve) = rule.retry_reserve {
                 let share = reserve / (members.iter().count().max(1) as u32);
                 state.budgets.retry.configure(rule.retry_percent, share);
@@ -180,7 +167,7 @@
     pub async fn place(self: Rc<Self>, mut head: CallHead, body: Bytes, rule: CallRule) -> Placed {
         let (reply, placed) = oneshot::channel();
         head.work_us = rule.demand.map_or(0, |demand| demand.work_us);
-        tokio::task::spawn_local(self.drive(head, body, rule, reply));
+        tokio::task::spawn_local(drive(self, head, body, rule, reply));
         let lost = Placed::Verdict(Verdict::Unknown { code: Code::LinkLost });
         placed.await.unwrap_or(lost)
     }
@@ -215,184 +202,35 @@
         Some(rule)
     }
 
-    async fn drive(self: Rc<Self>, head: CallHead, body: Bytes, rule: CallRule, reply: oneshot::Sender<Placed>) {
-        let deadline = Instant::now() + Duration::from_millis(head.deadline_ms.into());
-        let mut call = Call::new(rule, self.entry);
-        let mut out: FuturesUnordered<LocalBoxFuture<'static, Event>> = FuturesUnordered::new();
-        let mut reply = Some(reply);
-        let mut answers: Vec<(AnswerHead, Bytes)> = Vec::new();
-        let mut hedge_at: Option<Instant> = None;
-        let mut sent: Vec<(AttemptId, Instant)> = Vec::new();
-        let mut late = false;
-        let mut event = Some(CallEvent::Begin);
-        let mut actions = Vec::new();
-        loop {
-            let known = match event.take() {
-                Some(event) => self.handle(&head.service, &mut call, event, &mut actions),
-                None => true,
-            };
-            if !known {
-                let code = Code::ServiceUnknown;
-                let verdict = Verdict::NotRun { code, retry_after_ms: 1_000 };
-                finish(&mut reply, Placed::Verdict(verdict));
-                return;
-            }
-            for action in actions.drain(..) {
-                match action {
-                    CallAction::Send { attempt, server, patience } => {
-                        sent.push((attempt, Instant::now()));
-                        out.push(self.clone().send(&head, &body, attempt, server, patience, deadline));
-                    }
-                    CallAction::Cancel { attempt, server } => {
-                        let at = sent.iter().find(|(known, _)| *known == attempt).map(|(_, at)| *at);
-                        out.push(self.clone().cancel(&head.service, attempt, server, at));
-                    }
-                    CallAction::ArmHedge { after_us } => {
-                        hedge_at = Some(Instant::now() + Duration::from_micros(after_us));
-                    }
-                    CallAction::Finish(verdict) => finish(&mut reply, placed(verdict, &mut answers)),
-                }
-            }
-            if call.closed() {
-                return;
-            }
-            if reply.as_ref().is_some_and(oneshot::Sender::is_closed) {
-                // The caller has gone; dropping what is out tells the owners to stop.
-                log::info!("event=call.abandoned call={}", head.call_id);
-                self.abandon(&head.service, &mut call);
-                return;
-            }
-            if call.finished() {
-                // A run that lost to a hedge is of no use to anybody.
-                self.abandon(&head.service, &mut call);
-                return;
-            }
-            event = tokio::select! {
-                Some((event, answer)) = out.next(), if !out.is_empty() => {
-                    answers.extend(answer);
-                    Some(event)
-                }
-                () = sleep_maybe(hedge_at) => {
-                    hedge_at = None;
-                    match call.waits_for() {
-                        Some(server) if rule.demand.is_some() => {
-                            out.push(self.clone().look(head.service.clone(), server));
-                            None
-                        }
-                        Some(_) | None => Some(CallEvent::HedgeDue),
-                    }
-                }
-                () = gone(&mut reply) => None,
-                () = sleep_until(deadline), if !late => {
-                    late = true;
-                    Some(CallEvent::DeadlineDue)
-                }
-            };
-        }
-    }
-
-    fn abandon(&self, service: &str, call: &mut Call) {
+    /// Lets a call decide on the view and the budgets of its service; none if that is not known.
+    pub(super) fn decide<R>(&self, service: &str, decision: impl FnOnce(&mut CallContext<'_>) -> R) -> Option<R> {
         let mut inner = self.inner.borrow_mut();
         let Inner { services, rng, next_seq, .. } = &mut *inner;
-        if let Some(ServiceState { view, budgets, .. }) = services.get_mut(service) {
-            call.abandon(&mut CallContext { view, budgets, rng, now_us: now_us(), next_seq });
-        }
+        let ServiceState { view, budgets, .. } = services.get_mut(service)?;
+        Some(decision(&mut CallContext { view, budgets, rng, now_us: now_us(), next_seq }))
     }
 
-    /// Lets the pure call decide; returns whether the service is known.
-    fn handle(&self, service: &str, call: &mut Call, event: CallEvent, actions: &mut Vec<CallAction>) -> bool {
-        let mut inner = self.inner.borrow_mut();
-        let Inner { services, rng, next_seq, .. } = &mut *inner;
-        let Some(state) = services.get_mut(service) else {
-            return false;
-        };
-        let ServiceState { view, budgets, .. } = state;
-        let mut cx = CallContext { view, budgets, rng, now_us: now_us(), next_seq };
-        call.handle(event, &mut cx, actions);
-        true
-    }
-
-    fn target(&self, service: &str, server: ServerIndex) -> Option<Target> {
+    /// Returns where the node of a server is, if the server is still known.
+    pub(super) fn target(&self, service: &str, server: ServerIndex) -> Option<Target> {
         let inner = self.inner.borrow();
         let candidate = inner.services.get(service)?.targets.get(server)?.as_ref()?;
         Some(Target { vm: candidate.vm.clone(), addr: candidate.link_addr })
     }
 
-    fn send(
-        self: Rc<Self>,
-        head: &CallHead,
-        body: &Bytes,
-        attempt: AttemptId,
-        server: ServerIndex,
-        patience: Patience,
-        deadline: Instant,
-    ) -> LocalBoxFuture<'static, Event> {
-        let left_ms = deadline.saturating_duration_since(Instant::now()).as_millis() as u32;
-        let gone_ms = head.deadline_ms.saturating_sub(left_ms);
-        let objective_ms = head.objective_ms.saturating_sub(gone_ms);
-        let mut head = CallHead { attempt, patience, deadline_ms: left_ms, objective_ms, key: None, ..head.clone() };
-        let body = body.clone();
-        Box::pin(async move {
-            let service = head.service.clone();
-            let Some(target) = self.target(&service, server) else {
-                return (CallEvent::Unsent { attempt }, None);
-            };
-            let age_ms = self.report_age_ms(&service, server);
-            log::info!(
-                "event=call.send call={} attempt={attempt} owner={} patience={patience:?} left_ms={left_ms} \
-                 work_us={} load_age_ms={}",
-                head.call_id,
-                target.vm,
-                head.work_us,
-                age_ms.map_or_else(|| "none".to_owned(), |age_ms| age_ms.to_string())
-            );
-            // Drawn after the event above, so that what the owner does stands behind it.
-            head.hlc = events::stamp();
-            let question = Question { ask: Ask::Run(head), body };
-            let limit = Duration::from_millis(u64::from(left_ms) + SLACK_MS);
-            let result = self.ask(target, question, limit).await;
-            self.learn(&service, server, &result);
-            let event = attempt_event(attempt, result, &self.metrics);
-            self.metrics.attempts.with_label_values(&[event_label(event.0)]).inc();
-            event
-        })
-    }
-
     /// Returns how old the last report of a server's load is.
-    fn report_age_ms(&self, service: &str, server: ServerIndex) -> Option<u64> {
+    pub(super) fn report_age_ms(&self, service: &str, server: ServerIndex) -> Option<u64> {
         let inner = self.inner.borrow();
         let seen_us = inner.services.get(service)?.view.seen_us(server)?;
         Some(now_us().saturating_sub(seen_us) / 1000)
     }
 
-    fn cancel(
-        self: Rc<Self>,
-        service: &Arc<str>,
-        attempt: AttemptId,
-        server: ServerIndex,
-        sent_at: Option<Instant>,
-    ) -> LocalBoxFuture<'static, Event> {
-        let target = self.target(service, server);
-        Box::pin(async move {
-            let (Some(target), Some(sent_at)) = (target, sent_at) else {
-                return (CallEvent::CancelResult { attempt, result: None }, None);
-            };
-            let question = Question { ask: Ask::Cancel(attempt), body: Bytes::new() };
-            let limit = Duration::from_millis(PROMPT_MS);
-            let asked = self.ask(target, question, limit);
-            // The limit covers a handshake as well: whoever gives up must give up at once.
-            let result = tokio::time::timeout(limit, asked).await.unwrap_or(LinkResult::Broken);
-            (CallEvent::CancelResult { attempt, result: result.cancel_result(sent_at.elapsed()) }, None)
-        })
-    }
-
     /// Asks another node through the ring of the link thread.
     pub async fn ask(&self, target: Target, question: Question, limit: Duration) -> LinkResult {
         peer::ask(&self.to_link, target, question, limit).await
     }
 
     /// Takes what rode on a reply.
-    fn learn(&self, service: &str, server: ServerIndex, result: &LinkResult) {
+    pub(super) fn learn(&self, service: &str, server: ServerIndex, result: &LinkResult) {
         let LinkResult::Reply(answered) = result else {
             return;
         };
@@ -462,17 +300,8 @@
         Some((name, server))
     }
 
-    /// Asks the owner of a call that takes long how its server does, so that a hedge is decided on
-    /// what holds now.
-    fn look(self: Rc<Self>, service: Arc<str>, server: ServerIndex) -> LocalBoxFuture<'static, Event> {
-        Box::pin(async move {
-            self.metrics.probes.inc();
-            self.probe_one(&service, server).await;
-            (CallEvent::HedgeDue, None)
-        })
-    }
-
-    async fn probe_one(&self, service: &str, server: ServerIndex) {
+    /// Asks a server's owner how it does; no reply is no loss.
+    pub(super) async fn probe_one(&self, service: &str, server: ServerIndex) {
         let Some(target) = self.target(service, server) else {
             return;
         };
@@ -481,147 +310,3 @@
         self.learn(service, server, &result);
     }
 }
-
-impl ServiceState {
-    /// Gives every server a stable index: a later life of a VM gets one of its own.
-    fn sync(&mut self, candidates: impl Iterator<Item = Candidate>, domain: &str, vm: &str, domain_cost_us: u32) {
-        let mut kept = vec![false; self.targets.len().max(MAX_SERVERS)];
-        for candidate in candidates {
-            let Some(server) = self.index_of(&candidate) else {
-                continue;
-            };
-            kept[server] = true;
-            let network_us = match () {
-                () if &*candidate.vm == vm => 0,
-                () if &*candidate.domain == domain => domain_cost_us / 10,
-                () => domain_cost_us,
-            };
-            self.view.set_present(server, true, network_us);
-            self.view.set_far(server, &*candidate.domain != domain);
-            self.targets[server] = Some(candidate);
-        }
-        for (server, _) in kept.iter().enumerate().filter(|(_, kept)| !**kept) {
-            if server < self.targets.len() {
-                self.view.set_present(server, false, 0);
-            }
-        }
-    }
-
-    fn index_of(&mut self, candidate: &Candidate) -> Option<ServerIndex> {
-        let same = |known: &Option<Candidate>| {
-            known.as_ref().is_some_and(|known| {
-                known.vm == candidate.vm
-                    && known.link_addr == candidate.link_addr
-                    && (known.incarnation == candidate.incarnation || known.incarnation == 0)
-            })
-        };
-        if let Some(server) = self.targets.iter().position(same) {
-            return Some(server);
-        }
-        let present = |server: &usize| self.view.is_present(*server) || self.view.outstanding(*server) > 0;
-        let free = (0..self.targets.len()).find(|server| !present(server));
-        match free {
-            Some(server) => Some(server),
-            None if self.targets.len() < MAX_SERVERS => {
-                self.targets.push(None);
-                Some(self.targets.len() - 1)
-            }
-            None => None,
-        }
-    }
-}
-
-fn new_service(rule: &ServiceRule, policy: Policy) -> ServiceState {
-    let budgets = Budgets {
-        retry: ShareBudget::new(rule.retry_percent, SHARE_BURST),
-        hedge: ShareBudget::new(rule.hedge_percent, SHARE_BURST),
-    };
-    ServiceState { view: ServiceView::new(policy), budgets, targets: Vec::new() }
-}
-
-fn call_rule(rule: &ServiceRule, repeatable: bool) -> CallRule {
-    let hedging = repeatable && rule.hedge_percent > 0;
-    CallRule {
-        repeatable,
-        bounces: rule.bounces,
-        retries: rule.retries,
-        hedge_after_percent: hedging.then_some(rule.hedge_after_percent),
-        demand: None,
-    }
-}
-
-/// Waits until nobody waits for the call's end any more, if somebody still does.
-async fn gone(reply: &mut Option<oneshot::Sender<Placed>>) {
-    match reply {
-        Some(reply) => reply.closed().await,
-        None => pending().await,
-    }
-}
-
-async fn sleep_maybe(at: Option<Instant>) {
-    match at {
-        Some(at) => sleep_until(at).await,
-        None => pending().await,
-    }
-}
-
-fn finish(reply: &mut Option<oneshot::Sender<Placed>>, placed: Placed) {
-    if let Some(reply) = reply.take() {
-        // A caller that has gone away needs no answer.
-        let _ = reply.send(placed);
-    }
-}
-
-fn placed(verdict: Verdict, answers: &mut Vec<(AnswerHead, Bytes)>) -> Placed {
-    let Verdict::Answer(attempt) = verdict else {
-        return Placed::Verdict(verdict);
-    };
-    match answers.iter().position(|(head, _)| head.attempt == attempt) {
-        Some(at) => {
-            let (head, body) = answers.swap_remove(at);
-            Placed::Answer(head, body)
-        }
-        None => Placed::Verdict(Verdict::Unknown { code: Code::ServerFailed }),
-    }
-}
-
-/// Reads how an attempt ended; an answer for any other attempt is dropped.
-fn attempt_event(attempt: AttemptId, result: LinkResult, metrics: &Metrics) -> Event {
-    let answered = match result {
-        LinkResult::Reply(answered) => *answered,
-        LinkResult::Unsent => return (CallEvent::Unsent { attempt }, None),
-        LinkResult::Broken => return (CallEvent::Broken { attempt }, None),
-    };
-    let Answered { head, body } = answered;
-    match head.reply {
-        Reply::Answer(answer) if answer.attempt == attempt => match answer.outcome {
-            Outcome::Ran => {
-                let healthy = answer.status < 500;
-                (CallEvent::Ran { attempt, healthy }, Some((answer, body)))
-            }
-            Outcome::NotRun | Outcome::Unknown => {
-                let code = Code::of_number(answer.code);
-                (CallEvent::Failed { attempt, code }, None)
-            }
-        },
-        Reply::Bounce { attempt: bounced, reason } if bounced == attempt => {
-            (CallEvent::Bounced { attempt, reason }, None)
-        }
-        _ => {
-            metrics.stray_answers.inc();
-            (CallEvent::Broken { attempt }, None)
-        }
-    }
-}
-
-const fn event_label(event: CallEvent) -> &'static str {
-    match event {
-        CallEvent::Ran { healthy: true, .. } => "ran",
-        CallEvent::Ran { healthy: false, .. } => "ran-unhealthy",
-        CallEvent::Bounced { .. } => "bounced",
-        CallEvent::Failed { .. } => "failed",
-        CallEvent::Unsent { .. } => "unsent",
-        CallEvent::Broken { .. } => "broken",
-        CallEvent::Begin | CallEvent::CancelResult { .. } | CallEvent::HedgeDue | CallEvent::DeadlineDue => "other",
-    }
-}
--- /dev/null
+++ b/valetrack/src/placement/service.rs
@@ -0,0 +1,99 @@
+//! What an entry keeps of one service, with a stable index for every server.
+
+use super::budget::ShareBudget;
+use super::call::{Budgets, CallRule};
+use super::message::ServerIndex;
+use super::view::{MAX_SERVERS, Policy, ServiceView};
+use crate::bundle::ServiceRule;
+use crate::member::Candidate;
+
+/// Burst of retries and hedges at one entry.
+const SHARE_BURST: u32 = 20;
+/// The way to another VM of the failure domain costs this many times less than leaving the domain.
+const NEAR_DIVISOR: u32 = 10;
+
+/// What an entry keeps of one service.
+pub(super) struct ServiceState {
+    /// Its servers.
+    pub(super) view: ServiceView,
+    /// Shares of its calls that may be retried and hedged.
+    pub(super) budgets: Budgets,
+    /// Where the node of each server is.
+    pub(super) targets: Vec<Option<Candidate>>,
+}
+
+impl ServiceState {
+    /// Makes the state of a service of which no server is known yet.
+    pub(super) fn new(rule: &ServiceRule, policy: Policy) -> Self {
+        let budgets = Budgets {
+            retry: ShareBudget::new(rule.retry_percent, SHARE_BURST),
+            hedge: ShareBudget::new(rule.hedge_percent, SHARE_BURST),
+        };
+        Self { view: ServiceView::new(policy), budgets, targets: Vec::new() }
+    }
+
+    /// Gives every server a stable index: a later life of a VM gets one of its own.
+    pub(super) fn sync(
+        &mut self,
+        candidates: impl Iterator<Item = Candidate>,
+        domain: &str,
+        vm: &str,
+        domain_cost_us: u32,
+    ) {
+        let mut kept = vec![false; self.targets.len().max(MAX_SERVERS)];
+        for candidate in candidates {
+            let Some(server) = self.index_of(&candidate) else {
+                continue;
+            };
+            kept[server] = true;
+            let network_us = match () {
+                () if &*candidate.vm == vm => 0,
+                () if &*candidate.domain == domain => domain_cost_us / NEAR_DIVISOR,
+                () => domain_cost_us,
+            };
+            self.view.set_present(server, true, network_us);
+            self.view.set_far(server, &*candidate.domain != domain);
+            self.targets[server] = Some(candidate);
+        }
+        for (server, _) in kept.iter().enumerate().filter(|(_, kept)| !**kept) {
+            if server < self.targets.len() {
+                self.view.set_present(server, false, 0);
+            }
+        }
+    }
+
+    fn index_of(&mut self, candidate: &Candidate) -> Option<ServerIndex> {
+        let same = |known: &Option<Candidate>| {
+            known.as_ref().is_some_and(|known| {
+                known.vm == candidate.vm
+                    && known.link_addr == candidate.link_addr
+                    && (known.incarnation == candidate.incarnation || known.incarnation == 0)
+            })
+        };
+        if let Some(server) = self.targets.iter().position(same) {
+            return Some(server);
+        }
+        let present = |server: &usize| self.view.is_present(*server) || self.view.outstanding(*server) > 0;
+        let free = (0..self.targets.len()).find(|server| !present(server));
+        match free {
+            Some(server) => Some(server),
+            None if self.targets.len() < MAX_SERVERS => {
+                self.targets.push(None);
+                Some(self.targets.len() - 1)
+            }
+            None => None,
+        }
+    }
+}
+
+/// Returns how calls of a service are placed by its rule in the bundle.
+pub(super) fn call_rule(rule: &ServiceRule, repeatable: bool) -> CallRule {
+    let hedging = repeatable && rule.hedge_percent > 0;
+    CallRule {
+        repeatable,
+        bounces: rule.bounces,
+        retries: rule.retries,
+        hedge_after_percent: hedging.then_some(rule.hedge_after_percent),
+        demand: None,
+    }
+}
