--- a/valetrack/src/placement/call.rs
+++ b/valetrack/src/placement/call.rs
@@ -6,7 +6,8 @@
 
 use super::budget::ShareBudget;
 use super::message::{CallAction, CallEvent, Demand, ServerIndex, Verdict};
-use super::view::{ROOM_US, ServerSet, ServiceView};
+use super::set::ServerSet;
+use super::view::{ROOM_US, ServiceView};
 use crate::code::Code;
 use crate::gate::{AttemptId, BounceReason, CancelResult, Patience};
 
--- a/valetrack/src/placement/mod.rs
+++ b/valetrack/src/placement/mod.rs
@@ -8,9 +8,12 @@
 mod budget;
 mod call;
 mod driver;
+mod forecast;
 mod message;
+mod policy;
 pub mod run;
 mod service;
+mod set;
 #[cfg(test)]
 mod tests;
 mod view;
@@ -21,5 +24,7 @@
 pub use message::{
     CallAction, CallEvent, Demand, Outcome, PlaceJob, Placed, SERVICE_UNKNOWN, SeenLoad, ServerIndex, Verdict,
 };
-pub use view::{MAX_SERVERS, Policy, ServerSet, ServiceView};
+pub use policy::Policy;
+pub use set::ServerSet;
+pub use view::{MAX_SERVERS, ServiceView};
 pub use work::WorkEstimate;
--- a/valetrack/src/placement/service.rs
+++ b/valetrack/src/placement/service.rs
@@ -3,7 +3,8 @@
 use super::budget::ShareBudget;
 use super::call::{Budgets, CallRule};
 use super::message::ServerIndex;
-use super::view::{MAX_SERVERS, Policy, ServiceView};
+use super::policy::Policy;
+use super::view::{MAX_SERVERS, ServiceView};
 use crate::bundle::ServiceRule;
 use crate::member::Candidate;
 
--- a/valetrack/src/placement/view.rs
+++ b/valetrack/src/placement/view.rs
@@ -1,7 +1,10 @@
 //! An entry's view of the servers of one service, and the pick.
 
+use super::forecast::{Pace, worth};
 use super::message::{Demand, SeenLoad, ServerIndex};
-use crate::gate::{LoadReport, SLOWDOWN_LASTS_US, expected_run_us};
+use super::policy::Policy;
+use super::set::ServerSet;
+use crate::gate::{LoadReport, expected_run_us};
 
 /// Largest number of servers of one service that placement considers.
 pub const MAX_SERVERS: usize = 64;
@@ -31,18 +34,6 @@
 /// Every failed call of late adds this many service times to the score.
 const FAILURE_WEIGHT: f64 = 4.0;
 
-/// Spread of a call's time around what is expected, as a share of it: runs of one route differ by
-/// a third, and calls that a server makes on its own come on top.
-const EXPECTED_SPREAD: f64 = 0.18;
-/// What leaving the failure domain costs, as a share of an answer in time. Its bytes are paid for;
-/// a platform does not say how dearly, so this is what two kilobytes cost at a middling price.
-const FAR_COST: f64 = 0.3;
-/// What opening a link to another failure domain costs, as a share of an answer in time: some
-/// five kilobytes of handshake, of which later calls have their use too.
-const FIRST_COST: f64 = 0.05;
-/// What an answer at its objective is worth less than one at once, so that of servers that are all
-/// in time the faster one is taken.
-const SOONER_VALUE: f64 = 0.05;
 /// Values that differ by less count as equal.
 const TIE_VALUE: f64 = 0.01;
 /// A full server counts as slower by this share, so that calls spread before queues form.
@@ -50,91 +41,6 @@
 /// A server that fails every run counts as late by this many times what is left.
 const FAILING_WEIGHT: f64 = 2.0;
 
-/// A server is slow when it takes this many times its average.
-const SLOW_FACTOR: f64 = 1.2;
-
-/// How fast a server is now, by a report of some age.
-struct Pace {
-    /// Factor of a run now.
-    now: f64,
-    /// Factor of a run on average.
-    mean: f64,
-    /// How long the present factor is likely to go on, in microseconds.
-    lasts_us: f64,
-    /// What the report still says of the present, from one down to zero.
-    weight: f64,
-}
-
-impl Pace {
-    fn of(load: &LoadReport, age_us: u64) -> Self {
-        let factor = |percent: u16| if percent == 0 { 1.0 } else { f64::from(percent) / 100.0 };
-        let lasts_us = match load.slow_lasts_ms {
-            0 => SLOWDOWN_LASTS_US as f64,
-            lasts_ms => f64::from(lasts_ms) * 1000.0,
-        };
-        let mean = factor(load.mean_percent);
-        let weight = 0.5_f64.powf(age_us as f64 / lasts_us);
-        let now = factor(load.slowdown_percent) * weight + mean * (1.0 - weight);
-        Self { now, mean, lasts_us, weight }
-    }
-}
-
-/// Compact set of server indexes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct ServerSet(u64);
-
-impl ServerSet {
-    /// Adds a server.
-    pub fn insert(&mut self, server: ServerIndex) {
-        self.0 |= 1 << server;
-    }
-
-    /// Returns whether the server is in the set.
-    pub fn contains(self, server: ServerIndex) -> bool {
-        self.0 & (1 << server) != 0
-    }
-
-    /// Returns the number of servers in the set.
-    pub fn len(self) -> usize {
-        self.0.count_ones() as usize
-    }
-
-    /// Returns whether the set is empty.
-    pub fn is_empty(self) -> bool {
-        self.0 == 0
-    }
-}
-
-/// Which rule picks a server; all but [`Policy::Valetrack`] are baselines.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Policy {
-    /// Least expected time by carried load and own calls.
-    Valetrack,
-    /// Any server, evenly.
-    Random,
-    /// One after the other.
-    RoundRobin,
-    /// Least calls of this entry in flight.
-    LeastInFlight,
-    /// The better of two by the last report alone, however old.
-    TwoChoices,
-}
-
-impl std::str::FromStr for Policy {
-    type Err = ();
-
-    fn from_str(name: &str) -> Result<Self, ()> {
-        match name {
-            "valetrack" => Ok(Self::Valetrack),
-            "random" => Ok(Self::Random),
-            "round-robin" => Ok(Self::RoundRobin),
-            "least-in-flight" => Ok(Self::LeastInFlight),
-            "two-choices" => Ok(Self::TwoChoices),
-            _ => Err(()),
-        }
-    }
-}
-
 #[derive(Debug, Clone, Copy)]
 struct ServerView {
     /// Present in the roster; a slot of the view is free otherwise.
@@ -171,6 +77,13 @@
     probed_us: 0,
 };
 
+impl ServerView {
+    /// Returns the calls of other entries that a report told of.
+    fn seen_others(&self, load: &LoadReport) -> f64 {
+        (f64::from(load.in_flight) + f64::from(load.queued) - f64::from(self.outstanding_seen)).max(0.0)
+    }
+}
+
 /// What one entry knows of the servers of one service.
 #[derive(Debug, Clone)]
 pub struct ServiceView {
@@ -371,37 +284,26 @@
             return self.pick(excluded, now_us, rng);
         }
         self.used_us = Some(now_us);
-        let rotation = self.rotation(now_us);
-        let mut open = [0usize; MAX_SERVERS];
+        let (open, count) = self.open(excluded, now_us);
+        let open = &open[..count];
+        if open.is_empty() {
+            return None;
+        }
         let mut values = [f64::NEG_INFINITY; MAX_SERVERS];
-        let mut count = 0;
         let mut best = f64::NEG_INFINITY;
-        for server in 0..self.servers.len() {
-            if !rotation.contains(server) || excluded.contains(server) {
-                continue;
-            }
-            open[count] = server;
-            values[count] = self.value(server, demand, now_us);
-            best = best.max(values[count]);
-            count += 1;
-        }
-        if count == 0 {
-            return None;
+        for (at, &server) in open.iter().enumerate() {
+            values[at] = self.value(server, demand, now_us);
+            best = best.max(values[at]);
         }
-        Some(pick_where(&open[..count], rng, |at| values[at] >= best - TIE_VALUE))
+        Some(pick_where(open, rng, |at| values[at] >= best - TIE_VALUE))
     }
 
     /// Returns what a call with this demand is worth at a server, as a share of an answer in time:
     /// the chance that it is in time, less what the way there costs.
     fn value(&self, server: ServerIndex, demand: Demand, now_us: u64) -> f64 {
         let expected_us = self.demanded_us(server, demand, now_us).max(1.0);
-        let left_us = demand.left_us as f64;
-        let in_time = 1.0 / (1.0 + ((expected_us - left_us) / (expected_us * EXPECTED_SPREAD)).exp());
         let view = &self.servers[server];
-        let far = if view.far { FAR_COST } else { 0.0 };
-        // A server that was never asked has no link yet, and opening one crosses as bytes too.
-        let first = if view.far && view.seen.is_none() { FIRST_COST } else { 0.0 };
-        in_time - far - first - SOONER_VALUE * expected_us / left_us.max(1.0)
+        worth(expected_us, demand.left_us as f64, view.far, view.seen.is_none())
     }
 
     /// Returns the average factor of the servers that were heard of, in hundredths, for those that
@@ -423,11 +325,9 @@
         let pace = Pace::of(&load, age_us);
         let run_us = expected_run_us(demand.work_us.into(), pace.now, pace.mean, pace.lasts_us) as f64;
         let limit = f64::from(load.limit.max(1));
-        let seen_others =
-            (f64::from(load.in_flight) + f64::from(load.queued) - f64::from(view.outstanding_seen)).max(0.0);
-        let busy = f64::from(view.outstanding) + seen_others * pace.weight;
+        let busy = f64::from(view.outstanding) + view.seen_others(&load) * pace.weight;
         let service_us = f64::from(load.service_us);
-        let wait_us = (busy + 1.0 - limit).max(0.0) * service_us / limit;
+        let wait_us = wait_us(busy, limit, service_us);
         let spread_us = run_us * SPREAD_SHARE * (busy / limit).min(1.0);
         let failing = view.failure_share.max(f64::from(load.failing_percent) / 100.0);
         let failure_us = failing * FAILING_WEIGHT * demand.left_us as f64;
@@ -440,22 +340,14 @@
         let seen = self.servers.get(server).and_then(|view| view.seen);
         seen.is_some_and(|seen| {
             let pace = Pace::of(&seen.load, now_us.saturating_sub(seen.seen_us));
-            pace.now > pace.mean * SLOW_FACTOR
+            pace.is_slow()
         })
     }
 
     /// Picks a server outside `excluded`, if there is one in rotation.
     pub fn pick(&mut self, excluded: ServerSet, now_us: u64, rng: &mut fastrand::Rng) -> Option<ServerIndex> {
         self.used_us = Some(now_us);
-        let rotation = self.rotation(now_us);
-        let mut open = [0usize; MAX_SERVERS];
-        let mut count = 0;
-        for server in 0..self.servers.len() {
-            if rotation.contains(server) && !excluded.contains(server) {
-                open[count] = server;
-                count += 1;
-            }
-        }
+        let (open, count) = self.open(excluded, now_us);
         let open = &open[..count];
         if open.is_empty() {
             return None;
@@ -469,6 +361,21 @@
         })
     }
 
+    /// Returns the servers in rotation outside `excluded`, and how many they are; nothing is
+    /// allocated for them.
+    fn open(&self, excluded: ServerSet, now_us: u64) -> ([ServerIndex; MAX_SERVERS], usize) {
+        let rotation = self.rotation(now_us);
+        let mut open = [0; MAX_SERVERS];
+        let mut count = 0;
+        for server in 0..self.servers.len() {
+            if rotation.contains(server) && !excluded.contains(server) {
+                open[count] = server;
+                count += 1;
+            }
+        }
+        (open, count)
+    }
+
     /// Returns the expected time of a call sent now, in microseconds.
     pub fn expected_us(&self, server: ServerIndex, now_us: u64) -> f64 {
         let view = &self.servers[server];
@@ -478,12 +385,10 @@
         };
         let service_us = f64::from(load.service_us);
         let limit = f64::from(load.limit.max(1));
-        let seen_others =
-            (f64::from(load.in_flight) + f64::from(load.queued) - f64::from(view.outstanding_seen)).max(0.0);
         let weight = 0.5_f64.powf(age_us as f64 / HALF_LIFE_US as f64);
         let own = f64::from(view.outstanding);
-        let busy = own + seen_others * weight;
-        let wait_us = (busy + 1.0 - limit).max(0.0) * service_us / limit;
+        let busy = own + view.seen_others(&load) * weight;
+        let wait_us = wait_us(busy, limit, service_us);
         let spread_us = service_us * busy / limit;
         let stall_us = if load.stalled { STALL_PENALTY_US * weight } else { 0.0 };
         let failure_us = view.failure_share * FAILURE_WEIGHT * service_us.max(f64::from(FIRST_SERVICE_US));
@@ -521,6 +426,11 @@
     }
 }
 
+/// Returns how long a call waits for a slot where so many calls are busy, in microseconds.
+fn wait_us(busy: f64, limit: f64, service_us: f64) -> f64 {
+    (busy + 1.0 - limit).max(0.0) * service_us / limit
+}
+
 /// Picks evenly among the places for which `fits` holds; at least one must.
 fn pick_where(open: &[ServerIndex], rng: &mut fastrand::Rng, fits: impl Fn(usize) -> bool) -> ServerIndex {
     let count = (0..open.len()).filter(|&at| fits(at)).count();
