--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -1,6 +1,9 @@
 //! The member thread on a platform whose store has leases: the own entry, the view of the others,
 //! and the operators' bundle.
 
+mod follow;
+mod keep;
+
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,38 +12,24 @@
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
 use tokio::sync::{Notify, watch};
-use tokio::time::{sleep, timeout};
 
-use super::directory::{Directory, ENTRY_PREFIX, entry_key};
-use super::lease::{EntryKeeper, EntryStep};
+use super::directory::{Directory, ENTRY_PREFIX};
+use super::lease::EntryKeeper;
 use super::message::{Member, MemberJob, Phase};
 use super::run::phase_label;
 use super::state::Members;
-use crate::bundle::{Adopter, BundleFormat, version_of};
+use crate::bundle::{Adopter, BundleFormat};
 use crate::clock::now_us;
-use crate::code::Code;
 use crate::gate::{UpstreamPhase, UpstreamState};
 use crate::link::message::{Ask, Question, Reply};
 use crate::link::peer::{self, LinkJob, LinkResult, Target};
 use crate::metric::Metrics;
-use crate::store::{Change, Committed, Item, LeaseStore, LeasedWrite, StoreError};
+use crate::store::LeaseStore;
 
 /// Longest wait of one call for changes, in milliseconds: the platform allows 30 seconds.
 const WATCH_MS: u64 = 25_000;
-/// Pause between two calls for changes, in milliseconds: changes that come together, as when a
-/// fleet starts, are then read in one call, since each call of each node is paid for. An operator's
-/// change may take two seconds to be in force.
-const GATHER_MS: u64 = 800;
-/// Pause before a store that failed is read again by a node that has no entry in it yet, in
-/// milliseconds.
-const REREAD_MS: u64 = 400;
-/// The same for a node that has one, in milliseconds: its renewals, which cost less than reads, tell
-/// sooner when the store answers again.
-const REREAD_KEPT_MS: u64 = 3_000;
 /// Time limit of one question to another node, in milliseconds.
 const ASK_MS: u64 = 400;
-/// Time that ending the lease may take when the node stops, in milliseconds.
-const END_MS: u64 = 300;
 
 /// What the member thread is joined to.
 pub struct LeasedParts {
@@ -204,235 +193,6 @@
         self.parts.members.send_replace(Arc::new(members));
     }
 
-    /// Reads the store whole, then follows its changes; runs as long as the node.
-    async fn follow_store(self: Rc<Self>) {
-        loop {
-            match self.read_all().await {
-                Ok(revision) => self.follow_changes(revision).await,
-                Err(error) => {
-                    self.store_failed("read", &error);
-                    let longest_ms = if self.keeper.borrow().wanted() == 0 { REREAD_MS } else { REREAD_KEPT_MS };
-                    let pause_ms = self.rng.borrow_mut().u64(longest_ms / 2..=longest_ms);
-                    // Woken or not, the store is read again.
-                    let _ = timeout(Duration::from_millis(pause_ms), self.reread.notified()).await;
-                }
-            }
-        }
-    }
-
-    async fn read_all(&self) -> Result<u64, StoreError> {
-        let mut items: Vec<Item> = Vec::new();
-        let mut at_revision = None;
-        loop {
-            let after = items.last().map(|item| item.key.clone());
-            self.count("list");
-            let page = self.parts.store.list("", after.as_deref()).await?;
-            // Pages are no snapshot: changes are followed from the first one on.
-            at_revision.get_or_insert(page.at_revision);
-            let last = page.items.is_empty() || !page.has_more;
-            items.extend(page.items);
-            if last {
-                break;
-            }
-        }
-        self.store_answered();
-        self.take_items(&items);
-        Ok(at_revision.unwrap_or(0))
-    }
-
-    fn take_items(&self, items: &[Item]) {
-        let key = entry_key(&self.parts.me.vm);
-        let own = items.iter().find(|item| item.key == key);
-        self.own_entry_seen(own.map_or(0, |item| item.revision), own.is_some());
-        for item in items.iter().filter(|item| item.key == *self.parts.bundle_key) {
-            self.take_bundle(item);
-        }
-        self.directory.borrow_mut().replace(items, now_us());
-        self.publish();
-    }
-
-    /// Follows changes after a revision until the store fails or has forgotten them.
-    async fn follow_changes(&self, mut revision: u64) {
-        loop {
-            self.count("watch");
-            let wait = Duration::from_millis(self.wait_ms());
-            let changes = tokio::select! {
-                changes = self.parts.store.changes("", revision, wait) => changes,
-                // The store was away; a call from before may hang for good.
-                () = self.reread.notified() => return,
-            };
-            match changes {
-                Ok(changes) => {
-                    self.store_answered();
-                    revision = changes.at_revision.max(revision);
-                    self.take_changes(&changes.changes);
-                    if !changes.changes.is_empty() {
-                        sleep(Duration::from_millis(GATHER_MS)).await;
-                    }
-                }
-                Err(error) => {
-                    self.store_failed("watch", &error);
-                    return;
-                }
-            }
-        }
-    }
-
-    /// Returns how long a call for changes waits: no longer than until an entry that is missing
-    /// is to be forgotten.
-    fn wait_ms(&self) -> u64 {
-        let next_us = self.directory.borrow().next_expiry_us();
-        let until_ms = next_us.map_or(WATCH_MS, |next_us| next_us.saturating_sub(now_us()) / 1000 + 10);
-        until_ms.clamp(10, WATCH_MS)
-    }
-
-    fn take_changes(&self, changes: &[Change]) {
-        let own = entry_key(&self.parts.me.vm);
-        let mut changed = false;
-        for change in changes {
-            match change {
-                Change::Put(item) if item.key == own => self.own_entry_seen(item.revision, true),
-                Change::Gone { key, revision } if *key == own => self.own_entry_seen(*revision, false),
-                Change::Put(item) if item.key == *self.parts.bundle_key => self.take_bundle(item),
-                Change::Put(_) | Change::Gone { .. } => {
-                    changed |= self.directory.borrow_mut().apply(change, now_us());
-                }
-            }
-        }
-        for vm in self.directory.borrow_mut().expire(now_us()) {
-            log::info!("event=member.gone peer={vm} by=store");
-            changed = true;
-        }
-        if changed {
-            self.publish();
-        }
-    }
-
-    fn own_entry_seen(&self, revision: u64, present: bool) {
-        self.keeper.borrow_mut().seen(revision, present);
-        if !present {
-            self.entry_due.notify_one();
-        }
-    }
-
-    fn take_bundle(&self, item: &Item) {
-        let text = match std::str::from_utf8(&item.value) {
-            Ok(text) => text,
-            Err(error) => {
-                log::error!("event=bundle.refused code={} reason=\"{error}\"", Code::BundleDamaged);
-                return;
-            }
-        };
-        match self.parts.format.number(text) {
-            Some(number) => self.adopter.offer(number, &version_of(text), text, "store"),
-            None => log::error!("event=bundle.refused code={} reason=\"no number\"", Code::BundleDamaged),
-        }
-    }
-
-    fn store_answered(&self) {
-        if self.store_answers.replace(true) {
-            return;
-        }
-        log::info!("event=store.answers");
-        self.directory.borrow_mut().store_is_back(now_us());
-        self.keeper.borrow_mut().store_is_back();
-        self.entry_due.notify_one();
-    }
-
-    fn store_failed(&self, call: &str, error: &StoreError) {
-        self.parts.metrics.store_calls.with_label_values(&["failed"]).inc();
-        if *error == StoreError::HistoryGone {
-            log::info!("event=store.history_gone code={}", error.code());
-        } else if self.store_answers.replace(false) {
-            // Told once an outage: a store that is down would fill the log.
-            log::warn!("event=store.lost call={call} code={} reason=\"{error}\"", error.code());
-        }
-    }
-
-    fn count(&self, kind: &str) {
-        self.parts.metrics.store_calls.with_label_values(&[kind]).inc();
-    }
-
-    /// Keeps the own entry in the store; runs as long as the node.
-    async fn keep_entry(self: Rc<Self>) {
-        loop {
-            let step = self.keeper.borrow().next(now_us());
-            let until_us = match step {
-                // Nothing was to be said yet.
-                _ if self.keeper.borrow().wanted() == 0 => u64::MAX,
-                EntryStep::Wait { until_us } => until_us,
-                EntryStep::Grant | EntryStep::Write { .. } | EntryStep::Renew { .. } => {
-                    self.step(step).await;
-                    continue;
-                }
-            };
-            let pause = Duration::from_micros(until_us.saturating_sub(now_us()).min(WATCH_MS * 1000));
-            // Woken or not, the keeper is asked again.
-            let _ = timeout(pause, self.entry_due.notified()).await;
-        }
-    }
-
-    async fn step(&self, step: EntryStep) {
-        let sent_us = now_us();
-        let store = &self.parts.store;
-        let ended = match step {
-            EntryStep::Grant => {
-                self.count("grant");
-                store.grant(self.parts.lease_ms).await.map(|lease| self.keeper.borrow_mut().granted(lease, sent_us))
-            }
-            EntryStep::Renew { lease } => {
-                self.count("renew");
-                store.renew(lease).await.map(|()| self.keeper.borrow_mut().renewed(sent_us))
-            }
-            EntryStep::Write { lease, expected } => self.write(lease, expected).await,
-            EntryStep::Wait { .. } => Ok(()),
-        };
-        let was_away = !self.store_answers.get();
-        match ended {
-            Ok(()) => {
-                self.store_answered();
-                self.reread_after(was_away);
-            }
-            Err(StoreError::LeaseOver) => {
-                log::info!("event=member.lease_over code={}", Code::LeaseOver);
-                self.store_answered();
-                self.reread_after(was_away);
-                self.keeper.borrow_mut().lease_over();
-            }
-            Err(error) => {
-                self.store_failed("entry", &error);
-                self.keeper.borrow_mut().failed(now_us(), &mut self.rng.borrow_mut());
-            }
-        }
-    }
-
-    /// Has the store read again when a call for the own entry shows that it is back: a call for
-    /// changes from before may hang for good.
-    fn reread_after(&self, was_away: bool) {
-        if was_away {
-            self.reread.notify_one();
-        }
-    }
-
-    async fn write(&self, lease: u64, expected: u64) -> Result<(), StoreError> {
-        let version = self.keeper.borrow().wanted();
-        let me = self.me.borrow().clone();
-        let value = serde_json::to_vec(&me).map_err(|error| StoreError::Invalid { reason: error.to_string() })?;
-        let write = LeasedWrite { key: entry_key(&me.vm), expected, value, lease };
-        self.count("write");
-        match self.parts.store.commit(&write).await? {
-            Committed::At(revision) => {
-                log::info!(
-                    "event=member.entry_written phase={} revision={revision} lease={lease}",
-                    phase_label(me.phase)
-                );
-                self.keeper.borrow_mut().wrote(version, revision);
-            }
-            Committed::Conflict(revision) => self.keeper.borrow_mut().conflicted(revision),
-        }
-        Ok(())
-    }
-
     /// Follows the upstream and this node's own stages, and says what changes.
     async fn follow_phase(self: Rc<Self>) {
         let mut upstream = self.parts.upstream.clone();
@@ -480,23 +240,4 @@
             self.entry_due.notify_one();
         }
     }
-
-    /// Takes the own entry back when the node is about to exit.
-    async fn withdraw(self: Rc<Self>) {
-        let mut gone = self.parts.gone.clone();
-        if gone.wait_for(|gone| *gone).await.is_err() {
-            return;
-        }
-        let lease = self.keeper.borrow().lease();
-        if let Some(lease) = lease.filter(|_| self.store_answers.get()) {
-            self.count("end");
-            match timeout(Duration::from_millis(END_MS), self.parts.store.end(lease)).await {
-                Ok(Ok(())) => {}
-                // The lease runs out by itself.
-                Ok(Err(error)) => log::warn!("event=member.lease_not_ended code={} reason=\"{error}\"", error.code()),
-                Err(_) => log::warn!("event=member.lease_not_ended reason=\"time limit\""),
-            }
-        }
-        self.parts.farewell.send_replace(true);
-    }
 }
--- /dev/null
+++ b/valetrack/src/member/leased/follow.rs
@@ -0,0 +1,175 @@
+//! Follows the store: reads it whole, then its changes, and notes when it stops answering.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::{sleep, timeout};
+
+use super::{Shell, WATCH_MS};
+use crate::bundle::version_of;
+use crate::clock::now_us;
+use crate::code::Code;
+use crate::member::entry_key;
+use crate::store::{Change, Item, StoreError};
+
+/// Pause between two calls for changes, in milliseconds: changes that come together, as when a
+/// fleet starts, are then read in one call, since each call of each node is paid for. An operator's
+/// change may take two seconds to be in force.
+const GATHER_MS: u64 = 800;
+/// Pause before a store that failed is read again by a node that has no entry in it yet, in
+/// milliseconds.
+const REREAD_MS: u64 = 400;
+/// The same for a node that has one, in milliseconds: its renewals, which cost less than reads, tell
+/// sooner when the store answers again.
+const REREAD_KEPT_MS: u64 = 3_000;
+
+impl Shell {
+    /// Reads the store whole, then follows its changes; runs as long as the node.
+    pub(super) async fn follow_store(self: Rc<Self>) {
+        loop {
+            match self.read_all().await {
+                Ok(revision) => self.follow_changes(revision).await,
+                Err(error) => {
+                    self.store_failed("read", &error);
+                    let longest_ms = if self.keeper.borrow().wanted() == 0 { REREAD_MS } else { REREAD_KEPT_MS };
+                    let pause_ms = self.rng.borrow_mut().u64(longest_ms / 2..=longest_ms);
+                    // Woken or not, the store is read again.
+                    let _ = timeout(Duration::from_millis(pause_ms), self.reread.notified()).await;
+                }
+            }
+        }
+    }
+
+    async fn read_all(&self) -> Result<u64, StoreError> {
+        let mut items: Vec<Item> = Vec::new();
+        let mut at_revision = None;
+        loop {
+            let after = items.last().map(|item| item.key.clone());
+            self.count("list");
+            let page = self.parts.store.list("", after.as_deref()).await?;
+            // Pages are no snapshot: changes are followed from the first one on.
+            at_revision.get_or_insert(page.at_revision);
+            let last = page.items.is_empty() || !page.has_more;
+            items.extend(page.items);
+            if last {
+                break;
+            }
+        }
+        self.store_answered();
+        self.take_items(&items);
+        Ok(at_revision.unwrap_or(0))
+    }
+
+    fn take_items(&self, items: &[Item]) {
+        let key = entry_key(&self.parts.me.vm);
+        let own = items.iter().find(|item| item.key == key);
+        self.own_entry_seen(own.map_or(0, |item| item.revision), own.is_some());
+        for item in items.iter().filter(|item| item.key == *self.parts.bundle_key) {
+            self.take_bundle(item);
+        }
+        self.directory.borrow_mut().replace(items, now_us());
+        self.publish();
+    }
+
+    /// Follows changes after a revision until the store fails or has forgotten them.
+    async fn follow_changes(&self, mut revision: u64) {
+        loop {
+            self.count("watch");
+            let wait = Duration::from_millis(self.wait_ms());
+            let changes = tokio::select! {
+                changes = self.parts.store.changes("", revision, wait) => changes,
+                // The store was away; a call from before may hang for good.
+                () = self.reread.notified() => return,
+            };
+            match changes {
+                Ok(changes) => {
+                    self.store_answered();
+                    revision = changes.at_revision.max(revision);
+                    self.take_changes(&changes.changes);
+                    if !changes.changes.is_empty() {
+                        sleep(Duration::from_millis(GATHER_MS)).await;
+                    }
+                }
+                Err(error) => {
+                    self.store_failed("watch", &error);
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Returns how long a call for changes waits: no longer than until an entry that is missing
+    /// is to be forgotten.
+    fn wait_ms(&self) -> u64 {
+        let next_us = self.directory.borrow().next_expiry_us();
+        let until_ms = next_us.map_or(WATCH_MS, |next_us| next_us.saturating_sub(now_us()) / 1000 + 10);
+        until_ms.clamp(10, WATCH_MS)
+    }
+
+    fn take_changes(&self, changes: &[Change]) {
+        let own = entry_key(&self.parts.me.vm);
+        let mut changed = false;
+        for change in changes {
+            match change {
+                Change::Put(item) if item.key == own => self.own_entry_seen(item.revision, true),
+                Change::Gone { key, revision } if *key == own => self.own_entry_seen(*revision, false),
+                Change::Put(item) if item.key == *self.parts.bundle_key => self.take_bundle(item),
+                Change::Put(_) | Change::Gone { .. } => {
+                    changed |= self.directory.borrow_mut().apply(change, now_us());
+                }
+            }
+        }
+        for vm in self.directory.borrow_mut().expire(now_us()) {
+            log::info!("event=member.gone peer={vm} by=store");
+            changed = true;
+        }
+        if changed {
+            self.publish();
+        }
+    }
+
+    fn own_entry_seen(&self, revision: u64, present: bool) {
+        self.keeper.borrow_mut().seen(revision, present);
+        if !present {
+            self.entry_due.notify_one();
+        }
+    }
+
+    fn take_bundle(&self, item: &Item) {
+        let text = match std::str::from_utf8(&item.value) {
+            Ok(text) => text,
+            Err(error) => {
+                log::error!("event=bundle.refused code={} reason=\"{error}\"", Code::BundleDamaged);
+                return;
+            }
+        };
+        match self.parts.format.number(text) {
+            Some(number) => self.adopter.offer(number, &version_of(text), text, "store"),
+            None => log::error!("event=bundle.refused code={} reason=\"no number\"", Code::BundleDamaged),
+        }
+    }
+
+    pub(super) fn store_answered(&self) {
+        if self.store_answers.replace(true) {
+            return;
+        }
+        log::info!("event=store.answers");
+        self.directory.borrow_mut().store_is_back(now_us());
+        self.keeper.borrow_mut().store_is_back();
+        self.entry_due.notify_one();
+    }
+
+    pub(super) fn store_failed(&self, call: &str, error: &StoreError) {
+        self.parts.metrics.store_calls.with_label_values(&["failed"]).inc();
+        if *error == StoreError::HistoryGone {
+            log::info!("event=store.history_gone code={}", error.code());
+        } else if self.store_answers.replace(false) {
+            // Told once an outage: a store that is down would fill the log.
+            log::warn!("event=store.lost call={call} code={} reason=\"{error}\"", error.code());
+        }
+    }
+
+    pub(super) fn count(&self, kind: &str) {
+        self.parts.metrics.store_calls.with_label_values(&[kind]).inc();
+    }
+}
