Node split by duty; stages, parts and the caller listener by the field's names

The member thread's adopter is made in one place.

Why: the names were images of our own; assembly, leaving and listening had one file.

Behaviour unchanged; the listener gets its placer beside its parts, since it alone lives in one thread.

--- a/valetrack/src/caller/answer.rs
+++ b/valetrack/src/caller/answer.rs
@@ -40,7 +40,7 @@
     }
 }
 
-/// Makes the answer to a call that was refused at the door.
+/// Makes the answer to a call that was refused by the listener.
 pub fn of_rejection(rejection: Rejection, call_id: &str) -> Answer {
     let mut answer = line(Outcome::NotRun, rejection.code, rejection.status, 0, call_id);
     if matches!(rejection.code, Code::NoBundle | Code::Overloaded) {
--- a/valetrack/src/caller/mod.rs
+++ b/valetrack/src/caller/mod.rs
@@ -1,4 +1,4 @@
-//! The HTTP door: callers' requests, their service, limits and ids, and whole answers.
+//! The listener for callers over HTTP: their requests, their service, limits and ids, and whole answers.
 //!
 //! Contract: a caller gets the whole answer to its own request or a numbered one-line body that
 //! says whether the work ran; a call that was given up is answered at once.
@@ -13,4 +13,4 @@
 
 pub use answer::{Answer, CALL_HEADER, CODE_HEADER, OUTCOME_HEADER, RETRY_HEADER};
 pub use protocol::{CallerProtocol, NativeCaller, ReadContext};
-pub use request::{DEADLINE_HEADER, DEPTH_HEADER, DoorCall, KEY_HEADER, Rejection, SERVICE_HEADER};
+pub use request::{DEADLINE_HEADER, DEPTH_HEADER, IncomingCall, KEY_HEADER, Rejection, SERVICE_HEADER};
--- a/valetrack/src/caller/protocol.rs
+++ b/valetrack/src/caller/protocol.rs
@@ -5,7 +5,7 @@
 use hyper::http::request::Parts;
 
 use super::answer::{self, Answer};
-use super::request::{self, DoorCall, Rejection};
+use super::request::{self, IncomingCall, Rejection};
 use crate::bundle::{Bundle, HostRoute};
 use crate::placement::Placed;
 
@@ -26,7 +26,7 @@
     /// # Errors
     ///
     /// Returns why the request is refused.
-    fn read(&self, parts: &Parts, cx: &ReadContext<'_>) -> Result<DoorCall, Rejection>;
+    fn read(&self, parts: &Parts, cx: &ReadContext<'_>) -> Result<IncomingCall, Rejection>;
 
     /// Makes the answer to a call that was placed.
     fn of_placed(&self, placed: Placed, call_id: &str) -> Answer;
@@ -40,7 +40,7 @@
 pub struct NativeCaller;
 
 impl CallerProtocol for NativeCaller {
-    fn read(&self, parts: &Parts, cx: &ReadContext<'_>) -> Result<DoorCall, Rejection> {
+    fn read(&self, parts: &Parts, cx: &ReadContext<'_>) -> Result<IncomingCall, Rejection> {
         request::read(parts, cx.bundle, cx.new_id)
     }
 
--- a/valetrack/src/caller/request.rs
+++ b/valetrack/src/caller/request.rs
@@ -35,9 +35,9 @@
     pub status: u16,
 }
 
-/// What the door knows of a call once its head is read.
+/// What the listener knows of a call once its head is read.
 #[derive(Debug, Clone)]
-pub struct DoorCall {
+pub struct IncomingCall {
     /// The head as it goes to owners; the length of its body is not known yet.
     pub head: CallHead,
     /// Whether the work may run more than once.
@@ -57,7 +57,7 @@
 /// # Errors
 ///
 /// Returns why the request is refused.
-pub fn read(parts: &Parts, bundle: &Bundle, new_id: &dyn Fn() -> String) -> Result<DoorCall, Rejection> {
+pub fn read(parts: &Parts, bundle: &Bundle, new_id: &dyn Fn() -> String) -> Result<IncomingCall, Rejection> {
     let headers = &parts.headers;
     let rule = service(parts, bundle).ok_or(reject(Code::ServiceUnknown, 404))?;
     let depth = number(headers, DEPTH_HEADER)?.unwrap_or(0);
@@ -97,7 +97,7 @@
         key: key.filter(|_| !repeatable).map(Arc::from),
         hlc: 0,
     };
-    Ok(DoorCall { head, repeatable, request_cap_bytes: rule.request_cap_bytes as usize, attempts_max: None })
+    Ok(IncomingCall { head, repeatable, request_cap_bytes: rule.request_cap_bytes as usize, attempts_max: None })
 }
 
 /// Headers that each hop writes anew.
--- a/valetrack/src/caller/run.rs
+++ b/valetrack/src/caller/run.rs
@@ -1,4 +1,4 @@
-//! The door's thread: callers' connections, and placement of their calls.
+//! Shell of the caller listener: callers' connections, and placement of their calls.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -22,7 +22,7 @@
 use super::answer::{self, Answer};
 use super::keyed::KeyedRouter;
 use super::protocol::{CallerProtocol, ReadContext};
-use super::request::{DoorCall, Rejection};
+use super::request::{IncomingCall, Rejection};
 use crate::bundle::{HostRoute, SplitPicker};
 use crate::code::Code;
 use crate::link::message::CallHead;
@@ -39,12 +39,8 @@
 /// How long a quiet connection may stay when the node leaves, in milliseconds.
 const QUIET_MS: u64 = 500;
 
-/// What the door is joined to.
-pub struct DoorParts {
-    /// Placement.
-    pub placer: Rc<Placer>,
-    /// Calls with keys.
-    pub keyed: KeyedRouter,
+/// What the caller listener is joined to.
+pub struct ListenerParts {
     /// Calls of claims that are to be placed.
     pub jobs: Receiver<PlaceJob>,
     /// How this node speaks with its callers.
@@ -61,14 +57,17 @@
     pub body_limit: Duration,
     /// Turns true when this node leaves.
     pub leaving: watch::Receiver<bool>,
-    /// Turns true when the door is to close.
+    /// Turns true when the listener is to close.
     pub closing: watch::Receiver<bool>,
     /// Told when no caller is connected any more after leaving has begun.
     pub emptied: watch::Sender<bool>,
 }
 
-struct Door {
-    parts: DoorParts,
+struct CallerListener {
+    placer: Rc<Placer>,
+    /// Calls with keys.
+    keyed: KeyedRouter,
+    parts: ListenerParts,
     connections: Cell<usize>,
     /// Calls that have no answer yet.
     open_calls: Cell<usize>,
@@ -82,26 +81,32 @@
 }
 
 /// Serves callers until told to close; must run on a local task set.
-pub async fn run(listener: TcpListener, parts: DoorParts) {
+pub async fn run(socket: TcpListener, placer: Rc<Placer>, keyed: KeyedRouter, parts: ListenerParts) {
     let mut closing = parts.closing.clone();
     let splits = Splits { pickers: HashMap::new(), rng: fastrand::Rng::with_seed(parts.seed) };
-    let door =
-        Rc::new(Door { parts, connections: Cell::new(0), open_calls: Cell::new(0), splits: RefCell::new(splits) });
+    let listener = Rc::new(CallerListener {
+        placer,
+        keyed,
+        parts,
+        connections: Cell::new(0),
+        open_calls: Cell::new(0),
+        splits: RefCell::new(splits),
+    });
     let mut duties = tokio::task::JoinSet::new();
-    duties.spawn_local(door.parts.placer.clone().follow());
-    duties.spawn_local(door.parts.placer.clone().probe());
-    duties.spawn_local(door.clone().place_jobs());
-    duties.spawn_local(door.clone().watch_emptied());
+    duties.spawn_local(listener.placer.clone().follow());
+    duties.spawn_local(listener.placer.clone().probe());
+    duties.spawn_local(listener.clone().place_jobs());
+    duties.spawn_local(listener.clone().watch_emptied());
     loop {
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            accepted = socket.accept() => accepted,
             _ = closing.wait_for(|closing| *closing) => break,
         };
         match accepted {
-            Ok((stream, _)) if door.connections.get() < CONNECTIONS_MAX => {
-                tokio::task::spawn_local(door.clone().serve(stream));
+            Ok((stream, _)) if listener.connections.get() < CONNECTIONS_MAX => {
+                tokio::task::spawn_local(listener.clone().serve(stream));
             }
-            Ok(_) => door.parts.placer.metrics.bad_calls.inc(),
+            Ok(_) => listener.placer.metrics.bad_calls.inc(),
             // Out of descriptors, say: a short pause lets some close.
             Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
         }
@@ -109,12 +114,12 @@
     duties.shutdown().await;
 }
 
-impl Door {
+impl CallerListener {
     async fn place_jobs(self: Rc<Self>) {
         while let Ok(job) = self.parts.jobs.recv().await {
-            let door = self.clone();
+            let listener = self.clone();
             tokio::task::spawn_local(async move {
-                let placed = door.place_on_route(job.head, job.body, job.repeatable, None).await;
+                let placed = listener.place_on_route(job.head, job.body, job.repeatable, None).await;
                 let _ = job.reply.send(placed);
             });
         }
@@ -142,8 +147,8 @@
             .header_read_timeout(self.parts.head_limit)
             .max_buf_size(HEAD_MAX_BYTES);
         builder.http2().timer(TokioTimer::new()).max_header_list_size(HEAD_MAX_BYTES as u32);
-        let door = self.clone();
-        let service = service_fn(move |request| door.clone().answer(request));
+        let listener = self.clone();
+        let service = service_fn(move |request| listener.clone().answer(request));
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
         let mut leaving = self.parts.leaving.clone();
@@ -160,7 +165,7 @@
             }
         };
         if ended.is_err() {
-            self.parts.placer.metrics.bad_calls.inc();
+            self.placer.metrics.bad_calls.inc();
         }
         self.connections.set(self.connections.get() - 1);
     }
@@ -169,7 +174,7 @@
         let _open = OpenCall::new(self.clone());
         let began = Instant::now();
         let mut answer = self.clone().handle(request).await;
-        let metrics = &self.parts.placer.metrics;
+        let metrics = &self.placer.metrics;
         metrics.call_seconds.observe(began.elapsed().as_secs_f64());
         let outcome = answer.headers().get(answer::OUTCOME_HEADER).and_then(|value| value.to_str().ok());
         metrics.calls.with_label_values(&[outcome.unwrap_or("unknown")]).inc();
@@ -185,7 +190,7 @@
             return self.reject(Rejection { code: Code::Overloaded, status: 503 }, "-");
         }
         let (parts, body) = request.into_parts();
-        let placer = &self.parts.placer;
+        let placer = &self.placer;
         let in_force = placer.bundle.borrow().clone();
         let Some(in_force) = in_force else {
             return self.reject(Rejection { code: Code::NoBundle, status: 503 }, "-");
@@ -195,7 +200,7 @@
             new_id: &|| placer.next_attempt().to_string(),
             choose: &|route| self.choose(route),
         };
-        let DoorCall { mut head, repeatable, request_cap_bytes, attempts_max } =
+        let IncomingCall { mut head, repeatable, request_cap_bytes, attempts_max } =
             match self.parts.protocol.read(&parts, &cx) {
                 Ok(call) => call,
                 Err(rejection) => {
@@ -216,7 +221,7 @@
         let (route, service) = (head.route.clone(), head.service.clone());
         log::debug!("event=call.begin call={call_id} service={}", head.service);
         let placed = if head.key.is_some() {
-            self.parts.keyed.press(head, body).await
+            self.keyed.press(head, body).await
         } else {
             self.place_on_route(head, body, repeatable, attempts_max).await
         };
@@ -237,7 +242,7 @@
     }
 
     async fn place_on_route(&self, head: CallHead, body: Bytes, repeatable: bool, attempts_max: Option<u8>) -> Placed {
-        let placer = &self.parts.placer;
+        let placer = &self.placer;
         let Some(mut rule) = placer.rule(&head.service, repeatable, attempts_max) else {
             return Placed::Verdict(SERVICE_UNKNOWN);
         };
@@ -301,12 +306,12 @@
 }
 
 /// Counts a call as open until it is dropped, since a caller may go away in the middle.
-struct OpenCall(Rc<Door>);
+struct OpenCall(Rc<CallerListener>);
 
 impl OpenCall {
-    fn new(door: Rc<Door>) -> Self {
-        door.open_calls.set(door.open_calls.get() + 1);
-        Self(door)
+    fn new(listener: Rc<CallerListener>) -> Self {
+        listener.open_calls.set(listener.open_calls.get() + 1);
+        Self(listener)
     }
 }
 
@@ -316,7 +321,7 @@
     }
 }
 
-/// Runs a connection's tasks on the door's own thread.
+/// Runs a connection's tasks on the listener's own thread.
 #[derive(Debug, Clone, Copy)]
 struct LocalExecutor;
 
--- a/valetrack/src/caller/tests.rs
+++ b/valetrack/src/caller/tests.rs
@@ -3,7 +3,7 @@
 use hyper::Request;
 use test_case::test_case;
 
-use super::request::{self, DoorCall, Rejection};
+use super::request::{self, IncomingCall, Rejection};
 use crate::bundle::{Bundle, check};
 use crate::code::Code;
 
@@ -23,7 +23,7 @@
     check(BUNDLE).expect("no faults")
 }
 
-fn read(method: &str, path: &str, headers: &[(&str, &str)]) -> Result<DoorCall, Rejection> {
+fn read(method: &str, path: &str, headers: &[(&str, &str)]) -> Result<IncomingCall, Rejection> {
     let mut request = Request::builder().method(method).uri(path);
     for (name, value) in headers {
         request = request.header(*name, *value);
--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -56,9 +56,9 @@
     /// Turns true when this node leaves.
     pub leaving: watch::Receiver<bool>,
     /// Turns true when this node is about to exit.
-    pub gone: watch::Receiver<bool>,
+    pub exiting: watch::Receiver<bool>,
     /// Told when the entry is withdrawn.
-    pub farewell: watch::Sender<bool>,
+    pub departed: watch::Sender<bool>,
     /// Turns true when the thread is to end.
     pub closing: watch::Receiver<bool>,
     /// Metrics.
--- a/valetrack/src/member/leased/keep.rs
+++ b/valetrack/src/member/leased/keep.rs
@@ -98,8 +98,8 @@
 
     /// Takes the own entry back when the node is about to exit.
     pub(super) async fn withdraw(self: Rc<Self>) {
-        let mut gone = self.parts.gone.clone();
-        if gone.wait_for(|gone| *gone).await.is_err() {
+        let mut exiting = self.parts.exiting.clone();
+        if exiting.wait_for(|exiting| *exiting).await.is_err() {
             return;
         }
         let lease = self.keeper.borrow().lease();
@@ -112,6 +112,6 @@
                 Err(_) => log::warn!("event=member.lease_not_ended reason=\"time limit\""),
             }
         }
-        self.parts.farewell.send_replace(true);
+        self.parts.departed.send_replace(true);
     }
 }
--- a/valetrack/src/member/run.rs
+++ b/valetrack/src/member/run.rs
@@ -49,9 +49,9 @@
     /// Turns true when this node leaves.
     pub leaving: watch::Receiver<bool>,
     /// Turns true when this node is about to exit.
-    pub gone: watch::Receiver<bool>,
+    pub exiting: watch::Receiver<bool>,
     /// Told when the last exchange is over.
-    pub farewell: watch::Sender<bool>,
+    pub departed: watch::Sender<bool>,
     /// Turns true when the thread is to end.
     pub closing: watch::Receiver<bool>,
     /// Told when the platform's list says that this VM leaves.
@@ -266,7 +266,7 @@
     async fn follow_phase(self: Rc<Self>) {
         let mut serving = self.parts.serving.clone();
         let mut leaving = self.parts.leaving.clone();
-        let mut gone = self.parts.gone.clone();
+        let mut exiting = self.parts.exiting.clone();
         tokio::select! {
             Ok(_) = serving.wait_for(|serving| *serving) => self.move_on(Phase::Serving),
             Ok(_) = leaving.wait_for(|leaving| *leaving) => {}
@@ -276,12 +276,12 @@
         }
         self.move_on(Phase::Leaving);
         self.tell_everybody().await;
-        if gone.wait_for(|gone| *gone).await.is_err() {
+        if exiting.wait_for(|exiting| *exiting).await.is_err() {
             return;
         }
         self.move_on(Phase::Gone);
         self.tell_everybody().await;
-        self.parts.farewell.send_replace(true);
+        self.parts.departed.send_replace(true);
     }
 
     fn move_on(&self, phase: Phase) {
--- /dev/null
+++ b/valetrack/src/node/leave.rs
@@ -0,0 +1,86 @@
+//! When a node leaves, and the order in which it goes out of service.
+
+use std::time::Duration;
+
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::{sleep, timeout};
+
+use super::part::NodeParts;
+use super::stage::Stages;
+use crate::settings::NodeSettings;
+
+/// Time that telling other nodes of the exit may take, in milliseconds.
+const DEPARTURE_MS: u64 = 500;
+/// What is left of the time before a kill for telling other nodes and the exit, in milliseconds.
+const STOP_MARGIN_MS: u64 = 800;
+/// Time for answers that were just written to leave this process, in milliseconds.
+const FLUSH_MS: u64 = 20;
+
+/// Waits until the node is told to leave, then takes it out of service step by step.
+pub(super) async fn serve_until_told(parts: &NodeParts) {
+    let by = tokio::select! {
+        by = told_to_leave(parts) => by,
+        () = begin(parts) => "",
+    };
+    log::info!("event=node.leaving by={by}");
+    leave(&parts.stages, &parts.settings).await;
+}
+
+/// Waits until the node is told to leave; returns by whom.
+async fn told_to_leave(parts: &NodeParts) -> &'static str {
+    tokio::select! {
+        () = stop_signal() => "signal",
+        () = parts.server_leaving.notified() => "server",
+        () = parts.listed_leaving.notified() => "list",
+    }
+}
+
+/// Lets the node take work once a bundle is in force; never ends.
+async fn begin(parts: &NodeParts) {
+    let mut bundle = parts.bundle.subscribe();
+    if bundle.wait_for(Option::is_some).await.is_ok() {
+        parts.stages.serving.send_replace(true);
+        log::info!("event=node.serving");
+    }
+    std::future::pending::<()>().await
+}
+
+async fn leave(stages: &Stages, settings: &NodeSettings) {
+    stages.leaving.send_replace(true);
+    let done = async {
+        for stage in [&stages.drained, &stages.released, &stages.emptied] {
+            let _ = stage.subscribe().wait_for(|reached| *reached).await;
+        }
+    };
+    let drain_ms = match settings.stop_grace_ms {
+        0 => settings.drain_ms,
+        grace_ms => settings.drain_ms.min(grace_ms.saturating_sub(STOP_MARGIN_MS)),
+    };
+    if timeout(Duration::from_millis(drain_ms), done).await.is_err() {
+        log::warn!("event=node.drain_cut after_ms={drain_ms}");
+    }
+    stages.exiting.send_replace(true);
+    let mut departed = stages.departed.subscribe();
+    let _ = timeout(Duration::from_millis(DEPARTURE_MS), departed.wait_for(|departed| *departed)).await;
+    stages.closing.send_replace(true);
+    sleep(Duration::from_millis(FLUSH_MS)).await;
+}
+
+/// Waits for a signal to stop.
+async fn stop_signal() {
+    let (Ok(mut terminate), Ok(mut interrupt)) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        return std::future::pending().await;
+    };
+    let Ok(mut hang_up) = signal(SignalKind::hangup()) else {
+        return std::future::pending().await;
+    };
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return,
+            _ = interrupt.recv() => return,
+            // Settings stand in flags and environment, which a running process keeps.
+            _ = hang_up.recv() => log::info!("event=node.reload settings=unchanged"),
+        }
+    }
+}
--- /dev/null
+++ b/valetrack/src/node/part.rs
@@ -0,0 +1,104 @@
+//! What a node's threads share: settings, rings, published views.
+
+use std::sync::Arc;
+
+use async_channel::{Receiver, Sender};
+use tokio::sync::{Notify, watch};
+
+use super::stage::Stages;
+use crate::bundle::{BundleFormat, InForce};
+use crate::caller::CallerProtocol;
+use crate::claim::ClaimJob;
+use crate::clock::wall_us;
+use crate::gate::{Announcement, UpstreamProtocol, UpstreamState};
+use crate::link::peer::LinkJob;
+use crate::member::{MemberJob, Members};
+use crate::metric::Metrics;
+use crate::placement::PlaceJob;
+use crate::platform::{Announcements, Membership, Platform};
+use crate::settings::NodeSettings;
+
+/// Places in each ring between two threads.
+const RING: usize = 1_024;
+
+/// Both ends of a ring between two threads.
+pub(super) struct Ring<T> {
+    /// Where jobs go in.
+    pub(super) to: Sender<T>,
+    /// Where they come out.
+    pub(super) from: Receiver<T>,
+}
+
+impl<T> Ring<T> {
+    fn new() -> Self {
+        let (to, from) = async_channel::bounded(RING);
+        Self { to, from }
+    }
+}
+
+/// All that a node's threads are made of and joined by.
+pub(super) struct NodeParts {
+    pub(super) settings: NodeSettings,
+    pub(super) seed: u64,
+    pub(super) incarnation: u64,
+    pub(super) stages: Stages,
+    pub(super) metrics: Arc<Metrics>,
+    pub(super) bundle: watch::Sender<Option<Arc<InForce>>>,
+    pub(super) members: watch::Sender<Arc<Members>>,
+    pub(super) link: Ring<LinkJob>,
+    pub(super) claim: Ring<ClaimJob>,
+    pub(super) place: Ring<PlaceJob>,
+    pub(super) member: Ring<MemberJob>,
+    pub(super) announcement: Ring<Announcement>,
+    pub(super) upstream: watch::Sender<UpstreamState>,
+    pub(super) caller_protocol: Arc<dyn CallerProtocol>,
+    pub(super) upstream_protocol: Arc<dyn UpstreamProtocol>,
+    pub(super) format: Arc<dyn BundleFormat>,
+    pub(super) membership: Membership,
+    pub(super) announces: bool,
+    pub(super) ready_path: &'static str,
+    pub(super) server_leaving: Arc<Notify>,
+    pub(super) listed_leaving: Arc<Notify>,
+}
+
+impl NodeParts {
+    /// Makes what the threads of a node share; what announces the upstream is handed back.
+    pub(super) fn new(settings: NodeSettings, platform: Platform) -> (Option<Box<dyn Announcements>>, Self) {
+        let Platform { caller, upstream, format, membership, announcements, ready_path } = platform;
+        let state = match announcements {
+            Some(_) => UpstreamState::unknown(),
+            None => UpstreamState::unannounced(),
+        };
+        let seed = if settings.seed == 0 { fastrand::u64(1..) } else { settings.seed };
+        // Where nodes have a list, a later life of a VM must have the greater number; elsewhere the
+        // time of day may jump, and the store tells which life is the later one.
+        let incarnation = match membership {
+            Membership::Listed { .. } => wall_us(),
+            Membership::Leased { .. } => fastrand::u64(1..),
+        };
+        let parts = Self {
+            settings,
+            seed,
+            incarnation,
+            announcement: Ring::new(),
+            upstream: watch::Sender::new(state),
+            caller_protocol: caller,
+            upstream_protocol: upstream,
+            format,
+            membership,
+            announces: announcements.is_some(),
+            ready_path,
+            stages: Stages::new(),
+            metrics: Arc::new(Metrics::new()),
+            bundle: watch::Sender::new(None),
+            members: watch::Sender::new(Arc::new(Members::default())),
+            link: Ring::new(),
+            claim: Ring::new(),
+            place: Ring::new(),
+            member: Ring::new(),
+            server_leaving: Arc::new(Notify::new()),
+            listed_leaving: Arc::new(Notify::new()),
+        };
+        (announcements, parts)
+    }
+}
--- /dev/null
+++ b/valetrack/src/node/start.rs
@@ -0,0 +1,269 @@
+//! Starts the threads of a node, each with the parts that it works on.
+
+use std::net::TcpListener as TcpSocket;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use super::part::NodeParts;
+use super::thread::spawn;
+use crate::admin::run::AdminParts;
+use crate::bundle::Adopter;
+use crate::bundle::run::Bundler;
+use crate::caller::keyed::KeyedRouter;
+use crate::caller::run::ListenerParts;
+use crate::claim::Home;
+use crate::claim::run::ClaimParts;
+use crate::clock::now_us;
+use crate::code::Code;
+use crate::gate::{Announcement, UpstreamState};
+use crate::link::run::LinkParts;
+use crate::link::tls::LinkTls;
+use crate::member::leased::LeasedParts;
+use crate::member::list::VmList;
+use crate::member::run::MemberParts;
+use crate::member::{Member, Phase};
+use crate::placement::run::{Placer, PlacerParts};
+use crate::platform::{Announcements, Membership};
+use crate::store::{LeaseStore, Store};
+
+impl NodeParts {
+    /// Starts the thread of members, and that of claims where nodes have a list.
+    pub(super) fn start_membership(&self) -> std::io::Result<Vec<JoinHandle<()>>> {
+        match &self.membership {
+            Membership::Listed { list, store } => {
+                Ok(vec![self.start_claim(store.clone())?, self.start_listed(list.clone(), store.clone())?])
+            }
+            Membership::Leased { store, bundle_key } => {
+                // Without a roster of homes there are no claims: calls with keys are unknown here.
+                self.stages.released.send_replace(true);
+                Ok(vec![self.start_leased(store.clone(), bundle_key.clone())?])
+            }
+        }
+    }
+
+    fn me(&self) -> Member {
+        let settings = &self.settings;
+        Member {
+            vm: settings.vm.clone(),
+            incarnation: self.incarnation,
+            phase: Phase::Joining,
+            domain: settings.domain.clone(),
+            service: settings.service.clone(),
+            link_addr: settings.advertise_addr,
+        }
+    }
+
+    fn adopter(&self) -> Adopter {
+        Adopter::new(self.format.clone(), self.bundle.clone(), self.metrics.clone())
+    }
+
+    fn start_leased(&self, store: Arc<dyn LeaseStore>, bundle_key: Arc<str>) -> std::io::Result<JoinHandle<()>> {
+        let parts = LeasedParts {
+            me: self.me(),
+            store,
+            format: self.format.clone(),
+            bundle_key,
+            lease_ms: self.settings.lease_ms,
+            jobs: self.member.from.clone(),
+            to_link: self.link.to.clone(),
+            members: self.members.clone(),
+            upstream: self.upstream.subscribe(),
+            serving: self.stages.serving.subscribe(),
+            leaving: self.stages.leaving.subscribe(),
+            exiting: self.stages.exiting.subscribe(),
+            departed: self.stages.departed.clone(),
+            closing: self.stages.closing.subscribe(),
+            metrics: self.metrics.clone(),
+            seed: self.seed,
+        };
+        let adopter = self.adopter();
+        spawn("member", move || crate::member::leased::run(parts, adopter))
+    }
+
+    /// Starts the thread that hears the upstream's announcements and keeps its state.
+    pub(super) fn start_announcements(
+        &self,
+        announcements: Box<dyn Announcements>,
+        listener: TcpSocket,
+    ) -> std::io::Result<JoinHandle<()>> {
+        let ring = self.announcement.from.clone();
+        let to = self.announcement.to.clone();
+        let upstream = self.upstream.clone();
+        let mut closing = self.stages.closing.subscribe();
+        spawn("announcement", move || async move {
+            let Ok(listener) = TcpListener::from_std(listener) else {
+                return;
+            };
+            let keep = async {
+                while let Ok(news) = ring.recv().await {
+                    take_announcement(&upstream, &news);
+                }
+            };
+            tokio::select! {
+                () = announcements.listen(listener, to) => {}
+                () = keep => {}
+                _ = closing.wait_for(|closing| *closing) => {}
+            }
+        })
+    }
+
+    fn start_claim(&self, store: Arc<dyn Store>) -> std::io::Result<JoinHandle<()>> {
+        let settings = &self.settings;
+        let parts = ClaimParts {
+            me: Home { vm: settings.vm.clone(), incarnation: self.incarnation },
+            service: settings.service.clone(),
+            jobs: self.claim.from.clone(),
+            to_place: self.place.to.clone(),
+            store,
+            writes_per_s: settings.store_writes_per_s,
+            reads_per_s: settings.store_reads_per_s,
+            store_timeout_ms: settings.store_timeout_ms,
+            silent_us: settings.silent_ms * 1000,
+            bundle: self.bundle.subscribe(),
+            members: self.members.subscribe(),
+            leaving: self.stages.leaving.subscribe(),
+            released: self.stages.released.clone(),
+            closing: self.stages.closing.subscribe(),
+            metrics: self.metrics.clone(),
+        };
+        spawn("claim", move || crate::claim::run::run(parts))
+    }
+
+    fn start_listed(&self, list: Arc<dyn VmList>, store: Arc<dyn Store>) -> std::io::Result<JoinHandle<()>> {
+        let settings = &self.settings;
+        let me = self.me();
+        let bundler = Bundler::new(
+            settings.vm.clone(),
+            settings.domain.clone(),
+            store,
+            self.members.subscribe(),
+            self.adopter(),
+            self.metrics.clone(),
+        );
+        let parts = MemberParts {
+            me,
+            list_poll: Duration::from_millis(settings.list_poll_ms),
+            gossip: Duration::from_millis(settings.gossip_ms),
+            list,
+            jobs: self.member.from.clone(),
+            to_link: self.link.to.clone(),
+            members: self.members.clone(),
+            serving: self.stages.serving.subscribe(),
+            leaving: self.stages.leaving.subscribe(),
+            exiting: self.stages.exiting.subscribe(),
+            departed: self.stages.departed.clone(),
+            closing: self.stages.closing.subscribe(),
+            listed_leaving: self.listed_leaving.clone(),
+            seed: self.seed,
+        };
+        spawn("member", move || crate::member::run::run(parts, bundler))
+    }
+
+    /// Starts the thread of the caller listener and the links: a call's way through both then costs
+    /// no wake-up between them, which on a small VM is most of what a call would cost.
+    pub(super) fn start_path(&self, callers: TcpSocket, tls: LinkTls) -> std::io::Result<JoinHandle<()>> {
+        let (vm, link_addr) = (self.settings.vm.clone(), self.settings.link_addr);
+        let (links, placer, callers_parts) = (self.link_parts(), self.placer_parts(), self.listener_parts());
+        let members = self.members.subscribe();
+        spawn("path", move || async move {
+            let endpoint = match crate::link::run::bind(link_addr, &vm, tls) {
+                Ok(endpoint) => endpoint,
+                Err(error) => {
+                    log::error!("event=link.bind_failed code={} reason=\"{error}\"", Code::AddressBusy);
+                    return;
+                }
+            };
+            let Ok(socket) = TcpListener::from_std(callers) else {
+                return;
+            };
+            let placer = Placer::new(placer);
+            let keyed = KeyedRouter::new(placer.clone(), members);
+            let links = crate::link::run::run(endpoint, links);
+            futures::join!(links, crate::caller::run::run(socket, placer, keyed, callers_parts));
+        })
+    }
+
+    fn listener_parts(&self) -> ListenerParts {
+        let settings = &self.settings;
+        ListenerParts {
+            jobs: self.place.from.clone(),
+            protocol: self.caller_protocol.clone(),
+            service: settings.service.clone(),
+            head_limit: Duration::from_millis(settings.caller_rest_ms),
+            linger: Duration::from_millis(settings.linger_ms),
+            seed: self.seed,
+            body_limit: Duration::from_millis(settings.call_body_ms),
+            leaving: self.stages.leaving.subscribe(),
+            closing: self.stages.closing.subscribe(),
+            emptied: self.stages.emptied.clone(),
+        }
+    }
+
+    fn link_parts(&self) -> LinkParts {
+        LinkParts {
+            vm: self.settings.vm.clone(),
+            service: self.settings.service.clone(),
+            server_addr: self.settings.server_addr,
+            jobs: self.link.from.clone(),
+            to_claim: self.claim.to.clone(),
+            to_member: self.member.to.clone(),
+            bundle: self.bundle.subscribe(),
+            upstream_protocol: self.upstream_protocol.clone(),
+            upstream: self.upstream.subscribe(),
+            to_upstream: self.announces.then(|| self.announcement.to.clone()),
+            leaving: self.stages.leaving.subscribe(),
+            server_leaving: self.server_leaving.clone(),
+            drained: self.stages.drained.clone(),
+            closing: self.stages.closing.subscribe(),
+            metrics: self.metrics.clone(),
+        }
+    }
+
+    fn placer_parts(&self) -> PlacerParts {
+        PlacerParts {
+            vm: self.settings.vm.clone(),
+            domain: self.settings.domain.clone(),
+            domain_cost_us: self.settings.domain_cost_us,
+            policy: self.settings.policy,
+            seed: self.seed,
+            entry: self.incarnation ^ self.seed.rotate_left(32),
+            to_link: self.link.to.clone(),
+            to_member: self.member.to.clone(),
+            bundle: self.bundle.subscribe(),
+            members: self.members.subscribe(),
+            metrics: self.metrics.clone(),
+        }
+    }
+
+    /// Starts the thread that answers operators.
+    pub(super) fn start_admin(&self, operators: TcpSocket) -> std::io::Result<JoinHandle<()>> {
+        let parts = AdminParts {
+            ready_path: self.ready_path,
+            vm: self.settings.vm.clone(),
+            metrics: self.metrics.clone(),
+            bundle: self.bundle.subscribe(),
+            members: self.members.subscribe(),
+            serving: self.stages.serving.subscribe(),
+            leaving: self.stages.leaving.subscribe(),
+            closing: self.stages.closing.subscribe(),
+        };
+        spawn("admin", move || async move {
+            if let Ok(listener) = TcpListener::from_std(operators) {
+                crate::admin::run::run(listener, parts).await;
+            }
+        })
+    }
+}
+
+fn take_announcement(upstream: &watch::Sender<UpstreamState>, news: &Announcement) {
+    let changed = upstream.send_if_modified(|state| state.take(news, now_us()));
+    if changed {
+        let state = upstream.borrow();
+        let slots = state.slots.unwrap_or(0);
+        log::info!("event=upstream.state id={} phase={:?} slots={slots}", news.id, state.phase);
+    }
+}
