--- a/valetrack/src/member/run.rs
+++ b/valetrack/src/member/run.rs
@@ -7,11 +7,11 @@
 
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
-use tokio::sync::{Notify, oneshot, watch};
+use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
 
 use super::list::VmList;
-use super::message::{Member, Phase};
+use super::message::{Member, MemberJob, Phase};
 use super::state::Members;
 use crate::bundle::run::Bundler;
 use crate::clock::now_us;
@@ -28,32 +28,6 @@
 /// Time limit of one exchange, in milliseconds.
 const EXCHANGE_MS: u64 = 400;
 
-/// Something for the member thread.
-#[derive(Debug)]
-pub enum MemberJob {
-    /// Another node told what it knows.
-    Heard {
-        /// VMs.
-        members: Vec<Member>,
-        /// Number of the bundle in force there.
-        bundle: u64,
-        /// Where this node's own knowledge goes.
-        reply: Option<oneshot::Sender<Vec<Member>>>,
-    },
-    /// A reply showed that a later bundle is in force elsewhere.
-    Bundle {
-        /// Its number.
-        number: u64,
-        /// Who has it.
-        from: Target,
-    },
-    /// A reply showed that another node lacks the bundle in force here.
-    Behind {
-        /// Which.
-        peer: Target,
-    },
-}
-
 /// What the member thread is joined to.
 pub struct MemberParts {
     /// This VM, as it starts.
@@ -75,9 +49,9 @@
     /// Turns true when this node leaves.
     pub leaving: watch::Receiver<bool>,
     /// Turns true when this node is about to exit.
-    pub gone: watch::Receiver<bool>,
+    pub exiting: watch::Receiver<bool>,
     /// Told when the last exchange is over.
-    pub farewell: watch::Sender<bool>,
+    pub departed: watch::Sender<bool>,
     /// Turns true when the thread is to end.
     pub closing: watch::Receiver<bool>,
     /// Told when the platform's list says that this VM leaves.
@@ -292,7 +266,7 @@
     async fn follow_phase(self: Rc<Self>) {
         let mut serving = self.parts.serving.clone();
         let mut leaving = self.parts.leaving.clone();
-        let mut gone = self.parts.gone.clone();
+        let mut exiting = self.parts.exiting.clone();
         tokio::select! {
             Ok(_) = serving.wait_for(|serving| *serving) => self.move_on(Phase::Serving),
             Ok(_) = leaving.wait_for(|leaving| *leaving) => {}
@@ -302,12 +276,12 @@
         }
         self.move_on(Phase::Leaving);
         self.tell_everybody().await;
-        if gone.wait_for(|gone| *gone).await.is_err() {
+        if exiting.wait_for(|exiting| *exiting).await.is_err() {
             return;
         }
         self.move_on(Phase::Gone);
         self.tell_everybody().await;
-        self.parts.farewell.send_replace(true);
+        self.parts.departed.send_replace(true);
     }
 
     fn move_on(&self, phase: Phase) {
--- a/valetrack/src/placement/mod.rs
+++ b/valetrack/src/placement/mod.rs
@@ -4,10 +4,16 @@
 //! that may have started; retries and hedges stay within their budgets; at least half of the
 //! servers stay in rotation.
 
+mod attempt;
 mod budget;
 mod call;
+mod driver;
+mod forecast;
 mod message;
+mod policy;
 pub mod run;
+mod service;
+mod set;
 #[cfg(test)]
 mod tests;
 mod view;
@@ -15,6 +21,10 @@
 
 pub use budget::{RateBudget, ShareBudget};
 pub use call::{Budgets, Call, CallContext, CallRule};
-pub use message::{CallAction, CallEvent, Demand, Outcome, SeenLoad, ServerIndex, Verdict};
-pub use view::{MAX_SERVERS, Policy, ServerSet, ServiceView};
+pub use message::{
+    CallAction, CallEvent, Demand, Outcome, PlaceJob, Placed, SERVICE_UNKNOWN, SeenLoad, ServerIndex, Verdict,
+};
+pub use policy::Policy;
+pub use set::ServerSet;
+pub use view::{MAX_SERVERS, ServiceView};
 pub use work::WorkEstimate;
