Long functions of the gate and the caller listener cut; headers that travel in a file of their own

What: GateShell::run reads how a run ended in outcome and what headers tell in learn; CallerListener::handle reads a call in read; gate/header.rs says which headers travel, so that callers and platforms need the gate's shell no more; the future that lets a node serve says by its type that it never ends.

Behaviour unchanged.

--- a/valetrack/src/caller/request.rs
+++ b/valetrack/src/caller/request.rs
@@ -7,7 +7,7 @@
 
 use crate::bundle::{Bundle, ServiceRule};
 use crate::code::Code;
-use crate::gate::run::travelling;
+use crate::gate::travelling;
 use crate::gate::{AttemptId, Patience};
 use crate::link::message::CallHead;
 
--- a/valetrack/src/caller/run.rs
+++ b/valetrack/src/caller/run.rs
@@ -12,6 +12,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::Request;
 use hyper::body::Incoming;
+use hyper::http::request::Parts;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
@@ -23,7 +24,7 @@
 use super::keyed::KeyedRouter;
 use super::protocol::{CallerProtocol, ReadContext};
 use super::request::{IncomingCall, Rejection};
-use crate::bundle::{HostRoute, SplitPicker};
+use crate::bundle::{HostRoute, InForce, SplitPicker};
 use crate::code::Code;
 use crate::link::message::CallHead;
 use crate::placement::run::Placer;
@@ -190,33 +191,18 @@
             return self.reject(Rejection { code: Code::Overloaded, status: 503 }, "-");
         }
         let (parts, body) = request.into_parts();
-        let placer = &self.placer;
-        let in_force = placer.bundle.borrow().clone();
+        let in_force = self.placer.bundle.borrow().clone();
         let Some(in_force) = in_force else {
             return self.reject(Rejection { code: Code::NoBundle, status: 503 }, "-");
         };
-        let cx = ReadContext {
-            bundle: &in_force.bundle,
-            new_id: &|| placer.next_attempt().to_string(),
-            choose: &|route| self.choose(route),
-        };
-        let IncomingCall { mut head, repeatable, request_cap_bytes, attempts_max } =
-            match self.parts.protocol.read(&parts, &cx) {
-                Ok(call) => call,
-                Err(rejection) => {
-                    placer.metrics.bad_calls.inc();
-                    return self.reject(rejection, "-");
-                }
-            };
-        head.origin = self.parts.service.clone();
-        let body = match self.read_body(body, request_cap_bytes).await {
-            Ok(body) => body,
-            Err(rejection) => {
-                placer.metrics.bad_calls.inc();
-                return self.reject(rejection, &head.call_id);
+        let (call, body) = match self.read(&parts, body, &in_force).await {
+            Ok(read) => read,
+            Err((rejection, call_id)) => {
+                self.placer.metrics.bad_calls.inc();
+                return self.reject(rejection, &call_id);
             }
         };
-        head.body_bytes = body.len() as u32;
+        let IncomingCall { head, repeatable, attempts_max, .. } = call;
         let call_id = head.call_id.clone();
         let (route, service) = (head.route.clone(), head.service.clone());
         log::debug!("event=call.begin call={call_id} service={}", head.service);
@@ -241,6 +227,30 @@
         answer
     }
 
+    /// Reads a call with its body.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it is turned away, and its id as far as that was read.
+    async fn read(
+        &self,
+        parts: &Parts,
+        body: Incoming,
+        in_force: &InForce,
+    ) -> Result<(IncomingCall, Bytes), (Rejection, Arc<str>)> {
+        let cx = ReadContext {
+            bundle: &in_force.bundle,
+            new_id: &|| self.placer.next_attempt().to_string(),
+            choose: &|route| self.choose(route),
+        };
+        let mut call = self.parts.protocol.read(parts, &cx).map_err(|rejection| (rejection, Arc::from("-")))?;
+        call.head.origin = self.parts.service.clone();
+        let body = self.read_body(body, call.request_cap_bytes).await;
+        let body = body.map_err(|rejection| (rejection, call.head.call_id.clone()))?;
+        call.head.body_bytes = body.len() as u32;
+        Ok((call, body))
+    }
+
     async fn place_on_route(&self, head: CallHead, body: Bytes, repeatable: bool, attempts_max: Option<u8>) -> Placed {
         let placer = &self.placer;
         let Some(mut rule) = placer.rule(&head.service, repeatable, attempts_max) else {
--- a/valetrack/src/gate/mod.rs
+++ b/valetrack/src/gate/mod.rs
@@ -4,6 +4,7 @@
 //! attempts is exact. The server never runs more than its slots; an attempt starts at most once;
 //! an attempt that was bounced, or of which [`CancelResult::NeverStarted`] was said, never starts.
 
+mod header;
 mod limit;
 mod message;
 mod origin;
@@ -17,6 +18,7 @@
 mod tests;
 mod upstream;
 
+pub use header::travelling;
 pub use limit::ConcurrencyLimit;
 pub use message::{AttemptId, BounceReason, CancelResult, GateAction, GateEvent, LoadReport, Objective, Patience};
 pub use origin::OriginTracker;
--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -7,13 +7,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::HeaderMap;
 use tokio::sync::{Notify, oneshot, watch};
+use tokio::time::error::Elapsed;
 use tokio::time::{sleep, timeout};
 
+use super::header::travelling;
 use super::message::{AttemptId, BounceReason, CancelResult, GateAction, GateEvent, LoadReport, Objective};
 use super::origin::OriginTracker;
-use super::pool::{ATTEMPT_HEADER, ServerAnswer, ServerError, ServerPool};
+use super::pool::{ServerAnswer, ServerError, ServerPool};
 use super::protocol::Health;
 use super::state::{Gate, GateConfig};
 use super::upstream::{UpstreamPhase, UpstreamState};
@@ -34,21 +35,6 @@
 const INTERNAL_WAIT_SHARE: u64 = 2;
 /// Header by which a server says that it is about to stop.
 pub const LEAVING_HEADER: &str = "valetrack-leaving";
-/// Headers that belong to one connection and do not travel.
-const HOP_HEADERS: &[&str] = &[
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "transfer-encoding",
-    "te",
-    "trailer",
-    "upgrade",
-    "content-length",
-    "expect",
-    ATTEMPT_HEADER,
-    LEAVING_HEADER,
-];
-
 /// How the gate answers an attempt.
 #[derive(Debug)]
 pub enum GateReply {
@@ -275,6 +261,40 @@
         self.handle(GateEvent::Refused { attempt });
     }
 
+    /// Reads how a run ended: its answer, or the code of what went wrong.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the call is given back where it is certain that the server did not run it.
+    fn outcome(
+        &self,
+        ended: Result<Result<ServerAnswer, ServerError>, Elapsed>,
+    ) -> Result<(Option<Code>, Option<ServerAnswer>), BounceReason> {
+        Ok(match ended {
+            Ok(Ok(answer)) => (None, Some(answer)),
+            Ok(Err(ServerError::NotStarted)) => return Err(BounceReason::Refused),
+            Ok(Err(ServerError::Rejected(reason))) => return Err(reason),
+            Ok(Err(ServerError::Broken)) => (Some(Code::ServerFailed), None),
+            Ok(Err(ServerError::TooLarge)) => (Some(Code::AnswerTooLarge), None),
+            Ok(Err(ServerError::Misdirected)) => {
+                self.metrics.stray_answers.inc();
+                (Some(Code::ServerFailed), None)
+            }
+            Err(_) => (Some(Code::DeadlinePassed), None),
+        })
+    }
+
+    /// Takes what an answer's headers tell of the server.
+    fn learn(&self, answer: &ServerAnswer) {
+        if let Some(load) = self.pool.protocol().host_load(&answer.headers) {
+            let slowdown_percent = load.slowdown_percent.min(u32::from(u16::MAX)) as u16;
+            self.gate.borrow_mut().told(slowdown_percent, now_us());
+        }
+        if self.pool.protocol().is_leaving(&answer.headers) {
+            self.leaving.notify_one();
+        }
+    }
+
     async fn run(self: Rc<Self>, job: Job) {
         let attempt = job.head.attempt;
         log::debug!("event=gate.start call={} attempt={attempt}", job.head.call_id);
@@ -298,32 +318,17 @@
             }
         };
         let late = ended.is_err();
-        let (code, answer) = match ended {
-            Ok(Ok(answer)) => (None, Some(answer)),
-            Ok(Err(ServerError::NotStarted)) => {
-                self.give_back(job, BounceReason::Refused);
-                return;
-            }
-            Ok(Err(ServerError::Rejected(reason))) => {
+        let (code, answer) = match self.outcome(ended) {
+            Ok(outcome) => outcome,
+            Err(reason) => {
                 self.give_back(job, reason);
                 return;
             }
-            Ok(Err(ServerError::Broken)) => (Some(Code::ServerFailed), None),
-            Ok(Err(ServerError::TooLarge)) => (Some(Code::AnswerTooLarge), None),
-            Ok(Err(ServerError::Misdirected)) => {
-                self.metrics.stray_answers.inc();
-                (Some(Code::ServerFailed), None)
-            }
-            Err(_) => (Some(Code::DeadlinePassed), None),
         };
-        if let Some(load) = answer.as_ref().and_then(|answer| self.pool.protocol().host_load(&answer.headers)) {
-            let slowdown_percent = load.slowdown_percent.min(u32::from(u16::MAX)) as u16;
-            self.gate.borrow_mut().told(slowdown_percent, now_us());
+        if let Some(answer) = &answer {
+            self.learn(answer);
         }
         let healthy = answer.as_ref().is_some_and(|answer| answer.status < 500);
-        if answer.as_ref().is_some_and(|answer| self.pool.protocol().is_leaving(&answer.headers)) {
-            self.leaving.notify_one();
-        }
         let ran_us = now_us().saturating_sub(began_us);
         self.gate.borrow_mut().ran(attempt, ran_us, job.head.work_us.into(), healthy);
         let level = if healthy { log::Level::Debug } else { log::Level::Warn };
@@ -369,11 +374,6 @@
     }
 }
 
-/// Returns whether a header travels from end to end.
-pub fn travels(name: &str) -> bool {
-    !HOP_HEADERS.contains(&name)
-}
-
 fn answer_head(attempt: AttemptId, code: Option<Code>, answer: Option<ServerAnswer>) -> (AnswerHead, Bytes) {
     let Some(answer) = answer else {
         let head = AnswerHead {
@@ -400,11 +400,3 @@
     };
     (head, answer.body)
 }
-
-/// Returns the headers that travel from end to end.
-pub fn travelling(headers: &HeaderMap) -> Vec<(String, Vec<u8>)> {
-    let pair = |(name, value): (&hyper::header::HeaderName, &hyper::header::HeaderValue)| {
-        travels(name.as_str()).then(|| (name.as_str().to_owned(), value.as_bytes().to_vec()))
-    };
-    headers.iter().filter_map(pair).collect()
-}
--- a/valetrack/src/node/leave.rs
+++ b/valetrack/src/node/leave.rs
@@ -1,5 +1,6 @@
 //! When a node leaves, and the order in which it goes out of service.
 
+use std::convert::Infallible;
 use std::time::Duration;
 
 use tokio::signal::unix::{SignalKind, signal};
@@ -20,7 +21,7 @@
 pub(super) async fn serve_until_told(parts: &NodeParts) {
     let by = tokio::select! {
         by = told_to_leave(parts) => by,
-        () = begin(parts) => "",
+        never = begin(parts) => match never {},
     };
     log::info!("event=node.leaving by={by}");
     leave(&parts.stages, &parts.settings).await;
@@ -36,13 +37,13 @@
 }
 
 /// Lets the node take work once a bundle is in force; never ends.
-async fn begin(parts: &NodeParts) {
+async fn begin(parts: &NodeParts) -> Infallible {
     let mut bundle = parts.bundle.subscribe();
     if bundle.wait_for(Option::is_some).await.is_ok() {
         parts.stages.serving.send_replace(true);
         log::info!("event=node.serving");
     }
-    std::future::pending::<()>().await
+    std::future::pending().await
 }
 
 async fn leave(stages: &Stages, settings: &NodeSettings) {
