--- a/valetrack/src/gate/tests/upstream.rs
+++ b/valetrack/src/gate/tests/upstream.rs
@@ -8,7 +8,7 @@
     Announcement { id: Arc::from(id), sequence: Some(sequence), ready, slots: Some(12), cold_ms: 0 }
 }
 
-fn farewell(id: &str) -> Announcement {
+fn deregistration(id: &str) -> Announcement {
     Announcement { id: Arc::from(id), sequence: None, ready: false, slots: None, cold_ms: 0 }
 }
 
@@ -23,10 +23,10 @@
 }
 
 #[test]
-fn an_upstream_that_only_says_goodbye_leaves_too() {
+fn an_upstream_that_only_deregisters_leaves_too() {
     let mut state = UpstreamState::unknown();
     state.take(&heartbeat("a", 1, true), 0);
-    assert!(state.take(&farewell("a"), 0));
+    assert!(state.take(&deregistration("a"), 0));
     assert_eq!((state.phase, state.slots), (UpstreamPhase::Leaving, Some(12)));
 }
 
@@ -35,7 +35,7 @@
     let mut state = UpstreamState::unknown();
     state.take(&heartbeat("a", 9, false), 0);
     assert!(state.take(&heartbeat("b", 1, true), 0));
-    assert!(!state.take(&farewell("a"), 0));
+    assert!(!state.take(&deregistration("a"), 0));
     assert!(!state.take(&heartbeat("a", 10, true), 0));
     assert_eq!((state.id.as_deref(), state.phase), (Some("b"), UpstreamPhase::Ready));
 }
