Names of phases, missing values in log lines and the leaving header in one place each

What: phase_label is Phase::as_str; OrNone writes a value that may be missing, which three log lines did by hand; LEAVING_HEADER stands with the headers that travel.

Why: doubled logic, and circles between shells of a slice and its other files.

Behaviour unchanged: the lines are the same to the letter.

--- a/valetrack/src/caller/run.rs
+++ b/valetrack/src/caller/run.rs
@@ -29,7 +29,7 @@
 use crate::link::message::CallHead;
 use crate::placement::run::Placer;
 use crate::placement::{PlaceJob, Placed, SERVICE_UNKNOWN, Verdict};
-use crate::timeline::Quoted;
+use crate::timeline::{OrNone, Quoted};
 
 /// Largest head of a request, in bytes.
 const HEAD_MAX_BYTES: usize = 64 * 1024;
@@ -220,7 +220,7 @@
             Quoted(&route),
             Quoted(&service),
             answer.status().as_u16(),
-            code.map_or_else(|| "none".to_owned(), |code| code.to_string()),
+            OrNone(code),
             began.elapsed().as_millis(),
             in_force.number
         );
--- a/valetrack/src/gate/header.rs
+++ b/valetrack/src/gate/header.rs
@@ -4,8 +4,9 @@
 use hyper::header::{HeaderName, HeaderValue};
 
 use super::pool::ATTEMPT_HEADER;
-use super::run::LEAVING_HEADER;
 
+/// Header by which a server says that it is about to stop.
+pub const LEAVING_HEADER: &str = "valetrack-leaving";
 /// Headers that belong to one connection and do not travel.
 const HOP_HEADERS: &[&str] = &[
     "connection",
--- a/valetrack/src/gate/protocol.rs
+++ b/valetrack/src/gate/protocol.rs
@@ -7,9 +7,9 @@
 use http_body_util::Full;
 use hyper::{HeaderMap, Request};
 
+use super::header::LEAVING_HEADER;
 use super::message::BounceReason;
 use super::pool::ATTEMPT_HEADER;
-use super::run::LEAVING_HEADER;
 use crate::link::message::CallHead;
 
 /// What the head of an upstream's answer says of the call.
--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -23,6 +23,7 @@
 use crate::link::message::{AnswerHead, CallHead};
 use crate::metric::Metrics;
 use crate::placement::Outcome;
+use crate::timeline::OrNone;
 
 /// A slot whose call passed its deadline stays taken this long, so that the server can see the
 /// closed connection and stop, in milliseconds.
@@ -33,8 +34,6 @@
 /// A call that a server makes waits at most this part of its deadline, as a divisor: when it is
 /// refused, the work that waits for it is lost as well.
 const INTERNAL_WAIT_SHARE: u64 = 2;
-/// Header by which a server says that it is about to stop.
-pub const LEAVING_HEADER: &str = "valetrack-leaving";
 /// How the gate answers an attempt.
 #[derive(Debug)]
 pub enum GateReply {
@@ -337,7 +336,7 @@
             level,
             "event=gate.done call={} attempt={attempt} status={status} code={} ran_us={ran_us}",
             job.head.call_id,
-            code.map_or_else(|| "none".to_owned(), |code| code.to_string())
+            OrNone(code)
         );
         let (mut head, body) = answer_head(attempt, code, answer);
         head.ran_us = ran_us.min(u64::from(u32::MAX)) as u32;
--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -16,7 +16,6 @@
 use super::directory::{Directory, ENTRY_PREFIX};
 use super::lease::EntryKeeper;
 use super::message::{Member, MemberJob, Phase};
-use super::run::phase_label;
 use super::state::Members;
 use crate::bundle::{Adopter, BundleFormat};
 use crate::clock::now_us;
@@ -232,7 +231,7 @@
         if before == phase {
             return;
         }
-        log::info!("event=member.{} peer={} prefix={ENTRY_PREFIX}", phase_label(phase), self.parts.me.vm);
+        log::info!("event=member.{} peer={} prefix={ENTRY_PREFIX}", phase.as_str(), self.parts.me.vm);
         self.publish();
         // A node that has never served has nobody to tell.
         if phase == Phase::Serving || self.keeper.borrow().wanted() > 0 {
--- a/valetrack/src/member/leased/keep.rs
+++ b/valetrack/src/member/leased/keep.rs
@@ -8,7 +8,6 @@
 use super::{Shell, WATCH_MS};
 use crate::clock::now_us;
 use crate::code::Code;
-use crate::member::run::phase_label;
 use crate::member::{EntryStep, entry_key};
 use crate::store::{Committed, LeasedWrite, StoreError};
 
@@ -85,10 +84,7 @@
         self.count("write");
         match self.parts.store.commit(&write).await? {
             Committed::At(revision) => {
-                log::info!(
-                    "event=member.entry_written phase={} revision={revision} lease={lease}",
-                    phase_label(me.phase)
-                );
+                log::info!("event=member.entry_written phase={} revision={revision} lease={lease}", me.phase.as_str());
                 self.keeper.borrow_mut().wrote(version, revision);
             }
             Committed::Conflict(revision) => self.keeper.borrow_mut().conflicted(revision),
--- a/valetrack/src/member/message.rs
+++ b/valetrack/src/member/message.rs
@@ -22,6 +22,18 @@
     Gone,
 }
 
+impl Phase {
+    /// Returns its name in log lines.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Joining => "joining",
+            Self::Serving => "serving",
+            Self::Leaving => "leaving",
+            Self::Gone => "gone",
+        }
+    }
+}
+
 /// What is known of one VM.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
--- a/valetrack/src/member/run.rs
+++ b/valetrack/src/member/run.rs
@@ -161,7 +161,7 @@
             if members.merge(member) {
                 changed = true;
                 let Member { vm, incarnation, phase, .. } = member;
-                log::info!("event=member.{} peer={vm} incarnation={incarnation}", phase_label(*phase));
+                log::info!("event=member.{} peer={vm} incarnation={incarnation}", phase.as_str());
             }
         }
         // Times of hearing are part of what claims read, so the view goes out now and then also
@@ -194,7 +194,7 @@
                     self.members.borrow_mut().heard(&self.parts.me.vm, now_us());
                     let moved = self.members.borrow_mut().take_list(&rows, now_us());
                     for member in &moved {
-                        log::info!("event=member.{} peer={} by=list", phase_label(member.phase), member.vm);
+                        log::info!("event=member.{} peer={} by=list", member.phase.as_str(), member.vm);
                     }
                     let me = &self.parts.me.vm;
                     if rows.iter().any(|row| row.vm == *me && row.leaving) {
@@ -286,7 +286,7 @@
 
     fn move_on(&self, phase: Phase) {
         self.me.borrow_mut().phase = phase;
-        log::info!("event=member.{} peer={}", phase_label(phase), self.parts.me.vm);
+        log::info!("event=member.{} peer={}", phase.as_str(), self.parts.me.vm);
         let me = self.me.borrow().clone();
         self.merge(&[me]);
         self.push.notify_one();
@@ -301,13 +301,3 @@
         while told.join_next().await.is_some() {}
     }
 }
-
-/// Returns the name of a phase in the log.
-pub const fn phase_label(phase: Phase) -> &'static str {
-    match phase {
-        Phase::Joining => "joining",
-        Phase::Serving => "serving",
-        Phase::Leaving => "leaving",
-        Phase::Gone => "gone",
-    }
-}
--- a/valetrack/src/placement/attempt.rs
+++ b/valetrack/src/placement/attempt.rs
@@ -15,7 +15,7 @@
 use crate::link::message::{AnswerHead, Answered, Ask, CallHead, Question, Reply};
 use crate::link::peer::LinkResult;
 use crate::metric::Metrics;
-use crate::timeline::log as events;
+use crate::timeline::{OrNone, log as events};
 
 /// An attempt is waited for this much longer than its deadline, in milliseconds.
 const SLACK_MS: u64 = 50;
@@ -51,7 +51,7 @@
                 head.call_id,
                 target.vm,
                 head.work_us,
-                age_ms.map_or_else(|| "none".to_owned(), |age_ms| age_ms.to_string())
+                OrNone(age_ms)
             );
             // Drawn after the event above, so that what the owner does stands behind it.
             head.hlc = events::stamp();
--- a/valetrack/src/timeline/message.rs
+++ b/valetrack/src/timeline/message.rs
@@ -63,6 +63,18 @@
     }
 }
 
+/// Writes a value that may be missing; `none` stands for one that is.
+pub struct OrNone<T>(pub Option<T>);
+
+impl<T: fmt::Display> fmt::Display for OrNone<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.0 {
+            Some(value) => value.fmt(f),
+            None => f.write_str("none"),
+        }
+    }
+}
+
 /// Writes a value so that it stays one word: quoted where it holds anything but plain characters.
 pub struct Quoted<'a>(pub &'a str);
 
--- a/valetrack/src/timeline/mod.rs
+++ b/valetrack/src/timeline/mod.rs
@@ -11,6 +11,6 @@
 #[cfg(test)]
 mod tests;
 
-pub use message::{Event, Field, LineError, Quoted, parse};
+pub use message::{Event, Field, LineError, OrNone, Quoted, parse};
 pub use sink::{LineSink, admits};
 pub use state::{AHEAD_MAX_MS, HybridClock, merge, stamp_ms};
