A server that was slow or failing once is tried again

From the kept logs: all three entries left intake-3 alone for 25 s after its first second. One slow answer under load set its service time, nothing ran there that could have shown otherwise, and the word that it leaves rides on answers. So a server that was slow once got no call any more; on the managed platform the average speed and the failures of an upstream starved it in the same way.

Change: what an owner tells of its server's past halves every two seconds without a run, and what an entry was told halves every two seconds of age.

Ruled out: load or noise of the machine as the cause by itself; the harness (every address was had).

--- a/valetrack/src/gate/speed.rs
+++ b/valetrack/src/gate/speed.rs
@@ -5,6 +5,10 @@
 /// Time that a machine's slowdown is taken to go on until episodes were seen to end, in
 /// microseconds: neighbours' load changes several times a second.
 pub const SLOWDOWN_LASTS_US: u64 = 200_000;
+/// What was seen of a server loses half its weight in this time without news, in microseconds: a
+/// call in some seconds finds out whether a slow server is well again, and few are lost to one that
+/// is not.
+const HISTORY_HALF_LIFE_US: u64 = 2_000_000;
 /// A machine is in a slow episode from this factor on.
 const EPISODE_FACTOR: f64 = 1.5;
 /// Longest episode that counts as one, in microseconds: what lasts longer is the usual speed.
@@ -95,16 +99,23 @@
         expected_run_us(work_us, self.now(now_us), self.mean.max(self.base), self.lasts_us)
     }
 
-    /// Writes what is known into a report.
-    pub fn report(&self, load: &mut LoadReport, now_us: u64) {
+    /// Writes what is known into a report of a server on which nothing has run for `idle_us`.
+    pub fn report(&self, load: &mut LoadReport, now_us: u64, idle_us: u64) {
         let percent = |factor: f64| (factor * PERCENT).min(f64::from(u16::MAX)) as u16;
-        load.slowdown_percent = percent(self.now(now_us));
-        load.mean_percent = percent(self.mean.max(self.base));
+        let fresh = fading(idle_us);
+        let faded = |factor: f64| 1.0 + (factor - 1.0) * fresh;
+        load.slowdown_percent = percent(faded(self.now(now_us)));
+        load.mean_percent = percent(faded(self.mean.max(self.base)));
         load.slow_lasts_ms = (self.lasts_us / 1000.0) as u16;
-        load.failing_percent = percent(self.failing) as u8;
+        load.failing_percent = percent(self.failing * fresh) as u8;
     }
 }
 
+/// Returns what a server's history still says after `age_us` without news, from one down to zero.
+pub fn fading(age_us: u64) -> f64 {
+    0.5_f64.powf(age_us as f64 / HISTORY_HALF_LIFE_US as f64)
+}
+
 /// Returns how long `work_us` take when each microsecond of work takes `now` for `lasts_us`, and
 /// `mean` from then on.
 pub fn expected_run_us(work_us: u64, now: f64, mean: f64, lasts_us: f64) -> u64 {
--- a/valetrack/src/gate/state.rs
+++ b/valetrack/src/gate/state.rs
@@ -4,7 +4,7 @@
 
 use super::limit::ConcurrencyLimit;
 use super::message::{AttemptId, BounceReason, CancelResult, GateAction, GateEvent, LoadReport, Objective, Patience};
-use super::speed::Speed;
+use super::speed::{Speed, fading};
 
 /// How long an ended or cancelled attempt is remembered, in microseconds.
 ///
@@ -170,15 +170,28 @@
             limit: self.limit(now_us),
             in_flight: self.running.len() as u16,
             queued: self.waiting.len() as u16,
-            service_us: self.service_us as u32,
+            service_us: self.reported_service_us(now_us) as u32,
             stalled: self.stalled(now_us),
             leaving: self.leaving,
             ..LoadReport::default()
         };
-        self.speed.report(&mut load, now_us);
+        self.speed.report(&mut load, now_us, self.idle_us(now_us));
         load
     }
 
+    /// Returns for how long nothing has run.
+    fn idle_us(&self, now_us: u64) -> u64 {
+        if self.running.is_empty() { now_us.saturating_sub(self.progress.last_us) } else { 0 }
+    }
+
+    /// Returns the service time as it is told to entries: what was seen long ago fades, or a server
+    /// that was slow once would get no call any more that could show otherwise.
+    fn reported_service_us(&self, now_us: u64) -> i64 {
+        let over_us = (self.service_us - FIRST_SERVICE_US).max(0) as f64;
+        let faded_us = (over_us * fading(self.idle_us(now_us))) as i64;
+        self.service_us.min(FIRST_SERVICE_US + faded_us)
+    }
+
     /// Takes what the server's machine tells of its speed.
     pub fn told(&mut self, slowdown_percent: u16, now_us: u64) {
         self.speed.told(slowdown_percent, now_us);
--- a/valetrack/src/gate/tests/speed.rs
+++ b/valetrack/src/gate/tests/speed.rs
@@ -2,7 +2,9 @@
 
 use test_case::test_case;
 
-use crate::gate::{LoadReport, SLOWDOWN_LASTS_US, Speed, expected_run_us};
+use crate::gate::{
+    AttemptId, Gate, GateConfig, GateEvent, LoadReport, Patience, SLOWDOWN_LASTS_US, Speed, expected_run_us,
+};
 
 #[test_case(50_000, 1.0, 50_000; "a short run ends within the slow episode or before it")]
 #[test_case(50_000, 4.0, 200_000; "a run that just ends with it")]
@@ -18,7 +20,7 @@
         speed.ran(500_000, 100_000, true);
     }
     let mut load = LoadReport::default();
-    speed.report(&mut load, 0);
+    speed.report(&mut load, 0, 0);
     assert!((450..=560).contains(&load.mean_percent), "{}", load.mean_percent);
 }
 
@@ -29,7 +31,7 @@
         speed.ran(10, 100_000, false);
     }
     let mut load = LoadReport::default();
-    speed.report(&mut load, 0);
+    speed.report(&mut load, 0, 0);
     assert_eq!(load.mean_percent, 100);
     assert!(load.failing_percent > 90);
 }
@@ -42,3 +44,28 @@
     assert!(speed.now(SLOWDOWN_LASTS_US) < 2.6);
     assert!(speed.now(20 * SLOWDOWN_LASTS_US) < 1.01);
 }
+
+#[test]
+fn a_server_that_was_slow_once_is_tried_again() {
+    let mut gate = Gate::new(GateConfig { slots: 1, ..GateConfig::default() }, 0);
+    let mut out = Vec::new();
+    for seq in 0..40 {
+        let attempt = AttemptId { entry: 1, seq };
+        let now_us = seq * 200_000;
+        let arrive = GateEvent::Arrive {
+            attempt,
+            deadline_us: now_us + 1_000_000,
+            patience: Patience::Last,
+            priority: 0,
+            objective: None,
+        };
+        gate.handle(arrive, now_us, &mut out);
+        gate.ran(attempt, 190_000, 20_000, true);
+        gate.handle(GateEvent::Done { attempt, healthy: true }, now_us + 190_000, &mut out);
+    }
+    let ended_us = 39 * 200_000 + 190_000;
+    let slow = gate.load(ended_us);
+    assert!(slow.service_us > 100_000 && slow.mean_percent > 500, "{slow:?}");
+    let later = gate.load(ended_us + 20_000_000);
+    assert!(later.service_us < 3_000 && later.mean_percent <= 101, "{later:?}");
+}
--- a/valetrack/src/placement/forecast.rs
+++ b/valetrack/src/placement/forecast.rs
@@ -1,6 +1,6 @@
 //! What a call is likely to come to at a server: how fast the server is, and what its answer is worth.
 
-use crate::gate::{LoadReport, SLOWDOWN_LASTS_US};
+use crate::gate::{LoadReport, SLOWDOWN_LASTS_US, fading};
 
 /// Spread of a call's time around what is expected, as a share of it: runs of one route differ by
 /// a third, and calls that a server makes on its own come on top.
@@ -37,7 +37,7 @@
             0 => SLOWDOWN_LASTS_US as f64,
             lasts_ms => f64::from(lasts_ms) * 1000.0,
         };
-        let mean = factor(load.mean_percent);
+        let mean = 1.0 + (factor(load.mean_percent) - 1.0) * fading(age_us);
         let weight = 0.5_f64.powf(age_us as f64 / lasts_us);
         let now = factor(load.slowdown_percent) * weight + mean * (1.0 - weight);
         Self { now, mean, lasts_us, weight }
--- a/valetrack/src/placement/view.rs
+++ b/valetrack/src/placement/view.rs
@@ -4,7 +4,7 @@
 use super::message::{Demand, SeenLoad, ServerIndex};
 use super::policy::Policy;
 use super::set::ServerSet;
-use crate::gate::{LoadReport, expected_run_us};
+use crate::gate::{LoadReport, expected_run_us, fading};
 
 /// Largest number of servers of one service that placement considers.
 pub const MAX_SERVERS: usize = 64;
@@ -334,7 +334,7 @@
         let service_us = f64::from(load.service_us);
         let wait_us = wait_us(busy, limit, service_us);
         let spread_us = run_us * SPREAD_SHARE * (busy / limit).min(1.0);
-        let failing = view.failure_share.max(f64::from(load.failing_percent) / 100.0);
+        let failing = view.failure_share.max(f64::from(load.failing_percent) / 100.0) * fading(age_us);
         let failure_us = failing * FAILING_WEIGHT * demand.left_us as f64;
         let stall_us = if load.stalled { STALL_PENALTY_US * pace.weight } else { 0.0 };
         f64::from(view.network_us) + wait_us + run_us + spread_us + failure_us + stall_us
