--- a/valetrack/src/caller/run.rs
+++ b/valetrack/src/caller/run.rs
@@ -83,6 +83,7 @@
 
 /// Serves callers until told to close; must run on a local task set.
 pub async fn run(socket: TcpListener, placer: Rc<Placer>, keyed: KeyedRouter, parts: ListenerParts) {
+    let mut emptied = parts.emptied.subscribe();
     let mut closing = parts.closing.clone();
     let splits = Splits { pickers: HashMap::new(), rng: fastrand::Rng::with_seed(parts.seed) };
     let listener = Rc::new(CallerListener {
@@ -101,10 +102,14 @@
     loop {
         let accepted = tokio::select! {
             accepted = socket.accept() => accepted,
+            // Whoever came between the last caller's end and the exit would be cut.
+            _ = emptied.wait_for(|emptied| *emptied) => break,
             _ = closing.wait_for(|closing| *closing) => break,
         };
         match accepted {
             Ok((stream, _)) if listener.connections.get() < CONNECTIONS_MAX => {
+                // Counted before its task runs, so that the listener is not taken for empty meanwhile.
+                listener.connections.set(listener.connections.get() + 1);
                 tokio::task::spawn_local(listener.clone().serve(stream));
             }
             Ok(_) => listener.placer.metrics.bad_calls.inc(),
@@ -112,6 +117,9 @@
             Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
         }
     }
+    drop(socket);
+    // Calls of claims are placed until the very end.
+    let _ = closing.wait_for(|closing| *closing).await;
     duties.shutdown().await;
 }
 
@@ -140,7 +148,6 @@
 
     async fn serve(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        self.connections.set(self.connections.get() + 1);
         let mut builder = auto::Builder::new(LocalExecutor);
         builder
             .http1()
