A slow machine gives a call back where it is worth more elsewhere

Cause: runs began on machines that were slow at that moment.

Ruled out: fresher views at every entry (each server would have to tell each entry ten times a second), and probes of several owners before each call (a round trip for all calls, where two thirds find a fast machine at once).

Change: a call carries what it is worth at the best other server.

--- a/standin/src/bench/world.rs
+++ b/standin/src/bench/world.rs
@@ -6,7 +6,8 @@
 use hdrhistogram::Histogram;
 use valetrack::gate::{AttemptId, Gate, GateAction, GateConfig, GateEvent, LoadReport, Patience};
 use valetrack::placement::{
-    Budgets, Call, CallAction, CallContext, CallEvent, CallRule, RateBudget, ServiceView, ShareBudget, Verdict,
+    Budgets, Call, CallAction, CallContext, CallEvent, CallRule, Dispatch, RateBudget, ServiceView, ShareBudget,
+    Verdict,
 };
 
 use super::report::Row;
@@ -275,7 +276,7 @@
     fn act(&mut self, call: usize, action: CallAction) {
         let entry = self.callers[call].entry;
         match action {
-            CallAction::Send { attempt, server, patience } => {
+            CallAction::Send(Dispatch { attempt, server, patience, .. }) => {
                 self.row.attempts += u64::from(self.counted(call));
                 let way_us = way_us(self.scenario, entry, server);
                 self.later(way_us, Event::Reach { call, attempt, server, patience });
--- a/valetrack/src/caller/request.rs
+++ b/valetrack/src/caller/request.rs
@@ -90,6 +90,7 @@
         deadline_ms: asked_ms.min(limit_ms.into()) as u32,
         objective_ms: 0,
         work_us: 0,
+        elsewhere_permille: 0,
         priority: 0,
         repeatable,
         depth: depth as u8 + 1,
--- a/valetrack/src/gate/message.rs
+++ b/valetrack/src/gate/message.rs
@@ -93,6 +93,9 @@
     pub left_us: u64,
     /// Time that the run is expected to take on a usual server, in microseconds; zero when unknown.
     pub work_us: u64,
+    /// What the call is worth at the best other server that the entry may ask, in thousandths of
+    /// an answer in time; zero where there is none.
+    pub elsewhere_permille: u16,
     /// Longest wait for a slot, in microseconds.
     pub wait_max_us: u64,
 }
--- a/valetrack/src/gate/mod.rs
+++ b/valetrack/src/gate/mod.rs
@@ -23,6 +23,6 @@
 pub use message::{AttemptId, BounceReason, CancelResult, GateAction, GateEvent, LoadReport, Objective, Patience};
 pub use origin::OriginTracker;
 pub use protocol::{Classified, Health, HostLoad, NativeUpstream, UpstreamProtocol};
-pub use speed::{SLOWDOWN_LASTS_US, Speed, expected_run_us, fading};
+pub use speed::{SLOWDOWN_LASTS_US, Speed, expected_run_us, fading, time_worth};
 pub use state::{Gate, GateConfig, MEMORY_US};
 pub use upstream::{Announcement, UpstreamPhase, UpstreamState};
--- a/valetrack/src/gate/pool.rs
+++ b/valetrack/src/gate/pool.rs
@@ -14,7 +14,7 @@
 use tokio::time::timeout;
 
 use super::message::BounceReason;
-use super::protocol::{Classified, Health, UpstreamProtocol};
+use super::protocol::{Classified, Health, HostLoad, UpstreamProtocol};
 use crate::link::message::CallHead;
 
 /// Header that names the attempt to the server; a server may send it back.
@@ -23,6 +23,9 @@
 const CONNECT_MS: u64 = 500;
 /// Time limit of a health check, in milliseconds: a check that waits for a slot tells nothing.
 const HEALTH_MS: u64 = 500;
+/// Time limit of a question for the machine's speed, in milliseconds: one that waits for a slot
+/// comes too late for the call that asks.
+const LOAD_MS: u64 = 8;
 /// Time within which a connection must be ready again after a whole answer, in milliseconds.
 const READY_MS: u64 = 1;
 
@@ -65,12 +68,14 @@
     addr: SocketAddr,
     protocol: Arc<dyn UpstreamProtocol>,
     idle: std::cell::RefCell<Vec<Idle>>,
+    /// The connection for questions of the machine's speed.
+    questions: std::cell::RefCell<Option<Sender>>,
 }
 
 impl ServerPool {
     /// Makes an empty pool.
     pub fn new(addr: SocketAddr, protocol: Arc<dyn UpstreamProtocol>) -> Self {
-        Self { addr, protocol, idle: Default::default() }
+        Self { addr, protocol, idle: Default::default(), questions: Default::default() }
     }
 
     /// Returns how calls are put to the server and its answers are read.
@@ -82,6 +87,7 @@
     /// nothing about the next one.
     pub fn clear(&self) {
         self.idle.borrow_mut().clear();
+        self.questions.borrow_mut().take();
     }
 
     /// Opens connections ahead of calls until `count` wait.
@@ -148,6 +154,25 @@
         timeout(Duration::from_millis(HEALTH_MS), asked).await.ok()?
     }
 
+    /// Asks the server's machine for its load over a connection kept for that; none when no whole
+    /// answer came in time.
+    pub async fn machine_load(&self, path: &str) -> Option<HostLoad> {
+        let kept = self.questions.borrow_mut().take().filter(Sender::is_ready);
+        let request = Request::get(path).header("host", self.addr.to_string()).body(Full::default()).ok()?;
+        let asked = async {
+            let mut sender = match kept {
+                Some(sender) => sender,
+                None => self.connect().await?,
+            };
+            let answer = sender.send_request(request).await.ok()?;
+            let load = self.protocol.host_load(answer.headers());
+            let _whole = answer.into_body().collect().await.ok()?;
+            *self.questions.borrow_mut() = Some(sender);
+            load
+        };
+        timeout(Duration::from_millis(LOAD_MS), asked).await.ok()?
+    }
+
     async fn send(
         &self,
         mut request: Request<Full<Bytes>>,
--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -12,10 +12,10 @@
 use tokio::time::{sleep, timeout};
 
 use super::header::travelling;
-use super::message::{AttemptId, BounceReason, CancelResult, GateAction, GateEvent, LoadReport, Objective};
+use super::message::{AttemptId, BounceReason, CancelResult, GateAction, GateEvent, LoadReport, Objective, Patience};
 use super::origin::OriginTracker;
 use super::pool::{ServerAnswer, ServerError, ServerPool};
-use super::protocol::Health;
+use super::protocol::{Health, HostLoad};
 use super::state::{Gate, GateConfig};
 use super::upstream::{UpstreamPhase, UpstreamState};
 use crate::clock::now_us;
@@ -70,6 +70,10 @@
     jobs: RefCell<HashMap<AttemptId, Job>>,
     pool: ServerPool,
     answer_cap_bytes: Cell<usize>,
+    /// Where the upstream tells its health, and its machine's speed with it.
+    health_path: RefCell<Option<Arc<str>>>,
+    /// Held by the call that asks the machine for its speed; others wait for its answer.
+    asking: tokio::sync::Mutex<()>,
     origins: RefCell<OriginTracker>,
     upstream: watch::Receiver<UpstreamState>,
     /// Whether the node itself leaves, so that its gate never opens again.
@@ -95,6 +99,8 @@
             jobs: Default::default(),
             pool,
             answer_cap_bytes: Cell::new(crate::link::message::BODY_MAX_BYTES),
+            health_path: RefCell::default(),
+            asking: tokio::sync::Mutex::new(()),
             changed: Notify::new(),
             leaving,
             metrics,
@@ -102,7 +108,8 @@
     }
 
     /// Takes limits of the bundle in force, and opens connections ahead of calls.
-    pub async fn configure(&self, config: GateConfig, answer_cap_bytes: usize) {
+    pub async fn configure(&self, config: GateConfig, answer_cap_bytes: usize, health_path: Option<Arc<str>>) {
+        *self.health_path.borrow_mut() = health_path;
         let slots = self.upstream.borrow().slots.unwrap_or(config.slots);
         let config = GateConfig { slots, ..config };
         self.gate.borrow_mut().configure(config);
@@ -131,6 +138,31 @@
         self.pool.health(path).await
     }
 
+    /// Asks the upstream's machine how fast it is, where that swings and what it told last is too
+    /// old for a run of `work_us`. An answer that does not come in time changes nothing.
+    pub async fn refresh_speed(&self, work_us: u64) {
+        if !self.gate.borrow().wants_news(work_us, now_us()) {
+            return;
+        }
+        let path = self.health_path.borrow().clone();
+        let Some(path) = path else {
+            return;
+        };
+        let _asking = self.asking.lock().await;
+        if !self.gate.borrow().wants_news(work_us, now_us()) {
+            return;
+        }
+        self.metrics.speed_questions.inc();
+        if let Some(load) = self.pool.machine_load(&path).await {
+            self.told(load);
+        }
+    }
+
+    fn told(&self, load: HostLoad) {
+        let slowdown_percent = load.slowdown_percent.min(u32::from(u16::MAX)) as u16;
+        self.gate.borrow_mut().told(slowdown_percent, now_us());
+    }
+
     /// Opens and closes the gate as the upstream's announcements say; runs as long as the gate.
     pub async fn follow_upstream(self: Rc<Self>) {
         let mut upstream = self.upstream.clone();
@@ -175,6 +207,9 @@
         // Calls of callers rank behind all that servers wait for.
         let priority = if internal { 0 } else { head.priority.saturating_add(1) };
         let objective = objective(&head, internal);
+        if patience == Patience::Short {
+            self.refresh_speed(head.work_us.into()).await;
+        }
         self.jobs.borrow_mut().insert(attempt, Job { head, body, deadline_us, reply });
         let mut abandon = AbandonGuard { shell: self.clone(), attempt: Some(attempt) };
         self.handle(GateEvent::Arrive { attempt, deadline_us, patience, priority, objective });
@@ -286,8 +321,7 @@
     /// Takes what an answer's headers tell of the server.
     fn learn(&self, answer: &ServerAnswer) {
         if let Some(load) = self.pool.protocol().host_load(&answer.headers) {
-            let slowdown_percent = load.slowdown_percent.min(u32::from(u16::MAX)) as u16;
-            self.gate.borrow_mut().told(slowdown_percent, now_us());
+            self.told(load);
         }
         if self.pool.protocol().is_leaving(&answer.headers) {
             self.leaving.notify_one();
@@ -358,7 +392,8 @@
         true => u64::from(head.deadline_ms) * 1000 / INTERNAL_WAIT_SHARE,
         false => left_us / WAIT_SHARE,
     };
-    Some(Objective { left_us, work_us: head.work_us.into(), wait_max_us })
+    let elsewhere_permille = head.elsewhere_permille;
+    Some(Objective { left_us, work_us: head.work_us.into(), elsewhere_permille, wait_max_us })
 }
 
 const fn bounce_label(reason: BounceReason) -> &'static str {
--- a/valetrack/src/gate/speed.rs
+++ b/valetrack/src/gate/speed.rs
@@ -22,6 +22,20 @@
 /// Bounds of one sample, so that a single run cannot turn the averages over.
 const SAMPLE_MIN: f64 = 0.1;
 const SAMPLE_MAX: f64 = 20.0;
+/// Spread of a call's time around what is expected, as a share of it: runs of one route differ by
+/// a third, and calls that a server makes on its own come on top.
+const EXPECTED_SPREAD: f64 = 0.18;
+/// What an answer at its objective is worth less than one at once, so that of servers that are all
+/// in time the faster one is taken.
+const SOONER_VALUE: f64 = 0.05;
+/// What the machine told is too old to start a run on after this time, in microseconds: a tenth of
+/// a usual slow episode, so that few begin unseen.
+const FRESH_US: u64 = 25_000;
+/// A machine counts as swinging for this long after a slow episode, in microseconds.
+const SWINGING_US: u64 = 10_000_000;
+/// Shortest run that is worth asking the machine for, in microseconds: the question takes about a
+/// millisecond.
+const ASK_WORK_MIN_US: u64 = 10_000;
 /// What a share or factor of one is in a report.
 const PERCENT: f64 = 100.0;
 
@@ -38,6 +52,8 @@
     slowdown: f64,
     /// When it was told, in microseconds.
     told_us: u64,
+    /// Until when the machine counts as swinging between fast and slow, in microseconds.
+    swings_until_us: u64,
     /// When the present slow episode began, in microseconds.
     episode_us: Option<u64>,
     /// How much longer an episode goes on at any moment in it, on average, in microseconds.
@@ -52,6 +68,7 @@
             failing: 0.0,
             slowdown: 1.0,
             told_us: 0,
+            swings_until_us: 0,
             episode_us: None,
             lasts_us: SLOWDOWN_LASTS_US as f64,
         }
@@ -77,6 +94,7 @@
         self.slowdown = f64::from(slowdown_percent) / PERCENT;
         self.told_us = now_us;
         if self.slowdown >= EPISODE_FACTOR {
+            self.swings_until_us = now_us + SWINGING_US;
             self.episode_us.get_or_insert(now_us);
             return;
         }
@@ -87,6 +105,12 @@
         }
     }
 
+    /// Returns whether the machine should be asked before a run of `work_us` starts: its speed
+    /// swings, and what it told last is old.
+    pub fn wants_news(&self, work_us: u64, now_us: u64) -> bool {
+        work_us >= ASK_WORK_MIN_US && now_us < self.swings_until_us && now_us > self.told_us + FRESH_US
+    }
+
     /// Returns the factor of a run that starts now, before the present slowdown ends.
     pub fn now(&self, now_us: u64) -> f64 {
         let age_us = now_us.saturating_sub(self.told_us);
@@ -111,6 +135,13 @@
     }
 }
 
+/// Returns what a call is worth that should take `expected_us` where `left_us` are left, as a share
+/// of an answer in time.
+pub fn time_worth(expected_us: f64, left_us: f64) -> f64 {
+    let in_time = 1.0 / (1.0 + ((expected_us - left_us) / (expected_us * EXPECTED_SPREAD)).exp());
+    in_time - SOONER_VALUE * expected_us / left_us.max(1.0)
+}
+
 /// Returns what a server's history still says after `age_us` without news, from one down to zero.
 pub fn fading(age_us: u64) -> f64 {
     0.5_f64.powf(age_us as f64 / HISTORY_HALF_LIFE_US as f64)
--- a/valetrack/src/gate/state.rs
+++ b/valetrack/src/gate/state.rs
@@ -4,7 +4,7 @@
 
 use super::limit::ConcurrencyLimit;
 use super::message::{AttemptId, BounceReason, CancelResult, GateAction, GateEvent, LoadReport, Objective, Patience};
-use super::speed::{Speed, fading};
+use super::speed::{Speed, fading, time_worth};
 
 /// How long an ended or cancelled attempt is remembered, in microseconds.
 ///
@@ -20,6 +20,11 @@
 /// A server stalls when this many calls should have ended by now and none has. Were the ends
 /// independent, the chance of that by luck alone would be e to the minus eight.
 const STALL_MISSED_ENDS: u64 = 8;
+/// A call is given back where it is worth this much more elsewhere, as a share of an answer in
+/// time: the way there takes time as well.
+const ELSEWHERE_GAIN: f64 = 0.02;
+/// Thousandths in one.
+const PERMILLE: f64 = 1_000.0;
 /// A call on its last attempt may wait this many times the bound of the queue.
 const LAST_QUEUES: u64 = 2;
 /// A failed call counts as this many times the smoothed service time, so that a server that
@@ -276,9 +281,22 @@
         self.waiting.insert(at, Waiting { attempt, deadline_us, leave_at_us, patience, priority });
     }
 
-    /// Returns whether a call that starts now would miss its objective.
+    /// Returns whether the machine's speed is to be asked for before a run of `work_us` is let in.
+    pub fn wants_news(&self, work_us: u64, now_us: u64) -> bool {
+        self.running.len() < usize::from(self.config.slots) && self.speed.wants_news(work_us, now_us)
+    }
+
+    /// Returns whether a call that starts now would miss its objective, or is worth more elsewhere.
     fn too_slow_for(&self, objective: Objective, now_us: u64) -> bool {
-        objective.work_us > 0 && self.speed.expected_us(objective.work_us, now_us) > objective.left_us
+        if objective.work_us == 0 {
+            return false;
+        }
+        let run_us = self.speed.expected_us(objective.work_us, now_us);
+        if objective.elsewhere_permille == 0 {
+            return run_us > objective.left_us;
+        }
+        let here = time_worth(run_us as f64, objective.left_us as f64);
+        here + ELSEWHERE_GAIN < f64::from(objective.elsewhere_permille) / PERMILLE
     }
 
     fn refuses_to_queue(
--- a/valetrack/src/gate/tests/connection.rs
+++ b/valetrack/src/gate/tests/connection.rs
@@ -32,6 +32,7 @@
         deadline_ms: 1_000,
         objective_ms: 0,
         work_us: 0,
+        elsewhere_permille: 0,
         priority: 0,
         repeatable: true,
         depth: 1,
--- a/valetrack/src/gate/tests/speed.rs
+++ b/valetrack/src/gate/tests/speed.rs
@@ -3,7 +3,8 @@
 use test_case::test_case;
 
 use crate::gate::{
-    AttemptId, Gate, GateConfig, GateEvent, LoadReport, Patience, SLOWDOWN_LASTS_US, Speed, expected_run_us,
+    AttemptId, BounceReason, Gate, GateAction, GateConfig, GateEvent, LoadReport, Objective, Patience,
+    SLOWDOWN_LASTS_US, Speed, expected_run_us,
 };
 
 #[test_case(50_000, 1.0, 50_000; "a short run ends within the slow episode or before it")]
@@ -69,3 +70,46 @@
     let later = gate.load(ended_us + 20_000_000);
     assert!(later.service_us < 3_000 && later.mean_percent <= 101, "{later:?}");
 }
+
+const WORK_US: u64 = 100_000;
+
+/// Returns what a gate whose machine told `slowdown_percent` a moment ago does with a call that is
+/// worth `elsewhere_permille` at the best other server.
+fn arrive_at_machine(slowdown_percent: u16, elsewhere_permille: u16) -> Vec<GateAction> {
+    let mut gate = Gate::new(GateConfig::default(), 0);
+    gate.told(slowdown_percent, 0);
+    let objective = Objective { left_us: 250_000, work_us: WORK_US, elsewhere_permille, wait_max_us: 50_000 };
+    let arrive = GateEvent::Arrive {
+        attempt: ATTEMPT,
+        deadline_us: 1_000_000,
+        patience: Patience::Short,
+        priority: 0,
+        objective: Some(objective),
+    };
+    let mut out = Vec::new();
+    gate.handle(arrive, 0, &mut out);
+    out
+}
+
+const ATTEMPT: AttemptId = AttemptId { entry: 1, seq: 1 };
+const STARTED: GateAction = GateAction::Start { attempt: ATTEMPT };
+const GIVEN_BACK: GateAction = GateAction::Bounce { attempt: ATTEMPT, reason: BounceReason::Slow };
+
+#[test_case(100, 900, STARTED; "a fast machine runs it")]
+#[test_case(240, 900, GIVEN_BACK; "a slow one gives it back where it would be in time elsewhere")]
+#[test_case(240, 300, STARTED; "a slow one runs it where it would be later elsewhere")]
+#[test_case(240, 0, STARTED; "and where there is no other server, as long as it is in time")]
+fn a_call_runs_where_it_is_worth_the_most(slowdown_percent: u16, elsewhere_permille: u16, then: GateAction) {
+    assert_eq!(arrive_at_machine(slowdown_percent, elsewhere_permille), [then]);
+}
+
+#[test]
+fn only_a_swinging_machine_is_asked_for_its_speed() {
+    let mut speed = Speed::default();
+    assert!(!speed.wants_news(WORK_US, 60_000_000), "it never told a slow episode");
+    speed.told(400, 0);
+    assert!(!speed.wants_news(WORK_US, 10_000), "it told a moment ago");
+    assert!(!speed.wants_news(1_000, 50_000), "the run is shorter than the question");
+    assert!(speed.wants_news(WORK_US, 50_000));
+    assert!(!speed.wants_news(WORK_US, 60_000_000), "it has long been steady");
+}
--- a/valetrack/src/link/message.rs
+++ b/valetrack/src/link/message.rs
@@ -46,6 +46,9 @@
     pub objective_ms: u32,
     /// Time that the run is expected to take on a usual server, in microseconds; zero when unknown.
     pub work_us: u32,
+    /// What the call is worth at the best other server that the entry may ask, in thousandths of
+    /// an answer in time; zero where there is none.
+    pub elsewhere_permille: u16,
     /// Rank under overload; zero goes first.
     pub priority: u8,
     /// Whether the work may run more than once.
--- a/valetrack/src/link/run.rs
+++ b/valetrack/src/link/run.rs
@@ -232,7 +232,10 @@
                 let up_ms = (now_us() / 1000).min(u64::from(u32::MAX)) as u32;
                 (Reply::Cancelled { attempt, result, up_ms }, Bytes::new())
             }
-            Ask::Probe => (Reply::Load, Bytes::new()),
+            Ask::Probe => {
+                self.gate.refresh_speed(u64::MAX).await;
+                (Reply::Load, Bytes::new())
+            }
             Ask::Gossip { members, bundle } => {
                 let members = self.gossip(members, bundle).await;
                 (Reply::Gossip { members }, Bytes::new())
@@ -314,7 +317,8 @@
                     rescue: rule.stall_rescue,
                     learn_limit: rule.learn_limit,
                 };
-                self.gate.configure(config, rule.answer_cap_bytes as usize).await;
+                let answer_cap_bytes = rule.answer_cap_bytes as usize;
+                self.gate.configure(config, answer_cap_bytes, rule.health_path).await;
             }
             if bundle.changed().await.is_err() {
                 return;
--- a/valetrack/src/link/tests.rs
+++ b/valetrack/src/link/tests.rs
@@ -25,6 +25,7 @@
         deadline_ms: 100,
         objective_ms: 0,
         work_us: 0,
+        elsewhere_permille: 0,
         priority: 0,
         repeatable: false,
         depth: 1,
--- a/valetrack/src/metric.rs
+++ b/valetrack/src/metric.rs
@@ -34,6 +34,8 @@
     pub measure_budget: IntGauge,
     /// Probes sent.
     pub probes: IntCounter,
+    /// Questions put to the upstream's machine for its speed.
+    pub speed_questions: IntCounter,
     /// Calls to the store by kind.
     pub store_calls: IntCounterVec,
     /// Number of the bundle in force.
@@ -85,6 +87,7 @@
             measure_bytes: counter("valetrack_measure_bytes_total", "Bytes spent only on measuring."),
             measure_budget: gauge("valetrack_measure_budget_bytes_per_second", "Budget for measuring."),
             probes: counter("valetrack_probes_total", "Probes sent."),
+            speed_questions: counter("valetrack_speed_questions_total", "Questions for the machine's speed."),
             store_calls: counters("valetrack_store_calls_total", "Calls to the store by kind.", "kind"),
             bundle_number: gauge("valetrack_bundle_number", "Number of the bundle in force."),
             presses: counters("valetrack_presses_total", "Presses with a key by how they ended.", "reply"),
--- a/valetrack/src/placement/attempt.rs
+++ b/valetrack/src/placement/attempt.rs
@@ -8,10 +8,10 @@
 use futures::future::LocalBoxFuture;
 use tokio::time::Instant;
 
-use super::message::{CallEvent, Outcome, ServerIndex};
+use super::message::{CallEvent, Dispatch, Outcome, ServerIndex};
 use super::run::{PROMPT_MS, Placer};
 use crate::code::Code;
-use crate::gate::{AttemptId, Patience};
+use crate::gate::AttemptId;
 use crate::link::message::{AnswerHead, Answered, Ask, CallHead, Question, Reply};
 use crate::link::peer::LinkResult;
 use crate::metric::Metrics;
@@ -29,15 +29,22 @@
         self: Rc<Self>,
         head: &CallHead,
         body: &Bytes,
-        attempt: AttemptId,
-        server: ServerIndex,
-        patience: Patience,
+        dispatch: Dispatch,
         deadline: Instant,
     ) -> LocalBoxFuture<'static, AttemptEnd> {
+        let Dispatch { attempt, server, patience, elsewhere_permille } = dispatch;
         let left_ms = deadline.saturating_duration_since(Instant::now()).as_millis() as u32;
         let gone_ms = head.deadline_ms.saturating_sub(left_ms);
         let objective_ms = head.objective_ms.saturating_sub(gone_ms);
-        let mut head = CallHead { attempt, patience, deadline_ms: left_ms, objective_ms, key: None, ..head.clone() };
+        let mut head = CallHead {
+            attempt,
+            patience,
+            elsewhere_permille,
+            deadline_ms: left_ms,
+            objective_ms,
+            key: None,
+            ..head.clone()
+        };
         let body = body.clone();
         Box::pin(async move {
             let service = head.service.clone();
@@ -47,7 +54,7 @@
             let age_ms = self.report_age_ms(&service, server);
             log::info!(
                 "event=call.send call={} attempt={attempt} owner={} patience={patience:?} left_ms={left_ms} \
-                 work_us={} load_age_ms={}",
+                 work_us={} elsewhere_permille={elsewhere_permille} load_age_ms={}",
                 head.call_id,
                 target.vm,
                 head.work_us,
--- a/valetrack/src/placement/call.rs
+++ b/valetrack/src/placement/call.rs
@@ -5,7 +5,7 @@
 //! owner's word that it never starts; exactly one verdict is given.
 
 use super::budget::ShareBudget;
-use super::message::{CallAction, CallEvent, Demand, ServerIndex, Verdict};
+use super::message::{CallAction, CallEvent, Demand, Dispatch, ServerIndex, Verdict};
 use super::set::ServerSet;
 use super::view::{ROOM_US, ServiceView};
 use crate::code::Code;
@@ -13,6 +13,11 @@
 
 /// Most attempts of one call that are remembered; a call makes fewer.
 const MAX_ATTEMPTS: usize = 12;
+/// How often owners may give a call back because it is worth more elsewhere: of machines that are
+/// slow a third of the time, four in a row hardly ever are.
+const SLOW_BOUNCES: u8 = 4;
+/// Thousandths in one.
+const PERMILLE: f64 = 1_000.0;
 /// A second run is taken to need this share of the usual time, in hundredths.
 const HEDGE_RUN_PERCENT: u64 = 130;
 /// Shortest time that a caller is told to stay away, in milliseconds.
@@ -86,6 +91,7 @@
     count: usize,
     excluded: ServerSet,
     bounces_left: u8,
+    slow_bounces_left: u8,
     retries_left: u8,
     hedged: bool,
     /// When the call came, in microseconds.
@@ -111,6 +117,7 @@
             count: 0,
             excluded: ServerSet::default(),
             bounces_left: rule.bounces,
+            slow_bounces_left: SLOW_BOUNCES,
             retries_left: rule.retries,
             hedged: false,
             began_us: 0,
@@ -244,8 +251,14 @@
             self.settle(cx, out);
             return;
         }
-        // Leaving or standing still is no sign of load elsewhere, so it costs no allowance.
-        let free = matches!(reason, BounceReason::Leaving | BounceReason::Stalled | BounceReason::NotReady);
+        if reason == BounceReason::Slow {
+            self.slow_bounces_left = self.slow_bounces_left.saturating_sub(1);
+        }
+        // None of these is a sign of load elsewhere, so they cost no allowance.
+        let free = matches!(
+            reason,
+            BounceReason::Leaving | BounceReason::Stalled | BounceReason::NotReady | BounceReason::Slow
+        );
         // Whoever was let in and has waited is not to be turned away for a full queue.
         self.waited |= reason == BounceReason::Stalled;
         self.move_on(server, free, cx, out);
@@ -453,12 +466,29 @@
     }
 
     fn pick(&self, excluded: ServerSet, cx: &mut CallContext<'_>) -> Option<ServerIndex> {
-        let Some(demand) = self.rule.demand else {
-            return cx.view.pick(excluded, cx.now_us, cx.rng);
-        };
+        match self.demand_left(cx) {
+            Some(demand) => cx.view.pick_in_time(excluded, demand, cx.now_us, cx.rng),
+            None => cx.view.pick(excluded, cx.now_us, cx.rng),
+        }
+    }
+
+    /// Returns what the call still asks of a server, if it has an objective.
+    fn demand_left(&self, cx: &CallContext<'_>) -> Option<Demand> {
+        let demand = self.rule.demand?;
         let gone_us = cx.now_us.saturating_sub(self.began_us);
-        let demand = Demand { left_us: demand.left_us.saturating_sub(gone_us), ..demand };
-        cx.view.pick_in_time(excluded, demand, cx.now_us, cx.rng)
+        Some(Demand { left_us: demand.left_us.saturating_sub(gone_us), ..demand })
+    }
+
+    /// Returns what the call is worth at the best server that was not tried, in thousandths; zero
+    /// where it is to stay at `server`.
+    fn elsewhere_permille(&self, server: ServerIndex, patience: Patience, cx: &CallContext<'_>) -> u16 {
+        if patience != Patience::Short || self.slow_bounces_left == 0 {
+            return 0;
+        }
+        let mut tried = self.excluded;
+        tried.insert(server);
+        let worth = self.demand_left(cx).and_then(|demand| cx.view.worth_elsewhere(server, tried, demand, cx.now_us));
+        worth.map_or(0, |worth| (worth * PERMILLE) as u16)
     }
 
     fn next_server(&mut self, cx: &mut CallContext<'_>) -> Option<ServerIndex> {
@@ -471,11 +501,12 @@
     fn send(&mut self, server: ServerIndex, patience: Patience, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) {
         let id = AttemptId { entry: self.entry, seq: *cx.next_seq };
         *cx.next_seq += 1;
+        let elsewhere_permille = self.elsewhere_permille(server, patience, cx);
         cx.view.sent(server);
         self.last_resort |= patience == Patience::Last;
         self.attempts[self.count] = Some(Attempt { id, server, patience, state: AttemptState::Sent });
         self.count += 1;
-        out.push(CallAction::Send { attempt: id, server, patience });
+        out.push(CallAction::Send(Dispatch { attempt: id, server, patience, elsewhere_permille }));
     }
 
     fn ask(&mut self, at: usize, out: &mut Vec<CallAction>) {
--- a/valetrack/src/placement/driver.rs
+++ b/valetrack/src/placement/driver.rs
@@ -98,10 +98,9 @@
 
     fn perform(&mut self, action: CallAction) {
         match action {
-            CallAction::Send { attempt, server, patience } => {
-                self.sent.push((attempt, Instant::now()));
-                let sending =
-                    self.placer.clone().send(&self.head, &self.body, attempt, server, patience, self.deadline);
+            CallAction::Send(dispatch) => {
+                self.sent.push((dispatch.attempt, Instant::now()));
+                let sending = self.placer.clone().send(&self.head, &self.body, dispatch, self.deadline);
                 self.out.push(sending);
             }
             CallAction::Cancel { attempt, server } => {
--- a/valetrack/src/placement/forecast.rs
+++ b/valetrack/src/placement/forecast.rs
@@ -1,19 +1,13 @@
 //! What a call is likely to come to at a server: how fast the server is, and what its answer is worth.
 
-use crate::gate::{LoadReport, SLOWDOWN_LASTS_US, fading};
+use crate::gate::{LoadReport, SLOWDOWN_LASTS_US, fading, time_worth};
 
-/// Spread of a call's time around what is expected, as a share of it: runs of one route differ by
-/// a third, and calls that a server makes on its own come on top.
-const EXPECTED_SPREAD: f64 = 0.18;
 /// What leaving the failure domain costs, as a share of an answer in time. Its bytes are paid for;
 /// a platform does not say how dearly, so this is what two kilobytes cost at a middling price.
 const FAR_COST: f64 = 0.3;
 /// What opening a link to another failure domain costs, as a share of an answer in time: some
 /// five kilobytes of handshake, of which later calls have their use too.
 const FIRST_COST: f64 = 0.05;
-/// What an answer at its objective is worth less than one at once, so that of servers that are all
-/// in time the faster one is taken.
-const SOONER_VALUE: f64 = 0.05;
 /// A server is slow when it takes this many times its average.
 const SLOW_FACTOR: f64 = 1.2;
 
@@ -49,12 +43,15 @@
     }
 }
 
+/// Returns what the way to a server costs, as a share of an answer in time.
+pub(super) fn way_cost(far: bool) -> f64 {
+    if far { FAR_COST } else { 0.0 }
+}
+
 /// Returns what a call is worth that should take `expected_us` where `left_us` are left, as a share
 /// of an answer in time: the chance that it is in time, less what the way there costs.
 pub(super) fn worth(expected_us: f64, left_us: f64, far: bool, never_asked: bool) -> f64 {
-    let in_time = 1.0 / (1.0 + ((expected_us - left_us) / (expected_us * EXPECTED_SPREAD)).exp());
-    let way = if far { FAR_COST } else { 0.0 };
     // A server that was never asked has no link yet, and opening one crosses as bytes too.
     let first = if far && never_asked { FIRST_COST } else { 0.0 };
-    in_time - way - first - SOONER_VALUE * expected_us / left_us.max(1.0)
+    time_worth(expected_us, left_us) - way_cost(far) - first
 }
--- a/valetrack/src/placement/message.rs
+++ b/valetrack/src/placement/message.rs
@@ -81,18 +81,25 @@
     DeadlineDue,
 }
 
+/// An attempt on its way to the owner of a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Dispatch {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The server.
+    pub server: ServerIndex,
+    /// How long it may wait there.
+    pub patience: Patience,
+    /// What the call is worth at the best other server that may be asked, in thousandths of an
+    /// answer in time; zero where there is none.
+    pub elsewhere_permille: u16,
+}
+
 /// What the shell of placement must do for a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallAction {
     /// Send an attempt to a server's owner.
-    Send {
-        /// The attempt.
-        attempt: AttemptId,
-        /// The server.
-        server: ServerIndex,
-        /// How long it may wait there.
-        patience: Patience,
-    },
+    Send(Dispatch),
     /// Ask the owner to cancel an attempt, on a new connection where the old one broke.
     Cancel {
         /// The attempt.
--- a/valetrack/src/placement/mod.rs
+++ b/valetrack/src/placement/mod.rs
@@ -22,7 +22,7 @@
 pub use budget::{RateBudget, ShareBudget};
 pub use call::{Budgets, Call, CallContext, CallRule};
 pub use message::{
-    CallAction, CallEvent, Demand, Outcome, PlaceJob, Placed, SERVICE_UNKNOWN, SeenLoad, ServerIndex, Verdict,
+    CallAction, CallEvent, Demand, Dispatch, Outcome, PlaceJob, Placed, SERVICE_UNKNOWN, SeenLoad, ServerIndex, Verdict,
 };
 pub use policy::Policy;
 pub use set::ServerSet;
--- a/valetrack/src/placement/tests/call.rs
+++ b/valetrack/src/placement/tests/call.rs
@@ -5,8 +5,8 @@
 use crate::code::Code;
 use crate::gate::{AttemptId, BounceReason, CancelResult, LoadReport};
 use crate::placement::{
-    Budgets, Call, CallAction, CallContext, CallEvent, CallRule, Demand, Policy, ServerIndex, ServiceView, ShareBudget,
-    Verdict,
+    Budgets, Call, CallAction, CallContext, CallEvent, CallRule, Demand, Dispatch, Policy, ServerIndex, ServiceView,
+    ShareBudget, Verdict,
 };
 
 const SERVERS: usize = 4;
@@ -81,7 +81,7 @@
 
     fn act(&mut self, action: CallAction) -> Result<(), TestCaseError> {
         match action {
-            CallAction::Send { attempt, .. } => {
+            CallAction::Send(Dispatch { attempt, .. }) => {
                 prop_assert!(self.verdict.is_none(), "an attempt after the verdict");
                 let may_run = self.attempts.iter().any(|attempt| attempt.place != Place::Dead);
                 prop_assert!(self.repeatable || !may_run, "a second attempt that may run");
--- a/valetrack/src/placement/view.rs
+++ b/valetrack/src/placement/view.rs
@@ -1,6 +1,6 @@
 //! An entry's view of the servers of one service, and the pick.
 
-use super::forecast::{Pace, worth};
+use super::forecast::{Pace, way_cost, worth};
 use super::message::{Demand, SeenLoad, ServerIndex};
 use super::policy::Policy;
 use super::set::ServerSet;
@@ -311,6 +311,21 @@
         worth(expected_us, demand.left_us as f64, view.far, view.seen.is_none())
     }
 
+    /// Returns what a call is worth at the best server outside `excluded`, as a share of an answer
+    /// in time; the way to `server`, at which it is, counts for that as saved.
+    pub fn worth_elsewhere(
+        &self,
+        server: ServerIndex,
+        excluded: ServerSet,
+        demand: Demand,
+        now_us: u64,
+    ) -> Option<f64> {
+        let (open, count) = self.open(excluded, now_us);
+        let values = open[..count].iter().map(|&other| self.value(other, demand, now_us));
+        let best = values.reduce(f64::max)?;
+        Some(best + way_cost(self.servers[server].far))
+    }
+
     /// Returns the average factor of the servers that were heard of, in hundredths, for those that
     /// were not; zero where none was.
     fn usual_percent(&self) -> u16 {
