Times of runs are learned without the slowdown that the machine told

Cause: entries took 150 to 600 ms for the usual time of one route whose work is 170 ms, since each sees few runs, and a third of them on slowed machines; the limit under the slots and the speed of a server were learned from the same figures.

Change: the owner divides the time of a run by what the machine told at its start and end, and the answer brings that; estimates take longer steps at first.

--- a/valetrack/src/caller/run.rs
+++ b/valetrack/src/caller/run.rs
@@ -272,7 +272,7 @@
             && !route.is_empty()
             && head.status < 400
         {
-            placer.ran(&route, head.ran_us);
+            placer.ran(&route, head.work_us);
         }
         placed
     }
--- a/valetrack/src/claim/run.rs
+++ b/valetrack/src/claim/run.rs
@@ -438,7 +438,7 @@
             retry_after_ms: 0,
             headers: Vec::new(),
             body_bytes: 0,
-            ran_us: 0,
+            work_us: 0,
         };
         (Reply::Answer(answer), Bytes::new())
     };
@@ -454,7 +454,7 @@
                 retry_after_ms: 0,
                 headers: kept.headers,
                 body_bytes: body.len() as u32,
-                ran_us: 0,
+                work_us: 0,
             };
             (Reply::Answer(answer), body)
         }
--- a/valetrack/src/gate/message.rs
+++ b/valetrack/src/gate/message.rs
@@ -100,6 +100,17 @@
     pub wait_max_us: u64,
 }
 
+/// How long one run took.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RunTimes {
+    /// Time from the start to the whole answer, in microseconds.
+    pub ran_us: u64,
+    /// The same as it would have been on a machine that is not slowed, in microseconds.
+    pub unslowed_us: u64,
+    /// Time that the entry expected on a usual server, in microseconds; zero when unknown.
+    pub work_us: u64,
+}
+
 /// Something that happened to the gate.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum GateEvent {
--- a/valetrack/src/gate/mod.rs
+++ b/valetrack/src/gate/mod.rs
@@ -20,7 +20,9 @@
 
 pub use header::travelling;
 pub use limit::ConcurrencyLimit;
-pub use message::{AttemptId, BounceReason, CancelResult, GateAction, GateEvent, LoadReport, Objective, Patience};
+pub use message::{
+    AttemptId, BounceReason, CancelResult, GateAction, GateEvent, LoadReport, Objective, Patience, RunTimes,
+};
 pub use origin::OriginTracker;
 pub use protocol::{Classified, Health, HostLoad, NativeUpstream, UpstreamProtocol};
 pub use speed::{SLOWDOWN_LASTS_US, Speed, expected_run_us, fading, time_worth};
--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -12,7 +12,9 @@
 use tokio::time::{sleep, timeout};
 
 use super::header::travelling;
-use super::message::{AttemptId, BounceReason, CancelResult, GateAction, GateEvent, LoadReport, Objective, Patience};
+use super::message::{
+    AttemptId, BounceReason, CancelResult, GateAction, GateEvent, LoadReport, Objective, Patience, RunTimes,
+};
 use super::origin::OriginTracker;
 use super::pool::{ServerAnswer, ServerError, ServerPool};
 use super::protocol::{Health, HostLoad};
@@ -332,6 +334,7 @@
         let attempt = job.head.attempt;
         log::debug!("event=gate.start call={} attempt={attempt}", job.head.call_id);
         let began_us = now_us();
+        let slowdown_before = self.gate.borrow().slowdown(began_us);
         let left_us = job.deadline_us.saturating_sub(began_us);
         let id = self.upstream.borrow().id.clone();
         let Some(request) = self.pool.protocol().request(&job.head, job.body.clone(), left_us / 1000, id.as_deref())
@@ -363,17 +366,20 @@
         }
         let healthy = answer.as_ref().is_some_and(|answer| answer.status < 500);
         let ran_us = now_us().saturating_sub(began_us);
-        self.gate.borrow_mut().ran(attempt, ran_us, job.head.work_us.into(), healthy);
+        let slowdown_after = self.gate.borrow().slowdown(now_us());
+        let unslowed_us = (ran_us as f64 * 2.0 / (slowdown_before + slowdown_after)) as u64;
+        let times = RunTimes { ran_us, unslowed_us, work_us: job.head.work_us.into() };
+        self.gate.borrow_mut().ran(attempt, times, healthy);
         let level = if healthy { log::Level::Debug } else { log::Level::Warn };
         let status = answer.as_ref().map_or(0, |answer| answer.status);
         log::log!(
             level,
-            "event=gate.done call={} attempt={attempt} status={status} code={} ran_us={ran_us}",
+            "event=gate.done call={} attempt={attempt} status={status} code={} ran_us={ran_us} unslowed_us={unslowed_us}",
             job.head.call_id,
             OrNone(code)
         );
         let (mut head, body) = answer_head(attempt, code, answer);
-        head.ran_us = ran_us.min(u64::from(u32::MAX)) as u32;
+        head.work_us = unslowed_us.min(u64::from(u32::MAX)) as u32;
         let _ = job.reply.send(GateReply::Answer(head, body));
         if late {
             sleep(Duration::from_millis(LINGER_MS)).await;
@@ -418,7 +424,7 @@
             retry_after_ms: 0,
             headers: Vec::new(),
             body_bytes: 0,
-            ran_us: 0,
+            work_us: 0,
         };
         return (head, Bytes::new());
     };
@@ -430,7 +436,7 @@
         retry_after_ms: 0,
         headers: travelling(&answer.headers),
         body_bytes: answer.body.len() as u32,
-        ran_us: 0,
+        work_us: 0,
     };
     (head, answer.body)
 }
--- a/valetrack/src/gate/speed.rs
+++ b/valetrack/src/gate/speed.rs
@@ -1,6 +1,6 @@
 //! How fast one server is: learned from the runs at its gate, and told by its machine.
 
-use super::message::LoadReport;
+use super::message::{LoadReport, RunTimes};
 
 /// Time that a machine's slowdown is taken to go on until episodes were seen to end, in
 /// microseconds: neighbours' load changes several times a second.
@@ -76,8 +76,9 @@
 }
 
 impl Speed {
-    /// Takes a run that took `ran_us` where `work_us` were expected.
-    pub fn ran(&mut self, ran_us: u64, work_us: u64, healthy: bool) {
+    /// Takes how long a run took.
+    pub fn ran(&mut self, times: RunTimes, healthy: bool) {
+        let RunTimes { ran_us, unslowed_us, work_us } = times;
         self.failing += (f64::from(u8::from(!healthy)) - self.failing) * MEAN_WEIGHT;
         // A failure may come at once; only whole runs tell of speed.
         if work_us == 0 || !healthy {
@@ -85,7 +86,8 @@
         }
         let sample = (ran_us as f64 / work_us as f64).clamp(SAMPLE_MIN, SAMPLE_MAX);
         self.mean += (sample - self.mean) * MEAN_WEIGHT;
-        let up = if sample > self.base { BASE_QUANTILE } else { BASE_QUANTILE - 1.0 };
+        let unslowed = (unslowed_us as f64 / work_us as f64).clamp(SAMPLE_MIN, SAMPLE_MAX);
+        let up = if unslowed > self.base { BASE_QUANTILE } else { BASE_QUANTILE - 1.0 };
         self.base = (self.base * (1.0 + BASE_STEP * up)).clamp(SAMPLE_MIN, SAMPLE_MAX);
     }
 
@@ -111,6 +113,12 @@
         work_us >= ASK_WORK_MIN_US && now_us < self.swings_until_us && now_us > self.told_us + FRESH_US
     }
 
+    /// Returns the factor that the machine told last, or one when that was too long ago.
+    pub fn slowdown(&self, now_us: u64) -> f64 {
+        let over = now_us.saturating_sub(self.told_us) as f64 > self.lasts_us;
+        if over { 1.0 } else { self.slowdown }
+    }
+
     /// Returns the factor of a run that starts now, before the present slowdown ends.
     pub fn now(&self, now_us: u64) -> f64 {
         let age_us = now_us.saturating_sub(self.told_us);
--- a/valetrack/src/gate/state.rs
+++ b/valetrack/src/gate/state.rs
@@ -3,7 +3,9 @@
 use std::collections::{HashMap, VecDeque};
 
 use super::limit::ConcurrencyLimit;
-use super::message::{AttemptId, BounceReason, CancelResult, GateAction, GateEvent, LoadReport, Objective, Patience};
+use super::message::{
+    AttemptId, BounceReason, CancelResult, GateAction, GateEvent, LoadReport, Objective, Patience, RunTimes,
+};
 use super::speed::{Speed, fading, time_worth};
 
 /// How long an ended or cancelled attempt is remembered, in microseconds.
@@ -202,15 +204,20 @@
         self.speed.told(slowdown_percent, now_us);
     }
 
-    /// Takes how long a run took that is about to end, where `work_us` were expected.
-    pub fn ran(&mut self, attempt: AttemptId, ran_us: u64, work_us: u64, healthy: bool) {
-        self.speed.ran(ran_us, work_us, healthy);
+    /// Returns the factor by which the machine is slowed at `now_us`, as far as it has told.
+    pub fn slowdown(&self, now_us: u64) -> f64 {
+        self.speed.slowdown(now_us)
+    }
+
+    /// Takes how long a run took that is about to end.
+    pub fn ran(&mut self, attempt: AttemptId, times: RunTimes, healthy: bool) {
+        self.speed.ran(times, healthy);
         let Some(running) = self.running.get(&attempt) else {
             return;
         };
-        if healthy && work_us > 0 {
+        if healthy && times.work_us > 0 {
             let busy = (usize::from(running.busy) + self.running.len()).div_ceil(2) as u16;
-            self.learned.ran(ran_us as f64 / work_us as f64, busy, self.config.slots);
+            self.learned.ran(times.unslowed_us as f64 / times.work_us as f64, busy, self.config.slots);
         }
     }
 
--- a/valetrack/src/gate/tests/speed.rs
+++ b/valetrack/src/gate/tests/speed.rs
@@ -3,7 +3,7 @@
 use test_case::test_case;
 
 use crate::gate::{
-    AttemptId, BounceReason, Gate, GateAction, GateConfig, GateEvent, LoadReport, Objective, Patience,
+    AttemptId, BounceReason, Gate, GateAction, GateConfig, GateEvent, LoadReport, Objective, Patience, RunTimes,
     SLOWDOWN_LASTS_US, Speed, expected_run_us,
 };
 
@@ -14,11 +14,26 @@
     assert_eq!(expected_run_us(work_us, now, 1.0, SLOWDOWN_LASTS_US as f64), expected_us);
 }
 
+/// Returns the times of a run on a machine that tells nothing of its speed.
+fn times(ran_us: u64, work_us: u64) -> RunTimes {
+    RunTimes { ran_us, unslowed_us: ran_us, work_us }
+}
+
+#[test]
+fn a_slowed_machine_does_not_make_its_server_slow() {
+    let mut speed = Speed::default();
+    for at in 0..200 {
+        speed.told(400, at);
+        speed.ran(RunTimes { ran_us: 400_000, unslowed_us: 100_000, work_us: 100_000 }, true);
+    }
+    assert!((3.8..=4.2).contains(&speed.now(200)), "{}", speed.now(200));
+}
+
 #[test]
 fn a_slow_server_is_known_as_slow() {
     let mut speed = Speed::default();
     for _ in 0..200 {
-        speed.ran(500_000, 100_000, true);
+        speed.ran(times(500_000, 100_000), true);
     }
     let mut load = LoadReport::default();
     speed.report(&mut load, 0, 0);
@@ -29,7 +44,7 @@
 fn a_server_that_fails_at_once_is_not_fast() {
     let mut speed = Speed::default();
     for _ in 0..50 {
-        speed.ran(10, 100_000, false);
+        speed.ran(times(10, 100_000), false);
     }
     let mut load = LoadReport::default();
     speed.report(&mut load, 0, 0);
@@ -61,7 +76,7 @@
             objective: None,
         };
         gate.handle(arrive, now_us, &mut out);
-        gate.ran(attempt, 190_000, 20_000, true);
+        gate.ran(attempt, times(190_000, 20_000), true);
         gate.handle(GateEvent::Done { attempt, healthy: true }, now_us + 190_000, &mut out);
     }
     let ended_us = 39 * 200_000 + 190_000;
--- a/valetrack/src/link/message.rs
+++ b/valetrack/src/link/message.rs
@@ -80,8 +80,9 @@
     pub headers: Vec<(String, Vec<u8>)>,
     /// Length of the body, in bytes.
     pub body_bytes: u32,
-    /// Time that the server took, in microseconds; zero where it was not asked.
-    pub ran_us: u32,
+    /// Time that the run would have taken on a machine that is not slowed, in microseconds; zero
+    /// where the server was not asked.
+    pub work_us: u32,
 }
 
 /// What rides on every reply: the owner's load and versions, at no message of its own.
--- a/valetrack/src/link/run.rs
+++ b/valetrack/src/link/run.rs
@@ -276,7 +276,7 @@
                 retry_after_ms: 0,
                 headers: Vec::new(),
                 body_bytes: 0,
-                ran_us: 0,
+                work_us: 0,
             };
             (Reply::Answer(answer), Bytes::new())
         })
--- a/valetrack/src/placement/work.rs
+++ b/valetrack/src/placement/work.rs
@@ -4,6 +4,8 @@
 
 /// Step of the estimate towards a new sample, as a share of itself.
 const STEP: f64 = 0.06;
+/// The first steps are longer: this share divided by the number of samples.
+const FIRST_STEP: f64 = 0.6;
 /// Place of the estimate among the samples: below the middle, since noise only ever slows.
 const QUANTILE: f64 = 0.4;
 
@@ -11,18 +13,21 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct WorkEstimate {
     work_us: f64,
+    samples: u32,
 }
 
 impl WorkEstimate {
     /// Takes the time of one run, in microseconds.
     pub fn ran(&mut self, ran_us: u32) {
         let sample = f64::from(ran_us);
+        self.samples = self.samples.saturating_add(1);
         if self.work_us == 0.0 {
             self.work_us = sample;
             return;
         }
         let up = if sample > self.work_us { QUANTILE } else { QUANTILE - 1.0 };
-        self.work_us *= 1.0 + STEP * up;
+        let step = STEP.max(FIRST_STEP / f64::from(self.samples));
+        self.work_us *= 1.0 + step * up;
     }
 
     /// Returns what a call of the route asks for that has `objective_ms` to its objective.
