--- a/valetrack/src/placement/call.rs
+++ b/valetrack/src/placement/call.rs
@@ -16,6 +16,9 @@
 /// How often owners may give a call back because it is worth more elsewhere: of machines that are
 /// slow a third of the time, four in a row hardly ever are.
 const SLOW_BOUNCES: u8 = 4;
+/// How often owners in other failure domains may give a call back for want of room: its bytes are
+/// paid for each time, and where the own domain is full others often are too.
+const FAR_BOUNCES: u8 = 1;
 /// Thousandths in one.
 const PERMILLE: f64 = 1_000.0;
 /// A second run is taken to need this share of the usual time, in hundredths.
@@ -92,6 +95,7 @@
     excluded: ServerSet,
     bounces_left: u8,
     slow_bounces_left: u8,
+    far_bounces_left: u8,
     retries_left: u8,
     hedged: bool,
     /// When the call came, in microseconds.
@@ -118,6 +122,7 @@
             excluded: ServerSet::default(),
             bounces_left: rule.bounces,
             slow_bounces_left: SLOW_BOUNCES,
+            far_bounces_left: FAR_BOUNCES,
             retries_left: rule.retries,
             hedged: false,
             began_us: 0,
@@ -251,6 +256,9 @@
             self.settle(cx, out);
             return;
         }
+        if reason == BounceReason::Full && cx.view.is_far(server) {
+            self.far_bounces_left = self.far_bounces_left.saturating_sub(1);
+        }
         if reason == BounceReason::Slow {
             self.slow_bounces_left = self.slow_bounces_left.saturating_sub(1);
         }
@@ -466,6 +474,10 @@
     }
 
     fn pick(&self, excluded: ServerSet, cx: &mut CallContext<'_>) -> Option<ServerIndex> {
+        let excluded = match self.far_bounces_left {
+            0 => excluded.union(cx.view.far_where_near_is_open(excluded, cx.now_us)),
+            _ => excluded,
+        };
         match self.demand_left(cx) {
             Some(demand) => cx.view.pick_in_time(excluded, demand, cx.now_us, cx.rng),
             None => cx.view.pick(excluded, cx.now_us, cx.rng),
--- a/valetrack/src/placement/set.rs
+++ b/valetrack/src/placement/set.rs
@@ -12,6 +12,11 @@
         self.0 |= 1 << server;
     }
 
+    /// Returns the servers that are in either set.
+    pub fn union(self, other: Self) -> Self {
+        Self(self.0 | other.0)
+    }
+
     /// Returns whether the server is in the set.
     pub fn contains(self, server: ServerIndex) -> bool {
         self.0 & (1 << server) != 0
--- a/valetrack/src/placement/view.rs
+++ b/valetrack/src/placement/view.rs
@@ -124,6 +124,27 @@
         }
     }
 
+    /// Returns the servers in other failure domains, if the own one has some in rotation outside
+    /// `excluded`; there is no choice otherwise.
+    pub fn far_where_near_is_open(&self, excluded: ServerSet, now_us: u64) -> ServerSet {
+        let rotation = self.rotation(now_us);
+        let mut far = ServerSet::default();
+        let mut near_is_open = false;
+        for (server, view) in self.servers.iter().enumerate() {
+            if view.far {
+                far.insert(server);
+            } else {
+                near_is_open |= rotation.contains(server) && !excluded.contains(server);
+            }
+        }
+        if near_is_open { far } else { ServerSet::default() }
+    }
+
+    /// Returns whether the way to a server leaves the failure domain.
+    pub fn is_far(&self, server: ServerIndex) -> bool {
+        self.servers.get(server).is_some_and(|view| view.far)
+    }
+
     /// Marks a server as leaving; it never comes back under the same index.
     pub fn set_leaving(&mut self, server: ServerIndex) {
         if let Some(view) = self.servers.get_mut(server) {
