A key runs only at an owner that was just seen alive

Cause (the known red test): the home of a key sent its run to a VM that had died within the last second; such a run ends unknown, and its key never runs again.

Calls without a key are as before.

Cost: one round trip a key on the native platform.

A VM that dies within the round trip still leaves its key unknown.

--- a/valetrack/src/placement/attempt.rs
+++ b/valetrack/src/placement/attempt.rs
@@ -33,24 +33,31 @@
         deadline: Instant,
     ) -> LocalBoxFuture<'static, AttemptEnd> {
         let Dispatch { attempt, server, patience, elsewhere_permille } = dispatch;
-        let left_ms = deadline.saturating_duration_since(Instant::now()).as_millis() as u32;
-        let gone_ms = head.deadline_ms.saturating_sub(left_ms);
-        let objective_ms = head.objective_ms.saturating_sub(gone_ms);
-        let mut head = CallHead {
-            attempt,
-            patience,
-            elsewhere_permille,
-            deadline_ms: left_ms,
-            objective_ms,
-            key: None,
-            ..head.clone()
-        };
+        // A key whose run is lost with its owner never runs again, so the owner is first seen alive.
+        let looks_first = head.key.is_some();
+        let head = head.clone();
         let body = body.clone();
         Box::pin(async move {
             let service = head.service.clone();
             let Some(target) = self.target(&service, server) else {
                 return (CallEvent::Unsent { attempt }, None);
             };
+            if looks_first && !self.is_own(&target) && !self.probe_one(&service, server).await {
+                log::info!("event=call.owner_silent call={} attempt={attempt} owner={}", head.call_id, target.vm);
+                return (CallEvent::Unsent { attempt }, None);
+            }
+            let left_ms = deadline.saturating_duration_since(Instant::now()).as_millis() as u32;
+            let gone_ms = head.deadline_ms.saturating_sub(left_ms);
+            let objective_ms = head.objective_ms.saturating_sub(gone_ms);
+            let mut head = CallHead {
+                attempt,
+                patience,
+                elsewhere_permille,
+                deadline_ms: left_ms,
+                objective_ms,
+                key: None,
+                ..head
+            };
             let age_ms = self.report_age_ms(&service, server);
             log::info!(
                 "event=call.send call={} attempt={attempt} owner={} patience={patience:?} left_ms={left_ms} \
--- a/valetrack/src/placement/run.rs
+++ b/valetrack/src/placement/run.rs
@@ -217,6 +217,11 @@
         Some(Target { vm: candidate.vm.clone(), addr: candidate.link_addr })
     }
 
+    /// Returns whether a target is this node itself.
+    pub(super) fn is_own(&self, target: &Target) -> bool {
+        target.vm == self.vm
+    }
+
     /// Returns how old the last report of a server's load is.
     pub(super) fn report_age_ms(&self, service: &str, server: ServerIndex) -> Option<u64> {
         let inner = self.inner.borrow();
