A listener that told it is empty accepts no caller that waits already

Ruled out: a connection that is not counted (it is, before its task runs); a second signal (one came).

Change: the loop looks at the end first. Test: twenty callers wait at a listener that has told it is empty; without the order some are accepted (seen to fail), with it none.

--- a/valetrack/src/caller/run.rs
+++ b/valetrack/src/caller/run.rs
@@ -99,15 +99,9 @@
     duties.spawn_local(listener.placer.clone().probe());
     duties.spawn_local(listener.clone().place_jobs());
     duties.spawn_local(listener.clone().watch_emptied());
-    loop {
-        let accepted = tokio::select! {
-            accepted = socket.accept() => accepted,
-            // Whoever came between the last caller's end and the exit would be cut.
-            _ = emptied.wait_for(|emptied| *emptied) => break,
-            _ = closing.wait_for(|closing| *closing) => break,
-        };
+    while let Some(accepted) = next_caller(&socket, &mut emptied, &mut closing).await {
         match accepted {
-            Ok((stream, _)) if listener.connections.get() < CONNECTIONS_MAX => {
+            Ok(stream) if listener.connections.get() < CONNECTIONS_MAX => {
                 // Counted before its task runs, so that the listener is not taken for empty meanwhile.
                 listener.connections.set(listener.connections.get() + 1);
                 tokio::task::spawn_local(listener.clone().serve(stream));
@@ -123,6 +117,24 @@
     duties.shutdown().await;
 }
 
+/// Waits for the next caller; none when the listener has told that nobody is connected any more,
+/// or is to close.
+///
+/// Whoever came between the last caller's end and the exit would be cut, so a caller that waits
+/// already is not accepted either.
+pub(super) async fn next_caller(
+    socket: &TcpListener,
+    emptied: &mut watch::Receiver<bool>,
+    closing: &mut watch::Receiver<bool>,
+) -> Option<std::io::Result<TcpStream>> {
+    tokio::select! {
+        biased;
+        _ = emptied.wait_for(|emptied| *emptied) => None,
+        _ = closing.wait_for(|closing| *closing) => None,
+        accepted = socket.accept() => Some(accepted.map(|(stream, _)| stream)),
+    }
+}
+
 impl CallerListener {
     async fn place_jobs(self: Rc<Self>) {
         while let Ok(job) = self.parts.jobs.recv().await {
--- a/valetrack/src/caller/tests.rs
+++ b/valetrack/src/caller/tests.rs
@@ -2,8 +2,11 @@
 
 use hyper::Request;
 use test_case::test_case;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 
 use super::request::{self, IncomingCall, Rejection};
+use super::run::next_caller;
 use crate::bundle::{Bundle, check};
 use crate::code::Code;
 
@@ -91,3 +94,20 @@
     let rejected = read("GET", "/", &[("host", "intake"), ("x-long", &long)]).map(|call| call.head.path);
     assert_eq!(rejected, Err(Rejection { code: Code::HeaderInvalid, status: 431 }));
 }
+
+#[tokio::test]
+async fn a_caller_that_waits_is_not_accepted_by_a_listener_that_told_it_is_empty() {
+    let socket = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = socket.local_addr().expect("its address");
+    let (emptied, mut seen_emptied) = watch::channel(false);
+    let (_closing, mut seen_closing) = watch::channel(false);
+    let mut waiting = Vec::new();
+    for _ in 0..20 {
+        waiting.push(TcpStream::connect(addr).await.expect("a place in the queue"));
+    }
+    assert!(next_caller(&socket, &mut seen_emptied, &mut seen_closing).await.is_some());
+    emptied.send_replace(true);
+    for _ in 0..19 {
+        assert!(next_caller(&socket, &mut seen_emptied, &mut seen_closing).await.is_none());
+    }
+}
