A fault soak of our own: real nodes, faults from outside, promises held against what is seen

One command with a seed (standin soak): nodes as processes on the managed platform's stand-ins, TCP paths to store and upstream that delay, lose one way, go silent or reset, links that lose datagrams, stops, pauses, kills and hangups by signals, upstreams that drain and start again, a store that is down, silent, slow, loses answers, lapses, revokes or forgets, and configurations; in series and overlapping. Every third seed brings planned work alone. Checked while it runs and at its end: at most once, at most two servers, true refusals, own whole answers, nothing denied, no arrivals after a drain, versions only forward, nothing cut by planned work, recovery within 15 s.

Not in it yet: clocks (only log stamps use the time of day), budgets, hundreds of nodes.

--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod relay;
 pub mod server;
 pub mod slope;
+pub mod soak;
 pub mod store;
 pub mod web;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -6,6 +6,7 @@
 use lexopt::prelude::*;
 use standin::load::LoadSettings;
 use standin::server::ServerSettings;
+use standin::soak::{self, SoakSettings};
 use standin::{bench, list, load, server, slope, store};
 
 #[global_allocator]
@@ -21,6 +22,7 @@
                [--keyed-percent N] [--path PATH] [--seed N] [--plot FILE.svg] [--json] [--name TEXT]
 standin bench  [--seconds N] [--seed N] [--plot FILE.svg] [--only TEXT] [--policy TEXT]
 standin slope
+standin soak   [--seed N] [--seeds N] [--seconds N] [--vms N] [--program FILE] [--logs DIR]
 ";
 
 #[derive(Default)]
@@ -81,7 +83,7 @@
 }
 
 fn run(args: &Args) -> Result<(), String> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+    let runtime = new_runtime()?;
     let io = |result: std::io::Result<()>| result.map_err(|error| error.to_string());
     match args.words.first().map(String::as_str) {
         Some("store") => io(runtime.block_on(store::run(args.addr("listen")?))),
@@ -99,10 +101,36 @@
             only: args.get("only").unwrap_or("").to_owned(),
             policy: args.get("policy").unwrap_or("").to_owned(),
         }),
+        Some("soak") => run_soak(args),
         _ => Err("a command is missing".into()),
     }
 }
 
+fn new_runtime() -> Result<tokio::runtime::Runtime, String> {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|error| error.to_string())
+}
+
+/// Plays one seed after the other, each with a fleet of its own.
+fn run_soak(args: &Args) -> Result<(), String> {
+    let first = args.number("seed", 1)?;
+    let mut broken = 0;
+    for seed in first..first + args.number("seeds", 1)? {
+        let settings = SoakSettings {
+            seed,
+            seconds: args.number("seconds", 15)?,
+            vms: args.number("vms", 8)? as usize,
+            program: args.get("program").unwrap_or("target/release/valetrack").into(),
+            logs: std::path::Path::new(args.get("logs").unwrap_or("target/soak")).join(seed.to_string()),
+        };
+        // The stand-ins of a seed end with its runtime, and give up their ports.
+        let report = new_runtime()?.block_on(soak::run(&settings))?;
+        println!("seed={seed} faults={} breaches={} ends={:?}", report.faults, report.breaches.len(), report.ends);
+        report.breaches.iter().for_each(|breach| println!("  seed={seed} {breach}"));
+        broken += report.breaches.len();
+    }
+    if broken == 0 { Ok(()) } else { Err(format!("{broken} promises broken; what the nodes wrote is in the logs")) }
+}
+
 fn server_settings(args: &Args) -> Result<ServerSettings, String> {
     Ok(ServerSettings {
         addr: args.addr("listen")?,
--- a/standin/src/managed/server.rs
+++ b/standin/src/managed/server.rs
@@ -4,8 +4,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
 
 use http_body_util::BodyExt;
 use hyper::Request;
@@ -17,6 +17,9 @@
 use crate::client::Client;
 use crate::web::{self, Answer, answer};
 
+/// Time after the acknowledgement that the server drains in which work may still come, in
+/// milliseconds: the platform's `drainTimeout` of the small sites.
+const DRAIN_MS: u64 = 2_000;
 /// Pause between two heartbeats, in milliseconds.
 const HEARTBEAT_MS: u64 = 200;
 
@@ -37,8 +40,13 @@
 
 /// One start of a server.
 pub struct ManagedServer {
-    /// Its id.
-    pub id: String,
+    /// Its id at its first start.
+    id: String,
+    /// Starts after the first one; each has an id of its own.
+    generation: AtomicU64,
+    /// When a node acknowledged that the server drains.
+    drain_acknowledged: Mutex<Option<Instant>>,
+    late_arrivals: AtomicU64,
     service: String,
     /// Where it listens.
     pub addr: SocketAddr,
@@ -71,6 +79,9 @@
         let listener = TcpListener::bind(addr).await?;
         let server = Arc::new(Self {
             id: id.to_owned(),
+            generation: AtomicU64::new(0),
+            drain_acknowledged: Mutex::new(None),
+            late_arrivals: AtomicU64::new(0),
             service: service.to_owned(),
             addr,
             slots,
@@ -99,6 +110,35 @@
         self.draining.store(true, Ordering::Relaxed);
     }
 
+    /// Returns the id of the present start.
+    pub fn id(&self) -> String {
+        match self.generation.load(Ordering::Relaxed) {
+            0 => self.id.clone(),
+            generation => format!("{}-{generation}", self.id),
+        }
+    }
+
+    /// Ends and starts again under another id; what still runs ends well.
+    pub fn start_again(&self) {
+        *self.acknowledged_drain() = None;
+        self.generation.fetch_add(1, Ordering::Relaxed);
+        self.draining.store(false, Ordering::Relaxed);
+    }
+
+    /// Returns whether the server says that it is draining.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many requests came later than they may after a drain was acknowledged.
+    pub fn late_arrivals(&self) -> u64 {
+        self.late_arrivals.load(Ordering::Relaxed)
+    }
+
+    fn acknowledged_drain(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.drain_acknowledged.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
     /// Sets how answers are spoilt.
     pub fn set_spoil(&self, spoil: Spoil) {
         *self.spoil.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = spoil;
@@ -126,15 +166,20 @@
 
     async fn announce(self: Arc<Self>, control: SocketAddr) {
         for sequence in 1u64.. {
-            let state = if self.draining.load(Ordering::Relaxed) { "draining" } else { "ready" };
+            let id = self.id();
+            let draining = self.is_draining();
+            let state = if draining { "draining" } else { "ready" };
             let heartbeat = json!({
                 "service": self.service, "address": self.addr, "zone": "kranj", "version": "v1",
                 "slots": self.slots, "state": state, "cold_ms": 0, "sequence": sequence,
             });
-            let path = format!("/api/instances/{}/heartbeat", self.id);
+            let path = format!("/api/instances/{}/heartbeat", id);
             let sent = Client::new(control).call("POST", &path, &[], heartbeat.to_string()).await;
             if sent.is_ok_and(|reply| reply.status == 200) {
                 self.acknowledged.fetch_add(1, Ordering::Relaxed);
+                if draining && id == self.id() {
+                    self.acknowledged_drain().get_or_insert_with(Instant::now);
+                }
             }
             tokio::time::sleep(Duration::from_millis(HEARTBEAT_MS)).await;
         }
@@ -160,7 +205,7 @@
     if request.uri().path() == "/health" {
         let status = if server.draining.load(Ordering::Relaxed) { 503 } else { 200 };
         let mut reply = answer(status, "");
-        reply.headers_mut().insert("x-instance-id", HeaderValue::from_str(&server.id)?);
+        reply.headers_mut().insert("x-instance-id", HeaderValue::from_str(&server.id())?);
         return Ok(reply);
     }
     let text = |name: &str| {
@@ -168,11 +213,14 @@
         value.unwrap_or("").to_owned()
     };
     let id = text("x-request-id");
-    if text("x-expected-instance") != server.id {
+    let instance = server.id();
+    if text("x-expected-instance") != instance {
         let mut reply = answer(421, "");
         reply.headers_mut().insert("x-request-id", HeaderValue::from_str(&id)?);
         return Ok(reply);
     }
+    let drained = server.acknowledged_drain().is_some_and(|since| since.elapsed() > Duration::from_millis(DRAIN_MS));
+    server.late_arrivals.fetch_add(u64::from(drained), Ordering::Relaxed);
     let headers = request.headers().iter();
     let seen = headers.map(|(name, value)| (name.to_string(), value.to_str().unwrap_or("").to_owned())).collect();
     *server.seen.lock().map_err(|_| "poisoned")? = seen;
@@ -192,7 +240,7 @@
     headers.insert("x-request-id", HeaderValue::from_str(&id)?);
     headers.insert("x-server-load", HeaderValue::from_str(&format!("{running},0,{},100", server.slots))?);
     if spoil != Spoil::NoStamp {
-        headers.insert("x-server-stamp", HeaderValue::from_str(&server.id)?);
+        headers.insert("x-server-stamp", HeaderValue::from_str(&instance)?);
     }
     if spoil == Spoil::Encoded {
         headers.insert("content-encoding", HeaderValue::from_static("br"));
--- /dev/null
+++ b/standin/src/soak/caller.rs
@@ -0,0 +1,155 @@
+//! Callers of a soak: each keeps its connections and calls on until it is told to stop.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+use super::fleet::Fleet;
+use super::judge::{Breach, CallRecord, Seen, Versions};
+use crate::client::{Client, Reply};
+
+/// Callers of each VM.
+const CALLERS: usize = 3;
+/// Shortest and longest pause between two calls of one caller, in milliseconds.
+const PAUSE_MS: std::ops::RangeInclusive<u64> = 10..=60;
+/// Time that a caller gives a call, in milliseconds.
+const DEADLINE_MS: u64 = 1_000;
+/// A caller gives up this much later, in milliseconds.
+const SLACK_MS: u64 = 600;
+/// How the ids of questions begin that are no calls of callers.
+pub(super) const QUESTION: &str = "question-";
+
+/// All callers of a run, and what they saw.
+pub(super) struct Callers {
+    seed: u64,
+    stopped: Cell<bool>,
+    /// Newest version of the configuration that was written.
+    version: Cell<u64>,
+    calls: RefCell<Vec<CallRecord>>,
+    breaches: RefCell<Vec<Breach>>,
+}
+
+impl Callers {
+    /// Makes callers that have not called yet; the configuration has version 1.
+    pub(super) fn new(seed: u64) -> Self {
+        let version = Cell::new(1);
+        Self { seed, stopped: Cell::new(false), version, calls: RefCell::default(), breaches: RefCell::default() }
+    }
+
+    /// Starts all callers.
+    pub(super) fn start(self: Rc<Self>, fleet: &Rc<RefCell<Fleet>>) -> JoinSet<()> {
+        let mut load = JoinSet::new();
+        let addrs: Vec<_> = fleet.borrow().vms.iter().map(|vm| vm.caller_addr).collect();
+        for (vm, addr) in addrs.into_iter().enumerate() {
+            for caller in 0..CALLERS {
+                load.spawn_local(self.clone().call_on(vm, caller, addr));
+            }
+            load.spawn_local(self.clone().watch_versions(vm, addr, fleet.clone()));
+        }
+        load
+    }
+
+    /// Tells all callers to stop after their present call.
+    pub(super) fn stop(&self) {
+        self.stopped.set(true);
+    }
+
+    /// Returns the newest version that was written.
+    pub(super) fn version(&self) -> u64 {
+        self.version.get()
+    }
+
+    /// Returns the version that is to be written next.
+    pub(super) fn next_version(&self) -> u64 {
+        // Versions rise in uneven steps.
+        self.version.set(self.version.get() + 1 + self.version.get() % 2);
+        self.version.get()
+    }
+
+    /// Returns all calls.
+    pub(super) fn calls(&self) -> Vec<CallRecord> {
+        self.calls.borrow().clone()
+    }
+
+    /// Returns the breaches that were seen while calls were made.
+    pub(super) fn breaches(&self) -> Vec<Breach> {
+        self.breaches.borrow().clone()
+    }
+
+    async fn call_on(self: Rc<Self>, vm: usize, caller: usize, addr: SocketAddr) {
+        let mut rng = fastrand::Rng::with_seed(self.seed ^ ((vm * CALLERS + caller) as u64 + 1) << 32);
+        let client = Client::new(addr);
+        for number in 0.. {
+            if self.stopped.get() {
+                return;
+            }
+            let id = format!("call-{vm}-{caller}-{number}");
+            let repeatable = rng.bool();
+            let asked = call(&client, &id, repeatable);
+            let seen = match timeout(Duration::from_millis(DEADLINE_MS + SLACK_MS), asked).await {
+                Ok(Ok(reply)) => Seen::Answer { status: reply.status, own: is_own(&reply, &id) },
+                Ok(Err(_)) => Seen::Cut,
+                Err(_) => Seen::GivenUp,
+            };
+            self.calls.borrow_mut().push(CallRecord { id, repeatable, seen });
+            sleep(Duration::from_millis(rng.u64(PAUSE_MS))).await;
+        }
+    }
+
+    /// Asks a node again and again which versions are in force, the newest and the one before it.
+    async fn watch_versions(self: Rc<Self>, vm: usize, addr: SocketAddr, fleet: Rc<RefCell<Fleet>>) {
+        let mut versions = Versions::default();
+        let mut lives = 0;
+        let mut before = 1;
+        while !self.stopped.get() {
+            let newest = self.version();
+            for version in [newest, before] {
+                let (name, life) = {
+                    let fleet = fleet.borrow();
+                    (fleet.vms[vm].name.clone(), fleet.vms[vm].lives)
+                };
+                if life != lives {
+                    lives = life;
+                    versions = Versions::default();
+                }
+                let served = asks(addr, &format!("/version/{version}/")).await;
+                // An answer of the next life says nothing of this one.
+                if fleet.borrow().vms[vm].lives == life {
+                    self.breaches.borrow_mut().extend(versions.seen(&name, version, served));
+                }
+            }
+            before = newest;
+            sleep(Duration::from_millis(*PAUSE_MS.end())).await;
+        }
+    }
+}
+
+async fn call(client: &Client, id: &str, repeatable: bool) -> Result<Reply, String> {
+    let (method, path) = if repeatable { ("GET", "/sheet/") } else { ("POST", "/pickup/") };
+    let deadline = DEADLINE_MS.to_string();
+    let headers = [("host", "farm.example"), ("x-request-id", id), ("x-deadline-milliseconds", &deadline)];
+    client.call(method, path, &headers, body_of(id)).await
+}
+
+fn body_of(id: &str) -> String {
+    format!("body of {id}")
+}
+
+fn is_own(reply: &Reply, id: &str) -> bool {
+    reply.header("x-request-id") == id && !reply.header("x-server-stamp").is_empty() && reply.body == body_of(id)
+}
+
+/// Asks a node for a path on a new connection; returns whether it was served.
+pub(super) async fn asks(addr: SocketAddr, path: &str) -> bool {
+    let id = format!("{QUESTION}{path}");
+    let deadline = DEADLINE_MS.to_string();
+    let headers = [("host", "farm.example"), ("x-request-id", id.as_str()), ("x-deadline-milliseconds", &deadline)];
+    let client = Client::new(addr);
+    let asked = client.call("GET", path, &headers, "");
+    let reply = timeout(Duration::from_millis(DEADLINE_MS + SLACK_MS), asked).await;
+    matches!(reply, Ok(Ok(reply)) if reply.status == 200)
+}
--- /dev/null
+++ b/standin/src/soak/fleet.rs
@@ -0,0 +1,271 @@
+//! The fleet of a soak: real nodes as processes, each with its upstream and the paths around it.
+
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::{Path as FilePath, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
+
+use serde_json::json;
+
+use super::path::Path;
+use super::schedule::{Fault, PathFault};
+use crate::managed::server::ManagedServer;
+use crate::managed::store::{ManagedStore, Mode};
+use crate::relay::{self, Cuts};
+
+/// Slots of each upstream.
+const SLOTS: usize = 6;
+/// Time for which a node's callers still come after SIGTERM, in milliseconds.
+const LINGER_MS: &str = "600";
+/// Time within which a node that was told to stop exits, in seconds.
+const GRACE_S: &str = "4";
+/// Ports of one VM.
+const PORTS: u16 = 8;
+/// First port of a fleet.
+const FIRST_PORT: u16 = 11_000;
+
+/// Returns the configuration of a version; its own route tells whether it is in force.
+pub fn configuration(version: u64) -> String {
+    let route = |name: &str, prefix: String, repeat: &str, service: &str| {
+        json!({
+            "name": name, "host": "farm.example", "path_prefix": prefix, "repeat": repeat, "timeout_ms": 1_500,
+            "objective_ms": 400, "priority": 1, "attempts_max": 2, "service": service,
+        })
+    };
+    let service = |name: &str| json!({ "name": name, "health_path": "/health", "connections_max": 220 });
+    json!({
+        "version": version,
+        "routes": [
+            route("sheet", "/sheet/".into(), "safe", "rounds"),
+            route("pickup", "/pickup/".into(), "non_idempotent", "ledger"),
+            route("version", format!("/version/{version}/"), "safe", "rounds"),
+        ],
+        "services": [service("rounds"), service("ledger")],
+    })
+    .to_string()
+}
+
+/// Returns a loopback host that no other fleet has, in this process or beside it.
+fn own_host() -> [u8; 4] {
+    static FLEETS: AtomicU8 = AtomicU8::new(0);
+    let process = std::process::id();
+    let fleet = FLEETS.fetch_add(1, Ordering::Relaxed) % 250;
+    // Tests of other kinds use the hosts that end in 1.
+    [127, 1 + (process >> 8) as u8 % 254, process as u8, 2 + fleet]
+}
+
+/// One VM with what can be done to it.
+pub struct Vm {
+    /// Its name.
+    pub name: String,
+    /// Where its callers come.
+    pub caller_addr: SocketAddr,
+    /// Where it tells whether it is ready.
+    pub ready_addr: SocketAddr,
+    /// Its upstream.
+    pub upstream: Arc<ManagedServer>,
+    service: &'static str,
+    control_addr: SocketAddr,
+    link_addr: SocketAddr,
+    advertise_addr: SocketAddr,
+    store_path_addr: SocketAddr,
+    upstream_path_addr: SocketAddr,
+    store_path: Path,
+    upstream_path: Path,
+    cuts: Arc<Cuts>,
+    node: Option<Child>,
+    /// Lives of its node so far.
+    pub lives: u64,
+}
+
+/// Real nodes on the stand-ins; all are ended when it is dropped.
+pub struct Fleet {
+    /// The store.
+    pub store: ManagedStore,
+    /// The VMs.
+    pub vms: Vec<Vm>,
+    store_addr: SocketAddr,
+    /// Loopback host of this fleet alone.
+    host: [u8; 4],
+    program: PathBuf,
+    logs: PathBuf,
+}
+
+impl Fleet {
+    /// Starts `count` VMs of two services over two failure domains; `program` is the node's, and
+    /// `logs` a folder for what nodes write.
+    ///
+    /// # Errors
+    ///
+    /// Returns why a port, a folder or the program could not be had.
+    pub async fn start(program: &FilePath, logs: &FilePath, count: usize) -> std::io::Result<Self> {
+        std::fs::create_dir_all(logs)?;
+        let store = ManagedStore::default();
+        let store_addr = store.start().await?;
+        store.put("op/config", &configuration(1));
+        let (program, logs) = (program.to_owned(), logs.to_owned());
+        let mut fleet = Self { store, vms: Vec::new(), store_addr, host: own_host(), program, logs };
+        for at in 0..count {
+            let vm = fleet.make_vm(at).await?;
+            fleet.vms.push(vm);
+            fleet.start_node(at)?;
+        }
+        Ok(fleet)
+    }
+
+    async fn make_vm(&self, at: usize) -> std::io::Result<Vm> {
+        let addr = |port: u16| SocketAddr::from((self.host, FIRST_PORT + at as u16 * PORTS + port));
+        let service = ["rounds", "ledger"][at / 2 % 2];
+        let control_addr = addr(0);
+        let cuts = Arc::new(Cuts::default());
+        let vm = Vm {
+            name: format!("vm-{at}"),
+            caller_addr: addr(1),
+            ready_addr: addr(2),
+            upstream: ManagedServer::start(&format!("i-{at}"), service, addr(3), SLOTS, control_addr).await?,
+            service,
+            control_addr,
+            link_addr: addr(4),
+            advertise_addr: relay::start(addr(4), cuts.clone()).await?,
+            store_path_addr: addr(5),
+            upstream_path_addr: addr(6),
+            store_path: Path::default(),
+            upstream_path: Path::default(),
+            cuts,
+            node: None,
+            lives: 0,
+        };
+        vm.store_path.start(vm.store_path_addr, self.store_addr).await?;
+        vm.upstream_path.start(vm.upstream_path_addr, vm.upstream.addr).await?;
+        Ok(vm)
+    }
+
+    /// Starts the node of a VM.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the program could not be started.
+    pub fn start_node(&mut self, at: usize) -> std::io::Result<()> {
+        let vm = &mut self.vms[at];
+        let flags = [
+            ("platform", "managed".to_owned()),
+            ("vm", vm.name.clone()),
+            ("domain", ["kranj", "loka"][at % 2].to_owned()),
+            ("service", vm.service.to_owned()),
+            ("server", vm.upstream_path_addr.to_string()),
+            ("caller-listen", vm.caller_addr.to_string()),
+            ("admin-listen", vm.ready_addr.to_string()),
+            ("control-listen", vm.control_addr.to_string()),
+            ("link-listen", vm.link_addr.to_string()),
+            ("link-advertise", vm.advertise_addr.to_string()),
+            ("store", vm.store_path_addr.to_string()),
+            ("store-timeout-ms", "500".to_owned()),
+            ("lease-ms", "1500".to_owned()),
+            ("linger-ms", LINGER_MS.to_owned()),
+            ("stop-grace-s", GRACE_S.to_owned()),
+            ("retry-reserve", "60".to_owned()),
+        ];
+        let args = flags.into_iter().flat_map(|(flag, value)| [format!("--{flag}"), value]);
+        let log = File::options().create(true).append(true).open(self.logs.join(format!("{}.log", vm.name)))?;
+        let errors = log.try_clone()?;
+        let mut node = Command::new(&self.program);
+        node.arg("node").args(args);
+        vm.node = Some(node.stdin(Stdio::null()).stdout(log).stderr(errors).spawn()?);
+        vm.lives += 1;
+        Ok(())
+    }
+
+    /// Starts the node of a VM anew where it has ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the program could not be started.
+    pub fn revive(&mut self, at: usize) -> std::io::Result<()> {
+        let ended = self.vms[at].node.as_mut().is_none_or(|node| matches!(node.try_wait(), Ok(Some(_))));
+        if ended { self.start_node(at) } else { Ok(()) }
+    }
+
+    /// Begins a fault.
+    pub fn begin(&mut self, at: usize, fault: Fault) {
+        let vm = &mut self.vms[at];
+        match fault {
+            Fault::Term => vm.signal("-TERM"),
+            Fault::Hangup => vm.signal("-HUP"),
+            Fault::Pause => vm.signal("-STOP"),
+            Fault::Kill => vm.kill(),
+            Fault::StorePath(fault) => vm.store_path.set(Some(fault)),
+            Fault::UpstreamPath(fault) => vm.upstream_path.set(Some(fault)),
+            Fault::Links { inbound, outbound } => vm.cuts.set(inbound, outbound),
+            Fault::Drain => vm.upstream.drain(),
+            Fault::Store(mode) => self.store.set_mode(mode),
+            Fault::Revoke => self.store.revoke("valetrack/"),
+            Fault::Lapse => self.store.lapse(),
+            Fault::Compact => self.store.compact(),
+            // The caller of this function writes it, since it counts the versions.
+            Fault::Configure => {}
+        }
+    }
+
+    /// Ends a fault.
+    pub fn end(&mut self, at: usize, fault: Fault) {
+        let vm = &mut self.vms[at];
+        match fault {
+            Fault::Pause => vm.signal("-CONT"),
+            Fault::StorePath(_) => vm.store_path.set(None),
+            Fault::UpstreamPath(_) => vm.upstream_path.set(None),
+            Fault::Links { .. } => vm.cuts.set(false, false),
+            Fault::Drain => vm.upstream.start_again(),
+            Fault::Store(_) => self.store.set_mode(Mode::Up),
+            Fault::Term
+            | Fault::Hangup
+            | Fault::Kill
+            | Fault::Revoke
+            | Fault::Lapse
+            | Fault::Compact
+            | Fault::Configure => {}
+        }
+    }
+
+    /// Ends every fault there may be.
+    pub fn mend(&mut self) {
+        for at in 0..self.vms.len() {
+            self.end(at, Fault::Pause);
+            self.end(at, Fault::StorePath(PathFault::Reset));
+            self.end(at, Fault::UpstreamPath(PathFault::Reset));
+            self.end(at, Fault::Links { inbound: false, outbound: false });
+            if self.vms[at].upstream.is_draining() {
+                self.end(at, Fault::Drain);
+            }
+        }
+        self.store.set_mode(Mode::Up);
+    }
+}
+
+impl Vm {
+    fn signal(&mut self, signal: &str) {
+        let Some(node) = &mut self.node else {
+            return;
+        };
+        // A process that has ended and was waited for has given up its id.
+        if matches!(node.try_wait(), Ok(None)) {
+            // It may end at this very moment; then there is nothing to signal.
+            let _ = Command::new("kill").args([signal, &node.id().to_string()]).stderr(Stdio::null()).status();
+        }
+    }
+
+    fn kill(&mut self) {
+        if let Some(node) = &mut self.node {
+            // A node that has ended by itself needs no kill.
+            let _ = node.kill();
+            let _ = node.wait();
+        }
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.vms.iter_mut().for_each(Vm::kill);
+    }
+}
--- /dev/null
+++ b/standin/src/soak/mod.rs
@@ -0,0 +1,183 @@
+//! The fault soak: real nodes under load, faults from outside them by a seed, and the promises held
+//! against what callers and upstreams see.
+
+mod caller;
+mod fleet;
+mod judge;
+mod path;
+mod schedule;
+#[cfg(test)]
+mod tests;
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+pub use self::judge::{Breach, CallRecord, Seen, Versions, judge_calls};
+pub use self::schedule::{Fault, Kind, PathFault, Step, schedule};
+
+use self::caller::Callers;
+use self::fleet::{Fleet, configuration};
+use crate::client::Client;
+
+/// Time within which a fleet starts, in seconds.
+const START_S: u64 = 30;
+/// Time within which a fleet serves again after the last fault, in seconds: the platform's
+/// `recovery`.
+const RECOVERY_S: u64 = 15;
+/// Pause between two looks at which nodes have ended, in milliseconds.
+const REVIVE_MS: u64 = 100;
+/// Time after the load for runs that are still under way, in milliseconds: longer than any call.
+const SETTLE_MS: u64 = 2_500;
+
+/// Settings of one run.
+#[derive(Debug, Clone)]
+pub struct SoakSettings {
+    /// The seed, which decides all faults.
+    pub seed: u64,
+    /// How long faults come, in seconds.
+    pub seconds: u64,
+    /// How many VMs.
+    pub vms: usize,
+    /// The node's program.
+    pub program: PathBuf,
+    /// Folder for what the nodes write.
+    pub logs: PathBuf,
+}
+
+/// What came of one run.
+#[derive(Debug, Clone, Default)]
+pub struct SoakReport {
+    /// Calls by how they ended.
+    pub ends: BTreeMap<String, u64>,
+    /// Faults that were put.
+    pub faults: usize,
+    /// Promises that were broken.
+    pub breaches: Vec<Breach>,
+}
+
+/// Plays one run.
+///
+/// # Errors
+///
+/// Returns why the fleet could not be started.
+pub async fn run(settings: &SoakSettings) -> Result<SoakReport, String> {
+    let fleet = Fleet::start(&settings.program, &settings.logs, settings.vms).await;
+    let fleet = Rc::new(RefCell::new(fleet.map_err(|error| error.to_string())?));
+    let ready = timeout(Duration::from_secs(START_S), all_ready(&fleet)).await;
+    ready.map_err(|_| format!("not all nodes are ready after {START_S} s"))?;
+    let local = tokio::task::LocalSet::new();
+    local.run_until(play(settings, fleet)).await
+}
+
+async fn play(settings: &SoakSettings, fleet: Rc<RefCell<Fleet>>) -> Result<SoakReport, String> {
+    let steps = schedule(settings.seed, settings.vms, settings.seconds * 1000);
+    let mut report = SoakReport { faults: steps.len(), ..SoakReport::default() };
+    let callers = Rc::new(Callers::new(settings.seed));
+    let mut load = callers.clone().start(&fleet);
+    let reviving = tokio::task::spawn_local(revive(fleet.clone()));
+    put(&steps, &fleet, &callers).await;
+    fleet.borrow_mut().mend();
+    if timeout(Duration::from_secs(RECOVERY_S), all_serve(&fleet, callers.version())).await.is_err() {
+        let detail = format!("not all nodes are ready and serve the newest version after {RECOVERY_S} s");
+        report.breaches.push(Breach { promise: "the fleet serves again", subject: "fleet".into(), detail });
+    }
+    callers.stop();
+    while load.join_next().await.is_some() {}
+    sleep(Duration::from_millis(SETTLE_MS)).await;
+    reviving.abort();
+    let calls = callers.calls();
+    for call in &calls {
+        let end = match &call.seen {
+            Seen::Answer { status, .. } => status.to_string(),
+            Seen::Cut => "cut".to_owned(),
+            Seen::GivenUp => "given up".to_owned(),
+        };
+        *report.ends.entry(end).or_insert(0) += 1;
+    }
+    let planned = Kind::of_seed(settings.seed) == Kind::Planned;
+    report.breaches.extend(callers.breaches());
+    report.breaches.extend(judge_calls(&calls, &runs(&fleet), planned));
+    report.breaches.extend(drained_late(&fleet));
+    Ok(report)
+}
+
+/// Puts the faults at their moments, and ends each in its time.
+async fn put(steps: &[Step], fleet: &Rc<RefCell<Fleet>>, callers: &Rc<Callers>) {
+    let began = Instant::now();
+    let mut ends = tokio::task::JoinSet::new();
+    for step in steps.iter().copied() {
+        sleep_until(began + Duration::from_millis(step.at_ms)).await;
+        fleet.borrow_mut().begin(step.vm, step.fault);
+        if step.fault == Fault::Configure {
+            let version = callers.next_version();
+            fleet.borrow().store.put("op/config", &configuration(version));
+        }
+        let fleet = fleet.clone();
+        ends.spawn_local(async move {
+            sleep(Duration::from_millis(step.lasts_ms)).await;
+            fleet.borrow_mut().end(step.vm, step.fault);
+        });
+    }
+    while ends.join_next().await.is_some() {}
+}
+
+/// Starts nodes anew that have ended, as the platform does.
+async fn revive(fleet: Rc<RefCell<Fleet>>) {
+    loop {
+        sleep(Duration::from_millis(REVIVE_MS)).await;
+        let count = fleet.borrow().vms.len();
+        for at in 0..count {
+            if let Err(error) = fleet.borrow_mut().revive(at) {
+                eprintln!("vm-{at} could not be started again: {error}");
+            }
+        }
+    }
+}
+
+async fn all_ready(fleet: &Rc<RefCell<Fleet>>) {
+    let addrs: Vec<_> = fleet.borrow().vms.iter().map(|vm| vm.ready_addr).collect();
+    for addr in addrs {
+        while !Client::new(addr).call("GET", "/api/readiness", &[], "").await.is_ok_and(|reply| reply.status == 200) {
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+/// Waits until every node is ready and serves calls by the newest configuration.
+async fn all_serve(fleet: &Rc<RefCell<Fleet>>, version: u64) {
+    all_ready(fleet).await;
+    let addrs: Vec<_> = fleet.borrow().vms.iter().map(|vm| vm.caller_addr).collect();
+    for addr in addrs {
+        let path = format!("/version/{version}/");
+        while !caller::asks(addr, &path).await {
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+fn runs(fleet: &Rc<RefCell<Fleet>>) -> BTreeMap<String, u64> {
+    let mut runs = BTreeMap::new();
+    for vm in &fleet.borrow().vms {
+        for (id, count) in vm.upstream.runs() {
+            *runs.entry(id).or_insert(0) += count;
+        }
+    }
+    runs.retain(|id, _| !id.starts_with(caller::QUESTION));
+    runs
+}
+
+fn drained_late(fleet: &Rc<RefCell<Fleet>>) -> Vec<Breach> {
+    let fleet = fleet.borrow();
+    let late = fleet.vms.iter().filter(|vm| vm.upstream.late_arrivals() > 0);
+    late.map(|vm| Breach {
+        promise: "a leaving upstream gets no new work",
+        subject: vm.name.clone(),
+        detail: format!("{} arrivals after the time to drain", vm.upstream.late_arrivals()),
+    })
+    .collect()
+}
--- /dev/null
+++ b/standin/src/soak/path.rs
@@ -0,0 +1,106 @@
+//! A TCP path with faults: a relay on loopback that delays, loses or resets.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+use super::schedule::PathFault;
+
+/// Bytes that are read at once.
+const CHUNK_BYTES: usize = 16 * 1024;
+
+/// A path that can be told to fail; clones share it.
+#[derive(Debug, Clone, Default)]
+pub struct Path {
+    fault: Arc<Mutex<Option<PathFault>>>,
+    reset: Arc<Notify>,
+}
+
+impl Path {
+    /// Serves the path from `listen` to `far_end` until the runtime ends.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the address could not be listened on.
+    pub async fn start(&self, listen: SocketAddr, far_end: SocketAddr) -> std::io::Result<()> {
+        let listener = TcpListener::bind(listen).await?;
+        let path = self.clone();
+        tokio::spawn(async move {
+            loop {
+                let Ok((near, _)) = listener.accept().await else {
+                    continue;
+                };
+                tokio::spawn(path.clone().connect(near, far_end));
+            }
+        });
+        Ok(())
+    }
+
+    /// Sets what goes wrong from now on; none mends the path.
+    pub fn set(&self, fault: Option<PathFault>) {
+        *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
+        if fault == Some(PathFault::Reset) {
+            self.reset.notify_waiters();
+        }
+    }
+
+    fn fault(&self) -> Option<PathFault> {
+        *self.fault.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn connect(self, near: TcpStream, far_end: SocketAddr) {
+        if self.fault() == Some(PathFault::Reset) {
+            reset(&near);
+            return;
+        }
+        let Ok(far) = TcpStream::connect(far_end).await else {
+            reset(&near);
+            return;
+        };
+        // Small exchanges must not wait for each other.
+        let _ = (near.set_nodelay(true), far.set_nodelay(true));
+        let (near_read, near_write) = near.into_split();
+        let (far_read, far_write) = far.into_split();
+        let there = self.clone().copy(near_read, far_write, PathFault::Silent);
+        let back = self.clone().copy(far_read, near_write, PathFault::OneWay);
+        tokio::select! {
+            _ = async { tokio::join!(there, back) } => {}
+            // Both sockets are dropped with bytes unread or unsent, which resets or ends them.
+            () = self.reset.notified() => {}
+        }
+    }
+
+    /// Copies one direction; while `losing` is the fault, its bytes are lost.
+    async fn copy(self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf, losing: PathFault) {
+        let mut chunk = vec![0; CHUNK_BYTES];
+        loop {
+            let Ok(length) = from.read(&mut chunk).await else {
+                return;
+            };
+            if length == 0 {
+                // The other direction goes on; a far end that has gone needs no end told.
+                let _ = to.shutdown().await;
+                return;
+            }
+            match self.fault() {
+                Some(fault) if fault == losing => continue,
+                Some(PathFault::Delay(delay_ms)) => tokio::time::sleep(Duration::from_millis(delay_ms)).await,
+                Some(_) | None => {}
+            }
+            if to.write_all(&chunk[..length]).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// Has a connection reset when it is dropped.
+fn reset(stream: &TcpStream) {
+    // Where it fails, the connection ends in order, which is as unexpected to its other end.
+    let _ = stream.set_zero_linger();
+}
--- /dev/null
+++ b/standin/src/soak/tests.rs
@@ -0,0 +1,67 @@
+//! The soak's own decisions: its schedule, and what it takes for a broken promise.
+
+use std::collections::BTreeMap;
+
+use test_case::test_case;
+
+use super::{CallRecord, Fault, Kind, Seen, Versions, judge_calls, schedule};
+
+#[test]
+fn a_seed_gives_the_same_schedule() {
+    assert_eq!(schedule(7, 8, 20_000), schedule(7, 8, 20_000));
+    assert_ne!(schedule(7, 8, 20_000), schedule(8, 8, 20_000));
+}
+
+#[test]
+fn seeds_bring_every_fault_and_planned_ones_nothing_else() {
+    let mut kinds: BTreeMap<String, usize> = BTreeMap::new();
+    for seed in 0..60 {
+        for step in schedule(seed, 8, 20_000) {
+            let name = format!("{:?}", step.fault);
+            let name = name.split(['(', ' ']).next().unwrap_or_default().to_owned();
+            *kinds.entry(name).or_insert(0) += 1;
+            let planned = matches!(step.fault, Fault::Term | Fault::Hangup | Fault::Drain | Fault::Configure);
+            assert!(planned || Kind::of_seed(seed) == Kind::Any, "{step:?}");
+        }
+    }
+    assert_eq!(kinds.len(), 13, "{kinds:?}");
+}
+
+const OWN: Seen = Seen::Answer { status: 200, own: true };
+const FOREIGN: Seen = Seen::Answer { status: 200, own: false };
+const REFUSED: Seen = Seen::Answer { status: 503, own: false };
+const FAILED: Seen = Seen::Answer { status: 502, own: false };
+const DENIED: Seen = Seen::Answer { status: 404, own: false };
+
+#[test_case(false, &OWN, 1, false, None; "a call that ran once")]
+#[test_case(false, &OWN, 2, false, Some("work that may not repeat runs once"); "a doubled run")]
+#[test_case(true, &OWN, 2, false, None; "a repeated run of work that may repeat")]
+#[test_case(true, &OWN, 3, false, Some("a call runs on two servers at most"); "a third run")]
+#[test_case(false, &FOREIGN, 1, false, Some("an answer is whole and the call's own"); "another call's answer")]
+#[test_case(false, &REFUSED, 0, false, None; "a true refusal")]
+#[test_case(false, &REFUSED, 1, false, Some("what is refused has not run"); "an untrue refusal")]
+#[test_case(true, &DENIED, 0, false, Some("a proper call is not denied"); "a denied call")]
+#[test_case(true, &FAILED, 1, false, None; "a failure among faults")]
+#[test_case(true, &FAILED, 1, true, Some("planned work fails no call"); "a failure among planned work")]
+#[test_case(true, &Seen::Cut, 0, true, None; "a connection that closed before the call was read")]
+#[test_case(true, &Seen::Cut, 1, true, Some("planned work cuts nothing"); "a run that was cut off")]
+fn what_counts_as_a_breach(repeatable: bool, seen: &Seen, ran: u64, planned: bool, breach: Option<&str>) {
+    let calls = [CallRecord { id: "a".to_owned(), repeatable, seen: seen.clone() }];
+    let runs = BTreeMap::from([("a".to_owned(), ran)]);
+    let breaches = judge_calls(&calls, &runs, planned);
+    assert_eq!(breaches.first().map(|breach| breach.promise), breach, "{breaches:?}");
+}
+
+#[test]
+fn what_nobody_sent_may_not_run() {
+    let runs = BTreeMap::from([("a".to_owned(), 1)]);
+    assert_eq!(judge_calls(&[], &runs, false).len(), 1);
+}
+
+#[test]
+fn a_version_that_comes_back_is_a_breach() {
+    let mut versions = Versions::default();
+    assert_eq!(versions.seen("vm-0", 3, true), None);
+    assert_eq!(versions.seen("vm-0", 2, false), None);
+    assert!(versions.seen("vm-0", 2, true).is_some());
+}
