--- a/valetrack/src/placement/forecast.rs
+++ b/valetrack/src/placement/forecast.rs
@@ -6,8 +6,8 @@
 /// a platform does not say how dearly, so this is what two kilobytes cost at a middling price.
 const FAR_COST: f64 = 0.3;
 /// What opening a link to another failure domain costs, as a share of an answer in time: some
-/// five kilobytes of handshake, of which later calls have their use too.
-const FIRST_COST: f64 = 0.05;
+/// five kilobytes of handshake, of which half a dozen later calls have their use too.
+const FIRST_COST: f64 = 0.15;
 /// A server is slow when it takes this many times its average.
 const SLOW_FACTOR: f64 = 1.2;
 
