An entry considers servers of its own domain first where a service has very many

Cause: a view holds 64 servers, and every entry took the first 64 by name, so that of a service with 126 servers (300 VMs of the federation's mix) half would never get a call.

Change: above 56 servers an entry takes those of its own failure domain, then others by a hash of both VMs; each server is considered by about as many entries. Eight places stay free for lives that replace others.

Tests: the own domain goes first; of 300 servers each is considered by 28 to 112 of 300 entries.

--- a/valetrack/src/placement/service.rs
+++ b/valetrack/src/placement/service.rs
@@ -1,5 +1,7 @@
 //! What an entry keeps of one service, with a stable index for every server.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
+
 use super::budget::ShareBudget;
 use super::call::{Budgets, CallRule};
 use super::message::ServerIndex;
@@ -8,6 +10,9 @@
 use crate::bundle::ServiceRule;
 use crate::member::Candidate;
 
+/// Most servers of a service that one entry considers; the other places are for lives of VMs that
+/// replace earlier ones, which keep theirs until nothing is out at them.
+pub(super) const CONSIDERED_MAX: usize = MAX_SERVERS - 8;
 /// Burst of retries and hedges at one entry.
 const SHARE_BURST: u32 = 20;
 /// The way to another VM of the failure domain costs this many times less than leaving the domain.
@@ -42,7 +47,7 @@
         domain_cost_us: u32,
     ) {
         let mut kept = vec![false; self.targets.len().max(MAX_SERVERS)];
-        for candidate in candidates {
+        for candidate in considered(candidates.collect(), domain, vm) {
             let Some(server) = self.index_of(&candidate) else {
                 continue;
             };
@@ -87,6 +92,22 @@
     }
 }
 
+/// Returns the servers that one entry considers, where a service has more than [`CONSIDERED_MAX`]:
+/// those of its own failure domain first, the others by a hash of both VMs, so that entries choose
+/// differently and every server is considered by about as many of them.
+pub(super) fn considered(mut candidates: Vec<Candidate>, domain: &str, vm: &str) -> Vec<Candidate> {
+    if candidates.len() <= CONSIDERED_MAX {
+        return candidates;
+    }
+    candidates.sort_by_cached_key(|candidate| {
+        let mut hasher = DefaultHasher::new();
+        (vm, &*candidate.vm).hash(&mut hasher);
+        (&*candidate.domain != domain, hasher.finish())
+    });
+    candidates.truncate(CONSIDERED_MAX);
+    candidates
+}
+
 /// Returns how calls of a service are placed by its rule in the bundle.
 pub(super) fn call_rule(rule: &ServiceRule, repeatable: bool) -> CallRule {
     let hedging = repeatable && rule.hedge_percent > 0;
--- a/valetrack/src/placement/tests.rs
+++ b/valetrack/src/placement/tests.rs
@@ -2,4 +2,5 @@
 
 mod budget;
 mod call;
+mod service;
 mod view;
--- /dev/null
+++ b/valetrack/src/placement/tests/service.rs
@@ -0,0 +1,44 @@
+//! Which servers of a large service an entry considers.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::member::Candidate;
+use crate::placement::service::{CONSIDERED_MAX, considered};
+
+/// Servers of one service over three failure domains.
+fn servers(count: usize) -> Vec<Candidate> {
+    let server = |at: usize| Candidate {
+        vm: Arc::from(format!("vm-{at}")),
+        incarnation: 1,
+        domain: Arc::from(["kranj", "loka", "lesce"][at % 3]),
+        link_addr: ([127, 0, 0, 1], at as u16).into(),
+    };
+    (0..count).map(server).collect()
+}
+
+#[test]
+fn all_servers_of_a_small_service_are_considered() {
+    assert_eq!(considered(servers(CONSIDERED_MAX), "kranj", "vm-0"), servers(CONSIDERED_MAX));
+}
+
+#[test]
+fn the_own_failure_domain_goes_first() {
+    let chosen = considered(servers(126), "kranj", "vm-0");
+    assert_eq!(chosen.len(), CONSIDERED_MAX);
+    assert_eq!(chosen.iter().filter(|server| &*server.domain == "kranj").count(), 42);
+}
+
+#[test]
+fn every_server_of_a_large_service_is_considered_by_some_entries() {
+    let mut considering: BTreeMap<Arc<str>, usize> = BTreeMap::new();
+    for entry in servers(300) {
+        for server in considered(servers(300), &entry.domain, &entry.vm) {
+            *considering.entry(server.vm).or_insert(0) += 1;
+        }
+    }
+    assert_eq!(considering.len(), 300);
+    // On average 56 do.
+    let (least, most) = (considering.values().min(), considering.values().max());
+    assert!(least.is_some_and(|&least| least > 28) && most.is_some_and(|&most| most < 112), "{least:?} {most:?}");
+}
