The wait for a slot is told by the runs ahead, not by the average of all

Their wait was reckoned as one average run of 60 to 150 ms for each call ahead, though the calls ahead are upstreams' own of 15 ms.

Ruled out: rank (such calls go first already); slots kept free for them (runs of others end every 20 ms at a full server).

Change: the wait is the time until a slot is free again, and the expected runs of the calls ahead. Test: three short runs ahead of a fourth; it failed before.

--- a/valetrack/src/gate/state.rs
+++ b/valetrack/src/gate/state.rs
@@ -61,6 +61,8 @@
     leave_at_us: u64,
     patience: Patience,
     priority: u8,
+    /// What its run is expected to take, in microseconds.
+    run_us: u64,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -270,7 +272,9 @@
         }
         let room = (self.running.len() as u16) < self.limit(now_us) && self.waiting.is_empty();
         let wait_max_us = objective.map_or(self.config.queue_max_us, |objective| objective.wait_max_us);
-        if !room && let Some(reason) = self.refuses_to_queue(deadline_us, patience, priority, wait_max_us, now_us) {
+        let run_us = self.run_us(objective, now_us);
+        let call = Waiting { attempt, deadline_us, leave_at_us: deadline_us, patience, priority, run_us };
+        if !room && let Some(reason) = self.refuses_to_queue(&call, wait_max_us, now_us) {
             self.bounce(attempt, reason, now_us, out);
             return;
         }
@@ -285,7 +289,7 @@
         };
         // Order by rank, and by arrival within one rank.
         let at = self.waiting.partition_point(|other| other.priority <= priority);
-        self.waiting.insert(at, Waiting { attempt, deadline_us, leave_at_us, patience, priority });
+        self.waiting.insert(at, Waiting { leave_at_us, ..call });
     }
 
     /// Returns whether the machine's speed is to be asked for before a run of `work_us` is let in.
@@ -306,21 +310,27 @@
         here + ELSEWHERE_GAIN < f64::from(objective.elsewhere_permille) / PERMILLE
     }
 
-    fn refuses_to_queue(
-        &self,
-        deadline_us: u64,
-        patience: Patience,
-        priority: u8,
-        wait_max_us: u64,
-        now_us: u64,
-    ) -> Option<BounceReason> {
+    /// Returns what a run is expected to take: by its route where that is known, else as the runs
+    /// of this server did.
+    fn run_us(&self, objective: Option<Objective>, now_us: u64) -> u64 {
+        match objective {
+            Some(objective) if objective.work_us > 0 => self.speed.expected_us(objective.work_us, now_us),
+            Some(_) | None => self.service_us as u64,
+        }
+    }
+
+    fn refuses_to_queue(&self, call: &Waiting, wait_max_us: u64, now_us: u64) -> Option<BounceReason> {
+        let Waiting { deadline_us, patience, priority, run_us, .. } = *call;
         if self.config.rescue && patience != Patience::Last && self.stalled(now_us) {
             return Some(BounceReason::Stalled);
         }
         let limit = u64::from(self.limit(now_us).max(1));
-        let ahead = self.waiting.iter().filter(|other| other.priority <= priority).count() as u64 + 1;
-        let wait_us = ahead * self.service_us as u64 / limit;
-        let end_us = now_us + wait_us + self.service_us as u64;
+        // The first slot that is free again goes to the first that waits, and short runs give theirs
+        // back sooner.
+        let ahead = self.waiting.iter().filter(|other| other.priority <= priority);
+        let ahead_us: u64 = ahead.map(|other| other.run_us).sum();
+        let wait_us = (self.service_us as u64 + ahead_us) / limit;
+        let end_us = now_us + wait_us + run_us;
         let patience_us = match patience {
             Patience::None => 0,
             Patience::Short => wait_max_us.min(self.service_us as u64 / 2),
--- a/valetrack/src/gate/tests/steps.rs
+++ b/valetrack/src/gate/tests/steps.rs
@@ -3,7 +3,7 @@
 use test_case::test_case;
 
 use crate::gate::{
-    AttemptId, BounceReason, CancelResult, Gate, GateAction, GateConfig, GateEvent, MEMORY_US, Patience,
+    AttemptId, BounceReason, CancelResult, Gate, GateAction, GateConfig, GateEvent, MEMORY_US, Objective, Patience,
 };
 
 const CONFIG: GateConfig = GateConfig { slots: 1, queue_max_us: 10_000, ramp_us: 0, rescue: true, learn_limit: false };
@@ -123,3 +123,31 @@
     let started = feed(&mut gate, arrive(2, Patience::Short), 500_000);
     assert_eq!(started, [GateAction::Start { attempt: attempt(2) }]);
 }
+
+/// Returns an arrival whose run takes `work_us`, and which waits 100 ms at most.
+fn arrive_with_work(seq: u64, work_us: u64) -> GateEvent {
+    let objective = Objective { left_us: 200_000, work_us, elsewhere_permille: 0, wait_max_us: 100_000 };
+    GateEvent::Arrive {
+        attempt: attempt(seq),
+        deadline_us: 400_000,
+        patience: Patience::Long,
+        priority: 0,
+        objective: Some(objective),
+    }
+}
+
+#[test_case(1_000, &[]; "short runs ahead")]
+#[test_case(80_000, &[GateAction::Bounce { attempt: attempt(9), reason: BounceReason::Full }]; "long ones")]
+fn the_wait_is_told_by_the_runs_ahead(ahead_us: u64, then: &[GateAction]) {
+    let mut gate = Gate::new(GateConfig { rescue: false, ..CONFIG }, 0);
+    // The server's runs took 30 ms on average.
+    for seq in 100..200 {
+        feed(&mut gate, arrive(seq, Patience::Last), 0);
+        feed(&mut gate, GateEvent::Done { attempt: attempt(seq), healthy: true }, 30_000);
+    }
+    feed(&mut gate, arrive(0, Patience::Last), 0);
+    for seq in 1..4 {
+        feed(&mut gate, arrive_with_work(seq, ahead_us), 0);
+    }
+    assert_eq!(feed(&mut gate, arrive_with_work(9, 10_000), 0), then);
+}
