What a call's next attempt is goes to a file of its own

Where the next attempt goes, how long it may wait there and whether a hedge is worth its cost are now in placement/call/choice.rs; call.rs keeps the events and the verdict.

Two functions that sent the next attempt are one, the two loops that asked the owners of all attempts that are out are one, and what a bounce says of its server is told in an exhaustive match.

Behaviour unchanged.

--- a/valetrack/src/placement/call.rs
+++ b/valetrack/src/placement/call.rs
@@ -4,10 +4,12 @@
 //! started; `NotRun` is said only when every attempt that was sent was given back or is under the
 //! owner's word that it never starts; exactly one verdict is given.
 
+mod choice;
+
 use super::budget::ShareBudget;
-use super::message::{CallAction, CallEvent, Demand, Dispatch, ServerIndex, Verdict};
+use super::message::{CallAction, CallEvent, Demand, ServerIndex, Verdict};
 use super::set::ServerSet;
-use super::view::{ROOM_US, ServiceView};
+use super::view::ServiceView;
 use crate::code::Code;
 use crate::gate::{AttemptId, BounceReason, CancelResult, Patience};
 
@@ -19,8 +21,6 @@
 /// How often owners in other failure domains may give a call back for want of room: its bytes are
 /// paid for each time, and where the own domain is full others often are too.
 const FAR_BOUNCES: u8 = 1;
-/// Thousandths in one.
-const PERMILLE: f64 = 1_000.0;
 /// A second run is taken to need this share of the usual time, in hundredths.
 const HEDGE_RUN_PERCENT: u64 = 130;
 /// Shortest time that a caller is told to stay away, in milliseconds.
@@ -191,6 +191,7 @@
         cx.budgets.retry.earn();
         cx.budgets.hedge.earn();
         let Some(server) = self.send_next(cx, out) else {
+            self.settle(cx, out);
             return;
         };
         if let (true, Some(demand)) = (self.rule.repeatable && self.retries_left > 0, self.rule.demand) {
@@ -218,7 +219,7 @@
         if !healthy && !self.past_deadline && self.may_repeat(cx) {
             self.lost_code = Some(Code::ServerFailed);
             self.excluded.insert(server);
-            if self.send_next_if_any(cx, out) {
+            if self.send_next(cx, out).is_some() {
                 return;
             }
         }
@@ -231,15 +232,7 @@
         };
         let server = self.server(at);
         self.last_code = bounce_code(reason);
-        if reason == BounceReason::Leaving {
-            cx.view.set_leaving(server);
-        }
-        if reason == BounceReason::Refused {
-            cx.view.judge(server, false, cx.now_us);
-        }
-        if reason == BounceReason::NotReady {
-            cx.view.suspect(server, cx.now_us);
-        }
+        note_bounce(server, reason, cx);
         if self.finished {
             return;
         }
@@ -256,22 +249,27 @@
             self.settle(cx, out);
             return;
         }
-        if reason == BounceReason::Full && cx.view.is_far(server) {
-            self.far_bounces_left = self.far_bounces_left.saturating_sub(1);
-        }
-        if reason == BounceReason::Slow {
-            self.slow_bounces_left = self.slow_bounces_left.saturating_sub(1);
-        }
+        self.spend_allowances(server, reason, cx);
+        // Whoever was let in and has waited is not to be turned away for a full queue.
+        self.waited |= reason == BounceReason::Stalled;
         // None of these is a sign of load elsewhere, so they cost no allowance.
         let free = matches!(
             reason,
             BounceReason::Leaving | BounceReason::Stalled | BounceReason::NotReady | BounceReason::Slow
         );
-        // Whoever was let in and has waited is not to be turned away for a full queue.
-        self.waited |= reason == BounceReason::Stalled;
         self.move_on(server, free, cx, out);
     }
 
+    /// Counts a bounce against the allowances that only some reasons have.
+    fn spend_allowances(&mut self, server: ServerIndex, reason: BounceReason, cx: &CallContext<'_>) {
+        if reason == BounceReason::Full && cx.view.is_far(server) {
+            self.far_bounces_left = self.far_bounces_left.saturating_sub(1);
+        }
+        if reason == BounceReason::Slow {
+            self.slow_bounces_left = self.slow_bounces_left.saturating_sub(1);
+        }
+    }
+
     fn failed(&mut self, id: AttemptId, code: Code, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) {
         let Some(at) = self.close(id, AttemptState::Lost, cx) else {
             return;
@@ -351,16 +349,7 @@
         let Some(server) = self.pick(tried, cx) else {
             return;
         };
-        if self.rule.demand.is_some() {
-            // A hedge is one more run as a retry is, and both come out of one budget.
-            let first = self.attempts.iter().flatten().find(|attempt| attempt.state == AttemptState::Sent);
-            let slow = first.is_some_and(|attempt| {
-                cx.view.is_slow(attempt.server, cx.now_us) || cx.view.is_ejected(attempt.server, cx.now_us)
-            });
-            if !slow || cx.view.is_slow(server, cx.now_us) || !self.may_repeat(cx) {
-                return;
-            }
-        } else if !cx.budgets.hedge.take() {
+        if !self.may_hedge(server, cx) {
             return;
         }
         self.hedged = true;
@@ -373,11 +362,7 @@
         }
         self.past_deadline = true;
         self.last_code = Code::DeadlinePassed;
-        for at in 0..self.count {
-            if self.state(at) == AttemptState::Sent {
-                self.ask(at, out);
-            }
-        }
+        self.ask_all(out);
         self.settle(cx, out);
     }
 
@@ -387,7 +372,7 @@
         if !free {
             self.bounces_left = self.bounces_left.saturating_sub(1);
         }
-        if !self.send_next_if_any(cx, out) && !self.send_last(cx, out) {
+        if self.send_next(cx, out).is_none() && !self.send_last(cx, out) {
             self.settle(cx, out);
         }
     }
@@ -398,7 +383,7 @@
             return;
         }
         self.excluded.insert(server);
-        if !self.past_deadline && self.may_repeat(cx) && self.send_next_if_any(cx, out) {
+        if !self.past_deadline && self.may_repeat(cx) && self.send_next(cx, out).is_some() {
             return;
         }
         self.settle(cx, out);
@@ -427,100 +412,16 @@
         self.finish(verdict, out);
     }
 
-    fn send_next(&mut self, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) -> Option<ServerIndex> {
-        let Some(server) = self.next_server(cx) else {
-            self.settle(cx, out);
-            return None;
-        };
-        let patience = self.patience_for(server, cx);
-        self.send(server, patience, cx, out);
-        Some(server)
-    }
-
-    fn send_next_if_any(&mut self, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) -> bool {
-        let Some(server) = self.next_server(cx) else {
-            return false;
-        };
-        let patience = self.patience_for(server, cx);
-        self.send(server, patience, cx, out);
-        true
-    }
-
-    /// Goes back to the best of the servers that were tried, to wait there, if that was not done.
-    fn send_last(&mut self, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) -> bool {
-        if self.last_resort || self.count >= MAX_ATTEMPTS {
-            return false;
-        }
-        let Some(server) = self.pick(ServerSet::default(), cx) else {
-            return false;
-        };
-        self.send(server, Patience::Last, cx, out);
-        true
-    }
-
-    /// Returns how long an attempt may wait at a server: shortly only where another one looks as
-    /// if it had room and the allowance lets the call go there.
-    fn patience_for(&self, server: ServerIndex, cx: &CallContext<'_>) -> Patience {
-        let mut tried = self.excluded;
-        tried.insert(server);
-        // A queue changes about as fast as the calls in it run.
-        let fresh_us = self.rule.demand.map_or(ROOM_US, |demand| u64::from(demand.work_us).max(ROOM_US));
-        let elsewhere = self.bounces_left > 0 && cx.view.has_room(tried, fresh_us, cx.now_us);
-        match () {
-            () if elsewhere => Patience::Short,
-            () if self.waited => Patience::Last,
-            () => Patience::Long,
-        }
-    }
-
-    fn pick(&self, excluded: ServerSet, cx: &mut CallContext<'_>) -> Option<ServerIndex> {
-        let excluded = match self.far_bounces_left {
-            0 => excluded.union(cx.view.far_where_near_is_open(excluded, cx.now_us)),
-            _ => excluded,
-        };
-        match self.demand_left(cx) {
-            Some(demand) => cx.view.pick_in_time(excluded, demand, cx.now_us, cx.rng),
-            None => cx.view.pick(excluded, cx.now_us, cx.rng),
-        }
-    }
-
-    /// Returns what the call still asks of a server, if it has an objective.
-    fn demand_left(&self, cx: &CallContext<'_>) -> Option<Demand> {
-        let demand = self.rule.demand?;
-        let gone_us = cx.now_us.saturating_sub(self.began_us);
-        Some(Demand { left_us: demand.left_us.saturating_sub(gone_us), ..demand })
-    }
-
-    /// Returns what the call is worth at the best server that was not tried, in thousandths; zero
-    /// where it is to stay at `server`.
-    fn elsewhere_permille(&self, server: ServerIndex, patience: Patience, cx: &CallContext<'_>) -> u16 {
-        if patience != Patience::Short || self.slow_bounces_left == 0 {
-            return 0;
-        }
-        let mut tried = self.excluded;
-        tried.insert(server);
-        let worth = self.demand_left(cx).and_then(|demand| cx.view.worth_elsewhere(server, tried, demand, cx.now_us));
-        worth.map_or(0, |worth| (worth * PERMILLE) as u16)
-    }
-
-    fn next_server(&mut self, cx: &mut CallContext<'_>) -> Option<ServerIndex> {
-        if self.count >= MAX_ATTEMPTS {
-            return None;
+    /// Asks the owners of all attempts that are out.
+    fn ask_all(&mut self, out: &mut Vec<CallAction>) {
+        for at in 0..self.count {
+            if self.state(at) == AttemptState::Sent {
+                self.ask(at, out);
+            }
         }
-        self.pick(self.excluded, cx)
-    }
-
-    fn send(&mut self, server: ServerIndex, patience: Patience, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) {
-        let id = AttemptId { entry: self.entry, seq: *cx.next_seq };
-        *cx.next_seq += 1;
-        let elsewhere_permille = self.elsewhere_permille(server, patience, cx);
-        cx.view.sent(server);
-        self.last_resort |= patience == Patience::Last;
-        self.attempts[self.count] = Some(Attempt { id, server, patience, state: AttemptState::Sent });
-        self.count += 1;
-        out.push(CallAction::Send(Dispatch { attempt: id, server, patience, elsewhere_permille }));
     }
 
+    /// Asks the owner of an attempt whether it may have started, and to drop it if not.
     fn ask(&mut self, at: usize, out: &mut Vec<CallAction>) {
         let Some(attempt) = self.attempts[at].as_mut() else {
             return;
@@ -532,12 +433,7 @@
     fn finish(&mut self, verdict: Verdict, out: &mut Vec<CallAction>) {
         self.finished = true;
         // What still runs is of no use; an owner that holds it in its queue can drop it.
-        for attempt in self.attempts.iter_mut().flatten() {
-            if attempt.state == AttemptState::Sent {
-                attempt.state = AttemptState::Asked;
-                out.push(CallAction::Cancel { attempt: attempt.id, server: attempt.server });
-            }
-        }
+        self.ask_all(out);
         out.push(CallAction::Finish(verdict));
     }
 
@@ -575,6 +471,16 @@
     }
 }
 
+/// Tells the view what a bounce says of its server.
+fn note_bounce(server: ServerIndex, reason: BounceReason, cx: &mut CallContext<'_>) {
+    match reason {
+        BounceReason::Leaving => cx.view.set_leaving(server),
+        BounceReason::Refused => cx.view.judge(server, false, cx.now_us),
+        BounceReason::NotReady => cx.view.suspect(server, cx.now_us),
+        BounceReason::Full | BounceReason::Stalled | BounceReason::Slow | BounceReason::Cancelled => {}
+    }
+}
+
 const fn bounce_code(reason: BounceReason) -> Code {
     match reason {
         BounceReason::Full | BounceReason::Stalled | BounceReason::Slow => Code::Overloaded,
--- /dev/null
+++ b/valetrack/src/placement/call/choice.rs
@@ -0,0 +1,118 @@
+//! Where a call's next attempt goes, and how long it may wait there.
+
+use super::{Attempt, AttemptState, Call, CallContext, MAX_ATTEMPTS};
+use crate::gate::{AttemptId, Patience};
+use crate::placement::message::{CallAction, Demand, Dispatch, ServerIndex};
+use crate::placement::set::ServerSet;
+use crate::placement::view::ROOM_US;
+
+/// Thousandths in one.
+const PERMILLE: f64 = 1_000.0;
+
+impl Call {
+    /// Sends the next attempt to a server that was not tried, and returns it if there is one.
+    pub(super) fn send_next(&mut self, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) -> Option<ServerIndex> {
+        let server = self.next_server(cx)?;
+        let patience = self.patience_for(server, cx);
+        self.send(server, patience, cx, out);
+        Some(server)
+    }
+
+    /// Goes back to the best of the servers that were tried, to wait there, if that was not done.
+    pub(super) fn send_last(&mut self, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) -> bool {
+        if self.last_resort || self.count >= MAX_ATTEMPTS {
+            return false;
+        }
+        let Some(server) = self.pick(ServerSet::default(), cx) else {
+            return false;
+        };
+        self.send(server, Patience::Last, cx, out);
+        true
+    }
+
+    /// Returns how long an attempt may wait at a server: shortly only where another one looks as
+    /// if it had room and the allowance lets the call go there.
+    fn patience_for(&self, server: ServerIndex, cx: &CallContext<'_>) -> Patience {
+        let mut tried = self.excluded;
+        tried.insert(server);
+        // A queue changes about as fast as the calls in it run.
+        let fresh_us = self.rule.demand.map_or(ROOM_US, |demand| u64::from(demand.work_us).max(ROOM_US));
+        let elsewhere = self.bounces_left > 0 && cx.view.has_room(tried, fresh_us, cx.now_us);
+        match () {
+            () if elsewhere => Patience::Short,
+            () if self.waited => Patience::Last,
+            () => Patience::Long,
+        }
+    }
+
+    /// Picks a server outside `excluded`, and outside other failure domains once they have given
+    /// the call back often enough and an own one is open.
+    pub(super) fn pick(&self, excluded: ServerSet, cx: &mut CallContext<'_>) -> Option<ServerIndex> {
+        let excluded = match self.far_bounces_left {
+            0 => excluded.union(cx.view.far_where_near_is_open(excluded, cx.now_us)),
+            _ => excluded,
+        };
+        match self.demand_left(cx) {
+            Some(demand) => cx.view.pick_in_time(excluded, demand, cx.now_us, cx.rng),
+            None => cx.view.pick(excluded, cx.now_us, cx.rng),
+        }
+    }
+
+    /// Returns what the call still asks of a server, if it has an objective.
+    fn demand_left(&self, cx: &CallContext<'_>) -> Option<Demand> {
+        let demand = self.rule.demand?;
+        let gone_us = cx.now_us.saturating_sub(self.began_us);
+        Some(Demand { left_us: demand.left_us.saturating_sub(gone_us), ..demand })
+    }
+
+    /// Returns what the call is worth at the best server that was not tried, in thousandths; zero
+    /// where it is to stay at `server`.
+    fn elsewhere_permille(&self, server: ServerIndex, patience: Patience, cx: &CallContext<'_>) -> u16 {
+        if patience != Patience::Short || self.slow_bounces_left == 0 {
+            return 0;
+        }
+        let mut tried = self.excluded;
+        tried.insert(server);
+        let worth = self.demand_left(cx).and_then(|demand| cx.view.worth_elsewhere(server, tried, demand, cx.now_us));
+        worth.map_or(0, |worth| (worth * PERMILLE) as u16)
+    }
+
+    /// Picks a server that was not tried, while the call may make another attempt.
+    fn next_server(&mut self, cx: &mut CallContext<'_>) -> Option<ServerIndex> {
+        if self.count >= MAX_ATTEMPTS {
+            return None;
+        }
+        self.pick(self.excluded, cx)
+    }
+
+    /// Returns whether a hedge at `server` is worth its cost, and takes it out of its budget.
+    pub(super) fn may_hedge(&mut self, server: ServerIndex, cx: &mut CallContext<'_>) -> bool {
+        if self.rule.demand.is_none() {
+            return cx.budgets.hedge.take();
+        }
+        let first = self.attempts.iter().flatten().find(|attempt| attempt.state == AttemptState::Sent);
+        let slow = first.is_some_and(|attempt| {
+            cx.view.is_slow(attempt.server, cx.now_us) || cx.view.is_ejected(attempt.server, cx.now_us)
+        });
+        // A hedge is one more run as a retry is, and both come out of one budget.
+        slow && !cx.view.is_slow(server, cx.now_us) && self.may_repeat(cx)
+    }
+
+    /// Sends one attempt to a server.
+    pub(super) fn send(
+        &mut self,
+        server: ServerIndex,
+        patience: Patience,
+        cx: &mut CallContext<'_>,
+        out: &mut Vec<CallAction>,
+    ) {
+        let id = AttemptId { entry: self.entry, seq: *cx.next_seq };
+        *cx.next_seq += 1;
+        let elsewhere_permille = self.elsewhere_permille(server, patience, cx);
+        cx.view.sent(server);
+        self.last_resort |= patience == Patience::Last;
+        self.attempts[self.count] = Some(Attempt { id, server, patience, state: AttemptState::Sent });
+        self.count += 1;
+        out.push(CallAction::Send(Dispatch { attempt: id, server, patience, elsewhere_permille }));
+    }
+}
