Threads that serve a ring wait for the next job in one place

The link thread and both member threads had the same ten lines that wait for a job or for the end. They call jobs::next_job now.

Behaviour unchanged.

--- a/valetrack/src/lib.rs
+++ b/valetrack/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod clock;
 pub mod code;
 pub mod gate;
+mod jobs;
 pub mod link;
 pub mod member;
 pub mod metric;
--- a/valetrack/src/link/run.rs
+++ b/valetrack/src/link/run.rs
@@ -24,6 +24,7 @@
 use crate::gate::pool::ServerPool;
 use crate::gate::run::{GateReply, GateShell};
 use crate::gate::{Announcement, BounceReason, GateConfig, Health, UpstreamPhase, UpstreamProtocol, UpstreamState};
+use crate::jobs::next_job;
 use crate::member::MemberJob;
 use crate::metric::Metrics;
 use crate::placement::Outcome;
@@ -111,14 +112,7 @@
     duties.spawn_local(shell.clone().follow_leaving());
     duties.spawn_local(shell.clone().accept(endpoint.clone()));
     let mut closing = shell.parts.closing.clone();
-    loop {
-        let job = tokio::select! {
-            job = shell.parts.jobs.recv() => job,
-            _ = closing.wait_for(|closing| *closing) => break,
-        };
-        let Ok(job) = job else {
-            break;
-        };
+    while let Some(job) = next_job(&shell.parts.jobs, &mut closing).await {
         tokio::task::spawn_local(shell.clone().ask(job));
     }
     duties.shutdown().await;
--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -23,6 +23,7 @@
 use crate::bundle::{Adopter, BundleFormat};
 use crate::clock::now_us;
 use crate::gate::{UpstreamPhase, UpstreamState};
+use crate::jobs::next_job;
 use crate::link::message::{Ask, Question, Reply};
 use crate::link::peer::{self, LinkJob, LinkResult, Target};
 use crate::metric::Metrics;
@@ -120,14 +121,7 @@
     duties.spawn_local(shell.clone().follow_phase());
     duties.spawn_local(shell.clone().withdraw());
     let mut closing = shell.parts.closing.clone();
-    loop {
-        let job = tokio::select! {
-            job = shell.parts.jobs.recv() => job,
-            _ = closing.wait_for(|closing| *closing) => break,
-        };
-        let Ok(job) = job else {
-            break;
-        };
+    while let Some(job) = next_job(&shell.parts.jobs, &mut closing).await {
         shell.clone().take(job);
     }
     duties.shutdown().await;
--- a/valetrack/src/member/run.rs
+++ b/valetrack/src/member/run.rs
@@ -15,6 +15,7 @@
 use super::state::Members;
 use crate::bundle::run::Bundler;
 use crate::clock::now_us;
+use crate::jobs::next_job;
 use crate::link::message::{Ask, Question, Reply};
 use crate::link::peer::{self, LinkJob, LinkResult, Target};
 use crate::timeline::log as events;
@@ -91,14 +92,7 @@
     duties.spawn_local(shell.clone().push_bundles());
     duties.spawn_local(shell.bundler.clone().follow_store());
     let mut closing = shell.parts.closing.clone();
-    loop {
-        let job = tokio::select! {
-            job = shell.parts.jobs.recv() => job,
-            _ = closing.wait_for(|closing| *closing) => break,
-        };
-        let Ok(job) = job else {
-            break;
-        };
+    while let Some(job) = next_job(&shell.parts.jobs, &mut closing).await {
         shell.clone().take(job);
     }
     duties.shutdown().await;
