The pause of a relay is named as one

The comment said "of such a node" below a constant of another kind of node, so it read as if the pause were one of nodes that have an entry.

Behaviour unchanged.

--- a/valetrack/src/member/leased/follow.rs
+++ b/valetrack/src/member/leased/follow.rs
@@ -22,7 +22,7 @@
 /// The same for a node that has one, in milliseconds: its renewals, which cost less than reads, tell
 /// sooner when the store answers again.
 const REREAD_KEPT_MS: u64 = 3_000;
-/// The pause between two calls for changes of such a node, in milliseconds: there are few of them.
+/// The pause between two calls for changes of a relay, in milliseconds: there are few relays.
 const RELAY_GATHER_MS: u64 = 200;
 /// Wait of a call for what has changed already: the shortest that can be asked for.
 const CATCH_UP_WAIT: Duration = Duration::from_millis(1);
