One run of the gate is split by its steps

The exchange, the times of the run and the log line are functions of their own now; how an exchange ended has a name.

Behaviour unchanged.

--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::error::Elapsed;
 use tokio::time::{sleep, timeout};
@@ -36,6 +38,7 @@
 /// A call that a server makes waits at most this part of its deadline, as a divisor: when it is
 /// refused, the work that waits for it is lost as well.
 const INTERNAL_WAIT_SHARE: u64 = 2;
+
 /// How the gate answers an attempt.
 #[derive(Debug)]
 pub enum GateReply {
@@ -66,6 +69,18 @@
     reply: oneshot::Sender<GateReply>,
 }
 
+/// How an exchange with the server ended, or that its deadline passed.
+type Ended = Result<Result<ServerAnswer, ServerError>, Elapsed>;
+
+/// The start of a run.
+#[derive(Debug, Clone, Copy)]
+struct RunStart {
+    /// The moment, on this process's monotonic clock, in microseconds.
+    at_us: u64,
+    /// The factor by which the machine was slowed then.
+    slowdown: f64,
+}
+
 /// The gate with the jobs that it holds and the connections to its server.
 pub struct GateShell {
     gate: RefCell<Gate>,
@@ -302,10 +317,7 @@
     /// # Errors
     ///
     /// Returns why the call is given back where it is certain that the server did not run it.
-    fn outcome(
-        &self,
-        ended: Result<Result<ServerAnswer, ServerError>, Elapsed>,
-    ) -> Result<(Option<Code>, Option<ServerAnswer>), BounceReason> {
+    fn outcome(&self, ended: Ended) -> Result<(Option<Code>, Option<ServerAnswer>), BounceReason> {
         Ok(match ended {
             Ok(Ok(answer)) => (None, Some(answer)),
             Ok(Err(ServerError::NotStarted)) => return Err(BounceReason::Refused),
@@ -330,11 +342,12 @@
         }
     }
 
-    async fn run(self: Rc<Self>, job: Job) {
+    /// Runs a started call at the server, and answers whoever asked.
+    async fn run(self: Rc<Self>, mut job: Job) {
         let attempt = job.head.attempt;
         log::debug!("event=gate.start call={} attempt={attempt}", job.head.call_id);
         let began_us = now_us();
-        let slowdown_before = self.gate.borrow().slowdown(began_us);
+        let began = RunStart { at_us: began_us, slowdown: self.gate.borrow().slowdown(began_us) };
         let left_us = job.deadline_us.saturating_sub(began_us);
         let id = self.upstream.borrow().id.clone();
         let Some(request) = self.pool.protocol().request(&job.head, job.body.clone(), left_us / 1000, id.as_deref())
@@ -342,16 +355,10 @@
             self.give_back(job, BounceReason::Refused);
             return;
         };
-        let mut job = job;
-        let exchange = self.pool.exchange(request, &job.head, self.answer_cap_bytes.get());
-        let ended = tokio::select! {
-            ended = timeout(Duration::from_micros(left_us), exchange) => ended,
-            // Whoever asked has gone away; the closed connection tells the server to stop.
-            () = job.reply.closed(), if job.head.repeatable => {
-                log::info!("event=gate.abandoned call={} attempt={attempt}", job.head.call_id);
-                self.handle(GateEvent::Done { attempt, healthy: true });
-                return;
-            }
+        let Some(ended) = self.exchange(&mut job, request, left_us).await else {
+            log::info!("event=gate.abandoned call={} attempt={attempt}", job.head.call_id);
+            self.handle(GateEvent::Done { attempt, healthy: true });
+            return;
         };
         let late = ended.is_err();
         let (code, answer) = match self.outcome(ended) {
@@ -365,27 +372,49 @@
             self.learn(answer);
         }
         let healthy = answer.as_ref().is_some_and(|answer| answer.status < 500);
-        let ran_us = now_us().saturating_sub(began_us);
-        let slowdown_after = self.gate.borrow().slowdown(now_us());
-        let unslowed_us = (ran_us as f64 * 2.0 / (slowdown_before + slowdown_after)) as u64;
-        let times = RunTimes { ran_us, unslowed_us, work_us: job.head.work_us.into() };
+        let times = self.times(began, job.head.work_us);
         self.gate.borrow_mut().ran(attempt, times, healthy);
-        let level = if healthy { log::Level::Debug } else { log::Level::Warn };
-        let status = answer.as_ref().map_or(0, |answer| answer.status);
-        log::log!(
-            level,
-            "event=gate.done call={} attempt={attempt} status={status} code={} ran_us={ran_us} unslowed_us={unslowed_us}",
-            job.head.call_id,
-            OrNone(code)
-        );
+        log_done(&job.head, times, code, answer.as_ref(), healthy);
         let (mut head, body) = answer_head(attempt, code, answer);
-        head.work_us = unslowed_us.min(u64::from(u32::MAX)) as u32;
+        head.work_us = times.unslowed_us.min(u64::from(u32::MAX)) as u32;
         let _ = job.reply.send(GateReply::Answer(head, body));
         if late {
             sleep(Duration::from_millis(LINGER_MS)).await;
         }
         self.handle(GateEvent::Done { attempt, healthy });
     }
+
+    /// Puts a call to the server within `left_us`; none when whoever asked has gone away and the
+    /// call may repeat.
+    async fn exchange(&self, job: &mut Job, request: Request<Full<Bytes>>, left_us: u64) -> Option<Ended> {
+        let exchange = self.pool.exchange(request, &job.head, self.answer_cap_bytes.get());
+        tokio::select! {
+            ended = timeout(Duration::from_micros(left_us), exchange) => Some(ended),
+            // The closed connection tells the server to stop.
+            () = job.reply.closed(), if job.head.repeatable => None,
+        }
+    }
+
+    /// Returns how long a run took that ends now, and how long it had taken at full speed.
+    fn times(&self, began: RunStart, work_us: u32) -> RunTimes {
+        let ran_us = now_us().saturating_sub(began.at_us);
+        let slowdown_after = self.gate.borrow().slowdown(now_us());
+        let unslowed_us = (ran_us as f64 * 2.0 / (began.slowdown + slowdown_after)) as u64;
+        RunTimes { ran_us, unslowed_us, work_us: work_us.into() }
+    }
+}
+
+fn log_done(head: &CallHead, times: RunTimes, code: Option<Code>, answer: Option<&ServerAnswer>, healthy: bool) {
+    let level = if healthy { log::Level::Debug } else { log::Level::Warn };
+    let RunTimes { ran_us, unslowed_us, .. } = times;
+    log::log!(
+        level,
+        "event=gate.done call={} attempt={} status={} code={} ran_us={ran_us} unslowed_us={unslowed_us}",
+        head.call_id,
+        head.attempt,
+        answer.map_or(0, |answer| answer.status),
+        OrNone(code)
+    );
 }
 
 /// Returns what a call is worth the most by, and how long it may wait for that.
