The soak counts how calls ended in a function of its own

The play of a run counted the ends in its midst; the pause between two questions to a node stood twice as a bare number and has a name now.

Behaviour unchanged.

--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -31,6 +31,9 @@
 const RECOVERY_S: u64 = 15;
 /// Pause between two looks at which nodes have ended, in milliseconds.
 const REVIVE_MS: u64 = 100;
+/// Pause between two questions whether a node is ready or serves, in milliseconds: short beside the
+/// time in which it has to.
+const ASK_MS: u64 = 50;
 /// Time after the load for runs that are still under way, in milliseconds: longer than any call.
 const SETTLE_MS: u64 = 2_500;
 
@@ -91,19 +94,26 @@
     sleep(Duration::from_millis(SETTLE_MS)).await;
     reviving.abort();
     let calls = callers.calls();
-    for call in &calls {
+    report.ends = ends(&calls);
+    let planned = Kind::of_seed(settings.seed) == Kind::Planned;
+    report.breaches.extend(callers.breaches());
+    report.breaches.extend(judge_calls(&calls, &runs(&fleet), planned));
+    report.breaches.extend(drained_late(&fleet));
+    Ok(report)
+}
+
+/// Counts calls by how they ended.
+fn ends(calls: &[CallRecord]) -> BTreeMap<String, u64> {
+    let mut ends = BTreeMap::new();
+    for call in calls {
         let end = match &call.seen {
             Seen::Answer { status, .. } => status.to_string(),
             Seen::Cut => "cut".to_owned(),
             Seen::GivenUp => "given up".to_owned(),
         };
-        *report.ends.entry(end).or_insert(0) += 1;
+        *ends.entry(end).or_insert(0) += 1;
     }
-    let planned = Kind::of_seed(settings.seed) == Kind::Planned;
-    report.breaches.extend(callers.breaches());
-    report.breaches.extend(judge_calls(&calls, &runs(&fleet), planned));
-    report.breaches.extend(drained_late(&fleet));
-    Ok(report)
+    ends
 }
 
 /// Puts the faults at their moments, and ends each in its time.
@@ -143,7 +153,7 @@
     let addrs: Vec<_> = fleet.borrow().vms.iter().map(|vm| vm.ready_addr).collect();
     for addr in addrs {
         while !Client::new(addr).call("GET", "/api/readiness", &[], "").await.is_ok_and(|reply| reply.status == 200) {
-            sleep(Duration::from_millis(50)).await;
+            sleep(Duration::from_millis(ASK_MS)).await;
         }
     }
 }
@@ -155,7 +165,7 @@
     for addr in addrs {
         let path = format!("/version/{version}/");
         while !caller::asks(addr, &path).await {
-            sleep(Duration::from_millis(50)).await;
+            sleep(Duration::from_millis(ASK_MS)).await;
         }
     }
 }
