A leaving node takes no call that may outlast it

Ruled out: refusing every call after the time in which callers learn of the stop; with few nodes ready the leaving one is the best there is.

Change: a call whose deadline lies behind the moment at which all that runs is cut off is refused as not run, with a time to come back. Test on the decision; it did not exist before.

--- a/valetrack/src/caller/run.rs
+++ b/valetrack/src/caller/run.rs
@@ -37,6 +37,11 @@
 const CONNECTIONS_MAX: usize = 10_000;
 /// Most calls that have no answer yet; further ones are refused at once.
 const OPEN_CALLS_MAX: usize = 2_048;
+/// When a call that a leaving node does not take may come back, in milliseconds: about as long as
+/// another node or the next life of this one takes to be found.
+const LEAVING_RETRY_MS: u32 = 200;
+/// The verdict on a call that may outlast this node.
+const LEAVING: Verdict = Verdict::NotRun { code: Code::Leaving, retry_after_ms: LEAVING_RETRY_MS };
 /// How long a quiet connection may stay when the node leaves, in milliseconds.
 const QUIET_MS: u64 = 500;
 
@@ -52,6 +57,8 @@
     pub head_limit: Duration,
     /// Time for which callers still come after leaving has begun.
     pub linger: Duration,
+    /// Time from the start of leaving until calls that still run are cut off.
+    pub drain: Duration,
     /// Seed of random choices.
     pub seed: u64,
     /// Time that a caller has to send a body.
@@ -72,6 +79,8 @@
     connections: Cell<usize>,
     /// Calls that have no answer yet.
     open_calls: Cell<usize>,
+    /// When leaving began.
+    left_at: Cell<Option<Instant>>,
     splits: RefCell<Splits>,
 }
 
@@ -92,6 +101,7 @@
         parts,
         connections: Cell::new(0),
         open_calls: Cell::new(0),
+        left_at: Cell::new(None),
         splits: RefCell::new(splits),
     });
     let mut duties = tokio::task::JoinSet::new();
@@ -117,6 +127,12 @@
     duties.shutdown().await;
 }
 
+/// Returns whether a call with this deadline, taken `since` leaving began, may still run when all
+/// that runs is cut off after `drain`.
+pub(super) fn outlasts(since: Duration, deadline_ms: u32, drain: Duration) -> bool {
+    since + Duration::from_millis(deadline_ms.into()) > drain
+}
+
 /// Waits for the next caller; none when the listener has told that nobody is connected any more,
 /// or is to close.
 ///
@@ -151,6 +167,7 @@
         if leaving.wait_for(|leaving| *leaving).await.is_err() {
             return;
         }
+        self.left_at.set(Some(Instant::now()));
         tokio::time::sleep(self.parts.linger).await;
         while self.connections.get() > 0 || self.open_calls.get() > 0 {
             tokio::time::sleep(Duration::from_millis(10)).await;
@@ -225,7 +242,9 @@
         let call_id = head.call_id.clone();
         let (route, service) = (head.route.clone(), head.service.clone());
         log::debug!("event=call.begin call={call_id} service={}", head.service);
-        let placed = if head.key.is_some() {
+        let placed = if self.outlasts_exit(head.deadline_ms) {
+            Placed::Verdict(LEAVING)
+        } else if head.key.is_some() {
             self.keyed.press(head, body).await
         } else {
             self.place_on_route(head, body, repeatable, attempts_max).await
@@ -246,6 +265,12 @@
         answer
     }
 
+    /// Returns whether a call that is taken now may still run when this node exits.
+    fn outlasts_exit(&self, deadline_ms: u32) -> bool {
+        let left_at = self.left_at.get();
+        left_at.is_some_and(|left_at| outlasts(left_at.elapsed(), deadline_ms, self.parts.drain))
+    }
+
     /// Reads a call with its body.
     ///
     /// # Errors
--- a/valetrack/src/caller/tests.rs
+++ b/valetrack/src/caller/tests.rs
@@ -1,12 +1,14 @@
 //! Reading of requests: the service, limits, keys, and what is refused.
 
+use std::time::Duration;
+
 use hyper::Request;
 use test_case::test_case;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 use super::request::{self, IncomingCall, Rejection};
-use super::run::next_caller;
+use super::run::{next_caller, outlasts};
 use crate::bundle::{Bundle, check};
 use crate::code::Code;
 
@@ -111,3 +113,12 @@
         assert!(next_caller(&socket, &mut seen_emptied, &mut seen_closing).await.is_none());
     }
 }
+
+#[test_case(0, 1_000, false; "at the start of leaving")]
+#[test_case(4_100, 1_000, false; "a call that ends just in time")]
+#[test_case(4_850, 1_000, true; "a call that the exit would cut")]
+#[test_case(4_850, 300, false; "a shorter one at the same moment")]
+fn a_leaving_node_takes_no_call_that_outlasts_it(since_ms: u64, deadline_ms: u32, refused: bool) {
+    let drain = Duration::from_millis(5_200);
+    assert_eq!(outlasts(Duration::from_millis(since_ms), deadline_ms, drain), refused);
+}
--- a/valetrack/src/node/leave.rs
+++ b/valetrack/src/node/leave.rs
@@ -53,12 +53,9 @@
             let _ = stage.subscribe().wait_for(|reached| *reached).await;
         }
     };
-    let drain_ms = match settings.stop_grace_ms {
-        0 => settings.drain_ms,
-        grace_ms => settings.drain_ms.min(grace_ms.saturating_sub(STOP_MARGIN_MS)),
-    };
-    if timeout(Duration::from_millis(drain_ms), done).await.is_err() {
-        log::warn!("event=node.drain_cut after_ms={drain_ms}");
+    let drain = drain_time(settings);
+    if timeout(drain, done).await.is_err() {
+        log::warn!("event=node.drain_cut after_ms={}", drain.as_millis());
     }
     stages.exiting.send_replace(true);
     let mut departed = stages.departed.subscribe();
@@ -67,6 +64,15 @@
     sleep(Duration::from_millis(FLUSH_MS)).await;
 }
 
+/// Returns the time from the start of leaving until what still runs is cut off.
+pub(super) fn drain_time(settings: &NodeSettings) -> Duration {
+    let drain_ms = match settings.stop_grace_ms {
+        0 => settings.drain_ms,
+        grace_ms => settings.drain_ms.min(grace_ms.saturating_sub(STOP_MARGIN_MS)),
+    };
+    Duration::from_millis(drain_ms)
+}
+
 /// Waits for a signal to stop.
 async fn stop_signal() {
     let (Ok(mut terminate), Ok(mut interrupt)) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
--- a/valetrack/src/node/start.rs
+++ b/valetrack/src/node/start.rs
@@ -8,6 +8,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use super::leave::drain_time;
 use super::part::NodeParts;
 use super::thread::spawn;
 use crate::admin::run::AdminParts;
@@ -206,6 +207,7 @@
             service: settings.service.clone(),
             head_limit: Duration::from_millis(settings.caller_rest_ms),
             linger: Duration::from_millis(settings.linger_ms),
+            drain: drain_time(settings),
             seed: self.seed,
             body_limit: Duration::from_millis(settings.call_body_ms),
             leaving: self.stages.leaving.subscribe(),
