Runs tell whether they keep the speed of their start; fast and slow are weighed apart

Ruled out: taking the start's speed for every server, since others exist that follow their machine. Change: finished runs vote (gate/hold.rs); the report carries both speeds and the chance of either in the same 28 bytes (gate/pace.rs, gate/packed.rs).

--- a/valetrack/src/gate/message.rs
+++ b/valetrack/src/gate/message.rs
@@ -35,12 +35,19 @@
     pub stalled: bool,
     /// Whether the server takes no new work.
     pub leaving: bool,
-    /// Time that a run takes now, in hundredths of the expected time; zero where nothing is known.
-    pub slowdown_percent: u16,
-    /// Time that a run takes on average, in hundredths of the expected time.
-    pub mean_percent: u16,
-    /// Time for which `slowdown_percent` is likely to go on, in milliseconds; zero where unknown.
+    /// Time that a run takes that meets the machine at full speed, in hundredths of the expected
+    /// time; zero where nothing is known.
+    pub fast_percent: u16,
+    /// The same of a run that meets the machine in a slow episode.
+    pub slow_percent: u16,
+    /// Chance that the machine is in a slow episode now, in hundredths.
+    pub slow_chance_percent: u8,
+    /// Share of the time that the machine is in one, in hundredths.
+    pub slow_share_percent: u8,
+    /// Time for which its present speed is likely to go on, in milliseconds; zero where unknown.
     pub slow_lasts_ms: u16,
+    /// Runs that keep the speed of their start, in hundredths.
+    pub hold_percent: u8,
     /// Runs that fail, in hundredths.
     pub failing_percent: u8,
 }
@@ -111,6 +118,10 @@
     pub unslowed_us: u64,
     /// Time that the entry expected on a usual server, in microseconds; zero when unknown.
     pub work_us: u64,
+    /// Factor by which the machine was slowed at the start, in hundredths; zero when unknown.
+    pub start_percent: u16,
+    /// Factor by which it was slowed at the end, in hundredths; zero when unknown.
+    pub end_percent: u16,
 }
 
 /// Something that happened to the gate.
--- a/valetrack/src/gate/mod.rs
+++ b/valetrack/src/gate/mod.rs
@@ -5,9 +5,11 @@
 //! an attempt that was bounced, or of which [`CancelResult::NeverStarted`] was said, never starts.
 
 mod header;
+mod hold;
 mod limit;
 mod message;
 mod origin;
+mod pace;
 mod packed;
 pub mod pool;
 mod protocol;
@@ -23,8 +25,10 @@
 pub use message::{
     AttemptId, BounceReason, CancelResult, GateAction, GateEvent, LoadReport, Objective, Patience, RunTimes,
 };
+pub use hold::SpeedHold;
 pub use origin::OriginTracker;
+pub use pace::{Pace, SLOWDOWN_LASTS_US, fading, time_worth};
 pub use protocol::{Classified, Health, HostLoad, NativeUpstream, UpstreamProtocol};
-pub use speed::{SLOWDOWN_LASTS_US, Speed, expected_run_us, fading, time_worth};
+pub use speed::Speed;
 pub use state::{Gate, GateConfig, MEMORY_US};
 pub use upstream::{Announcement, UpstreamPhase, UpstreamState};
--- a/valetrack/src/gate/packed.rs
+++ b/valetrack/src/gate/packed.rs
@@ -8,10 +8,20 @@
 const STALLED: u8 = 1;
 /// Flag of a server that takes no new work.
 const LEAVING: u8 = 2;
+/// Place of the share of held speeds in its byte, behind the flags.
+const HOLD_SHIFT: u32 = 2;
+/// Place of the share of failing runs in the same byte.
+const FAILING_SHIFT: u32 = 5;
+/// Largest value of a share in three bits.
+const THREE_BITS: u8 = 7;
+/// Largest value of a share in four bits.
+const FOUR_BITS: u8 = 15;
 /// Hundredths in the unit of a factor: a tenth is finer than any pick needs.
 const FACTOR_UNIT_PERCENT: u16 = 10;
 /// Milliseconds in the unit of an episode's rest.
 const LASTS_UNIT_MS: u16 = 10;
+/// Hundredths in one.
+const PERCENT: f64 = 100.0;
 
 /// A load report on the wire.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
@@ -20,32 +30,41 @@
     in_flight: u16,
     queued: u16,
     service_us: u32,
+    /// Flags, the share of runs that keep their speed, and the square root of the share of runs that
+    /// fail: of that, small values are told apart more finely than large ones.
     flags: u8,
-    slowdown: u8,
-    mean: u8,
+    fast: u8,
+    slow: u8,
+    /// Chance and share of slow episodes, in four bits each.
+    slow_times: u8,
     lasts: u8,
-    failing_percent: u8,
 }
 
 impl From<LoadReport> for PackedLoad {
     fn from(load: LoadReport) -> Self {
         let flag = |set: bool, flag: u8| if set { flag } else { 0 };
+        let hold = in_steps(share(load.hold_percent), THREE_BITS) << HOLD_SHIFT;
+        let failing = in_steps(share(load.failing_percent).sqrt(), THREE_BITS) << FAILING_SHIFT;
+        let slow_chance = in_steps(share(load.slow_chance_percent), FOUR_BITS);
+        let slow_share = in_steps(share(load.slow_share_percent), FOUR_BITS);
         Self {
             limit: load.limit,
             in_flight: load.in_flight,
             queued: load.queued,
             service_us: load.service_us,
-            flags: flag(load.stalled, STALLED) | flag(load.leaving, LEAVING),
-            slowdown: in_units(load.slowdown_percent, FACTOR_UNIT_PERCENT),
-            mean: in_units(load.mean_percent, FACTOR_UNIT_PERCENT),
+            flags: flag(load.stalled, STALLED) | flag(load.leaving, LEAVING) | hold | failing,
+            fast: in_units(load.fast_percent, FACTOR_UNIT_PERCENT),
+            slow: in_units(load.slow_percent, FACTOR_UNIT_PERCENT),
+            slow_times: slow_chance | slow_share << 4,
             lasts: in_units(load.slow_lasts_ms, LASTS_UNIT_MS),
-            failing_percent: load.failing_percent,
         }
     }
 }
 
 impl From<PackedLoad> for LoadReport {
     fn from(packed: PackedLoad) -> Self {
+        let hold = of_steps(packed.flags >> HOLD_SHIFT, THREE_BITS);
+        let failing = of_steps(packed.flags >> FAILING_SHIFT, THREE_BITS).powi(2);
         Self {
             limit: packed.limit,
             in_flight: packed.in_flight,
@@ -53,14 +72,35 @@
             service_us: packed.service_us,
             stalled: packed.flags & STALLED != 0,
             leaving: packed.flags & LEAVING != 0,
-            slowdown_percent: u16::from(packed.slowdown) * FACTOR_UNIT_PERCENT,
-            mean_percent: u16::from(packed.mean) * FACTOR_UNIT_PERCENT,
+            fast_percent: u16::from(packed.fast) * FACTOR_UNIT_PERCENT,
+            slow_percent: u16::from(packed.slow) * FACTOR_UNIT_PERCENT,
+            slow_chance_percent: percent(of_steps(packed.slow_times, FOUR_BITS)),
+            slow_share_percent: percent(of_steps(packed.slow_times >> 4, FOUR_BITS)),
             slow_lasts_ms: u16::from(packed.lasts) * LASTS_UNIT_MS,
-            failing_percent: packed.failing_percent,
+            hold_percent: percent(hold),
+            failing_percent: percent(failing),
         }
     }
 }
 
+fn share(percent: u8) -> f64 {
+    f64::from(percent) / PERCENT
+}
+
+fn percent(share: f64) -> u8 {
+    (share * PERCENT).round() as u8
+}
+
+/// Rounds a share to steps, of which `most` are one.
+fn in_steps(share: f64, most: u8) -> u8 {
+    (share.clamp(0.0, 1.0) * f64::from(most)).round() as u8
+}
+
+/// Reads a share from the lowest bits.
+fn of_steps(steps: u8, most: u8) -> f64 {
+    f64::from(steps & most) / f64::from(most)
+}
+
 /// Rounds to whole units; what is over the range counts as its end.
 fn in_units(figure: u16, unit: u16) -> u8 {
     (figure.saturating_add(unit / 2) / unit).min(u16::from(u8::MAX)) as u8
--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -72,13 +72,15 @@
 /// How an exchange with the server ended, or that its deadline passed.
 type Ended = Result<Result<ServerAnswer, ServerError>, Elapsed>;
 
-/// The start of a run.
+/// How fast the machine is at one moment.
 #[derive(Debug, Clone, Copy)]
-struct RunStart {
+struct MachineMoment {
     /// The moment, on this process's monotonic clock, in microseconds.
     at_us: u64,
     /// The factor by which the machine was slowed then.
     slowdown: f64,
+    /// The same in hundredths where it was told a moment before; zero elsewhere.
+    told_percent: u16,
 }
 
 /// The gate with the jobs that it holds and the connections to its server.
@@ -287,12 +289,12 @@
         let load = self.load();
         log::info!(
             "event=gate.bounce call={} attempt={attempt} reason={reason:?} running={} waiting={} limit={} \
-             slowdown_percent={}",
+             slow_chance_percent={}",
             job.head.call_id,
             load.in_flight,
             load.queued,
             load.limit,
-            load.slowdown_percent
+            load.slow_chance_percent
         );
         let _ = job.reply.send(GateReply::Bounce(reason));
     }
@@ -347,7 +349,7 @@
         let attempt = job.head.attempt;
         log::debug!("event=gate.start call={} attempt={attempt}", job.head.call_id);
         let began_us = now_us();
-        let began = RunStart { at_us: began_us, slowdown: self.gate.borrow().slowdown(began_us) };
+        let began = self.machine_at(began_us);
         let left_us = job.deadline_us.saturating_sub(began_us);
         let id = self.upstream.borrow().id.clone();
         let Some(request) = self.pool.protocol().request(&job.head, job.body.clone(), left_us / 1000, id.as_deref())
@@ -396,11 +398,23 @@
     }
 
     /// Returns how long a run took that ends now, and how long it had taken at full speed.
-    fn times(&self, began: RunStart, work_us: u32) -> RunTimes {
-        let ran_us = now_us().saturating_sub(began.at_us);
-        let slowdown_after = self.gate.borrow().slowdown(now_us());
-        let unslowed_us = (ran_us as f64 * 2.0 / (began.slowdown + slowdown_after)) as u64;
-        RunTimes { ran_us, unslowed_us, work_us: work_us.into() }
+    fn times(&self, began: MachineMoment, work_us: u32) -> RunTimes {
+        let ended = self.machine_at(now_us());
+        let ran_us = ended.at_us.saturating_sub(began.at_us);
+        let unslowed_us = self.gate.borrow().unslowed_us(ran_us, began.slowdown, ended.slowdown);
+        RunTimes {
+            ran_us,
+            unslowed_us,
+            work_us: work_us.into(),
+            start_percent: began.told_percent,
+            end_percent: ended.told_percent,
+        }
+    }
+
+    /// Reads how fast the machine is at `now_us`.
+    fn machine_at(&self, now_us: u64) -> MachineMoment {
+        let gate = self.gate.borrow();
+        MachineMoment { at_us: now_us, slowdown: gate.slowdown(now_us), told_percent: gate.told_percent(now_us) }
     }
 }
 
--- a/valetrack/src/gate/speed.rs
+++ b/valetrack/src/gate/speed.rs
@@ -1,14 +1,9 @@
 //! How fast one server is: learned from the runs at its gate, and told by its machine.
 
+use super::hold::SpeedHold;
 use super::message::{LoadReport, RunTimes};
+use super::pace::{Pace, SLOWDOWN_LASTS_US, fading};
 
-/// Time that a machine's slowdown is taken to go on until episodes were seen to end, in
-/// microseconds: neighbours' load changes several times a second.
-pub const SLOWDOWN_LASTS_US: u64 = 200_000;
-/// What was seen of a server loses half its weight in this time without news, in microseconds: a
-/// call in some seconds finds out whether a slow server is well again, and few are lost to one that
-/// is not.
-const HISTORY_HALF_LIFE_US: u64 = 2_000_000;
 /// A machine is in a slow episode from this factor on.
 const EPISODE_FACTOR: f64 = 1.5;
 /// Longest episode that counts as one, in microseconds: what lasts longer is the usual speed.
@@ -22,12 +17,6 @@
 /// Bounds of one sample, so that a single run cannot turn the averages over.
 const SAMPLE_MIN: f64 = 0.1;
 const SAMPLE_MAX: f64 = 20.0;
-/// Spread of a call's time around what is expected, as a share of it: runs of one route differ by
-/// a third, and calls that a server makes on its own come on top.
-const EXPECTED_SPREAD: f64 = 0.18;
-/// What an answer at its objective is worth less than one at once, so that of servers that are all
-/// in time the faster one is taken.
-const SOONER_VALUE: f64 = 0.05;
 /// What the machine told is too old to start a run on after this time, in microseconds: a tenth of
 /// a usual slow episode, so that few begin unseen.
 const FRESH_US: u64 = 25_000;
@@ -36,6 +25,10 @@
 /// Shortest run that is worth asking the machine for, in microseconds: the question takes about a
 /// millisecond.
 const ASK_WORK_MIN_US: u64 = 10_000;
+/// The share of slow time is learned over this time, in microseconds: some dozens of episodes.
+const SHARE_OVER_US: f64 = 10_000_000.0;
+/// Longest time for which what the machine told last is taken to have gone on, in microseconds.
+const SHARE_GAP_US: f64 = 100_000.0;
 /// What a share or factor of one is in a report.
 const PERCENT: f64 = 100.0;
 
@@ -48,8 +41,8 @@
     mean: f64,
     /// Share of runs that failed.
     failing: f64,
-    /// Factor that the machine told last.
-    slowdown: f64,
+    /// Factor that the machine told last; none until it told one.
+    told: Option<f64>,
     /// When it was told, in microseconds.
     told_us: u64,
     /// Until when the machine counts as swinging between fast and slow, in microseconds.
@@ -58,6 +51,14 @@
     episode_us: Option<u64>,
     /// How much longer an episode goes on at any moment in it, on average, in microseconds.
     lasts_us: f64,
+    /// Factor that the machine tells in slow episodes, on average.
+    slow_factor: f64,
+    /// Share of the time in slow episodes.
+    slow_share: f64,
+    /// Time over which that share was learned, in microseconds.
+    watched_us: f64,
+    /// Whether runs keep the speed of their start.
+    hold: SpeedHold,
 }
 
 impl Default for Speed {
@@ -66,11 +67,15 @@
             base: 1.0,
             mean: 1.0,
             failing: 0.0,
-            slowdown: 1.0,
+            told: None,
             told_us: 0,
             swings_until_us: 0,
             episode_us: None,
             lasts_us: SLOWDOWN_LASTS_US as f64,
+            slow_factor: EPISODE_FACTOR,
+            slow_share: 0.0,
+            watched_us: 0.0,
+            hold: SpeedHold::default(),
         }
     }
 }
@@ -78,7 +83,7 @@
 impl Speed {
     /// Takes how long a run took.
     pub fn ran(&mut self, times: RunTimes, healthy: bool) {
-        let RunTimes { ran_us, unslowed_us, work_us } = times;
+        let RunTimes { ran_us, unslowed_us, work_us, start_percent, end_percent } = times;
         self.failing += (f64::from(u8::from(!healthy)) - self.failing) * MEAN_WEIGHT;
         // A failure may come at once; only whole runs tell of speed.
         if work_us == 0 || !healthy {
@@ -86,6 +91,10 @@
         }
         let sample = (ran_us as f64 / work_us as f64).clamp(SAMPLE_MIN, SAMPLE_MAX);
         self.mean += (sample - self.mean) * MEAN_WEIGHT;
+        if start_percent > 0 && end_percent > 0 {
+            let (start, end) = (f64::from(start_percent) / PERCENT, f64::from(end_percent) / PERCENT);
+            self.hold.ran(sample / self.base, start, end);
+        }
         let unslowed = (unslowed_us as f64 / work_us as f64).clamp(SAMPLE_MIN, SAMPLE_MAX);
         let up = if unslowed > self.base { BASE_QUANTILE } else { BASE_QUANTILE - 1.0 };
         self.base = (self.base * (1.0 + BASE_STEP * up)).clamp(SAMPLE_MIN, SAMPLE_MAX);
@@ -93,9 +102,12 @@
 
     /// Takes what the machine told at `now_us`.
     pub fn told(&mut self, slowdown_percent: u16, now_us: u64) {
-        self.slowdown = f64::from(slowdown_percent) / PERCENT;
+        self.watched(now_us);
+        let slowdown = f64::from(slowdown_percent) / PERCENT;
+        self.told = Some(slowdown);
         self.told_us = now_us;
-        if self.slowdown >= EPISODE_FACTOR {
+        if slowdown >= EPISODE_FACTOR {
+            self.slow_factor += (slowdown - self.slow_factor) * MEAN_WEIGHT.max(f64::from(u8::from(self.never_slow())));
             self.swings_until_us = now_us + SWINGING_US;
             self.episode_us.get_or_insert(now_us);
             return;
@@ -107,61 +119,96 @@
         }
     }
 
+    fn never_slow(&self) -> bool {
+        self.swings_until_us == 0
+    }
+
+    /// Counts the time since the machine told its speed last as slow or not.
+    fn watched(&mut self, now_us: u64) {
+        let Some(slowdown) = self.told else {
+            return;
+        };
+        let passed_us = (now_us.saturating_sub(self.told_us) as f64).min(SHARE_GAP_US);
+        self.watched_us = (self.watched_us + passed_us).min(SHARE_OVER_US);
+        if self.watched_us > 0.0 {
+            let slow = f64::from(u8::from(slowdown >= EPISODE_FACTOR));
+            self.slow_share += (slow - self.slow_share) * passed_us / self.watched_us;
+        }
+    }
+
     /// Returns whether the machine should be asked before a run of `work_us` starts: its speed
     /// swings, and what it told last is old.
     pub fn wants_news(&self, work_us: u64, now_us: u64) -> bool {
         work_us >= ASK_WORK_MIN_US && now_us < self.swings_until_us && now_us > self.told_us + FRESH_US
     }
 
+    /// Returns the factor that the machine told a moment ago, in hundredths; zero when that was too
+    /// long ago, or it tells none.
+    pub fn told_percent(&self, now_us: u64) -> u16 {
+        match self.told {
+            Some(slowdown) if now_us <= self.told_us + FRESH_US => in_percent(slowdown),
+            Some(_) | None => 0,
+        }
+    }
+
     /// Returns the factor that the machine told last, or one when that was too long ago.
     pub fn slowdown(&self, now_us: u64) -> f64 {
         let over = now_us.saturating_sub(self.told_us) as f64 > self.lasts_us;
-        if over { 1.0 } else { self.slowdown }
+        if over { 1.0 } else { self.told.unwrap_or(1.0) }
     }
 
-    /// Returns the factor of a run that starts now, before the present slowdown ends.
-    pub fn now(&self, now_us: u64) -> f64 {
-        let age_us = now_us.saturating_sub(self.told_us);
-        let weight = 0.5_f64.powf(age_us as f64 / self.lasts_us);
-        self.base * self.slowdown * weight + self.mean.max(self.base) * (1.0 - weight)
+    /// Returns how long a run had taken on a machine at full speed that was slowed by these factors
+    /// at its start and its end, in microseconds.
+    pub fn unslowed_us(&self, ran_us: u64, start: f64, end: f64) -> u64 {
+        (ran_us as f64 / self.hold.slowed_by(start, end)) as u64
     }
 
-    /// Returns how long a run of `work_us` takes that starts now, in microseconds.
-    pub fn expected_us(&self, work_us: u64, now_us: u64) -> u64 {
-        expected_run_us(work_us, self.now(now_us), self.mean.max(self.base), self.lasts_us)
+    /// Returns how fast the server is at `now_us`.
+    pub fn pace(&self, now_us: u64) -> Pace {
+        let Some(slowdown) = self.told else {
+            return self.untold();
+        };
+        let weight = 0.5_f64.powf(now_us.saturating_sub(self.told_us) as f64 / self.lasts_us);
+        let is_slow = slowdown >= EPISODE_FACTOR;
+        let told = f64::from(u8::from(is_slow));
+        Pace {
+            fast: self.base,
+            slow: self.base * if is_slow { slowdown } else { self.slow_factor },
+            slow_chance: told * weight + self.slow_share * (1.0 - weight),
+            slow_share: self.slow_share,
+            lasts_us: self.lasts_us,
+            hold: self.hold.share(),
+        }
+    }
+
+    /// Returns the speed of a server whose machine tells nothing: that of its runs.
+    fn untold(&self) -> Pace {
+        let usual = self.mean.max(self.base);
+        Pace {
+            fast: usual,
+            slow: usual,
+            slow_chance: 0.0,
+            slow_share: 0.0,
+            lasts_us: self.lasts_us,
+            hold: self.hold.share(),
+        }
     }
 
     /// Writes what is known into a report of a server on which nothing has run for `idle_us`.
     pub fn report(&self, load: &mut LoadReport, now_us: u64, idle_us: u64) {
-        let percent = |factor: f64| (factor * PERCENT).min(f64::from(u16::MAX)) as u16;
+        let pace = self.pace(now_us);
         let fresh = fading(idle_us);
-        let faded = |factor: f64| 1.0 + (factor - 1.0) * fresh;
-        load.slowdown_percent = percent(faded(self.now(now_us)));
-        load.mean_percent = percent(faded(self.mean.max(self.base)));
-        load.slow_lasts_ms = (self.lasts_us / 1000.0) as u16;
-        load.failing_percent = percent(self.failing * fresh) as u8;
+        let faded = |factor: f64| in_percent(1.0 + (factor - 1.0) * fresh);
+        load.fast_percent = faded(pace.fast);
+        load.slow_percent = faded(pace.slow);
+        load.slow_chance_percent = in_percent(pace.slow_chance) as u8;
+        load.slow_share_percent = in_percent(pace.slow_share) as u8;
+        load.slow_lasts_ms = (pace.lasts_us / 1000.0) as u16;
+        load.hold_percent = in_percent(pace.hold) as u8;
+        load.failing_percent = in_percent(self.failing * fresh) as u8;
     }
 }
 
-/// Returns what a call is worth that should take `expected_us` where `left_us` are left, as a share
-/// of an answer in time.
-pub fn time_worth(expected_us: f64, left_us: f64) -> f64 {
-    let in_time = 1.0 / (1.0 + ((expected_us - left_us) / (expected_us * EXPECTED_SPREAD)).exp());
-    in_time - SOONER_VALUE * expected_us / left_us.max(1.0)
-}
-
-/// Returns what a server's history still says after `age_us` without news, from one down to zero.
-pub fn fading(age_us: u64) -> f64 {
-    0.5_f64.powf(age_us as f64 / HISTORY_HALF_LIFE_US as f64)
-}
-
-/// Returns how long `work_us` take when each microsecond of work takes `now` for `lasts_us`, and
-/// `mean` from then on.
-pub fn expected_run_us(work_us: u64, now: f64, mean: f64, lasts_us: f64) -> u64 {
-    let work = work_us as f64;
-    let done_in_time = lasts_us / now.max(SAMPLE_MIN);
-    if work <= done_in_time {
-        return (work * now) as u64;
-    }
-    (lasts_us + (work - done_in_time) * mean) as u64
+fn in_percent(factor: f64) -> u16 {
+    (factor * PERCENT).round().min(f64::from(u16::MAX)) as u16
 }
--- a/valetrack/src/gate/state.rs
+++ b/valetrack/src/gate/state.rs
@@ -6,7 +6,8 @@
 use super::message::{
     AttemptId, BounceReason, CancelResult, GateAction, GateEvent, LoadReport, Objective, Patience, RunTimes,
 };
-use super::speed::{Speed, fading, time_worth};
+use super::pace::fading;
+use super::speed::Speed;
 
 /// How long an ended or cancelled attempt is remembered, in microseconds.
 ///
@@ -211,6 +212,17 @@
         self.speed.slowdown(now_us)
     }
 
+    /// Returns the same in hundredths where the machine told it a moment ago; zero elsewhere.
+    pub fn told_percent(&self, now_us: u64) -> u16 {
+        self.speed.told_percent(now_us)
+    }
+
+    /// Returns how long a run had taken on a machine at full speed that was slowed by these factors
+    /// at its start and its end, in microseconds.
+    pub fn unslowed_us(&self, ran_us: u64, start: f64, end: f64) -> u64 {
+        self.speed.unslowed_us(ran_us, start, end)
+    }
+
     /// Takes how long a run took that is about to end.
     pub fn ran(&mut self, attempt: AttemptId, times: RunTimes, healthy: bool) {
         self.speed.ran(times, healthy);
@@ -302,11 +314,11 @@
         if objective.work_us == 0 {
             return false;
         }
-        let run_us = self.speed.expected_us(objective.work_us, now_us);
+        let pace = self.speed.pace(now_us);
         if objective.elsewhere_permille == 0 {
-            return run_us > objective.left_us;
+            return pace.expected_us(objective.work_us) > objective.left_us as f64;
         }
-        let here = time_worth(run_us as f64, objective.left_us as f64);
+        let here = pace.worth(objective.work_us, 0.0, objective.left_us as f64);
         here + ELSEWHERE_GAIN < f64::from(objective.elsewhere_permille) / PERMILLE
     }
 
@@ -314,7 +326,7 @@
     /// of this server did.
     fn run_us(&self, objective: Option<Objective>, now_us: u64) -> u64 {
         match objective {
-            Some(objective) if objective.work_us > 0 => self.speed.expected_us(objective.work_us, now_us),
+            Some(objective) if objective.work_us > 0 => self.speed.pace(now_us).expected_us(objective.work_us) as u64,
             Some(_) | None => self.service_us as u64,
         }
     }
--- a/valetrack/src/gate/tests/speed.rs
+++ b/valetrack/src/gate/tests/speed.rs
@@ -3,20 +3,67 @@
 use test_case::test_case;
 
 use crate::gate::{
-    AttemptId, BounceReason, Gate, GateAction, GateConfig, GateEvent, LoadReport, Objective, Patience, RunTimes,
-    SLOWDOWN_LASTS_US, Speed, expected_run_us,
+    AttemptId, BounceReason, Gate, GateAction, GateConfig, GateEvent, LoadReport, Objective, Pace, Patience, RunTimes,
+    SLOWDOWN_LASTS_US, Speed, SpeedHold, time_worth,
 };
 
-#[test_case(50_000, 1.0, 50_000; "a short run ends within the slow episode or before it")]
-#[test_case(50_000, 4.0, 200_000; "a run that just ends with it")]
-#[test_case(150_000, 4.0, 300_000; "a run that outlasts it goes on at the average")]
-fn a_run_is_slow_only_as_long_as_the_episode(work_us: u64, now: f64, expected_us: u64) {
-    assert_eq!(expected_run_us(work_us, now, 1.0, SLOWDOWN_LASTS_US as f64), expected_us);
+/// Returns the pace of a machine that is slow by `slow` for sure, with runs of one kind only.
+fn slow_pace(slow: f64, hold: f64) -> Pace {
+    Pace { fast: 1.0, slow, slow_chance: 1.0, slow_share: 0.0, lasts_us: SLOWDOWN_LASTS_US as f64, hold }
+}
+
+#[test_case(50_000, 1.0, 50_000.0; "a short run ends within the slow episode or before it")]
+#[test_case(50_000, 4.0, 200_000.0; "a run that just ends with it")]
+#[test_case(150_000, 4.0, 300_000.0; "a run that outlasts it goes on at the average")]
+fn a_run_that_follows_its_machine_is_slow_only_as_long_as_the_episode(work_us: u64, slow: f64, expected_us: f64) {
+    assert_eq!(slow_pace(slow, 0.0).expected_us(work_us), expected_us);
+}
+
+#[test]
+fn a_run_that_keeps_its_speed_is_slow_to_its_end() {
+    assert_eq!(slow_pace(4.0, 1.0).expected_us(150_000), 600_000.0);
+}
+
+#[test]
+fn a_machine_that_may_be_slow_is_worth_less_than_its_average_tells() {
+    let pace = Pace { slow_chance: 0.25, ..slow_pace(5.0, 1.0) };
+    let average = time_worth(pace.expected_us(220_000), 600_000.0);
+    let worth = pace.worth(220_000, 0.0, 600_000.0);
+    assert!(worth < average - 0.1, "{worth} {average}");
+    assert!((0.70..0.78).contains(&worth), "three of four runs are in time: {worth}");
+}
+
+/// Feeds `runs` runs of 290 ms of work on a machine that is slowed five times in a quarter of its
+/// stretches of 150 ms, and returns the share that is taken to keep its speed.
+fn hold_after(runs: usize, keeps: bool) -> f64 {
+    let mut rng = fastrand::Rng::with_seed(11);
+    let mut hold = SpeedHold::default();
+    for _ in 0..runs {
+        let speeds: Vec<f64> = (0..20).map(|_| if rng.u8(0..4) == 0 { 5.0 } else { 1.0 }).collect();
+        let factor_at = |at: usize| speeds[at];
+        let start = factor_at(0);
+        let mut ran_ms = 0;
+        let mut left = 290.0;
+        while left > 0.0 {
+            left -= 1.0 / if keeps { start } else { factor_at(ran_ms / 150) };
+            ran_ms += 1;
+        }
+        let spread = 0.8 + rng.f64() * 0.4;
+        hold.ran(ran_ms as f64 / 290.0 * spread, start, factor_at(ran_ms / 150));
+    }
+    hold.share()
+}
+
+#[test_case(true, 0.8..=1.0; "runs that keep their speed")]
+#[test_case(false, 0.0..=0.3; "runs that follow their machine")]
+fn some_tens_of_runs_tell_whether_they_keep_their_speed(keeps: bool, shares: std::ops::RangeInclusive<f64>) {
+    let share = hold_after(80, keeps);
+    assert!(shares.contains(&share), "{share}");
 }
 
 /// Returns the times of a run on a machine that tells nothing of its speed.
 fn times(ran_us: u64, work_us: u64) -> RunTimes {
-    RunTimes { ran_us, unslowed_us: ran_us, work_us }
+    RunTimes { ran_us, unslowed_us: ran_us, work_us, start_percent: 0, end_percent: 0 }
 }
 
 #[test]
@@ -24,9 +71,12 @@
     let mut speed = Speed::default();
     for at in 0..200 {
         speed.told(400, at);
-        speed.ran(RunTimes { ran_us: 400_000, unslowed_us: 100_000, work_us: 100_000 }, true);
+        let times = RunTimes { unslowed_us: 100_000, ..times(400_000, 100_000) };
+        speed.ran(times, true);
     }
-    assert!((3.8..=4.2).contains(&speed.now(200)), "{}", speed.now(200));
+    let pace = speed.pace(200);
+    assert!((0.95..=1.05).contains(&pace.fast), "{pace:?}");
+    assert!((3.8..=4.2).contains(&pace.slow) && pace.is_slow(), "{pace:?}");
 }
 
 #[test]
@@ -37,7 +87,7 @@
     }
     let mut load = LoadReport::default();
     speed.report(&mut load, 0, 0);
-    assert!((450..=560).contains(&load.mean_percent), "{}", load.mean_percent);
+    assert!((450..=560).contains(&load.fast_percent), "{}", load.fast_percent);
 }
 
 #[test]
@@ -48,7 +98,7 @@
     }
     let mut load = LoadReport::default();
     speed.report(&mut load, 0, 0);
-    assert_eq!(load.mean_percent, 100);
+    assert_eq!(load.fast_percent, 100);
     assert!(load.failing_percent > 90);
 }
 
@@ -56,9 +106,10 @@
 fn what_the_machine_told_fades() {
     let mut speed = Speed::default();
     speed.told(400, 0);
-    assert!((speed.now(0) - 4.0).abs() < 0.01);
-    assert!(speed.now(SLOWDOWN_LASTS_US) < 2.6);
-    assert!(speed.now(20 * SLOWDOWN_LASTS_US) < 1.01);
+    let expected_us = |now_us| speed.pace(now_us).expected_us(1_000);
+    assert!((expected_us(0) - 4_000.0).abs() < 10.0);
+    assert!(expected_us(SLOWDOWN_LASTS_US) < 2_600.0);
+    assert!(expected_us(20 * SLOWDOWN_LASTS_US) < 1_010.0);
 }
 
 #[test]
@@ -81,9 +132,9 @@
     }
     let ended_us = 39 * 200_000 + 190_000;
     let slow = gate.load(ended_us);
-    assert!(slow.service_us > 100_000 && slow.mean_percent > 500, "{slow:?}");
+    assert!(slow.service_us > 100_000 && slow.fast_percent > 500, "{slow:?}");
     let later = gate.load(ended_us + 20_000_000);
-    assert!(later.service_us < 3_000 && later.mean_percent <= 101, "{later:?}");
+    assert!(later.service_us < 3_000 && later.fast_percent <= 101, "{later:?}");
 }
 
 const WORK_US: u64 = 100_000;
--- a/valetrack/src/link/tests.rs
+++ b/valetrack/src/link/tests.rs
@@ -104,8 +104,11 @@
         in_flight: 12,
         queued: 40,
         service_us: 50_000,
-        slowdown_percent: 400,
-        mean_percent: 170,
+        fast_percent: 110,
+        slow_percent: 400,
+        slow_chance_percent: 70,
+        slow_share_percent: 25,
+        hold_percent: 93,
         slow_lasts_ms: 220,
         failing_percent: 3,
         ..LoadReport::default()
--- a/valetrack/src/placement/mod.rs
+++ b/valetrack/src/placement/mod.rs
@@ -8,7 +8,6 @@
 mod budget;
 mod call;
 mod driver;
-mod forecast;
 mod message;
 mod policy;
 pub mod run;
@@ -17,6 +16,7 @@
 #[cfg(test)]
 mod tests;
 mod view;
+mod way;
 mod work;
 
 pub use budget::{RateBudget, ShareBudget};
