A delayed announcement of an earlier start of the upstream changes nothing

Cause: only one earlier id was remembered, so a heartbeat held up by a cut over two starts of the server replaced the living one, a late word of leaving by an id never heard closed the gate, and the living id was then never heard again. Ruled out: the sequence number, which each start counts for itself. Change: 32 earlier ids are remembered, with whether they left; one is believed again only when the present id has been silent for longer than a heartbeat. Measured: three tests that failed before pass (gate/tests/upstream.rs).

--- a/valetrack/src/gate/tests/upstream.rs
+++ b/valetrack/src/gate/tests/upstream.rs
@@ -47,3 +47,32 @@
     state.take(&Announcement { cold_ms: 1_500, ..heartbeat("a", 2, true) }, 2_600_000);
     assert_eq!(state.cold_until_us, 4_000_000);
 }
+
+#[test]
+fn a_heartbeat_held_up_over_several_starts_is_late() {
+    let mut state = UpstreamState::unknown();
+    for id in ["a", "b", "c"] {
+        state.take(&heartbeat(id, 1, true), 0);
+    }
+    assert!(!state.take(&heartbeat("a", 2, true), 100_000));
+    assert!(!state.take(&deregistration("b"), 100_000));
+    assert_eq!((state.id.as_deref(), state.phase), (Some("c"), UpstreamPhase::Ready));
+}
+
+#[test]
+fn a_late_word_of_leaving_by_a_start_that_was_never_heard_changes_nothing() {
+    let mut state = UpstreamState::unknown();
+    state.take(&heartbeat("b", 1, true), 0);
+    assert!(!state.take(&deregistration("a"), 500_000));
+    assert_eq!((state.id.as_deref(), state.phase), (Some("b"), UpstreamPhase::Ready));
+}
+
+#[test]
+fn the_living_start_is_believed_again_after_a_late_heartbeat_of_an_earlier_one() {
+    let mut state = UpstreamState::unknown();
+    state.take(&heartbeat("b", 7, true), 0);
+    assert!(state.take(&heartbeat("a", 90, true), 200_000), "nothing tells that it is the earlier one");
+    assert!(!state.take(&heartbeat("b", 8, true), 1_500_000));
+    assert!(state.take(&heartbeat("b", 9, true), 3_000_000));
+    assert_eq!(state.id.as_deref(), Some("b"));
+}
--- a/valetrack/src/gate/upstream.rs
+++ b/valetrack/src/gate/upstream.rs
@@ -2,6 +2,14 @@
 
 use std::sync::Arc;
 
+/// Ids of earlier starts that are remembered: a delayed announcement may come after several starts,
+/// and with one every some seconds these last for a minute or more.
+const FORMER_MAX: usize = 32;
+/// An id that was taken for an earlier start is believed again when the present one has been silent
+/// for this long, in microseconds: more than one pause between heartbeats, which a living upstream
+/// sends every second or two.
+const SILENT_US: u64 = 2_500_000;
+
 /// Whether the upstream takes work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum UpstreamPhase {
@@ -28,6 +36,14 @@
     pub cold_ms: u64,
 }
 
+/// An earlier start of the upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct FormerStart {
+    id: Arc<str>,
+    /// Whether it said that it leaves, so that it is gone for good.
+    left: bool,
+}
+
 /// State of the upstream as its announcements tell it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UpstreamState {
@@ -41,8 +57,10 @@
     pub cold_until_us: u64,
     /// Highest sequence number heard of this id.
     sequence: u64,
-    /// The id that was here before; what still comes of it is late.
-    previous: Option<Arc<str>>,
+    /// When the present id was last heard, in microseconds.
+    heard_us: u64,
+    /// Earlier starts, the oldest first; what still comes of them is late.
+    former: Vec<FormerStart>,
 }
 
 impl UpstreamState {
@@ -53,7 +71,15 @@
 
     /// Makes the state of an upstream of which nothing was heard yet.
     pub fn unknown() -> Self {
-        Self { id: None, phase: UpstreamPhase::Unknown, slots: None, cold_until_us: 0, sequence: 0, previous: None }
+        Self {
+            id: None,
+            phase: UpstreamPhase::Unknown,
+            slots: None,
+            cold_until_us: 0,
+            sequence: 0,
+            heard_us: 0,
+            former: Vec::new(),
+        }
     }
 
     /// Takes an announcement that came at `now_us`; returns whether the state changed.
@@ -61,14 +87,16 @@
     /// An upstream never comes back under an id that has left: the phase of one id only goes
     /// forward, and announcements that were overtaken by later ones change nothing.
     pub fn take(&mut self, news: &Announcement, now_us: u64) -> bool {
-        if self.previous.as_ref() == Some(&news.id) {
+        let is_other = self.id.as_ref() != Some(&news.id);
+        if is_other && self.is_late(news, now_us) {
             return false;
         }
         let before = self.clone();
-        if self.id.as_ref() != Some(&news.id) {
-            let previous = self.id.take();
-            *self = Self { id: Some(news.id.clone()), previous, ..Self::unknown() };
+        if is_other {
+            let former = self.with_present_start(news);
+            *self = Self { id: Some(news.id.clone()), former, ..Self::unknown() };
         }
+        self.heard_us = now_us;
         match news.sequence {
             Some(sequence) if sequence <= self.sequence && self.phase != UpstreamPhase::Unknown => return false,
             Some(sequence) => self.sequence = sequence,
@@ -84,6 +112,31 @@
         if news.cold_ms > 0 && self.cold_until_us == 0 {
             self.cold_until_us = now_us + news.cold_ms * 1000;
         }
-        Self { sequence: before.sequence, ..self.clone() } != before
+        (&self.id, self.phase, self.slots, self.cold_until_us)
+            != (&before.id, before.phase, before.slots, before.cold_until_us)
+    }
+
+    /// Returns whether news of an id that is not the present one come from an earlier start.
+    ///
+    /// An id that was first heard late, after a start that came later had announced itself to another
+    /// life of the node, looks like the newest; it then stays silent, and the living one is heard.
+    fn is_late(&self, news: &Announcement, now_us: u64) -> bool {
+        let silent = now_us.saturating_sub(self.heard_us) > SILENT_US;
+        match self.former.iter().find(|former| former.id == news.id) {
+            Some(former) => former.left || !news.ready || !silent,
+            // No start begins by leaving.
+            None => !news.ready && self.phase == UpstreamPhase::Ready && !silent,
+        }
+    }
+
+    /// Returns the earlier starts with the present one as the latest, without the one that is heard.
+    fn with_present_start(&mut self, news: &Announcement) -> Vec<FormerStart> {
+        let mut former = std::mem::take(&mut self.former);
+        former.retain(|start| start.id != news.id);
+        let left = self.phase == UpstreamPhase::Leaving;
+        former.extend(self.id.take().map(|id| FormerStart { id, left }));
+        let over = former.len().saturating_sub(FORMER_MAX);
+        former.drain(..over);
+        former
     }
 }
