First seconds of a life: a guess of a route's work, quick steps of a server's speed

Ruled out: keeping what was learned in the store, which costs calls at all times. Change: an unseen route is taken to need a third of its objective, a server's speed is learned with longer first steps and forgotten when it is warm.

--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -224,7 +224,14 @@
                 }
                 UpstreamPhase::Unknown => {}
             }
-            if upstream.changed().await.is_err() {
+            let changed = tokio::select! {
+                changed = upstream.changed() => changed,
+                () = warm_up(state.cold_until_us) => {
+                    self.gate.borrow_mut().warmed_up();
+                    upstream.changed().await
+                }
+            };
+            if changed.is_err() {
                 return;
             }
         }
@@ -471,6 +478,15 @@
     spare_us.min(left_us / WAIT_SHARE)
 }
 
+/// Waits until a cold server is warm; for ever where it is warm already.
+async fn warm_up(cold_until_us: u64) {
+    let left_us = cold_until_us.saturating_sub(now_us());
+    if left_us == 0 {
+        return std::future::pending().await;
+    }
+    sleep(Duration::from_micros(left_us)).await;
+}
+
 const fn bounce_label(reason: BounceReason) -> &'static str {
     match reason {
         BounceReason::Full => "full",
--- a/valetrack/src/gate/speed.rs
+++ b/valetrack/src/gate/speed.rs
@@ -10,6 +10,8 @@
 const EPISODE_MAX_US: u64 = 3_000_000;
 /// Step of the usual speed towards a new sample, as a share of itself.
 const BASE_STEP: f64 = 0.06;
+/// The first steps are longer: this share divided by the number of samples.
+const FIRST_STEP: f64 = 0.6;
 /// Place of the usual speed among the samples: below the middle, since noise only ever slows.
 const BASE_QUANTILE: f64 = 0.4;
 /// Weight of a new sample in the averages.
@@ -43,6 +45,8 @@
 pub struct Speed {
     /// Factor of a run without noise.
     base: f64,
+    /// Runs from which it was learned.
+    samples: u32,
     /// Factor of a run on average, noise included.
     mean: f64,
     /// Share of runs that failed.
@@ -73,6 +77,7 @@
     fn default() -> Self {
         Self {
             base: 1.0,
+            samples: 0,
             mean: 1.0,
             failing: 0.0,
             told: None,
@@ -106,7 +111,16 @@
         }
         let unslowed = (unslowed_us as f64 / work_us as f64).clamp(SAMPLE_MIN, SAMPLE_MAX);
         let up = if unslowed > self.base { BASE_QUANTILE } else { BASE_QUANTILE - 1.0 };
-        self.base = (self.base * (1.0 + BASE_STEP * up)).clamp(SAMPLE_MIN, SAMPLE_MAX);
+        self.samples = self.samples.saturating_add(1);
+        let step = BASE_STEP.max(FIRST_STEP / f64::from(self.samples));
+        self.base = (self.base * (1.0 + step * up)).clamp(SAMPLE_MIN, SAMPLE_MAX);
+    }
+
+    /// Forgets how fast the server was while it was cold; what the machine tells stays.
+    pub fn warmed_up(&mut self) {
+        self.base = 1.0;
+        self.mean = 1.0;
+        self.samples = 0;
     }
 
     /// Takes what the machine told at `now_us`.
--- a/valetrack/src/gate/state.rs
+++ b/valetrack/src/gate/state.rs
@@ -209,6 +209,11 @@
         self.speed.told(slowdown_percent, now_us);
     }
 
+    /// Takes note that the server is not slow from its start any more.
+    pub fn warmed_up(&mut self) {
+        self.speed.warmed_up();
+    }
+
     /// Notes that the machine is asked for its speed.
     pub fn asked(&mut self, now_us: u64) {
         self.speed.asked(now_us);
--- a/valetrack/src/gate/tests/speed.rs
+++ b/valetrack/src/gate/tests/speed.rs
@@ -94,6 +94,18 @@
     assert!((450..=560).contains(&load.fast_percent), "{}", load.fast_percent);
 }
 
+#[test]
+fn a_cold_server_is_known_as_slow_within_a_few_runs_and_as_warm_at_once() {
+    let mut speed = Speed::default();
+    for _ in 0..8 {
+        speed.ran(times(200_000, 100_000), true);
+    }
+    let cold = speed.pace(0).expected_us(100_000);
+    assert!(cold > 160_000.0, "{cold}");
+    speed.warmed_up();
+    assert_eq!(speed.pace(0).expected_us(100_000), 100_000.0);
+}
+
 #[test]
 fn a_server_that_fails_at_once_is_not_fast() {
     let mut speed = Speed::default();
--- a/valetrack/src/placement/tests.rs
+++ b/valetrack/src/placement/tests.rs
@@ -4,3 +4,4 @@
 mod call;
 mod service;
 mod view;
+mod work;
--- a/valetrack/src/placement/work.rs
+++ b/valetrack/src/placement/work.rs
@@ -9,6 +9,10 @@
 /// Place of the estimate among the samples: below the middle, since noise only ever slows.
 const QUANTILE: f64 = 0.4;
 
+/// Until a run was seen, a route's runs are taken to need this part of its objective, as a divisor:
+/// operators set objectives with room above the usual time, and a guess lets first calls be weighed.
+const UNSEEN_DIVISOR: u64 = 3;
+
 /// Usual time of the runs of one route, without noise.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct WorkEstimate {
@@ -32,6 +36,11 @@
 
     /// Returns what a call of the route asks for that has `objective_ms` to its objective.
     pub fn demand(&self, objective_ms: u32) -> Demand {
-        Demand { work_us: self.work_us as u32, left_us: u64::from(objective_ms) * 1000 }
+        let left_us = u64::from(objective_ms) * 1000;
+        let work_us = match self.samples {
+            0 => (left_us / UNSEEN_DIVISOR).min(u64::from(u32::MAX)) as u32,
+            _ => self.work_us as u32,
+        };
+        Demand { work_us, left_us }
     }
 }
