The gate's queue, progress, objective and machine in files of their own

The queue (who waits, who is given back, who starts) is gate/state/queue.rs, the sign of a stall gate/progress.rs, what a call is worth the most by gate/objective.rs, what the shell hears of the machine gate/run/machine.rs; the arrival of a call is cut into steps.

--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -1,5 +1,7 @@
 //! Shell of the gate; it shares the link thread, since every call comes over a link's stream.
 
+mod machine;
+
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -14,10 +16,11 @@
 use tokio::time::{sleep, timeout};
 
 use super::header::travelling;
-use super::message::{AttemptId, BounceReason, CancelResult, GateAction, GateEvent, LoadReport, Objective, RunTimes};
+use super::message::{AttemptId, BounceReason, CancelResult, GateAction, GateEvent, LoadReport, RunTimes};
+use super::objective::objective;
 use super::origin::OriginTracker;
 use super::pool::{ServerAnswer, ServerError, ServerPool};
-use super::protocol::{Health, HostLoad};
+use super::protocol::Health;
 use super::state::{Gate, GateConfig};
 use super::upstream::{UpstreamPhase, UpstreamState};
 use crate::clock::now_us;
@@ -30,18 +33,6 @@
 /// A slot whose call passed its deadline stays taken this long, so that the server can see the
 /// closed connection and stop, in milliseconds.
 const LINGER_MS: u64 = 100;
-/// A call of a caller waits for a slot at most this part of the time to its objective, as a
-/// divisor: what waits longer is better refused while its caller can still come back in time. With
-/// [`IN_TIME_PERCENT`], against a fourth alone, the mean worth went from 0.689 to 0.694, 0.453 to 0.453
-/// and 0.384 to 0.390 on three played fleets of 13 VMs (five days, two seeds each).
-const WAIT_SHARE: u64 = 8;
-/// The wait and the run of a call must fit into this part of the time to its objective, in
-/// hundredths: runs of one route differ by a third, so with less to spare most come too late and
-/// take the slot of a call that could be in time.
-const IN_TIME_PERCENT: u64 = 80;
-/// A call that a server makes waits at most this part of its deadline, as a divisor: when it is
-/// refused, the work that waits for it is lost as well.
-const INTERNAL_WAIT_SHARE: u64 = 2;
 
 /// How the gate answers an attempt.
 #[derive(Debug)]
@@ -76,17 +67,6 @@
 /// How an exchange with the server ended, or that its deadline passed.
 type Ended = Result<Result<ServerAnswer, ServerError>, Elapsed>;
 
-/// How fast the machine is at one moment.
-#[derive(Debug, Clone, Copy)]
-struct MachineMoment {
-    /// The moment, on this process's monotonic clock, in microseconds.
-    at_us: u64,
-    /// The factor by which the machine was slowed then.
-    slowdown: f64,
-    /// The same in hundredths where it was told a moment before; zero elsewhere.
-    told_percent: u16,
-}
-
 /// The gate with the jobs that it holds and the connections to its server.
 pub struct GateShell {
     gate: RefCell<Gate>,
@@ -161,47 +141,6 @@
         self.pool.health(path).await
     }
 
-    /// Asks the upstream's machine how fast it is, where that swings and what it told last is too
-    /// old for a run of `work_us`. An answer that does not come in time changes nothing.
-    pub async fn refresh_speed(&self, work_us: u64) {
-        if !self.gate.borrow().wants_news(work_us, now_us()) {
-            return;
-        }
-        let path = self.health_path.borrow().clone();
-        let Some(path) = path else {
-            return;
-        };
-        let _asking = self.asking.lock().await;
-        if self.gate.borrow().wants_news(work_us, now_us()) {
-            self.ask_machine(&path).await;
-        }
-    }
-
-    async fn ask_machine(&self, path: &str) {
-        self.metrics.speed_questions.inc();
-        self.gate.borrow_mut().asked(now_us());
-        if let Some(load) = self.pool.machine_load(path).await {
-            self.told(load);
-        }
-    }
-
-    /// Asks the machine for its speed where calls wait for a slow episode to end.
-    async fn follow_episode(&self) {
-        if !self.gate.borrow().holds_back(now_us()) {
-            return;
-        }
-        let path = self.health_path.borrow().clone();
-        if let Some(path) = path {
-            let _asking = self.asking.lock().await;
-            self.ask_machine(&path).await;
-        }
-    }
-
-    fn told(&self, load: HostLoad) {
-        let slowdown_percent = load.slowdown_percent.min(u32::from(u16::MAX)) as u16;
-        self.gate.borrow_mut().told(slowdown_percent, now_us());
-    }
-
     /// Opens and closes the gate as the upstream's announcements say; runs as long as the gate.
     pub async fn follow_upstream(self: Rc<Self>) {
         let mut upstream = self.upstream.clone();
@@ -422,26 +361,6 @@
             () = job.reply.closed(), if job.head.repeatable => None,
         }
     }
-
-    /// Returns how long a run took that ends now, and how long it had taken at full speed.
-    fn times(&self, began: MachineMoment, work_us: u32) -> RunTimes {
-        let ended = self.machine_at(now_us());
-        let ran_us = ended.at_us.saturating_sub(began.at_us);
-        let unslowed_us = self.gate.borrow().unslowed_us(ran_us, began.slowdown, ended.slowdown);
-        RunTimes {
-            ran_us,
-            unslowed_us,
-            work_us: work_us.into(),
-            start_percent: began.told_percent,
-            end_percent: ended.told_percent,
-        }
-    }
-
-    /// Reads how fast the machine is at `now_us`.
-    fn machine_at(&self, now_us: u64) -> MachineMoment {
-        let gate = self.gate.borrow();
-        MachineMoment { at_us: now_us, slowdown: gate.slowdown(now_us), told_percent: gate.told_percent(now_us) }
-    }
 }
 
 fn log_done(head: &CallHead, times: RunTimes, code: Option<Code>, answer: Option<&ServerAnswer>, healthy: bool) {
@@ -457,27 +376,6 @@
     );
 }
 
-/// Returns what a call is worth the most by, and how long it may wait for that.
-fn objective(head: &CallHead, internal: bool) -> Option<Objective> {
-    if head.objective_ms == 0 {
-        return None;
-    }
-    let left_us = u64::from(head.objective_ms) * 1000;
-    let wait_max_us = match internal {
-        true => u64::from(head.deadline_ms) * 1000 / INTERNAL_WAIT_SHARE,
-        false => wait_max_us(left_us, head.work_us.into()),
-    };
-    let elsewhere_permille = head.elsewhere_permille;
-    Some(Objective { left_us, work_us: head.work_us.into(), elsewhere_permille, wait_max_us })
-}
-
-/// Returns how long a call of a caller may wait for a slot that has `left_us` to its objective and
-/// should run for `work_us`.
-fn wait_max_us(left_us: u64, work_us: u64) -> u64 {
-    let spare_us = (left_us * IN_TIME_PERCENT / 100).saturating_sub(work_us);
-    spare_us.min(left_us / WAIT_SHARE)
-}
-
 /// Waits until a cold server is warm; for ever where it is warm already.
 async fn warm_up(cold_until_us: u64) {
     let left_us = cold_until_us.saturating_sub(now_us());
--- a/valetrack/src/gate/state.rs
+++ b/valetrack/src/gate/state.rs
@@ -1,5 +1,7 @@
 //! Pure decisions of the gate.
 
+mod queue;
+
 use std::collections::{HashMap, VecDeque};
 
 use super::limit::ConcurrencyLimit;
@@ -7,6 +9,7 @@
     AttemptId, BounceReason, CancelResult, GateAction, GateEvent, LoadReport, Objective, Patience, RunTimes,
 };
 use super::pace::fading;
+use super::progress::Progress;
 use super::speed::Speed;
 
 /// How long an ended or cancelled attempt is remembered, in microseconds.
@@ -18,18 +21,6 @@
 const SMOOTHING: i64 = 16;
 /// Service time assumed before the first sample, in microseconds.
 const FIRST_SERVICE_US: i64 = 2_000;
-/// A stall is at least this long, in microseconds.
-const STALL_MIN_US: u64 = 1_000;
-/// A server stalls when this many calls should have ended by now and none has. Were the ends
-/// independent, the chance of that by luck alone would be e to the minus eight.
-const STALL_MISSED_ENDS: u64 = 8;
-/// A call is given back where it is worth this much more elsewhere, as a share of an answer in
-/// time: the way there takes time as well.
-const ELSEWHERE_GAIN: f64 = 0.02;
-/// Thousandths in one.
-const PERMILLE: f64 = 1_000.0;
-/// A call on its last attempt may wait this many times the bound of the queue.
-const LAST_QUEUES: u64 = 2;
 /// A failed call counts as this many times the smoothed service time, so that a server that
 /// fails at once never looks idle.
 const FAILURE_PENALTY: i64 = 4;
@@ -100,40 +91,6 @@
     learned: ConcurrencyLimit,
 }
 
-/// What says how many running calls should have ended since the last one did.
-#[derive(Debug, Clone, Copy, Default)]
-struct Progress {
-    /// When the last call ended, in microseconds.
-    last_us: u64,
-    /// Calls that ran at that moment.
-    ran: u64,
-    /// Calls that have started since.
-    started: u64,
-    /// Sum of the moments at which they have, in microseconds.
-    started_sum_us: u64,
-}
-
-impl Progress {
-    /// Notes the end of a call, with the number that run on.
-    fn ended(&mut self, running: usize, now_us: u64) {
-        *self = Self { last_us: now_us, ran: running as u64, started: 0, started_sum_us: 0 };
-    }
-
-    /// Notes the start of a call.
-    fn began(&mut self, now_us: u64) {
-        self.started += 1;
-        self.started_sum_us += now_us;
-    }
-
-    /// Returns when [`STALL_MISSED_ENDS`] calls of `service_us` should have ended.
-    fn stalls_at_us(&self, service_us: u64) -> Option<u64> {
-        let running = self.ran + self.started;
-        let begun_us = self.ran * self.last_us + self.started_sum_us;
-        let at_us = (STALL_MISSED_ENDS * service_us + begun_us).checked_div(running)?;
-        Some(at_us.max(self.last_us + STALL_MIN_US))
-    }
-}
-
 impl Gate {
     /// Opens a gate for a server that is cold at `now_us`.
     pub fn new(config: GateConfig, now_us: u64) -> Self {
@@ -146,7 +103,7 @@
             memory: HashMap::with_capacity(1024),
             forget: VecDeque::with_capacity(1024),
             service_us: FIRST_SERVICE_US,
-            progress: Progress { last_us: now_us, ..Progress::default() },
+            progress: Progress::new(now_us),
             speed: Speed::default(),
             learned: ConcurrencyLimit::default(),
         }
@@ -252,16 +209,6 @@
         self.running.is_empty() && self.waiting.is_empty()
     }
 
-    /// Returns whether the machine's speed is to be asked for, since calls wait for a slow episode to
-    /// end.
-    pub fn holds_back(&self, now_us: u64) -> bool {
-        now_us >= self.speed.ask_again_us() && self.waiting.iter().any(|waiting| self.is_held_back(waiting, now_us))
-    }
-
-    fn is_held_back(&self, waiting: &Waiting, now_us: u64) -> bool {
-        self.speed.hold_back_us(waiting.work_us, now_us).is_some()
-    }
-
     /// Returns when the gate next needs a [`GateEvent::Tick`], if it does.
     pub fn next_tick_us(&self, now_us: u64) -> Option<u64> {
         if self.waiting.is_empty() {
@@ -291,68 +238,11 @@
         self.start_waiting(now_us, out);
     }
 
-    fn arrive(&mut self, event: GateEvent, now_us: u64, out: &mut Vec<GateAction>) {
-        let GateEvent::Arrive { attempt, deadline_us, patience, priority, objective } = event else {
-            return;
-        };
-        if self.knows(attempt) {
-            // A second copy must not run; the first copy has its own answer.
-            return;
-        }
-        if self.memory.contains_key(&attempt) {
-            out.push(GateAction::Bounce { attempt, reason: BounceReason::Cancelled });
-            return;
-        }
-        if self.leaving {
-            self.bounce(attempt, BounceReason::Leaving, now_us, out);
-            return;
-        }
-        let work_us = objective.map_or(0, |objective| objective.work_us);
-        let held_back = self.speed.hold_back_us(work_us, now_us).is_some();
-        let room = (self.running.len() as u16) < self.limit(now_us) && self.waiting.is_empty() && !held_back;
-        let wait_max_us = objective.map_or(self.config.queue_max_us, |objective| objective.wait_max_us);
-        let run_us = self.run_us(objective, now_us);
-        let call = Waiting { attempt, deadline_us, leave_at_us: deadline_us, patience, priority, run_us, work_us };
-        if !room && let Some(reason) = self.refuses_to_queue(&call, wait_max_us, now_us) {
-            self.bounce(attempt, reason, now_us, out);
-            return;
-        }
-        if patience == Patience::None && held_back {
-            self.bounce(attempt, BounceReason::Slow, now_us, out);
-            return;
-        }
-        if patience == Patience::Short && objective.is_some_and(|objective| self.too_slow_for(objective, now_us)) {
-            self.bounce(attempt, BounceReason::Slow, now_us, out);
-            return;
-        }
-        let leave_at_us = match patience {
-            // Whoever has nowhere better to go is kept once it was let in.
-            Patience::Long | Patience::Last => deadline_us,
-            Patience::None | Patience::Short => deadline_us.min(now_us + self.service_us as u64),
-        };
-        // Order by rank, and by arrival within one rank.
-        let at = self.waiting.partition_point(|other| other.priority <= priority);
-        self.waiting.insert(at, Waiting { leave_at_us, ..call });
-    }
-
     /// Returns whether the machine's speed is to be asked for before a run of `work_us` is let in.
     pub fn wants_news(&self, work_us: u64, now_us: u64) -> bool {
         self.running.len() < usize::from(self.config.slots) && self.speed.wants_news(work_us, now_us)
     }
 
-    /// Returns whether a call that starts now would miss its objective, or is worth more elsewhere.
-    fn too_slow_for(&self, objective: Objective, now_us: u64) -> bool {
-        if objective.work_us == 0 {
-            return false;
-        }
-        let pace = self.speed.pace(now_us);
-        if objective.elsewhere_permille == 0 {
-            return pace.expected_us(objective.work_us) > objective.left_us as f64;
-        }
-        let here = pace.worth(objective.work_us, 0.0, objective.left_us as f64);
-        here + ELSEWHERE_GAIN < f64::from(objective.elsewhere_permille) / PERMILLE
-    }
-
     /// Returns what a run is expected to take: by its route where that is known, else as the runs
     /// of this server did.
     fn run_us(&self, objective: Option<Objective>, now_us: u64) -> u64 {
@@ -362,34 +252,6 @@
         }
     }
 
-    fn refuses_to_queue(&self, call: &Waiting, wait_max_us: u64, now_us: u64) -> Option<BounceReason> {
-        let Waiting { deadline_us, patience, priority, run_us, .. } = *call;
-        if self.config.rescue && patience != Patience::Last && self.stalled(now_us) {
-            return Some(BounceReason::Stalled);
-        }
-        let limit = u64::from(self.limit(now_us).max(1));
-        // The first slot that is free again goes to the first that waits, and short runs give theirs
-        // back sooner.
-        let ahead = self.waiting.iter().filter(|other| other.priority <= priority);
-        let ahead_us: u64 = ahead.map(|other| other.run_us).sum();
-        let mut wait_us = 0;
-        if self.running.len() + self.waiting.len() >= limit as usize {
-            wait_us = (self.service_us as u64 + ahead_us) / limit;
-        }
-        let end_us = now_us + wait_us + run_us;
-        let patience_us = match patience {
-            Patience::None => 0,
-            Patience::Short => wait_max_us.min(self.service_us as u64 / 2),
-            Patience::Long => wait_max_us,
-            // It was let in elsewhere or turned away everywhere; turning it away now comes late.
-            Patience::Last => wait_max_us * LAST_QUEUES,
-        };
-        if wait_us > patience_us || end_us > deadline_us {
-            return Some(BounceReason::Full);
-        }
-        None
-    }
-
     fn done(&mut self, attempt: AttemptId, healthy: bool, now_us: u64) {
         let Some(Running { started_us, .. }) = self.running.remove(&attempt) else {
             return;
@@ -443,45 +305,6 @@
         }
     }
 
-    fn leave_queue(&mut self, now_us: u64, out: &mut Vec<GateAction>) {
-        if self.waiting.is_empty() {
-            return;
-        }
-        let stalled = self.config.rescue && self.stalled(now_us);
-        let mut kept = 0;
-        while kept < self.waiting.len() {
-            let waiting = self.waiting[kept];
-            let reason = match () {
-                () if now_us >= waiting.leave_at_us => BounceReason::Full,
-                () if stalled && waiting.patience != Patience::Last => BounceReason::Stalled,
-                () => {
-                    kept += 1;
-                    continue;
-                }
-            };
-            self.waiting.remove(kept);
-            self.bounce(waiting.attempt, reason, now_us, out);
-        }
-    }
-
-    fn start_waiting(&mut self, now_us: u64, out: &mut Vec<GateAction>) {
-        let limit = self.limit(now_us) as usize;
-        while self.running.len() < limit {
-            let next = (0..self.waiting.len()).find(|&at| !self.is_held_back(&self.waiting[at], now_us));
-            let Some(waiting) = next.and_then(|at| self.waiting.remove(at)) else {
-                return;
-            };
-            if now_us >= waiting.deadline_us {
-                self.bounce(waiting.attempt, BounceReason::Full, now_us, out);
-                continue;
-            }
-            self.progress.began(now_us);
-            let busy = self.running.len() as u16 + 1;
-            self.running.insert(waiting.attempt, Running { started_us: now_us, busy });
-            out.push(GateAction::Start { attempt: waiting.attempt });
-        }
-    }
-
     fn stalls_at_us(&self) -> Option<u64> {
         self.progress.stalls_at_us(self.service_us as u64)
     }
