--- a/valetrack/src/member/leased/follow.rs
+++ b/valetrack/src/member/leased/follow.rs
@@ -215,14 +215,19 @@
 
     pub(super) fn store_failed(&self, call: &str, error: &StoreError) {
         self.parts.metrics.store_calls.with_label_values(&["failed"]).inc();
-        self.log.borrow_mut().lose();
-        self.logged.notify_waiters();
+        self.lose_log();
         if self.store_answers.replace(false) {
             // Told once an outage: a store that is down would fill the log.
             log::warn!("event=store.lost call={call} code={} reason=\"{error}\"", error.code());
         }
     }
 
+    /// Counts what was followed so far as old, and tells those who follow this node.
+    pub(super) fn lose_log(&self) {
+        self.log.borrow_mut().lose();
+        self.logged.notify_waiters();
+    }
+
     pub(super) fn count(&self, kind: &str) {
         self.parts.metrics.store_calls.with_label_values(&[kind]).inc();
     }
--- a/valetrack/src/member/leased/relayed.rs
+++ b/valetrack/src/member/leased/relayed.rs
@@ -56,8 +56,7 @@
             let Some(news) = self.ask_relay(relay).await else {
                 log::info!("event=store.relay_failed relay={} revision={}", relay.vm, self.log.borrow().at_revision());
                 self.avoided.borrow_mut().insert(relay.vm.clone(), now_us() + AVOID_US);
-                self.log.borrow_mut().lose();
-                self.logged.notify_waiters();
+                self.lose_log();
                 return false;
             };
             self.take_news(&news);
