The worth of a call at each server stands apart from the view; one constant of thousandths

PERMILLE stood twice. A bounce's log line says the chance of a slow episode and its factor. Behaviour is unchanged.

--- a/valetrack/src/gate/message.rs
+++ b/valetrack/src/gate/message.rs
@@ -95,6 +95,9 @@
     Last,
 }
 
+/// Thousandths in one.
+pub const PERMILLE: f64 = 1_000.0;
+
 /// What a call is worth the most by, and how long it should run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Objective {
--- a/valetrack/src/gate/mod.rs
+++ b/valetrack/src/gate/mod.rs
@@ -26,7 +26,7 @@
 pub use hold::SpeedHold;
 pub use limit::ConcurrencyLimit;
 pub use message::{
-    AttemptId, BounceReason, CancelResult, GateAction, GateEvent, LoadReport, Objective, Patience, RunTimes,
+    AttemptId, BounceReason, CancelResult, GateAction, GateEvent, LoadReport, Objective, PERMILLE, Patience, RunTimes,
 };
 pub use origin::OriginTracker;
 pub use pace::{Pace, SLOWDOWN_LASTS_US, fading, time_worth};
--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -254,12 +254,13 @@
         let load = self.load();
         log::info!(
             "event=gate.bounce call={} attempt={attempt} reason={reason:?} running={} waiting={} limit={} \
-             slow_chance_percent={}",
+             slow_chance_percent={} slow_percent={}",
             job.head.call_id,
             load.in_flight,
             load.queued,
             load.limit,
-            load.slow_chance_percent
+            load.slow_chance_percent,
+            load.slow_percent
         );
         let _ = job.reply.send(GateReply::Bounce(reason));
     }
--- a/valetrack/src/gate/state/queue.rs
+++ b/valetrack/src/gate/state/queue.rs
@@ -1,13 +1,11 @@
 //! The gate's queue: who may wait for a slot, who is given back, and who starts.
 
 use super::{Gate, Running, Waiting};
-use crate::gate::message::{BounceReason, GateAction, GateEvent, Objective, Patience};
+use crate::gate::message::{BounceReason, GateAction, GateEvent, Objective, PERMILLE, Patience};
 
 /// A call is given back where it is worth this much more elsewhere, as a share of an answer in
 /// time: the way there takes time as well.
 const ELSEWHERE_GAIN: f64 = 0.02;
-/// Thousandths in one.
-const PERMILLE: f64 = 1_000.0;
 /// A call on its last attempt may wait this many times the bound of the queue.
 const LAST_QUEUES: u64 = 2;
 
--- a/valetrack/src/placement/call/choice.rs
+++ b/valetrack/src/placement/call/choice.rs
@@ -1,14 +1,11 @@
 //! Where a call's next attempt goes, and how long it may wait there.
 
 use super::{Attempt, AttemptState, Call, CallContext, MAX_ATTEMPTS};
-use crate::gate::{AttemptId, Patience};
+use crate::gate::{AttemptId, PERMILLE, Patience};
 use crate::placement::message::{CallAction, Demand, Dispatch, ServerIndex};
 use crate::placement::set::ServerSet;
 use crate::placement::view::ROOM_US;
 
-/// Thousandths in one.
-const PERMILLE: f64 = 1_000.0;
-
 impl Call {
     /// Sends the next attempt to a server that was not tried, and returns it if there is one.
     pub(super) fn send_next(&mut self, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) -> Option<ServerIndex> {
--- a/valetrack/src/placement/view.rs
+++ b/valetrack/src/placement/view.rs
@@ -1,10 +1,11 @@
 //! An entry's view of the servers of one service, and the pick.
 
-use super::message::{Demand, SeenLoad, ServerIndex};
+mod worth;
+
+use super::message::{SeenLoad, ServerIndex};
 use super::policy::Policy;
 use super::set::ServerSet;
-use super::way::{link_cost, way_cost};
-use crate::gate::{LoadReport, Pace, fading};
+use crate::gate::LoadReport;
 
 /// Largest number of servers of one service that placement considers.
 pub const MAX_SERVERS: usize = 64;
@@ -34,13 +35,6 @@
 /// Every failed call of late adds this many service times to the score.
 const FAILURE_WEIGHT: f64 = 4.0;
 
-/// Values that differ by less count as equal.
-const TIE_VALUE: f64 = 0.01;
-/// A full server counts as slower by this share, so that calls spread before queues form.
-const SPREAD_SHARE: f64 = 0.3;
-/// A server that fails every run counts as late by this many times what is left.
-const FAILING_WEIGHT: f64 = 2.0;
-
 #[derive(Debug, Clone, Copy)]
 struct ServerView {
     /// Present in the roster; a slot of the view is free otherwise.
@@ -294,108 +288,6 @@
         !stalled && u32::from(in_flight) + u32::from(queued) + since < u32::from(limit)
     }
 
-    /// Picks a server for a call that is worth the most before its objective: the cheapest to
-    /// reach of those that are likely to answer in time, and the fastest where none is.
-    ///
-    /// An answer is worth the same at any moment before the objective, so a faster server in
-    /// another failure domain is no gain where one of the own is fast enough.
-    pub fn pick_in_time(
-        &mut self,
-        excluded: ServerSet,
-        demand: Demand,
-        now_us: u64,
-        rng: &mut fastrand::Rng,
-    ) -> Option<ServerIndex> {
-        if self.policy != Policy::Valetrack {
-            return self.pick(excluded, now_us, rng);
-        }
-        self.used_us = Some(now_us);
-        let (open, count) = self.open(excluded, now_us);
-        let open = &open[..count];
-        if open.is_empty() {
-            return None;
-        }
-        let usual = self.usual();
-        let mut values = [f64::NEG_INFINITY; MAX_SERVERS];
-        let mut best = f64::NEG_INFINITY;
-        for (at, &server) in open.iter().enumerate() {
-            values[at] = self.value(server, demand, &usual, now_us);
-            best = best.max(values[at]);
-        }
-        Some(pick_where(open, rng, |at| values[at] >= best - TIE_VALUE))
-    }
-
-    /// Returns what a call with this demand is worth at a server, as a share of an answer in time:
-    /// the chance that it is in time, less what the way there costs.
-    fn value(&self, server: ServerIndex, demand: Demand, usual: &LoadReport, now_us: u64) -> f64 {
-        let view = &self.servers[server];
-        let (load, age_us) = match view.seen {
-            Some(seen) => (seen.load, now_us.saturating_sub(seen.seen_us)),
-            None => (*usual, 0),
-        };
-        let pace = Pace::of(&load, age_us);
-        let before_us = self.before_run_us(view, &load, demand, age_us);
-        let in_time = pace.worth(demand.work_us.into(), before_us, demand.left_us as f64);
-        in_time - way_cost(view.far) - link_cost(view.far, view.seen.is_none())
-    }
-
-    /// Returns the time that a call sent now should lose at a server besides its run, in
-    /// microseconds.
-    fn before_run_us(&self, view: &ServerView, load: &LoadReport, demand: Demand, age_us: u64) -> f64 {
-        let weight = 0.5_f64.powf(age_us as f64 / Pace::of(load, 0).lasts_us);
-        let limit = f64::from(load.limit.max(1));
-        let busy = f64::from(view.outstanding) + view.seen_others(load) * weight;
-        let wait_us = wait_us(busy, limit, f64::from(load.service_us));
-        let spread_us = f64::from(demand.work_us) * SPREAD_SHARE * (busy / limit).min(1.0);
-        let failing = view.failure_share.max(f64::from(load.failing_percent) / 100.0) * fading(age_us);
-        let failure_us = failing * FAILING_WEIGHT * demand.left_us as f64;
-        let stall_us = if load.stalled { STALL_PENALTY_US * weight } else { 0.0 };
-        f64::from(view.network_us) + wait_us + spread_us + failure_us + stall_us
-    }
-
-    /// Returns what a call is worth at the best server outside `excluded`, as a share of an answer
-    /// in time; the way to `server`, at which it is, counts for that as saved.
-    pub fn worth_elsewhere(
-        &self,
-        server: ServerIndex,
-        excluded: ServerSet,
-        demand: Demand,
-        now_us: u64,
-    ) -> Option<f64> {
-        let (open, count) = self.open(excluded, now_us);
-        let usual = self.usual();
-        let values = open[..count].iter().map(|&other| self.value(other, demand, &usual, now_us));
-        let best = values.reduce(f64::max)?;
-        Some(best + way_cost(self.servers[server].far))
-    }
-
-    /// Returns the report that is assumed for servers that were not heard of: the average speed of
-    /// those that were.
-    fn usual(&self) -> LoadReport {
-        let known = || self.servers.iter().filter(|view| view.present).filter_map(|view| view.seen);
-        let count = known().count() as u64;
-        let average = |figure: fn(&LoadReport) -> u64| {
-            let sum: u64 = known().map(|seen| figure(&seen.load)).sum();
-            sum.checked_div(count).unwrap_or(0)
-        };
-        let slow_share_percent = average(|load| load.slow_share_percent.into()) as u8;
-        LoadReport {
-            limit: FIRST_LIMIT,
-            fast_percent: average(|load| load.fast_percent.into()) as u16,
-            slow_percent: average(|load| load.slow_percent.into()) as u16,
-            slow_chance_percent: slow_share_percent,
-            slow_share_percent,
-            hold_percent: average(|load| load.hold_percent.into()) as u8,
-            ..LoadReport::default()
-        }
-    }
-
-    /// Returns whether a server was lately told to be in a slow episode.
-    pub fn is_slow(&self, server: ServerIndex, now_us: u64) -> bool {
-        let seen = self.servers.get(server).and_then(|view| view.seen);
-        seen.is_some_and(|seen| Pace::of(&seen.load, now_us.saturating_sub(seen.seen_us)).is_slow())
-    }
-
     /// Picks a server outside `excluded`, if there is one in rotation.
     pub fn pick(&mut self, excluded: ServerSet, now_us: u64, rng: &mut fastrand::Rng) -> Option<ServerIndex> {
         self.used_us = Some(now_us);
