A machine of which nothing is known is asked for its speed

Cause: a machine was asked only after an answer had told a slow episode, so in the first two seconds a tenth of the calls began on slow machines and was late. Change: it is asked from the moment at which the upstream takes work, until a first question stays without a word. A pick reads each report once; asking with a limit over the handshake is one function (link::peer::ask_within).

--- a/valetrack/benches/decision.rs
+++ b/valetrack/benches/decision.rs
@@ -4,7 +4,7 @@
 use valetrack::gate::{AttemptId, Gate, GateConfig, GateEvent, LoadReport, Patience};
 use valetrack::link::codec::{pack, unpack};
 use valetrack::link::message::{Reply, ReplyHead, Riding};
-use valetrack::placement::{Policy, ServerSet, ServiceView};
+use valetrack::placement::{Demand, Policy, ServerSet, ServiceView};
 
 fn pick(c: &mut Criterion) {
     for servers in [4, 16, 64] {
@@ -20,6 +20,21 @@
     }
 }
 
+fn pick_in_time(c: &mut Criterion) {
+    let demand = Demand { work_us: 100_000, left_us: 300_000 };
+    for servers in [4, 16, 56] {
+        let mut view = ServiceView::new(Policy::Valetrack);
+        for server in 0..servers {
+            view.set_present(server, true, 100);
+            view.report(server, LoadReport { limit: 12, service_us: 4_000, ..LoadReport::default() }, 0);
+        }
+        let mut rng = fastrand::Rng::with_seed(1);
+        c.bench_function(&format!("pick in time among {servers}"), |b| {
+            b.iter(|| view.pick_in_time(ServerSet::default(), demand, 10, &mut rng));
+        });
+    }
+}
+
 fn gate(c: &mut Criterion) {
     let mut gate = Gate::new(GateConfig::default(), 0);
     let mut actions = Vec::with_capacity(8);
@@ -50,5 +65,5 @@
     c.bench_function("unpack a reply", |b| b.iter(|| unpack::<ReplyHead>(frame.clone())));
 }
 
-criterion_group!(benches, pick, gate, codec);
+criterion_group!(benches, pick, pick_in_time, gate, codec);
 criterion_main!(benches);
--- a/valetrack/src/gate/run/machine.rs
+++ b/valetrack/src/gate/run/machine.rs
@@ -36,8 +36,9 @@
     async fn ask_machine(&self, path: &str) {
         self.metrics.speed_questions.inc();
         self.gate.borrow_mut().asked(now_us());
-        if let Some(load) = self.pool.machine_load(path).await {
-            self.told(load);
+        match self.pool.machine_load(path).await {
+            Some(load) => self.told(load),
+            None => self.gate.borrow_mut().told_nothing(),
         }
     }
 
--- a/valetrack/src/gate/speed.rs
+++ b/valetrack/src/gate/speed.rs
@@ -142,8 +142,21 @@
         }
     }
 
+    /// Takes note that the server began to take work: its machine is asked until it is known whether
+    /// it swings.
+    pub fn opened(&mut self, now_us: u64) {
+        self.swings_until_us = self.swings_until_us.max(now_us + SWINGING_US);
+    }
+
+    /// Takes note that the machine was asked and told nothing; one that never did is not asked again.
+    pub fn told_nothing(&mut self) {
+        if self.told.is_none() {
+            self.swings_until_us = 0;
+        }
+    }
+
     fn never_slow(&self) -> bool {
-        self.swings_until_us == 0
+        self.slow_factor <= EPISODE_FACTOR
     }
 
     /// Counts the time since the machine told its speed last as slow or not.
--- a/valetrack/src/gate/state.rs
+++ b/valetrack/src/gate/state.rs
@@ -176,6 +176,11 @@
         self.speed.asked(now_us);
     }
 
+    /// Takes note that the machine was asked for its speed and told nothing.
+    pub fn told_nothing(&mut self) {
+        self.speed.told_nothing();
+    }
+
     /// Returns the factor by which the machine is slowed at `now_us`, as far as it has told.
     pub fn slowdown(&self, now_us: u64) -> f64 {
         self.speed.slowdown(now_us)
@@ -296,6 +301,7 @@
         }
         self.leaving = false;
         self.opened_us = now_us;
+        self.speed.opened(now_us);
     }
 
     fn drain(&mut self, now_us: u64, out: &mut Vec<GateAction>) {
--- a/valetrack/src/gate/tests/speed.rs
+++ b/valetrack/src/gate/tests/speed.rs
@@ -241,6 +241,19 @@
     assert_eq!(out, [GIVEN_BACK]);
 }
 
+#[test]
+fn a_machine_of_which_nothing_is_known_is_asked_until_it_told_nothing() {
+    let mut speed = Speed::default();
+    speed.opened(1_000_000);
+    assert!(speed.wants_news(WORK_US, 1_000_000));
+    speed.told_nothing();
+    assert!(!speed.wants_news(WORK_US, 1_100_000));
+    speed.told(100, 1_200_000);
+    speed.opened(2_000_000);
+    speed.told_nothing();
+    assert!(speed.wants_news(WORK_US, 2_000_000), "one that told its speed before is asked again");
+}
+
 #[test]
 fn only_a_swinging_machine_is_asked_for_its_speed() {
     let mut speed = Speed::default();
--- a/valetrack/src/link/peer.rs
+++ b/valetrack/src/link/peer.rs
@@ -91,6 +91,12 @@
     result.await.unwrap_or(LinkResult::Broken)
 }
 
+/// Asks another node as [`ask`] does, and gives up after `limit` whatever is waited for; a handshake
+/// may otherwise come on top.
+pub async fn ask_within(ring: &Sender<LinkJob>, target: Target, question: Question, limit: Duration) -> LinkResult {
+    timeout(limit, ask(ring, target, question, limit)).await.unwrap_or(LinkResult::Broken)
+}
+
 #[derive(Default)]
 struct Slot {
     connection: Option<Connection>,
--- a/valetrack/src/member/leased/relayed.rs
+++ b/valetrack/src/member/leased/relayed.rs
@@ -71,8 +71,8 @@
         let ask = Ask::Follow { after, wait_ms: FOLLOW_WAIT_MS };
         let limit = Duration::from_millis(u64::from(FOLLOW_WAIT_MS) + FOLLOW_SLACK_MS);
         let question = Question { ask, body: Bytes::new() };
-        let asked = peer::ask(&self.parts.to_link, relay.clone(), question, limit);
-        let LinkResult::Reply(answered) = timeout(limit, asked).await.ok()? else {
+        let result = peer::ask_within(&self.parts.to_link, relay.clone(), question, limit).await;
+        let LinkResult::Reply(answered) = result else {
             return None;
         };
         let Reply::News { .. } = answered.head.reply else {
--- a/valetrack/src/placement/attempt.rs
+++ b/valetrack/src/placement/attempt.rs
@@ -13,7 +13,7 @@
 use crate::code::Code;
 use crate::gate::AttemptId;
 use crate::link::message::{AnswerHead, Answered, Ask, CallHead, Question, Reply};
-use crate::link::peer::LinkResult;
+use crate::link::peer::{self, LinkResult};
 use crate::metric::Metrics;
 use crate::timeline::{OrNone, log as events};
 
@@ -94,9 +94,7 @@
             };
             let question = Question { ask: Ask::Cancel(attempt), body: Bytes::new() };
             let limit = Duration::from_millis(PROMPT_MS);
-            let asked = self.ask(target, question, limit);
-            // The limit covers a handshake as well: whoever gives up must give up at once.
-            let result = tokio::time::timeout(limit, asked).await.unwrap_or(LinkResult::Broken);
+            let result = peer::ask_within(&self.to_link, target, question, limit).await;
             (CallEvent::CancelResult { attempt, result: result.cancel_result(sent_at.elapsed()) }, None)
         })
     }
--- a/valetrack/src/placement/run.rs
+++ b/valetrack/src/placement/run.rs
@@ -55,7 +55,7 @@
     domain: Arc<str>,
     domain_cost_us: u32,
     policy: Policy,
-    to_link: Sender<LinkJob>,
+    pub(super) to_link: Sender<LinkJob>,
     to_member: Sender<MemberJob>,
     /// The bundle in force.
     pub bundle: watch::Receiver<Option<Arc<InForce>>>,
--- a/valetrack/src/placement/view/worth.rs
+++ b/valetrack/src/placement/view/worth.rs
@@ -55,15 +55,15 @@
             None => (*usual, 0),
         };
         let pace = Pace::of(&load, age_us);
-        let before_us = self.before_run_us(view, &load, demand, age_us);
+        let weight = 0.5_f64.powf(age_us as f64 / pace.lasts_us);
+        let before_us = self.before_run_us(view, &load, demand, age_us, weight);
         let in_time = pace.worth(demand.work_us.into(), before_us, demand.left_us as f64);
         in_time - way_cost(view.far) - link_cost(view.far, view.seen.is_none())
     }
 
-    /// Returns the time that a call sent now should lose at a server besides its run, in
-    /// microseconds.
-    fn before_run_us(&self, view: &ServerView, load: &LoadReport, demand: Demand, age_us: u64) -> f64 {
-        let weight = 0.5_f64.powf(age_us as f64 / Pace::of(load, 0).lasts_us);
+    /// Returns the time that a call sent now should lose at a server besides its run, in microseconds,
+    /// by a report that is `age_us` old and whose queue still counts by `weight`.
+    fn before_run_us(&self, view: &ServerView, load: &LoadReport, demand: Demand, age_us: u64, weight: f64) -> f64 {
         let limit = f64::from(load.limit.max(1));
         let busy = f64::from(view.outstanding) + view.seen_others(load) * weight;
         let wait_us = wait_us(busy, limit, f64::from(load.service_us));
@@ -93,6 +93,10 @@
     /// Returns the report that is assumed for servers that were not heard of: the average speed of
     /// those that were.
     fn usual(&self) -> LoadReport {
+        if self.servers.iter().all(|view| view.seen.is_some() || !view.present) {
+            // Nobody will be taken for a usual server.
+            return LoadReport::default();
+        }
         let known = || self.servers.iter().filter(|view| view.present).filter_map(|view| view.seen);
         let count = known().count() as u64;
         let average = |figure: fn(&LoadReport) -> u64| {
