Variables that the platform sets for every process are not told as unknown settings

Cause: VT103 stood in the output of each start on the managed platform, for the variable that names its settings file. The new test fails on the code before.

--- a/program/tests/command_line.rs
+++ b/program/tests/command_line.rs
@@ -55,3 +55,13 @@
     assert_eq!(text(&valetrack(&["man"]).stdout), include_str!("../../extra/valetrack.1"));
     assert_eq!(text(&valetrack(&["completions"]).stdout), include_str!("../../extra/valetrack.bash"));
 }
+
+#[test]
+fn variables_of_the_platform_itself_are_not_told_as_unknown_settings() {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_valetrack"));
+    command.args(["settings", "check"]).env_clear();
+    command.env("VALETRACK_SETTINGS", "/etc/valetrack/local.toml").env("VALETRACK_SPEED", "9");
+    let told = text(&command.output().expect("valetrack").stderr);
+    assert!(told.contains("VALETRACK_SPEED is no setting"), "{told}");
+    assert!(!told.contains("VALETRACK_SETTINGS"), "{told}");
+}
--- a/valetrack/src/cli.rs
+++ b/valetrack/src/cli.rs
@@ -156,7 +156,7 @@
     raw.fill_from(|name| std::env::var_os(name));
     let mut faults = std::mem::take(&mut options.faults);
     let checked = raw.check();
-    for name in unknown_variables() {
+    for name in unknown_variables(platforms) {
         eprintln!("{}: {name} is no setting and is left out", Code::SettingUnknown);
     }
     match checked {
@@ -180,8 +180,11 @@
 }
 
 /// Returns environment variables that look like settings and are none.
-fn unknown_variables() -> Vec<String> {
-    let known = |name: &str| name == "VALETRACK_OPERATOR" || NODE.iter().any(|setting| setting.env() == name);
+fn unknown_variables(platforms: &[&dyn PlatformFactory]) -> Vec<String> {
+    let of_platform = |name: &str| platforms.iter().any(|platform| platform.own_variables().contains(&name));
+    let known = |name: &str| {
+        name == "VALETRACK_OPERATOR" || of_platform(name) || NODE.iter().any(|setting| setting.env() == name)
+    };
     let names = std::env::vars_os().filter_map(|(name, _)| name.into_string().ok());
     names.filter(|name| name.starts_with(ENV_PREFIX) && !known(name)).collect()
 }
--- a/valetrack/src/platform.rs
+++ b/valetrack/src/platform.rs
@@ -59,6 +59,12 @@
     /// Returns the name by which a setting chooses it.
     fn name(&self) -> &'static str;
 
+    /// Returns environment variables that the platform itself sets for every process, which look like
+    /// settings and are none.
+    fn own_variables(&self) -> &'static [&'static str] {
+        &[]
+    }
+
     /// Makes the border.
     ///
     /// # Errors
