--- a/valetrack/src/placement/view/worth.rs
+++ b/valetrack/src/placement/view/worth.rs
@@ -5,7 +5,7 @@
 use crate::placement::message::{Demand, ServerIndex};
 use crate::placement::policy::Policy;
 use crate::placement::set::ServerSet;
-use crate::placement::way::{link_cost, way_cost};
+use crate::placement::way::way_cost;
 
 /// Values that differ by less count as equal.
 const TIE_VALUE: f64 = 0.01;
@@ -58,7 +58,7 @@
         let weight = 0.5_f64.powf(age_us as f64 / pace.lasts_us);
         let before_us = self.before_run_us(view, &load, demand, age_us, weight);
         let in_time = pace.worth(demand.work_us.into(), before_us, demand.left_us as f64);
-        in_time - way_cost(view.far) - link_cost(view.far, view.seen.is_none())
+        in_time - way_cost(view.far)
     }
 
     /// Returns the time that a call sent now should lose at a server besides its run, in microseconds,
