--- a/valetrack/benches/decision.rs
+++ b/valetrack/benches/decision.rs
@@ -6,13 +6,19 @@
 use valetrack::link::message::{Reply, ReplyHead, Riding};
 use valetrack::placement::{Demand, Policy, ServerSet, ServiceView};
 
+/// Makes a view of servers that were all heard of.
+fn view_of(servers: usize) -> ServiceView {
+    let mut view = ServiceView::new(Policy::Valetrack);
+    for server in 0..servers {
+        view.set_present(server, true, 100);
+        view.report(server, LoadReport { limit: 12, service_us: 4_000, ..LoadReport::default() }, 0);
+    }
+    view
+}
+
 fn pick(c: &mut Criterion) {
     for servers in [4, 16, 64] {
-        let mut view = ServiceView::new(Policy::Valetrack);
-        for server in 0..servers {
-            view.set_present(server, true, 100);
-            view.report(server, LoadReport { limit: 12, service_us: 4_000, ..LoadReport::default() }, 0);
-        }
+        let mut view = view_of(servers);
         let mut rng = fastrand::Rng::with_seed(1);
         c.bench_function(&format!("pick among {servers}"), |b| {
             b.iter(|| view.pick(ServerSet::default(), 10, &mut rng));
@@ -23,11 +29,7 @@
 fn pick_in_time(c: &mut Criterion) {
     let demand = Demand { work_us: 100_000, left_us: 300_000 };
     for servers in [4, 16, 56] {
-        let mut view = ServiceView::new(Policy::Valetrack);
-        for server in 0..servers {
-            view.set_present(server, true, 100);
-            view.report(server, LoadReport { limit: 12, service_us: 4_000, ..LoadReport::default() }, 0);
-        }
+        let mut view = view_of(servers);
         let mut rng = fastrand::Rng::with_seed(1);
         c.bench_function(&format!("pick in time among {servers}"), |b| {
             b.iter(|| view.pick_in_time(ServerSet::default(), demand, 10, &mut rng));
