Runs that keep their speed and calls that are held back bear different names

"Hold" stood for both. The share of runs that keep the speed of their start is SpeedKept and kept_percent; that a call waits for the end of an episode is holds_back, now a yes or no, whose time was read nowhere.

--- a/valetrack/src/gate/hold.rs
+++ b/valetrack/src/gate/kept.rs
@@ -14,18 +14,18 @@
 
 /// How far the runs of one server keep the speed of their start.
 #[derive(Debug, Clone, Copy)]
-pub struct SpeedHold {
+pub struct SpeedKept {
     share: f64,
 }
 
-impl Default for SpeedHold {
+impl Default for SpeedKept {
     fn default() -> Self {
         // Nothing is known, so both forecasts count alike.
         Self { share: 0.5 }
     }
 }
 
-impl SpeedHold {
+impl SpeedKept {
     /// Returns the share of runs that keep the speed of their start, from zero to one.
     pub fn share(&self) -> f64 {
         self.share
--- a/valetrack/src/gate/message.rs
+++ b/valetrack/src/gate/message.rs
@@ -47,7 +47,7 @@
     /// Time for which its present speed is likely to go on, in milliseconds; zero where unknown.
     pub slow_lasts_ms: u16,
     /// Runs that keep the speed of their start, in hundredths.
-    pub hold_percent: u8,
+    pub kept_percent: u8,
     /// Runs that fail, in hundredths.
     pub failing_percent: u8,
 }
--- a/valetrack/src/gate/mod.rs
+++ b/valetrack/src/gate/mod.rs
@@ -5,7 +5,7 @@
 //! an attempt that was bounced, or of which [`CancelResult::NeverStarted`] was said, never starts.
 
 mod header;
-mod hold;
+mod kept;
 mod limit;
 mod message;
 mod objective;
@@ -23,7 +23,7 @@
 mod upstream;
 
 pub use header::travelling;
-pub use hold::SpeedHold;
+pub use kept::SpeedKept;
 pub use limit::ConcurrencyLimit;
 pub use message::{
     AttemptId, BounceReason, CancelResult, GateAction, GateEvent, LoadReport, Objective, PERMILLE, Patience, RunTimes,
--- a/valetrack/src/gate/pace.rs
+++ b/valetrack/src/gate/pace.rs
@@ -34,7 +34,7 @@
     /// How long the present speed is likely to go on, in microseconds.
     pub lasts_us: f64,
     /// Share of runs that keep the speed of their start.
-    pub hold: f64,
+    pub kept: f64,
 }
 
 impl Pace {
@@ -56,7 +56,7 @@
             slow_chance: told * weight + slow_share * (1.0 - weight),
             slow_share,
             lasts_us,
-            hold: f64::from(load.hold_percent) / PERCENT,
+            kept: f64::from(load.kept_percent) / PERCENT,
         }
     }
 
@@ -78,7 +78,7 @@
             true => kept_us,
             false => self.lasts_us + (work_us - done_in_time) * self.mean(),
         };
-        kept_us * self.hold + followed_us * (1.0 - self.hold)
+        kept_us * self.kept + followed_us * (1.0 - self.kept)
     }
 
     /// Returns how long a run of `work_us` takes on a slow machine, or how long until its end where it
--- a/valetrack/src/gate/packed.rs
+++ b/valetrack/src/gate/packed.rs
@@ -8,8 +8,8 @@
 const STALLED: u8 = 1;
 /// Flag of a server that takes no new work.
 const LEAVING: u8 = 2;
-/// Place of the share of held speeds in its byte, behind the flags.
-const HOLD_SHIFT: u32 = 2;
+/// Place of the share of kept speeds in its byte, behind the flags.
+const KEPT_SHIFT: u32 = 2;
 /// Place of the share of failing runs in the same byte.
 const FAILING_SHIFT: u32 = 5;
 /// Largest value of a share in three bits.
@@ -43,7 +43,7 @@
 impl From<LoadReport> for PackedLoad {
     fn from(load: LoadReport) -> Self {
         let flag = |set: bool, flag: u8| if set { flag } else { 0 };
-        let hold = in_steps(share(load.hold_percent), THREE_BITS) << HOLD_SHIFT;
+        let kept = in_steps(share(load.kept_percent), THREE_BITS) << KEPT_SHIFT;
         let failing = in_steps(share(load.failing_percent).sqrt(), THREE_BITS) << FAILING_SHIFT;
         let slow_chance = in_steps(share(load.slow_chance_percent), FOUR_BITS);
         let slow_share = in_steps(share(load.slow_share_percent), FOUR_BITS);
@@ -52,7 +52,7 @@
             in_flight: load.in_flight,
             queued: load.queued,
             service_us: load.service_us,
-            flags: flag(load.stalled, STALLED) | flag(load.leaving, LEAVING) | hold | failing,
+            flags: flag(load.stalled, STALLED) | flag(load.leaving, LEAVING) | kept | failing,
             fast: in_units(load.fast_percent, FACTOR_UNIT_PERCENT),
             slow: in_units(load.slow_percent, FACTOR_UNIT_PERCENT),
             slow_times: slow_chance | slow_share << 4,
@@ -63,7 +63,7 @@
 
 impl From<PackedLoad> for LoadReport {
     fn from(packed: PackedLoad) -> Self {
-        let hold = of_steps(packed.flags >> HOLD_SHIFT, THREE_BITS);
+        let kept = of_steps(packed.flags >> KEPT_SHIFT, THREE_BITS);
         let failing = of_steps(packed.flags >> FAILING_SHIFT, THREE_BITS).powi(2);
         Self {
             limit: packed.limit,
@@ -77,7 +77,7 @@
             slow_chance_percent: percent(of_steps(packed.slow_times, FOUR_BITS)),
             slow_share_percent: percent(of_steps(packed.slow_times >> 4, FOUR_BITS)),
             slow_lasts_ms: u16::from(packed.lasts) * LASTS_UNIT_MS,
-            hold_percent: percent(hold),
+            kept_percent: percent(kept),
             failing_percent: percent(failing),
         }
     }
--- a/valetrack/src/gate/run/machine.rs
+++ b/valetrack/src/gate/run/machine.rs
@@ -44,7 +44,7 @@
 
     /// Asks the machine for its speed where calls wait for a slow episode to end.
     pub(super) async fn follow_episode(&self) {
-        if !self.gate.borrow().holds_back(now_us()) {
+        if !self.gate.borrow().asks_about_episode(now_us()) {
             return;
         }
         let path = self.health_path.borrow().clone();
--- a/valetrack/src/gate/speed.rs
+++ b/valetrack/src/gate/speed.rs
@@ -1,6 +1,6 @@
 //! How fast one server is: learned from the runs at its gate, and told by its machine.
 
-use super::hold::SpeedHold;
+use super::kept::SpeedKept;
 use super::message::{LoadReport, RunTimes};
 use super::pace::{Pace, SLOWDOWN_LASTS_US, fading};
 
@@ -71,7 +71,7 @@
     /// Time over which that share was learned, in microseconds.
     watched_us: f64,
     /// Whether runs keep the speed of their start.
-    hold: SpeedHold,
+    kept: SpeedKept,
 }
 
 impl Default for Speed {
@@ -90,7 +90,7 @@
             slow_factor: EPISODE_FACTOR,
             slow_share: 0.0,
             watched_us: 0.0,
-            hold: SpeedHold::default(),
+            kept: SpeedKept::default(),
         }
     }
 }
@@ -108,7 +108,7 @@
         self.mean += (sample - self.mean) * MEAN_WEIGHT;
         if start_percent > 0 && end_percent > 0 {
             let (start, end) = (f64::from(start_percent) / PERCENT, f64::from(end_percent) / PERCENT);
-            self.hold.ran(sample / self.base, start, end);
+            self.kept.ran(sample / self.base, start, end);
         }
         let unslowed = (unslowed_us as f64 / work_us as f64).clamp(SAMPLE_MIN, SAMPLE_MAX);
         let up = if unslowed > self.base { BASE_QUANTILE } else { BASE_QUANTILE - 1.0 };
@@ -131,7 +131,8 @@
         self.told = Some(slowdown);
         self.told_us = now_us;
         if slowdown >= EPISODE_FACTOR {
-            self.slow_factor += (slowdown - self.slow_factor) * MEAN_WEIGHT.max(f64::from(u8::from(self.never_slow())));
+            let weight = if self.never_slow() { 1.0 } else { MEAN_WEIGHT };
+            self.slow_factor += (slowdown - self.slow_factor) * weight;
             self.swings_until_us = now_us + SWINGING_US;
             self.episode_us.get_or_insert(now_us);
             return;
@@ -187,20 +188,15 @@
         self.lasts_us.max(lasted_us as f64)
     }
 
-    /// Returns how long a run of `work_us` is better held back, in microseconds; none where it is
-    /// better begun at once.
+    /// Returns whether a run of `work_us` is better held back until the present slow episode ends.
     ///
     /// A run that keeps a slow machine's speed takes a slot for several times its work; begun after
     /// the episode it ends sooner and leaves the slot to others. On a played fleet whose machines are
     /// slowed five times a quarter of the time the mean worth rose from 0.578 to 0.689 (13 VMs, five
     /// days, two seeds each).
-    pub fn hold_back_us(&self, work_us: u64, now_us: u64) -> Option<u64> {
+    pub fn holds_back(&self, work_us: u64, now_us: u64) -> bool {
         let is_slow = self.episode_us.is_some() && now_us <= self.told_us + HOLD_BACK_NEWS_US;
-        if !is_slow || work_us == 0 {
-            return None;
-        }
-        let pace = self.pace(now_us);
-        pace.is_better_later(work_us).then_some(pace.lasts_us as u64)
+        is_slow && work_us > 0 && self.pace(now_us).is_better_later(work_us)
     }
 
     /// Returns when the machine is to be asked again while runs are held back, in microseconds.
@@ -231,7 +227,7 @@
     /// Returns how long a run had taken on a machine at full speed that was slowed by these factors
     /// at its start and its end, in microseconds.
     pub fn unslowed_us(&self, ran_us: u64, start: f64, end: f64) -> u64 {
-        (ran_us as f64 / self.hold.slowed_by(start, end)) as u64
+        (ran_us as f64 / self.kept.slowed_by(start, end)) as u64
     }
 
     /// Returns how fast the server is at `now_us`.
@@ -248,7 +244,7 @@
             slow_chance: told * weight + self.slow_share * (1.0 - weight),
             slow_share: self.slow_share,
             lasts_us: self.rest_us(now_us),
-            hold: self.hold.share(),
+            kept: self.kept.share(),
         }
     }
 
@@ -261,7 +257,7 @@
             slow_chance: 0.0,
             slow_share: 0.0,
             lasts_us: self.lasts_us,
-            hold: self.hold.share(),
+            kept: self.kept.share(),
         }
     }
 
@@ -275,7 +271,7 @@
         load.slow_chance_percent = in_percent(pace.slow_chance) as u8;
         load.slow_share_percent = in_percent(pace.slow_share) as u8;
         load.slow_lasts_ms = (pace.lasts_us / 1000.0) as u16;
-        load.hold_percent = in_percent(pace.hold) as u8;
+        load.kept_percent = in_percent(pace.kept) as u8;
         load.failing_percent = in_percent(self.failing * fresh) as u8;
     }
 }
--- a/valetrack/src/gate/state/queue.rs
+++ b/valetrack/src/gate/state/queue.rs
@@ -108,12 +108,12 @@
 
     /// Returns whether the machine's speed is to be asked for, since calls wait for a slow episode to
     /// end.
-    pub fn holds_back(&self, now_us: u64) -> bool {
+    pub fn asks_about_episode(&self, now_us: u64) -> bool {
         now_us >= self.speed.ask_again_us() && self.waiting.iter().any(|waiting| self.is_held_back(waiting, now_us))
     }
 
     fn is_held_back(&self, waiting: &Waiting, now_us: u64) -> bool {
-        self.speed.hold_back_us(waiting.work_us, now_us).is_some()
+        self.speed.holds_back(waiting.work_us, now_us)
     }
 
     /// Gives back what has waited its time, and what waits for a server that stalls.
--- a/valetrack/src/gate/tests/speed.rs
+++ b/valetrack/src/gate/tests/speed.rs
@@ -4,12 +4,12 @@
 
 use crate::gate::{
     AttemptId, BounceReason, Gate, GateAction, GateConfig, GateEvent, LoadReport, Objective, Pace, Patience, RunTimes,
-    SLOWDOWN_LASTS_US, Speed, SpeedHold, time_worth,
+    SLOWDOWN_LASTS_US, Speed, SpeedKept, time_worth,
 };
 
 /// Returns the pace of a machine that is slow by `slow` for sure, with runs of one kind only.
-fn slow_pace(slow: f64, hold: f64) -> Pace {
-    Pace { fast: 1.0, slow, slow_chance: 1.0, slow_share: 0.0, lasts_us: SLOWDOWN_LASTS_US as f64, hold }
+fn slow_pace(slow: f64, kept: f64) -> Pace {
+    Pace { fast: 1.0, slow, slow_chance: 1.0, slow_share: 0.0, lasts_us: SLOWDOWN_LASTS_US as f64, kept }
 }
 
 #[test_case(50_000, 1.0, 50_000.0; "a short run ends within the slow episode or before it")]
@@ -39,9 +39,9 @@
 
 /// Feeds `runs` runs of 290 ms of work on a machine that is slowed five times in a quarter of its
 /// stretches of 150 ms, and returns the share that is taken to keep its speed.
-fn hold_after(runs: usize, keeps: bool) -> f64 {
+fn kept_after(runs: usize, keeps: bool) -> f64 {
     let mut rng = fastrand::Rng::with_seed(11);
-    let mut hold = SpeedHold::default();
+    let mut kept = SpeedKept::default();
     for _ in 0..runs {
         let speeds: Vec<f64> = (0..20).map(|_| if rng.u8(0..4) == 0 { 5.0 } else { 1.0 }).collect();
         let factor_at = |at: usize| speeds[at];
@@ -53,15 +53,15 @@
             ran_ms += 1;
         }
         let spread = 0.8 + rng.f64() * 0.4;
-        hold.ran(ran_ms as f64 / 290.0 * spread, start, factor_at(ran_ms / 150));
+        kept.ran(ran_ms as f64 / 290.0 * spread, start, factor_at(ran_ms / 150));
     }
-    hold.share()
+    kept.share()
 }
 
 #[test_case(true, 0.8..=1.0; "runs that keep their speed")]
 #[test_case(false, 0.0..=0.3; "runs that follow their machine")]
 fn some_tens_of_runs_tell_whether_they_keep_their_speed(keeps: bool, shares: std::ops::RangeInclusive<f64>) {
-    let share = hold_after(80, keeps);
+    let share = kept_after(80, keeps);
     assert!(shares.contains(&share), "{share}");
 }
 
@@ -207,7 +207,7 @@
 fn a_run_waits_for_the_end_of_a_slow_episode() {
     let (mut gate, out) = arrive_in_episode(Patience::Long);
     assert_eq!(out, [], "it is held back while slots are free");
-    assert!(gate.holds_back(20_000), "the machine is asked meanwhile");
+    assert!(gate.asks_about_episode(20_000), "the machine is asked meanwhile");
     let mut out = Vec::new();
     gate.told(100, 30_000);
     gate.handle(GateEvent::Tick, 30_000, &mut out);
--- a/valetrack/src/link/tests.rs
+++ b/valetrack/src/link/tests.rs
@@ -108,7 +108,7 @@
         slow_percent: 400,
         slow_chance_percent: 70,
         slow_share_percent: 25,
-        hold_percent: 93,
+        kept_percent: 93,
         slow_lasts_ms: 220,
         failing_percent: 3,
         ..LoadReport::default()
--- a/valetrack/src/placement/view/worth.rs
+++ b/valetrack/src/placement/view/worth.rs
@@ -107,7 +107,7 @@
             slow_percent: average(|load| load.slow_percent.into()) as u16,
             slow_chance_percent: slow_share_percent,
             slow_share_percent,
-            hold_percent: average(|load| load.hold_percent.into()) as u8,
+            kept_percent: average(|load| load.kept_percent.into()) as u8,
             ..LoadReport::default()
         }
     }
