Real nodes whose upstreams reject everything send few calls twice

The decision of the retry budget had a test; now three nodes and upstreams of the stand-in show it on processes: 200 calls, at most 40 arrivals more. No product code is changed.

--- a/standin/src/managed/server.rs
+++ b/standin/src/managed/server.rs
@@ -36,6 +36,8 @@
     NoStamp,
     /// The connection closes without an answer.
     Close,
+    /// The request is not run, and the answer says so.
+    Reject,
 }
 
 /// One start of a server.
@@ -61,6 +63,7 @@
     seen: Mutex<BTreeMap<String, String>>,
     acknowledged: AtomicU64,
     abandoned: AtomicU64,
+    rejected: AtomicU64,
 }
 
 impl ManagedServer {
@@ -93,6 +96,7 @@
             seen: Mutex::default(),
             acknowledged: AtomicU64::new(0),
             abandoned: AtomicU64::new(0),
+            rejected: AtomicU64::new(0),
         });
         let handler = server.clone();
         tokio::spawn(web::serve_on(listener, Duration::ZERO, move |request| handle(handler.clone(), request)));
@@ -164,6 +168,11 @@
         self.abandoned.load(Ordering::Relaxed)
     }
 
+    /// Returns how many requests were rejected.
+    pub fn rejected(&self) -> u64 {
+        self.rejected.load(Ordering::Relaxed)
+    }
+
     async fn announce(self: Arc<Self>, control: SocketAddr) {
         for sequence in 1u64.. {
             let id = self.id();
@@ -225,6 +234,14 @@
     let seen = headers.map(|(name, value)| (name.to_string(), value.to_str().unwrap_or("").to_owned())).collect();
     *server.seen.lock().map_err(|_| "poisoned")? = seen;
     let body = request.into_body().collect().await?.to_bytes();
+    let spoil = *server.spoil.lock().map_err(|_| "poisoned")?;
+    if spoil == Spoil::Reject {
+        server.rejected.fetch_add(1, Ordering::Relaxed);
+        let mut reply = answer(503, "");
+        reply.headers_mut().insert("x-request-id", HeaderValue::from_str(&id)?);
+        reply.headers_mut().insert("x-not-executed", HeaderValue::from_static("1"));
+        return Ok(reply);
+    }
     let running = server.running.fetch_add(1, Ordering::Relaxed) + 1;
     let mut run = Run { server: &server, ended: false };
     *server.runs.lock().map_err(|_| "poisoned")?.entry(id.clone()).or_insert(0) += 1;
--- a/standin/tests/managed.rs
+++ b/standin/tests/managed.rs
@@ -458,3 +458,20 @@
     }
     assert!(refused > 0, "six slots cannot run forty calls of a second");
 }
+
+#[tokio::test]
+async fn a_service_that_rejects_everywhere_is_sent_few_calls_twice() {
+    let fleet = Fleet::start(&["rounds", "rounds", "rounds"]).await;
+    for vm in &fleet.vms {
+        vm.upstream.set_spoil(Spoil::Reject);
+    }
+    let calls = 200;
+    for at in 0..calls {
+        let reply = call(fleet.vms[0].caller_addr, "GET", "/sheet/today", &format!("rejected-{at}")).await;
+        assert_eq!(status(&reply), 503);
+    }
+    let arrivals: u64 = fleet.vms.iter().map(|vm| vm.upstream.rejected()).sum();
+    // A tenth of the calls, and this node's part of the reserve.
+    let repeats_max = calls / 10 + 60 / 3;
+    assert!(arrivals <= calls + repeats_max, "{arrivals} arrivals of {calls} calls");
+}
