Sends name their cause; repeats that a budget refuses are counted

Cause: a window with too many repeats cannot be traced: no line says why an attempt is sent, and no metric counts repeats by service and cause. Ruled out: reading it from bounces, which are told by the owner and lack those whose word was lost. Change: an attempt is sent as first, unreached, rejected, retry or hedge, told in the line of the decision with the repeats left; valetrack_sends_total and valetrack_repeats_refused_total by service and cause. No decision changes. Conclusion: the next window names the cause that filled it.

--- a/standin/src/slope.rs
+++ b/standin/src/slope.rs
@@ -171,7 +171,7 @@
 fn cost_of_call() -> Cost {
     let mut view = ServiceView::new(Policy::Valetrack);
     (0..4).for_each(|server| view.set_present(server, true, 100));
-    let mut budgets = Budgets { retry: ShareBudget::new(10, 20), hedge: ShareBudget::new(5, 20) };
+    let mut budgets = Budgets::new(ShareBudget::new(10, 20), ShareBudget::new(5, 20));
     let mut rng = fastrand::Rng::with_seed(1);
     let mut next_seq = 1;
     let mut actions: Vec<CallAction> = Vec::with_capacity(8);
--- a/valetrack/src/metric.rs
+++ b/valetrack/src/metric.rs
@@ -16,6 +16,10 @@
     pub call_seconds: Histogram,
     /// Attempts by how they ended.
     pub attempts: IntCounterVec,
+    /// Attempts sent, by service and cause.
+    pub sends: IntCounterVec,
+    /// Repeats not sent for want of budget, by service and cause.
+    pub repeats_refused: IntCounterVec,
     /// Attempts given back by reason.
     pub bounces: IntCounterVec,
     /// Calls that run at this VM's server.
@@ -63,11 +67,12 @@
             registry.register(Box::new(counter.clone())).expect("unique name");
             counter
         };
-        let counters = |name: &str, help: &str, label: &str| {
-            let counters = IntCounterVec::new(Opts::new(name, help), &[label]).expect("valid name");
+        let counters_by = |name: &str, help: &str, labels: &[&str]| {
+            let counters = IntCounterVec::new(Opts::new(name, help), labels).expect("valid name");
             registry.register(Box::new(counters.clone())).expect("unique name");
             counters
         };
+        let counters = |name: &str, help: &str, label: &str| counters_by(name, help, &[label]);
         let gauge = |name: &str, help: &str| {
             let gauge = IntGauge::new(name, help).expect("valid name");
             registry.register(Box::new(gauge.clone())).expect("unique name");
@@ -80,6 +85,12 @@
             calls: counters("valetrack_calls_total", "Calls of callers by outcome.", "outcome"),
             call_seconds,
             attempts: counters("valetrack_attempts_total", "Attempts by how they ended.", "result"),
+            sends: counters_by("valetrack_sends_total", "Attempts sent, by why.", &["service", "cause"]),
+            repeats_refused: counters_by(
+                "valetrack_repeats_refused_total",
+                "Repeats not sent for want of budget.",
+                &["service", "cause"],
+            ),
             bounces: counters("valetrack_bounces_total", "Attempts given back unstarted.", "reason"),
             gate_in_flight: gauge("valetrack_gate_in_flight_calls", "Calls that run at the server."),
             gate_queued: gauge("valetrack_gate_queued_calls", "Calls that wait for a slot."),
--- a/valetrack/src/placement/attempt.rs
+++ b/valetrack/src/placement/attempt.rs
@@ -32,7 +32,7 @@
         dispatch: Dispatch,
         deadline: Instant,
     ) -> LocalBoxFuture<'static, AttemptEnd> {
-        let Dispatch { attempt, server, patience, elsewhere_permille } = dispatch;
+        let Dispatch { attempt, server, patience, elsewhere_permille, cause } = dispatch;
         // A key whose run is lost with its owner never runs again, so the owner is first seen alive.
         let looks_first = head.key.is_some();
         let head = head.clone();
@@ -60,13 +60,16 @@
             };
             let age_ms = self.report_age_ms(&service, server);
             log::info!(
-                "event=call.send call={} attempt={attempt} owner={} patience={patience:?} left_ms={left_ms} \
-                 work_us={} elsewhere_permille={elsewhere_permille} load_age_ms={}",
+                "event=call.send call={} attempt={attempt} owner={} cause={} repeats_left={} patience={patience:?} \
+                 left_ms={left_ms} work_us={} elsewhere_permille={elsewhere_permille} load_age_ms={}",
                 head.call_id,
                 target.vm,
+                cause.as_str(),
+                OrNone(self.repeats_left(&service)),
                 head.work_us,
                 OrNone(age_ms)
             );
+            self.metrics.sends.with_label_values(&[&*service, cause.as_str()]).inc();
             // Drawn after the event above, so that what the owner does stands behind it.
             head.hlc = events::stamp();
             let question = Question { ask: Ask::Run(head), body };
--- a/valetrack/src/placement/budget.rs
+++ b/valetrack/src/placement/budget.rs
@@ -26,6 +26,11 @@
         self.tokens = (self.tokens + self.share).min(self.most);
     }
 
+    /// Returns how many whole tokens there are.
+    pub fn left(&self) -> u32 {
+        self.tokens as u32
+    }
+
     /// Takes one token if there is one.
     pub fn take(&mut self) -> bool {
         if self.tokens < 1.0 {
--- a/valetrack/src/placement/call.rs
+++ b/valetrack/src/placement/call.rs
@@ -8,7 +8,7 @@
 mod end;
 
 use super::budget::ShareBudget;
-use super::message::{CallAction, CallEvent, Demand, ServerIndex, Verdict};
+use super::message::{CallAction, CallEvent, Demand, SendCause, ServerIndex, Verdict};
 use super::set::ServerSet;
 use super::view::ServiceView;
 use crate::code::Code;
@@ -51,6 +51,42 @@
     pub retry: ShareBudget,
     /// Extra attempts after delays.
     pub hedge: ShareBudget,
+    /// Repeats that the budgets had no token for, until the shell has counted them.
+    pub refused: RepeatsRefused,
+}
+
+impl Budgets {
+    /// Makes budgets that have refused nothing yet.
+    pub fn new(retry: ShareBudget, hedge: ShareBudget) -> Self {
+        Self { retry, hedge, refused: RepeatsRefused::default() }
+    }
+
+    /// Takes the token of a repeat out of the budget of retries, if it has one.
+    fn repeat(&mut self, cause: SendCause) -> bool {
+        let granted = self.retry.take();
+        if !granted {
+            self.refused.count(cause);
+        }
+        granted
+    }
+}
+
+/// Numbers of repeats that were not sent for want of a token, by cause.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct RepeatsRefused([u64; SendCause::PAID.len()]);
+
+impl RepeatsRefused {
+    fn count(&mut self, cause: SendCause) {
+        if let Some(at) = SendCause::PAID.iter().position(|paid| *paid == cause) {
+            self.0[at] += 1;
+        }
+    }
+
+    /// Takes the numbers out, cause by cause, and starts from zero again.
+    pub fn drain(&mut self) -> impl Iterator<Item = (SendCause, u64)> + use<> {
+        let counts = std::mem::take(&mut self.0);
+        SendCause::PAID.into_iter().zip(counts).filter(|(_, count)| *count > 0)
+    }
 }
 
 /// What a call works with while it handles one event.
@@ -191,7 +227,7 @@
         self.began_us = cx.now_us;
         cx.budgets.retry.earn();
         cx.budgets.hedge.earn();
-        let Some(server) = self.send_next(cx, out) else {
+        let Some(server) = self.send_next(SendCause::First, cx, out) else {
             self.settle(cx, out);
             return;
         };
@@ -224,7 +260,7 @@
             return;
         }
         self.hedged = true;
-        self.send(server, Patience::None, cx, out);
+        self.send(server, Patience::None, SendCause::Hedge, cx, out);
     }
 
     fn deadline(&mut self, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) {
--- a/valetrack/src/placement/call/choice.rs
+++ b/valetrack/src/placement/call/choice.rs
@@ -2,28 +2,33 @@
 
 use super::{Attempt, AttemptState, Call, CallContext, MAX_ATTEMPTS};
 use crate::gate::{AttemptId, PERMILLE, Patience};
-use crate::placement::message::{CallAction, Demand, Dispatch, ServerIndex};
+use crate::placement::message::{CallAction, Demand, Dispatch, SendCause, ServerIndex};
 use crate::placement::set::ServerSet;
 use crate::placement::view::ROOM_US;
 
 impl Call {
     /// Sends the next attempt to a server that was not tried, and returns it if there is one.
-    pub(super) fn send_next(&mut self, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) -> Option<ServerIndex> {
+    pub(super) fn send_next(
+        &mut self,
+        cause: SendCause,
+        cx: &mut CallContext<'_>,
+        out: &mut Vec<CallAction>,
+    ) -> Option<ServerIndex> {
         let server = self.next_server(cx)?;
         let patience = self.patience_for(server, cx);
-        self.send(server, patience, cx, out);
+        self.send(server, patience, cause, cx, out);
         Some(server)
     }
 
     /// Goes back to the best of the servers that were tried, to wait there, if that was not done.
-    pub(super) fn send_last(&mut self, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) -> bool {
+    pub(super) fn send_last(&mut self, cause: SendCause, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) -> bool {
         if self.last_resort || self.count >= MAX_ATTEMPTS {
             return false;
         }
         let Some(server) = self.pick(ServerSet::default(), cx) else {
             return false;
         };
-        self.send(server, Patience::Last, cx, out);
+        self.send(server, Patience::Last, cause, cx, out);
         true
     }
 
@@ -92,7 +97,7 @@
             cx.view.is_slow(attempt.server, cx.now_us) || cx.view.is_ejected(attempt.server, cx.now_us)
         });
         // A hedge is one more run as a retry is, and both come out of one budget.
-        slow && !cx.view.is_slow(server, cx.now_us) && self.may_repeat(cx)
+        slow && !cx.view.is_slow(server, cx.now_us) && self.may_repeat(SendCause::Hedge, cx)
     }
 
     /// Sends one attempt to a server.
@@ -100,6 +105,7 @@
         &mut self,
         server: ServerIndex,
         patience: Patience,
+        cause: SendCause,
         cx: &mut CallContext<'_>,
         out: &mut Vec<CallAction>,
     ) {
@@ -110,6 +116,6 @@
         self.last_resort |= patience == Patience::Last;
         self.attempts[self.count] = Some(Attempt { id, server, patience, state: AttemptState::Sent });
         self.count += 1;
-        out.push(CallAction::Send(Dispatch { attempt: id, server, patience, elsewhere_permille }));
+        out.push(CallAction::Send(Dispatch { attempt: id, server, patience, elsewhere_permille, cause }));
     }
 }
--- a/valetrack/src/placement/call/end.rs
+++ b/valetrack/src/placement/call/end.rs
@@ -3,7 +3,7 @@
 use super::{AttemptState, Call, CallContext};
 use crate::code::Code;
 use crate::gate::{AttemptId, BounceReason, CancelResult, Patience};
-use crate::placement::message::{CallAction, ServerIndex, Verdict};
+use crate::placement::message::{CallAction, SendCause, ServerIndex, Verdict};
 
 impl Call {
     /// Takes a whole answer of an attempt: the verdict, unless it is a failure that may be repeated.
@@ -16,10 +16,10 @@
         if self.finished {
             return;
         }
-        if !healthy && !self.past_deadline && self.may_repeat(cx) {
+        if !healthy && !self.past_deadline && self.may_repeat(SendCause::Retry, cx) {
             self.lost_code = Some(Code::ServerFailed);
             self.excluded.insert(server);
-            if self.send_next(cx, out).is_some() {
+            if self.send_next(SendCause::Retry, cx, out).is_some() {
                 return;
             }
         }
@@ -60,7 +60,8 @@
         // repeat does, and a service that rejects everywhere is overloaded. Guards the fleet's retry
         // budget: with half of all arrivals rejected, 714 were repeats in ten seconds where 647 are
         // allowed (played day, 13 VMs); with it none of the days is over.
-        if reason == BounceReason::Rejected && !cx.budgets.retry.take() {
+        let rejected = reason == BounceReason::Rejected;
+        if rejected && !cx.budgets.repeat(SendCause::Rejected) {
             self.settle(cx, out);
             return;
         }
@@ -72,7 +73,8 @@
             reason,
             BounceReason::Leaving | BounceReason::Stalled | BounceReason::NotReady | BounceReason::Slow
         );
-        self.move_on(server, free, cx, out);
+        let cause = if rejected { SendCause::Rejected } else { SendCause::Unreached };
+        self.move_on(server, free, cause, cx, out);
     }
 
     /// Counts a bounce against the allowances that only some reasons have.
@@ -111,7 +113,7 @@
             self.settle(cx, out);
             return;
         }
-        self.move_on(server, true, cx, out);
+        self.move_on(server, true, SendCause::Unreached, cx, out);
     }
 
     /// Takes the loss of the link under an attempt, whose owner is then asked.
@@ -150,19 +152,26 @@
         if self.past_deadline {
             self.settle(cx, out);
         } else if never {
-            self.move_on(self.server(at), true, cx, out);
+            self.move_on(self.server(at), true, SendCause::Unreached, cx, out);
         } else {
             self.after_loss(self.server(at), cx, out);
         }
     }
 
     /// Goes to another server after an attempt that certainly did not start.
-    fn move_on(&mut self, server: ServerIndex, free: bool, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) {
+    fn move_on(
+        &mut self,
+        server: ServerIndex,
+        free: bool,
+        cause: SendCause,
+        cx: &mut CallContext<'_>,
+        out: &mut Vec<CallAction>,
+    ) {
         self.excluded.insert(server);
         if !free {
             self.bounces_left = self.bounces_left.saturating_sub(1);
         }
-        if self.send_next(cx, out).is_none() && !self.send_last(cx, out) {
+        if self.send_next(cause, cx, out).is_none() && !self.send_last(cause, cx, out) {
             self.settle(cx, out);
         }
     }
@@ -173,15 +182,18 @@
             return;
         }
         self.excluded.insert(server);
-        if !self.past_deadline && self.may_repeat(cx) && self.send_next(cx, out).is_some() {
+        if !self.past_deadline
+            && self.may_repeat(SendCause::Retry, cx)
+            && self.send_next(SendCause::Retry, cx, out).is_some()
+        {
             return;
         }
         self.settle(cx, out);
     }
 
     /// Takes a repeat out of the call's own allowance and its service's budget, if both have one.
-    pub(super) fn may_repeat(&mut self, cx: &mut CallContext<'_>) -> bool {
-        if !self.rule.repeatable || self.retries_left == 0 || !cx.budgets.retry.take() {
+    pub(super) fn may_repeat(&mut self, cause: SendCause, cx: &mut CallContext<'_>) -> bool {
+        if !self.rule.repeatable || self.retries_left == 0 || !cx.budgets.repeat(cause) {
             return false;
         }
         self.retries_left -= 1;
--- a/valetrack/src/placement/message.rs
+++ b/valetrack/src/placement/message.rs
@@ -81,6 +81,40 @@
     DeadlineDue,
 }
 
+/// Why an attempt is sent.
+///
+/// Each cause but the first two adds an arrival at the upstreams past the call's first one, and is
+/// paid for by the service's budget of repeats.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendCause {
+    /// It is the call's first.
+    First,
+    /// No attempt since the last one that was paid for has reached an upstream.
+    Unreached,
+    /// An upstream rejected the one before it.
+    Rejected,
+    /// The one before it started and brought no answer, or one of a failure.
+    Retry,
+    /// The one before it takes long.
+    Hedge,
+}
+
+impl SendCause {
+    /// The causes that are paid for.
+    pub const PAID: [Self; 3] = [Self::Rejected, Self::Retry, Self::Hedge];
+
+    /// Returns the word for it in log lines and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Unreached => "unreached",
+            Self::Rejected => "rejected",
+            Self::Retry => "retry",
+            Self::Hedge => "hedge",
+        }
+    }
+}
+
 /// An attempt on its way to the owner of a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Dispatch {
@@ -93,6 +127,8 @@
     /// What the call is worth at the best other server that may be asked, in thousandths of an
     /// answer in time; zero where there is none.
     pub elsewhere_permille: u16,
+    /// Why it is sent.
+    pub cause: SendCause,
 }
 
 /// What the shell of placement must do for a call.
--- a/valetrack/src/placement/mod.rs
+++ b/valetrack/src/placement/mod.rs
@@ -20,9 +20,10 @@
 mod work;
 
 pub use budget::{RateBudget, ShareBudget};
-pub use call::{Budgets, Call, CallContext, CallRule};
+pub use call::{Budgets, Call, CallContext, CallRule, RepeatsRefused};
 pub use message::{
-    CallAction, CallEvent, Demand, Dispatch, Outcome, PlaceJob, Placed, SERVICE_UNKNOWN, SeenLoad, ServerIndex, Verdict,
+    CallAction, CallEvent, Demand, Dispatch, Outcome, PlaceJob, Placed, SERVICE_UNKNOWN, SeenLoad, SendCause,
+    ServerIndex, Verdict,
 };
 pub use policy::Policy;
 pub use set::ServerSet;
--- a/valetrack/src/placement/run.rs
+++ b/valetrack/src/placement/run.rs
@@ -207,7 +207,16 @@
         let mut inner = self.inner.borrow_mut();
         let Inner { services, rng, next_seq, .. } = &mut *inner;
         let ServiceState { view, budgets, .. } = services.get_mut(service)?;
-        Some(decision(&mut CallContext { view, budgets, rng, now_us: now_us(), next_seq }))
+        let decided = decision(&mut CallContext { view, budgets, rng, now_us: now_us(), next_seq });
+        for (cause, count) in budgets.refused.drain() {
+            self.metrics.repeats_refused.with_label_values(&[service, cause.as_str()]).inc_by(count);
+        }
+        Some(decided)
+    }
+
+    /// Returns how many repeats of a service's calls this entry may still send now.
+    pub(super) fn repeats_left(&self, service: &str) -> Option<u32> {
+        Some(self.inner.borrow().services.get(service)?.budgets.retry.left())
     }
 
     /// Returns where the node of a server is, if the server is still known.
--- a/valetrack/src/placement/service.rs
+++ b/valetrack/src/placement/service.rs
@@ -31,10 +31,10 @@
 impl ServiceState {
     /// Makes the state of a service of which no server is known yet.
     pub(super) fn new(rule: &ServiceRule, policy: Policy) -> Self {
-        let budgets = Budgets {
-            retry: ShareBudget::new(rule.retry_percent, SHARE_BURST),
-            hedge: ShareBudget::new(rule.hedge_percent, SHARE_BURST),
-        };
+        let budgets = Budgets::new(
+            ShareBudget::new(rule.retry_percent, SHARE_BURST),
+            ShareBudget::new(rule.hedge_percent, SHARE_BURST),
+        );
         Self { view: ServiceView::new(policy), budgets, targets: Vec::new() }
     }
 
--- a/valetrack/src/placement/tests/call.rs
+++ b/valetrack/src/placement/tests/call.rs
@@ -50,7 +50,7 @@
         for server in 0..SERVERS {
             view.set_present(server, true, 0);
         }
-        let budgets = Budgets { retry: ShareBudget::new(50, 20), hedge: ShareBudget::new(50, 20) };
+        let budgets = Budgets::new(ShareBudget::new(50, 20), ShareBudget::new(50, 20));
         Self {
             call: Call::new(rule, 1),
             view,
