A fleet in virtual time counts repeats as upstreams see them; it fails

Cause: the promise on repeats is one of the whole fleet, and no test held it. Change: a test in which entries, nested calls, rejections, failures, lost links and nodes that start again meet, and upstreams count the arrivals past the first of each call in every window. Services that only reject or fail keep the promise.

--- a/valetrack/src/placement/tests.rs
+++ b/valetrack/src/placement/tests.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod call;
+mod fleet;
 mod service;
 mod view;
 mod work;
