Calls of repeated runs are charged: a case that breaks without it

Cause: with the charge taken out no case of the fleet broke, so nothing guarded it. Ruled out: that the charge is needless; runs of a quiet service that make five calls each spend the reserve of one service at another. Change: that case.

--- a/valetrack/src/placement/tests/fleet.rs
+++ b/valetrack/src/placement/tests/fleet.rs
@@ -371,6 +371,7 @@
 #[test_case(Trouble { failing_percent: [60, 60], ..CALM }; "runs fail")]
 #[test_case(Trouble { rate_per_s: [120, 60], rejected_percent: [50, 50], lost_percent: 30, ..CALM }; "rejections are lost with their link")]
 #[test_case(Trouble { rate_per_s: [120, 0], nested: 3, rejected_percent: [0, 50], failing_percent: [60, 0], ..CALM }; "repeated runs call a service that rejects")]
+#[test_case(Trouble { rate_per_s: [16, 0], nested: 5, failing_percent: [100, 0], ..CALM }; "repeated runs of a quiet service make many calls")]
 #[test_case(Trouble { rate_per_s: [12, 12], nested: 0, rejected_percent: [70, 70], restart_each_us: Some(300_000), ..CALM }; "nodes start again in a row")]
 #[test_case(Trouble { rate_per_s: [60, 60], nested: 0, rejected_percent: [70, 70], restart_each_us: Some(500_000), alone_us: 3_000_000, ..CALM }; "nodes that started again know nobody")]
 fn a_fleet_keeps_its_promise_on_repeats(trouble: Trouble) {
