Metrics of repeats left, of the reserve, and of calls by repeated runs; real nodes

Cause: the share in force and the calls of repeated runs could not be seen. Ruled out: reading them from the nodes' count of members, which is remembered. Change: valetrack_repeats_left, valetrack_repeat_reserve and valetrack_nested_repeats_total by service; the line of a send has the chance that its run is a repeat. The stand-in upstream makes calls of its own; real nodes whose calls run twice count the calls of the second runs. Conclusion: the way from the owner's run to the next entry's budget is held by a test on real processes.

--- a/standin/src/managed/server.rs
+++ b/standin/src/managed/server.rs
@@ -59,6 +59,8 @@
     spoil: Mutex<Spoil>,
     /// How often each request id ran.
     runs: Mutex<BTreeMap<String, u64>>,
+    /// Where runs make a call of their own, its path, and how many.
+    calls: Mutex<Option<(SocketAddr, String, usize)>>,
     /// What came with the last request.
     seen: Mutex<BTreeMap<String, String>>,
     acknowledged: AtomicU64,
@@ -93,6 +95,7 @@
             draining: AtomicBool::new(false),
             spoil: Mutex::new(Spoil::Nothing),
             runs: Mutex::default(),
+            calls: Mutex::default(),
             seen: Mutex::default(),
             acknowledged: AtomicU64::new(0),
             abandoned: AtomicU64::new(0),
@@ -109,6 +112,26 @@
         self.work_ms.store(work_ms, Ordering::Relaxed);
     }
 
+    /// Lets each run make `count` calls of its own to `path` through a node's listener for callers.
+    pub fn set_calls(&self, node: SocketAddr, path: &str, count: usize) {
+        let calls = Some((node, path.to_owned(), count));
+        *self.calls.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = calls;
+    }
+
+    /// Makes the calls of one run, one after the other.
+    async fn call_others(&self, id: &str) {
+        let calls = self.calls.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone();
+        let Some((node, path, count)) = calls else {
+            return;
+        };
+        for number in 0..count {
+            let id = format!("{id}.{number}");
+            let headers = [("host", "farm.example"), ("x-request-id", &*id), ("x-deadline-milliseconds", "1000")];
+            // A run goes on without what it could not learn.
+            let _ = Client::new(node).call("GET", &path, &headers, String::new()).await;
+        }
+    }
+
     /// Says from now on that the server is draining.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
@@ -245,6 +268,7 @@
     let running = server.running.fetch_add(1, Ordering::Relaxed) + 1;
     let mut run = Run { server: &server, ended: false };
     *server.runs.lock().map_err(|_| "poisoned")?.entry(id.clone()).or_insert(0) += 1;
+    server.call_others(&id).await;
     tokio::time::sleep(Duration::from_millis(server.work_ms.load(Ordering::Relaxed))).await;
     run.ended = true;
     let spoil = *server.spoil.lock().map_err(|_| "poisoned")?;
--- a/standin/tests/managed.rs
+++ b/standin/tests/managed.rs
@@ -51,6 +51,7 @@
         "routes": [
             route("sheet", "/sheet/", "safe", 2_000, service),
             route("pickup", "/pickup/", "non_idempotent", 2_000, "ledger"),
+            route("check", "/check/", "safe", 2_000, "ledger"),
             route("hasty", "/hasty/", "safe", 150, "rounds"),
         ],
         "services": [service_row("rounds"), service_row("ledger")],
@@ -475,3 +476,39 @@
     let repeats_max = calls / 10 + 60 / 3;
     assert!(arrivals <= calls + repeats_max, "{arrivals} arrivals of {calls} calls");
 }
+
+/// Returns the sum of a metric over all nodes, for one service.
+async fn metric(fleet: &Fleet, name: &str, service: &str) -> f64 {
+    let mut sum = 0.0;
+    for vm in &fleet.vms {
+        let page = Client::new(vm.ready_addr).call("GET", "/metrics", &[], "").await.expect("a page");
+        let page = String::from_utf8(page.body.to_vec()).expect("text");
+        let of_service = format!("service=\"{service}\"");
+        let lines = page.lines().filter(|line| line.starts_with(&format!("{name}{{")) && line.contains(&of_service));
+        sum += lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum::<f64>();
+    }
+    sum
+}
+
+#[tokio::test]
+async fn calls_of_a_repeated_run_are_counted_as_repeats() {
+    let fleet = Fleet::start(&["rounds", "rounds", "ledger"]).await;
+    for vm in &fleet.vms[..2] {
+        vm.upstream.set_calls(vm.caller_addr, "/check/farm", 2);
+    }
+    // Calls from beside another service show the owner that the others are made by runs.
+    for number in 0..30 {
+        assert_eq!(status(&fleet.call(2, "POST", "/pickup/", &format!("p-{number}")).await), 200);
+        assert_eq!(status(&fleet.call(2, "GET", "/sheet/", &format!("s-{number}")).await), 200);
+    }
+    assert_eq!(metric(&fleet, "valetrack_nested_repeats_total", "ledger").await, 0.0);
+    fleet.vms[0].upstream.set_spoil(Spoil::Close);
+    for number in 0..20 {
+        // The first runs end without an answer; those that are repeated elsewhere make their calls again.
+        let _ = fleet.call(2, "GET", "/sheet/", &format!("t-{number}")).await;
+    }
+    let repeats = metric(&fleet, "valetrack_sends_total", "rounds").await - 50.0;
+    assert!(repeats >= 1.0, "no call was sent again");
+    let nested = metric(&fleet, "valetrack_nested_repeats_total", "ledger").await;
+    assert!(nested >= 1.0, "{nested} calls of {repeats} repeated runs");
+}
--- a/valetrack/src/metric.rs
+++ b/valetrack/src/metric.rs
@@ -1,6 +1,9 @@
 //! Metrics of a node, by the conventions of Prometheus.
 
-use prometheus::{Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{
+    CounterVec, Encoder, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
 
 /// Bounds of the call histogram, in seconds.
 const CALL_BOUNDS_S: &[f64] =
@@ -20,6 +23,12 @@
     pub sends: IntCounterVec,
     /// Repeats not sent for want of budget, by service and cause.
     pub repeats_refused: IntCounterVec,
+    /// Calls that repeated runs of the own upstream made, by service; parts of calls where it is a chance.
+    pub nested_repeats: CounterVec,
+    /// Repeats that this node may still send now, by service.
+    pub repeats_left: GaugeVec,
+    /// This node's part of the fleet's reserve of repeats, by service.
+    pub repeat_reserve: GaugeVec,
     /// Attempts given back by reason.
     pub bounces: IntCounterVec,
     /// Calls that run at this VM's server.
@@ -72,6 +81,14 @@
             registry.register(Box::new(counters.clone())).expect("unique name");
             counters
         };
+        let gauges_by = |name: &str, help: &str| {
+            let gauges = GaugeVec::new(Opts::new(name, help), &["service"]).expect("valid name");
+            registry.register(Box::new(gauges.clone())).expect("unique name");
+            gauges
+        };
+        let opts = Opts::new("valetrack_nested_repeats_total", "Calls that repeated runs of the own upstream made.");
+        let nested_repeats = CounterVec::new(opts, &["service"]).expect("valid name");
+        registry.register(Box::new(nested_repeats.clone())).expect("unique name");
         let counters = |name: &str, help: &str, label: &str| counters_by(name, help, &[label]);
         let gauge = |name: &str, help: &str| {
             let gauge = IntGauge::new(name, help).expect("valid name");
@@ -91,6 +108,9 @@
                 "Repeats not sent for want of budget.",
                 &["service", "cause"],
             ),
+            nested_repeats,
+            repeats_left: gauges_by("valetrack_repeats_left", "Repeats that may still be sent now."),
+            repeat_reserve: gauges_by("valetrack_repeat_reserve", "Part of the fleet's reserve of repeats."),
             bounces: counters("valetrack_bounces_total", "Attempts given back unstarted.", "reason"),
             gate_in_flight: gauge("valetrack_gate_in_flight_calls", "Calls that run at the server."),
             gate_queued: gauge("valetrack_gate_queued_calls", "Calls that wait for a slot."),
--- a/valetrack/src/placement/attempt.rs
+++ b/valetrack/src/placement/attempt.rs
@@ -61,12 +61,13 @@
             };
             let age_ms = self.report_age_ms(&service, server);
             log::info!(
-                "event=call.send call={} attempt={attempt} owner={} cause={} repeats_left={} patience={patience:?} \
-                 left_ms={left_ms} work_us={} elsewhere_permille={elsewhere_permille} load_age_ms={}",
+                "event=call.send call={} attempt={attempt} owner={} cause={} repeats_left={} \
+                 repeat_permille={repeat_permille} patience={patience:?} left_ms={left_ms} work_us={} \
+                 elsewhere_permille={elsewhere_permille} load_age_ms={}",
                 head.call_id,
                 target.vm,
                 cause.as_str(),
-                OrNone(self.repeats_left(&service)),
+                OrNone(self.repeats_left(&service).map(|left| left.floor())),
                 head.work_us,
                 OrNone(age_ms)
             );
--- a/valetrack/src/placement/repeat.rs
+++ b/valetrack/src/placement/repeat.rs
@@ -108,6 +108,11 @@
         self.share * self.calls.within(now_us) + self.reserve_at(now_us) - self.repeats.over(now_us)
     }
 
+    /// Returns this entry's part of the reserve, as it is once the entry is a window old.
+    pub fn reserve(&self) -> f64 {
+        self.reserve
+    }
+
     fn reserve_at(&self, now_us: u64) -> f64 {
         let Some(started_us) = self.started_us else {
             return self.reserve;
--- a/valetrack/src/placement/run.rs
+++ b/valetrack/src/placement/run.rs
@@ -23,7 +23,7 @@
 use crate::bundle::{InForce, MeasureRule};
 use crate::clock::now_us;
 use crate::code::Code;
-use crate::gate::{AttemptId, LoadReport, RunLedger};
+use crate::gate::{AttemptId, LoadReport, PERMILLE, RunLedger};
 use crate::link::message::{Ask, CallHead, Question};
 use crate::link::peer::{self, LinkJob, LinkResult, Target};
 use crate::member::{MemberJob, Members};
@@ -170,6 +170,7 @@
                 .entry(rule.name.clone())
                 .or_insert_with(|| ServiceState::new(rule, self.policy, now_us()));
             state.configure(rule, fleet);
+            self.metrics.repeat_reserve.with_label_values(&[&*rule.name]).set(state.budgets.retry.reserve());
             state.sync(members.servers_of(&rule.name), &self.domain, &self.vm, self.domain_cost_us);
         }
     }
@@ -180,6 +181,10 @@
         let (reply, placed) = oneshot::channel();
         head.work_us = rule.demand.map_or(0, |demand| demand.work_us);
         head.repeat_permille = head.repeat_permille.max(self.chance_of_repeat(&head));
+        if head.repeat_permille > 0 {
+            let repeats = f64::from(head.repeat_permille) / PERMILLE;
+            self.metrics.nested_repeats.with_label_values(&[&*head.service]).inc_by(repeats);
+        }
         tokio::task::spawn_local(drive(self, head, body, rule, reply));
         let lost = Placed::Verdict(Verdict::Unknown { code: Code::LinkLost });
         placed.await.unwrap_or(lost)
@@ -247,9 +252,10 @@
     }
 
     /// Returns how many repeats of a service's calls this entry may still send now.
-    pub(super) fn repeats_left(&self, service: &str) -> Option<u32> {
-        let mut inner = self.inner.borrow_mut();
-        Some(inner.services.get_mut(service)?.budgets.retry.left(now_us()).max(0.0) as u32)
+    pub(super) fn repeats_left(&self, service: &str) -> Option<f64> {
+        let left = self.inner.borrow_mut().services.get_mut(service)?.budgets.retry.left(now_us());
+        self.metrics.repeats_left.with_label_values(&[service]).set(left);
+        Some(left)
     }
 
     /// Returns where the node of a server is, if the server is still known.
