A failing answer that is there is passed on where no second run starts

Cause: a call whose upstream had answered with a failure was sent again, and where the second attempt was given back its caller was told 502, may have run, in place of the answer that was held. Ruled out: giving the answer before the second attempt ends; it may succeed. Change: the answer is kept and is the verdict if no other attempt brings one.

--- a/valetrack/src/placement/call.rs
+++ b/valetrack/src/placement/call.rs
@@ -162,6 +162,8 @@
     repeat_permille: u16,
     /// Whether a repeat was paid for, so that attempts from then on may arrive past the first.
     repeated: bool,
+    /// The last attempt whose answer was a failure of the upstream's own.
+    failing_answer: Option<AttemptId>,
     /// Why the last attempt that may have run brought no answer.
     lost_code: Option<Code>,
     finished: bool,
@@ -188,6 +190,7 @@
             last_code: Code::NoServer,
             repeat_permille: 0,
             repeated: false,
+            failing_answer: None,
             lost_code: None,
             finished: false,
         }
@@ -305,7 +308,10 @@
             return;
         }
         let lost = self.attempts.iter().flatten().any(|attempt| attempt.state == AttemptState::Lost);
-        let verdict = if lost {
+        let verdict = if let Some(answer) = self.failing_answer {
+            // The upstream's own word on its failure tells the caller more than that it may have run.
+            Verdict::Answer(answer)
+        } else if lost {
             // What came after the loss, such as a full server, does not tell why it may have run.
             Verdict::Unknown { code: self.lost_code.unwrap_or(self.last_code) }
         } else {
--- a/valetrack/src/placement/call/end.rs
+++ b/valetrack/src/placement/call/end.rs
@@ -17,7 +17,7 @@
             return;
         }
         if !healthy && !self.past_deadline && self.may_repeat(SendCause::Retry, cx) {
-            self.lost_code = Some(Code::ServerFailed);
+            self.failing_answer = Some(id);
             self.excluded.insert(server);
             if self.send_next(SendCause::Retry, cx, out).is_some() {
                 return;
--- a/valetrack/src/placement/tests/call.rs
+++ b/valetrack/src/placement/tests/call.rs
@@ -330,3 +330,19 @@
     world.tell(CallEvent::HedgeDue).expect("no broken promise");
     assert_eq!(world.attempts.len(), 2);
 }
+
+#[test_case(BounceReason::Full; "no room")]
+#[test_case(BounceReason::RepeatRefused; "no repeat left")]
+fn an_answer_that_is_there_is_passed_on_where_no_second_run_starts(reason: BounceReason) {
+    let mut world = single(CallRule { repeatable: true, bounces: 0, ..ONCE });
+    let failing = world.attempts[0].id;
+    world.attempts[0].place = Place::Started;
+    world.attempts[0].closed = true;
+    world.tell(CallEvent::Ran { attempt: failing, healthy: false }).expect("no broken promise");
+    while world.verdict.is_none() {
+        let attempt = world.attempts.last().expect("an attempt").id;
+        world.attempts.last_mut().expect("an attempt").place = Place::Dead;
+        world.tell(CallEvent::Bounced { attempt, reason }).expect("no broken promise");
+    }
+    assert_eq!(world.verdict, Some(Verdict::Answer(failing)));
+}
