--- a/valetrack/src/placement/run.rs
+++ b/valetrack/src/placement/run.rs
@@ -1,6 +1,9 @@
 //! Shell of placement: what an entry knows of servers, and how it stays fresh. It shares the thread
 //! of the caller listener, since each caller's task drives its own call.
 
+mod ledger;
+mod probe;
+
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
@@ -23,8 +26,8 @@
 use crate::bundle::{InForce, MeasureRule};
 use crate::clock::now_us;
 use crate::code::Code;
-use crate::gate::{AttemptId, LoadReport, PERMILLE, RunLedger};
-use crate::link::message::{Ask, CallHead, Question};
+use crate::gate::{AttemptId, LoadReport};
+use crate::link::message::{CallHead, Question};
 use crate::link::peer::{self, LinkJob, LinkResult, Target};
 use crate::member::{MemberJob, Members};
 use crate::metric::Metrics;
@@ -32,12 +35,6 @@
 
 /// Time that an owner has to answer a cancel or a probe, in milliseconds.
 pub(super) const PROMPT_MS: u64 = 150;
-/// Bytes on the wire of one probe, there and back, headers of UDP and QUIC included.
-pub const PROBE_BYTES: u64 = 220;
-/// Pause between two looks at which views are old while there are calls, in milliseconds.
-const PROBE_PERIOD_MS: u64 = 20;
-/// The same while there are none, in milliseconds.
-const PROBE_QUIET_MS: u64 = 250;
 
 struct Inner {
     services: HashMap<Arc<str>, ServiceState>,
@@ -180,35 +177,12 @@
     pub async fn place(self: Rc<Self>, mut head: CallHead, body: Bytes, rule: CallRule) -> Placed {
         let (reply, placed) = oneshot::channel();
         head.work_us = rule.demand.map_or(0, |demand| demand.work_us);
-        head.repeat_permille = head.repeat_permille.max(self.chance_of_repeat(&head));
-        if head.repeat_permille > 0 {
-            let repeats = f64::from(head.repeat_permille) / PERMILLE;
-            self.metrics.nested_repeats.with_label_values(&[&*head.service]).inc_by(repeats);
-        }
+        self.mark_nested(&mut head);
         tokio::task::spawn_local(drive(self, head, body, rule, reply));
         let lost = Placed::Verdict(Verdict::Unknown { code: Code::LinkLost });
         placed.await.unwrap_or(lost)
     }
 
-    /// Returns the chance that a repeated run of the upstream beside this entry made a call, in
-    /// thousandths.
-    fn chance_of_repeat(&self, head: &CallHead) -> u16 {
-        let mut inner = self.inner.borrow_mut();
-        match inner.nested_routes.contains(&head.route) {
-            true => inner.nested_calls.called(&head.service, now_us()),
-            false => 0,
-        }
-    }
-
-    /// Takes whether upstreams call a route on their own, as an owner of its service sees it.
-    pub(super) fn learn_nested(&self, route: &Arc<str>, nested: bool) {
-        let mut inner = self.inner.borrow_mut();
-        match nested {
-            true => inner.nested_routes.insert(route.clone()),
-            false => inner.nested_routes.remove(route),
-        };
-    }
-
     /// Returns what a call of a route asks of a server.
     pub fn demand(&self, route: &Arc<str>, objective_ms: u32) -> Demand {
         let inner = self.inner.borrow();
@@ -251,13 +225,6 @@
         Some(decided)
     }
 
-    /// Returns how many repeats of a service's calls this entry may still send now.
-    pub(super) fn repeats_left(&self, service: &str) -> Option<f64> {
-        let left = self.inner.borrow_mut().services.get_mut(service)?.budgets.retry.left(now_us());
-        self.metrics.repeats_left.with_label_values(&[service]).set(left);
-        Some(left)
-    }
-
     /// Returns where the node of a server is, if the server is still known.
     pub(super) fn target(&self, service: &str, server: ServerIndex) -> Option<Target> {
         let inner = self.inner.borrow();
@@ -314,48 +281,6 @@
         }
     }
 
-    /// Probes views that have grown old, out of the budget; runs as long as the placer.
-    pub async fn probe(self: Rc<Self>) {
-        let mut seen_seq = 0;
-        loop {
-            let seq = self.inner.borrow().next_seq;
-            let pause_ms = if seq == seen_seq { PROBE_QUIET_MS } else { PROBE_PERIOD_MS };
-            seen_seq = seq;
-            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
-            let stale_ms = self.bundle.borrow().as_ref().map(|bundle| bundle.bundle.measure.stale_ms);
-            let Some(stale_ms) = stale_ms else {
-                continue;
-            };
-            while let Some((service, server)) = self.next_probe(u64::from(stale_ms) * 1000) {
-                let placer = self.clone();
-                tokio::task::spawn_local(async move {
-                    // A view that stays old is probed again.
-                    placer.probe_one(&service, server).await;
-                });
-            }
-        }
-    }
-
-    /// Returns the server with the oldest view of a service that this entry uses, if the budget
-    /// has a probe for it.
-    fn next_probe(&self, stale_us: u64) -> Option<(Arc<str>, ServerIndex)> {
-        let mut inner = self.inner.borrow_mut();
-        let now = now_us();
-        let stalest = |(name, state): (&Arc<str>, &ServiceState)| {
-            let (age_us, server) = state.view.stalest(now, stale_us)?;
-            Some((age_us, name.clone(), server))
-        };
-        let (_, name, server) = inner.services.iter().filter_map(stalest).max()?;
-        let granted = inner.probes.take(1, now) && inner.measure.take(PROBE_BYTES, now);
-        if !granted {
-            return None;
-        }
-        inner.services.get_mut(&name)?.view.probed(server, now);
-        self.metrics.probes.inc();
-        self.metrics.measure_bytes.inc_by(PROBE_BYTES);
-        Some((name, server))
-    }
-
     /// Leaves a server out for a while, since its owner does not reply.
     pub(super) fn suspect(&self, service: &str, server: ServerIndex) {
         let mut inner = self.inner.borrow_mut();
@@ -363,36 +288,4 @@
             state.view.suspect(server, now_us());
         }
     }
-
-    /// Asks a server's owner how it does; returns whether it replied.
-    pub(super) async fn probe_one(&self, service: &str, server: ServerIndex) -> bool {
-        let Some(target) = self.target(service, server) else {
-            return false;
-        };
-        let question = Question { ask: Ask::Probe, body: Bytes::new() };
-        let result = self.ask(target, question, Duration::from_millis(PROMPT_MS)).await;
-        self.learn(service, server, &result);
-        matches!(result, LinkResult::Reply(_))
-    }
-}
-
-impl RunLedger for Placer {
-    fn admits_repeat(&self) -> bool {
-        let now_us = now_us();
-        let Inner { services, nested_calls, .. } = &mut *self.inner.borrow_mut();
-        let left = |service: &str| {
-            let state = services.get_mut(service);
-            // A service that is no longer known gets no call of the run.
-            state.map_or(f64::INFINITY, |state| state.budgets.retry.left(now_us))
-        };
-        nested_calls.admits_repeat(left, now_us)
-    }
-
-    fn run_began(&self, repeat_permille: u16) {
-        self.inner.borrow_mut().nested_calls.run_began(repeat_permille, now_us());
-    }
-
-    fn run_ended(&self, repeat_permille: u16) {
-        self.inner.borrow_mut().nested_calls.run_ended(repeat_permille);
-    }
 }
--- /dev/null
+++ b/valetrack/src/placement/run/ledger.rs
@@ -0,0 +1,62 @@
+//! Account of repeats at an entry: calls that repeated runs of its own upstream make, and what is left
+//! of each service's budget.
+
+use std::sync::Arc;
+
+use super::{Inner, Placer};
+use crate::clock::now_us;
+use crate::gate::{PERMILLE, RunLedger};
+use crate::link::message::CallHead;
+
+impl Placer {
+    /// Marks a call with the chance that a repeated run of the own upstream made it, where no mark came
+    /// with it, and counts it.
+    pub(super) fn mark_nested(&self, head: &mut CallHead) {
+        let inner = &mut *self.inner.borrow_mut();
+        if inner.nested_routes.contains(&head.route) {
+            let chance_permille = inner.nested_calls.called(&head.service, now_us());
+            head.repeat_permille = head.repeat_permille.max(chance_permille);
+        }
+        if head.repeat_permille > 0 {
+            let repeats = f64::from(head.repeat_permille) / PERMILLE;
+            self.metrics.nested_repeats.with_label_values(&[&*head.service]).inc_by(repeats);
+        }
+    }
+
+    /// Takes whether upstreams call a route on their own, as an owner of its service sees it.
+    pub(in crate::placement) fn learn_nested(&self, route: &Arc<str>, nested: bool) {
+        let mut inner = self.inner.borrow_mut();
+        match nested {
+            true => inner.nested_routes.insert(route.clone()),
+            false => inner.nested_routes.remove(route),
+        };
+    }
+
+    /// Returns how many repeats of a service's calls this entry may still send now.
+    pub(in crate::placement) fn repeats_left(&self, service: &str) -> Option<f64> {
+        let left = self.inner.borrow_mut().services.get_mut(service)?.budgets.retry.left(now_us());
+        self.metrics.repeats_left.with_label_values(&[service]).set(left);
+        Some(left)
+    }
+}
+
+impl RunLedger for Placer {
+    fn admits_repeat(&self) -> bool {
+        let now_us = now_us();
+        let Inner { services, nested_calls, .. } = &mut *self.inner.borrow_mut();
+        let left = |service: &str| {
+            let state = services.get_mut(service);
+            // A service that is no longer known gets no call of the run.
+            state.map_or(f64::INFINITY, |state| state.budgets.retry.left(now_us))
+        };
+        nested_calls.admits_repeat(left, now_us)
+    }
+
+    fn run_began(&self, repeat_permille: u16) {
+        self.inner.borrow_mut().nested_calls.run_began(repeat_permille, now_us());
+    }
+
+    fn run_ended(&self, repeat_permille: u16) {
+        self.inner.borrow_mut().nested_calls.run_ended(repeat_permille);
+    }
+}
--- /dev/null
+++ b/valetrack/src/placement/run/probe.rs
@@ -0,0 +1,76 @@
+//! Probes of servers whose load was not heard of for long, out of the budget of measuring.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use super::{PROMPT_MS, Placer};
+use crate::clock::now_us;
+use crate::link::message::{Ask, Question};
+use crate::link::peer::LinkResult;
+use crate::placement::message::ServerIndex;
+use crate::placement::service::ServiceState;
+
+/// Bytes on the wire of one probe, there and back, headers of UDP and QUIC included.
+pub const PROBE_BYTES: u64 = 220;
+/// Pause between two looks at which views are old while there are calls, in milliseconds.
+const PROBE_PERIOD_MS: u64 = 20;
+/// The same while there are none, in milliseconds.
+const PROBE_QUIET_MS: u64 = 250;
+
+impl Placer {
+    /// Probes views that have grown old, out of the budget; runs as long as the placer.
+    pub async fn probe(self: Rc<Self>) {
+        let mut seen_seq = 0;
+        loop {
+            let seq = self.inner.borrow().next_seq;
+            let pause_ms = if seq == seen_seq { PROBE_QUIET_MS } else { PROBE_PERIOD_MS };
+            seen_seq = seq;
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            let stale_ms = self.bundle.borrow().as_ref().map(|bundle| bundle.bundle.measure.stale_ms);
+            let Some(stale_ms) = stale_ms else {
+                continue;
+            };
+            while let Some((service, server)) = self.next_probe(u64::from(stale_ms) * 1000) {
+                let placer = self.clone();
+                tokio::task::spawn_local(async move {
+                    // A view that stays old is probed again.
+                    placer.probe_one(&service, server).await;
+                });
+            }
+        }
+    }
+
+    /// Returns the server with the oldest view of a service that this entry uses, if the budget
+    /// has a probe for it.
+    fn next_probe(&self, stale_us: u64) -> Option<(Arc<str>, ServerIndex)> {
+        let mut inner = self.inner.borrow_mut();
+        let now = now_us();
+        let stalest = |(name, state): (&Arc<str>, &ServiceState)| {
+            let (age_us, server) = state.view.stalest(now, stale_us)?;
+            Some((age_us, name.clone(), server))
+        };
+        let (_, name, server) = inner.services.iter().filter_map(stalest).max()?;
+        let granted = inner.probes.take(1, now) && inner.measure.take(PROBE_BYTES, now);
+        if !granted {
+            return None;
+        }
+        inner.services.get_mut(&name)?.view.probed(server, now);
+        self.metrics.probes.inc();
+        self.metrics.measure_bytes.inc_by(PROBE_BYTES);
+        Some((name, server))
+    }
+
+    /// Asks a server's owner how it does; returns whether it replied.
+    pub(in crate::placement) async fn probe_one(&self, service: &str, server: ServerIndex) -> bool {
+        let Some(target) = self.target(service, server) else {
+            return false;
+        };
+        let question = Question { ask: Ask::Probe, body: Bytes::new() };
+        let result = self.ask(target, question, Duration::from_millis(PROMPT_MS)).await;
+        self.learn(service, server, &result);
+        matches!(result, LinkResult::Reply(_))
+    }
+}
--- a/valetrack/src/settings.rs
+++ b/valetrack/src/settings.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::ffi::OsString;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::path::PathBuf;
 use std::str::FromStr;
 use std::sync::Arc;
@@ -54,7 +55,7 @@
     setting("caller-rest-ms", "Time that a caller's connection may rest.", "1000 to 3600000", Some("10000")),
     setting("retry-ratio", "Retries that the fleet may make for each call; managed platform only.", RATIO, Some("0.1")),
     setting("retry-reserve", "Retries of the fleet beyond that; managed platform only.", "0 to 100000", Some("0")),
-    setting("retry-window-s", "Window of the fleet's retries; managed platform only.", "over 0 to 3600", Some("10")),
+    setting("retry-window-s", "Window of the fleet's retries; managed platform only.", "0.1 to 3600", Some("10")),
     setting("store-timeout-ms", "Time limit of a call to the store.", "1 to 60000", Some("300")),
     setting("store-writes-per-s", "Writes a second to the store at most.", "1 to 1000", Some("50")),
     setting("store-reads-per-s", "Reads a second from the store at most.", "1 to 1000", Some("50")),
@@ -77,6 +78,9 @@
 
 /// What a ratio looks like.
 const RATIO: &str = "0 to 1, with fractions";
+/// Shortest window of the fleet's retries, in seconds: a shorter one is over before an attempt that
+/// it granted has arrived.
+const RETRY_WINDOW_MIN_S: f64 = 0.1;
 
 /// Names of the rules of the pick.
 const POLICIES: &str = "valetrack, random, round-robin, least-in-flight or two-choices";
@@ -249,8 +253,8 @@
         self.take(flag, |text| text.parse().ok().filter(|number| (low..=high).contains(number)))
     }
 
-    fn fraction(&mut self, flag: &'static str, high: f64) -> Option<f64> {
-        self.take(flag, |text| text.parse().ok().filter(|number| (0.0..=high).contains(number)))
+    fn fraction(&mut self, flag: &'static str, range: RangeInclusive<f64>) -> Option<f64> {
+        self.take(flag, |text| text.parse().ok().filter(|number| range.contains(number)))
     }
 
     /// Reads an address that only some platforms need.
@@ -310,11 +314,11 @@
         let control_addr = self.optional_addr("control-listen", !native);
         let lease_ms = self.number("lease-ms", 1_000, 600_000);
         let linger_ms = self.number("linger-ms", 0, 60_000);
-        let stop_grace_s = self.fraction("stop-grace-s", 3_600.0);
+        let stop_grace_s = self.fraction("stop-grace-s", 0.0..=3_600.0);
         let caller_rest_ms = self.number("caller-rest-ms", 1_000, 3_600_000);
-        let retry_ratio = self.fraction("retry-ratio", 1.0);
+        let retry_ratio = self.fraction("retry-ratio", 0.0..=1.0);
         let retry_reserve = self.number("retry-reserve", 0, 100_000);
-        let retry_window_s = self.fraction("retry-window-s", 3_600.0);
+        let retry_window_s = self.fraction("retry-window-s", RETRY_WINDOW_MIN_S..=3_600.0);
         let store_timeout_ms = self.number("store-timeout-ms", 1, 60_000);
         let store_writes_per_s = self.number("store-writes-per-s", 1, 1_000);
         let store_reads_per_s = self.number("store-reads-per-s", 1, 1_000);
--- a/valetrack/src/tests.rs
+++ b/valetrack/src/tests.rs
@@ -24,6 +24,7 @@
     raw.set("vm", "Kranj 1".into());
     raw.set("server", "localhost".into());
     raw.set("drain-ms", "-3".into());
+    raw.set("retry-window-s", "0".into());
     raw.fill_from(|name| (name == "VALETRACK_DOMAIN").then(|| "kranj".into()));
     let faults = raw.check().expect_err("faults");
     let lines: String = faults.iter().map(|fault| format!("{fault}\n")).collect();
@@ -34,6 +35,7 @@
     VT101: --store: a required setting is missing; wanted: IP:PORT
     VT101: --list: a required setting is missing; wanted: IP:PORT
     VT101: --keys: a required setting is missing; wanted: a folder
+    VT102: --retry-window-s: a setting has a value that is not allowed; wanted: 0.1 to 3600
     VT102: --drain-ms: a setting has a value that is not allowed; wanted: 0 to 600000
     ");
 }
