The soak counts repeats at upstreams, in every window, on real processes

Cause: budgets over windows were an open point of the soak. Change: runs of one service make two calls each to the other, upstreams reject or break off what arrives as one more fault, each arrival is kept with its time, and windows of three seconds are held against the fleet's promise.

--- a/standin/src/managed/server.rs
+++ b/standin/src/managed/server.rs
@@ -61,6 +61,8 @@
     runs: Mutex<BTreeMap<String, u64>>,
     /// Where runs make a call of their own, its path, and how many.
     calls: Mutex<Option<(SocketAddr, String, usize)>>,
+    /// When each request arrived, whatever became of it, with its id.
+    arrivals: Mutex<Vec<(Instant, String)>>,
     /// What came with the last request.
     seen: Mutex<BTreeMap<String, String>>,
     acknowledged: AtomicU64,
@@ -96,6 +98,7 @@
             spoil: Mutex::new(Spoil::Nothing),
             runs: Mutex::default(),
             calls: Mutex::default(),
+            arrivals: Mutex::default(),
             seen: Mutex::default(),
             acknowledged: AtomicU64::new(0),
             abandoned: AtomicU64::new(0),
@@ -176,6 +179,11 @@
         self.runs.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone()
     }
 
+    /// Returns when each request arrived, whatever became of it, with its id.
+    pub fn arrivals(&self) -> Vec<(Instant, String)> {
+        self.arrivals.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone()
+    }
+
     /// Returns the headers of the last request.
     pub fn seen(&self) -> BTreeMap<String, String> {
         self.seen.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone()
@@ -245,6 +253,7 @@
         value.unwrap_or("").to_owned()
     };
     let id = text("x-request-id");
+    server.arrivals.lock().map_err(|_| "poisoned")?.push((Instant::now(), id.clone()));
     let instance = server.id();
     if text("x-expected-instance") != instance {
         let mut reply = answer(421, "");
--- a/standin/src/soak/caller.rs
+++ b/standin/src/soak/caller.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::fleet::Fleet;
 use super::judge::{Breach, CallRecord, Seen, Versions};
@@ -26,6 +26,8 @@
 /// All callers of a run, and what they saw.
 pub(super) struct Callers {
     seed: u64,
+    /// When the run began.
+    began: Instant,
     stopped: Cell<bool>,
     /// Newest version of the configuration that was written.
     version: Cell<u64>,
@@ -37,7 +39,14 @@
     /// Makes callers that have not called yet; the configuration has version 1.
     pub(super) fn new(seed: u64) -> Self {
         let version = Cell::new(1);
-        Self { seed, stopped: Cell::new(false), version, calls: RefCell::default(), breaches: RefCell::default() }
+        Self {
+            seed,
+            began: Instant::now(),
+            stopped: Cell::new(false),
+            version,
+            calls: RefCell::default(),
+            breaches: RefCell::default(),
+        }
     }
 
     /// Starts all callers.
@@ -70,6 +79,11 @@
         self.version.get()
     }
 
+    /// Returns when the run began.
+    pub(super) fn began(&self) -> Instant {
+        self.began
+    }
+
     /// Returns all calls.
     pub(super) fn calls(&self) -> Vec<CallRecord> {
         self.calls.borrow().clone()
@@ -89,13 +103,14 @@
             }
             let id = format!("call-{vm}-{caller}-{number}");
             let repeatable = rng.bool();
+            let began_ms = self.began.elapsed().as_millis() as u64;
             let asked = call(&client, &id, repeatable);
             let seen = match timeout(Duration::from_millis(DEADLINE_MS + SLACK_MS), asked).await {
                 Ok(Ok(reply)) => Seen::Answer { status: reply.status, own: is_own(&reply, &id) },
                 Ok(Err(_)) => Seen::Cut,
                 Err(_) => Seen::GivenUp,
             };
-            self.calls.borrow_mut().push(CallRecord { id, repeatable, seen });
+            self.calls.borrow_mut().push(CallRecord { id, began_ms, repeatable, seen });
             sleep(Duration::from_millis(rng.u64(PAUSE_MS))).await;
         }
     }
@@ -128,6 +143,11 @@
     }
 }
 
+/// Returns the service that a call goes to.
+pub(super) const fn service_of(repeatable: bool) -> &'static str {
+    if repeatable { "rounds" } else { "ledger" }
+}
+
 async fn call(client: &Client, id: &str, repeatable: bool) -> Result<Reply, String> {
     let (method, path) = if repeatable { ("GET", "/sheet/") } else { ("POST", "/pickup/") };
     let deadline = DEADLINE_MS.to_string();
--- a/standin/src/soak/fleet.rs
+++ b/standin/src/soak/fleet.rs
@@ -10,8 +10,9 @@
 use serde_json::json;
 
 use super::path::Path;
+use super::repeat::RepeatPromise;
 use super::schedule::{Fault, PathFault};
-use crate::managed::server::ManagedServer;
+use crate::managed::server::{ManagedServer, Spoil};
 use crate::managed::store::{ManagedStore, Mode};
 use crate::relay::{self, Cuts};
 
@@ -26,6 +27,12 @@
 /// First port of a fleet.
 const FIRST_PORT: u16 = 11_000;
 
+/// What the fleet promises on repeats: as the platform's small sites ask, over windows that a short
+/// run holds several of.
+pub(super) const PROMISE: RepeatPromise = RepeatPromise { percent: 20, reserve: 58, window_ms: 3_000 };
+/// Calls that each run of the first service makes to the second one.
+const NESTED_CALLS: usize = 2;
+
 /// Returns the configuration of a version; its own route tells whether it is in force.
 pub fn configuration(version: u64) -> String {
     let route = |name: &str, prefix: String, repeat: &str, service: &str| {
@@ -40,6 +47,7 @@
         "routes": [
             route("sheet", "/sheet/".into(), "safe", "rounds"),
             route("pickup", "/pickup/".into(), "non_idempotent", "ledger"),
+            route("check", "/check/".into(), "safe", "ledger"),
             route("version", format!("/version/{version}/"), "safe", "rounds"),
         ],
         "services": [service("rounds"), service("ledger")],
@@ -66,7 +74,8 @@
     pub ready_addr: SocketAddr,
     /// Its upstream.
     pub upstream: Arc<ManagedServer>,
-    service: &'static str,
+    /// Its upstream's service.
+    pub service: &'static str,
     control_addr: SocketAddr,
     link_addr: SocketAddr,
     advertise_addr: SocketAddr,
@@ -139,6 +148,9 @@
         };
         vm.store_path.start(vm.store_path_addr, self.store_addr).await?;
         vm.upstream_path.start(vm.upstream_path_addr, vm.upstream.addr).await?;
+        if service == "rounds" {
+            vm.upstream.set_calls(vm.caller_addr, "/check/", NESTED_CALLS);
+        }
         Ok(vm)
     }
 
@@ -165,7 +177,9 @@
             ("lease-ms", "1500".to_owned()),
             ("linger-ms", LINGER_MS.to_owned()),
             ("stop-grace-s", GRACE_S.to_owned()),
-            ("retry-reserve", "60".to_owned()),
+            ("retry-ratio", (f64::from(PROMISE.percent) / 100.0).to_string()),
+            ("retry-reserve", PROMISE.reserve.to_string()),
+            ("retry-window-s", (PROMISE.window_ms as f64 / 1000.0).to_string()),
         ];
         let args = flags.into_iter().flat_map(|(flag, value)| [format!("--{flag}"), value]);
         let log = File::options().create(true).append(true).open(self.logs.join(format!("{}.log", vm.name)))?;
@@ -198,6 +212,7 @@
             Fault::StorePath(fault) => vm.store_path.set(Some(fault)),
             Fault::UpstreamPath(fault) => vm.upstream_path.set(Some(fault)),
             Fault::Links { inbound, outbound } => vm.cuts.set(inbound, outbound),
+            Fault::Spoil(spoil) => vm.upstream.set_spoil(spoil),
             Fault::Drain => vm.upstream.drain(),
             Fault::Store(mode) => self.store.set_mode(mode),
             Fault::Revoke => self.store.revoke("valetrack/"),
@@ -216,6 +231,7 @@
             Fault::StorePath(_) => vm.store_path.set(None),
             Fault::UpstreamPath(_) => vm.upstream_path.set(None),
             Fault::Links { .. } => vm.cuts.set(false, false),
+            Fault::Spoil(_) => vm.upstream.set_spoil(Spoil::Nothing),
             Fault::Drain => vm.upstream.start_again(),
             Fault::Store(_) => self.store.set_mode(Mode::Up),
             Fault::Term
@@ -235,6 +251,7 @@
             self.end(at, Fault::StorePath(PathFault::Reset));
             self.end(at, Fault::UpstreamPath(PathFault::Reset));
             self.end(at, Fault::Links { inbound: false, outbound: false });
+            self.end(at, Fault::Spoil(Spoil::Nothing));
             if self.vms[at].upstream.is_draining() {
                 self.end(at, Fault::Drain);
             }
--- a/standin/src/soak/judge.rs
+++ b/standin/src/soak/judge.rs
@@ -26,6 +26,8 @@
 pub struct CallRecord {
     /// Its id.
     pub id: String,
+    /// When it began, from the start of the run, in milliseconds.
+    pub began_ms: u64,
     /// Whether its work may run more than once.
     pub repeatable: bool,
     /// How it ended.
--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod judge;
 mod path;
+mod repeat;
 mod schedule;
 #[cfg(test)]
 mod tests;
@@ -18,10 +19,11 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 pub use self::judge::{Breach, CallRecord, Seen, Versions, judge_calls};
+pub use self::repeat::{Arrival, RepeatPromise, judge_repeats};
 pub use self::schedule::{Fault, Kind, PathFault, Step, schedule};
 
 use self::caller::Callers;
-use self::fleet::{Fleet, configuration};
+use self::fleet::{Fleet, PROMISE, configuration};
 use crate::client::Client;
 
 /// Time within which a fleet starts, in seconds.
@@ -99,6 +101,10 @@
     report.breaches.extend(callers.breaches());
     report.breaches.extend(judge_calls(&calls, &runs(&fleet), planned));
     report.breaches.extend(drained_late(&fleet));
+    let services = [true, false].map(caller::service_of);
+    report
+        .breaches
+        .extend(services.iter().filter_map(|service| repeats_over(service, &calls, &fleet, callers.began())));
     Ok(report)
 }
 
@@ -177,10 +183,23 @@
             *runs.entry(id).or_insert(0) += count;
         }
     }
-    runs.retain(|id, _| !id.starts_with(caller::QUESTION));
+    // Calls that runs make are known by their first arrival alone.
+    runs.retain(|id, _| !id.starts_with(caller::QUESTION) && !id.contains('.'));
     runs
 }
 
+fn repeats_over(service: &str, calls: &[CallRecord], fleet: &Rc<RefCell<Fleet>>, began: Instant) -> Option<Breach> {
+    let fleet = fleet.borrow();
+    let of_service = fleet.vms.iter().filter(|vm| vm.service == service);
+    let arrivals = of_service.flat_map(|vm| vm.upstream.arrivals());
+    let arrivals = arrivals
+        .filter(|(_, id)| !id.starts_with(caller::QUESTION))
+        .map(|(at, id)| Arrival { at_ms: at.saturating_duration_since(began.into_std()).as_millis() as u64, id });
+    let of_service = calls.iter().filter(|call| caller::service_of(call.repeatable) == service);
+    let began_ms: Vec<u64> = of_service.map(|call| call.began_ms).collect();
+    judge_repeats(service, arrivals.collect(), &began_ms, PROMISE)
+}
+
 fn drained_late(fleet: &Rc<RefCell<Fleet>>) -> Vec<Breach> {
     let fleet = fleet.borrow();
     let late = fleet.vms.iter().filter(|vm| vm.upstream.late_arrivals() > 0);
--- a/standin/src/soak/schedule.rs
+++ b/standin/src/soak/schedule.rs
@@ -1,5 +1,6 @@
 //! What goes wrong in one run of the soak, and when: decided by the seed alone.
 
+use crate::managed::server::Spoil;
 use crate::managed::store::Mode;
 
 /// Shortest and longest time that a fault lasts, in milliseconds: from a blink to longer than a
@@ -33,6 +34,8 @@
         /// Whether those from it are.
         outbound: bool,
     },
+    /// The upstream's answers are spoilt so.
+    Spoil(Spoil),
     /// The upstream announces that it leaves, ends and starts again under another id.
     Drain,
     /// The store is in this mode.
@@ -116,13 +119,14 @@
     if kind == Kind::Planned || rng.u32(..3) == 0 {
         return planned[rng.usize(..planned.len())];
     }
-    match rng.u32(..10) {
+    match rng.u32(..12) {
         0 => Fault::Kill,
         1 => Fault::Pause,
         2 => Fault::StorePath(path_fault(rng)),
         3 | 4 => Fault::UpstreamPath(path_fault(rng)),
         5 => Fault::Links { inbound: true, outbound: rng.bool() },
         6 => Fault::Links { inbound: rng.bool(), outbound: true },
+        8 | 9 => Fault::Spoil([Spoil::Reject, Spoil::Close][rng.usize(..2)]),
         7 => [Fault::Revoke, Fault::Lapse, Fault::Compact][rng.usize(..3)],
         _ => {
             let modes = [Mode::Refusing, Mode::Silent, Mode::Slow(rng.u64(20..800)), Mode::LosingAnswers];
--- a/standin/src/soak/tests.rs
+++ b/standin/src/soak/tests.rs
@@ -4,7 +4,7 @@
 
 use test_case::test_case;
 
-use super::{CallRecord, Fault, Kind, Seen, Versions, judge_calls, schedule};
+use super::{Arrival, CallRecord, Fault, Kind, RepeatPromise, Seen, Versions, judge_calls, judge_repeats, schedule};
 
 #[test]
 fn a_seed_gives_the_same_schedule() {
@@ -24,7 +24,7 @@
             assert!(planned || Kind::of_seed(seed) == Kind::Any, "{step:?}");
         }
     }
-    assert_eq!(kinds.len(), 13, "{kinds:?}");
+    assert_eq!(kinds.len(), 14, "{kinds:?}");
 }
 
 const OWN: Seen = Seen::Answer { status: 200, own: true };
@@ -46,7 +46,7 @@
 #[test_case(true, &Seen::Cut, 0, true, None; "a connection that closed before the call was read")]
 #[test_case(true, &Seen::Cut, 1, true, Some("planned work cuts nothing"); "a run that was cut off")]
 fn what_counts_as_a_breach(repeatable: bool, seen: &Seen, ran: u64, planned: bool, breach: Option<&str>) {
-    let calls = [CallRecord { id: "a".to_owned(), repeatable, seen: seen.clone() }];
+    let calls = [CallRecord { id: "a".to_owned(), began_ms: 0, repeatable, seen: seen.clone() }];
     let runs = BTreeMap::from([("a".to_owned(), ran)]);
     let breaches = judge_calls(&calls, &runs, planned);
     assert_eq!(breaches.first().map(|breach| breach.promise), breach, "{breaches:?}");
@@ -65,3 +65,22 @@
     assert_eq!(versions.seen("vm-0", 2, false), None);
     assert!(versions.seen("vm-0", 2, true).is_some());
 }
+
+#[test_case(7, None; "as many as are allowed")]
+#[test_case(8, Some("from 1000 ms: 8 for 10 calls, allowed 7"); "one more")]
+fn repeats_are_counted_in_every_window(repeats: u64, breach: Option<&str>) {
+    let promise = RepeatPromise { percent: 20, reserve: 5, window_ms: 3_000 };
+    let began_ms: Vec<u64> = (0..10).map(|number| number * 100).collect();
+    let first = (0..10).map(|number| (number * 100, number));
+    let later = (0..repeats).map(|number| (1_000 + number * 200, number));
+    let arrivals = first.chain(later).map(|(at_ms, number)| Arrival { at_ms, id: format!("call-{number}") });
+    let judged = judge_repeats("ledger", arrivals.collect(), &began_ms, promise);
+    assert_eq!(judged.map(|breach| breach.detail).as_deref(), breach);
+}
+
+#[test]
+fn the_calls_of_a_repeated_run_are_repeats() {
+    let promise = RepeatPromise { percent: 0, reserve: 1, window_ms: 3_000 };
+    let arrivals = ["a.0", "a.1", "a.0", "a.1"].map(|id| Arrival { at_ms: 0, id: id.to_owned() });
+    assert!(judge_repeats("ledger", arrivals.to_vec(), &[], promise).is_some());
+}
