The soak lets whole services reject, and promises less; a benchmark of the budget

Change: answers of all upstreams of a service are spoilt together; a share of 20 in a hundred and a reserve of 20 over five seconds.

--- a/standin/src/soak/fleet.rs
+++ b/standin/src/soak/fleet.rs
@@ -27,9 +27,9 @@
 /// First port of a fleet.
 const FIRST_PORT: u16 = 11_000;
 
-/// What the fleet promises on repeats: as the platform's small sites ask, over windows that a short
-/// run holds several of.
-pub(super) const PROMISE: RepeatPromise = RepeatPromise { percent: 20, reserve: 58, window_ms: 3_000 };
+/// What the fleet promises on repeats: the share that the platform's sites ask for, over windows of
+/// which a short run holds two, and a reserve that is small beside the share of such a window.
+pub(super) const PROMISE: RepeatPromise = RepeatPromise { percent: 20, reserve: 20, window_ms: 5_000 };
 /// Calls that each run of the first service makes to the second one.
 const NESTED_CALLS: usize = 2;
 
@@ -212,7 +212,7 @@
             Fault::StorePath(fault) => vm.store_path.set(Some(fault)),
             Fault::UpstreamPath(fault) => vm.upstream_path.set(Some(fault)),
             Fault::Links { inbound, outbound } => vm.cuts.set(inbound, outbound),
-            Fault::Spoil(spoil) => vm.upstream.set_spoil(spoil),
+            Fault::Spoil(spoil) => self.spoil(at, spoil),
             Fault::Drain => vm.upstream.drain(),
             Fault::Store(mode) => self.store.set_mode(mode),
             Fault::Revoke => self.store.revoke("valetrack/"),
@@ -231,7 +231,7 @@
             Fault::StorePath(_) => vm.store_path.set(None),
             Fault::UpstreamPath(_) => vm.upstream_path.set(None),
             Fault::Links { .. } => vm.cuts.set(false, false),
-            Fault::Spoil(_) => vm.upstream.set_spoil(Spoil::Nothing),
+            Fault::Spoil(_) => self.spoil(at, Spoil::Nothing),
             Fault::Drain => vm.upstream.start_again(),
             Fault::Store(_) => self.store.set_mode(Mode::Up),
             Fault::Term
@@ -244,6 +244,12 @@
         }
     }
 
+    /// Spoils the answers of all upstreams of a VM's service.
+    fn spoil(&self, at: usize, spoil: Spoil) {
+        let service = self.vms[at].service;
+        self.vms.iter().filter(|vm| vm.service == service).for_each(|vm| vm.upstream.set_spoil(spoil));
+    }
+
     /// Ends every fault there may be.
     pub fn mend(&mut self) {
         for at in 0..self.vms.len() {
--- a/standin/src/soak/schedule.rs
+++ b/standin/src/soak/schedule.rs
@@ -34,7 +34,7 @@
         /// Whether those from it are.
         outbound: bool,
     },
-    /// The upstream's answers are spoilt so.
+    /// The answers of all upstreams of the VM's service are spoilt so.
     Spoil(Spoil),
     /// The upstream announces that it leaves, ends and starts again under another id.
     Drain,
--- a/valetrack/benches/decision.rs
+++ b/valetrack/benches/decision.rs
@@ -4,7 +4,7 @@
 use valetrack::gate::{AttemptId, Gate, GateConfig, GateEvent, LoadReport, Patience};
 use valetrack::link::codec::{pack, unpack};
 use valetrack::link::message::{Reply, ReplyHead, Riding};
-use valetrack::placement::{Demand, Policy, ServerSet, ServiceView};
+use valetrack::placement::{Demand, Policy, RepeatBudget, ServerSet, ServiceView};
 
 /// Makes a view of servers that were all heard of.
 fn view_of(servers: usize) -> ServiceView {
@@ -37,6 +37,18 @@
     }
 }
 
+fn repeat_budget(c: &mut Criterion) {
+    let mut budget = RepeatBudget::new(20, 4);
+    let mut now_us = 0;
+    c.bench_function("a call and a repeat in a budget of repeats", |b| {
+        b.iter(|| {
+            now_us += 3_000;
+            budget.begin(0.0, now_us);
+            budget.take(now_us)
+        });
+    });
+}
+
 fn gate(c: &mut Criterion) {
     let mut gate = Gate::new(GateConfig::default(), 0);
     let mut actions = Vec::with_capacity(8);
@@ -67,5 +79,5 @@
     c.bench_function("unpack a reply", |b| b.iter(|| unpack::<ReplyHead>(frame.clone())));
 }
 
-criterion_group!(benches, pick, pick_in_time, gate, codec);
+criterion_group!(benches, pick, pick_in_time, repeat_budget, gate, codec);
 criterion_main!(benches);
