A call that could not end before its deadline is given back, not started

The gate started whatever had not passed its deadline. Ruled out: the drain itself; the call was given back by the leaving owner in time. Change: a call waits and starts only while its run could end in time on a usual server; later it is given back as full, which is true and can be told at once.

--- a/standin/tests/soak.rs
+++ b/standin/tests/soak.rs
@@ -7,14 +7,16 @@
 use test_case::test_case;
 
 // Seeds that are multiples of three bring planned work alone.
-#[test_case(3, 6; "planned work")]
-#[test_case(4, 6; "faults of every kind")]
+#[test_case(3, 6, 6; "planned work")]
+#[test_case(4, 6, 6; "faults of every kind")]
 // A caller was accepted by a listener that had just told it was empty, and was cut by the exit.
-#[test_case(108, 6; "stops in series")]
-fn no_promise_is_broken(seed: u64, seconds: u64) {
+#[test_case(108, 6, 6; "stops in series")]
+// A call waited for a slot until 4 ms before its deadline, was begun and cut, and may have run.
+#[test_case(750, 12, 8; "a wait up to the deadline")]
+fn no_promise_is_broken(seed: u64, seconds: u64, vms: usize) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     let logs = std::env::temp_dir().join(format!("valetrack-soak-{}-{seed}", std::process::id()));
-    let settings = SoakSettings { seed, seconds, vms: 6, program: valetrack(), logs };
+    let settings = SoakSettings { seed, seconds, vms, program: valetrack(), logs };
     let report = runtime.block_on(run(&settings)).expect("a fleet");
     assert!(report.ends.get("200").is_some_and(|&served| served > 100), "{:?}", report.ends);
     let breaches: Vec<String> = report.breaches.iter().map(ToString::to_string).collect();
--- a/valetrack/src/gate/state.rs
+++ b/valetrack/src/gate/state.rs
@@ -59,6 +59,17 @@
     work_us: u64,
 }
 
+impl Waiting {
+    /// Returns from when on its run could not end before the deadline even on a usual server.
+    ///
+    /// Guards callers whose work may not repeat: a run that is begun with no time left is cut, and
+    /// ends as "may have run" where giving it back is true and in time. Found by the soak, a call that
+    /// waited 0.96 s and ran its last 4 ms.
+    fn start_by_us(&self) -> u64 {
+        self.deadline_us.saturating_sub(self.work_us)
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Running {
     started_us: u64,
--- a/valetrack/src/gate/state/queue.rs
+++ b/valetrack/src/gate/state/queue.rs
@@ -36,8 +36,8 @@
         }
         let leave_at_us = match patience {
             // Whoever has nowhere better to go is kept once it was let in.
-            Patience::Long | Patience::Last => deadline_us,
-            Patience::None | Patience::Short => deadline_us.min(now_us + self.service_us as u64),
+            Patience::Long | Patience::Last => call.start_by_us(),
+            Patience::None | Patience::Short => call.start_by_us().min(now_us + self.service_us as u64),
         };
         // Order by rank, and by arrival within one rank.
         let at = self.waiting.partition_point(|other| other.priority <= priority);
@@ -146,7 +146,7 @@
             let Some(waiting) = next.and_then(|at| self.waiting.remove(at)) else {
                 return;
             };
-            if now_us >= waiting.deadline_us {
+            if now_us >= waiting.start_by_us() {
                 self.bounce(waiting.attempt, BounceReason::Full, now_us, out);
                 continue;
             }
--- a/valetrack/src/gate/tests/steps.rs
+++ b/valetrack/src/gate/tests/steps.rs
@@ -22,6 +22,21 @@
     out
 }
 
+#[test]
+fn a_call_that_could_not_end_before_its_deadline_is_given_back_instead_of_started() {
+    let mut gate = Gate::new(GateConfig { slots: 1, rescue: false, ..GateConfig::default() }, 0);
+    let mut said = Vec::new();
+    let objective = Objective { left_us: 400_000, work_us: 20_000, elsewhere_permille: 0, wait_max_us: 1_000_000 };
+    for number in [1, 2] {
+        let (deadline_us, patience, objective) = (500_000, Patience::Last, Some(objective));
+        let arrive = GateEvent::Arrive { attempt: attempt(number), deadline_us, patience, priority: 1, objective };
+        gate.handle(arrive, 0, &mut said);
+    }
+    said.clear();
+    gate.handle(GateEvent::Done { attempt: attempt(1), healthy: true }, 490_000, &mut said);
+    assert_eq!(said, [GateAction::Bounce { attempt: attempt(2), reason: BounceReason::Full }]);
+}
+
 #[test]
 fn a_cancel_tells_that_the_upstream_was_reached_and_rejected_the_attempt() {
     let mut gate = Gate::new(GateConfig::default(), 0);
