--- a/valetrack/src/placement/tests/budget.rs
+++ b/valetrack/src/placement/tests/budget.rs
@@ -147,3 +147,8 @@
     let shared: Vec<u32> = known.into_iter().map(|(members, at_us)| fleet.known(members, at_us)).collect();
     assert_eq!(shared, [1, 13, 13, 13, 13, 5]);
 }
+
+#[test]
+fn a_budget_takes_as_much_memory_as_the_page_of_capacity_says() {
+    assert_eq!(size_of::<RepeatBudget>(), 256);
+}
