The soak takes the promise's type from the product

Cause: one thing stood as two types. Change: RepeatPromise of placement in place of the soak's own; no behaviour. Measured: 19 of 19 tests of the soak's decisions.

--- a/standin/src/soak/fleet.rs
+++ b/standin/src/soak/fleet.rs
@@ -8,9 +8,9 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 
 use serde_json::json;
+use valetrack::placement::RepeatPromise;
 
 use super::path::Path;
-use super::repeat::RepeatPromise;
 use super::schedule::{Fault, PathFault};
 use crate::managed::server::{ManagedServer, Spoil};
 use crate::managed::store::{ManagedStore, Mode};
@@ -29,7 +29,7 @@
 
 /// What the fleet promises on repeats: the share that the platform's sites ask for, over windows of
 /// which a short run holds two, and a reserve that is small beside the share of such a window.
-pub(super) const PROMISE: RepeatPromise = RepeatPromise { percent: 20, reserve: 20, window_ms: 5_000 };
+pub(super) const PROMISE: RepeatPromise = RepeatPromise { percent: 20, reserve: 20, window_us: 5_000_000 };
 /// Calls that each run of the first service makes to the second one.
 const NESTED_CALLS: usize = 2;
 
@@ -179,7 +179,7 @@
             ("stop-grace-s", GRACE_S.to_owned()),
             ("retry-ratio", (f64::from(PROMISE.percent) / 100.0).to_string()),
             ("retry-reserve", PROMISE.reserve.to_string()),
-            ("retry-window-s", (PROMISE.window_ms as f64 / 1000.0).to_string()),
+            ("retry-window-s", (PROMISE.window_us as f64 / 1_000_000.0).to_string()),
         ];
         let args = flags.into_iter().flat_map(|(flag, value)| [format!("--{flag}"), value]);
         let log = File::options().create(true).append(true).open(self.logs.join(format!("{}.log", vm.name)))?;
--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -19,7 +19,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 pub use self::judge::{Breach, CallRecord, Seen, Versions, judge_calls};
-pub use self::repeat::{Arrival, RepeatPromise, judge_repeats};
+pub use self::repeat::{Arrival, judge_repeats};
 pub use self::schedule::{Fault, Kind, PathFault, Step, schedule};
 
 use self::caller::Callers;
--- a/standin/src/soak/repeat.rs
+++ b/standin/src/soak/repeat.rs
@@ -2,18 +2,9 @@
 
 use std::collections::BTreeSet;
 
-use super::judge::Breach;
+use valetrack::placement::RepeatPromise;
 
-/// How many attempts past the first of their call may arrive at a service.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct RepeatPromise {
-    /// For each hundred calls.
-    pub percent: u32,
-    /// Beyond that in any window.
-    pub reserve: u32,
-    /// Length of the windows, in milliseconds.
-    pub window_ms: u64,
-}
+use super::judge::Breach;
 
 /// One arrival at a service.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -39,12 +30,13 @@
     let nested = first.iter().filter(|arrival| arrival.id.contains('.')).map(|arrival| arrival.at_ms);
     let calls_ms: Vec<u64> = began_ms.iter().copied().chain(nested).collect();
     let repeats_ms: Vec<u64> = repeats.iter().map(|arrival| arrival.at_ms).collect();
+    let window_ms = promise.window_us / 1000;
     let within = |times: &[u64], from_ms: u64| {
-        times.iter().filter(|at_ms| (from_ms..from_ms + promise.window_ms).contains(at_ms)).count() as u64
+        times.iter().filter(|at_ms| (from_ms..from_ms + window_ms).contains(at_ms)).count() as u64
     };
     repeats_ms.iter().find_map(|&from_ms| {
         let count = within(&repeats_ms, from_ms);
-        let windows = [0, promise.window_ms / 2, promise.window_ms];
+        let windows = [0, window_ms / 2, window_ms];
         let calls = windows.iter().map(|earlier_ms| within(&calls_ms, from_ms.saturating_sub(*earlier_ms))).max()?;
         let allowed = calls * u64::from(promise.percent) / 100 + u64::from(promise.reserve);
         (count > allowed).then(|| Breach {
--- a/standin/src/soak/tests.rs
+++ b/standin/src/soak/tests.rs
@@ -3,8 +3,9 @@
 use std::collections::BTreeMap;
 
 use test_case::test_case;
+use valetrack::placement::RepeatPromise;
 
-use super::{Arrival, CallRecord, Fault, Kind, RepeatPromise, Seen, Versions, judge_calls, judge_repeats, schedule};
+use super::{Arrival, CallRecord, Fault, Kind, Seen, Versions, judge_calls, judge_repeats, schedule};
 
 #[test]
 fn a_seed_gives_the_same_schedule() {
@@ -69,7 +70,7 @@
 #[test_case(7, None; "as many as are allowed")]
 #[test_case(8, Some("from 1000 ms: 8 for 10 calls, allowed 7"); "one more")]
 fn repeats_are_counted_in_every_window(repeats: u64, breach: Option<&str>) {
-    let promise = RepeatPromise { percent: 20, reserve: 5, window_ms: 3_000 };
+    let promise = RepeatPromise { percent: 20, reserve: 5, window_us: 3_000_000 };
     let began_ms: Vec<u64> = (0..10).map(|number| number * 100).collect();
     let first = (0..10).map(|number| (number * 100, number));
     let later = (0..repeats).map(|number| (1_000 + number * 200, number));
@@ -80,7 +81,7 @@
 
 #[test]
 fn the_calls_of_a_repeated_run_are_repeats() {
-    let promise = RepeatPromise { percent: 0, reserve: 1, window_ms: 3_000 };
+    let promise = RepeatPromise { percent: 0, reserve: 1, window_us: 3_000_000 };
     let arrivals = ["a.0", "a.1", "a.0", "a.1"].map(|id| Arrival { at_ms: 0, id: id.to_owned() });
     assert!(judge_repeats("ledger", arrivals.to_vec(), &[], promise).is_some());
 }
