A bound of the platform may be a fraction

Ruled out: the other bounds of the run line; they took fractions already. A ratio above one was refused as well and is not now. Change: the reserve takes a fraction and is rounded down, the side that keeps the promise. Test: the run line of the deploy file is filled with fractions, bound by bound; it failed on the reserve in all four cases before (18 passed, 4 failed), and passes (22 passed).

--- a/valetrack/src/settings.rs
+++ b/valetrack/src/settings.rs
@@ -54,7 +54,7 @@
     setting("stop-grace-s", "Time from the signal to stop to the kill; 0 for none.", "0 to 3600", Some("0")),
     setting("caller-rest-ms", "Time that a caller's connection may rest.", "1000 to 3600000", Some("10000")),
     setting("retry-ratio", "Retries that the fleet may make for each call; managed platform only.", RATIO, Some("0.1")),
-    setting("retry-reserve", "Retries of the fleet beyond that; managed platform only.", "0 to 100000", Some("0")),
+    setting("retry-reserve", "Retries of the fleet beyond that; managed platform only.", RESERVE, Some("0")),
     setting("retry-window-s", "Window of the fleet's retries; managed platform only.", "0.1 to 3600", Some("10")),
     setting("store-timeout-ms", "Time limit of a call to the store.", "1 to 60000", Some("300")),
     setting("store-writes-per-s", "Writes a second to the store at most.", "1 to 1000", Some("50")),
@@ -77,7 +77,13 @@
 const ADDRESS: &str = "IP:PORT";
 
 /// What a ratio looks like.
-const RATIO: &str = "0 to 1, with fractions";
+const RATIO: &str = "0 to 10, with fractions";
+/// Largest ratio of retries to calls: more than any call may make attempts.
+const RETRY_RATIO_MAX: f64 = 10.0;
+/// What a reserve of retries looks like.
+const RESERVE: &str = "0 to 1000000, with fractions";
+/// Largest reserve of retries: some for each server of the largest fleet that is designed for.
+const RETRY_RESERVE_MAX: f64 = 1_000_000.0;
 /// Shortest window of the fleet's retries, in seconds: a shorter one is over before an attempt that
 /// it granted has arrived.
 const RETRY_WINDOW_MIN_S: f64 = 0.1;
@@ -316,8 +322,8 @@
         let linger_ms = self.number("linger-ms", 0, 60_000);
         let stop_grace_s = self.fraction("stop-grace-s", 0.0..=3_600.0);
         let caller_rest_ms = self.number("caller-rest-ms", 1_000, 3_600_000);
-        let retry_ratio = self.fraction("retry-ratio", 0.0..=1.0);
-        let retry_reserve = self.number("retry-reserve", 0, 100_000);
+        let retry_ratio = self.fraction("retry-ratio", 0.0..=RETRY_RATIO_MAX);
+        let retry_reserve = self.fraction("retry-reserve", 0.0..=RETRY_RESERVE_MAX);
         let retry_window_s = self.fraction("retry-window-s", RETRY_WINDOW_MIN_S..=3_600.0);
         let store_timeout_ms = self.number("store-timeout-ms", 1, 60_000);
         let store_writes_per_s = self.number("store-writes-per-s", 1, 1_000);
@@ -350,7 +356,9 @@
             stop_grace_ms: (stop_grace_s? * 1000.0) as u64,
             caller_rest_ms: caller_rest_ms?,
             retry_ratio: retry_ratio?,
-            retry_reserve: retry_reserve?,
+            // A part of a retry is none: rounded down, the fleet stays within what was promised. A
+            // platform may scale its bounds to the fleet, and a node that refuses one never starts.
+            retry_reserve: retry_reserve? as u64,
             retry_window_ms: (retry_window_s? * 1000.0) as u64,
             store_timeout_ms: store_timeout_ms?,
             store_writes_per_s: store_writes_per_s?,
