--- a/valetrack/src/placement/view/worth.rs
+++ b/valetrack/src/placement/view/worth.rs
@@ -56,7 +56,7 @@
         let weight = 0.5_f64.powf(age_us as f64 / pace.lasts_us);
         let before_us = self.before_run_us(view, &load, demand, age_us, weight);
         let in_time = pace.worth(demand.work_us.into(), before_us, demand.left_us as f64);
-        in_time - way_cost(view.far)
+        in_time - way_cost(view.far, view.seen.is_some())
     }
 
     /// Returns the time that a call sent now should lose at a server besides its run, in microseconds,
@@ -84,7 +84,7 @@
         let usual = self.usual();
         let values = open[..count].iter().map(|&other| self.value(other, demand, &usual, now_us));
         let best = values.reduce(f64::max)?;
-        Some(best + way_cost(self.servers[server].far))
+        Some(best + way_cost(self.servers[server].far, true))
     }
 
     /// Returns the report that is assumed for servers that were not heard of: the average speed of
