--- a/standin/src/bench/world.rs
+++ b/standin/src/bench/world.rs
@@ -1,7 +1,6 @@
 //! The world of one run: a queue of events, entries, owners and servers.
 
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::HashMap;
 
 use hdrhistogram::Histogram;
 use valetrack::gate::{AttemptId, Gate, GateAction, GateConfig, GateEvent, LoadReport, Patience};
@@ -13,6 +12,7 @@
 use super::report::Row;
 use super::scenario::{Contender, News, Scenario, Trouble};
 use super::server::{Run, Server, TROUBLE_END_US, TROUBLE_US, exponential};
+use crate::event_queue::EventQueue;
 
 /// Way between two VMs of one failure domain, in microseconds.
 const NEAR_US: u64 = 100;
@@ -81,9 +81,7 @@
     scenario: &'a Scenario,
     contender: &'a Contender,
     now_us: u64,
-    queue: BinaryHeap<Reverse<(u64, u64)>>,
-    events: HashMap<u64, Event>,
-    next_event: u64,
+    queue: EventQueue<Event>,
     entries: Vec<Entry>,
     gates: Vec<Gate>,
     servers: Vec<Server>,
@@ -114,11 +112,9 @@
             News::None | News::True => {}
         }
     }
-    while let Some(Reverse((at_us, id))) = world.queue.pop() {
+    while let Some((at_us, event)) = world.queue.pop() {
         world.now_us = at_us;
-        if let Some(event) = world.events.remove(&id) {
-            world.happen(event);
-        }
+        world.happen(event);
     }
     let counted_s = (end_us - WARM_US) as f64 / 1e6;
     world.row.finish(counted_s, scenario.entries);
@@ -149,9 +145,7 @@
             scenario,
             contender,
             now_us: 0,
-            queue: BinaryHeap::new(),
-            events: HashMap::new(),
-            next_event: 0,
+            queue: EventQueue::default(),
             entries: (0..scenario.entries).map(entry).collect(),
             gates: (0..scenario.servers).map(|_| Gate::new(config, 0)).collect(),
             servers: (0..scenario.servers).map(|number| Server::new(scenario, number, end_us * 2, seed)).collect(),
@@ -170,10 +164,7 @@
     }
 
     fn schedule(&mut self, at_us: u64, event: Event) {
-        let id = self.next_event;
-        self.next_event += 1;
-        self.events.insert(id, event);
-        self.queue.push(Reverse((at_us, id)));
+        self.queue.schedule(at_us, event);
     }
 
     fn later(&mut self, after_us: u64, event: Event) {
--- a/standin/src/overload/world.rs
+++ b/standin/src/overload/world.rs
@@ -3,8 +3,7 @@
 mod entry;
 mod owner;
 
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -17,6 +16,7 @@
 use super::fleet::{DOMAINS, Fleet, Load};
 use super::report::Report;
 use super::upstream::Upstream;
+use crate::event_queue::EventQueue;
 
 /// Way between two VMs of one failure domain and of two, in microseconds.
 const NEAR_US: u64 = 150;
@@ -124,9 +124,7 @@
     load: &'a Load,
     now_us: u64,
     end_us: u64,
-    queue: BinaryHeap<Reverse<(u64, u64)>>,
-    events: HashMap<u64, Event>,
-    next_event: u64,
+    queue: EventQueue<Event>,
     vms: Vec<Vm>,
     callers: Vec<Caller>,
     calls: Vec<CallRecord>,
@@ -146,11 +144,9 @@
 pub fn run(fleet: &Fleet, load: &Load, seconds: u64, seed: u64) -> Report {
     let mut world = World::new(fleet, load, seconds * 1_000_000, seed);
     world.schedule(0, Event::Caller);
-    while let Some(Reverse((at_us, id))) = world.queue.pop() {
+    while let Some((at_us, event)) = world.queue.pop() {
         world.now_us = at_us;
-        if let Some(event) = world.events.remove(&id) {
-            world.happen(event);
-        }
+        world.happen(event);
     }
     world.report
 }
@@ -171,9 +167,7 @@
             load,
             now_us: 0,
             end_us,
-            queue: BinaryHeap::new(),
-            events: HashMap::new(),
-            next_event: 0,
+            queue: EventQueue::default(),
             vms,
             callers: Vec::new(),
             calls: Vec::new(),
@@ -233,10 +227,7 @@
     }
 
     fn schedule(&mut self, at_us: u64, event: Event) {
-        let id = self.next_event;
-        self.next_event += 1;
-        self.events.insert(id, event);
-        self.queue.push(Reverse((at_us, id)));
+        self.queue.schedule(at_us, event);
     }
 
     fn later(&mut self, after_us: u64, event: Event) {
