--- a/standin/src/overload/world.rs
+++ b/standin/src/overload/world.rs
@@ -29,6 +29,7 @@
 /// What the fleet promises of repeats.
 const PROMISE: RepeatPromise = RepeatPromise { percent: 20, reserve: 430, window_us: 10_000_000 };
 
+/// What happens next.
 #[derive(Debug, Clone, Copy)]
 enum Event {
     /// A caller comes.
@@ -60,10 +61,13 @@
 /// Who waits for a call.
 #[derive(Debug, Clone, Copy)]
 enum Maker {
+    /// A caller.
     Caller(usize),
+    /// A run of an upstream.
     Run(usize),
 }
 
+/// A caller, and the call that it makes.
 struct Caller {
     route: usize,
     domain: usize,
@@ -71,6 +75,7 @@
     came_back: bool,
 }
 
+/// A call at its entry.
 struct CallRecord {
     call: Call,
     maker: Maker,
@@ -106,6 +111,7 @@
     run: Option<usize>,
 }
 
+/// A VM: its upstream, its gate, and what the entry of its node knows.
 struct Vm {
     domain: usize,
     service: usize,
@@ -113,6 +119,7 @@
     gate: Gate,
     upstream: Upstream,
     views: Vec<ServiceView>,
+    /// The VM of each server that its entry considers, by service.
     targets: Vec<Vec<usize>>,
     budgets: Vec<Budgets>,
     works: Vec<WorkEstimate>,
--- a/standin/src/overload/world/entry.rs
+++ b/standin/src/overload/world/entry.rs
@@ -18,6 +18,7 @@
 const LATE_WORTH: f64 = 0.1;
 
 impl World<'_> {
+    /// Lets a caller come, and plans the next one.
     pub(super) fn caller_comes(&mut self) {
         if self.now_us >= self.end_us {
             return;
@@ -36,14 +37,16 @@
         self.later(CALLER_US, Event::Tried { caller });
     }
 
+    /// Puts a caller's call to an entry of its failure domain.
     pub(super) fn tried(&mut self, caller: usize) {
         let Caller { route, domain, began_us, .. } = self.callers[caller];
-        let doors: Vec<usize> = (0..self.vms.len()).filter(|&vm| self.vms[vm].domain == domain).collect();
-        let entry = doors[self.rng.usize(..doors.len())];
+        let entries: Vec<usize> = (0..self.vms.len()).filter(|&vm| self.vms[vm].domain == domain).collect();
+        let entry = entries[self.rng.usize(..entries.len())];
         let waits_us = u64::from(self.fleet.routes[route].deadline_ms) * 1000;
         self.begin(Maker::Caller(caller), route, entry, began_us + waits_us);
     }
 
+    /// Begins a call at an entry.
     pub(super) fn begin(&mut self, maker: Maker, route: usize, entry: usize, deadline_us: u64) {
         let shape = &self.fleet.routes[route];
         let demand = self.vms[entry].works[route].demand(shape.objective_ms);
@@ -70,6 +73,7 @@
         self.tell(number, CallEvent::Begin);
     }
 
+    /// Tells a call of an event and does what it decides.
     pub(super) fn tell(&mut self, number: usize, event: CallEvent) {
         if self.calls[number].call.finished() {
             return;
@@ -92,6 +96,7 @@
         actions.into_iter().for_each(|action| self.act(number, action));
     }
 
+    /// Does what a call has decided.
     pub(super) fn act(&mut self, call: usize, action: CallAction) {
         let CallRecord { entry, route, .. } = self.calls[call];
         let targets = &self.vms[entry].targets[self.fleet.routes[route].service];
@@ -126,6 +131,7 @@
         }
     }
 
+    /// Brings news of an owner to a call and to its entry's view.
     pub(super) fn told(&mut self, call: usize, server: usize, event: CallEvent, load: LoadReport, work_us: u32) {
         let CallRecord { entry, route, .. } = self.calls[call];
         let service = self.fleet.routes[route].service;
@@ -139,6 +145,7 @@
         self.tell(call, event);
     }
 
+    /// Ends a call for whoever made it.
     pub(super) fn finish(&mut self, call: usize, verdict: Verdict) {
         let CallRecord { maker, healthy, .. } = self.calls[call];
         let served = matches!(verdict, Verdict::Answer(_)) && healthy;
@@ -149,6 +156,7 @@
         }
     }
 
+    /// Ends a call that a run made; the run goes on to its own work after the last one.
     pub(super) fn nested_ended(&mut self, run: usize, served: bool) {
         if self.runs[run].over {
             return;
@@ -163,6 +171,7 @@
         }
     }
 
+    /// Counts a caller who was served.
     pub(super) fn served(&mut self, caller: usize) {
         let Caller { route, began_us, .. } = self.callers[caller];
         let shape = &self.fleet.routes[route];
@@ -174,6 +183,7 @@
         self.report.count(began_us, route, &got);
     }
 
+    /// Has a caller come back, or counts what it got.
     pub(super) fn turned_away(&mut self, caller: usize, verdict: Verdict) {
         let Caller { route, began_us, came_back, .. } = self.callers[caller];
         let shape = &self.fleet.routes[route];
--- a/standin/src/overload/world/owner.rs
+++ b/standin/src/overload/world/owner.rs
@@ -16,6 +16,7 @@
 const TICK_MIN_US: u64 = 200;
 
 impl World<'_> {
+    /// Puts an attempt to the gate of its owner.
     pub(super) fn reach(&mut self, call: usize, dispatch: Dispatch, vm: usize) {
         let Dispatch { attempt, patience, elsewhere_permille, server, .. } = dispatch;
         let record = &self.calls[call];
@@ -36,6 +37,7 @@
         self.gate(vm, GateEvent::Arrive { attempt, deadline_us, patience, priority, objective });
     }
 
+    /// Takes an attempt back; a run that may repeat is stopped.
     pub(super) fn cancel(&mut self, call: usize, attempt: AttemptId, vm: usize) {
         let run = self.held.get(&attempt).and_then(|held| held.run);
         if let Some(run) = run.filter(|_| self.fleet.routes[self.calls[call].route].repeatable) {
@@ -49,6 +51,7 @@
         self.gate(vm, GateEvent::Cancel { attempt });
     }
 
+    /// Looks at a queue again, and asks the machine where calls wait for it.
     pub(super) fn ticked(&mut self, vm: usize) {
         let machine = &mut self.vms[vm];
         machine.tick_us = None;
@@ -59,6 +62,7 @@
         self.gate(vm, GateEvent::Tick);
     }
 
+    /// Lets a gate take an event and does what it orders.
     pub(super) fn gate(&mut self, vm: usize, event: GateEvent) {
         let mut actions = Vec::new();
         self.vms[vm].gate.handle(event, self.now_us, &mut actions);
@@ -76,6 +80,7 @@
         self.plan_tick(vm);
     }
 
+    /// Plans the next look at a queue.
     pub(super) fn plan_tick(&mut self, vm: usize) {
         let Some(at_us) = self.vms[vm].gate.next_tick_us(self.now_us) else {
             return;
@@ -87,6 +92,7 @@
         }
     }
 
+    /// Starts a run, with the calls that it makes first.
     pub(super) fn start(&mut self, vm: usize, attempt: AttemptId) {
         let Held { call, deadline_us, .. } = self.held[&attempt];
         let route = self.calls[call].route;
@@ -122,16 +128,19 @@
         }
     }
 
+    /// Begins the own work of a run.
     pub(super) fn work(&mut self, run: usize) {
         self.later(self.runs[run].own_us, Event::Worked { run });
     }
 
+    /// Ends a run whose work is done.
     pub(super) fn worked(&mut self, run: usize) {
         if !self.runs[run].over {
             self.end_run(run, true);
         }
     }
 
+    /// Ends a run with an answer.
     pub(super) fn end_run(&mut self, number: usize, healthy: bool) {
         let run = &mut self.runs[number];
         run.over = true;
@@ -165,6 +174,7 @@
         self.later(LINGER_US, Event::Freed { vm, attempt });
     }
 
+    /// Sends an owner's word on an attempt to its entry.
     pub(super) fn reply(&mut self, vm: usize, attempt: AttemptId, event: CallEvent, work_us: u32) {
         let Some(&Held { call, server, .. }) = self.held.get(&attempt) else {
             return;
