--- a/standin/tests/managed.rs
+++ b/standin/tests/managed.rs
@@ -349,11 +349,17 @@
 /// and 6.2 where each follows the store closely until it has found its relay.
 const START_PRICE_MAX: f64 = 5.5;
 
-#[tokio::test]
-async fn a_fleet_that_starts_asks_the_store_little() {
+/// Starts a fleet of [`STARTED`] nodes, and waits until all have their entries.
+async fn started_fleet() -> Fleet {
     let services: Vec<&'static str> = (0..STARTED).map(|at| if at % 2 == 0 { "rounds" } else { "ledger" }).collect();
     let fleet = Fleet::start(&services).await;
     wait_for("all entries", async || fleet.entries() == STARTED).await;
+    fleet
+}
+
+#[tokio::test]
+async fn a_fleet_that_starts_asks_the_store_little() {
+    let fleet = started_fleet().await;
     // Whoever followed the store itself meanwhile has found a relay by then.
     tokio::time::sleep(Duration::from_millis(3_000)).await;
     let each = fleet.store.price() / STARTED as f64;
@@ -366,9 +372,7 @@
 
 #[tokio::test]
 async fn a_fleet_asks_the_store_little_after_an_outage_that_lost_its_history() {
-    let services: Vec<&'static str> = (0..STARTED).map(|at| if at % 2 == 0 { "rounds" } else { "ledger" }).collect();
-    let fleet = Fleet::start(&services).await;
-    wait_for("all entries", async || fleet.entries() == STARTED).await;
+    let fleet = started_fleet().await;
     tokio::time::sleep(Duration::from_millis(3_000)).await;
     let before = fleet.store.price();
     fleet.store.set_mode(Mode::Refusing);
