--- a/standin/src/bench/world.rs
+++ b/standin/src/bench/world.rs
@@ -104,11 +104,11 @@
 pub fn run(scenario: &Scenario, contender: &Contender, seconds: u64, seed: u64) -> Row {
     let end_us = seconds * 1_000_000;
     let mut world = World::new(scenario, contender, end_us, seed);
-    world.schedule(0, Event::Caller);
+    world.queue.schedule(0, Event::Caller);
     for entry in 0..scenario.entries {
         match contender.news {
-            News::Polled(period_us) => world.schedule(entry as u64 * period_us / 15, Event::Poll { entry }),
-            News::Riding => world.schedule(entry as u64 * PROBE_PERIOD_US / 15, Event::Probe { entry }),
+            News::Polled(period_us) => world.queue.schedule(entry as u64 * period_us / 15, Event::Poll { entry }),
+            News::Riding => world.queue.schedule(entry as u64 * PROBE_PERIOD_US / 15, Event::Probe { entry }),
             News::None | News::True => {}
         }
     }
@@ -163,12 +163,8 @@
         }
     }
 
-    fn schedule(&mut self, at_us: u64, event: Event) {
-        self.queue.schedule(at_us, event);
-    }
-
     fn later(&mut self, after_us: u64, event: Event) {
-        self.schedule(self.now_us + after_us, event);
+        self.queue.schedule(self.now_us + after_us, event);
     }
 
     fn happen(&mut self, event: Event) {
@@ -314,7 +310,7 @@
                     let half_us = self.scenario.service_us / 2;
                     let work_us = exponential(&mut self.work, half_us) + exponential(&mut self.work, half_us);
                     let Run { end_us, healthy } = self.servers[server].run(self.now_us, work_us);
-                    self.schedule(end_us, Event::Done { attempt, server, healthy });
+                    self.queue.schedule(end_us, Event::Done { attempt, server, healthy });
                 }
                 GateAction::Bounce { attempt, reason } => {
                     self.row.bounces += 1;
@@ -337,7 +333,7 @@
         let at_us = at_us.max(self.now_us + 200);
         if self.ticks[server].is_none_or(|set_us| at_us < set_us) {
             self.ticks[server] = Some(at_us);
-            self.schedule(at_us, Event::Tick { server });
+            self.queue.schedule(at_us, Event::Tick { server });
         }
     }
 
--- a/standin/src/overload/world.rs
+++ b/standin/src/overload/world.rs
@@ -150,7 +150,7 @@
 /// Plays one load on a fleet for some virtual seconds.
 pub fn run(fleet: &Fleet, load: &Load, seconds: u64, seed: u64) -> Report {
     let mut world = World::new(fleet, load, seconds * 1_000_000, seed);
-    world.schedule(0, Event::Caller);
+    world.queue.schedule(0, Event::Caller);
     while let Some((at_us, event)) = world.queue.pop() {
         world.now_us = at_us;
         world.happen(event);
@@ -190,7 +190,7 @@
         for vm in 0..world.vms.len() {
             let warm_us = world.vms[vm].upstream.cold_until_us();
             if warm_us > 0 {
-                world.schedule(warm_us, Event::Warm { vm });
+                world.queue.schedule(warm_us, Event::Warm { vm });
             }
         }
         world
@@ -233,12 +233,8 @@
         }
     }
 
-    fn schedule(&mut self, at_us: u64, event: Event) {
-        self.queue.schedule(at_us, event);
-    }
-
     fn later(&mut self, after_us: u64, event: Event) {
-        self.schedule(self.now_us + after_us, event);
+        self.queue.schedule(self.now_us + after_us, event);
     }
 
     fn happen(&mut self, event: Event) {
--- a/standin/src/overload/world/entry.rs
+++ b/standin/src/overload/world/entry.rs
@@ -69,7 +69,7 @@
             work_us: demand.work_us,
             healthy: true,
         });
-        self.schedule(deadline_us.max(self.now_us), Event::Deadline { call: number });
+        self.queue.schedule(deadline_us.max(self.now_us), Event::Deadline { call: number });
         self.tell(number, CallEvent::Begin);
     }
 
--- a/standin/src/overload/world/owner.rs
+++ b/standin/src/overload/world/owner.rs
@@ -88,7 +88,7 @@
         let at_us = at_us.max(self.now_us + TICK_MIN_US);
         if self.vms[vm].tick_us.is_none_or(|set_us| at_us < set_us) {
             self.vms[vm].tick_us = Some(at_us);
-            self.schedule(at_us, Event::Tick { vm });
+            self.queue.schedule(at_us, Event::Tick { vm });
         }
     }
 
@@ -116,7 +116,7 @@
         if let Some(held) = self.held.get_mut(&attempt) {
             held.run = Some(number);
         }
-        self.schedule(deadline_us.max(self.now_us), Event::Cut { run: number });
+        self.queue.schedule(deadline_us.max(self.now_us), Event::Cut { run: number });
         match self.fleet.routes[route].nested.filter(|nested| self.rng.f64() < nested.share) {
             None => self.work(number),
             Some(nested) => {
