The stand-in's upstreams turn cold and start again under their id; its fleet of nodes is shared by tests

Cause: the shifted work has upstreams that bear little while cold, at any moment, and that start again under the id that they had; nothing here could play either. Change: a life of the stand-in's server has its birth and its count together, so that a heartbeat never mixes two; it tells its cold time in heartbeats and health answers and counts what it got in it.

--- a/standin/src/managed/server.rs
+++ b/standin/src/managed/server.rs
@@ -4,8 +4,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use http_body_util::BodyExt;
 use hyper::Request;
@@ -40,12 +40,33 @@
     Reject,
 }
 
-/// One start of a server.
+/// What tells one start of a server from the others, and where it stands.
+#[derive(Debug, Clone, Copy)]
+struct Life {
+    /// Ids before this one; starts under the same id share it.
+    generation: u64,
+    /// When it began, in milliseconds since 1970.
+    born_ms: u64,
+    /// Heartbeats so far.
+    sequence: u64,
+}
+
+impl Life {
+    /// Begins a life that is not the first one.
+    fn after(earlier: Self, generation: u64) -> Self {
+        Self { generation, born_ms: wall_ms().max(earlier.born_ms + 1), sequence: 0 }
+    }
+}
+
+/// A server with all its starts.
 pub struct ManagedServer {
     /// Its id at its first start.
     id: String,
-    /// Starts after the first one; each has an id of its own.
-    generation: AtomicU64,
+    life: Mutex<Life>,
+    /// Until when it is cold.
+    cold_until: Mutex<Option<Instant>>,
+    /// When each request that it took while it was cold arrived.
+    cold_arrivals: Mutex<Vec<Instant>>,
     /// When a node acknowledged that the server drains.
     drain_acknowledged: Mutex<Option<Instant>>,
     late_arrivals: AtomicU64,
@@ -86,7 +107,9 @@
         let listener = TcpListener::bind(addr).await?;
         let server = Arc::new(Self {
             id: id.to_owned(),
-            generation: AtomicU64::new(0),
+            life: Mutex::new(Life { generation: 0, born_ms: wall_ms(), sequence: 0 }),
+            cold_until: Mutex::default(),
+            cold_arrivals: Mutex::default(),
             drain_acknowledged: Mutex::new(None),
             late_arrivals: AtomicU64::new(0),
             service: service.to_owned(),
@@ -118,12 +141,12 @@
     /// Lets each run make `count` calls of its own to `path` through a node's listener for callers.
     pub fn set_calls(&self, node: SocketAddr, path: &str, count: usize) {
         let calls = Some((node, path.to_owned(), count));
-        *self.calls.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = calls;
+        *self.calls.lock().unwrap_or_else(PoisonError::into_inner) = calls;
     }
 
     /// Makes the calls of one run, one after the other.
     async fn call_others(&self, id: &str) {
-        let calls = self.calls.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone();
+        let calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner).clone();
         let Some((node, path, count)) = calls else {
             return;
         };
@@ -142,19 +165,60 @@
 
     /// Returns the id of the present start.
     pub fn id(&self) -> String {
-        match self.generation.load(Ordering::Relaxed) {
+        self.id_of(*self.life())
+    }
+
+    fn id_of(&self, life: Life) -> String {
+        match life.generation {
             0 => self.id.clone(),
             generation => format!("{}-{generation}", self.id),
         }
     }
 
+    fn life(&self) -> MutexGuard<'_, Life> {
+        self.life.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Ends and starts again under another id; what still runs ends well.
     pub fn start_again(&self) {
+        let generation = self.life().generation + 1;
+        self.begin_life(generation);
+    }
+
+    /// Crashes and starts again under the id that it had, knowing nothing of before.
+    pub fn reborn(&self) {
+        let generation = self.life().generation;
+        self.begin_life(generation);
+    }
+
+    fn begin_life(&self, generation: u64) {
         *self.acknowledged_drain() = None;
-        self.generation.fetch_add(1, Ordering::Relaxed);
+        let mut life = self.life();
+        *life = Life::after(*life, generation);
         self.draining.store(false, Ordering::Relaxed);
     }
 
+    /// Turns cold for this long from now on.
+    pub fn turn_cold(&self, cold: Duration) {
+        *self.cold_until.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now() + cold);
+    }
+
+    /// Returns how much longer the server is cold.
+    fn cold_left(&self) -> Duration {
+        let until = *self.cold_until.lock().unwrap_or_else(PoisonError::into_inner);
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(Instant::now()))
+    }
+
+    /// Returns the most requests that arrived within one second while the server was cold.
+    pub fn most_while_cold(&self) -> usize {
+        let arrivals = self.cold_arrivals.lock().unwrap_or_else(PoisonError::into_inner);
+        let within = |first: &Instant| {
+            let until = *first + Duration::from_secs(1);
+            arrivals.iter().filter(|at| *at >= first && **at < until).count()
+        };
+        arrivals.iter().map(within).max().unwrap_or(0)
+    }
+
     /// Returns whether the server says that it is draining.
     pub fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Relaxed)
@@ -166,27 +230,27 @@
     }
 
     fn acknowledged_drain(&self) -> MutexGuard<'_, Option<Instant>> {
-        self.drain_acknowledged.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+        self.drain_acknowledged.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Sets how answers are spoilt.
     pub fn set_spoil(&self, spoil: Spoil) {
-        *self.spoil.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = spoil;
+        *self.spoil.lock().unwrap_or_else(PoisonError::into_inner) = spoil;
     }
 
     /// Returns how often each request id ran.
     pub fn runs(&self) -> BTreeMap<String, u64> {
-        self.runs.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone()
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// Returns when each request arrived, whatever became of it, with its id.
     pub fn arrivals(&self) -> Vec<(Instant, String)> {
-        self.arrivals.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone()
+        self.arrivals.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// Returns the headers of the last request.
     pub fn seen(&self) -> BTreeMap<String, String> {
-        self.seen.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone()
+        self.seen.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// Returns how many heartbeats were acknowledged.
@@ -205,13 +269,18 @@
     }
 
     async fn announce(self: Arc<Self>, control: SocketAddr) {
-        for sequence in 1u64.. {
-            let id = self.id();
-            let draining = self.is_draining();
+        loop {
+            let (life, draining) = {
+                let mut life = self.life();
+                life.sequence += 1;
+                (*life, self.is_draining())
+            };
+            let id = self.id_of(life);
             let state = if draining { "draining" } else { "ready" };
             let heartbeat = json!({
                 "service": self.service, "address": self.addr, "zone": "kranj", "version": "v1",
-                "slots": self.slots, "state": state, "cold_ms": 0, "sequence": sequence,
+                "slots": self.slots, "state": state, "cold_ms": self.cold_left().as_millis() as u64,
+                "sequence": life.sequence, "born": life.born_ms,
             });
             let path = format!("/api/instances/{}/heartbeat", id);
             let sent = Client::new(control).call("POST", &path, &[], heartbeat.to_string()).await;
@@ -226,6 +295,10 @@
     }
 }
 
+fn wall_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
+}
+
 /// Counts a run as given up unless it is told that it ended.
 struct Run<'a> {
     server: &'a ManagedServer,
@@ -246,6 +319,10 @@
         let status = if server.draining.load(Ordering::Relaxed) { 503 } else { 200 };
         let mut reply = answer(status, "");
         reply.headers_mut().insert("x-instance-id", HeaderValue::from_str(&server.id())?);
+        let cold_ms = server.cold_left().as_millis() as u64;
+        if cold_ms > 0 {
+            reply.headers_mut().insert("x-cold-remaining", HeaderValue::from(cold_ms));
+        }
         return Ok(reply);
     }
     let text = |name: &str| {
@@ -260,6 +337,9 @@
         reply.headers_mut().insert("x-request-id", HeaderValue::from_str(&id)?);
         return Ok(reply);
     }
+    if !server.cold_left().is_zero() {
+        server.cold_arrivals.lock().map_err(|_| "poisoned")?.push(Instant::now());
+    }
     let drained = server.acknowledged_drain().is_some_and(|since| since.elapsed() > Duration::from_millis(DRAIN_MS));
     server.late_arrivals.fetch_add(u64::from(drained), Ordering::Relaxed);
     let headers = request.headers().iter();
--- /dev/null
+++ b/standin/tests/common/managed.rs
@@ -0,0 +1,202 @@
+//! Nodes on the stand-in of the managed platform, as real processes.
+
+#![allow(dead_code, reason = "each test binary uses its own part of the fleet")]
+
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::json;
+use standin::client::{Client, Reply};
+use standin::managed::server::ManagedServer;
+use standin::managed::store::ManagedStore;
+
+use super::{free_addr, valetrack, wait_for};
+
+const HOST: (&str, &str) = ("host", "farm.example");
+/// Calls a second that an upstream bears while it is cold.
+pub const COLD_PER_S: f64 = 16.0;
+
+/// One VM: its upstream, and the node beside it.
+pub struct Vm {
+    pub name: String,
+    pub service: &'static str,
+    pub caller_addr: SocketAddr,
+    pub ready_addr: SocketAddr,
+    pub control_addr: SocketAddr,
+    pub link_addr: SocketAddr,
+    pub upstream: Arc<ManagedServer>,
+    pub node: Option<Child>,
+}
+
+/// Nodes of two services over two domains, and their store; all are ended when it is dropped.
+pub struct Fleet {
+    pub store: ManagedStore,
+    pub store_addr: SocketAddr,
+    pub vms: Vec<Vm>,
+    /// Time for which callers still come after a stop has begun, in milliseconds.
+    pub linger_ms: u64,
+}
+
+pub fn config(version: u64, service: &str) -> String {
+    let route = |name: &str, prefix: &str, repeat: &str, timeout_ms: u64, service: &str| {
+        json!({
+            "name": name, "host": "farm.example", "path_prefix": prefix, "repeat": repeat,
+            "timeout_ms": timeout_ms, "objective_ms": 400, "priority": 1, "attempts_max": 2, "service": service,
+        })
+    };
+    let service_row = |name: &str| json!({ "name": name, "health_path": "/health", "connections_max": 220, "cold_per_s": COLD_PER_S });
+    json!({
+        "version": version,
+        "routes": [
+            route("sheet", "/sheet/", "safe", 2_000, service),
+            route("pickup", "/pickup/", "non_idempotent", 2_000, "ledger"),
+            route("check", "/check/", "safe", 2_000, "ledger"),
+            route("hasty", "/hasty/", "safe", 150, "rounds"),
+        ],
+        "services": [service_row("rounds"), service_row("ledger")],
+    })
+    .to_string()
+}
+
+impl Fleet {
+    pub async fn start(services: &[&'static str]) -> Self {
+        Self::start_lingering(services, 600).await
+    }
+
+    pub async fn start_lingering(services: &[&'static str], linger_ms: u64) -> Self {
+        let store = ManagedStore::default();
+        let store_addr = store.start().await.expect("a free port");
+        store.put("op/config", &config(3, "rounds"));
+        let mut fleet = Self { store, store_addr, vms: Vec::new(), linger_ms };
+        for service in services {
+            fleet.add(service).await;
+        }
+        fleet.wait_ready().await;
+        fleet
+    }
+
+    pub async fn add(&mut self, service: &'static str) {
+        let at = self.vms.len();
+        let control_addr = free_addr();
+        let upstream = ManagedServer::start(&format!("i-{at}"), service, free_addr(), 6, control_addr).await;
+        self.vms.push(Vm {
+            name: format!("vm-{at}"),
+            service,
+            caller_addr: free_addr(),
+            ready_addr: free_addr(),
+            control_addr,
+            link_addr: free_addr(),
+            upstream: upstream.expect("a free port"),
+            node: None,
+        });
+        self.start_node(at);
+    }
+
+    pub fn start_node(&mut self, at: usize) {
+        let store_addr = self.store_addr.to_string();
+        let linger_ms = self.linger_ms.to_string();
+        let vm = &mut self.vms[at];
+        let flags = [
+            ("platform", "managed".to_owned()),
+            ("vm", vm.name.clone()),
+            ("domain", ["kranj", "loka"][at % 2].to_owned()),
+            ("service", vm.service.to_owned()),
+            ("server", vm.upstream.addr.to_string()),
+            ("caller-listen", vm.caller_addr.to_string()),
+            ("admin-listen", vm.ready_addr.to_string()),
+            ("control-listen", vm.control_addr.to_string()),
+            ("link-listen", vm.link_addr.to_string()),
+            ("store", store_addr),
+            ("store-timeout-ms", "500".to_owned()),
+            ("lease-ms", "1500".to_owned()),
+            ("linger-ms", linger_ms),
+            ("stop-grace-s", "4".to_owned()),
+            ("retry-reserve", "60".to_owned()),
+        ];
+        let args = flags.into_iter().flat_map(|(flag, value)| [format!("--{flag}"), value]);
+        let node = Command::new(valetrack())
+            .arg("node")
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn();
+        vm.node = Some(node.expect("the program"));
+    }
+
+    pub fn kill_node(&mut self, at: usize) {
+        if let Some(mut node) = self.vms[at].node.take() {
+            node.kill().expect("a live node");
+            node.wait().expect("its end");
+        }
+    }
+
+    pub fn signal(&self, at: usize, signal: &str) {
+        if let Some(node) = &self.vms[at].node {
+            let sent = Command::new("kill").args([signal, &node.id().to_string()]).status();
+            assert!(sent.expect("kill").success());
+        }
+    }
+
+    pub async fn wait_ready(&self) {
+        for at in 0..self.vms.len() {
+            wait_for("readiness", async || self.readiness(at).await == 200).await;
+        }
+        wait_for("all entries", async || self.entries() == self.vms.len()).await;
+        // Changes are gathered for some tenths of a second before they are read.
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+    }
+
+    pub fn entries(&self) -> usize {
+        self.store.keys("valetrack/node/").len()
+    }
+
+    pub async fn readiness(&self, at: usize) -> u16 {
+        let asked = Client::new(self.vms[at].ready_addr).call("GET", "/api/readiness", &[], "").await;
+        asked.map_or(0, |reply| reply.status)
+    }
+
+    pub async fn call(&self, at: usize, method: &str, path: &str, id: &str) -> Result<Reply, String> {
+        call(self.vms[at].caller_addr, method, path, id).await
+    }
+
+    /// Returns the service whose upstream answered a call that came at a VM.
+    pub async fn served_by(&self, at: usize, path: &str) -> Option<&'static str> {
+        let reply = self.call(at, "GET", path, "by").await.ok()?;
+        let upstream: usize = reply.header("x-server-stamp").strip_prefix("i-")?.parse().ok()?;
+        Some(self.vms[upstream].service)
+    }
+
+    /// Returns the VM whose upstream answers a call that comes at a VM; none where it has no answer.
+    pub async fn answered_at(&self, at: usize, id: &str) -> Option<usize> {
+        let reply = self.call(at, "GET", "/sheet/", id).await.ok().filter(|reply| reply.status == 200)?;
+        reply.header("x-server-stamp").strip_prefix("i-")?.parse().ok()
+    }
+
+    pub fn runs(&self, id: &str) -> u64 {
+        self.vms.iter().filter_map(|vm| vm.upstream.runs().get(id).copied()).sum()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for vm in &mut self.vms {
+            if let Some(mut node) = vm.node.take() {
+                // A node that ended by itself needs no kill.
+                let _ = node.kill();
+                let _ = node.wait();
+            }
+        }
+    }
+}
+
+pub async fn call(addr: SocketAddr, method: &str, path: &str, id: &str) -> Result<Reply, String> {
+    let headers = [HOST, ("x-request-id", id), ("x-deadline-milliseconds", "1500"), ("x-caller-service", "forged")];
+    Client::new(addr).call(method, path, &headers, format!("body of {id}")).await
+}
+
+pub fn status(reply: &Result<Reply, String>) -> u16 {
+    reply.as_ref().map_or(0, |reply| reply.status)
+}
--- a/standin/tests/common/mod.rs
+++ b/standin/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test binary uses its own part of the fleet")]
 
+pub mod managed;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
