--- a/standin/src/bench/world.rs
+++ b/standin/src/bench/world.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use hdrhistogram::Histogram;
-use valetrack::gate::{AttemptId, Gate, GateAction, GateConfig, GateEvent, LoadReport, Patience};
+use valetrack::gate::{AttemptId, ColdRule, Gate, GateAction, GateConfig, GateEvent, LoadReport, Patience};
 use valetrack::placement::{
     Budgets, Call, CallAction, CallContext, CallEvent, CallRule, Dispatch, RateBudget, RepeatBudget, ServiceView,
     Verdict,
@@ -125,6 +125,7 @@
     fn new(scenario: &'a Scenario, contender: &'a Contender, end_us: u64, seed: u64) -> Self {
         let queue_max_us = if contender.bounded { QUEUE_US } else { DEADLINE_US * 10 };
         let config = GateConfig {
+            cold: ColdRule::default(),
             slots: scenario.slots,
             queue_max_us,
             ramp_us: 0,
--- a/standin/src/slope.rs
+++ b/standin/src/slope.rs
@@ -10,7 +10,7 @@
 use valetrack::gate::{AttemptId, Gate, GateConfig, GateEvent, LoadReport, Patience};
 use valetrack::link::codec::pack;
 use valetrack::link::message::{Ask, Reply, ReplyHead, Riding};
-use valetrack::member::{ListedVm, Member, Members, Phase};
+use valetrack::member::{Evacuation, ListedVm, Member, Members, Phase};
 use valetrack::placement::{
     Budgets, Call, CallAction, CallContext, CallEvent, CallRule, Policy, RepeatBudget, ServerSet, ServiceView,
 };
@@ -106,7 +106,7 @@
     );
     for size in [1, 12, 48] {
         let list: Vec<Member> = (0..size).map(member).collect();
-        let ask = Ask::Gossip { members: list, bundle: 21_000 };
+        let ask = Ask::Gossip { members: list, evacuation: Evacuation::default(), bundle: 21_000 };
         let bytes = pack(&ask).map_or(0, |frame| frame.len());
         row("exchange of views, members", size, bytes, &cost(2_000, || pack(&ask)));
     }
--- /dev/null
+++ b/standin/tests/evacuation.rs
@@ -0,0 +1,109 @@
+//! Evacuation of a failure domain, played with real nodes on the stand-in of the managed platform.
+
+mod common;
+
+use std::cell::Cell;
+use std::time::{Duration, Instant};
+
+use common::managed::{Fleet, status};
+use common::wait_for;
+use standin::managed::store::Mode;
+
+/// An operator's evacuation of a domain is in force everywhere within this time: the least that a
+/// platform asks for.
+const IN_FORCE: Duration = Duration::from_millis(5_000);
+const KRANJ: &str = "op/evacuate/kranj";
+const LOKA: &str = "op/evacuate/loka";
+
+/// Returns how many calls reached the upstream beside a VM so far.
+fn arrivals(fleet: &Fleet, at: usize) -> usize {
+    fleet.vms[at].upstream.arrivals().len()
+}
+
+/// Waits until calls that come at any VM are answered by one upstream alone, ten in a row.
+async fn wait_answered_by(fleet: &Fleet, wanted: usize) {
+    let in_row = Cell::new(0);
+    wait_for("answers of one upstream alone", async || {
+        for at in 0..fleet.vms.len() {
+            let right = fleet.answered_at(at, "settled").await == Some(wanted);
+            in_row.set(if right { in_row.get() + 1 } else { 0 });
+        }
+        in_row.get() >= 10
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn an_evacuated_domain_gets_nothing_and_its_entries_serve_on() {
+    let fleet = Fleet::start(&["rounds", "rounds", "ledger", "ledger"]).await;
+    fleet.store.put(KRANJ, "{}");
+    let began = Instant::now();
+    wait_answered_by(&fleet, 1).await;
+    assert!(began.elapsed() < IN_FORCE, "{:?}", began.elapsed());
+    let before = arrivals(&fleet, 0);
+    for number in 0..40 {
+        let id = format!("away-{number}");
+        assert_eq!(fleet.answered_at(number % 4, &id).await, Some(1), "{id}");
+    }
+    assert_eq!(arrivals(&fleet, 0), before);
+    fleet.store.revoke(KRANJ);
+    wait_for("work after the return", async || {
+        // Some calls at once, so that the other upstream is not always the better one.
+        let calls = (0..12).map(|_| fleet.call(0, "GET", "/sheet/", "return"));
+        futures::future::join_all(calls).await;
+        arrivals(&fleet, 0) > before
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn with_all_domains_evacuated_calls_are_refused_at_once_and_have_not_run() {
+    let fleet = Fleet::start(&["rounds", "ledger"]).await;
+    fleet.store.put(KRANJ, "{}");
+    fleet.store.put(LOKA, "{}");
+    wait_for("a refusal", async || status(&fleet.call(1, "GET", "/sheet/", "all").await) == 503).await;
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let before = arrivals(&fleet, 0);
+    let began = Instant::now();
+    let reply = fleet.call(1, "GET", "/sheet/", "refused").await.expect("an answer");
+    assert_eq!(reply.status, 503);
+    assert!(reply.header("retry-after").parse::<f64>().is_ok_and(|seconds| seconds > 0.0));
+    assert!(began.elapsed() < Duration::from_millis(500), "{:?}", began.elapsed());
+    assert_eq!(arrivals(&fleet, 0), before);
+}
+
+#[tokio::test]
+async fn a_node_that_starts_in_an_evacuation_while_the_store_is_away_is_told_by_its_peers() {
+    let mut fleet = Fleet::start(&["rounds", "rounds", "ledger"]).await;
+    fleet.store.put(KRANJ, "{}");
+    wait_answered_by(&fleet, 1).await;
+    fleet.store.set_mode(Mode::Refusing);
+    fleet.kill_node(0);
+    fleet.start_node(0);
+    // Whoever calls it shows it to be alive and is told what it lacks.
+    wait_for("readiness", async || {
+        let _ = fleet.call(2, "GET", "/sheet/", "wake").await;
+        let _ = fleet.call(1, "GET", "/sheet/", "wake").await;
+        fleet.readiness(0).await == 200
+    })
+    .await;
+    let before = arrivals(&fleet, 0);
+    for number in 0..30 {
+        let id = format!("born-away-{number}");
+        let _ = fleet.answered_at(number % 3, &id).await;
+    }
+    assert_eq!(arrivals(&fleet, 0), before);
+}
+
+#[tokio::test]
+async fn an_evacuation_before_an_outage_of_the_store_is_in_force_after_it() {
+    let fleet = Fleet::start(&["rounds", "rounds", "ledger"]).await;
+    fleet.store.put(KRANJ, "{}");
+    fleet.store.set_mode(Mode::Refusing);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    fleet.store.compact();
+    fleet.store.set_mode(Mode::Up);
+    let back = Instant::now();
+    wait_answered_by(&fleet, 1).await;
+    assert!(back.elapsed() < IN_FORCE, "{:?}", back.elapsed());
+}
--- /dev/null
+++ b/standin/tests/upstream_start.rs
@@ -0,0 +1,86 @@
+//! Upstreams that turn cold and that start again under their old id, beside real nodes.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::managed::{COLD_PER_S, Fleet, call, status};
+use common::wait_for;
+
+/// What the platform lets a cold upstream get in a second, as a multiple of what it bears.
+const COLD_OVERAGE: f64 = 1.5;
+
+/// Puts calls to the upstreams of a route for a while, 100 a second; returns how many were served, and
+/// the longest time that one took which was not.
+async fn press(fleet: &Fleet, at: usize, pressed: Duration) -> (usize, Duration) {
+    let addr = fleet.vms[at].caller_addr;
+    let began = Instant::now();
+    let mut calls = Vec::new();
+    while began.elapsed() < pressed {
+        let id = format!("press-{}-{}", at, calls.len());
+        calls.push(tokio::spawn(async move {
+            let sent = Instant::now();
+            (status(&call(addr, "GET", "/sheet/", &id).await), sent.elapsed())
+        }));
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let mut served = 0;
+    let mut longest = Duration::ZERO;
+    for call in calls {
+        match call.await.expect("a result") {
+            (200, _) => served += 1,
+            (_, took) => longest = longest.max(took),
+        }
+    }
+    (served, longest)
+}
+
+#[tokio::test]
+async fn an_upstream_gets_what_it_bears_whenever_it_turns_cold() {
+    let fleet = Fleet::start(&["rounds", "ledger"]).await;
+    let upstream = &fleet.vms[0].upstream;
+    for _ in 0..2 {
+        upstream.turn_cold(Duration::from_millis(2_500));
+        let acknowledged = upstream.acknowledged();
+        wait_for("a heartbeat", async || upstream.acknowledged() >= acknowledged + 2).await;
+        let (served, longest) = press(&fleet, 1, Duration::from_millis(1_500)).await;
+        assert!(served as f64 >= COLD_PER_S, "{served} calls served while cold");
+        // Whoever is not let in hears of it long before the deadline of 1.5 s.
+        assert!(longest < Duration::from_millis(700), "{longest:?}");
+        tokio::time::sleep(Duration::from_millis(1_000)).await;
+        let (served, _) = press(&fleet, 1, Duration::from_millis(1_000)).await;
+        assert!(served > 60, "{served} calls served while warm");
+    }
+    let most = upstream.most_while_cold();
+    assert!(most as f64 <= COLD_PER_S * COLD_OVERAGE, "{most} calls in one second while cold");
+}
+
+#[tokio::test]
+async fn a_node_that_starts_again_knows_that_its_upstream_is_cold() {
+    let mut fleet = Fleet::start(&["rounds", "ledger"]).await;
+    fleet.vms[0].upstream.turn_cold(Duration::from_millis(4_000));
+    let acknowledged = fleet.vms[0].upstream.acknowledged();
+    wait_for("a heartbeat", async || fleet.vms[0].upstream.acknowledged() >= acknowledged + 2).await;
+    press(&fleet, 1, Duration::from_millis(600)).await;
+    fleet.kill_node(0);
+    fleet.start_node(0);
+    press(&fleet, 1, Duration::from_millis(1_500)).await;
+    let most = fleet.vms[0].upstream.most_while_cold();
+    assert!(most as f64 <= COLD_PER_S * COLD_OVERAGE + 8.0, "{most} calls in one second while cold");
+}
+
+#[tokio::test]
+async fn an_upstream_that_starts_again_under_its_id_takes_work_after_it_had_left() {
+    let fleet = Fleet::start(&["rounds", "ledger"]).await;
+    let upstream = &fleet.vms[0].upstream;
+    // Its count is high by then, and starts anew.
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    upstream.drain();
+    let acknowledged = upstream.acknowledged();
+    wait_for("a heartbeat", async || upstream.acknowledged() >= acknowledged + 2).await;
+    assert_eq!(status(&fleet.call(1, "GET", "/sheet/", "left").await), 503);
+    upstream.reborn();
+    let back = Instant::now();
+    wait_for("a served call", async || status(&fleet.call(1, "GET", "/sheet/", "back").await) == 200).await;
+    assert!(back.elapsed() < Duration::from_millis(3_500), "{:?}", back.elapsed());
+}
--- a/valetrack/src/admin/run.rs
+++ b/valetrack/src/admin/run.rs
@@ -50,6 +50,8 @@
     leaving: bool,
     bundle_number: u64,
     bundle_version: &'a str,
+    /// Failure domains whose servers get nothing.
+    evacuated: Vec<&'a str>,
     members: Vec<&'a Member>,
 }
 
@@ -114,6 +116,7 @@
         leaving: *parts.leaving.borrow(),
         bundle_number: bundle.as_ref().map_or(0, |bundle| bundle.number),
         bundle_version: bundle.as_ref().map_or("", |bundle| &bundle.version),
+        evacuated: members.evacuation().domains.iter().map(|domain| &**domain).collect(),
         members: members.iter().collect(),
     };
     serde_json::to_string_pretty(&status).unwrap_or_default() + "\n"
--- a/valetrack/src/bundle/check.rs
+++ b/valetrack/src/bundle/check.rs
@@ -6,6 +6,7 @@
 use super::reader::{Reader, Section};
 use super::route::RouteTable;
 use crate::code::Code;
+use crate::gate::ColdRule;
 
 /// Largest text, in bytes: a value of the store holds a megabyte.
 pub const TEXT_MAX_BYTES: usize = 900_000;
@@ -102,6 +103,11 @@
     let key_lifetime_s = number("key_lifetime_s", 1..=86_400, 600) as u32;
     let stall_rescue = reader.flag(section, "stall_rescue", true);
     let learn_limit = reader.flag(section, "learn_limit", false);
+    let cold_starts_per_s = reader.number(section, "cold_starts_per_s", 0..=100_000, 0) as u32;
+    let cold = ColdRule {
+        starts_per_s: (cold_starts_per_s > 0).then_some(cold_starts_per_s),
+        first_second: cold_starts_per_s / 2,
+    };
     let claims = read_claims(reader, section);
     let mut routes = Vec::new();
     for mut route in reader.tables(section, "route") {
@@ -117,6 +123,7 @@
         connections,
         queue_ms,
         ramp_ms,
+        cold,
         deadline_ms,
         request_cap_bytes,
         answer_cap_bytes,
--- a/valetrack/src/bundle/message.rs
+++ b/valetrack/src/bundle/message.rs
@@ -7,6 +7,8 @@
 
 use super::route::RouteTable;
 use crate::code::Code;
+use crate::gate::ColdRule;
+use crate::member::Evacuation;
 
 /// Budget of one node for all that it does only to measure.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
@@ -69,6 +71,8 @@
     pub queue_ms: u32,
     /// Time over which a cold server gets all its slots, in milliseconds.
     pub ramp_ms: u32,
+    /// What a cold server bears.
+    pub cold: ColdRule,
     /// Time limit of a call whose route sets none, in milliseconds.
     pub deadline_ms: u32,
     /// Largest body of a call, in bytes.
@@ -224,6 +228,9 @@
     pub rolled_ms: u64,
     /// Versions rolled before, newest first, up to [`HISTORY_MAX`].
     pub before: Vec<RolledDoc>,
+    /// Failure domains whose servers are to get nothing.
+    #[serde(default)]
+    pub evacuation: Evacuation,
 }
 
 /// One earlier roll.
--- a/valetrack/src/bundle/operator.rs
+++ b/valetrack/src/bundle/operator.rs
@@ -1,5 +1,7 @@
 //! What operators do: write, approve, roll; each safe against a race and a lost answer.
 
+use std::sync::Arc;
+
 use snafu::Snafu;
 
 use super::check::check;
@@ -8,6 +10,7 @@
 };
 use crate::clock::wall_us;
 use crate::code::Code;
+use crate::member::Evacuation;
 use crate::store::{Store, StoreError, Versioned, Written};
 
 /// How often a write whose answer was lost is read back and tried again.
@@ -58,6 +61,12 @@
         /// Its number.
         number: u64,
     },
+    /// No bundle was rolled yet.
+    #[snafu(display("no bundle was rolled yet"))]
+    NotRolled,
+    /// Others changed the document in force at each try.
+    #[snafu(display("others changed the document in force at each try"))]
+    Busy,
     /// The store failed.
     #[snafu(display("{source}"))]
     Store {
@@ -71,11 +80,11 @@
     pub const fn code(&self) -> Code {
         match self {
             Self::Faulty { .. } => Code::BundleValueInvalid,
-            Self::NotFound { .. } => Code::BundleNotFound,
+            Self::NotFound { .. } | Self::NotRolled => Code::BundleNotFound,
             Self::Damaged { .. } => Code::BundleDamaged,
             Self::NotApproved { .. } => Code::BundleNotApproved,
             Self::SelfApproval { .. } => Code::BundleSelfApproval,
-            Self::RaceLost { .. } => Code::BundleRaceLost,
+            Self::RaceLost { .. } | Self::Busy => Code::BundleRaceLost,
             Self::Store { source } => source.code(),
         }
     }
@@ -136,6 +145,38 @@
     roll_at(store, expected, next).await
 }
 
+/// Evacuates a failure domain, or returns it to service; returns the number of the evacuation in force.
+///
+/// # Errors
+///
+/// Returns [`OperatorError::NotRolled`] before the first roll, [`OperatorError::Busy`] where others
+/// changed the document each time, or how the store failed.
+pub async fn set_evacuated(store: &dyn Store, domain: &str, evacuated: bool) -> Result<u64, OperatorError> {
+    for _ in 0..TRIES {
+        let kv = store.read(CURRENT_KEY).await?;
+        let doc = kv.as_ref().and_then(|kv| serde_json::from_slice::<CurrentDoc>(&kv.value).ok());
+        let (Some(kv), Some(mut doc)) = (kv, doc) else {
+            return Err(OperatorError::NotRolled);
+        };
+        if doc.evacuation.covers(domain) == evacuated {
+            return Ok(doc.evacuation.number);
+        }
+        match evacuated {
+            true => doc.evacuation.domains.insert(Arc::from(domain)),
+            false => doc.evacuation.domains.remove(domain),
+        };
+        doc.evacuation.number += 1;
+        let value = serde_json::to_vec(&doc).unwrap_or_default();
+        match store.swap(CURRENT_KEY, kv.revision, value).await {
+            Ok(Written::At(_)) => return Ok(doc.evacuation.number),
+            // Whether it took effect, and what others wrote, stands in the store alone.
+            Ok(Written::Refused) | Err(StoreError::Lost { .. }) => {}
+            Err(error) => return Err(error.into()),
+        }
+    }
+    Err(OperatorError::Busy)
+}
+
 /// Reads the bundle in force, if one was rolled.
 ///
 /// # Errors
@@ -165,15 +206,25 @@
     let doc = before.and_then(|kv| serde_json::from_slice::<CurrentDoc>(&kv.value).ok());
     let mut history = Vec::new();
     let mut number = 1;
+    let mut evacuation = Evacuation::default();
     if let Some(doc) = doc {
         number = doc.number + 1;
+        evacuation = doc.evacuation.clone();
         let RolledParts { rolled, before } = split(doc);
         history.push(rolled);
         history.extend(before);
         history.truncate(HISTORY_MAX);
     }
     let rolled_ms = wall_us() / 1000;
-    (expected, CurrentDoc { number, version: version.into(), operator: operator.into(), rolled_ms, before: history })
+    let next = CurrentDoc {
+        number,
+        version: version.into(),
+        operator: operator.into(),
+        rolled_ms,
+        before: history,
+        evacuation,
+    };
+    (expected, next)
 }
 
 struct RolledParts {
@@ -187,10 +238,10 @@
     RolledParts { rolled, before: doc.before }
 }
 
-async fn roll_at(store: &dyn Store, expected: u64, next: CurrentDoc) -> Result<u64, OperatorError> {
-    let value = serde_json::to_vec(&next).unwrap_or_default();
+async fn roll_at(store: &dyn Store, mut expected: u64, mut next: CurrentDoc) -> Result<u64, OperatorError> {
     for _ in 0..TRIES {
-        match store.swap(CURRENT_KEY, expected, value.clone()).await {
+        let value = serde_json::to_vec(&next).unwrap_or_default();
+        match store.swap(CURRENT_KEY, expected, value).await {
             Ok(Written::At(_)) => return Ok(next.number),
             Ok(Written::Refused) | Err(StoreError::Lost { .. }) => {}
             Err(error) => return Err(error.into()),
@@ -199,12 +250,17 @@
         let Ok(found) = store.read(CURRENT_KEY).await else {
             continue;
         };
-        let unchanged = found.as_ref().map_or(0, |kv| kv.revision) == expected;
+        let revision = found.as_ref().map_or(0, |kv| kv.revision);
         let doc = found.and_then(|kv| serde_json::from_slice::<CurrentDoc>(&kv.value).ok());
         match doc {
-            Some(doc) if doc == next => return Ok(next.number),
+            Some(doc) if is_current(&doc, &next) => return Ok(next.number),
             Some(doc) if doc.before.iter().any(|old| is_roll(old, &next)) => return Ok(next.number),
-            Some(doc) if !unchanged => {
+            Some(doc) if doc.number < next.number => {
+                // Only an evacuation has changed meanwhile.
+                next.evacuation = doc.evacuation;
+                expected = revision;
+            }
+            Some(doc) if revision != expected => {
                 return Err(OperatorError::RaceLost { winner: doc.operator, version: doc.version, number: doc.number });
             }
             Some(_) | None => {}
@@ -214,6 +270,10 @@
     Err(StoreError::Lost { reason }.into())
 }
 
+fn is_current(doc: &CurrentDoc, next: &CurrentDoc) -> bool {
+    (doc.number, doc.rolled_ms, &doc.operator) == (next.number, next.rolled_ms, &next.operator)
+}
+
 fn is_roll(old: &RolledDoc, next: &CurrentDoc) -> bool {
     old.number == next.number && old.rolled_ms == next.rolled_ms && old.operator == next.operator
 }
--- a/valetrack/src/bundle/run.rs
+++ b/valetrack/src/bundle/run.rs
@@ -11,7 +11,7 @@
 use super::message::{CURRENT_KEY, CurrentDoc};
 use super::operator::read_text;
 use crate::code::Code;
-use crate::member::Members;
+use crate::member::{Evacuation, Members};
 use crate::metric::Metrics;
 use crate::store::{Store, Versioned, WatchNews};
 
@@ -33,6 +33,8 @@
     store: Arc<dyn Store>,
     members: watch::Receiver<Arc<Members>>,
     metrics: Arc<Metrics>,
+    /// Failure domains that are evacuated, as the store told last.
+    evacuation: watch::Sender<Evacuation>,
 }
 
 impl Bundler {
@@ -45,7 +47,13 @@
         adopter: Adopter,
         metrics: Arc<Metrics>,
     ) -> Self {
-        Self { vm, domain, adopter, store, members, metrics }
+        let evacuation = watch::Sender::new(Evacuation::default());
+        Self { vm, domain, adopter, store, members, metrics, evacuation }
+    }
+
+    /// Returns the failure domains that are evacuated, as the store tells.
+    pub fn evacuation(&self) -> watch::Receiver<Evacuation> {
+        self.evacuation.subscribe()
     }
 
     /// Follows the store: by a watch where this node is one of its domain's watchers, else by a
@@ -115,6 +123,7 @@
             log::error!("event=bundle.current_damaged code={}", Code::BundleDamaged);
             return;
         };
+        self.evacuation.send_if_modified(|known| known.merge(&doc.evacuation));
         if !self.adopter.wants(doc.number) {
             return;
         }
--- a/valetrack/src/bundle/tests/operator.rs
+++ b/valetrack/src/bundle/tests/operator.rs
@@ -3,9 +3,10 @@
 use test_case::test_case;
 
 use super::fake::{FakeStore, Fate};
-use crate::bundle::operator::{OperatorError, approve, current, roll, write};
+use crate::bundle::operator::{OperatorError, approve, current, roll, set_evacuated, write};
 use crate::bundle::{CURRENT_KEY, CurrentDoc};
 use crate::code::Code;
+use crate::member::Evacuation;
 
 const TEXT: &str = "[[service]]\nname = \"intake\"\n";
 const OTHER: &str = "[[service]]\nname = \"prizes\"\n";
@@ -47,8 +48,14 @@
 async fn of_two_who_roll_at_once_one_is_told_who_won() {
     let store = FakeStore::default();
     let version = approved(&store, TEXT).await;
-    let rival =
-        CurrentDoc { number: 1, version: "rival".into(), operator: "cene".into(), rolled_ms: 5, before: Vec::new() };
+    let rival = CurrentDoc {
+        number: 1,
+        version: "rival".into(),
+        operator: "cene".into(),
+        rolled_ms: 5,
+        before: Vec::new(),
+        evacuation: Evacuation::default(),
+    };
     store.rival(CURRENT_KEY, serde_json::to_vec(&rival).expect("a document"));
     match roll(&store, "ana", &version).await {
         Err(OperatorError::RaceLost { winner, number, .. }) => assert_eq!((winner.as_str(), number), ("cene", 1)),
@@ -90,3 +97,46 @@
     let rolled = roll(&store, "ana", &version).await;
     assert_eq!(rolled.map_err(|error| error.code()), Err(Code::StoreUnreachable));
 }
+
+#[tokio::test]
+async fn a_domain_is_evacuated_and_returned_and_a_roll_keeps_it() {
+    let store = FakeStore::default();
+    let first = approved(&store, TEXT).await;
+    let second = approved(&store, OTHER).await;
+    let early = set_evacuated(&store, "kranj", true).await;
+    assert_eq!(early.map_err(|error| error.code()), Err(Code::BundleNotFound));
+    roll(&store, "ana", &first).await.expect("rolled");
+    assert_eq!(set_evacuated(&store, "kranj", true).await.ok(), Some(1));
+    assert_eq!(set_evacuated(&store, "kranj", true).await.ok(), Some(1), "it is evacuated already");
+    roll(&store, "ana", &second).await.expect("rolled");
+    let doc = current(&store).await.expect("read").expect("a bundle in force");
+    assert!(doc.evacuation.covers("kranj"));
+    assert_eq!(set_evacuated(&store, "kranj", false).await.ok(), Some(2));
+    let doc = current(&store).await.expect("read").expect("a bundle in force");
+    assert_eq!((doc.number, doc.evacuation.domains.len()), (2, 0));
+}
+
+#[test_case(&[Fate::AnswerLost]; "the answer is lost")]
+#[test_case(&[Fate::Dropped]; "the write is lost")]
+#[tokio::test]
+async fn an_evacuation_whose_answer_is_lost_is_read_back(fates: &[Fate]) {
+    let store = FakeStore::default();
+    let version = approved(&store, TEXT).await;
+    roll(&store, "ana", &version).await.expect("rolled");
+    store.fate(fates);
+    assert_eq!(set_evacuated(&store, "kranj", true).await.ok(), Some(1));
+}
+
+#[tokio::test]
+async fn an_evacuation_in_the_middle_of_a_roll_does_not_win_over_it() {
+    let store = FakeStore::default();
+    let first = approved(&store, TEXT).await;
+    let second = approved(&store, OTHER).await;
+    roll(&store, "ana", &first).await.expect("rolled");
+    let mut rival = current(&store).await.expect("read").expect("a bundle in force");
+    rival.evacuation = Evacuation { number: 1, domains: [std::sync::Arc::from("kranj")].into() };
+    store.rival(CURRENT_KEY, serde_json::to_vec(&rival).expect("a document"));
+    assert_eq!(roll(&store, "ana", &second).await.ok(), Some(2));
+    let doc = current(&store).await.expect("read").expect("a bundle in force");
+    assert!(doc.evacuation.covers("kranj"), "the roll has kept it");
+}
--- a/valetrack/src/cli.rs
+++ b/valetrack/src/cli.rs
@@ -16,7 +16,7 @@
 use crate::code::Code;
 use crate::link::tls::{self, EXPIRY_WARNING_DAYS, KeyError};
 use crate::platform::{NativePlatform, Platform, PlatformFactory};
-use crate::settings::{ENV_PREFIX, NODE, NodeSettings, RawSettings, SettingFault};
+use crate::settings::{ENV_PREFIX, NODE, NodeSettings, RawSettings, SettingFault, is_name};
 use crate::store::HttpStore;
 use crate::timeline::{self, Event};
 
@@ -94,6 +94,9 @@
         ["bundle", "roll", version] => bundle_roll(&options, version),
         ["bundle", "status"] => bundle_status(&options, false),
         ["bundle", "history"] => bundle_status(&options, true),
+        ["domain", "evacuate", name] => domain_set(&options, name, true),
+        ["domain", "return", name] => domain_set(&options, name, false),
+        ["domain", "status"] => domain_status(&options),
         ["timeline", files @ ..] => show_timeline(&options, files),
         ["keys", "authority"] => tls::make_authority(&dir(&options)?).map_err(key_failure),
         ["keys", "node"] => keys_node(&options),
@@ -337,6 +340,32 @@
     Ok(())
 }
 
+fn domain_set(options: &Options, domain: &str, evacuated: bool) -> Outcome {
+    if !is_name(domain) {
+        let text = format!("{}: {domain}: wanted: a name of a-z, 0-9 and -", Code::SettingInvalid);
+        return Err(failure(EXIT_FAULT, text));
+    }
+    let store = store(options)?;
+    let number = block_on(operator::set_evacuated(&store, domain, evacuated))?;
+    let number = number.map_err(|error| operator_failure(error, None, options.json))?;
+    let state = if evacuated { "evacuated" } else { "in service" };
+    say(options, &json!({ "domain": domain, "evacuated": evacuated, "number": number }), &format!("{domain} {state}"));
+    Ok(())
+}
+
+fn domain_status(options: &Options) -> Outcome {
+    let store = store(options)?;
+    let current = block_on(operator::current(&store))?;
+    let current = current.map_err(|error| operator_failure(error, None, options.json))?;
+    let evacuation = current.map(|current| current.evacuation).unwrap_or_default();
+    let text = match evacuation.domains.is_empty() {
+        true => "no domain is evacuated".to_owned(),
+        false => format!("evacuated: {}", evacuation.domain_list()),
+    };
+    say(options, &json!(evacuation), &text);
+    Ok(())
+}
+
 fn say(options: &Options, data: &serde_json::Value, text: &str) {
     if options.json { println!("{data}") } else { println!("{text}") }
 }
--- a/valetrack/src/cli/help.rs
+++ b/valetrack/src/cli/help.rs
@@ -20,6 +20,9 @@
     command("bundle roll", "VERSION", "Puts an approved bundle in force.", ROLL_EXAMPLE),
     command("bundle status", "", "Shows the bundle in force.", "valetrack bundle status --store 10.0.0.9:2379"),
     command("bundle history", "", "Shows what was rolled before as well.", HISTORY_EXAMPLE),
+    command("domain evacuate", "NAME", "Has a failure domain's servers get nothing new.", EVACUATE_EXAMPLE),
+    command("domain return", "NAME", "Takes a failure domain back into service.", RETURN_EXAMPLE),
+    command("domain status", "", "Shows which failure domains are evacuated.", STATUS_EXAMPLE),
     command("timeline", "[FILE...]", "Merges events of many nodes in causal order.", TIMELINE_EXAMPLE),
     command("keys authority", "", "Makes the fleet's authority.", "valetrack keys authority --dir keys"),
     command("keys node", "", "Makes a node's certificate.", "valetrack keys node --dir keys --vm kranj-1"),
@@ -35,6 +38,9 @@
 const APPROVE_EXAMPLE: &str = "valetrack bundle approve 3f0c... --operator bor --store 10.0.0.9:2379";
 const ROLL_EXAMPLE: &str = "valetrack bundle roll 3f0c... --operator ana --store 10.0.0.9:2379";
 const HISTORY_EXAMPLE: &str = "valetrack bundle history --json --store 10.0.0.9:2379";
+const EVACUATE_EXAMPLE: &str = "valetrack domain evacuate kranj --store 10.0.0.9:2379";
+const RETURN_EXAMPLE: &str = "valetrack domain return kranj --store 10.0.0.9:2379";
+const STATUS_EXAMPLE: &str = "valetrack domain status --json --store 10.0.0.9:2379";
 const TIMELINE_EXAMPLE: &str = "valetrack timeline --admin 10.0.0.1:7002 --admin 10.0.0.2:7002 --call c-17";
 
 /// Flags beside those of a node.
--- a/valetrack/src/gate/message.rs
+++ b/valetrack/src/gate/message.rs
@@ -82,6 +82,8 @@
     NotReady,
     /// The call reached the server, which said that it did not run it.
     Rejected,
+    /// The server's failure domain is evacuated.
+    Evacuated,
     /// The call is a repeat, and a service that its run would call has no budget left for repeats.
     RepeatRefused,
 }
@@ -171,6 +173,13 @@
     Tick,
     /// The server is to leave.
     Drain,
+    /// The server's failure domain is to get nothing new.
+    Evacuate,
+    /// The server's failure domain is in service again.
+    Return {
+        /// Until when the server is taken for cold, on this process's monotonic clock, in microseconds.
+        cold_until_us: u64,
+    },
     /// Another start of the server takes work.
     Open,
 }
--- a/valetrack/src/gate/mod.rs
+++ b/valetrack/src/gate/mod.rs
@@ -4,6 +4,7 @@
 //! attempts is exact. The server never runs more than its slots; an attempt starts at most once;
 //! an attempt that was bounced, or of which [`CancelResult::NeverStarted`] was said, never starts.
 
+mod cold;
 mod header;
 mod kept;
 mod ledger;
@@ -11,6 +12,7 @@
 mod message;
 mod objective;
 mod origin;
+mod outage;
 mod pace;
 mod packed;
 pub mod pool;
@@ -23,6 +25,7 @@
 mod tests;
 mod upstream;
 
+pub use cold::{ColdBound, ColdRule};
 pub use header::{REPEAT_HEADER, travelling};
 pub use kept::SpeedKept;
 pub use ledger::RunLedger;
@@ -32,6 +35,7 @@
 };
 pub use objective::objective;
 pub use origin::OriginTracker;
+pub use outage::Outage;
 pub use pace::{Pace, SLOWDOWN_LASTS_US, fading, time_worth};
 pub use protocol::{Classified, Health, HostLoad, NativeUpstream, UpstreamProtocol};
 pub use speed::Speed;
--- a/valetrack/src/gate/pool.rs
+++ b/valetrack/src/gate/pool.rs
@@ -47,8 +47,13 @@
 /// What came of a question for the speed of a server's machine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MachineAnswer {
-    /// Its load.
-    Load(HostLoad),
+    /// What it tells.
+    Load {
+        /// Its load.
+        load: HostLoad,
+        /// How much longer the server is cold, in milliseconds, if it says so.
+        cold_ms: Option<u64>,
+    },
     /// An answer that tells no load.
     Untold,
     /// No whole answer in time.
@@ -183,9 +188,11 @@
         };
         let answer = sender.send_request(request).await.ok()?;
         let load = self.protocol.host_load(answer.headers());
+        let health = self.protocol.health(answer.status().as_u16(), answer.headers());
+        let cold_ms = health.and_then(|health| health.cold_ms);
         let _whole = answer.into_body().collect().await.ok()?;
         *self.questions.borrow_mut() = Some(sender);
-        Some(load.map_or(MachineAnswer::Untold, MachineAnswer::Load))
+        Some(load.map_or(MachineAnswer::Untold, |load| MachineAnswer::Load { load, cold_ms }))
     }
 
     async fn send(
--- a/valetrack/src/gate/protocol.rs
+++ b/valetrack/src/gate/protocol.rs
@@ -41,6 +41,8 @@
     pub id: Arc<str>,
     /// Whether it takes work.
     pub ready: bool,
+    /// How much longer it is cold, in milliseconds; none where it does not say.
+    pub cold_ms: Option<u64>,
 }
 
 /// How one node speaks with its upstream.
--- a/valetrack/src/gate/run/machine.rs
+++ b/valetrack/src/gate/run/machine.rs
@@ -38,7 +38,12 @@
         self.metrics.speed_questions.inc();
         self.gate.borrow_mut().asked(now_us());
         match self.pool.machine_load(path).await {
-            MachineAnswer::Load(load) => self.told(load),
+            MachineAnswer::Load { load, cold_ms } => {
+                self.told(load);
+                if let Some(cold_ms) = cold_ms {
+                    self.take_cold(cold_ms);
+                }
+            }
             MachineAnswer::Untold => self.gate.borrow_mut().told_nothing(),
             MachineAnswer::None => self.gate.borrow_mut().unanswered(),
         }
--- a/valetrack/src/gate/state.rs
+++ b/valetrack/src/gate/state.rs
@@ -4,10 +4,12 @@
 
 use std::collections::{HashMap, VecDeque};
 
+use super::cold::{ColdBound, ColdRule};
 use super::limit::ConcurrencyLimit;
 use super::message::{
     AttemptId, BounceReason, CancelResult, GateAction, GateEvent, LoadReport, Objective, Patience, RunTimes,
 };
+use super::outage::Outage;
 use super::pace::fading;
 use super::progress::Progress;
 use super::speed::Speed;
@@ -38,11 +40,13 @@
     pub rescue: bool,
     /// Whether slots are left free where a full server is slower than one with some free.
     pub learn_limit: bool,
+    /// How many calls the server bears while it is cold.
+    pub cold: ColdRule,
 }
 
 impl Default for GateConfig {
     fn default() -> Self {
-        Self { slots: 8, queue_max_us: 50_000, ramp_us: 0, rescue: true, learn_limit: false }
+        Self { slots: 8, queue_max_us: 50_000, ramp_us: 0, rescue: true, learn_limit: false, cold: ColdRule::default() }
     }
 }
 
@@ -101,6 +105,10 @@
     progress: Progress,
     speed: Speed,
     learned: ConcurrencyLimit,
+    cold: ColdBound,
+    outage: Outage,
+    /// Whether the server's failure domain is evacuated.
+    evacuated: bool,
 }
 
 impl Gate {
@@ -118,11 +126,15 @@
             progress: Progress::new(now_us),
             speed: Speed::default(),
             learned: ConcurrencyLimit::default(),
+            cold: ColdBound::new(now_us),
+            outage: Outage::default(),
+            evacuated: false,
         }
     }
 
     /// Takes new limits; calls that already run are let finish.
     pub fn configure(&mut self, config: GateConfig) {
+        self.cold.configure(config.cold);
         self.config = config;
     }
 
@@ -147,9 +159,12 @@
 
     /// Returns the load as it stands at `now_us`.
     pub fn load(&self, now_us: u64) -> LoadReport {
+        let in_flight = self.running.len() as u16;
+        let startable = self.cold.left(now_us).map_or(u16::MAX, |left| left as u16);
         let mut load = LoadReport {
-            limit: self.limit(now_us),
-            in_flight: self.running.len() as u16,
+            // Slots of a cold server that may not be filled now are no room.
+            limit: self.limit(now_us).min(in_flight.saturating_add(startable)),
+            in_flight,
             queued: self.waiting.len() as u16,
             service_us: self.reported_service_us(now_us) as u32,
             stalled: self.stalled(now_us),
@@ -178,9 +193,15 @@
         self.speed.told(slowdown_percent, now_us);
     }
 
-    /// Takes until when the server is slow from its start.
+    /// Takes until when the server is cold.
     pub fn set_cold(&mut self, until_us: u64, now_us: u64) {
         self.speed.cold(until_us, now_us);
+        self.cold.set_until(until_us);
+    }
+
+    /// Returns until when the server is cold, in microseconds.
+    pub fn cold_until_us(&self) -> u64 {
+        self.cold.until_us()
     }
 
     /// Takes note that the server is not slow from its start any more.
@@ -188,6 +209,16 @@
         self.speed.warmed_up();
     }
 
+    /// Returns whether the server refuses connections, so that no call is to come.
+    pub fn is_down(&self, now_us: u64) -> bool {
+        self.outage.is_on(now_us)
+    }
+
+    /// Takes note that the server answered something.
+    pub fn answered(&mut self) {
+        self.outage.over();
+    }
+
     /// Notes that the machine is asked for its speed.
     pub fn asked(&mut self, now_us: u64) {
         self.speed.asked(now_us);
@@ -244,9 +275,11 @@
         let leave = self.waiting.iter().map(|w| w.leave_at_us).min()?;
         let stall = self.stalls_at_us().filter(|_| self.config.rescue);
         let free = self.running.len() < usize::from(self.limit(now_us));
-        let ask = free.then(|| self.speed.ask_again_us());
-        let next = stall.map_or(leave, |stall| leave.min(stall));
-        Some(ask.map_or(next, |ask| next.min(ask)))
+        // Calls that wait for a cold server have nothing to ask its machine.
+        let held_back = free && self.waiting.iter().any(|waiting| self.is_held_back(waiting, now_us));
+        let ask = held_back.then(|| self.speed.ask_again_us());
+        let start = (free && self.cold.left(now_us) == Some(0)).then(|| now_us + self.cold.wait_us(0, now_us));
+        [stall, ask, start].into_iter().flatten().fold(leave, u64::min).into()
     }
 
     /// Takes one event and appends what must be done to `out`.
@@ -259,6 +292,8 @@
             GateEvent::Cancel { attempt } => self.cancel(attempt, now_us, out),
             GateEvent::Tick => {}
             GateEvent::Drain => self.drain(now_us, out),
+            GateEvent::Evacuate => self.evacuate(now_us, out),
+            GateEvent::Return { cold_until_us } => self.return_to_service(cold_until_us, now_us),
             GateEvent::Open => self.open(now_us),
         }
         self.leave_queue(now_us, out);
@@ -285,6 +320,9 @@
         };
         self.remember(attempt, CancelResult::Started, now_us);
         self.progress.ended(self.running.len(), now_us);
+        if healthy {
+            self.outage.over();
+        }
         let mut sample_us = now_us.saturating_sub(started_us) as i64;
         if !healthy {
             sample_us = sample_us.max(self.service_us.saturating_mul(FAILURE_PENALTY).min(1_000_000));
@@ -294,9 +332,13 @@
     }
 
     fn refused(&mut self, attempt: AttemptId, reason: BounceReason, now_us: u64, out: &mut Vec<GateAction>) {
-        if self.running.remove(&attempt).is_some() {
-            self.progress.ended(self.running.len(), now_us);
-            self.bounce(attempt, reason, now_us, out);
+        if self.running.remove(&attempt).is_none() {
+            return;
+        }
+        self.progress.ended(self.running.len(), now_us);
+        self.bounce(attempt, reason, now_us, out);
+        if reason == BounceReason::Refused && self.outage.refused(now_us) {
+            self.give_all_back(BounceReason::NotReady, now_us, out);
         }
     }
 
@@ -324,14 +366,30 @@
             self.learned = ConcurrencyLimit::default();
         }
         self.leaving = false;
+        self.outage.over();
         self.opened_us = now_us;
         self.speed.opened(now_us);
     }
 
     fn drain(&mut self, now_us: u64, out: &mut Vec<GateAction>) {
         self.leaving = true;
+        self.give_all_back(BounceReason::Leaving, now_us, out);
+    }
+
+    fn evacuate(&mut self, now_us: u64, out: &mut Vec<GateAction>) {
+        self.evacuated = true;
+        self.give_all_back(BounceReason::Evacuated, now_us, out);
+    }
+
+    fn return_to_service(&mut self, cold_until_us: u64, now_us: u64) {
+        self.evacuated = false;
+        self.set_cold(cold_until_us.max(self.cold.until_us()), now_us);
+    }
+
+    /// Gives back all that waits.
+    fn give_all_back(&mut self, reason: BounceReason, now_us: u64, out: &mut Vec<GateAction>) {
         while let Some(waiting) = self.waiting.pop_front() {
-            self.bounce(waiting.attempt, BounceReason::Leaving, now_us, out);
+            self.bounce(waiting.attempt, reason, now_us, out);
         }
     }
 
--- a/valetrack/src/gate/state/queue.rs
+++ b/valetrack/src/gate/state/queue.rs
@@ -23,8 +23,8 @@
             out.push(GateAction::Bounce { attempt, reason: BounceReason::Cancelled });
             return;
         }
-        if self.leaving {
-            self.bounce(attempt, BounceReason::Leaving, now_us, out);
+        if let Some(reason) = self.closed_for(now_us) {
+            self.bounce(attempt, reason, now_us, out);
             return;
         }
         let work_us = objective.map_or(0, |objective| objective.work_us);
@@ -44,10 +44,25 @@
         self.waiting.insert(at, Waiting { leave_at_us, ..call });
     }
 
+    /// Returns why no call is let in at all, if none is.
+    fn closed_for(&self, now_us: u64) -> Option<BounceReason> {
+        match () {
+            () if self.leaving => Some(BounceReason::Leaving),
+            () if self.evacuated => Some(BounceReason::Evacuated),
+            () if self.outage.is_on(now_us) => Some(BounceReason::NotReady),
+            () => None,
+        }
+    }
+
+    /// Returns whether a call may start now, if it is the first in the queue.
+    fn may_start(&self, now_us: u64) -> bool {
+        self.running.len() < usize::from(self.limit(now_us)) && self.cold.left(now_us) != Some(0)
+    }
+
     /// Returns why a call that arrives is given back, if it is.
     fn turns_away(&self, call: &Waiting, objective: Option<Objective>, now_us: u64) -> Option<BounceReason> {
         let held_back = self.is_held_back(call, now_us);
-        let has_slot = (self.running.len() as u16) < self.limit(now_us) && self.waiting.is_empty();
+        let has_slot = self.may_start(now_us) && self.waiting.is_empty();
         if !has_slot || held_back {
             let wait_max_us = objective.map_or(self.config.queue_max_us, |objective| objective.wait_max_us);
             if let Some(reason) = self.refuses_to_queue(call, wait_max_us, now_us) {
@@ -81,7 +96,7 @@
         if self.config.rescue && patience != Patience::Last && self.stalled(now_us) {
             return Some(BounceReason::Stalled);
         }
-        let wait_us = self.slot_wait_us(call, now_us);
+        let wait_us = self.slot_wait_us(call, now_us).max(self.cold_wait_us(call, now_us));
         let patience_us = match patience {
             Patience::None => 0,
             Patience::Short => wait_max_us.min(self.service_us as u64 / 2),
@@ -106,13 +121,19 @@
         (self.service_us as u64 + ahead_us) / limit as u64
     }
 
+    /// Returns how long a call waits until the server bears it, in microseconds.
+    fn cold_wait_us(&self, call: &Waiting, now_us: u64) -> u64 {
+        let ahead = self.waiting.iter().filter(|other| other.priority <= call.priority).count();
+        self.cold.wait_us(ahead, now_us)
+    }
+
     /// Returns whether the machine's speed is to be asked for, since calls wait for a slow episode to
     /// end.
     pub fn asks_about_episode(&self, now_us: u64) -> bool {
         now_us >= self.speed.ask_again_us() && self.waiting.iter().any(|waiting| self.is_held_back(waiting, now_us))
     }
 
-    fn is_held_back(&self, waiting: &Waiting, now_us: u64) -> bool {
+    pub(super) fn is_held_back(&self, waiting: &Waiting, now_us: u64) -> bool {
         self.speed.holds_back(waiting.work_us, now_us)
     }
 
@@ -140,8 +161,7 @@
 
     /// Starts calls while slots are free, but for those that are held back.
     pub(super) fn start_waiting(&mut self, now_us: u64, out: &mut Vec<GateAction>) {
-        let limit = self.limit(now_us) as usize;
-        while self.running.len() < limit {
+        while self.may_start(now_us) {
             let next = (0..self.waiting.len()).find(|&at| !self.is_held_back(&self.waiting[at], now_us));
             let Some(waiting) = next.and_then(|at| self.waiting.remove(at)) else {
                 return;
@@ -151,6 +171,7 @@
                 continue;
             }
             self.progress.began(now_us);
+            self.cold.started(now_us);
             let busy = self.running.len() as u16 + 1;
             self.running.insert(waiting.attempt, Running { started_us: now_us, busy });
             out.push(GateAction::Start { attempt: waiting.attempt });
--- /dev/null
+++ b/valetrack/src/gate/tests/cold.rs
@@ -0,0 +1,133 @@
+//! What a cold upstream gets.
+
+use proptest::prelude::*;
+
+use crate::gate::{AttemptId, ColdBound, ColdRule, Gate, GateAction, GateConfig, GateEvent, Objective, Patience};
+
+const SECOND_US: u64 = 1_000_000;
+const STARTS_PER_S: u32 = 24;
+const RULE: ColdRule = ColdRule { starts_per_s: Some(STARTS_PER_S), first_second: 8 };
+
+fn gate(now_us: u64) -> Gate {
+    let mut gate = Gate::new(GateConfig::default(), 0);
+    gate.configure(GateConfig { slots: 11, rescue: false, cold: RULE, ..GateConfig::default() });
+    gate.set_cold(now_us + 3 * SECOND_US, now_us);
+    gate
+}
+
+fn arrival(seq: u64, now_us: u64, wait_max_us: u64) -> GateEvent {
+    GateEvent::Arrive {
+        attempt: AttemptId { entry: 1, seq },
+        deadline_us: now_us + SECOND_US,
+        patience: Patience::Long,
+        priority: 1,
+        objective: Some(Objective { left_us: 200_000, work_us: 1_000, elsewhere_permille: 0, wait_max_us }),
+    }
+}
+
+/// Puts a call to the gate each millisecond, each of which runs for a millisecond; returns when each
+/// started.
+fn press(gate: &mut Gate, from_us: u64, until_us: u64) -> Vec<u64> {
+    let mut starts_us = Vec::new();
+    let mut out = Vec::new();
+    for now_us in (from_us..until_us).step_by(1_000) {
+        gate.handle(arrival(now_us, now_us, 0), now_us, &mut out);
+        for action in std::mem::take(&mut out) {
+            if let GateAction::Start { attempt } = action {
+                starts_us.push(now_us);
+                gate.handle(GateEvent::Done { attempt, healthy: true }, now_us, &mut Vec::new());
+            }
+        }
+    }
+    starts_us
+}
+
+fn most_in_a_second(starts_us: &[u64]) -> usize {
+    let within = |first: &u64| starts_us.iter().filter(|at| *at >= first && **at < first + SECOND_US).count();
+    starts_us.iter().map(within).max().unwrap_or(0)
+}
+
+#[test]
+fn a_cold_upstream_gets_what_it_bears_and_a_warm_one_everything() {
+    let from_us = 10 * SECOND_US;
+    let mut gate = gate(from_us);
+    let cold = press(&mut gate, from_us, from_us + 3 * SECOND_US);
+    assert_eq!(most_in_a_second(&cold), STARTS_PER_S as usize);
+    assert_eq!(cold.len(), 3 * STARTS_PER_S as usize);
+    let warm = press(&mut gate, from_us + 3 * SECOND_US, from_us + 4 * SECOND_US);
+    assert_eq!(warm.len(), 1_000);
+}
+
+#[test]
+fn an_upstream_that_turns_cold_again_is_bounded_again() {
+    let from_us = 10 * SECOND_US;
+    let mut gate = gate(from_us);
+    let again_us = from_us + 5 * SECOND_US;
+    press(&mut gate, from_us, again_us);
+    gate.set_cold(again_us + 2 * SECOND_US, again_us);
+    let cold = press(&mut gate, again_us, again_us + 2 * SECOND_US);
+    assert!(most_in_a_second(&cold) <= STARTS_PER_S as usize, "{}", cold.len());
+}
+
+#[test]
+fn a_node_that_has_just_started_leaves_room_for_what_its_earlier_life_sent() {
+    let mut gate = gate(0);
+    assert_eq!(press(&mut gate, 0, SECOND_US).len(), 8);
+}
+
+#[test]
+fn entries_see_that_a_cold_upstream_may_get_no_more_now() {
+    let from_us = 10 * SECOND_US;
+    let mut gate = gate(from_us);
+    assert_eq!(gate.load(from_us).limit, 11);
+    press(&mut gate, from_us, from_us + 100_000);
+    let load = gate.load(from_us + 100_000);
+    assert_eq!((load.limit, load.in_flight), (0, 0), "slots that may not be filled are no room");
+}
+
+#[test]
+fn a_call_that_may_wait_is_started_when_the_upstream_bears_it() {
+    let from_us = 10 * SECOND_US;
+    let mut gate = gate(from_us);
+    press(&mut gate, from_us, from_us + 100_000);
+    let late_us = from_us + 950_000;
+    let mut out = Vec::new();
+    gate.handle(arrival(1, late_us, 100_000), late_us, &mut out);
+    assert_eq!(out, [], "it waits");
+    let tick_us = gate.next_tick_us(late_us).expect("a tick");
+    assert_eq!(tick_us, from_us + SECOND_US, "until the first start is a second old");
+    gate.handle(GateEvent::Tick, tick_us, &mut out);
+    assert_eq!(out, [GateAction::Start { attempt: AttemptId { entry: 1, seq: 1 } }]);
+}
+
+proptest! {
+    /// Whatever is told of the cold times and whenever calls come, no second of a cold time has more
+    /// starts than the upstream bears.
+    #[test]
+    fn no_sliding_second_has_too_many_starts(
+        steps in prop::collection::vec((0..40_000u64, prop::option::weighted(0.05, 0..3_000_000u64)), 1..600)
+    ) {
+        let mut bound = ColdBound::new(0);
+        bound.configure(RULE);
+        let (mut now_us, mut until_us) = (0, 0);
+        let mut starts_us = Vec::new();
+        for (pause_us, cold_us) in steps {
+            now_us += pause_us;
+            if let Some(cold_us) = cold_us {
+                until_us = now_us + cold_us;
+                bound.set_until(until_us);
+            }
+            if bound.left(now_us) == Some(0) {
+                let wait_us = bound.wait_us(0, now_us);
+                prop_assert!(wait_us > 0 && wait_us <= SECOND_US);
+                continue;
+            }
+            bound.started(now_us);
+            starts_us.push(now_us);
+            if now_us < until_us {
+                let recent = starts_us.iter().filter(|at| **at + SECOND_US > now_us).count();
+                prop_assert!(recent <= STARTS_PER_S as usize, "{recent} starts");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/valetrack/src/gate/tests/evacuation.rs
@@ -0,0 +1,47 @@
+//! The gate of a server whose failure domain is evacuated.
+
+use crate::gate::{AttemptId, BounceReason, ColdRule, Gate, GateAction, GateConfig, GateEvent, Patience};
+
+fn arrival(seq: u64) -> GateEvent {
+    let attempt = AttemptId { entry: 1, seq };
+    GateEvent::Arrive { attempt, deadline_us: u64::MAX / 2, patience: Patience::Long, priority: 1, objective: None }
+}
+
+fn bounce(seq: u64) -> GateAction {
+    GateAction::Bounce { attempt: AttemptId { entry: 1, seq }, reason: BounceReason::Evacuated }
+}
+
+#[test]
+fn what_runs_ends_and_nothing_new_starts() {
+    let mut gate = Gate::new(GateConfig { slots: 1, rescue: false, ..GateConfig::default() }, 0);
+    let mut out = Vec::new();
+    gate.handle(arrival(1), 0, &mut out);
+    gate.handle(arrival(2), 0, &mut out);
+    out.clear();
+    gate.handle(GateEvent::Evacuate, 1_000, &mut out);
+    gate.handle(arrival(3), 2_000, &mut out);
+    assert_eq!(out, [bounce(2), bounce(3)]);
+    assert!(!gate.idle(), "the call that runs goes on");
+    out.clear();
+    // An announcement of the upstream changes nothing.
+    gate.handle(GateEvent::Open, 3_000, &mut out);
+    gate.handle(arrival(4), 4_000, &mut out);
+    assert_eq!(out, [bounce(4)]);
+}
+
+#[test]
+fn a_return_is_gradual_where_a_cold_upstream_bears_little() {
+    let cold = ColdRule { starts_per_s: Some(3), first_second: 3 };
+    let mut gate = Gate::new(GateConfig::default(), 0);
+    gate.configure(GateConfig { slots: 50, queue_max_us: 0, rescue: false, cold, ..GateConfig::default() });
+    let mut out = Vec::new();
+    gate.handle(GateEvent::Evacuate, 0, &mut out);
+    gate.handle(GateEvent::Return { cold_until_us: 6_000_000 }, 5_000_000, &mut out);
+    (1..=10).for_each(|seq| gate.handle(arrival(seq), 5_000_000, &mut out));
+    let starts = out.iter().filter(|action| matches!(action, GateAction::Start { .. })).count();
+    assert_eq!(starts, 3);
+    out.clear();
+    (11..=20).for_each(|seq| gate.handle(arrival(seq), 6_000_000, &mut out));
+    assert_eq!(out.len(), 10);
+    assert!(out.iter().all(|action| matches!(action, GateAction::Start { .. })), "{out:?}");
+}
--- /dev/null
+++ b/valetrack/src/gate/tests/outage.rs
@@ -0,0 +1,53 @@
+//! Upstreams that refuse connections.
+
+use crate::gate::{AttemptId, BounceReason, Gate, GateAction, GateConfig, GateEvent, Patience};
+
+fn arrival(seq: u64) -> GateEvent {
+    let attempt = AttemptId { entry: 1, seq };
+    GateEvent::Arrive { attempt, deadline_us: u64::MAX / 2, patience: Patience::Long, priority: 1, objective: None }
+}
+
+/// Puts a call to a gate whose upstream refuses every connection; returns whether it was put to it.
+fn refused(gate: &mut Gate, seq: u64, now_us: u64) -> bool {
+    let mut out = Vec::new();
+    gate.handle(arrival(seq), now_us, &mut out);
+    let attempt = AttemptId { entry: 1, seq };
+    if out != [GateAction::Start { attempt }] {
+        assert_eq!(out, [GateAction::Bounce { attempt, reason: BounceReason::NotReady }]);
+        return false;
+    }
+    gate.handle(GateEvent::Refused { attempt, reason: BounceReason::Refused }, now_us, &mut out);
+    true
+}
+
+#[test]
+fn an_upstream_that_refuses_connections_is_tried_now_and_then() {
+    let mut gate = Gate::new(GateConfig { slots: 4, rescue: false, ..GateConfig::default() }, 0);
+    // A thousand calls in five seconds.
+    let tried = (0..1_000).filter(|seq| refused(&mut gate, *seq, seq * 5_000)).count();
+    assert!((10..=18).contains(&tried), "{tried} connections tried");
+}
+
+#[test]
+fn an_upstream_that_is_back_gets_calls_at_once() {
+    let mut gate = Gate::new(GateConfig { slots: 4, rescue: false, ..GateConfig::default() }, 0);
+    assert!((0..2).all(|seq| refused(&mut gate, seq, 0)));
+    assert!(!refused(&mut gate, 2, 1_000));
+    gate.handle(GateEvent::Open, 2_000, &mut Vec::new());
+    assert!(refused(&mut gate, 3, 3_000), "an announcement tells that it is back");
+}
+
+#[test]
+fn a_refusal_now_and_then_is_no_outage() {
+    let mut gate = Gate::new(GateConfig { slots: 4, rescue: false, ..GateConfig::default() }, 0);
+    for seq in 0..100 {
+        let now_us = seq * 1_000;
+        if seq % 2 == 0 {
+            assert!(refused(&mut gate, seq, now_us));
+            continue;
+        }
+        let attempt = AttemptId { entry: 1, seq };
+        gate.handle(arrival(seq), now_us, &mut Vec::new());
+        gate.handle(GateEvent::Done { attempt, healthy: true }, now_us, &mut Vec::new());
+    }
+}
--- a/valetrack/src/gate/tests/property.rs
+++ b/valetrack/src/gate/tests/property.rs
@@ -87,7 +87,7 @@
         rescue in any::<bool>(),
         choices in prop::collection::vec((choice(), 0..20_000u64), 1..150),
     ) {
-        let config = GateConfig { slots, queue_max_us: 50_000, ramp_us: 0, rescue, learn_limit: false };
+        let config = GateConfig { slots, queue_max_us: 50_000, ramp_us: 0, rescue, ..GateConfig::default() };
         let mut gate = Gate::new(config, 0);
         let mut observer = Observer::default();
         let mut answered: HashMap<AttemptId, u32> = HashMap::new();
--- a/valetrack/src/gate/tests/steps.rs
+++ b/valetrack/src/gate/tests/steps.rs
@@ -3,10 +3,18 @@
 use test_case::test_case;
 
 use crate::gate::{
-    AttemptId, BounceReason, CancelResult, Gate, GateAction, GateConfig, GateEvent, MEMORY_US, Objective, Patience,
+    AttemptId, BounceReason, CancelResult, ColdRule, Gate, GateAction, GateConfig, GateEvent, MEMORY_US, Objective,
+    Patience,
 };
 
-const CONFIG: GateConfig = GateConfig { slots: 1, queue_max_us: 10_000, ramp_us: 0, rescue: true, learn_limit: false };
+const CONFIG: GateConfig = GateConfig {
+    slots: 1,
+    queue_max_us: 10_000,
+    ramp_us: 0,
+    rescue: true,
+    learn_limit: false,
+    cold: ColdRule { starts_per_s: None, first_second: 0 },
+};
 
 fn attempt(seq: u64) -> AttemptId {
     AttemptId { entry: 9, seq }
--- a/valetrack/src/link/codec.rs
+++ b/valetrack/src/link/codec.rs
@@ -61,7 +61,12 @@
     fn body_bytes(&self) -> Option<usize> {
         match self {
             Self::Run(call) | Self::RunKeyed(call) => Some(call.body_bytes as usize),
-            Self::Cancel(_) | Self::Probe | Self::Gossip { .. } | Self::Bundle | Self::Follow { .. } => Some(0),
+            Self::Cancel(_)
+            | Self::Probe
+            | Self::Gossip { .. }
+            | Self::Bundle
+            | Self::Evacuation
+            | Self::Follow { .. } => Some(0),
         }
     }
 }
@@ -79,6 +84,7 @@
             | Reply::Cancelled { .. }
             | Reply::Load
             | Reply::Gossip { .. }
+            | Reply::Evacuation(_)
             | Reply::NoNews => Some(0),
         }
     }
--- a/valetrack/src/link/message.rs
+++ b/valetrack/src/link/message.rs
@@ -9,11 +9,11 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gate::{AttemptId, BounceReason, CancelResult, LoadReport, Patience};
-use crate::member::Member;
+use crate::member::{Evacuation, Member};
 use crate::placement::Outcome;
 
 /// Version of the messages; nodes of other versions are refused in the TLS handshake.
-pub const ALPN: &[u8] = b"valetrack/5";
+pub const ALPN: &[u8] = b"valetrack/6";
 /// Largest head, in bytes.
 pub const HEAD_MAX_BYTES: usize = 64 * 1024;
 /// Largest body, in bytes; routes have caps below it.
@@ -111,15 +111,19 @@
     Cancel(AttemptId),
     /// Say what the load is.
     Probe,
-    /// Exchange what is known of VMs, and the number of the bundle in force.
+    /// Exchange what is known of VMs and evacuations, and the number of the bundle in force.
     Gossip {
         /// VMs that the sender knows.
         members: Vec<Member>,
+        /// Failure domains that are evacuated as far as the sender knows.
+        evacuation: Evacuation,
         /// Number of the bundle in force at the sender.
         bundle: u64,
     },
     /// Send the bundle in force.
     Bundle,
+    /// Tell which failure domains are evacuated.
+    Evacuation,
     /// Tell what has changed in the store, as soon as something has.
     Follow {
         /// Revision up to which the sender has read the store.
@@ -171,7 +175,11 @@
     Gossip {
         /// VMs that the sender knows.
         members: Vec<Member>,
+        /// Failure domains that are evacuated as far as the sender knows.
+        evacuation: Evacuation,
     },
+    /// The failure domains that are evacuated.
+    Evacuation(Evacuation),
     /// The bundle in force; its text follows.
     Bundle {
         /// Its number; zero when there is none.
--- a/valetrack/src/link/run.rs
+++ b/valetrack/src/link/run.rs
@@ -27,7 +27,7 @@
     Announcement, BounceReason, GateConfig, Health, RunLedger, UpstreamPhase, UpstreamProtocol, UpstreamState,
 };
 use crate::jobs::next_job;
-use crate::member::MemberJob;
+use crate::member::{Evacuation, Member, MemberJob, Members};
 use crate::metric::Metrics;
 use crate::placement::Outcome;
 use crate::timeline::log as events;
@@ -41,6 +41,10 @@
 pub struct LinkParts {
     /// Name of this VM.
     pub vm: Arc<str>,
+    /// Its failure domain.
+    pub domain: Arc<str>,
+    /// The VMs.
+    pub members: watch::Receiver<Arc<Members>>,
     /// The service of this VM's server.
     pub service: Arc<str>,
     /// Address of that server.
@@ -110,6 +114,8 @@
     let mut duties = tokio::task::JoinSet::new();
     duties.spawn_local(shell.gate.clone().keep_time());
     duties.spawn_local(shell.gate.clone().follow_upstream());
+    let members = shell.gate.clone().follow_members(shell.parts.domain.clone(), shell.parts.members.clone());
+    duties.spawn_local(members);
     duties.spawn_local(shell.clone().find_upstream());
     duties.spawn_local(shell.clone().follow_bundle());
     duties.spawn_local(shell.clone().follow_leaving());
@@ -153,9 +159,10 @@
         while self.parts.upstream.borrow().phase == UpstreamPhase::Unknown {
             let path = self.service_rule().and_then(|rule| rule.health_path);
             if let Some(path) = path
-                && let Some(Health { id, ready: true }) = self.gate.health(&path).await
+                && let Some(Health { id, ready: true, cold_ms }) = self.gate.health(&path).await
             {
-                let found = Announcement { id, sequence: Some(0), ready: true, slots: None, cold_ms: 0 };
+                let cold_ms = cold_ms.unwrap_or(0);
+                let found = Announcement { id, born_ms: None, sequence: Some(0), ready: true, slots: None, cold_ms };
                 // The ring is read as long as the node runs.
                 let _ = to_upstream.send(found).await;
                 return;
@@ -233,11 +240,12 @@
                 self.gate.refresh_speed(u64::MAX).await;
                 (Reply::Load, Bytes::new())
             }
-            Ask::Gossip { members, bundle } => {
-                let members = self.gossip(members, bundle).await;
-                (Reply::Gossip { members }, Bytes::new())
+            Ask::Gossip { members, evacuation, bundle } => {
+                let members = self.gossip(members, evacuation, bundle).await;
+                (Reply::Gossip { members, evacuation: self.evacuation() }, Bytes::new())
             }
             Ask::Bundle => self.bundle(),
+            Ask::Evacuation => (Reply::Evacuation(self.evacuation()), Bytes::new()),
             Ask::Follow { after, wait_ms } => self.store_news(after, wait_ms).await,
         };
         Answered { head: ReplyHead { reply, riding: self.riding() }, body }
@@ -280,9 +288,13 @@
         })
     }
 
-    async fn gossip(&self, members: Vec<crate::member::Member>, bundle: u64) -> Vec<crate::member::Member> {
+    fn evacuation(&self) -> Evacuation {
+        self.parts.members.borrow().evacuation().clone()
+    }
+
+    async fn gossip(&self, members: Vec<Member>, evacuation: Evacuation, bundle: u64) -> Vec<Member> {
         let (reply, known) = oneshot::channel();
-        let job = MemberJob::Heard { members, bundle, reply: Some(reply) };
+        let job = MemberJob::Heard { members, evacuation, bundle, reply: Some(reply) };
         if self.parts.to_member.send(job).await.is_err() {
             return Vec::new();
         }
@@ -334,6 +346,7 @@
                     ramp_us: u64::from(rule.ramp_ms) * 1000,
                     rescue: rule.stall_rescue,
                     learn_limit: rule.learn_limit,
+                    cold: rule.cold,
                 };
                 let answer_cap_bytes = rule.answer_cap_bytes as usize;
                 self.gate.configure(config, answer_cap_bytes, rule.health_path).await;
--- a/valetrack/src/member/directory.rs
+++ b/valetrack/src/member/directory.rs
@@ -13,6 +13,10 @@
 /// reaches the store writes its entry anew within two seconds.
 pub const MISSING_US: u64 = 2_000_000;
 
+/// Keys with entries that could not be read of which the revision is remembered, so that each is logged
+/// once: more than any failure domain has nodes.
+const INVALID_MAX: usize = 1_024;
+
 /// Returns the key of a VM's entry.
 pub fn entry_key(vm: &str) -> String {
     format!("{ENTRY_PREFIX}{vm}")
@@ -32,6 +36,10 @@
 #[derive(Debug, Clone, Default)]
 pub struct Directory {
     entries: BTreeMap<Arc<str>, Entry>,
+    /// Revisions at which keys held what no node writes.
+    invalid: BTreeMap<String, u64>,
+    /// Entries that could not be read since they were last counted.
+    invalid_count: u64,
 }
 
 impl Directory {
@@ -41,7 +49,7 @@
         let mut listed = Vec::new();
         for item in items.iter().filter(|item| item.key.starts_with(ENTRY_PREFIX)) {
             listed.push(vm_of(&item.key));
-            changed |= self.put(item);
+            changed |= self.put(item, now_us);
         }
         for (vm, entry) in &mut self.entries {
             if !listed.contains(&&**vm) {
@@ -54,7 +62,7 @@
     /// Takes one change that came at `now_us`; returns whether the nodes changed.
     pub fn apply(&mut self, change: &Change, now_us: u64) -> bool {
         match change {
-            Change::Put(item) if item.key.starts_with(ENTRY_PREFIX) => self.put(item),
+            Change::Put(item) if item.key.starts_with(ENTRY_PREFIX) => self.put(item, now_us),
             Change::Gone { key, revision } if key.starts_with(ENTRY_PREFIX) => {
                 if let Some(entry) = self.entries.get_mut(vm_of(key))
                     && *revision > entry.revision
@@ -68,6 +76,11 @@
         }
     }
 
+    /// Returns how many entries could not be read since the last call.
+    pub fn take_invalid(&mut self) -> u64 {
+        std::mem::take(&mut self.invalid_count)
+    }
+
     /// Takes what another node tells of a VM of which the store has shown nothing; it is believed
     /// as long as an entry that has just gone missing. Returns whether the nodes changed.
     pub fn hint(&mut self, member: &Member, now_us: u64) -> bool {
@@ -108,16 +121,28 @@
         self.entries.values().map(|entry| &entry.member)
     }
 
-    fn put(&mut self, item: &Item) -> bool {
-        let member = match serde_json::from_slice::<Member>(&item.value) {
-            Ok(member) if &*member.vm == vm_of(&item.key) => member,
-            Ok(_) => {
-                log::warn!("event=member.entry_invalid code={} key={}", Code::EntryInvalid, item.key);
-                return false;
-            }
-            Err(error) => {
-                let code = Code::EntryInvalid;
-                log::warn!("event=member.entry_invalid code={code} key={} reason=\"{error}\"", item.key);
+    /// Counts an entry that cannot be read; the node of that VM, if it lives, writes its own anew.
+    fn reject(&mut self, item: &Item, reason: &str, now_us: u64) {
+        if self.invalid.get(&item.key).is_some_and(|revision| *revision >= item.revision) {
+            return;
+        }
+        if let Some(entry) = self.entries.get_mut(vm_of(&item.key))
+            && item.revision > entry.revision
+        {
+            entry.missing_since_us.get_or_insert(now_us);
+        }
+        self.invalid_count += 1;
+        if self.invalid.len() < INVALID_MAX {
+            self.invalid.insert(item.key.clone(), item.revision);
+        }
+        log::warn!("event=member.entry_invalid code={} key={} reason=\"{reason}\"", Code::EntryInvalid, item.key);
+    }
+
+    fn put(&mut self, item: &Item, now_us: u64) -> bool {
+        let member = match member_of(item) {
+            Ok(member) => member,
+            Err(reason) => {
+                self.reject(item, &reason, now_us);
                 return false;
             }
         };
@@ -126,12 +151,26 @@
             return false;
         }
         let changed = known.is_none_or(|known| known.member != member);
+        self.invalid.remove(&item.key);
         let entry = Entry { member, revision: item.revision, missing_since_us: None };
         self.entries.insert(entry.member.vm.clone(), entry);
         changed
     }
 }
 
+/// Reads the entry of the VM that a key names.
+///
+/// # Errors
+///
+/// Returns why another writer than that VM's node must have written it.
+pub fn member_of(item: &Item) -> Result<Member, String> {
+    let member = serde_json::from_slice::<Member>(&item.value).map_err(|error| error.to_string())?;
+    match &*member.vm == vm_of(&item.key) {
+        true => Ok(member),
+        false => Err(format!("it names {}", member.vm)),
+    }
+}
+
 fn vm_of(key: &str) -> &str {
     key.strip_prefix(ENTRY_PREFIX).unwrap_or(key)
 }
--- a/valetrack/src/member/lease.rs
+++ b/valetrack/src/member/lease.rs
@@ -177,6 +177,12 @@
         self.revision = revision;
     }
 
+    /// Notes that another writer has put something else at the own key; it is written anew at once.
+    pub fn overwritten(&mut self, revision: u64) {
+        self.revision = revision;
+        self.written = None;
+    }
+
     fn succeeded(&mut self) {
         self.failures = 0;
         self.retry_us = 0;
--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -5,6 +5,7 @@
 mod keep;
 mod read;
 mod relayed;
+mod wake;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -17,6 +18,7 @@
 use tokio::sync::{Notify, watch};
 
 use super::directory::{Directory, ENTRY_PREFIX};
+use super::evacuation::Evacuation;
 use super::lease::EntryKeeper;
 use super::message::{Member, MemberJob, Phase};
 use super::relay::ChangeLog;
@@ -45,6 +47,8 @@
     pub format: Arc<dyn BundleFormat>,
     /// Key of the operators' bundle.
     pub bundle_key: Arc<str>,
+    /// Prefix of the operators' keys that each name a failure domain to be evacuated.
+    pub evacuation_prefix: Arc<str>,
     /// How long the own entry outlives the last word of this node, in milliseconds.
     pub lease_ms: u64,
     /// News of other threads.
@@ -79,6 +83,9 @@
     directory: RefCell<Directory>,
     keeper: RefCell<EntryKeeper>,
     me: RefCell<Member>,
+    evacuation: RefCell<Evacuation>,
+    /// Whether another node is being asked for evacuations.
+    fetching_evacuation: Cell<bool>,
     rng: RefCell<fastrand::Rng>,
     /// Wakes the task that keeps the own entry.
     entry_due: Notify,
@@ -106,6 +113,8 @@
         directory: RefCell::new(Directory::default()),
         keeper: RefCell::new(EntryKeeper::default()),
         me: RefCell::new(parts.me.clone()),
+        evacuation: RefCell::default(),
+        fetching_evacuation: Cell::new(false),
         rng: RefCell::new(fastrand::Rng::with_seed(parts.seed)),
         entry_due: Notify::new(),
         reread: Notify::new(),
@@ -124,6 +133,7 @@
     duties.spawn_local(shell.clone().keep_entry());
     duties.spawn_local(shell.clone().follow_phase());
     duties.spawn_local(shell.clone().withdraw());
+    duties.spawn_local(shell.clone().wake_neighbours());
     let mut closing = shell.parts.closing.clone();
     while let Some(job) = next_job(&shell.parts.jobs, &mut closing).await {
         shell.clone().take(job);
@@ -134,7 +144,9 @@
 impl Shell {
     fn take(self: Rc<Self>, job: MemberJob) {
         match job {
-            MemberJob::Heard { members, bundle, reply } => {
+            MemberJob::Heard { members, evacuation, bundle, reply } => {
+                // What goes where depends on it, so it is known before the bundle that lets calls in.
+                self.evacuation_heard(&evacuation);
                 self.hear(&members);
                 if let Some(first) = members.first() {
                     let from = Target { vm: first.vm.clone(), addr: first.link_addr };
@@ -146,6 +158,9 @@
                 }
             }
             MemberJob::Bundle { number, from } => self.bundle_heard(number, from),
+            MemberJob::Evacuation { from } => {
+                tokio::task::spawn_local(self.fetch_evacuation(from));
+            }
             MemberJob::Follow { after, wait_ms, reply } => {
                 tokio::task::spawn_local(self.serve_follower(after, wait_ms, reply));
             }
@@ -171,9 +186,44 @@
         }
     }
 
+    /// Takes what another node knows of evacuations.
+    fn evacuation_heard(&self, news: &Evacuation) {
+        if self.evacuation.borrow_mut().merge(news) {
+            self.evacuation_changed("peer");
+        }
+    }
+
+    /// Says which failure domains are evacuated from now on.
+    fn evacuation_changed(&self, by: &str) {
+        {
+            let evacuation = self.evacuation.borrow();
+            log::info!(
+                "event=member.evacuation number={} domains={} by={by}",
+                evacuation.number,
+                evacuation.domain_list()
+            );
+        }
+        self.publish();
+    }
+
+    /// Asks another node which failure domains are evacuated, unless one is being asked.
+    async fn fetch_evacuation(self: Rc<Self>, from: Target) {
+        if self.fetching_evacuation.replace(true) {
+            return;
+        }
+        let question = Question { ask: Ask::Evacuation, body: Bytes::new() };
+        if let LinkResult::Reply(answered) = self.ask(from, question).await
+            && let Reply::Evacuation(news) = answered.head.reply
+        {
+            self.evacuation_heard(&news);
+        }
+        self.fetching_evacuation.set(false);
+    }
+
     /// Tells a node that lacks the bundle in force what this one knows.
     async fn tell(self: Rc<Self>, peer: Target) {
-        let ask = Ask::Gossip { members: self.digest(), bundle: self.adopter.number() };
+        let evacuation = self.evacuation.borrow().clone();
+        let ask = Ask::Gossip { members: self.digest(), evacuation, bundle: self.adopter.number() };
         // No reply is no loss: the peer's next reply shows again that it lacks the bundle.
         let _ = self.ask(peer, Question { ask, body: Bytes::new() }).await;
     }
@@ -210,6 +260,7 @@
             members.merge(member);
         }
         members.set(self.me.borrow().clone());
+        members.evacuate(&self.evacuation.borrow());
         self.parts.members.send_replace(Arc::new(members));
     }
 
@@ -228,7 +279,7 @@
             drained.set(true);
         };
         let mut drain = std::pin::pin!(drain);
-        let mut id = None;
+        let mut start = 0;
         loop {
             let state = upstream.borrow_and_update().clone();
             let phase = match state.phase {
@@ -237,10 +288,10 @@
                 UpstreamPhase::Ready | UpstreamPhase::Unknown => Phase::Joining,
                 UpstreamPhase::Leaving => Phase::Leaving,
             };
-            if state.id != id {
+            if state.start != start {
                 // Another start of the upstream is another life: its load and health are new.
                 self.me.borrow_mut().incarnation = self.rng.borrow_mut().u64(1..);
-                id = state.id;
+                start = state.start;
             }
             self.move_on(phase);
             let changed = tokio::select! {
--- a/valetrack/src/member/leased/read.rs
+++ b/valetrack/src/member/leased/read.rs
@@ -1,12 +1,13 @@
 //! Reads the store, whole or what has changed, and takes what was read, from the store or a relay.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::Shell;
 use crate::bundle::version_of;
 use crate::clock::now_us;
 use crate::code::Code;
-use crate::member::entry_key;
+use crate::member::{entry_key, member_of};
 use crate::store::{Change, Freshness, Item, StoreError};
 
 impl Shell {
@@ -52,12 +53,17 @@
         let own = items.iter().find(|item| item.key == key);
         // A state from before the entry was written does not show that it is gone.
         if own.is_some() || at_revision >= self.keeper.borrow().revision() {
-            self.own_entry_seen(own.map_or(0, |item| item.revision), own.is_some());
+            match own {
+                Some(item) => self.own_entry_seen(item),
+                None => self.own_entry_gone(0),
+            }
         }
         for item in items.iter().filter(|item| item.key == *self.parts.bundle_key) {
             self.take_bundle(item);
         }
+        self.take_evacuations(items, at_revision);
         self.directory.borrow_mut().replace(items, now_us());
+        self.count_invalid();
         self.log.borrow_mut().read(items, at_revision, confirmed_us);
         self.logged.notify_waiters();
         self.publish();
@@ -96,14 +102,16 @@
         let mut changed = false;
         for change in changes {
             match change {
-                Change::Put(item) if item.key == own => self.own_entry_seen(item.revision, true),
-                Change::Gone { key, revision } if *key == own => self.own_entry_seen(*revision, false),
+                Change::Put(item) if item.key == own => self.own_entry_seen(item),
+                Change::Gone { key, revision } if *key == own => self.own_entry_gone(*revision),
                 Change::Put(item) if item.key == *self.parts.bundle_key => self.take_bundle(item),
+                change if self.evacuated_domain(change.key()).is_some() => self.take_evacuation(change),
                 Change::Put(_) | Change::Gone { .. } => {
                     changed |= self.directory.borrow_mut().apply(change, now_us());
                 }
             }
         }
+        self.count_invalid();
         for vm in self.directory.borrow_mut().expire(now_us()) {
             log::info!("event=member.gone peer={vm} by=store");
             changed = true;
@@ -113,11 +121,54 @@
         }
     }
 
-    fn own_entry_seen(&self, revision: u64, present: bool) {
-        self.keeper.borrow_mut().seen(revision, present);
-        if !present {
+    fn count_invalid(&self) {
+        let count = self.directory.borrow_mut().take_invalid();
+        self.parts.metrics.invalid_input.with_label_values(&[&Code::EntryInvalid.to_string()]).inc_by(count);
+    }
+
+    /// Returns the failure domain that a key evacuates, if it is such a key.
+    fn evacuated_domain<'k>(&self, key: &'k str) -> Option<&'k str> {
+        key.strip_prefix(&*self.parts.evacuation_prefix).filter(|domain| !domain.is_empty())
+    }
+
+    /// Takes which failure domains are evacuated as the whole store shows it.
+    fn take_evacuations(&self, items: &[Item], at_revision: u64) {
+        let domains = items.iter().filter_map(|item| self.evacuated_domain(&item.key)).map(Arc::from).collect();
+        if self.evacuation.borrow_mut().set(domains, at_revision) {
+            self.evacuation_changed("store");
+        }
+    }
+
+    /// Takes the start or the end of one evacuation.
+    fn take_evacuation(&self, change: &Change) {
+        let Some(domain) = self.evacuated_domain(change.key()) else {
+            return;
+        };
+        let mut domains = self.evacuation.borrow().domains.clone();
+        match change {
+            Change::Put(_) => domains.insert(Arc::from(domain)),
+            Change::Gone { .. } => domains.remove(domain),
+        };
+        if self.evacuation.borrow_mut().set(domains, change.revision()) {
+            self.evacuation_changed("store");
+        }
+    }
+
+    /// Takes the own entry as the store holds it; one that another writer has put there is written anew.
+    fn own_entry_seen(&self, item: &Item) {
+        let is_own = member_of(item).is_ok();
+        if !is_own && item.revision > self.keeper.borrow().revision() {
+            log::warn!("event=member.entry_overwritten code={} revision={}", Code::EntryInvalid, item.revision);
+            self.keeper.borrow_mut().overwritten(item.revision);
             self.entry_due.notify_one();
+            return;
         }
+        self.keeper.borrow_mut().seen(item.revision, true);
+    }
+
+    fn own_entry_gone(&self, revision: u64) {
+        self.keeper.borrow_mut().seen(revision, false);
+        self.entry_due.notify_one();
     }
 
     fn take_bundle(&self, item: &Item) {
--- a/valetrack/src/member/message.rs
+++ b/valetrack/src/member/message.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
+use super::evacuation::Evacuation;
 use super::relay::StoreNews;
 use crate::link::peer::Target;
 
@@ -105,6 +106,8 @@
     Heard {
         /// VMs.
         members: Vec<Member>,
+        /// Failure domains that are evacuated as far as it knows.
+        evacuation: Evacuation,
         /// Number of the bundle in force there.
         bundle: u64,
         /// Where this node's own knowledge goes.
@@ -117,6 +120,11 @@
         /// Who has it.
         from: Target,
     },
+    /// An owner gave a call back since its failure domain is evacuated.
+    Evacuation {
+        /// Which.
+        from: Target,
+    },
     /// Another node follows this one in place of the store.
     Follow {
         /// Revision up to which it has read the store.
--- a/valetrack/src/member/mod.rs
+++ b/valetrack/src/member/mod.rs
@@ -4,6 +4,7 @@
 //! no order of messages or age of the list brings an earlier state back.
 
 mod directory;
+mod evacuation;
 mod lease;
 pub mod leased;
 pub mod list;
@@ -14,7 +15,8 @@
 #[cfg(test)]
 mod tests;
 
-pub use directory::{Directory, ENTRY_PREFIX, MISSING_US, entry_key};
+pub use directory::{Directory, ENTRY_PREFIX, MISSING_US, entry_key, member_of};
+pub use evacuation::Evacuation;
 pub use lease::{EntryKeeper, EntryStep};
 pub use message::{Candidate, ListedVm, Member, MemberJob, Phase};
 pub use relay::{AGE_MAX_US, ChangeLog, StoreNews, relay_of};
--- a/valetrack/src/member/run.rs
+++ b/valetrack/src/member/run.rs
@@ -10,6 +10,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
 
+use super::evacuation::Evacuation;
 use super::list::VmList;
 use super::message::{Member, MemberJob, Phase};
 use super::state::Members;
@@ -90,6 +91,7 @@
     duties.spawn_local(shell.clone().gossip());
     duties.spawn_local(shell.clone().follow_phase());
     duties.spawn_local(shell.clone().push_bundles());
+    duties.spawn_local(shell.clone().follow_evacuations());
     duties.spawn_local(shell.bundler.clone().follow_store());
     let mut closing = shell.parts.closing.clone();
     while let Some(job) = next_job(&shell.parts.jobs, &mut closing).await {
@@ -101,7 +103,8 @@
 impl Shell {
     fn take(self: Rc<Self>, job: MemberJob) {
         match job {
-            MemberJob::Heard { members, bundle, reply } => {
+            MemberJob::Heard { members, evacuation, bundle, reply } => {
+                self.evacuation_heard(&evacuation);
                 if let Some(first) = members.first().cloned() {
                     self.hear(&first, bundle);
                 }
@@ -111,6 +114,9 @@
                 }
             }
             MemberJob::Bundle { number, from } => self.bundle_heard(number, from),
+            MemberJob::Evacuation { from } => {
+                tokio::task::spawn_local(self.exchange(from));
+            }
             MemberJob::Follow { reply, .. } => {
                 // The store is not read here; whoever asked may have gone away meanwhile.
                 let _ = reply.send(None);
@@ -121,6 +127,28 @@
         }
     }
 
+    /// Takes what another node or the store tells of evacuations, and passes on what is new.
+    fn evacuation_heard(&self, news: &Evacuation) {
+        if !self.members.borrow_mut().evacuate(news) {
+            return;
+        }
+        log::info!("event=member.evacuation number={} domains={}", news.number, news.domain_list());
+        self.parts.members.send_replace(Arc::new(self.members.borrow().clone()));
+        self.push.notify_one();
+    }
+
+    /// Follows the evacuations that stand in the store.
+    async fn follow_evacuations(self: Rc<Self>) {
+        let mut evacuation = self.bundler.evacuation();
+        loop {
+            let news = evacuation.borrow_and_update().clone();
+            self.evacuation_heard(&news);
+            if evacuation.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Notes that a node itself was heard, and what bundle it has.
     fn hear(self: &Rc<Self>, member: &Member, bundle: u64) {
         self.members.borrow_mut().heard(&member.vm, now_us());
@@ -239,14 +267,16 @@
 
     async fn exchange(self: Rc<Self>, target: Target) {
         let bundle = self.bundler.adopter.number();
-        let question = Question { ask: Ask::Gossip { members: self.digest(), bundle }, body: Bytes::new() };
+        let evacuation = self.members.borrow().evacuation().clone();
+        let question = Question { ask: Ask::Gossip { members: self.digest(), evacuation, bundle }, body: Bytes::new() };
         let LinkResult::Reply(answered) = self.ask(target, question).await else {
             return;
         };
         events::observe(answered.head.riding.hlc);
-        let Reply::Gossip { members } = answered.head.reply else {
+        let Reply::Gossip { members, evacuation } = answered.head.reply else {
             return;
         };
+        self.evacuation_heard(&evacuation);
         if let Some(first) = members.first().cloned() {
             self.hear(&first, answered.head.riding.bundle);
         }
--- a/valetrack/src/member/state.rs
+++ b/valetrack/src/member/state.rs
@@ -1,8 +1,9 @@
 //! Pure decisions of membership: a join of views, and how the lagging list is read.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
+use super::evacuation::Evacuation;
 use super::message::{Candidate, ListedVm, Member, Phase};
 
 /// A VM that has left the list and was not heard of for this long is gone, in microseconds.
@@ -17,6 +18,7 @@
     all: BTreeMap<Arc<str>, Member>,
     listed: BTreeMap<Arc<str>, ListedVm>,
     heard_us: BTreeMap<Arc<str>, u64>,
+    evacuation: Evacuation,
     /// VMs that the list has shown; one that it has not shown yet says nothing by its absence.
     shown: BTreeSet<Arc<str>>,
 }
@@ -40,6 +42,16 @@
         self.all.insert(member.vm.clone(), member);
     }
 
+    /// Returns the failure domains that are evacuated.
+    pub fn evacuation(&self) -> &Evacuation {
+        &self.evacuation
+    }
+
+    /// Takes what is told of evacuated failure domains; returns whether it says more than was known.
+    pub fn evacuate(&mut self, news: &Evacuation) -> bool {
+        self.evacuation.merge(news)
+    }
+
     /// Notes that a VM's node itself was heard at `now_us`.
     pub fn heard(&mut self, vm: &Arc<str>, now_us: u64) {
         let heard_us = self.heard_us.entry(vm.clone()).or_insert(now_us);
@@ -80,7 +92,8 @@
         self.all.values()
     }
 
-    /// Returns the VMs of a service that may get calls, listed or heard of.
+    /// Returns the VMs of a service that may get calls, listed or heard of, outside the failure domains
+    /// that are evacuated.
     ///
     /// A VM that is only listed is taken at its word until its node says more.
     pub fn servers_of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = Candidate> + 'a {
@@ -94,7 +107,16 @@
             .values()
             .filter(move |row| &*row.service == service && !row.leaving && !self.all.contains_key(&row.vm))
             .map(Candidate::from);
-        heard.chain(listed)
+        heard.chain(listed).filter(|candidate| !self.evacuation.covers(&candidate.domain))
+    }
+
+    /// Returns how many VMs that take work each service has.
+    pub fn vms_by_service(&self) -> HashMap<Arc<str>, u32> {
+        let mut vms = HashMap::new();
+        for member in self.all.values().filter(|member| member.phase == Phase::Serving) {
+            *vms.entry(member.service.clone()).or_insert(0) += 1;
+        }
+        vms
     }
 
     /// Returns how long a VM's node has been silent at `now_us`, in microseconds; none when it
--- a/valetrack/src/member/tests.rs
+++ b/valetrack/src/member/tests.rs
@@ -2,5 +2,7 @@
 
 mod directory;
 mod entry;
+mod evacuation;
+mod other_writer;
 mod relay;
 mod view;
--- /dev/null
+++ b/valetrack/src/member/tests/other_writer.rs
@@ -0,0 +1,70 @@
+//! Entries of another writer among those of the nodes.
+
+use proptest::prelude::*;
+
+use crate::member::{Directory, EntryKeeper, EntryStep, MISSING_US, Member, entry_key};
+use crate::store::{Change, Item, Lease};
+
+const ENTRY: &str = r#"{"vm":"vm-1","incarnation":7,"phase":"serving","domain":"kranj","service":"rounds","link_addr":"10.0.0.1:7620"}"#;
+
+fn item(vm: &str, value: &[u8], revision: u64) -> Item {
+    Item { key: entry_key(vm), value: value.to_vec(), revision }
+}
+
+fn names(directory: &Directory) -> Vec<String> {
+    directory.members().map(|member: &Member| member.vm.to_string()).collect()
+}
+
+#[test]
+fn what_cannot_be_read_names_no_node_and_the_others_hold() {
+    let mut directory = Directory::default();
+    let items = [
+        item("vm-1", ENTRY.as_bytes(), 1),
+        item("vm-2", b"{\"vm\":\"vm-2\"}", 2),
+        item("vm-3", &[0xff, 0x00, 0x80], 3),
+        item("vm-4", ENTRY.as_bytes(), 4),
+        item("vm-5", ENTRY.replace("vm-1", "vm-5").replace("serving", "floating").as_bytes(), 5),
+        item("vm-6", b"", 6),
+    ];
+    assert!(directory.replace(&items, 0));
+    assert_eq!(names(&directory), ["vm-1"]);
+    assert_eq!(directory.take_invalid(), 5);
+    directory.replace(&items, 0);
+    assert_eq!(directory.take_invalid(), 0, "each is counted and logged once");
+}
+
+#[test]
+fn an_entry_that_another_writer_overwrote_is_believed_until_its_node_could_write_it_anew() {
+    let mut directory = Directory::default();
+    directory.replace(&[item("vm-1", ENTRY.as_bytes(), 1)], 0);
+    directory.apply(&Change::Put(item("vm-1", b"[]", 2)), 1_000);
+    assert!(directory.expire(1_000 + MISSING_US - 1).is_empty());
+    directory.apply(&Change::Put(item("vm-1", ENTRY.as_bytes(), 3)), 1_500_000);
+    assert!(directory.expire(10_000_000).is_empty(), "its node has written it anew");
+    directory.apply(&Change::Put(item("vm-1", b"[]", 4)), 10_000_000);
+    assert_eq!(directory.expire(10_000_000 + MISSING_US).len(), 1);
+    assert_eq!(names(&directory), Vec::<String>::new());
+}
+
+#[test]
+fn a_node_writes_its_entry_anew_over_another_writer() {
+    let mut keeper = EntryKeeper::default();
+    keeper.change();
+    keeper.granted(Lease { id: 5, ttl_ms: 8_000 }, 0);
+    keeper.wrote(1, 10);
+    assert!(matches!(keeper.next(0), EntryStep::Wait { .. }));
+    keeper.overwritten(11);
+    assert_eq!(keeper.next(0), EntryStep::Write { lease: 5, expected: 11 });
+}
+
+proptest! {
+    #[test]
+    fn no_bytes_break_the_directory(value in prop::collection::vec(any::<u8>(), 0..120), at in 0..120usize, byte in any::<u8>()) {
+        let mut directory = Directory::default();
+        let mut changed = ENTRY.as_bytes().to_vec();
+        let at = at % changed.len();
+        changed[at] = byte;
+        directory.replace(&[item("vm-1", ENTRY.as_bytes(), 1), item("vm-2", &value, 2), item("vm-1", &changed, 3)], 0);
+        prop_assert!(names(&directory).iter().all(|name| name == "vm-1"));
+    }
+}
--- a/valetrack/src/metric.rs
+++ b/valetrack/src/metric.rs
@@ -39,6 +39,8 @@
     pub stray_answers: IntCounter,
     /// Frames that could not be read.
     pub bad_frames: IntCounter,
+    /// Entries and announcements that could not be read, by code.
+    pub invalid_input: IntCounterVec,
     /// Calls of callers that could not be read.
     pub bad_calls: IntCounter,
     /// Bytes spent only on measuring.
@@ -116,6 +118,11 @@
             gate_queued: gauge("valetrack_gate_queued_calls", "Calls that wait for a slot."),
             stray_answers: counter("valetrack_stray_answers_total", "Answers of no open attempt, dropped."),
             bad_frames: counter("valetrack_bad_frames_total", "Frames on links that could not be read."),
+            invalid_input: counters(
+                "valetrack_invalid_input_total",
+                "Entries and announcements that could not be read.",
+                "code",
+            ),
             bad_calls: counter("valetrack_bad_calls_total", "Calls of callers that were refused as bad input."),
             measure_bytes: counter("valetrack_measure_bytes_total", "Bytes spent only on measuring."),
             measure_budget: gauge("valetrack_measure_budget_bytes_per_second", "Budget for measuring."),
--- a/valetrack/src/node/start.rs
+++ b/valetrack/src/node/start.rs
@@ -42,10 +42,11 @@
             Membership::Listed { list, store } => {
                 Ok(vec![self.start_claim(store.clone())?, self.start_listed(list.clone(), store.clone())?])
             }
-            Membership::Leased { store, bundle_key } => {
+            Membership::Leased { store, bundle_key, evacuation_prefix } => {
                 // Without a roster of homes there are no claims: calls with keys are unknown here.
                 self.stages.released.send_replace(true);
-                Ok(vec![self.start_leased(store.clone(), bundle_key.clone())?])
+                let (bundle_key, prefix) = (bundle_key.clone(), evacuation_prefix.clone());
+                Ok(vec![self.start_leased(store.clone(), bundle_key, prefix)?])
             }
         }
     }
@@ -72,12 +73,18 @@
         Adopter::new(self.format.clone(), self.bundle.clone(), self.metrics.clone())
     }
 
-    fn start_leased(&self, store: Arc<dyn LeaseStore>, bundle_key: Arc<str>) -> std::io::Result<JoinHandle<()>> {
+    fn start_leased(
+        &self,
+        store: Arc<dyn LeaseStore>,
+        bundle_key: Arc<str>,
+        evacuation_prefix: Arc<str>,
+    ) -> std::io::Result<JoinHandle<()>> {
         let parts = LeasedParts {
             me: self.me(),
             store,
             format: self.format.clone(),
             bundle_key,
+            evacuation_prefix,
             lease_ms: self.settings.lease_ms,
             jobs: self.member.from.clone(),
             to_link: self.link.to.clone(),
@@ -105,6 +112,7 @@
         let ring = self.announcement.from.clone();
         let to = self.announcement.to.clone();
         let upstream = self.upstream.clone();
+        let metrics = self.metrics.clone();
         let mut closing = self.stages.closing.subscribe();
         spawn("announcement", move || async move {
             let Ok(listener) = TcpListener::from_std(listener) else {
@@ -116,7 +124,7 @@
                 }
             };
             tokio::select! {
-                () = announcements.listen(listener, to) => {}
+                () = announcements.listen(listener, to, metrics) => {}
                 () = keep => {}
                 _ = closing.wait_for(|closing| *closing) => {}
             }
@@ -219,6 +227,8 @@
     fn link_parts(&self) -> LinkParts {
         LinkParts {
             vm: self.settings.vm.clone(),
+            domain: self.settings.domain.clone(),
+            members: self.members.subscribe(),
             service: self.settings.service.clone(),
             server_addr: self.settings.server_addr,
             jobs: self.link.from.clone(),
--- a/valetrack/src/placement/attempt.rs
+++ b/valetrack/src/placement/attempt.rs
@@ -11,7 +11,7 @@
 use super::message::{CallEvent, Dispatch, Outcome, ServerIndex};
 use super::run::{PROMPT_MS, Placer};
 use crate::code::Code;
-use crate::gate::AttemptId;
+use crate::gate::{AttemptId, BounceReason};
 use crate::link::message::{AnswerHead, Answered, Ask, CallHead, Question, Reply};
 use crate::link::peer::{self, LinkResult};
 use crate::metric::Metrics;
@@ -79,8 +79,12 @@
             let result = self.ask(target, question, limit).await;
             self.learn(&service, server, &result);
             let event = attempt_event(attempt, result, &self.metrics);
-            if let (CallEvent::Ran { .. }, Some((answer, _))) = &event {
-                self.learn_nested(&route, answer.nested);
+            match &event {
+                (CallEvent::Ran { .. }, Some((answer, _))) => self.learn_nested(&route, answer.nested),
+                (CallEvent::Bounced { reason: BounceReason::Evacuated, .. }, _) => {
+                    self.learn_evacuation(&service, server);
+                }
+                _ => {}
             }
             self.metrics.attempts.with_label_values(&[event_label(event.0)]).inc();
             event
--- a/valetrack/src/placement/call/end.rs
+++ b/valetrack/src/placement/call/end.rs
@@ -72,7 +72,11 @@
         // None of these is a sign of load elsewhere, so they cost no allowance.
         let free = matches!(
             reason,
-            BounceReason::Leaving | BounceReason::Stalled | BounceReason::NotReady | BounceReason::Slow
+            BounceReason::Leaving
+                | BounceReason::Evacuated
+                | BounceReason::Stalled
+                | BounceReason::NotReady
+                | BounceReason::Slow
         );
         self.move_on(server, free, SendCause::Unreached, cx, out);
     }
@@ -229,6 +233,7 @@
         BounceReason::Full
         | BounceReason::Stalled
         | BounceReason::Slow
+        | BounceReason::Evacuated
         | BounceReason::Cancelled
         | BounceReason::RepeatRefused => {}
     }
@@ -239,7 +244,7 @@
         BounceReason::Full | BounceReason::Stalled | BounceReason::Slow | BounceReason::RepeatRefused => {
             Code::Overloaded
         }
-        BounceReason::Leaving => Code::Leaving,
+        BounceReason::Leaving | BounceReason::Evacuated => Code::Leaving,
         BounceReason::Cancelled => Code::Cancelled,
         BounceReason::Refused | BounceReason::Rejected | BounceReason::NotReady => Code::ServerRefused,
     }
--- a/valetrack/src/placement/run.rs
+++ b/valetrack/src/placement/run.rs
@@ -275,6 +275,15 @@
         let _ = self.to_member.try_send(job);
     }
 
+    /// Has the members ask an owner that has given a call back since its failure domain is evacuated: a
+    /// node that the store turns away learns of it in no other way.
+    pub(super) fn learn_evacuation(&self, service: &str, server: ServerIndex) {
+        if let Some(from) = self.target(service, server) {
+            // A full ring is no loss: the next bounce tells it again.
+            let _ = self.to_member.try_send(MemberJob::Evacuation { from });
+        }
+    }
+
     fn report(&self, service: &str, server: ServerIndex, load: LoadReport) {
         let mut inner = self.inner.borrow_mut();
         if let Some(state) = inner.services.get_mut(service) {
--- a/valetrack/src/platform.rs
+++ b/valetrack/src/platform.rs
@@ -11,6 +11,7 @@
 use crate::caller::{CallerProtocol, NativeCaller};
 use crate::gate::{Announcement, NativeUpstream, UpstreamProtocol};
 use crate::member::list::{HttpList, VmList};
+use crate::metric::Metrics;
 use crate::settings::{NATIVE, NodeSettings, SettingFault};
 use crate::store::{HttpStore, LeaseStore, Store};
 
@@ -29,13 +30,21 @@
         store: Arc<dyn LeaseStore>,
         /// Key of the operators' bundle.
         bundle_key: Arc<str>,
+        /// Prefix of the operators' keys that each name a failure domain to be evacuated.
+        evacuation_prefix: Arc<str>,
     },
 }
 
 /// Hears the announcements of the upstream beside this node.
 pub trait Announcements: Send {
     /// Listens until dropped and passes on every announcement; must run on a local task set.
-    fn listen(self: Box<Self>, listener: TcpListener, to: Sender<Announcement>) -> LocalBoxFuture<'static, ()>;
+    /// What cannot be read is counted in `metrics` and changes nothing.
+    fn listen(
+        self: Box<Self>,
+        listener: TcpListener,
+        to: Sender<Announcement>,
+        metrics: Arc<Metrics>,
+    ) -> LocalBoxFuture<'static, ()>;
 }
 
 /// What a node takes from its platform.
--- a/valetrack/src/settings.rs
+++ b/valetrack/src/settings.rs
@@ -56,6 +56,8 @@
     setting("retry-ratio", "Retries that the fleet may make for each call; managed platform only.", RATIO, Some("0.1")),
     setting("retry-reserve", "Retries of the fleet beyond that; managed platform only.", RESERVE, Some("0")),
     setting("retry-window-s", "Window of the fleet's retries; managed platform only.", "0.1 to 3600", Some("10")),
+    setting("cold-overage", COLD_OVERAGE_HELP, "1 to 100, with fractions", Some("1")),
+    setting("cold-slack", "Calls beyond that which it may get in a second.", "0 to 100000, with fractions", Some("0")),
     setting("store-timeout-ms", "Time limit of a call to the store.", "1 to 60000", Some("300")),
     setting("store-writes-per-s", "Writes a second to the store at most.", "1 to 1000", Some("50")),
     setting("store-reads-per-s", "Reads a second from the store at most.", "1 to 1000", Some("50")),
@@ -88,6 +90,13 @@
 /// it granted has arrived.
 const RETRY_WINDOW_MIN_S: f64 = 0.1;
 
+/// What `cold-overage` means.
+const COLD_OVERAGE_HELP: &str = "Calls a second that a cold upstream may get, as a multiple of what it bears.";
+/// Largest multiple of what a cold upstream bears: more is no bound.
+const COLD_OVERAGE_MAX: f64 = 100.0;
+/// Largest number of calls that it may get beyond that.
+const COLD_SLACK_MAX: f64 = 100_000.0;
+
 /// Names of the rules of the pick.
 const POLICIES: &str = "valetrack, random, round-robin, least-in-flight or two-choices";
 
@@ -178,6 +187,10 @@
     pub retry_reserve: u64,
     /// Length of that window, in milliseconds.
     pub retry_window_ms: u64,
+    /// Calls a second that a cold upstream may get, as a multiple of what it bears.
+    pub cold_overage: f64,
+    /// Calls that it may get in a second beyond that.
+    pub cold_slack: u64,
     /// Time limit of a call to the store, in milliseconds.
     pub store_timeout_ms: u64,
     /// Writes a second to the store at most.
@@ -226,10 +239,12 @@
         }
     }
 
-    /// Takes what the flags left open from environment variables.
+    /// Takes what the flags left open from environment variables; an empty one counts as unset, since a
+    /// platform may fill in a figure that only some of its sites have.
     pub fn fill_from(&mut self, env: impl Fn(&str) -> Option<OsString>) {
         for setting in NODE {
-            if let (false, Some(value)) = (self.values.contains_key(setting.flag), env(&setting.env())) {
+            let value = env(&setting.env()).filter(|value| !value.is_empty());
+            if let (false, Some(value)) = (self.values.contains_key(setting.flag), value) {
                 self.set(setting.flag, value);
             }
         }
@@ -325,6 +340,8 @@
         let retry_ratio = self.fraction("retry-ratio", 0.0..=RETRY_RATIO_MAX);
         let retry_reserve = self.fraction("retry-reserve", 0.0..=RETRY_RESERVE_MAX);
         let retry_window_s = self.fraction("retry-window-s", RETRY_WINDOW_MIN_S..=3_600.0);
+        let cold_overage = self.fraction("cold-overage", 1.0..=COLD_OVERAGE_MAX);
+        let cold_slack = self.fraction("cold-slack", 0.0..=COLD_SLACK_MAX);
         let store_timeout_ms = self.number("store-timeout-ms", 1, 60_000);
         let store_writes_per_s = self.number("store-writes-per-s", 1, 1_000);
         let store_reads_per_s = self.number("store-reads-per-s", 1, 1_000);
@@ -360,6 +377,8 @@
             // platform may scale its bounds to the fleet, and a node that refuses one never starts.
             retry_reserve: retry_reserve? as u64,
             retry_window_ms: (retry_window_s? * 1000.0) as u64,
+            cold_overage: cold_overage?,
+            cold_slack: cold_slack? as u64,
             store_timeout_ms: store_timeout_ms?,
             store_writes_per_s: store_writes_per_s?,
             store_reads_per_s: store_reads_per_s?,
@@ -376,7 +395,8 @@
     }
 }
 
-fn is_name(name: &str) -> bool {
+/// Returns whether a text may name a VM, a failure domain or a service.
+pub fn is_name(name: &str) -> bool {
     let allowed = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-';
     !name.is_empty() && name.len() <= 63 && name.bytes().all(allowed)
 }
--- a/valetrack/src/store/lease.rs
+++ b/valetrack/src/store/lease.rs
@@ -42,6 +42,14 @@
         }
     }
 
+    /// Returns the key that it changed.
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Put(item) => &item.key,
+            Self::Gone { key, .. } => key,
+        }
+    }
+
     /// Returns the item as it was written, if it was.
     pub fn item(&self) -> Option<&Item> {
         match self {
