--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -219,6 +219,7 @@
         loop {
             let covered = {
                 let members = members.borrow_and_update();
+                self.origins.borrow_mut().set_vms(members.vms_by_service());
                 members.evacuation().covers(&domain)
             };
             if covered != evacuated {
