A cold upstream that has got what it bears says so, and one that began with its node gets all of it at once

After a loss of power every node is in its first second, in which only the slack is let in for what an earlier life may have sent, though no earlier life of the node has seen this start of its upstream. And with fewer owners asked, calls that runs wait for were given up after one. Change: a limit of zero in a load report stands for 'no start for some time' and counts as a quarter of a second of waiting; an upstream that began at most 0.1 s before its node is new to all its lives, and is bounded as ever at once; calls of runs keep the owners that their rule allows.

--- a/standin/src/overload/world/entry.rs
+++ b/standin/src/overload/world/entry.rs
@@ -63,7 +63,7 @@
             demand: Some(demand),
         };
         let number = self.calls.len();
-        let call = Call::new(rule, 1);
+        let call = Call::new(rule, 1).made_by_run(matches!(maker, Maker::Run(_)));
         self.calls.push(CallRecord {
             call,
             maker,
--- a/valetrack/src/gate/cold.rs
+++ b/valetrack/src/gate/cold.rs
@@ -9,8 +9,13 @@
 
 use serde::Serialize;
 
-/// Span of the bound, in microseconds.
-const WINDOW_US: u64 = 1_000_000;
+/// Span of the bound, in microseconds: a second, and a tenth for calls that are put to the upstream later
+/// than they start, since a node that is short of processor time takes some tens of milliseconds.
+const WINDOW_US: u64 = 1_100_000;
+
+/// An upstream that began at most this long before its node is new to every life of that node, in
+/// microseconds: a process that has ended takes longer to be started again.
+const NEW_START_US: u64 = 100_000;
 
 /// How many calls a cold upstream bears.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize)]
@@ -20,6 +25,8 @@
     /// Most starts within the first second of a node's life: an earlier life of it may have made its
     /// part of that second's starts.
     pub first_second: u32,
+    /// How long an upstream is cold after a start, in milliseconds; none where that is not known.
+    pub length_ms: Option<u32>,
 }
 
 /// Bound on what a cold upstream gets, over every sliding second.
@@ -91,11 +98,18 @@
     /// Returns the most starts in the second before `now_us`; none where they are not bounded.
     fn most(&self, now_us: u64) -> Option<usize> {
         let starts_per_s = self.rule.starts_per_s.filter(|_| now_us < self.until_us)?;
-        let young = now_us < self.born_us + WINDOW_US;
+        let young = now_us < self.born_us + WINDOW_US && !self.is_new_start();
         let most = if young { starts_per_s.min(self.rule.first_second) } else { starts_per_s };
         Some(most as usize)
     }
 
+    /// Returns whether the upstream began its present start too late for an earlier life of the node to
+    /// have sent anything to it. After a loss of power of a fleet all nodes are young, and all upstreams too.
+    fn is_new_start(&self) -> bool {
+        let length_us = self.rule.length_ms.map(|length_ms| u64::from(length_ms) * 1000);
+        length_us.is_some_and(|length_us| self.until_us + NEW_START_US >= self.born_us + length_us)
+    }
+
     fn recent(&self, now_us: u64) -> impl Iterator<Item = u64> + '_ {
         self.starts_us.iter().copied().filter(move |start_us| start_us + WINDOW_US > now_us)
     }
--- a/valetrack/src/gate/message.rs
+++ b/valetrack/src/gate/message.rs
@@ -23,7 +23,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(from = "PackedLoad", into = "PackedLoad")]
 pub struct LoadReport {
-    /// Calls that may run at once now, in slots.
+    /// Calls that may run at once now, in slots; zero where none may start for some tenths of a second,
+    /// since the server is cold and has got what it bears.
     pub limit: u16,
     /// Calls that run now.
     pub in_flight: u16,
--- a/valetrack/src/gate/state.rs
+++ b/valetrack/src/gate/state.rs
@@ -164,10 +164,15 @@
     /// Returns the load as it stands at `now_us`.
     pub fn load(&self, now_us: u64) -> LoadReport {
         let in_flight = self.running.len() as u16;
-        let startable = self.cold.left(now_us).map_or(u16::MAX, |left| left as u16);
-        let mut load = LoadReport {
+        let limit = match self.cold.left(now_us) {
+            None => self.limit(now_us),
+            // Whatever runs, no end of a run makes room for the next one.
+            Some(0) => 0,
             // Slots of a cold server that may not be filled now are no room.
-            limit: self.limit(now_us).min(in_flight.saturating_add(startable)),
+            Some(left) => self.limit(now_us).min(in_flight.saturating_add(left as u16)),
+        };
+        let mut load = LoadReport {
+            limit,
             in_flight,
             queued: self.waiting.len() as u16,
             service_us: self.reported_service_us(now_us) as u32,
--- a/valetrack/src/placement/call.rs
+++ b/valetrack/src/placement/call.rs
@@ -148,6 +148,8 @@
     attempts: [Option<Attempt>; MAX_ATTEMPTS],
     count: usize,
     excluded: ServerSet,
+    /// Whether a run made it.
+    made_by_run: bool,
     bounces_left: u8,
     slow_bounces_left: u8,
     far_bounces_left: u8,
@@ -193,6 +195,7 @@
             last_code: Code::NoServer,
             repeat_permille: 0,
             repeated: false,
+            made_by_run: false,
             failing_answer: None,
             lost_code: None,
             finished: false,
@@ -205,6 +208,13 @@
         Self { repeat_permille, ..self }
     }
 
+    /// Says whether a run made the call: the work that waits for it is lost with it, so that it is given
+    /// back by as many owners as its rule allows however full the service is.
+    #[must_use]
+    pub fn made_by_run(self, made_by_run: bool) -> Self {
+        Self { made_by_run, ..self }
+    }
+
     /// Returns how many attempts were sent.
     pub fn attempts(&self) -> usize {
         self.count
@@ -259,7 +269,9 @@
         }
         self.began_us = cx.now_us;
         cx.budgets.begin(self.repeat_permille, cx.now_us);
-        self.bounces_left = cx.view.bounces(self.rule.bounces, cx.now_us);
+        if !self.made_by_run {
+            self.bounces_left = cx.view.bounces(self.rule.bounces, cx.now_us);
+        }
         let Some(server) = self.send_next(SendCause::First, cx, out) else {
             self.settle(cx, out);
             return;
--- a/valetrack/src/placement/driver.rs
+++ b/valetrack/src/placement/driver.rs
@@ -29,7 +29,7 @@
 ) {
     let deadline = Instant::now() + Duration::from_millis(head.deadline_ms.into());
     let driver = CallDriver {
-        call: Call::new(rule, placer.entry).made_by_repeat(head.repeat_permille),
+        call: Call::new(rule, placer.entry).made_by_repeat(head.repeat_permille).made_by_run(head.made_by_run),
         looks_before_hedge: rule.demand.is_some(),
         reply: Some(reply),
         out: FuturesUnordered::new(),
--- a/valetrack/src/placement/view/worth.rs
+++ b/valetrack/src/placement/view/worth.rs
@@ -11,6 +11,9 @@
 const TIE_VALUE: f64 = 0.01;
 /// A server that fails every run counts as late by this many times what is left.
 const FAILING_WEIGHT: f64 = 2.0;
+/// A cold server that may start nothing more is taken to start the next call this long after it said so,
+/// in microseconds: a quarter of the second over which what it bears is counted.
+const NO_START_US: u64 = 250_000;
 
 impl ServiceView {
     /// Picks a server for a call that is worth the most before its objective: the cheapest to
@@ -68,7 +71,9 @@
         let failing = view.failure_share.max(f64::from(load.failing_percent) / 100.0) * fading(age_us);
         let failure_us = failing * FAILING_WEIGHT * demand.left_us as f64;
         let stall_us = if load.stalled { STALL_PENALTY_US * weight } else { 0.0 };
-        f64::from(view.network_us) + wait_us + failure_us + stall_us
+        // A cold server that has got what it bears looks idle, and would draw all calls.
+        let cold_us = if load.limit == 0 { NO_START_US.saturating_sub(age_us) as f64 } else { 0.0 };
+        f64::from(view.network_us) + wait_us + failure_us + stall_us + cold_us
     }
 
     /// Returns what a call is worth at the best server outside `excluded`, as a share of an answer
