Entries pass on what owners have found out about calls of runs, and no id is read for it

Ruled out: keeping it beside the learned origins, as a second way to the same answer. Change: an owner that has seen enough of a route says whether runs make its calls, and says nothing before; entries pass that on with each call, and an owner that has just started goes by it. Only what an owner has seen itself is told, so that no belief keeps itself alive. Tests: too few calls leave it open; the cases of origins as they stood.

--- a/valetrack/src/caller/request.rs
+++ b/valetrack/src/caller/request.rs
@@ -39,8 +39,6 @@
 pub struct IncomingCall {
     /// The head as it goes to owners; the length of its body is not known yet.
     pub head: CallHead,
-    /// Id of the call whose run made it, if its own id tells one.
-    pub parent: Option<Arc<str>>,
     /// Time that its caller says it will wait, in milliseconds, if it says so and its objective counts from
     /// its first call.
     pub given_ms: Option<u32>,
@@ -105,10 +103,8 @@
         key: key.filter(|_| !repeatable).map(Arc::from),
         hlc: 0,
     };
-    // The depth tells that a run made it, and no id has to.
     Ok(IncomingCall {
         head,
-        parent: None,
         given_ms: None,
         repeatable,
         request_cap_bytes: rule.request_cap_bytes as usize,
--- a/valetrack/src/caller/run.rs
+++ b/valetrack/src/caller/run.rs
@@ -238,10 +238,8 @@
                 return self.reject(rejection, &call_id);
             }
         };
-        let IncomingCall { mut head, parent, given_ms, repeatable, attempts_max, .. } = call;
-        if let Some(parent) = &parent {
-            self.placer.mark_made_by(parent, &mut head);
-        }
+        let IncomingCall { mut head, given_ms, repeatable, attempts_max, .. } = call;
+        head.made_by_run |= self.placer.is_nested(&head.route);
         if let (Some(given_ms), false) = (given_ms, head.made_by_run) {
             let waited_ms = self.placer.waited_ms(&head.route, given_ms);
             // One whose objective has passed still differs from one that never had any.
--- a/valetrack/src/claim/run.rs
+++ b/valetrack/src/claim/run.rs
@@ -438,7 +438,7 @@
             retry_after_ms: 0,
             headers: Vec::new(),
             body_bytes: 0,
-            nested: false,
+            nested: None,
             work_us: 0,
         };
         (Reply::Answer(answer), Bytes::new())
@@ -455,7 +455,7 @@
                 retry_after_ms: 0,
                 headers: kept.headers,
                 body_bytes: body.len() as u32,
-                nested: false,
+                nested: None,
                 work_us: 0,
             };
             (Reply::Answer(answer), body)
--- a/valetrack/src/gate/origin.rs
+++ b/valetrack/src/gate/origin.rs
@@ -74,22 +74,25 @@
         self.vms = vms;
     }
 
-    /// Takes a call of `route` that began beside an upstream of `service`; returns whether the
-    /// route is one that services call on their own.
-    pub fn is_internal(&mut self, route: &Arc<str>, service: &Arc<str>) -> bool {
+    /// Takes a call of `route` that began beside an upstream of `service`; returns whether the route is one
+    /// that services call on their own, and none where too little was seen of it to tell.
+    pub fn judge(&mut self, route: &Arc<str>, service: &Arc<str>) -> Option<bool> {
         self.all.add(service, TOTAL_MAX);
         if self.routes.len() >= ROUTES_MAX && !self.routes.contains_key(route) {
-            return false;
+            return None;
         }
         self.routes.entry(route.clone()).or_default().add(service, CALLS_MAX);
-        self.routes
-            .get(route)
-            .is_some_and(|origins| origins.total > CALLS_MIN && self.evidence(origins) >= EVIDENCE_MIN)
+        let origins = self.routes.get(route).filter(|origins| origins.total > CALLS_MIN)?;
+        let evidence = self.evidence(origins);
+        (evidence.abs() >= EVIDENCE_MIN).then_some(evidence > 0.0)
     }
 
     /// Returns how much likelier the origins of a route's calls are where services make them than where
-    /// callers do, as a logarithm.
+    /// callers do, as a logarithm; zero where nothing can be told.
     fn evidence(&self, origins: &Origins) -> f64 {
+        if self.all.calls.len() < 2 {
+            return 0.0;
+        }
         let weights: f64 = self.all.calls.iter().map(|(service, calls)| self.weight(service, *calls)).sum();
         // Callers' share of calls from services that make none, and how many calls came from them.
         let (mut expected, mut odd) = (0.0, 0.0);
@@ -101,6 +104,10 @@
                 odd += came;
             }
         }
+        if expected == 0.0 {
+            // They come from beside every service.
+            return f64::NEG_INFINITY;
+        }
         if expected <= ODD_SHARE || expected >= 1.0 {
             return 0.0;
         }
--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -68,8 +68,8 @@
 struct Job {
     head: CallHead,
     body: Bytes,
-    /// Whether upstreams make calls of its route on their own.
-    nested: bool,
+    /// Whether upstreams make calls of its route on their own, as far as this owner can tell.
+    judged: Option<bool>,
     deadline_us: u64,
     reply: oneshot::Sender<GateReply>,
 }
@@ -273,13 +273,14 @@
         if f64::from(head.repeat_permille) >= PERMILLE && !self.ledger.admits_repeat() {
             return GateReply::Bounce(self.refuse_repeat(&head));
         }
-        // Every call tells where those of its route begin, also one of which the entry knows who made it.
-        let nested = self.origins.borrow_mut().is_internal(&head.route, &head.origin) || head.made_by_run;
+        let judged = self.origins.borrow_mut().judge(&head.route, &head.origin);
+        // An owner that has just started goes by what others have told the entry.
+        let nested = judged.unwrap_or(head.made_by_run);
         // Calls of callers rank behind all that servers wait for.
         let priority = if nested { INTERNAL_PRIORITY } else { head.priority.saturating_add(1) };
         let objective = objective(&head, nested);
         self.refresh_speed(head.work_us.into()).await;
-        self.jobs.borrow_mut().insert(attempt, Job { head, body, nested, deadline_us, reply });
+        self.jobs.borrow_mut().insert(attempt, Job { head, body, judged, deadline_us, reply });
         let mut abandon = AbandonGuard { shell: self.clone(), attempt: Some(attempt) };
         self.handle(GateEvent::Arrive { attempt, deadline_us, patience, priority, objective });
         let reply = answered.await;
@@ -408,7 +409,7 @@
     async fn run(self: Rc<Self>, mut job: Job) {
         let attempt = job.head.attempt;
         log::debug!("event=gate.start call={} attempt={attempt}", job.head.call_id);
-        let _entered = LedgerEntry::new(self.ledger.clone(), &job.head.call_id, job.head.repeat_permille);
+        let _entered = LedgerEntry::new(self.ledger.clone(), job.head.repeat_permille);
         let began_us = now_us();
         let began = self.machine_at(began_us);
         let left_us = job.deadline_us.saturating_sub(began_us);
@@ -439,7 +440,7 @@
         self.gate.borrow_mut().ran(attempt, times, healthy);
         log_done(&job.head, times, code, answer.as_ref(), healthy);
         let (mut head, body) = answer_head(attempt, code, answer);
-        head.nested = job.nested;
+        head.nested = job.judged;
         head.work_us = times.unslowed_us.min(u64::from(u32::MAX)) as u32;
         let _ = job.reply.send(GateReply::Answer(head, body));
         if late {
@@ -507,7 +508,7 @@
             retry_after_ms: 0,
             headers: Vec::new(),
             body_bytes: 0,
-            nested: false,
+            nested: None,
             work_us: 0,
         };
         return (head, Bytes::new());
@@ -520,7 +521,7 @@
         retry_after_ms: 0,
         headers: travelling(&answer.headers),
         body_bytes: answer.body.len() as u32,
-        nested: false,
+        nested: None,
         work_us: 0,
     };
     (head, answer.body)
--- a/valetrack/src/gate/tests/origin.rs
+++ b/valetrack/src/gate/tests/origin.rs
@@ -7,7 +7,7 @@
 fn feed(tracker: &mut OriginTracker, route: &str, services: &[&str], rounds: usize) -> bool {
     let mut internal = false;
     for service in services.iter().cycle().take(services.len() * rounds) {
-        internal = tracker.is_internal(&Arc::from(route), &Arc::from(*service));
+        internal = tracker.judge(&Arc::from(route), &Arc::from(*service)) == Some(true);
     }
     internal
 }
@@ -84,3 +84,11 @@
         assert!(!feed(&mut tracker, "lookup", &[service], 1));
     }
 }
+
+#[test]
+fn too_few_calls_leave_it_open() {
+    let mut tracker = fleet();
+    let judge = |tracker: &mut OriginTracker, route: &str| tracker.judge(&Arc::from(route), &Arc::from("ledger"));
+    assert_eq!(judge(&mut tracker, "check"), None);
+    assert_eq!(judge(&mut tracker, "booking"), Some(false), "callers' calls come from beside every service");
+}
--- a/valetrack/src/link/message.rs
+++ b/valetrack/src/link/message.rs
@@ -55,7 +55,7 @@
     pub repeatable: bool,
     /// How deep the call is nested.
     pub depth: u8,
-    /// Whether a run of the upstream beside the entry is known to have made it.
+    /// Whether a run made it, as far as the entry knows.
     pub made_by_run: bool,
     /// Chance that its run is a repeat, in thousandths: a second attempt, or made by a repeated run.
     pub repeat_permille: u16,
@@ -84,8 +84,9 @@
     pub headers: Vec<(String, Vec<u8>)>,
     /// Length of the body, in bytes.
     pub body_bytes: u32,
-    /// Whether the owner takes the route for one that upstreams call on their own.
-    pub nested: bool,
+    /// Whether the owner takes the route for one that upstreams call on their own; none while it has seen
+    /// too little of it.
+    pub nested: Option<bool>,
     /// Time that the run would have taken on a machine that is not slowed, in microseconds; zero
     /// where the server was not asked.
     pub work_us: u32,
--- a/valetrack/src/link/run.rs
+++ b/valetrack/src/link/run.rs
@@ -281,7 +281,7 @@
                 retry_after_ms: 0,
                 headers: Vec::new(),
                 body_bytes: 0,
-                nested: false,
+                nested: None,
                 work_us: 0,
             };
             (Reply::Answer(answer), Bytes::new())
--- a/valetrack/src/placement/nested.rs
+++ b/valetrack/src/placement/nested.rs
@@ -12,18 +12,15 @@
 /// Time over which calls for each run are counted, in microseconds: some tens of runs of the
 /// slowest upstreams known.
 const COUNTED_US: u64 = 10_000_000;
-/// Places for runs in progress at first: the slots of a usual upstream.
-const RUNNING_USUAL: usize = 16;
 /// Runs after which the calls for each run are known.
 const RUNS_MIN: f64 = 10.0;
 
 /// What one upstream runs, and what it calls meanwhile.
 #[derive(Debug)]
 pub struct NestedCalls {
-    /// Runs in progress by the id of their call, with their chances of being repeats, in thousandths. An
-    /// id that is there twice has a row for each run.
-    running: Vec<(Arc<str>, u16)>,
-    /// Those chances added up.
+    /// Runs in progress.
+    running: u32,
+    /// Their chances of being repeats, added up, in thousandths.
     repeats_permille: u64,
     runs: SlidingSum,
     calls: HashMap<Arc<str>, SlidingSum>,
@@ -31,48 +28,30 @@
 
 impl Default for NestedCalls {
     fn default() -> Self {
-        Self {
-            running: Vec::with_capacity(RUNNING_USUAL),
-            repeats_permille: 0,
-            runs: SlidingSum::new(COUNTED_US),
-            calls: HashMap::new(),
-        }
+        Self { running: 0, repeats_permille: 0, runs: SlidingSum::new(COUNTED_US), calls: HashMap::new() }
     }
 }
 
 impl NestedCalls {
-    /// Takes the start of a run of a call that is a repeat by this chance, in thousandths.
-    pub fn run_began(&mut self, call_id: &Arc<str>, repeat_permille: u16, now_us: u64) {
-        self.running.push((call_id.clone(), repeat_permille));
+    /// Takes the start of a run that is a repeat by this chance, in thousandths.
+    pub fn run_began(&mut self, repeat_permille: u16, now_us: u64) {
+        self.running += 1;
         self.repeats_permille += u64::from(repeat_permille);
         self.runs.add(1.0, now_us);
     }
 
     /// Takes the end of a run with the chance that it began with.
-    pub fn run_ended(&mut self, call_id: &Arc<str>, repeat_permille: u16) {
-        if let Some(at) = self.running.iter().position(|run| *run == (call_id.clone(), repeat_permille)) {
-            self.running.swap_remove(at);
-        }
+    pub fn run_ended(&mut self, repeat_permille: u16) {
+        self.running = self.running.saturating_sub(1);
         self.repeats_permille = self.repeats_permille.saturating_sub(repeat_permille.into());
     }
 
     /// Takes a call to a service, and returns the chance that a repeated run made it, in thousandths.
     pub fn called(&mut self, service: &Arc<str>, now_us: u64) -> u16 {
-        self.count(service, now_us);
-        let running = self.running.len().max(1) as u64;
-        (self.repeats_permille / running).min(PERMILLE as u64) as u16
-    }
-
-    /// Takes a call to a service that a known run made.
-    pub fn count(&mut self, service: &Arc<str>, now_us: u64) {
         let calls = self.calls.entry(service.clone()).or_insert_with(|| SlidingSum::new(COUNTED_US));
         calls.add(1.0, now_us);
-    }
-
-    /// Returns the chance that the run of a call is a repeat, in thousandths; none where it does not run.
-    pub fn repeat_of(&self, call_id: &str) -> Option<u16> {
-        let runs = self.running.iter().filter(|(running, _)| **running == *call_id);
-        runs.map(|(_, repeat_permille)| *repeat_permille).max()
+        let running = u64::from(self.running.max(1));
+        (self.repeats_permille / running).min(PERMILLE as u64) as u16
     }
 
     /// Forgets services that are not named any more.
--- a/valetrack/src/placement/run/ledger.rs
+++ b/valetrack/src/placement/run/ledger.rs
@@ -13,9 +13,7 @@
     /// with it, and counts it.
     pub(super) fn mark_nested(&self, head: &mut CallHead) {
         let inner = &mut *self.inner.borrow_mut();
-        if head.made_by_run {
-            inner.nested_calls.count(&head.service, now_us());
-        } else if inner.nested_routes.contains(&head.route) {
+        if inner.nested_routes.contains(&head.route) {
             let chance_permille = inner.nested_calls.called(&head.service, now_us());
             head.repeat_permille = head.repeat_permille.max(chance_permille);
         }
@@ -25,25 +23,21 @@
         }
     }
 
-    /// Marks a call whose id names the call `parent` as made by its run, if the own upstream runs that
-    /// call: a call that a run waits for is known from the first one on, which an owner learns only
-    /// from many calls of its route.
-    pub(crate) fn mark_made_by(&self, parent: &str, head: &mut CallHead) {
-        if let Some(repeat_permille) = self.inner.borrow().nested_calls.repeat_of(parent) {
-            head.made_by_run = true;
-            head.repeat_permille = head.repeat_permille.max(repeat_permille);
-        }
-    }
-
     /// Takes whether upstreams call a route on their own, as an owner of its service sees it.
-    pub(in crate::placement) fn learn_nested(&self, route: &Arc<str>, nested: bool) {
+    pub(in crate::placement) fn learn_nested(&self, route: &Arc<str>, nested: Option<bool>) {
         let mut inner = self.inner.borrow_mut();
         match nested {
-            true => inner.nested_routes.insert(route.clone()),
-            false => inner.nested_routes.remove(route),
+            Some(true) => inner.nested_routes.insert(route.clone()),
+            Some(false) => inner.nested_routes.remove(route),
+            None => false,
         };
     }
 
+    /// Returns whether owners have told that upstreams call a route on their own.
+    pub(crate) fn is_nested(&self, route: &str) -> bool {
+        self.inner.borrow().nested_routes.contains(route)
+    }
+
     /// Returns how many repeats of a service's calls this entry may still send now.
     pub(in crate::placement) fn repeats_left(&self, service: &str) -> Option<f64> {
         let left = self.inner.borrow_mut().services.get_mut(service)?.budgets.retry.left(now_us());
@@ -64,11 +58,11 @@
         nested_calls.admits_repeat(left, now_us)
     }
 
-    fn run_began(&self, call_id: &Arc<str>, repeat_permille: u16) {
-        self.inner.borrow_mut().nested_calls.run_began(call_id, repeat_permille, now_us());
+    fn run_began(&self, repeat_permille: u16) {
+        self.inner.borrow_mut().nested_calls.run_began(repeat_permille, now_us());
     }
 
-    fn run_ended(&self, call_id: &Arc<str>, repeat_permille: u16) {
-        self.inner.borrow_mut().nested_calls.run_ended(call_id, repeat_permille);
+    fn run_ended(&self, repeat_permille: u16) {
+        self.inner.borrow_mut().nested_calls.run_ended(repeat_permille);
     }
 }
--- a/valetrack/src/placement/tests.rs
+++ b/valetrack/src/placement/tests.rs
@@ -4,7 +4,6 @@
 mod call;
 mod crowding;
 mod fleet;
-mod nested;
 mod service;
 mod view;
 mod waited;
--- a/valetrack/src/placement/tests/fleet.rs
+++ b/valetrack/src/placement/tests/fleet.rs
@@ -27,8 +27,6 @@
 };
 
 /// VMs of the fleet, each with an entry.
-/// Id of all runs: what a run calls is marked by its entry's average here.
-const RUN_ID: &str = "run";
 const VMS: usize = 10;
 /// The service that callers call; its runs call the other one.
 const FRONT: usize = 0;
@@ -248,7 +246,7 @@
                 self.reach(call, attempt, server, repeat_permille);
             }
             Happening::Ends { vm, life, repeat_permille } if self.entries[vm].life == life => {
-                self.entries[vm].nested.run_ended(&Arc::from(RUN_ID), repeat_permille);
+                self.entries[vm].nested.run_ended(repeat_permille);
             }
             Happening::Ends { .. } => {}
             Happening::Asked { call, attempt } => {
@@ -334,7 +332,7 @@
         }
         if service == FRONT {
             let life = self.entries[server].life;
-            self.entries[server].nested.run_began(&Arc::from(RUN_ID), repeat_permille, self.now_us);
+            self.entries[server].nested.run_began(repeat_permille, self.now_us);
             self.later(RUN_US, Happening::Ends { vm: server, life, repeat_permille });
             for _ in 0..self.trouble.nested {
                 let after_us = self.rng.u64(..RUN_US);
