--- a/standin/tests/evacuation.rs
+++ b/standin/tests/evacuation.rs
@@ -1,4 +1,4 @@
-//! Evacuation of a failure domain, played with real nodes on the stand-in of the managed platform.
+//! Evacuation of a failure domain, played with real nodes on the stand-ins of both platforms.
 
 mod common;
 
@@ -6,7 +6,8 @@
 use std::time::{Duration, Instant};
 
 use common::managed::{Fleet, status};
-use common::wait_for;
+use common::{Fleet as NativeFleet, wait_for};
+use standin::client::Client;
 use standin::managed::store::Mode;
 
 /// An operator's evacuation of a domain is in force everywhere within this time: the least that a
@@ -107,3 +108,35 @@
     wait_answered_by(&fleet, 1).await;
     assert!(back.elapsed() < IN_FORCE, "{:?}", back.elapsed());
 }
+
+#[tokio::test]
+async fn an_operators_word_evacuates_a_domain_of_the_own_interface() {
+    let fleet = NativeFleet::with_intake(4).await;
+    let domain = fleet.vms[3].domain.clone();
+    let evacuated: Vec<usize> = (0..4).filter(|at| fleet.vms[*at].domain == domain).collect();
+    let store = fleet.store_addr.to_string();
+    let operator = |words: &[&str]| fleet.valetrack(&[&["domain"], words, &["--store", &store]].concat());
+    operator(&["evacuate", &domain]).expect("evacuated");
+    assert!(operator(&["status"]).expect("a status").contains(&*domain));
+    let settled = async || {
+        let before = runs_at(&fleet, &evacuated).await;
+        for number in 0..24 {
+            let reply = fleet.door(number % 4).call("GET", "/", &[("valetrack-service", "intake")], "x").await;
+            assert!(reply.is_ok_and(|reply| reply.status == 200));
+        }
+        runs_at(&fleet, &evacuated).await == before
+    };
+    wait_for("an evacuated domain without work", settled).await;
+    operator(&["return", &domain]).expect("returned");
+    wait_for("work after the return", async || !settled().await).await;
+}
+
+async fn runs_at(fleet: &NativeFleet, vms: &[usize]) -> u64 {
+    let mut runs = 0;
+    for at in vms {
+        let reply = Client::new(fleet.vms[*at].server_addr).call("GET", "/_stats", &[], "").await.expect("stats");
+        let stats: serde_json::Value = serde_json::from_slice(&reply.body).expect("json");
+        runs += stats["runs"].as_u64().expect("a number");
+    }
+    runs
+}
