--- a/standin/tests/common/managed.rs
+++ b/standin/tests/common/managed.rs
@@ -12,7 +12,7 @@
 use standin::managed::server::ManagedServer;
 use standin::managed::store::ManagedStore;
 
-use super::{free_addr, valetrack, wait_for};
+use super::{free_addr, kill, send_signal, valetrack, wait_for};
 
 const HOST: (&str, &str) = ("host", "farm.example");
 /// Calls a second that an upstream bears while it is cold.
@@ -127,17 +127,11 @@
     }
 
     pub fn kill_node(&mut self, at: usize) {
-        if let Some(mut node) = self.vms[at].node.take() {
-            node.kill().expect("a live node");
-            node.wait().expect("its end");
-        }
+        kill(self.vms[at].node.take());
     }
 
     pub fn signal(&self, at: usize, signal: &str) {
-        if let Some(node) = &self.vms[at].node {
-            let sent = Command::new("kill").args([signal, &node.id().to_string()]).status();
-            assert!(sent.expect("kill").success());
-        }
+        send_signal(self.vms[at].node.as_ref(), signal);
     }
 
     pub async fn wait_ready(&self) {
--- a/standin/tests/common/mod.rs
+++ b/standin/tests/common/mod.rs
@@ -286,17 +286,11 @@
     }
 
     pub fn kill_node(&mut self, at: usize) {
-        if let Some(mut node) = self.vms[at].node.take() {
-            node.kill().expect("a live node");
-            node.wait().expect("its end");
-        }
+        kill(self.vms[at].node.take());
     }
 
     pub fn signal(&self, at: usize, signal: &str) {
-        if let Some(node) = &self.vms[at].node {
-            let sent = Command::new("kill").args([signal, &node.id().to_string()]).status();
-            assert!(sent.expect("kill").success());
-        }
+        send_signal(self.vms[at].node.as_ref(), signal);
     }
 
     /// Waits for a node to end by itself; returns how long that took.
@@ -337,6 +331,22 @@
     }
 }
 
+/// Kills a node, if it runs, and waits for its end.
+pub fn kill(node: Option<Child>) {
+    if let Some(mut node) = node {
+        node.kill().expect("a live node");
+        node.wait().expect("its end");
+    }
+}
+
+/// Sends a node a signal, if it runs.
+pub fn send_signal(node: Option<&Child>, signal: &str) {
+    if let Some(node) = node {
+        let sent = Command::new("kill").args([signal, &node.id().to_string()]).status();
+        assert!(sent.expect("kill").success());
+    }
+}
+
 pub async fn status(vm: &Vm, path: &str) -> u16 {
     Client::new(vm.admin_addr).call("GET", path, &[], "").await.map_or(0, |reply| reply.status)
 }
--- a/valetrack/src/placement/mod.rs
+++ b/valetrack/src/placement/mod.rs
@@ -12,6 +12,7 @@
 mod message;
 mod nested;
 mod policy;
+mod quantile;
 mod repeat;
 pub mod run;
 mod service;
--- a/valetrack/src/placement/waited.rs
+++ b/valetrack/src/placement/waited.rs
@@ -5,13 +5,11 @@
 //! of one route in a burst 429 went to callers who had come back, in slots from which others could
 //! have been served in time.
 
-/// Place of the usual time among those that callers give: the middle, so that neither callers who have
-/// come back nor some patient ones move it.
-const QUANTILE: f64 = 0.5;
-/// Step of the usual time towards a new one, as a share of itself.
-const STEP: f64 = 0.01;
-/// The first steps are longer: this share divided by the number of calls.
-const FIRST_STEP: f64 = 0.5;
+use super::quantile::{Quantile, QuantileRule};
+
+/// The usual time is the middle of all, so that neither callers who have come back nor some patient ones
+/// move it.
+const RULE: QuantileRule = QuantileRule { quantile: 0.5, step: 0.01, first_step: 0.5 };
 /// Calls of a route after which its usual time is known.
 const CALLS_MIN: u32 = 10;
 /// A caller that gives less than the usual time by this share of it may be an impatient one: callers of
@@ -21,8 +19,7 @@
 /// The time that callers of one route usually give, as one entry learns it.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct CallerTime {
-    usual_ms: f64,
-    calls: u32,
+    usual_ms: Quantile,
 }
 
 impl CallerTime {
@@ -30,16 +27,9 @@
     /// milliseconds.
     pub fn waited_ms(&mut self, given_ms: u32) -> u32 {
         let given = f64::from(given_ms);
-        self.calls = self.calls.saturating_add(1);
-        if self.calls == 1 {
-            self.usual_ms = given;
-            return 0;
-        }
-        let up = if given > self.usual_ms { QUANTILE } else { QUANTILE - 1.0 };
-        let step = STEP.max(FIRST_STEP / f64::from(self.calls));
-        self.usual_ms *= 1.0 + step * up;
-        let short_ms = self.usual_ms - given;
-        let is_sure = self.calls > CALLS_MIN && short_ms > self.usual_ms * UNSURE_SHARE;
-        if is_sure { short_ms as u32 } else { 0 }
+        self.usual_ms.take(given, &RULE);
+        let Quantile { value: usual, count } = self.usual_ms;
+        let short = usual - given;
+        if count > CALLS_MIN && short > usual * UNSURE_SHARE { short as u32 } else { 0 }
     }
 }
