An upstream that is down or evacuated is not asked for its machine's speed, and its answer ends the outage

Cause: reading the diff: each call that came to an owner whose upstream refuses connections still tried one, for the question of its machine's speed, before it was given back. An evacuation's return reset what was learned of the speed. Ruled out: nothing. Change: no question where no call is let in; an answered health check ends the outage; a return bounds starts alone. Test: the machine of an upstream that is down is not asked; it failed before.

--- a/valetrack/src/gate/run/machine.rs
+++ b/valetrack/src/gate/run/machine.rs
@@ -39,6 +39,7 @@
         self.gate.borrow_mut().asked(now_us());
         match self.pool.machine_load(path).await {
             MachineAnswer::Load { load, cold_ms } => {
+                self.gate.borrow_mut().answered();
                 self.told(load);
                 if let Some(cold_ms) = cold_ms {
                     self.take_cold(cold_ms);
--- a/valetrack/src/gate/state.rs
+++ b/valetrack/src/gate/state.rs
@@ -218,12 +218,7 @@
         self.speed.warmed_up();
     }
 
-    /// Returns whether the server refuses connections, so that no call is to come.
-    pub fn is_down(&self, now_us: u64) -> bool {
-        self.outage.is_on(now_us)
-    }
-
-    /// Takes note that the server answered something.
+    /// Takes note that the server answered a health check.
     pub fn answered(&mut self) {
         self.outage.over();
     }
@@ -302,16 +297,19 @@
             GateEvent::Tick => {}
             GateEvent::Drain => self.drain(now_us, out),
             GateEvent::Evacuate => self.evacuate(now_us, out),
-            GateEvent::Return { cold_until_us } => self.return_to_service(cold_until_us, now_us),
+            GateEvent::Return { cold_until_us } => self.return_to_service(cold_until_us),
             GateEvent::Open => self.open(now_us),
         }
         self.leave_queue(now_us, out);
         self.start_waiting(now_us, out);
     }
 
-    /// Returns whether the machine's speed is to be asked for before a run of `work_us` is let in.
+    /// Returns whether the machine's speed is to be asked for before a run of `work_us` is let in; not where
+    /// none is.
     pub fn wants_news(&self, work_us: u64, now_us: u64) -> bool {
-        self.running.len() < usize::from(self.config.slots) && self.speed.wants_news(work_us, now_us)
+        self.closed_for(now_us).is_none()
+            && self.running.len() < usize::from(self.config.slots)
+            && self.speed.wants_news(work_us, now_us)
     }
 
     /// Returns what a run is expected to take: by its route where that is known, else as the runs
@@ -390,9 +388,10 @@
         self.give_all_back(BounceReason::Evacuated, now_us, out);
     }
 
-    fn return_to_service(&mut self, cold_until_us: u64, now_us: u64) {
+    fn return_to_service(&mut self, cold_until_us: u64) {
         self.evacuated = false;
-        self.set_cold(cold_until_us.max(self.cold.until_us()), now_us);
+        // Its speed is as it was learned; only how many calls it gets is in doubt.
+        self.cold.set_until(cold_until_us.max(self.cold.until_us()));
     }
 
     /// Gives back all that waits.
--- a/valetrack/src/gate/state/queue.rs
+++ b/valetrack/src/gate/state/queue.rs
@@ -61,7 +61,7 @@
     }
 
     /// Returns why no call is let in at all, if none is.
-    fn closed_for(&self, now_us: u64) -> Option<BounceReason> {
+    pub(super) fn closed_for(&self, now_us: u64) -> Option<BounceReason> {
         match () {
             () if self.leaving => Some(BounceReason::Leaving),
             () if self.evacuated => Some(BounceReason::Evacuated),
--- a/valetrack/src/gate/tests/outage.rs
+++ b/valetrack/src/gate/tests/outage.rs
@@ -51,3 +51,14 @@
         gate.handle(GateEvent::Done { attempt, healthy: true }, now_us, &mut Vec::new());
     }
 }
+
+#[test]
+fn the_machine_of_an_upstream_that_is_down_is_not_asked_for_its_speed() {
+    let mut gate = Gate::new(GateConfig { slots: 4, rescue: false, ..GateConfig::default() }, 0);
+    gate.handle(GateEvent::Open, 0, &mut Vec::new());
+    assert!(gate.wants_news(100_000, 50_000));
+    assert!((0..2).all(|seq| refused(&mut gate, seq, 50_000)));
+    assert!(!gate.wants_news(100_000, 60_000));
+    gate.answered();
+    assert!(gate.wants_news(100_000, 60_000), "it answered a health check");
+}
