--- a/standin/tests/common/managed.rs
+++ b/standin/tests/common/managed.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde_json::json;
+use serde_json::{Value, json};
 use standin::client::{Client, Reply};
 use standin::managed::server::ManagedServer;
 use standin::managed::store::ManagedStore;
@@ -39,6 +39,13 @@
     pub linger_ms: u64,
 }
 
+/// Shares a route's calls evenly among services.
+fn split_evenly(mut route: Value, services: [&str; 2]) -> Value {
+    route["split"] = services.iter().map(|service| json!({ "service": service, "weight": 50 })).collect();
+    route["service"] = Value::Null;
+    route
+}
+
 pub fn config(version: u64, service: &str) -> String {
     let route = |name: &str, prefix: &str, repeat: &str, timeout_ms: u64, service: &str| {
         json!({
@@ -54,6 +61,7 @@
             route("pickup", "/pickup/", "non_idempotent", 2_000, "ledger"),
             route("check", "/check/", "safe", 2_000, "ledger"),
             route("hasty", "/hasty/", "safe", 150, "rounds"),
+            split_evenly(route("mixed", "/mixed/", "safe", 2_000, "rounds"), ["rounds", "ledger"]),
         ],
         "services": [service_row("rounds"), service_row("ledger")],
     })
--- a/standin/tests/managed.rs
+++ b/standin/tests/managed.rs
@@ -327,6 +327,27 @@
     assert!(refused > 0, "six slots cannot run forty calls of a second");
 }
 
+#[tokio::test]
+async fn what_a_part_of_a_split_has_no_room_for_is_refused_and_not_moved_to_another() {
+    let fleet = Fleet::start(&["rounds", "ledger"]).await;
+    fleet.vms[0].upstream.set_work_ms(1_500);
+    let addr = fleet.vms[1].caller_addr;
+    let sent = 120;
+    let mut calls = Vec::new();
+    for number in 0..sent {
+        calls
+            .push(tokio::spawn(async move { status(&call(addr, "GET", "/mixed/", &format!("mixed-{number}")).await) }));
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let mut refused = 0;
+    for call in calls {
+        refused += usize::from(call.await.expect("a result") == 503);
+    }
+    assert!(refused > 30, "six slots of 1.5 s cannot run sixty calls, {refused} refused");
+    let moved = fleet.vms[1].upstream.arrivals().len();
+    assert!((58..=62).contains(&moved), "{moved} of {sent} calls at the part that has room");
+}
+
 #[tokio::test]
 async fn a_service_that_rejects_everywhere_is_sent_few_calls_twice() {
     let fleet = Fleet::start(&["rounds", "rounds", "rounds"]).await;
--- a/standin/tests/upstream_start.rs
+++ b/standin/tests/upstream_start.rs
@@ -12,12 +12,12 @@
 
 /// Puts calls to the upstreams of a route for a while, 100 a second; returns how many were served, and
 /// the longest time that one took which was not.
-async fn press(fleet: &Fleet, at: usize, pressed: Duration) -> (usize, Duration) {
+async fn send_calls(fleet: &Fleet, at: usize, during: Duration) -> (usize, Duration) {
     let addr = fleet.vms[at].caller_addr;
     let began = Instant::now();
     let mut calls = Vec::new();
-    while began.elapsed() < pressed {
-        let id = format!("press-{}-{}", at, calls.len());
+    while began.elapsed() < during {
+        let id = format!("call-{}-{}", at, calls.len());
         calls.push(tokio::spawn(async move {
             let sent = Instant::now();
             (status(&call(addr, "GET", "/sheet/", &id).await), sent.elapsed())
@@ -43,12 +43,12 @@
         upstream.turn_cold(Duration::from_millis(2_500));
         let acknowledged = upstream.acknowledged();
         wait_for("a heartbeat", async || upstream.acknowledged() >= acknowledged + 2).await;
-        let (served, longest) = press(&fleet, 1, Duration::from_millis(1_500)).await;
+        let (served, longest) = send_calls(&fleet, 1, Duration::from_millis(1_500)).await;
         assert!(served as f64 >= COLD_PER_S, "{served} calls served while cold");
         // Whoever is not let in hears of it long before the deadline of 1.5 s.
         assert!(longest < Duration::from_millis(700), "{longest:?}");
         tokio::time::sleep(Duration::from_millis(1_000)).await;
-        let (served, _) = press(&fleet, 1, Duration::from_millis(1_000)).await;
+        let (served, _) = send_calls(&fleet, 1, Duration::from_millis(1_000)).await;
         assert!(served > 60, "{served} calls served while warm");
     }
     let most = upstream.most_while_cold();
@@ -61,10 +61,10 @@
     fleet.vms[0].upstream.turn_cold(Duration::from_millis(4_000));
     let acknowledged = fleet.vms[0].upstream.acknowledged();
     wait_for("a heartbeat", async || fleet.vms[0].upstream.acknowledged() >= acknowledged + 2).await;
-    press(&fleet, 1, Duration::from_millis(600)).await;
+    send_calls(&fleet, 1, Duration::from_millis(600)).await;
     fleet.kill_node(0);
     fleet.start_node(0);
-    press(&fleet, 1, Duration::from_millis(1_500)).await;
+    send_calls(&fleet, 1, Duration::from_millis(1_500)).await;
     let most = fleet.vms[0].upstream.most_while_cold();
     assert!(most as f64 <= COLD_PER_S * COLD_OVERAGE + 8.0, "{most} calls in one second while cold");
 }
--- a/valetrack/src/gate/tests/cold.rs
+++ b/valetrack/src/gate/tests/cold.rs
@@ -30,7 +30,7 @@
 
 /// Puts a call to the gate each millisecond, each of which runs for a millisecond; returns when each
 /// started.
-fn press(gate: &mut Gate, from_us: u64, until_us: u64) -> Vec<u64> {
+fn send_calls(gate: &mut Gate, from_us: u64, until_us: u64) -> Vec<u64> {
     let mut starts_us = Vec::new();
     let mut out = Vec::new();
     for now_us in (from_us..until_us).step_by(1_000) {
@@ -54,10 +54,10 @@
 fn a_cold_upstream_gets_what_it_bears_and_a_warm_one_everything() {
     let from_us = 10 * SECOND_US;
     let mut gate = gate(from_us);
-    let cold = press(&mut gate, from_us, from_us + 3 * SECOND_US);
+    let cold = send_calls(&mut gate, from_us, from_us + 3 * SECOND_US);
     assert_eq!(most_in_a_second(&cold), STARTS_PER_S as usize);
     assert_eq!(cold.len(), 3 * STARTS_PER_S as usize);
-    let warm = press(&mut gate, from_us + 3 * SECOND_US, from_us + 4 * SECOND_US);
+    let warm = send_calls(&mut gate, from_us + 3 * SECOND_US, from_us + 4 * SECOND_US);
     assert_eq!(warm.len(), 1_000);
 }
 
@@ -66,9 +66,9 @@
     let from_us = 10 * SECOND_US;
     let mut gate = gate(from_us);
     let again_us = from_us + 5 * SECOND_US;
-    press(&mut gate, from_us, again_us);
+    send_calls(&mut gate, from_us, again_us);
     gate.set_cold(again_us + 2 * SECOND_US, again_us);
-    let cold = press(&mut gate, again_us, again_us + 2 * SECOND_US);
+    let cold = send_calls(&mut gate, again_us, again_us + 2 * SECOND_US);
     assert!(most_in_a_second(&cold) <= STARTS_PER_S as usize, "{}", cold.len());
 }
 
@@ -77,7 +77,7 @@
 fn a_node_that_has_just_started_leaves_room_for_what_its_earlier_life_sent(cold_us: u64, expected: usize) {
     let mut gate = gate(0);
     gate.set_cold(cold_us, 0);
-    assert_eq!(press(&mut gate, 0, SECOND_US).len(), expected);
+    assert_eq!(send_calls(&mut gate, 0, SECOND_US).len(), expected);
 }
 
 #[test]
@@ -85,7 +85,7 @@
     let from_us = 10 * SECOND_US;
     let mut gate = gate(from_us);
     assert_eq!(gate.load(from_us).limit, 11);
-    press(&mut gate, from_us, from_us + 100_000);
+    send_calls(&mut gate, from_us, from_us + 100_000);
     let load = gate.load(from_us + 100_000);
     assert_eq!((load.limit, load.in_flight), (0, 0), "slots that may not be filled are no room");
 }
@@ -94,7 +94,7 @@
 fn a_call_that_may_wait_is_started_when_the_upstream_bears_it() {
     let from_us = 10 * SECOND_US;
     let mut gate = gate(from_us);
-    press(&mut gate, from_us, from_us + 100_000);
+    send_calls(&mut gate, from_us, from_us + 100_000);
     let late_us = from_us + 1_050_000;
     let mut out = Vec::new();
     gate.handle(arrival(1, late_us, 100_000), late_us, &mut out);
