The spare time of a run is at most half of what its call could wait

Ruled out: a smaller share of the usual time, which leaves the same fault for tighter limits. Change: the spare time is half of the usual time, but at most half of the wait that the call's deadline leaves. Test: a call with a short deadline is begun where it can be at once; a_route_is_held_no_longer_than_its_time_limit, as it was.

--- a/valetrack/src/gate/state.rs
+++ b/valetrack/src/gate/state.rs
@@ -29,9 +29,12 @@
 /// fails at once never looks idle.
 const FAILURE_PENALTY: i64 = 4;
 
-/// A run is begun only where this share of its usual time is left, in hundredths: runs of one route differ
-/// by a third, and a busy machine adds to them.
-const START_MARGIN_PERCENT: u64 = 150;
+/// A call that waits is begun only with this part of its usual time to spare, as a divisor: runs of one
+/// route differ by a third, and a busy machine adds to them.
+const MARGIN_SHARE: u64 = 2;
+/// It may cost a call at most this part of the time that it could wait, as a divisor: one with a short
+/// deadline is begun where it can be begun at once.
+const MARGIN_WAIT_SHARE: u64 = 2;
 
 /// Limits of a gate, from the bundle in force.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -69,9 +72,16 @@
     run_us: u64,
     /// What it should take on a usual server, in microseconds; zero when unknown.
     work_us: u64,
+    /// Time that its run is to have to spare when it is begun, in microseconds.
+    margin_us: u64,
 }
 
 impl Waiting {
+    /// Returns the time that a run is to have to spare of a call that comes with `left_us` to its deadline.
+    fn margin_us(work_us: u64, left_us: u64) -> u64 {
+        (work_us / MARGIN_SHARE).min(left_us.saturating_sub(work_us) / MARGIN_WAIT_SHARE)
+    }
+
     /// Returns from when on its run could hardly end before the deadline even on a usual server.
     ///
     /// Guards callers whose work may not repeat: a run that is begun with no time left is cut, and
@@ -79,7 +89,7 @@
     /// waited 0.96 s and ran its last 4 ms, and one that was begun 1 ms before its usual time was left, on
     /// a busy machine, and cut.
     fn start_by_us(&self) -> u64 {
-        self.deadline_us.saturating_sub(self.work_us * START_MARGIN_PERCENT / 100)
+        self.deadline_us.saturating_sub(self.work_us + self.margin_us)
     }
 }
 
--- a/valetrack/src/gate/state/queue.rs
+++ b/valetrack/src/gate/state/queue.rs
@@ -45,6 +45,7 @@
             in_time_by_us,
             run_us,
             work_us,
+            margin_us: Waiting::margin_us(work_us, deadline_us.saturating_sub(now_us)),
         };
         if let Some(reason) = self.turns_away(&call, objective, now_us) {
             self.bounce(attempt, reason, now_us, out);
--- a/valetrack/src/gate/tests/steps.rs
+++ b/valetrack/src/gate/tests/steps.rs
@@ -197,3 +197,10 @@
     let ended = feed(&mut gate, GateEvent::Done { attempt: attempt(0), healthy: true }, 359_000);
     assert_eq!(ended, [GateAction::Bounce { attempt: attempt(1), reason: BounceReason::Full }]);
 }
+
+#[test]
+fn a_call_with_a_short_deadline_is_begun_where_it_can_be_at_once() {
+    let mut gate = Gate::new(GateConfig { rescue: false, ..CONFIG }, 0);
+    // A run of 380 ms has 400.
+    assert_eq!(feed(&mut gate, arrive_with_work(1, 380_000), 0), [GateAction::Start { attempt: attempt(1) }]);
+}
