Sight: a node says when its upstream has crashed, and which calls it was running

Ruled out: a broken connection alone, since answers are lost and servers that are full reset connections; a crash is when every exchange breaks and the port is closed.

Change: event=upstream.crashed with the number of calls, a line for each with its route and path, and valetrack_crash_reports_total. No decision changes but that a call whose connection broke is answered some 5 ms later.

--- /dev/null
+++ b/valetrack/src/crash/mod.rs
@@ -0,0 +1,5 @@
+//! Crashes of upstreams: how they are told from connections that break for other causes.
+
+mod detect;
+
+pub use detect::{CrashDetector, ExchangeEnd};
--- a/valetrack/src/gate/pool.rs
+++ b/valetrack/src/gate/pool.rs
@@ -223,6 +223,12 @@
         }
     }
 
+    /// Returns whether the server's port is closed: a connection is refused at once.
+    pub async fn is_refused(&self) -> bool {
+        let connecting = timeout(Duration::from_millis(CONNECT_MS), TcpStream::connect(self.addr)).await;
+        matches!(connecting, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused)
+    }
+
     fn take_idle(&self) -> Option<Sender> {
         let mut idle = self.idle.borrow_mut();
         let within = self.protocol.reuse_within().unwrap_or(Duration::MAX);
--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -1,5 +1,6 @@
 //! Shell of the gate; it shares the link thread, since every call comes over a link's stream.
 
+mod crash;
 mod follow;
 mod machine;
 
@@ -27,6 +28,7 @@
 use super::upstream::{UpstreamPhase, UpstreamState};
 use crate::clock::now_us;
 use crate::code::Code;
+use crate::crash::CrashDetector;
 use crate::link::message::{AnswerHead, CallHead};
 use crate::metric::Metrics;
 use crate::placement::Outcome;
@@ -84,6 +86,12 @@
     origins: RefCell<OriginTracker>,
     /// The entry beside this gate.
     ledger: Rc<dyn RunLedger>,
+    /// How exchanges with the upstream end, judged for a crash.
+    exchanges: RefCell<CrashDetector<Rc<CallHead>>>,
+    /// Calls whose exchange has broken and that wait to hear whether the upstream has crashed.
+    broken: RefCell<Vec<oneshot::Sender<bool>>>,
+    /// Whether the upstream is being tried for a crash.
+    trying: Cell<bool>,
     upstream: watch::Receiver<UpstreamState>,
     /// Whether the node itself leaves, so that its gate never opens again.
     draining: Cell<bool>,
@@ -107,6 +115,9 @@
             upstream,
             origins: RefCell::default(),
             ledger,
+            exchanges: RefCell::default(),
+            broken: RefCell::default(),
+            trying: Cell::new(false),
             draining: Cell::new(false),
             gate: RefCell::new(Gate::new(GateConfig::default(), now_us())),
             jobs: Default::default(),
@@ -313,12 +324,14 @@
             self.give_back(job, BounceReason::Refused);
             return;
         };
+        let exchange = self.begin_exchange(Rc::new(job.head.clone()));
         let Some(ended) = self.exchange(&mut job, request, left_us).await else {
             log::info!("event=gate.abandoned call={} attempt={attempt}", job.head.call_id);
             self.handle(GateEvent::Done { attempt, healthy: true });
             return;
         };
         let late = ended.is_err();
+        self.end_exchange(exchange, &ended).await;
         let (code, answer) = match self.outcome(ended) {
             Ok(outcome) => outcome,
             Err(reason) => {
--- /dev/null
+++ b/valetrack/src/gate/run/crash.rs
@@ -0,0 +1,96 @@
+//! What the gate's shell does when its upstream may have crashed.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+use tokio::time::sleep;
+
+use super::{Ended, GateShell};
+use crate::clock::now_us;
+use crate::crash::ExchangeEnd;
+use crate::gate::pool::ServerError;
+use crate::gate::upstream::UpstreamPhase;
+use crate::link::message::CallHead;
+
+/// Time after the first broken connection for the others to break, in milliseconds: a process that ends
+/// closes them all at once, and a VM that is short of processor time reads that some milliseconds later.
+const SETTLE_MS: u64 = 5;
+
+/// An exchange in progress; unless its end is told, it was left when this is dropped.
+pub(super) struct Exchange {
+    shell: Rc<GateShell>,
+    number: u64,
+    ended: bool,
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.shell.exchanges.borrow_mut().ended(self.number, ExchangeEnd::Left, now_us());
+        }
+    }
+}
+
+impl GateShell {
+    /// Notes the start of an exchange.
+    pub(super) fn begin_exchange(self: &Rc<Self>, call: Rc<CallHead>) -> Exchange {
+        let number = self.exchanges.borrow_mut().began(call);
+        Exchange { shell: self.clone(), number, ended: false }
+    }
+
+    /// Notes how an exchange ended, and waits, where its connection broke, until it is known whether the
+    /// upstream has crashed; returns whether it has.
+    pub(super) async fn end_exchange(self: &Rc<Self>, mut exchange: Exchange, ended: &Ended) -> bool {
+        exchange.ended = true;
+        let end = end_of(ended);
+        let sign = self.exchanges.borrow_mut().ended(exchange.number, end, now_us());
+        if sign && !self.trying.replace(true) {
+            tokio::task::spawn_local(self.clone().try_upstream());
+        }
+        if end != ExchangeEnd::Broken || !self.trying.get() {
+            return false;
+        }
+        let (tell, crashed) = oneshot::channel();
+        self.broken.borrow_mut().push(tell);
+        crashed.await.unwrap_or(false)
+    }
+
+    /// Finds out whether the upstream has crashed, and reports it.
+    async fn try_upstream(self: Rc<Self>) {
+        sleep(Duration::from_millis(SETTLE_MS)).await;
+        let suspects = match self.pool.is_refused().await {
+            true => self.exchanges.borrow_mut().crashed(now_us()),
+            false => {
+                self.exchanges.borrow_mut().stands();
+                Vec::new()
+            }
+        };
+        // One that leaves ends as it was told to.
+        let planned = self.draining.get() || self.upstream.borrow().phase != UpstreamPhase::Ready;
+        let crashed = !suspects.is_empty() && !planned;
+        if crashed {
+            log::warn!("event=upstream.crashed running={}", suspects.len());
+            self.metrics.crash_reports.inc();
+            for call in &suspects {
+                log::warn!("event=upstream.crash_call call={} route={} path={}", call.call_id, call.route, call.path);
+            }
+        }
+        self.trying.set(false);
+        for waiting in self.broken.take() {
+            // Whoever asked may have gone away meanwhile.
+            let _ = waiting.send(crashed);
+        }
+    }
+}
+
+const fn end_of(ended: &Ended) -> ExchangeEnd {
+    match ended {
+        Ok(Err(ServerError::Broken)) => ExchangeEnd::Broken,
+        Ok(Err(ServerError::NotStarted)) => ExchangeEnd::Refused,
+        Ok(Ok(_) | Err(ServerError::TooLarge | ServerError::Misdirected | ServerError::Rejected(_))) => {
+            ExchangeEnd::Answered
+        }
+        Err(_) => ExchangeEnd::Left,
+    }
+}
--- a/valetrack/src/lib.rs
+++ b/valetrack/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod cli;
 pub mod clock;
 pub mod code;
+pub mod crash;
 pub mod gate;
 mod jobs;
 pub mod link;
--- a/valetrack/src/metric.rs
+++ b/valetrack/src/metric.rs
@@ -39,6 +39,8 @@
     pub upstream_crashes: IntCounter,
     /// Whether the upstream falls over again and again.
     pub upstream_recurrent_crash: IntGauge,
+    /// Crashes of the upstream while it ran calls.
+    pub crash_reports: IntCounter,
     /// Answers that belong to no open attempt.
     pub stray_answers: IntCounter,
     /// Frames that could not be read.
@@ -128,6 +130,7 @@
                 "valetrack_upstream_recurrent_crash",
                 "Whether the upstream falls over again and again.",
             ),
+            crash_reports: counter("valetrack_crash_reports_total", "Crashes of the upstream while it ran calls."),
             stray_answers: counter("valetrack_stray_answers_total", "Answers of no open attempt, dropped."),
             bad_frames: counter("valetrack_bad_frames_total", "Frames on links that could not be read."),
             invalid_input: counters(
