--- a/valetrack/src/bundle/route.rs
+++ b/valetrack/src/bundle/route.rs
@@ -70,6 +70,12 @@
         self.names.contains(name)
     }
 
+    /// Returns the services that take calls of the routes with these names.
+    pub fn services_of<'a>(&'a self, names: &'a [Arc<str>]) -> impl Iterator<Item = &'a Arc<str>> {
+        let routes = self.by_host.values().flatten().filter(|route| names.contains(&route.name));
+        routes.flat_map(|route| route.targets.iter().map(|target| &target.service))
+    }
+
     /// Returns the route with the longest prefix of `path` among those of `host`; a port behind
     /// the host is left out, and letters of either case are the same.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<HostRoute>> {
--- a/valetrack/src/code.rs
+++ b/valetrack/src/code.rs
@@ -52,6 +52,8 @@
     AnswerTooLarge = 307, "the answer of the server is over the route's cap";
     Leaving = 308, "the server is leaving and takes no new work";
     Cancelled = 309, "the attempt was cancelled before it started";
+    ServerCrashed = 310, "the server crashed while it ran the call";
+    Quarantined = 311, "the call has crashed servers and is not put to them for now";
     ClaimNotKept = 401, "the claim could not be made durable, so the call did not start";
     ClaimUnfinished = 402, "the key was claimed before and its outcome is not known";
     HomeUnreachable = 403, "the home of the key could not be reached";
@@ -77,6 +79,7 @@
     LeaseOver = 608, "the lease of this node's entry is over";
     AnnouncementInvalid = 609, "an announcement of the upstream could not be read";
     EntryInvalid = 610, "a node's entry in the store could not be read";
+    CrashReportInvalid = 611, "the crashes of a service in the store could not be read";
     FrameInvalid = 701, "a frame on a link could not be read";
     FrameTooLarge = 702, "a frame on a link is over its cap";
     LinkRefused = 703, "a link could not be opened";
--- /dev/null
+++ b/valetrack/src/crash/desk.rs
@@ -0,0 +1,177 @@
+//! What the entry and the gate of a node ask of the crashes that it knows: whether a call may go to an
+//! upstream, and what they tell of calls under which theirs has crashed.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Sender;
+use tokio::sync::{oneshot, watch};
+use tokio::time::timeout;
+
+use super::answered::RecentAnswers;
+use super::book::{CRASHES_MAX, CrashBook, Standing};
+use super::message::{Admission, CrashJob, CrashedCall, Mark, RunningCall};
+use super::print::{CallPrint, PrintKey};
+use crate::clock::now_us;
+use crate::code::Code;
+use crate::link::message::CallHead;
+use crate::metric::Metrics;
+
+/// Longest time for which callers of a crashed upstream wait until others have heard of the crash, in
+/// milliseconds: some ways between failure domains and back, and a handshake. A repeat that overtakes the
+/// news would run beside other suspects.
+const TELL_MS: u64 = 30;
+
+/// One node's view of calls that crash upstreams, on the thread of its calls.
+pub struct CrashDesk {
+    book: watch::Receiver<Arc<CrashBook>>,
+    /// Key of the prints that this node makes where the book has none; none without randomness.
+    key: Option<PrintKey>,
+    to_crash: Sender<CrashJob>,
+    answers: RefCell<RecentAnswers>,
+    /// Calls that may be put to the upstream once, though they are kept from it.
+    granted: RefCell<HashSet<CallPrint>>,
+    /// Whether a trial is being asked for.
+    asking: Cell<bool>,
+    metrics: Arc<Metrics>,
+}
+
+impl CrashDesk {
+    /// Makes a desk on the book that the thread of crashes keeps.
+    pub fn new(book: watch::Receiver<Arc<CrashBook>>, to_crash: Sender<CrashJob>, metrics: Arc<Metrics>) -> Rc<Self> {
+        let key = PrintKey::draw();
+        if key.is_none() {
+            log::error!("event=crash.no_key reason=\"no randomness\"");
+        }
+        Rc::new(Self {
+            book,
+            key,
+            to_crash,
+            answers: RefCell::default(),
+            granted: RefCell::default(),
+            asking: Cell::new(false),
+            metrics,
+        })
+    }
+
+    /// Returns what is known of a call, if anything is held against any call.
+    fn standing(&self, head: &CallHead, body: &[u8]) -> Option<Standing> {
+        let book = self.book.borrow();
+        if book.suspects() == 0 {
+            return None;
+        }
+        Some(book.standing(head, body)).filter(|standing| standing.crashes() > 0)
+    }
+
+    /// Returns whether an entry is to refuse a call at once, since no owner would run it.
+    pub fn refuses(&self, head: &CallHead, body: &[u8]) -> bool {
+        let Some(standing) = self.standing(head, body).filter(Standing::is_refused) else {
+            return false;
+        };
+        if standing.trial_due_us().is_some_and(|due_us| now_us() >= due_us) {
+            // An owner decides on trials.
+            return false;
+        }
+        self.note_refused(head, &standing, "entry");
+        true
+    }
+
+    /// Returns whether an owner may put a call to its upstream.
+    pub fn admit(self: &Rc<Self>, head: &CallHead, body: &[u8]) -> Admission {
+        let Some(standing) = self.standing(head, body) else {
+            return Admission::Clear;
+        };
+        if !standing.is_refused() {
+            return Admission::Alone;
+        }
+        let Some(first) = standing.marks.first() else {
+            return Admission::Alone;
+        };
+        if self.granted.borrow_mut().remove(&first.print) {
+            log::warn!("event=crash.trial call={} print={}", head.call_id, first.print);
+            return Admission::Alone;
+        }
+        if standing.trial_due_us().is_some_and(|due_us| now_us() >= due_us) {
+            self.ask_for_trial(first.clone());
+        }
+        self.note_refused(head, &standing, "owner");
+        Admission::Refused
+    }
+
+    fn note_refused(&self, head: &CallHead, standing: &Standing, by: &str) {
+        self.metrics.quarantined_calls.with_label_values(&[&*head.service, by]).inc();
+        let print = standing.marks.first().map(|mark| mark.print);
+        log::warn!(
+            "event=crash.refused call={} code={} print={} crashes={} since_ms={} trials={} from={} by={by}",
+            head.call_id,
+            Code::Quarantined,
+            print.map_or_else(String::new, |print| print.to_string()),
+            standing.crashes(),
+            now_us().saturating_sub(standing.since_us) / 1000,
+            standing.trials,
+            standing.from.as_deref().unwrap_or("-")
+        );
+    }
+
+    /// Has a trial of a call counted in the store, so that its next arrival here may run once.
+    fn ask_for_trial(self: &Rc<Self>, mark: Mark) {
+        if self.asking.replace(true) {
+            return;
+        }
+        let desk = self.clone();
+        tokio::task::spawn_local(async move {
+            let print = mark.print;
+            let (granted, answer) = oneshot::channel();
+            let sent = desk.to_crash.send(CrashJob::Trial { mark, granted }).await;
+            if sent.is_ok() && answer.await == Ok(true) {
+                desk.granted.borrow_mut().insert(print);
+            }
+            desk.asking.set(false);
+        });
+    }
+
+    /// Takes a whole answer to a call: whatever it was suspected of, it has not crashed this upstream.
+    pub fn answered(&self, head: &CallHead, body: &[u8]) {
+        if let Some(key) = self.key {
+            self.answers.borrow_mut().answered(key, head, body, now_us());
+        }
+        if let Some(standing) = self.standing(head, body) {
+            log::info!("event=crash.cleared call={} crashes={}", head.call_id, standing.crashes());
+            // A full ring is no loss: the call's next answer clears it.
+            let _ = self.to_crash.try_send(CrashJob::Answered { marks: standing.marks });
+        }
+    }
+
+    /// Reports that the upstream has crashed while it ran these calls, and waits until the nodes that may run
+    /// them next have heard of it, for [`TELL_MS`] at most.
+    pub async fn report(&self, running: &[Rc<RunningCall>]) {
+        let Some(own) = self.key else {
+            return;
+        };
+        let key = self.book.borrow().key_for_report(own);
+        let mut calls: Vec<CrashedCall> = Vec::new();
+        for call in running {
+            let RunningCall { head, body } = &**call;
+            if self.answers.borrow().holds(own, head, body, now_us()) {
+                continue;
+            }
+            let print = key.print(head, body);
+            if calls.iter().all(|known| known.print != print) {
+                let marks = self.standing(head, body).map_or_else(Vec::new, |standing| standing.marks);
+                calls.push(CrashedCall { print, marks, route: head.route.clone() });
+            }
+        }
+        for call in &calls {
+            let crashes = call.marks.len() + 1;
+            log::warn!("event=crash.suspect print={} crashes={crashes} limit={CRASHES_MAX}", call.print);
+        }
+        let (told, heard) = oneshot::channel();
+        if self.to_crash.send(CrashJob::Crashed { key, calls, told }).await.is_ok() {
+            // Whoever has not heard in time is told by the store.
+            let _ = timeout(Duration::from_millis(TELL_MS), heard).await;
+        }
+    }
+}
--- /dev/null
+++ b/valetrack/src/crash/run/keep.rs
@@ -0,0 +1,155 @@
+//! Has crashes last in the store: whatever this node knows of its service stands there within seconds of the
+//! store's answering, whoever saw it.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::{sleep, timeout};
+
+use super::Shell;
+use crate::clock::now_us;
+use crate::code::Code;
+use crate::crash::archive::{self, crash_key};
+use crate::crash::message::{CrashReport, Mark};
+use crate::store::StoreError;
+
+/// Pause before a store that failed is tried again, in milliseconds.
+const RETRY_MS: std::ops::RangeInclusive<u64> = 700..=2_000;
+/// Time that the node which saw a crash has to write it before others of its service do, in milliseconds:
+/// it may be gone, or turned away by the store.
+const STAND_IN_MS: std::ops::RangeInclusive<u64> = 3_000..=6_000;
+/// Tries of one compare-and-swap: owners of one service write at the same moment when crashes come in a row.
+const SWAPS_MAX: u32 = 4;
+
+impl Shell {
+    /// Writes what the store lacks; runs as long as the thread.
+    pub(super) async fn keep_archive(self: Rc<Self>) {
+        loop {
+            let service = self.parts.service.clone();
+            if !self.lacks(&service) {
+                self.archive_due.notified().await;
+                continue;
+            }
+            if !self.writes_first.replace(false) {
+                let pause_ms = self.rng.borrow_mut().u64(STAND_IN_MS);
+                // Woken by news of its own, this node is to write at once.
+                let _ = timeout(Duration::from_millis(pause_ms), self.archive_due.notified()).await;
+                if !self.lacks(&service) {
+                    continue;
+                }
+            }
+            if let Err(error) = self.save(&service).await {
+                log::warn!("event=crash.unsaved service={service} code={} reason=\"{error}\"", error.code());
+                self.writes_first.set(true);
+                let pause_ms = self.rng.borrow_mut().u64(RETRY_MS);
+                sleep(Duration::from_millis(pause_ms)).await;
+            }
+        }
+    }
+
+    /// Returns whether the store is not known to hold what is known of a service.
+    fn lacks(&self, service: &Arc<str>) -> bool {
+        let archive = self.book.borrow().archive(service);
+        let stored = self.stored.borrow();
+        stored.get(service).map_or(!archive.is_empty(), |stored| *stored != archive)
+    }
+
+    /// Writes what is known of a service, joined with what the store holds.
+    async fn save(&self, service: &Arc<str>) -> Result<(), StoreError> {
+        for _ in 0..SWAPS_MAX {
+            let revision = self.read(service).await?;
+            if !self.lacks(service) || self.write(service, revision).await? {
+                return Ok(());
+            }
+        }
+        Err(StoreError::Refused { reason: format!("{SWAPS_MAX} writes of others in a row") })
+    }
+
+    /// Reads what the store holds of a service; returns the revision of its last change.
+    async fn read(&self, service: &Arc<str>) -> Result<u64, StoreError> {
+        self.parts.metrics.store_calls.with_label_values(&["crash-read"]).inc();
+        let (value, revision) = self.parts.archive.read(&crash_key(service)).await?;
+        if revision > 0 {
+            self.take_stored(service, &value);
+        }
+        Ok(revision)
+    }
+
+    /// Writes what is known of a service over what stood there at `revision`; returns whether that still stood.
+    async fn write(&self, service: &Arc<str>, revision: u64) -> Result<bool, StoreError> {
+        let reports = self.book.borrow().archive(service);
+        let value = archive::pack(&reports).map_err(|reason| StoreError::Invalid { reason })?;
+        self.parts.metrics.store_calls.with_label_values(&["crash-write"]).inc();
+        let written = self.parts.archive.write(&crash_key(service), revision, value).await?;
+        if written {
+            self.stored.borrow_mut().insert(service.clone(), reports);
+        }
+        Ok(written)
+    }
+
+    /// Takes what the store holds of a service.
+    pub(super) fn take_stored(&self, service: &Arc<str>, value: &[u8]) {
+        let reports = match archive::unpack(value) {
+            Ok(reports) => reports,
+            Err(reason) => {
+                let code = Code::CrashReportInvalid;
+                self.parts.metrics.invalid_input.with_label_values(&[&code.to_string()]).inc();
+                log::warn!("event=crash.stored_invalid service={service} code={code} reason=\"{reason}\"");
+                // This node's own knowledge is to stand there in its place.
+                Vec::new()
+            }
+        };
+        if self.book.borrow_mut().join(&reports, &self.store, now_us()) {
+            log::info!("event=crash.heard from={} service={service} reports={}", self.store, reports.len());
+            self.publish();
+        }
+        self.stored.borrow_mut().insert(service.clone(), reports);
+        self.archive_due.notify_one();
+    }
+
+    /// Reads what the store holds of the own service once it answers.
+    pub(super) async fn read_at_start(self: Rc<Self>) {
+        let service = self.parts.service.clone();
+        while let Err(error) = self.read(&service).await {
+            log::info!("event=crash.unread service={service} code={} reason=\"{error}\"", error.code());
+            let pause_ms = self.rng.borrow_mut().u64(RETRY_MS);
+            sleep(Duration::from_millis(pause_ms)).await;
+        }
+    }
+
+    /// Counts a trial of a call in the store; returns whether it was counted, which one node alone is told.
+    pub(super) async fn count_trial(self: &Rc<Self>, mark: &Mark) -> bool {
+        match self.try_count_trial(mark).await {
+            Ok(counted) => counted,
+            Err(error) => {
+                log::warn!("event=crash.trial_uncounted print={} code={} reason=\"{error}\"", mark.print, error.code());
+                false
+            }
+        }
+    }
+
+    async fn try_count_trial(self: &Rc<Self>, mark: &Mark) -> Result<bool, StoreError> {
+        let service = self.book.borrow().report(&mark.crash).map(|report| report.service.clone());
+        let Some(service) = service else {
+            return Ok(false);
+        };
+        let before = self.trials_of(mark);
+        let revision = self.read(&service).await?;
+        if self.trials_of(mark) != before {
+            // Another node has just begun one.
+            return Ok(false);
+        }
+        let changed: Vec<CrashReport> = self.book.borrow_mut().count_trial(mark, now_us());
+        let written = self.write(&service, revision).await?;
+        // Whether it was written or not, it counts from now on: one trial less is the lesser evil.
+        drop(self.spread_change(changed, &[]));
+        Ok(written)
+    }
+
+    fn trials_of(&self, mark: &Mark) -> Option<u8> {
+        let book = self.book.borrow();
+        let suspects = &book.report(&mark.crash)?.suspects;
+        suspects.iter().find(|suspect| suspect.print == mark.print).map(|suspect| suspect.trials)
+    }
+}
--- /dev/null
+++ b/valetrack/src/crash/tests.rs
@@ -0,0 +1,65 @@
+//! Tests of crashes: prints, how a crash is told, what is held against whom, and for how long.
+
+mod book;
+mod detect;
+mod print;
+mod world;
+
+use std::sync::Arc;
+
+use super::*;
+use crate::gate::{AttemptId, Patience};
+use crate::link::message::CallHead;
+
+/// Key of prints that is no secret.
+const KEY: PrintKey = PrintKey::of_parts(7, 11);
+
+/// Makes the head of a call with this path and length of its body.
+fn head(path: &str, body: &[u8]) -> CallHead {
+    CallHead {
+        attempt: AttemptId { entry: 1, seq: 2 },
+        call_id: Arc::from("call"),
+        service: Arc::from("rounds"),
+        origin: Arc::from("rounds"),
+        route: Arc::from("sheet"),
+        method: "GET".into(),
+        path: path.into(),
+        headers: vec![("host".into(), b"farm.example".to_vec())],
+        body_bytes: body.len() as u32,
+        deadline_ms: 100,
+        objective_ms: 0,
+        work_us: 0,
+        elsewhere_permille: 0,
+        priority: 0,
+        repeatable: true,
+        depth: 1,
+        made_by_run: false,
+        repeat_permille: 0,
+        patience: Patience::Short,
+        key: None,
+        hlc: 9,
+    }
+}
+
+/// Makes a report of a crash under calls with these paths.
+fn report(hlc: u64, vm: &str, paths: &[&str]) -> CrashReport {
+    let suspect = |path: &&str| Suspect { print: KEY.print(&head(path, b""), b""), cleared: false, trials: 0 };
+    CrashReport {
+        id: CrashId { hlc, vm: Arc::from(vm) },
+        service: Arc::from("rounds"),
+        key: KEY,
+        suspects: paths.iter().map(suspect).collect(),
+    }
+}
+
+/// Makes a book of reports that all came at one moment.
+fn book_of(reports: &[CrashReport]) -> CrashBook {
+    let mut book = CrashBook::default();
+    book.join(reports, &Arc::from("peer"), 1);
+    book
+}
+
+/// Returns how many crashes stand against the call with this path.
+fn crashes(book: &CrashBook, path: &str) -> usize {
+    book.standing(&head(path, b""), b"").crashes()
+}
--- /dev/null
+++ b/valetrack/src/crash/tests/print.rs
@@ -0,0 +1,65 @@
+//! Prints tell requests apart by what they are, and not by the names of their attempts.
+
+use test_case::test_case;
+
+use super::*;
+
+#[test]
+fn the_same_request_has_the_same_print_under_any_id_at_any_node() {
+    let first = head("/sheet/1", b"body");
+    let again = CallHead {
+        attempt: AttemptId { entry: 8, seq: 9 },
+        call_id: Arc::from("another"),
+        origin: Arc::from("ledger"),
+        deadline_ms: 7,
+        patience: Patience::Last,
+        repeat_permille: 1000,
+        hlc: 77,
+        ..first.clone()
+    };
+    assert_eq!(KEY.print(&first, b"body"), KEY.print(&again, b"body"));
+}
+
+#[test_case(|head| head.path = "/sheet/2".into(); "path")]
+#[test_case(|head| head.method = "POST".into(); "method")]
+#[test_case(|head| head.headers[0].1 = b"other.example".to_vec(); "host")]
+#[test_case(|head| head.headers.push(("authorization".into(), b"somebody".to_vec())); "caller")]
+#[test_case(|head| head.body_bytes += 1; "length of the body")]
+fn another_request_has_another_print(change: fn(&mut CallHead)) {
+    let first = head("/sheet/1", b"body");
+    let mut other = first.clone();
+    change(&mut other);
+    assert_ne!(KEY.head_print(&first), KEY.head_print(&other));
+}
+
+#[test]
+fn another_body_or_key_gives_another_print() {
+    let first = head("/sheet/1", b"body");
+    assert_eq!(KEY.print(&first, b"body").head, KEY.print(&first, b"bodz").head);
+    assert_ne!(KEY.print(&first, b"body"), KEY.print(&first, b"bodz"));
+    assert_ne!(KEY.print(&first, b"body"), PrintKey::of_parts(7, 12).print(&first, b"body"));
+    assert_ne!(PrintKey::draw(), PrintKey::draw());
+}
+
+#[test]
+fn parts_that_run_into_each_other_are_told_apart() {
+    let mut first = head("/a", b"");
+    first.method = "GETX".into();
+    let mut other = head("X/a", b"");
+    other.method = "GET".into();
+    assert_ne!(KEY.head_print(&first), KEY.head_print(&other));
+}
+
+#[test]
+fn an_answered_request_is_remembered_for_a_while_and_a_long_body_is_not_read() {
+    let mut answers = RecentAnswers::default();
+    let long = vec![0; 2_000];
+    answers.answered(KEY, &head("/sheet/1", b"body"), b"body", 1_000_000);
+    answers.answered(KEY, &head("/sheet/1", &long), &long, 1_000_000);
+    let holds = |path: &str, body: &[u8], now_us| answers.holds(KEY, &head(path, body), body, now_us);
+    assert!(holds("/sheet/1", b"body", 10_999_999));
+    assert!(!holds("/sheet/1", b"body", 11_000_000));
+    assert!(!holds("/sheet/1", b"bodz", 1_000_001));
+    assert!(!holds("/sheet/2", b"body", 1_000_001));
+    assert!(!holds("/sheet/1", &long, 1_000_001));
+}
--- a/valetrack/src/gate/message.rs
+++ b/valetrack/src/gate/message.rs
@@ -87,6 +87,8 @@
     Evacuated,
     /// The call is a repeat, and a service that its run would call has no budget left for repeats.
     RepeatRefused,
+    /// The call has crashed too many upstreams.
+    Quarantined,
 }
 
 /// How long an entry lets an attempt wait for a slot.
--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -28,7 +28,7 @@
 use super::upstream::{UpstreamPhase, UpstreamState};
 use crate::clock::now_us;
 use crate::code::Code;
-use crate::crash::CrashDetector;
+use crate::crash::{Admission, CrashDesk, CrashDetector, RunningCall};
 use crate::link::message::{AnswerHead, CallHead};
 use crate::metric::Metrics;
 use crate::placement::Outcome;
@@ -62,8 +62,7 @@
 }
 
 struct Job {
-    head: CallHead,
-    body: Bytes,
+    call: Rc<RunningCall>,
     /// Whether upstreams make calls of its route on their own, as far as this owner can tell.
     judged: Option<bool>,
     deadline_us: u64,
@@ -86,8 +85,10 @@
     origins: RefCell<OriginTracker>,
     /// The entry beside this gate.
     ledger: Rc<dyn RunLedger>,
+    /// What this node knows of calls that crash upstreams.
+    crashes: Rc<CrashDesk>,
     /// How exchanges with the upstream end, judged for a crash.
-    exchanges: RefCell<CrashDetector<Rc<CallHead>>>,
+    exchanges: RefCell<CrashDetector<Rc<RunningCall>>>,
     /// Calls whose exchange has broken and that wait to hear whether the upstream has crashed.
     broken: RefCell<Vec<oneshot::Sender<bool>>>,
     /// Whether the upstream is being tried for a crash.
@@ -102,19 +103,31 @@
     metrics: Arc<Metrics>,
 }
 
+/// What a gate is joined to.
+pub struct GateShellParts {
+    /// Connections to the server.
+    pub pool: ServerPool,
+    /// State of the server as its announcements tell it.
+    pub upstream: watch::Receiver<UpstreamState>,
+    /// Notified when the server says that it is about to stop.
+    pub leaving: Arc<Notify>,
+    /// The entry beside this gate.
+    pub ledger: Rc<dyn RunLedger>,
+    /// What this node knows of calls that crash upstreams.
+    pub crashes: Rc<CrashDesk>,
+    /// Metrics.
+    pub metrics: Arc<Metrics>,
+}
+
 impl GateShell {
-    /// Makes a gate; `leaving` is notified when the server says that it is about to stop.
-    pub fn new(
-        pool: ServerPool,
-        upstream: watch::Receiver<UpstreamState>,
-        leaving: Arc<Notify>,
-        ledger: Rc<dyn RunLedger>,
-        metrics: Arc<Metrics>,
-    ) -> Rc<Self> {
+    /// Makes a gate.
+    pub fn new(parts: GateShellParts) -> Rc<Self> {
+        let GateShellParts { pool, upstream, leaving, ledger, crashes, metrics } = parts;
         Rc::new(Self {
             upstream,
             origins: RefCell::default(),
             ledger,
+            crashes,
             exchanges: RefCell::default(),
             broken: RefCell::default(),
             trying: Cell::new(false),
@@ -176,7 +189,11 @@
             return GateReply::Bounce(BounceReason::NotReady);
         }
         if f64::from(head.repeat_permille) >= PERMILLE && !self.ledger.admits_repeat() {
-            return GateReply::Bounce(self.refuse_repeat(&head));
+            return GateReply::Bounce(self.refuse(&head, BounceReason::RepeatRefused));
+        }
+        let admission = self.crashes.admit(&head, &body);
+        if admission == Admission::Refused {
+            return GateReply::Bounce(self.refuse(&head, BounceReason::Quarantined));
         }
         let judged = self.origins.borrow_mut().judge(&head.route, &head.origin);
         // An owner that has just started goes by what others have told the entry.
@@ -185,7 +202,11 @@
         let priority = if nested { INTERNAL_PRIORITY } else { head.priority.saturating_add(1) };
         let objective = objective(&head, nested);
         self.refresh_speed(head.work_us.into()).await;
-        self.jobs.borrow_mut().insert(attempt, Job { head, body, judged, deadline_us, reply });
+        let call = Rc::new(RunningCall { head, body });
+        self.jobs.borrow_mut().insert(attempt, Job { call, judged, deadline_us, reply });
+        if admission == Admission::Alone {
+            self.gate.borrow_mut().suspect(attempt);
+        }
         let mut abandon = AbandonGuard { shell: self.clone(), attempt: Some(attempt) };
         self.handle(GateEvent::Arrive { attempt, deadline_us, patience, priority, objective });
         let reply = answered.await;
@@ -193,9 +214,8 @@
         reply.unwrap_or(GateReply::Bounce(BounceReason::Cancelled))
     }
 
-    /// Tells of a repeat that is given back before it waits for a slot.
-    fn refuse_repeat(&self, head: &CallHead) -> BounceReason {
-        let reason = BounceReason::RepeatRefused;
+    /// Tells of a call that is given back before it waits for a slot.
+    fn refuse(&self, head: &CallHead, reason: BounceReason) -> BounceReason {
         self.metrics.bounces.with_label_values(&[bounce_label(reason)]).inc();
         log::info!("event=gate.bounce call={} attempt={} reason={reason:?}", head.call_id, head.attempt);
         reason
@@ -255,7 +275,7 @@
         log::info!(
             "event=gate.bounce call={} attempt={attempt} reason={reason:?} running={} waiting={} limit={} \
              slow_chance_percent={} slow_percent={}",
-            job.head.call_id,
+            job.call.head.call_id,
             load.in_flight,
             load.queued,
             load.limit,
@@ -274,8 +294,8 @@
 
     /// Gives a started attempt back, of which it is certain that the server did not run it.
     fn give_back(self: &Rc<Self>, job: Job, reason: BounceReason) {
-        let attempt = job.head.attempt;
-        log::info!("event=gate.not_started call={} attempt={attempt} reason={reason:?}", job.head.call_id);
+        let attempt = job.call.head.attempt;
+        log::info!("event=gate.not_started call={} attempt={attempt} reason={reason:?}", job.call.head.call_id);
         self.jobs.borrow_mut().insert(attempt, job);
         self.handle(GateEvent::Refused { attempt, reason });
     }
@@ -312,27 +332,29 @@
 
     /// Runs a started call at the server, and answers whoever asked.
     async fn run(self: Rc<Self>, mut job: Job) {
-        let attempt = job.head.attempt;
-        log::debug!("event=gate.start call={} attempt={attempt}", job.head.call_id);
-        let _entered = LedgerEntry::new(self.ledger.clone(), job.head.repeat_permille);
+        let call = job.call.clone();
+        let head = &call.head;
+        let attempt = head.attempt;
+        log::debug!("event=gate.start call={} attempt={attempt}", head.call_id);
+        let _entered = LedgerEntry::new(self.ledger.clone(), head.repeat_permille);
         let began_us = now_us();
         let began = self.machine_at(began_us);
         let left_us = job.deadline_us.saturating_sub(began_us);
         let id = self.upstream.borrow().id.clone();
-        let Some(request) = self.pool.protocol().request(&job.head, job.body.clone(), left_us / 1000, id.as_deref())
-        else {
+        let Some(request) = self.pool.protocol().request(head, call.body.clone(), left_us / 1000, id.as_deref()) else {
             self.give_back(job, BounceReason::Refused);
             return;
         };
-        let exchange = self.begin_exchange(Rc::new(job.head.clone()));
+        let exchange = self.begin_exchange(call.clone());
         let Some(ended) = self.exchange(&mut job, request, left_us).await else {
-            log::info!("event=gate.abandoned call={} attempt={attempt}", job.head.call_id);
+            log::info!("event=gate.abandoned call={} attempt={attempt}", head.call_id);
             self.handle(GateEvent::Done { attempt, healthy: true });
             return;
         };
         let late = ended.is_err();
-        self.end_exchange(exchange, &ended).await;
+        let crashed = self.end_exchange(exchange, &call, &ended).await;
         let (code, answer) = match self.outcome(ended) {
+            Ok((Some(Code::ServerFailed), None)) if crashed => (Some(Code::ServerCrashed), None),
             Ok(outcome) => outcome,
             Err(reason) => {
                 self.give_back(job, reason);
@@ -343,13 +365,13 @@
             self.learn(answer);
         }
         let healthy = answer.as_ref().is_some_and(|answer| answer.status < 500);
-        let times = self.times(began, job.head.work_us);
+        let times = self.times(began, head.work_us);
         self.gate.borrow_mut().ran(attempt, times, healthy);
-        log_done(&job.head, times, code, answer.as_ref(), healthy);
-        let (mut head, body) = answer_head(attempt, code, answer);
-        head.nested = job.judged;
-        head.work_us = times.unslowed_us.min(u64::from(u32::MAX)) as u32;
-        let _ = job.reply.send(GateReply::Answer(head, body));
+        log_done(head, times, code, answer.as_ref(), healthy);
+        let (mut answer_head, body) = answer_head(attempt, code, answer);
+        answer_head.nested = job.judged;
+        answer_head.work_us = times.unslowed_us.min(u64::from(u32::MAX)) as u32;
+        let _ = job.reply.send(GateReply::Answer(answer_head, body));
         if late {
             sleep(Duration::from_millis(LINGER_MS)).await;
         }
@@ -359,11 +381,11 @@
     /// Puts a call to the server within `left_us`; none when whoever asked has gone away and the
     /// call may repeat.
     async fn exchange(&self, job: &mut Job, request: Request<Full<Bytes>>, left_us: u64) -> Option<Ended> {
-        let exchange = self.pool.exchange(request, &job.head, self.answer_cap_bytes.get());
+        let exchange = self.pool.exchange(request, &job.call.head, self.answer_cap_bytes.get());
         tokio::select! {
             ended = timeout(Duration::from_micros(left_us), exchange) => Some(ended),
             // The closed connection tells the server to stop.
-            () = job.reply.closed(), if job.head.repeatable => None,
+            () = job.reply.closed(), if job.call.head.repeatable => None,
         }
     }
 }
@@ -393,6 +415,7 @@
         BounceReason::Rejected => "rejected",
         BounceReason::Evacuated => "evacuated",
         BounceReason::RepeatRefused => "repeat-refused",
+        BounceReason::Quarantined => "quarantined",
     }
 }
 
--- a/valetrack/src/gate/run/crash.rs
+++ b/valetrack/src/gate/run/crash.rs
@@ -8,10 +8,9 @@
 
 use super::{Ended, GateShell};
 use crate::clock::now_us;
-use crate::crash::ExchangeEnd;
+use crate::crash::{ExchangeEnd, RunningCall};
 use crate::gate::pool::ServerError;
 use crate::gate::upstream::UpstreamPhase;
-use crate::link::message::CallHead;
 
 /// Time after the first broken connection for the others to break, in milliseconds: a process that ends
 /// closes them all at once, and a VM that is short of processor time reads that some milliseconds later.
@@ -34,16 +33,24 @@
 
 impl GateShell {
     /// Notes the start of an exchange.
-    pub(super) fn begin_exchange(self: &Rc<Self>, call: Rc<CallHead>) -> Exchange {
+    pub(super) fn begin_exchange(self: &Rc<Self>, call: Rc<RunningCall>) -> Exchange {
         let number = self.exchanges.borrow_mut().began(call);
         Exchange { shell: self.clone(), number, ended: false }
     }
 
     /// Notes how an exchange ended, and waits, where its connection broke, until it is known whether the
     /// upstream has crashed; returns whether it has.
-    pub(super) async fn end_exchange(self: &Rc<Self>, mut exchange: Exchange, ended: &Ended) -> bool {
+    pub(super) async fn end_exchange(
+        self: &Rc<Self>,
+        mut exchange: Exchange,
+        call: &RunningCall,
+        ended: &Ended,
+    ) -> bool {
         exchange.ended = true;
         let end = end_of(ended);
+        if matches!(ended, Ok(Ok(_))) {
+            self.crashes.answered(&call.head, &call.body);
+        }
         let sign = self.exchanges.borrow_mut().ended(exchange.number, end, now_us());
         if sign && !self.trying.replace(true) {
             tokio::task::spawn_local(self.clone().try_upstream());
@@ -71,10 +78,7 @@
         let crashed = !suspects.is_empty() && !planned;
         if crashed {
             log::warn!("event=upstream.crashed running={}", suspects.len());
-            self.metrics.crash_reports.inc();
-            for call in &suspects {
-                log::warn!("event=upstream.crash_call call={} route={} path={}", call.call_id, call.route, call.path);
-            }
+            self.crashes.report(&suspects).await;
         }
         self.trying.set(false);
         for waiting in self.broken.take() {
--- a/valetrack/src/gate/state.rs
+++ b/valetrack/src/gate/state.rs
@@ -4,7 +4,7 @@
 
 pub(super) use queue::INTERNAL_PRIORITY;
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 use super::cold::{ColdBound, ColdRule};
 use super::limit::ConcurrencyLimit;
@@ -128,6 +128,8 @@
     outage: Outage,
     /// Whether the server's failure domain is evacuated.
     evacuated: bool,
+    /// Attempts, waiting or running, that may crash the server.
+    suspects: HashSet<AttemptId>,
 }
 
 impl Gate {
@@ -148,6 +150,7 @@
             cold: ColdBound::new(now_us),
             outage: Outage::default(),
             evacuated: false,
+            suspects: HashSet::new(),
         }
     }
 
@@ -238,6 +241,12 @@
         self.outage.over();
     }
 
+    /// Says of an attempt that is about to arrive that it may crash the server: no two such attempts run at
+    /// once, so that a crash tells which of them it was.
+    pub fn suspect(&mut self, attempt: AttemptId) {
+        self.suspects.insert(attempt);
+    }
+
     /// Notes that the machine is asked for its speed.
     pub fn asked(&mut self, now_us: u64) {
         self.speed.asked(now_us);
@@ -337,6 +346,7 @@
     }
 
     fn done(&mut self, attempt: AttemptId, healthy: bool, now_us: u64) {
+        self.suspects.remove(&attempt);
         let Some(Running { started_us, .. }) = self.running.remove(&attempt) else {
             return;
         };
@@ -437,6 +447,7 @@
     }
 
     fn remember(&mut self, attempt: AttemptId, result: CancelResult, now_us: u64) {
+        self.suspects.remove(&attempt);
         let until_us = now_us + MEMORY_US;
         self.memory.insert(attempt, Memory { result, until_us });
         self.forget.push_back((until_us, attempt));
--- a/valetrack/src/gate/state/queue.rs
+++ b/valetrack/src/gate/state/queue.rs
@@ -1,7 +1,7 @@
 //! The gate's queue: who may wait for a slot, who is given back, and who starts.
 
 use super::{Gate, Running, Waiting};
-use crate::gate::message::{BounceReason, GateAction, GateEvent, Objective, PERMILLE, Patience};
+use crate::gate::message::{AttemptId, BounceReason, GateAction, GateEvent, Objective, PERMILLE, Patience};
 
 /// A call is given back where it is worth this much more elsewhere, as a share of an answer in
 /// time: the way there takes time as well.
@@ -22,6 +22,7 @@
             return;
         }
         if self.memory.contains_key(&attempt) {
+            self.suspects.remove(&attempt);
             out.push(GateAction::Bounce { attempt, reason: BounceReason::Cancelled });
             return;
         }
@@ -79,15 +80,16 @@
     /// Returns why a call that arrives is given back, if it is.
     fn turns_away(&self, call: &Waiting, objective: Option<Objective>, now_us: u64) -> Option<BounceReason> {
         let held_back = self.is_held_back(call, now_us);
+        let beside_suspect = self.waits_for_suspect(call.attempt);
         let has_slot = self.may_start(now_us) && self.waiting.is_empty();
-        if !has_slot || held_back {
+        if !has_slot || held_back || beside_suspect {
             let wait_max_us = objective.map_or(self.config.queue_max_us, |objective| objective.wait_max_us);
             if let Some(reason) = self.refuses_to_queue(call, wait_max_us, now_us) {
                 return Some(reason);
             }
         }
         let slow = match call.patience {
-            Patience::None => held_back,
+            Patience::None => held_back || beside_suspect,
             Patience::Short => objective.is_some_and(|objective| self.too_slow_for(objective, now_us)),
             Patience::Long | Patience::Last => false,
         };
@@ -160,6 +162,11 @@
         self.speed.holds_back(waiting.work_us, now_us)
     }
 
+    /// Returns whether an attempt that may crash the server has to wait for another one that runs.
+    fn waits_for_suspect(&self, attempt: AttemptId) -> bool {
+        self.suspects.contains(&attempt) && self.suspects.iter().any(|other| self.running.contains_key(other))
+    }
+
     /// Gives back what has waited its time, and what waits for a server that stalls.
     pub(super) fn leave_queue(&mut self, now_us: u64, out: &mut Vec<GateAction>) {
         if self.waiting.is_empty() {
@@ -185,7 +192,9 @@
     /// Starts calls while slots are free, but for those that are held back.
     pub(super) fn start_waiting(&mut self, now_us: u64, out: &mut Vec<GateAction>) {
         while self.may_start(now_us) {
-            let next = (0..self.waiting.len()).find(|&at| !self.is_held_back(&self.waiting[at], now_us));
+            let may_go =
+                |waiting: &Waiting| !self.is_held_back(waiting, now_us) && !self.waits_for_suspect(waiting.attempt);
+            let next = self.waiting.iter().position(may_go);
             let Some(waiting) = next.and_then(|at| self.waiting.remove(at)) else {
                 return;
             };
--- a/valetrack/src/gate/tests.rs
+++ b/valetrack/src/gate/tests.rs
@@ -11,4 +11,5 @@
 mod property;
 mod speed;
 mod steps;
+mod suspect;
 mod upstream;
--- a/valetrack/src/lib.rs
+++ b/valetrack/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`placement::Call`] with [`placement::ServiceView`]: the life of a call at its entry;
 //! - [`gate::Gate`]: slots and the queue before one server;
 //! - [`claim::PageHome`]: at most once for calls with a key;
+//! - [`crash::CrashBook`], [`crash::CrashDetector`]: calls that crash upstreams;
 //! - [`member::Members`], [`bundle::Adoption`]: views that only go forward;
 //! - [`placement::RateBudget`], [`placement::RepeatBudget`]: budgets;
 //! - [`timeline::HybridClock`]: the order of events.
--- a/valetrack/src/link/codec.rs
+++ b/valetrack/src/link/codec.rs
@@ -66,7 +66,8 @@
             | Self::Gossip { .. }
             | Self::Bundle
             | Self::Evacuation
-            | Self::Follow { .. } => Some(0),
+            | Self::Follow { .. }
+            | Self::Crashes { .. } => Some(0),
         }
     }
 }
--- a/valetrack/src/link/message.rs
+++ b/valetrack/src/link/message.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::crash::CrashReport;
 use crate::gate::{AttemptId, BounceReason, CancelResult, LoadReport, Patience};
 use crate::member::{Evacuation, Member};
 use crate::placement::Outcome;
@@ -134,6 +135,13 @@
         /// Longest time to wait for a change, in milliseconds.
         wait_ms: u32,
     },
+    /// Take what the sender knows of crashes; nothing but what rides along comes back.
+    Crashes {
+        /// VM of the sender.
+        from: Arc<str>,
+        /// The crashes.
+        reports: Vec<CrashReport>,
+    },
 }
 
 /// A reply on the stream of its question.
--- a/valetrack/src/link/run.rs
+++ b/valetrack/src/link/run.rs
@@ -21,8 +21,9 @@
 use crate::bundle::{InForce, ServiceRule};
 use crate::claim::ClaimJob;
 use crate::clock::now_us;
+use crate::crash::{CrashDesk, CrashJob};
 use crate::gate::pool::ServerPool;
-use crate::gate::run::{GateReply, GateShell};
+use crate::gate::run::{GateReply, GateShell, GateShellParts};
 use crate::gate::{
     Announcement, BounceReason, GateConfig, Health, RunLedger, UpstreamPhase, UpstreamProtocol, UpstreamState,
 };
@@ -55,6 +56,8 @@
     pub to_claim: Sender<ClaimJob>,
     /// Ring to the members.
     pub to_member: Sender<MemberJob>,
+    /// Ring to the thread of crashes.
+    pub to_crash: Sender<CrashJob>,
     /// The bundle in force.
     pub bundle: watch::Receiver<Option<Arc<InForce>>>,
     /// How calls are put to the server and its answers are read.
@@ -105,11 +108,17 @@
     Ok(endpoint)
 }
 
-/// Serves links until told to close; must run on a local task set. `ledger` is the entry of this node.
-pub async fn run(endpoint: Endpoint, ledger: Rc<dyn RunLedger>, parts: LinkParts) {
-    let pool = ServerPool::new(parts.server_addr, parts.upstream_protocol.clone());
-    let gate =
-        GateShell::new(pool, parts.upstream.clone(), parts.server_leaving.clone(), ledger, parts.metrics.clone());
+/// Serves links until told to close; must run on a local task set. `ledger` is the entry of this node, and
+/// `crashes` what it knows of calls that crash upstreams.
+pub async fn run(endpoint: Endpoint, ledger: Rc<dyn RunLedger>, crashes: Rc<CrashDesk>, parts: LinkParts) {
+    let gate = GateShell::new(GateShellParts {
+        pool: ServerPool::new(parts.server_addr, parts.upstream_protocol.clone()),
+        upstream: parts.upstream.clone(),
+        leaving: parts.server_leaving.clone(),
+        ledger,
+        crashes,
+        metrics: parts.metrics.clone(),
+    });
     let shell = Rc::new(Shell { gate, peers: Peers::new(endpoint.clone()), parts });
     let mut duties = tokio::task::JoinSet::new();
     duties.spawn_local(shell.gate.clone().keep_time());
@@ -247,6 +256,11 @@
             Ask::Bundle => self.bundle(),
             Ask::Evacuation => (Reply::Evacuation(self.evacuation()), Bytes::new()),
             Ask::Follow { after, wait_ms } => self.store_news(after, wait_ms).await,
+            Ask::Crashes { from, reports } => {
+                // The ring is read as long as the node runs.
+                let _ = self.parts.to_crash.send(CrashJob::Heard { from, reports }).await;
+                (Reply::Load, Bytes::new())
+            }
         };
         Answered { head: ReplyHead { reply, riding: self.riding() }, body }
     }
--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -25,6 +25,7 @@
 use super::state::Members;
 use crate::bundle::{Adopter, BundleFormat};
 use crate::clock::now_us;
+use crate::crash::CrashJob;
 use crate::gate::{UpstreamPhase, UpstreamState};
 use crate::jobs::next_job;
 use crate::link::message::{Ask, Question, Reply};
@@ -55,6 +56,8 @@
     pub jobs: Receiver<MemberJob>,
     /// Ring to the link thread.
     pub to_link: Sender<LinkJob>,
+    /// Ring to the thread of crashes.
+    pub to_crash: Sender<CrashJob>,
     /// Where the view of VMs is published.
     pub members: watch::Sender<Arc<Members>>,
     /// State of the upstream beside this node.
@@ -225,7 +228,9 @@
         let evacuation = self.evacuation.borrow().clone();
         let ask = Ask::Gossip { members: self.digest(), evacuation, bundle: self.adopter.number() };
         // No reply is no loss: the peer's next reply shows again that it lacks the bundle.
-        let _ = self.ask(peer, Question { ask, body: Bytes::new() }).await;
+        let _ = self.ask(peer.clone(), Question { ask, body: Bytes::new() }).await;
+        // It cannot read the store either. A full ring is no loss for the same reason.
+        let _ = self.parts.to_crash.try_send(CrashJob::Tell { target: peer });
     }
 
     fn digest(&self) -> Vec<Member> {
--- a/valetrack/src/member/leased/read.rs
+++ b/valetrack/src/member/leased/read.rs
@@ -7,6 +7,8 @@
 use crate::bundle::version_of;
 use crate::clock::now_us;
 use crate::code::Code;
+use crate::crash::CrashJob;
+use crate::crash::archive::service_of;
 use crate::member::{entry_key, member_of};
 use crate::store::{Change, Freshness, Item, StoreError};
 
@@ -62,6 +64,9 @@
             self.take_bundle(item);
         }
         self.take_evacuations(items, at_revision);
+        for item in items {
+            self.take_crashes(item);
+        }
         self.directory.borrow_mut().replace(items, now_us());
         self.count_invalid();
         self.log.borrow_mut().read(items, at_revision, confirmed_us);
@@ -106,6 +111,7 @@
                 Change::Gone { key, revision } if *key == own => self.own_entry_gone(*revision),
                 Change::Put(item) if item.key == *self.parts.bundle_key => self.take_bundle(item),
                 change if self.evacuated_domain(change.key()).is_some() => self.take_evacuation(change),
+                Change::Put(item) if service_of(&item.key).is_some() => self.take_crashes(item),
                 Change::Put(_) | Change::Gone { .. } => {
                     changed |= self.directory.borrow_mut().apply(change, now_us());
                 }
@@ -121,6 +127,17 @@
         }
     }
 
+    /// Passes on what the store holds of a service's crashes, if the item holds that.
+    fn take_crashes(&self, item: &Item) {
+        let Some(service) = service_of(&item.key) else {
+            return;
+        };
+        let job = CrashJob::Stored { service: Arc::from(service), value: item.value.clone() };
+        if self.parts.to_crash.try_send(job).is_err() {
+            log::warn!("event=crash.stored_dropped service={service} reason=\"full ring\"");
+        }
+    }
+
     fn count_invalid(&self) {
         let count = self.directory.borrow_mut().take_invalid();
         self.parts.metrics.invalid_input.with_label_values(&[&Code::EntryInvalid.to_string()]).inc_by(count);
--- a/valetrack/src/metric.rs
+++ b/valetrack/src/metric.rs
@@ -41,6 +41,10 @@
     pub upstream_recurrent_crash: IntGauge,
     /// Crashes of the upstream while it ran calls.
     pub crash_reports: IntCounter,
+    /// Suspects of crashes that this node knows of and that are not cleared.
+    pub crash_suspects: IntGauge,
+    /// Calls that were refused since they crash upstreams, by service and by who refused them.
+    pub quarantined_calls: IntCounterVec,
     /// Answers that belong to no open attempt.
     pub stray_answers: IntCounter,
     /// Frames that could not be read.
@@ -131,6 +135,12 @@
                 "Whether the upstream falls over again and again.",
             ),
             crash_reports: counter("valetrack_crash_reports_total", "Crashes of the upstream while it ran calls."),
+            crash_suspects: gauge("valetrack_crash_suspects", "Calls that may have crashed upstreams, not cleared."),
+            quarantined_calls: counters_by(
+                "valetrack_quarantined_calls_total",
+                "Calls refused since they crash upstreams.",
+                &["service", "by"],
+            ),
             stray_answers: counter("valetrack_stray_answers_total", "Answers of no open attempt, dropped."),
             bad_frames: counter("valetrack_bad_frames_total", "Frames on links that could not be read."),
             invalid_input: counters(
--- a/valetrack/src/node.rs
+++ b/valetrack/src/node.rs
@@ -72,6 +72,7 @@
     let (announcements, parts) = NodeParts::new(settings, platform);
     let mut threads = parts.start_membership()?;
     threads.push(parts.start_path(callers, tls)?);
+    threads.push(parts.start_crash()?);
     threads.push(parts.start_admin(operators)?);
     if let (Some(announcements), Some(listener)) = (announcements, control) {
         threads.push(parts.start_announcements(announcements, listener)?);
--- a/valetrack/src/node/part.rs
+++ b/valetrack/src/node/part.rs
@@ -10,6 +10,7 @@
 use crate::caller::CallerProtocol;
 use crate::claim::ClaimJob;
 use crate::clock::wall_us;
+use crate::crash::{CrashBook, CrashJob};
 use crate::gate::{Announcement, UpstreamProtocol, UpstreamState};
 use crate::link::peer::LinkJob;
 use crate::member::{MemberJob, Members};
@@ -49,6 +50,8 @@
     pub(super) claim: Ring<ClaimJob>,
     pub(super) place: Ring<PlaceJob>,
     pub(super) member: Ring<MemberJob>,
+    pub(super) crash: Ring<CrashJob>,
+    pub(super) crash_book: watch::Sender<Arc<CrashBook>>,
     pub(super) announcement: Ring<Announcement>,
     pub(super) upstream: watch::Sender<UpstreamState>,
     pub(super) caller_protocol: Arc<dyn CallerProtocol>,
@@ -96,6 +99,8 @@
             claim: Ring::new(),
             place: Ring::new(),
             member: Ring::new(),
+            crash: Ring::new(),
+            crash_book: watch::Sender::new(Arc::new(CrashBook::default())),
             server_leaving: Arc::new(Notify::new()),
             listed_leaving: Arc::new(Notify::new()),
         };
--- a/valetrack/src/node/start.rs
+++ b/valetrack/src/node/start.rs
@@ -20,6 +20,9 @@
 use crate::claim::run::ClaimParts;
 use crate::clock::now_us;
 use crate::code::Code;
+use crate::crash::CrashDesk;
+use crate::crash::archive::{CrashArchive, LeasedArchive, StoreArchive};
+use crate::crash::run::CrashParts;
 use crate::gate::{Announcement, CrashWatch, UpstreamPhase, UpstreamState};
 use crate::link::run::LinkParts;
 use crate::link::tls::LinkTls;
@@ -89,6 +92,7 @@
             lease_ms: self.settings.lease_ms,
             jobs: self.member.from.clone(),
             to_link: self.link.to.clone(),
+            to_crash: self.crash.to.clone(),
             members: self.members.clone(),
             upstream: self.upstream.subscribe(),
             serving: self.stages.serving.subscribe(),
@@ -191,6 +195,7 @@
     pub(super) fn start_path(&self, callers: TcpSocket, tls: LinkTls) -> std::io::Result<JoinHandle<()>> {
         let (vm, link_addr) = (self.settings.vm.clone(), self.settings.link_addr);
         let (links, placer, callers_parts) = (self.link_parts(), self.placer_parts(), self.listener_parts());
+        let (book, to_crash, metrics) = (self.crash_book.subscribe(), self.crash.to.clone(), self.metrics.clone());
         let members = self.members.subscribe();
         spawn("path", move || async move {
             let endpoint = match crate::link::run::bind(link_addr, &vm, tls) {
@@ -203,9 +208,10 @@
             let Ok(socket) = TcpListener::from_std(callers) else {
                 return;
             };
-            let placer = Placer::new(placer);
+            let crashes = CrashDesk::new(book, to_crash, metrics);
+            let placer = Placer::new(placer, crashes.clone());
             let keyed = KeyedRouter::new(placer.clone(), members);
-            let links = crate::link::run::run(endpoint, placer.clone(), links);
+            let links = crate::link::run::run(endpoint, placer.clone(), crashes, links);
             futures::join!(links, crate::caller::run::run(socket, placer, keyed, callers_parts));
         })
     }
@@ -237,6 +243,7 @@
             jobs: self.link.from.clone(),
             to_claim: self.claim.to.clone(),
             to_member: self.member.to.clone(),
+            to_crash: self.crash.to.clone(),
             bundle: self.bundle.subscribe(),
             upstream_protocol: self.upstream_protocol.clone(),
             upstream: self.upstream.subscribe(),
@@ -266,6 +273,29 @@
         }
     }
 
+    /// Starts the thread that keeps what is known of calls that crash upstreams.
+    pub(super) fn start_crash(&self) -> std::io::Result<JoinHandle<()>> {
+        let (archive, store_is_followed): (Arc<dyn CrashArchive>, bool) = match &self.membership {
+            Membership::Listed { store, .. } => (Arc::new(StoreArchive(store.clone())), false),
+            Membership::Leased { store, .. } => (Arc::new(LeasedArchive(store.clone())), true),
+        };
+        let parts = CrashParts {
+            vm: self.settings.vm.clone(),
+            service: self.settings.service.clone(),
+            jobs: self.crash.from.clone(),
+            to_link: self.link.to.clone(),
+            book: self.crash_book.clone(),
+            archive,
+            store_is_followed,
+            members: self.members.subscribe(),
+            bundle: self.bundle.subscribe(),
+            closing: self.stages.closing.subscribe(),
+            metrics: self.metrics.clone(),
+            seed: self.seed,
+        };
+        spawn("crash", move || crate::crash::run::run(parts))
+    }
+
     /// Starts the thread that answers operators.
     pub(super) fn start_admin(&self, operators: TcpSocket) -> std::io::Result<JoinHandle<()>> {
         let parts = AdminParts {
--- a/valetrack/src/placement/call.rs
+++ b/valetrack/src/placement/call.rs
@@ -7,7 +7,7 @@
 mod choice;
 mod end;
 
-use super::message::{CallAction, CallEvent, Demand, SendCause, ServerIndex, Verdict};
+use super::message::{CallAction, CallEvent, Demand, QUARANTINED, SendCause, ServerIndex, Verdict};
 use super::repeat::{RepeatBudget, RepeatPromise};
 use super::set::ServerSet;
 use super::view::ServiceView;
@@ -331,11 +331,19 @@
             // What came after the loss, such as a full server, does not tell why it may have run.
             Verdict::Unknown { code: self.lost_code.unwrap_or(self.last_code) }
         } else {
-            Verdict::NotRun { code: self.last_code, retry_after_ms: retry_after_ms(self.rule.demand, cx.rng) }
+            self.not_run(cx)
         };
         self.finish(verdict, out);
     }
 
+    /// Returns the verdict on a call of which no attempt has started, with when to come back.
+    fn not_run(&self, cx: &mut CallContext<'_>) -> Verdict {
+        match self.last_code {
+            Code::Quarantined => QUARANTINED,
+            code => Verdict::NotRun { code, retry_after_ms: retry_after_ms(self.rule.demand, cx.rng) },
+        }
+    }
+
     /// Asks the owners of all attempts that are out.
     fn ask_all(&mut self, out: &mut Vec<CallAction>) {
         for at in 0..self.count {
--- a/valetrack/src/placement/call/end.rs
+++ b/valetrack/src/placement/call/end.rs
@@ -62,9 +62,9 @@
             self.after_rejection(server, cx, out);
             return;
         }
-        if reason == BounceReason::RepeatRefused {
-            // The services that the run would call are near their budgets at any owner, and another
-            // one would only be asked to say so.
+        if matches!(reason, BounceReason::RepeatRefused | BounceReason::Quarantined) {
+            // The services that the run would call are near their budgets at any owner, or each of them knows
+            // what the call does to upstreams; another one would only be asked to say so.
             self.settle(cx, out);
             return;
         }
@@ -237,7 +237,8 @@
         | BounceReason::Slow
         | BounceReason::Evacuated
         | BounceReason::Cancelled
-        | BounceReason::RepeatRefused => {}
+        | BounceReason::RepeatRefused
+        | BounceReason::Quarantined => {}
     }
 }
 
@@ -248,6 +249,7 @@
         }
         BounceReason::Leaving | BounceReason::Evacuated => Code::Leaving,
         BounceReason::Cancelled => Code::Cancelled,
+        BounceReason::Quarantined => Code::Quarantined,
         BounceReason::Refused | BounceReason::Rejected | BounceReason::NotReady => Code::ServerRefused,
     }
 }
--- a/valetrack/src/placement/message.rs
+++ b/valetrack/src/placement/message.rs
@@ -184,6 +184,12 @@
 /// The verdict on a call for a service that is not known.
 pub const SERVICE_UNKNOWN: Verdict = Verdict::NotRun { code: Code::ServiceUnknown, retry_after_ms: UNKNOWN_RETRY_MS };
 
+/// When a call that crashes upstreams may come back, in milliseconds: it is tried again minutes later at the
+/// earliest, and sooner it would only be refused again.
+const QUARANTINED_RETRY_MS: u32 = 60_000;
+/// The verdict on a call that crashes upstreams.
+pub const QUARANTINED: Verdict = Verdict::NotRun { code: Code::Quarantined, retry_after_ms: QUARANTINED_RETRY_MS };
+
 /// What a call asks of a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Demand {
--- a/valetrack/src/placement/run.rs
+++ b/valetrack/src/placement/run.rs
@@ -17,7 +17,7 @@
 use super::budget::RateBudget;
 use super::call::{CallContext, CallRule};
 use super::driver::drive;
-use super::message::{Demand, Placed, ServerIndex, Verdict};
+use super::message::{Demand, Placed, QUARANTINED, ServerIndex, Verdict};
 use super::nested::NestedCalls;
 use super::policy::Policy;
 use super::repeat::FleetSize;
@@ -27,6 +27,7 @@
 use crate::bundle::{InForce, MeasureRule};
 use crate::clock::now_us;
 use crate::code::Code;
+use crate::crash::CrashDesk;
 use crate::gate::{AttemptId, LoadReport};
 use crate::link::message::{CallHead, Question};
 use crate::link::peer::{self, LinkJob, LinkResult, Target};
@@ -67,6 +68,7 @@
     /// The bundle in force.
     pub bundle: watch::Receiver<Option<Arc<InForce>>>,
     members: watch::Receiver<Arc<Members>>,
+    crashes: Rc<CrashDesk>,
     /// Metrics.
     pub metrics: Arc<Metrics>,
 }
@@ -98,8 +100,8 @@
 }
 
 impl Placer {
-    /// Makes a placer that knows no service yet.
-    pub fn new(parts: PlacerParts) -> Rc<Self> {
+    /// Makes a placer that knows no service yet; `crashes` is what this node knows of calls that crash upstreams.
+    pub fn new(parts: PlacerParts, crashes: Rc<CrashDesk>) -> Rc<Self> {
         let inner = Inner {
             services: HashMap::new(),
             works: HashMap::new(),
@@ -123,6 +125,7 @@
             to_member: parts.to_member,
             bundle: parts.bundle,
             members: parts.members,
+            crashes,
             metrics: parts.metrics,
         })
     }
@@ -181,6 +184,9 @@
     /// Places one call; the future ends with the verdict, and what is still out is seen to its
     /// end behind it.
     pub async fn place(self: Rc<Self>, mut head: CallHead, body: Bytes, rule: CallRule) -> Placed {
+        if self.crashes.refuses(&head, &body) {
+            return Placed::Verdict(QUARANTINED);
+        }
         let (reply, placed) = oneshot::channel();
         head.work_us = rule.demand.map_or(0, |demand| demand.work_us);
         self.mark_nested(&mut head);
