--- a/standin/src/soak/fleet.rs
+++ b/standin/src/soak/fleet.rs
@@ -20,6 +20,9 @@
 const SLOTS: usize = 6;
 /// Time for which a node's callers still come after SIGTERM, in milliseconds.
 const LINGER_MS: &str = "600";
+/// For how long a suspended node finds that its VM was, in milliseconds: longer than leases, links and news
+/// last.
+const SUSPENSION_MS: &str = "8000";
 /// Time within which a node that was told to stop exits, in seconds.
 const GRACE_S: &str = "4";
 /// Ports of one VM.
@@ -175,6 +178,7 @@
             ("store", vm.store_path_addr.to_string()),
             ("store-timeout-ms", "500".to_owned()),
             ("lease-ms", "1500".to_owned()),
+            ("test-suspension-ms", SUSPENSION_MS.to_owned()),
             ("linger-ms", LINGER_MS.to_owned()),
             ("stop-grace-s", GRACE_S.to_owned()),
             ("retry-ratio", (f64::from(PROMISE.percent) / 100.0).to_string()),
@@ -207,7 +211,7 @@
         match fault {
             Fault::Term => vm.signal("-TERM"),
             Fault::Hangup => vm.signal("-HUP"),
-            Fault::Pause => vm.signal("-STOP"),
+            Fault::Pause | Fault::Suspend => vm.signal("-STOP"),
             Fault::Kill => vm.kill(),
             Fault::StorePath(fault) => vm.store_path.set(Some(fault)),
             Fault::UpstreamPath(fault) => vm.upstream_path.set(Some(fault)),
@@ -228,6 +232,10 @@
         let vm = &mut self.vms[at];
         match fault {
             Fault::Pause => vm.signal("-CONT"),
+            Fault::Suspend => {
+                vm.signal("-USR2");
+                vm.signal("-CONT");
+            }
             Fault::StorePath(_) => vm.store_path.set(None),
             Fault::UpstreamPath(_) => vm.upstream_path.set(None),
             Fault::Links { .. } => vm.cuts.set(false, false),
--- a/standin/src/soak/schedule.rs
+++ b/standin/src/soak/schedule.rs
@@ -9,6 +9,8 @@
 /// Average pause between two faults for each VM, in milliseconds, so that faults overlap in fleets
 /// of any size.
 const PAUSE_MS: u64 = 4_000;
+/// Average pause between two suspensions of each VM, in milliseconds.
+const SUSPENSION_PAUSE_MS: u64 = 15_000;
 /// A fault follows its like on the same VM once in this many times, so that series come up.
 const SERIES: u32 = 4;
 
@@ -48,6 +50,8 @@
     Compact,
     /// The operator writes the next configuration.
     Configure,
+    /// The VM is suspended: its node stands still, and finds that the time has gone on.
+    Suspend,
 }
 
 /// What a TCP path does.
@@ -92,6 +96,19 @@
     }
 }
 
+/// Returns suspensions of VMs beside the other faults of a run, which they leave as they are.
+pub fn suspensions(seed: u64, vms: usize, length_ms: u64) -> Vec<Step> {
+    let mut rng = fastrand::Rng::with_seed(seed.rotate_left(17));
+    let count = length_ms * vms as u64 / SUSPENSION_PAUSE_MS;
+    let step = |_| Step {
+        at_ms: rng.u64(..length_ms),
+        lasts_ms: rng.u64(LASTS_MS),
+        vm: rng.usize(..vms),
+        fault: Fault::Suspend,
+    };
+    (0..count).map(step).collect()
+}
+
 /// Returns the faults of a run over `vms` VMs, in the order of their moments.
 pub fn schedule(seed: u64, vms: usize, length_ms: u64) -> Vec<Step> {
     let mut rng = fastrand::Rng::with_seed(seed);
--- a/standin/tests/common/managed.rs
+++ b/standin/tests/common/managed.rs
@@ -15,6 +15,9 @@
 use super::{free_addr, kill, send_signal, valetrack, wait_for};
 
 const HOST: (&str, &str) = ("host", "farm.example");
+/// For how long a node finds that its VM was suspended when it gets SIGUSR2, in milliseconds: longer than
+/// leases, links and news last.
+pub const SUSPENSION_MS: u64 = 10_000;
 /// Calls a second that an upstream bears while it is cold.
 pub const COLD_PER_S: f64 = 16.0;
 
@@ -122,6 +125,7 @@
             ("linger-ms", linger_ms),
             ("stop-grace-s", "4".to_owned()),
             ("retry-reserve", "60".to_owned()),
+            ("test-suspension-ms", SUSPENSION_MS.to_string()),
         ];
         let args = flags.into_iter().flat_map(|(flag, value)| [format!("--{flag}"), value]);
         let node = Command::new(valetrack())
--- a/standin/tests/crashing_call.rs
+++ b/standin/tests/crashing_call.rs
@@ -24,9 +24,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use common::managed::{Fleet, status};
+use common::managed::{Fleet, SUSPENSION_MS, status};
 use standin::client::Client;
 use test_case::test_case;
+use valetrack::crash::TRIAL_PAUSES_US;
 
 /// For how long an upstream is away after a crash: short beside the some seconds of real ones, so that many
 /// sends can be seen in a short test.
@@ -108,3 +109,87 @@
     let served = last.iter().filter(|status| **status == 200).count();
     assert_eq!(served, last.len(), "other calls are served once it is known");
 }
+
+/// Sends the deadly request to nodes in turn until as many upstreams have run it.
+async fn crash_times(fleet: &Fleet, path: &'static str, crashes: usize) {
+    for number in 0.. {
+        if deadly_runs(fleet).len() >= crashes {
+            return;
+        }
+        repeat_deadly(vec![addrs(fleet)[number % fleet.vms.len()]], "GET", path, Duration::from_millis(60)).await;
+    }
+}
+
+/// Sends the deadly request once to a node; returns its status and how long that took.
+async fn send_deadly(fleet: &Fleet, at: usize, path: &str) -> (u16, Duration) {
+    let began = Instant::now();
+    let headers = [("host", "farm.example"), ("x-request-id", "deadly-once"), ("x-deadline-milliseconds", "800")];
+    let reply = Client::new(fleet.vms[at].caller_addr).call("GET", path, &headers, "the same body").await;
+    (status(&reply), began.elapsed())
+}
+
+#[tokio::test]
+async fn what_is_known_of_a_call_outlives_every_node_and_a_store_that_is_away() {
+    let path = "/sheet/deadly";
+    let mut fleet = Fleet::start(&["rounds", "rounds", "rounds", "ledger"]).await;
+    for vm in &fleet.vms {
+        vm.upstream.set_deadly(path, DOWN);
+    }
+    crash_times(&fleet, path, CRASHES).await;
+    common::wait_for("the crashes in the store", async || !fleet.store.keys("valetrack/crash/").is_empty()).await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    // One node starts again while the store is away: whoever calls it tells it.
+    fleet.store.set_mode(standin::managed::store::Mode::Refusing);
+    fleet.kill_node(0);
+    fleet.start_node(0);
+    common::wait_for("a served call", async || {
+        for at in 1..4 {
+            // Its status does not matter: whoever calls the upstream of the node tells it what it lacks.
+            let _ = fleet.call(at, "GET", "/sheet/", "wakes").await;
+        }
+        status(&fleet.call(0, "GET", "/sheet/", "served").await) == 200
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let (refused, took) = send_deadly(&fleet, 0, path).await;
+    assert_eq!(refused, 503);
+    assert!(took < Duration::from_millis(200), "refused at once, not after {took:?}");
+    // All nodes start again, with the store back.
+    fleet.store.set_mode(standin::managed::store::Mode::Up);
+    for at in 0..4 {
+        fleet.kill_node(at);
+    }
+    for at in 0..4 {
+        fleet.start_node(at);
+    }
+    fleet.wait_ready().await;
+    for at in 0..4 {
+        assert_eq!(send_deadly(&fleet, at, path).await.0, 503);
+    }
+    assert!(deadly_runs(&fleet).len() <= CRASHES + SENDS_LEFT, "{:?}", deadly_runs(&fleet).len());
+}
+
+#[tokio::test]
+async fn a_call_that_is_repaired_in_time_is_served_again() {
+    let path = "/sheet/deadly";
+    let fleet = Fleet::start(&["rounds", "rounds", "ledger"]).await;
+    for vm in &fleet.vms {
+        vm.upstream.set_deadly(path, DOWN);
+    }
+    crash_times(&fleet, path, CRASHES).await;
+    assert_eq!(send_deadly(&fleet, 2, path).await.0, 503);
+    for vm in &fleet.vms {
+        vm.upstream.repair();
+    }
+    assert_eq!(send_deadly(&fleet, 2, path).await.0, 503, "it is not tried again at once");
+    // The pause before its first trial goes by, in steps of the suspension that nodes are told.
+    let steps = TRIAL_PAUSES_US[0] / 1_000 / SUSPENSION_MS;
+    for _ in 0..=2 * steps {
+        (0..3).for_each(|at| fleet.signal(at, "-USR2"));
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    common::wait_for("a trial", async || send_deadly(&fleet, 2, path).await.0 == 200).await;
+    for at in 0..3 {
+        common::wait_for("the word that it is cleared", async || send_deadly(&fleet, at, path).await.0 == 200).await;
+    }
+}
--- /dev/null
+++ b/standin/tests/suspension.rs
@@ -0,0 +1,71 @@
+//! VMs that are suspended, beside real nodes: the steady clock stood still and the others went on.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::managed::{Fleet, status};
+use common::wait_for;
+
+/// Time within which an entry that was lost is back, and a margin for a busy machine.
+const ENTRY_BACK: Duration = Duration::from_millis(2_500);
+
+#[tokio::test]
+async fn a_node_whose_vm_was_suspended_serves_at_once_as_entry_and_as_owner() {
+    let fleet = Fleet::start(&["rounds", "rounds", "ledger"]).await;
+    for round in 0..4 {
+        for suspended in 0..3 {
+            // Links stand before the suspension.
+            for at in 0..3 {
+                let warm = fleet.call(at, "GET", "/sheet/", &format!("warm-{round}-{suspended}-{at}")).await;
+                assert_eq!(status(&warm), 200);
+            }
+            fleet.signal(suspended, "-USR2");
+            for at in 0..3 {
+                let id = format!("after-{round}-{suspended}-{at}");
+                let read = fleet.call(at, "GET", "/sheet/", &id).await;
+                assert_eq!(status(&read), 200, "{id}");
+                let written = fleet.call(at, "POST", "/pickup/", &format!("{id}-once")).await;
+                assert_eq!(status(&written), 200, "{id}");
+                assert_eq!(fleet.runs(&format!("{id}-once")), 1);
+            }
+        }
+    }
+}
+
+#[tokio::test]
+async fn an_entry_that_lapsed_in_a_suspension_is_back_within_two_seconds() {
+    let fleet = Fleet::start(&["rounds", "ledger"]).await;
+    fleet.signal(0, "-STOP");
+    fleet.store.lapse();
+    wait_for("entries to lapse", async || fleet.entries() < 2).await;
+    fleet.signal(0, "-USR2");
+    fleet.signal(0, "-CONT");
+    let back = Instant::now();
+    wait_for("both entries", async || fleet.entries() == 2).await;
+    assert!(back.elapsed() < ENTRY_BACK, "{:?}", back.elapsed());
+    assert_eq!(status(&fleet.call(1, "GET", "/sheet/", "back").await), 200);
+}
+
+#[tokio::test]
+async fn a_call_that_is_out_when_the_entry_is_suspended_is_never_run_twice_nor_denied() {
+    let fleet = Fleet::start(&["rounds", "ledger", "ledger"]).await;
+    for vm in &fleet.vms {
+        vm.upstream.set_work_ms(300);
+    }
+    let ids: Vec<String> = (0..6).map(|number| format!("out-{number}")).collect();
+    let calls = ids.iter().map(|id| fleet.call(0, "POST", "/pickup/", id));
+    let suspended = async {
+        tokio::time::sleep(Duration::from_millis(120)).await;
+        fleet.signal(0, "-USR2");
+        // A call after it finds the links given up and opens others.
+        status(&fleet.call(0, "GET", "/sheet/", "next").await)
+    };
+    let (replies, next) = futures::join!(futures::future::join_all(calls), suspended);
+    assert_eq!(next, 200);
+    for (id, reply) in ids.iter().zip(replies) {
+        let runs = fleet.runs(id);
+        assert!(runs <= 1, "{id} ran {runs} times");
+        assert!(status(&reply) != 503 || runs == 0, "{id} is told that it did not run");
+    }
+}
--- a/valetrack/src/caller/keyed.rs
+++ b/valetrack/src/caller/keyed.rs
@@ -11,9 +11,10 @@
 
 use bytes::Bytes;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 use crate::claim::rank::{digest, page_of, rank};
+use crate::clock::Moment;
 use crate::code::Code;
 use crate::gate::AttemptId;
 use crate::link::message::{Answered, Ask, CallHead, Question, Reply};
@@ -65,7 +66,7 @@
 
     /// Asks the home of a key until it has answered or the deadline has passed.
     pub async fn press(&self, head: CallHead, body: Bytes) -> Placed {
-        let deadline = Instant::now() + Duration::from_millis(head.deadline_ms.into());
+        let deadline = Moment::now() + Duration::from_millis(head.deadline_ms.into());
         let key = head.key.clone().unwrap_or_else(|| Arc::from(""));
         let page = page_of(digest(&head.service, &key));
         loop {
@@ -81,7 +82,7 @@
                     Said::NotHome => {}
                 }
             }
-            let next = Instant::now() + Duration::from_millis(AGAIN_MS);
+            let next = Moment::now() + Duration::from_millis(AGAIN_MS);
             if !again || next >= deadline {
                 break;
             }
@@ -110,7 +111,7 @@
         page: u16,
         head: &CallHead,
         body: &Bytes,
-        deadline: Instant,
+        deadline: Moment,
     ) -> Said {
         let slot = (head.service.clone(), page);
         let mut target = Target { vm: node.vm, addr: node.link_addr };
@@ -142,8 +143,8 @@
         Some(Target { vm: member.vm.clone(), addr: member.link_addr })
     }
 
-    async fn ask(&self, target: &Target, head: &CallHead, body: &Bytes, deadline: Instant) -> Said {
-        let left = deadline.saturating_duration_since(Instant::now());
+    async fn ask(&self, target: &Target, head: &CallHead, body: &Bytes, deadline: Moment) -> Said {
+        let left = deadline.left();
         let attempt = self.placer.next_attempt();
         let head = CallHead { attempt, deadline_ms: left.as_millis() as u32, hlc: events::stamp(), ..head.clone() };
         let question = Question { ask: Ask::RunKeyed(head), body: body.clone() };
--- a/valetrack/src/caller/run.rs
+++ b/valetrack/src/caller/run.rs
@@ -25,6 +25,7 @@
 use super::protocol::{CallerProtocol, ReadContext};
 use super::request::{IncomingCall, Rejection};
 use crate::bundle::{HostRoute, InForce, SplitPicker};
+use crate::clock::Moment;
 use crate::code::Code;
 use crate::link::message::CallHead;
 use crate::placement::run::Placer;
@@ -80,7 +81,7 @@
     /// Calls that have no answer yet.
     open_calls: Cell<usize>,
     /// When leaving began.
-    left_at: Cell<Option<Instant>>,
+    left_at: Cell<Option<Moment>>,
     splits: RefCell<Splits>,
 }
 
@@ -167,7 +168,7 @@
         if leaving.wait_for(|leaving| *leaving).await.is_err() {
             return;
         }
-        self.left_at.set(Some(Instant::now()));
+        self.left_at.set(Some(Moment::now()));
         tokio::time::sleep(self.parts.linger).await;
         while self.connections.get() > 0 || self.open_calls.get() > 0 {
             tokio::time::sleep(Duration::from_millis(10)).await;
--- a/valetrack/src/claim/run.rs
+++ b/valetrack/src/claim/run.rs
@@ -20,7 +20,7 @@
 use super::rank::{PAGES, call_digest, digest, page_of, rank, store_key};
 use super::state::PageHome;
 use crate::bundle::{ClaimMode, InForce};
-use crate::clock::{now_us, wall_us};
+use crate::clock::{SuspensionWatch, now_us, suspended_us, wall_us};
 use crate::code::Code;
 use crate::gate::{AttemptId, BounceReason};
 use crate::link::message::{AnswerHead, CallHead, Reply};
@@ -108,6 +108,7 @@
     rule: ClaimRule,
     /// Since when this process has run without a pause.
     awake_us: u64,
+    suspensions: SuspensionWatch,
     doubted_us: u64,
     /// When pages that this node should hold are next tried.
     acquire_at_us: u64,
@@ -130,6 +131,7 @@
         budget: Rc::new(RefCell::new(budget)),
         rule: ClaimRule { lifetime_s: 600, held: false, entries_max: ENTRIES_MAX },
         awake_us: now,
+        suspensions: SuspensionWatch::from_now(),
         doubted_us: 0,
         acquire_at_us: 0,
         nodes: Vec::new(),
@@ -154,7 +156,10 @@
                     Ok(job) => self.press(job),
                     Err(_) => return,
                 },
-                Some((page, event)) = self.work.next(), if !self.work.is_empty() => self.handle(page, event),
+                Some((page, event)) = self.work.next(), if !self.work.is_empty() => {
+                    self.look_for_suspension();
+                    self.handle(page, event);
+                }
                 _ = tick.tick() => {
                     let now = now_us();
                     let late = now > ticked_us + TICK_MS * 1000 + PAUSED_US;
@@ -249,7 +254,16 @@
         }
     }
 
+    /// Doubts what this node holds at once after a suspension of its VM: the next look at the time comes
+    /// later than the first call.
+    fn look_for_suspension(&mut self) {
+        if self.suspensions.take(suspended_us()).is_some() {
+            self.tick(true, now_us());
+        }
+    }
+
     fn press(&mut self, job: ClaimJob) {
+        self.look_for_suspension();
         let ClaimJob { head, body, reply } = job;
         let attempt = head.attempt;
         let Some(key) = head.key.clone().filter(|_| head.service == self.parts.service) else {
--- /dev/null
+++ b/valetrack/src/clock/tests.rs
@@ -0,0 +1,55 @@
+//! Clocks that differ where a VM is suspended.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+
+use super::*;
+
+#[test]
+fn a_suspension_is_told_once_and_an_error_of_reading_never() {
+    let mut watch = SuspensionWatch::default();
+    assert_eq!(watch.take(0), None);
+    assert_eq!(watch.take(SUSPENSION_MIN_US - 1), None);
+    assert_eq!(watch.take(2_000_000), Some(Duration::from_secs(2)));
+    assert_eq!(watch.take(2_000_000), None);
+    assert_eq!(watch.take(2_000_001), None);
+    assert_eq!(watch.take(5_000_000), Some(Duration::from_secs(3)));
+}
+
+#[test]
+fn a_moment_that_has_passed_is_no_time_away() {
+    let moment = Moment::now() + Duration::from_secs(60);
+    assert!(moment.left() > Duration::from_secs(59));
+    assert_eq!(moment.elapsed(), Duration::ZERO);
+    assert_eq!(Moment { us: 0 }.left(), Duration::ZERO);
+    assert!(Moment::now() < moment);
+}
+
+#[test]
+fn all_clocks_of_a_vm_that_is_not_suspended_go_on_together() {
+    let (before, steady_before) = (now_us(), steady_us());
+    std::thread::sleep(Duration::from_millis(5));
+    assert!(now_us() >= before + 5_000 && steady_us() >= steady_before + 5_000);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(35),
+        ..Default::default()
+    })]
+
+    #[test]
+    fn a_watch_tells_all_of_the_time_that_was_suspended(gaps_us in prop::collection::vec(0..3_000_000_u64, 1..30)) {
+        let mut watch = SuspensionWatch::default();
+        let (mut total_us, mut told) = (0, Duration::ZERO);
+        for gap_us in gaps_us {
+            total_us += gap_us;
+            told += watch.take(total_us).unwrap_or_default();
+            prop_assert!(told <= Duration::from_micros(total_us));
+            prop_assert!(told + Duration::from_micros(SUSPENSION_MIN_US) > Duration::from_micros(total_us));
+        }
+    }
+}
--- a/valetrack/src/crash/desk.rs
+++ b/valetrack/src/crash/desk.rs
@@ -2,7 +2,6 @@
 //! upstream, and what they tell of calls under which theirs has crashed.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,7 +13,7 @@
 use super::answered::RecentAnswers;
 use super::book::{CRASHES_MAX, CrashBook, Standing};
 use super::message::{Admission, CrashJob, CrashedCall, Mark, RunningCall};
-use super::print::{CallPrint, PrintKey};
+use super::print::PrintKey;
 use crate::clock::now_us;
 use crate::code::Code;
 use crate::link::message::CallHead;
@@ -25,6 +24,10 @@
 /// news would run beside other suspects.
 const TELL_MS: u64 = 30;
 
+/// Longest time for which a call waits until its trial is counted, in milliseconds: many times what a store
+/// that serves takes. One that is counted later is a trial less.
+const TRIAL_MS: u64 = 200;
+
 /// One node's view of calls that crash upstreams, on the thread of its calls.
 pub struct CrashDesk {
     book: watch::Receiver<Arc<CrashBook>>,
@@ -32,10 +35,8 @@
     key: Option<PrintKey>,
     to_crash: Sender<CrashJob>,
     answers: RefCell<RecentAnswers>,
-    /// Calls that may be put to the upstream once, though they are kept from it.
-    granted: RefCell<HashSet<CallPrint>>,
-    /// Whether a trial is being asked for.
-    asking: Cell<bool>,
+    /// Whether a trial is being counted.
+    counting: Cell<bool>,
     metrics: Arc<Metrics>,
 }
 
@@ -46,15 +47,7 @@
         if key.is_none() {
             log::error!("event=crash.no_key reason=\"no randomness\"");
         }
-        Rc::new(Self {
-            book,
-            key,
-            to_crash,
-            answers: RefCell::default(),
-            granted: RefCell::default(),
-            asking: Cell::new(false),
-            metrics,
-        })
+        Rc::new(Self { book, key, to_crash, answers: RefCell::default(), counting: Cell::new(false), metrics })
     }
 
     /// Returns what is known of a call, if anything is held against any call.
@@ -79,28 +72,52 @@
         true
     }
 
-    /// Returns whether an owner may put a call to its upstream.
-    pub fn admit(self: &Rc<Self>, head: &CallHead, body: &[u8]) -> Admission {
+    /// Returns whether an owner may put a call to its upstream. One that is due for a trial waits until that is
+    /// counted in the store, for [`TRIAL_MS`] at most.
+    pub async fn admit(&self, head: &CallHead, body: &[u8]) -> Admission {
         let Some(standing) = self.standing(head, body) else {
             return Admission::Clear;
         };
         if !standing.is_refused() {
             return Admission::Alone;
         }
-        let Some(first) = standing.marks.first() else {
-            return Admission::Alone;
-        };
-        if self.granted.borrow_mut().remove(&first.print) {
-            log::warn!("event=crash.trial call={} print={}", head.call_id, first.print);
-            return Admission::Alone;
-        }
-        if standing.trial_due_us().is_some_and(|due_us| now_us() >= due_us) {
-            self.ask_for_trial(first.clone());
+        let is_due = standing.trial_due_us().is_some_and(|due_us| now_us() >= due_us);
+        if let (true, Some(mark)) = (is_due, standing.marks.first())
+            && self.count_trial(mark).await
+        {
+            log::warn!("event=crash.trial call={} print={} trials={}", head.call_id, mark.print, standing.trials + 1);
+            return Admission::Trial;
         }
         self.note_refused(head, &standing, "owner");
         Admission::Refused
     }
 
+    /// Returns whether a call that was admitted is not to be run after all: it has waited for a slot, and crashes
+    /// were told meanwhile.
+    pub fn forbids(&self, admission: Admission, call: &RunningCall) -> bool {
+        let standing = match admission {
+            Admission::Trial => None,
+            Admission::Clear | Admission::Alone | Admission::Refused => self.standing(&call.head, &call.body),
+        };
+        let Some(standing) = standing.filter(Standing::is_refused) else {
+            return false;
+        };
+        self.note_refused(&call.head, &standing, "owner");
+        true
+    }
+
+    /// Has a trial of a call counted; returns whether it was, which no other node is told.
+    async fn count_trial(&self, mark: &Mark) -> bool {
+        if self.counting.replace(true) {
+            return false;
+        }
+        let (granted, answer) = oneshot::channel();
+        let sent = self.to_crash.send(CrashJob::Trial { mark: mark.clone(), granted }).await;
+        let answer = timeout(Duration::from_millis(TRIAL_MS), answer).await;
+        self.counting.set(false);
+        sent.is_ok() && matches!(answer, Ok(Ok(true)))
+    }
+
     fn note_refused(&self, head: &CallHead, standing: &Standing, by: &str) {
         self.metrics.quarantined_calls.with_label_values(&[&*head.service, by]).inc();
         let print = standing.marks.first().map(|mark| mark.print);
@@ -116,23 +133,6 @@
         );
     }
 
-    /// Has a trial of a call counted in the store, so that its next arrival here may run once.
-    fn ask_for_trial(self: &Rc<Self>, mark: Mark) {
-        if self.asking.replace(true) {
-            return;
-        }
-        let desk = self.clone();
-        tokio::task::spawn_local(async move {
-            let print = mark.print;
-            let (granted, answer) = oneshot::channel();
-            let sent = desk.to_crash.send(CrashJob::Trial { mark, granted }).await;
-            if sent.is_ok() && answer.await == Ok(true) {
-                desk.granted.borrow_mut().insert(print);
-            }
-            desk.asking.set(false);
-        });
-    }
-
     /// Takes a whole answer to a call: whatever it was suspected of, it has not crashed this upstream.
     pub fn answered(&self, head: &CallHead, body: &[u8]) {
         if let Some(key) = self.key {
--- a/valetrack/src/crash/detect.rs
+++ b/valetrack/src/crash/detect.rs
@@ -25,6 +25,15 @@
     Refused,
 }
 
+/// How an upstream that is down shows it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Down {
+    /// Its port is closed, so a connection that is taken shows that it is back.
+    Closed,
+    /// Whoever listens for it closes each connection without a word, so only an answer shows that.
+    Resets,
+}
+
 /// A call that an upstream was running, by whatever it is known by.
 #[derive(Debug, Clone)]
 struct Left<C> {
@@ -45,8 +54,10 @@
     broken: Vec<C>,
     /// Runs that were left without an answer of late.
     left: VecDeque<Left<C>>,
-    /// Whether a crash was reported of which the upstream has not come back.
-    down: bool,
+    /// How it is down since the crash that was reported last, if it has not come back.
+    down: Option<Down>,
+    /// Number of the latest exchange that had begun when that crash was reported.
+    crashed_after: u64,
     next: u64,
 }
 
@@ -57,7 +68,8 @@
             broke_after: None,
             broken: Vec::new(),
             left: VecDeque::new(),
-            down: false,
+            down: None,
+            crashed_after: 0,
             next: 0,
         }
     }
@@ -86,11 +98,15 @@
                 false
             }
             (ExchangeEnd::Broken, Some(call)) => {
+                // It was sent on a connection that the upstream took after its crash.
+                if self.down == Some(Down::Closed) && number > self.crashed_after {
+                    self.alive();
+                }
                 self.broke_after.get_or_insert(self.next);
                 self.broken.push(call);
-                !self.down
+                self.down.is_none()
             }
-            (ExchangeEnd::Refused, _) => !self.down,
+            (ExchangeEnd::Refused, _) => self.down.is_none(),
             (ExchangeEnd::Left | ExchangeEnd::Broken, None) => false,
         }
     }
@@ -98,22 +114,25 @@
     /// Takes a sign of life: whatever broke before has another cause.
     pub fn alive(&mut self) {
         self.stands();
-        self.down = false;
+        self.down = None;
     }
 
-    /// Returns the calls that may have crashed the upstream, now that it was tried and took no connection;
-    /// none where some of its exchanges go on, or the crash was reported before.
-    pub fn crashed(&mut self, now_us: u64) -> Vec<C> {
+    /// Returns the calls that may have crashed the upstream, now that it was tried and found down; none where
+    /// some of its exchanges go on, or the crash was reported before.
+    pub fn crashed(&mut self, down: Down, now_us: u64) -> Vec<C> {
         // Exchanges that have begun since are about to find the port closed themselves.
         let goes_on = |number: &u64| self.broke_after.is_some_and(|last| *number <= last);
-        if self.down || self.running.keys().any(goes_on) {
+        if self.down.is_some() || self.running.keys().any(goes_on) {
             return Vec::new();
         }
         self.forget_left(now_us);
         self.broke_after = None;
         let mut suspects = std::mem::take(&mut self.broken);
         suspects.extend(self.left.drain(..).map(|left| left.call));
-        self.down = !suspects.is_empty();
+        if !suspects.is_empty() {
+            self.down = Some(down);
+            self.crashed_after = self.next;
+        }
         suspects
     }
 
--- a/valetrack/src/crash/message.rs
+++ b/valetrack/src/crash/message.rs
@@ -102,6 +102,9 @@
     /// It may have crashed an upstream: no second such call runs beside it, so that a crash tells which of
     /// them it was.
     Alone,
+    /// It is kept from upstreams, and this time it is tried whether it still crashes them; it runs as one of the
+    /// former.
+    Trial,
     /// It has crashed upstreams too often and is kept from them.
     Refused,
 }
--- a/valetrack/src/crash/mod.rs
+++ b/valetrack/src/crash/mod.rs
@@ -19,6 +19,6 @@
 pub use answered::RecentAnswers;
 pub use book::{ARCHIVE_MAX, BOOK_MAX, CRASHES_MAX, CrashBook, Standing, TRIAL_PAUSES_US, TRIALS_MAX};
 pub use desk::CrashDesk;
-pub use detect::{CrashDetector, ExchangeEnd};
+pub use detect::{CrashDetector, Down, ExchangeEnd};
 pub use message::{Admission, CrashId, CrashJob, CrashReport, CrashedCall, Mark, RunningCall, SUSPECTS_MAX, Suspect};
 pub use print::{CallPrint, PrintKey};
--- a/valetrack/src/gate/message.rs
+++ b/valetrack/src/gate/message.rs
@@ -185,6 +185,8 @@
     },
     /// Another start of the server takes work.
     Open,
+    /// The VM was suspended until now.
+    Resumed,
 }
 
 /// What the shell of the gate must do.
--- a/valetrack/src/gate/pool.rs
+++ b/valetrack/src/gate/pool.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -15,6 +15,8 @@
 
 use super::message::BounceReason;
 use super::protocol::{Classified, Health, HostLoad, UpstreamProtocol};
+use crate::clock::Moment;
+use crate::crash::Down;
 use crate::link::message::CallHead;
 
 /// Header that names the attempt to the server; a server may send it back.
@@ -76,7 +78,7 @@
 /// A connection that waits for its next call.
 struct Idle {
     sender: Sender,
-    since: Instant,
+    since: Moment,
 }
 
 /// Connections that wait for their next call.
@@ -120,7 +122,7 @@
     }
 
     fn keep(&self, sender: Sender) {
-        self.idle.borrow_mut().push(Idle { sender, since: Instant::now() });
+        self.idle.borrow_mut().push(Idle { sender, since: Moment::now() });
     }
 
     /// Makes one exchange.
@@ -161,7 +163,7 @@
     /// Asks the server for its health on a connection of its own; none when no whole answer
     /// came in time.
     pub async fn health(&self, path: &str) -> Option<Health> {
-        let request = Request::get(path).header("host", self.addr.to_string()).body(Full::default()).ok()?;
+        let request = self.health_request(path)?;
         let asked = async {
             let mut sender = self.connect().await?;
             let answer = sender.send_request(request).await.ok()?;
@@ -181,7 +183,7 @@
     /// Returns what the machine says, if a whole answer came.
     async fn ask_machine(&self, path: &str) -> Option<MachineAnswer> {
         let kept = self.questions.borrow_mut().take().filter(Sender::is_ready);
-        let request = Request::get(path).header("host", self.addr.to_string()).body(Full::default()).ok()?;
+        let request = self.health_request(path)?;
         let mut sender = match kept {
             Some(sender) => sender,
             None => self.connect().await?,
@@ -223,10 +225,27 @@
         }
     }
 
-    /// Returns whether the server's port is closed: a connection is refused at once.
-    pub async fn is_refused(&self) -> bool {
+    /// Returns how the server shows that it is down: its port is closed, or whoever listens there for it closes
+    /// the connection in place of an answer to a health check. Silence says nothing.
+    pub async fn down(&self, health_path: Option<&str>) -> Option<Down> {
         let connecting = timeout(Duration::from_millis(CONNECT_MS), TcpStream::connect(self.addr)).await;
-        matches!(connecting, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused)
+        let stream = match connecting {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return (error.kind() == std::io::ErrorKind::ConnectionRefused).then_some(Down::Closed),
+            Err(_) => return None,
+        };
+        let request = self.health_request(health_path?)?;
+        let asked = async {
+            let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+            tokio::spawn(connection);
+            sender.send_request(request).await
+        };
+        let asked = timeout(Duration::from_millis(HEALTH_MS), asked).await;
+        matches!(asked, Ok(Err(_))).then_some(Down::Resets)
+    }
+
+    fn health_request(&self, path: &str) -> Option<Request<Full<Bytes>>> {
+        Request::get(path).header("host", self.addr.to_string()).body(Full::default()).ok()
     }
 
     fn take_idle(&self) -> Option<Sender> {
--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -26,7 +26,7 @@
 use super::protocol::Health;
 use super::state::{Gate, GateConfig, INTERNAL_PRIORITY};
 use super::upstream::{UpstreamPhase, UpstreamState};
-use crate::clock::now_us;
+use crate::clock::{SuspensionWatch, steady_us, suspended_us};
 use crate::code::Code;
 use crate::crash::{Admission, CrashDesk, CrashDetector, RunningCall};
 use crate::link::message::{AnswerHead, CallHead};
@@ -63,6 +63,7 @@
 
 struct Job {
     call: Rc<RunningCall>,
+    admission: Admission,
     /// Whether upstreams make calls of its route on their own, as far as this owner can tell.
     judged: Option<bool>,
     deadline_us: u64,
@@ -96,6 +97,7 @@
     upstream: watch::Receiver<UpstreamState>,
     /// Whether the node itself leaves, so that its gate never opens again.
     draining: Cell<bool>,
+    suspensions: RefCell<SuspensionWatch>,
     changed: Notify,
     /// Notified when a health check tells another end of the cold time.
     cold_told: Notify,
@@ -132,7 +134,8 @@
             broken: RefCell::default(),
             trying: Cell::new(false),
             draining: Cell::new(false),
-            gate: RefCell::new(Gate::new(GateConfig::default(), now_us())),
+            suspensions: RefCell::new(SuspensionWatch::from_now()),
+            gate: RefCell::new(Gate::new(GateConfig::default(), steady_us())),
             jobs: Default::default(),
             pool,
             answer_cap_bytes: Cell::new(crate::link::message::BODY_MAX_BYTES),
@@ -157,7 +160,7 @@
 
     /// Returns the load now.
     pub fn load(&self) -> LoadReport {
-        self.gate.borrow().load(now_us())
+        self.gate.borrow().load(steady_us())
     }
 
     /// Returns whether nothing runs and nothing waits.
@@ -180,7 +183,7 @@
     pub async fn call(self: &Rc<Self>, head: CallHead, body: Bytes) -> GateReply {
         let attempt = head.attempt;
         let patience = head.patience;
-        let deadline_us = now_us() + u64::from(head.deadline_ms) * 1000;
+        let deadline_us = steady_us() + u64::from(head.deadline_ms) * 1000;
         let (reply, answered) = oneshot::channel();
         if self.jobs.borrow().contains_key(&attempt) {
             return GateReply::Bounce(BounceReason::Cancelled);
@@ -191,7 +194,7 @@
         if f64::from(head.repeat_permille) >= PERMILLE && !self.ledger.admits_repeat() {
             return GateReply::Bounce(self.refuse(&head, BounceReason::RepeatRefused));
         }
-        let admission = self.crashes.admit(&head, &body);
+        let admission = self.crashes.admit(&head, &body).await;
         if admission == Admission::Refused {
             return GateReply::Bounce(self.refuse(&head, BounceReason::Quarantined));
         }
@@ -203,8 +206,8 @@
         let objective = objective(&head, nested);
         self.refresh_speed(head.work_us.into()).await;
         let call = Rc::new(RunningCall { head, body });
-        self.jobs.borrow_mut().insert(attempt, Job { call, judged, deadline_us, reply });
-        if admission == Admission::Alone {
+        self.jobs.borrow_mut().insert(attempt, Job { call, admission, judged, deadline_us, reply });
+        if matches!(admission, Admission::Alone | Admission::Trial) {
             self.gate.borrow_mut().suspect(attempt);
         }
         let mut abandon = AbandonGuard { shell: self.clone(), attempt: Some(attempt) };
@@ -229,8 +232,8 @@
     /// Lets waiting calls go when their time has come; runs as long as the gate.
     pub async fn keep_time(self: Rc<Self>) {
         loop {
-            let next_us = self.gate.borrow().next_tick_us(now_us());
-            let pause = next_us.map(|next_us| Duration::from_micros(next_us.saturating_sub(now_us()).max(200)));
+            let next_us = self.gate.borrow().next_tick_us(steady_us());
+            let pause = next_us.map(|next_us| Duration::from_micros(next_us.saturating_sub(steady_us()).max(200)));
             match pause {
                 Some(pause) => {
                     let _ = timeout(pause, self.changed.notified()).await;
@@ -244,7 +247,11 @@
 
     fn handle(self: &Rc<Self>, event: GateEvent) -> Option<CancelResult> {
         let mut actions = Vec::new();
-        self.gate.borrow_mut().handle(event, now_us(), &mut actions);
+        let now_us = steady_us();
+        if self.suspensions.borrow_mut().take(suspended_us()).is_some() {
+            self.gate.borrow_mut().handle(GateEvent::Resumed, now_us, &mut actions);
+        }
+        self.gate.borrow_mut().handle(event, now_us, &mut actions);
         let mut cancelled = None;
         for action in actions {
             match action {
@@ -336,8 +343,12 @@
         let head = &call.head;
         let attempt = head.attempt;
         log::debug!("event=gate.start call={} attempt={attempt}", head.call_id);
+        if self.crashes.forbids(job.admission, &call) {
+            self.give_back(job, BounceReason::Quarantined);
+            return;
+        }
         let _entered = LedgerEntry::new(self.ledger.clone(), head.repeat_permille);
-        let began_us = now_us();
+        let began_us = steady_us();
         let began = self.machine_at(began_us);
         let left_us = job.deadline_us.saturating_sub(began_us);
         let id = self.upstream.borrow().id.clone();
--- a/valetrack/src/gate/run/crash.rs
+++ b/valetrack/src/gate/run/crash.rs
@@ -7,7 +7,7 @@
 use tokio::time::sleep;
 
 use super::{Ended, GateShell};
-use crate::clock::now_us;
+use crate::clock::steady_us;
 use crate::crash::{ExchangeEnd, RunningCall};
 use crate::gate::pool::ServerError;
 use crate::gate::upstream::UpstreamPhase;
@@ -26,7 +26,7 @@
 impl Drop for Exchange {
     fn drop(&mut self) {
         if !self.ended {
-            self.shell.exchanges.borrow_mut().ended(self.number, ExchangeEnd::Left, now_us());
+            self.shell.exchanges.borrow_mut().ended(self.number, ExchangeEnd::Left, steady_us());
         }
     }
 }
@@ -51,7 +51,7 @@
         if matches!(ended, Ok(Ok(_))) {
             self.crashes.answered(&call.head, &call.body);
         }
-        let sign = self.exchanges.borrow_mut().ended(exchange.number, end, now_us());
+        let sign = self.exchanges.borrow_mut().ended(exchange.number, end, steady_us());
         if sign && !self.trying.replace(true) {
             tokio::task::spawn_local(self.clone().try_upstream());
         }
@@ -66,9 +66,10 @@
     /// Finds out whether the upstream has crashed, and reports it.
     async fn try_upstream(self: Rc<Self>) {
         sleep(Duration::from_millis(SETTLE_MS)).await;
-        let suspects = match self.pool.is_refused().await {
-            true => self.exchanges.borrow_mut().crashed(now_us()),
-            false => {
+        let health_path = self.health_path.borrow().clone();
+        let suspects = match self.pool.down(health_path.as_deref()).await {
+            Some(down) => self.exchanges.borrow_mut().crashed(down, steady_us()),
+            None => {
                 self.exchanges.borrow_mut().stands();
                 Vec::new()
             }
--- a/valetrack/src/gate/run/follow.rs
+++ b/valetrack/src/gate/run/follow.rs
@@ -8,7 +8,7 @@
 use tokio::time::sleep;
 
 use super::GateShell;
-use crate::clock::now_us;
+use crate::clock::steady_us;
 use crate::gate::message::GateEvent;
 use crate::gate::protocol::Health;
 use crate::gate::upstream::{UpstreamPhase, UpstreamState};
@@ -30,6 +30,7 @@
             let state = upstream.borrow_and_update().clone();
             if state.start != known.start {
                 self.pool.clear();
+                self.exchanges.borrow_mut().alive();
             }
             if let Some(slots) = state.slots {
                 self.gate.borrow_mut().set_slots(slots);
@@ -38,7 +39,7 @@
                 self.follow_phase(state.phase);
             }
             if state.cold_until_us != known.cold_until_us {
-                self.gate.borrow_mut().set_cold(state.cold_until_us, now_us());
+                self.gate.borrow_mut().set_cold(state.cold_until_us, steady_us());
             }
             known = state;
             if self.upstream_changed(&mut upstream).await.is_err() {
@@ -103,7 +104,7 @@
             return;
         }
         // It may have turned cold a moment ago, and says so at its health check.
-        self.handle(GateEvent::Return { cold_until_us: now_us() + RETURN_RAMP_US });
+        self.handle(GateEvent::Return { cold_until_us: steady_us() + RETURN_RAMP_US });
         let path = self.health_path.borrow().clone();
         if let Some(path) = path
             && let Some(Health { cold_ms: Some(cold_ms), .. }) = self.pool.health(&path).await
@@ -114,10 +115,10 @@
 
     /// Takes how much longer the upstream is cold by its answer to a health check.
     pub(super) fn take_cold(&self, cold_ms: u64) {
-        let until_us = now_us() + cold_ms * 1000;
+        let until_us = steady_us() + cold_ms * 1000;
         let known_us = self.gate.borrow().cold_until_us();
         if until_us.abs_diff(known_us) > COLD_STEP_US {
-            self.gate.borrow_mut().set_cold(until_us, now_us());
+            self.gate.borrow_mut().set_cold(until_us, steady_us());
             self.cold_told.notify_one();
         }
     }
@@ -125,7 +126,7 @@
 
 /// Waits until a cold server is warm; for ever where it is warm already.
 async fn warm_up(cold_until_us: u64) {
-    let left_us = cold_until_us.saturating_sub(now_us());
+    let left_us = cold_until_us.saturating_sub(steady_us());
     if left_us == 0 {
         return std::future::pending().await;
     }
--- a/valetrack/src/gate/run/machine.rs
+++ b/valetrack/src/gate/run/machine.rs
@@ -1,7 +1,7 @@
 //! What the gate's shell hears of its server's machine: how fast it is, and how long runs took on it.
 
 use super::GateShell;
-use crate::clock::now_us;
+use crate::clock::steady_us;
 use crate::gate::message::RunTimes;
 use crate::gate::pool::MachineAnswer;
 use crate::gate::protocol::HostLoad;
@@ -21,7 +21,7 @@
     /// Asks the upstream's machine how fast it is, where that swings and what it told last is too
     /// old for a run of `work_us`. An answer that does not come in time changes nothing.
     pub async fn refresh_speed(&self, work_us: u64) {
-        if !self.gate.borrow().wants_news(work_us, now_us()) {
+        if !self.gate.borrow().wants_news(work_us, steady_us()) {
             return;
         }
         let path = self.health_path.borrow().clone();
@@ -29,14 +29,14 @@
             return;
         };
         let _asking = self.asking.lock().await;
-        if self.gate.borrow().wants_news(work_us, now_us()) {
+        if self.gate.borrow().wants_news(work_us, steady_us()) {
             self.ask_machine(&path).await;
         }
     }
 
     async fn ask_machine(&self, path: &str) {
         self.metrics.speed_questions.inc();
-        self.gate.borrow_mut().asked(now_us());
+        self.gate.borrow_mut().asked(steady_us());
         match self.pool.machine_load(path).await {
             MachineAnswer::Load { load, cold_ms } => {
                 self.gate.borrow_mut().answered();
@@ -52,7 +52,7 @@
 
     /// Asks the machine for its speed where calls wait for a slow episode to end.
     pub(super) async fn follow_episode(&self) {
-        if !self.gate.borrow().asks_about_episode(now_us()) {
+        if !self.gate.borrow().asks_about_episode(steady_us()) {
             return;
         }
         let path = self.health_path.borrow().clone();
@@ -64,12 +64,12 @@
 
     pub(super) fn told(&self, load: HostLoad) {
         let slowdown_percent = load.slowdown_percent.min(u32::from(u16::MAX)) as u16;
-        self.gate.borrow_mut().told(slowdown_percent, now_us());
+        self.gate.borrow_mut().told(slowdown_percent, steady_us());
     }
 
     /// Returns how long a run took that ends now, and how long it had taken at full speed.
     pub(super) fn times(&self, began: MachineMoment, work_us: u32) -> RunTimes {
-        let ended = self.machine_at(now_us());
+        let ended = self.machine_at(steady_us());
         let ran_us = ended.at_us.saturating_sub(began.at_us);
         let unslowed_us = self.gate.borrow().unslowed_us(ran_us, began.slowdown, ended.slowdown);
         RunTimes {
--- a/valetrack/src/gate/state.rs
+++ b/valetrack/src/gate/state.rs
@@ -323,6 +323,9 @@
             GateEvent::Evacuate => self.evacuate(now_us, out),
             GateEvent::Return { cold_until_us } => self.return_to_service(cold_until_us),
             GateEvent::Open => self.open(now_us),
+            // Their deadlines went on, and whoever sent them has given them up; what runs stood still with
+            // the server and ends as it would have.
+            GateEvent::Resumed => self.give_all_back(BounceReason::NotReady, now_us, out),
         }
         self.leave_queue(now_us, out);
         self.start_waiting(now_us, out);
--- a/valetrack/src/gate/tests.rs
+++ b/valetrack/src/gate/tests.rs
@@ -12,4 +12,5 @@
 mod speed;
 mod steps;
 mod suspect;
+mod suspension;
 mod upstream;
--- a/valetrack/src/link/peer.rs
+++ b/valetrack/src/link/peer.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_channel::Sender;
 use bytes::Bytes;
@@ -14,7 +14,7 @@
 
 use super::codec::{self, FrameError};
 use super::message::{Answered, BODY_MAX_BYTES, HEAD_MAX_BYTES, Question, Reply, ReplyHead};
-use crate::clock::now_us;
+use crate::clock::{Moment, SuspensionWatch, now_us, suspended_us};
 use crate::gate::CancelResult;
 
 /// Time limit of a handshake, in milliseconds.
@@ -101,9 +101,31 @@
 #[derive(Default)]
 struct Slot {
     connection: Option<Connection>,
+    /// From when the connection is.
+    since: SuspensionWatch,
     failed_us: Option<u64>,
 }
 
+impl Slot {
+    /// Returns the connection, if it is open and this VM was not suspended since it was opened: the peer has
+    /// given it up meanwhile, and whatever is sent on it is lost.
+    fn open(&mut self) -> Option<Connection> {
+        let connection = self.connection.take().filter(|connection| connection.close_reason().is_none())?;
+        if self.since.take(suspended_us()).is_some() {
+            connection.close(GIVEN_UP.into(), b"suspended");
+            return None;
+        }
+        self.connection = Some(connection.clone());
+        Some(connection)
+    }
+
+    fn opened(&mut self, connection: Connection) {
+        self.failed_us = None;
+        self.since = SuspensionWatch::from_now();
+        self.connection = Some(connection);
+    }
+}
+
 /// All connections that this node has opened.
 pub struct Peers {
     endpoint: Endpoint,
@@ -146,9 +168,7 @@
         let slot = self.slots.borrow_mut().entry(target.clone()).or_default().clone();
         // Whoever comes while a handshake is under way waits for its result.
         let mut slot = slot.lock().await;
-        let open = slot.connection.take().filter(|connection| connection.close_reason().is_none());
-        if let Some(connection) = open {
-            slot.connection = Some(connection.clone());
+        if let Some(connection) = slot.open() {
             return Some(connection);
         }
         if slot.failed_us.is_some_and(|failed_us| now_us() < failed_us + REDIAL_US) {
@@ -158,8 +178,7 @@
         let connected = timeout(Duration::from_millis(HANDSHAKE_MS), connecting).await;
         match connected {
             Ok(Ok(connection)) => {
-                slot.failed_us = None;
-                slot.connection = Some(connection.clone());
+                slot.opened(connection.clone());
                 Some(connection)
             }
             Ok(Err(error)) => {
@@ -187,7 +206,7 @@
     connection: Connection,
     send: SendStream,
     answered: bool,
-    asked: Instant,
+    asked: Moment,
     /// Packets that the peer had sent when the question went out.
     heard: u64,
 }
@@ -195,7 +214,7 @@
 impl OpenQuestion {
     fn new(connection: &Connection, send: SendStream) -> Self {
         let heard = connection.stats().udp_rx.datagrams;
-        Self { connection: connection.clone(), send, answered: false, asked: Instant::now(), heard }
+        Self { connection: connection.clone(), send, answered: false, asked: Moment::now(), heard }
     }
 
     fn close_silent_link(&self) {
--- a/valetrack/src/link/run.rs
+++ b/valetrack/src/link/run.rs
@@ -7,7 +7,7 @@
 
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
-use quinn::{Endpoint, EndpointConfig, Incoming, RecvStream, SendStream};
+use quinn::{Connection, Endpoint, EndpointConfig, Incoming, RecvStream, SendStream};
 use quinn_proto::HashedConnectionIdGenerator;
 use ring::hmac;
 use sha2::{Digest, Sha256};
@@ -20,7 +20,7 @@
 use super::tls::LinkTls;
 use crate::bundle::{InForce, ServiceRule};
 use crate::claim::ClaimJob;
-use crate::clock::now_us;
+use crate::clock::{SuspensionWatch, now_us, suspended_us};
 use crate::crash::{CrashDesk, CrashJob};
 use crate::gate::pool::ServerPool;
 use crate::gate::run::{GateReply, GateShell, GateShellParts};
@@ -200,17 +200,34 @@
                 return;
             }
         };
+        let since = SuspensionWatch::from_now();
         while let Ok((send, receive)) = connection.accept_bi().await {
-            tokio::task::spawn_local(self.clone().serve_stream(send, receive));
+            tokio::task::spawn_local(self.clone().serve_stream(connection.clone(), send, receive, since));
         }
     }
 
-    async fn serve_stream(self: Rc<Self>, mut send: SendStream, mut receive: RecvStream) {
+    /// Serves one question on a link that was opened at `since`.
+    ///
+    /// What came before a suspension of this VM is not served after it: whoever asked has given it up, and has
+    /// perhaps been told that it never starts, by a word that this node remembers for some seconds only. With the
+    /// link closed, it asks on another one and hears that nothing has started.
+    async fn serve_stream(
+        self: Rc<Self>,
+        connection: Connection,
+        mut send: SendStream,
+        mut receive: RecvStream,
+        mut since: SuspensionWatch,
+    ) {
         let reading = timeout(Duration::from_millis(QUESTION_MS), receive.read_to_end(FRAME_MAX_BYTES));
         let Ok(Ok(frame)) = reading.await else {
             self.parts.metrics.bad_frames.inc();
             return;
         };
+        if let Some(suspended) = since.take(suspended_us()) {
+            log::info!("event=link.outlived_suspension suspended_ms={}", suspended.as_millis());
+            connection.close(u32::from(crate::code::Code::LinkLost.number()).into(), b"suspended");
+            return;
+        }
         let question = match codec::unpack::<Ask>(Bytes::from(frame)) {
             Ok((ask, body)) => Question { ask, body },
             Err(error) => {
--- a/valetrack/src/link/tests.rs
+++ b/valetrack/src/link/tests.rs
@@ -1,15 +1,17 @@
 //! Tests of frames: whatever is packed comes back, and nothing else gets through.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use proptest::prelude::*;
 use test_case::test_case;
 
 use super::codec::{FrameError, LENGTH_BYTES, pack, unpack};
-use super::message::{Ask, CallHead, HEAD_MAX_BYTES, Reply, ReplyHead, Riding};
+use super::message::{Answered, Ask, CallHead, HEAD_MAX_BYTES, Reply, ReplyHead, Riding};
+use super::peer::LinkResult;
 use super::{run, tls};
-use crate::gate::{AttemptId, LoadReport, Patience};
+use crate::gate::{AttemptId, CancelResult, LoadReport, Patience};
 
 fn call(path: String, headers: Vec<(String, Vec<u8>)>, body_bytes: usize, key: Option<String>) -> Ask {
     Ask::Run(CallHead {
@@ -170,3 +172,63 @@
     connection.close(0u32.into(), b"");
     echo.await.expect("the peer");
 }
+
+/// One VM's clocks: steady time goes on by as much as boot time, but for its suspensions.
+fn steady_us(boot_us: u64, suspensions: &[(u64, u64)]) -> u64 {
+    let slept = suspensions.iter().map(|(from_us, to_us)| to_us.min(&boot_us).saturating_sub(*from_us)).sum::<u64>();
+    boot_us - slept
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 800,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(37),
+        ..Default::default()
+    })]
+
+    #[test]
+    fn a_word_counts_only_from_a_life_that_was_there_whoever_is_suspended_at_any_point(
+        sent_s in 0..60_u64,
+        started_s in 0..60_u64,
+        asked_s in 60..70_u64,
+        entry_sleeps in (0..40_u64, 0..30_u64),
+        owner_sleeps in (0..40_u64, 0..30_u64),
+    ) {
+        let second = 1_000_000;
+        let sleep = |(from_s, for_s): (u64, u64)| [(from_s * second, (from_s + for_s).min(60) * second)];
+        let (entry, owner) = (sleep(entry_sleeps), sleep(owner_sleeps));
+        let word = |clock: &dyn Fn(u64, &[(u64, u64)]) -> u64| {
+            let span = |from_s: u64, sleeps: &[(u64, u64)]| {
+                clock(asked_s * second, sleeps) - clock(from_s * second, sleeps)
+            };
+            let up_ms = (span(started_s, &owner) / 1000) as u32;
+            let reply = Reply::Cancelled { attempt: AttemptId { entry: 1, seq: 2 }, result: CancelResult::NeverStarted, up_ms };
+            let head = ReplyHead { reply, riding: Riding { load: LoadReport::default(), bundle: 0, hlc: 0 } };
+            let result = LinkResult::Reply(Box::new(Answered { head, body: Bytes::new() }));
+            result.cancel_result(Duration::from_micros(span(sent_s, &entry))).is_some()
+        };
+        let was_there = started_s < sent_s;
+        prop_assert_eq!(word(&|boot_us, _| boot_us), was_there);
+        // By the steady clock an entry that was suspended takes a later life for the one that it asked.
+        let misled = word(&steady_us);
+        let sleeps_between = |sleeps: &[(u64, u64)], from_s: u64| sleeps.iter().any(|(_, to_us)| *to_us > from_s * second);
+        prop_assert!(misled == was_there || sleeps_between(&entry, sent_s) || sleeps_between(&owner, started_s));
+    }
+}
+
+#[test]
+fn by_the_steady_clock_a_suspended_entry_would_believe_a_later_life() {
+    // Sent in second 1, asked in second 12; the entry slept for ten seconds, and the owner started in second 8.
+    let sleeps = [(1_500_000, 11_500_000)];
+    let sent_ago = steady_us(12_000_000, &sleeps) - steady_us(1_000_000, &sleeps);
+    assert!(sent_ago < 4_000_000, "{sent_ago}: shorter than the owner's life, which knows nothing of the attempt");
+}
+
+#[test]
+fn messages_of_the_former_version_are_read_as_before() {
+    let frame = |ask: &Ask| pack(ask).expect("a frame")[LENGTH_BYTES..].to_vec();
+    let asks = [Ask::Probe, Ask::Bundle, Ask::Evacuation, Ask::Follow { after: 1, wait_ms: 2 }];
+    assert_eq!(asks.map(|ask| frame(&ask)), [vec![3], vec![5], vec![6], vec![7, 1, 2]]);
+    assert!(unpack::<Ask>(Bytes::from_static(&[0, 0, 0, 1, 99])).is_err(), "an unknown question is refused");
+}
--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -5,6 +5,7 @@
 mod keep;
 mod read;
 mod relayed;
+mod resume;
 mod wake;
 
 use std::cell::{Cell, RefCell};
@@ -137,6 +138,7 @@
     duties.spawn_local(shell.clone().follow_phase());
     duties.spawn_local(shell.clone().withdraw());
     duties.spawn_local(shell.clone().wake_neighbours());
+    duties.spawn_local(shell.clone().follow_suspensions());
     let mut closing = shell.parts.closing.clone();
     while let Some(job) = next_job(&shell.parts.jobs, &mut closing).await {
         shell.clone().take(job);
--- a/valetrack/src/member/tests.rs
+++ b/valetrack/src/member/tests.rs
@@ -5,4 +5,5 @@
 mod evacuation;
 mod other_writer;
 mod relay;
+mod suspension;
 mod view;
--- /dev/null
+++ b/valetrack/src/member/tests/suspension.rs
@@ -0,0 +1,70 @@
+//! A VM that is suspended at any point: what its node believes of the store is as old as it is.
+
+use proptest::prelude::*;
+
+use crate::member::{AGE_MAX_US, ChangeLog, EntryKeeper, EntryStep};
+use crate::store::Lease;
+
+/// A lease of the length that the store gives.
+const LEASE: Lease = Lease { id: 7, ttl_ms: 8_000 };
+/// Longest pause between two renewals that a node makes, in microseconds.
+const RENEWED_US: u64 = 2_000_000;
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 500,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(38),
+        ..Default::default()
+    })]
+
+    #[test]
+    fn a_lease_that_may_be_over_is_never_waited_on(
+        pauses_us in prop::collection::vec(0..1_500_000_u64, 1..20),
+        suspended_at in 0..20_usize,
+        suspended_us in 0..60_000_000_u64,
+    ) {
+        let mut keeper = EntryKeeper::default();
+        keeper.change();
+        keeper.granted(LEASE, 0);
+        keeper.wrote(keeper.wanted(), 5);
+        let (mut now_us, mut confirmed_us) = (0, 0);
+        for (at, pause_us) in pauses_us.into_iter().enumerate() {
+            now_us += pause_us + if at == suspended_at { suspended_us } else { 0 };
+            match keeper.next(now_us) {
+                // The very first step after a suspension asks the store.
+                EntryStep::Wait { until_us } => {
+                    prop_assert!(now_us < confirmed_us + RENEWED_US && until_us <= confirmed_us + RENEWED_US);
+                }
+                EntryStep::Renew { lease } => {
+                    prop_assert_eq!(lease, LEASE.id);
+                    match now_us < confirmed_us + LEASE.ttl_ms * 1000 {
+                        true => keeper.renewed(now_us),
+                        false => {
+                            keeper.lease_over();
+                            prop_assert_eq!(keeper.next(now_us), EntryStep::Grant);
+                            keeper.granted(LEASE, now_us);
+                            prop_assert!(matches!(keeper.next(now_us), EntryStep::Write { .. }), "written anew");
+                            keeper.wrote(keeper.wanted(), 9);
+                        }
+                    }
+                    confirmed_us = now_us;
+                }
+                step => prop_assert!(false, "{:?}", step),
+            }
+        }
+    }
+
+    #[test]
+    fn a_relay_that_was_suspended_serves_no_old_news(
+        confirmed_us in 0..10_000_000_u64,
+        suspended_us in 0..30_000_000_u64,
+    ) {
+        let mut log = ChangeLog::default();
+        log.read(&[], 5, confirmed_us);
+        let now_us = confirmed_us + suspended_us;
+        let is_current = log.current_until_us().is_some_and(|until_us| now_us < until_us);
+        prop_assert_eq!(is_current, suspended_us < AGE_MAX_US);
+        prop_assert_eq!(u64::from(log.since(5, now_us).age_ms), suspended_us / 1000);
+    }
+}
--- a/valetrack/src/metric.rs
+++ b/valetrack/src/metric.rs
@@ -39,6 +39,8 @@
     pub upstream_crashes: IntCounter,
     /// Whether the upstream falls over again and again.
     pub upstream_recurrent_crash: IntGauge,
+    /// Suspensions of the VM.
+    pub suspensions: IntCounter,
     /// Crashes of the upstream while it ran calls.
     pub crash_reports: IntCounter,
     /// Suspects of crashes that this node knows of and that are not cleared.
@@ -134,6 +136,7 @@
                 "valetrack_upstream_recurrent_crash",
                 "Whether the upstream falls over again and again.",
             ),
+            suspensions: counter("valetrack_suspensions_total", "Suspensions of the VM."),
             crash_reports: counter("valetrack_crash_reports_total", "Crashes of the upstream while it ran calls."),
             crash_suspects: gauge("valetrack_crash_suspects", "Calls that may have crashed upstreams, not cleared."),
             quarantined_calls: counters_by(
--- a/valetrack/src/node/leave.rs
+++ b/valetrack/src/node/leave.rs
@@ -8,6 +8,7 @@
 
 use super::part::NodeParts;
 use super::stage::Stages;
+use crate::clock::put_ahead;
 use crate::settings::NodeSettings;
 
 /// Time that telling other nodes of the exit may take, in milliseconds.
@@ -31,11 +32,24 @@
 async fn told_to_leave(parts: &NodeParts) -> &'static str {
     tokio::select! {
         () = stop_signal() => "signal",
+        never = suspend_for_tests(parts.settings.test_suspension_ms) => match never {},
         () = parts.server_leaving.notified() => "server",
         () = parts.listed_leaving.notified() => "list",
     }
 }
 
+/// Has the node believe at each SIGUSR2 that its VM was suspended; never ends.
+async fn suspend_for_tests(suspension_ms: u64) -> Infallible {
+    if suspension_ms > 0
+        && let Ok(mut suspend) = signal(SignalKind::user_defined2())
+    {
+        while suspend.recv().await.is_some() {
+            put_ahead(Duration::from_millis(suspension_ms));
+        }
+    }
+    std::future::pending().await
+}
+
 /// Lets the node take work once a bundle is in force; never ends.
 async fn begin(parts: &NodeParts) -> Infallible {
     let mut bundle = parts.bundle.subscribe();
--- a/valetrack/src/node/start.rs
+++ b/valetrack/src/node/start.rs
@@ -18,7 +18,7 @@
 use crate::caller::run::ListenerParts;
 use crate::claim::Home;
 use crate::claim::run::ClaimParts;
-use crate::clock::now_us;
+use crate::clock::steady_us;
 use crate::code::Code;
 use crate::crash::CrashDesk;
 use crate::crash::archive::{CrashArchive, LeasedArchive, StoreArchive};
@@ -326,7 +326,8 @@
         let before = upstream.borrow();
         (before.start, before.phase)
     };
-    let now = now_us();
+    // An upstream stands still with its VM, so what is said of its times goes by the steady clock.
+    let now = steady_us();
     let changed = upstream.send_if_modified(|state| state.take(news, now));
     let state = upstream.borrow();
     if changed {
--- a/valetrack/src/placement/attempt.rs
+++ b/valetrack/src/placement/attempt.rs
@@ -6,10 +6,10 @@
 
 use bytes::Bytes;
 use futures::future::LocalBoxFuture;
-use tokio::time::Instant;
 
 use super::message::{CallEvent, Dispatch, Outcome, ServerIndex};
 use super::run::{PROMPT_MS, Placer};
+use crate::clock::Moment;
 use crate::code::Code;
 use crate::gate::{AttemptId, BounceReason};
 use crate::link::message::{AnswerHead, Answered, Ask, CallHead, Question, Reply};
@@ -30,7 +30,7 @@
         head: &CallHead,
         body: &Bytes,
         dispatch: Dispatch,
-        deadline: Instant,
+        deadline: Moment,
     ) -> LocalBoxFuture<'static, AttemptEnd> {
         let Dispatch { attempt, server, patience, elsewhere_permille, cause, repeat_permille } = dispatch;
         // A key whose run is lost with its owner never runs again, so the owner is first seen alive.
@@ -46,7 +46,7 @@
                 log::info!("event=call.owner_silent call={} attempt={attempt} owner={}", head.call_id, target.vm);
                 return (CallEvent::Unsent { attempt }, None);
             }
-            let left_ms = deadline.saturating_duration_since(Instant::now()).as_millis() as u32;
+            let left_ms = deadline.left().as_millis() as u32;
             let gone_ms = head.deadline_ms.saturating_sub(left_ms);
             let objective_ms = head.objective_ms.saturating_sub(gone_ms).max(head.objective_ms.min(1));
             let mut head = CallHead {
@@ -97,7 +97,7 @@
         service: &Arc<str>,
         attempt: AttemptId,
         server: ServerIndex,
-        sent_at: Option<Instant>,
+        sent_at: Option<Moment>,
     ) -> LocalBoxFuture<'static, AttemptEnd> {
         let target = self.target(service, server);
         Box::pin(async move {
--- a/valetrack/src/placement/driver.rs
+++ b/valetrack/src/placement/driver.rs
@@ -8,12 +8,13 @@
 use futures::future::LocalBoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt};
 use tokio::sync::oneshot;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::sleep;
 
 use super::attempt::AttemptEnd;
 use super::call::{Call, CallRule};
 use super::message::{CallAction, CallEvent, Placed, SERVICE_UNKNOWN, Verdict};
 use super::run::Placer;
+use crate::clock::Moment;
 use crate::code::Code;
 use crate::gate::AttemptId;
 use crate::link::message::{AnswerHead, CallHead};
@@ -27,7 +28,7 @@
     rule: CallRule,
     reply: oneshot::Sender<Placed>,
 ) {
-    let deadline = Instant::now() + Duration::from_millis(head.deadline_ms.into());
+    let deadline = Moment::now() + Duration::from_millis(head.deadline_ms.into());
     let driver = CallDriver {
         call: Call::new(rule, placer.entry).made_by_repeat(head.repeat_permille).made_by_run(head.made_by_run),
         looks_before_hedge: rule.demand.is_some(),
@@ -56,11 +57,11 @@
     out: FuturesUnordered<LocalBoxFuture<'static, AttemptEnd>>,
     answers: Vec<(AnswerHead, Bytes)>,
     /// When each attempt was sent.
-    sent: Vec<(AttemptId, Instant)>,
+    sent: Vec<(AttemptId, Moment)>,
     /// Kept for its memory; empty between two events.
     actions: Vec<CallAction>,
-    hedge_at: Option<Instant>,
-    deadline: Instant,
+    hedge_at: Option<Moment>,
+    deadline: Moment,
     /// Whether the deadline has passed.
     late: bool,
     head: CallHead,
@@ -99,7 +100,7 @@
     fn perform(&mut self, action: CallAction) {
         match action {
             CallAction::Send(dispatch) => {
-                self.sent.push((dispatch.attempt, Instant::now()));
+                self.sent.push((dispatch.attempt, Moment::now()));
                 let sending = self.placer.clone().send(&self.head, &self.body, dispatch, self.deadline);
                 self.out.push(sending);
             }
@@ -108,7 +109,7 @@
                 self.out.push(self.placer.clone().cancel(&self.head.service, attempt, server, sent_at));
             }
             CallAction::ArmHedge { after_us } => {
-                self.hedge_at = Some(Instant::now() + Duration::from_micros(after_us));
+                self.hedge_at = Some(Moment::now() + Duration::from_micros(after_us));
             }
             CallAction::Finish(verdict) => {
                 let placed = self.placed(verdict);
@@ -147,7 +148,7 @@
                 self.hedge_event()
             }
             () = gone(&mut self.reply) => None,
-            () = sleep_until(self.deadline), if !self.late => {
+            () = sleep(self.deadline.left()), if !self.late => {
                 self.late = true;
                 Some(CallEvent::DeadlineDue)
             }
@@ -195,9 +196,9 @@
     }
 }
 
-async fn sleep_maybe(at: Option<Instant>) {
+async fn sleep_maybe(at: Option<Moment>) {
     match at {
-        Some(at) => sleep_until(at).await,
+        Some(at) => sleep(at.left()).await,
         None => pending().await,
     }
 }
--- a/valetrack/src/settings.rs
+++ b/valetrack/src/settings.rs
@@ -50,6 +50,12 @@
     setting("keys", "Folder with ca.pem, VM.pem and VM.key; native platform only.", "a folder", Some("")),
     setting("control-listen", "Address for the upstream's announcements; managed platform only.", ADDRESS, Some("")),
     setting("lease-ms", "How long a node's entry in the store outlives its last word.", "1000 to 600000", Some("8000")),
+    setting(
+        "test-suspension-ms",
+        "For tests: SIGUSR2 has the node believe that its VM was suspended for so long.",
+        "0 to 3600000",
+        Some("0"),
+    ),
     setting("linger-ms", "Time for which callers still come after a stop has begun.", "0 to 60000", Some("0")),
     setting("stop-grace-s", "Time from the signal to stop to the kill; 0 for none.", "0 to 3600", Some("0")),
     setting("caller-rest-ms", "Time that a caller's connection may rest.", "1000 to 3600000", Some("10000")),
@@ -175,6 +181,9 @@
     pub control_addr: Option<SocketAddr>,
     /// How long a node's entry in the store outlives its last word, in milliseconds.
     pub lease_ms: u64,
+    /// For how long SIGUSR2 has the node believe that its VM was suspended, in milliseconds; zero for tests
+    /// that need none and for use.
+    pub test_suspension_ms: u64,
     /// Time for which callers still come after a stop has begun, in milliseconds.
     pub linger_ms: u64,
     /// Time from the signal to stop to the kill, in milliseconds; zero for none.
@@ -334,6 +343,7 @@
         let keys_dir = self.keys_dir(native);
         let control_addr = self.optional_addr("control-listen", !native);
         let lease_ms = self.number("lease-ms", 1_000, 600_000);
+        let test_suspension_ms = self.number("test-suspension-ms", 0, 3_600_000);
         let linger_ms = self.number("linger-ms", 0, 60_000);
         let stop_grace_s = self.fraction("stop-grace-s", 0.0..=3_600.0);
         let caller_rest_ms = self.number("caller-rest-ms", 1_000, 3_600_000);
@@ -369,6 +379,7 @@
             keys_dir: keys_dir?,
             control_addr: control_addr?,
             lease_ms: lease_ms?,
+            test_suspension_ms: test_suspension_ms?,
             linger_ms: linger_ms?,
             stop_grace_ms: (stop_grace_s? * 1000.0) as u64,
             caller_rest_ms: caller_rest_ms?,
