--- a/valetrack/src/crash/answered.rs
+++ b/valetrack/src/crash/answered.rs
@@ -4,7 +4,7 @@
 //! cause of their own, such as a loss of power: without it such a request stands under three crashes at once
 //! (a fleet in virtual time, `crash::tests`).
 
-use super::print::PrintKey;
+use super::fingerprint::FingerprintKey;
 use crate::link::message::CallHead;
 
 /// Places of the table, a power of two: requests of some seconds at a busy node, in 64 KB.
@@ -16,10 +16,10 @@
 /// their body would be read a second time on its usual way.
 const BODY_MAX_BYTES: usize = 1_024;
 
-/// Prints of answered requests, the latest for each place.
+/// Fingerprints of answered requests, the latest for each place.
 #[derive(Debug)]
 pub struct RecentAnswers {
-    /// Print and moment; a zero moment is an empty place.
+    /// Fingerprint and moment; a zero moment is an empty place.
     places: Vec<(u64, u64)>,
 }
 
@@ -31,31 +31,31 @@
 
 impl RecentAnswers {
     /// Takes an answer that came at `now_us`.
-    pub fn answered(&mut self, key: PrintKey, head: &CallHead, body: &[u8], now_us: u64) {
-        if let Some(print) = short_print(key, head, body) {
-            self.places[place(print)] = (print, now_us);
+    pub fn answered(&mut self, key: FingerprintKey, head: &CallHead, body: &[u8], now_us: u64) {
+        if let Some(fingerprint) = short_fingerprint(key, head, body) {
+            self.places[place(fingerprint)] = (fingerprint, now_us);
         }
     }
 
     /// Returns whether a request was answered a short time before `now_us`.
-    pub fn holds(&self, key: PrintKey, head: &CallHead, body: &[u8], now_us: u64) -> bool {
-        let Some(print) = short_print(key, head, body) else {
+    pub fn holds(&self, key: FingerprintKey, head: &CallHead, body: &[u8], now_us: u64) -> bool {
+        let Some(fingerprint) = short_fingerprint(key, head, body) else {
             return false;
         };
-        let (known, at_us) = self.places[place(print)];
-        known == print && at_us > 0 && now_us < at_us + SPEAKS_US
+        let (known, at_us) = self.places[place(fingerprint)];
+        known == fingerprint && at_us > 0 && now_us < at_us + SPEAKS_US
     }
 }
 
 /// Returns one number for a request whose body is short.
-fn short_print(key: PrintKey, head: &CallHead, body: &[u8]) -> Option<u64> {
+fn short_fingerprint(key: FingerprintKey, head: &CallHead, body: &[u8]) -> Option<u64> {
     if body.len() > BODY_MAX_BYTES {
         return None;
     }
-    let print = key.print(head, body);
-    Some(print.head ^ print.body.rotate_left(1))
+    let fingerprint = key.fingerprint(head, body);
+    Some(fingerprint.head ^ fingerprint.body.rotate_left(1))
 }
 
-fn place(print: u64) -> usize {
-    print as usize % PLACES
+fn place(fingerprint: u64) -> usize {
+    fingerprint as usize % PLACES
 }
--- a/valetrack/src/crash/detect.rs
+++ b/valetrack/src/crash/detect.rs
@@ -117,12 +117,17 @@
         self.down = None;
     }
 
+    /// Returns whether exchanges go on that had begun before the first connection broke.
+    ///
+    /// Those that have begun since are about to find the port closed themselves.
+    pub fn goes_on(&self) -> bool {
+        self.broke_after.is_some_and(|last| self.running.keys().any(|number| *number <= last))
+    }
+
     /// Returns the calls that may have crashed the upstream, now that it was tried and found down; none where
     /// some of its exchanges go on, or the crash was reported before.
     pub fn crashed(&mut self, down: Down, now_us: u64) -> Vec<C> {
-        // Exchanges that have begun since are about to find the port closed themselves.
-        let goes_on = |number: &u64| self.broke_after.is_some_and(|last| *number <= last);
-        if self.down.is_some() || self.running.keys().any(goes_on) {
+        if self.down.is_some() || self.goes_on() {
             return Vec::new();
         }
         self.forget_left(now_us);
--- a/valetrack/src/crash/print.rs
+++ b/valetrack/src/crash/fingerprint.rs
@@ -1,4 +1,4 @@
-//! Prints of calls: the same request has the same print under any call id, at any node.
+//! Fingerprints of calls: the same request has the same fingerprint under any call id, at any node.
 
 use std::hash::Hasher;
 
@@ -13,11 +13,11 @@
 /// Header with the name that the caller reached the service by; routes of other names are other requests.
 const HOST_HEADER: &str = "host";
 
-/// Secret that prints are made with, so that nobody outside the fleet can make two requests collide.
+/// Secret that fingerprints are made with, so that nobody outside the fleet can make two requests collide.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct PrintKey(u64, u64);
+pub struct FingerprintKey(u64, u64);
 
-impl PrintKey {
+impl FingerprintKey {
     /// Draws a key; none where the system has no randomness to give.
     pub fn draw() -> Option<Self> {
         let mut bytes = [0; 16];
@@ -35,11 +35,11 @@
         SipHasher13::new_with_keys(self.0, self.1)
     }
 
-    /// Returns the print of all of a request but its body, whose length alone is part of it.
+    /// Returns the fingerprint of all of a request but its body, whose length alone is part of it.
     ///
     /// It is what most calls are told apart by, so that the body of a call need not be read again unless a
     /// request with the same head has crashed an upstream.
-    pub fn head_print(self, head: &CallHead) -> u64 {
+    pub fn head_fingerprint(self, head: &CallHead) -> u64 {
         let mut hasher = self.hasher();
         let mut add = |part: &[u8]| {
             // Lengths keep the parts of two requests from running into each other.
@@ -58,29 +58,29 @@
         hasher.finish()
     }
 
-    /// Returns the print of a body.
-    pub fn body_print(self, body: &[u8]) -> u64 {
+    /// Returns the fingerprint of a body.
+    pub fn body_fingerprint(self, body: &[u8]) -> u64 {
         let mut hasher = self.hasher();
         hasher.write(body);
         hasher.finish()
     }
 
-    /// Returns the print of a whole request.
-    pub fn print(self, head: &CallHead, body: &[u8]) -> CallPrint {
-        CallPrint { head: self.head_print(head), body: self.body_print(body) }
+    /// Returns the fingerprint of a whole request.
+    pub fn fingerprint(self, head: &CallHead, body: &[u8]) -> Fingerprint {
+        Fingerprint { head: self.head_fingerprint(head), body: self.body_fingerprint(body) }
     }
 }
 
 /// What a request is known by under one key.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct CallPrint {
-    /// Print of all but the body.
+pub struct Fingerprint {
+    /// Fingerprint of all but the body.
     pub head: u64,
-    /// Print of the body.
+    /// Fingerprint of the body.
     pub body: u64,
 }
 
-impl std::fmt::Display for CallPrint {
+impl std::fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(f, "{:016x}{:016x}", self.head, self.body)
     }
--- a/valetrack/src/crash/book.rs
+++ b/valetrack/src/crash/history.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use super::message::{CrashId, CrashReport, CrashedCall, Mark, Suspect};
-use super::print::PrintKey;
+use super::fingerprint::FingerprintKey;
+use super::message::{CrashId, CrashReport, CrashedCall, Suspect, SuspectRef};
 use crate::link::message::CallHead;
 
 /// Crashes under a call after which it is kept from upstreams. One is bad luck: whatever ran beside the
@@ -19,7 +19,7 @@
 pub const TRIAL_PAUSES_US: [u64; TRIALS_MAX as usize] = [600_000_000, 3_600_000_000];
 /// Most crashes that are remembered: at some 100 bytes each well below a megabyte, and hundreds of requests
 /// that crash upstreams at the same time.
-pub const BOOK_MAX: usize = 1_024;
+pub const HISTORY_MAX: usize = 1_024;
 /// Most crashes of one service that last in the store: some 40 KB of the megabyte that a value may have.
 pub const ARCHIVE_MAX: usize = 192;
 
@@ -39,7 +39,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Standing {
     /// Where it is a suspect, the earliest crash first.
-    pub marks: Vec<Mark>,
+    pub refs: Vec<SuspectRef>,
     /// How often it was tried again.
     pub trials: u8,
     /// When this node first heard of one of its crashes, in microseconds.
@@ -53,7 +53,7 @@
 impl Standing {
     /// Returns how many upstreams have crashed under the call since it was last answered.
     pub fn crashes(&self) -> usize {
-        self.marks.len()
+        self.refs.len()
     }
 
     /// Returns whether the call is kept from upstreams.
@@ -70,13 +70,13 @@
 
 /// The crashes that a node knows of.
 #[derive(Debug, Clone, Default)]
-pub struct CrashBook {
+pub struct CrashHistory {
     known: BTreeMap<CrashId, Known>,
-    /// Suspects that are not cleared, by key and print of the head.
-    index: HashMap<PrintKey, HashMap<u64, Vec<Mark>>>,
+    /// Suspects that are not cleared, by key and fingerprint of the head.
+    index: HashMap<FingerprintKey, HashMap<u64, Vec<SuspectRef>>>,
 }
 
-impl CrashBook {
+impl CrashHistory {
     /// Joins what is told of crashes; returns whether that says more than was known.
     pub fn join(&mut self, reports: &[CrashReport], from: &Arc<str>, now_us: u64) -> bool {
         let mut changed = false;
@@ -111,7 +111,7 @@
 
     /// Forgets crashes over the bound: first those that no call is held against, then the oldest.
     fn shed(&mut self) {
-        while self.known.len() > BOOK_MAX {
+        while self.known.len() > HISTORY_MAX {
             let over = self.known.iter().find(|(_, known)| known.report.is_over()).map(|(id, _)| id.clone());
             let Some(id) = over.or_else(|| self.known.keys().next().cloned()) else {
                 return;
@@ -125,8 +125,8 @@
         for (id, known) in &self.known {
             for suspect in known.report.suspects.iter().filter(|suspect| !suspect.cleared) {
                 let by_head = self.index.entry(known.report.key).or_default();
-                let mark = Mark { crash: id.clone(), print: suspect.print };
-                by_head.entry(suspect.print.head).or_default().push(mark);
+                let suspect_ref = SuspectRef { crash: id.clone(), fingerprint: suspect.fingerprint };
+                by_head.entry(suspect.fingerprint.head).or_default().push(suspect_ref);
             }
         }
     }
@@ -141,41 +141,48 @@
         self.known.is_empty()
     }
 
-    /// Returns how many suspects stand in the book.
+    /// Returns whether anything is held against any call.
+    pub fn has_suspects(&self) -> bool {
+        !self.index.is_empty()
+    }
+
+    /// Returns how many suspects stand in the history.
     pub fn suspects(&self) -> usize {
         self.index.values().flat_map(HashMap::values).map(Vec::len).sum()
     }
 
     /// Returns the key that the next report is to be made with: that of the earliest crash, so that one
-    /// request has one print throughout a fleet, or `own` where there is none.
-    pub fn key_for_report(&self, own: PrintKey) -> PrintKey {
+    /// request has one fingerprint throughout a fleet, or `own` where there is none.
+    pub fn key_for_report(&self, own: FingerprintKey) -> FingerprintKey {
         self.known.values().find(|known| !known.report.is_over()).map_or(own, |known| known.report.key)
     }
 
     /// Returns what is known of a call.
     ///
     /// Its body is read only where a suspect has the same head. Guards the way of large bodies: see the
-    /// benchmark of prints.
+    /// benchmark of fingerprints.
     pub fn standing(&self, head: &CallHead, body: &[u8]) -> Standing {
-        let mut marks = Vec::new();
+        let mut refs = Vec::new();
         for (key, by_head) in &self.index {
-            let Some(suspects) = by_head.get(&key.head_print(head)) else {
+            let Some(suspects) = by_head.get(&key.head_fingerprint(head)) else {
                 continue;
             };
-            let body_print = key.body_print(body);
-            marks.extend(suspects.iter().filter(|mark| mark.print.body == body_print).cloned());
+            let body_fingerprint = key.body_fingerprint(body);
+            refs.extend(
+                suspects.iter().filter(|suspect_ref| suspect_ref.fingerprint.body == body_fingerprint).cloned(),
+            );
         }
-        marks.sort();
-        self.standing_of(marks)
+        refs.sort();
+        self.standing_of(refs)
     }
 
-    fn standing_of(&self, marks: Vec<Mark>) -> Standing {
+    fn standing_of(&self, refs: Vec<SuspectRef>) -> Standing {
         let mut standing = Standing { since_us: u64::MAX, ..Standing::default() };
-        for mark in &marks {
-            let Some(known) = self.known.get(&mark.crash) else {
+        for suspect_ref in &refs {
+            let Some(known) = self.known.get(&suspect_ref.crash) else {
                 continue;
             };
-            let suspect = known.report.suspects.iter().find(|suspect| suspect.print == mark.print);
+            let suspect = known.report.suspects.iter().find(|suspect| suspect.fingerprint == suspect_ref.fingerprint);
             standing.trials += suspect.map_or(0, |suspect| suspect.trials);
             standing.since_us = standing.since_us.min(known.since_us);
             if known.since_us.max(known.tried_us) >= standing.latest_us {
@@ -183,34 +190,35 @@
                 standing.from = Some(known.from.clone());
             }
         }
-        Standing { marks, ..standing }
+        Standing { refs, ..standing }
     }
 
     /// Clears suspects; returns the reports that changed by it.
-    pub fn clear(&mut self, marks: &[Mark]) -> Vec<CrashReport> {
-        self.change(marks, |suspect| suspect.cleared = true)
+    pub fn clear(&mut self, refs: &[SuspectRef]) -> Vec<CrashReport> {
+        self.change(refs, |suspect| suspect.cleared = true)
     }
 
     /// Counts a trial of a suspect; returns the report that changed by it.
-    pub fn count_trial(&mut self, mark: &Mark, now_us: u64) -> Vec<CrashReport> {
-        if let Some(known) = self.known.get_mut(&mark.crash) {
+    pub fn count_trial(&mut self, suspect_ref: &SuspectRef, now_us: u64) -> Vec<CrashReport> {
+        if let Some(known) = self.known.get_mut(&suspect_ref.crash) {
             known.tried_us = now_us;
         }
-        self.change(std::slice::from_ref(mark), |suspect| suspect.trials += 1)
+        self.change(std::slice::from_ref(suspect_ref), |suspect| suspect.trials += 1)
     }
 
-    fn change(&mut self, marks: &[Mark], change: impl Fn(&mut Suspect)) -> Vec<CrashReport> {
+    fn change(&mut self, refs: &[SuspectRef], change: impl Fn(&mut Suspect)) -> Vec<CrashReport> {
         let mut changed = BTreeMap::new();
-        for mark in marks {
-            let Some(known) = self.known.get_mut(&mark.crash) else {
+        for suspect_ref in refs {
+            let Some(known) = self.known.get_mut(&suspect_ref.crash) else {
                 continue;
             };
-            let found = known.report.suspects.iter_mut().filter(|suspect| suspect.print == mark.print);
+            let found =
+                known.report.suspects.iter_mut().filter(|suspect| suspect.fingerprint == suspect_ref.fingerprint);
             found.for_each(&change);
             if known.report.is_over() {
                 known.report.suspects.clear();
             }
-            changed.insert(mark.crash.clone(), known.report.clone());
+            changed.insert(suspect_ref.crash.clone(), known.report.clone());
         }
         self.make_index();
         changed.into_values().collect()
@@ -218,18 +226,18 @@
 
     /// Returns who ran beside the cause of a crash, now that it is known: a call that has now crashed too many
     /// upstreams has caused each of its crashes, and whatever ran beside it has not.
-    pub fn beside_cause(&self, crash: &CrashId, calls: &[CrashedCall]) -> Vec<Mark> {
-        let mut causes: Vec<Mark> = Vec::new();
-        for call in calls.iter().filter(|call| call.marks.len() + 1 >= CRASHES_MAX) {
-            causes.extend(call.marks.iter().cloned());
-            causes.push(Mark { crash: crash.clone(), print: call.print });
+    pub fn beside_cause(&self, crash: &CrashId, calls: &[CrashedCall]) -> Vec<SuspectRef> {
+        let mut causes: Vec<SuspectRef> = Vec::new();
+        for call in calls.iter().filter(|call| call.refs.len() + 1 >= CRASHES_MAX) {
+            causes.extend(call.refs.iter().cloned());
+            causes.push(SuspectRef { crash: crash.clone(), fingerprint: call.fingerprint });
         }
         let mut beside = Vec::new();
         for known in causes.iter().filter_map(|cause| self.known.get(&cause.crash)) {
             let id = &known.report.id;
             let suspects = known.report.suspects.iter().filter(|suspect| !suspect.cleared);
-            let marks = suspects.map(|suspect| Mark { crash: id.clone(), print: suspect.print });
-            beside.extend(marks.filter(|mark| !causes.contains(mark)));
+            let refs = suspects.map(|suspect| SuspectRef { crash: id.clone(), fingerprint: suspect.fingerprint });
+            beside.extend(refs.filter(|suspect_ref| !causes.contains(suspect_ref)));
         }
         beside
     }
@@ -253,12 +261,4 @@
         reports.truncate(ARCHIVE_MAX);
         reports
     }
-
-    /// Returns the services of which crashes are remembered.
-    pub fn services(&self) -> Vec<Arc<str>> {
-        let mut services: Vec<Arc<str>> = self.reports().map(|report| report.service.clone()).collect();
-        services.sort();
-        services.dedup();
-        services
-    }
 }
--- a/valetrack/src/crash/message.rs
+++ b/valetrack/src/crash/message.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
-use super::print::{CallPrint, PrintKey};
+use super::fingerprint::{Fingerprint, FingerprintKey};
 use crate::link::message::CallHead;
 use crate::link::peer::Target;
 
@@ -35,8 +35,8 @@
 /// A call that an upstream was running when it crashed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Suspect {
-    /// Its print under the key of its report.
-    pub print: CallPrint,
+    /// Its fingerprint under the key of its report.
+    pub fingerprint: Fingerprint,
     /// Whether it is known not to have caused the crash.
     pub cleared: bool,
     /// How often it was put to an upstream for trial since it has been kept from them.
@@ -53,8 +53,8 @@
     pub id: CrashId,
     /// Service of the upstream.
     pub service: Arc<str>,
-    /// Key of the prints.
-    pub key: PrintKey,
+    /// Key of the fingerprints.
+    pub key: FingerprintKey,
     /// The calls; none once all of them are cleared.
     pub suspects: Vec<Suspect>,
 }
@@ -72,7 +72,7 @@
             self.suspects.clear();
         }
         for suspect in &mut self.suspects {
-            let told = other.suspects.iter().find(|told| told.print == suspect.print);
+            let told = other.suspects.iter().find(|told| told.fingerprint == suspect.fingerprint);
             if let Some(told) = told {
                 suspect.cleared |= told.cleared;
                 suspect.trials = suspect.trials.max(told.trials);
@@ -87,11 +87,11 @@
 
 /// One suspect in one report.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Mark {
+pub struct SuspectRef {
     /// The crash.
     pub crash: CrashId,
-    /// The suspect's print there.
-    pub print: CallPrint,
+    /// The suspect's fingerprint there.
+    pub fingerprint: Fingerprint,
 }
 
 /// What is to be done with a call before it is put to an upstream.
@@ -114,8 +114,8 @@
 pub enum CrashJob {
     /// The upstream beside this node has crashed while it ran these calls.
     Crashed {
-        /// Key of their prints.
-        key: PrintKey,
+        /// Key of their fingerprints.
+        key: FingerprintKey,
         /// The calls.
         calls: Vec<CrashedCall>,
         /// Told when the nodes that may run the calls next have heard of it, or could not be reached.
@@ -124,7 +124,7 @@
     /// A call that was a suspect got a whole answer.
     Answered {
         /// Where it stood.
-        marks: Vec<Mark>,
+        refs: Vec<SuspectRef>,
     },
     /// Another node tells of crashes.
     Heard {
@@ -143,7 +143,7 @@
     /// A call that is kept from upstreams is to be put to one for trial.
     Trial {
         /// Where it stands.
-        mark: Mark,
+        suspect_ref: SuspectRef,
         /// Told whether the trial was granted.
         granted: oneshot::Sender<bool>,
     },
@@ -157,10 +157,10 @@
 /// A call under which an upstream has crashed, as it is reported.
 #[derive(Debug, Clone)]
 pub struct CrashedCall {
-    /// Its print under the key of the report.
-    pub print: CallPrint,
+    /// Its fingerprint under the key of the report.
+    pub fingerprint: Fingerprint,
     /// Where it stood before.
-    pub marks: Vec<Mark>,
+    pub refs: Vec<SuspectRef>,
     /// Its route, whose services may get it next; empty where routes have none.
     pub route: Arc<str>,
 }
--- a/valetrack/src/crash/desk.rs
+++ b/valetrack/src/crash/quarantine.rs
@@ -11,9 +11,9 @@
 use tokio::time::timeout;
 
 use super::answered::RecentAnswers;
-use super::book::{CRASHES_MAX, CrashBook, Standing};
-use super::message::{Admission, CrashJob, CrashedCall, Mark, RunningCall};
-use super::print::PrintKey;
+use super::fingerprint::FingerprintKey;
+use super::history::{CRASHES_MAX, CrashHistory, Standing};
+use super::message::{Admission, CrashJob, CrashedCall, RunningCall, SuspectRef};
 use crate::clock::now_us;
 use crate::code::Code;
 use crate::link::message::CallHead;
@@ -29,10 +29,10 @@
 const TRIAL_MS: u64 = 200;
 
 /// One node's view of calls that crash upstreams, on the thread of its calls.
-pub struct CrashDesk {
-    book: watch::Receiver<Arc<CrashBook>>,
-    /// Key of the prints that this node makes where the book has none; none without randomness.
-    key: Option<PrintKey>,
+pub struct Quarantine {
+    history: watch::Receiver<Arc<CrashHistory>>,
+    /// Key of the fingerprints that this node makes where the history has none; none without randomness.
+    key: Option<FingerprintKey>,
     to_crash: Sender<CrashJob>,
     answers: RefCell<RecentAnswers>,
     /// Whether a trial is being counted.
@@ -40,23 +40,27 @@
     metrics: Arc<Metrics>,
 }
 
-impl CrashDesk {
-    /// Makes a desk on the book that the thread of crashes keeps.
-    pub fn new(book: watch::Receiver<Arc<CrashBook>>, to_crash: Sender<CrashJob>, metrics: Arc<Metrics>) -> Rc<Self> {
-        let key = PrintKey::draw();
+impl Quarantine {
+    /// Makes a quarantine on the history that the thread of crashes keeps.
+    pub fn new(
+        history: watch::Receiver<Arc<CrashHistory>>,
+        to_crash: Sender<CrashJob>,
+        metrics: Arc<Metrics>,
+    ) -> Rc<Self> {
+        let key = FingerprintKey::draw();
         if key.is_none() {
             log::error!("event=crash.no_key reason=\"no randomness\"");
         }
-        Rc::new(Self { book, key, to_crash, answers: RefCell::default(), counting: Cell::new(false), metrics })
+        Rc::new(Self { history, key, to_crash, answers: RefCell::default(), counting: Cell::new(false), metrics })
     }
 
     /// Returns what is known of a call, if anything is held against any call.
     fn standing(&self, head: &CallHead, body: &[u8]) -> Option<Standing> {
-        let book = self.book.borrow();
-        if book.suspects() == 0 {
+        let history = self.history.borrow();
+        if !history.has_suspects() {
             return None;
         }
-        Some(book.standing(head, body)).filter(|standing| standing.crashes() > 0)
+        Some(history.standing(head, body)).filter(|standing| standing.crashes() > 0)
     }
 
     /// Returns whether an entry is to refuse a call at once, since no owner would run it.
@@ -82,10 +86,15 @@
             return Admission::Alone;
         }
         let is_due = standing.trial_due_us().is_some_and(|due_us| now_us() >= due_us);
-        if let (true, Some(mark)) = (is_due, standing.marks.first())
-            && self.count_trial(mark).await
+        if let (true, Some(suspect_ref)) = (is_due, standing.refs.first())
+            && self.count_trial(suspect_ref).await
         {
-            log::warn!("event=crash.trial call={} print={} trials={}", head.call_id, mark.print, standing.trials + 1);
+            log::warn!(
+                "event=crash.trial call={} fingerprint={} trials={}",
+                head.call_id,
+                suspect_ref.fingerprint,
+                standing.trials + 1
+            );
             return Admission::Trial;
         }
         self.note_refused(head, &standing, "owner");
@@ -107,12 +116,12 @@
     }
 
     /// Has a trial of a call counted; returns whether it was, which no other node is told.
-    async fn count_trial(&self, mark: &Mark) -> bool {
+    async fn count_trial(&self, suspect_ref: &SuspectRef) -> bool {
         if self.counting.replace(true) {
             return false;
         }
         let (granted, answer) = oneshot::channel();
-        let sent = self.to_crash.send(CrashJob::Trial { mark: mark.clone(), granted }).await;
+        let sent = self.to_crash.send(CrashJob::Trial { suspect_ref: suspect_ref.clone(), granted }).await;
         let answer = timeout(Duration::from_millis(TRIAL_MS), answer).await;
         self.counting.set(false);
         sent.is_ok() && matches!(answer, Ok(Ok(true)))
@@ -120,12 +129,12 @@
 
     fn note_refused(&self, head: &CallHead, standing: &Standing, by: &str) {
         self.metrics.quarantined_calls.with_label_values(&[&*head.service, by]).inc();
-        let print = standing.marks.first().map(|mark| mark.print);
+        let fingerprint = standing.refs.first().map(|suspect_ref| suspect_ref.fingerprint);
         log::warn!(
-            "event=crash.refused call={} code={} print={} crashes={} since_ms={} trials={} from={} by={by}",
+            "event=crash.refused call={} code={} fingerprint={} crashes={} since_ms={} trials={} from={} by={by}",
             head.call_id,
             Code::Quarantined,
-            print.map_or_else(String::new, |print| print.to_string()),
+            fingerprint.map_or_else(String::new, |fingerprint| fingerprint.to_string()),
             standing.crashes(),
             now_us().saturating_sub(standing.since_us) / 1000,
             standing.trials,
@@ -141,7 +150,7 @@
         if let Some(standing) = self.standing(head, body) {
             log::info!("event=crash.cleared call={} crashes={}", head.call_id, standing.crashes());
             // A full ring is no loss: the call's next answer clears it.
-            let _ = self.to_crash.try_send(CrashJob::Answered { marks: standing.marks });
+            let _ = self.to_crash.try_send(CrashJob::Answered { refs: standing.refs });
         }
     }
 
@@ -151,22 +160,26 @@
         let Some(own) = self.key else {
             return;
         };
-        let key = self.book.borrow().key_for_report(own);
+        let key = self.history.borrow().key_for_report(own);
         let mut calls: Vec<CrashedCall> = Vec::new();
         for call in running {
             let RunningCall { head, body } = &**call;
             if self.answers.borrow().holds(own, head, body, now_us()) {
                 continue;
             }
-            let print = key.print(head, body);
-            if calls.iter().all(|known| known.print != print) {
-                let marks = self.standing(head, body).map_or_else(Vec::new, |standing| standing.marks);
-                calls.push(CrashedCall { print, marks, route: head.route.clone() });
+            let fingerprint = key.fingerprint(head, body);
+            if calls.iter().all(|known| known.fingerprint != fingerprint) {
+                let refs = self.standing(head, body).map_or_else(Vec::new, |standing| standing.refs);
+                calls.push(CrashedCall { fingerprint, refs, route: head.route.clone() });
             }
         }
+        self.metrics.crash_reports.inc();
+        if calls.is_empty() {
+            return;
+        }
         for call in &calls {
-            let crashes = call.marks.len() + 1;
-            log::warn!("event=crash.suspect print={} crashes={crashes} limit={CRASHES_MAX}", call.print);
+            let crashes = call.refs.len() + 1;
+            log::warn!("event=crash.suspect fingerprint={} crashes={crashes} limit={CRASHES_MAX}", call.fingerprint);
         }
         let (told, heard) = oneshot::channel();
         if self.to_crash.send(CrashJob::Crashed { key, calls, told }).await.is_ok() {
--- a/valetrack/src/crash/run.rs
+++ b/valetrack/src/crash/run.rs
@@ -1,4 +1,4 @@
-//! The thread of crashes: keeps the book, spreads what is new, and has it last in the store.
+//! The thread of crashes: keeps the history, spreads what is new, and has it last in the store.
 
 mod keep;
 
@@ -15,9 +15,9 @@
 use tokio::time::sleep;
 
 use super::archive::CrashArchive;
-use super::book::CrashBook;
-use super::message::{CrashId, CrashJob, CrashReport, CrashedCall, SUSPECTS_MAX, Suspect};
-use super::print::PrintKey;
+use super::fingerprint::FingerprintKey;
+use super::history::CrashHistory;
+use super::message::{CrashId, CrashJob, CrashReport, CrashedCall, SUSPECTS_MAX, Suspect, SuspectRef};
 use crate::bundle::InForce;
 use crate::clock::now_us;
 use crate::jobs::next_job;
@@ -50,8 +50,8 @@
     pub jobs: Receiver<CrashJob>,
     /// Ring to the link thread.
     pub to_link: async_channel::Sender<LinkJob>,
-    /// Where the book is published.
-    pub book: watch::Sender<Arc<CrashBook>>,
+    /// Where the history is published.
+    pub history: watch::Sender<Arc<CrashHistory>>,
     /// Where crashes last.
     pub archive: Arc<dyn CrashArchive>,
     /// Whether the store is followed elsewhere, which tells what it holds; it is read at the start otherwise.
@@ -68,15 +68,26 @@
     pub seed: u64,
 }
 
+/// How soon a node writes what the store lacks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Urgency {
+    /// Unless the node that has seen it does: it has heard of it only.
+    StandIn,
+    /// Together with what comes within a moment: calls that were cleared.
+    Soon,
+    /// At once: its upstream has crashed.
+    Now,
+}
+
 struct Shell {
     parts: CrashParts,
-    book: RefCell<CrashBook>,
+    history: RefCell<CrashHistory>,
     own: Arc<str>,
     store: Arc<str>,
     /// What the store is known to hold, by service.
     stored: RefCell<HashMap<Arc<str>, Vec<CrashReport>>>,
-    /// Whether this node is the one to write first, since it has seen what is not stored yet.
-    writes_first: Cell<bool>,
+    /// How soon this node is to write what is not stored yet.
+    urgency: Cell<Urgency>,
     archive_due: Notify,
     rng: RefCell<fastrand::Rng>,
 }
@@ -84,11 +95,11 @@
 /// Serves until told to close; must run on a local task set.
 pub async fn run(parts: CrashParts) {
     let shell = Rc::new(Shell {
-        book: RefCell::default(),
+        history: RefCell::default(),
         own: Arc::from(OWN),
         store: Arc::from(STORE),
         stored: RefCell::default(),
-        writes_first: Cell::new(false),
+        urgency: Cell::new(Urgency::StandIn),
         archive_due: Notify::new(),
         rng: RefCell::new(fastrand::Rng::with_seed(parts.seed)),
         parts,
@@ -110,16 +121,12 @@
     fn take(self: Rc<Self>, job: CrashJob) {
         match job {
             CrashJob::Crashed { key, calls, told } => self.crashed(key, &calls, told),
-            CrashJob::Answered { marks } => {
-                let changed = self.book.borrow_mut().clear(&marks);
-                // Nobody waits for it.
-                drop(self.spread_change(changed, &[]));
-            }
+            CrashJob::Answered { refs } => self.answered(&refs),
             CrashJob::Heard { from, reports } => self.heard(&reports, &from),
             CrashJob::Stored { service, value } => self.take_stored(&service, &value),
-            CrashJob::Trial { mark, granted } => {
+            CrashJob::Trial { suspect_ref, granted } => {
                 tokio::task::spawn_local(async move {
-                    let counted = self.count_trial(&mark).await;
+                    let counted = self.count_trial(&suspect_ref).await;
                     // Whoever asked lives as long as this thread.
                     let _ = granted.send(counted);
                 });
@@ -129,17 +136,17 @@
     }
 
     /// Takes a crash of the own upstream, and tells others.
-    fn crashed(self: Rc<Self>, key: PrintKey, calls: &[CrashedCall], told: oneshot::Sender<()>) {
-        self.parts.metrics.crash_reports.inc();
+    fn crashed(self: Rc<Self>, key: FingerprintKey, calls: &[CrashedCall], told: oneshot::Sender<()>) {
         let id = CrashId { hlc: events::stamp(), vm: self.parts.vm.clone() };
         let suspects = calls.iter().take(SUSPECTS_MAX);
-        let suspects = suspects.map(|call| Suspect { print: call.print, cleared: false, trials: 0 }).collect();
+        let suspects =
+            suspects.map(|call| Suspect { fingerprint: call.fingerprint, cleared: false, trials: 0 }).collect();
         let report = CrashReport { id: id.clone(), service: self.parts.service.clone(), key, suspects };
         let changed = {
-            let mut book = self.book.borrow_mut();
-            book.join(std::slice::from_ref(&report), &self.own, now_us());
-            let beside = book.beside_cause(&id, calls);
-            let mut changed = book.clear(&beside);
+            let mut history = self.history.borrow_mut();
+            history.join(std::slice::from_ref(&report), &self.own, now_us());
+            let beside = history.beside_cause(&id, calls);
+            let mut changed = history.clear(&beside);
             if changed.iter().all(|changed| changed.id != id) {
                 changed.push(report);
             }
@@ -157,8 +164,30 @@
         });
     }
 
+    /// Clears a call that was answered. Others hear of it from the store: until then it runs beside no other
+    /// suspect there, which costs it little.
+    fn answered(self: &Rc<Self>, refs: &[SuspectRef]) {
+        let changed = self.history.borrow_mut().clear(refs);
+        if changed.is_empty() {
+            return;
+        }
+        if !self.parts.store_is_followed {
+            // Nobody waits for it.
+            drop(self.spread_change(changed, &[]));
+            return;
+        }
+        self.publish();
+        self.write_within(Urgency::Soon);
+    }
+
+    /// Has what is known written to the store, sooner than others of this service do.
+    fn write_within(&self, urgency: Urgency) {
+        self.urgency.set(self.urgency.get().max(urgency));
+        self.archive_due.notify_one();
+    }
+
     fn heard(self: &Rc<Self>, reports: &[CrashReport], from: &Arc<str>) {
-        if self.book.borrow_mut().join(reports, from, now_us()) {
+        if self.history.borrow_mut().join(reports, from, now_us()) {
             log::info!("event=crash.heard from={from} reports={}", reports.len());
             self.publish();
             self.archive_due.notify_one();
@@ -166,9 +195,9 @@
     }
 
     fn publish(&self) {
-        let book = self.book.borrow().clone();
-        self.parts.metrics.crash_suspects.set(book.suspects() as i64);
-        self.parts.book.send_replace(Arc::new(book));
+        let history = self.history.borrow().clone();
+        self.parts.metrics.crash_suspects.set(history.suspects() as i64);
+        self.parts.history.send_replace(Arc::new(history));
     }
 
     /// Publishes reports that this node has changed, and tells the owners that may run the calls of `routes`
@@ -178,8 +207,7 @@
             return Vec::new();
         }
         self.publish();
-        self.writes_first.set(true);
-        self.archive_due.notify_one();
+        self.write_within(Urgency::Now);
         let services = self.services_of(&changed, routes);
         let changed = Rc::new(changed);
         let tell = |target| {
@@ -212,7 +240,7 @@
     }
 
     fn tell_all(self: Rc<Self>, target: Target) {
-        let reports: Vec<CrashReport> = self.book.borrow().reports().cloned().collect();
+        let reports: Vec<CrashReport> = self.history.borrow().reports().cloned().collect();
         if !reports.is_empty() {
             tokio::task::spawn_local(self.tell(target, Rc::new(reports), None));
         }
--- a/valetrack/src/crash/run/keep.rs
+++ b/valetrack/src/crash/run/keep.rs
@@ -7,11 +7,11 @@
 
 use tokio::time::{sleep, timeout};
 
-use super::Shell;
+use super::{Shell, Urgency};
 use crate::clock::now_us;
 use crate::code::Code;
 use crate::crash::archive::{self, crash_key};
-use crate::crash::message::{CrashReport, Mark};
+use crate::crash::message::{CrashReport, SuspectRef};
 use crate::store::StoreError;
 
 /// Pause before a store that failed is tried again, in milliseconds.
@@ -19,6 +19,9 @@
 /// Time that the node which saw a crash has to write it before others of its service do, in milliseconds:
 /// it may be gone, or turned away by the store.
 const STAND_IN_MS: std::ops::RangeInclusive<u64> = 3_000..=6_000;
+/// Time for which calls that were cleared are gathered, in milliseconds: the calls that ran beside a cause are
+/// answered within a moment of each other, and each write is paid for.
+const GATHER_MS: u64 = 1_000;
 /// Tries of one compare-and-swap: owners of one service write at the same moment when crashes come in a row.
 const SWAPS_MAX: u32 = 4;
 
@@ -31,26 +34,42 @@
                 self.archive_due.notified().await;
                 continue;
             }
-            if !self.writes_first.replace(false) {
-                let pause_ms = self.rng.borrow_mut().u64(STAND_IN_MS);
-                // Woken by news of its own, this node is to write at once.
-                let _ = timeout(Duration::from_millis(pause_ms), self.archive_due.notified()).await;
-                if !self.lacks(&service) {
-                    continue;
-                }
+            self.let_others_write().await;
+            self.urgency.set(Urgency::StandIn);
+            if !self.lacks(&service) {
+                continue;
             }
             if let Err(error) = self.save(&service).await {
                 log::warn!("event=crash.unsaved service={service} code={} reason=\"{error}\"", error.code());
-                self.writes_first.set(true);
+                self.urgency.set(Urgency::Now);
                 let pause_ms = self.rng.borrow_mut().u64(RETRY_MS);
                 sleep(Duration::from_millis(pause_ms)).await;
             }
         }
     }
 
+    /// Waits as long as what is to be written has time.
+    async fn let_others_write(&self) {
+        let since_us = now_us();
+        let stand_in_ms = self.rng.borrow_mut().u64(STAND_IN_MS);
+        loop {
+            let pause_ms = match self.urgency.get() {
+                Urgency::StandIn => stand_in_ms,
+                Urgency::Soon => GATHER_MS,
+                Urgency::Now => return,
+            };
+            let until_us = since_us + pause_ms * 1000;
+            let left_us = until_us.saturating_sub(now_us());
+            // Woken by news that are more urgent, it is looked at again.
+            if left_us == 0 || timeout(Duration::from_micros(left_us), self.archive_due.notified()).await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Returns whether the store is not known to hold what is known of a service.
     fn lacks(&self, service: &Arc<str>) -> bool {
-        let archive = self.book.borrow().archive(service);
+        let archive = self.history.borrow().archive(service);
         let stored = self.stored.borrow();
         stored.get(service).map_or(!archive.is_empty(), |stored| *stored != archive)
     }
@@ -78,7 +97,7 @@
 
     /// Writes what is known of a service over what stood there at `revision`; returns whether that still stood.
     async fn write(&self, service: &Arc<str>, revision: u64) -> Result<bool, StoreError> {
-        let reports = self.book.borrow().archive(service);
+        let reports = self.history.borrow().archive(service);
         let value = archive::pack(&reports).map_err(|reason| StoreError::Invalid { reason })?;
         self.parts.metrics.store_calls.with_label_values(&["crash-write"]).inc();
         let written = self.parts.archive.write(&crash_key(service), revision, value).await?;
@@ -100,7 +119,7 @@
                 Vec::new()
             }
         };
-        if self.book.borrow_mut().join(&reports, &self.store, now_us()) {
+        if self.history.borrow_mut().join(&reports, &self.store, now_us()) {
             log::info!("event=crash.heard from={} service={service} reports={}", self.store, reports.len());
             self.publish();
         }
@@ -119,37 +138,41 @@
     }
 
     /// Counts a trial of a call in the store; returns whether it was counted, which one node alone is told.
-    pub(super) async fn count_trial(self: &Rc<Self>, mark: &Mark) -> bool {
-        match self.try_count_trial(mark).await {
+    pub(super) async fn count_trial(self: &Rc<Self>, suspect_ref: &SuspectRef) -> bool {
+        match self.try_count_trial(suspect_ref).await {
             Ok(counted) => counted,
             Err(error) => {
-                log::warn!("event=crash.trial_uncounted print={} code={} reason=\"{error}\"", mark.print, error.code());
+                log::warn!(
+                    "event=crash.trial_uncounted fingerprint={} code={} reason=\"{error}\"",
+                    suspect_ref.fingerprint,
+                    error.code()
+                );
                 false
             }
         }
     }
 
-    async fn try_count_trial(self: &Rc<Self>, mark: &Mark) -> Result<bool, StoreError> {
-        let service = self.book.borrow().report(&mark.crash).map(|report| report.service.clone());
+    async fn try_count_trial(self: &Rc<Self>, suspect_ref: &SuspectRef) -> Result<bool, StoreError> {
+        let service = self.history.borrow().report(&suspect_ref.crash).map(|report| report.service.clone());
         let Some(service) = service else {
             return Ok(false);
         };
-        let before = self.trials_of(mark);
+        let before = self.trials_of(suspect_ref);
         let revision = self.read(&service).await?;
-        if self.trials_of(mark) != before {
+        if self.trials_of(suspect_ref) != before {
             // Another node has just begun one.
             return Ok(false);
         }
-        let changed: Vec<CrashReport> = self.book.borrow_mut().count_trial(mark, now_us());
+        let changed: Vec<CrashReport> = self.history.borrow_mut().count_trial(suspect_ref, now_us());
         let written = self.write(&service, revision).await?;
         // Whether it was written or not, it counts from now on: one trial less is the lesser evil.
         drop(self.spread_change(changed, &[]));
         Ok(written)
     }
 
-    fn trials_of(&self, mark: &Mark) -> Option<u8> {
-        let book = self.book.borrow();
-        let suspects = &book.report(&mark.crash)?.suspects;
-        suspects.iter().find(|suspect| suspect.print == mark.print).map(|suspect| suspect.trials)
+    fn trials_of(&self, suspect_ref: &SuspectRef) -> Option<u8> {
+        let history = self.history.borrow();
+        let suspects = &history.report(&suspect_ref.crash)?.suspects;
+        suspects.iter().find(|suspect| suspect.fingerprint == suspect_ref.fingerprint).map(|suspect| suspect.trials)
     }
 }
--- a/valetrack/src/crash/tests.rs
+++ b/valetrack/src/crash/tests.rs
@@ -1,8 +1,8 @@
-//! Tests of crashes: prints, how a crash is told, what is held against whom, and for how long.
+//! Tests of crashes: fingerprints, how a crash is told, what is held against whom, and for how long.
 
-mod book;
 mod detect;
-mod print;
+mod fingerprint;
+mod history;
 mod world;
 
 use std::sync::Arc;
@@ -11,8 +11,8 @@
 use crate::gate::{AttemptId, Patience};
 use crate::link::message::CallHead;
 
-/// Key of prints that is no secret.
-const KEY: PrintKey = PrintKey::of_parts(7, 11);
+/// Key of fingerprints that is no secret.
+const KEY: FingerprintKey = FingerprintKey::of_parts(7, 11);
 
 /// Makes the head of a call with this path and length of its body.
 fn head(path: &str, body: &[u8]) -> CallHead {
@@ -43,7 +43,8 @@
 
 /// Makes a report of a crash under calls with these paths.
 fn report(hlc: u64, vm: &str, paths: &[&str]) -> CrashReport {
-    let suspect = |path: &&str| Suspect { print: KEY.print(&head(path, b""), b""), cleared: false, trials: 0 };
+    let suspect =
+        |path: &&str| Suspect { fingerprint: KEY.fingerprint(&head(path, b""), b""), cleared: false, trials: 0 };
     CrashReport {
         id: CrashId { hlc, vm: Arc::from(vm) },
         service: Arc::from("rounds"),
@@ -52,14 +53,14 @@
     }
 }
 
-/// Makes a book of reports that all came at one moment.
-fn book_of(reports: &[CrashReport]) -> CrashBook {
-    let mut book = CrashBook::default();
-    book.join(reports, &Arc::from("peer"), 1);
-    book
+/// Makes a history of reports that all came at one moment.
+fn history_of(reports: &[CrashReport]) -> CrashHistory {
+    let mut history = CrashHistory::default();
+    history.join(reports, &Arc::from("peer"), 1);
+    history
 }
 
 /// Returns how many crashes stand against the call with this path.
-fn crashes(book: &CrashBook, path: &str) -> usize {
-    book.standing(&head(path, b""), b"").crashes()
+fn crashes(history: &CrashHistory, path: &str) -> usize {
+    history.standing(&head(path, b""), b"").crashes()
 }
--- a/valetrack/src/crash/tests/print.rs
+++ b/valetrack/src/crash/tests/fingerprint.rs
@@ -1,4 +1,4 @@
-//! Prints tell requests apart by what they are, and not by the names of their attempts.
+//! Fingerprints tell requests apart by what they are, and not by the names of their attempts.
 
 use test_case::test_case;
 
@@ -17,7 +17,7 @@
         hlc: 77,
         ..first.clone()
     };
-    assert_eq!(KEY.print(&first, b"body"), KEY.print(&again, b"body"));
+    assert_eq!(KEY.fingerprint(&first, b"body"), KEY.fingerprint(&again, b"body"));
 }
 
 #[test_case(|head| head.path = "/sheet/2".into(); "path")]
@@ -29,16 +29,16 @@
     let first = head("/sheet/1", b"body");
     let mut other = first.clone();
     change(&mut other);
-    assert_ne!(KEY.head_print(&first), KEY.head_print(&other));
+    assert_ne!(KEY.head_fingerprint(&first), KEY.head_fingerprint(&other));
 }
 
 #[test]
 fn another_body_or_key_gives_another_print() {
     let first = head("/sheet/1", b"body");
-    assert_eq!(KEY.print(&first, b"body").head, KEY.print(&first, b"bodz").head);
-    assert_ne!(KEY.print(&first, b"body"), KEY.print(&first, b"bodz"));
-    assert_ne!(KEY.print(&first, b"body"), PrintKey::of_parts(7, 12).print(&first, b"body"));
-    assert_ne!(PrintKey::draw(), PrintKey::draw());
+    assert_eq!(KEY.fingerprint(&first, b"body").head, KEY.fingerprint(&first, b"bodz").head);
+    assert_ne!(KEY.fingerprint(&first, b"body"), KEY.fingerprint(&first, b"bodz"));
+    assert_ne!(KEY.fingerprint(&first, b"body"), FingerprintKey::of_parts(7, 12).fingerprint(&first, b"body"));
+    assert_ne!(FingerprintKey::draw(), FingerprintKey::draw());
 }
 
 #[test]
@@ -47,7 +47,7 @@
     first.method = "GETX".into();
     let mut other = head("X/a", b"");
     other.method = "GET".into();
-    assert_ne!(KEY.head_print(&first), KEY.head_print(&other));
+    assert_ne!(KEY.head_fingerprint(&first), KEY.head_fingerprint(&other));
 }
 
 #[test]
--- a/valetrack/src/crash/tests/book.rs
+++ b/valetrack/src/crash/tests/history.rs
@@ -10,25 +10,25 @@
 
 #[test]
 fn a_call_is_refused_after_three_crashes_and_not_before() {
-    let mut book = CrashBook::default();
+    let mut history = CrashHistory::default();
     let from = Arc::from("vm-1");
     for (hlc, vm) in [(1, "vm-1"), (2, "vm-2")] {
-        book.join(&[report(hlc, vm, &["/a", "/b"])], &from, hlc);
-        assert!(!book.standing(&head("/a", b""), b"").is_refused());
+        history.join(&[report(hlc, vm, &["/a", "/b"])], &from, hlc);
+        assert!(!history.standing(&head("/a", b""), b"").is_refused());
     }
-    book.join(&[report(3, "vm-3", &["/a"])], &from, 3);
-    let standing = book.standing(&head("/a", b""), b"");
+    history.join(&[report(3, "vm-3", &["/a"])], &from, 3);
+    let standing = history.standing(&head("/a", b""), b"");
     assert!(standing.is_refused());
     assert_eq!((standing.crashes(), standing.since_us, standing.latest_us), (3, 1, 3));
-    assert_eq!(crashes(&book, "/b"), 2);
-    assert_eq!(crashes(&book, "/never"), 0);
+    assert_eq!(crashes(&history, "/b"), 2);
+    assert_eq!(crashes(&history, "/never"), 0);
 }
 
 #[test]
 fn two_nodes_that_see_the_second_and_third_crash_at_once_know_three_together() {
     let first = report(1, "vm-1", &["/a"]);
-    let mut left = book_of(&[first.clone(), report(2, "vm-2", &["/a"])]);
-    let mut right = book_of(&[first, report(2, "vm-3", &["/a"])]);
+    let mut left = history_of(&[first.clone(), report(2, "vm-2", &["/a"])]);
+    let mut right = history_of(&[first, report(2, "vm-3", &["/a"])]);
     let told: Vec<CrashReport> = left.reports().cloned().collect();
     left.join(&right.reports().cloned().collect::<Vec<_>>(), &Arc::from("vm-3"), 2);
     right.join(&told, &Arc::from("vm-2"), 2);
@@ -37,89 +37,90 @@
 
 #[test]
 fn reports_with_different_keys_are_held_against_the_same_call() {
-    let other = PrintKey::of_parts(1, 2);
+    let other = FingerprintKey::of_parts(1, 2);
     let mut second = report(2, "vm-2", &["/a"]);
     second.key = other;
-    second.suspects[0].print = other.print(&head("/a", b""), b"");
-    let book = book_of(&[report(1, "vm-1", &["/a"]), second]);
-    assert_eq!(crashes(&book, "/a"), 2);
-    assert_eq!(book.key_for_report(other), KEY, "the next report is made with the earliest key");
+    second.suspects[0].fingerprint = other.fingerprint(&head("/a", b""), b"");
+    let history = history_of(&[report(1, "vm-1", &["/a"]), second]);
+    assert_eq!(crashes(&history, "/a"), 2);
+    assert_eq!(history.key_for_report(other), KEY, "the next report is made with the earliest key");
 }
 
 #[test]
 fn an_answer_clears_a_call_and_late_copies_do_not_bring_it_back() {
     let reports = [report(1, "vm-1", &["/a", "/b"]), report(2, "vm-2", &["/a"])];
-    let mut book = book_of(&reports);
-    let standing = book.standing(&head("/a", b""), b"");
-    assert_eq!(book.clear(&standing.marks).len(), 2);
-    book.join(&reports, &Arc::from("late"), 9);
-    assert_eq!((crashes(&book, "/a"), crashes(&book, "/b")), (0, 1));
-    book.join(&[report(3, "vm-3", &["/a"])], &Arc::from("vm-3"), 10);
-    assert_eq!(crashes(&book, "/a"), 1, "later crashes count from one");
+    let mut history = history_of(&reports);
+    let standing = history.standing(&head("/a", b""), b"");
+    assert_eq!(history.clear(&standing.refs).len(), 2);
+    history.join(&reports, &Arc::from("late"), 9);
+    assert_eq!((crashes(&history, "/a"), crashes(&history, "/b")), (0, 1));
+    history.join(&[report(3, "vm-3", &["/a"])], &Arc::from("vm-3"), 10);
+    assert_eq!(crashes(&history, "/a"), 1, "later crashes count from one");
 }
 
 #[test]
 fn whatever_ran_beside_the_cause_is_cleared_once_it_is_known() {
     let crashed = report(3, "vm-3", &["/a", "/c"]);
-    let mut book = book_of(&[report(1, "vm-1", &["/a", "/b"]), report(2, "vm-2", &["/a", "/c"]), crashed.clone()]);
+    let mut history =
+        history_of(&[report(1, "vm-1", &["/a", "/b"]), report(2, "vm-2", &["/a", "/c"]), crashed.clone()]);
     let call = |path: &str, known: usize| {
-        let marks = book.standing(&head(path, b""), b"").marks.into_iter().take(known).collect();
-        CrashedCall { print: KEY.print(&head(path, b""), b""), marks, route: Arc::from("") }
+        let refs = history.standing(&head(path, b""), b"").refs.into_iter().take(known).collect();
+        CrashedCall { fingerprint: KEY.fingerprint(&head(path, b""), b""), refs, route: Arc::from("") }
     };
     let calls = [call("/a", 2), call("/c", 1)];
-    let beside = book.beside_cause(&crashed.id, &calls);
-    book.clear(&beside);
-    assert_eq!(["/a", "/b", "/c"].map(|path| crashes(&book, path)), [3, 0, 0]);
+    let beside = history.beside_cause(&crashed.id, &calls);
+    history.clear(&beside);
+    assert_eq!(["/a", "/b", "/c"].map(|path| crashes(&history, path)), [3, 0, 0]);
 }
 
 #[test]
 fn a_refused_call_is_tried_twice_in_all_with_growing_pauses() {
-    let mut book = book_of(&[1, 2, 3].map(|hlc| report(hlc, "vm-1", &["/a"])));
-    let standing = |book: &CrashBook| book.standing(&head("/a", b""), b"");
+    let mut history = history_of(&[1, 2, 3].map(|hlc| report(hlc, "vm-1", &["/a"])));
+    let standing = |history: &CrashHistory| history.standing(&head("/a", b""), b"");
     let mut due = Vec::new();
     for _ in 0..3 {
-        let now = standing(&book);
+        let now = standing(&history);
         due.push(now.trial_due_us().map(|due_us| due_us - now.latest_us));
-        let mark = now.marks.first().expect("a mark").clone();
-        book.count_trial(&mark, now.latest_us + 5);
+        let suspect_ref = now.refs.first().expect("a suspect_ref").clone();
+        history.count_trial(&suspect_ref, now.latest_us + 5);
     }
     assert_eq!(due, [Some(TRIAL_PAUSES_US[0]), Some(TRIAL_PAUSES_US[1]), None]);
-    assert!(standing(&book).is_refused());
+    assert!(standing(&history).is_refused());
 }
 
 #[test]
 fn a_flood_of_requests_that_crash_stays_within_its_bounds() {
-    let mut book = CrashBook::default();
+    let mut history = CrashHistory::default();
     let names: Vec<String> = (0..SUSPECTS_MAX).map(|number| format!("/flood/{number}")).collect();
     let paths: Vec<&str> = names.iter().map(String::as_str).collect();
-    for hlc in 0..3 * BOOK_MAX as u64 {
-        book.join(&[report(hlc, "vm-1", &paths[..1 + hlc as usize % 4])], &Arc::from("vm-1"), hlc);
+    for hlc in 0..3 * HISTORY_MAX as u64 {
+        history.join(&[report(hlc, "vm-1", &paths[..1 + hlc as usize % 4])], &Arc::from("vm-1"), hlc);
     }
     let full = report(u64::MAX, "vm-1", &paths);
-    book.join(std::slice::from_ref(&full), &Arc::from("vm-1"), 1);
-    let archive = pack(&book.archive("rounds")).expect("a value");
+    history.join(std::slice::from_ref(&full), &Arc::from("vm-1"), 1);
+    let archive = pack(&history.archive("rounds")).expect("a value");
     let one = postcard::to_allocvec(&full).expect("a report");
-    assert_eq!((book.len(), book.archive("rounds").len()), (BOOK_MAX, ARCHIVE_MAX));
+    assert_eq!((history.len(), history.archive("rounds").len()), (HISTORY_MAX, ARCHIVE_MAX));
     assert!(archive.len() < 150_000, "{} bytes of a value that may have a megabyte", archive.len());
     assert!(one.len() < 1_500, "{} bytes in a message", one.len());
 }
 
 #[test]
 fn crashes_that_are_over_are_forgotten_first() {
-    let mut book = book_of(&[report(1, "vm-1", &["/a"])]);
-    for hlc in 2..=BOOK_MAX as u64 + 50 {
+    let mut history = history_of(&[report(1, "vm-1", &["/a"])]);
+    for hlc in 2..=HISTORY_MAX as u64 + 50 {
         let mut over = report(hlc, "vm-1", &["/b"]);
         over.suspects[0].cleared = true;
-        book.join(&[over], &Arc::from("vm-1"), hlc);
+        history.join(&[over], &Arc::from("vm-1"), hlc);
     }
-    assert_eq!((book.len(), crashes(&book, "/a")), (BOOK_MAX, 1));
+    assert_eq!((history.len(), crashes(&history, "/a")), (HISTORY_MAX, 1));
 }
 
 #[test]
 fn a_value_comes_back_from_the_store_and_other_bytes_are_refused() {
     let reports = vec![report(1, "vm-1", &["/a"]), report(2, "vm-2", &["/a", "/b"])];
     let value = pack(&reports).expect("a value");
-    insta::assert_snapshot!(String::from_utf8_lossy(&value), @r#"[{"id":{"hlc":1,"vm":"vm-1"},"service":"rounds","key":[7,11],"suspects":[{"print":{"head":12706727583109256180,"body":13328902028454844214},"cleared":false,"trials":0}]},{"id":{"hlc":2,"vm":"vm-2"},"service":"rounds","key":[7,11],"suspects":[{"print":{"head":12706727583109256180,"body":13328902028454844214},"cleared":false,"trials":0},{"print":{"head":6312841326248513970,"body":13328902028454844214},"cleared":false,"trials":0}]}]"#);
+    insta::assert_snapshot!(String::from_utf8_lossy(&value), @r#"[{"id":{"hlc":1,"vm":"vm-1"},"service":"rounds","key":[7,11],"suspects":[{"fingerprint":{"head":12706727583109256180,"body":13328902028454844214},"cleared":false,"trials":0}]},{"id":{"hlc":2,"vm":"vm-2"},"service":"rounds","key":[7,11],"suspects":[{"fingerprint":{"head":12706727583109256180,"body":13328902028454844214},"cleared":false,"trials":0},{"fingerprint":{"head":6312841326248513970,"body":13328902028454844214},"cleared":false,"trials":0}]}]"#);
     assert_eq!(unpack(&value), Ok(reports));
     for bad in ["", "{}", "[1]", "[{\"id\":{}}]", "\u{1}"] {
         assert!(unpack(bad.as_bytes()).is_err(), "{bad}");
@@ -153,7 +154,7 @@
         let mut shuffled = reports.clone();
         shuffled.extend(reports.iter().cloned());
         fastrand::Rng::with_seed(order).shuffle(&mut shuffled);
-        let (one, other) = (book_of(&reports), book_of(&shuffled));
+        let (one, other) = (history_of(&reports), history_of(&shuffled));
         prop_assert!(one.reports().eq(other.reports()));
         for path in PATHS {
             prop_assert_eq!(crashes(&one, path), crashes(&other, path));
@@ -165,11 +166,11 @@
         reports in prop::collection::vec(some_report(), 1..12),
         late in prop::collection::vec(some_report(), 0..12),
     ) {
-        let mut book = book_of(&reports);
-        let marks = book.standing(&head("/a", b""), b"").marks;
-        book.clear(&marks);
-        book.join(&late, &Arc::from("late"), 5);
-        let again = book.standing(&head("/a", b""), b"").marks;
-        prop_assert!(again.iter().all(|mark| !marks.contains(mark)));
+        let mut history = history_of(&reports);
+        let refs = history.standing(&head("/a", b""), b"").refs;
+        history.clear(&refs);
+        history.join(&late, &Arc::from("late"), 5);
+        let again = history.standing(&head("/a", b""), b"").refs;
+        prop_assert!(again.iter().all(|suspect_ref| !refs.contains(suspect_ref)));
     }
 }
--- a/valetrack/src/crash/tests/world.rs
+++ b/valetrack/src/crash/tests/world.rs
@@ -57,7 +57,7 @@
     runs: Vec<Run>,
     up_at_ms: u64,
     answers: RecentAnswers,
-    book: CrashBook,
+    history: CrashHistory,
 }
 
 /// What came of a play.
@@ -146,7 +146,7 @@
         self.news = later;
         let reports: Vec<CrashReport> = due.into_iter().map(|(_, report)| report).collect();
         for upstream in self.upstreams.iter_mut().filter(|_| !reports.is_empty()) {
-            upstream.book.join(&reports, &Arc::from("peer"), now_ms * 1000);
+            upstream.history.join(&reports, &Arc::from("peer"), now_ms * 1000);
         }
     }
 
@@ -174,8 +174,8 @@
             let (head, body) = (self.head(&run.path), self.scenario.body);
             let upstream = &mut self.upstreams[at];
             upstream.answers.answered(KEY, &head, body, now_ms * 1000 + 1);
-            let marks = upstream.book.standing(&head, body).marks;
-            let cleared = upstream.book.clear(&marks);
+            let refs = upstream.history.standing(&head, body).refs;
+            let cleared = upstream.history.clear(&refs);
             self.tell(cleared, now_ms);
         }
     }
@@ -201,19 +201,20 @@
         let mut calls: Vec<CrashedCall> = Vec::new();
         for run in &runs {
             let (head, body) = (self.head(&run.path), self.scenario.body);
-            let print = KEY.print(&head, body);
+            let fingerprint = KEY.fingerprint(&head, body);
             let upstream = &self.upstreams[at];
             let answered = upstream.answers.holds(KEY, &head, body, now_ms * 1000);
-            if !answered && calls.iter().all(|call| call.print != print) {
-                let marks = upstream.book.standing(&head, body).marks;
-                calls.push(CrashedCall { print, marks, route: Arc::from("") });
+            if !answered && calls.iter().all(|call| call.fingerprint != fingerprint) {
+                let refs = upstream.history.standing(&head, body).refs;
+                calls.push(CrashedCall { fingerprint, refs, route: Arc::from("") });
             }
         }
-        let suspects = calls.iter().map(|call| Suspect { print: call.print, cleared: false, trials: 0 }).collect();
+        let suspects =
+            calls.iter().map(|call| Suspect { fingerprint: call.fingerprint, cleared: false, trials: 0 }).collect();
         let report = CrashReport { id: id.clone(), service: Arc::from("rounds"), key: KEY, suspects };
         let upstream = &mut self.upstreams[at];
-        upstream.book.join(std::slice::from_ref(&report), &Arc::from("own"), now_ms * 1000);
-        let mut changed = upstream.book.clear(&upstream.book.beside_cause(&id, &calls));
+        upstream.history.join(std::slice::from_ref(&report), &Arc::from("own"), now_ms * 1000);
+        let mut changed = upstream.history.clear(&upstream.history.beside_cause(&id, &calls));
         if changed.iter().all(|changed| changed.id != id) {
             changed.push(report);
         }
@@ -231,7 +232,7 @@
         let Some(at) = self.rng.choice(&up).copied() else {
             return;
         };
-        let standing = self.upstreams[at].book.standing(&call, self.scenario.body);
+        let standing = self.upstreams[at].history.standing(&call, self.scenario.body);
         if standing.is_refused() {
             if path.starts_with("/usual") && self.refused.insert(path) {
                 self.outcome.false_refusals += 1;
--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -28,7 +28,7 @@
 use super::upstream::{UpstreamPhase, UpstreamState};
 use crate::clock::{SuspensionWatch, steady_us, suspended_us};
 use crate::code::Code;
-use crate::crash::{Admission, CrashDesk, CrashDetector, RunningCall};
+use crate::crash::{Admission, CrashDetector, Quarantine, RunningCall};
 use crate::link::message::{AnswerHead, CallHead};
 use crate::metric::Metrics;
 use crate::placement::Outcome;
@@ -87,7 +87,7 @@
     /// The entry beside this gate.
     ledger: Rc<dyn RunLedger>,
     /// What this node knows of calls that crash upstreams.
-    crashes: Rc<CrashDesk>,
+    crashes: Rc<Quarantine>,
     /// How exchanges with the upstream end, judged for a crash.
     exchanges: RefCell<CrashDetector<Rc<RunningCall>>>,
     /// Calls whose exchange has broken and that wait to hear whether the upstream has crashed.
@@ -116,7 +116,7 @@
     /// The entry beside this gate.
     pub ledger: Rc<dyn RunLedger>,
     /// What this node knows of calls that crash upstreams.
-    pub crashes: Rc<CrashDesk>,
+    pub crashes: Rc<Quarantine>,
     /// Metrics.
     pub metrics: Arc<Metrics>,
 }
--- a/valetrack/src/gate/run/crash.rs
+++ b/valetrack/src/gate/run/crash.rs
@@ -13,8 +13,11 @@
 use crate::gate::upstream::UpstreamPhase;
 
 /// Time after the first broken connection for the others to break, in milliseconds: a process that ends
-/// closes them all at once, and a VM that is short of processor time reads that some milliseconds later.
+/// closes them all at once, and this node reads that a moment later.
 const SETTLE_MS: u64 = 5;
+/// How often that time is waited for while the upstream is down and some have not broken: a VM that has used up
+/// its share of a core stands still for some tens of milliseconds.
+const SETTLES_MAX: u32 = 20;
 
 /// An exchange in progress; unless its end is told, it was left when this is dropped.
 pub(super) struct Exchange {
@@ -65,15 +68,7 @@
 
     /// Finds out whether the upstream has crashed, and reports it.
     async fn try_upstream(self: Rc<Self>) {
-        sleep(Duration::from_millis(SETTLE_MS)).await;
-        let health_path = self.health_path.borrow().clone();
-        let suspects = match self.pool.down(health_path.as_deref()).await {
-            Some(down) => self.exchanges.borrow_mut().crashed(down, steady_us()),
-            None => {
-                self.exchanges.borrow_mut().stands();
-                Vec::new()
-            }
-        };
+        let suspects = self.suspects().await;
         // One that leaves ends as it was told to.
         let planned = self.draining.get() || self.upstream.borrow().phase != UpstreamPhase::Ready;
         let crashed = !suspects.is_empty() && !planned;
@@ -89,6 +84,25 @@
     }
 }
 
+impl GateShell {
+    /// Returns the calls that may have crashed the upstream; none where it stands.
+    async fn suspects(&self) -> Vec<Rc<RunningCall>> {
+        let health_path = self.health_path.borrow().clone();
+        for _ in 0..SETTLES_MAX {
+            sleep(Duration::from_millis(SETTLE_MS)).await;
+            let Some(down) = self.pool.down(health_path.as_deref()).await else {
+                self.exchanges.borrow_mut().stands();
+                return Vec::new();
+            };
+            let mut exchanges = self.exchanges.borrow_mut();
+            if !exchanges.goes_on() {
+                return exchanges.crashed(down, steady_us());
+            }
+        }
+        Vec::new()
+    }
+}
+
 const fn end_of(ended: &Ended) -> ExchangeEnd {
     match ended {
         Ok(Err(ServerError::Broken)) => ExchangeEnd::Broken,
--- a/valetrack/src/link/run.rs
+++ b/valetrack/src/link/run.rs
@@ -21,7 +21,7 @@
 use crate::bundle::{InForce, ServiceRule};
 use crate::claim::ClaimJob;
 use crate::clock::{SuspensionWatch, now_us, suspended_us};
-use crate::crash::{CrashDesk, CrashJob};
+use crate::crash::{CrashJob, Quarantine};
 use crate::gate::pool::ServerPool;
 use crate::gate::run::{GateReply, GateShell, GateShellParts};
 use crate::gate::{
@@ -110,7 +110,7 @@
 
 /// Serves links until told to close; must run on a local task set. `ledger` is the entry of this node, and
 /// `crashes` what it knows of calls that crash upstreams.
-pub async fn run(endpoint: Endpoint, ledger: Rc<dyn RunLedger>, crashes: Rc<CrashDesk>, parts: LinkParts) {
+pub async fn run(endpoint: Endpoint, ledger: Rc<dyn RunLedger>, crashes: Rc<Quarantine>, parts: LinkParts) {
     let gate = GateShell::new(GateShellParts {
         pool: ServerPool::new(parts.server_addr, parts.upstream_protocol.clone()),
         upstream: parts.upstream.clone(),
--- a/valetrack/src/node/part.rs
+++ b/valetrack/src/node/part.rs
@@ -10,7 +10,7 @@
 use crate::caller::CallerProtocol;
 use crate::claim::ClaimJob;
 use crate::clock::wall_us;
-use crate::crash::{CrashBook, CrashJob};
+use crate::crash::{CrashHistory, CrashJob};
 use crate::gate::{Announcement, UpstreamProtocol, UpstreamState};
 use crate::link::peer::LinkJob;
 use crate::member::{MemberJob, Members};
@@ -51,7 +51,7 @@
     pub(super) place: Ring<PlaceJob>,
     pub(super) member: Ring<MemberJob>,
     pub(super) crash: Ring<CrashJob>,
-    pub(super) crash_book: watch::Sender<Arc<CrashBook>>,
+    pub(super) crash_history: watch::Sender<Arc<CrashHistory>>,
     pub(super) announcement: Ring<Announcement>,
     pub(super) upstream: watch::Sender<UpstreamState>,
     pub(super) caller_protocol: Arc<dyn CallerProtocol>,
@@ -100,7 +100,7 @@
             place: Ring::new(),
             member: Ring::new(),
             crash: Ring::new(),
-            crash_book: watch::Sender::new(Arc::new(CrashBook::default())),
+            crash_history: watch::Sender::new(Arc::new(CrashHistory::default())),
             server_leaving: Arc::new(Notify::new()),
             listed_leaving: Arc::new(Notify::new()),
         };
--- a/valetrack/src/node/start.rs
+++ b/valetrack/src/node/start.rs
@@ -20,7 +20,7 @@
 use crate::claim::run::ClaimParts;
 use crate::clock::steady_us;
 use crate::code::Code;
-use crate::crash::CrashDesk;
+use crate::crash::Quarantine;
 use crate::crash::archive::{CrashArchive, LeasedArchive, StoreArchive};
 use crate::crash::run::CrashParts;
 use crate::gate::{Announcement, CrashWatch, UpstreamPhase, UpstreamState};
@@ -195,7 +195,8 @@
     pub(super) fn start_path(&self, callers: TcpSocket, tls: LinkTls) -> std::io::Result<JoinHandle<()>> {
         let (vm, link_addr) = (self.settings.vm.clone(), self.settings.link_addr);
         let (links, placer, callers_parts) = (self.link_parts(), self.placer_parts(), self.listener_parts());
-        let (book, to_crash, metrics) = (self.crash_book.subscribe(), self.crash.to.clone(), self.metrics.clone());
+        let (history, to_crash, metrics) =
+            (self.crash_history.subscribe(), self.crash.to.clone(), self.metrics.clone());
         let members = self.members.subscribe();
         spawn("path", move || async move {
             let endpoint = match crate::link::run::bind(link_addr, &vm, tls) {
@@ -208,7 +209,7 @@
             let Ok(socket) = TcpListener::from_std(callers) else {
                 return;
             };
-            let crashes = CrashDesk::new(book, to_crash, metrics);
+            let crashes = Quarantine::new(history, to_crash, metrics);
             let placer = Placer::new(placer, crashes.clone());
             let keyed = KeyedRouter::new(placer.clone(), members);
             let links = crate::link::run::run(endpoint, placer.clone(), crashes, links);
@@ -284,7 +285,7 @@
             service: self.settings.service.clone(),
             jobs: self.crash.from.clone(),
             to_link: self.link.to.clone(),
-            book: self.crash_book.clone(),
+            history: self.crash_history.clone(),
             archive,
             store_is_followed,
             members: self.members.subscribe(),
--- a/valetrack/src/placement/run.rs
+++ b/valetrack/src/placement/run.rs
@@ -27,7 +27,7 @@
 use crate::bundle::{InForce, MeasureRule};
 use crate::clock::now_us;
 use crate::code::Code;
-use crate::crash::CrashDesk;
+use crate::crash::Quarantine;
 use crate::gate::{AttemptId, LoadReport};
 use crate::link::message::{CallHead, Question};
 use crate::link::peer::{self, LinkJob, LinkResult, Target};
@@ -68,7 +68,7 @@
     /// The bundle in force.
     pub bundle: watch::Receiver<Option<Arc<InForce>>>,
     members: watch::Receiver<Arc<Members>>,
-    crashes: Rc<CrashDesk>,
+    crashes: Rc<Quarantine>,
     /// Metrics.
     pub metrics: Arc<Metrics>,
 }
@@ -101,7 +101,7 @@
 
 impl Placer {
     /// Makes a placer that knows no service yet; `crashes` is what this node knows of calls that crash upstreams.
-    pub fn new(parts: PlacerParts, crashes: Rc<CrashDesk>) -> Rc<Self> {
+    pub fn new(parts: PlacerParts, crashes: Rc<Quarantine>) -> Rc<Self> {
         let inner = Inner {
             services: HashMap::new(),
             works: HashMap::new(),
