Ways of spreading what is known of calls that crash upstreams, compared in virtual time

Hypothesis: few owners may run such a call, so telling these directly keeps crashes as few as telling everybody, and the store tells the rest.

Conclusion: owners and store stay.

--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod bench;
 pub mod client;
+pub mod crash;
 pub mod event_queue;
 pub mod list;
 pub mod load;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -7,7 +7,7 @@
 use standin::load::LoadSettings;
 use standin::server::ServerSettings;
 use standin::soak::{self, SoakSettings};
-use standin::{bench, list, load, overload, server, slope, store};
+use standin::{bench, crash, list, load, overload, server, slope, store};
 
 #[global_allocator]
 static ALLOCATOR: slope::Counting = slope::Counting;
@@ -23,6 +23,7 @@
 standin bench  [--seconds N] [--seed N] [--plot FILE.svg] [--only TEXT] [--policy TEXT]
 standin overload [--seconds N] [--seed N] [--only TEXT]
 standin slope
+standin crash
 standin soak   [--seed N] [--seeds N] [--seconds N] [--vms N] [--program FILE] [--logs DIR] [--crashes]
 ";
 
@@ -106,6 +107,10 @@
             overload::print(args.number("seconds", 14)?, args.number("seed", 7)?, args.get("only").unwrap_or(""));
             Ok(())
         }
+        Some("crash") => {
+            crash::compare();
+            Ok(())
+        }
         Some("soak") => run_soak(args),
         _ => Err("a command is missing".into()),
     }
--- a/valetrack/benches/decision.rs
+++ b/valetrack/benches/decision.rs
@@ -1,9 +1,12 @@
 //! Time of the hot decisions; run by command (`cargo bench -p valetrack`), not as a test.
 
+use std::sync::Arc;
+
 use criterion::{Criterion, criterion_group, criterion_main};
+use valetrack::crash::{CrashHistory, CrashId, CrashReport, FingerprintKey, RecentAnswers, Suspect};
 use valetrack::gate::{AttemptId, Gate, GateConfig, GateEvent, LoadReport, Patience};
 use valetrack::link::codec::{pack, unpack};
-use valetrack::link::message::{Reply, ReplyHead, Riding};
+use valetrack::link::message::{CallHead, Reply, ReplyHead, Riding};
 use valetrack::placement::{Demand, Policy, RepeatBudget, ServerSet, ServiceView};
 
 /// Makes a view of servers that were all heard of.
@@ -79,5 +82,71 @@
     c.bench_function("unpack a reply", |b| b.iter(|| unpack::<ReplyHead>(frame.clone())));
 }
 
-criterion_group!(benches, pick, pick_in_time, repeat_budget, gate, codec);
+/// Makes the head of a call with a body of this length.
+fn head(path: &str, body_bytes: u32) -> CallHead {
+    CallHead {
+        attempt: AttemptId { entry: 1, seq: 1 },
+        call_id: Arc::from("9c41d07be2a35f68"),
+        service: Arc::from("intake"),
+        origin: Arc::from("intake"),
+        route: Arc::from("sheet"),
+        method: "POST".into(),
+        path: path.into(),
+        headers: vec![("host".into(), b"farm.example".to_vec()), ("accept".into(), b"*/*".to_vec())],
+        body_bytes,
+        deadline_ms: 1_000,
+        objective_ms: 400,
+        work_us: 0,
+        elsewhere_permille: 0,
+        priority: 1,
+        repeatable: true,
+        depth: 1,
+        made_by_run: false,
+        repeat_permille: 0,
+        patience: Patience::Long,
+        key: None,
+        hlc: 1,
+    }
+}
+
+/// Makes a history of this many crashes, each under five calls of their own.
+fn history_of(crashes: u64, key: FingerprintKey) -> CrashHistory {
+    let report = |hlc: u64| {
+        let suspect = |number: u64| {
+            let fingerprint = key.fingerprint(&head(&format!("/suspect/{hlc}/{number}"), 0), b"");
+            Suspect { fingerprint, cleared: false, trials: 0 }
+        };
+        let id = CrashId { hlc, vm: Arc::from("kranj-1") };
+        CrashReport { id, service: Arc::from("intake"), key, suspects: (0..5).map(suspect).collect() }
+    };
+    let mut history = CrashHistory::default();
+    history.join(&(0..crashes).map(report).collect::<Vec<_>>(), &Arc::from("peer"), 0);
+    history
+}
+
+/// What a call pays for being told from those that crash upstreams; a large body is not read.
+fn crash_history(c: &mut Criterion) {
+    let key = FingerprintKey::of_parts(1, 2);
+    let body = vec![7; 1 << 20];
+    let call = head("/usual", body.len() as u32);
+    for crashes in [0, 3, 192] {
+        let history = history_of(crashes, key);
+        c.bench_function(&format!("standing of a call with a body of 1 MB among {crashes} crashes"), |b| {
+            b.iter(|| history.has_suspects().then(|| history.standing(&call, &body)));
+        });
+    }
+    c.bench_function("fingerprint of a body of 1 MB, which no usual call pays", |b| {
+        b.iter(|| key.body_fingerprint(&body))
+    });
+    let mut answers = RecentAnswers::default();
+    let (small, bytes) = (head("/usual", 100), [7; 100]);
+    c.bench_function("memory of an answer to a call with a body of 100 bytes", |b| {
+        b.iter(|| answers.answered(key, &small, &bytes, 1));
+    });
+    c.bench_function("memory of an answer to a call with a body of 1 MB", |b| {
+        b.iter(|| answers.answered(key, &call, &body, 1));
+    });
+}
+
+criterion_group!(benches, pick, pick_in_time, repeat_budget, gate, codec, crash_history);
 criterion_main!(benches);
--- a/valetrack/src/link/tests.rs
+++ b/valetrack/src/link/tests.rs
@@ -173,6 +173,9 @@
     echo.await.expect("the peer");
 }
 
+/// Reads a clock of a VM at a moment, given when it was suspended.
+type ClockAt = dyn Fn(u64, &[(u64, u64)]) -> u64;
+
 /// One VM's clocks: steady time goes on by as much as boot time, but for its suspensions.
 fn steady_us(boot_us: u64, suspensions: &[(u64, u64)]) -> u64 {
     let slept = suspensions.iter().map(|(from_us, to_us)| to_us.min(&boot_us).saturating_sub(*from_us)).sum::<u64>();
@@ -198,7 +201,7 @@
         let second = 1_000_000;
         let sleep = |(from_s, for_s): (u64, u64)| [(from_s * second, (from_s + for_s).min(60) * second)];
         let (entry, owner) = (sleep(entry_sleeps), sleep(owner_sleeps));
-        let word = |clock: &dyn Fn(u64, &[(u64, u64)]) -> u64| {
+        let word = |clock: &ClockAt| {
             let span = |from_s: u64, sleeps: &[(u64, u64)]| {
                 clock(asked_s * second, sleeps) - clock(from_s * second, sleeps)
             };
