The stand-in of the store turns single nodes away; tests of nodes that it turns away

Guards what was open: an evacuation, and crashes of upstreams, as known by nodes that the store refuses or is silent to while it serves the others.

--- a/standin/src/managed/store.rs
+++ b/standin/src/managed/store.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use base64::Engine;
@@ -83,6 +83,25 @@
     changed: Arc<Notify>,
 }
 
+/// How the store treats the calls of one node, while it serves the others as usual.
+#[derive(Clone)]
+pub struct NodeAccess {
+    mode: Arc<Mutex<Mode>>,
+    changed: Arc<Notify>,
+}
+
+impl NodeAccess {
+    /// Sets how calls are treated from now on; calls that wait are cut where the node is turned away.
+    pub fn set(&self, mode: Mode) {
+        *self.mode.lock().unwrap_or_else(PoisonError::into_inner) = mode;
+        self.changed.notify_waiters();
+    }
+
+    fn get(&self) -> Mode {
+        *self.mode.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 impl Default for ManagedStore {
     fn default() -> Self {
         let state = State {
@@ -109,14 +128,26 @@
     ///
     /// Returns why no port could be had.
     pub async fn start(&self) -> std::io::Result<SocketAddr> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let addr = listener.local_addr()?;
         tokio::spawn(self.clone().expire());
-        let store = self.clone();
-        tokio::spawn(web::serve_on(listener, Duration::ZERO, move |request| store.clone().handle(request)));
+        let (addr, _) = self.serve_node().await?;
         Ok(addr)
     }
 
+    /// Serves one node on a port of its own until the runtime ends; returns its address, and how it is treated.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no port could be had.
+    pub async fn serve_node(&self) -> std::io::Result<(SocketAddr, NodeAccess)> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let addr = listener.local_addr()?;
+        let access = NodeAccess { mode: Arc::new(Mutex::new(Mode::Up)), changed: self.changed.clone() };
+        let (store, treated) = (self.clone(), access.clone());
+        let handle = move |request| store.clone().handle(request, treated.clone());
+        tokio::spawn(web::serve_on(listener, Duration::ZERO, handle));
+        Ok((addr, access))
+    }
+
     /// Sets how calls are treated from now on; calls that wait are cut when the store goes away.
     pub fn set_mode(&self, mode: Mode) {
         self.lock().mode = mode;
@@ -203,7 +234,7 @@
         }
     }
 
-    async fn handle(self, request: Request<Incoming>) -> Answer {
+    async fn handle(self, request: Request<Incoming>, access: NodeAccess) -> Answer {
         let query = web::query(request.uri());
         let path = request.uri().path().to_owned();
         let method = request.method().clone();
@@ -215,7 +246,7 @@
             let cheap = path.starts_with("/api/kv-keep/") || query.contains_key("allow_stale");
             state.price_tenths += if cheap { CHEAP_TENTHS } else { CALL_TENTHS };
             state.changes_asked += u64::from(path == "/api/kv-watch");
-            state.mode
+            if access.get() == Mode::Up { state.mode } else { access.get() }
         };
         match mode {
             Mode::Refusing => return Ok(answer(503, "{}")),
@@ -224,7 +255,7 @@
             Mode::Up | Mode::LosingAnswers => {}
         }
         if path == "/api/kv-watch" {
-            return self.watch(&query).await;
+            return self.watch(&query, &access).await;
         }
         let (status, reply) = self.lock().call(&method, &path, &query, &body);
         self.changed.notify_waiters();
@@ -234,7 +265,7 @@
         Ok(answer(status, reply.to_string()))
     }
 
-    async fn watch(&self, query: &BTreeMap<String, String>) -> Answer {
+    async fn watch(&self, query: &BTreeMap<String, String>, access: &NodeAccess) -> Answer {
         let after = web::number(query, "after").unwrap_or(0);
         let prefix = query.get("path_prefix").cloned().unwrap_or_default();
         let wait = Duration::from_millis(web::number(query, "wait_ms").unwrap_or(0));
@@ -243,7 +274,8 @@
             let changed = self.changed.notified();
             {
                 let state = self.lock();
-                if matches!(state.mode, Mode::Refusing | Mode::Silent) {
+                let gone = |mode: Mode| matches!(mode, Mode::Refusing | Mode::Silent);
+                if gone(state.mode) || gone(access.get()) {
                     // A call that waits is cut when the store goes away.
                     return Err("cut".into());
                 }
--- a/standin/tests/common/managed.rs
+++ b/standin/tests/common/managed.rs
@@ -10,7 +10,7 @@
 use serde_json::{Value, json};
 use standin::client::{Client, Reply};
 use standin::managed::server::ManagedServer;
-use standin::managed::store::ManagedStore;
+use standin::managed::store::{ManagedStore, NodeAccess};
 
 use super::{free_addr, kill, send_signal, valetrack, wait_for};
 
@@ -30,6 +30,9 @@
     pub control_addr: SocketAddr,
     pub link_addr: SocketAddr,
     pub upstream: Arc<ManagedServer>,
+    pub store_addr: SocketAddr,
+    /// How the store treats this VM's node alone.
+    pub store_access: NodeAccess,
     pub node: Option<Child>,
 }
 
@@ -92,6 +95,7 @@
         let at = self.vms.len();
         let control_addr = free_addr();
         let upstream = ManagedServer::start(&format!("i-{at}"), service, free_addr(), 6, control_addr).await;
+        let (store_addr, store_access) = self.store.serve_node().await.expect("a free port");
         self.vms.push(Vm {
             name: format!("vm-{at}"),
             service,
@@ -100,13 +104,14 @@
             control_addr,
             link_addr: free_addr(),
             upstream: upstream.expect("a free port"),
+            store_addr,
+            store_access,
             node: None,
         });
         self.start_node(at);
     }
 
     pub fn start_node(&mut self, at: usize) {
-        let store_addr = self.store_addr.to_string();
         let linger_ms = self.linger_ms.to_string();
         let vm = &mut self.vms[at];
         let flags = [
@@ -119,7 +124,7 @@
             ("admin-listen", vm.ready_addr.to_string()),
             ("control-listen", vm.control_addr.to_string()),
             ("link-listen", vm.link_addr.to_string()),
-            ("store", store_addr),
+            ("store", vm.store_addr.to_string()),
             ("store-timeout-ms", "500".to_owned()),
             ("lease-ms", "1500".to_owned()),
             ("linger-ms", linger_ms),
--- a/standin/tests/crashing_call.rs
+++ b/standin/tests/crashing_call.rs
@@ -193,3 +193,23 @@
         common::wait_for("the word that it is cleared", async || send_deadly(&fleet, at, path).await.0 == 200).await;
     }
 }
+
+#[tokio::test]
+async fn nodes_that_the_store_turns_away_know_what_the_others_know() {
+    let path = "/sheet/deadly";
+    let fleet = Fleet::start(&["rounds", "rounds", "rounds", "ledger"]).await;
+    for vm in &fleet.vms {
+        vm.upstream.set_deadly(path, DOWN);
+    }
+    // The first crash may be seen by a node that cannot write it, and the others by one that cannot read them.
+    fleet.vms[0].store_access.set(standin::managed::store::Mode::Refusing);
+    fleet.vms[1].store_access.set(standin::managed::store::Mode::Silent);
+    crash_times(&fleet, path, CRASHES).await;
+    repeat_deadly(addrs(&fleet), "GET", path, Duration::from_secs(3)).await;
+    let runs = deadly_runs(&fleet).len();
+    assert!(runs <= CRASHES + SENDS_LEFT, "{runs} upstreams ran the call that crashes them");
+    for at in 0..2 {
+        fleet.vms[at].store_access.set(standin::managed::store::Mode::Up);
+    }
+    common::wait_for("the crashes in the store", async || !fleet.store.keys("valetrack/crash/").is_empty()).await;
+}
--- a/standin/tests/evacuation.rs
+++ b/standin/tests/evacuation.rs
@@ -109,6 +109,33 @@
     assert!(back.elapsed() < IN_FORCE, "{:?}", back.elapsed());
 }
 
+#[tokio::test]
+async fn a_node_that_the_store_turns_away_learns_of_an_evacuation_from_the_others() {
+    let fleet = Fleet::start(&["rounds", "rounds", "ledger"]).await;
+    for refused in [2, 0] {
+        fleet.vms[refused].store_access.set(Mode::Refusing);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        fleet.store.put(KRANJ, "{}");
+        let began = Instant::now();
+        wait_answered_by(&fleet, 1).await;
+        assert!(began.elapsed() < IN_FORCE, "{:?}", began.elapsed());
+        let before = arrivals(&fleet, 0);
+        for number in 0..24 {
+            let id = format!("turned-away-{refused}-{number}");
+            assert_eq!(fleet.answered_at(number % 3, &id).await, Some(1), "{id}");
+        }
+        assert_eq!(arrivals(&fleet, 0), before);
+        fleet.vms[refused].store_access.set(Mode::Up);
+        fleet.store.revoke(KRANJ);
+        wait_for("work after the return", async || {
+            let calls = (0..12).map(|_| fleet.call(1, "GET", "/sheet/", "return"));
+            futures::future::join_all(calls).await;
+            arrivals(&fleet, 0) > before
+        })
+        .await;
+    }
+}
+
 #[tokio::test]
 async fn an_operators_word_evacuates_a_domain_of_the_own_interface() {
     let fleet = NativeFleet::with_intake(4).await;
