--- a/standin/tests/planned_change.rs
+++ b/standin/tests/planned_change.rs
@@ -44,6 +44,27 @@
     words
 }
 
+/// Calls a door until it refuses a call.
+///
+/// A signal is on its way to the node for some milliseconds, and a call that the node lets in before it has the
+/// signal may run. Each call is sent without waiting for the one before, which may run for long.
+async fn first_refusal(door: Client) {
+    let door = Arc::new(door);
+    let mut calls = tokio::task::JoinSet::new();
+    loop {
+        let door = door.clone();
+        calls.spawn(async move { door.call("GET", "/", &[("valetrack-service", "intake")], "early").await });
+        tokio::select! {
+            Some(reply) = calls.join_next() => {
+                if reply.expect("a call").is_ok_and(|reply| reply.status == 503) {
+                    return;
+                }
+            }
+            () = sleep(Duration::from_millis(10)) => {}
+        }
+    }
+}
+
 async fn runs_at(fleet: &Fleet, at: usize) -> u64 {
     let reply = Client::new(fleet.vms[at].server_addr).call("GET", "/_stats", &[], "").await.expect("stats");
     let stats: serde_json::Value = serde_json::from_slice(&reply.body).expect("json");
@@ -122,6 +143,7 @@
     let held = tokio::spawn(async move { door.call("GET", "/", &[("valetrack-service", "intake")], "held").await });
     sleep(Duration::from_millis(100)).await;
     fleet.signal(0, "-TERM");
+    first_refusal(fleet.door(1)).await;
     let stop = Arc::new(AtomicBool::new(false));
     let load = tokio::spawn(callers(vec![fleet.door(1)], false, stop.clone()));
     sleep(Duration::from_millis(300)).await;
