A comment on suspensions says what was reckoned and what a test holds

Cause: read once more, it gave 2.0 and 0.25 s as figures of the stand-ins; both were reckoned from pauses in the code, and only the bound of 2.5 s is held by a run (suspension tests).

Ruled out: any change of behaviour; the comment alone is changed.

--- a/valetrack/src/member/leased/resume.rs
+++ b/valetrack/src/member/leased/resume.rs
@@ -16,9 +16,9 @@
     /// Looks for suspensions of the VM; runs as long as the node.
     ///
     /// Timers of the runtime go by the steady clock, so that each is late by as long as the suspension was:
-    /// without this an entry whose lease is long over is written anew only when its next renewal is due (2.0 s
-    /// later at the worst, and 0.25 s with it, on the stand-ins), and a question to a relay that has given this
-    /// node up is waited for.
+    /// without this an entry whose lease is long over is written anew only when its renewal would have been due,
+    /// which is up to 2 s later by the pause between renewals, and a question to a relay that has given this node
+    /// up is waited for. On the stand-ins a test holds that a lapsed entry is back within 2.5 s.
     pub(super) async fn follow_suspensions(self: Rc<Self>) {
         let mut watch = SuspensionWatch::from_now();
         loop {
