Sight: which reads of the store are dropped, how calls to it fail, and when its era rises

Cause: after an outage nodes read the store in a loop and believe none of it. Ruled out: with these lines, reads that are turned away and a replica that lags: each read is answered as the store stands, and its era has risen. Change: lines and counters; the stand-in of the store can come back from a copy of any age, with ids and revisions given out again. No decision changed. Conclusion: the first hypothesis is left.

--- a/standin/src/managed/store.rs
+++ b/standin/src/managed/store.rs
@@ -1,7 +1,7 @@
 //! Stand-in of the managed platform's store: items, leases that run out, calls that wait for
-//! changes, history that goes, and faults by command.
+//! changes, history that goes, a return from an older copy, and faults by command.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -27,6 +27,10 @@
 const CHEAP_TENTHS: u64 = 1;
 /// Price of any other call, in tenths.
 const CALL_TENTHS: u64 = 10;
+/// Copies that are kept, one a change: more than any test takes back.
+const COPIES_MAX: usize = 512;
+/// Header of all answers with how often the store has come back from an older copy.
+const ERA: &str = "store-era";
 
 /// How the store treats calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -43,6 +47,7 @@
     LosingAnswers,
 }
 
+#[derive(Clone)]
 struct Item {
     value: String,
     revision: u64,
@@ -57,8 +62,21 @@
     revision: u64,
 }
 
+/// The store as it stood after a change, to come back from.
+#[derive(Clone)]
+struct Copy {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    /// Times to live by lease.
+    leases: BTreeMap<u64, Duration>,
+    next_lease: u64,
+}
+
 struct State {
     mode: Mode,
+    /// How often it has come back from an older copy, and one.
+    era: u64,
+    copies: VecDeque<Copy>,
     revision: u64,
     items: BTreeMap<String, Item>,
     /// Keys by the revision that changed them.
@@ -106,6 +124,8 @@
     fn default() -> Self {
         let state = State {
             mode: Mode::Up,
+            era: 1,
+            copies: VecDeque::new(),
             revision: 1,
             items: BTreeMap::new(),
             history: Vec::new(),
@@ -192,6 +212,24 @@
         self.changed.notify_waiters();
     }
 
+    /// Comes back from the copy that is `changes` changes old, or the oldest one that is kept: what was written
+    /// and granted since is gone, and revisions and lease ids are given out again.
+    pub fn roll_back(&self, changes: usize) {
+        let mut state = self.lock();
+        let kept = state.copies.len().saturating_sub(changes).max(1);
+        state.copies.truncate(kept);
+        if let Some(copy) = state.copies.back().cloned() {
+            state.restore(copy);
+        }
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Returns the revision of the last change.
+    pub fn revision(&self) -> u64 {
+        self.lock().revision
+    }
+
     /// Returns the keys below a prefix.
     pub fn keys(&self, prefix: &str) -> BTreeSet<String> {
         self.lock().items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
@@ -235,6 +273,12 @@
     }
 
     async fn handle(self, request: Request<Incoming>, access: NodeAccess) -> Answer {
+        let mut answer = self.clone().answer(request, access).await?;
+        answer.headers_mut().insert(ERA, self.lock().era.into());
+        Ok(answer)
+    }
+
+    async fn answer(self, request: Request<Incoming>, access: NodeAccess) -> Answer {
         let query = web::query(request.uri());
         let path = request.uri().path().to_owned();
         let method = request.method().clone();
@@ -279,7 +323,7 @@
                     // A call that waits is cut when the store goes away.
                     return Err("cut".into());
                 }
-                if after < state.forgotten {
+                if after < state.forgotten || after > state.revision {
                     return Ok(answer(410, "{}"));
                 }
                 let events = state.events(&prefix, after);
@@ -315,13 +359,36 @@
         let created_revision = self.items.get(key).map_or(revision, |item| item.created_revision);
         self.items.insert(key.to_owned(), Item { value, revision, created_revision, lease });
         self.history.push((revision, key.to_owned()));
+        self.keep_copy();
         revision
     }
 
+    fn keep_copy(&mut self) {
+        if self.copies.len() == COPIES_MAX {
+            self.copies.pop_front();
+        }
+        let leases = self.leases.iter().map(|(id, (_, ttl))| (*id, *ttl)).collect();
+        let (revision, next_lease) = (self.revision, self.next_lease);
+        self.copies.push_back(Copy { revision, items: self.items.clone(), leases, next_lease });
+    }
+
+    fn restore(&mut self, copy: Copy) {
+        let now = Instant::now();
+        self.era += 1;
+        self.revision = copy.revision;
+        self.items = copy.items;
+        self.leases = copy.leases.into_iter().map(|(id, ttl)| (id, (now + ttl, ttl))).collect();
+        self.next_lease = copy.next_lease;
+        self.history.retain(|(revision, _)| *revision <= copy.revision);
+        self.forgotten = self.forgotten.min(copy.revision);
+        self.earlier = None;
+    }
+
     fn remove(&mut self, key: &str) {
         if self.items.remove(key).is_some() {
             self.revision += 1;
             self.history.push((self.revision, key.to_owned()));
+            self.keep_copy();
         }
     }
 
--- a/valetrack/src/member/leased/follow.rs
+++ b/valetrack/src/member/leased/follow.rs
@@ -148,6 +148,7 @@
 
     pub(super) fn store_failed(&self, call: &str, error: &StoreError) {
         self.parts.metrics.store_calls.with_label_values(&["failed"]).inc();
+        self.parts.metrics.store_failures.with_label_values(&[&error.code().to_string()]).inc();
         self.lose_log();
         if self.store_answers.replace(false) {
             // Told once an outage: a store that is down would fill the log.
--- a/valetrack/src/member/leased/read.rs
+++ b/valetrack/src/member/leased/read.rs
@@ -43,9 +43,13 @@
         }
         self.store_answered();
         // An earlier state may be older than what is known already.
-        if at_revision >= self.log.borrow().at_revision() {
-            self.take_all(&items, at_revision, sent_us);
+        let known = self.log.borrow().at_revision();
+        if at_revision < known {
+            self.parts.metrics.store_outdated.inc();
+            log::info!("event=store.read_outdated freshness={freshness:?} revision={at_revision} known={known}");
+            return Ok(());
         }
+        self.take_all(&items, at_revision, sent_us);
         Ok(())
     }
 
--- a/valetrack/src/metric.rs
+++ b/valetrack/src/metric.rs
@@ -67,6 +67,10 @@
     pub relay_questions: IntCounter,
     /// Calls to the store by kind.
     pub store_calls: IntCounterVec,
+    /// Calls to the store that failed, by code.
+    pub store_failures: IntCounterVec,
+    /// Reads of the store that showed an earlier state than is known, and were dropped.
+    pub store_outdated: IntCounter,
     /// Number of the bundle in force.
     pub bundle_number: IntGauge,
     /// Presses by how they ended.
@@ -158,6 +162,8 @@
             relay_questions: counter("valetrack_relay_questions_total", "Questions to the relay that is followed."),
             speed_questions: counter("valetrack_speed_questions_total", "Questions for the machine's speed."),
             store_calls: counters("valetrack_store_calls_total", "Calls to the store by kind.", "kind"),
+            store_failures: counters("valetrack_store_failures_total", "Calls to the store that failed.", "code"),
+            store_outdated: counter("valetrack_store_outdated_total", "Reads that showed an earlier state, dropped."),
             bundle_number: gauge("valetrack_bundle_number", "Number of the bundle in force."),
             presses: counters("valetrack_presses_total", "Presses with a key by how they ended.", "reply"),
             links: gauge("valetrack_links_open", "Links that this node has opened."),
