--- a/valetrack/src/bundle/tests/operator.rs
+++ b/valetrack/src/bundle/tests/operator.rs
@@ -134,7 +134,8 @@
     let second = approved(&store, OTHER).await;
     roll(&store, "ana", &first).await.expect("rolled");
     let mut rival = current(&store).await.expect("read").expect("a bundle in force");
-    rival.evacuation = Evacuation { number: 1, domains: [std::sync::Arc::from("kranj")].into() };
+    rival.evacuation =
+        Evacuation { number: 1, era: Default::default(), domains: [std::sync::Arc::from("kranj")].into() };
     store.rival(CURRENT_KEY, serde_json::to_vec(&rival).expect("a document"));
     assert_eq!(roll(&store, "ana", &second).await.ok(), Some(2));
     let doc = current(&store).await.expect("read").expect("a bundle in force");
--- a/valetrack/src/crash/archive.rs
+++ b/valetrack/src/crash/archive.rs
@@ -5,12 +5,10 @@
 use futures::future::BoxFuture;
 
 use super::message::CrashReport;
-use crate::store::{Committed, Freshness, LeaseStore, LeasedWrite, Store, StoreError, Written};
+use crate::store::{Committed, Era, Freshness, LeaseStore, LeasedWrite, Position, Store, StoreError, Written};
 
 /// Prefix of the keys, each of which ends with the name of a service.
 pub const CRASH_PREFIX: &str = "valetrack/crash/";
-/// The lease of what outlives every node.
-const NO_LEASE: u64 = 0;
 
 /// Returns the key of the crashes of a service.
 pub fn crash_key(service: &str) -> String {
@@ -36,28 +34,53 @@
     serde_json::from_slice(value).map_err(|error| error.to_string())
 }
 
+/// What an archive holds under a key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Archived {
+    /// The value.
+    pub value: Vec<u8>,
+    /// Position of its last change.
+    pub position: Position,
+}
+
 /// A store, as far as crashes use it.
 pub trait CrashArchive: Send + Sync {
-    /// Reads a key as it stands; returns its value and the revision of its last change, or nothing and zero.
-    fn read<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<(Vec<u8>, u64), StoreError>>;
-
-    /// Writes a key if the revision of its last change is still `expected`; returns whether it was.
-    fn write<'a>(&'a self, key: &'a str, expected: u64, value: Vec<u8>) -> BoxFuture<'a, Result<bool, StoreError>>;
+    /// Reads a key as it stands; returns its value and the position of its last change, if it exists.
+    fn read<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Archived>, StoreError>>;
+
+    /// Writes a key if the position of its last change is still `expected`, none where it did not exist; returns whether
+    /// it was.
+    fn write<'a>(
+        &'a self,
+        key: &'a str,
+        expected: Option<Position>,
+        value: Vec<u8>,
+    ) -> BoxFuture<'a, Result<bool, StoreError>>;
 }
 
 /// A store without leases as an archive.
 pub struct StoreArchive(pub Arc<dyn Store>);
 
 impl CrashArchive for StoreArchive {
-    fn read<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<(Vec<u8>, u64), StoreError>> {
+    fn read<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Archived>, StoreError>> {
         Box::pin(async move {
             let versioned = self.0.read(key).await?;
-            Ok(versioned.map_or((Vec::new(), 0), |versioned| (versioned.value, versioned.revision)))
+            // This store names no eras.
+            let position = |revision| Position::new(Era::default(), revision);
+            Ok(versioned.map(|versioned| Archived { value: versioned.value, position: position(versioned.revision) }))
         })
     }
 
-    fn write<'a>(&'a self, key: &'a str, expected: u64, value: Vec<u8>) -> BoxFuture<'a, Result<bool, StoreError>> {
-        Box::pin(async move { Ok(matches!(self.0.swap(key, expected, value).await?, Written::At(_))) })
+    fn write<'a>(
+        &'a self,
+        key: &'a str,
+        expected: Option<Position>,
+        value: Vec<u8>,
+    ) -> BoxFuture<'a, Result<bool, StoreError>> {
+        Box::pin(async move {
+            let expected = expected.map_or(0, Position::wire_revision);
+            Ok(matches!(self.0.swap(key, expected, value).await?, Written::At(_)))
+        })
     }
 }
 
@@ -65,18 +88,28 @@
 pub struct LeasedArchive(pub Arc<dyn LeaseStore>);
 
 impl CrashArchive for LeasedArchive {
-    fn read<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<(Vec<u8>, u64), StoreError>> {
+    fn read<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Archived>, StoreError>> {
         Box::pin(async move {
             let page = self.0.list(key, None, Freshness::Current).await?;
             let item = page.items.into_iter().find(|item| item.key == key);
-            Ok(item.map_or((Vec::new(), 0), |item| (item.value, item.revision)))
+            Ok(item.map(|item| Archived { value: item.value, position: item.position }))
         })
     }
 
-    fn write<'a>(&'a self, key: &'a str, expected: u64, value: Vec<u8>) -> BoxFuture<'a, Result<bool, StoreError>> {
+    fn write<'a>(
+        &'a self,
+        key: &'a str,
+        expected: Option<Position>,
+        value: Vec<u8>,
+    ) -> BoxFuture<'a, Result<bool, StoreError>> {
         Box::pin(async move {
-            let write = LeasedWrite { key: key.to_owned(), expected, value, lease: NO_LEASE };
-            Ok(matches!(self.0.commit(&write).await?, Committed::At(_)))
+            let write = LeasedWrite { key: key.to_owned(), expected, value, lease: None };
+            let Committed::At(at) = self.0.commit(&write).await? else {
+                return Ok(false);
+            };
+            // A store that came back older in between may have held something else at that revision; it is read and
+            // joined again.
+            Ok(expected.is_none_or(|expected| expected.era() == at.era()))
         })
     }
 }
--- a/valetrack/src/crash/message.rs
+++ b/valetrack/src/crash/message.rs
@@ -140,6 +140,8 @@
         /// The value.
         value: Vec<u8>,
     },
+    /// The store has come back older: what it held is not to be relied on until it has been read again.
+    StoreOlder,
     /// A call that is kept from upstreams is to be put to one for trial.
     Trial {
         /// Where it stands.
--- a/valetrack/src/crash/run.rs
+++ b/valetrack/src/crash/run.rs
@@ -124,6 +124,7 @@
             CrashJob::Answered { refs } => self.answered(&refs),
             CrashJob::Heard { from, reports } => self.heard(&reports, &from),
             CrashJob::Stored { service, value } => self.take_stored(&service, &value),
+            CrashJob::StoreOlder => self.forget_stored(),
             CrashJob::Trial { suspect_ref, granted } => {
                 tokio::task::spawn_local(async move {
                     let counted = self.count_trial(&suspect_ref).await;
--- a/valetrack/src/crash/run/keep.rs
+++ b/valetrack/src/crash/run/keep.rs
@@ -12,7 +12,7 @@
 use crate::code::Code;
 use crate::crash::archive::{self, crash_key};
 use crate::crash::message::{CrashReport, SuspectRef};
-use crate::store::StoreError;
+use crate::store::{Position, StoreError};
 
 /// Pause before a store that failed is tried again, in milliseconds.
 const RETRY_MS: std::ops::RangeInclusive<u64> = 700..=2_000;
@@ -77,30 +77,30 @@
     /// Writes what is known of a service, joined with what the store holds.
     async fn save(&self, service: &Arc<str>) -> Result<(), StoreError> {
         for _ in 0..SWAPS_MAX {
-            let revision = self.read(service).await?;
-            if !self.lacks(service) || self.write(service, revision).await? {
+            let position = self.read(service).await?;
+            if !self.lacks(service) || self.write(service, position).await? {
                 return Ok(());
             }
         }
         Err(StoreError::Refused { reason: format!("{SWAPS_MAX} writes of others in a row") })
     }
 
-    /// Reads what the store holds of a service; returns the revision of its last change.
-    async fn read(&self, service: &Arc<str>) -> Result<u64, StoreError> {
+    /// Reads what the store holds of a service; returns the position of its last change, if it holds anything.
+    async fn read(&self, service: &Arc<str>) -> Result<Option<Position>, StoreError> {
         self.parts.metrics.store_calls.with_label_values(&["crash-read"]).inc();
-        let (value, revision) = self.parts.archive.read(&crash_key(service)).await?;
-        if revision > 0 {
-            self.take_stored(service, &value);
+        let archived = self.parts.archive.read(&crash_key(service)).await?;
+        if let Some(archived) = &archived {
+            self.take_stored(service, &archived.value);
         }
-        Ok(revision)
+        Ok(archived.map(|archived| archived.position))
     }
 
-    /// Writes what is known of a service over what stood there at `revision`; returns whether that still stood.
-    async fn write(&self, service: &Arc<str>, revision: u64) -> Result<bool, StoreError> {
+    /// Writes what is known of a service over what stood there at `position`; returns whether that still stood.
+    async fn write(&self, service: &Arc<str>, position: Option<Position>) -> Result<bool, StoreError> {
         let reports = self.history.borrow().archive(service);
         let value = archive::pack(&reports).map_err(|reason| StoreError::Invalid { reason })?;
         self.parts.metrics.store_calls.with_label_values(&["crash-write"]).inc();
-        let written = self.parts.archive.write(&crash_key(service), revision, value).await?;
+        let written = self.parts.archive.write(&crash_key(service), position, value).await?;
         if written {
             self.stored.borrow_mut().insert(service.clone(), reports);
         }
@@ -127,6 +127,12 @@
         self.archive_due.notify_one();
     }
 
+    /// Forgets what the store held, since it has come back older; what it lacks is written again.
+    pub(super) fn forget_stored(&self) {
+        self.stored.borrow_mut().clear();
+        self.archive_due.notify_one();
+    }
+
     /// Reads what the store holds of the own service once it answers.
     pub(super) async fn read_at_start(self: Rc<Self>) {
         let service = self.parts.service.clone();
@@ -158,13 +164,13 @@
             return Ok(false);
         };
         let before = self.trials_of(suspect_ref);
-        let revision = self.read(&service).await?;
+        let position = self.read(&service).await?;
         if self.trials_of(suspect_ref) != before {
             // Another node has just begun one.
             return Ok(false);
         }
         let changed: Vec<CrashReport> = self.history.borrow_mut().count_trial(suspect_ref, now_us());
-        let written = self.write(&service, revision).await?;
+        let written = self.write(&service, position).await?;
         // Whether it was written or not, it counts from now on: one trial less is the lesser evil.
         drop(self.spread_change(changed, &[]));
         Ok(written)
--- a/valetrack/src/link/message.rs
+++ b/valetrack/src/link/message.rs
@@ -12,9 +12,10 @@
 use crate::gate::{AttemptId, BounceReason, CancelResult, LoadReport, Patience};
 use crate::member::{Evacuation, Member};
 use crate::placement::Outcome;
+use crate::store::Position;
 
 /// Version of the messages; nodes of other versions are refused in the TLS handshake.
-pub const ALPN: &[u8] = b"valetrack/6";
+pub const ALPN: &[u8] = b"valetrack/7";
 /// Largest head, in bytes.
 pub const HEAD_MAX_BYTES: usize = 64 * 1024;
 /// Largest body, in bytes; routes have caps below it.
@@ -130,8 +131,8 @@
     Evacuation,
     /// Tell what has changed in the store, as soon as something has.
     Follow {
-        /// Revision up to which the sender has read the store.
-        after: u64,
+        /// Position up to which the sender has read the store.
+        after: Position,
         /// Longest time to wait for a change, in milliseconds.
         wait_ms: u32,
     },
--- a/valetrack/src/link/run.rs
+++ b/valetrack/src/link/run.rs
@@ -31,6 +31,7 @@
 use crate::member::{Evacuation, Member, MemberJob, Members};
 use crate::metric::Metrics;
 use crate::placement::Outcome;
+use crate::store::Position;
 use crate::timeline::log as events;
 
 /// Pause between two health checks of an upstream of which nothing was heard, in milliseconds.
@@ -332,7 +333,7 @@
         known.await.unwrap_or_default()
     }
 
-    async fn store_news(&self, after: u64, wait_ms: u32) -> (Reply, Bytes) {
+    async fn store_news(&self, after: Position, wait_ms: u32) -> (Reply, Bytes) {
         let (reply, news) = oneshot::channel();
         let job = MemberJob::Follow { after, wait_ms, reply };
         if self.parts.to_member.send(job).await.is_err() {
--- a/valetrack/src/link/tests.rs
+++ b/valetrack/src/link/tests.rs
@@ -12,6 +12,7 @@
 use super::peer::LinkResult;
 use super::{run, tls};
 use crate::gate::{AttemptId, CancelResult, LoadReport, Patience};
+use crate::store::{Era, Position};
 
 fn call(path: String, headers: Vec<(String, Vec<u8>)>, body_bytes: usize, key: Option<String>) -> Ask {
     Ask::Run(CallHead {
@@ -229,9 +230,10 @@
 }
 
 #[test]
-fn messages_of_the_former_version_are_read_as_before() {
+fn messages_keep_their_places_on_the_wire() {
     let frame = |ask: &Ask| pack(ask).expect("a frame")[LENGTH_BYTES..].to_vec();
-    let asks = [Ask::Probe, Ask::Bundle, Ask::Evacuation, Ask::Follow { after: 1, wait_ms: 2 }];
-    assert_eq!(asks.map(|ask| frame(&ask)), [vec![3], vec![5], vec![6], vec![7, 1, 2]]);
+    let asks =
+        [Ask::Probe, Ask::Bundle, Ask::Evacuation, Ask::Follow { after: Position::start_of(Era::new(1)), wait_ms: 2 }];
+    assert_eq!(asks.map(|ask| frame(&ask)), [vec![3], vec![5], vec![6], vec![7, 1, 0, 2]]);
     assert!(unpack::<Ask>(Bytes::from_static(&[0, 0, 0, 1, 99])).is_err(), "an unknown question is refused");
 }
--- a/valetrack/src/member/lease.rs
+++ b/valetrack/src/member/lease.rs
@@ -1,6 +1,6 @@
 //! Pure decisions of keeping this node's own entry in the store.
 
-use crate::store::Lease;
+use crate::store::{Era, Lease, Position, Relation};
 
 /// Part of a lease's time after which it is renewed, as a divisor: two renewals may be lost
 /// before it runs out.
@@ -14,6 +14,11 @@
 /// be back within two seconds of its end.
 const BACKOFF_MAX_US: u64 = 1_000_000;
 
+/// Longest time for which an entry is looked for in a store that came back older before it is written anew with another
+/// lease, in microseconds: a relay reads the store within 0.2 s of its return and tells its followers, and an entry is to
+/// be back within two seconds.
+const DOUBT_US: u64 = 600_000;
+
 /// What is to be done next for the entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EntryStep {
@@ -23,14 +28,16 @@
     Write {
         /// The lease that it goes with.
         lease: u64,
-        /// Revision that the key must still have.
-        expected: u64,
+        /// Position of the key's last change that must still hold; none when it must not exist.
+        expected: Option<Position>,
     },
     /// Renew the lease.
     Renew {
         /// The lease.
         lease: u64,
     },
+    /// Ask the store by a read whether it answers.
+    Ask,
     /// Nothing until this moment, in microseconds, or until the state changes.
     Wait {
         /// When to look again.
@@ -41,12 +48,27 @@
 #[derive(Debug, Clone, Copy)]
 struct HeldLease {
     id: u64,
+    /// The era in which the store was last known to hold it for this node.
+    era: Era,
     ttl_us: u64,
     /// When the call that last confirmed it was sent.
     confirmed_us: u64,
 }
 
-/// Keeps one entry alive through lost leases, lost answers and outages.
+/// The own entry as the store shows it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SeenEntry {
+    /// Position of its last change.
+    pub position: Position,
+    /// The lease that it goes with.
+    pub lease: Option<u64>,
+}
+
+/// Keeps one entry alive through lost leases, lost answers, outages and a store that comes back older.
+///
+/// In a store that came back older a lease may be gone and its id be somebody else's. It is kept only where the very
+/// write that this node was last told of stands there with it, since that makes it older than the copy; else the
+/// entry is written anew with another one.
 #[derive(Debug, Default)]
 pub struct EntryKeeper {
     lease: Option<HeldLease>,
@@ -54,13 +76,15 @@
     wanted: u64,
     /// Version that is known to be there.
     written: Option<u64>,
-    /// Revision of the key as far as is known; zero when it does not exist.
-    revision: u64,
+    /// Position of the key's last change as far as is known; none when it does not exist.
+    position: Option<Position>,
+    /// The latest era that the store was heard to be in.
+    era: Era,
+    /// Until when the entry is looked for in a store that came back older, in microseconds.
+    doubt_until_us: Option<u64>,
     failures: u32,
     retry_us: u64,
-    /// The lease that was granted last, whether it still holds or not.
-    last_lease: Option<u64>,
-    /// Whether the store has answered a renewal since the last failure.
+    /// Whether the store has answered since the last failure.
     answered: bool,
 }
 
@@ -75,17 +99,25 @@
         if now_us < self.retry_us {
             return EntryStep::Wait { until_us: self.retry_us };
         }
-        if let (true, Some(lease)) = (self.failures > 0 && !self.answered, self.last_lease) {
-            // The cheapest call tells whether the store is back: a renewal costs a tenth of the others,
-            // and answers for a lease that is over as well. A node that is turned away for nine seconds
-            // after its lease was taken pays for 2.3 calls in place of 14.
-            return EntryStep::Renew { lease };
+        if self.failures > 0 && !self.answered {
+            // The cheapest call tells whether the store is back: a read of an earlier state costs a tenth of the
+            // others. A node that is turned away for nine seconds after its lease was taken pays for 2.3 calls in
+            // place of 14. A renewal costs as little, and would prolong somebody else's lease where the store has
+            // come back older and given the id out again.
+            return EntryStep::Ask;
+        }
+        if let Some(until_us) = self.doubt_until_us
+            && now_us < until_us
+        {
+            return EntryStep::Wait { until_us };
         }
-        let Some(lease) = self.lease else {
+        // What is known of another era says nothing of this one.
+        let Some(lease) = self.lease.filter(|lease| lease.era == self.era) else {
             return EntryStep::Grant;
         };
         if self.written != Some(self.wanted) {
-            return EntryStep::Write { lease: lease.id, expected: self.revision };
+            let expected = self.position.filter(|position| position.era() == self.era);
+            return EntryStep::Write { lease: lease.id, expected };
         }
         let renew_us = lease.confirmed_us + (lease.ttl_us / RENEW_SHARE).min(RENEW_MAX_US);
         if now_us >= renew_us { EntryStep::Renew { lease: lease.id } } else { EntryStep::Wait { until_us: renew_us } }
@@ -96,56 +128,84 @@
         self.wanted
     }
 
-    /// Returns the revision of the key as far as is known; zero when it does not exist.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    /// Returns the position of the key's last change as far as is known; none when it does not exist.
+    pub fn position(&self) -> Option<Position> {
+        self.position
     }
 
-    /// Returns the lease that is held, if one is.
-    pub fn lease(&self) -> Option<u64> {
-        self.lease.map(|lease| lease.id)
+    /// Returns the latest era that the store was heard to be in.
+    pub fn era(&self) -> Era {
+        self.era
+    }
+
+    /// Notes at `now_us` that the store has come back older.
+    pub fn enter(&mut self, era: Era, now_us: u64) {
+        if era <= self.era {
+            return;
+        }
+        self.era = era;
+        self.doubt_until_us = self.lease.map(|_| now_us + DOUBT_US);
     }
 
     /// Takes a lease that was granted by a call sent at `sent_us`.
     pub fn granted(&mut self, lease: Lease, sent_us: u64) {
         self.succeeded();
-        self.last_lease = Some(lease.id);
-        self.lease = Some(HeldLease { id: lease.id, ttl_us: lease.ttl_ms * 1000, confirmed_us: sent_us });
+        if lease.era < self.era {
+            // Granted by what the store has lost since.
+            return;
+        }
+        let (id, era, ttl_us) = (lease.id, lease.era, lease.ttl_ms * 1000);
+        self.lease = Some(HeldLease { id, era, ttl_us, confirmed_us: sent_us });
         // What was written before went with an earlier lease.
         self.written = None;
     }
 
-    /// Notes that a version was written at a revision.
-    pub fn wrote(&mut self, version: u64, revision: u64) {
+    /// Notes that a version was written at a position.
+    pub fn wrote(&mut self, version: u64, position: Position) {
         self.succeeded();
+        if position.era() < self.era {
+            return;
+        }
         self.written = Some(version);
-        self.revision = self.revision.max(revision);
+        if self.position.is_none_or(|known| position.supersedes(known)) {
+            self.position = Some(position);
+        }
+        if self.lease.is_some_and(|lease| lease.era < position.era()) {
+            // The store came back older before it took the write, which now stands there with an id that may be
+            // somebody else's lease.
+            self.lose_lease();
+        }
     }
 
-    /// Notes that the key stands at another revision than was expected.
-    pub fn conflicted(&mut self, revision: u64) {
+    /// Notes that the key stands at another position than was expected.
+    pub fn conflicted(&mut self, position: Option<Position>) {
         self.succeeded();
-        self.revision = revision;
+        self.position = position;
+    }
+
+    /// Notes that the lease was renewed by a call sent at `sent_us`, which the store answered in an era.
+    pub fn renewed(&mut self, era: Era, sent_us: u64) {
+        self.answered();
+        if let Some(lease) = self.lease.as_mut().filter(|lease| lease.era == era) {
+            lease.confirmed_us = sent_us;
+        }
     }
 
-    /// Notes that the lease was renewed by a call sent at `sent_us`.
-    pub fn renewed(&mut self, sent_us: u64) {
+    /// Notes that the store has answered.
+    pub fn answered(&mut self) {
         self.answered = true;
         self.retry_us = 0;
         let kept = self.lease.is_some() && self.written == Some(self.wanted);
         if kept {
             self.failures = 0;
         }
-        if let Some(lease) = self.lease.as_mut() {
-            lease.confirmed_us = sent_us;
-        }
     }
 
     /// Notes that the lease is over, and the key with it; another one is asked for at once.
     pub fn lease_over(&mut self) {
         self.succeeded();
-        self.lease = None;
-        self.revision = 0;
+        self.lose_lease();
+        self.position = None;
     }
 
     /// Notes that a call failed at `now_us`; the next one waits, longer each time.
@@ -162,24 +222,57 @@
         self.succeeded();
     }
 
-    /// Notes a change of the own key that a read or a watch has shown; `present` tells whether
-    /// the key exists.
-    pub fn seen(&mut self, revision: u64, present: bool) {
-        if revision <= self.revision && present {
+    /// Notes the own entry as a read or a watch has shown it.
+    pub fn seen(&mut self, entry: SeenEntry) {
+        if entry.position.era() < self.era {
             return;
         }
-        if !present {
-            // The lease ran out, or the key was taken away: it is written anew at once.
-            self.revision = 0;
-            self.written = None;
+        match self.position.map(|known| entry.position.relation_to(known)) {
+            Some(Relation::LaterEra) => self.seen_again(entry),
+            Some(Relation::Behind) | None => self.position = Some(entry.position),
+            Some(Relation::EarlierEra | Relation::Before | Relation::Same) => {}
+        }
+    }
+
+    /// Takes the own entry as a store shows it that has come back older.
+    fn seen_again(&mut self, entry: SeenEntry) {
+        let told = |known: Position| known.wire_revision() == entry.position.wire_revision();
+        let untouched = self.position.is_some_and(told);
+        self.position = Some(entry.position);
+        match &mut self.lease {
+            Some(lease) if untouched && entry.lease == Some(lease.id) => {
+                lease.era = entry.position.era();
+                // How much of its time is left there is not known.
+                lease.confirmed_us = 0;
+                self.doubt_until_us = None;
+            }
+            Some(_) | None => self.lose_lease(),
+        }
+    }
+
+    /// Notes that the own key does not exist at a position of the store.
+    pub fn missing(&mut self, at: Position) {
+        if at.era() < self.era || self.position.is_some_and(|known| known.supersedes(at)) {
+            // A state from before the entry was written does not show that it is gone.
             return;
         }
-        self.revision = revision;
+        if self.lease.is_some_and(|lease| lease.era < at.era()) {
+            self.lose_lease();
+        }
+        // The lease ran out, or the key was taken away: it is written anew at once.
+        self.position = None;
+        self.written = None;
     }
 
     /// Notes that another writer has put something else at the own key; it is written anew at once.
-    pub fn overwritten(&mut self, revision: u64) {
-        self.revision = revision;
+    pub fn overwritten(&mut self, position: Position) {
+        self.position = Some(position);
+        self.written = None;
+    }
+
+    fn lose_lease(&mut self) {
+        self.doubt_until_us = None;
+        self.lease = None;
         self.written = None;
     }
 
--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -3,6 +3,7 @@
 
 mod follow;
 mod keep;
+mod older;
 mod read;
 mod relayed;
 mod resume;
@@ -19,7 +20,7 @@
 use tokio::sync::{Notify, watch};
 
 use super::directory::{Directory, ENTRY_PREFIX};
-use super::evacuation::Evacuation;
+use super::evacuation::{Evacuation, EvacuationKeys};
 use super::lease::EntryKeeper;
 use super::message::{Member, MemberJob, Phase};
 use super::relay::ChangeLog;
@@ -88,6 +89,8 @@
     keeper: RefCell<EntryKeeper>,
     me: RefCell<Member>,
     evacuation: RefCell<Evacuation>,
+    /// The operators' keys behind it.
+    evacuation_keys: RefCell<EvacuationKeys>,
     /// Whether another node is being asked for evacuations.
     fetching_evacuation: Cell<bool>,
     rng: RefCell<fastrand::Rng>,
@@ -108,6 +111,8 @@
     hasten: Notify,
     /// Relays that have failed, and until when each is left alone, in microseconds.
     avoided: RefCell<HashMap<Arc<str>, u64>>,
+    /// Whether other nodes are being asked what they know that a store which came back older may have lost.
+    comparing: Cell<bool>,
 }
 
 /// Serves membership until told to close; must run on a local task set.
@@ -118,6 +123,7 @@
         keeper: RefCell::new(EntryKeeper::default()),
         me: RefCell::new(parts.me.clone()),
         evacuation: RefCell::default(),
+        evacuation_keys: RefCell::default(),
         fetching_evacuation: Cell::new(false),
         rng: RefCell::new(fastrand::Rng::with_seed(parts.seed)),
         entry_due: Notify::new(),
@@ -129,6 +135,7 @@
         asked_us: Cell::new(None),
         hasten: Notify::new(),
         avoided: RefCell::default(),
+        comparing: Cell::new(false),
         parts,
     });
     shell.publish();
@@ -246,14 +253,17 @@
         if !self.adopter.wants(number) {
             return;
         }
-        tokio::task::spawn_local(async move {
-            let question = Question { ask: Ask::Bundle, body: Bytes::new() };
-            if let LinkResult::Reply(answered) = self.ask(from, question).await
-                && let Reply::Bundle { number, version } = answered.head.reply
-            {
-                self.adopter.take_from_peer(number, &version, &answered.body);
-            }
-        });
+        tokio::task::spawn_local(async move { self.fetch_bundle(from).await });
+    }
+
+    /// Takes the bundle of another node.
+    async fn fetch_bundle(&self, from: Target) {
+        let question = Question { ask: Ask::Bundle, body: Bytes::new() };
+        if let LinkResult::Reply(answered) = self.ask(from, question).await
+            && let Reply::Bundle { number, version } = answered.head.reply
+        {
+            self.adopter.take_from_peer(number, &version, &answered.body);
+        }
     }
 
     async fn ask(&self, target: Target, question: Question) -> LinkResult {
--- a/valetrack/src/member/leased/follow.rs
+++ b/valetrack/src/member/leased/follow.rs
@@ -7,7 +7,7 @@
 
 use super::{Shell, WATCH_MS};
 use crate::clock::now_us;
-use crate::store::StoreError;
+use crate::store::{Era, StoreError};
 
 /// Pause between two calls for changes, in milliseconds: changes that come together, as when a
 /// fleet starts, are then read in one call, since each call of each node is paid for. An operator's
@@ -58,15 +58,15 @@
     }
 
     /// Reads from the store itself what has changed since the last read, or everything.
-    async fn catch_up(&self) -> Result<(), StoreError> {
-        if self.log.borrow().at_revision() == 0 {
+    async fn catch_up(self: &Rc<Self>) -> Result<(), StoreError> {
+        if self.log.borrow().position().is_start() {
             return self.read_earlier().await;
         }
         self.read_changes(CATCH_UP_WAIT).await.map(|_| ())
     }
 
     /// Follows whatever is to be followed until that fails.
-    async fn follow(&self) {
+    async fn follow(self: &Rc<Self>) {
         loop {
             let served = match self.relay() {
                 Some(relay) => self.follow_relay(&relay).await,
@@ -86,7 +86,7 @@
 
     /// Waits for a relay to be found among the entries of a fleet that starts; returns whether the
     /// store served.
-    async fn settle(&self) -> bool {
+    async fn settle(self: &Rc<Self>) -> bool {
         let pause_ms = self.rng.borrow_mut().u64(SETTLE_READ_MS / 2..=SETTLE_READ_MS);
         if timeout(Duration::from_millis(pause_ms), self.hasten.notified()).await.is_ok() {
             return true;
@@ -102,7 +102,7 @@
 
     /// Follows the store itself until it fails or a relay is to be followed; returns whether the
     /// store served to the end.
-    async fn follow_directly(&self) -> bool {
+    async fn follow_directly(self: &Rc<Self>) -> bool {
         while self.relay().is_none() {
             let relay = self.is_relay();
             let longest_ms = if relay { self.log.borrow().relay_wait_ms(now_us()) } else { WATCH_MS };
@@ -114,8 +114,8 @@
                 () = self.hasten.notified(), if !relay => continue,
             };
             match changed {
-                Ok(0) => {}
-                Ok(_) => {
+                Ok(false) => {}
+                Ok(true) => {
                     let gather_ms = if relay { RELAY_GATHER_MS } else { GATHER_MS };
                     sleep(Duration::from_millis(gather_ms)).await;
                 }
@@ -136,7 +136,9 @@
         until_ms.clamp(10, WATCH_MS)
     }
 
-    pub(super) fn store_answered(&self) {
+    /// Notes that the store answers, and in which era.
+    pub(super) fn store_answered(self: &Rc<Self>, era: Era) {
+        self.era_seen(era);
         if self.store_answers.replace(true) {
             return;
         }
--- a/valetrack/src/member/leased/keep.rs
+++ b/valetrack/src/member/leased/keep.rs
@@ -8,10 +8,10 @@
 use super::{Shell, WATCH_MS};
 use crate::clock::now_us;
 use crate::code::Code;
-use crate::member::{EntryStep, entry_key};
-use crate::store::{Committed, LeasedWrite, StoreError};
+use crate::member::{EntryDoc, EntryStep, entry_key};
+use crate::store::{Committed, Freshness, LeasedWrite, Position, StoreError};
 
-/// Time that ending the lease may take when the node stops, in milliseconds.
+/// Time that removing the entry may take when the node stops, in milliseconds.
 const END_MS: u64 = 300;
 
 impl Shell {
@@ -23,7 +23,7 @@
                 // Nothing was to be said yet.
                 _ if self.keeper.borrow().wanted() == 0 => u64::MAX,
                 EntryStep::Wait { until_us } => until_us,
-                EntryStep::Grant | EntryStep::Write { .. } | EntryStep::Renew { .. } => {
+                EntryStep::Grant | EntryStep::Write { .. } | EntryStep::Renew { .. } | EntryStep::Ask => {
                     self.step(step).await;
                     continue;
                 }
@@ -34,30 +34,14 @@
         }
     }
 
-    async fn step(&self, step: EntryStep) {
-        let sent_us = now_us();
-        let store = &self.parts.store;
-        let ended = match step {
-            EntryStep::Grant => {
-                self.count("grant");
-                store.grant(self.parts.lease_ms).await.map(|lease| self.keeper.borrow_mut().granted(lease, sent_us))
-            }
-            EntryStep::Renew { lease } => {
-                self.count("renew");
-                store.renew(lease).await.map(|()| self.keeper.borrow_mut().renewed(sent_us))
-            }
-            EntryStep::Write { lease, expected } => self.write(lease, expected).await,
-            EntryStep::Wait { .. } => Ok(()),
-        };
+    async fn step(self: &Rc<Self>, step: EntryStep) {
         let was_away = !self.store_answers.get();
-        match ended {
-            Ok(()) => {
-                self.store_answered();
-                self.reread_after(was_away);
-            }
+        match self.call(step).await {
+            Ok(()) => self.reread_after(was_away),
             Err(StoreError::LeaseOver) => {
                 log::info!("event=member.lease_over code={}", Code::LeaseOver);
-                self.store_answered();
+                // An answer, though it does not name its era; the next one will.
+                self.store_answered(self.keeper.borrow().era());
                 self.reread_after(was_away);
                 self.keeper.borrow_mut().lease_over();
             }
@@ -68,6 +52,36 @@
         }
     }
 
+    /// Makes the call of one step, and takes its answer after the era that it names.
+    async fn call(self: &Rc<Self>, step: EntryStep) -> Result<(), StoreError> {
+        let sent_us = now_us();
+        let store = &self.parts.store;
+        match step {
+            EntryStep::Grant => {
+                self.count("grant");
+                let lease = store.grant(self.parts.lease_ms).await?;
+                self.store_answered(lease.era);
+                self.keeper.borrow_mut().granted(lease, sent_us);
+            }
+            EntryStep::Renew { lease } => {
+                self.count("renew");
+                let era = store.renew(lease).await?;
+                self.store_answered(era);
+                self.keeper.borrow_mut().renewed(era, sent_us);
+            }
+            EntryStep::Ask => {
+                self.count("list-earlier");
+                let key = entry_key(&self.parts.me.vm);
+                let page = store.list(&key, None, Freshness::Earlier).await?;
+                self.store_answered(page.at.era());
+                self.keeper.borrow_mut().answered();
+            }
+            EntryStep::Write { lease, expected } => self.write(lease, expected).await?,
+            EntryStep::Wait { .. } => {}
+        }
+        Ok(())
+    }
+
     /// Has the store read again when a call for the own entry shows that it is back: a call for
     /// changes from before may hang for good.
     fn reread_after(&self, was_away: bool) {
@@ -76,18 +90,25 @@
         }
     }
 
-    async fn write(&self, lease: u64, expected: u64) -> Result<(), StoreError> {
+    async fn write(self: &Rc<Self>, lease: u64, expected: Option<Position>) -> Result<(), StoreError> {
         let version = self.keeper.borrow().wanted();
-        let me = self.me.borrow().clone();
-        let value = serde_json::to_vec(&me).map_err(|error| StoreError::Invalid { reason: error.to_string() })?;
-        let write = LeasedWrite { key: entry_key(&me.vm), expected, value, lease };
+        let entry = EntryDoc { member: self.me.borrow().clone(), era: self.keeper.borrow().era() };
+        let value = serde_json::to_vec(&entry).map_err(|error| StoreError::Invalid { reason: error.to_string() })?;
+        let write = LeasedWrite { key: entry_key(&entry.member.vm), expected, value, lease: Some(lease) };
         self.count("write");
         match self.parts.store.commit(&write).await? {
-            Committed::At(revision) => {
-                log::info!("event=member.entry_written phase={} revision={revision} lease={lease}", me.phase.as_str());
-                self.keeper.borrow_mut().wrote(version, revision);
+            Committed::At(position) => {
+                let phase = entry.member.phase.as_str();
+                log::info!("event=member.entry_written phase={phase} position={position} lease={lease}");
+                self.store_answered(position.era());
+                self.keeper.borrow_mut().wrote(version, position);
+            }
+            Committed::Conflict(position) => {
+                if let Some(position) = position {
+                    self.store_answered(position.era());
+                }
+                self.keeper.borrow_mut().conflicted(position);
             }
-            Committed::Conflict(revision) => self.keeper.borrow_mut().conflicted(revision),
         }
         Ok(())
     }
@@ -98,16 +119,31 @@
         if exiting.wait_for(|exiting| *exiting).await.is_err() {
             return;
         }
-        let lease = self.keeper.borrow().lease();
-        if let Some(lease) = lease.filter(|_| self.store_answers.get()) {
-            self.count("end");
-            match timeout(Duration::from_millis(END_MS), self.parts.store.end(lease)).await {
+        if self.store_answers.get() {
+            match timeout(Duration::from_millis(END_MS), self.remove_entry()).await {
                 Ok(Ok(())) => {}
                 // The lease runs out by itself.
-                Ok(Err(error)) => log::warn!("event=member.lease_not_ended code={} reason=\"{error}\"", error.code()),
-                Err(_) => log::warn!("event=member.lease_not_ended reason=\"time limit\""),
+                Ok(Err(error)) => log::warn!("event=member.entry_not_removed code={} reason=\"{error}\"", error.code()),
+                Err(_) => log::warn!("event=member.entry_not_removed reason=\"time limit\""),
             }
         }
         self.parts.departed.send_replace(true);
     }
+
+    /// Removes the own entry where it stands.
+    ///
+    /// The entry and not its lease: where the store has come back older, an end of the lease by its id could end
+    /// somebody else's, and another node's entry with it.
+    async fn remove_entry(&self) -> Result<(), StoreError> {
+        let key = entry_key(&self.parts.me.vm);
+        let mut expected = self.keeper.borrow().position();
+        while let Some(position) = expected {
+            self.count("remove");
+            expected = match self.parts.store.remove(&key, position).await? {
+                Committed::At(_) => None,
+                Committed::Conflict(found) => found,
+            };
+        }
+        Ok(())
+    }
 }
--- a/valetrack/src/member/leased/read.rs
+++ b/valetrack/src/member/leased/read.rs
@@ -1,31 +1,31 @@
 //! Reads the store, whole or what has changed, and takes what was read, from the store or a relay.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::Shell;
-use crate::bundle::version_of;
 use crate::clock::now_us;
 use crate::code::Code;
 use crate::crash::CrashJob;
 use crate::crash::archive::service_of;
-use crate::member::{entry_key, member_of};
-use crate::store::{Change, Freshness, Item, StoreError};
+use crate::member::{EntryDoc, SeenEntry, Taken, entry_key};
+use crate::store::{Change, Freshness, Item, Position, StoreError};
 
 impl Shell {
     /// Reads everything as it stood some seconds ago at most; what has changed since is told by
     /// whoever is followed then.
-    pub(super) async fn read_earlier(&self) -> Result<(), StoreError> {
+    pub(super) async fn read_earlier(self: &Rc<Self>) -> Result<(), StoreError> {
         self.read_all(Freshness::Earlier).await?;
         // Nobody may rely on it for what has changed since.
         self.lose_log();
         Ok(())
     }
 
-    async fn read_all(&self, freshness: Freshness) -> Result<(), StoreError> {
+    async fn read_all(self: &Rc<Self>, freshness: Freshness) -> Result<(), StoreError> {
         let sent_us = now_us();
         let mut items: Vec<Item> = Vec::new();
-        let mut at_revision = u64::MAX;
+        let mut at: Option<Position> = None;
         loop {
             let after = items.last().map(|item| item.key.clone());
             self.count(match freshness {
@@ -33,86 +33,125 @@
                 Freshness::Earlier => "list-earlier",
             });
             let page = self.parts.store.list("", after.as_deref(), freshness).await?;
+            self.store_answered(page.at.era());
+            if at.is_some_and(|at| at.era() != page.at.era()) {
+                // Pages of two eras show neither of them.
+                items.clear();
+                at = None;
+                continue;
+            }
             // Pages are no snapshot: changes are followed from the earliest one on.
-            at_revision = at_revision.min(page.at_revision);
+            let earliest = at.filter(|at| page.at.supersedes(*at)).unwrap_or(page.at);
+            at = Some(earliest);
             let last = page.items.is_empty() || !page.has_more;
             items.extend(page.items);
             if last {
-                break;
+                return self.take_read(&items, earliest, sent_us, freshness);
             }
         }
-        self.store_answered();
-        // An earlier state may be older than what is known already.
-        let known = self.log.borrow().at_revision();
-        if at_revision < known {
+    }
+
+    fn take_read(
+        self: &Rc<Self>,
+        items: &[Item],
+        at: Position,
+        sent_us: u64,
+        freshness: Freshness,
+    ) -> Result<(), StoreError> {
+        let known = self.log.borrow().position();
+        if self.take_all(items, at, sent_us) != Taken::Newest {
+            // An earlier state may be older than what is known already.
             self.parts.metrics.store_outdated.inc();
-            log::info!("event=store.read_outdated freshness={freshness:?} revision={at_revision} known={known}");
-            return Ok(());
+            log::info!("event=store.read_outdated freshness={freshness:?} position={at} known={known}");
         }
-        self.take_all(&items, at_revision, sent_us);
         Ok(())
     }
 
-    /// Takes all items of the store as they stood at `confirmed_us`.
-    pub(super) fn take_all(&self, items: &[Item], at_revision: u64, confirmed_us: u64) {
-        let key = entry_key(&self.parts.me.vm);
-        let own = items.iter().find(|item| item.key == key);
-        // A state from before the entry was written does not show that it is gone.
-        if own.is_some() || at_revision >= self.keeper.borrow().revision() {
-            match own {
-                Some(item) => self.own_entry_seen(item),
-                None => self.own_entry_gone(0),
-            }
+    /// Takes all items of the store as they stood at `at` and at `confirmed_us`.
+    pub(super) fn take_all(self: &Rc<Self>, items: &[Item], at: Position, confirmed_us: u64) -> Taken {
+        let before = self.log.borrow().position();
+        let taken = self.log.borrow_mut().read(items, at, confirmed_us);
+        if taken != Taken::Newest {
+            return taken;
         }
-        for item in items.iter().filter(|item| item.key == *self.parts.bundle_key) {
-            self.take_bundle(item);
-        }
-        self.take_evacuations(items, at_revision);
-        for item in items {
-            self.take_crashes(item);
+        self.logged.notify_waiters();
+        let key = entry_key(&self.parts.me.vm);
+        match items.iter().find(|item| item.key == key) {
+            Some(item) => self.own_entry_seen(item),
+            None => self.own_entry_gone(at),
         }
+        self.take_evacuations(items);
         self.directory.borrow_mut().replace(items, now_us());
+        self.forget_missing();
         self.count_invalid();
-        self.log.borrow_mut().read(items, at_revision, confirmed_us);
-        self.logged.notify_waiters();
         self.publish();
+        for item in items {
+            self.take_crashes(item);
+        }
+        for item in items.iter().filter(|item| item.key == *self.parts.bundle_key) {
+            self.take_bundle(item);
+        }
+        self.log_reread(before, at);
+        taken
     }
 
-    /// Waits for changes in the store and takes them, or reads everything where the store has
-    /// forgotten them; returns how many there were.
-    pub(super) async fn read_changes(&self, wait: Duration) -> Result<usize, StoreError> {
+    /// Waits for changes in the store and takes them, or reads everything where they do not go on from
+    /// what is known; returns whether there was anything.
+    pub(super) async fn read_changes(self: &Rc<Self>, wait: Duration) -> Result<bool, StoreError> {
+        let after = self.log.borrow().position();
+        if after.is_start() {
+            self.read_all(Freshness::Current).await?;
+            return Ok(true);
+        }
         self.count("watch");
         let sent_us = now_us();
-        let after = self.log.borrow().at_revision();
         let changes = match self.parts.store.changes("", after, wait).await {
             Err(StoreError::HistoryGone) => {
-                log::info!("event=store.history_gone code={} revision={after}", Code::StoreHistoryGone);
-                // A node with a relay is told by it what has changed since an earlier state.
-                match self.relay() {
-                    Some(_) => self.read_earlier().await?,
-                    None => self.read_all(Freshness::Current).await?,
-                }
-                return Ok(0);
+                log::info!("event=store.history_gone code={} position={after}", Code::StoreHistoryGone);
+                return self.read_again().await.map(|()| true);
             }
             read => read?,
         };
-        self.store_answered();
+        self.store_answered(changes.at.era());
         // An answer without changes comes when the wait is over, one with changes at any moment.
         let waited_us = if changes.changes.is_empty() { wait.as_micros() as u64 } else { 0 };
-        self.take_changes(&changes.changes, changes.at_revision, (sent_us + waited_us).min(now_us()));
-        Ok(changes.changes.len())
+        let confirmed_us = (sent_us + waited_us).min(now_us());
+        match self.take_changes(&changes.changes, after, changes.at, confirmed_us) {
+            Taken::Newest => Ok(!changes.changes.is_empty()),
+            Taken::Outdated | Taken::Disconnected => self.read_again().await.map(|()| true),
+        }
     }
 
-    /// Takes changes up to `at_revision`, at which the store stood at `confirmed_us`.
-    pub(super) fn take_changes(&self, changes: &[Change], at_revision: u64, confirmed_us: u64) {
-        self.log.borrow_mut().apply(changes, at_revision, confirmed_us);
+    /// Reads everything, since what is known cannot be gone on from.
+    ///
+    /// A node with a relay is told by it what has changed since an earlier state. Where that state is dropped as
+    /// older than what is known, the store as it stands is read: only that can tell whether it has come back older.
+    async fn read_again(self: &Rc<Self>) -> Result<(), StoreError> {
+        match self.relay() {
+            Some(_) => self.read_earlier().await,
+            None => self.read_all(Freshness::Current).await,
+        }
+    }
+
+    /// Takes the changes between `after` and `at`, where the store stood at `confirmed_us`.
+    pub(super) fn take_changes(
+        self: &Rc<Self>,
+        changes: &[Change],
+        after: Position,
+        at: Position,
+        confirmed_us: u64,
+    ) -> Taken {
+        let taken = self.log.borrow_mut().apply(changes, after, at, confirmed_us);
+        if taken != Taken::Newest {
+            return taken;
+        }
         self.logged.notify_waiters();
         let own = entry_key(&self.parts.me.vm);
         let mut changed = false;
         for change in changes {
             match change {
                 Change::Put(item) if item.key == own => self.own_entry_seen(item),
-                Change::Gone { key, revision } if *key == own => self.own_entry_gone(*revision),
+                Change::Gone { key, position } if *key == own => self.own_entry_gone(*position),
                 Change::Put(item) if item.key == *self.parts.bundle_key => self.take_bundle(item),
                 change if self.evacuated_domain(change.key()).is_some() => self.take_evacuation(change),
                 Change::Put(item) if service_of(&item.key).is_some() => self.take_crashes(item),
@@ -121,14 +160,21 @@
                 }
             }
         }
+        self.settle_evacuations();
         self.count_invalid();
-        for vm in self.directory.borrow_mut().expire(now_us()) {
-            log::info!("event=member.gone peer={vm} by=store");
-            changed = true;
-        }
-        if changed {
+        if self.forget_missing() || changed {
             self.publish();
         }
+        taken
+    }
+
+    /// Forgets nodes whose entries have been missing too long; returns whether there were any.
+    fn forget_missing(&self) -> bool {
+        let gone = self.directory.borrow_mut().expire(now_us());
+        for vm in &gone {
+            log::info!("event=member.gone peer={vm} by=store");
+        }
+        !gone.is_empty()
     }
 
     /// Passes on what the store holds of a service's crashes, if the item holds that.
@@ -153,11 +199,11 @@
     }
 
     /// Takes which failure domains are evacuated as the whole store shows it.
-    fn take_evacuations(&self, items: &[Item], at_revision: u64) {
-        let domains = items.iter().filter_map(|item| self.evacuated_domain(&item.key)).map(Arc::from).collect();
-        if self.evacuation.borrow_mut().set(domains, at_revision) {
-            self.evacuation_changed("store");
-        }
+    fn take_evacuations(&self, items: &[Item]) {
+        let stored =
+            items.iter().filter_map(|item| Some((Arc::from(self.evacuated_domain(&item.key)?), item.position)));
+        self.evacuation_keys.borrow_mut().read(stored.collect());
+        self.settle_evacuations();
     }
 
     /// Takes the start or the end of one evacuation.
@@ -165,34 +211,43 @@
         let Some(domain) = self.evacuated_domain(change.key()) else {
             return;
         };
-        let mut domains = self.evacuation.borrow().domains.clone();
+        let mut keys = self.evacuation_keys.borrow_mut();
         match change {
-            Change::Put(_) => domains.insert(Arc::from(domain)),
-            Change::Gone { .. } => domains.remove(domain),
-        };
-        if self.evacuation.borrow_mut().set(domains, change.revision()) {
+            Change::Put(item) => keys.put(domain, item.position),
+            Change::Gone { .. } => keys.remove(domain),
+        }
+    }
+
+    /// Puts in force what the operators' keys say by now.
+    pub(super) fn settle_evacuations(&self) {
+        let domains = self.evacuation_keys.borrow_mut().domains(now_us());
+        let at = self.log.borrow().position();
+        if self.evacuation.borrow_mut().set(domains, at) {
             self.evacuation_changed("store");
         }
     }
 
     /// Takes the own entry as the store holds it; one that another writer has put there is written anew.
     fn own_entry_seen(&self, item: &Item) {
-        let is_own = member_of(item).is_ok();
-        if !is_own && item.revision > self.keeper.borrow().revision() {
-            log::warn!("event=member.entry_overwritten code={} revision={}", Code::EntryInvalid, item.revision);
-            self.keeper.borrow_mut().overwritten(item.revision);
-            self.entry_due.notify_one();
-            return;
+        let mut keeper = self.keeper.borrow_mut();
+        let is_newer = keeper.position().is_none_or(|known| item.position.supersedes(known));
+        match EntryDoc::read(item) {
+            Err(reason) if is_newer => {
+                let code = Code::EntryInvalid;
+                log::warn!("event=member.entry_overwritten code={code} position={} reason=\"{reason}\"", item.position);
+                keeper.overwritten(item.position);
+            }
+            Ok(_) | Err(_) => keeper.seen(SeenEntry { position: item.position, lease: item.lease }),
         }
-        self.keeper.borrow_mut().seen(item.revision, true);
+        self.entry_due.notify_one();
     }
 
-    fn own_entry_gone(&self, revision: u64) {
-        self.keeper.borrow_mut().seen(revision, false);
+    fn own_entry_gone(&self, at: Position) {
+        self.keeper.borrow_mut().missing(at);
         self.entry_due.notify_one();
     }
 
-    fn take_bundle(&self, item: &Item) {
+    fn take_bundle(self: &Rc<Self>, item: &Item) {
         let text = match std::str::from_utf8(&item.value) {
             Ok(text) => text,
             Err(error) => {
@@ -201,7 +256,7 @@
             }
         };
         match self.parts.format.number(text) {
-            Some(number) => self.adopter.offer(number, &version_of(text), text, "store"),
+            Some(number) => self.offer_bundle(number, text),
             None => log::error!("event=bundle.refused code={} reason=\"no number\"", Code::BundleDamaged),
         }
     }
--- a/valetrack/src/member/leased/relayed.rs
+++ b/valetrack/src/member/leased/relayed.rs
@@ -12,8 +12,8 @@
 use crate::link::codec;
 use crate::link::message::{Ask, Question, Reply};
 use crate::link::peer::{self, LinkResult, Target};
-use crate::member::relay::{AGE_MAX_US, StoreNews, relay_of};
-use crate::store::{Change, Item};
+use crate::member::relay::{AGE_MAX_US, StoreNews, Taken, relay_of};
+use crate::store::{Change, Item, Position};
 
 /// Longest wait of one question to a relay, in milliseconds: a relay that died is noticed after it.
 const FOLLOW_WAIT_MS: u32 = 1_000;
@@ -54,28 +54,28 @@
 
     /// Follows a relay until it fails or another one is to be followed; returns whether the
     /// relay served to the end.
-    pub(super) async fn follow_relay(&self, relay: &Target) -> bool {
+    pub(super) async fn follow_relay(self: &Rc<Self>, relay: &Target) -> bool {
         log::info!("event=store.following relay={}", relay.vm);
         while self.relay().as_ref() == Some(relay) {
+            let after = self.log.borrow().position();
             let news = tokio::select! {
-                news = self.ask_relay(relay) => news,
+                news = self.ask_relay(relay, after) => news,
                 () = self.hasten.notified() => return true,
             };
             let Some(news) = news else {
-                log::info!("event=store.relay_failed relay={} revision={}", relay.vm, self.log.borrow().at_revision());
+                log::info!("event=store.relay_failed relay={} position={}", relay.vm, self.log.borrow().position());
                 self.avoided.borrow_mut().insert(relay.vm.clone(), now_us() + AVOID_US);
                 self.lose_log();
                 return false;
             };
-            self.take_news(&news);
+            self.take_news(&news, after);
         }
         true
     }
 
     /// Asks a relay what has changed; none when it does not reply in time or is behind itself.
-    async fn ask_relay(&self, relay: &Target) -> Option<StoreNews> {
+    async fn ask_relay(&self, relay: &Target, after: Position) -> Option<StoreNews> {
         self.parts.metrics.relay_questions.inc();
-        let after = self.log.borrow().at_revision();
         let ask = Ask::Follow { after, wait_ms: FOLLOW_WAIT_MS };
         let limit = Duration::from_millis(u64::from(FOLLOW_WAIT_MS) + FOLLOW_SLACK_MS);
         let question = Question { ask, body: Bytes::new() };
@@ -95,24 +95,32 @@
         }
     }
 
-    fn take_news(&self, news: &StoreNews) {
+    /// Takes the news that were asked for after a position.
+    fn take_news(self: &Rc<Self>, news: &StoreNews, after: Position) {
+        self.era_seen(news.at.era());
         let confirmed_us = now_us().saturating_sub(u64::from(news.age_ms) * 1000);
-        if news.whole {
-            let items: Vec<Item> = news.changes.iter().filter_map(Change::item).cloned().collect();
-            self.take_all(&items, news.at_revision, confirmed_us);
+        let taken = match news.whole {
+            true => {
+                let items: Vec<Item> = news.changes.iter().filter_map(Change::item).cloned().collect();
+                self.take_all(&items, news.at, confirmed_us)
+            }
+            false => self.take_changes(&news.changes, after, news.at, confirmed_us),
+        };
+        if taken != Taken::Newest {
+            let known = self.log.borrow().position();
+            log::info!("event=store.news_dropped taken={taken:?} position={} known={known}", news.at);
         }
-        // Without changes, entries that have been missing too long are still forgotten.
-        let changes: &[Change] = if news.whole { &[] } else { &news.changes };
-        self.take_changes(changes, news.at_revision, confirmed_us);
     }
 
     /// Tells a node that follows this one what it lacks, as soon as there is something.
     pub(super) async fn serve_follower(
         self: Rc<Self>,
-        after: u64,
+        after: Position,
         wait_ms: u32,
         reply: oneshot::Sender<Option<StoreNews>>,
     ) {
+        // A follower may have heard first that the store has come back older.
+        self.era_seen(after.era());
         let was_relay = self.is_relay();
         self.asked_us.set(Some(now_us()));
         if !was_relay {
@@ -125,14 +133,14 @@
         let _ = reply.send(news);
     }
 
-    /// Waits for changes after a revision; none when this node is behind itself.
-    async fn news_since(&self, after: u64, until_us: u64) -> Option<StoreNews> {
+    /// Waits for changes after a position; none when this node is behind itself.
+    async fn news_since(&self, after: Position, until_us: u64) -> Option<StoreNews> {
         let mut was_current = false;
         loop {
             let logged = self.logged.notified();
             let now = now_us();
             let current_until_us = self.log.borrow().current_until_us().filter(|until_us| *until_us > now);
-            let newer = self.log.borrow().at_revision() > after;
+            let newer = self.log.borrow().is_newer_than(after);
             if now >= until_us || (newer && current_until_us.is_some()) {
                 return current_until_us.map(|_| self.log.borrow().since(after, now));
             }
--- a/valetrack/src/member/message.rs
+++ b/valetrack/src/member/message.rs
@@ -9,6 +9,7 @@
 use super::evacuation::Evacuation;
 use super::relay::StoreNews;
 use crate::link::peer::Target;
+use crate::store::Position;
 
 /// Life of one incarnation of a VM; it only goes forward.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -127,8 +128,8 @@
     },
     /// Another node follows this one in place of the store.
     Follow {
-        /// Revision up to which it has read the store.
-        after: u64,
+        /// Position up to which it has read the store.
+        after: Position,
         /// Longest time that it waits for a change, in milliseconds.
         wait_ms: u32,
         /// Where the news go; none when this node is behind itself.
--- a/valetrack/src/member/mod.rs
+++ b/valetrack/src/member/mod.rs
@@ -15,9 +15,9 @@
 #[cfg(test)]
 mod tests;
 
-pub use directory::{Directory, ENTRY_PREFIX, MISSING_US, entry_key, member_of};
-pub use evacuation::Evacuation;
-pub use lease::{EntryKeeper, EntryStep};
+pub use directory::{Directory, ENTRY_PREFIX, EntryDoc, MISSING_US, entry_key};
+pub use evacuation::{Evacuation, EvacuationKeys};
+pub use lease::{EntryKeeper, EntryStep, SeenEntry};
 pub use message::{Candidate, ListedVm, Member, MemberJob, Phase};
-pub use relay::{AGE_MAX_US, ChangeLog, StoreNews, relay_of};
+pub use relay::{AGE_MAX_US, ChangeLog, StoreNews, Taken, relay_of};
 pub use state::{GONE_AFTER_US, Members};
--- a/valetrack/src/member/relay.rs
+++ b/valetrack/src/member/relay.rs
@@ -12,7 +12,7 @@
 
 use super::message::{Member, Phase};
 use super::state::Members;
-use crate::store::{Change, Item};
+use crate::store::{Change, Era, Item, Position, Relation};
 
 /// News older than this are not relied on, in microseconds: an operator's change is to be in force
 /// within two seconds, and a node that finds its relay behind still has to ask the store itself.
@@ -37,41 +37,91 @@
     pub whole: bool,
     /// The changes, in their order.
     pub changes: Vec<Change>,
-    /// Revision up to which they go.
-    pub at_revision: u64,
-    /// How long ago the store was known to stand at that revision, in milliseconds.
+    /// Position up to which they go.
+    pub at: Position,
+    /// How long ago the store was known to stand there, in milliseconds.
     pub age_ms: u32,
 }
 
+/// What became of something that was read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Taken {
+    /// It is the newest that is known.
+    Newest,
+    /// It shows an earlier state than is known, and was dropped.
+    Outdated,
+    /// It does not go on from what is known, since the store has come back older; everything is to be read.
+    Disconnected,
+}
+
 /// Items of the store as this node has read them, with their latest changes.
 #[derive(Debug, Clone, Default)]
 pub struct ChangeLog {
     items: BTreeMap<String, Item>,
     changes: VecDeque<Change>,
-    /// `changes` holds all that came after this revision.
-    complete_after: u64,
-    at_revision: u64,
-    /// When the store was last known to stand at `at_revision`; none when a call has failed since.
+    /// `changes` holds all that came after this position.
+    complete_after: Position,
+    /// Position up to which the store was read.
+    at: Position,
+    /// When the store was last known to stand at `at`; none when a call has failed since.
     confirmed_us: Option<u64>,
 }
 
 impl ChangeLog {
-    /// Returns the revision up to which the store was read; zero before the first read.
-    pub fn at_revision(&self) -> u64 {
-        self.at_revision
+    /// Returns the position up to which the store was read; the start of its era before the first read.
+    pub fn position(&self) -> Position {
+        self.at
+    }
+
+    /// Returns the latest era that was heard of.
+    pub fn era(&self) -> Era {
+        self.at.era()
     }
 
-    /// Takes all items, as the store held them at `at_revision` and at `confirmed_us`.
-    pub fn read(&mut self, items: &[Item], at_revision: u64, confirmed_us: u64) {
+    /// Returns all items.
+    pub fn items(&self) -> impl Iterator<Item = &Item> {
+        self.items.values()
+    }
+
+    /// Notes that the store is in an era; returns whether it is a later one, of which nothing is known yet.
+    pub fn enter(&mut self, era: Era) -> bool {
+        if era <= self.at.era() {
+            return false;
+        }
+        *self = Self { at: Position::start_of(era), complete_after: Position::start_of(era), ..Self::default() };
+        true
+    }
+
+    /// Takes all items, as the store held them at `at` and at `confirmed_us`.
+    ///
+    /// Across eras the later one counts, whatever the revisions are: a store that came back older stands at a
+    /// lower revision than was read before, and its reads would be dropped until it has reached that one again.
+    pub fn read(&mut self, items: &[Item], at: Position, confirmed_us: u64) -> Taken {
+        if self.at.supersedes(at) {
+            return Taken::Outdated;
+        }
         self.items = items.iter().map(|item| (item.key.clone(), item.clone())).collect();
         self.changes.clear();
-        self.complete_after = at_revision;
-        self.at_revision = at_revision;
+        self.complete_after = at;
+        self.at = at;
         self.confirmed_us = Some(confirmed_us);
+        Taken::Newest
     }
 
-    /// Takes the changes up to `at_revision`, where the store stood at `confirmed_us`.
-    pub fn apply(&mut self, changes: &[Change], at_revision: u64, confirmed_us: u64) {
+    /// Takes the changes between `after` and `at`, where the store stood at `confirmed_us`.
+    ///
+    /// They are taken only where they go on from what is known. An answer of a later era tells the changes behind the
+    /// same revision, and nothing of what the store has lost and has written up to there instead.
+    pub fn apply(&mut self, changes: &[Change], after: Position, at: Position, confirmed_us: u64) -> Taken {
+        if at.era() == self.at.era() && (self.at.is_start() || after.relation_to(self.at).is_gap()) {
+            return Taken::Disconnected;
+        }
+        match at.relation_to(self.at) {
+            // The second is of a relay that has read less than this node.
+            Relation::EarlierEra | Relation::Before => return Taken::Outdated,
+            Relation::LaterEra => return Taken::Disconnected,
+            Relation::Same | Relation::Behind => self.at = at,
+        }
         for change in changes {
             match change {
                 Change::Put(item) => {
@@ -84,12 +134,14 @@
             self.changes.push_back(change.clone());
         }
         while self.changes.len() > CHANGES_MAX {
-            if let Some(dropped) = self.changes.pop_front() {
-                self.complete_after = self.complete_after.max(dropped.revision());
+            if let Some(dropped) = self.changes.pop_front()
+                && dropped.position().supersedes(self.complete_after)
+            {
+                self.complete_after = dropped.position();
             }
         }
-        self.at_revision = self.at_revision.max(at_revision);
         self.confirmed_us = self.confirmed_us.max(Some(confirmed_us));
+        Taken::Newest
     }
 
     /// Notes that the store, or the relay in its place, did not answer.
@@ -109,16 +161,25 @@
         left_ms.saturating_sub(RELAY_AHEAD_MS).clamp(RELAY_WAIT_MIN_MS, RELAY_WAIT_MS)
     }
 
-    /// Returns what a node lacks that has read the store up to `after`.
-    pub fn since(&self, after: u64, now_us: u64) -> StoreNews {
-        let whole = after < self.complete_after || after > self.at_revision;
-        let changes = match whole {
-            true => self.items.values().cloned().map(Change::Put).collect(),
-            false => self.changes.iter().filter(|change| change.revision() > after).cloned().collect(),
+    /// Returns whether there is something that a node lacks which has read the store up to `after`.
+    pub fn is_newer_than(&self, after: Position) -> bool {
+        self.at.supersedes(after)
+    }
+
+    /// Returns what a node lacks that has read the store up to `after`: everything, where that is a position that
+    /// this log cannot go on from.
+    pub fn since(&self, after: Position, now_us: u64) -> StoreNews {
+        let goes_on = match after.relation_to(self.at) {
+            Relation::Before | Relation::Same => !self.complete_after.supersedes(after),
+            Relation::Behind | Relation::EarlierEra | Relation::LaterEra => false,
+        };
+        let changes = match goes_on {
+            true => self.changes.iter().filter(|change| change.position().supersedes(after)).cloned().collect(),
+            false => self.items.values().cloned().map(Change::Put).collect(),
         };
         let age_us = self.confirmed_us.map_or(u64::MAX, |confirmed_us| now_us.saturating_sub(confirmed_us));
         let age_ms = (age_us / 1000).min(u64::from(u32::MAX)) as u32;
-        StoreNews { whole, changes, at_revision: self.at_revision, age_ms }
+        StoreNews { whole: !goes_on, changes, at: self.at, age_ms }
     }
 }
 
--- a/valetrack/src/member/tests/directory.rs
+++ b/valetrack/src/member/tests/directory.rs
@@ -4,6 +4,7 @@
 
 use proptest::prelude::*;
 
+use super::at;
 use crate::member::{Directory, MISSING_US, Member, Phase, entry_key};
 use crate::store::{Change, Item};
 
@@ -20,11 +21,11 @@
 
 fn item(vm: &str, phase: Phase, revision: u64) -> Item {
     let value = serde_json::to_vec(&member(vm, phase)).expect("json");
-    Item { key: entry_key(vm), value, revision }
+    Item { key: entry_key(vm), value, position: at(revision), lease: None }
 }
 
 fn gone(vm: &str, revision: u64) -> Change {
-    Change::Gone { key: entry_key(vm), revision }
+    Change::Gone { key: entry_key(vm), position: at(revision) }
 }
 
 fn phases(directory: &Directory) -> Vec<(String, Phase)> {
--- a/valetrack/src/member/tests/entry.rs
+++ b/valetrack/src/member/tests/entry.rs
@@ -3,10 +3,11 @@
 use proptest::prelude::*;
 use test_case::test_case;
 
-use crate::member::{EntryKeeper, EntryStep};
-use crate::store::Lease;
+use super::at;
+use crate::member::{EntryKeeper, EntryStep, SeenEntry};
+use crate::store::{Era, Lease};
 
-const LEASE: Lease = Lease { id: 7, ttl_ms: 8_000 };
+const LEASE: Lease = Lease { id: 7, ttl_ms: 8_000, era: Era::new(0) };
 
 fn rng() -> fastrand::Rng {
     fastrand::Rng::with_seed(3)
@@ -17,7 +18,7 @@
     let mut keeper = EntryKeeper::default();
     keeper.change();
     keeper.granted(LEASE, 0);
-    keeper.wrote(keeper.wanted(), 5);
+    keeper.wrote(keeper.wanted(), at(5));
     keeper
 }
 
@@ -27,8 +28,8 @@
     keeper.change();
     assert_eq!(keeper.next(0), EntryStep::Grant);
     keeper.granted(LEASE, 0);
-    assert_eq!(keeper.next(0), EntryStep::Write { lease: 7, expected: 0 });
-    keeper.wrote(keeper.wanted(), 5);
+    assert_eq!(keeper.next(0), EntryStep::Write { lease: 7, expected: None });
+    keeper.wrote(keeper.wanted(), at(5));
     assert_eq!(keeper.next(0), EntryStep::Wait { until_us: 2_000_000 });
     assert_eq!(keeper.next(2_000_000), EntryStep::Renew { lease: 7 });
 }
@@ -38,15 +39,15 @@
     let mut keeper = EntryKeeper::default();
     keeper.change();
     keeper.granted(LEASE, 0);
-    keeper.conflicted(41);
-    assert_eq!(keeper.next(0), EntryStep::Write { lease: 7, expected: 41 });
+    keeper.conflicted(Some(at(41)));
+    assert_eq!(keeper.next(0), EntryStep::Write { lease: 7, expected: Some(at(41)) });
 }
 
 #[test]
 fn an_entry_that_was_taken_away_is_written_at_once() {
     let mut keeper = kept();
-    keeper.seen(6, false);
-    assert_eq!(keeper.next(10), EntryStep::Write { lease: 7, expected: 0 });
+    keeper.missing(at(6));
+    assert_eq!(keeper.next(10), EntryStep::Write { lease: 7, expected: None });
 }
 
 #[test]
@@ -55,15 +56,15 @@
     keeper.lease_over();
     assert_eq!(keeper.next(10), EntryStep::Grant);
     keeper.granted(Lease { id: 8, ..LEASE }, 10);
-    assert_eq!(keeper.next(10), EntryStep::Write { lease: 8, expected: 0 }, "what the old lease held is gone");
+    assert_eq!(keeper.next(10), EntryStep::Write { lease: 8, expected: None }, "what the old lease held is gone");
 }
 
 #[test]
 fn a_late_word_on_an_older_revision_changes_nothing() {
     let mut keeper = kept();
-    keeper.seen(4, true);
+    keeper.seen(SeenEntry { position: at(4), lease: Some(7) });
     keeper.change();
-    assert_eq!(keeper.next(0), EntryStep::Write { lease: 7, expected: 5 });
+    assert_eq!(keeper.next(0), EntryStep::Write { lease: 7, expected: Some(at(5)) });
 }
 
 #[test_case(1, 200_000; "the first failure")]
@@ -102,7 +103,7 @@
                 now_us = until_us;
                 continue;
             }
-            EntryStep::Renew { .. } => price_tenths += 1,
+            EntryStep::Ask | EntryStep::Renew { .. } => price_tenths += 1,
             EntryStep::Grant | EntryStep::Write { .. } => price_tenths += 10,
         }
         calls += 1;
@@ -131,7 +132,8 @@
     while now_us < 10_000_000 {
         match keeper.next(now_us) {
             EntryStep::Wait { until_us } => now_us = until_us,
-            EntryStep::Renew { .. } => keeper.renewed(now_us),
+            EntryStep::Ask => keeper.answered(),
+            EntryStep::Renew { .. } => keeper.renewed(LEASE.era, now_us),
             EntryStep::Write { .. } => {
                 writes += 1;
                 keeper.failed(now_us, &mut rng);
@@ -156,8 +158,8 @@
             match fault {
                 0 => keeper.failed(now_us, &mut rng),
                 1 => keeper.lease_over(),
-                2 => keeper.seen(100 + now_us, false),
-                3 => keeper.conflicted(now_us),
+                2 => keeper.missing(at(100 + now_us)),
+                3 => keeper.conflicted(Some(at(now_us))),
                 _ => keeper.change(),
             }
         }
@@ -166,10 +168,11 @@
             match keeper.next(now_us) {
                 EntryStep::Grant => keeper.granted(LEASE, now_us),
                 EntryStep::Write { .. } => {
-                    keeper.wrote(keeper.wanted(), now_us + 1_000_000);
+                    keeper.wrote(keeper.wanted(), at(now_us + 1_000_000));
                     break;
                 }
-                EntryStep::Renew { .. } => keeper.renewed(now_us),
+                EntryStep::Ask => keeper.answered(),
+                EntryStep::Renew { .. } => keeper.renewed(LEASE.era, now_us),
                 EntryStep::Wait { until_us } => {
                     // An entry that is there needs nothing but its renewals.
                     if until_us >= now_us + 1_000_000 { break; }
--- a/valetrack/src/member/tests/evacuation.rs
+++ b/valetrack/src/member/tests/evacuation.rs
@@ -5,10 +5,12 @@
 
 use proptest::prelude::*;
 
+use super::at;
 use crate::member::{Evacuation, Member, Members, Phase};
+use crate::store::Era;
 
 fn evacuation(number: u64, domains: &[&str]) -> Evacuation {
-    Evacuation { number, domains: domains.iter().map(|domain| Arc::from(*domain)).collect() }
+    Evacuation { era: Era::default(), number, domains: domains.iter().map(|domain| Arc::from(*domain)).collect() }
 }
 
 fn member(vm: &str, domain: &str) -> Member {
@@ -43,10 +45,10 @@
 #[test]
 fn a_state_of_the_store_from_before_a_change_does_not_undo_it() {
     let mut known = evacuation(9, &["kranj"]);
-    assert!(!known.set(BTreeSet::new(), 8));
+    assert!(!known.set(BTreeSet::new(), at(8)));
     assert!(known.covers("kranj"));
-    assert!(!known.set(known.domains.clone(), 12), "nothing has changed");
-    assert!(known.set(BTreeSet::new(), 12));
+    assert!(!known.set(known.domains.clone(), at(12)), "nothing has changed");
+    assert!(known.set(BTreeSet::new(), at(12)));
     assert_eq!(known, evacuation(12, &[]));
 }
 
--- a/valetrack/src/member/tests/other_writer.rs
+++ b/valetrack/src/member/tests/other_writer.rs
@@ -2,13 +2,14 @@
 
 use proptest::prelude::*;
 
+use super::at;
 use crate::member::{Directory, EntryKeeper, EntryStep, MISSING_US, Member, entry_key};
-use crate::store::{Change, Item, Lease};
+use crate::store::{Change, Era, Item, Lease};
 
 const ENTRY: &str = r#"{"vm":"vm-1","incarnation":7,"phase":"serving","domain":"kranj","service":"rounds","link_addr":"10.0.0.1:7620"}"#;
 
 fn item(vm: &str, value: &[u8], revision: u64) -> Item {
-    Item { key: entry_key(vm), value: value.to_vec(), revision }
+    Item { key: entry_key(vm), value: value.to_vec(), position: at(revision), lease: None }
 }
 
 fn names(directory: &Directory) -> Vec<String> {
@@ -50,20 +51,20 @@
 fn a_node_writes_its_entry_anew_over_another_writer() {
     let mut keeper = EntryKeeper::default();
     keeper.change();
-    keeper.granted(Lease { id: 5, ttl_ms: 8_000 }, 0);
-    keeper.wrote(1, 10);
+    keeper.granted(Lease { id: 5, ttl_ms: 8_000, era: Era::default() }, 0);
+    keeper.wrote(1, at(10));
     assert!(matches!(keeper.next(0), EntryStep::Wait { .. }));
-    keeper.overwritten(11);
-    assert_eq!(keeper.next(0), EntryStep::Write { lease: 5, expected: 11 });
+    keeper.overwritten(at(11));
+    assert_eq!(keeper.next(0), EntryStep::Write { lease: 5, expected: Some(at(11)) });
 }
 
 proptest! {
     #[test]
-    fn no_bytes_break_the_directory(value in prop::collection::vec(any::<u8>(), 0..120), at in 0..120usize, byte in any::<u8>()) {
+    fn no_bytes_break_the_directory(value in prop::collection::vec(any::<u8>(), 0..120), place in 0..120usize, byte in any::<u8>()) {
         let mut directory = Directory::default();
         let mut changed = ENTRY.as_bytes().to_vec();
-        let at = at % changed.len();
-        changed[at] = byte;
+        let place = place % changed.len();
+        changed[place] = byte;
         directory.replace(&[item("vm-1", ENTRY.as_bytes(), 1), item("vm-2", &value, 2), item("vm-1", &changed, 3)], 0);
         prop_assert!(names(&directory).iter().all(|name| name == "vm-1"));
     }
--- a/valetrack/src/member/tests/relay.rs
+++ b/valetrack/src/member/tests/relay.rs
@@ -5,6 +5,7 @@
 use proptest::prelude::*;
 use test_case::test_case;
 
+use super::at;
 use crate::member::{AGE_MAX_US, ChangeLog, Member, Members, Phase, relay_of};
 use crate::store::{Change, Item};
 
@@ -72,13 +73,13 @@
 fn a_log_is_current_only_while_the_store_answers() {
     let mut log = ChangeLog::default();
     assert_eq!(log.current_until_us(), None);
-    log.read(&[], 5, 1_000);
+    log.read(&[], at(5), 1_000);
     assert_eq!(log.current_until_us(), Some(1_000 + AGE_MAX_US));
     log.lose();
     assert_eq!(log.current_until_us(), None);
-    assert_eq!(log.since(5, 2_000).age_ms, u32::MAX);
-    log.apply(&[], 5, 3_000);
-    assert_eq!(log.since(5, 13_000).age_ms, 10);
+    assert_eq!(log.since(at(5), 2_000).age_ms, u32::MAX);
+    log.apply(&[], at(5), at(5), 3_000);
+    assert_eq!(log.since(at(5), 13_000).age_ms, 10);
 }
 
 #[test_case(0, 700; "after an answer at the end of its wait")]
@@ -86,7 +87,7 @@
 #[test_case(1_190_000, 50; "when it is nearly too old")]
 fn a_relay_asks_again_before_its_news_are_too_old(age_us: u64, wait_ms: u64) {
     let mut log = ChangeLog::default();
-    log.read(&[], 5, 1_000);
+    log.read(&[], at(5), 1_000);
     assert_eq!(log.relay_wait_ms(1_000 + age_us), wait_ms);
 }
 
@@ -103,18 +104,20 @@
     fn a_follower_sees_what_its_relay_has_read(steps in steps()) {
         let mut relay = ChangeLog::default();
         let mut follower = ChangeLog::default();
-        relay.read(&[], 1, 0);
-        for (at, (key, put, asks)) in steps.into_iter().enumerate() {
-            let revision = at as u64 + 2;
+        relay.read(&[], at(1), 0);
+        for (step, (key, put, asks)) in steps.into_iter().enumerate() {
+            let revision = step as u64 + 2;
+            let position = at(revision);
             let key = format!("node/{key}");
             let change = match put {
-                true => Change::Put(Item { key, value: vec![at as u8], revision }),
-                false => Change::Gone { key, revision },
+                true => Change::Put(Item { key, value: vec![step as u8], position, lease: None }),
+                false => Change::Gone { key, position },
             };
-            relay.apply(&[change], revision, revision);
+            let after = relay.position();
+            relay.apply(&[change], after, position, revision);
             if asks {
                 follow(&mut follower, &relay);
-                prop_assert_eq!(follower.at_revision(), revision);
+                prop_assert_eq!(follower.position(), position);
                 prop_assert_eq!(all(&follower), all(&relay));
             }
         }
@@ -122,16 +125,17 @@
 }
 
 fn follow(follower: &mut ChangeLog, relay: &ChangeLog) {
-    let news = relay.since(follower.at_revision(), 0);
+    let news = relay.since(follower.position(), 0);
     if news.whole {
         let items: Vec<Item> = news.changes.iter().filter_map(Change::item).cloned().collect();
-        follower.read(&items, news.at_revision, 0);
+        follower.read(&items, news.at, 0);
     } else {
-        follower.apply(&news.changes, news.at_revision, 0);
+        let after = follower.position();
+        follower.apply(&news.changes, after, news.at, 0);
     }
 }
 
 /// Returns all items of a log, as a node is sent them that has read nothing.
 fn all(log: &ChangeLog) -> Vec<Change> {
-    log.since(u64::MAX, 0).changes
+    log.since(at(u64::MAX), 0).changes
 }
--- a/valetrack/src/member/tests/suspension.rs
+++ b/valetrack/src/member/tests/suspension.rs
@@ -2,11 +2,12 @@
 
 use proptest::prelude::*;
 
+use super::at;
 use crate::member::{AGE_MAX_US, ChangeLog, EntryKeeper, EntryStep};
-use crate::store::Lease;
+use crate::store::{Era, Lease};
 
 /// A lease of the length that the store gives.
-const LEASE: Lease = Lease { id: 7, ttl_ms: 8_000 };
+const LEASE: Lease = Lease { id: 7, ttl_ms: 8_000, era: Era::new(0) };
 /// Longest pause between two renewals that a node makes, in microseconds.
 const RENEWED_US: u64 = 2_000_000;
 
@@ -27,10 +28,10 @@
         let mut keeper = EntryKeeper::default();
         keeper.change();
         keeper.granted(LEASE, 0);
-        keeper.wrote(keeper.wanted(), 5);
+        keeper.wrote(keeper.wanted(), at(5));
         let (mut now_us, mut confirmed_us) = (0, 0);
-        for (at, pause_us) in pauses_us.into_iter().enumerate() {
-            now_us += pause_us + if at == suspended_at { suspended_us } else { 0 };
+        for (step, pause_us) in pauses_us.into_iter().enumerate() {
+            now_us += pause_us + if step == suspended_at { suspended_us } else { 0 };
             match keeper.next(now_us) {
                 // The very first step after a suspension asks the store.
                 EntryStep::Wait { until_us } => {
@@ -39,13 +40,13 @@
                 EntryStep::Renew { lease } => {
                     prop_assert_eq!(lease, LEASE.id);
                     match now_us < confirmed_us + LEASE.ttl_ms * 1000 {
-                        true => keeper.renewed(now_us),
+                        true => keeper.renewed(LEASE.era, now_us),
                         false => {
                             keeper.lease_over();
                             prop_assert_eq!(keeper.next(now_us), EntryStep::Grant);
                             keeper.granted(LEASE, now_us);
                             prop_assert!(matches!(keeper.next(now_us), EntryStep::Write { .. }), "written anew");
-                            keeper.wrote(keeper.wanted(), 9);
+                            keeper.wrote(keeper.wanted(), at(9));
                         }
                     }
                     confirmed_us = now_us;
@@ -61,10 +62,10 @@
         suspended_us in 0..30_000_000_u64,
     ) {
         let mut log = ChangeLog::default();
-        log.read(&[], 5, confirmed_us);
+        log.read(&[], at(5), confirmed_us);
         let now_us = confirmed_us + suspended_us;
         let is_current = log.current_until_us().is_some_and(|until_us| now_us < until_us);
         prop_assert_eq!(is_current, suspended_us < AGE_MAX_US);
-        prop_assert_eq!(u64::from(log.since(5, now_us).age_ms), suspended_us / 1000);
+        prop_assert_eq!(u64::from(log.since(at(5), now_us).age_ms), suspended_us / 1000);
     }
 }
--- a/valetrack/src/metric.rs
+++ b/valetrack/src/metric.rs
@@ -71,6 +71,8 @@
     pub store_failures: IntCounterVec,
     /// Reads of the store that showed an earlier state than is known, and were dropped.
     pub store_outdated: IntCounter,
+    /// Times that the store has come back older.
+    pub store_rollbacks: IntCounter,
     /// Number of the bundle in force.
     pub bundle_number: IntGauge,
     /// Presses by how they ended.
@@ -164,6 +166,7 @@
             store_calls: counters("valetrack_store_calls_total", "Calls to the store by kind.", "kind"),
             store_failures: counters("valetrack_store_failures_total", "Calls to the store that failed.", "code"),
             store_outdated: counter("valetrack_store_outdated_total", "Reads that showed an earlier state, dropped."),
+            store_rollbacks: counter("valetrack_store_rollbacks_total", "Times that the store has come back older."),
             bundle_number: gauge("valetrack_bundle_number", "Number of the bundle in force."),
             presses: counters("valetrack_presses_total", "Presses with a key by how they ended.", "reply"),
             links: gauge("valetrack_links_open", "Links that this node has opened."),
--- a/valetrack/src/store/lease.rs
+++ b/valetrack/src/store/lease.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::message::StoreError;
+use super::position::{Era, Position};
 
 /// One item of the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -15,8 +16,10 @@
     pub key: String,
     /// The value.
     pub value: Vec<u8>,
-    /// Revision of its last change.
-    pub revision: u64,
+    /// Position of its last change.
+    pub position: Position,
+    /// The lease that it goes with; none where it stays.
+    pub lease: Option<u64>,
 }
 
 /// One change of an item.
@@ -28,17 +31,17 @@
     Gone {
         /// The key.
         key: String,
-        /// Revision of the change.
-        revision: u64,
+        /// Position of the change.
+        position: Position,
     },
 }
 
 impl Change {
-    /// Returns the revision of the change.
-    pub fn revision(&self) -> u64 {
+    /// Returns the position of the change.
+    pub fn position(&self) -> Position {
         match self {
-            Self::Put(item) => item.revision,
-            Self::Gone { revision, .. } => *revision,
+            Self::Put(item) => item.position,
+            Self::Gone { position, .. } => *position,
         }
     }
 
@@ -66,8 +69,8 @@
     pub items: Vec<Item>,
     /// Whether more stand behind the last one.
     pub has_more: bool,
-    /// Revision of the store as the page was read.
-    pub at_revision: u64,
+    /// Position of the store as the page was read.
+    pub at: Position,
 }
 
 /// What has changed after a revision.
@@ -75,8 +78,9 @@
 pub struct Changes {
     /// The changes, in their order; none when the wait ended without one.
     pub changes: Vec<Change>,
-    /// Revision up to which they go.
-    pub at_revision: u64,
+    /// Position up to which they go; of another era than was asked for where the store has come back older, and then
+    /// they tell nothing of what was skipped.
+    pub at: Position,
 }
 
 /// A lease as it was granted.
@@ -86,6 +90,8 @@
     pub id: u64,
     /// How long it holds without being renewed, in milliseconds.
     pub ttl_ms: u64,
+    /// The era in which it was granted; in a later one its id may be somebody else's.
+    pub era: Era,
 }
 
 /// One write of a key under a condition.
@@ -93,22 +99,25 @@
 pub struct LeasedWrite {
     /// The key.
     pub key: String,
-    /// Revision of its last change that must still hold; zero when it must not exist.
-    pub expected: u64,
+    /// Position of its last change that must still hold; none when it must not exist.
+    ///
+    /// The store compares the revision alone: where it has come back older, the write may replace what was never
+    /// read. The position that [`Committed::At`] tells is then of another era.
+    pub expected: Option<Position>,
     /// The value.
     pub value: Vec<u8>,
-    /// The lease that it goes with.
-    pub lease: u64,
+    /// The lease that it goes with; none where it stays.
+    pub lease: Option<u64>,
 }
 
 /// How a write under a condition ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Committed {
-    /// It took effect at this revision.
-    At(u64),
-    /// The key stands at this revision instead of the expected one, so nothing changed; zero when
+    /// It took effect at this position.
+    At(Position),
+    /// The key stands at this position instead of the expected one, so nothing changed; none when
     /// it does not exist.
-    Conflict(u64),
+    Conflict(Option<Position>),
 }
 
 /// How old what a read shows may be.
@@ -116,7 +125,7 @@
 pub enum Freshness {
     /// It shows the store as it stands.
     Current,
-    /// It may show the store as it stood some seconds ago, at the revision that the page names; it
+    /// It may show the store as it stood some seconds ago, at the position that the page names; it
     /// costs a fraction of the other.
     Earlier,
 }
@@ -131,24 +140,25 @@
         freshness: Freshness,
     ) -> BoxFuture<'a, Result<Page, StoreError>>;
 
-    /// Waits up to `wait` for changes below a prefix after a revision.
+    /// Waits up to `wait` for changes below a prefix after a position.
     ///
-    /// Fails with [`StoreError::HistoryGone`] when the store no longer knows what changed since.
+    /// Fails with [`StoreError::HistoryGone`] when the store does not know what changed since.
     fn changes<'a>(
         &'a self,
         prefix: &'a str,
-        after_revision: u64,
+        after: Position,
         wait: Duration,
     ) -> BoxFuture<'a, Result<Changes, StoreError>>;
 
     /// Makes a lease.
     fn grant(&self, ttl_ms: u64) -> BoxFuture<'_, Result<Lease, StoreError>>;
 
-    /// Renews a lease; fails with [`StoreError::LeaseOver`] when it is over.
-    fn renew(&self, lease: u64) -> BoxFuture<'_, Result<(), StoreError>>;
+    /// Renews a lease and returns the era of the store; fails with [`StoreError::LeaseOver`] when it is over.
+    fn renew(&self, lease: u64) -> BoxFuture<'_, Result<Era, StoreError>>;
 
-    /// Ends a lease and removes its items.
-    fn end(&self, lease: u64) -> BoxFuture<'_, Result<(), StoreError>>;
+    /// Removes a key if its last change is still at `expected`; it leaves the lease to run out, whose id may be
+    /// somebody else's.
+    fn remove<'a>(&'a self, key: &'a str, expected: Position) -> BoxFuture<'a, Result<Committed, StoreError>>;
 
     /// Writes a key under a condition; fails with [`StoreError::LeaseOver`] when the lease is over.
     fn commit<'a>(&'a self, write: &'a LeasedWrite) -> BoxFuture<'a, Result<Committed, StoreError>>;
--- a/valetrack/src/store/mod.rs
+++ b/valetrack/src/store/mod.rs
@@ -6,9 +6,11 @@
 mod client;
 mod lease;
 mod message;
+mod position;
 #[cfg(test)]
 mod tests;
 
 pub use client::HttpStore;
 pub use lease::{Change, Changes, Committed, Freshness, Item, Lease, LeaseStore, LeasedWrite, Page};
 pub use message::{Store, StoreError, Versioned, WatchNews, Written};
+pub use position::{Era, Position, Relation};
