A relay that failed is followed again where the store itself does not answer

Cause: a node leaves a relay alone for 5 s after it failed, also where the store turns the node away meanwhile; with the pause before the next read it was without news for up to 8.4 s in all. Found by the test of a node that the store turns away. Change: a failed read of the store forgets which relays were left alone.

--- a/valetrack/src/member/leased/follow.rs
+++ b/valetrack/src/member/leased/follow.rs
@@ -48,6 +48,9 @@
                 Ok(()) => self.follow().await,
                 Err(error) => {
                     self.store_failed("read", &error);
+                    // A relay is left alone only while the store itself tells more. A node that the store turns
+                    // away after its relay has failed would hear of an evacuation 5.4 s late otherwise.
+                    self.avoided.borrow_mut().clear();
                     let longest_ms = if self.keeper.borrow().wanted() == 0 { REREAD_MS } else { REREAD_KEPT_MS };
                     let pause_ms = self.rng.borrow_mut().u64(longest_ms / 2..=longest_ms);
                     // Woken or not, the store is read again.
