The soak rolls the store back; the same cause in the product's own store, as failing tests

Cause: the class of the incident, a position that names two states, is also in the product's own store client: pages of claims and numbers of rolls go by revisions and counts that a copy gives out again, and its gateway names no era. Ruled out: on the managed platform, which has no claims and whose operators' versions only rise, neither can happen. Conclusion: to be mended with an era in that store's border.

--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -24,7 +24,7 @@
 standin overload [--seconds N] [--seed N] [--only TEXT]
 standin slope
 standin crash
-standin soak   [--seed N] [--seeds N] [--seconds N] [--vms N] [--program FILE] [--logs DIR] [--crashes]
+standin soak   [--seed N] [--seeds N] [--seconds N] [--vms N] [--program FILE] [--logs DIR] [--crashes] [--rollbacks]
 ";
 
 #[derive(Default)]
@@ -40,7 +40,9 @@
         while let Some(arg) = parser.next()? {
             match arg {
                 Value(word) => args.words.push(word.string()?),
-                Long(name @ ("json" | "direct" | "help" | "crashes")) => args.flags.push((name.to_owned(), "1".into())),
+                Long(name @ ("json" | "direct" | "help" | "crashes" | "rollbacks")) => {
+                    args.flags.push((name.to_owned(), "1".into()))
+                }
                 Long(name) => {
                     let name = name.to_owned();
                     args.flags.push((name, parser.value()?.string()?));
@@ -131,6 +133,7 @@
             vms: args.number("vms", 8)? as usize,
             program: args.get("program").unwrap_or("target/release/valetrack").into(),
             crashes: args.get("crashes").is_some(),
+            rollbacks: args.get("rollbacks").is_some(),
             logs: std::path::Path::new(args.get("logs").unwrap_or("target/soak")).join(seed.to_string()),
         };
         // The stand-ins of a seed end with its runtime, and give up their ports.
--- a/standin/src/soak/deadly.rs
+++ b/standin/src/soak/deadly.rs
@@ -78,7 +78,10 @@
 
 /// Returns whether a fault strikes the node of a run shortly before it, or the store.
 fn is_near(step: &Step, run: &DeadlyRun) -> bool {
-    let of_all = matches!(step.fault, Fault::Store(_) | Fault::Revoke | Fault::Lapse | Fault::Compact);
+    let of_all = matches!(
+        step.fault,
+        Fault::Store(_) | Fault::Revoke | Fault::Lapse | Fault::Compact | Fault::ComeBackOlder { .. }
+    );
     let until_ms = step.at_ms + step.lasts_ms + CONTACT_MS;
     (of_all || step.vm == run.vm) && (step.at_ms..=until_ms).contains(&run.at_ms)
 }
--- a/standin/src/soak/fleet.rs
+++ b/standin/src/soak/fleet.rs
@@ -216,6 +216,7 @@
             Fault::Spoil(spoil) => self.spoil(at, spoil),
             Fault::Drain => vm.upstream.drain(),
             Fault::Store(mode) => self.store.set_mode(mode),
+            Fault::ComeBackOlder { .. } => self.store.set_mode(Mode::Refusing),
             Fault::Revoke => self.store.revoke("valetrack/"),
             Fault::Lapse => self.store.lapse(),
             Fault::Compact => self.store.compact(),
@@ -239,6 +240,10 @@
             Fault::Spoil(_) => self.spoil(at, Spoil::Nothing),
             Fault::Drain => vm.upstream.start_again(),
             Fault::Store(_) => self.store.set_mode(Mode::Up),
+            Fault::ComeBackOlder { changes } => {
+                self.store.roll_back(changes);
+                self.store.set_mode(Mode::Up);
+            }
             Fault::Term
             | Fault::Hangup
             | Fault::Kill
--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -22,7 +22,7 @@
 pub use self::deadly::{DeadlyRun, judge_deadly};
 pub use self::judge::{Breach, CallRecord, Seen, Versions, judge_calls};
 pub use self::repeat::{Arrival, judge_repeats};
-pub use self::schedule::{Fault, Kind, PathFault, Step, schedule, suspensions};
+pub use self::schedule::{Fault, Kind, PathFault, Step, rollbacks, schedule, suspensions};
 
 use self::caller::Callers;
 use self::fleet::{Fleet, PROMISE, configuration};
@@ -56,6 +56,8 @@
     pub logs: PathBuf,
     /// Whether a request that crashes upstreams comes again and again, and VMs are suspended.
     pub crashes: bool,
+    /// Whether the store comes back from older copies.
+    pub rollbacks: bool,
 }
 
 /// What came of one run.
@@ -87,8 +89,11 @@
     let mut steps = schedule(settings.seed, settings.vms, settings.seconds * 1000);
     if settings.crashes {
         steps.extend(suspensions(settings.seed, settings.vms, settings.seconds * 1000));
-        steps.sort_by_key(|step| step.at_ms);
     }
+    if settings.rollbacks {
+        steps.extend(rollbacks(settings.seed, settings.seconds * 1000));
+    }
+    steps.sort_by_key(|step| step.at_ms);
     let mut report = SoakReport { faults: steps.len(), ..SoakReport::default() };
     let callers = Rc::new(Callers::new(settings.seed));
     let mut load = callers.clone().start(&fleet);
@@ -110,7 +115,7 @@
     }
     let calls = callers.calls();
     report.ends = ends(&calls);
-    // A crash or a suspension is nobody's plan.
+    // A crash or a suspension is nobody's plan; a store that comes back older cuts no call.
     let planned = Kind::of_seed(settings.seed) == Kind::Planned && !settings.crashes;
     report.breaches.extend(callers.breaches());
     report.breaches.extend(judge_calls(&calls, &runs(&fleet), planned));
@@ -147,10 +152,15 @@
             let version = callers.next_version();
             fleet.borrow().store.put("op/config", &configuration(version));
         }
-        let fleet = fleet.clone();
+        let (fleet, callers) = (fleet.clone(), callers.clone());
         ends.spawn_local(async move {
             sleep(Duration::from_millis(step.lasts_ms)).await;
             fleet.borrow_mut().end(step.vm, step.fault);
+            if matches!(step.fault, Fault::ComeBackOlder { .. }) {
+                // The operator finds what is missing after about as long as the store was away.
+                sleep(Duration::from_millis(step.lasts_ms)).await;
+                fleet.borrow().store.put("op/config", &configuration(callers.version()));
+            }
         });
     }
     while ends.join_next().await.is_some() {}
--- a/standin/src/soak/schedule.rs
+++ b/standin/src/soak/schedule.rs
@@ -11,6 +11,12 @@
 const PAUSE_MS: u64 = 4_000;
 /// Average pause between two suspensions of each VM, in milliseconds.
 const SUSPENSION_PAUSE_MS: u64 = 15_000;
+/// Average pause between two returns of the store from an older copy, in milliseconds.
+const ROLLBACK_PAUSE_MS: u64 = 4_000;
+/// Longest absence of the store before one, in milliseconds.
+const ABSENCE_MAX_MS: u64 = 1_500;
+/// Most changes that it loses: more than a fleet of a dozen nodes makes in a few seconds.
+const LOST_MAX: usize = 60;
 /// A fault follows its like on the same VM once in this many times, so that series come up.
 const SERIES: u32 = 4;
 
@@ -48,6 +54,12 @@
     Lapse,
     /// The store forgets its history.
     Compact,
+    /// The store goes away, and comes back from a copy that is this many changes older; then the operator writes
+    /// again what is missing.
+    ComeBackOlder {
+        /// How many.
+        changes: usize,
+    },
     /// The operator writes the next configuration.
     Configure,
     /// The VM is suspended: its node stands still, and finds that the time has gone on.
@@ -109,6 +121,22 @@
     (0..count).map(step).collect()
 }
 
+/// Returns absences of the store from which it comes back older, beside the other faults of a run, which they leave as
+/// they are; every third one follows the one before at once.
+pub fn rollbacks(seed: u64, length_ms: u64) -> Vec<Step> {
+    let mut rng = fastrand::Rng::with_seed(seed.rotate_left(29));
+    let mut steps: Vec<Step> = Vec::new();
+    for _ in 0..(length_ms / ROLLBACK_PAUSE_MS).max(1) {
+        let at_ms = match steps.last() {
+            Some(last) if rng.u32(..3) == 0 => last.at_ms + last.lasts_ms + rng.u64(20..=600),
+            _ => rng.u64(..length_ms),
+        };
+        let fault = Fault::ComeBackOlder { changes: rng.usize(1..=LOST_MAX) };
+        steps.push(Step { at_ms, lasts_ms: rng.u64(20..=ABSENCE_MAX_MS), vm: 0, fault });
+    }
+    steps
+}
+
 /// Returns the faults of a run over `vms` VMs, in the order of their moments.
 pub fn schedule(seed: u64, vms: usize, length_ms: u64) -> Vec<Step> {
     let mut rng = fastrand::Rng::with_seed(seed);
--- a/standin/tests/crashing_call.rs
+++ b/standin/tests/crashing_call.rs
@@ -37,6 +37,10 @@
 /// Sends to upstreams that are allowed after that, for good.
 const SENDS_LEFT: usize = 3;
 
+/// Time within which what the store has lost of crashes stands there again: whoever did not see a crash itself leaves the
+/// write to others for up to six seconds.
+const WRITTEN_AGAIN: Duration = Duration::from_millis(7_000);
+
 /// Puts the same request to the nodes in turn, each time under another id.
 async fn repeat_deadly(addrs: Vec<SocketAddr>, method: &'static str, path: &'static str, during: Duration) {
     let began = Instant::now();
@@ -169,6 +173,39 @@
     assert!(deadly_runs(&fleet).len() <= CRASHES + SENDS_LEFT, "{:?}", deadly_runs(&fleet).len());
 }
 
+#[tokio::test]
+async fn what_a_store_that_came_back_older_has_lost_of_a_call_is_written_again() {
+    let path = "/sheet/deadly";
+    let mut fleet = Fleet::start(&["rounds", "rounds", "rounds", "ledger"]).await;
+    for vm in &fleet.vms {
+        vm.upstream.set_deadly(path, DOWN);
+    }
+    let before_it = fleet.store.revision();
+    crash_times(&fleet, path, CRASHES).await;
+    let archive = "valetrack/crash/";
+    common::wait_for("the crashes in the store", async || !fleet.store.keys(archive).is_empty()).await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    fleet.store.set_mode(standin::managed::store::Mode::Refusing);
+    fleet.store.roll_back((fleet.store.revision() - before_it) as usize);
+    assert!(fleet.store.keys(archive).is_empty(), "the copy is older than all crashes");
+    fleet.store.set_mode(standin::managed::store::Mode::Up);
+    let back = Instant::now();
+    common::wait_for("the crashes in the store again", async || !fleet.store.keys(archive).is_empty()).await;
+    assert!(back.elapsed() < WRITTEN_AGAIN, "{:?}", back.elapsed());
+    // Nodes that start then know of it from the store alone.
+    for at in 0..4 {
+        fleet.kill_node(at);
+    }
+    for at in 0..4 {
+        fleet.start_node(at);
+    }
+    fleet.wait_ready().await;
+    for at in 0..4 {
+        assert_eq!(send_deadly(&fleet, at, path).await.0, 503);
+    }
+    assert!(deadly_runs(&fleet).len() <= CRASHES + SENDS_LEFT, "{:?}", deadly_runs(&fleet).len());
+}
+
 #[tokio::test]
 async fn a_call_that_is_repaired_in_time_is_served_again() {
     let path = "/sheet/deadly";
--- a/standin/tests/soak.rs
+++ b/standin/tests/soak.rs
@@ -14,19 +14,25 @@
 // A call waited for a slot until 4 ms before its deadline, was begun and cut, and may have run.
 #[test_case(750, 12, 8; "a wait up to the deadline")]
 fn no_promise_is_broken(seed: u64, seconds: u64, vms: usize) {
-    play(seed, seconds, vms, false);
+    play(seed, seconds, vms, false, false);
 }
 
 #[test_case(5, 10, 8; "faults of every kind")]
 #[test_case(6, 8, 8; "planned work")]
 fn no_promise_is_broken_among_crashes_and_suspensions(seed: u64, seconds: u64, vms: usize) {
-    play(seed, seconds, vms, true);
+    play(seed, seconds, vms, true, false);
 }
 
-fn play(seed: u64, seconds: u64, vms: usize, crashes: bool) {
+#[test_case(7, 8, 8; "faults of every kind")]
+#[test_case(9, 8, 6; "planned work")]
+fn no_promise_is_broken_while_the_store_comes_back_older(seed: u64, seconds: u64, vms: usize) {
+    play(seed, seconds, vms, false, true);
+}
+
+fn play(seed: u64, seconds: u64, vms: usize, crashes: bool, rollbacks: bool) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    let logs = std::env::temp_dir().join(format!("valetrack-soak-{}-{seed}-{crashes}", std::process::id()));
-    let settings = SoakSettings { seed, seconds, vms, program: valetrack(), logs, crashes };
+    let logs = std::env::temp_dir().join(format!("valetrack-soak-{}-{seed}-{crashes}-{rollbacks}", std::process::id()));
+    let settings = SoakSettings { seed, seconds, vms, program: valetrack(), logs, crashes, rollbacks };
     let report = runtime.block_on(run(&settings)).expect("a fleet");
     assert!(report.ends.get("200").is_some_and(|&served| served > 100), "{:?}", report.ends);
     let breaches: Vec<String> = report.breaches.iter().map(ToString::to_string).collect();
--- a/valetrack/src/bundle/tests/fake.rs
+++ b/valetrack/src/bundle/tests/fake.rs
@@ -44,6 +44,19 @@
         self.0.lock().expect("no panic").rival = Some((key.to_owned(), value));
     }
 
+    /// Returns all that the store holds, to come back to.
+    pub fn copy(&self) -> (u64, BTreeMap<String, Versioned>) {
+        let state = self.0.lock().expect("no panic");
+        (state.revision, state.entries.clone())
+    }
+
+    /// Comes back from a copy.
+    pub fn restore(&self, (revision, entries): (u64, BTreeMap<String, Versioned>)) {
+        let mut state = self.0.lock().expect("no panic");
+        state.revision = revision;
+        state.entries = entries;
+    }
+
     pub fn keys(&self) -> Vec<String> {
         self.0.lock().expect("no panic").entries.keys().cloned().collect()
     }
--- a/valetrack/src/bundle/tests/operator.rs
+++ b/valetrack/src/bundle/tests/operator.rs
@@ -141,3 +141,20 @@
     let doc = current(&store).await.expect("read").expect("a bundle in force");
     assert!(doc.evacuation.covers("kranj"), "the roll has kept it");
 }
+
+/// The number of a roll counts on from the document that the store holds. Where the store has come back from a copy that
+/// lacks the roll in force, the next one gets its number, and nodes refuse it as no later one.
+#[tokio::test]
+async fn a_roll_after_the_store_came_back_older_is_in_force_at_nodes() {
+    let store = FakeStore::default();
+    let first = approved(&store, TEXT).await;
+    let second = approved(&store, OTHER).await;
+    roll(&store, "ana", &first).await.expect("rolled");
+    let copy = store.copy();
+    let in_force = roll(&store, "ana", &second).await.expect("rolled");
+    store.restore(copy);
+    let next = roll(&store, "ana", &first).await.expect("rolled");
+    let mut node = crate::bundle::Adoption::default();
+    assert!(node.hear(in_force));
+    assert!(next > in_force, "number {next} is no later one than {in_force} at a node");
+}
--- a/valetrack/src/claim/tests/model.rs
+++ b/valetrack/src/claim/tests/model.rs
@@ -51,8 +51,17 @@
     searched
 }
 
-const LEFT: Left =
-    Left { presses: 2, pauses: 0, kills: 0, losses: 0, read_failures: 0, releases: 0, expiries: 0, acquires: 0 };
+const LEFT: Left = Left {
+    presses: 2,
+    pauses: 0,
+    kills: 0,
+    losses: 0,
+    read_failures: 0,
+    releases: 0,
+    expiries: 0,
+    acquires: 0,
+    rollbacks: 0,
+};
 const TRUTHFUL: Kind = Kind { keys: 1, held: false, wild_silence: false };
 const HELD: Kind = Kind { keys: 1, held: true, wild_silence: false };
 const WILD: Kind = Kind { keys: 1, held: false, wild_silence: true };
--- a/valetrack/src/claim/tests/search.rs
+++ b/valetrack/src/claim/tests/search.rs
@@ -33,6 +33,7 @@
             releases,
             expiries,
             acquires,
+            rollbacks: 0,
         },
     )
 }
@@ -67,6 +68,18 @@
         walk(Kind { keys, held: true, wild_silence: false }, left, &choices)?;
     }
 
+    /// The store names no eras here, so that a home cannot know that its claim is lost, nor another node that the
+    /// page which it reads is from before that claim.
+    #[test]
+    fn claims_hold_while_the_store_comes_back_older_and_homes_live(
+        left in left(),
+        keys in 1..4u8,
+        choices in prop::collection::vec(any::<u32>(), STEPS),
+    ) {
+        let left = Left { kills: 0, rollbacks: 2, ..left };
+        walk(Kind { keys, held: false, wild_silence: true }, left, &choices)?;
+    }
+
     #[test]
     fn runs_happen_at_most_once_even_when_time_lies(
         left in left(),
--- a/valetrack/src/claim/tests/world.rs
+++ b/valetrack/src/claim/tests/world.rs
@@ -23,6 +23,8 @@
     pub releases: u8,
     pub expiries: u8,
     pub acquires: u8,
+    /// Returns of the store from an older copy.
+    pub rollbacks: u8,
 }
 
 /// What the world is like.
@@ -81,6 +83,7 @@
     Flush { node: usize },
     Expire { node: usize, at: usize },
     Release { node: usize },
+    RollBack,
 }
 
 /// How a run ends in this world.
@@ -99,6 +102,8 @@
     pub left: Left,
     revision: u64,
     page: Option<Page>,
+    /// The page before each of its changes, where the store may still come back older.
+    past: Vec<Option<Page>>,
     nodes: Vec<Node>,
     /// Writes whose answer was given up and that may still land.
     late: Vec<(u64, Page)>,
@@ -137,6 +142,7 @@
             left,
             revision: 0,
             page: None,
+            past: Vec::new(),
             nodes: (0..NODES).map(node).collect(),
             late: Vec::new(),
             executed: vec![0; usize::from(kind.keys)],
@@ -153,6 +159,9 @@
         for node in 0..NODES {
             self.steps_of(node, &mut steps);
         }
+        if self.left.rollbacks > 0 && !self.past.is_empty() {
+            steps.push(Step::RollBack);
+        }
         steps
     }
 
@@ -304,6 +313,13 @@
                 let (press, _) = self.nodes[node].presses[at];
                 self.tell(node, ClaimEvent::Expire { press })
             }
+            Step::RollBack => {
+                self.left.rollbacks -= 1;
+                self.page = self.past.pop().flatten();
+                // The revision is given out again.
+                self.revision -= 1;
+                Ok(())
+            }
             Step::Release { node } => {
                 self.left.releases -= 1;
                 self.nodes[node].released = true;
@@ -326,6 +342,9 @@
             return None;
         }
         self.revision += 1;
+        if self.left.rollbacks > 0 {
+            self.past.push(self.page.clone());
+        }
         self.page = Some(page);
         Some(self.revision)
     }
