A lease that is over is taken without holding the keeper; a duty that panics makes its node leave

Cause: the argument of store_answered kept the keeper borrowed during the call, which borrows it itself where the store had not answered before: a panic that the runtime kept to itself, after which the node's entry was kept by nobody. Ruled out: the store and the schedule; the panic stands in all eight nodes' logs. Change: the era is read first. Class: a task that ends unseen. The threads of members and crashes look after their duties; one that has panicked is logged (VT107) and the node leaves, so that it is started anew. Left: the threads of calls and links do not look after theirs.

--- a/valetrack/src/crash/run.rs
+++ b/valetrack/src/crash/run.rs
@@ -11,7 +11,6 @@
 use async_channel::Receiver;
 use bytes::Bytes;
 use tokio::sync::{Notify, oneshot, watch};
-use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 use super::archive::CrashArchive;
@@ -20,7 +19,7 @@
 use super::message::{CrashId, CrashJob, CrashReport, CrashedCall, SUSPECTS_MAX, Suspect, SuspectRef};
 use crate::bundle::InForce;
 use crate::clock::now_us;
-use crate::jobs::next_job;
+use crate::jobs::Duties;
 use crate::link::message::{Ask, Question};
 use crate::link::peer::{self, LinkJob, LinkResult, Target};
 use crate::member::{Members, Phase};
@@ -104,14 +103,14 @@
         rng: RefCell::new(fastrand::Rng::with_seed(parts.seed)),
         parts,
     });
-    let mut duties = JoinSet::new();
-    duties.spawn_local(shell.clone().keep_archive());
+    let mut duties = Duties::default();
+    duties.spawn(shell.clone().keep_archive());
     if !shell.parts.store_is_followed {
-        duties.spawn_local(shell.clone().read_at_start());
-        duties.spawn_local(shell.clone().tell_new_lives());
+        duties.spawn(shell.clone().read_at_start());
+        duties.spawn(shell.clone().tell_new_lives());
     }
     let mut closing = shell.parts.closing.clone();
-    while let Some(job) = next_job(&shell.parts.jobs, &mut closing).await {
+    while let Some(job) = duties.next_job(&shell.parts.jobs, &mut closing).await {
         shell.clone().take(job);
     }
     duties.shutdown().await;
--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -29,7 +29,7 @@
 use crate::clock::now_us;
 use crate::crash::CrashJob;
 use crate::gate::{UpstreamPhase, UpstreamState};
-use crate::jobs::next_job;
+use crate::jobs::Duties;
 use crate::link::message::{Ask, Question, Reply};
 use crate::link::peer::{self, LinkJob, LinkResult, Target};
 use crate::metric::Metrics;
@@ -139,15 +139,15 @@
         parts,
     });
     shell.publish();
-    let mut duties = tokio::task::JoinSet::new();
-    duties.spawn_local(shell.clone().follow_store());
-    duties.spawn_local(shell.clone().keep_entry());
-    duties.spawn_local(shell.clone().follow_phase());
-    duties.spawn_local(shell.clone().withdraw());
-    duties.spawn_local(shell.clone().wake_neighbours());
-    duties.spawn_local(shell.clone().follow_suspensions());
+    let mut duties = Duties::default();
+    duties.spawn(shell.clone().follow_store());
+    duties.spawn(shell.clone().keep_entry());
+    duties.spawn(shell.clone().follow_phase());
+    duties.spawn(shell.clone().withdraw());
+    duties.spawn(shell.clone().wake_neighbours());
+    duties.spawn(shell.clone().follow_suspensions());
     let mut closing = shell.parts.closing.clone();
-    while let Some(job) = next_job(&shell.parts.jobs, &mut closing).await {
+    while let Some(job) = duties.next_job(&shell.parts.jobs, &mut closing).await {
         shell.clone().take(job);
     }
     duties.shutdown().await;
--- a/valetrack/src/member/leased/keep.rs
+++ b/valetrack/src/member/leased/keep.rs
@@ -41,7 +41,8 @@
             Err(StoreError::LeaseOver) => {
                 log::info!("event=member.lease_over code={}", Code::LeaseOver);
                 // An answer, though it does not name its era; the next one will.
-                self.store_answered(self.keeper.borrow().era());
+                let era = self.keeper.borrow().era();
+                self.store_answered(era);
                 self.reread_after(was_away);
                 self.keeper.borrow_mut().lease_over();
             }
--- a/valetrack/src/member/run.rs
+++ b/valetrack/src/member/run.rs
@@ -16,7 +16,7 @@
 use super::state::Members;
 use crate::bundle::run::Bundler;
 use crate::clock::now_us;
-use crate::jobs::next_job;
+use crate::jobs::Duties;
 use crate::link::message::{Ask, Question, Reply};
 use crate::link::peer::{self, LinkJob, LinkResult, Target};
 use crate::timeline::log as events;
@@ -86,15 +86,15 @@
         parts,
     });
     shell.merge(std::slice::from_ref(&shell.parts.me));
-    let mut duties = tokio::task::JoinSet::new();
-    duties.spawn_local(shell.clone().poll_list());
-    duties.spawn_local(shell.clone().gossip());
-    duties.spawn_local(shell.clone().follow_phase());
-    duties.spawn_local(shell.clone().push_bundles());
-    duties.spawn_local(shell.clone().follow_evacuations());
-    duties.spawn_local(shell.bundler.clone().follow_store());
+    let mut duties = Duties::default();
+    duties.spawn(shell.clone().poll_list());
+    duties.spawn(shell.clone().gossip());
+    duties.spawn(shell.clone().follow_phase());
+    duties.spawn(shell.clone().push_bundles());
+    duties.spawn(shell.clone().follow_evacuations());
+    duties.spawn(shell.bundler.clone().follow_store());
     let mut closing = shell.parts.closing.clone();
-    while let Some(job) = next_job(&shell.parts.jobs, &mut closing).await {
+    while let Some(job) = duties.next_job(&shell.parts.jobs, &mut closing).await {
         shell.clone().take(job);
     }
     duties.shutdown().await;
--- a/valetrack/src/node/leave.rs
+++ b/valetrack/src/node/leave.rs
@@ -9,6 +9,7 @@
 use super::part::NodeParts;
 use super::stage::Stages;
 use crate::clock::put_ahead;
+use crate::jobs::duty_failed;
 use crate::settings::NodeSettings;
 
 /// Time that telling other nodes of the exit may take, in milliseconds.
@@ -35,6 +36,7 @@
         never = suspend_for_tests(parts.settings.test_suspension_ms) => match never {},
         () = parts.server_leaving.notified() => "server",
         () = parts.listed_leaving.notified() => "list",
+        () = duty_failed() => "failed-duty",
     }
 }
 
--- a/valetrack/src/tests.rs
+++ b/valetrack/src/tests.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use crate::code::{self, ALL};
+use crate::jobs::{Duties, duty_failed};
 use crate::settings::{NODE, RawSettings};
 
 #[test]
@@ -55,3 +56,20 @@
     let settings = raw.check().expect("no faults");
     assert_eq!((&*settings.vm, settings.drain_ms, settings.gossip_ms), ("flag", 7, 1_000));
 }
+
+#[tokio::test]
+async fn a_duty_that_panics_is_told_and_the_others_go_on() {
+    let (to, jobs) = async_channel::bounded(1);
+    let closed = tokio::sync::watch::Sender::new(false);
+    let local = tokio::task::LocalSet::new();
+    let served = local.run_until(async {
+        let mut duties = Duties::default();
+        duties.spawn(async { panic!("as a fault of this program would") });
+        duties.spawn(async move {
+            duty_failed().await;
+            to.send(7).await.expect("a reader");
+        });
+        duties.next_job(&jobs, &mut closed.subscribe()).await
+    });
+    assert_eq!(served.await, Some(7));
+}
