A rejected request is named in the log by its caller's id, with the bundle in force

Cause: a request that no route takes was logged as call=-, so that the incident's two failed requests could not be found by their ids, nor which version refused them. Change: the caller's protocol reads the id apart from the rest of the head; every rejection's line and answer have it, the line the bundle's number too. Measured: the test of an unknown route on real nodes gets its id back.

--- a/standin/tests/managed.rs
+++ b/standin/tests/managed.rs
@@ -22,7 +22,8 @@
     assert_eq!(seen["x-caller-service"], "ledger", "the node names the service on whose VM the call began");
     assert_eq!(seen["x-expected-instance"], "i-0");
     assert!(seen["x-deadline-milliseconds"].parse::<u64>().expect("a number") <= 1_500);
-    assert_eq!(status(&fleet.call(0, "GET", "/nowhere/", "a-2").await), 404);
+    let reply = fleet.call(0, "GET", "/nowhere/", "a-2").await.expect("an answer");
+    assert_eq!((reply.status, reply.header("x-request-id")), (404, "a-2"), "a rejection names its call as well");
 }
 
 #[test_case(Spoil::OtherId; "an answer to another request")]
--- a/valetrack/src/caller/protocol.rs
+++ b/valetrack/src/caller/protocol.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use hyper::HeaderMap;
 use hyper::http::request::Parts;
 
 use super::answer::{self, Answer};
@@ -21,6 +22,10 @@
 
 /// How a node speaks with its callers.
 pub trait CallerProtocol: Send + Sync {
+    /// Returns the id that a caller gave its request, so that a request is found in the log that was refused before
+    /// it could be read.
+    fn call_id<'h>(&self, headers: &'h HeaderMap) -> Option<&'h str>;
+
     /// Reads the head of a request.
     ///
     /// # Errors
@@ -40,6 +45,10 @@
 pub struct NativeCaller;
 
 impl CallerProtocol for NativeCaller {
+    fn call_id<'h>(&self, headers: &'h HeaderMap) -> Option<&'h str> {
+        request::call_id(headers).ok().flatten()
+    }
+
     fn read(&self, parts: &Parts, cx: &ReadContext<'_>) -> Result<IncomingCall, Rejection> {
         request::read(parts, cx.bundle, cx.new_id)
     }
--- a/valetrack/src/caller/request.rs
+++ b/valetrack/src/caller/request.rs
@@ -74,7 +74,7 @@
     let limit_ms = route.map_or(rule.deadline_ms, |route| route.deadline_ms);
     let asked_ms = number(headers, DEADLINE_HEADER)?.unwrap_or(limit_ms.into());
     let key = text(headers, KEY_HEADER, KEY_MAX_BYTES)?;
-    let call_id = text(headers, super::CALL_HEADER, CALL_ID_MAX_BYTES)?.unwrap_or_else(new_id);
+    let call_id = call_id(headers)?.map_or_else(new_id, str::to_owned);
     let travelling = travelling(headers);
     let size: usize = travelling.iter().map(|(name, value)| name.len() + value.len()).sum();
     if size + path.len() > HEADERS_MAX_BYTES {
@@ -112,6 +112,15 @@
     })
 }
 
+/// Returns the id that a caller gave its request.
+///
+/// # Errors
+///
+/// Returns that it is too long or holds what no id may.
+pub fn call_id(headers: &HeaderMap) -> Result<Option<&str>, Rejection> {
+    text(headers, super::CALL_HEADER, CALL_ID_MAX_BYTES)
+}
+
 /// Headers that each hop writes anew.
 fn is_own(name: &str) -> bool {
     matches!(name, SERVICE_HEADER | DEADLINE_HEADER | DEPTH_HEADER | REPEAT_HEADER | super::CALL_HEADER)
@@ -134,12 +143,12 @@
     parsed.map(Some).ok_or(reject(Code::HeaderInvalid, 400))
 }
 
-fn text(headers: &HeaderMap, name: &str, max_bytes: usize) -> Result<Option<String>, Rejection> {
+fn text<'h>(headers: &'h HeaderMap, name: &str, max_bytes: usize) -> Result<Option<&'h str>, Rejection> {
     let mut values = headers.get_all(name).iter();
     let Some(value) = values.next() else {
         return Ok(None);
     };
     let fits = |text: &&str| !text.is_empty() && text.len() <= max_bytes && !text.contains(['"', ' ']);
     let one = value.to_str().ok().filter(fits).filter(|_| values.next().is_none());
-    one.map(|text| Some(text.to_owned())).ok_or(reject(Code::HeaderInvalid, 400))
+    one.map(Some).ok_or(reject(Code::HeaderInvalid, 400))
 }
--- a/valetrack/src/caller/run.rs
+++ b/valetrack/src/caller/run.rs
@@ -38,6 +38,8 @@
 const CONNECTIONS_MAX: usize = 10_000;
 /// Most calls that have no answer yet; further ones are refused at once.
 const OPEN_CALLS_MAX: usize = 2_048;
+/// What stands for the id of a refused request whose caller gave it none.
+const UNNAMED: &str = "-";
 /// When a call that a leaving node does not take may come back, in milliseconds: about as long as
 /// another node or the next life of this one takes to be found.
 const LEAVING_RETRY_MS: u32 = 200;
@@ -224,19 +226,20 @@
 
     async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Answer {
         let began = Instant::now();
+        let (parts, body) = request.into_parts();
+        let named = self.parts.protocol.call_id(&parts.headers).unwrap_or(UNNAMED);
         if self.open_calls.get() > OPEN_CALLS_MAX {
-            return self.reject(Rejection { code: Code::Overloaded, status: 503 }, "-");
+            return self.reject(Rejection { code: Code::Overloaded, status: 503 }, named);
         }
-        let (parts, body) = request.into_parts();
         let in_force = self.placer.bundle.borrow().clone();
         let Some(in_force) = in_force else {
-            return self.reject(Rejection { code: Code::NoBundle, status: 503 }, "-");
+            return self.reject(Rejection { code: Code::NoBundle, status: 503 }, named);
         };
         let (call, body) = match self.read(&parts, body, &in_force).await {
             Ok(read) => read,
-            Err((rejection, call_id)) => {
+            Err(rejection) => {
                 self.placer.metrics.bad_calls.inc();
-                return self.reject(rejection, &call_id);
+                return self.reject(rejection, named);
             }
         };
         let IncomingCall { mut head, given_ms, repeatable, attempts_max, .. } = call;
@@ -282,22 +285,21 @@
     ///
     /// # Errors
     ///
-    /// Returns why it is turned away, and its id as far as that was read.
+    /// Returns why it is turned away.
     async fn read(
         &self,
         parts: &Parts,
         body: Incoming,
         in_force: &InForce,
-    ) -> Result<(IncomingCall, Bytes), (Rejection, Arc<str>)> {
+    ) -> Result<(IncomingCall, Bytes), Rejection> {
         let cx = ReadContext {
             bundle: &in_force.bundle,
             new_id: &|| self.placer.next_attempt().to_string(),
             choose: &|route| self.choose(route),
         };
-        let mut call = self.parts.protocol.read(parts, &cx).map_err(|rejection| (rejection, Arc::from("-")))?;
+        let mut call = self.parts.protocol.read(parts, &cx)?;
         call.head.origin = self.parts.service.clone();
-        let body = self.read_body(body, call.request_cap_bytes).await;
-        let body = body.map_err(|rejection| (rejection, call.head.call_id.clone()))?;
+        let body = self.read_body(body, call.request_cap_bytes).await?;
         call.head.body_bytes = body.len() as u32;
         Ok((call, body))
     }
@@ -322,7 +324,12 @@
     }
 
     fn reject(&self, rejection: Rejection, call_id: &str) -> Answer {
-        log::warn!("event=call.rejected call={call_id} code={} status={}", rejection.code, rejection.status);
+        let bundle = self.placer.bundle.borrow().as_ref().map_or(0, |bundle| bundle.number);
+        log::warn!(
+            "event=call.rejected call={call_id} code={} status={} bundle={bundle}",
+            rejection.code,
+            rejection.status
+        );
         self.parts.protocol.of_rejection(rejection, call_id)
     }
 
