--- a/standin/tests/crashing_call.rs
+++ b/standin/tests/crashing_call.rs
@@ -132,6 +132,22 @@
     (status(&reply), began.elapsed())
 }
 
+/// Has all nodes start again at once, and holds that each refuses the deadly request from its start on.
+async fn start_again_and_refuse(fleet: &mut Fleet, path: &str) {
+    for at in 0..fleet.vms.len() {
+        fleet.kill_node(at);
+    }
+    for at in 0..fleet.vms.len() {
+        fleet.start_node(at);
+    }
+    fleet.wait_ready().await;
+    for at in 0..fleet.vms.len() {
+        assert_eq!(send_deadly(fleet, at, path).await.0, 503);
+    }
+    let runs = deadly_runs(fleet).len();
+    assert!(runs <= CRASHES + SENDS_LEFT, "{runs} upstreams ran the call that crashes them");
+}
+
 #[tokio::test]
 async fn what_is_known_of_a_call_outlives_every_node_and_a_store_that_is_away() {
     let path = "/sheet/deadly";
@@ -160,17 +176,7 @@
     assert!(took < Duration::from_millis(200), "refused at once, not after {took:?}");
     // All nodes start again, with the store back.
     fleet.store.set_mode(standin::managed::store::Mode::Up);
-    for at in 0..4 {
-        fleet.kill_node(at);
-    }
-    for at in 0..4 {
-        fleet.start_node(at);
-    }
-    fleet.wait_ready().await;
-    for at in 0..4 {
-        assert_eq!(send_deadly(&fleet, at, path).await.0, 503);
-    }
-    assert!(deadly_runs(&fleet).len() <= CRASHES + SENDS_LEFT, "{:?}", deadly_runs(&fleet).len());
+    start_again_and_refuse(&mut fleet, path).await;
 }
 
 #[tokio::test]
@@ -193,17 +199,7 @@
     common::wait_for("the crashes in the store again", async || !fleet.store.keys(archive).is_empty()).await;
     assert!(back.elapsed() < WRITTEN_AGAIN, "{:?}", back.elapsed());
     // Nodes that start then know of it from the store alone.
-    for at in 0..4 {
-        fleet.kill_node(at);
-    }
-    for at in 0..4 {
-        fleet.start_node(at);
-    }
-    fleet.wait_ready().await;
-    for at in 0..4 {
-        assert_eq!(send_deadly(&fleet, at, path).await.0, 503);
-    }
-    assert!(deadly_runs(&fleet).len() <= CRASHES + SENDS_LEFT, "{:?}", deadly_runs(&fleet).len());
+    start_again_and_refuse(&mut fleet, path).await;
 }
 
 #[tokio::test]
--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -33,7 +33,7 @@
 use crate::link::message::{Ask, Question, Reply};
 use crate::link::peer::{self, LinkJob, LinkResult, Target};
 use crate::metric::Metrics;
-use crate::store::LeaseStore;
+use crate::store::{LeaseStore, Position};
 
 /// Longest wait of one call for changes, in milliseconds: the platform allows 30 seconds.
 const WATCH_MS: u64 = 25_000;
@@ -111,6 +111,8 @@
     hasten: Notify,
     /// Relays that have failed, and until when each is left alone, in microseconds.
     avoided: RefCell<HashMap<Arc<str>, u64>>,
+    /// Position that was known when the store came back older, until it has been read whole since.
+    lost_from: Cell<Option<Position>>,
     /// Whether other nodes are being asked what they know that a store which came back older may have lost.
     comparing: Cell<bool>,
 }
@@ -135,6 +137,7 @@
         asked_us: Cell::new(None),
         hasten: Notify::new(),
         avoided: RefCell::default(),
+        lost_from: Cell::new(None),
         comparing: Cell::new(false),
         parts,
     });
--- a/valetrack/src/member/leased/older.rs
+++ b/valetrack/src/member/leased/older.rs
@@ -35,10 +35,12 @@
         let now = now_us();
         self.keeper.borrow_mut().enter(era, now);
         if known.is_start() {
+            // Nothing of the former era was read here, so that there is nothing to hold against the copy.
             return;
         }
         log::warn!("event=store.came_back_older era={era} before={} known={known}", known.era());
         self.parts.metrics.store_rollbacks.inc();
+        self.lost_from.set(Some(known));
         self.evacuation_keys.borrow_mut().enter_era(&self.evacuation.borrow().domains, now);
         // A full ring means that the store holds much of crashes; whatever is read next is held against it.
         if self.parts.to_crash.try_send(CrashJob::StoreOlder).is_err() {
@@ -52,19 +54,19 @@
     }
 
     /// Says what a store that came back older holds, as it is read whole for the first time.
-    pub(super) fn log_reread(&self, before: Position, at: Position) {
-        if !before.is_start() || before.era() == Era::default() {
+    pub(super) fn log_reread(&self, at: Position) {
+        let Some(known) = self.lost_from.take() else {
             return;
-        }
+        };
         log::info!(
-            "event=store.reread position={at} bundle={} entries={} missing={}",
+            "event=store.reread known={known} position={at} bundle={} entries={} missing={}",
             self.adopter.number(),
             self.directory.borrow().members().count(),
             self.directory.borrow().missing()
         );
     }
 
-    /// Asks some other nodes for their bundle, and tells those that have an earlier one, until nobody learns anything.
+    /// Asks some other nodes for their bundle, and tells those that have an earlier one, in a few rounds.
     ///
     /// An operator's change that was in force at one node when the store went away is not in the copy, and nodes that
     /// no call passes would not hear of it.
--- a/valetrack/src/member/leased/read.rs
+++ b/valetrack/src/member/leased/read.rs
@@ -69,7 +69,6 @@
 
     /// Takes all items of the store as they stood at `at` and at `confirmed_us`.
     pub(super) fn take_all(self: &Rc<Self>, items: &[Item], at: Position, confirmed_us: u64) -> Taken {
-        let before = self.log.borrow().position();
         let taken = self.log.borrow_mut().read(items, at, confirmed_us);
         if taken != Taken::Newest {
             return taken;
@@ -91,7 +90,7 @@
         for item in items.iter().filter(|item| item.key == *self.parts.bundle_key) {
             self.take_bundle(item);
         }
-        self.log_reread(before, at);
+        self.log_reread(at);
         taken
     }
 
