The store is read again after a call that was out while it was lost

Cause: on reading the change again: whether the store had been away was looked up before the call, no longer after it, and a conflict that names no position no longer counted as an answer.

--- a/valetrack/src/member/leased/keep.rs
+++ b/valetrack/src/member/leased/keep.rs
@@ -9,7 +9,7 @@
 use crate::clock::now_us;
 use crate::code::Code;
 use crate::member::{EntryDoc, EntryStep, entry_key};
-use crate::store::{Committed, Freshness, LeasedWrite, Position, StoreError};
+use crate::store::{Committed, Era, Freshness, LeasedWrite, Position, StoreError};
 
 /// Time that removing the entry may take when the node stops, in milliseconds.
 const END_MS: u64 = 300;
@@ -35,15 +35,13 @@
     }
 
     async fn step(self: &Rc<Self>, step: EntryStep) {
-        let was_away = !self.store_answers.get();
         match self.call(step).await {
-            Ok(()) => self.reread_after(was_away),
+            Ok(()) => {}
             Err(StoreError::LeaseOver) => {
                 log::info!("event=member.lease_over code={}", Code::LeaseOver);
                 // An answer, though it does not name its era; the next one will.
                 let era = self.keeper.borrow().era();
-                self.store_answered(era);
-                self.reread_after(was_away);
+                self.call_answered(era);
                 self.keeper.borrow_mut().lease_over();
             }
             Err(error) => {
@@ -61,20 +59,20 @@
             EntryStep::Grant => {
                 self.count("grant");
                 let lease = store.grant(self.parts.lease_ms).await?;
-                self.store_answered(lease.era);
+                self.call_answered(lease.era);
                 self.keeper.borrow_mut().granted(lease, sent_us);
             }
             EntryStep::Renew { lease } => {
                 self.count("renew");
                 let era = store.renew(lease).await?;
-                self.store_answered(era);
+                self.call_answered(era);
                 self.keeper.borrow_mut().renewed(era, sent_us);
             }
             EntryStep::Ask => {
                 self.count("list-earlier");
                 let key = entry_key(&self.parts.me.vm);
                 let page = store.list(&key, None, Freshness::Earlier).await?;
-                self.store_answered(page.at.era());
+                self.call_answered(page.at.era());
                 self.keeper.borrow_mut().answered();
             }
             EntryStep::Write { lease, expected } => self.write(lease, expected).await?,
@@ -83,9 +81,11 @@
         Ok(())
     }
 
-    /// Has the store read again when a call for the own entry shows that it is back: a call for
-    /// changes from before may hang for good.
-    fn reread_after(&self, was_away: bool) {
+    /// Notes that the store has answered a call for the own entry, and has it read again where that shows that it is
+    /// back: a call for changes from before may hang for good. It may have been lost while the call was out.
+    fn call_answered(self: &Rc<Self>, era: Era) {
+        let was_away = !self.store_answers.get();
+        self.store_answered(era);
         if was_away {
             self.reread.notify_one();
         }
@@ -101,13 +101,12 @@
             Committed::At(position) => {
                 let phase = entry.member.phase.as_str();
                 log::info!("event=member.entry_written phase={phase} position={position} lease={lease}");
-                self.store_answered(position.era());
+                self.call_answered(position.era());
                 self.keeper.borrow_mut().wrote(version, position);
             }
             Committed::Conflict(position) => {
-                if let Some(position) = position {
-                    self.store_answered(position.era());
-                }
+                let known = self.keeper.borrow().era();
+                self.call_answered(position.map_or(known, Position::era));
                 self.keeper.borrow_mut().conflicted(position);
             }
         }
