--- a/standin/src/store.rs
+++ b/standin/src/store.rs
@@ -4,6 +4,10 @@
 //! `POST /_fault` with `down=1`, `slow_ms=N`, `lose=N` (the next N writes take effect and get no
 //! answer), `fail=N` (the next N writes neither take effect nor get an answer) or nothing (well
 //! again). `GET /_counts` tells the calls so far.
+//!
+//! `POST /_copy` takes a copy of all that the store holds. `POST /_return?away_ms=N` has the store go away, with all its
+//! connections, and come back from that copy; `history=N` gives its history another name, `leases=0` brings no leases
+//! back, and `connections=kept` keeps connections that nobody uses meanwhile, as a proxy before the store may do.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -18,9 +22,12 @@
 use hyper::body::{Frame, Incoming};
 use hyper::{Request, Response};
 use serde_json::{Value, json};
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 use crate::web::{self, Answer, answer};
+use comeback::{Comeback, Copy};
+
+mod comeback;
 
 /// Largest value, in bytes.
 const VALUE_MAX_BYTES: usize = 1_048_576;
@@ -60,6 +67,9 @@
 
 #[derive(Default)]
 struct State {
+    /// Name of the history, and one, in the header of each answer.
+    history: u64,
+    copy: Option<Copy>,
     revision: u64,
     entries: BTreeMap<Vec<u8>, Entry>,
     events: Vec<(u64, Vec<u8>, Value)>,
@@ -79,10 +89,24 @@
 /// Returns why the address could not be listened on.
 pub async fn run(addr: SocketAddr) -> std::io::Result<()> {
     let state = Shared::default();
-    web::serve(addr, Duration::ZERO, move |request| handle(state.clone(), request)).await
+    let comebacks = Arc::new(Notify::new());
+    loop {
+        let handler = (state.clone(), comebacks.clone());
+        let listener = comeback::bind(addr).await?;
+        let serving = web::serve_on(listener, Duration::ZERO, move |request| {
+            let (state, comebacks) = handler.clone();
+            handle(state, comebacks, request)
+        });
+        tokio::select! {
+            () = serving => {}
+            // All connections and the port close with what served them.
+            () = comebacks.notified() => {}
+        }
+        comeback::wait(&state).await;
+    }
 }
 
-async fn handle(state: Shared, request: Request<Incoming>) -> Answer {
+async fn handle(state: Shared, comebacks: Arc<Notify>, request: Request<Incoming>) -> Answer {
     let query = web::query(request.uri());
     let path = request.uri().path().to_owned();
     let body = request.into_body().collect().await?.to_bytes();
@@ -107,6 +131,15 @@
             let counts = json!({ "reads": reads, "writes": writes, "watches": watches, "leases": leases });
             return Ok(answer(200, counts.to_string()));
         }
+        "/_copy" => {
+            let mut state = state.lock().map_err(|_| "poisoned")?;
+            state.copy = Some(Copy::of(&state));
+            return Ok(answer(200, ""));
+        }
+        "/_return" => {
+            Comeback::of(&query).begin(&state, comebacks)?;
+            return Ok(answer(200, ""));
+        }
         _ => {}
     }
     let slow = {
@@ -233,7 +266,8 @@
 
 impl State {
     fn header(&self) -> Value {
-        json!({ "cluster_id": "1", "member_id": "1", "revision": self.revision.to_string(), "raft_term": "1" })
+        let history = (self.history + 1).to_string();
+        json!({ "cluster_id": history, "member_id": "1", "revision": self.revision.to_string(), "raft_term": "1" })
     }
 
     fn range(&self, body: &Value) -> Result<Value, String> {
--- a/standin/tests/common/mod.rs
+++ b/standin/tests/common/mod.rs
@@ -204,12 +204,17 @@
         if output.status.success() { Ok(text(&output.stdout)) } else { Err(text(&output.stderr)) }
     }
 
+    /// Writes a file into the fleet's folder; returns its path.
+    pub fn file(&self, name: &str, text: &str) -> String {
+        let file = self.dir.join(name);
+        std::fs::write(&file, text).expect("a file");
+        file.to_string_lossy().into_owned()
+    }
+
     /// Writes, approves and rolls a bundle; returns its number.
     pub fn roll(&self, text: &str) -> u64 {
-        let file = self.dir.join("bundle.toml");
-        std::fs::write(&file, text).expect("a file");
+        let file = self.file("bundle.toml", text);
         let store = self.store_addr.to_string();
-        let file = file.to_string_lossy();
         let version =
             self.valetrack(&["bundle", "write", &file, "--operator", "ana", "--store", &store]).expect("written");
         self.valetrack(&["bundle", "approve", &version, "--operator", "bor", "--store", &store]).expect("approved");
@@ -236,6 +241,12 @@
         assert_eq!(fault.expect("an answer").status, 200);
     }
 
+    /// Gives the store a command of its own.
+    pub async fn store_command(&self, command: &str) {
+        let done = Client::new(self.store_addr).call("POST", &format!("/{command}"), &[], "").await;
+        assert_eq!(done.expect("an answer").status, 200);
+    }
+
     pub async fn wait_ready(&self) {
         for vm in &self.vms {
             wait_for("readiness", async || status(vm, "/ready").await == 200).await;
