A roll after a return from a copy is in force, under a number that no node has seen

What operators and callers saw: on the product's own store, back from a copy that held number 1 while nodes served number 2, the next roll was confirmed as number 2 and in force nowhere until the roll after it.

Cause: a roll's number counts on from the one document in the store, which had lost the last roll; nodes take nothing under a number that was in force. Ruled out: a lost approval (VT506 would have refused), and nodes that missed the document (their refusal is the rule that adoption never goes back).

Mend: the document names the store's history, as the gateway calls it. Where that has changed since the last roll, numbers go on a million further. Where it has not, or operators kept it, nodes that have read the lost document write it again, with its text; what was rolled on top of the copy gets the number behind the one in force and comes in force under it. A roll that meets such a write goes on top of it and is not told that it lost a race. Evacuations are written again as well; two that knew nothing of each other both hold. Approvals are not written again: nobody alive has them.

Why it holds: numbers only rise at nodes, and whatever stands in the store beside the last known roll either is one that came before it, and is replaced, or gets the next number.

`a_roll_after`, unchanged: fails before, passes. Pure decisions: ten tests (`lib recover`).

--- a/valetrack/src/bundle/adopt.rs
+++ b/valetrack/src/bundle/adopt.rs
@@ -35,6 +35,11 @@
         self.adoption.borrow().number()
     }
 
+    /// Returns the bundle in force.
+    pub fn in_force(&self) -> Option<Arc<InForce>> {
+        self.adoption.borrow().current().cloned()
+    }
+
     /// Returns whether a bundle of this number is later than the one in force.
     pub fn wants(&self, number: u64) -> bool {
         number > self.number() && self.adoption.borrow_mut().hear(number)
--- a/valetrack/src/bundle/message.rs
+++ b/valetrack/src/bundle/message.rs
@@ -9,6 +9,7 @@
 use crate::code::Code;
 use crate::gate::ColdRule;
 use crate::member::Evacuation;
+use crate::store::HistoryName;
 
 /// Budget of one node for all that it does only to measure.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
@@ -231,6 +232,29 @@
     /// Failure domains whose servers are to get nothing.
     #[serde(default)]
     pub evacuation: Evacuation,
+    /// What the store called its history as the document was written; another name shows that it was restored.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub history: Option<HistoryName>,
+    /// Whether a node has written the roll again that the store had lost.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub restored: bool,
+}
+
+impl CurrentDoc {
+    /// Returns the roll that it is of.
+    pub fn rolled(&self) -> RolledDoc {
+        RolledDoc {
+            number: self.number,
+            version: self.version.clone(),
+            operator: self.operator.clone(),
+            rolled_ms: self.rolled_ms,
+        }
+    }
+
+    /// Returns whether it says the same as another one.
+    pub fn is_like(&self, other: &Self) -> bool {
+        self.rolled() == other.rolled() && self.evacuation == other.evacuation
+    }
 }
 
 /// One earlier roll.
--- a/valetrack/src/bundle/mod.rs
+++ b/valetrack/src/bundle/mod.rs
@@ -10,6 +10,7 @@
 mod message;
 pub mod operator;
 mod reader;
+mod recover;
 mod route;
 pub mod run;
 mod state;
--- a/valetrack/src/bundle/operator.rs
+++ b/valetrack/src/bundle/operator.rs
@@ -13,6 +13,10 @@
 use crate::member::Evacuation;
 use crate::store::{Found, Position, Store, StoreError, Written};
 
+/// Rolls that a copy may lack at the most: those of some 47 days at 21,000 a day.
+const LOST_ROLLS_MAX: u64 = 1_000_000;
+/// Author of a text that a node has written again; no operator's name has a bracket.
+const RESTORED_AUTHOR: &str = "(restored by a node)";
 /// How often a write whose answer was lost is read back and tried again.
 const TRIES: usize = 5;
 
@@ -126,6 +130,17 @@
     Ok(())
 }
 
+/// What a roll found, and what it wrote.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Rolled {
+    /// Number of the roll.
+    pub number: u64,
+    /// Number that the store held before; zero where it held none.
+    pub held: u64,
+    /// Whether the store calls its history by another name than at the roll before.
+    pub is_restored: bool,
+}
+
 /// Rolls an approved bundle; returns its number.
 ///
 /// # Errors
@@ -133,6 +148,16 @@
 /// Returns [`OperatorError::RaceLost`] with the winner when somebody else rolled in between, why
 /// the bundle cannot be rolled, or how the store failed.
 pub async fn roll(store: &dyn Store, operator: &str, version: &str) -> Result<u64, OperatorError> {
+    Ok(roll_over(store, operator, version, 0).await?.number)
+}
+
+/// Rolls an approved bundle under a number that is higher than what the store holds and than `served`, the highest that
+/// nodes are known to serve.
+///
+/// # Errors
+///
+/// As [`roll`].
+pub async fn roll_over(store: &dyn Store, operator: &str, version: &str, served: u64) -> Result<Rolled, OperatorError> {
     let written = read_text(store, version).await?;
     let approval = store.read(&approval_key(version)).await?;
     let approved = approval.value.and_then(|kv| serde_json::from_slice::<ApprovedDoc>(&kv.value).ok());
@@ -141,8 +166,12 @@
     };
     log::debug!("event=bundle.roll version={version} approver={}", approved.approver);
     let before = store.read(CURRENT_KEY).await?;
-    let (expected, next) = next_current(&before, operator, version);
-    roll_at(store, expected, next).await
+    let held = current_doc(&before);
+    let is_restored = held.as_ref().is_some_and(|doc| is_restored(doc, &before));
+    let mut next = next_current(&before, operator, version);
+    next.number = next.number.max(served + 1);
+    let number = roll_at(store, before.position(), next).await?;
+    Ok(Rolled { number, held: held.map_or(0, |doc| doc.number), is_restored })
 }
 
 /// Evacuates a failure domain, or returns it to service; returns the number of the evacuation in force.
@@ -203,41 +232,35 @@
     found.value.as_ref().and_then(|kv| serde_json::from_slice(&kv.value).ok())
 }
 
-fn next_current(before: &Found, operator: &str, version: &str) -> (Position, CurrentDoc) {
-    let expected = before.position();
+/// Returns whether the store was restored from a copy since a document was written, as far as its name shows.
+fn is_restored(doc: &CurrentDoc, found: &Found) -> bool {
+    doc.history.is_some() && found.history.is_some() && doc.history != found.history
+}
+
+fn next_current(before: &Found, operator: &str, version: &str) -> CurrentDoc {
     let doc = current_doc(before);
+    // A number that the copy lacks may be in force at nodes, and they take nothing else under it.
+    let lost_max = doc.as_ref().filter(|doc| is_restored(doc, before)).map_or(0, |_| LOST_ROLLS_MAX);
     let mut history = Vec::new();
     let mut number = 1;
     let mut evacuation = Evacuation::default();
     if let Some(doc) = doc {
-        number = doc.number + 1;
+        number = doc.number + lost_max + 1;
         evacuation = doc.evacuation.clone();
-        let RolledParts { rolled, before } = split(doc);
-        history.push(rolled);
-        history.extend(before);
+        history.push(doc.rolled());
+        history.extend(doc.before);
         history.truncate(HISTORY_MAX);
     }
-    let rolled_ms = wall_us() / 1000;
-    let next = CurrentDoc {
+    CurrentDoc {
         number,
         version: version.into(),
         operator: operator.into(),
-        rolled_ms,
+        rolled_ms: wall_us() / 1000,
         before: history,
         evacuation,
-    };
-    (expected, next)
-}
-
-struct RolledParts {
-    rolled: RolledDoc,
-    before: Vec<RolledDoc>,
-}
-
-fn split(doc: CurrentDoc) -> RolledParts {
-    let rolled =
-        RolledDoc { number: doc.number, version: doc.version, operator: doc.operator, rolled_ms: doc.rolled_ms };
-    RolledParts { rolled, before: doc.before }
+        history: before.history,
+        restored: false,
+    }
 }
 
 async fn roll_at(store: &dyn Store, mut expected: Position, mut next: CurrentDoc) -> Result<u64, OperatorError> {
@@ -261,6 +284,12 @@
                 next.evacuation = doc.evacuation;
                 expected = position;
             }
+            Some(doc) if doc.restored => {
+                // No operator was faster: a node has written what the store had lost, and this roll comes after it.
+                let onto = next_current(&found, &next.operator, &next.version);
+                next = CurrentDoc { number: onto.number.max(next.number), rolled_ms: next.rolled_ms, ..onto };
+                expected = position;
+            }
             Some(doc) if position != expected => {
                 return Err(OperatorError::RaceLost { winner: doc.operator, version: doc.version, number: doc.number });
             }
@@ -279,6 +308,18 @@
     old.number == next.number && old.rolled_ms == next.rolled_ms && old.operator == next.operator
 }
 
+/// Writes the text of a bundle again that the store has lost, as nodes have it.
+///
+/// Two operators have agreed on it before it was in force, so whoever approves it again does so as a second one.
+///
+/// # Errors
+///
+/// Returns how the store failed.
+pub async fn restore_text(store: &dyn Store, text: &str) -> Result<(), OperatorError> {
+    let doc = WrittenDoc { author: RESTORED_AUTHOR.into(), written_ms: wall_us() / 1000, text: text.into() };
+    create(store, &text_key(&version_of(text)), &doc).await
+}
+
 /// Creates a document that never changes; one that is there already is as good.
 async fn create<T: serde::Serialize>(store: &dyn Store, key: &str, doc: &T) -> Result<(), OperatorError> {
     let value = serde_json::to_vec(doc).unwrap_or_default();
--- a/valetrack/src/bundle/run.rs
+++ b/valetrack/src/bundle/run.rs
@@ -1,5 +1,6 @@
 //! Shell of bundles; it shares the member thread, since bundles spread with its exchanges.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,11 +10,12 @@
 
 use super::adopt::Adopter;
 use super::message::{CURRENT_KEY, CurrentDoc};
-use super::operator::read_text;
+use super::operator::{self, read_text};
+use super::recover::RollMemory;
 use crate::code::Code;
 use crate::member::{Evacuation, Members};
 use crate::metric::Metrics;
-use crate::store::{Store, Versioned, WatchNews};
+use crate::store::{Found, Store, Versioned, WatchNews, Written};
 
 /// Nodes of one failure domain that watch the store.
 const WATCHERS: usize = 2;
@@ -35,6 +37,7 @@
     metrics: Arc<Metrics>,
     /// Failure domains that are evacuated, as the store told last.
     evacuation: watch::Sender<Evacuation>,
+    memory: RefCell<RollMemory>,
 }
 
 impl Bundler {
@@ -48,7 +51,7 @@
         metrics: Arc<Metrics>,
     ) -> Self {
         let evacuation = watch::Sender::new(Evacuation::default());
-        Self { vm, domain, adopter, store, members, metrics, evacuation }
+        Self { vm, domain, adopter, store, members, metrics, evacuation, memory: RefCell::default() }
     }
 
     /// Returns the failure domains that are evacuated, as the store tells.
@@ -87,42 +90,97 @@
 
     async fn read_current(&self) -> Result<u64, ()> {
         self.metrics.store_calls.with_label_values(&["read"]).inc();
-        match self.store.read(CURRENT_KEY).await {
-            Ok(found) => {
-                if let Some(kv) = &found.value {
-                    self.take_current(kv).await;
-                }
+        let found = match self.store.read(CURRENT_KEY).await {
+            Ok(found) => found,
+            Err(error) => {
+                log::warn!("event=bundle.store_failed code={} reason=\"{error}\"", error.code());
+                return Err(());
+            }
+        };
+        let doc = match &found.value {
+            Some(kv) => Some(read_doc(kv).ok_or(())?),
+            None => None,
+        };
+        let recovered = self.memory.borrow_mut().take(doc.as_ref(), self.adopter.number(), found.history);
+        let number = doc.as_ref().map_or(0, |doc| doc.number);
+        if recovered.is_none() && number < self.adopter.number() {
+            // Those who have read the lost document from the store write it again; this node has its text alone.
+            log::warn!("event=bundle.store_behind number={number} in_force={}", self.adopter.number());
+        }
+        match (recovered, doc) {
+            (Some(next), doc) => self.recover(&found, doc.as_ref(), next).await,
+            (None, Some(doc)) => {
+                self.take_doc(&doc).await;
                 Ok(found.position().wire_revision())
             }
+            (None, None) => Ok(0),
+        }
+    }
+
+    /// Writes what the store has lost, or what was rolled without knowing of that, under a number of its own.
+    async fn recover(&self, found: &Found, held: Option<&CurrentDoc>, next: CurrentDoc) -> Result<u64, ()> {
+        let number = held.map_or(0, |doc| doc.number);
+        log::warn!("event=bundle.store_behind number={number} in_force={} next={}", self.adopter.number(), next.number);
+        self.restore_text(&next.version).await?;
+        self.metrics.store_calls.with_label_values(&["write"]).inc();
+        let value = serde_json::to_vec(&next).unwrap_or_default();
+        match self.store.swap(CURRENT_KEY, Some(found.position()), value).await {
+            Ok(Written::At(at)) => {
+                log::warn!("event=bundle.store_recovered number={} version={}", next.number, next.version);
+                self.memory.borrow_mut().remember(&next);
+                self.take_doc(&next).await;
+                Ok(at.wire_revision())
+            }
+            // Another node was faster, or an operator; what stands there now is looked at again.
+            Ok(Written::Refused) => Err(()),
             Err(error) => {
-                log::warn!("event=bundle.store_failed code={} reason=\"{error}\"", error.code());
+                log::warn!("event=bundle.recover_failed code={} reason=\"{error}\"", error.code());
                 Err(())
             }
         }
     }
 
+    /// Writes the text in force again where the store has lost it.
+    async fn restore_text(&self, version: &str) -> Result<(), ()> {
+        let in_force = self.adopter.in_force().filter(|in_force| &*in_force.version == version);
+        let Some(in_force) = in_force else {
+            return Ok(());
+        };
+        self.metrics.store_calls.with_label_values(&["write"]).inc();
+        operator::restore_text(&*self.store, &in_force.text).await.map_err(|error| {
+            log::warn!("event=bundle.recover_failed code={} reason=\"{error}\"", error.code());
+        })
+    }
+
+    /// Follows the document in force from a revision on, until the watch ends or shows what has to be written again.
     async fn watch(&self, from_revision: u64) {
         self.metrics.store_calls.with_label_values(&["watch"]).inc();
         let (news, mut changes) = mpsc::channel::<WatchNews>(16);
         let follow = async {
             while let Some(change) = changes.recv().await {
-                if let Some(kv) = change.value {
-                    self.take_current(&kv).await;
+                let Some(doc) = change.value.as_ref().and_then(read_doc) else {
+                    continue;
+                };
+                let history = doc.history;
+                if self.memory.borrow_mut().take(Some(&doc), self.adopter.number(), history).is_some() {
+                    return;
                 }
+                self.take_doc(&doc).await;
             }
         };
         let watch = self.store.watch(CURRENT_KEY, from_revision, news);
-        let (ended, ()) = futures::join!(watch, follow);
-        if let Err(error) = ended {
-            log::warn!("event=bundle.watch_ended code={} reason=\"{error}\"", error.code());
+        tokio::select! {
+            biased;
+            () = follow => {}
+            ended = watch => {
+                if let Err(error) = ended {
+                    log::warn!("event=bundle.watch_ended code={} reason=\"{error}\"", error.code());
+                }
+            }
         }
     }
 
-    async fn take_current(&self, kv: &Versioned) {
-        let Ok(doc) = serde_json::from_slice::<CurrentDoc>(&kv.value) else {
-            log::error!("event=bundle.current_damaged code={}", Code::BundleDamaged);
-            return;
-        };
+    async fn take_doc(&self, doc: &CurrentDoc) {
         self.evacuation.send_if_modified(|known| known.merge(&doc.evacuation));
         if !self.adopter.wants(doc.number) {
             return;
@@ -134,3 +192,11 @@
         }
     }
 }
+
+fn read_doc(kv: &Versioned) -> Option<CurrentDoc> {
+    let doc = serde_json::from_slice(&kv.value);
+    if doc.is_err() {
+        log::error!("event=bundle.current_damaged code={}", Code::BundleDamaged);
+    }
+    doc.ok()
+}
--- a/valetrack/src/bundle/tests.rs
+++ b/valetrack/src/bundle/tests.rs
@@ -3,4 +3,5 @@
 mod check;
 mod fake;
 mod operator;
+mod recover;
 mod route;
--- a/valetrack/src/bundle/tests/fake.rs
+++ b/valetrack/src/bundle/tests/fake.rs
@@ -6,7 +6,7 @@
 use futures::future::BoxFuture;
 use tokio::sync::mpsc;
 
-use crate::store::{Era, Found, Position, Store, StoreError, Versioned, WatchNews, Written};
+use crate::store::{Era, Found, HistoryName, Position, Store, StoreError, Versioned, WatchNews, Written};
 
 /// What happens to one write.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -21,6 +21,8 @@
 #[derive(Default)]
 struct State {
     revision: u64,
+    /// Name of its history; it changes with each return from a copy.
+    history: u64,
     entries: BTreeMap<String, Versioned>,
     fates: Vec<Fate>,
     down: bool,
@@ -44,14 +46,25 @@
         self.0.lock().expect("no panic").rival = Some((key.to_owned(), value));
     }
 
+    /// Writes a key, whatever it holds.
+    pub fn put(&self, key: &str, value: Vec<u8>) {
+        self.0.lock().expect("no panic").put(key, value);
+    }
+
     /// Returns all that the store holds, to come back to.
     pub fn copy(&self) -> (u64, BTreeMap<String, Versioned>) {
         let state = self.0.lock().expect("no panic");
         (state.revision, state.entries.clone())
     }
 
-    /// Comes back from a copy.
-    pub fn restore(&self, (revision, entries): (u64, BTreeMap<String, Versioned>)) {
+    /// Comes back from a copy, with another name for its history.
+    pub fn restore(&self, copy: (u64, BTreeMap<String, Versioned>)) {
+        self.restore_unnamed(copy);
+        self.0.lock().expect("no panic").history += 1;
+    }
+
+    /// Comes back from a copy and says nothing of it.
+    pub fn restore_unnamed(&self, (revision, entries): (u64, BTreeMap<String, Versioned>)) {
         let mut state = self.0.lock().expect("no panic");
         state.revision = revision;
         state.entries = entries;
@@ -108,7 +121,7 @@
             true => Err(StoreError::Unreachable { reason: "down".into() }),
             false => {
                 let value = state.entries.get(key).cloned();
-                Ok(Found { at: state.at(state.revision), history: None, value })
+                Ok(Found { at: state.at(state.revision), history: Some(HistoryName(state.history)), value })
             }
         };
         Box::pin(async move { found })
--- a/valetrack/src/bundle/tests/operator.rs
+++ b/valetrack/src/bundle/tests/operator.rs
@@ -55,6 +55,8 @@
         rolled_ms: 5,
         before: Vec::new(),
         evacuation: Evacuation::default(),
+        history: None,
+        restored: false,
     };
     store.rival(CURRENT_KEY, serde_json::to_vec(&rival).expect("a document"));
     match roll(&store, "ana", &version).await {
@@ -142,8 +144,27 @@
     assert!(doc.evacuation.covers("kranj"), "the roll has kept it");
 }
 
-/// The number of a roll counts on from the document that the store holds. Where the store has come back from a copy that
-/// lacks the roll in force, the next one gets its number, and nodes refuse it as no later one.
+#[tokio::test]
+async fn a_roll_goes_on_top_of_what_a_node_has_restored_meanwhile() {
+    let store = FakeStore::default();
+    let first = approved(&store, TEXT).await;
+    let second = approved(&store, OTHER).await;
+    roll(&store, "ana", &first).await.expect("rolled");
+    let before = current(&store).await.expect("read").expect("a bundle in force");
+    roll(&store, "ana", &second).await.expect("rolled");
+    let lost = current(&store).await.expect("read").expect("a bundle in force");
+    store.put(CURRENT_KEY, serde_json::to_vec(&before).expect("a document"));
+    store.rival(CURRENT_KEY, serde_json::to_vec(&CurrentDoc { restored: true, ..lost }).expect("a document"));
+    assert_eq!(roll(&store, "bor", &first).await.ok(), Some(3), "no operator was faster");
+    let doc = current(&store).await.expect("read").expect("a bundle in force");
+    assert_eq!((doc.version, doc.before.len(), doc.restored), (first, 2, false));
+}
+
+/// A roll was confirmed and in force nowhere. Its number counted on from the document that the store held; the store had come
+/// back from a copy that lacked the roll in force, so both got number 2, and nodes take nothing under a number that was in
+/// force: "number 2 is no later one than 2 at a node". Now the document names the store's history. Where the store calls
+/// it otherwise, the number leaves room for all that the copy may lack; where it does not, nodes write again what they
+/// have read (`RollMemory`).
 #[tokio::test]
 async fn a_roll_after_the_store_came_back_older_is_in_force_at_nodes() {
     let store = FakeStore::default();
--- a/valetrack/src/cli.rs
+++ b/valetrack/src/cli.rs
@@ -6,12 +6,12 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use lexopt::prelude::*;
 use serde_json::json;
 
-use crate::bundle::operator::{self, OperatorError};
+use crate::bundle::operator::{self, OperatorError, Rolled};
 use crate::bundle::{Bundle, Fault, check};
 use crate::code::Code;
 use crate::link::tls::{self, EXPIRY_WARNING_DAYS, KeyError};
@@ -31,6 +31,10 @@
 const EXIT_STORE: u8 = 3;
 /// Time limit of an operator's call to the store, in milliseconds.
 const STORE_MS: u64 = 3_000;
+/// Time within which a roll is to be in force at the nodes that are asked, in milliseconds.
+const IN_FORCE_MS: u64 = 7_000;
+/// Pause between two questions to them, in milliseconds.
+const IN_FORCE_POLL_MS: u64 = 100;
 
 /// What a command line asks for beside its command's own words.
 #[derive(Debug, Default)]
@@ -312,12 +316,68 @@
 fn bundle_roll(options: &Options, version: &str) -> Outcome {
     let operator = operator_name(options)?;
     let store = store(options)?;
-    let rolled = block_on(operator::roll(&store, &operator, version))?;
-    let number = rolled.map_err(|error| operator_failure(error, None, options.json))?;
-    say(options, &json!({ "version": version, "number": number }), &format!("{version} rolled as number {number}"));
+    let served = served_number(options)?;
+    let rolled = block_on(operator::roll_over(&store, &operator, version, served))?;
+    let Rolled { number, held, is_restored } = rolled.map_err(|error| operator_failure(error, None, options.json))?;
+    let data = json!({
+        "version": version, "number": number, "store_held": held, "nodes_served": served, "store_restored": is_restored,
+    });
+    let mut text = format!("{version} rolled as number {number}");
+    if is_restored {
+        let _ = write!(
+            text,
+            "\nthe store was restored from a copy since number {held}: numbers go on beyond what it may lack"
+        );
+    }
+    if served > held {
+        let _ = write!(text, "\nthe store held number {held}, nodes serve {served}: it has come back from a copy");
+    }
+    if served_until(options, number)? < number {
+        let text = format!("{}: number {number} is not in force at all nodes asked", Code::BundleNotInForce);
+        return Err(failure(EXIT_FAULT, text));
+    }
+    say(options, &data, &text);
     Ok(())
 }
 
+/// Returns the highest number that the nodes named by `--admin` serve; zero where none is named.
+fn served_number(options: &Options) -> Result<u64, Failure> {
+    let mut highest = 0;
+    for admin in &options.admin {
+        highest = highest.max(number_at(admin)?);
+    }
+    Ok(highest)
+}
+
+/// Waits until the nodes named by `--admin` serve a number; returns the lowest that they serve then.
+fn served_until(options: &Options, number: u64) -> Result<u64, Failure> {
+    let began = Instant::now();
+    loop {
+        let mut lowest = u64::MAX;
+        for admin in &options.admin {
+            lowest = lowest.min(number_at(admin)?);
+        }
+        if lowest >= number || began.elapsed() >= Duration::from_millis(IN_FORCE_MS) {
+            return Ok(lowest);
+        }
+        std::thread::sleep(Duration::from_millis(IN_FORCE_POLL_MS));
+    }
+}
+
+/// Asks a node for the number of the bundle that it serves.
+fn number_at(admin: &str) -> Result<u64, Failure> {
+    let addr = admin_addr(admin)?;
+    let unreadable =
+        |error: &dyn std::fmt::Display| failure(EXIT_FAULT, format!("{}: {addr}: {error}", Code::FileUnreadable));
+    let text = block_on(fetch::get(addr, "/status"))?.map_err(|error| unreadable(&error))?;
+    let status: serde_json::Value = serde_json::from_str(&text).map_err(|error| unreadable(&error))?;
+    status["bundle_number"].as_u64().ok_or_else(|| unreadable(&"no bundle_number"))
+}
+
+fn admin_addr(admin: &str) -> Result<SocketAddr, Failure> {
+    admin.parse().map_err(|_| failure(EXIT_USAGE, format!("{}: --admin: IP:PORT", Code::SettingInvalid)))
+}
+
 fn bundle_status(options: &Options, history: bool) -> Outcome {
     let store = store(options)?;
     let current = block_on(operator::current(&store))?;
@@ -376,8 +436,7 @@
         lines.extend(read_file(Path::new(file))?.lines().map(str::to_owned));
     }
     for admin in &options.admin {
-        let addr = admin.parse::<SocketAddr>().ok();
-        let addr = addr.ok_or_else(|| failure(EXIT_USAGE, format!("{}: --admin: IP:PORT", Code::SettingInvalid)))?;
+        let addr = admin_addr(admin)?;
         let text = block_on(fetch::get(addr, "/events"))?;
         let text = text.map_err(|error| failure(EXIT_FAULT, format!("{}: {addr}: {error}", Code::FileUnreadable)))?;
         lines.extend(text.lines().map(str::to_owned));
--- a/valetrack/src/cli/help.rs
+++ b/valetrack/src/cli/help.rs
@@ -48,7 +48,7 @@
     ("--operator NAME", "Who gives the command; VALETRACK_OPERATOR."),
     ("--dir FOLDER", "Folder of keys."),
     ("--call ID", "Shows only the events of one call."),
-    ("--admin IP:PORT", "Reads a node's recent events; may stand more than once."),
+    ("--admin IP:PORT", "A node to ask for its events, or for what it serves; may stand more than once."),
     ("--json", "Prints data as JSON."),
     ("--help", "Shows help."),
     ("--version", "Shows the release."),
--- a/valetrack/src/code.rs
+++ b/valetrack/src/code.rs
@@ -71,6 +71,7 @@
     BundleSelfApproval = 507, "the author of a bundle cannot approve it";
     BundleRaceLost = 508, "another operator rolled first";
     BundleDamaged = 509, "the bundle does not match its version";
+    BundleNotInForce = 510, "the bundle was rolled and is not in force at all nodes that were asked";
     StoreUnreachable = 601, "the platform's store could not be reached";
     StoreAnswerInvalid = 602, "the platform's store gave an answer that could not be read";
     StoreOutcomeUnknown = 603, "a write to the platform's store may or may not have taken effect";
