What tests of a page's single decisions feed to it stands once; the walks' steps of gaps stand apart

Tests only: `feed`, `press` and `home` stood twice, and the world of the walks had grown over 600 lines.

--- a/valetrack/src/claim/tests/gap.rs
+++ b/valetrack/src/claim/tests/gap.rs
@@ -1,27 +1,20 @@
 //! Single decisions of a home whose store may have come back from a copy.
 
-use std::sync::Arc;
-
+use super::events::{KEY, NOW_S, feed, home, press};
 use crate::claim::{
-    ClaimAction, ClaimEvent, ClaimRule, Holder, Home, KeptAnswer, KeyDigest, Page, PageEntry, PageHome, PressId,
-    PressReply, Record, RunEnd,
+    ClaimAction, ClaimEvent, ClaimRule, Holder, KeptAnswer, KeyDigest, Page, PageEntry, PageHome, PressId, PressReply,
+    Record, RunEnd,
 };
 use crate::code::Code;
 use crate::store::{Era, Position};
 
-const KEY: KeyDigest = KeyDigest([1; 16]);
 const OTHER: KeyDigest = KeyDigest([2; 16]);
-const NOW_S: u64 = 5_000;
 const LIFETIME_S: u64 = 600;
 
 fn at(era: u64, revision: u64) -> Position {
     Position::new(Era::new(era), revision)
 }
 
-fn home(vm: &str) -> Home {
-    Home { vm: Arc::from(vm), incarnation: 1 }
-}
-
 fn answer() -> KeptAnswer {
     KeptAnswer { status: 201, headers: Vec::new(), body: Some(b"paid".to_vec()) }
 }
@@ -30,19 +23,6 @@
     Page { home: Some(home(vm)), term, held: false, blind_until_s: 0, entries: Vec::new() }
 }
 
-fn feed(page: &mut PageHome, events: impl IntoIterator<Item = ClaimEvent>) -> Vec<ClaimAction> {
-    let mut last = Vec::new();
-    for event in events {
-        last.clear();
-        page.handle(event, NOW_S, &mut last);
-    }
-    last
-}
-
-fn press(number: u64, key: KeyDigest) -> ClaimEvent {
-    ClaimEvent::Press { press: PressId(number), key, call: 7 }
-}
-
 fn read(position: Position, page: Option<Page>, holder: Holder) -> ClaimEvent {
     ClaimEvent::Read { position, page, complete: position.era() == Era::new(1), holder }
 }
--- a/valetrack/src/claim/tests/steps.rs
+++ b/valetrack/src/claim/tests/steps.rs
@@ -4,43 +4,24 @@
 
 use test_case::test_case;
 
+use super::events::{KEY, NOW_S, feed, home, press};
 use crate::claim::rank::{PAGES, digest, page_of, rank};
 use crate::claim::{
-    ClaimAction, ClaimEvent, ClaimRule, Holder, Home, KeptAnswer, KeyDigest, Page, PageEntry, PageHome, PressId,
-    PressReply, Record, RunEnd,
+    ClaimAction, ClaimEvent, ClaimRule, Holder, KeptAnswer, KeyDigest, Page, PageEntry, PageHome, PressId, PressReply,
+    Record, RunEnd,
 };
 use crate::code::Code;
 use crate::store::{Era, Position};
 
-const KEY: KeyDigest = KeyDigest([1; 16]);
-const NOW_S: u64 = 5_000;
-
 /// Returns a position in the first era.
 fn at(revision: u64) -> Position {
     Position::new(Era::default(), revision)
 }
 
-fn home(vm: &str) -> Home {
-    Home { vm: Arc::from(vm), incarnation: 1 }
-}
-
 fn page_home() -> PageHome {
     PageHome::new(home("a"), ClaimRule { lifetime_s: 600, held: false, entries_max: 2 })
 }
 
-fn feed(page: &mut PageHome, events: impl IntoIterator<Item = ClaimEvent>) -> Vec<ClaimAction> {
-    let mut last = Vec::new();
-    for event in events {
-        last.clear();
-        page.handle(event, NOW_S, &mut last);
-    }
-    last
-}
-
-fn press(number: u64, key: KeyDigest) -> ClaimEvent {
-    ClaimEvent::Press { press: PressId(number), key, call: 7 }
-}
-
 fn fresh_page() -> ClaimEvent {
     ClaimEvent::Read { position: at(0), page: None, complete: true, holder: Holder::Alive }
 }
--- a/valetrack/src/claim/tests/world.rs
+++ b/valetrack/src/claim/tests/world.rs
@@ -9,6 +9,8 @@
 use crate::code::Code;
 use crate::store::{Era, Position};
 
+mod gap;
+
 /// The moment of every step, in seconds; keys do not age in this world.
 const NOW_S: u64 = 1_000;
 pub const NODES: usize = 2;
@@ -301,31 +303,6 @@
         self.steps_of_gap(node, steps);
     }
 
-    fn steps_of_gap(&self, node: usize, steps: &mut Vec<Step>) {
-        let state = &self.nodes[node];
-        if state.told_in.is_some() {
-            steps.push(Step::Settle { node });
-        }
-        if self.left.rounds == 0 {
-            return;
-        }
-        if state.home.remembers() && (0..NODES).any(|other| other != node && self.nodes[other].home.has_gap()) {
-            steps.push(Step::Yield { node });
-        }
-        if !state.home.has_gap() {
-            return;
-        }
-        steps.push(Step::GiveUp { node });
-        let others = (0..NODES).filter(|&other| other != node).map(|other| &self.nodes[other]);
-        // Who is over cannot say what it knew; only what this node confirmed after its end leaves no doubt.
-        let speaks = |other: &Node| {
-            !other.paused && !other.home.remembers() && (other.ended_at == 0 || other.ended_at < state.confirmed_at)
-        };
-        if state.home.has_gap_as_home() && others.into_iter().all(speaks) {
-            steps.push(Step::Speak { node });
-        }
-    }
-
     /// Returns what a reader may believe of the page's home.
     fn holders(&self, reader: usize) -> Vec<Holder> {
         let Some(home) = self.page.as_ref().and_then(|page| page.home.as_ref()) else {
