--- a/valetrack/src/bundle/operator.rs
+++ b/valetrack/src/bundle/operator.rs
@@ -15,7 +15,7 @@
 
 /// Rolls that a copy may lack at the most: those of some 47 days at 21,000 a day.
 const LOST_ROLLS_MAX: u64 = 1_000_000;
-/// Author of a text that a node has written again; no operator's name has a bracket.
+/// Author of a text that a node has written again, in place of an operator's name.
 const RESTORED_AUTHOR: &str = "(restored by a node)";
 /// How often a write whose answer was lost is read back and tried again.
 const TRIES: usize = 5;
