--- a/standin/src/crash/fleet.rs
+++ b/standin/src/crash/fleet.rs
@@ -257,6 +257,7 @@
         call_id: Arc::from("call"),
         service: Arc::from(SERVICE),
         origin: Arc::from(SERVICE),
+        account: None,
         route: Arc::from(""),
         method: "GET".into(),
         path: path.into(),
--- a/standin/src/managed/server.rs
+++ b/standin/src/managed/server.rs
@@ -104,6 +104,10 @@
     deadly_runs: Mutex<Vec<Instant>>,
     /// The listener with its connections.
     listening: Mutex<Option<AbortHandle>>,
+    /// Version of its software, as it announces it.
+    version: Mutex<String>,
+    /// Of how many runs one fails; zero for none.
+    one_fails_in: AtomicU64,
     /// Whether it has crashed and is not back yet.
     down: AtomicBool,
     crashes: AtomicU64,
@@ -147,6 +151,8 @@
             deadly: Mutex::default(),
             deadly_runs: Mutex::default(),
             listening: Mutex::default(),
+            version: Mutex::new("v1".to_owned()),
+            one_fails_in: AtomicU64::new(0),
             down: AtomicBool::new(false),
             crashes: AtomicU64::new(0),
         });
@@ -214,6 +220,23 @@
         self.serve(listener);
     }
 
+    /// Sets the version that it announces.
+    pub fn set_version(&self, version: &str) {
+        *self.version.lock().unwrap_or_else(PoisonError::into_inner) = version.to_owned();
+    }
+
+    /// Lets one of so many runs fail from now on.
+    pub fn set_failing(&self, one_in: u64) {
+        self.one_fails_in.store(one_in, Ordering::Relaxed);
+    }
+
+    /// Returns whether the next run fails.
+    fn fails_next(&self) -> bool {
+        let one_in = self.one_fails_in.load(Ordering::Relaxed);
+        let runs: u64 = self.runs.lock().unwrap_or_else(PoisonError::into_inner).values().sum();
+        one_in > 0 && runs % one_in == 0
+    }
+
     /// Sets how long each request takes, in milliseconds.
     pub fn set_work_ms(&self, work_ms: u64) {
         self.work_ms.store(work_ms, Ordering::Relaxed);
@@ -363,7 +386,7 @@
             let id = self.id_of(life);
             let state = if draining { "draining" } else { "ready" };
             let heartbeat = json!({
-                "service": self.service, "address": self.addr, "zone": "kranj", "version": "v1",
+                "service": self.service, "address": self.addr, "zone": "kranj", "version": *self.version.lock().unwrap_or_else(PoisonError::into_inner),
                 "slots": self.slots, "state": state, "cold_ms": self.cold_left().as_millis() as u64,
                 "sequence": life.sequence, "born": life.born_ms,
             });
@@ -457,7 +480,8 @@
     if spoil == Spoil::Close {
         return Err("closed".into());
     }
-    let mut reply = answer(200, body);
+    let status = if server.fails_next() { 500 } else { 200 };
+    let mut reply = answer(status, body);
     let headers = reply.headers_mut();
     let id = if spoil == Spoil::OtherId { "another".to_owned() } else { id };
     headers.insert("x-request-id", HeaderValue::from_str(&id)?);
--- a/standin/src/managed/store.rs
+++ b/standin/src/managed/store.rs
@@ -27,6 +27,8 @@
 const CHEAP_TENTHS: u64 = 1;
 /// Price of any other call, in tenths.
 const CALL_TENTHS: u64 = 10;
+/// Most entries of one transaction, conditions and changes together.
+const ENTRIES_MAX: usize = 32;
 /// Copies that are kept, one a change: more than any test takes back.
 const COPIES_MAX: usize = 512;
 /// Header of all answers with how often the store has come back from an older copy.
@@ -230,6 +232,13 @@
         self.lock().revision
     }
 
+    /// Returns the value of a key as text, if it exists.
+    pub fn text(&self, key: &str) -> Option<String> {
+        let value = self.lock().items.get(key).map(|item| item.value.clone())?;
+        let bytes = STANDARD.decode(value).unwrap_or_default();
+        Some(String::from_utf8_lossy(&bytes).into_owned())
+    }
+
     /// Returns the keys below a prefix.
     pub fn keys(&self, prefix: &str) -> BTreeSet<String> {
         self.lock().items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
@@ -452,6 +461,9 @@
         let rows = |name: &str| body[name].as_array().unwrap_or(&none).clone();
         let key_of = |row: &Value| row["key"].as_str().unwrap_or("").to_owned();
         let expected = rows("expected");
+        if expected.len() + rows("put").len() + rows("remove").len() > ENTRIES_MAX {
+            return (400, json!({}));
+        }
         let holds = |row: &Value| {
             let revision = self.items.get(&key_of(row)).map_or(0, |item| item.revision);
             row["revision"].as_u64() == Some(revision)
--- a/standin/src/overload/world/owner.rs
+++ b/standin/src/overload/world/owner.rs
@@ -236,6 +236,7 @@
         call_id: nothing.clone(),
         service: nothing.clone(),
         origin: nothing.clone(),
+        account: None,
         route: nothing,
         method: String::new(),
         path: String::new(),
--- a/standin/src/slope.rs
+++ b/standin/src/slope.rs
@@ -71,6 +71,8 @@
         domain: Arc::from(format!("domain-{}", number % 19)),
         service: Arc::from(format!("service-{}", number % 1_200)),
         link_addr: ([10, 0, (number >> 8) as u8, number as u8], 7_001).into(),
+        version: None,
+        is_relay: false,
     }
 }
 
--- a/standin/tests/common/managed.rs
+++ b/standin/tests/common/managed.rs
@@ -112,6 +112,14 @@
         self.start_node(at);
     }
 
+    /// Adds a VM whose upstream is of a version.
+    pub async fn add_version(&mut self, service: &'static str, version: &str) {
+        self.add(service).await;
+        if let Some(vm) = self.vms.last() {
+            vm.upstream.set_version(version);
+        }
+    }
+
     pub fn start_node(&mut self, at: usize) {
         let further = vec![
             ("linger-ms", self.linger_ms.to_string()),
--- a/standin/tests/managed.rs
+++ b/standin/tests/managed.rs
@@ -192,6 +192,20 @@
     assert!(writes <= STARTED as f64 + 1.0, "{writes} writes of {STARTED} entries");
 }
 
+/// Nodes of a fleet with more followers than one transaction takes.
+const MANY: usize = 24;
+
+#[tokio::test]
+async fn a_relay_keeps_the_entries_of_more_followers_than_one_transaction_takes() {
+    let fleet = Fleet::start(&["rounds"; MANY]).await;
+    fleet.store.lapse();
+    wait_for("all entries", async || fleet.entries() == MANY).await;
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    assert_eq!(fleet.entries(), MANY);
+    let failed = metric(&fleet, "valetrack_store_failures_total", ("code", "VT606")).await;
+    assert_eq!(failed, 0.0, "the store has turned calls away");
+}
+
 #[tokio::test]
 async fn a_fleet_asks_the_store_little_after_an_outage_that_lost_its_history() {
     let fleet = started_fleet().await;
--- a/valetrack/benches/decision.rs
+++ b/valetrack/benches/decision.rs
@@ -89,6 +89,7 @@
         call_id: Arc::from("9c41d07be2a35f68"),
         service: Arc::from("intake"),
         origin: Arc::from("intake"),
+        account: None,
         route: Arc::from("sheet"),
         method: "POST".into(),
         path: path.into(),
--- a/valetrack/src/bundle/check.rs
+++ b/valetrack/src/bundle/check.rs
@@ -2,6 +2,7 @@
 
 use toml::de::DeTable;
 
+use super::account::{AccountFault, AccountRule, AccountTable};
 use super::message::{Bundle, ClaimMode, Fault, MeasureRule, RouteRule, ServiceRule};
 use super::reader::{Reader, Section};
 use super::route::RouteTable;
@@ -12,6 +13,10 @@
 pub const TEXT_MAX_BYTES: usize = 900_000;
 /// Most services of one bundle.
 const SERVICES_MAX: usize = 4_096;
+/// Largest rate and burst of a client account, in calls.
+const RATE_MAX: u64 = 1_000_000_000;
+/// Stands for the rank of an account that names none.
+const PRIORITY_NONE: u64 = u64::MAX;
 /// Longest time limit of a call, in milliseconds.
 const DEADLINE_MAX_MS: u64 = 60_000;
 
@@ -34,10 +39,11 @@
     let mut top = Section::new(root.get_ref(), 0..0);
     let measure = read_measure(&mut reader, &mut top);
     let services = read_services(&mut reader, &mut top);
+    let accounts = read_accounts(&mut reader, &mut top);
     reader.finish(&top);
     let mut faults = reader.faults;
     if faults.is_empty() {
-        return Ok(Bundle { measure, services, routes: RouteTable::default(), caller_limits: None });
+        return Ok(Bundle { measure, services, routes: RouteTable::default(), accounts, caller_limits: None });
     }
     faults.sort_by_key(|fault| (fault.line, fault.column));
     Err(faults)
@@ -157,7 +163,47 @@
     let safe = matches!(method.as_deref(), Some("GET" | "HEAD"));
     let repeatable = reader.flag(section, "repeatable", safe);
     let deadline_ms = reader.number(section, "deadline_ms", 1..=DEADLINE_MAX_MS, deadline_ms.into()) as u32;
-    Some(RouteRule { method, path: path?, repeatable, deadline_ms })
+    let is_anonymous = reader.flag(section, "anonymous", false);
+    Some(RouteRule { method, path: path?, repeatable, deadline_ms, is_anonymous })
+}
+
+fn read_accounts(reader: &mut Reader<'_>, top: &mut Section<'_, '_>) -> AccountTable {
+    let mut accounts = AccountTable::default();
+    for mut section in reader.tables(top, "account") {
+        read_account(reader, &mut section, &mut accounts);
+        reader.finish(&section);
+    }
+    accounts
+}
+
+fn read_account(reader: &mut Reader<'_>, section: &mut Section<'_, '_>, accounts: &mut AccountTable) {
+    let right = "a name of a-z, 0-9 and -, up to 63 characters";
+    let name = reader.text(section, "name", right, is_name);
+    let name = reader.require(section, "name", name);
+    let keys = reader.texts(section, "keys", "texts of 16 to 256 visible characters each", is_key);
+    let keys = reader.require(section, "keys", keys);
+    let priority = reader.number(section, "priority", 0..=255, PRIORITY_NONE);
+    let rate_per_s = reader.number(section, "rate_per_s", 0..=RATE_MAX, 0);
+    let burst = reader.number(section, "burst", 0..=RATE_MAX, 0);
+    let (Some(name), Some(keys)) = (name, keys) else {
+        return;
+    };
+    let rule = AccountRule {
+        name,
+        priority: (priority != PRIORITY_NONE).then_some(priority as u8),
+        rate_milli_per_s: rate_per_s * 1_000,
+        burst_milli: burst * 1_000,
+    };
+    let text = match accounts.add(rule, keys.iter().map(|key| &**key)) {
+        Ok(()) => return,
+        Err(AccountFault::NameTaken) => "another account has this name",
+        Err(AccountFault::KeyTaken) => "another account has one of its keys",
+    };
+    reader.fault(Code::BundleValueInvalid, section.span(), text.into());
+}
+
+fn is_key(key: &str) -> bool {
+    (16..=256).contains(&key.len()) && key.bytes().all(|byte| byte.is_ascii_graphic())
 }
 
 fn is_name(name: &str) -> bool {
--- a/valetrack/src/bundle/message.rs
+++ b/valetrack/src/bundle/message.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
+use super::account::AccountTable;
 use super::route::RouteTable;
 use crate::code::Code;
 use crate::gate::ColdRule;
@@ -43,6 +44,8 @@
     pub repeatable: bool,
     /// Time limit of a call, in milliseconds.
     pub deadline_ms: u32,
+    /// Whether its calls need no key of a client account.
+    pub is_anonymous: bool,
 }
 
 /// What all nodes together may retry of one service beyond its share of calls.
@@ -137,6 +140,8 @@
     pub services: Vec<ServiceRule>,
     /// Routes by host and path prefix; empty where calls name their service themselves.
     pub routes: RouteTable,
+    /// Client accounts; none where calls need no key.
+    pub accounts: AccountTable,
     /// Limits on callers; none where the node's own settings hold.
     pub caller_limits: Option<CallerLimits>,
 }
--- a/valetrack/src/bundle/mod.rs
+++ b/valetrack/src/bundle/mod.rs
@@ -4,6 +4,7 @@
 //! operators who roll at once, one wins and the other is told by whom; a node's bundle only goes
 //! forward.
 
+mod account;
 mod adopt;
 mod check;
 mod format;
@@ -17,6 +18,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use account::{AccountFault, AccountRule, AccountTable};
 pub use adopt::Adopter;
 pub use check::{TEXT_MAX_BYTES, check};
 pub use format::{BundleFormat, TomlFormat};
--- a/valetrack/src/bundle/reader.rs
+++ b/valetrack/src/bundle/reader.rs
@@ -107,6 +107,24 @@
         found.map(Arc::from)
     }
 
+    /// Reads a list of texts that `allowed` accepts.
+    pub fn texts(
+        &mut self,
+        section: &mut Section<'_, '_>,
+        key: &'static str,
+        right: &str,
+        allowed: impl Fn(&str) -> bool,
+    ) -> Option<Vec<Arc<str>>> {
+        let value = section.get(key)?;
+        let text = |item: &Spanned<DeValue<'_>>| item.get_ref().as_str().filter(|text| allowed(text)).map(Arc::from);
+        let texts: Option<Vec<Arc<str>>> =
+            value.get_ref().as_array().and_then(|items| items.iter().map(text).collect());
+        if texts.is_none() {
+            self.fault(Code::BundleValueInvalid, &value.span(), format!("{key} must be {right}"));
+        }
+        texts
+    }
+
     /// Notes that a key which must be there is missing.
     pub fn require<T>(&mut self, section: &Section<'_, '_>, key: &'static str, value: Option<T>) -> Option<T> {
         let absent = !section.table.iter().any(|(name, _)| name.get_ref().as_ref() == key);
--- a/valetrack/src/bundle/route.rs
+++ b/valetrack/src/bundle/route.rs
@@ -35,6 +35,8 @@
     pub priority: u8,
     /// Most upstreams that one call may run on.
     pub attempts_max: u8,
+    /// Whether its calls need no key of a client account.
+    pub is_anonymous: bool,
 }
 
 /// All routes of a bundle, by host.
--- a/valetrack/src/bundle/tests/check.rs
+++ b/valetrack/src/bundle/tests/check.rs
@@ -64,7 +64,7 @@
     insta::assert_snapshot!(faults("[[service]\nname = \n"), @r#"
     1:1: VT504: at least one [[service]] is needed
     1:11: VT501: unclosed array table, expected `]`
-    2:1: VT502: name is not known here; known are measure, service
+    2:1: VT502: name is not known here; known are measure, service, account
     "#);
 }
 
--- a/valetrack/src/bundle/tests/route.rs
+++ b/valetrack/src/bundle/tests/route.rs
@@ -18,6 +18,7 @@
         objective_ms: 400,
         priority: 0,
         attempts_max: 2,
+        is_anonymous: false,
     }
 }
 
--- a/valetrack/src/caller/answer.rs
+++ b/valetrack/src/caller/answer.rs
@@ -103,6 +103,7 @@
         (Code::KeyReused, _) => 422,
         (Code::ClaimUnfinished, _) => 409,
         (Code::DeadlinePassed, _) => 504,
+        (Code::OverRate, _) => 429,
         (_, Outcome::NotRun) => 503,
         (_, Outcome::Ran | Outcome::Unknown) => 502,
     }
--- a/valetrack/src/caller/protocol.rs
+++ b/valetrack/src/caller/protocol.rs
@@ -18,6 +18,8 @@
     pub new_id: &'a dyn Fn() -> String,
     /// Chooses the service that takes the next call of a route.
     pub choose: &'a dyn Fn(&HostRoute) -> Arc<str>,
+    /// Returns whether the upstream beside this node runs calls now, so that a call without a key may be its own.
+    pub is_upstream_running: &'a dyn Fn() -> bool,
 }
 
 /// How a node speaks with its callers.
--- a/valetrack/src/caller/request.rs
+++ b/valetrack/src/caller/request.rs
@@ -5,9 +5,9 @@
 use hyper::HeaderMap;
 use hyper::http::request::Parts;
 
-use crate::bundle::{Bundle, ServiceRule};
+use crate::bundle::{AccountRule, Bundle, RouteRule, ServiceRule};
 use crate::code::Code;
-use crate::gate::{AttemptId, PERMILLE, Patience, REPEAT_HEADER, travelling};
+use crate::gate::{ACCOUNT_HEADER, AttemptId, PERMILLE, Patience, REPEAT_HEADER, travelling};
 use crate::link::message::CallHead;
 
 /// Header that names the service; without it the first label of the host does.
@@ -18,6 +18,8 @@
 pub const DEPTH_HEADER: &str = "valetrack-depth";
 /// Header with the caller's key for pressing again.
 pub const KEY_HEADER: &str = "idempotency-key";
+/// Header with the key of a client account, behind `Bearer`.
+const AUTHORIZATION_HEADER: &str = "authorization";
 /// Longest key, in bytes.
 const KEY_MAX_BYTES: usize = 256;
 /// Longest call id that is taken from a caller, in bytes.
@@ -74,6 +76,9 @@
     let limit_ms = route.map_or(rule.deadline_ms, |route| route.deadline_ms);
     let asked_ms = number(headers, DEADLINE_HEADER)?.unwrap_or(limit_ms.into());
     let key = text(headers, KEY_HEADER, KEY_MAX_BYTES)?;
+    let account = account(headers, bundle, route, depth > 0)?;
+    let keeps_keys = bundle.accounts.is_empty();
+    let travels = |name: &str| !is_own(name) && (keeps_keys || name != AUTHORIZATION_HEADER);
     let call_id = call_id(headers)?.map_or_else(new_id, str::to_owned);
     let travelling = travelling(headers);
     let size: usize = travelling.iter().map(|(name, value)| name.len() + value.len()).sum();
@@ -85,16 +90,17 @@
         call_id: Arc::from(call_id),
         service: rule.name.clone(),
         origin: Arc::from(""),
+        account: account.map(|account| account.name.clone()),
         route: Arc::from(""),
         method: parts.method.to_string(),
         path: path.to_owned(),
-        headers: travelling.into_iter().filter(|(name, _)| !is_own(name)).collect(),
+        headers: travelling.into_iter().filter(|(name, _)| travels(name)).collect(),
         body_bytes: 0,
         deadline_ms: asked_ms.min(limit_ms.into()) as u32,
         objective_ms: 0,
         work_us: 0,
         elsewhere_permille: 0,
-        priority: 0,
+        priority: account.and_then(|account| account.priority).unwrap_or(0),
         repeatable,
         depth: depth as u8 + 1,
         made_by_run: depth > 0,
@@ -123,7 +129,34 @@
 
 /// Headers that each hop writes anew.
 fn is_own(name: &str) -> bool {
-    matches!(name, SERVICE_HEADER | DEADLINE_HEADER | DEPTH_HEADER | REPEAT_HEADER | super::CALL_HEADER)
+    let own = [SERVICE_HEADER, DEADLINE_HEADER, DEPTH_HEADER, REPEAT_HEADER, super::CALL_HEADER, ACCOUNT_HEADER];
+    own.contains(&name)
+}
+
+/// Returns the client account that a call is of; none where it needs none.
+fn account<'b>(
+    headers: &HeaderMap,
+    bundle: &'b Bundle,
+    route: Option<&RouteRule>,
+    is_nested: bool,
+) -> Result<Option<&'b Arc<AccountRule>>, Rejection> {
+    let is_anonymous = route.is_some_and(|route| route.is_anonymous);
+    if bundle.accounts.is_empty() || is_anonymous || (is_nested && !headers.contains_key(AUTHORIZATION_HEADER)) {
+        return Ok(None);
+    }
+    let account = bearer_key(headers, AUTHORIZATION_HEADER).and_then(|key| bundle.accounts.of_key(key));
+    account.map(Some).ok_or(reject(Code::KeyUnknown, 401))
+}
+
+/// Returns the key that a header brings behind the scheme `Bearer`; none where there is not just one.
+pub fn bearer_key<'h>(headers: &'h HeaderMap, header: &str) -> Option<&'h str> {
+    let mut given = headers.get_all(header).iter();
+    let value = given.next()?;
+    if given.next().is_some() {
+        return None;
+    }
+    let (scheme, key) = value.to_str().ok()?.trim().split_once(' ')?;
+    scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
 }
 
 fn service<'b>(parts: &Parts, bundle: &'b Bundle) -> Option<&'b ServiceRule> {
--- a/valetrack/src/caller/run.rs
+++ b/valetrack/src/caller/run.rs
@@ -30,6 +30,7 @@
 use crate::link::message::CallHead;
 use crate::placement::run::Placer;
 use crate::placement::{PlaceJob, Placed, SERVICE_UNKNOWN, Verdict};
+use crate::quota::run::Quotas;
 use crate::timeline::{OrNone, Quoted};
 
 /// Largest head of a request, in bytes.
@@ -78,6 +79,7 @@
     placer: Rc<Placer>,
     /// Calls with keys.
     keyed: KeyedRouter,
+    quotas: Rc<Quotas>,
     parts: ListenerParts,
     connections: Cell<usize>,
     /// Calls that have no answer yet.
@@ -94,13 +96,20 @@
 }
 
 /// Serves callers until told to close; must run on a local task set.
-pub async fn run(socket: TcpListener, placer: Rc<Placer>, keyed: KeyedRouter, parts: ListenerParts) {
+pub async fn run(
+    socket: TcpListener,
+    placer: Rc<Placer>,
+    keyed: KeyedRouter,
+    quotas: Rc<Quotas>,
+    parts: ListenerParts,
+) {
     let mut emptied = parts.emptied.subscribe();
     let mut closing = parts.closing.clone();
     let splits = Splits { pickers: HashMap::new(), rng: fastrand::Rng::with_seed(parts.seed) };
     let listener = Rc::new(CallerListener {
         placer,
         keyed,
+        quotas,
         parts,
         connections: Cell::new(0),
         open_calls: Cell::new(0),
@@ -110,6 +119,7 @@
     let mut duties = tokio::task::JoinSet::new();
     duties.spawn_local(listener.placer.clone().follow());
     duties.spawn_local(listener.placer.clone().probe());
+    duties.spawn_local(listener.quotas.clone().follow());
     duties.spawn_local(listener.clone().place_jobs());
     duties.spawn_local(listener.clone().watch_emptied());
     while let Some(accepted) = next_caller(&socket, &mut emptied, &mut closing).await {
@@ -254,10 +264,8 @@
         log::debug!("event=call.begin call={call_id} service={}", head.service);
         let placed = if self.outlasts_exit(head.deadline_ms) {
             Placed::Verdict(LEAVING)
-        } else if head.key.is_some() {
-            self.keyed.press(head, body).await
         } else {
-            self.place_on_route(head, body, repeatable, attempts_max).await
+            self.place_within_quota(head, body, repeatable, attempts_max).await
         };
         let code = code_of_placed(&placed);
         let answer = self.parts.protocol.of_placed(placed, &call_id);
@@ -296,6 +304,7 @@
             bundle: &in_force.bundle,
             new_id: &|| self.placer.next_attempt().to_string(),
             choose: &|route| self.choose(route),
+            is_upstream_running: &|| self.placer.is_upstream_running(),
         };
         let mut call = self.parts.protocol.read(parts, &cx)?;
         call.head.origin = self.parts.service.clone();
@@ -304,6 +313,34 @@
         Ok((call, body))
     }
 
+    /// Places a call, where its client account is within its rate.
+    async fn place_within_quota(
+        &self,
+        mut head: CallHead,
+        body: Bytes,
+        repeatable: bool,
+        attempts_max: Option<u8>,
+    ) -> Placed {
+        let account = head.account.clone();
+        if let Some(account) = &account {
+            let began = Instant::now();
+            if let Err(retry_after_ms) = self.quotas.admit(account).await {
+                return Placed::Verdict(Verdict::NotRun { code: Code::OverRate, retry_after_ms });
+            }
+            let waited_ms = began.elapsed().as_millis() as u32;
+            head.deadline_ms = head.deadline_ms.saturating_sub(waited_ms);
+            head.objective_ms = head.objective_ms.saturating_sub(waited_ms).max(head.objective_ms.min(1));
+        }
+        let placed = match head.key {
+            Some(_) => self.keyed.press(head, body).await,
+            None => self.place_on_route(head, body, repeatable, attempts_max).await,
+        };
+        if let (Some(account), Placed::Verdict(Verdict::NotRun { .. })) = (&account, &placed) {
+            self.quotas.give_back(account);
+        }
+        placed
+    }
+
     async fn place_on_route(&self, head: CallHead, body: Bytes, repeatable: bool, attempts_max: Option<u8>) -> Placed {
         let placer = &self.placer;
         let Some(mut rule) = placer.rule(&head.service, repeatable, attempts_max) else {
--- a/valetrack/src/claim/tests/continuity.rs
+++ b/valetrack/src/claim/tests/continuity.rs
@@ -60,7 +60,16 @@
 
 fn member(vm: &str, incarnation: u64, phase: Phase) -> Member {
     let link_addr = SocketAddr::from(([127, 0, 0, 1], 1));
-    Member { vm: Arc::from(vm), incarnation, phase, domain: Arc::from("d"), service: Arc::from("s"), link_addr }
+    Member {
+        vm: Arc::from(vm),
+        incarnation,
+        phase,
+        domain: Arc::from("d"),
+        service: Arc::from("s"),
+        link_addr,
+        version: None,
+        is_relay: false,
+    }
 }
 
 struct Scene {
--- a/valetrack/src/code.rs
+++ b/valetrack/src/code.rs
@@ -44,6 +44,7 @@
     HeaderInvalid = 205, "a header that valetrack reads has a value that is not allowed";
     KeyReused = 206, "the idempotency key was used before with a different call";
     NoBundle = 207, "this node has no bundle in force yet";
+    KeyUnknown = 208, "the call brings no key of a client account";
     Overloaded = 301, "no server has room for the call before its deadline";
     NoServer = 302, "no server of the service is in rotation";
     DeadlinePassed = 303, "the deadline passed";
@@ -55,6 +56,7 @@
     Cancelled = 309, "the attempt was cancelled before it started";
     ServerCrashed = 310, "the server crashed while it ran the call";
     Quarantined = 311, "the call has crashed servers and is not put to them for now";
+    OverRate = 312, "the client account is over its rate, so the call did not start";
     ClaimNotKept = 401, "the claim could not be made durable, so the call did not start";
     ClaimUnfinished = 402, "the key was claimed before and its outcome is not known";
     HomeUnreachable = 403, "the home of the key could not be reached";
@@ -72,6 +74,7 @@
     BundleRaceLost = 508, "another operator rolled first";
     BundleDamaged = 509, "the bundle does not match its version";
     BundleNotInForce = 510, "the bundle was rolled and is not in force at all nodes that were asked";
+    RolloutInvalid = 511, "an order or a document of a roll-out could not be read";
     StoreUnreachable = 601, "the platform's store could not be reached";
     StoreAnswerInvalid = 602, "the platform's store gave an answer that could not be read";
     StoreOutcomeUnknown = 603, "a write to the platform's store may or may not have taken effect";
--- a/valetrack/src/crash/fingerprint.rs
+++ b/valetrack/src/crash/fingerprint.rs
@@ -54,6 +54,9 @@
                 add(value);
             }
         }
+        if let Some(account) = &head.account {
+            hasher.write(account.as_bytes());
+        }
         hasher.write_u32(head.body_bytes);
         hasher.finish()
     }
--- a/valetrack/src/crash/tests.rs
+++ b/valetrack/src/crash/tests.rs
@@ -21,6 +21,7 @@
         call_id: Arc::from("call"),
         service: Arc::from("rounds"),
         origin: Arc::from("rounds"),
+        account: None,
         route: Arc::from("sheet"),
         method: "GET".into(),
         path: path.into(),
--- a/valetrack/src/crash/tests/fingerprint.rs
+++ b/valetrack/src/crash/tests/fingerprint.rs
@@ -11,6 +11,7 @@
         attempt: AttemptId { entry: 8, seq: 9 },
         call_id: Arc::from("another"),
         origin: Arc::from("ledger"),
+        account: None,
         deadline_ms: 7,
         patience: Patience::Last,
         repeat_permille: 1000,
--- a/valetrack/src/gate/header.rs
+++ b/valetrack/src/gate/header.rs
@@ -7,6 +7,8 @@
 
 /// Header by which a server says that it is about to stop.
 pub const LEAVING_HEADER: &str = "valetrack-leaving";
+/// Header that names the client account to upstreams; no caller's own word of it travels.
+pub const ACCOUNT_HEADER: &str = "valetrack-account";
 /// Header with the chance that a repeated run made the call, in thousandths; an upstream that passes
 /// it on to the calls that it makes spares its node the guess.
 pub const REPEAT_HEADER: &str = "valetrack-repeat-permille";
--- a/valetrack/src/gate/protocol.rs
+++ b/valetrack/src/gate/protocol.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 use hyper::{HeaderMap, Request};
 
-use super::header::{LEAVING_HEADER, REPEAT_HEADER};
+use super::header::{ACCOUNT_HEADER, LEAVING_HEADER, REPEAT_HEADER};
 use super::message::BounceReason;
 use super::pool::ATTEMPT_HEADER;
 use crate::link::message::CallHead;
@@ -81,6 +81,9 @@
         for (name, value) in &head.headers {
             request = request.header(name.as_str(), value.as_slice());
         }
+        if let Some(account) = &head.account {
+            request = request.header(ACCOUNT_HEADER, &**account);
+        }
         request
             .header(ATTEMPT_HEADER, head.attempt.to_string())
             .header("valetrack-call", &*head.call_id)
--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -32,6 +32,7 @@
 use crate::link::message::{AnswerHead, CallHead};
 use crate::metric::Metrics;
 use crate::placement::Outcome;
+use crate::rollout::{RouteRuns, RunCounter};
 use crate::timeline::OrNone;
 
 /// A slot whose call passed its deadline stays taken this long, so that the server can see the
@@ -84,6 +85,8 @@
     /// Held by the call that asks the machine for its speed; others wait for its answer.
     asking: tokio::sync::Mutex<()>,
     origins: RefCell<OriginTracker>,
+    /// How runs of the present start of the upstream ended.
+    runs: RefCell<RunCounter>,
     /// The entry beside this gate.
     ledger: Rc<dyn RunLedger>,
     /// What this node knows of calls that crash upstreams.
@@ -128,6 +131,7 @@
         Rc::new(Self {
             upstream,
             origins: RefCell::default(),
+            runs: RefCell::default(),
             ledger,
             crashes,
             exchanges: RefCell::default(),
@@ -163,6 +167,11 @@
         self.gate.borrow().load(steady_us())
     }
 
+    /// Returns how runs of the present start of the upstream ended, by route.
+    pub fn runs(&self) -> Vec<RouteRuns> {
+        self.runs.borrow().routes()
+    }
+
     /// Returns whether nothing runs and nothing waits.
     pub fn idle(&self) -> bool {
         self.gate.borrow().idle()
@@ -378,6 +387,7 @@
         let healthy = answer.as_ref().is_some_and(|answer| answer.status < 500);
         let times = self.times(began, head.work_us);
         self.gate.borrow_mut().ran(attempt, times, healthy);
+        self.count_run(head, times, healthy);
         log_done(head, times, code, answer.as_ref(), healthy);
         let (mut answer_head, body) = answer_head(attempt, code, answer);
         answer_head.nested = job.judged;
@@ -389,6 +399,13 @@
         self.handle(GateEvent::Done { attempt, healthy });
     }
 
+    /// Counts a run for whoever compares versions of the upstream; one that was cold is no measure of its version.
+    fn count_run(&self, head: &CallHead, times: RunTimes, healthy: bool) {
+        let is_cold = self.gate.borrow().cold_until_us() > steady_us().saturating_sub(times.ran_us);
+        let usual_us = if is_cold { 0 } else { head.work_us.into() };
+        self.runs.borrow_mut().ran(&head.route, healthy, times.unslowed_us, usual_us);
+    }
+
     /// Puts a call to the server within `left_us`; none when whoever asked has gone away and the
     /// call may repeat.
     async fn exchange(&self, job: &mut Job, request: Request<Full<Bytes>>, left_us: u64) -> Option<Ended> {
--- a/valetrack/src/gate/run/follow.rs
+++ b/valetrack/src/gate/run/follow.rs
@@ -30,6 +30,7 @@
             let state = upstream.borrow_and_update().clone();
             if state.start != known.start {
                 self.pool.clear();
+                self.runs.borrow_mut().set_start(state.start);
                 self.exchanges.borrow_mut().alive();
             }
             if let Some(slots) = state.slots {
--- a/valetrack/src/gate/tests/connection.rs
+++ b/valetrack/src/gate/tests/connection.rs
@@ -24,6 +24,7 @@
         call_id: "c".into(),
         service: "intake".into(),
         origin: "intake".into(),
+        account: None,
         route: Arc::from(""),
         method: "GET".into(),
         path: "/".into(),
--- a/valetrack/src/gate/tests/life.rs
+++ b/valetrack/src/gate/tests/life.rs
@@ -11,11 +11,19 @@
 const HEARTBEAT_US: u64 = 1_500_000;
 
 fn heartbeat(born_ms: Option<u64>, sequence: u64, ready: bool) -> Announcement {
-    Announcement { id: Arc::from("a"), born_ms, sequence: Some(sequence), ready, slots: Some(12), cold_ms: 0 }
+    Announcement {
+        id: Arc::from("a"),
+        born_ms,
+        sequence: Some(sequence),
+        ready,
+        slots: Some(12),
+        version: None,
+        cold_ms: 0,
+    }
 }
 
 fn deregistration(born_ms: Option<u64>) -> Announcement {
-    Announcement { id: Arc::from("a"), born_ms, sequence: None, ready: false, slots: None, cold_ms: 0 }
+    Announcement { id: Arc::from("a"), born_ms, sequence: None, ready: false, slots: None, version: None, cold_ms: 0 }
 }
 
 #[test]
--- a/valetrack/src/gate/tests/upstream.rs
+++ b/valetrack/src/gate/tests/upstream.rs
@@ -5,11 +5,27 @@
 use crate::gate::{Announcement, UpstreamPhase, UpstreamState};
 
 fn heartbeat(id: &str, sequence: u64, ready: bool) -> Announcement {
-    Announcement { id: Arc::from(id), born_ms: None, sequence: Some(sequence), ready, slots: Some(12), cold_ms: 0 }
+    Announcement {
+        id: Arc::from(id),
+        born_ms: None,
+        sequence: Some(sequence),
+        ready,
+        slots: Some(12),
+        version: None,
+        cold_ms: 0,
+    }
 }
 
 fn deregistration(id: &str) -> Announcement {
-    Announcement { id: Arc::from(id), born_ms: None, sequence: None, ready: false, slots: None, cold_ms: 0 }
+    Announcement {
+        id: Arc::from(id),
+        born_ms: None,
+        sequence: None,
+        ready: false,
+        slots: None,
+        version: None,
+        cold_ms: 0,
+    }
 }
 
 #[test]
--- a/valetrack/src/gate/upstream.rs
+++ b/valetrack/src/gate/upstream.rs
@@ -38,6 +38,8 @@
     pub ready: bool,
     /// Calls that it runs at once, if it says so.
     pub slots: Option<u16>,
+    /// Version of its software, if it says so.
+    pub version: Option<Arc<str>>,
     /// How much longer it is cold, in milliseconds.
     pub cold_ms: u64,
 }
@@ -62,6 +64,8 @@
     pub phase: UpstreamPhase,
     /// Calls that it runs at once, where it says so itself.
     pub slots: Option<u16>,
+    /// Version of its software, where it says so.
+    pub version: Option<Arc<str>>,
     /// When it stops being cold, on the monotonic clock, in microseconds.
     pub cold_until_us: u64,
     /// When its present start began, by its own clock.
@@ -87,6 +91,7 @@
             start: 0,
             phase: UpstreamPhase::Unknown,
             slots: None,
+            version: None,
             cold_until_us: 0,
             born_ms: None,
             sequence: 0,
@@ -122,9 +127,10 @@
             self.phase = UpstreamPhase::Leaving;
         }
         self.slots = news.slots.or(self.slots);
+        self.version = news.version.clone().or_else(|| self.version.take());
         self.take_cold(news.cold_ms, now_us);
-        (self.start, self.phase, self.slots, self.cold_until_us)
-            != (before.start, before.phase, before.slots, before.cold_until_us)
+        (self.start, self.phase, self.slots, self.cold_until_us, &self.version)
+            != (before.start, before.phase, before.slots, before.cold_until_us, &before.version)
     }
 
     /// Takes how much longer the upstream is cold.
--- a/valetrack/src/lib.rs
+++ b/valetrack/src/lib.rs
@@ -28,6 +28,8 @@
 pub mod node;
 pub mod placement;
 pub mod platform;
+pub mod quota;
+pub mod rollout;
 pub mod settings;
 pub mod store;
 pub mod timeline;
--- a/valetrack/src/link/codec.rs
+++ b/valetrack/src/link/codec.rs
@@ -67,6 +67,8 @@
             | Self::Bundle
             | Self::Evacuation
             | Self::Follow { .. }
+            | Self::Runs
+            | Self::Quota { .. }
             | Self::Crashes { .. } => Some(0),
         }
     }
@@ -76,7 +78,7 @@
     fn body_bytes(&self) -> Option<usize> {
         match &self.reply {
             Reply::Answer(answer) => Some(answer.body_bytes as usize),
-            Reply::News { body_bytes } => Some(*body_bytes as usize),
+            Reply::News { body_bytes, .. } => Some(*body_bytes as usize),
             // The text is checked against its version, which is its hash.
             Reply::Bundle { .. } => None,
             Reply::Bounce { .. }
@@ -86,28 +88,42 @@
             | Reply::Load
             | Reply::Gossip { .. }
             | Reply::Evacuation(_)
+            | Reply::Runs(_)
+            | Reply::Quota { .. }
+            | Reply::NoQuota
+            | Reply::FollowersFull
             | Reply::NoNews => Some(0),
         }
     }
 }
 
-/// Packs news of the store into a body: with a bundle among them, they may be larger than a head.
+/// Packs news of the store into a body: with a bundle among them, they may be larger than a head. Entries of nodes are
+/// much alike, so that the body is compressed: to many followers it is most of what a relay sends.
 ///
 /// # Errors
 ///
 /// Returns [`FrameError::Undecodable`] when the news cannot be written, which is a fault of their
 /// type.
 pub fn pack_news(news: &StoreNews) -> Result<Bytes, FrameError> {
-    postcard::to_allocvec(news).map(Bytes::from).map_err(|_| FrameError::Undecodable)
+    let packed = postcard::to_allocvec(news).map_err(|_| FrameError::Undecodable)?;
+    Ok(Bytes::from(lz4_flex::compress_prepend_size(&packed)))
 }
 
 /// Reads what [`pack_news`] has packed.
 ///
 /// # Errors
 ///
-/// Returns [`FrameError::Undecodable`] when the body holds no news.
+/// Returns [`FrameError::BodyTooLarge`] when the news say to be over [`BODY_MAX_BYTES`], and
+/// [`FrameError::Undecodable`] when the body holds no news.
 pub fn unpack_news(body: &Bytes) -> Result<StoreNews, FrameError> {
-    postcard::from_bytes(body).map_err(|_| FrameError::Undecodable)
+    let size: [u8; LENGTH_BYTES] =
+        body.get(..LENGTH_BYTES).and_then(|size| size.try_into().ok()).ok_or(FrameError::Undecodable)?;
+    let bytes = u32::from_le_bytes(size) as usize;
+    if bytes > BODY_MAX_BYTES {
+        return Err(FrameError::BodyTooLarge { bytes });
+    }
+    let packed = lz4_flex::decompress_size_prepended(body).map_err(|_| FrameError::Undecodable)?;
+    postcard::from_bytes(&packed).map_err(|_| FrameError::Undecodable)
 }
 
 /// Packs the length and the head; the body is sent behind it as it is.
--- a/valetrack/src/link/message.rs
+++ b/valetrack/src/link/message.rs
@@ -13,10 +13,11 @@
 use crate::gate::{AttemptId, BounceReason, CancelResult, LoadReport, Patience};
 use crate::member::{Evacuation, Member};
 use crate::placement::Outcome;
+use crate::rollout::RouteRuns;
 use crate::store::Position;
 
 /// Version of the messages; nodes of other versions are refused in the TLS handshake.
-pub const ALPN: &[u8] = b"valetrack/8";
+pub const ALPN: &[u8] = b"valetrack/9";
 /// Largest head, in bytes.
 pub const HEAD_MAX_BYTES: usize = 64 * 1024;
 /// Largest body, in bytes; routes have caps below it.
@@ -33,6 +34,8 @@
     pub service: Arc<str>,
     /// Service of the VM at which the call began.
     pub origin: Arc<str>,
+    /// Client account that sent it; none where it needs no key.
+    pub account: Option<Arc<str>>,
     /// Name of its route; empty where routes have none.
     pub route: Arc<str>,
     /// HTTP method.
@@ -138,6 +141,19 @@
         after: Position,
         /// Longest time to wait for a change, in milliseconds.
         wait_ms: u32,
+        /// The sender itself, whose entry in the store is to be kept.
+        me: Member,
+    },
+    /// Tell how runs of the upstream's present start ended.
+    Runs,
+    /// Grant credits for calls of a limited client account.
+    Quota {
+        /// The account.
+        account: Arc<str>,
+        /// Calls that the sender would admit.
+        calls: u32,
+        /// VM of the account's home where it did not answer the sender.
+        instead_of: Option<Arc<str>>,
     },
     /// Take what the sender knows of crashes; nothing but what rides along comes back.
     Crashes {
@@ -208,9 +224,24 @@
     News {
         /// Length of the body, in bytes.
         body_bytes: u32,
+        /// How long ago the store was known to stand where the news end, in milliseconds.
+        age_ms: u32,
+    },
+    /// How runs of the upstream's present start ended, by route.
+    Runs(Vec<RouteRuns>),
+    /// What an account's home grants.
+    Quota {
+        /// Calls that the asking entry may admit.
+        calls: u32,
+        /// When to ask again where there are none, in milliseconds.
+        retry_after_ms: u32,
     },
+    /// This node is not the home that was asked for.
+    NoQuota,
     /// This node does not follow the store closely enough to be followed itself.
     NoNews,
+    /// As many nodes follow this one as it bears.
+    FollowersFull,
 }
 
 /// A reply with what rides on it.
--- a/valetrack/src/link/run.rs
+++ b/valetrack/src/link/run.rs
@@ -28,9 +28,10 @@
     Announcement, BounceReason, GateConfig, Health, RunLedger, UpstreamPhase, UpstreamProtocol, UpstreamState,
 };
 use crate::jobs::next_job;
-use crate::member::{Evacuation, Known, MemberJob, Members};
+use crate::member::{Evacuation, FollowerNews, Known, Member, MemberJob, Members};
 use crate::metric::Metrics;
 use crate::placement::Outcome;
+use crate::quota::run::Quotas;
 use crate::store::Position;
 use crate::timeline::log as events;
 
@@ -84,6 +85,7 @@
 struct Shell {
     parts: LinkParts,
     gate: Rc<GateShell>,
+    quotas: Rc<Quotas>,
     peers: Peers,
 }
 
@@ -109,9 +111,15 @@
     Ok(endpoint)
 }
 
-/// Serves links until told to close; must run on a local task set. `ledger` is the entry of this node, and
-/// `crashes` what it knows of calls that crash upstreams.
-pub async fn run(endpoint: Endpoint, ledger: Rc<dyn RunLedger>, crashes: Rc<Quarantine>, parts: LinkParts) {
+/// Serves links until told to close; must run on a local task set. `ledger` is the entry of this node,
+/// `crashes` what it knows of calls that crash upstreams, and `quotas` grants credits of limited accounts.
+pub async fn run(
+    endpoint: Endpoint,
+    ledger: Rc<dyn RunLedger>,
+    crashes: Rc<Quarantine>,
+    quotas: Rc<Quotas>,
+    parts: LinkParts,
+) {
     let gate = GateShell::new(GateShellParts {
         pool: ServerPool::new(parts.server_addr, parts.upstream_protocol.clone()),
         upstream: parts.upstream.clone(),
@@ -120,7 +128,7 @@
         crashes,
         metrics: parts.metrics.clone(),
     });
-    let shell = Rc::new(Shell { gate, peers: Peers::new(endpoint.clone()), parts });
+    let shell = Rc::new(Shell { gate, quotas, peers: Peers::new(endpoint.clone()), parts });
     let mut duties = tokio::task::JoinSet::new();
     duties.spawn_local(shell.gate.clone().keep_time());
     duties.spawn_local(shell.gate.clone().follow_upstream());
@@ -172,7 +180,15 @@
                 && let Some(Health { id, ready: true, cold_ms }) = self.gate.health(&path).await
             {
                 let cold_ms = cold_ms.unwrap_or(0);
-                let found = Announcement { id, born_ms: None, sequence: Some(0), ready: true, slots: None, cold_ms };
+                let found = Announcement {
+                    id,
+                    born_ms: None,
+                    sequence: Some(0),
+                    ready: true,
+                    slots: None,
+                    version: None,
+                    cold_ms,
+                };
                 // The ring is read as long as the node runs.
                 let _ = to_upstream.send(found).await;
                 return;
@@ -275,7 +291,16 @@
             }
             Ask::Bundle => self.bundle(),
             Ask::Evacuation => (Reply::Evacuation(self.evacuation()), Bytes::new()),
-            Ask::Follow { after, wait_ms } => self.store_news(after, wait_ms).await,
+            Ask::Follow { after, wait_ms, me } => self.store_news(after, wait_ms, me).await,
+            Ask::Runs => (Reply::Runs(self.gate.runs()), Bytes::new()),
+            Ask::Quota { account, calls, instead_of } => {
+                let grant = self.quotas.grant(&account, calls, instead_of.as_ref()).await;
+                let reply = grant.map_or(Reply::NoQuota, |grant| Reply::Quota {
+                    calls: grant.calls,
+                    retry_after_ms: grant.retry_after_ms,
+                });
+                (reply, Bytes::new())
+            }
             Ask::Crashes { from, reports } => {
                 // The ring is read as long as the node runs.
                 let _ = self.parts.to_crash.send(CrashJob::Heard { from, reports }).await;
@@ -333,22 +358,19 @@
         known.await.unwrap_or_default()
     }
 
-    async fn store_news(&self, after: Position, wait_ms: u32) -> (Reply, Bytes) {
+    async fn store_news(&self, after: Position, wait_ms: u32, me: Member) -> (Reply, Bytes) {
         let (reply, news) = oneshot::channel();
-        let job = MemberJob::Follow { after, wait_ms, reply };
+        let job = MemberJob::Follow { after, wait_ms, me: Box::new(me), reply };
         if self.parts.to_member.send(job).await.is_err() {
             return (Reply::NoNews, Bytes::new());
         }
         // The reply is dropped where nothing is kept for followers.
-        let Some(news) = news.await.ok().flatten() else {
-            return (Reply::NoNews, Bytes::new());
-        };
-        match codec::pack_news(&news) {
-            Ok(body) => (Reply::News { body_bytes: body.len() as u32 }, body),
-            Err(error) => {
-                log::warn!("event=store.news_unpacked code={} reason=\"{error}\"", error.code());
-                (Reply::NoNews, Bytes::new())
+        match news.await {
+            Ok(FollowerNews::News { packed, age_ms }) => {
+                (Reply::News { body_bytes: packed.len() as u32, age_ms }, packed)
             }
+            Ok(FollowerNews::Full) => (Reply::FollowersFull, Bytes::new()),
+            Ok(FollowerNews::Behind) | Err(_) => (Reply::NoNews, Bytes::new()),
         }
     }
 
--- a/valetrack/src/link/tests.rs
+++ b/valetrack/src/link/tests.rs
@@ -12,6 +12,7 @@
 use super::peer::LinkResult;
 use super::{run, tls};
 use crate::gate::{AttemptId, CancelResult, LoadReport, Patience};
+use crate::member::{Member, Phase};
 use crate::store::{Era, Position};
 
 fn call(path: String, headers: Vec<(String, Vec<u8>)>, body_bytes: usize, key: Option<String>) -> Ask {
@@ -20,6 +21,7 @@
         call_id: Arc::from("c"),
         service: Arc::from("intake"),
         origin: Arc::from("intake"),
+        account: None,
         route: Arc::from(""),
         method: "POST".into(),
         path,
@@ -229,11 +231,29 @@
     assert!(sent_ago < 4_000_000, "{sent_ago}: shorter than the owner's life, which knows nothing of the attempt");
 }
 
+fn member() -> Member {
+    Member {
+        vm: "m".into(),
+        incarnation: 5,
+        phase: Phase::Serving,
+        domain: "kranj".into(),
+        service: "lab".into(),
+        link_addr: ([127, 0, 0, 1], 9).into(),
+        version: None,
+        is_relay: false,
+    }
+}
+
 #[test]
 fn messages_keep_their_places_on_the_wire() {
     let frame = |ask: &Ask| pack(ask).expect("a frame")[LENGTH_BYTES..].to_vec();
-    let asks =
-        [Ask::Probe, Ask::Bundle, Ask::Evacuation, Ask::Follow { after: Position::start_of(Era::new(1)), wait_ms: 2 }];
-    assert_eq!(asks.map(|ask| frame(&ask)), [vec![3], vec![5], vec![6], vec![7, 1, 0, 2]]);
+    let asks = [
+        Ask::Probe,
+        Ask::Bundle,
+        Ask::Evacuation,
+        Ask::Follow { after: Position::start_of(Era::new(1)), wait_ms: 2, me: member() },
+    ];
+    let starts = asks.map(|ask| frame(&ask).into_iter().take(7).collect::<Vec<u8>>());
+    assert_eq!(starts, [vec![3], vec![5], vec![6], vec![7, 1, 0, 2, 1, b'm', 5]]);
     assert!(unpack::<Ask>(Bytes::from_static(&[0, 0, 0, 1, 99])).is_err(), "an unknown question is refused");
 }
--- a/valetrack/src/member/directory.rs
+++ b/valetrack/src/member/directory.rs
@@ -161,6 +161,12 @@
         first.map(|since_us| since_us + self.patience_us())
     }
 
+    /// Returns whether a node's entry stands in the store and says just this.
+    pub fn shows(&self, member: &Member) -> bool {
+        let entry = self.entries.get(&member.vm);
+        entry.is_some_and(|entry| entry.missing_since_us.is_none() && entry.member == *member)
+    }
+
     /// Returns how many entries are missing.
     pub fn missing(&self) -> usize {
         self.entries.values().filter(|entry| entry.missing_since_us.is_some()).count()
--- a/valetrack/src/member/lease.rs
+++ b/valetrack/src/member/lease.rs
@@ -133,6 +133,13 @@
         self.position
     }
 
+    /// Returns the lease that is held in the present era, and when the call that last confirmed it was sent, in
+    /// microseconds.
+    pub fn lease(&self) -> Option<(Lease, u64)> {
+        let held = self.lease.filter(|lease| lease.era == self.era)?;
+        Some((Lease { id: held.id, ttl_ms: held.ttl_us / 1_000, era: held.era }, held.confirmed_us))
+    }
+
     /// Returns the latest era that the store was heard to be in.
     pub fn era(&self) -> Era {
         self.era
--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -7,6 +7,8 @@
 mod read;
 mod relayed;
 mod resume;
+mod role;
+mod rollout;
 mod wake;
 
 use std::cell::{Cell, RefCell};
@@ -23,7 +25,9 @@
 use super::evacuation::{Evacuation, EvacuationKeys};
 use super::lease::EntryKeeper;
 use super::message::{Known, Member, MemberJob, Phase};
+use super::registrar::Registrar;
 use super::relay::ChangeLog;
+use super::role::Avoided;
 use super::state::Members;
 use crate::bundle::{Adopter, BundleFormat};
 use crate::claim::ClaimNews;
@@ -34,10 +38,13 @@
 use crate::link::message::{Ask, Question, Reply};
 use crate::link::peer::{self, LinkJob, LinkResult, Target};
 use crate::metric::Metrics;
+use crate::rollout::{RolloutBook, RolloutFormat};
 use crate::store::{LeaseStore, Position};
 
 /// Longest wait of one call for changes, in milliseconds: the platform allows 30 seconds.
 const WATCH_MS: u64 = 25_000;
+/// Part of the time within which a change is to be in force up to whose age news are relied on, in hundredths.
+const AGE_SHARE_PERCENT: u64 = 60;
 /// Time limit of one question to another node, in milliseconds.
 const ASK_MS: u64 = 400;
 
@@ -53,8 +60,12 @@
     pub bundle_key: Arc<str>,
     /// Prefix of the operators' keys that each name a failure domain to be evacuated.
     pub evacuation_prefix: Arc<str>,
+    /// How operators write orders of roll-outs.
+    pub rollouts: Arc<dyn RolloutFormat>,
     /// How long the own entry outlives the last word of this node, in milliseconds.
     pub lease_ms: u64,
+    /// Time within which an operator's change is to be in force, in milliseconds.
+    pub news_within_ms: u64,
     /// News of other threads.
     pub jobs: Receiver<MemberJob>,
     /// Ring to the link thread.
@@ -95,8 +106,18 @@
     /// Whether another node is being asked for evacuations.
     fetching_evacuation: Cell<bool>,
     rng: RefCell<fastrand::Rng>,
-    /// Wakes the task that keeps the own entry.
+    /// The roll-outs that the store shows.
+    rollouts: RefCell<RolloutBook>,
+    /// The entries of the nodes that follow this one.
+    registrar: RefCell<Registrar>,
+    /// The nodes that follow this one, and when each last asked, in microseconds.
+    followers: RefCell<HashMap<Arc<str>, u64>>,
+    /// Wakes the task that keeps entries.
     entry_due: Notify,
+    /// Wakes the task that keeps entries when this node has become a relay.
+    role_changed: Notify,
+    /// Has the relay told at once that the own entry is to say something else.
+    entry_news: Notify,
     /// Wakes the task that follows the store, when its call hangs on a store that was away.
     reread: Notify,
     store_answers: Cell<bool>,
@@ -104,14 +125,26 @@
     started_us: u64,
     /// What was read of the store, for the nodes that follow this one.
     log: RefCell<ChangeLog>,
+    /// What followers were told last, by the positions that it goes from and to.
+    packed: RefCell<Vec<((Position, Position), Bytes)>>,
     /// Wakes the nodes that follow this one when the log has changed.
     logged: Notify,
-    /// When another node last asked this one for changes, in microseconds.
-    asked_us: Cell<Option<u64>>,
+    /// Whether this node follows relays from now on, rather than look for one.
+    has_joined: Cell<bool>,
+    /// When a relay last told of the store, in microseconds.
+    news_us: Cell<Option<u64>>,
+    /// Whether the own entry has ever stood in the store as far as was read.
+    has_stood: Cell<bool>,
+    /// Since when calls to the store have failed, in microseconds.
+    failing_since_us: Cell<Option<u64>>,
+    /// Since when this node has been a relay that is not needed, in microseconds.
+    surplus_since_us: Cell<Option<u64>>,
+    /// Until when this node becomes no relay, in microseconds.
+    rests_until_us: Cell<u64>,
     /// Has this node follow the store closely at once, since another node wants to follow it.
     hasten: Notify,
-    /// Relays that have failed, and until when each is left alone, in microseconds.
-    avoided: RefCell<HashMap<Arc<str>, u64>>,
+    /// Nodes that are passed over as relays, and until when each is, in microseconds.
+    avoided: RefCell<HashMap<Arc<str>, (Avoided, u64)>>,
     /// Position that was known when the store came back older, until it has been read whole since.
     lost_from: Cell<Option<Position>>,
     /// Whether other nodes are being asked what they know that a store which came back older may have lost.
@@ -129,13 +162,24 @@
         evacuation_keys: RefCell::default(),
         fetching_evacuation: Cell::new(false),
         rng: RefCell::new(fastrand::Rng::with_seed(parts.seed)),
+        rollouts: RefCell::default(),
+        registrar: RefCell::new(Registrar::new(parts.lease_ms)),
+        followers: RefCell::default(),
         entry_due: Notify::new(),
+        role_changed: Notify::new(),
+        entry_news: Notify::new(),
         reread: Notify::new(),
         store_answers: Cell::new(false),
         started_us: now_us(),
-        log: RefCell::default(),
+        log: RefCell::new(ChangeLog::with_age_max(parts.news_within_ms * AGE_SHARE_PERCENT * 10)),
+        packed: RefCell::default(),
         logged: Notify::new(),
-        asked_us: Cell::new(None),
+        has_joined: Cell::new(false),
+        has_stood: Cell::new(false),
+        news_us: Cell::new(None),
+        failing_since_us: Cell::new(None),
+        surplus_since_us: Cell::new(None),
+        rests_until_us: Cell::new(0),
         hasten: Notify::new(),
         avoided: RefCell::default(),
         lost_from: Cell::new(None),
@@ -149,6 +193,7 @@
     duties.spawn(shell.clone().follow_phase());
     duties.spawn(shell.clone().withdraw());
     duties.spawn(shell.clone().wake_neighbours());
+    duties.spawn(shell.clone().carry_rollouts());
     duties.spawn(shell.clone().follow_suspensions());
     let mut closing = shell.parts.closing.clone();
     while let Some(job) = duties.next_job(&shell.parts.jobs, &mut closing).await {
@@ -177,8 +222,8 @@
             MemberJob::Evacuation { from } => {
                 tokio::task::spawn_local(self.fetch_evacuation(from));
             }
-            MemberJob::Follow { after, wait_ms, reply } => {
-                tokio::task::spawn_local(self.serve_follower(after, wait_ms, reply));
+            MemberJob::Follow { after, wait_ms, me, reply } => {
+                tokio::task::spawn_local(self.serve_follower(after, wait_ms, *me, reply));
             }
             MemberJob::Behind { peer } => {
                 tokio::task::spawn_local(self.tell(peer));
@@ -287,6 +332,7 @@
         }
         members.set(self.me.borrow().clone());
         members.evacuate(&self.evacuation.borrow());
+        members.set_rollouts(self.rollouts.borrow().view());
         self.parts.members.send_replace(Arc::new(members));
     }
 
@@ -319,7 +365,7 @@
                 self.me.borrow_mut().incarnation = self.rng.borrow_mut().u64(1..);
                 start = state.start;
             }
-            self.move_on(phase);
+            self.move_on(phase, state.version.clone());
             let changed = tokio::select! {
                 changed = upstream.changed() => changed,
                 changed = serving.changed() => changed,
@@ -331,20 +377,28 @@
         }
     }
 
-    fn move_on(&self, phase: Phase) {
-        let before = {
+    fn move_on(&self, phase: Phase, version: Option<Arc<str>>) {
+        let changed = {
             let mut me = self.me.borrow_mut();
-            std::mem::replace(&mut me.phase, phase)
+            let changed = (me.phase, &me.version) != (phase, &version);
+            (me.phase, me.version) = (phase, version);
+            changed
         };
-        if before == phase {
+        if !changed {
             return;
         }
         log::info!("event=member.{} peer={} prefix={ENTRY_PREFIX}", phase.as_str(), self.parts.me.vm);
         self.publish();
+        self.entry_changed();
+    }
+
+    /// Has the own entry say what this node is by now.
+    fn entry_changed(&self) {
         // A node that has never served has nobody to tell.
-        if phase == Phase::Serving || self.keeper.borrow().wanted() > 0 {
+        if self.me.borrow().phase == Phase::Serving || self.keeper.borrow().wanted() > 0 {
             self.keeper.borrow_mut().change();
             self.entry_due.notify_one();
+            self.entry_news.notify_one();
         }
     }
 }
--- a/valetrack/src/member/leased/keep.rs
+++ b/valetrack/src/member/leased/keep.rs
@@ -1,41 +1,67 @@
-//! Keeps the own entry in the store, and takes it back at the end.
+//! Keeps the own entry in the store and those of followers, where this node is a relay, and takes the own one back at the
+//! end.
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::{Shell, WATCH_MS};
 use crate::clock::now_us;
 use crate::code::Code;
-use crate::member::{EntryDoc, EntryStep, entry_key};
-use crate::store::{Committed, Era, Freshness, LeasedWrite, Position, StoreError};
+use crate::member::{Batch, EntryDoc, EntryStep, entry_key};
+use crate::store::{Committed, Era, Freshness, LeasedWrite, Position, StoreError, Transacted};
 
 /// Time that removing the entry may take when the node stops, in milliseconds.
 const END_MS: u64 = 300;
+/// Longest pause between two looks at the entries of followers, in milliseconds.
+const LOOK_MS: u64 = 500;
 
 impl Shell {
-    /// Keeps the own entry in the store; runs as long as the node.
+    /// Keeps the own entry and those of followers in the store while this node is a relay; runs as long as the node.
     pub(super) async fn keep_entry(self: Rc<Self>) {
         loop {
-            let step = self.keeper.borrow().next(now_us());
+            if !self.is_relay() {
+                self.role_changed.notified().await;
+                continue;
+            }
+            let step = self.next_step();
             let until_us = match step {
-                // Nothing was to be said yet.
-                _ if self.keeper.borrow().wanted() == 0 => u64::MAX,
-                EntryStep::Wait { until_us } => until_us,
                 EntryStep::Grant | EntryStep::Write { .. } | EntryStep::Renew { .. } | EntryStep::Ask => {
                     self.step(step).await;
                     continue;
                 }
+                EntryStep::Wait { .. } if self.keep_followers().await => continue,
+                EntryStep::Wait { until_us } => until_us,
             };
-            let pause = Duration::from_micros(until_us.saturating_sub(now_us()).min(WATCH_MS * 1000));
+            let longest_ms = if self.registrar.borrow().is_empty() { WATCH_MS } else { LOOK_MS };
+            let pause = Duration::from_micros(until_us.saturating_sub(now_us()).min(longest_ms * 1000));
             // Woken or not, the keeper is asked again.
             let _ = timeout(pause, self.entry_due.notified()).await;
         }
     }
 
+    fn next_step(&self) -> EntryStep {
+        let keeper = self.keeper.borrow();
+        let has_entry = keeper.wanted() > 0;
+        if !has_entry && self.registrar.borrow().is_empty() {
+            return EntryStep::Wait { until_us: u64::MAX };
+        }
+        match keeper.next(now_us()) {
+            // This node has nothing to say of itself yet.
+            EntryStep::Write { .. } if !has_entry => EntryStep::Wait { until_us: u64::MAX },
+            step => step,
+        }
+    }
+
     async fn step(self: &Rc<Self>, step: EntryStep) {
-        match self.call(step).await {
+        let ended = self.call(step).await;
+        self.take_end(ended);
+    }
+
+    /// Takes how a call for entries ended.
+    fn take_end(self: &Rc<Self>, ended: Result<(), StoreError>) {
+        match ended {
             Ok(()) => {}
             Err(StoreError::LeaseOver) => {
                 log::info!("event=member.lease_over code={}", Code::LeaseOver);
@@ -43,6 +69,7 @@
                 let era = self.keeper.borrow().era();
                 self.call_answered(era);
                 self.keeper.borrow_mut().lease_over();
+                self.registrar.borrow_mut().lease_over();
             }
             Err(error) => {
                 self.store_failed("entry", &error);
@@ -81,10 +108,10 @@
         Ok(())
     }
 
-    /// Notes that the store has answered a call for the own entry, and has it read again where that shows that it is
+    /// Notes that the store has answered a call for an entry, and has it read again where that shows that it is
     /// back: a call for changes from before may hang for good. It may have been lost while the call was out.
     fn call_answered(self: &Rc<Self>, era: Era) {
-        let was_away = !self.store_answers.get();
+        let was_away = self.failing_since_us.get().is_some();
         self.store_answered(era);
         if was_away {
             self.reread.notify_one();
@@ -113,6 +140,53 @@
         Ok(())
     }
 
+    /// Writes the entries of followers that are to be written; returns whether there were any.
+    async fn keep_followers(self: &Rc<Self>) -> bool {
+        match self.due_batch() {
+            Ok(batch) if batch.is_empty() => return false,
+            Ok(_) => {}
+            Err(error) => {
+                log::error!("event=member.entries_unwritable code={} reason=\"{error}\"", error.code());
+                return false;
+            }
+        }
+        // Followers come and change together, and each call is paid for.
+        let gather_ms = self.log.borrow().gather_ms();
+        sleep(Duration::from_millis(gather_ms)).await;
+        let ended = self.write_batch().await;
+        self.take_end(ended);
+        true
+    }
+
+    fn due_batch(&self) -> Result<Batch, StoreError> {
+        match self.keeper.borrow().lease() {
+            Some((lease, confirmed_us)) => self.registrar.borrow_mut().batch(lease, confirmed_us, now_us()),
+            None => Ok(Batch::default()),
+        }
+    }
+
+    async fn write_batch(self: &Rc<Self>) -> Result<(), StoreError> {
+        let batch = self.due_batch()?;
+        if batch.is_empty() {
+            return Ok(());
+        }
+        self.count("write-followers");
+        match self.parts.store.transact(&batch.changes).await? {
+            Transacted::At(position) => {
+                log::info!("event=member.entries_written position={position} nodes={}", batch.names());
+                self.call_answered(position.era());
+                self.registrar.borrow_mut().wrote(&batch, position);
+            }
+            Transacted::Conflict(stands) => {
+                let known = self.keeper.borrow().era();
+                let era = stands.iter().find_map(|(_, position)| *position).map_or(known, Position::era);
+                self.call_answered(era);
+                self.registrar.borrow_mut().conflicted(&batch, &stands);
+            }
+        }
+        Ok(())
+    }
+
     /// Takes the own entry back when the node is about to exit.
     pub(super) async fn withdraw(self: Rc<Self>) {
         let mut exiting = self.parts.exiting.clone();
@@ -130,11 +204,15 @@
         self.parts.departed.send_replace(true);
     }
 
-    /// Removes the own entry where it stands.
+    /// Removes the own entry where it stands, or has the relay that keeps it do so.
     ///
     /// The entry and not its lease: where the store has come back older, an end of the lease by its id could end
     /// somebody else's, and another node's entry with it.
     async fn remove_entry(&self) -> Result<(), StoreError> {
+        if !self.is_relay() {
+            self.tell_relay_of_exit().await;
+            return Ok(());
+        }
         let key = entry_key(&self.parts.me.vm);
         let mut expected = self.keeper.borrow().position();
         while let Some(position) = expected {
--- a/valetrack/src/member/leased/older.rs
+++ b/valetrack/src/member/leased/older.rs
@@ -35,6 +35,7 @@
         }
         let now = now_us();
         self.keeper.borrow_mut().enter(era, now);
+        self.registrar.borrow_mut().enter(era, now);
         if known.is_start() {
             // Nothing of the former era was read here, so that there is nothing to hold against the copy.
             return;
--- a/valetrack/src/member/leased/read.rs
+++ b/valetrack/src/member/leased/read.rs
@@ -1,5 +1,6 @@
 //! Reads the store, whole or what has changed, and takes what was read, from the store or a relay.
 
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,7 +10,7 @@
 use crate::code::Code;
 use crate::crash::CrashJob;
 use crate::crash::archive::service_of;
-use crate::member::{EntryDoc, SeenEntry, Taken, entry_key};
+use crate::member::{ENTRY_PREFIX, EntryDoc, SeenEntry, Taken, entry_key};
 use crate::store::{Change, Freshness, Item, Position, StoreError};
 
 impl Shell {
@@ -79,7 +80,9 @@
             Some(item) => self.own_entry_seen(item),
             None => self.own_entry_gone(at),
         }
+        self.take_follower_entries(items, at);
         self.take_evacuations(items);
+        self.take_rollouts(items);
         self.directory.borrow_mut().replace(items, now_us());
         self.forget_missing();
         self.count_invalid();
@@ -123,13 +126,10 @@
 
     /// Reads everything, since what is known cannot be gone on from.
     ///
-    /// A node with a relay is told by it what has changed since an earlier state. Where that state is dropped as
-    /// older than what is known, the store as it stands is read: only that can tell whether it has come back older.
+    /// An earlier state may be older than what is known, and only the store as it stands can tell whether it has come
+    /// back older.
     async fn read_again(self: &Rc<Self>) -> Result<(), StoreError> {
-        match self.relay() {
-            Some(_) => self.read_earlier().await,
-            None => self.read_all(Freshness::Current).await,
-        }
+        self.read_all(Freshness::Current).await
     }
 
     /// Takes the changes between `after` and `at`, where the store stood at `confirmed_us`.
@@ -149,12 +149,20 @@
         let mut changed = false;
         for change in changes {
             match change {
-                Change::Put(item) if item.key == own => self.own_entry_seen(item),
-                Change::Gone { key, position } if *key == own => self.own_entry_gone(*position),
+                Change::Put(item) if item.key == own => {
+                    self.own_entry_seen(item);
+                    changed |= self.directory.borrow_mut().apply(change, now_us());
+                }
+                Change::Gone { key, position } if *key == own => {
+                    self.own_entry_gone(*position);
+                    changed |= self.directory.borrow_mut().apply(change, now_us());
+                }
                 Change::Put(item) if item.key == *self.parts.bundle_key => self.take_bundle(item),
                 change if self.evacuated_domain(change.key()).is_some() => self.take_evacuation(change),
+                change if self.is_rollout(change.key()) => changed |= self.take_rollout(change),
                 Change::Put(item) if service_of(&item.key).is_some() => self.take_crashes(item),
                 Change::Put(_) | Change::Gone { .. } => {
+                    self.take_follower_entry(change);
                     changed |= self.directory.borrow_mut().apply(change, now_us());
                 }
             }
@@ -226,6 +234,40 @@
         }
     }
 
+    /// Takes the entries of followers as the whole store shows them.
+    fn take_follower_entries(&self, items: &[Item], at: Position) {
+        let own = self.keeper.borrow().lease().map(|(lease, _)| lease.id);
+        let mut registrar = self.registrar.borrow_mut();
+        let mut missing: HashSet<Arc<str>> = registrar.vms().cloned().collect();
+        for item in items {
+            let Some(vm) = item.key.strip_prefix(ENTRY_PREFIX) else {
+                continue;
+            };
+            if missing.remove(vm) {
+                registrar.seen(vm, SeenEntry { position: item.position, lease: item.lease }, own);
+            }
+        }
+        missing.iter().for_each(|vm| registrar.missing(vm, at));
+        self.entry_due.notify_one();
+    }
+
+    /// Takes one change of a follower's entry.
+    fn take_follower_entry(&self, change: &Change) {
+        let Some(vm) = change.key().strip_prefix(ENTRY_PREFIX) else {
+            return;
+        };
+        let own = self.keeper.borrow().lease().map(|(lease, _)| lease.id);
+        let mut registrar = self.registrar.borrow_mut();
+        if !registrar.has(vm) {
+            return;
+        }
+        match change {
+            Change::Put(item) => registrar.seen(vm, SeenEntry { position: item.position, lease: item.lease }, own),
+            Change::Gone { position, .. } => registrar.missing(vm, *position),
+        }
+        self.entry_due.notify_one();
+    }
+
     /// Takes the own entry as the store holds it; one that another writer has put there is written anew.
     fn own_entry_seen(&self, item: &Item) {
         let mut keeper = self.keeper.borrow_mut();
--- a/valetrack/src/member/message.rs
+++ b/valetrack/src/member/message.rs
@@ -3,13 +3,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
 use super::evacuation::Evacuation;
-use super::relay::StoreNews;
 use crate::claim::ClaimNews;
 use crate::link::peer::Target;
+use crate::rollout::ServerPart;
 use crate::store::Position;
 
 /// Life of one incarnation of a VM; it only goes forward.
@@ -53,6 +54,12 @@
     pub service: Arc<str>,
     /// Where its node listens for links.
     pub link_addr: SocketAddr,
+    /// Version of its server's software, where the server tells it.
+    #[serde(default)]
+    pub version: Option<Arc<str>>,
+    /// Whether its node follows the store for others of its failure domain and keeps their entries in it.
+    #[serde(default)]
+    pub is_relay: bool,
 }
 
 /// One row of the platform's list of VMs.
@@ -82,6 +89,8 @@
     pub domain: Arc<str>,
     /// Where its node listens for links.
     pub link_addr: SocketAddr,
+    /// What it may get while its service is rolled out.
+    pub part: ServerPart,
 }
 
 impl From<&Member> for Candidate {
@@ -91,13 +100,20 @@
             incarnation: member.incarnation,
             domain: member.domain.clone(),
             link_addr: member.link_addr,
+            part: ServerPart::Usual,
         }
     }
 }
 
 impl From<&ListedVm> for Candidate {
     fn from(row: &ListedVm) -> Self {
-        Self { vm: row.vm.clone(), incarnation: 0, domain: row.domain.clone(), link_addr: row.link_addr }
+        Self {
+            vm: row.vm.clone(),
+            incarnation: 0,
+            domain: row.domain.clone(),
+            link_addr: row.link_addr,
+            part: ServerPart::Usual,
+        }
     }
 }
 
@@ -110,6 +126,22 @@
     pub claims: ClaimNews,
 }
 
+/// What a follower is told.
+#[derive(Debug)]
+pub enum FollowerNews {
+    /// What has changed in the store, packed once for all that lack the same.
+    News {
+        /// The news.
+        packed: Bytes,
+        /// How long ago the store was known to stand where they end, in milliseconds.
+        age_ms: u32,
+    },
+    /// This node is behind the store itself.
+    Behind,
+    /// As many nodes follow this one as it bears.
+    Full,
+}
+
 /// Something for the member thread.
 #[derive(Debug)]
 pub enum MemberJob {
@@ -144,8 +176,10 @@
         after: Position,
         /// Longest time that it waits for a change, in milliseconds.
         wait_ms: u32,
-        /// Where the news go; none when this node is behind itself.
-        reply: oneshot::Sender<Option<StoreNews>>,
+        /// The node itself, whose entry is to be kept.
+        me: Box<Member>,
+        /// Where the news go.
+        reply: oneshot::Sender<FollowerNews>,
     },
     /// A reply showed that another node lacks the bundle in force here.
     Behind {
--- a/valetrack/src/member/relay.rs
+++ b/valetrack/src/member/relay.rs
@@ -1,32 +1,26 @@
-//! What a node has read of the store, kept for the nodes that follow it in place of the store, and
-//! which node that is.
-//!
-//! Each call to the store is paid for and its rate grows more slowly than the fleet. So one node of
-//! a failure domain, the relay, follows the store closely, and the others follow the relay.
+//! What a node has read of the store, kept for the nodes that follow it in place of the store.
 
 use std::collections::{BTreeMap, VecDeque};
-use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
-use sha2::{Digest, Sha256};
 
-use super::message::{Member, Phase};
-use super::state::Members;
 use crate::store::{Change, Era, Item, Position, Relation};
 
-/// News older than this are not relied on, in microseconds: an operator's change is to be in force
-/// within two seconds, and a node that finds its relay behind still has to ask the store itself.
+/// News older than this are not relied on where an operator's change is to be in force within two seconds, in
+/// microseconds: a node that finds its relay behind still has to find another one.
 pub const AGE_MAX_US: u64 = 1_200_000;
-/// Longest wait of one call for changes of a relay, in milliseconds: it says how old the news of
-/// its followers may be.
-const RELAY_WAIT_MS: u64 = 700;
+/// Part of the age up to which news are relied on for which one call for changes waits, in twelfths: it says how old the
+/// news of followers may be.
+const WAIT_TWELFTHS: u64 = 7;
+/// The same where relays pass the news on, which then grow older on their way.
+const POLL_TWELFTHS: u64 = 5;
+/// The same part for which changes are gathered.
+const GATHER_TWELFTHS: u64 = 2;
 /// The same when it is about to be behind, in milliseconds.
 const RELAY_WAIT_MIN_MS: u64 = 50;
 /// A relay's call is to end this long before its news are too old, in milliseconds: the answer is
 /// on its way for some milliseconds, and a relay may be short of processor time.
 const RELAY_AHEAD_MS: u64 = 250;
-/// Nodes that follow one relay; a domain with more of them has several relays.
-const GROUP_MAX: usize = 64;
 /// Changes that are kept for followers; one that is further behind is sent everything.
 const CHANGES_MAX: usize = 512;
 
@@ -39,8 +33,6 @@
     pub changes: Vec<Change>,
     /// Position up to which they go.
     pub at: Position,
-    /// How long ago the store was known to stand there, in milliseconds.
-    pub age_ms: u32,
 }
 
 /// What became of something that was read.
@@ -55,7 +47,7 @@
 }
 
 /// Items of the store as this node has read them, with their latest changes.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct ChangeLog {
     items: BTreeMap<String, Item>,
     changes: VecDeque<Change>,
@@ -65,9 +57,44 @@
     at: Position,
     /// When the store was last known to stand at `at`; none when a call has failed since.
     confirmed_us: Option<u64>,
+    /// Age up to which it is relied on, in microseconds.
+    age_max_us: u64,
+}
+
+impl Default for ChangeLog {
+    fn default() -> Self {
+        Self {
+            items: BTreeMap::new(),
+            changes: VecDeque::new(),
+            complete_after: Position::default(),
+            at: Position::default(),
+            confirmed_us: None,
+            age_max_us: AGE_MAX_US,
+        }
+    }
 }
 
 impl ChangeLog {
+    /// Makes an empty log that is relied on up to an age, in microseconds.
+    pub fn with_age_max(age_max_us: u64) -> Self {
+        Self { age_max_us, ..Self::default() }
+    }
+
+    /// Returns the age up to which news are relied on, in microseconds.
+    pub fn age_max_us(&self) -> u64 {
+        self.age_max_us
+    }
+
+    /// Returns where a key's last change stands, if the key exists.
+    pub fn position_of(&self, key: &str) -> Option<Position> {
+        self.items.get(key).map(|item| item.position)
+    }
+
+    /// Returns the item of a key.
+    pub fn item(&self, key: &str) -> Option<&Item> {
+        self.items.get(key)
+    }
+
     /// Returns the position up to which the store was read; the start of its era before the first read.
     pub fn position(&self) -> Position {
         self.at
@@ -88,7 +115,8 @@
         if era <= self.at.era() {
             return false;
         }
-        *self = Self { at: Position::start_of(era), complete_after: Position::start_of(era), ..Self::default() };
+        let start = Position::start_of(era);
+        *self = Self { at: start, complete_after: start, ..Self::with_age_max(self.age_max_us) };
         true
     }
 
@@ -151,14 +179,44 @@
 
     /// Returns until when the log may be relied on, in microseconds; none when it may not.
     pub fn current_until_us(&self) -> Option<u64> {
-        self.confirmed_us.map(|confirmed_us| confirmed_us + AGE_MAX_US)
+        self.confirmed_us.map(|confirmed_us| confirmed_us + self.age_max_us)
     }
 
     /// Returns how long a relay's next call for changes may wait, in milliseconds, so that its
     /// answer comes before the log is too old for followers.
     pub fn relay_wait_ms(&self, now_us: u64) -> u64 {
         let left_ms = self.current_until_us().map_or(0, |until_us| until_us.saturating_sub(now_us) / 1000);
-        left_ms.saturating_sub(RELAY_AHEAD_MS).clamp(RELAY_WAIT_MIN_MS, RELAY_WAIT_MS)
+        left_ms.saturating_sub(RELAY_AHEAD_MS).clamp(RELAY_WAIT_MIN_MS, self.wait_max_ms())
+    }
+
+    /// Returns how long the next call for changes of the reader may wait, in milliseconds, so that its news are never
+    /// older than they may be for relays to pass them on.
+    pub fn reader_poll_ms(&self, now_us: u64) -> u64 {
+        let age_us = self.confirmed_us.map_or(u64::MAX, |confirmed_us| now_us.saturating_sub(confirmed_us));
+        let left_ms = self.part_ms(POLL_TWELFTHS).saturating_sub(age_us / 1_000);
+        left_ms.max(RELAY_WAIT_MIN_MS)
+    }
+
+    /// Returns for how long changes are gathered before they are read, in milliseconds: those that come together are then
+    /// read in one call.
+    pub fn gather_ms(&self) -> u64 {
+        self.part_ms(GATHER_TWELFTHS)
+    }
+
+    /// Returns how long one question of a relay to the reader waits, in milliseconds, so that the news of both together
+    /// are not too old for followers.
+    pub fn reader_wait_ms(&self) -> u64 {
+        let taken_ms = self.part_ms(POLL_TWELFTHS + GATHER_TWELFTHS) + RELAY_AHEAD_MS;
+        (self.age_max_us / 1_000).saturating_sub(taken_ms).max(RELAY_WAIT_MIN_MS)
+    }
+
+    /// Returns the longest wait of a call for changes, in milliseconds.
+    fn wait_max_ms(&self) -> u64 {
+        self.part_ms(WAIT_TWELFTHS)
+    }
+
+    const fn part_ms(&self, twelfths: u64) -> u64 {
+        self.age_max_us / 1_000 * twelfths / 12
     }
 
     /// Returns whether there is something that a node lacks which has read the store up to `after`.
@@ -166,9 +224,15 @@
         self.at.supersedes(after)
     }
 
+    /// Returns how long ago the store was known to stand at the position of the log, in milliseconds.
+    pub fn age_ms(&self, now_us: u64) -> u32 {
+        let age_us = self.confirmed_us.map_or(u64::MAX, |confirmed_us| now_us.saturating_sub(confirmed_us));
+        (age_us / 1_000).min(u64::from(u32::MAX)) as u32
+    }
+
     /// Returns what a node lacks that has read the store up to `after`: everything, where that is a position that
     /// this log cannot go on from.
-    pub fn since(&self, after: Position, now_us: u64) -> StoreNews {
+    pub fn since(&self, after: Position) -> StoreNews {
         let goes_on = match after.relation_to(self.at) {
             Relation::Before | Relation::Same => !self.complete_after.supersedes(after),
             Relation::Behind | Relation::EarlierEra | Relation::LaterEra => false,
@@ -177,29 +241,6 @@
             true => self.changes.iter().filter(|change| change.position().supersedes(after)).cloned().collect(),
             false => self.items.values().cloned().map(Change::Put).collect(),
         };
-        let age_us = self.confirmed_us.map_or(u64::MAX, |confirmed_us| now_us.saturating_sub(confirmed_us));
-        let age_ms = (age_us / 1000).min(u64::from(u32::MAX)) as u32;
-        StoreNews { whole: !goes_on, changes, at: self.at, age_ms }
+        StoreNews { whole: !goes_on, changes, at: self.at }
     }
 }
-
-/// Returns the node that `me` follows in place of the store; none where it is the relay itself, or
-/// there is nobody else to follow. Nodes that `avoided` names are passed over.
-pub fn relay_of<'a>(members: &'a Members, me: &Member, avoided: impl Fn(&str) -> bool) -> Option<&'a Member> {
-    let serving: Vec<&Member> = members
-        .iter()
-        .filter(|member| member.domain == me.domain && member.phase == Phase::Serving)
-        .filter(|member| !avoided(&member.vm))
-        .collect();
-    let groups = serving.len().div_ceil(GROUP_MAX).max(1) as u64;
-    let group = rank(&me.vm) % groups;
-    let in_group = serving.into_iter().filter(|member| rank(&member.vm) % groups == group);
-    in_group.min_by_key(|member| rank(&member.vm)).filter(|relay| relay.vm != me.vm)
-}
-
-fn rank(vm: &Arc<str>) -> u64 {
-    let hash = Sha256::digest(vm.as_bytes());
-    let mut first = [0; 8];
-    first.copy_from_slice(&hash[..8]);
-    u64::from_be_bytes(first)
-}
--- a/valetrack/src/member/run.rs
+++ b/valetrack/src/member/run.rs
@@ -12,7 +12,7 @@
 
 use super::evacuation::Evacuation;
 use super::list::VmList;
-use super::message::{Known, Member, MemberJob, Phase};
+use super::message::{FollowerNews, Known, Member, MemberJob, Phase};
 use super::state::Members;
 use crate::bundle::run::Bundler;
 use crate::claim::{ClaimNews, ClaimState, PeerNews};
@@ -125,7 +125,7 @@
             }
             MemberJob::Follow { reply, .. } => {
                 // The store is not read here; whoever asked may have gone away meanwhile.
-                let _ = reply.send(None);
+                let _ = reply.send(FollowerNews::Behind);
             }
             MemberJob::Behind { peer } => {
                 tokio::task::spawn_local(self.exchange(peer));
--- a/valetrack/src/member/state.rs
+++ b/valetrack/src/member/state.rs
@@ -6,6 +6,7 @@
 use super::evacuation::Evacuation;
 use super::message::{Candidate, ListedVm, Member, Phase};
 use crate::claim::PeerClaims;
+use crate::rollout::{RolloutView, ServerPart};
 
 /// A VM that has left the list and was not heard of for this long is gone, in microseconds.
 pub const GONE_AFTER_US: u64 = 5_000_000;
@@ -20,6 +21,7 @@
     listed: BTreeMap<Arc<str>, ListedVm>,
     heard_us: BTreeMap<Arc<str>, u64>,
     evacuation: Evacuation,
+    rollouts: RolloutView,
     /// VMs that the list has shown; one that it has not shown yet says nothing by its absence.
     shown: BTreeSet<Arc<str>>,
     /// What nodes have said of their pages of claims.
@@ -65,6 +67,11 @@
         self.evacuation.merge(news)
     }
 
+    /// Sets what upstreams may get by the roll-outs in progress.
+    pub fn set_rollouts(&mut self, rollouts: RolloutView) {
+        self.rollouts = rollouts;
+    }
+
     /// Notes that a VM's node itself was heard at `now_us`.
     pub fn heard(&mut self, vm: &Arc<str>, now_us: u64) {
         let heard_us = self.heard_us.entry(vm.clone()).or_insert(now_us);
@@ -110,11 +117,13 @@
     ///
     /// A VM that is only listed is taken at its word until its node says more.
     pub fn servers_of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = Candidate> + 'a {
-        let heard = self
-            .all
-            .values()
-            .filter(move |member| &*member.service == service && member.phase == Phase::Serving)
-            .map(Candidate::from);
+        let heard: Vec<&Member> =
+            self.all.values().filter(|member| &*member.service == service && member.phase == Phase::Serving).collect();
+        let parts = self.rollouts.parts(service, &heard);
+        let heard = heard.into_iter().enumerate().map(move |(at, member)| {
+            let part = parts.as_ref().map_or(ServerPart::Usual, |parts| parts[at]);
+            Candidate { part, ..Candidate::from(member) }
+        });
         let listed = self
             .listed
             .values()
--- a/valetrack/src/member/tests.rs
+++ b/valetrack/src/member/tests.rs
@@ -5,7 +5,9 @@
 mod evacuation;
 mod older;
 mod other_writer;
+mod registrar;
 mod relay;
+mod role;
 mod suspension;
 mod view;
 
--- a/valetrack/src/member/tests/directory.rs
+++ b/valetrack/src/member/tests/directory.rs
@@ -16,6 +16,8 @@
         domain: Arc::from("kranj"),
         service: Arc::from("intake"),
         link_addr: ([127, 0, 0, 1], 7_000).into(),
+        version: None,
+        is_relay: false,
     }
 }
 
--- a/valetrack/src/member/tests/evacuation.rs
+++ b/valetrack/src/member/tests/evacuation.rs
@@ -21,6 +21,8 @@
         domain: Arc::from(domain),
         service: Arc::from("rounds"),
         link_addr: ([10, 0, 0, 1], 7_620).into(),
+        version: None,
+        is_relay: false,
     }
 }
 
--- a/valetrack/src/member/tests/older.rs
+++ b/valetrack/src/member/tests/older.rs
@@ -80,7 +80,7 @@
         let mut relay = ChangeLog::default();
         relay.read(&[item("a", "1", after(20))], after(29), 1_000);
         relay.apply(&[Change::Put(item("b", "2", after(40)))], after(29), after(40), 2_000);
-        let news = relay.since(follower, 2_000);
+        let news = relay.since(follower);
         assert!(news.whole);
         assert_eq!((news.changes.len(), news.at), (2, after(40)));
     }
@@ -97,6 +97,8 @@
             domain: Arc::from("kranj"),
             service: Arc::from("intake"),
             link_addr: ([127, 0, 0, 1], 7_000).into(),
+            version: None,
+            is_relay: false,
         }
     }
 
@@ -517,7 +519,7 @@
         take(relay, answer, world);
     }
     let after = follower.position();
-    let news = relay.since(after, 0);
+    let news = relay.since(after);
     follower.enter(news.at.era());
     match news.whole {
         true => {
--- a/valetrack/src/member/tests/relay.rs
+++ b/valetrack/src/member/tests/relay.rs
@@ -1,74 +1,12 @@
 //! Nodes that follow a relay see what the store holds, and know how old it is.
 
-use std::sync::Arc;
-
 use proptest::prelude::*;
 use test_case::test_case;
 
 use super::at;
-use crate::member::{AGE_MAX_US, ChangeLog, Member, Members, Phase, relay_of};
+use crate::member::{AGE_MAX_US, ChangeLog};
 use crate::store::{Change, Item};
 
-fn member(vm: &str, domain: &str, phase: Phase) -> Member {
-    Member {
-        vm: Arc::from(vm),
-        incarnation: 1,
-        phase,
-        domain: Arc::from(domain),
-        service: Arc::from("lab"),
-        link_addr: "127.0.0.1:9".parse().expect("an address"),
-    }
-}
-
-fn fleet(count: usize) -> Members {
-    let mut members = Members::default();
-    for at in 0..count {
-        members.set(member(&format!("vm-{at}"), "kranj", Phase::Serving));
-    }
-    members
-}
-
-/// Returns the relays that the nodes of a fleet follow, each once.
-fn relays(members: &Members, avoided: &str) -> Vec<Arc<str>> {
-    let followed = members.iter().filter_map(|me| relay_of(members, me, |vm| vm == avoided));
-    let mut relays: Vec<Arc<str>> = followed.map(|relay| relay.vm.clone()).collect();
-    relays.sort();
-    relays.dedup();
-    relays
-}
-
-#[test_case(1, 0; "a node alone follows the store")]
-#[test_case(13, 1; "a few nodes have one relay")]
-#[test_case(200, 4; "many have several")]
-fn the_nodes_of_a_domain_follow_few_relays(nodes: usize, count: usize) {
-    let members = fleet(nodes);
-    let relays = relays(&members, "");
-    assert_eq!(relays.len(), count);
-    for relay in &relays {
-        let relay = members.get(relay).expect("a member");
-        assert_eq!(relay_of(&members, relay, |_| false), None, "a relay follows the store itself");
-    }
-}
-
-#[test]
-fn another_relay_stands_in_for_one_that_failed() {
-    let members = fleet(8);
-    let first = relays(&members, "");
-    let second = relays(&members, &first[0]);
-    assert_eq!(second.len(), 1);
-    assert_ne!(first, second);
-}
-
-#[test]
-fn nobody_follows_a_node_that_leaves_or_is_elsewhere() {
-    let mut members = Members::default();
-    members.set(member("vm-1", "kranj", Phase::Leaving));
-    members.set(member("vm-2", "loka", Phase::Serving));
-    let me = member("vm-3", "kranj", Phase::Serving);
-    members.set(me.clone());
-    assert_eq!(relay_of(&members, &me, |_| false), None);
-}
-
 #[test]
 fn a_log_is_current_only_while_the_store_answers() {
     let mut log = ChangeLog::default();
@@ -77,9 +15,9 @@
     assert_eq!(log.current_until_us(), Some(1_000 + AGE_MAX_US));
     log.lose();
     assert_eq!(log.current_until_us(), None);
-    assert_eq!(log.since(at(5), 2_000).age_ms, u32::MAX);
+    assert_eq!(log.age_ms(2_000), u32::MAX);
     log.apply(&[], at(5), at(5), 3_000);
-    assert_eq!(log.since(at(5), 13_000).age_ms, 10);
+    assert_eq!(log.age_ms(13_000), 10);
 }
 
 #[test_case(0, 700; "after an answer at the end of its wait")]
@@ -125,7 +63,7 @@
 }
 
 fn follow(follower: &mut ChangeLog, relay: &ChangeLog) {
-    let news = relay.since(follower.position(), 0);
+    let news = relay.since(follower.position());
     if news.whole {
         let items: Vec<Item> = news.changes.iter().filter_map(Change::item).cloned().collect();
         follower.read(&items, news.at, 0);
@@ -137,5 +75,5 @@
 
 /// Returns all items of a log, as a node is sent them that has read nothing.
 fn all(log: &ChangeLog) -> Vec<Change> {
-    log.since(at(u64::MAX), 0).changes
+    log.since(at(u64::MAX)).changes
 }
--- a/valetrack/src/member/tests/suspension.rs
+++ b/valetrack/src/member/tests/suspension.rs
@@ -66,6 +66,6 @@
         let now_us = confirmed_us + suspended_us;
         let is_current = log.current_until_us().is_some_and(|until_us| now_us < until_us);
         prop_assert_eq!(is_current, suspended_us < AGE_MAX_US);
-        prop_assert_eq!(u64::from(log.since(at(5), now_us).age_ms), suspended_us / 1000);
+        prop_assert_eq!(u64::from(log.age_ms(now_us)), suspended_us / 1000);
     }
 }
--- a/valetrack/src/member/tests/view.rs
+++ b/valetrack/src/member/tests/view.rs
@@ -15,6 +15,8 @@
         domain: Arc::from("kranj"),
         service: Arc::from("intake"),
         link_addr: ([127, 0, 0, 1], 7_000 + u16::from(vm)).into(),
+        version: None,
+        is_relay: false,
     }
 }
 
--- a/valetrack/src/metric.rs
+++ b/valetrack/src/metric.rs
@@ -55,6 +55,12 @@
     pub invalid_input: IntCounterVec,
     /// Calls of callers that could not be read.
     pub bad_calls: IntCounter,
+    /// Calls refused since their client account is over its rate.
+    pub over_rate: IntCounter,
+    /// Questions for credits put to homes of client accounts.
+    pub quota_questions: IntCounter,
+    /// Calls for which no home of their client account answered.
+    pub quota_unanswered: IntCounter,
     /// Bytes spent only on measuring.
     pub measure_bytes: IntCounter,
     /// Budget for that, in bytes a second.
@@ -158,6 +164,15 @@
                 "code",
             ),
             bad_calls: counter("valetrack_bad_calls_total", "Calls of callers that were refused as bad input."),
+            over_rate: counter(
+                "valetrack_over_rate_calls_total",
+                "Calls refused since their account is over its rate.",
+            ),
+            quota_questions: counter("valetrack_quota_questions_total", "Questions for credits of client accounts."),
+            quota_unanswered: counter(
+                "valetrack_quota_unanswered_total",
+                "Calls for which no home of their account answered.",
+            ),
             measure_bytes: counter("valetrack_measure_bytes_total", "Bytes spent only on measuring."),
             measure_budget: gauge("valetrack_measure_budget_bytes_per_second", "Budget for measuring."),
             probes: counter("valetrack_probes_total", "Probes sent."),
--- a/valetrack/src/node/start.rs
+++ b/valetrack/src/node/start.rs
@@ -33,6 +33,8 @@
 use crate::metric::Metrics;
 use crate::placement::run::{Placer, PlacerParts};
 use crate::platform::{Announcements, Membership};
+use crate::quota::run::{QuotaParts, Quotas};
+use crate::rollout::RolloutFormat;
 use crate::store::{LeaseStore, Store};
 
 /// Time between the word to other nodes that this one takes no more work and the end of its own
@@ -46,11 +48,11 @@
             Membership::Listed { list, store, claim_store } => {
                 Ok(vec![self.start_claim(claim_store.clone())?, self.start_listed(list.clone(), store.clone())?])
             }
-            Membership::Leased { store, bundle_key, evacuation_prefix } => {
+            Membership::Leased { store, bundle_key, evacuation_prefix, rollouts } => {
                 // Without a roster of homes there are no claims: calls with keys are unknown here.
                 self.stages.released.send_replace(true);
                 let (bundle_key, prefix) = (bundle_key.clone(), evacuation_prefix.clone());
-                Ok(vec![self.start_leased(store.clone(), bundle_key, prefix)?])
+                Ok(vec![self.start_leased(store.clone(), bundle_key, prefix, rollouts.clone())?])
             }
         }
     }
@@ -64,6 +66,8 @@
             domain: settings.domain.clone(),
             service: settings.service.clone(),
             link_addr: settings.advertise_addr,
+            version: None,
+            is_relay: false,
         }
     }
 
@@ -82,6 +86,7 @@
         store: Arc<dyn LeaseStore>,
         bundle_key: Arc<str>,
         evacuation_prefix: Arc<str>,
+        rollouts: Arc<dyn RolloutFormat>,
     ) -> std::io::Result<JoinHandle<()>> {
         let parts = LeasedParts {
             me: self.me(),
@@ -89,7 +94,9 @@
             format: self.format.clone(),
             bundle_key,
             evacuation_prefix,
+            rollouts,
             lease_ms: self.settings.lease_ms,
+            news_within_ms: self.settings.news_within_ms,
             jobs: self.member.from.clone(),
             to_link: self.link.to.clone(),
             to_crash: self.crash.to.clone(),
@@ -200,6 +207,7 @@
         let (history, to_crash, metrics) =
             (self.crash_history.subscribe(), self.crash.to.clone(), self.metrics.clone());
         let members = self.members.subscribe();
+        let quotas = self.quota_parts();
         spawn("path", move || async move {
             let endpoint = match crate::link::run::bind(link_addr, &vm, tls) {
                 Ok(endpoint) => endpoint,
@@ -214,8 +222,9 @@
             let crashes = Quarantine::new(history, to_crash, metrics);
             let placer = Placer::new(placer, crashes.clone());
             let keyed = KeyedRouter::new(placer.clone(), members);
-            let links = crate::link::run::run(endpoint, placer.clone(), crashes, links);
-            futures::join!(links, crate::caller::run::run(socket, placer, keyed, callers_parts));
+            let quotas = Quotas::new(quotas);
+            let links = crate::link::run::run(endpoint, placer.clone(), crashes, quotas.clone(), links);
+            futures::join!(links, crate::caller::run::run(socket, placer, keyed, quotas, callers_parts));
         })
     }
 
@@ -260,6 +269,16 @@
         }
     }
 
+    fn quota_parts(&self) -> QuotaParts {
+        QuotaParts {
+            vm: self.settings.vm.clone(),
+            to_link: self.link.to.clone(),
+            bundle: self.bundle.subscribe(),
+            members: self.members.subscribe(),
+            metrics: self.metrics.clone(),
+        }
+    }
+
     fn placer_parts(&self) -> PlacerParts {
         PlacerParts {
             vm: self.settings.vm.clone(),
--- a/valetrack/src/placement/call.rs
+++ b/valetrack/src/placement/call.rs
@@ -148,6 +148,8 @@
     attempts: [Option<Attempt>; MAX_ATTEMPTS],
     count: usize,
     excluded: ServerSet,
+    /// Servers that get no call as usual, since their service is rolled out.
+    barred: ServerSet,
     /// Whether a run made it.
     made_by_run: bool,
     bounces_left: u8,
@@ -183,6 +185,7 @@
             attempts: [None; MAX_ATTEMPTS],
             count: 0,
             excluded: ServerSet::default(),
+            barred: ServerSet::default(),
             bounces_left: rule.bounces,
             slow_bounces_left: SLOW_BOUNCES,
             far_bounces_left: FAR_BOUNCES,
@@ -272,7 +275,7 @@
         if !self.made_by_run {
             self.bounces_left = cx.view.bounces(self.rule.bounces, cx.now_us);
         }
-        let Some(server) = self.send_next(SendCause::First, cx, out) else {
+        let Some(server) = self.send_first(cx, out) else {
             self.settle(cx, out);
             return;
         };
--- a/valetrack/src/placement/call/choice.rs
+++ b/valetrack/src/placement/call/choice.rs
@@ -5,8 +5,24 @@
 use crate::placement::message::{CallAction, Demand, Dispatch, SendCause, ServerIndex};
 use crate::placement::set::ServerSet;
 use crate::placement::view::ROOM_US;
+use crate::rollout::ServerPart;
 
 impl Call {
+    /// Sends the first attempt, to a server on trial where the call is one of its share. Whatever follows goes to the
+    /// others: a call is put to a new version once.
+    pub(super) fn send_first(&mut self, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) -> Option<ServerIndex> {
+        self.barred = cx.view.outside(ServerPart::Usual);
+        let on_trial = cx.view.takes_trial().then(|| cx.view.outside(ServerPart::Trial));
+        let trial = on_trial.and_then(|others| self.pick(others, cx));
+        self.excluded = self.barred;
+        let Some(server) = trial else {
+            return self.send_next(SendCause::First, cx, out);
+        };
+        let patience = self.patience_for(server, cx);
+        self.send(server, patience, SendCause::First, cx, out);
+        Some(server)
+    }
+
     /// Sends the next attempt to a server that was not tried, and returns it if there is one.
     pub(super) fn send_next(
         &mut self,
@@ -25,7 +41,7 @@
         if self.last_resort || self.count >= MAX_ATTEMPTS {
             return false;
         }
-        let Some(server) = self.pick(ServerSet::default(), cx) else {
+        let Some(server) = self.pick(self.barred, cx) else {
             return false;
         };
         self.send(server, Patience::Last, cause, cx, out);
--- a/valetrack/src/placement/mod.rs
+++ b/valetrack/src/placement/mod.rs
@@ -37,6 +37,7 @@
 pub use repeat::{FleetSize, RepeatBudget, RepeatPromise};
 pub use service::considered;
 pub use set::ServerSet;
+pub use sliding::SlidingSum;
 pub use view::{MAX_SERVERS, ServiceView};
 pub use waited::CallerTime;
 pub use work::WorkEstimate;
--- a/valetrack/src/placement/nested.rs
+++ b/valetrack/src/placement/nested.rs
@@ -46,6 +46,11 @@
         self.repeats_permille = self.repeats_permille.saturating_sub(repeat_permille.into());
     }
 
+    /// Returns whether any run is in progress.
+    pub fn is_running(&self) -> bool {
+        self.running > 0
+    }
+
     /// Takes a call to a service, and returns the chance that a repeated run made it, in thousandths.
     pub fn called(&mut self, service: &Arc<str>, now_us: u64) -> u16 {
         let calls = self.calls.entry(service.clone()).or_insert_with(|| SlidingSum::new(COUNTED_US));
--- a/valetrack/src/placement/run/ledger.rs
+++ b/valetrack/src/placement/run/ledger.rs
@@ -38,6 +38,11 @@
         self.inner.borrow().nested_routes.contains(route)
     }
 
+    /// Returns whether the upstream beside this entry runs calls now.
+    pub(crate) fn is_upstream_running(&self) -> bool {
+        self.inner.borrow().nested_calls.is_running()
+    }
+
     /// Returns how many repeats of a service's calls this entry may still send now.
     pub(in crate::placement) fn repeats_left(&self, service: &str) -> Option<f64> {
         let left = self.inner.borrow_mut().services.get_mut(service)?.budgets.retry.left(now_us());
--- a/valetrack/src/placement/service.rs
+++ b/valetrack/src/placement/service.rs
@@ -9,6 +9,7 @@
 use super::view::{MAX_SERVERS, ServiceView};
 use crate::bundle::{FleetRetries, ServiceRule};
 use crate::member::Candidate;
+use crate::rollout::ServerPart;
 
 /// Most servers of a service that one entry considers; the other places are for lives of VMs that
 /// replace earlier ones, which keep theirs until nothing is out at them.
@@ -57,7 +58,9 @@
         domain_cost_us: u32,
     ) {
         let mut kept = vec![false; self.targets.len().max(MAX_SERVERS)];
-        for candidate in considered(candidates.collect(), domain, vm) {
+        let candidates: Vec<Candidate> = candidates.collect();
+        self.share_trial(&candidates, vm);
+        for candidate in considered(candidates, domain, vm) {
             let Some(server) = self.index_of(&candidate) else {
                 continue;
             };
@@ -69,6 +72,7 @@
             };
             self.view.set_present(server, true, network_us);
             self.view.set_far(server, &*candidate.domain != domain);
+            self.view.set_part(server, candidate.part);
             self.targets[server] = Some(candidate);
         }
         for (server, _) in kept.iter().enumerate().filter(|(_, kept)| !**kept) {
@@ -78,6 +82,16 @@
         }
     }
 
+    /// Sets the share of calls that go to the upstreams on trial, by how many there are beside the others.
+    fn share_trial(&mut self, candidates: &[Candidate], vm: &str) {
+        let count = |part| candidates.iter().filter(|candidate| candidate.part == part).count();
+        // Entries do not all begin with the new version.
+        let mut hasher = DefaultHasher::new();
+        vm.hash(&mut hasher);
+        let start_permille = (hasher.finish() % 1_000) as u32;
+        self.view.set_trial_share(count(ServerPart::Trial), count(ServerPart::Usual), start_permille);
+    }
+
     fn index_of(&mut self, candidate: &Candidate) -> Option<ServerIndex> {
         let same = |known: &Option<Candidate>| {
             known.as_ref().is_some_and(|known| {
@@ -112,7 +126,8 @@
     candidates.sort_by_cached_key(|candidate| {
         let mut hasher = DefaultHasher::new();
         (vm, &*candidate.vm).hash(&mut hasher);
-        (&*candidate.domain != domain, hasher.finish())
+        // The few on trial have to be known to every entry for their share to come to them.
+        (candidate.part != ServerPart::Trial, &*candidate.domain != domain, hasher.finish())
     });
     candidates.truncate(CONSIDERED_MAX);
     candidates
--- a/valetrack/src/placement/view.rs
+++ b/valetrack/src/placement/view.rs
@@ -7,6 +7,7 @@
 use super::policy::Policy;
 use super::set::ServerSet;
 use crate::gate::LoadReport;
+use crate::rollout::{ServerPart, TrialShare};
 
 /// Largest number of servers of one service that placement considers.
 pub const MAX_SERVERS: usize = 64;
@@ -55,6 +56,8 @@
     ejected_until_us: u64,
     ejections: u32,
     probed_us: u64,
+    /// What it may get while its service is rolled out.
+    part: ServerPart,
 }
 
 const EMPTY: ServerView = ServerView {
@@ -70,6 +73,7 @@
     ejected_until_us: 0,
     ejections: 0,
     probed_us: 0,
+    part: ServerPart::Usual,
 };
 
 impl ServerView {
@@ -87,12 +91,23 @@
     turn: usize,
     used_us: Option<u64>,
     crowding: Crowding,
+    /// Whether any server gets other calls than the others.
+    has_parts: bool,
+    trial: TrialShare,
 }
 
 impl ServiceView {
     /// Makes a view with no servers.
     pub fn new(policy: Policy) -> Self {
-        Self { servers: Vec::new(), policy, turn: 0, used_us: None, crowding: Crowding::default() }
+        Self {
+            servers: Vec::new(),
+            policy,
+            turn: 0,
+            used_us: None,
+            crowding: Crowding::default(),
+            has_parts: false,
+            trial: TrialShare::default(),
+        }
     }
 
     /// Sets whether a server is in the roster, and what the way to it costs.
@@ -120,6 +135,37 @@
         }
     }
 
+    /// Sets what a server may get while its service is rolled out.
+    pub fn set_part(&mut self, server: ServerIndex, part: ServerPart) {
+        if let Some(view) = self.servers.get_mut(server) {
+            view.part = part;
+        }
+        self.has_parts = self.servers.iter().any(|view| view.present && view.part != ServerPart::Usual);
+    }
+
+    /// Sets how many servers are on trial beside so many others; `start_permille` is where this entry begins in the
+    /// cycle of their share.
+    pub fn set_trial_share(&mut self, trial: usize, usual: usize, start_permille: u32) {
+        self.trial.configure(trial, usual, start_permille);
+    }
+
+    /// Returns whether the next call is to go to a server on trial.
+    pub fn takes_trial(&mut self) -> bool {
+        self.has_parts && self.trial.takes_next()
+    }
+
+    /// Returns the servers that are not of a part.
+    pub fn outside(&self, part: ServerPart) -> ServerSet {
+        let mut outside = ServerSet::default();
+        if !self.has_parts {
+            return outside;
+        }
+        for (server, _) in self.servers.iter().enumerate().filter(|(_, view)| view.part != part) {
+            outside.insert(server);
+        }
+        outside
+    }
+
     /// Returns the servers in other failure domains, if the own one has some in rotation outside
     /// `excluded`; there is no choice otherwise.
     pub fn far_where_near_is_open(&self, excluded: ServerSet, now_us: u64) -> ServerSet {
--- a/valetrack/src/platform.rs
+++ b/valetrack/src/platform.rs
@@ -12,6 +12,7 @@
 use crate::gate::{Announcement, NativeUpstream, UpstreamProtocol};
 use crate::member::list::{HttpList, VmList};
 use crate::metric::Metrics;
+use crate::rollout::RolloutFormat;
 use crate::settings::{NATIVE, NodeSettings, SettingFault};
 use crate::store::{HttpStore, LeaseStore, Store};
 
@@ -34,6 +35,8 @@
         bundle_key: Arc<str>,
         /// Prefix of the operators' keys that each name a failure domain to be evacuated.
         evacuation_prefix: Arc<str>,
+        /// How operators write orders of roll-outs.
+        rollouts: Arc<dyn RolloutFormat>,
     },
 }
 
--- /dev/null
+++ b/valetrack/src/quota/rank.rs
@@ -0,0 +1,47 @@
+//! Which node is the home of an account.
+
+use std::collections::HashMap;
+use std::hash::Hasher;
+use std::sync::Arc;
+
+use siphasher::sip::SipHasher13;
+
+use crate::link::peer::Target;
+use crate::member::{Members, Phase};
+
+/// Homes that are ranked: the first, and the one that stands in for it.
+const RANKED: usize = 2;
+
+/// The homes of accounts by rendezvous hashing, kept until the view of nodes changes.
+#[derive(Debug, Default)]
+pub struct HomeRanking {
+    view: Option<Arc<Members>>,
+    homes: HashMap<Arc<str>, Vec<Target>>,
+}
+
+impl HomeRanking {
+    /// Returns the nodes that are to be asked for an account, the home first.
+    pub fn homes(&mut self, account: &Arc<str>, members: &Arc<Members>) -> &[Target] {
+        if !self.view.as_ref().is_some_and(|view| Arc::ptr_eq(view, members)) {
+            self.view = Some(members.clone());
+            self.homes.clear();
+        }
+        self.homes.entry(account.clone()).or_insert_with(|| rank(account, members))
+    }
+}
+
+fn rank(account: &str, members: &Members) -> Vec<Target> {
+    let serving = members.iter().filter(|member| member.phase == Phase::Serving);
+    let mut ranked: Vec<_> = serving.map(|member| (weight(account, &member.vm), member)).collect();
+    ranked.sort_by(|(one, a), (other, b)| other.cmp(one).then_with(|| a.vm.cmp(&b.vm)));
+    let homes = ranked.into_iter().take(RANKED);
+    homes.map(|(_, member)| Target { vm: member.vm.clone(), addr: member.link_addr }).collect()
+}
+
+fn weight(account: &str, vm: &str) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(account.as_bytes());
+    hasher.write_u8(0);
+    hasher.write(vm.as_bytes());
+    hasher.finish()
+}
--- a/valetrack/src/settings.rs
+++ b/valetrack/src/settings.rs
@@ -49,6 +49,12 @@
     setting("list", "Address of the platform's VM list; native platform only.", ADDRESS, Some("")),
     setting("keys", "Folder with ca.pem, VM.pem and VM.key; native platform only.", "a folder", Some("")),
     setting("control-listen", "Address for the upstream's announcements; managed platform only.", ADDRESS, Some("")),
+    setting(
+        "news-within-ms",
+        "Time within which an operator's change is to be in force.",
+        "0 to 600000, with fractions",
+        Some("2000"),
+    ),
     setting("lease-ms", "How long a node's entry in the store outlives its last word.", "1000 to 600000", Some("8000")),
     setting(
         "test-suspension-ms",
@@ -96,6 +102,11 @@
 /// it granted has arrived.
 const RETRY_WINDOW_MIN_S: f64 = 0.1;
 
+/// Times within which a change may have to be in force, in milliseconds.
+const NEWS_WITHIN_MS: RangeInclusive<f64> = 0.0..=600_000.0;
+/// Shortest such time that is aimed at, in milliseconds: a shorter one is less than some ways between nodes take.
+const NEWS_WITHIN_MIN_MS: u64 = 500;
+
 /// What `cold-overage` means.
 const COLD_OVERAGE_HELP: &str = "Calls a second that a cold upstream may get, as a multiple of what it bears.";
 /// Largest multiple of what a cold upstream bears: more is no bound.
@@ -179,6 +190,9 @@
     pub keys_dir: PathBuf,
     /// Address for the upstream's announcements.
     pub control_addr: Option<SocketAddr>,
+    /// Time within which an operator's change is to be in force, in milliseconds: news of the store are relied on for
+    /// three fifths of it.
+    pub news_within_ms: u64,
     /// How long a node's entry in the store outlives its last word, in milliseconds.
     pub lease_ms: u64,
     /// For how long SIGUSR2 has the node believe that its VM was suspended, in milliseconds; zero for tests
@@ -342,6 +356,7 @@
         let list_addr = self.optional_addr("list", native);
         let keys_dir = self.keys_dir(native);
         let control_addr = self.optional_addr("control-listen", !native);
+        let news_within_ms = self.fraction("news-within-ms", NEWS_WITHIN_MS);
         let lease_ms = self.number("lease-ms", 1_000, 600_000);
         let test_suspension_ms = self.number("test-suspension-ms", 0, 3_600_000);
         let linger_ms = self.number("linger-ms", 0, 60_000);
@@ -378,6 +393,7 @@
             list_addr: list_addr?,
             keys_dir: keys_dir?,
             control_addr: control_addr?,
+            news_within_ms: (news_within_ms? as u64).max(NEWS_WITHIN_MIN_MS),
             lease_ms: lease_ms?,
             test_suspension_ms: test_suspension_ms?,
             linger_ms: linger_ms?,
--- a/valetrack/src/store/lease.rs
+++ b/valetrack/src/store/lease.rs
@@ -110,6 +110,51 @@
     pub lease: Option<u64>,
 }
 
+/// One change of a transaction.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LeasedChange {
+    /// A key is written.
+    Put(LeasedWrite),
+    /// A key is removed whose last change is still at this position.
+    Remove {
+        /// The key.
+        key: String,
+        /// Position of its last change that must still hold.
+        expected: Position,
+    },
+}
+
+impl LeasedChange {
+    /// Returns the key that it changes.
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Put(write) => &write.key,
+            Self::Remove { key, .. } => key,
+        }
+    }
+
+    /// Returns the position of the key's last change that must still hold; none when it must not exist.
+    pub fn expected(&self) -> Option<Position> {
+        match self {
+            Self::Put(write) => write.expected,
+            Self::Remove { expected, .. } => Some(*expected),
+        }
+    }
+}
+
+/// How a transaction ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Transacted {
+    /// All of it took effect at this position.
+    At(Position),
+    /// Some key does not stand where it was expected, so nothing changed: where each key that was named stands, none
+    /// where it does not exist.
+    Conflict(Vec<(String, Option<Position>)>),
+}
+
+/// Most changes of one transaction: the platform takes 32 entries, and each change is a condition as well.
+pub const TRANSACTION_MAX: usize = 16;
+
 /// How a write under a condition ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Committed {
@@ -160,6 +205,10 @@
     /// somebody else's.
     fn remove<'a>(&'a self, key: &'a str, expected: Position) -> BoxFuture<'a, Result<Committed, StoreError>>;
 
+    /// Makes up to [`TRANSACTION_MAX`] changes, all or none; fails with [`StoreError::LeaseOver`] when a lease that they name
+    /// is over.
+    fn transact<'a>(&'a self, changes: &'a [LeasedChange]) -> BoxFuture<'a, Result<Transacted, StoreError>>;
+
     /// Writes a key under a condition; fails with [`StoreError::LeaseOver`] when the lease is over.
     fn commit<'a>(&'a self, write: &'a LeasedWrite) -> BoxFuture<'a, Result<Committed, StoreError>>;
 }
--- a/valetrack/src/store/mod.rs
+++ b/valetrack/src/store/mod.rs
@@ -11,6 +11,9 @@
 mod tests;
 
 pub use client::HttpStore;
-pub use lease::{Change, Changes, Committed, Freshness, Item, Lease, LeaseStore, LeasedWrite, Page};
+pub use lease::{
+    Change, Changes, Committed, Freshness, Item, Lease, LeaseStore, LeasedChange, LeasedWrite, Page, TRANSACTION_MAX,
+    Transacted,
+};
 pub use message::{Found, HistoryName, Store, StoreError, Versioned, WatchNews, Written};
 pub use position::{Era, Position, Relation};
