A relay goes to the store as soon as its reader is late

Change: a relay counts news older than those of a reader that the store answers as late, and reads the store itself at once, with what it knows still fresh for its followers; a watch that fails is made once more on another connection before any pause. Tests of accounts and their faults in bundles.

--- a/valetrack/src/bundle/tests/check.rs
+++ b/valetrack/src/bundle/tests/check.rs
@@ -130,3 +130,29 @@
         }
     }
 }
+
+#[test]
+fn faults_of_accounts_are_told() {
+    let text = r#"
+[[service]]
+name = "intake"
+[[account]]
+name = "acme"
+keys = ["26tta828m82thhkmgjqn"]
+rate_per_s = -1
+[[account]]
+name = "other"
+keys = ["26tta828m82thhkmgjqn"]
+[[account]]
+name = "third"
+keys = ["short"]
+[[account]]
+name = "fourth"
+"#;
+    insta::assert_snapshot!(faults(text), @r#"
+    7:14: VT503: rate_per_s must be a whole number from 0 to 1000000000
+    8:1: VT503: another account has one of its keys
+    13:8: VT503: keys must be texts of 16 to 256 visible characters each
+    14:1: VT504: keys is missing
+    "#);
+}
--- a/valetrack/src/member/leased/follow.rs
+++ b/valetrack/src/member/leased/follow.rs
@@ -85,8 +85,14 @@
                 Ok(false) => {}
                 Ok(true) => self.gather().await,
                 Err(error) => {
+                    let is_first = self.failing_since_us.get().is_none();
                     self.store_failed("watch", &error);
-                    return;
+                    if !is_first {
+                        return;
+                    }
+                    // The connection may have gone silent, and another one serve.
+                    wait = CATCH_UP_WAIT;
+                    continue;
                 }
             }
             self.choose_role();
--- a/valetrack/src/member/leased/relayed.rs
+++ b/valetrack/src/member/leased/relayed.rs
@@ -71,7 +71,7 @@
                     self.give_up_where_turned_away();
                     self.choose_role();
                 }
-                RelayAnswer::Behind if !was_behind => {
+                RelayAnswer::Behind if !was_behind && !self.is_relay() => {
                     was_behind = true;
                     self.pause_behind().await;
                     continue;
@@ -122,7 +122,13 @@
     }
 
     async fn leave_behind(self: &Rc<Self>, relay: &Target) {
-        self.leave(relay, Avoided::Behind);
+        self.avoid(relay, Avoided::Behind);
+        log::info!("event=store.relay_failed relay={} why=Behind position={}", relay.vm, self.log.borrow().position());
+        if self.is_relay() {
+            // What is known is still fresh enough for followers until the store itself is read.
+            return;
+        }
+        self.lose_log();
         if self.store_answers.replace(false) {
             log::warn!("event=store.lost call=relay relay={}", relay.vm);
         }
@@ -177,7 +183,8 @@
             Reply::FollowersFull => return RelayAnswer::Full,
             _ => return RelayAnswer::Behind,
         };
-        if u64::from(age_ms) * 1_000 > self.log.borrow().age_max_us() {
+        let is_late = is_relay && self.log.borrow().is_reader_late(age_ms);
+        if is_late || u64::from(age_ms) * 1_000 > self.log.borrow().age_max_us() {
             return RelayAnswer::Behind;
         }
         match codec::unpack_news(&answered.body) {
--- a/valetrack/src/member/relay.rs
+++ b/valetrack/src/member/relay.rs
@@ -203,6 +203,11 @@
         self.part_ms(GATHER_TWELFTHS)
     }
 
+    /// Returns whether the news of a reader are older than those of one that the store answers.
+    pub fn is_reader_late(&self, age_ms: u32) -> bool {
+        u64::from(age_ms) > self.part_ms(POLL_TWELFTHS + GATHER_TWELFTHS) + RELAY_AHEAD_MS / 2
+    }
+
     /// Returns how long one question of a relay to the reader waits, in milliseconds, so that the news of both together
     /// are not too old for followers.
     pub fn reader_wait_ms(&self) -> u64 {
--- a/valetrack/src/member/role.rs
+++ b/valetrack/src/member/role.rs
@@ -26,9 +26,6 @@
 /// up sends its followers elsewhere.
 const SURPLUS_FACTOR: usize = 2;
 
-/// Relays that another relay tries to follow before it follows the store itself.
-const READERS_TRIED: usize = 2;
-
 /// Why a node is passed over.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Avoided {
@@ -52,7 +49,7 @@
     let usable = |member: &&&Member| avoided(&member.vm).is_none();
     let relays: Vec<&Member> = serving.iter().filter(|member| member.is_relay).copied().collect();
     if me.is_relay {
-        return reader_of(relays, me, avoided);
+        return reader_of(&relays, me, avoided);
     }
     let own = |member: &&&Member| member.domain == me.domain;
     let drawn = |relay: &&&Member| weight(&me.vm, &relay.vm);
@@ -68,16 +65,11 @@
     found.copied().or_else(|| stand_in(&serving, me, avoided))
 }
 
-/// Returns the relay that the relay `me` follows: the first by rank, or the second where that is passed over. Where both
-/// are, the store itself serves better than a search among the others.
-fn reader_of<'a>(
-    mut relays: Vec<&'a Member>,
-    me: &Member,
-    avoided: impl Fn(&str) -> Option<Avoided>,
-) -> Option<&'a Member> {
-    relays.retain(|relay| rank(&relay.vm) < rank(&me.vm));
-    relays.sort_by_key(|relay| rank(&relay.vm));
-    relays.into_iter().take(READERS_TRIED).find(|relay| avoided(&relay.vm).is_none())
+/// Returns the relay that the relay `me` follows, the first by rank. Where that is passed over, the store itself serves
+/// better than a search among the others, whose news are about to be as old.
+fn reader_of<'a>(relays: &[&'a Member], me: &Member, avoided: impl Fn(&str) -> Option<Avoided>) -> Option<&'a Member> {
+    let first = relays.iter().min_by_key(|relay| rank(&relay.vm))?;
+    (rank(&first.vm) < rank(&me.vm) && avoided(&first.vm).is_none()).then_some(*first)
 }
 
 /// Returns the node that is to become a relay where none is left; none where that is `me`.
