Stand-in: the lint of a whole multiple is met

Change: `is_multiple_of`, with the same guard against zero, so that the behaviour is as it was.

Format and lints are clean with it.

--- a/standin/src/managed/server.rs
+++ b/standin/src/managed/server.rs
@@ -234,7 +234,7 @@
     fn fails_next(&self) -> bool {
         let one_in = self.one_fails_in.load(Ordering::Relaxed);
         let runs: u64 = self.runs.lock().unwrap_or_else(PoisonError::into_inner).values().sum();
-        one_in > 0 && runs % one_in == 0
+        one_in > 0 && runs.is_multiple_of(one_in)
     }
 
     /// Sets how long each request takes, in milliseconds.
