Read once more: one copy of weights, account lookups and their refusals

Cause: the change wrote some things twice. Rendezvous weights stood in `member::role` and `quota::rank`, the lookup of a client account by its key in the native and in the platform's reader of calls, the texts of an account that cannot be taken in both readers of bundles, the age of the change log in two of its functions, and the step on the own entry's change in two arms of one match.

Change: `rendezvous::weight`, `caller::account_of`, `AccountFault::as_str`, `ChangeLog::age_us` and `Shell::take_entry` serve both sides each; `ChangeLog::item`, which nothing called, is gone. Weights, headers, statuses and texts are as they were, and no test is touched.

--- a/standin/src/managed/server.rs
+++ b/standin/src/managed/server.rs
@@ -385,8 +385,9 @@
             };
             let id = self.id_of(life);
             let state = if draining { "draining" } else { "ready" };
+            let version = self.version.lock().unwrap_or_else(PoisonError::into_inner).clone();
             let heartbeat = json!({
-                "service": self.service, "address": self.addr, "zone": "kranj", "version": *self.version.lock().unwrap_or_else(PoisonError::into_inner),
+                "service": self.service, "address": self.addr, "zone": "kranj", "version": version,
                 "slots": self.slots, "state": state, "cold_ms": self.cold_left().as_millis() as u64,
                 "sequence": life.sequence, "born": life.born_ms,
             });
--- a/valetrack/src/bundle/account.rs
+++ b/valetrack/src/bundle/account.rs
@@ -38,6 +38,16 @@
     KeyTaken,
 }
 
+impl AccountFault {
+    /// Returns what whoever wrote the account is told.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NameTaken => "another account has this name",
+            Self::KeyTaken => "another account has one of its keys",
+        }
+    }
+}
+
 /// All client accounts of a bundle.
 ///
 /// Keys are looked up by their digests: neither a lookup nor a comparison takes a time that tells how much of a guess
--- a/valetrack/src/bundle/check.rs
+++ b/valetrack/src/bundle/check.rs
@@ -2,7 +2,7 @@
 
 use toml::de::DeTable;
 
-use super::account::{AccountFault, AccountRule, AccountTable};
+use super::account::{AccountRule, AccountTable};
 use super::message::{Bundle, ClaimMode, Fault, MeasureRule, RouteRule, ServiceRule};
 use super::reader::{Reader, Section};
 use super::route::RouteTable;
@@ -194,12 +194,9 @@
         rate_milli_per_s: rate_per_s * 1_000,
         burst_milli: burst * 1_000,
     };
-    let text = match accounts.add(rule, keys.iter().map(|key| &**key)) {
-        Ok(()) => return,
-        Err(AccountFault::NameTaken) => "another account has this name",
-        Err(AccountFault::KeyTaken) => "another account has one of its keys",
-    };
-    reader.fault(Code::BundleValueInvalid, section.span(), text.into());
+    if let Err(fault) = accounts.add(rule, keys.iter().map(|key| &**key)) {
+        reader.fault(Code::BundleValueInvalid, section.span(), fault.as_str().into());
+    }
 }
 
 fn is_key(key: &str) -> bool {
--- a/valetrack/src/caller/mod.rs
+++ b/valetrack/src/caller/mod.rs
@@ -13,4 +13,4 @@
 
 pub use answer::{Answer, CALL_HEADER, CODE_HEADER, OUTCOME_HEADER, RETRY_HEADER};
 pub use protocol::{CallerProtocol, NativeCaller, ReadContext};
-pub use request::{DEADLINE_HEADER, DEPTH_HEADER, IncomingCall, KEY_HEADER, Rejection, SERVICE_HEADER, bearer_key};
+pub use request::{DEADLINE_HEADER, DEPTH_HEADER, IncomingCall, KEY_HEADER, Rejection, SERVICE_HEADER, account_of};
--- a/valetrack/src/caller/request.rs
+++ b/valetrack/src/caller/request.rs
@@ -5,7 +5,7 @@
 use hyper::HeaderMap;
 use hyper::http::request::Parts;
 
-use crate::bundle::{AccountRule, Bundle, RouteRule, ServiceRule};
+use crate::bundle::{AccountRule, AccountTable, Bundle, ServiceRule};
 use crate::code::Code;
 use crate::gate::{ACCOUNT_HEADER, AttemptId, PERMILLE, Patience, REPEAT_HEADER, travelling};
 use crate::link::message::CallHead;
@@ -76,7 +76,8 @@
     let limit_ms = route.map_or(rule.deadline_ms, |route| route.deadline_ms);
     let asked_ms = number(headers, DEADLINE_HEADER)?.unwrap_or(limit_ms.into());
     let key = text(headers, KEY_HEADER, KEY_MAX_BYTES)?;
-    let account = account(headers, bundle, route, depth > 0)?;
+    let is_anonymous = route.is_some_and(|route| route.is_anonymous);
+    let account = account_of(headers, AUTHORIZATION_HEADER, &bundle.accounts, is_anonymous, || depth > 0)?;
     let keeps_keys = bundle.accounts.is_empty();
     let travels = |name: &str| !is_own(name) && (keeps_keys || name != AUTHORIZATION_HEADER);
     let call_id = call_id(headers)?.map_or_else(new_id, str::to_owned);
@@ -133,23 +134,29 @@
     own.contains(&name)
 }
 
-/// Returns the client account that a call is of; none where it needs none.
-fn account<'b>(
+/// Returns the client account of a call by the key that `header` brings behind the scheme `Bearer`; none where the call
+/// needs no key: there are no accounts, its route is anonymous, or it brings none and `may_be_own`, so that an upstream
+/// beside this node may have made it.
+///
+/// # Errors
+///
+/// Returns the rejection of a call that brings no key, another one than one key, or a key of nobody.
+pub fn account_of<'b>(
     headers: &HeaderMap,
-    bundle: &'b Bundle,
-    route: Option<&RouteRule>,
-    is_nested: bool,
+    header: &str,
+    accounts: &'b AccountTable,
+    is_anonymous: bool,
+    may_be_own: impl FnOnce() -> bool,
 ) -> Result<Option<&'b Arc<AccountRule>>, Rejection> {
-    let is_anonymous = route.is_some_and(|route| route.is_anonymous);
-    if bundle.accounts.is_empty() || is_anonymous || (is_nested && !headers.contains_key(AUTHORIZATION_HEADER)) {
+    if accounts.is_empty() || is_anonymous || (!headers.contains_key(header) && may_be_own()) {
         return Ok(None);
     }
-    let account = bearer_key(headers, AUTHORIZATION_HEADER).and_then(|key| bundle.accounts.of_key(key));
+    let account = bearer_key(headers, header).and_then(|key| accounts.of_key(key));
     account.map(Some).ok_or(reject(Code::KeyUnknown, 401))
 }
 
 /// Returns the key that a header brings behind the scheme `Bearer`; none where there is not just one.
-pub fn bearer_key<'h>(headers: &'h HeaderMap, header: &str) -> Option<&'h str> {
+fn bearer_key<'h>(headers: &'h HeaderMap, header: &str) -> Option<&'h str> {
     let mut given = headers.get_all(header).iter();
     let value = given.next()?;
     if given.next().is_some() {
--- a/valetrack/src/lib.rs
+++ b/valetrack/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod placement;
 pub mod platform;
 pub mod quota;
+mod rendezvous;
 pub mod rollout;
 pub mod settings;
 pub mod store;
--- a/valetrack/src/member/leased/read.rs
+++ b/valetrack/src/member/leased/read.rs
@@ -149,22 +149,11 @@
         let mut changed = false;
         for change in changes {
             match change {
-                Change::Put(item) if item.key == own => {
-                    self.own_entry_seen(item);
-                    changed |= self.directory.borrow_mut().apply(change, now_us());
-                }
-                Change::Gone { key, position } if *key == own => {
-                    self.own_entry_gone(*position);
-                    changed |= self.directory.borrow_mut().apply(change, now_us());
-                }
                 Change::Put(item) if item.key == *self.parts.bundle_key => self.take_bundle(item),
                 change if self.evacuated_domain(change.key()).is_some() => self.take_evacuation(change),
                 change if self.is_rollout(change.key()) => changed |= self.take_rollout(change),
                 Change::Put(item) if service_of(&item.key).is_some() => self.take_crashes(item),
-                Change::Put(_) | Change::Gone { .. } => {
-                    self.take_follower_entry(change);
-                    changed |= self.directory.borrow_mut().apply(change, now_us());
-                }
+                Change::Put(_) | Change::Gone { .. } => changed |= self.take_entry(change, &own),
             }
         }
         self.settle_evacuations();
@@ -251,6 +240,16 @@
         self.entry_due.notify_one();
     }
 
+    /// Takes one change of a node's entry, where `own` is the key of this node's; returns whether it says something new.
+    fn take_entry(&self, change: &Change, own: &str) -> bool {
+        match change {
+            _ if change.key() != own => self.take_follower_entry(change),
+            Change::Put(item) => self.own_entry_seen(item),
+            Change::Gone { position, .. } => self.own_entry_gone(*position),
+        }
+        self.directory.borrow_mut().apply(change, now_us())
+    }
+
     /// Takes one change of a follower's entry.
     fn take_follower_entry(&self, change: &Change) {
         let Some(vm) = change.key().strip_prefix(ENTRY_PREFIX) else {
--- a/valetrack/src/member/relay.rs
+++ b/valetrack/src/member/relay.rs
@@ -90,11 +90,6 @@
         self.items.get(key).map(|item| item.position)
     }
 
-    /// Returns the item of a key.
-    pub fn item(&self, key: &str) -> Option<&Item> {
-        self.items.get(key)
-    }
-
     /// Returns the position up to which the store was read; the start of its era before the first read.
     pub fn position(&self) -> Position {
         self.at
@@ -192,8 +187,7 @@
     /// Returns how long the next call for changes of the reader may wait, in milliseconds, so that its news are never
     /// older than they may be for relays to pass them on.
     pub fn reader_poll_ms(&self, now_us: u64) -> u64 {
-        let age_us = self.confirmed_us.map_or(u64::MAX, |confirmed_us| now_us.saturating_sub(confirmed_us));
-        let left_ms = self.part_ms(POLL_TWELFTHS).saturating_sub(age_us / 1_000);
+        let left_ms = self.part_ms(POLL_TWELFTHS).saturating_sub(self.age_us(now_us) / 1_000);
         left_ms.max(RELAY_WAIT_MIN_MS)
     }
 
@@ -231,8 +225,11 @@
 
     /// Returns how long ago the store was known to stand at the position of the log, in milliseconds.
     pub fn age_ms(&self, now_us: u64) -> u32 {
-        let age_us = self.confirmed_us.map_or(u64::MAX, |confirmed_us| now_us.saturating_sub(confirmed_us));
-        (age_us / 1_000).min(u64::from(u32::MAX)) as u32
+        (self.age_us(now_us) / 1_000).min(u64::from(u32::MAX)) as u32
+    }
+
+    fn age_us(&self, now_us: u64) -> u64 {
+        self.confirmed_us.map_or(u64::MAX, |confirmed_us| now_us.saturating_sub(confirmed_us))
     }
 
     /// Returns what a node lacks that has read the store up to `after`: everything, where that is a position that
--- a/valetrack/src/member/role.rs
+++ b/valetrack/src/member/role.rs
@@ -4,13 +4,11 @@
 //! follows the store; the relays of the failure domains follow the reader and keep the entries of their followers; all
 //! other nodes call the store only until they have found a relay.
 
-use std::hash::Hasher;
 use std::sync::Arc;
 
-use siphasher::sip::SipHasher13;
-
 use super::message::{Member, Phase};
 use super::state::Members;
+use crate::rendezvous::weight;
 
 /// Nodes that follow one relay; a failure domain with more of them has several relays.
 pub const GROUP_MAX: usize = 64;
@@ -103,9 +101,8 @@
 }
 
 /// Returns how many relays a failure domain of so many nodes needs.
-const fn relays_for(nodes: usize) -> usize {
-    let groups = nodes.div_ceil(GROUP_MAX);
-    if groups == 0 { 1 } else { groups }
+fn relays_for(nodes: usize) -> usize {
+    nodes.div_ceil(GROUP_MAX).max(1)
 }
 
 /// Draws whether a node that finds no relay in a round, counted from zero, becomes one itself.
@@ -130,11 +127,3 @@
 fn rank(vm: &Arc<str>) -> u64 {
     weight("", vm)
 }
-
-fn weight(follower: &str, vm: &str) -> u64 {
-    let mut hasher = SipHasher13::new();
-    hasher.write(follower.as_bytes());
-    hasher.write_u8(0);
-    hasher.write(vm.as_bytes());
-    hasher.finish()
-}
--- a/valetrack/src/quota/rank.rs
+++ b/valetrack/src/quota/rank.rs
@@ -1,13 +1,11 @@
 //! Which node is the home of an account.
 
 use std::collections::HashMap;
-use std::hash::Hasher;
 use std::sync::Arc;
 
-use siphasher::sip::SipHasher13;
-
 use crate::link::peer::Target;
 use crate::member::{Members, Phase};
+use crate::rendezvous::weight;
 
 /// Homes that are ranked: the first, and the one that stands in for it.
 const RANKED: usize = 2;
@@ -37,11 +35,3 @@
     let homes = ranked.into_iter().take(RANKED);
     homes.map(|(_, member)| Target { vm: member.vm.clone(), addr: member.link_addr }).collect()
 }
-
-fn weight(account: &str, vm: &str) -> u64 {
-    let mut hasher = SipHasher13::new();
-    hasher.write(account.as_bytes());
-    hasher.write_u8(0);
-    hasher.write(vm.as_bytes());
-    hasher.finish()
-}
