Roll-outs: a node looks at one only while one goes on

Cause: the task that carries roll-outs on looked each 300 ms at every node for as long as it lived, also where none was ever ordered.

Change: without a roll-out of its own service that is still to end it waits for news of orders and stages. While one goes on it looks as often as before; the first look comes with the order in place of up to 300 ms after it.

--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -108,6 +108,8 @@
     rng: RefCell<fastrand::Rng>,
     /// The roll-outs that the store shows.
     rollouts: RefCell<RolloutBook>,
+    /// Wakes the task that carries roll-outs on.
+    rollout_news: Notify,
     /// The entries of the nodes that follow this one.
     registrar: RefCell<Registrar>,
     /// The nodes that follow this one, and when each last asked, in microseconds.
@@ -163,6 +165,7 @@
         fetching_evacuation: Cell::new(false),
         rng: RefCell::new(fastrand::Rng::with_seed(parts.seed)),
         rollouts: RefCell::default(),
+        rollout_news: Notify::new(),
         registrar: RefCell::new(Registrar::new(parts.lease_ms)),
         followers: RefCell::default(),
         entry_due: Notify::new(),
--- a/valetrack/src/member/leased/rollout.rs
+++ b/valetrack/src/member/leased/rollout.rs
@@ -61,13 +61,17 @@
     /// Takes one change of roll-outs; returns whether it says something new.
     pub(super) fn take_rollout(&self, change: &Change) -> bool {
         let service = self.parts.rollouts.ordered_service(change.key());
-        match (change, service) {
+        let changed = match (change, service) {
             (Change::Put(item), Some(service)) => self.take_order(service, item),
             (Change::Put(item), None) => self.take_doc(item),
             (Change::Gone { .. }, Some(service)) => self.rollouts.borrow_mut().withdrawn(service),
             // What was reached stays so.
             (Change::Gone { .. }, None) => false,
+        };
+        if changed {
+            self.rollout_news.notify_one();
         }
+        changed
     }
 
     fn take_order(&self, service: &str, item: &Item) -> bool {
@@ -110,18 +114,23 @@
     pub(super) async fn carry_rollouts(self: Rc<Self>) {
         let mut watched = Watched::default();
         loop {
-            sleep(Duration::from_millis(LOOK_MS)).await;
-            let service = self.parts.me.service.clone();
-            let rollout = self.rollouts.borrow().of(&service);
-            let Some(rollout) = rollout.filter(|rollout| !rollout.stage.is_some_and(Stage::is_final)) else {
+            let Some(rollout) = self.open_rollout() else {
+                self.rollout_news.notified().await;
                 continue;
             };
             if let Some(place) = self.place_among_carriers(&rollout) {
                 self.carry(&rollout, place, &mut watched).await;
             }
+            sleep(Duration::from_millis(LOOK_MS)).await;
         }
     }
 
+    /// Returns the roll-out of the own service, if more is to come of it.
+    fn open_rollout(&self) -> Option<RolloutStage> {
+        let rollout = self.rollouts.borrow().of(&self.parts.me.service);
+        rollout.filter(|rollout| !rollout.stage.is_some_and(Stage::is_final))
+    }
+
     /// Returns the place of this node among those that carry a roll-out on, if it is one of them.
     fn place_among_carriers(&self, rollout: &RolloutStage) -> Option<usize> {
         let servers = self.servers_of_own_service();
