Observability: the rate limit that an upstream requests, and starts beyond it

Hypotheses of the incident could not be told apart: an owner recorded neither the value an upstream named nor its starts against it.

Seen by operators: line upstream.rate_limit when a limit begins, ends or changes by over a fifth; gauge valetrack_upstream_rate_limit; counter valetrack_upstream_calls_over_limit_total; VT612 for a value that is no decimal number. Nothing is limited yet. The token bucket of quotas moves to the crate's root for its second user.

--- a/valetrack/src/code.rs
+++ b/valetrack/src/code.rs
@@ -86,6 +86,7 @@
     AnnouncementInvalid = 609, "an announcement of the upstream could not be read";
     EntryInvalid = 610, "a node's entry in the store could not be read";
     CrashReportInvalid = 611, "the crashes of a service in the store could not be read";
+    UpstreamHeaderInvalid = 612, "a header of the upstream's answer has a value that is not allowed";
     FrameInvalid = 701, "a frame on a link could not be read";
     FrameTooLarge = 702, "a frame on a link is over its cap";
     LinkRefused = 703, "a link could not be opened";
--- a/valetrack/src/gate/header.rs
+++ b/valetrack/src/gate/header.rs
@@ -7,6 +7,8 @@
 
 /// Header by which a server announces that it is about to stop.
 pub const LEAVING_HEADER: &str = "valetrack-leaving";
+/// Header by which an upstream limits the calls per second that it receives, with a decimal number.
+pub const RATE_LIMIT_HEADER: &str = "valetrack-rate-limit";
 /// Header that names the client account to upstreams; a value set by a caller is not forwarded.
 pub const ACCOUNT_HEADER: &str = "valetrack-account";
 /// Header with the probability, in thousandths, that a repeated run made the call. If an upstream copies it to the
@@ -25,6 +27,7 @@
     "expect",
     ATTEMPT_HEADER,
     LEAVING_HEADER,
+    RATE_LIMIT_HEADER,
 ];
 
 /// Returns whether a header is forwarded.
--- a/valetrack/src/gate/pool.rs
+++ b/valetrack/src/gate/pool.rs
@@ -15,7 +15,8 @@
 
 use super::message::DeclineReason;
 use super::protocol::{Classified, Health, HostLoad, UpstreamProtocol};
-use crate::clock::Moment;
+use super::rate_limit::AnswerKind;
+use crate::clock::{Moment, steady_us};
 use crate::crash::Down;
 use crate::link::message::CallHead;
 
@@ -75,6 +76,12 @@
 
 type Sender = SendRequest<Full<Bytes>>;
 
+/// Receives the head of each answer of a server, whatever becomes of the answer.
+pub trait AnswerObserver {
+    /// Handles the headers of an answer to a request that began at `begun_us`.
+    fn on_answer_head(&self, headers: &HeaderMap, kind: AnswerKind, begun_us: u64);
+}
+
 /// An idle connection.
 struct Idle {
     sender: Sender,
@@ -138,11 +145,17 @@
         request: Request<Full<Bytes>>,
         call: &CallHead,
         cap_bytes: usize,
+        observer: &dyn AnswerObserver,
     ) -> Result<ServerAnswer, ServerError> {
+        let begun_us = steady_us();
         let (mut sender, answer) = self.send(request, self.protocol.wants_fresh_connection(call)).await?;
         let (head, body) = answer.into_parts();
         let status = head.status.as_u16();
-        match self.protocol.classify(call, status, &head.headers) {
+        let classified = self.protocol.classify(call, status, &head.headers);
+        let is_stray = classified == Classified::Misdirected;
+        let kind = if is_stray { AnswerKind::Stray } else { AnswerKind::Call };
+        observer.on_answer_head(&head.headers, kind, begun_us);
+        match classified {
             Classified::Ran => {}
             Classified::NotStarted(reason) => return Err(ServerError::Rejected(reason)),
             Classified::Misdirected => return Err(ServerError::Misdirected),
@@ -159,33 +172,37 @@
     }
 
     /// Requests the server's health over a new connection; `None` if no complete answer arrived in time.
-    pub async fn health(&self, path: &str) -> Option<Health> {
+    pub async fn health(&self, path: &str, observer: &dyn AnswerObserver) -> Option<Health> {
         let request = self.health_request(path)?;
+        let begun_us = steady_us();
         let response = async {
             let mut sender = self.connect().await?;
             let answer = sender.send_request(request).await.ok()?;
+            observer.on_answer_head(answer.headers(), AnswerKind::HealthCheck, begun_us);
             self.protocol.health(answer.status().as_u16(), answer.headers())
         };
         timeout(Duration::from_millis(HEALTH_MS), response).await.ok()?
     }
 
     /// Requests the load of the server's machine over the connection reserved for that.
-    pub async fn machine_load(&self, path: &str) -> MachineAnswer {
-        match timeout(Duration::from_millis(LOAD_MS), self.request_load(path)).await {
+    pub async fn machine_load(&self, path: &str, observer: &dyn AnswerObserver) -> MachineAnswer {
+        match timeout(Duration::from_millis(LOAD_MS), self.request_load(path, observer)).await {
             Ok(Some(answer)) => answer,
             Ok(None) | Err(_) => MachineAnswer::None,
         }
     }
 
     /// Returns the machine's reply, or `None` if no complete answer arrived.
-    async fn request_load(&self, path: &str) -> Option<MachineAnswer> {
+    async fn request_load(&self, path: &str, observer: &dyn AnswerObserver) -> Option<MachineAnswer> {
         let kept = self.load_connection.borrow_mut().take().filter(Sender::is_ready);
         let request = self.health_request(path)?;
         let mut sender = match kept {
             Some(sender) => sender,
             None => self.connect().await?,
         };
+        let begun_us = steady_us();
         let answer = sender.send_request(request).await.ok()?;
+        observer.on_answer_head(answer.headers(), AnswerKind::HealthCheck, begun_us);
         let load = self.protocol.host_load(answer.headers());
         let health = self.protocol.health(answer.status().as_u16(), answer.headers());
         let cold_ms = health.and_then(|health| health.cold_ms);
--- a/valetrack/src/gate/protocol.rs
+++ b/valetrack/src/gate/protocol.rs
@@ -7,9 +7,10 @@
 use http_body_util::Full;
 use hyper::{HeaderMap, Request};
 
-use super::header::{ACCOUNT_HEADER, LEAVING_HEADER, REPEAT_HEADER};
+use super::header::{ACCOUNT_HEADER, LEAVING_HEADER, RATE_LIMIT_HEADER, REPEAT_HEADER};
 use super::message::DeclineReason;
 use super::pool::ATTEMPT_HEADER;
+use super::rate_limit::RequestedRate;
 use crate::link::message::CallHead;
 
 /// What the head of an upstream's answer means for the call.
@@ -60,6 +61,9 @@
     /// Returns whether an answer announces that the upstream is about to stop.
     fn is_leaving(&self, headers: &HeaderMap) -> bool;
 
+    /// Reads the rate limit that the upstream requests in an answer.
+    fn requested_rate(&self, headers: &HeaderMap) -> RequestedRate;
+
     /// Returns whether the call needs a connection that nothing was sent on before.
     fn wants_fresh_connection(&self, head: &CallHead) -> bool;
 
@@ -108,6 +112,10 @@
         headers.contains_key(LEAVING_HEADER)
     }
 
+    fn requested_rate(&self, headers: &HeaderMap) -> RequestedRate {
+        RequestedRate::read(headers, RATE_LIMIT_HEADER)
+    }
+
     fn wants_fresh_connection(&self, _head: &CallHead) -> bool {
         false
     }
--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -3,6 +3,7 @@
 mod crash;
 mod follow;
 mod machine;
+mod signal;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -26,7 +27,7 @@
 use super::protocol::Health;
 use super::state::{Gate, GateConfig, INTERNAL_PRIORITY};
 use super::upstream::{UpstreamPhase, UpstreamState};
-use crate::clock::{SuspensionWatch, steady_us, suspended_us};
+use crate::clock::{Moment, SuspensionWatch, steady_us, suspended_us};
 use crate::code::Code;
 use crate::crash::{Admission, CrashDetector, Quarantine, RunningCall};
 use crate::link::message::{AnswerHead, CallHead};
@@ -78,6 +79,10 @@
 pub struct GateShell {
     gate: RefCell<Gate>,
     jobs: RefCell<HashMap<AttemptId, Job>>,
+    /// When an invalid header of the server was last logged.
+    invalid_logged: Cell<Option<Moment>>,
+    /// Rate limit of the server that was last logged.
+    logged_rate_per_s: Cell<Option<f64>>,
     pool: ServerPool,
     answer_cap_bytes: Cell<usize>,
     /// Path of the upstream's health check, whose answer includes the machine's speed.
@@ -141,6 +146,8 @@
             suspensions: RefCell::new(SuspensionWatch::from_now()),
             gate: RefCell::new(Gate::new(GateConfig::default(), steady_us())),
             jobs: Default::default(),
+            invalid_logged: Cell::new(None),
+            logged_rate_per_s: Cell::new(None),
             pool,
             answer_cap_bytes: Cell::new(crate::link::message::BODY_MAX_BYTES),
             health_path: RefCell::default(),
@@ -185,7 +192,7 @@
 
     /// Requests the server's health.
     pub async fn health(&self, path: &str) -> Option<Health> {
-        self.pool.health(path).await
+        self.pool.health(path, self).await
     }
 
     /// Runs a call once the gate admits it, and waits for its end.
@@ -277,6 +284,7 @@
         let load = self.load();
         self.metrics.gate_in_flight.set(load.in_flight.into());
         self.metrics.gate_queued.set(load.queued.into());
+        self.metrics.upstream_calls_over_limit.inc_by(self.gate.borrow_mut().drain_over_limit());
         if load.queued > 0 && event != GateEvent::Tick {
             self.changed.notify_one();
         }
@@ -409,7 +417,7 @@
 
     /// Sends a call to the server within `left_us`; returns `None` if the caller has left and the call is repeatable.
     async fn exchange(&self, job: &mut Job, request: Request<Full<Bytes>>, left_us: u64) -> Option<ExchangeResult> {
-        let exchange = self.pool.exchange(request, &job.call.head, self.answer_cap_bytes.get());
+        let exchange = self.pool.exchange(request, &job.call.head, self.answer_cap_bytes.get(), self);
         tokio::select! {
             result = timeout(Duration::from_micros(left_us), exchange) => Some(result),
             // Closing the connection signals the server to stop.
--- a/valetrack/src/gate/run/follow.rs
+++ b/valetrack/src/gate/run/follow.rs
@@ -108,7 +108,7 @@
         self.handle(GateEvent::Return { cold_until_us: steady_us() + RETURN_COLD_US });
         let path = self.health_path.borrow().clone();
         if let Some(path) = path
-            && let Some(Health { cold_ms: Some(cold_ms), .. }) = self.pool.health(&path).await
+            && let Some(Health { cold_ms: Some(cold_ms), .. }) = self.pool.health(&path, self.as_ref()).await
         {
             self.update_cold_until(cold_ms);
         }
--- a/valetrack/src/gate/run/machine.rs
+++ b/valetrack/src/gate/run/machine.rs
@@ -37,7 +37,7 @@
     async fn request_speed(&self, path: &str) {
         self.metrics.speed_requests.inc();
         self.gate.borrow_mut().on_speed_requested(steady_us());
-        match self.pool.machine_load(path).await {
+        match self.pool.machine_load(path, self).await {
             MachineAnswer::Load { load, cold_ms } => {
                 self.gate.borrow_mut().on_health_check_answered();
                 self.record_load(load);
--- /dev/null
+++ b/valetrack/src/gate/run/signal.rs
@@ -0,0 +1,61 @@
+//! What the upstream states about itself in the heads of its answers.
+
+use std::time::Duration;
+
+use hyper::HeaderMap;
+
+use super::GateShell;
+use crate::clock::{Moment, steady_us};
+use crate::code::Code;
+use crate::gate::pool::AnswerObserver;
+use crate::gate::rate_limit::{AnswerKind, RateLimitChange, RequestedRate};
+
+/// Minimum time between two log lines about invalid headers: every answer may contain one.
+const INVALID_LOG_PAUSE: Duration = Duration::from_secs(1);
+/// Smallest change of the rate limit that is logged, as a share of the limit.
+const LOGGED_CHANGE_SHARE: f64 = 0.2;
+
+impl AnswerObserver for GateShell {
+    fn on_answer_head(&self, headers: &HeaderMap, kind: AnswerKind, begun_us: u64) {
+        let requested = self.pool.protocol().requested_rate(headers);
+        if requested == RequestedRate::Invalid {
+            self.record_invalid_header();
+        }
+        let change = self.gate.borrow_mut().rate_limit().on_answer(requested, kind, begun_us, steady_us());
+        if let Some(change) = change {
+            self.on_rate_limit_changed(change);
+        }
+    }
+}
+
+impl GateShell {
+    /// Counts an invalid header, and logs it unless another was logged within [`INVALID_LOG_PAUSE`].
+    fn record_invalid_header(&self) {
+        let code = Code::UpstreamHeaderInvalid;
+        self.metrics.invalid_input.with_label_values(&[&code.to_string()]).inc();
+        if self.invalid_logged.get().is_some_and(|at| at.elapsed() < INVALID_LOG_PAUSE) {
+            return;
+        }
+        self.invalid_logged.set(Some(Moment::now()));
+        log::warn!("event=upstream.header_invalid code={code} header=rate-limit");
+    }
+
+    fn on_rate_limit_changed(&self, change: RateLimitChange) {
+        let RateLimitChange { from_per_s, to_per_s } = change;
+        self.metrics.upstream_rate_limit.set(to_per_s.unwrap_or(f64::INFINITY));
+        let text = |rate_per_s: Option<f64>| rate_per_s.map_or("none".to_owned(), |rate_per_s| rate_per_s.to_string());
+        if is_logged(self.logged_rate_per_s.get(), to_per_s) {
+            self.logged_rate_per_s.set(to_per_s);
+            log::info!("event=upstream.rate_limit from_per_s={} to_per_s={}", text(from_per_s), text(to_per_s));
+        }
+    }
+}
+
+/// Returns whether a change from the last logged limit is large enough to be logged.
+fn is_logged(logged_per_s: Option<f64>, to_per_s: Option<f64>) -> bool {
+    match (logged_per_s, to_per_s) {
+        (Some(logged_per_s), Some(to_per_s)) => (to_per_s - logged_per_s).abs() > logged_per_s * LOGGED_CHANGE_SHARE,
+        (Some(_), None) | (None, Some(_)) => true,
+        (None, None) => false,
+    }
+}
--- a/valetrack/src/gate/state.rs
+++ b/valetrack/src/gate/state.rs
@@ -13,6 +13,7 @@
 };
 use super::outage::Outage;
 use super::progress::Progress;
+use super::rate_limit::RateLimit;
 use super::speed::Speed;
 use super::speed_estimate::history_weight;
 
@@ -124,6 +125,9 @@
     speed: Speed,
     learned: ConcurrencyLimit,
     cold: ColdBound,
+    rate_limit: RateLimit,
+    /// Starts beyond the rate limit that were not drained yet.
+    over_limit: u64,
     outage: Outage,
     /// Whether the server's failure domain is evacuated.
     evacuated: bool,
@@ -147,6 +151,8 @@
             speed: Speed::default(),
             learned: ConcurrencyLimit::default(),
             cold: ColdBound::new(now_us),
+            rate_limit: RateLimit::default(),
+            over_limit: 0,
             outage: Outage::default(),
             evacuated: false,
             suspects: HashSet::new(),
@@ -230,6 +236,16 @@
         self.cold.until_us()
     }
 
+    /// Returns the rate limit that the server requests.
+    pub fn rate_limit(&mut self) -> &mut RateLimit {
+        &mut self.rate_limit
+    }
+
+    /// Returns the number of starts beyond the rate limit since the last call of this function.
+    pub fn drain_over_limit(&mut self) -> u64 {
+        std::mem::take(&mut self.over_limit)
+    }
+
     /// Discards the speed that was learned while the server was cold.
     pub fn warmed_up(&mut self) {
         self.speed.warmed_up();
--- a/valetrack/src/gate/state/queue.rs
+++ b/valetrack/src/gate/state/queue.rs
@@ -203,6 +203,7 @@
             }
             self.progress.record_start(now_us);
             self.cold.record_start(now_us);
+            self.over_limit += u64::from(!self.rate_limit.record_start(now_us));
             let busy = self.running.len() as u16 + 1;
             self.running.insert(waiting.attempt, Running { started_us: now_us, busy });
             out.push(GateAction::Start { attempt: waiting.attempt });
--- a/valetrack/src/gate/tests.rs
+++ b/valetrack/src/gate/tests.rs
@@ -9,6 +9,7 @@
 mod origin;
 mod outage;
 mod property;
+mod rate_limit;
 mod speed;
 mod steps;
 mod suspect;
--- a/valetrack/src/gate/tests/connection.rs
+++ b/valetrack/src/gate/tests/connection.rs
@@ -6,18 +6,25 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::Request;
+use hyper::{HeaderMap, Request};
 use test_case::test_case;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
-use crate::gate::pool::{ServerError, ServerPool};
-use crate::gate::{AttemptId, NativeUpstream, QueueTimeout};
+use crate::gate::pool::{AnswerObserver, ServerError, ServerPool};
+use crate::gate::{AnswerKind, AttemptId, NativeUpstream, QueueTimeout};
 use crate::link::message::CallHead;
 
 const CAP_BYTES: usize = 1_000;
 
+/// Ignores the heads of answers.
+struct Unobserved;
+
+impl AnswerObserver for Unobserved {
+    fn on_answer_head(&self, _headers: &HeaderMap, _kind: AnswerKind, _begun_us: u64) {}
+}
+
 fn call(seq: u64) -> CallHead {
     CallHead {
         attempt: AttemptId { entry: 3, seq },
@@ -89,7 +96,7 @@
 fn incomplete_or_invalid_answer_is_an_error(answers: &'static [&'static str], expected: ServerError) {
     run(async move {
         let pool = pool(server(answers).await);
-        let ended = timeout(Duration::from_secs(5), pool.exchange(request(), &call(1), CAP_BYTES)).await;
+        let ended = timeout(Duration::from_secs(5), pool.exchange(request(), &call(1), CAP_BYTES, &Unobserved)).await;
         assert_eq!(ended.expect("the exchange ends in time").map(|answer| answer.body).err(), Some(expected));
     });
 }
@@ -102,7 +109,7 @@
     run(async {
         let pool = pool(server(&[DOUBLE, SECOND]).await);
         for seq in 0..50 {
-            let ended = pool.exchange(request(), &call(seq), CAP_BYTES).await;
+            let ended = pool.exchange(request(), &call(seq), CAP_BYTES, &Unobserved).await;
             if let Ok(answer) = ended {
                 assert_eq!(answer.body, "first", "call {seq}");
             }
@@ -132,10 +139,10 @@
             }
         });
         let pool = pool(addr);
-        let first = pool.exchange(request(), &call(1), CAP_BYTES).await.expect("an answer");
+        let first = pool.exchange(request(), &call(1), CAP_BYTES, &Unobserved).await.expect("an answer");
         assert_eq!(first.body, "con-1");
         sleep(Duration::from_millis(60)).await;
-        let second = pool.exchange(request(), &call(2), CAP_BYTES).await.expect("an answer");
+        let second = pool.exchange(request(), &call(2), CAP_BYTES, &Unobserved).await.expect("an answer");
         assert_eq!(second.body, "con-2", "the stray answer must not be returned for this call");
     });
 }
@@ -147,7 +154,7 @@
         let addr = listener.local_addr().expect("a bound port");
         drop(listener);
         let pool = pool(addr);
-        let ended = pool.exchange(request(), &call(1), CAP_BYTES).await;
+        let ended = pool.exchange(request(), &call(1), CAP_BYTES, &Unobserved).await;
         assert_eq!(ended.map(|answer| answer.status), Err(ServerError::NotStarted));
     });
 }
@@ -172,9 +179,10 @@
             }
         });
         let pool = pool(addr);
-        let dropped = timeout(Duration::from_millis(10), pool.exchange(request(), &call(1), CAP_BYTES)).await;
+        let dropped =
+            timeout(Duration::from_millis(10), pool.exchange(request(), &call(1), CAP_BYTES, &Unobserved)).await;
         assert!(dropped.is_err());
-        let answer = pool.exchange(request(), &call(2), CAP_BYTES).await.expect("an answer");
+        let answer = pool.exchange(request(), &call(2), CAP_BYTES, &Unobserved).await.expect("an answer");
         assert_eq!(answer.body, "late");
         assert!(connections.recv().await.is_some() && connections.recv().await.is_some());
     });
--- a/valetrack/src/lib.rs
+++ b/valetrack/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod settings;
 pub mod store;
 pub mod timeline;
+pub mod token_bucket;
 
 #[cfg(test)]
 mod tests;
--- a/valetrack/src/metric.rs
+++ b/valetrack/src/metric.rs
@@ -1,8 +1,8 @@
 //! Prometheus metrics of a node.
 
 use prometheus::{
-    CounterVec, Encoder, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    CounterVec, Encoder, Gauge, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
 /// Bucket bounds of the call histogram.
@@ -36,6 +36,10 @@
     pub gate_in_flight: IntGauge,
     /// Calls that wait for a slot of this VM's upstream.
     pub gate_queued: IntGauge,
+    /// Rate limit that the upstream requests, in calls per second; infinite if it requests none.
+    pub upstream_rate_limit: Gauge,
+    /// Calls sent to the upstream beyond the rate limit that it requests.
+    pub upstream_calls_over_limit: IntCounter,
     /// Starts of the upstream without a preceding announcement that it leaves.
     pub upstream_crashes: IntCounter,
     /// 1 if the upstream crashes repeatedly, otherwise 0.
@@ -117,6 +121,11 @@
             Opts::new("valetrack_nested_repeats_total", "Calls that retried runs of this node's upstream have made.");
         let nested_repeats = CounterVec::new(opts, &["service"]).expect("valid name");
         registry.register(Box::new(nested_repeats.clone())).expect("unique name");
+        let upstream_rate_limit =
+            Gauge::new("valetrack_upstream_rate_limit", "Calls per second that the upstream accepts.")
+                .expect("valid name");
+        upstream_rate_limit.set(f64::INFINITY);
+        registry.register(Box::new(upstream_rate_limit.clone())).expect("unique name");
         let counters = |name: &str, help: &str, label: &str| counters_by(name, help, &[label]);
         let gauge = |name: &str, help: &str| {
             let gauge = IntGauge::new(name, help).expect("valid name");
@@ -146,6 +155,11 @@
             ),
             gate_in_flight: gauge("valetrack_gate_in_flight_calls", "Calls that run on the upstream."),
             gate_queued: gauge("valetrack_gate_queued_calls", "Calls that wait for a slot of the upstream."),
+            upstream_rate_limit,
+            upstream_calls_over_limit: counter(
+                "valetrack_upstream_calls_over_limit_total",
+                "Calls sent to the upstream beyond the rate limit that it requests.",
+            ),
             upstream_crashes: counter(
                 "valetrack_upstream_crashes_total",
                 "Starts of the upstream without a preceding announcement that it leaves.",
--- a/valetrack/src/quota/allowance.rs
+++ b/valetrack/src/quota/allowance.rs
@@ -3,10 +3,10 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use super::bucket::TokenBucket;
 use super::home::{Grant, UNGRANTED_SHARE, calls};
 use crate::bundle::{AccountRule, AccountTable};
 use crate::placement::SlidingSum;
+use crate::token_bucket::TokenBucket;
 
 /// Lifetime of a credit; one that is granted and not used in this time is lost to the account.
 const CREDIT_US: u64 = 250_000;
--- a/valetrack/src/quota/home.rs
+++ b/valetrack/src/quota/home.rs
@@ -3,9 +3,9 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use super::bucket::TokenBucket;
 use crate::bundle::{AccountRule, AccountTable};
 use crate::placement::SlidingSum;
+use crate::token_bucket::TokenBucket;
 
 /// Divisor of each rate for the part that homes never grant: entries that reach no home admit calls from it.
 pub const UNGRANTED_SHARE: f64 = 32.0;
@@ -56,7 +56,7 @@
         }
         account.refused.add(1.0, now_us);
         let waiting = account.refused.lower_bound(now_us).max(1.0);
-        let wait_ms = (account.bucket.wait_us(waiting) / 1_000).min(WAIT_MAX_MS.into()) as u32;
+        let wait_ms = (account.bucket.wait_us(waiting, now_us) / 1_000).min(WAIT_MAX_MS.into()) as u32;
         Grant { calls: 0, retry_after_ms: wait_ms.max(WAIT_MIN_MS) }
     }
 
--- a/valetrack/src/quota/mod.rs
+++ b/valetrack/src/quota/mod.rs
@@ -6,7 +6,6 @@
 //! as there is one home, the sum therefore stays within the limit, no matter which entries are cut off from it.
 
 mod allowance;
-mod bucket;
 mod home;
 mod rank;
 pub mod run;
@@ -14,6 +13,5 @@
 mod tests;
 
 pub use allowance::{Allowances, Step};
-pub use bucket::TokenBucket;
 pub use home::{Grant, QuotaHome};
 pub use rank::HomeRanking;
--- a/valetrack/src/quota/tests/fleet.rs
+++ b/valetrack/src/quota/tests/fleet.rs
@@ -10,7 +10,8 @@
 use test_case::test_case;
 
 use crate::bundle::AccountRule;
-use crate::quota::{Allowances, QuotaHome, Step, TokenBucket};
+use crate::quota::{Allowances, QuotaHome, Step};
+use crate::token_bucket::TokenBucket;
 
 /// Simulated time.
 const SIMULATED_US: u64 = 600_000_000;
--- a/valetrack/src/quota/tests/steps.rs
+++ b/valetrack/src/quota/tests/steps.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use crate::bundle::AccountRule;
-use crate::quota::{Allowances, Grant, QuotaHome, Step, TokenBucket};
+use crate::quota::{Allowances, Grant, QuotaHome, Step};
+use crate::token_bucket::TokenBucket;
 
 fn rule(rate_per_s: u64, burst: u64) -> AccountRule {
     AccountRule {
--- a/valetrack/src/quota/bucket.rs
+++ b/valetrack/src/token_bucket.rs
@@ -1,4 +1,4 @@
-//! A token bucket whose tokens are calls.
+//! Token bucket whose tokens are calls.
 
 /// Microseconds in a second.
 const SECOND_US: f64 = 1_000_000.0;
@@ -34,19 +34,27 @@
         taken as u32
     }
 
-    /// Returns the time until the bucket holds `calls`, in microseconds; `u64::MAX` if it never does, for lack of a
-    /// rate.
-    pub fn wait_us(&self, calls: f64) -> u64 {
-        let lacking = (calls - self.level).max(0.0);
-        if lacking > 0.0 && self.rate_per_s <= 0.0 {
+    /// Returns the number of tokens at `now_us`.
+    pub fn level(&self, now_us: u64) -> f64 {
+        let passed_us = now_us.saturating_sub(self.filled_us) as f64;
+        (self.level + passed_us * self.rate_per_s / SECOND_US).min(self.burst)
+    }
+
+    /// Returns the time from `now_us` until the bucket would hold `calls` with an unlimited burst, in microseconds;
+    /// `u64::MAX` if it never does, for lack of a rate.
+    pub fn wait_us(&self, calls: f64, now_us: u64) -> u64 {
+        let lacking = (calls - self.level(now_us)).max(0.0);
+        if lacking == 0.0 {
+            return 0;
+        }
+        if self.rate_per_s <= 0.0 {
             return u64::MAX;
         }
-        (lacking / self.rate_per_s * SECOND_US) as u64
+        (lacking / self.rate_per_s * SECOND_US).ceil() as u64
     }
 
     fn fill(&mut self, now_us: u64) {
-        let passed_us = now_us.saturating_sub(self.filled_us) as f64;
-        self.level = (self.level + passed_us * self.rate_per_s / SECOND_US).min(self.burst);
+        self.level = self.level(now_us);
         self.filled_us = self.filled_us.max(now_us);
     }
 }
