--- a/standin/src/managed/server.rs
+++ b/standin/src/managed/server.rs
@@ -8,13 +8,14 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use http_body_util::BodyExt;
-use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
+use hyper::{Request, Response};
 use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::task::AbortHandle;
 
+use super::limit::{LimitBreach, NamedLimits};
 use crate::client::Client;
 use crate::web::{self, Answer, answer};
 
@@ -61,6 +62,13 @@
     }
 }
 
+/// A departure that the server states in its answers.
+#[derive(Debug, Clone, Copy, Default)]
+struct Leaving {
+    /// When an answer first stated it.
+    answered: Option<Instant>,
+}
+
 /// Requests that crash the server, and the downtime after the crash.
 #[derive(Debug, Clone)]
 struct Deadly {
@@ -87,6 +95,9 @@
     work_ms: AtomicU64,
     running: AtomicUsize,
     draining: AtomicBool,
+    /// When an answer of the present incarnation first stated that the server leaves; `None` if it does not leave.
+    leaving: Mutex<Option<Leaving>>,
+    limits: Mutex<NamedLimits>,
     spoil: Mutex<Spoil>,
     /// Number of runs by request id.
     runs: Mutex<BTreeMap<String, u64>>,
@@ -140,6 +151,8 @@
             work_ms: AtomicU64::new(20),
             running: AtomicUsize::new(0),
             draining: AtomicBool::new(false),
+            leaving: Mutex::default(),
+            limits: Mutex::default(),
             spoil: Mutex::new(Spoil::Nothing),
             runs: Mutex::default(),
             calls: Mutex::default(),
@@ -262,6 +275,47 @@
         }
     }
 
+    /// States in all answers from now on that the server leaves; heartbeats do not announce it.
+    pub fn leave_by_answer(&self) {
+        *self.leaving.lock().unwrap_or_else(PoisonError::into_inner) = Some(Leaving::default());
+    }
+
+    /// Names a rate limit in all answers from now on by the text of its header, or none.
+    pub fn set_limit(&self, text: Option<&str>) {
+        self.limits.lock().unwrap_or_else(PoisonError::into_inner).set(text, Instant::now());
+    }
+
+    /// Returns the worst window with more requests than the limit that was named in answers allows.
+    pub fn limit_breach(&self) -> Option<LimitBreach> {
+        let arrivals: Vec<Instant> = self.arrivals().into_iter().map(|(at, _)| at).collect();
+        self.limits.lock().unwrap_or_else(PoisonError::into_inner).breach(&arrivals)
+    }
+
+    /// Returns the number of requests that arrived after `at`.
+    pub fn arrivals_after(&self, at: Instant) -> usize {
+        self.arrivals().iter().filter(|(arrived, _)| *arrived > at).count()
+    }
+
+    /// Returns whether an answer stated at least the drain time ago that the server leaves.
+    fn has_left_by_answer(&self) -> bool {
+        let leaving = *self.leaving.lock().unwrap_or_else(PoisonError::into_inner);
+        let answered = leaving.and_then(|leaving| leaving.answered);
+        answered.is_some_and(|answered| answered.elapsed() > Duration::from_millis(DRAIN_MS))
+    }
+
+    /// Adds the headers that every answer has.
+    fn add_state_headers(&self, reply: &mut Response<web::Body>) -> Result<(), web::Abort> {
+        let now = Instant::now();
+        if let Some(text) = self.limits.lock().unwrap_or_else(PoisonError::into_inner).answer(now) {
+            reply.headers_mut().insert("server-limit", HeaderValue::from_str(&text)?);
+        }
+        if let Some(leaving) = &mut *self.leaving.lock().unwrap_or_else(PoisonError::into_inner) {
+            leaving.answered.get_or_insert(now);
+            reply.headers_mut().insert("server-leaving", HeaderValue::from_static("1"));
+        }
+        Ok(())
+    }
+
     /// Announces from now on that the server is draining.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
@@ -300,6 +354,8 @@
         let mut incarnation = self.incarnation();
         *incarnation = Incarnation::after(*incarnation, generation);
         self.draining.store(false, Ordering::Relaxed);
+        *self.leaving.lock().unwrap_or_else(PoisonError::into_inner) = None;
+        self.set_limit(None);
     }
 
     /// Makes the server cold for this long from now on.
@@ -424,6 +480,12 @@
 }
 
 async fn handle(server: Arc<ManagedServer>, request: Request<Incoming>) -> Answer {
+    let mut reply = handle_request(server.clone(), request).await?;
+    server.add_state_headers(&mut reply)?;
+    Ok(reply)
+}
+
+async fn handle_request(server: Arc<ManagedServer>, request: Request<Incoming>) -> Answer {
     if request.uri().path() == "/health" {
         let status = if server.draining.load(Ordering::Relaxed) { 503 } else { 200 };
         let mut reply = answer(status, "");
@@ -449,7 +511,8 @@
     if !server.cold_left().is_zero() {
         server.cold_arrivals.lock().map_err(|_| "poisoned")?.push(Instant::now());
     }
-    let drained = server.acknowledged_drain().is_some_and(|since| since.elapsed() > Duration::from_millis(DRAIN_MS));
+    let drained = server.has_left_by_answer()
+        || server.acknowledged_drain().is_some_and(|since| since.elapsed() > Duration::from_millis(DRAIN_MS));
     server.late_arrivals.fetch_add(u64::from(drained), Ordering::Relaxed);
     let deadly_down = server.deadly_down(request.uri().path());
     let headers = request.headers().iter();
