Rate limit of an upstream: the gate beside it enforces what its answers name

What callers saw: an upstream in need kept getting its full load and answered late or not at all. Cause: no code read the limit; an owner starts whatever fits into the slots. The class of fault: an upstream asks for less in a way that the one place through which all its calls pass does not obey.

The fix: the gate keeps a token bucket at the named rate. Entries, retries, hedges, keyed calls and trials all pass it, so the sum holds whoever sends and whatever an entry has heard. A lower limit applies at once, a higher one or none only by an answer to a call that began later; a new start of the upstream has none; a restarted node runs two calls until the first answer. A limit that admits nothing is checked by a health check each 2 s, then by one call. Speed requests stop while a limit holds. Calls that would wait too long for a token are declined at once as RateLimited, also those that were queued when the limit came; calls made by runs go first.

Each decline reports a later start than the one before, so entries come back one by one. A pick leaves out servers that admit nothing yet; a call that none admits in time is rejected unsent, with Retry-After when tokens are there.

--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod load;
 pub mod managed;
 pub mod overload;
+pub mod rate_limit;
 pub mod relay;
 pub mod rollback;
 pub mod server;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -7,7 +7,7 @@
 use standin::load::LoadSettings;
 use standin::server::ServerSettings;
 use standin::soak::{self, SoakSettings};
-use standin::{bench, crash, list, load, overload, rollback, server, slope, store};
+use standin::{bench, crash, list, load, overload, rate_limit, rollback, server, slope, store};
 
 #[global_allocator]
 static ALLOCATOR: slope::CountingAllocator = slope::CountingAllocator;
@@ -24,6 +24,7 @@
 standin overload [--seconds N] [--seed N] [--only TEXT]
 standin slope
 standin crash
+standin rate-limit
 standin rollback
 standin soak   [--seed N] [--seeds N] [--seconds N] [--vms N] [--program FILE] [--logs DIR] [--crashes] [--rollbacks]
 ";
@@ -110,6 +111,10 @@
             overload::print(args.number("seconds", 14)?, args.number("seed", 7)?, args.get("only").unwrap_or(""));
             Ok(())
         }
+        Some("rate-limit") => {
+            rate_limit::compare();
+            Ok(())
+        }
         Some("crash") => {
             crash::compare();
             Ok(())
--- a/valetrack/src/gate/cold.rs
+++ b/valetrack/src/gate/cold.rs
@@ -105,7 +105,7 @@
 
     /// Returns whether the upstream began its present start too late for an earlier incarnation of the node to have
     /// sent it any call. After a power loss, all nodes and all upstreams are new.
-    fn is_new_start(&self) -> bool {
+    pub fn is_new_start(&self) -> bool {
         let length_us = self.rule.length_ms.map(|length_ms| u64::from(length_ms) * 1000);
         length_us.is_some_and(|length_us| self.until_us + NEW_START_US >= self.node_start_us + length_us)
     }
--- a/valetrack/src/gate/message.rs
+++ b/valetrack/src/gate/message.rs
@@ -23,8 +23,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(from = "PackedLoad", into = "PackedLoad")]
 pub struct LoadReport {
-    /// Number of calls that may run at once now; zero while no call may start for some tenths of a second because the
-    /// server is cold and has already received the calls that it supports.
+    /// Number of calls that may run at once now; zero while no call may start because the server has already received
+    /// the calls that it supports, either since it is cold or since it limits its rate.
     pub limit: u16,
     /// Calls that are running.
     pub in_flight: u16,
@@ -50,6 +50,8 @@
     pub kept_percent: u8,
     /// Share of runs that fail.
     pub failing_percent: u8,
+    /// Time until the server's rate limit is expected to admit the next call; zero if it admits one now.
+    pub start_delay_ms: u16,
 }
 
 /// Result of cancelling an attempt at its owner.
@@ -88,6 +90,8 @@
     RepeatRefused,
     /// The call has crashed too many upstreams.
     Quarantined,
+    /// The server limits the rate of its calls, and the call would wait too long.
+    RateLimited,
 }
 
 /// How long an entry lets an attempt wait for a slot.
--- a/valetrack/src/gate/packed.rs
+++ b/valetrack/src/gate/packed.rs
@@ -20,12 +20,15 @@
 const FACTOR_UNIT_PERCENT: u16 = 10;
 /// Unit of the remaining duration of a speed.
 const LASTS_UNIT_MS: u16 = 10;
+/// Added to the start delay in place of a limit of zero. Slots are fewer, so the delay needs no field of its own.
+const DELAY_FLAG: u16 = 1 << 15;
 /// Scale of percentages.
 const PERCENT: f64 = 100.0;
 
 /// A load report on the wire.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub struct PackedLoad {
+    /// The limit, or the start delay in milliseconds with [`DELAY_FLAG`].
     limit: u16,
     in_flight: u16,
     queued: u16,
@@ -48,7 +51,10 @@
         let slow_chance = to_steps(share(load.slow_chance_percent), FOUR_BITS);
         let slow_share = to_steps(share(load.slow_share_percent), FOUR_BITS);
         Self {
-            limit: load.limit,
+            limit: match load.start_delay_ms {
+                0 => load.limit.min(DELAY_FLAG - 1),
+                delay_ms => DELAY_FLAG | delay_ms,
+            },
             in_flight: load.in_flight,
             queued: load.queued,
             service_us: load.service_us,
@@ -65,8 +71,10 @@
     fn from(packed: PackedLoad) -> Self {
         let kept = from_steps(packed.flags >> KEPT_SHIFT, THREE_BITS);
         let failing = from_steps(packed.flags >> FAILING_SHIFT, THREE_BITS).powi(2);
+        let is_delayed = packed.limit & DELAY_FLAG != 0;
         Self {
-            limit: packed.limit,
+            limit: if is_delayed { 0 } else { packed.limit },
+            start_delay_ms: if is_delayed { packed.limit & !DELAY_FLAG } else { 0 },
             in_flight: packed.in_flight,
             queued: packed.queued,
             service_us: packed.service_us,
--- a/valetrack/src/gate/rate_limit.rs
+++ b/valetrack/src/gate/rate_limit.rs
@@ -10,8 +10,13 @@
 const BURST_S: f64 = 0.25;
 /// Time without an answer after which a limit that admits no call has to be confirmed.
 const CONFIRM_US: u64 = 2_000_000;
-/// Longest start delay reported to entries, so that they learn of a higher limit soon.
-const START_DELAY_MAX_US: u64 = 2_000_000;
+/// Longest time until the next token that is reported to entries, so that they learn of a higher limit soon.
+const TOKEN_DELAY_MAX_US: u64 = 5_000_000;
+/// Longest time over which declined calls are spread, in seconds per call per second of the limit: at a low limit, few
+/// calls arrive in time to use a token, and a long spread leaves it unused.
+const SPREAD_S_PER_RATE: f64 = 0.5;
+/// Longest time over which declined calls are spread at any limit.
+const SPREAD_MAX_S: f64 = 2.0;
 /// Longest wait that is distinguished from one that never ends.
 const WAIT_MAX_US: u64 = 3_600_000_000;
 /// Calls that run at once until the first answer shows whether the upstream limits its rate.
@@ -201,8 +206,9 @@
 
     /// Records a call that was declined because of the limit.
     pub fn record_decline(&mut self, now_us: u64) {
-        let most = self.rate_per_s.unwrap_or(0.0) * START_DELAY_MAX_US as f64 / SECOND_US;
-        self.declined = (self.declined(now_us) + 1.0).min(most);
+        let rate_per_s = self.rate_per_s.unwrap_or(0.0);
+        let spread_s = (rate_per_s * SPREAD_S_PER_RATE).min(SPREAD_MAX_S);
+        self.declined = (self.declined(now_us) + 1.0).min(rate_per_s * spread_s);
         self.declined_at_us = now_us;
     }
 
@@ -216,13 +222,17 @@
     /// Returns how long entries should wait before they send the next call, behind `queued` calls; zero if one may
     /// start now.
     pub fn start_delay_us(&self, queued: usize, now_us: u64) -> u64 {
-        match self.remaining(now_us) {
-            Some(remaining) if remaining as usize <= queued => {
-                let ahead = queued + self.declined(now_us) as usize;
-                self.wait_us(ahead, now_us).min(START_DELAY_MAX_US)
-            }
-            Some(_) | None => 0,
+        let (Some(rate_per_s), Some(remaining)) = (self.rate_per_s, self.remaining(now_us)) else {
+            return 0;
+        };
+        if remaining as usize > queued {
+            return 0;
+        }
+        if rate_per_s == 0.0 {
+            return CONFIRM_US;
         }
+        let spread_us = (self.declined(now_us) / rate_per_s * SECOND_US) as u64;
+        self.wait_us(queued, now_us).min(TOKEN_DELAY_MAX_US) + spread_us
     }
 
     /// Returns whether the limit has to be checked by a health check or a trial call, because it admits no call within
--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -221,6 +221,7 @@
         let priority = if nested { INTERNAL_PRIORITY } else { head.priority.saturating_add(1) };
         let objective = objective(&head, nested);
         self.refresh_speed(head.work_us.into()).await;
+        self.check_rate_limit();
         let call = Rc::new(RunningCall { head, body });
         self.jobs.borrow_mut().insert(attempt, Job { call, admission, observed_nested, deadline_us, reply });
         if matches!(admission, Admission::Alone | Admission::Trial) {
@@ -452,6 +453,7 @@
         DeclineReason::Evacuated => "evacuated",
         DeclineReason::RepeatRefused => "repeat-refused",
         DeclineReason::Quarantined => "quarantined",
+        DeclineReason::RateLimited => "rate-limited",
     }
 }
 
--- a/valetrack/src/gate/run/follow.rs
+++ b/valetrack/src/gate/run/follow.rs
@@ -26,10 +26,13 @@
     pub async fn follow_upstream(self: Rc<Self>) {
         let mut upstream = self.upstream.clone();
         let mut previous = UpstreamState::unknown();
+        // An upstream that sends no announcements may have been running before this node.
+        self.gate.borrow_mut().rate_limit().restart(false, steady_us());
         loop {
             let state = upstream.borrow_and_update().clone();
             if state.start != previous.start {
                 self.pool.clear();
+                self.restart_rate_limit(&state, previous.start == 0);
                 self.runs.borrow_mut().set_start(state.start);
                 self.exchanges.borrow_mut().record_up();
             }
@@ -49,6 +52,19 @@
         }
     }
 
+    /// Resets the rate limit for a new start of the upstream. `is_first` states that the node has just started, so the
+    /// upstream may have been running before.
+    fn restart_rate_limit(&self, state: &UpstreamState, is_first: bool) {
+        let mut gate = self.gate.borrow_mut();
+        gate.set_cold(state.cold_until_us, steady_us());
+        let is_new = !is_first || gate.is_new_start();
+        gate.rate_limit().restart(is_new, steady_us());
+        self.metrics.upstream_rate_limit.set(f64::INFINITY);
+        if self.logged_rate_per_s.take().is_some() {
+            log::info!("event=upstream.rate_limit to_per_s=none reason=restart");
+        }
+    }
+
     fn follow_phase(self: &Rc<Self>, phase: UpstreamPhase) {
         match phase {
             UpstreamPhase::Ready if !self.draining.get() => {
--- a/valetrack/src/gate/run/signal.rs
+++ b/valetrack/src/gate/run/signal.rs
@@ -1,5 +1,6 @@
 //! What the upstream states about itself in the heads of its answers.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use hyper::HeaderMap;
@@ -29,6 +30,28 @@
 }
 
 impl GateShell {
+    /// Starts a check whether a limit that admits no call still applies, if one is due.
+    pub(super) fn check_rate_limit(self: &Rc<Self>) {
+        let mut gate = self.gate.borrow_mut();
+        let limit = gate.rate_limit();
+        if limit.needs_check(steady_us()) {
+            limit.record_check(steady_us());
+            tokio::task::spawn_local(self.clone().request_rate_limit());
+        }
+    }
+
+    /// Requests the rate limit by a health check, and allows one call if that brings no answer.
+    async fn request_rate_limit(self: Rc<Self>) {
+        let path = self.health_path.borrow().clone();
+        let is_answered = match path {
+            Some(path) => self.pool.health(&path, self.as_ref()).await.is_some(),
+            None => false,
+        };
+        if !is_answered {
+            self.gate.borrow_mut().rate_limit().allow_trial();
+        }
+    }
+
     /// Counts an invalid header, and logs it unless another was logged within [`INVALID_LOG_PAUSE`].
     fn record_invalid_header(&self) {
         let code = Code::UpstreamHeaderInvalid;
--- a/valetrack/src/gate/state.rs
+++ b/valetrack/src/gate/state.rs
@@ -176,6 +176,7 @@
             true => self.learned.limit(self.config.slots, now_us),
             false => self.config.slots,
         };
+        let slots = self.rate_limit.unconfirmed_calls_max().map_or(slots, |calls_max| slots.min(calls_max));
         let age_us = now_us.saturating_sub(self.opened_us);
         if age_us >= self.config.ramp_us {
             return slots;
@@ -187,13 +188,14 @@
     /// Returns the load at `now_us`.
     pub fn load(&self, now_us: u64) -> LoadReport {
         let in_flight = self.running.len() as u16;
-        let limit = match self.cold.remaining(now_us) {
+        let limit = match self.remaining_starts(now_us) {
             None => self.limit(now_us),
-            // The cold limit is reached, so the end of a run does not allow another start.
+            // No start is left, so the end of a run does not allow another one.
             Some(0) => 0,
-            // Slots of a cold server that may not be filled now do not count as free.
+            // Slots that may not be filled now do not count as free.
             Some(left) => self.limit(now_us).min(in_flight.saturating_add(left as u16)),
         };
+        let start_delay_us = self.rate_limit.start_delay_us(self.waiting.len(), now_us);
         let mut load = LoadReport {
             limit,
             in_flight,
@@ -201,12 +203,24 @@
             service_us: self.reported_service_us(now_us) as u32,
             stalled: self.stalled(now_us),
             leaving: self.leaving,
+            start_delay_ms: start_delay_us.div_ceil(1000) as u16,
             ..LoadReport::default()
         };
         self.speed.report(&mut load, now_us, self.idle_us(now_us));
         load
     }
 
+    /// Returns how many calls may start now regardless of slots; `None` if starts are not limited.
+    fn remaining_starts(&self, now_us: u64) -> Option<usize> {
+        let by_rate = self.rate_limit.remaining(now_us).map(|left| left as usize);
+        [self.cold.remaining(now_us), by_rate].into_iter().flatten().min()
+    }
+
+    /// Returns how long the call behind `ahead` others waits for a start, regardless of slots.
+    fn start_wait_us(&self, ahead: usize, now_us: u64) -> u64 {
+        self.cold.wait_us(ahead, now_us).max(self.rate_limit.wait_us(ahead, now_us))
+    }
+
     /// Returns for how long nothing has run.
     fn idle_us(&self, now_us: u64) -> u64 {
         if self.running.is_empty() { now_us.saturating_sub(self.progress.last_end_us) } else { 0 }
@@ -246,6 +260,11 @@
         std::mem::take(&mut self.over_limit)
     }
 
+    /// Returns whether the server is known to have started no earlier than this node.
+    pub fn is_new_start(&self) -> bool {
+        self.cold.is_new_start()
+    }
+
     /// Discards the speed that was learned while the server was cold.
     pub fn warmed_up(&mut self) {
         self.speed.warmed_up();
@@ -321,7 +340,7 @@
         // Calls that wait only because the server is cold need no report of the machine's speed.
         let deferred = free && self.waiting.iter().any(|waiting| self.is_deferred(waiting, now_us));
         let ask = deferred.then(|| self.speed.next_request_us());
-        let start = (free && self.cold.remaining(now_us) == Some(0)).then(|| now_us + self.cold.wait_us(0, now_us));
+        let start = (free && self.remaining_starts(now_us) == Some(0)).then(|| now_us + self.start_wait_us(0, now_us));
         [stall, ask, start].into_iter().flatten().fold(expiry, u64::min).into()
     }
 
@@ -347,9 +366,10 @@
     }
 
     /// Returns whether the machine's speed must be requested before a run of `work_us` is admitted. A gate that admits
-    /// no run needs none.
+    /// no run needs none, and a server that limits its rate gets no requests besides calls.
     pub fn needs_speed_update(&self, work_us: u64, now_us: u64) -> bool {
         self.closed_reason(now_us).is_none()
+            && self.rate_limit.rate_per_s().is_none()
             && self.running.len() < usize::from(self.config.slots)
             && self.speed.needs_report(work_us, now_us)
     }
@@ -460,6 +480,9 @@
     fn decline(&mut self, attempt: AttemptId, reason: DeclineReason, now_us: u64, out: &mut Vec<GateAction>) {
         // An entry that loses this reply with its link asks again, and must count a rejected attempt against its
         // budget.
+        if reason == DeclineReason::RateLimited {
+            self.rate_limit.record_decline(now_us);
+        }
         let rejected = reason == DeclineReason::Rejected;
         let result = if rejected { CancelResult::Rejected } else { CancelResult::NeverStarted };
         self.store_result(attempt, result, now_us);
--- a/valetrack/src/gate/state/queue.rs
+++ b/valetrack/src/gate/state/queue.rs
@@ -76,7 +76,7 @@
 
     /// Returns whether the first call in the queue may start now.
     fn may_start(&self, now_us: u64) -> bool {
-        self.running.len() < usize::from(self.limit(now_us)) && self.cold.remaining(now_us) != Some(0)
+        self.running.len() < usize::from(self.limit(now_us)) && self.remaining_starts(now_us) != Some(0)
     }
 
     /// Returns why an arriving attempt is declined, if it is.
@@ -121,7 +121,9 @@
         if self.config.rescue && patience != QueueTimeout::Last && self.stalled(now_us) {
             return Some(DeclineReason::Stalled);
         }
-        let wait_us = self.slot_wait_us(call, now_us).max(self.cold_wait_us(call, now_us));
+        let ahead = self.waiting.iter().filter(|other| other.priority <= call.priority).count();
+        let rate_wait_us = self.rate_limit.wait_us(ahead, now_us);
+        let wait_us = self.slot_wait_us(call, now_us).max(self.start_wait_us(ahead, now_us));
         let timeout_us = match patience {
             QueueTimeout::None => 0,
             QueueTimeout::Short => wait_max_us.min(self.service_us as u64 / 2),
@@ -129,9 +131,15 @@
             // The attempt was admitted elsewhere or declined everywhere, so declining it now would come late.
             QueueTimeout::Last => wait_max_us * LAST_WAIT_FACTOR,
         };
-        let start_us = now_us + wait_us;
-        let too_late = start_us + run_us > deadline_us || start_us > call.objective_start_by_us;
-        (wait_us > timeout_us || too_late).then_some(DeclineReason::Full)
+        let is_too_long = |wait_us: u64| {
+            let start_us = now_us + wait_us;
+            wait_us > timeout_us || start_us + run_us > deadline_us || start_us > call.objective_start_by_us
+        };
+        match () {
+            () if rate_wait_us > 0 && is_too_long(rate_wait_us) => Some(DeclineReason::RateLimited),
+            () if is_too_long(wait_us) => Some(DeclineReason::Full),
+            () => None,
+        }
     }
 
     /// Returns how long a call that is not deferred waits for a slot.
@@ -146,19 +154,14 @@
         (self.service_us as u64 + ahead_us) / limit as u64
     }
 
-    /// Returns how long a call waits until the cold server supports another start.
-    fn cold_wait_us(&self, call: &Waiting, now_us: u64) -> u64 {
-        let ahead = self.waiting.iter().filter(|other| other.priority <= call.priority).count();
-        self.cold.wait_us(ahead, now_us)
-    }
-
     /// Returns whether the machine's speed must be requested because calls wait for the end of a slow episode.
     pub fn needs_episode_update(&self, now_us: u64) -> bool {
         now_us >= self.speed.next_request_us() && self.waiting.iter().any(|waiting| self.is_deferred(waiting, now_us))
     }
 
     pub(super) fn is_deferred(&self, waiting: &Waiting, now_us: u64) -> bool {
-        self.speed.is_better_deferred(waiting.work_us, now_us)
+        // A server that limits its rate gets no requests for the machine's speed, which would show the end of the wait.
+        self.rate_limit.rate_per_s().is_none() && self.speed.is_better_deferred(waiting.work_us, now_us)
     }
 
     /// Returns whether an attempt that may crash the server has to wait for another one that runs.
@@ -177,6 +180,7 @@
             let waiting = self.waiting[kept];
             let reason = match () {
                 () if now_us >= waiting.leave_at_us => DeclineReason::Full,
+                () if self.starts_too_late_by_rate(kept, now_us) => DeclineReason::RateLimited,
                 () if stalled && waiting.patience != QueueTimeout::Last => DeclineReason::Stalled,
                 () => {
                     kept += 1;
@@ -188,6 +192,14 @@
         }
     }
 
+    /// Returns whether the call at `position` of the queue starts too late because of a rate limit that was lowered, or
+    /// of calls that have overtaken it.
+    fn starts_too_late_by_rate(&self, position: usize, now_us: u64) -> bool {
+        let waiting = &self.waiting[position];
+        let start_us = now_us + self.rate_limit.wait_us(position, now_us);
+        self.rate_limit.rate_per_s().is_some() && start_us > waiting.leave_at_us.min(waiting.objective_start_by_us)
+    }
+
     /// Starts waiting calls while slots are free, except for deferred ones.
     pub(super) fn start_waiting(&mut self, now_us: u64, out: &mut Vec<GateAction>) {
         while self.may_start(now_us) {
--- a/valetrack/src/gate/tests.rs
+++ b/valetrack/src/gate/tests.rs
@@ -10,6 +10,7 @@
 mod outage;
 mod property;
 mod rate_limit;
+mod rate_limited_gate;
 mod speed;
 mod steps;
 mod suspect;
--- a/valetrack/src/placement/call.rs
+++ b/valetrack/src/placement/call.rs
@@ -274,6 +274,11 @@
         if !self.made_by_run {
             self.declines_left = cx.view.allowed_declines(self.rule.bounces, cx.now_us);
         }
+        if self.is_rate_limited(cx) {
+            self.last_code = Code::Overloaded;
+            self.settle(cx, out);
+            return;
+        }
         let Some(server) = self.send_first(cx, out) else {
             self.settle(cx, out);
             return;
@@ -343,10 +348,24 @@
     fn not_run(&self, cx: &mut CallContext<'_>) -> Verdict {
         match self.last_code {
             Code::Quarantined => QUARANTINED,
-            code => Verdict::NotRun { code, retry_after_ms: retry_after_ms(self.rule.demand, cx.rng) },
+            code => {
+                // The random part spreads the callers that return once rate limits admit calls again.
+                let start_delay_ms = cx.view.start_delay_us(cx.now_us).div_ceil(1000) as u32;
+                let retry_after_ms = start_delay_ms + retry_after_ms(self.rule.demand, cx.rng);
+                Verdict::NotRun { code, retry_after_ms }
+            }
         }
     }
 
+    /// Returns whether the rate limits of all servers admit the call too late for its objective. A call made by a run
+    /// is sent anyway: it ranks first in the queues, and the work of the run is lost with it.
+    fn is_rate_limited(&self, cx: &CallContext<'_>) -> bool {
+        let Some(demand) = self.rule.demand.filter(|_| !self.made_by_run) else {
+            return false;
+        };
+        cx.view.start_delay_us(cx.now_us) > demand.left_us.saturating_sub(demand.work_us.into())
+    }
+
     /// Sends a cancel to the owners of all attempts in flight.
     fn cancel_all(&mut self, out: &mut Vec<CallAction>) {
         for at in 0..self.count {
--- a/valetrack/src/placement/call/end.rs
+++ b/valetrack/src/placement/call/end.rs
@@ -41,7 +41,8 @@
         let server = self.server(at);
         self.last_code = decline_code(reason);
         record_decline(server, reason, cx);
-        cx.view.record_full(reason == DeclineReason::Full, cx.now_us);
+        let is_full = matches!(reason, DeclineReason::Full | DeclineReason::RateLimited);
+        cx.view.record_full(is_full, cx.now_us);
         if self.finished {
             return;
         }
@@ -53,7 +54,7 @@
             // A hedge that found no free slot is no loss; the first attempt continues.
             return;
         }
-        if matches!(self.patience(at), QueueTimeout::Long | QueueTimeout::Last) && reason == DeclineReason::Full {
+        if matches!(self.patience(at), QueueTimeout::Long | QueueTimeout::Last) && is_full {
             // The attempt was the last resort, so no server has room.
             self.settle(cx, out);
             return;
@@ -98,7 +99,8 @@
 
     /// Charges a decline to the allowances that apply only to some reasons.
     fn charge_allowances(&mut self, server: ServerIndex, reason: DeclineReason, cx: &CallContext<'_>) {
-        if reason == DeclineReason::Full && cx.view.is_cross_domain(server) {
+        let is_full = matches!(reason, DeclineReason::Full | DeclineReason::RateLimited);
+        if is_full && cx.view.is_cross_domain(server) {
             self.cross_domain_declines_left = self.cross_domain_declines_left.saturating_sub(1);
         }
         if reason == DeclineReason::Slow {
@@ -237,15 +239,18 @@
         | DeclineReason::Evacuated
         | DeclineReason::Cancelled
         | DeclineReason::RepeatRefused
-        | DeclineReason::Quarantined => {}
+        | DeclineReason::Quarantined
+        | DeclineReason::RateLimited => {}
     }
 }
 
 const fn decline_code(reason: DeclineReason) -> Code {
     match reason {
-        DeclineReason::Full | DeclineReason::Stalled | DeclineReason::Slow | DeclineReason::RepeatRefused => {
-            Code::Overloaded
-        }
+        DeclineReason::Full
+        | DeclineReason::Stalled
+        | DeclineReason::Slow
+        | DeclineReason::RepeatRefused
+        | DeclineReason::RateLimited => Code::Overloaded,
         DeclineReason::Leaving | DeclineReason::Evacuated => Code::Leaving,
         DeclineReason::Cancelled => Code::Cancelled,
         DeclineReason::Quarantined => Code::Quarantined,
--- a/valetrack/src/placement/tests/call.rs
+++ b/valetrack/src/placement/tests/call.rs
@@ -361,3 +361,20 @@
     }
     assert_eq!(world.verdict, Some(Verdict::Answer(failing)));
 }
+
+#[test]
+fn call_that_no_limited_server_admits_in_time_is_rejected_unsent() {
+    let demand = Some(Demand { work_us: 20_000, left_us: 400_000 });
+    let rule = CallRule { repeatable: true, bounces: 2, retries: 1, hedge_after_percent: None, demand };
+    for (delay_ms, made_by_run, is_sent) in [(2_000, false, false), (2_000, true, true), (100, false, true)] {
+        let mut world = World::new(rule, 1);
+        let load = LoadReport { start_delay_ms: delay_ms, ..LoadReport::default() };
+        (0..SERVERS).for_each(|server| world.view.report(server, load, 0));
+        world.call = Call::new(rule, 1).made_by_run(made_by_run);
+        world.handle_event(CallEvent::Begin).expect("no violation");
+        assert_eq!(!world.attempts.is_empty(), is_sent, "{delay_ms} {made_by_run}");
+        if let Some(Verdict::NotRun { retry_after_ms, .. }) = world.verdict {
+            assert!(retry_after_ms >= 2_000, "the caller may return when a call is admitted: {retry_after_ms}");
+        }
+    }
+}
--- a/valetrack/src/placement/tests/view.rs
+++ b/valetrack/src/placement/tests/view.rs
@@ -88,3 +88,36 @@
     view.report(0, load, 0);
     assert!(view.expected_us(0, 0) > 2.0 * view.expected_us(0, 200_000));
 }
+
+/// Returns the report of an idle server whose rate limit admits the next call after a delay.
+fn limited(start_delay_ms: u16) -> LoadReport {
+    LoadReport { limit: if start_delay_ms > 0 { 0 } else { 6 }, start_delay_ms, ..LoadReport::default() }
+}
+
+#[test]
+fn calls_avoid_server_until_its_rate_limit_admits_one() {
+    let mut view = view(2);
+    let mut rng = fastrand::Rng::with_seed(1);
+    view.report(0, limited(200), 1_000_000);
+    view.report(
+        1,
+        LoadReport { limit: 1, in_flight: 1, queued: 3, service_us: 90_000, ..LoadReport::default() },
+        1_000_000,
+    );
+    let none = ServerSet::default();
+    assert_eq!(view.pick(none, 1_199_999, &mut rng), Some(1), "however busy the other one is");
+    assert_eq!(view.start_delay_us(1_100_000), 0, "one server admits a call");
+    assert_eq!(view.pick(none, 1_200_000, &mut rng), Some(0));
+}
+
+#[test]
+fn only_limited_servers_are_picked_by_their_next_start() {
+    let mut view = view(3);
+    let mut rng = fastrand::Rng::with_seed(1);
+    for (server, delay_ms) in [(0, 900), (1, 300), (2, 600)] {
+        view.report(server, limited(delay_ms), 1_000_000);
+    }
+    assert_eq!(view.pick(ServerSet::default(), 1_000_000, &mut rng), Some(1));
+    assert_eq!(view.start_delay_us(1_000_000), 300_000);
+    assert!(!view.has_room(ServerSet::default(), 0, 1_000_000), "an old report does not hide the limit");
+}
--- a/valetrack/src/placement/view.rs
+++ b/valetrack/src/placement/view.rs
@@ -54,6 +54,8 @@
     failures: u32,
     failure_share: f64,
     ejected_until_us: u64,
+    /// Time until which the server's rate limit is expected to admit no call.
+    starts_after_us: u64,
     ejections: u32,
     probed_us: u64,
     /// Traffic share while its service is rolled out.
@@ -71,6 +73,7 @@
     failures: 0,
     failure_share: 0.0,
     ejected_until_us: 0,
+    starts_after_us: 0,
     ejections: 0,
     probed_us: 0,
     traffic_share: TrafficShare::Usual,
@@ -94,6 +97,8 @@
     /// Whether the traffic share of any server differs from the usual one.
     is_in_rollout: bool,
     trial: TrialShare,
+    /// Latest `starts_after_us` of any server.
+    last_starts_after_us: u64,
 }
 
 impl ServiceView {
@@ -107,6 +112,7 @@
             full_owner_share: FullOwnerShare::default(),
             is_in_rollout: false,
             trial: TrialShare::default(),
+            last_starts_after_us: 0,
         }
     }
 
@@ -200,6 +206,11 @@
             return;
         };
         view.leaving |= load.leaving;
+        view.starts_after_us = match load.start_delay_ms {
+            0 => 0,
+            delay_ms => now_us + u64::from(delay_ms) * 1000,
+        };
+        self.last_starts_after_us = self.last_starts_after_us.max(view.starts_after_us);
         view.last_report = Some(ReceivedLoad { load, received_us: now_us });
         view.outstanding_at_report = view.outstanding;
     }
@@ -341,6 +352,9 @@
 
     fn appears_free(&self, server: ServerIndex, fresh_us: u64, now_us: u64) -> bool {
         let view = &self.servers[server];
+        if view.starts_after_us > now_us {
+            return false;
+        }
         let Some(last_report) = view.last_report.filter(|last_report| now_us < last_report.received_us + fresh_us)
         else {
             return true;
@@ -367,9 +381,39 @@
         })
     }
 
+    /// Returns how long the rate limits of all servers in rotation are expected to admit no call; zero if one admits a
+    /// call now.
+    pub fn start_delay_us(&self, now_us: u64) -> u64 {
+        if self.last_starts_after_us <= now_us {
+            return 0;
+        }
+        let rotation = self.rotation(now_us);
+        let in_rotation = self.servers.iter().enumerate().filter(|(server, _)| rotation.contains(*server));
+        let first_us = in_rotation.map(|(_, view)| view.starts_after_us).min();
+        first_us.map_or(0, |first_us| first_us.saturating_sub(now_us))
+    }
+
+    /// Returns the servers to which a call should not go because of their rate limits. If that is all of them, the one
+    /// that admits a call first is left out.
+    fn rate_limited(&self, excluded: ServerSet, now_us: u64) -> ServerSet {
+        let mut rate_limited = ServerSet::default();
+        if self.last_starts_after_us <= now_us {
+            return rate_limited;
+        }
+        let rotation = self.rotation(now_us);
+        let usable = |server: &ServerIndex| rotation.contains(*server) && !excluded.contains(*server);
+        let starts_after_us = |server: ServerIndex| self.servers[server].starts_after_us;
+        let first_us = (0..self.servers.len()).filter(usable).map(starts_after_us).min().unwrap_or(0);
+        for server in (0..self.servers.len()).filter(|server| starts_after_us(*server) > first_us.max(now_us)) {
+            rate_limited.insert(server);
+        }
+        rate_limited
+    }
+
     /// Returns the servers in rotation outside `excluded`, and their number. Nothing is allocated.
     fn eligible(&self, excluded: ServerSet, now_us: u64) -> ([ServerIndex; MAX_SERVERS], usize) {
         let rotation = self.rotation(now_us);
+        let excluded = excluded.union(self.rate_limited(excluded, now_us));
         let mut eligible = [0; MAX_SERVERS];
         let mut count = 0;
         for server in 0..self.servers.len() {
--- a/valetrack/src/placement/view/utility.rs
+++ b/valetrack/src/placement/view/utility.rs
@@ -72,8 +72,12 @@
         let failure_us = failing * FAILING_WEIGHT * demand.left_us as f64;
         let stall_us = if load.stalled { STALL_PENALTY_US * weight } else { 0.0 };
         // A cold server that has used up its starts looks idle, and would attract all calls.
-        let cold_us = if load.limit == 0 { COLD_START_WAIT_US.saturating_sub(age_us) as f64 } else { 0.0 };
-        f64::from(view.network_us) + wait_us + failure_us + stall_us + cold_us
+        let start_us = match (load.limit, load.start_delay_ms) {
+            (0, 0) => COLD_START_WAIT_US.saturating_sub(age_us) as f64,
+            (0, delay_ms) => (u64::from(delay_ms) * 1000).saturating_sub(age_us) as f64,
+            _ => 0.0,
+        };
+        f64::from(view.network_us) + wait_us + failure_us + stall_us + start_us
     }
 
     /// Returns the utility of a call at the best server outside `excluded`. The network cost of `server`, at which the
