Upstreams that leave by their answers: the owner stops at once, entries remember the incarnation

What callers saw: calls to an upstream that had said it leaves, which might end while it ran them.

The owner closes the gate of that upstream before the answer is passed on, declines what waits, and applies it like a deregistration, which is final for this start; its node goes on. Entries remember the incarnation from the answer that they pass on and attach it to calls to that VM, and to keyed calls, so an owner that has restarted and hears late heartbeats declines them. It travels in a header between nodes that exists only where something leaves: other calls have no byte more. A later start, also under the same id, is served. On the product's own upstream protocol, without announcements, the node leaves with its upstream as before, since nothing would show the next start.

--- a/valetrack/src/caller/keyed.rs
+++ b/valetrack/src/caller/keyed.rs
@@ -146,7 +146,8 @@
     async fn submit_once(&self, target: &Target, head: &CallHead, body: &Bytes, deadline: Moment) -> SubmitResult {
         let left = deadline.left();
         let attempt = self.placer.next_attempt();
-        let head = CallHead { attempt, deadline_ms: left.as_millis() as u32, hlc: events::stamp(), ..head.clone() };
+        let mut head = CallHead { attempt, deadline_ms: left.as_millis() as u32, hlc: events::stamp(), ..head.clone() };
+        self.placer.departures.attach(None, &mut head.headers);
         let request = PeerRequest { ask: Ask::RunKeyed(head), body: body.clone() };
         let limit = left + Duration::from_millis(REPLY_SLACK_MS);
         match self.placer.ask(target.clone(), request, limit).await {
--- a/valetrack/src/caller/run.rs
+++ b/valetrack/src/caller/run.rs
@@ -263,11 +263,14 @@
         let call_id = head.call_id.clone();
         let (route, service) = (head.route.clone(), head.service.clone());
         log::debug!("event=call.begin call={call_id} service={}", head.service);
-        let placed = if self.outlasts_exit(head.deadline_ms) {
+        let mut placed = if self.outlasts_exit(head.deadline_ms) {
             Placed::Verdict(LEAVING)
         } else {
             self.place_within_quota(head, body, repeatable, attempts_max).await
         };
+        if let Placed::Answer(head, _) = &mut placed {
+            self.placer.departures.take_from(&mut head.headers);
+        }
         let code = code_of_placed(&placed);
         let answer = self.parts.protocol.of_placed(placed, &call_id);
         let level = if answer.status().is_success() { log::Level::Info } else { log::Level::Warn };
--- a/valetrack/src/gate/header.rs
+++ b/valetrack/src/gate/header.rs
@@ -5,7 +5,8 @@
 
 use super::pool::ATTEMPT_HEADER;
 
-/// Header by which a server announces that it is about to stop.
+/// Header by which a server announces that it is about to stop. In messages between nodes, it states which incarnation
+/// of an upstream leaves.
 pub const LEAVING_HEADER: &str = "valetrack-leaving";
 /// Header by which an upstream limits the calls per second that it receives, with a decimal number.
 pub const RATE_LIMIT_HEADER: &str = "valetrack-rate-limit";
--- a/valetrack/src/gate/mod.rs
+++ b/valetrack/src/gate/mod.rs
@@ -6,6 +6,7 @@
 
 mod cold;
 mod crash;
+mod departure;
 mod header;
 mod kept;
 mod ledger;
@@ -29,6 +30,7 @@
 
 pub use cold::{ColdBound, ColdRule};
 pub use crash::CrashWatch;
+pub use departure::{Departure, Departures};
 pub use header::{ACCOUNT_HEADER, REPEAT_HEADER, forwarded_headers};
 pub use kept::KeptSpeedShare;
 pub use ledger::RunLedger;
--- a/valetrack/src/gate/rate_limit.rs
+++ b/valetrack/src/gate/rate_limit.rs
@@ -10,8 +10,8 @@
 const BURST_S: f64 = 0.25;
 /// Time without an answer after which a limit that admits no call has to be confirmed.
 const CONFIRM_US: u64 = 2_000_000;
-/// Longest time until the next token that is reported to entries, so that they learn of a higher limit soon.
-const TOKEN_DELAY_MAX_US: u64 = 5_000_000;
+/// Time in which a check usually ends.
+const CHECK_US: u64 = 250_000;
 /// Longest time over which declined calls are spread, in seconds per call per second of the limit: at a low limit, few
 /// calls arrive in time to use a token, and a long spread leaves it unused.
 const SPREAD_S_PER_RATE: f64 = 0.5;
@@ -228,11 +228,18 @@
         if remaining as usize > queued {
             return 0;
         }
-        if rate_per_s == 0.0 {
-            return CONFIRM_US;
+        let token_us = self.wait_us(queued, now_us);
+        if token_us > CONFIRM_US {
+            return self.check_delay_us(now_us);
         }
-        let spread_us = (self.declined(now_us) / rate_per_s * SECOND_US) as u64;
-        self.wait_us(queued, now_us).min(TOKEN_DELAY_MAX_US) + spread_us
+        token_us + (self.declined(now_us) / rate_per_s * SECOND_US) as u64
+    }
+
+    /// Returns the time until a check may show that the limit has ended.
+    fn check_delay_us(&self, now_us: u64) -> u64 {
+        let is_checking = now_us < self.checked_us + CHECK_US;
+        let due_us = self.confirmed_us.max(self.checked_us) + CONFIRM_US;
+        if is_checking { CHECK_US } else { due_us.saturating_sub(now_us).max(CHECK_US) }
     }
 
     /// Returns whether the limit has to be checked by a health check or a trial call, because it admits no call within
--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_channel::Sender;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
@@ -18,6 +19,7 @@
 use tokio::time::error::Elapsed;
 use tokio::time::{sleep, timeout};
 
+use super::departure::{self, Departures};
 use super::header::forwarded_headers;
 use super::ledger::{LedgerEntry, RunLedger};
 use super::message::{AttemptId, CancelResult, DeclineReason, GateAction, GateEvent, LoadReport, PERMILLE, RunTimes};
@@ -26,7 +28,7 @@
 use super::pool::{ServerAnswer, ServerError, ServerPool};
 use super::protocol::Health;
 use super::state::{Gate, GateConfig, INTERNAL_PRIORITY};
-use super::upstream::{UpstreamPhase, UpstreamState};
+use super::upstream::{Announcement, UpstreamPhase, UpstreamState};
 use crate::clock::{Moment, SuspensionWatch, steady_us, suspended_us};
 use crate::code::Code;
 use crate::crash::{Admission, CrashDetector, Quarantine, RunningCall};
@@ -110,6 +112,13 @@
     /// Notified when a health check reports a different end of the cold period.
     cold_changed: Notify,
     leaving: Arc<Notify>,
+    vm: Arc<str>,
+    /// Channel for what answers state about the server, if the server has announcements.
+    to_upstream: Option<Sender<Announcement>>,
+    /// Incarnations of upstreams that are known to leave.
+    departures: Rc<Departures>,
+    /// When the present start of the server was observed.
+    start_since_us: Cell<u64>,
     metrics: Arc<Metrics>,
 }
 
@@ -119,8 +128,14 @@
     pub pool: ServerPool,
     /// State of the server according to its announcements.
     pub upstream: watch::Receiver<UpstreamState>,
-    /// Notified when the server announces that it is about to stop.
+    /// Notified when a server without announcements states that it is about to stop.
     pub leaving: Arc<Notify>,
+    /// Name of this VM.
+    pub vm: Arc<str>,
+    /// Channel for what answers state about the server; `None` if the platform has no announcements.
+    pub to_upstream: Option<Sender<Announcement>>,
+    /// Incarnations of upstreams that are known to leave.
+    pub departures: Rc<Departures>,
     /// The entry beside this gate.
     pub ledger: Rc<dyn RunLedger>,
     /// This node's record of calls that crash upstreams.
@@ -132,7 +147,7 @@
 impl GateShell {
     /// Creates a gate.
     pub fn new(parts: GateShellParts) -> Rc<Self> {
-        let GateShellParts { pool, upstream, leaving, ledger, crashes, metrics } = parts;
+        let GateShellParts { pool, upstream, leaving, vm, to_upstream, departures, ledger, crashes, metrics } = parts;
         Rc::new(Self {
             upstream,
             origins: RefCell::default(),
@@ -155,6 +170,10 @@
             changed: Notify::new(),
             cold_changed: Notify::new(),
             leaving,
+            vm,
+            to_upstream,
+            departures,
+            start_since_us: Cell::new(0),
             metrics,
         })
     }
@@ -191,7 +210,7 @@
     }
 
     /// Requests the server's health.
-    pub async fn health(&self, path: &str) -> Option<Health> {
+    pub async fn health(self: &Rc<Self>, path: &str) -> Option<Health> {
         self.pool.health(path, self).await
     }
 
@@ -207,6 +226,7 @@
         if self.upstream.borrow().phase == UpstreamPhase::Unknown {
             return GateReply::Bounce(DeclineReason::NotReady);
         }
+        self.follow_departures();
         if f64::from(head.repeat_permille) >= PERMILLE && !self.ledger.admits_repeat() {
             return GateReply::Bounce(self.log_decline(&head, DeclineReason::RepeatRefused));
         }
@@ -350,9 +370,6 @@
         if let Some(load) = self.pool.protocol().host_load(&answer.headers) {
             self.record_load(load);
         }
-        if self.pool.protocol().is_leaving(&answer.headers) {
-            self.leaving.notify_one();
-        }
     }
 
     /// Runs a started call at the server and sends the reply.
@@ -369,7 +386,8 @@
         let start_us = steady_us();
         let start = self.machine_at(start_us);
         let left_us = job.deadline_us.saturating_sub(start_us);
-        let id = self.upstream.borrow().id.clone();
+        let incarnation = self.upstream.borrow().incarnation(&self.vm);
+        let id = incarnation.as_ref().map(|incarnation| incarnation.id.clone());
         let Some(request) = self.pool.protocol().request(head, call.body.clone(), left_us / 1000, id.as_deref()) else {
             self.decline_started(job, DeclineReason::Refused);
             return;
@@ -398,7 +416,10 @@
         self.gate.borrow_mut().ran(attempt, times, healthy);
         self.count_run(head, times, healthy);
         log_done(head, times, code, answer.as_ref(), healthy);
+        let departure = answer.as_ref().filter(|answer| self.pool.protocol().is_leaving(&answer.headers));
+        let departure = departure.and(incarnation.as_ref()).and_then(departure::header);
         let (mut answer_head, body) = answer_head(attempt, code, answer);
+        answer_head.headers.extend(departure);
         answer_head.nested = job.observed_nested;
         answer_head.work_us = times.unslowed_us.min(u64::from(u32::MAX)) as u32;
         let _ = job.reply.send(GateReply::Answer(answer_head, body));
@@ -417,7 +438,12 @@
     }
 
     /// Sends a call to the server within `left_us`; returns `None` if the caller has left and the call is repeatable.
-    async fn exchange(&self, job: &mut Job, request: Request<Full<Bytes>>, left_us: u64) -> Option<ExchangeResult> {
+    async fn exchange(
+        self: &Rc<Self>,
+        job: &mut Job,
+        request: Request<Full<Bytes>>,
+        left_us: u64,
+    ) -> Option<ExchangeResult> {
         let exchange = self.pool.exchange(request, &job.call.head, self.answer_cap_bytes.get(), self);
         tokio::select! {
             result = timeout(Duration::from_micros(left_us), exchange) => Some(result),
--- a/valetrack/src/gate/run/follow.rs
+++ b/valetrack/src/gate/run/follow.rs
@@ -32,6 +32,7 @@
             let state = upstream.borrow_and_update().clone();
             if state.start != previous.start {
                 self.pool.clear();
+                self.start_since_us.set(steady_us());
                 self.restart_rate_limit(&state, previous.start == 0);
                 self.runs.borrow_mut().set_start(state.start);
                 self.exchanges.borrow_mut().record_up();
@@ -124,7 +125,7 @@
         self.handle(GateEvent::Return { cold_until_us: steady_us() + RETURN_COLD_US });
         let path = self.health_path.borrow().clone();
         if let Some(path) = path
-            && let Some(Health { cold_ms: Some(cold_ms), .. }) = self.pool.health(&path, self.as_ref()).await
+            && let Some(Health { cold_ms: Some(cold_ms), .. }) = self.pool.health(&path, self).await
         {
             self.update_cold_until(cold_ms);
         }
--- a/valetrack/src/gate/run/machine.rs
+++ b/valetrack/src/gate/run/machine.rs
@@ -1,5 +1,7 @@
 //! Requests for the speed of the server's machine, and the durations of runs on it.
 
+use std::rc::Rc;
+
 use super::GateShell;
 use crate::clock::steady_us;
 use crate::gate::message::RunTimes;
@@ -20,7 +22,7 @@
 impl GateShell {
     /// Requests the machine's speed if the speed varies and its last report is too old for a run of `work_us`. A
     /// missing answer changes nothing.
-    pub async fn refresh_speed(&self, work_us: u64) {
+    pub async fn refresh_speed(self: &Rc<Self>, work_us: u64) {
         if !self.gate.borrow().needs_speed_update(work_us, steady_us()) {
             return;
         }
@@ -34,7 +36,7 @@
         }
     }
 
-    async fn request_speed(&self, path: &str) {
+    async fn request_speed(self: &Rc<Self>, path: &str) {
         self.metrics.speed_requests.inc();
         self.gate.borrow_mut().on_speed_requested(steady_us());
         match self.pool.machine_load(path, self).await {
@@ -51,7 +53,7 @@
     }
 
     /// Requests the machine's speed if calls wait for the end of a slow episode.
-    pub(super) async fn refresh_deferred_speed(&self) {
+    pub(super) async fn refresh_deferred_speed(self: &Rc<Self>) {
         if !self.gate.borrow().needs_episode_update(steady_us()) {
             return;
         }
--- a/valetrack/src/gate/run/signal.rs
+++ b/valetrack/src/gate/run/signal.rs
@@ -8,15 +8,17 @@
 use super::GateShell;
 use crate::clock::{Moment, steady_us};
 use crate::code::Code;
+use crate::gate::message::GateEvent;
 use crate::gate::pool::AnswerObserver;
 use crate::gate::rate_limit::{AnswerKind, RateLimitChange, RequestedRate};
+use crate::gate::upstream::{Announcement, UpstreamPhase};
 
 /// Minimum time between two log lines about invalid headers: every answer may contain one.
 const INVALID_LOG_PAUSE: Duration = Duration::from_secs(1);
 /// Smallest change of the rate limit that is logged, as a share of the limit.
 const LOGGED_CHANGE_SHARE: f64 = 0.2;
 
-impl AnswerObserver for GateShell {
+impl AnswerObserver for Rc<GateShell> {
     fn on_answer_head(&self, headers: &HeaderMap, kind: AnswerKind, begun_us: u64) {
         let requested = self.pool.protocol().requested_rate(headers);
         if requested == RequestedRate::Invalid {
@@ -26,6 +28,9 @@
         if let Some(change) = change {
             self.on_rate_limit_changed(change);
         }
+        if begun_us >= self.start_since_us.get() && self.pool.protocol().is_leaving(headers) {
+            self.on_leaving("answer");
+        }
     }
 }
 
@@ -44,7 +49,7 @@
     async fn request_rate_limit(self: Rc<Self>) {
         let path = self.health_path.borrow().clone();
         let is_answered = match path {
-            Some(path) => self.pool.health(&path, self.as_ref()).await.is_some(),
+            Some(path) => self.pool.health(&path, &self).await.is_some(),
             None => false,
         };
         if !is_answered {
@@ -52,6 +57,36 @@
         }
     }
 
+    /// Stops sending calls to the upstream if an entry has passed on an answer in which its present start stated that it
+    /// leaves. This node may have restarted since.
+    pub(super) fn follow_departures(self: &Rc<Self>) {
+        let incarnation = self.upstream.borrow().incarnation(&self.vm);
+        if incarnation.is_some_and(|incarnation| self.departures.includes(&incarnation)) {
+            self.on_leaving("entry");
+        }
+    }
+
+    /// Stops sending calls to an upstream that leaves. Without announcements, nothing would show its next start, so the
+    /// node leaves with it.
+    fn on_leaving(self: &Rc<Self>, by: &str) {
+        let state = self.upstream.borrow().clone();
+        let (Some(id), Some(to_upstream)) = (state.id, &self.to_upstream) else {
+            self.leaving.notify_one();
+            return;
+        };
+        if state.phase == UpstreamPhase::Leaving || self.gate.borrow().is_leaving() {
+            return;
+        }
+        log::info!("event=upstream.leaving id={id} by={by}");
+        self.handle(GateEvent::Drain);
+        let stated =
+            Announcement { id, born_ms: None, sequence: None, ready: false, slots: None, version: None, cold_ms: 0 };
+        if let Err(error) = to_upstream.try_send(stated) {
+            // The gate stays closed, and the next answer states it again.
+            log::warn!("event=upstream.leaving_unreported reason=\"{error}\"");
+        }
+    }
+
     /// Counts an invalid header, and logs it unless another was logged within [`INVALID_LOG_PAUSE`].
     fn record_invalid_header(&self) {
         let code = Code::UpstreamHeaderInvalid;
--- a/valetrack/src/gate/state.rs
+++ b/valetrack/src/gate/state.rs
@@ -324,6 +324,11 @@
         }
     }
 
+    /// Returns whether the gate is closed because the server leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
     /// Returns whether nothing runs and nothing waits.
     pub fn idle(&self) -> bool {
         self.running.is_empty() && self.waiting.is_empty()
--- a/valetrack/src/gate/tests.rs
+++ b/valetrack/src/gate/tests.rs
@@ -3,6 +3,7 @@
 mod cold;
 mod connection;
 mod crash;
+mod departure;
 mod evacuation;
 mod life;
 mod limit;
--- /dev/null
+++ b/valetrack/src/gate/tests/departure.rs
@@ -0,0 +1,46 @@
+//! Incarnations of upstreams that leave, as one node remembers them.
+
+use test_case::test_case;
+
+use crate::gate::{Departure, Departures};
+
+fn departure(vm: &str, id: &str, born_ms: Option<u64>) -> Departure {
+    Departure { vm: vm.into(), id: id.into(), born_ms }
+}
+
+#[test_case(departure("a", "i-1", Some(5)), true; "the same incarnation")]
+#[test_case(departure("a", "i-1", None), true; "an incarnation whose start is unknown")]
+#[test_case(departure("a", "i-1", Some(6)), false; "a later start with the same id")]
+#[test_case(departure("a", "i-2", Some(5)), false; "another id")]
+#[test_case(departure("b", "i-1", Some(5)), false; "another VM")]
+fn departure_holds_for_its_incarnation_alone(other: Departure, expected: bool) {
+    let departures = Departures::default();
+    departures.record(departure("a", "i-1", Some(5)));
+    assert_eq!(departures.includes(&other), expected);
+}
+
+#[test]
+fn departures_pass_between_nodes_in_headers_and_go_no_further() {
+    let (entry, owner) = (Departures::default(), Departures::default());
+    entry.record(departure("a", "i-1", Some(5)));
+    entry.record(departure("b", "i-2", None));
+    let mut headers = vec![("accept".to_owned(), b"*/*".to_vec())];
+    entry.attach(Some("a"), &mut headers);
+    assert_eq!(headers.len(), 2, "only the departure of the owner's VM");
+    owner.take_from(&mut headers);
+    assert_eq!(headers, [("accept".to_owned(), b"*/*".to_vec())]);
+    assert!(owner.includes(&departure("a", "i-1", Some(5))) && !owner.includes(&departure("b", "i-2", None)));
+    entry.attach(None, &mut headers);
+    assert_eq!(headers.len(), 3, "all of them while the owner is unknown");
+}
+
+#[test]
+fn call_without_departures_is_unchanged_and_invalid_ones_are_dropped() {
+    let departures = Departures::default();
+    let mut headers = Vec::new();
+    departures.attach(None, &mut headers);
+    assert!(headers.is_empty());
+    headers.push(("valetrack-leaving".to_owned(), vec![255; 3]));
+    departures.take_from(&mut headers);
+    assert!(headers.is_empty());
+}
--- a/valetrack/src/gate/upstream.rs
+++ b/valetrack/src/gate/upstream.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use super::departure::Departure;
+
 /// Number of earlier starts that are remembered. A delayed announcement may arrive after several later starts, and at
 /// one start every few seconds this many cover a minute or more.
 const EARLIER_STARTS_MAX: usize = 32;
@@ -99,6 +101,12 @@
         }
     }
 
+    /// Returns the present incarnation; `None` if the upstream has no id or has not announced itself yet.
+    pub fn incarnation(&self, vm: &Arc<str>) -> Option<Departure> {
+        let id = self.id.clone()?;
+        Some(Departure { vm: vm.clone(), id, born_ms: self.born_ms })
+    }
+
     /// Applies an announcement that arrived at `now_us`; returns whether the state changed.
     ///
     /// A start that has left never returns to service: the phase of one start only moves forward, and announcements
--- a/valetrack/src/link/run.rs
+++ b/valetrack/src/link/run.rs
@@ -25,7 +25,8 @@
 use crate::gate::pool::ServerPool;
 use crate::gate::run::{GateReply, GateShell, GateShellParts};
 use crate::gate::{
-    Announcement, DeclineReason, GateConfig, Health, RunLedger, UpstreamPhase, UpstreamProtocol, UpstreamState,
+    Announcement, DeclineReason, Departures, GateConfig, Health, RunLedger, UpstreamPhase, UpstreamProtocol,
+    UpstreamState,
 };
 use crate::jobs::next_job;
 use crate::member::{Evacuation, FollowerReply, GossipReply, Member, MemberJob, Members};
@@ -86,6 +87,7 @@
     parts: LinkParts,
     gate: Rc<GateShell>,
     quotas: Rc<Quotas>,
+    departures: Rc<Departures>,
     peers: Peers,
 }
 
@@ -113,24 +115,28 @@
 
 /// Serves links until `closing` becomes true; must run on a local task set.
 ///
-/// `ledger` is the entry of this node, `crashes` holds the quarantined calls, and `quotas` grants credits of limited
-/// client accounts.
+/// `ledger` is the entry of this node, `crashes` holds the quarantined calls, `quotas` grants credits of limited client
+/// accounts, and `departures` holds the upstreams that are known to leave.
 pub async fn run(
     endpoint: Endpoint,
     ledger: Rc<dyn RunLedger>,
     crashes: Rc<Quarantine>,
     quotas: Rc<Quotas>,
+    departures: Rc<Departures>,
     parts: LinkParts,
 ) {
     let gate = GateShell::new(GateShellParts {
         pool: ServerPool::new(parts.server_addr, parts.upstream_protocol.clone()),
         upstream: parts.upstream.clone(),
         leaving: parts.server_leaving.clone(),
+        vm: parts.vm.clone(),
+        to_upstream: parts.to_upstream.clone(),
+        departures: departures.clone(),
         ledger,
         crashes,
         metrics: parts.metrics.clone(),
     });
-    let shell = Rc::new(Shell { gate, quotas, peers: Peers::new(endpoint.clone()), parts });
+    let shell = Rc::new(Shell { gate, quotas, departures, peers: Peers::new(endpoint.clone()), parts });
     let mut tasks = tokio::task::JoinSet::new();
     tasks.spawn_local(shell.gate.clone().run_timer());
     tasks.spawn_local(shell.gate.clone().follow_upstream());
@@ -313,8 +319,9 @@
         PeerReply { head: ReplyHead { reply, riding: self.piggyback() }, body }
     }
 
-    async fn run_call(&self, head: CallHead, body: Bytes) -> (Reply, Bytes) {
+    async fn run_call(&self, mut head: CallHead, body: Bytes) -> (Reply, Bytes) {
         events::observe(head.hlc);
+        self.departures.take_from(&mut head.headers);
         let attempt = head.attempt;
         if head.service != self.parts.service {
             // Another service has this address now; the sender's view of the members is outdated.
@@ -326,8 +333,9 @@
         }
     }
 
-    async fn run_keyed(&self, head: CallHead, body: Bytes) -> (Reply, Bytes) {
+    async fn run_keyed(&self, mut head: CallHead, body: Bytes) -> (Reply, Bytes) {
         events::observe(head.hlc);
+        self.departures.take_from(&mut head.headers);
         let attempt = head.attempt;
         let (reply, answered) = oneshot::channel();
         let job = ClaimJob { head, body, reply };
--- a/valetrack/src/node/start.rs
+++ b/valetrack/src/node/start.rs
@@ -1,6 +1,7 @@
 //! Starts the threads of a node with the state that each of them uses.
 
 use std::net::TcpListener as TcpSocket;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -23,7 +24,7 @@
 use crate::crash::Quarantine;
 use crate::crash::archive::{CrashArchive, LeasedArchive, StoreArchive};
 use crate::crash::run::CrashParts;
-use crate::gate::{Announcement, CrashWatch, UpstreamPhase, UpstreamState};
+use crate::gate::{Announcement, CrashWatch, Departures, UpstreamPhase, UpstreamState};
 use crate::link::run::LinkParts;
 use crate::link::tls::LinkTls;
 use crate::member::leased::LeasedParts;
@@ -220,10 +221,11 @@
                 return;
             };
             let crashes = Quarantine::new(history, to_crash, metrics);
-            let placer = Placer::new(placer, crashes.clone());
+            let departures = Rc::new(Departures::default());
+            let placer = Placer::new(placer, crashes.clone(), departures.clone());
             let keyed = KeyedRouter::new(placer.clone(), members);
             let quotas = Quotas::new(quotas);
-            let links = crate::link::run::run(endpoint, placer.clone(), crashes, quotas.clone(), links);
+            let links = crate::link::run::run(endpoint, placer.clone(), crashes, quotas.clone(), departures, links);
             futures::join!(links, crate::caller::run::run(socket, placer, keyed, quotas, callers_parts));
         })
     }
--- a/valetrack/src/placement/attempt.rs
+++ b/valetrack/src/placement/attempt.rs
@@ -59,6 +59,7 @@
                 key: None,
                 ..head
             };
+            self.departures.attach(Some(&target.vm), &mut head.headers);
             let age_ms = self.report_age_ms(&service, server);
             log::info!(
                 "event=call.send call={} attempt={attempt} owner={} cause={} repeats_left={} \
--- a/valetrack/src/placement/run.rs
+++ b/valetrack/src/placement/run.rs
@@ -28,7 +28,7 @@
 use crate::clock::now_us;
 use crate::code::Code;
 use crate::crash::Quarantine;
-use crate::gate::{AttemptId, LoadReport};
+use crate::gate::{AttemptId, Departures, LoadReport};
 use crate::link::message::{CallHead, PeerRequest};
 use crate::link::peer::{self, LinkJob, LinkResult, Target};
 use crate::member::{MemberJob, Members};
@@ -69,6 +69,8 @@
     pub bundle: watch::Receiver<Option<Arc<InForce>>>,
     members: watch::Receiver<Arc<Members>>,
     crashes: Rc<Quarantine>,
+    /// Upstreams that are known to leave.
+    pub departures: Rc<Departures>,
     /// Metrics.
     pub metrics: Arc<Metrics>,
 }
@@ -100,8 +102,9 @@
 }
 
 impl Placer {
-    /// Creates a placer without known services; `crashes` is this node's record of calls that crash upstreams.
-    pub fn new(parts: PlacerParts, crashes: Rc<Quarantine>) -> Rc<Self> {
+    /// Creates a placer without known services; `crashes` is this node's record of calls that crash upstreams, and
+    /// `departures` that of upstreams that leave.
+    pub fn new(parts: PlacerParts, crashes: Rc<Quarantine>, departures: Rc<Departures>) -> Rc<Self> {
         let inner = Inner {
             services: HashMap::new(),
             work_estimates: HashMap::new(),
@@ -126,6 +129,7 @@
             bundle: parts.bundle,
             members: parts.members,
             crashes,
+            departures,
             metrics: parts.metrics,
         })
     }
