Connections to an upstream are not reused after its Keep-Alive timeout

Found while listing what an upstream asks for and what obeys it: the pool reused any connection that had rested for less than two seconds, whatever time the upstream had named. A call on its way when the connection closes may be lost. Evidence: the test with timeout=0 reused the connection before (con-1) and opens another one now (con-2). The fix: the pool keeps the timeout of the last answer with the connection, less 200 ms.

--- a/valetrack/src/gate/pool.rs
+++ b/valetrack/src/gate/pool.rs
@@ -32,6 +32,9 @@
 /// Time within which a connection must be ready again after a complete answer.
 const READY_MS: u64 = 1;
 
+/// Time before a server closes an idle connection from which on the connection is not reused.
+const KEEP_ALIVE_MARGIN_MS: u64 = 200;
+
 /// Failure of an exchange with the server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServerError {
@@ -86,6 +89,8 @@
 struct Idle {
     sender: Sender,
     since: Moment,
+    /// Time after which the server closes it, if the server stated one.
+    closes_after: Option<Duration>,
 }
 
 /// Pool of idle connections to the server.
@@ -123,12 +128,12 @@
             let Some(sender) = self.connect().await else {
                 return;
             };
-            self.keep(sender);
+            self.keep(sender, None);
         }
     }
 
-    fn keep(&self, sender: Sender) {
-        self.idle.borrow_mut().push(Idle { sender, since: Moment::now() });
+    fn keep(&self, sender: Sender, closes_after: Option<Duration>) {
+        self.idle.borrow_mut().push(Idle { sender, since: Moment::now(), closes_after });
     }
 
     /// Performs one exchange.
@@ -166,7 +171,7 @@
         tokio::task::yield_now().await;
         let ready = timeout(Duration::from_millis(READY_MS), sender.ready()).await;
         if ready.is_ok_and(|ready| ready.is_ok()) {
-            self.keep(sender);
+            self.keep(sender, keep_alive(&head.headers));
         }
         Ok(ServerAnswer { status, headers: head.headers, body })
     }
@@ -265,7 +270,8 @@
     fn take_idle(&self) -> Option<Sender> {
         let mut idle = self.idle.borrow_mut();
         let within = self.protocol.reuse_within().unwrap_or(Duration::MAX);
-        while let Some(Idle { sender, since }) = idle.pop() {
+        while let Some(Idle { sender, since, closes_after }) = idle.pop() {
+            let within = closes_after.map_or(within, |closes_after| within.min(closes_after));
             if sender.is_ready() && since.elapsed() < within {
                 return Some(sender);
             }
@@ -284,6 +290,15 @@
     }
 }
 
+/// Returns the time after which a server closes an idle connection, from the `Keep-Alive` header; less a margin, since a
+/// request on its way when the connection closes may be lost.
+fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let parameters = text.split(',').filter_map(|parameter| parameter.trim().strip_prefix("timeout="));
+    let timeout_s: u64 = parameters.last()?.trim().parse().ok()?;
+    Some(Duration::from_secs(timeout_s).saturating_sub(Duration::from_millis(KEEP_ALIVE_MARGIN_MS)))
+}
+
 async fn read_body(body: Incoming, cap_bytes: usize) -> Result<Bytes, ServerError> {
     if body.size_hint().lower() > cap_bytes as u64 {
         return Err(ServerError::TooLarge);
--- a/valetrack/src/gate/tests/connection.rs
+++ b/valetrack/src/gate/tests/connection.rs
@@ -192,3 +192,31 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     runtime.block_on(test);
 }
+
+#[test_case("timeout=0", "con-2"; "a timeout that is over")]
+#[test_case("timeout=5, max=100", "con-1"; "a timeout that is not over")]
+#[test_case("max=100", "con-1"; "no timeout")]
+fn idle_connection_is_not_reused_after_its_keep_alive_timeout(keep_alive: &'static str, expected: &str) {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let addr = listener.local_addr().expect("a bound port");
+        tokio::spawn(async move {
+            let mut number = 0;
+            while let Ok((mut stream, _)) = listener.accept().await {
+                number += 1;
+                let body = format!("con-{number}");
+                tokio::spawn(async move {
+                    let head = format!("HTTP/1.1 200 OK\r\nkeep-alive: {keep_alive}\r\ncontent-length: {}", body.len());
+                    let mut buffer = [0; 4_096];
+                    while stream.read(&mut buffer).await.unwrap_or(0) > 0 {
+                        let _ = stream.write_all(format!("{head}\r\n\r\n{body}").as_bytes()).await;
+                    }
+                });
+            }
+        });
+        let pool = pool(addr);
+        pool.exchange(request(), &call(1), CAP_BYTES, &Unobserved).await.expect("an answer");
+        let second = pool.exchange(request(), &call(2), CAP_BYTES, &Unobserved).await.expect("an answer");
+        assert_eq!(second.body, expected);
+    });
+}
