Rate limit: a restarted node asks the upstream's health before it holds calls back

What callers saw: after a start of a node beside a running upstream only two calls ran until the first answer, so that six of eight calls of 400 ms were refused (stop_withdraws_readiness_and_finishes_running_calls failed, 503 for 200). Cause: the limit was taken as unknown until an answer to a call; an upstream names it in all its answers. The fix: one health check at the start (or the one by which a restarted node finds its upstream) shows whether a limit holds. Two calls at once stay the bound until then.

--- a/standin/src/managed/server.rs
+++ b/standin/src/managed/server.rs
@@ -280,6 +280,11 @@
         *self.leaving.lock().unwrap_or_else(PoisonError::into_inner) = Some(Leaving::default());
     }
 
+    /// Returns whether the server states in its answers that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.lock().unwrap_or_else(PoisonError::into_inner).is_some()
+    }
+
     /// Names a rate limit in all answers from now on by the text of its header, or none.
     pub fn set_limit(&self, text: Option<&str>) {
         self.limits.lock().unwrap_or_else(PoisonError::into_inner).set(text, Instant::now());
--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -22,7 +22,7 @@
 pub use self::deadly::{DeadlyRun, check_deadly_runs};
 pub use self::judge::{Breach, CallOutcome, CallRecord, Versions, check_calls};
 pub use self::repeat::{Arrival, check_retries};
-pub use self::schedule::{Fault, Kind, PathFault, Step, rollbacks, schedule, suspensions};
+pub use self::schedule::{Fault, Kind, PathFault, Step, limits, rollbacks, schedule, suspensions};
 
 use self::caller::Callers;
 use self::fleet::{Fleet, RETRY_GUARANTEE, configuration};
@@ -56,6 +56,8 @@
     pub crashes: bool,
     /// Whether the store is rolled back to older copies.
     pub rollbacks: bool,
+    /// Whether upstreams state limits and departures in their answers.
+    pub limits: bool,
 }
 
 /// Result of one run.
@@ -91,6 +93,9 @@
     if settings.rollbacks {
         steps.extend(rollbacks(settings.seed, settings.seconds * 1000));
     }
+    if settings.limits {
+        steps.extend(limits(settings.seed, settings.vms, settings.seconds * 1000));
+    }
     steps.sort_by_key(|step| step.at_ms);
     let mut report = SoakReport { faults: steps.len(), ..SoakReport::default() };
     let callers = Rc::new(Callers::new(settings.seed));
@@ -118,6 +123,7 @@
     report.breaches.extend(callers.breaches());
     report.breaches.extend(check_calls(&calls, &runs(&fleet), planned));
     report.breaches.extend(late_arrival_breaches(&fleet));
+    report.breaches.extend(limit_breaches(&fleet));
     let services = [true, false].map(caller::service_of);
     report
         .breaches
@@ -226,6 +232,18 @@
     check_retries(service, arrivals.collect(), &began_ms, RETRY_GUARANTEE)
 }
 
+fn limit_breaches(fleet: &Rc<RefCell<Fleet>>) -> Vec<Breach> {
+    let fleet = fleet.borrow();
+    let breaches = fleet.vms.iter().filter_map(|vm| Some((vm, vm.upstream.limit_breach()?)));
+    breaches
+        .map(|(vm, breach)| Breach {
+            guarantee: "an upstream receives no more than its rate limit",
+            subject: vm.name.clone(),
+            detail: format!("{breach:?}"),
+        })
+        .collect()
+}
+
 fn late_arrival_breaches(fleet: &Rc<RefCell<Fleet>>) -> Vec<Breach> {
     let fleet = fleet.borrow();
     let late = fleet.vms.iter().filter(|vm| vm.upstream.late_arrivals() > 0);
--- a/standin/src/soak/schedule.rs
+++ b/standin/src/soak/schedule.rs
@@ -15,6 +15,14 @@
 const OUTAGE_MAX_MS: u64 = 1_500;
 /// Maximum number of changes lost by a rollback: more than a fleet of a dozen nodes makes in a few seconds.
 const LOST_MAX: usize = 60;
+/// Average pause between two limits or departures of each VM.
+const LIMIT_PAUSE_MS: u64 = 8_000;
+/// Shortest and longest time for which a limit or a departure is stated; the longest one exceeds the window of a limit.
+const LIMIT_LASTS_MS: std::ops::RangeInclusive<u64> = 500..=7_000;
+/// Limits that are drawn, in thousandths of a request per second.
+const LIMITS_MILLI_PER_S: [u32; 5] = [0, 400, 3_000, 8_000, 40_000];
+/// One in this many limits is a departure instead.
+const DEPARTURES: u32 = 4;
 /// One in this many faults repeats the previous one on the same VM, so that series of the same fault occur.
 const SERIES: u32 = 4;
 
@@ -62,6 +70,13 @@
     Configure,
     /// The VM is suspended: its node is paused and finds on resumption that time has passed.
     Suspend,
+    /// The upstream names a rate limit in its answers.
+    Limit {
+        /// The limit in thousandths of a request per second.
+        milli_per_s: u32,
+    },
+    /// The upstream states in its answers that it leaves, stops, and starts again under another id.
+    Leave,
 }
 
 /// A fault of a TCP path.
@@ -119,6 +134,25 @@
     (0..count).map(step).collect()
 }
 
+/// Returns the limits and departures that upstreams state during a run; they are drawn separately, so the other faults of
+/// the seed don't change. About one in four starts shortly after the previous one, on the same VM.
+pub fn limits(seed: u64, vms: usize, length_ms: u64) -> Vec<Step> {
+    let mut rng = fastrand::Rng::with_seed(seed.rotate_left(41));
+    let mut steps: Vec<Step> = Vec::new();
+    for _ in 0..(length_ms * vms as u64 / LIMIT_PAUSE_MS).max(1) {
+        let fault = match rng.u32(..DEPARTURES) {
+            0 => Fault::Leave,
+            _ => Fault::Limit { milli_per_s: LIMITS_MILLI_PER_S[rng.usize(..LIMITS_MILLI_PER_S.len())] },
+        };
+        let (at_ms, vm) = match steps.last() {
+            Some(last) if rng.u32(..SERIES) == 0 => (last.at_ms + rng.u64(50..=1_500), last.vm),
+            _ => (rng.u64(..length_ms), rng.usize(..vms)),
+        };
+        steps.push(Step { at_ms, lasts_ms: rng.u64(LIMIT_LASTS_MS), vm, fault });
+    }
+    steps
+}
+
 /// Returns the store rollbacks of a run; they are drawn separately, so the other faults of the seed don't change. About
 /// one in three starts shortly after the previous one ends.
 pub fn rollbacks(seed: u64, length_ms: u64) -> Vec<Step> {
--- a/valetrack/src/gate/rate_limit.rs
+++ b/valetrack/src/gate/rate_limit.rs
@@ -129,7 +129,7 @@
     ///
     /// A lower limit applies at once. A higher limit, or none, applies only if the request began after the last answer
     /// that confirmed the present one, since answers may arrive out of order. The answer to a health check never ends a
-    /// limit: it only allows one call to find out.
+    /// limit that an answer has stated: it only allows one call to find out.
     pub fn on_answer(
         &mut self,
         requested: RequestedRate,
@@ -163,7 +163,10 @@
                 self.rate_per_s = None;
                 self.trial = false;
             }
-            AnswerKind::HealthCheck if is_later && self.rate_per_s.is_some() => self.trial = true,
+            AnswerKind::HealthCheck if is_later => {
+                self.is_unconfirmed = false;
+                self.trial = self.rate_per_s.is_some();
+            }
             AnswerKind::Call | AnswerKind::HealthCheck | AnswerKind::Stray => {}
         }
     }
--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -179,12 +179,18 @@
     }
 
     /// Applies the limits of the bundle in force, and opens connections ahead of calls.
-    pub async fn configure(&self, config: GateConfig, answer_cap_bytes: usize, health_path: Option<Arc<str>>) {
+    pub async fn configure(
+        self: &Rc<Self>,
+        config: GateConfig,
+        answer_cap_bytes: usize,
+        health_path: Option<Arc<str>>,
+    ) {
         *self.health_path.borrow_mut() = health_path;
         let slots = self.upstream.borrow().slots.unwrap_or(config.slots);
         let config = GateConfig { slots, ..config };
         self.gate.borrow_mut().configure(config);
         self.answer_cap_bytes.set(answer_cap_bytes);
+        self.confirm_rate_limit();
         self.pool.warm(usize::from(config.slots)).await;
     }
 
--- a/valetrack/src/gate/run/follow.rs
+++ b/valetrack/src/gate/run/follow.rs
@@ -53,13 +53,19 @@
         }
     }
 
-    /// Resets the rate limit for a new start of the upstream. `is_first` states that the node has just started, so the
-    /// upstream may have been running before.
-    fn restart_rate_limit(&self, state: &UpstreamState, is_first: bool) {
-        let mut gate = self.gate.borrow_mut();
-        gate.set_cold(state.cold_until_us, steady_us());
-        let is_new = !is_first || gate.is_new_start();
-        gate.rate_limit().restart(is_new, steady_us());
+    /// Resets the rate limit for a new start of the upstream. The first one that the node observes may have been running
+    /// before the node.
+    fn restart_rate_limit(self: &Rc<Self>, state: &UpstreamState, is_first: bool) {
+        let is_new = {
+            let mut gate = self.gate.borrow_mut();
+            gate.set_cold(state.cold_until_us, steady_us());
+            !is_first || gate.is_new_start()
+        };
+        if !is_new {
+            self.confirm_rate_limit();
+            return;
+        }
+        self.gate.borrow_mut().rate_limit().restart(true, steady_us());
         self.metrics.upstream_rate_limit.set(f64::INFINITY);
         if self.logged_rate_per_s.take().is_some() {
             log::info!("event=upstream.rate_limit to_per_s=none reason=restart");
--- a/valetrack/src/gate/run/signal.rs
+++ b/valetrack/src/gate/run/signal.rs
@@ -47,13 +47,29 @@
 
     /// Requests the rate limit by a health check, and allows one call if that brings no answer.
     async fn request_rate_limit(self: Rc<Self>) {
+        if !self.request_health().await {
+            self.gate.borrow_mut().rate_limit().allow_trial();
+        }
+    }
+
+    /// Finds out by a health check whether an upstream that was running before this node limits its rate.
+    pub(super) fn confirm_rate_limit(self: &Rc<Self>) {
+        let is_unconfirmed = self.gate.borrow_mut().rate_limit().unconfirmed_calls_max().is_some();
+        if is_unconfirmed && self.upstream.borrow().phase == UpstreamPhase::Ready {
+            let shell = self.clone();
+            tokio::task::spawn_local(async move {
+                // Without an answer, the first answer to a call shows the limit.
+                let _is_answered = shell.request_health().await;
+            });
+        }
+    }
+
+    /// Requests the upstream's health, and returns whether it answered.
+    async fn request_health(self: &Rc<Self>) -> bool {
         let path = self.health_path.borrow().clone();
-        let is_answered = match path {
-            Some(path) => self.pool.health(&path, &self).await.is_some(),
+        match path {
+            Some(path) => self.pool.health(&path, self).await.is_some(),
             None => false,
-        };
-        if !is_answered {
-            self.gate.borrow_mut().rate_limit().allow_trial();
         }
     }
 
