Queued calls of a route that is found to be called by upstreams rank with the later ones

Cause: its nested call waited 0.9 s at an upstream that served 140 calls a second. Its owner had started 1.9 s before and had not yet classified the route, so the call ranked as a caller's; the calls of the same route that came after the classification ranked first and overtook it until its parent's deadline. Trace: sent at 111 ms, Cancelled at 1,003 ms with four running and nine to twelve waiting all the time, while the nested call sent 80 ms earlier had ended in 74 ms. Ruled out: a stalled upstream, its speed (no slow episode), the wait for its speed's answer (it was in the queue). The fix: when an owner classifies a route, the calls of that route that wait are ranked as calls made by runs. Test: call_of_a_route_classified_late_is_overtaken, 20 calls go first without the promotion and one with it.

--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -243,6 +243,9 @@
         let observed_nested = self.origins.borrow_mut().record_and_classify(&head.route, &head.origin);
         // An owner that has just started relies on the classification that other owners reported to the entry.
         let nested = observed_nested.unwrap_or(head.made_by_run);
+        if observed_nested == Some(true) {
+            self.promote_waiting(&head.route);
+        }
         // Callers' calls rank behind calls that servers wait for.
         let priority = if nested { INTERNAL_PRIORITY } else { head.priority.saturating_add(1) };
         let objective = objective(&head, nested);
@@ -260,6 +263,15 @@
         reply.unwrap_or(GateReply::Bounce(DeclineReason::Cancelled))
     }
 
+    /// Ranks the waiting calls of a route that arrived before the route was classified as one that upstreams call.
+    fn promote_waiting(&self, route: &Arc<str>) {
+        for (attempt, job) in &*self.jobs.borrow() {
+            if job.observed_nested != Some(true) && job.call.head.route == *route {
+                self.gate.borrow_mut().promote(*attempt);
+            }
+        }
+    }
+
     /// Logs and counts an attempt that is declined before it waits for a slot.
     fn log_decline(&self, head: &CallHead, reason: DeclineReason) -> DeclineReason {
         self.metrics.declined_attempts.with_label_values(&[decline_label(reason)]).inc();
--- a/valetrack/src/gate/state/queue.rs
+++ b/valetrack/src/gate/state/queue.rs
@@ -64,6 +64,19 @@
         self.waiting.insert(at, Waiting { leave_at_us, ..call });
     }
 
+    /// Ranks a waiting attempt as a call made by a run. Otherwise the calls of its route that arrive after the route was
+    /// classified would overtake it until its deadline.
+    pub fn promote(&mut self, attempt: AttemptId) {
+        let position = self.waiting.iter().position(|waiting| waiting.attempt == attempt);
+        let Some(mut call) = position.and_then(|position| self.waiting.remove(position)) else {
+            return;
+        };
+        call.priority = call.priority.min(INTERNAL_PRIORITY);
+        call.objective_start_by_us = u64::MAX;
+        let at = self.waiting.partition_point(|other| other.priority <= call.priority);
+        self.waiting.insert(at, call);
+    }
+
     /// Returns why the gate admits no attempt at all, if it is closed.
     pub(super) fn closed_reason(&self, now_us: u64) -> Option<DeclineReason> {
         match () {
--- a/valetrack/src/gate/tests/steps.rs
+++ b/valetrack/src/gate/tests/steps.rs
@@ -45,6 +45,33 @@
     assert_eq!(actions, [GateAction::Bounce { attempt: attempt(2), reason: DeclineReason::Full }]);
 }
 
+#[test_case(false, 20; "unless it is promoted")]
+#[test_case(true, 1; "until it is promoted")]
+fn call_of_a_route_classified_late_is_overtaken(is_promoted: bool, expected: usize) {
+    let mut gate = Gate::new(GateConfig { slots: 1, rescue: false, ..GateConfig::default() }, 0);
+    let arrive = |seq: u64, priority: u8| {
+        let (deadline_us, patience) = (10_000_000, QueueTimeout::Last);
+        GateEvent::Arrive { attempt: attempt(seq), deadline_us, patience, priority, objective: None }
+    };
+    process(&mut gate, arrive(0, 2), 0);
+    process(&mut gate, arrive(1, 2), 0);
+    if is_promoted {
+        gate.promote(attempt(1));
+    }
+    // From now on the calls of the route rank first, and one waits whenever a slot becomes free.
+    let mut started = 0;
+    for seq in 2..22 {
+        process(&mut gate, arrive(seq, 0), seq * 1_000);
+        started += 1;
+        let running = if seq == 2 { attempt(0) } else { attempt(seq - 1) };
+        let next = process(&mut gate, GateEvent::Done { attempt: running, healthy: true }, seq * 1_000);
+        if next == [GateAction::Start { attempt: attempt(1) }] {
+            break;
+        }
+    }
+    assert_eq!(started, expected);
+}
+
 #[test]
 fn cancel_reports_rejection_by_upstream() {
     let mut gate = Gate::new(GateConfig::default(), 0);
