A trial of a crashing call waits for its count up to half of the call's deadline

What callers saw: a repaired call stayed refused for minutes more ("timed out waiting for a trial"), seen once beside load. Cause: the owner waited 200 ms for the trial to be counted in the store, a read and a write; one counted later was used up with the call refused, and the next one comes minutes later. The fix: the wait is half of the time to the call's deadline. A store slower than that still uses a trial up.

--- a/standin/tests/crashing_call.rs
+++ b/standin/tests/crashing_call.rs
@@ -204,6 +204,17 @@
 
 #[tokio::test]
 async fn repaired_call_is_served_after_trial() {
+    serve_after_trial(standin::managed::store::Mode::Up).await;
+}
+
+#[tokio::test]
+async fn slow_store_does_not_use_up_trial_without_run() {
+    serve_after_trial(standin::managed::store::Mode::Slow(160)).await;
+}
+
+/// Repairs upstreams that a call has crashed, and expects the call to be served again by its first trial while the store
+/// is in a mode.
+async fn serve_after_trial(mode: standin::managed::store::Mode) {
     let path = "/sheet/deadly";
     let fleet = Fleet::start(&["rounds", "rounds", "ledger"]).await;
     for vm in &fleet.vms {
@@ -221,7 +232,9 @@
         (0..3).for_each(|at| fleet.signal(at, "-USR2"));
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
+    fleet.store.set_mode(mode);
     common::wait_for("a trial", async || send_crashing(&fleet, 2, path).await.0 == 200).await;
+    fleet.store.set_mode(standin::managed::store::Mode::Up);
     for at in 0..3 {
         common::wait_for("the report that the call is cleared", async || {
             send_crashing(&fleet, at, path).await.0 == 200
--- a/valetrack/src/crash/quarantine.rs
+++ b/valetrack/src/crash/quarantine.rs
@@ -24,9 +24,9 @@
 /// suspects.
 const REPORT_WAIT_MS: u64 = 30;
 
-/// Maximum time for which a call waits until its trial is counted: many times the latency of a working store. A trial
-/// that is counted later is used up without a run.
-const TRIAL_WAIT_MS: u64 = 200;
+/// Divisor of the time to a call's deadline that gives the longest wait until its trial is counted. The rest is left for
+/// the run. A trial that is counted later is used up without a run, and the next one is minutes later.
+const TRIAL_WAIT_DIVISOR: u32 = 2;
 
 /// A node's checks against calls that crash upstreams, used by the thread that handles its calls.
 pub struct Quarantine {
@@ -77,7 +77,7 @@
     }
 
     /// Returns whether an owner may send a call to its upstream. If a trial is due, it waits until the trial is counted
-    /// in the store, for at most [`TRIAL_WAIT_MS`].
+    /// in the store, for at most half of the time to the call's deadline.
     pub async fn admit(&self, head: &CallHead, body: &[u8]) -> Admission {
         let Some(status) = self.suspect_status(head, body) else {
             return Admission::Clear;
@@ -87,7 +87,7 @@
         }
         let is_due = status.trial_due_us().is_some_and(|due_us| now_us() >= due_us);
         if let (true, Some(suspect_ref)) = (is_due, status.refs.first())
-            && self.count_trial(suspect_ref).await
+            && self.count_trial(suspect_ref, head.deadline_ms / TRIAL_WAIT_DIVISOR).await
         {
             log::warn!(
                 "event=crash.trial call={} fingerprint={} trials={}",
@@ -115,15 +115,15 @@
         true
     }
 
-    /// Requests a trial of a call from the crash thread; returns whether it was counted, which is true on one node
-    /// only.
-    async fn count_trial(&self, suspect_ref: &SuspectRef) -> bool {
+    /// Requests a trial of a call from the crash thread; returns whether it was counted within `wait_ms`, which is true
+    /// on one node only.
+    async fn count_trial(&self, suspect_ref: &SuspectRef, wait_ms: u32) -> bool {
         if self.counting.replace(true) {
             return false;
         }
         let (granted, answer) = oneshot::channel();
         let sent = self.to_crash.send(CrashJob::Trial { suspect_ref: suspect_ref.clone(), granted }).await;
-        let answer = timeout(Duration::from_millis(TRIAL_WAIT_MS), answer).await;
+        let answer = timeout(Duration::from_millis(wait_ms.into()), answer).await;
         self.counting.set(false);
         sent.is_ok() && matches!(answer, Ok(Ok(true)))
     }
