Rate limit: waiting calls follow a changed limit at once; shorter names of tests

A limit that ended, or was found not to hold by a health check, let waiting calls start only with the next event of the gate, and a lowered one declined them as late. The answer's head now wakes the gate's timer where calls wait. Found by reading the diff; no test of its own, the gate's tests of the decisions hold (queued_call_is_declined_when_the_limit_begins). Tests renamed to eight words or fewer, contents unchanged.

--- a/standin/tests/crashing_call.rs
+++ b/standin/tests/crashing_call.rs
@@ -208,7 +208,7 @@
 }
 
 #[tokio::test]
-async fn slow_store_does_not_use_up_trial_without_run() {
+async fn trial_counted_by_slow_store_is_run() {
     serve_after_trial(standin::managed::store::Mode::Slow(160)).await;
 }
 
--- a/standin/tests/soak.rs
+++ b/standin/tests/soak.rs
@@ -34,7 +34,7 @@
 
 #[test_case(11, 10, 8; "faults of every kind")]
 #[test_case(12, 10, 8; "planned work")]
-fn no_promise_is_broken_while_upstreams_limit_their_rate(seed: u64, seconds: u64, vms: usize) {
+fn no_promise_is_broken_among_rate_limits(seed: u64, seconds: u64, vms: usize) {
     assert_no_breaches(SoakSettings { seed, seconds, vms, limits: true, ..settings() });
 }
 
--- a/standin/tests/upstream_limit.rs
+++ b/standin/tests/upstream_limit.rs
@@ -78,7 +78,7 @@
 #[test_case(Disturbance::Kill; "killed")]
 #[test_case(Disturbance::Stop; "stopped in order")]
 #[test_case(Disturbance::Suspend; "suspended")]
-fn limit_holds_when_the_node_beside_the_upstream_is(disturbance: Disturbance) {
+fn limit_holds_while_node_is(disturbance: Disturbance) {
     run(async move {
         let mut fleet = Fleet::start(&["rounds", "ledger", "ledger"]).await;
         let upstream = fleet.vms[0].upstream.clone();
@@ -104,7 +104,7 @@
 }
 
 #[tokio::test]
-async fn limits_of_all_upstreams_of_a_service_hold_and_are_used() {
+async fn limits_of_all_upstreams_hold_and_are_used() {
     let fleet = Fleet::start(&["rounds", "rounds", "ledger", "ledger"]).await;
     for vm in &fleet.vms[..2] {
         vm.upstream.set_limit(Some("10"));
@@ -150,7 +150,7 @@
 }
 
 #[tokio::test]
-async fn leaving_upstream_gets_no_calls_when_its_node_restarts() {
+async fn leaving_upstream_gets_no_calls_after_node_restart() {
     let mut fleet = Fleet::start(&["rounds", "rounds", "ledger", "ledger"]).await;
     let leaving = fleet.vms[0].upstream.clone();
     leaving.leave_by_answer();
@@ -173,7 +173,7 @@
 }
 
 #[tokio::test]
-async fn new_start_with_the_id_of_an_upstream_that_left_is_served() {
+async fn new_start_with_id_of_departed_upstream_serves() {
     let fleet = Fleet::start(&["rounds", "ledger"]).await;
     let upstream = fleet.vms[0].upstream.clone();
     upstream.leave_by_answer();
--- a/valetrack/src/gate/run/follow.rs
+++ b/valetrack/src/gate/run/follow.rs
@@ -26,7 +26,7 @@
     pub async fn follow_upstream(self: Rc<Self>) {
         let mut upstream = self.upstream.clone();
         let mut previous = UpstreamState::unknown();
-        // An upstream that sends no announcements may have been running before this node.
+        // An upstream that sends no announcements may have started earlier than this node.
         self.gate.borrow_mut().rate_limit().restart(false, steady_us());
         loop {
             let state = upstream.borrow_and_update().clone();
--- a/valetrack/src/gate/run/signal.rs
+++ b/valetrack/src/gate/run/signal.rs
@@ -28,6 +28,10 @@
         if let Some(change) = change {
             self.on_rate_limit_changed(change);
         }
+        if self.gate.borrow().has_waiting() && (change.is_some() || kind == AnswerKind::HealthCheck) {
+            // Calls that wait may start now, or have to be declined.
+            self.changed.notify_one();
+        }
         if begun_us >= self.start_since_us.get() && self.pool.protocol().is_leaving(headers) {
             self.on_leaving("answer");
         }
@@ -52,7 +56,7 @@
         }
     }
 
-    /// Finds out by a health check whether an upstream that was running before this node limits its rate.
+    /// Finds out by a health check whether an upstream that may have started earlier than this node limits its rate.
     pub(super) fn confirm_rate_limit(self: &Rc<Self>) {
         let is_unconfirmed = self.gate.borrow_mut().rate_limit().unconfirmed_calls_max().is_some();
         if is_unconfirmed && self.upstream.borrow().phase == UpstreamPhase::Ready {
--- a/valetrack/src/gate/state.rs
+++ b/valetrack/src/gate/state.rs
@@ -324,6 +324,11 @@
         }
     }
 
+    /// Returns whether attempts wait for a start.
+    pub fn has_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
     /// Returns whether the gate is closed because the server leaves.
     pub fn is_leaving(&self) -> bool {
         self.leaving
--- a/valetrack/src/gate/tests/connection.rs
+++ b/valetrack/src/gate/tests/connection.rs
@@ -196,7 +196,7 @@
 #[test_case("timeout=0", "con-2"; "a timeout that is over")]
 #[test_case("timeout=5, max=100", "con-1"; "a timeout that is not over")]
 #[test_case("max=100", "con-1"; "no timeout")]
-fn idle_connection_is_not_reused_after_its_keep_alive_timeout(keep_alive: &'static str, expected: &str) {
+fn idle_connection_expires_with_keep_alive_timeout(keep_alive: &'static str, expected: &str) {
     run(async {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let addr = listener.local_addr().expect("a bound port");
--- a/valetrack/src/gate/tests/departure.rs
+++ b/valetrack/src/gate/tests/departure.rs
@@ -20,7 +20,7 @@
 }
 
 #[test]
-fn departures_pass_between_nodes_in_headers_and_go_no_further() {
+fn departures_pass_between_nodes_in_headers_only() {
     let (entry, owner) = (Departures::default(), Departures::default());
     entry.record(departure("a", "i-1", Some(5)));
     entry.record(departure("b", "i-2", None));
@@ -35,7 +35,7 @@
 }
 
 #[test]
-fn call_without_departures_is_unchanged_and_invalid_ones_are_dropped() {
+fn invalid_or_missing_departures_leave_call_unchanged() {
     let departures = Departures::default();
     let mut headers = Vec::new();
     departures.attach(None, &mut headers);
--- a/valetrack/src/gate/tests/rate_limit.rs
+++ b/valetrack/src/gate/tests/rate_limit.rs
@@ -53,7 +53,7 @@
 }
 
 #[test]
-fn idle_upstream_gets_one_call_and_a_quarter_second_at_once() {
+fn burst_is_one_call_and_quarter_second() {
     let limit = limited(8.0, 0);
     assert_eq!(limit.remaining(60 * SECOND_US), Some(3));
 }
@@ -68,7 +68,7 @@
 
 #[test_case(RequestedRate::PerS(40.0); "a higher limit")]
 #[test_case(RequestedRate::None; "no limit")]
-fn limit_is_raised_only_by_an_answer_that_began_after_it(requested: RequestedRate) {
+fn limit_is_raised_only_by_later_answer(requested: RequestedRate) {
     let mut limit = limited(2.0, 5 * SECOND_US);
     limit.on_answer(requested, AnswerKind::Call, 5 * SECOND_US - 1, 6 * SECOND_US);
     assert_eq!(limit.rate_per_s(), Some(2.0));
@@ -86,7 +86,7 @@
 }
 
 #[test]
-fn limit_of_an_earlier_start_does_not_apply_to_a_new_one() {
+fn new_start_has_no_limit_of_earlier_one() {
     let mut limit = limited(2.0, 0);
     limit.restart(true, SECOND_US);
     assert_eq!((limit.rate_per_s(), limit.unconfirmed_calls_max()), (None, None));
@@ -108,7 +108,7 @@
 }
 
 #[test]
-fn zero_limit_is_checked_and_ends_with_a_trial_call() {
+fn zero_limit_ends_with_a_trial_call() {
     let mut limit = limited(0.0, 0);
     assert!(!limit.needs_check(2 * SECOND_US - 1));
     assert!(limit.needs_check(2 * SECOND_US));
@@ -124,7 +124,7 @@
 }
 
 #[test]
-fn each_decline_delays_the_next_entry_by_one_call() {
+fn each_decline_delays_next_entry_by_one_call() {
     let mut limit = limited(10.0, 0);
     let delays_ms: Vec<u64> = (0..5)
         .map(|_| {
--- a/valetrack/src/gate/tests/rate_limited_gate.rs
+++ b/valetrack/src/gate/tests/rate_limited_gate.rs
@@ -45,7 +45,7 @@
 }
 
 #[test]
-fn call_that_would_wait_too_long_for_a_token_is_declined_at_once() {
+fn call_far_from_its_token_is_declined_immediately() {
     let mut gate = gate();
     answer(&mut gate, RequestedRate::PerS(2.0), 0, 0);
     let reason = DeclineReason::RateLimited;
@@ -71,7 +71,7 @@
 }
 
 #[test]
-fn call_made_by_a_run_takes_the_token_before_callers() {
+fn nested_call_takes_token_before_callers() {
     let mut gate = gate();
     answer(&mut gate, RequestedRate::PerS(4.0), 0, 0);
     assert_eq!(arrive(&mut gate, 1, 1, SECOND_US, 0), []);
@@ -80,7 +80,7 @@
 }
 
 #[test]
-fn restarted_node_runs_two_calls_until_the_first_answer() {
+fn restarted_node_runs_two_calls_until_answered() {
     let mut gate = gate();
     gate.rate_limit().restart(false, 0);
     let starts =
@@ -108,7 +108,7 @@
 }
 
 #[test]
-fn load_report_without_a_limit_has_the_same_size_as_before() {
+fn load_report_without_limit_keeps_its_size() {
     let load = LoadReport { limit: 6, in_flight: 2, service_us: 20_000, ..LoadReport::default() };
     assert_eq!(postcard::to_stdvec(&load).map(|bytes| bytes.len()), Ok(11));
 }
--- a/valetrack/src/placement/tests/call.rs
+++ b/valetrack/src/placement/tests/call.rs
@@ -363,7 +363,7 @@
 }
 
 #[test]
-fn call_that_no_limited_server_admits_in_time_is_rejected_unsent() {
+fn call_beyond_all_rate_limits_is_rejected_unsent() {
     let demand = Some(Demand { work_us: 20_000, left_us: 400_000 });
     let rule = CallRule { repeatable: true, bounces: 2, retries: 1, hedge_after_percent: None, demand };
     for (delay_ms, made_by_run, is_sent) in [(2_000, false, false), (2_000, true, true), (100, false, true)] {
--- a/valetrack/src/placement/tests/view.rs
+++ b/valetrack/src/placement/tests/view.rs
@@ -95,7 +95,7 @@
 }
 
 #[test]
-fn calls_avoid_server_until_its_rate_limit_admits_one() {
+fn calls_avoid_server_without_tokens() {
     let mut view = view(2);
     let mut rng = fastrand::Rng::with_seed(1);
     view.report(0, limited(200), 1_000_000);
@@ -111,7 +111,7 @@
 }
 
 #[test]
-fn only_limited_servers_are_picked_by_their_next_start() {
+fn limited_servers_are_picked_by_next_start() {
     let mut view = view(3);
     let mut rng = fastrand::Rng::with_seed(1);
     for (server, delay_ms) in [(0, 900), (1, 300), (2, 600)] {
