--- a/valetrack/src/gate/pool.rs
+++ b/valetrack/src/gate/pool.rs
@@ -294,8 +294,8 @@
 /// request on its way when the connection closes may be lost.
 fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get("keep-alive")?.to_str().ok()?;
-    let parameters = text.split(',').filter_map(|parameter| parameter.trim().strip_prefix("timeout="));
-    let timeout_s: u64 = parameters.last()?.trim().parse().ok()?;
+    let mut parameters = text.split(',').filter_map(|parameter| parameter.trim().strip_prefix("timeout="));
+    let timeout_s: u64 = parameters.next_back()?.trim().parse().ok()?;
     Some(Duration::from_secs(timeout_s).saturating_sub(Duration::from_millis(KEEP_ALIVE_MARGIN_MS)))
 }
 
--- a/valetrack/src/gate/state/queue.rs
+++ b/valetrack/src/gate/state/queue.rs
@@ -71,7 +71,7 @@
         let Some(mut call) = position.and_then(|position| self.waiting.remove(position)) else {
             return;
         };
-        call.priority = call.priority.min(INTERNAL_PRIORITY);
+        call.priority = INTERNAL_PRIORITY;
         call.objective_start_by_us = u64::MAX;
         let at = self.waiting.partition_point(|other| other.priority <= call.priority);
         self.waiting.insert(at, call);
