Rank nested calls by the call at their root

With the new bundle field nested_rank = "root", the entry beside the upstream derives the priority and the deadline of the root from the runs in progress and sends the priority in the existing field of the call head; the gate ranks nested calls before callers' calls of the same priority only. The default "first" is unchanged.

--- a/valetrack/src/bundle/check.rs
+++ b/valetrack/src/bundle/check.rs
@@ -7,7 +7,7 @@
 use super::reader::{Reader, Section};
 use super::route::RouteTable;
 use crate::code::Code;
-use crate::gate::ColdRule;
+use crate::gate::{ColdRule, NestedRank};
 
 /// Largest text; a value of the store holds a megabyte.
 pub const TEXT_MAX_BYTES: usize = 900_000;
@@ -40,15 +40,31 @@
     let measure = read_measure(&mut reader, &mut top);
     let services = read_services(&mut reader, &mut top);
     let accounts = read_accounts(&mut reader, &mut top);
+    let nested_rank = read_nested_rank(&mut reader, &mut top);
     reader.finish(&top);
     let mut faults = reader.faults;
     if faults.is_empty() {
-        return Ok(Bundle { measure, services, routes: RouteTable::default(), accounts, caller_limits: None });
+        return Ok(Bundle {
+            measure,
+            services,
+            routes: RouteTable::default(),
+            accounts,
+            nested_rank,
+            caller_limits: None,
+        });
     }
     faults.sort_by_key(|fault| (fault.line, fault.column));
     Err(faults)
 }
 
+fn read_nested_rank(reader: &mut Reader<'_>, top: &mut Section<'_, '_>) -> NestedRank {
+    let rank = reader.text(top, "nested_rank", "\"first\" or \"root\"", |rank| matches!(rank, "first" | "root"));
+    match rank.as_deref() {
+        Some("root") => NestedRank::Root,
+        Some(_) | None => NestedRank::First,
+    }
+}
+
 fn read_measure(reader: &mut Reader<'_>, top: &mut Section<'_, '_>) -> MeasureRule {
     let defaults = MeasureRule { bytes_per_s: 2_048, probes_per_s: 10, stale_ms: 100 };
     let Some(mut section) = reader.table(top, "measure") else {
--- a/valetrack/src/bundle/message.rs
+++ b/valetrack/src/bundle/message.rs
@@ -8,7 +8,7 @@
 use super::account::AccountTable;
 use super::route::RouteTable;
 use crate::code::Code;
-use crate::gate::ColdRule;
+use crate::gate::{ColdRule, NestedRank};
 use crate::member::Evacuation;
 use crate::store::HistoryName;
 
@@ -140,6 +140,8 @@
     pub routes: RouteTable,
     /// Client accounts; none if calls need no key.
     pub accounts: AccountTable,
+    /// Rank of calls that upstreams make during their runs.
+    pub nested_rank: NestedRank,
     /// Limits on callers; none if the node's own settings apply.
     pub caller_limits: Option<CallerLimits>,
 }
--- a/valetrack/src/bundle/tests/check.rs
+++ b/valetrack/src/bundle/tests/check.rs
@@ -3,6 +3,7 @@
 use proptest::prelude::*;
 
 use crate::bundle::{Adoption, Bundle, InForce, check, version_of};
+use crate::gate::NestedRank;
 
 const GOOD: &str = r#"
 [measure]
@@ -64,7 +65,7 @@
     insta::assert_snapshot!(faults("[[service]\nname = \n"), @r#"
     1:1: VT504: at least one [[service]] is needed
     1:11: VT501: unclosed array table, expected `]`
-    2:1: VT502: unknown key name; allowed are measure, service, account
+    2:1: VT502: unknown key name; allowed are measure, service, account, nested_rank
     "#);
 }
 
@@ -84,6 +85,16 @@
     assert_eq!(service.deadline_ms, 2_000);
 }
 
+#[test]
+fn nested_calls_go_first_unless_the_bundle_ranks_them_by_their_root() {
+    let rank_of = |text: &str| check(&format!("{text}\n{GOOD}")).map(|bundle| bundle.nested_rank);
+    assert_eq!(rank_of(""), Ok(NestedRank::First));
+    assert_eq!(rank_of("nested_rank = \"first\""), Ok(NestedRank::First));
+    assert_eq!(rank_of("nested_rank = \"root\""), Ok(NestedRank::Root));
+    let faults = faults(&format!("nested_rank = \"last\"\n{GOOD}"));
+    insta::assert_snapshot!(faults, @r#"1:15: VT503: nested_rank must be "first" or "root""#);
+}
+
 fn in_force(number: u64) -> InForce {
     let bundle: Bundle = check(GOOD).expect("no faults");
     InForce { number, version: version_of(GOOD).into(), text: GOOD.into(), bundle }
--- a/valetrack/src/caller/run.rs
+++ b/valetrack/src/caller/run.rs
@@ -27,6 +27,7 @@
 use crate::bundle::{HostRoute, InForce, SplitPicker};
 use crate::clock::Moment;
 use crate::code::Code;
+use crate::gate::NestedRank;
 use crate::link::message::CallHead;
 use crate::placement::run::Placer;
 use crate::placement::{PlaceJob, Placed, SERVICE_UNKNOWN, Verdict};
@@ -255,6 +256,9 @@
         };
         let IncomingCall { mut head, given_ms, repeatable, attempts_max, .. } = call;
         head.made_by_run |= self.placer.is_nested(&head.route);
+        if head.made_by_run && in_force.bundle.nested_rank == NestedRank::Root {
+            self.placer.inherit_root(&mut head, given_ms);
+        }
         if let (Some(given_ms), false) = (given_ms, head.made_by_run) {
             let waited_ms = self.placer.waited_ms(&head.route, given_ms);
             // Zero stands for a call without an objective, so one whose objective has passed keeps 1 ms.
--- a/valetrack/src/gate/mod.rs
+++ b/valetrack/src/gate/mod.rs
@@ -19,6 +19,7 @@
 pub mod pool;
 mod progress;
 mod protocol;
+mod rank;
 mod rate_limit;
 pub mod run;
 mod speed;
@@ -33,7 +34,7 @@
 pub use departure::{Departure, Departures};
 pub use header::{ACCOUNT_HEADER, REPEAT_HEADER, forwarded_headers};
 pub use kept::KeptSpeedShare;
-pub use ledger::RunLedger;
+pub use ledger::{RunLedger, StartedRun};
 pub use limit::ConcurrencyLimit;
 pub use message::{
     AttemptId, CancelResult, DeclineReason, GateAction, GateEvent, LoadReport, Objective, PERMILLE, QueueTimeout,
@@ -43,6 +44,7 @@
 pub use origin::OriginTracker;
 pub use outage::Outage;
 pub use protocol::{Classified, Health, HostLoad, NativeUpstream, UpstreamProtocol};
+pub use rank::NestedRank;
 pub use rate_limit::{AnswerKind, RateLimit, RateLimitChange, RequestedRate};
 pub use speed::Speed;
 pub use speed_estimate::{SLOWDOWN_DURATION_US, SpeedEstimate, history_weight, utility_at};
--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -21,13 +21,14 @@
 
 use super::departure::{self, Departures};
 use super::header::forwarded_headers;
-use super::ledger::{LedgerEntry, RunLedger};
+use super::ledger::{LedgerEntry, RunLedger, StartedRun};
 use super::message::{AttemptId, CancelResult, DeclineReason, GateAction, GateEvent, LoadReport, PERMILLE, RunTimes};
 use super::objective::objective;
 use super::origin::OriginTracker;
 use super::pool::{ServerAnswer, ServerError, ServerPool};
 use super::protocol::Health;
-use super::state::{Gate, GateConfig, INTERNAL_PRIORITY};
+use super::rank::NestedRank;
+use super::state::{Gate, GateConfig};
 use super::upstream::{Announcement, UpstreamPhase, UpstreamState};
 use crate::clock::{Moment, SuspensionWatch, steady_us, suspended_us};
 use crate::code::Code;
@@ -87,6 +88,8 @@
     logged_rate_per_s: Cell<Option<f64>>,
     pool: ServerPool,
     answer_cap_bytes: Cell<usize>,
+    /// Rank of calls that upstreams make.
+    nested_rank: Cell<NestedRank>,
     /// Path of the upstream's health check, whose answer includes the machine's speed.
     health_path: RefCell<Option<Arc<str>>>,
     /// Held during a request for the machine's speed, so that other calls wait for the same answer.
@@ -165,6 +168,7 @@
             logged_rate_per_s: Cell::new(None),
             pool,
             answer_cap_bytes: Cell::new(crate::link::message::BODY_MAX_BYTES),
+            nested_rank: Cell::default(),
             health_path: RefCell::default(),
             speed_request: tokio::sync::Mutex::new(()),
             changed: Notify::new(),
@@ -194,6 +198,11 @@
         self.pool.warm(usize::from(config.slots)).await;
     }
 
+    /// Sets the rank of calls that upstreams make, according to the bundle in force.
+    pub fn set_nested_rank(&self, nested_rank: NestedRank) {
+        self.nested_rank.set(nested_rank);
+    }
+
     /// Returns the present load.
     pub fn load(&self) -> LoadReport {
         self.gate.borrow().load(steady_us())
@@ -246,8 +255,7 @@
         if observed_nested == Some(true) {
             self.promote_waiting(&head.route);
         }
-        // Callers' calls rank behind calls that servers wait for.
-        let priority = if nested { INTERNAL_PRIORITY } else { head.priority.saturating_add(1) };
+        let priority = self.nested_rank.get().rank(head.priority, nested);
         let objective = objective(&head, nested);
         self.refresh_speed(head.work_us.into()).await;
         self.check_rate_limit();
@@ -257,7 +265,10 @@
             self.gate.borrow_mut().suspect(attempt);
         }
         let mut cancel_guard = CancelGuard { shell: self.clone(), attempt: Some(attempt) };
-        self.handle(GateEvent::Arrive { attempt, deadline_us, patience, priority, objective });
+        self.handle(match nested {
+            true => GateEvent::ArriveNested { attempt, deadline_us, patience, priority, objective },
+            false => GateEvent::Arrive { attempt, deadline_us, patience, priority, objective },
+        });
         let reply = answered.await;
         cancel_guard.attempt = None;
         reply.unwrap_or(GateReply::Bounce(DeclineReason::Cancelled))
@@ -267,7 +278,8 @@
     fn promote_waiting(&self, route: &Arc<str>) {
         for (attempt, job) in &*self.jobs.borrow() {
             if job.observed_nested != Some(true) && job.call.head.route == *route {
-                self.gate.borrow_mut().promote(*attempt);
+                let rank = self.nested_rank.get().rank(job.call.head.priority, true);
+                self.gate.borrow_mut().promote_to(*attempt, rank);
             }
         }
     }
@@ -400,7 +412,7 @@
             self.decline_started(job, DeclineReason::Quarantined);
             return;
         }
-        let _ledger_entry = LedgerEntry::new(self.ledger.clone(), head.repeat_permille);
+        let _ledger_entry = LedgerEntry::new(self.ledger.clone(), StartedRun::new(head, job.deadline_us));
         let start_us = steady_us();
         let start = self.machine_at(start_us);
         let left_us = job.deadline_us.saturating_sub(start_us);
--- a/valetrack/src/gate/state/queue.rs
+++ b/valetrack/src/gate/state/queue.rs
@@ -2,21 +2,23 @@
 
 use super::{Gate, Running, Waiting};
 use crate::gate::message::{AttemptId, DeclineReason, GateAction, GateEvent, Objective, PERMILLE, QueueTimeout};
+use crate::gate::rank::INTERNAL_PRIORITY;
 
 /// An attempt is declined if its utility elsewhere is higher by this much, as a share of the utility of an answer in
 /// time. The transfer to another server takes time as well.
 const ELSEWHERE_GAIN_MIN: f64 = 0.02;
-/// Rank of calls that runs make.
-pub(crate) const INTERNAL_PRIORITY: u8 = 0;
 /// An attempt with [`QueueTimeout::Last`] may wait this many times the queue's limit.
 const LAST_WAIT_FACTOR: u64 = 2;
 
 impl Gate {
     /// Admits an attempt, to start or to wait, or declines it.
     pub(super) fn arrive(&mut self, event: GateEvent, now_us: u64, out: &mut Vec<GateAction>) {
-        let GateEvent::Arrive { attempt, deadline_us, patience, priority, objective } = event else {
+        let (GateEvent::Arrive { attempt, deadline_us, patience, priority, objective }
+        | GateEvent::ArriveNested { attempt, deadline_us, patience, priority, objective }) = event
+        else {
             return;
         };
+        let is_nested = matches!(event, GateEvent::ArriveNested { .. }) || priority == INTERNAL_PRIORITY;
         if self.holds(attempt) {
             // A second copy must not run; the first copy gets its own answer.
             return;
@@ -33,7 +35,7 @@
         let work_us = objective.map_or(0, |objective| objective.work_us);
         let run_us = self.run_us(objective, now_us);
         let objective_start_by_us = match objective {
-            Some(objective) if priority > INTERNAL_PRIORITY => (now_us + objective.left_us).saturating_sub(run_us),
+            Some(objective) if !is_nested => (now_us + objective.left_us).saturating_sub(run_us),
             // The run that made this call needs the answer by the deadline, not by an objective.
             Some(_) | None => u64::MAX,
         };
@@ -64,14 +66,19 @@
         self.waiting.insert(at, Waiting { leave_at_us, ..call });
     }
 
-    /// Ranks a waiting attempt as a call made by a run. Otherwise the calls of its route that arrive after the route was
-    /// classified would overtake it until its deadline.
+    /// Ranks a waiting attempt as a call made by a run, before all callers' calls.
     pub fn promote(&mut self, attempt: AttemptId) {
+        self.promote_to(attempt, INTERNAL_PRIORITY);
+    }
+
+    /// Gives a waiting attempt the rank of a call made by a run. Otherwise the calls of its route that arrive after the
+    /// route was classified would overtake it until its deadline.
+    pub fn promote_to(&mut self, attempt: AttemptId, priority: u8) {
         let position = self.waiting.iter().position(|waiting| waiting.attempt == attempt);
         let Some(mut call) = position.and_then(|position| self.waiting.remove(position)) else {
             return;
         };
-        call.priority = INTERNAL_PRIORITY;
+        call.priority = priority;
         call.objective_start_by_us = u64::MAX;
         let at = self.waiting.partition_point(|other| other.priority <= call.priority);
         self.waiting.insert(at, call);
--- a/valetrack/src/gate/tests.rs
+++ b/valetrack/src/gate/tests.rs
@@ -10,6 +10,7 @@
 mod origin;
 mod outage;
 mod property;
+mod rank;
 mod rate_limit;
 mod rate_limited_gate;
 mod speed;
--- a/valetrack/src/link/run.rs
+++ b/valetrack/src/link/run.rs
@@ -404,6 +404,9 @@
         let mut bundle = self.parts.bundle.clone();
         loop {
             bundle.mark_unchanged();
+            if let Some(in_force) = &*self.parts.bundle.borrow() {
+                self.gate.set_nested_rank(in_force.bundle.nested_rank);
+            }
             if let Some(rule) = self.service_rule() {
                 let config = GateConfig {
                     slots: rule.slots,
--- a/valetrack/src/metric.rs
+++ b/valetrack/src/metric.rs
@@ -26,6 +26,8 @@
     /// Calls that retried runs of this node's upstream have made, by service. A call that was made by a retried run
     /// only with some probability counts as that fraction.
     pub nested_repeats: CounterVec,
+    /// Nested calls by how the call at their root was determined.
+    pub nested_roots: IntCounterVec,
     /// Retries that this node may still send now, by service.
     pub repeats_left: GaugeVec,
     /// This node's share of the fleet's retry reserve, by service.
@@ -146,6 +148,11 @@
                 &["service", "cause"],
             ),
             nested_repeats,
+            nested_roots: counters(
+                "valetrack_nested_roots_total",
+                "Calls of this node's upstream by how the call at their root was determined.",
+                "basis",
+            ),
             repeats_left: gauges_by("valetrack_repeats_left", "Retries that this node may still send now."),
             repeat_reserve: gauges_by("valetrack_repeat_reserve", "This node's share of the fleet's retry reserve."),
             declined_attempts: counters(
--- a/valetrack/src/placement/mod.rs
+++ b/valetrack/src/placement/mod.rs
@@ -15,6 +15,7 @@
 mod policy;
 mod quantile;
 mod repeat;
+mod root;
 pub mod run;
 mod service;
 mod set;
@@ -35,6 +36,7 @@
 pub use nested::NestedCalls;
 pub use policy::Policy;
 pub use repeat::{FleetSize, RetryBudget, RetryGuarantee};
+pub use root::{Root, RootBasis, RunsInProgress};
 pub use service::considered;
 pub use set::ServerSet;
 pub use sliding::SlidingSum;
--- /dev/null
+++ b/valetrack/src/placement/root.rs
@@ -0,0 +1,92 @@
+//! Derives the call at the root of a nested call.
+//!
+//! Upstreams do not pass on marks of the calls that they run. The time limit that a nested call carries ends at the
+//! deadline of the run that made it, which identifies the run in most cases. Otherwise the most urgent of the runs that
+//! could have made the call determines its rank: a rank that is too low would lose a run that holds a slot, and one
+//! that is too high affects a single call.
+
+use crate::gate::{AttemptId, StartedRun};
+
+/// How much more time a nested call may state than its run has left by this node's clock. The upstream reads the time
+/// left of a call after the node has written it, and the node reads a nested call after the upstream has written it; a
+/// node with a tenth of a core needs some tens of milliseconds for both.
+const LIMIT_OVER_US: u64 = 50_000;
+/// How much less time it may state: time limits are whole milliseconds, rounded down at the node and at the upstream.
+const LIMIT_UNDER_US: u64 = 3_000;
+
+/// How the root of a nested call was determined.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RootBasis {
+    /// The time limit of the nested call matches runs of one priority only.
+    Deadline,
+    /// Runs of several priorities could have made it, and the most urgent one counts.
+    Urgency,
+}
+
+impl RootBasis {
+    /// Returns the label in metrics and log lines.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Deadline => "deadline",
+            Self::Urgency => "urgency",
+        }
+    }
+}
+
+/// Call at the root of a nested call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Root {
+    /// Its priority.
+    pub priority: u8,
+    /// Time left until the latest deadline of the runs that could have made the nested call.
+    pub left_us: u64,
+    /// How it was determined.
+    pub basis: RootBasis,
+}
+
+/// Runs in progress of the upstream beside an entry; at most as many as it has slots.
+#[derive(Debug, Default)]
+pub struct RunsInProgress(Vec<StartedRun>);
+
+impl RunsInProgress {
+    /// Records the start of a run.
+    pub fn began(&mut self, run: StartedRun) {
+        self.0.push(run);
+    }
+
+    /// Records the end of a run.
+    pub fn ended(&mut self, attempt: AttemptId) {
+        self.0.retain(|run| run.attempt != attempt);
+    }
+
+    /// Returns the runs that could have made a nested call with this time limit: those whose deadline it matches, else
+    /// those that had at least that much time left, else all.
+    pub fn makers(&self, limit_ms: Option<u32>, now_us: u64) -> Vec<&StartedRun> {
+        let limit_us = limit_ms.map(|limit_ms| u64::from(limit_ms) * 1000);
+        let Some(limit_us) = limit_us else {
+            return self.0.iter().collect();
+        };
+        let left_us = |run: &StartedRun| run.deadline_us.saturating_sub(now_us);
+        let has_time = |run: &&StartedRun| limit_us <= left_us(run) + LIMIT_OVER_US;
+        let is_match = |run: &&StartedRun| has_time(run) && left_us(run) <= limit_us + LIMIT_UNDER_US;
+        let matching: Vec<_> = self.0.iter().filter(is_match).collect();
+        if !matching.is_empty() {
+            return matching;
+        }
+        let possible: Vec<_> = self.0.iter().filter(has_time).collect();
+        if possible.is_empty() { self.0.iter().collect() } else { possible }
+    }
+
+    /// Returns the root of a nested call with this time limit; `None` if no run is in progress, as after a restart of
+    /// the node.
+    pub fn root(&self, limit_ms: Option<u32>, now_us: u64) -> Option<Root> {
+        let makers = self.makers(limit_ms, now_us);
+        let urgency = |run: &&&StartedRun| (run.priority, run.objective_end_us.unwrap_or(run.deadline_us));
+        let priority = makers.iter().min_by_key(urgency)?.priority;
+        let is_clear = makers.iter().all(|run| run.priority == priority);
+        // An earlier deadline than that of the run that made the call would fail a call that could still be in time.
+        let deadline_us = makers.iter().map(|run| run.deadline_us).max()?;
+        let basis = if is_clear { RootBasis::Deadline } else { RootBasis::Urgency };
+        Some(Root { priority, left_us: deadline_us.saturating_sub(now_us), basis })
+    }
+}
--- a/valetrack/src/placement/run.rs
+++ b/valetrack/src/placement/run.rs
@@ -21,6 +21,7 @@
 use super::nested::NestedCalls;
 use super::policy::Policy;
 use super::repeat::FleetSize;
+use super::root::RunsInProgress;
 use super::service::{ServiceState, call_rule};
 use super::waited::CallerTime;
 use super::work::WorkEstimate;
@@ -48,6 +49,8 @@
     nested_routes: HashSet<Arc<str>>,
     /// Runs of the upstream beside this entry, and the calls that it makes during them.
     nested_calls: NestedCalls,
+    /// Runs of that upstream that are in progress.
+    runs: RunsInProgress,
     fleet: FleetSize,
     rng: fastrand::Rng,
     next_seq: u64,
@@ -111,6 +114,7 @@
             caller_times: HashMap::new(),
             nested_routes: HashSet::new(),
             nested_calls: NestedCalls::default(),
+            runs: RunsInProgress::default(),
             fleet: FleetSize::default(),
             rng: fastrand::Rng::with_seed(parts.seed),
             next_seq: 1,
--- a/valetrack/src/placement/run/ledger.rs
+++ b/valetrack/src/placement/run/ledger.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 
 use super::{Inner, Placer};
-use crate::clock::now_us;
-use crate::gate::{PERMILLE, RunLedger};
+use crate::clock::{now_us, steady_us};
+use crate::gate::{PERMILLE, RunLedger, StartedRun};
 use crate::link::message::CallHead;
+use crate::timeline::Quoted;
 
 impl Placer {
     /// Sets the chance that a repeated run of the entry's own upstream made a call, unless the call carries a higher
@@ -38,6 +39,31 @@
         self.inner.borrow().nested_routes.contains(route)
     }
 
+    /// Gives a call that a run of the entry's own upstream made the priority of the call at its root, and at most the
+    /// time that is left of it. A call without known runs keeps its own: its run began before a restart of this node,
+    /// which has lost the run's answer.
+    pub(crate) fn inherit_root(&self, head: &mut CallHead, limit_ms: Option<u32>) {
+        // Upstreams have no key, so a call with one is not theirs.
+        if head.account.is_some() {
+            return;
+        }
+        let root = self.inner.borrow().runs.root(limit_ms, steady_us());
+        self.metrics.nested_roots.with_label_values(&[root.map_or("unknown", |root| root.basis.as_str())]).inc();
+        let Some(root) = root else {
+            log::info!("event=call.root_unknown call={} route={}", head.call_id, Quoted(&head.route));
+            return;
+        };
+        head.priority = root.priority;
+        head.deadline_ms = head.deadline_ms.min(root.left_us.div_ceil(1000) as u32);
+        log::debug!(
+            "event=call.root call={} priority={} left_ms={} basis={}",
+            head.call_id,
+            head.priority,
+            root.left_us / 1000,
+            root.basis.as_str()
+        );
+    }
+
     /// Returns whether the upstream beside this entry has runs in progress.
     pub(crate) fn is_upstream_running(&self) -> bool {
         self.inner.borrow().nested_calls.is_running()
@@ -63,11 +89,15 @@
         nested_calls.admits_repeat(left, now_us)
     }
 
-    fn run_began(&self, repeat_permille: u16) {
-        self.inner.borrow_mut().nested_calls.run_began(repeat_permille, now_us());
+    fn run_began(&self, run: &StartedRun) {
+        let mut inner = self.inner.borrow_mut();
+        inner.nested_calls.run_began(run.repeat_permille, now_us());
+        inner.runs.began(run.clone());
     }
 
-    fn run_ended(&self, repeat_permille: u16) {
-        self.inner.borrow_mut().nested_calls.run_ended(repeat_permille);
+    fn run_ended(&self, run: &StartedRun) {
+        let mut inner = self.inner.borrow_mut();
+        inner.nested_calls.run_ended(run.repeat_permille);
+        inner.runs.ended(run.attempt);
     }
 }
--- a/valetrack/src/placement/tests.rs
+++ b/valetrack/src/placement/tests.rs
@@ -4,6 +4,7 @@
 mod call;
 mod fleet;
 mod full_owner_share;
+mod root;
 mod service;
 mod view;
 mod waited;
