Admit callers' calls by the chance of their nested calls

Runs whose nested calls are declined are lost after they have held a slot, and their nested calls take slots from more urgent calls deeper down. The owner beside the first upstream now counts the nested calls of its runs by route and the outcomes of its entry's calls by service and priority, and declines calls whose run costs others more than it gives their callers (nested_rank = "root" only).

--- a/valetrack/src/caller/run.rs
+++ b/valetrack/src/caller/run.rs
@@ -256,9 +256,8 @@
         };
         let IncomingCall { mut head, given_ms, repeatable, attempts_max, .. } = call;
         head.made_by_run |= self.placer.is_nested(&head.route);
-        if head.made_by_run && in_force.bundle.nested_rank == NestedRank::Root {
-            self.placer.inherit_root(&mut head, given_ms);
-        }
+        let is_ranked_by_root = in_force.bundle.nested_rank == NestedRank::Root;
+        let watch = is_ranked_by_root.then(|| self.placer.watch_outcome(&mut head, given_ms));
         if let (Some(given_ms), false) = (given_ms, head.made_by_run) {
             let waited_ms = self.placer.waited_ms(&head.route, given_ms);
             // Zero stands for a call without an objective, so one whose objective has passed keeps 1 ms.
@@ -272,6 +271,9 @@
         } else {
             self.place_within_quota(head, body, repeatable, attempts_max).await
         };
+        if let Some(watch) = watch {
+            self.placer.record_outcome(&watch, &placed);
+        }
         if let Placed::Answer(head, _) = &mut placed {
             self.placer.departures.take_from(&mut head.headers);
         }
--- a/valetrack/src/gate/ledger.rs
+++ b/valetrack/src/gate/ledger.rs
@@ -45,6 +45,10 @@
     /// Returns whether one more repeated run may start, which requires retry budget at the services that it would call.
     fn admits_repeat(&self) -> bool;
 
+    /// Returns whether a caller's call may take a slot or wait for one, considering the calls that its run would make.
+    /// `has_room` states whether it would start at once.
+    fn admits_call(&self, head: &CallHead, has_room: bool) -> bool;
+
     /// Records the start of a run.
     fn run_began(&self, run: &StartedRun);
 
--- a/valetrack/src/gate/message.rs
+++ b/valetrack/src/gate/message.rs
@@ -86,7 +86,8 @@
     Rejected,
     /// The server's failure domain is evacuated.
     Evacuated,
-    /// The call is a repeat, and a service that its run would call has no retry budget left.
+    /// The call is a repeat, and a service that its run would call has no retry budget left; or the call itself has too
+    /// little chance of the answers that its run would need from other services.
     RepeatRefused,
     /// The call has crashed too many upstreams.
     Quarantined,
--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -208,6 +208,12 @@
         self.gate.borrow().load(steady_us())
     }
 
+    /// Returns whether a call that arrives now would start at once.
+    fn has_room(&self) -> bool {
+        let load = self.load();
+        load.queued == 0 && load.in_flight < load.limit
+    }
+
     /// Returns the outcomes of the runs of the upstream's present start, by route.
     pub fn runs(&self) -> Vec<RouteRuns> {
         self.runs.borrow().routes()
@@ -255,6 +261,11 @@
         if observed_nested == Some(true) {
             self.promote_waiting(&head.route);
         }
+        // A trial is already counted in the store, so it runs.
+        let is_exempt = nested || admission == Admission::Trial || self.nested_rank.get() == NestedRank::First;
+        if !is_exempt && !self.ledger.admits_call(&head, self.has_room()) {
+            return GateReply::Bounce(self.log_decline(&head, DeclineReason::RepeatRefused));
+        }
         let priority = self.nested_rank.get().rank(head.priority, nested);
         let objective = objective(&head, nested);
         self.refresh_speed(head.work_us.into()).await;
--- a/valetrack/src/metric.rs
+++ b/valetrack/src/metric.rs
@@ -28,6 +28,8 @@
     pub nested_repeats: CounterVec,
     /// Nested calls by how the call at their root was determined.
     pub nested_roots: IntCounterVec,
+    /// Callers' calls declined at their owner for the nested calls that their runs would make.
+    pub root_declined: IntCounter,
     /// Retries that this node may still send now, by service.
     pub repeats_left: GaugeVec,
     /// This node's share of the fleet's retry reserve, by service.
@@ -148,6 +150,10 @@
                 &["service", "cause"],
             ),
             nested_repeats,
+            root_declined: counter(
+                "valetrack_root_declined_total",
+                "Calls that this owner declined because of the calls that their runs would make.",
+            ),
             nested_roots: counters(
                 "valetrack_nested_roots_total",
                 "Calls of this node's upstream by how the call at their root was determined.",
--- a/valetrack/src/placement/full_owner_share.rs
+++ b/valetrack/src/placement/full_owner_share.rs
@@ -33,6 +33,11 @@
         (f64::from(declines_max) * room * room).round() as u8
     }
 
+    /// Returns the share of owners that had room.
+    pub fn room_share(&self, now_us: u64) -> f64 {
+        1.0 - self.share(now_us)
+    }
+
     fn share(&self, now_us: u64) -> f64 {
         self.full_share * 0.5_f64.powf(now_us.saturating_sub(self.updated_us) as f64 / HALF_LIFE_US)
     }
--- a/valetrack/src/placement/mod.rs
+++ b/valetrack/src/placement/mod.rs
@@ -4,6 +4,7 @@
 //! started; in every window, retries, hedges and calls made by repeated runs stay within their service's budget; at
 //! least half of the servers stay in rotation.
 
+mod admission;
 mod attempt;
 mod budget;
 mod call;
@@ -26,6 +27,7 @@
 mod waited;
 mod work;
 
+pub use admission::{RootAdmission, RootVerdict};
 pub use budget::RateBudget;
 pub use call::{Budgets, Call, CallContext, CallRule, RepeatsRefused};
 pub use full_owner_share::FullOwnerShare;
@@ -36,7 +38,7 @@
 pub use nested::NestedCalls;
 pub use policy::Policy;
 pub use repeat::{FleetSize, RetryBudget, RetryGuarantee};
-pub use root::{Root, RootBasis, RunsInProgress};
+pub use root::{EndedRun, Root, RootBasis, RunsInProgress};
 pub use service::considered;
 pub use set::ServerSet;
 pub use sliding::SlidingSum;
--- a/valetrack/src/placement/root.rs
+++ b/valetrack/src/placement/root.rs
@@ -5,6 +5,8 @@
 //! could have made the call determines its rank: a rank that is too low would lose a run that holds a slot, and one
 //! that is too high affects a single call.
 
+use std::sync::Arc;
+
 use crate::gate::{AttemptId, StartedRun};
 
 /// How much more time a nested call may state than its run has left by this node's clock. The upstream reads the time
@@ -40,53 +42,98 @@
     pub priority: u8,
     /// Time left until the latest deadline of the runs that could have made the nested call.
     pub left_us: u64,
+    /// Time left of the latest of their objectives; zero if it has passed.
+    pub objective_left_us: u64,
     /// How it was determined.
     pub basis: RootBasis,
 }
 
+/// A run with the nested calls that it made so far.
+#[derive(Debug, Clone)]
+struct Run {
+    started: StartedRun,
+    /// Calls by service; parts of calls that several runs could have made.
+    calls: Vec<(Arc<str>, f32)>,
+}
+
+/// A run that has ended.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EndedRun {
+    /// Route of its call.
+    pub route: Arc<str>,
+    /// Nested calls that it made, by service.
+    pub calls: Vec<(Arc<str>, f32)>,
+}
+
 /// Runs in progress of the upstream beside an entry; at most as many as it has slots.
 #[derive(Debug, Default)]
-pub struct RunsInProgress(Vec<StartedRun>);
+pub struct RunsInProgress(Vec<Run>);
 
 impl RunsInProgress {
     /// Records the start of a run.
     pub fn began(&mut self, run: StartedRun) {
-        self.0.push(run);
+        self.0.push(Run { started: run, calls: Vec::new() });
     }
 
-    /// Records the end of a run.
-    pub fn ended(&mut self, attempt: AttemptId) {
-        self.0.retain(|run| run.attempt != attempt);
+    /// Records the end of a run, and returns what is known of it.
+    pub fn ended(&mut self, attempt: AttemptId) -> Option<EndedRun> {
+        let at = self.0.iter().position(|run| run.started.attempt == attempt)?;
+        let Run { started, calls } = self.0.swap_remove(at);
+        Some(EndedRun { route: started.route, calls })
     }
 
-    /// Returns the runs that could have made a nested call with this time limit: those whose deadline it matches, else
-    /// those that had at least that much time left, else all.
-    pub fn makers(&self, limit_ms: Option<u32>, now_us: u64) -> Vec<&StartedRun> {
-        let limit_us = limit_ms.map(|limit_ms| u64::from(limit_ms) * 1000);
-        let Some(limit_us) = limit_us else {
-            return self.0.iter().collect();
+    /// Attributes a nested call to the runs that could have made it, in proportion to the calls that runs of their
+    /// routes make to the service.
+    pub fn record_call(
+        &mut self,
+        service: &Arc<str>,
+        limit_ms: Option<u32>,
+        now_us: u64,
+        mut calls_per_run: impl FnMut(&str) -> f64,
+    ) {
+        let makers = self.makers(limit_ms, now_us);
+        let weights: Vec<f64> = makers.iter().map(|&at| calls_per_run(&self.0[at].started.route)).collect();
+        let total: f64 = weights.iter().sum();
+        for (at, weight) in makers.into_iter().zip(weights) {
+            let part = (weight / total) as f32;
+            let calls = &mut self.0[at].calls;
+            match calls.iter_mut().find(|(other, _)| other == service) {
+                Some((_, count)) => *count += part,
+                None => calls.push((service.clone(), part)),
+            }
+        }
+    }
+
+    /// Returns the indexes of the runs that could have made a nested call with this time limit: those whose deadline it
+    /// matches, else those that had at least that much time left, else all.
+    fn makers(&self, limit_ms: Option<u32>, now_us: u64) -> Vec<usize> {
+        let all = 0..self.0.len();
+        let Some(limit_us) = limit_ms.map(|limit_ms| u64::from(limit_ms) * 1000) else {
+            return all.collect();
         };
-        let left_us = |run: &StartedRun| run.deadline_us.saturating_sub(now_us);
-        let has_time = |run: &&StartedRun| limit_us <= left_us(run) + LIMIT_OVER_US;
-        let is_match = |run: &&StartedRun| has_time(run) && left_us(run) <= limit_us + LIMIT_UNDER_US;
-        let matching: Vec<_> = self.0.iter().filter(is_match).collect();
+        let left_us = |at: usize| self.0[at].started.deadline_us.saturating_sub(now_us);
+        let has_time = |at: &usize| limit_us <= left_us(*at) + LIMIT_OVER_US;
+        let is_match = |at: &usize| has_time(at) && left_us(*at) <= limit_us + LIMIT_UNDER_US;
+        let matching: Vec<usize> = all.clone().filter(is_match).collect();
         if !matching.is_empty() {
             return matching;
         }
-        let possible: Vec<_> = self.0.iter().filter(has_time).collect();
-        if possible.is_empty() { self.0.iter().collect() } else { possible }
+        let possible: Vec<usize> = all.clone().filter(has_time).collect();
+        if possible.is_empty() { all.collect() } else { possible }
     }
 
     /// Returns the root of a nested call with this time limit; `None` if no run is in progress, as after a restart of
     /// the node.
     pub fn root(&self, limit_ms: Option<u32>, now_us: u64) -> Option<Root> {
-        let makers = self.makers(limit_ms, now_us);
+        let makers: Vec<_> = self.makers(limit_ms, now_us).into_iter().map(|at| &self.0[at].started).collect();
         let urgency = |run: &&&StartedRun| (run.priority, run.objective_end_us.unwrap_or(run.deadline_us));
         let priority = makers.iter().min_by_key(urgency)?.priority;
         let is_clear = makers.iter().all(|run| run.priority == priority);
         // An earlier deadline than that of the run that made the call would fail a call that could still be in time.
         let deadline_us = makers.iter().map(|run| run.deadline_us).max()?;
+        let objective_end_us = makers.iter().map(|run| run.objective_end_us.unwrap_or(run.deadline_us)).max()?;
         let basis = if is_clear { RootBasis::Deadline } else { RootBasis::Urgency };
-        Some(Root { priority, left_us: deadline_us.saturating_sub(now_us), basis })
+        let left_us = deadline_us.saturating_sub(now_us);
+        Some(Root { priority, left_us, objective_left_us: objective_end_us.saturating_sub(now_us), basis })
     }
 }
--- a/valetrack/src/placement/run.rs
+++ b/valetrack/src/placement/run.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use tokio::sync::{oneshot, watch};
 
+use super::admission::RootAdmission;
 use super::budget::RateBudget;
 use super::call::{CallContext, CallRule};
 use super::driver::drive;
@@ -51,6 +52,8 @@
     nested_calls: NestedCalls,
     /// Runs of that upstream that are in progress.
     runs: RunsInProgress,
+    /// Admission of callers' calls to that upstream.
+    admission: RootAdmission,
     fleet: FleetSize,
     rng: fastrand::Rng,
     next_seq: u64,
@@ -115,6 +118,7 @@
             nested_routes: HashSet::new(),
             nested_calls: NestedCalls::default(),
             runs: RunsInProgress::default(),
+            admission: RootAdmission::default(),
             fleet: FleetSize::default(),
             rng: fastrand::Rng::with_seed(parts.seed),
             next_seq: 1,
@@ -177,6 +181,8 @@
         inner.caller_times.retain(|route, _| in_force.bundle.routes.contains(route));
         inner.nested_routes.retain(|route| in_force.bundle.routes.contains(route));
         inner.nested_calls.retain(|service| in_force.bundle.service(service).is_some());
+        let is_route = |route: &str| in_force.bundle.routes.contains(route);
+        inner.admission.retain(is_route, |service| in_force.bundle.service(service).is_some());
         let fleet = inner.fleet.update(members.iter().count() as u32, now_us());
         for rule in &in_force.bundle.services {
             let state = inner
--- a/valetrack/src/placement/run/ledger.rs
+++ b/valetrack/src/placement/run/ledger.rs
@@ -5,10 +5,27 @@
 
 use super::{Inner, Placer};
 use crate::clock::{now_us, steady_us};
+use crate::code::Code;
 use crate::gate::{PERMILLE, RunLedger, StartedRun};
 use crate::link::message::CallHead;
+use crate::placement::{Placed, Root, RootVerdict, Verdict};
 use crate::timeline::Quoted;
 
+/// A call whose outcome is recorded.
+pub(crate) struct OutcomeWatch {
+    service: Arc<str>,
+    /// Priority of the call at the root.
+    priority: u8,
+    is_nested: bool,
+    /// End of the objective of the call at the root, on the steady clock; `None` for callers' calls.
+    in_time_until_us: Option<u64>,
+}
+
+/// Returns whether a call ended with this code because its service had no room in time.
+const fn is_lack_of_room(code: Code) -> bool {
+    matches!(code, Code::Overloaded | Code::NoServer | Code::DeadlinePassed)
+}
+
 impl Placer {
     /// Sets the chance that a repeated run of the entry's own upstream made a call, unless the call carries a higher
     /// one, and counts it.
@@ -39,20 +56,30 @@
         self.inner.borrow().nested_routes.contains(route)
     }
 
-    /// Gives a call that a run of the entry's own upstream made the priority of the call at its root, and at most the
-    /// time that is left of it. A call without known runs keeps its own: its run began before a restart of this node,
-    /// which has lost the run's answer.
-    pub(crate) fn inherit_root(&self, head: &mut CallHead, limit_ms: Option<u32>) {
+    /// Returns what to record about the outcome of a call, for the admission of calls beside this entry. A call that a
+    /// run of its own upstream made is given the priority and at most the remaining time of the call at its root.
+    pub(crate) fn watch_outcome(&self, head: &mut CallHead, limit_ms: Option<u32>) -> OutcomeWatch {
+        let now_us = steady_us();
         // Upstreams have no key, so a call with one is not theirs.
-        if head.account.is_some() {
-            return;
-        }
-        let root = self.inner.borrow().runs.root(limit_ms, steady_us());
+        let is_nested = head.made_by_run && head.account.is_none();
+        let root = if is_nested { self.inherit_root(head, limit_ms, now_us) } else { None };
+        let in_time_until_us = root.map(|root| now_us + root.objective_left_us);
+        OutcomeWatch { service: head.service.clone(), priority: head.priority, is_nested, in_time_until_us }
+    }
+
+    /// Gives a nested call the priority of the call at its root, and at most the time that is left of it. A call without
+    /// known runs keeps its own: its run began before a restart of this node, which has lost the run's answer.
+    fn inherit_root(&self, head: &mut CallHead, limit_ms: Option<u32>, now_us: u64) -> Option<Root> {
+        let inner = &mut *self.inner.borrow_mut();
+        let root = inner.runs.root(limit_ms, now_us);
         self.metrics.nested_roots.with_label_values(&[root.map_or("unknown", |root| root.basis.as_str())]).inc();
         let Some(root) = root else {
             log::info!("event=call.root_unknown call={} route={}", head.call_id, Quoted(&head.route));
-            return;
+            return None;
         };
+        let admission = &mut inner.admission;
+        let weight = |route: &str| admission.attribution_weight(route, &head.service, now_us);
+        inner.runs.record_call(&head.service, limit_ms, now_us, weight);
         head.priority = root.priority;
         head.deadline_ms = head.deadline_ms.min(root.left_us.div_ceil(1000) as u32);
         log::debug!(
@@ -62,6 +89,22 @@
             root.left_us / 1000,
             root.basis.as_str()
         );
+        Some(root)
+    }
+
+    /// Records the outcome of a call.
+    pub(crate) fn record_outcome(&self, watch: &OutcomeWatch, placed: &Placed) {
+        let now_us = steady_us();
+        let is_served = match placed {
+            Placed::Answer(..) => watch.in_time_until_us.is_none_or(|until_us| now_us <= until_us),
+            Placed::Verdict(Verdict::NotRun { code, .. } | Verdict::Unknown { code }) if is_lack_of_room(*code) => {
+                false
+            }
+            // The call says nothing about the room of the service.
+            Placed::Verdict(_) => return,
+        };
+        let admission = &mut self.inner.borrow_mut().admission;
+        admission.record_outcome(&watch.service, watch.is_nested, watch.priority, is_served, now_us);
     }
 
     /// Returns whether the upstream beside this entry has runs in progress.
@@ -89,6 +132,24 @@
         nested_calls.admits_repeat(left, now_us)
     }
 
+    fn admits_call(&self, head: &CallHead, has_room: bool) -> bool {
+        let steady_us = steady_us();
+        let Inner { services, admission, .. } = &mut *self.inner.borrow_mut();
+        // A service that is not known has no full owners.
+        let room_share = |service: &str| services.get(service).map_or(1.0, |state| state.view.room_share(now_us()));
+        let RootVerdict { is_admitted, chance, lost, share } =
+            admission.admits(&head.route, head.priority, has_room, &room_share, steady_us);
+        if !is_admitted {
+            self.metrics.root_declined.inc();
+            log::info!(
+                "event=gate.root_declined call={} route={} chance={chance:.2} lost={lost:.2} share={share:.2}",
+                head.call_id,
+                Quoted(&head.route)
+            );
+        }
+        is_admitted
+    }
+
     fn run_began(&self, run: &StartedRun) {
         let mut inner = self.inner.borrow_mut();
         inner.nested_calls.run_began(run.repeat_permille, now_us());
@@ -98,6 +159,8 @@
     fn run_ended(&self, run: &StartedRun) {
         let mut inner = self.inner.borrow_mut();
         inner.nested_calls.run_ended(run.repeat_permille);
-        inner.runs.ended(run.attempt);
+        if let Some(ended) = inner.runs.ended(run.attempt) {
+            inner.admission.run_ended(&ended, steady_us());
+        }
     }
 }
--- a/valetrack/src/placement/tests.rs
+++ b/valetrack/src/placement/tests.rs
@@ -1,9 +1,11 @@
 //! Tests of placement: calls over links that lose messages, budgets and server selection.
 
+mod admission;
 mod budget;
 mod call;
 mod fleet;
 mod full_owner_share;
+mod nested_load;
 mod root;
 mod service;
 mod view;
--- /dev/null
+++ b/valetrack/src/placement/tests/admission.rs
@@ -0,0 +1,98 @@
+//! Admission of callers' calls by the nested calls of their runs.
+
+use std::sync::Arc;
+
+use crate::placement::{EndedRun, RootAdmission};
+
+const SECOND_US: u64 = 1_000_000;
+
+/// An owner beside an upstream whose runs of `plate` call `lien`, and which runs `transfer` too.
+struct Owner {
+    admission: RootAdmission,
+    now_us: u64,
+}
+
+impl Owner {
+    /// Creates an owner that knows ten runs of each route; `calling` of the runs of `plate` made two calls.
+    fn new(calling: usize) -> Self {
+        let mut owner = Self { admission: RootAdmission::default(), now_us: SECOND_US };
+        for number in 0..10 {
+            let calls = if number < calling { vec![(Arc::from("lien"), 2.0)] } else { Vec::new() };
+            owner.admission.run_ended(&EndedRun { route: Arc::from("plate"), calls }, owner.now_us);
+            let (route, calls) = (Arc::from("transfer"), Vec::new());
+            owner.admission.run_ended(&EndedRun { route, calls }, owner.now_us);
+            owner.admits("transfer", 2, true);
+        }
+        owner
+    }
+
+    fn admits(&mut self, route: &str, priority: u8, has_room: bool) -> bool {
+        self.admission.admits(&Arc::from(route), priority, has_room, &|_| 1.0, self.now_us).is_admitted
+    }
+
+    /// Returns how many of 100 calls of `plate` are admitted within ten seconds, while nested calls and more urgent
+    /// callers' calls to `lien` are served or not.
+    fn admitted(&mut self, has_room: bool, nested_served: bool, urgent_served: bool) -> usize {
+        let lien = Arc::from("lien");
+        let mut admitted = 0;
+        for _ in 0..100 {
+            self.now_us += SECOND_US / 10;
+            self.admits("transfer", 2, has_room);
+            self.admission.record_outcome(&lien, true, 1, nested_served, self.now_us);
+            self.admission.record_outcome(&lien, false, 0, urgent_served, self.now_us);
+            admitted += usize::from(self.admits("plate", 1, has_room));
+            let calls = vec![(lien.clone(), 2.0)];
+            self.admission.run_ended(&EndedRun { route: Arc::from("plate"), calls }, self.now_us);
+        }
+        admitted
+    }
+}
+
+#[test]
+fn calls_are_admitted_while_their_nested_calls_are_served() {
+    assert_eq!(Owner::new(7).admitted(true, true, true), 100);
+    assert_eq!(Owner::new(7).admitted(false, true, true), 100);
+}
+
+#[test]
+fn calls_that_would_be_lost_leave_slots_to_others_only_if_none_is_free() {
+    assert!(Owner::new(7).admitted(false, false, true) < 20);
+    assert_eq!(Owner::new(7).admitted(true, false, true), 100);
+}
+
+#[test]
+fn calls_do_not_displace_more_urgent_calls_deeper_down() {
+    assert!(Owner::new(7).admitted(true, true, false) < 20);
+}
+
+#[test]
+fn run_that_probably_needs_no_nested_call_is_admitted_while_slots_are_free() {
+    let mut owner = Owner::new(3);
+    owner.admission.record_outcome(&Arc::from("lien"), true, 1, false, owner.now_us);
+    (0..20).for_each(|_| owner.admission.record_outcome(&Arc::from("lien"), false, 0, false, owner.now_us));
+    assert!((0..20).all(|_| owner.admits("plate", 1, true)));
+}
+
+#[test]
+fn admission_recovers_within_seconds() {
+    let mut owner = Owner::new(7);
+    owner.admitted(true, true, false);
+    owner.now_us += 7 * SECOND_US;
+    // The share doubles with each call that costs others nothing, at most once in the time in which it halves.
+    let admitted: Vec<bool> = (0..20)
+        .map(|_| {
+            owner.now_us += SECOND_US / 5;
+            owner.admits("plate", 1, true)
+        })
+        .collect();
+    assert!(admitted[8..].iter().all(|admitted| *admitted), "{admitted:?}");
+}
+
+#[test]
+fn restarted_node_admits_all_calls_until_it_knows_its_runs() {
+    let mut owner = Owner { admission: RootAdmission::default(), now_us: SECOND_US };
+    for _ in 0..20 {
+        owner.admission.record_outcome(&Arc::from("lien"), true, 1, false, owner.now_us);
+        assert!(owner.admits("plate", 1, false));
+    }
+}
--- a/valetrack/src/placement/tests/root.rs
+++ b/valetrack/src/placement/tests/root.rs
@@ -19,7 +19,7 @@
         route: Arc::from("plate"),
         priority,
         deadline_us: NOW_US + left_ms * 1000,
-        objective_end_us: None,
+        objective_end_us: Some(NOW_US + left_ms * 1000 - 1_000),
         repeat_permille: 0,
     }
 }
@@ -33,7 +33,7 @@
 }
 
 const fn root(priority: u8, left_ms: u64, basis: RootBasis) -> Option<Root> {
-    Some(Root { priority, left_us: left_ms * 1000, basis })
+    Some(Root { priority, left_us: left_ms * 1000, objective_left_us: left_ms * 1000 - 1_000, basis })
 }
 
 #[test_case(Some(1_902), root(1, 1_900, RootBasis::Deadline); "limit of the first run, read late")]
--- a/valetrack/src/placement/view.rs
+++ b/valetrack/src/placement/view.rs
@@ -254,6 +254,11 @@
         self.full_owner_share.record(full, now_us);
     }
 
+    /// Returns the share of attempts that found room at their owner lately.
+    pub fn room_share(&self, now_us: u64) -> f64 {
+        self.full_owner_share.room_share(now_us)
+    }
+
     /// Returns how many owners, of at most `declines_max`, may decline a call for lack of room.
     pub fn allowed_declines(&self, declines_max: u8, now_us: u64) -> u8 {
         self.full_owner_share.allowed_declines(declines_max, now_us)
