--- a/valetrack/src/placement/root.rs
+++ b/valetrack/src/placement/root.rs
@@ -19,8 +19,8 @@
 /// How the root of a nested call was determined.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RootBasis {
-    /// The time limit of the nested call matches runs of one priority only.
-    Deadline,
+    /// All runs that could have made the call have one priority.
+    Clear,
     /// Runs of several priorities could have made it, and the most urgent one counts.
     Urgency,
 }
@@ -29,7 +29,7 @@
     /// Returns the label in metrics and log lines.
     pub const fn as_str(self) -> &'static str {
         match self {
-            Self::Deadline => "deadline",
+            Self::Clear => "clear",
             Self::Urgency => "urgency",
         }
     }
@@ -132,7 +132,7 @@
         // An earlier deadline than that of the run that made the call would fail a call that could still be in time.
         let deadline_us = makers.iter().map(|run| run.deadline_us).max()?;
         let objective_end_us = makers.iter().map(|run| run.objective_end_us.unwrap_or(run.deadline_us)).max()?;
-        let basis = if is_clear { RootBasis::Deadline } else { RootBasis::Urgency };
+        let basis = if is_clear { RootBasis::Clear } else { RootBasis::Urgency };
         let left_us = deadline_us.saturating_sub(now_us);
         Some(Root { priority, left_us, objective_left_us: objective_end_us.saturating_sub(now_us), basis })
     }
--- a/valetrack/src/placement/tests/root.rs
+++ b/valetrack/src/placement/tests/root.rs
@@ -36,8 +36,8 @@
     Some(Root { priority, left_us: left_ms * 1000, objective_left_us: left_ms * 1000 - 1_000, basis })
 }
 
-#[test_case(Some(1_902), root(1, 1_900, RootBasis::Deadline); "limit of the first run, read late")]
-#[test_case(Some(1_198), root(2, 1_200, RootBasis::Deadline); "limit of the second run, rounded down")]
+#[test_case(Some(1_902), root(1, 1_900, RootBasis::Clear); "limit of the first run, read late")]
+#[test_case(Some(1_198), root(2, 1_200, RootBasis::Clear); "limit of the second run, rounded down")]
 #[test_case(Some(1_000), root(1, 1_900, RootBasis::Urgency); "runs with less time left did not make it")]
 #[test_case(Some(500), root(0, 1_900, RootBasis::Urgency); "limit of the route, below all runs")]
 #[test_case(Some(5_000), root(0, 1_900, RootBasis::Urgency); "limit above all runs")]
