--- a/standin/tests/account.rs
+++ b/standin/tests/account.rs
@@ -100,6 +100,25 @@
     assert_eq!(fleet.vms[1].upstream.arrivals().len(), before + 1);
 }
 
+/// Guards against nested calls that keep the priority of their own route: accounts set the priority of the call at their
+/// root, which upstreams do not pass on.
+#[tokio::test]
+async fn root_of_nested_calls_is_found_once_their_route_is_classified() {
+    let fleet = fleet(&["rounds", "ledger"]).await;
+    fleet.vms[0].upstream.set_calls(fleet.vms[0].caller_addr, "/check/farm", 2);
+    // Calls that enter beside the other service show the owner which calls its own runs make.
+    for _ in 0..40 {
+        for path in ["/pickup/", "/sheet/"] {
+            assert_eq!(status(&send(fleet.vms[1].caller_addr, path, &[("authorization", KEY)]).await), 200);
+        }
+    }
+    let page = Client::new(fleet.vms[0].ready_addr).call("GET", "/metrics", &[], "").await.expect("a page");
+    let page = String::from_utf8_lossy(&page.body).into_owned();
+    let roots: Vec<&str> = page.lines().filter(|line| line.starts_with("valetrack_nested_roots_total{")).collect();
+    // The runs follow each other, so that only one could have made each call.
+    assert!(matches!(roots[..], [line] if line.contains("\"clear\"")), "{roots:?}");
+}
+
 /// Returns the largest number of arrivals at all upstreams within any window of the given length.
 fn most_within(fleet: &Fleet, window: Duration) -> usize {
     let mut arrivals: Vec<Instant> = fleet.vms.iter().flat_map(|vm| vm.upstream.arrivals()).map(|(at, _)| at).collect();
