--- a/valetrack/src/caller/run.rs
+++ b/valetrack/src/caller/run.rs
@@ -27,6 +27,7 @@
 use crate::bundle::{HostRoute, InForce, SplitPicker};
 use crate::clock::Moment;
 use crate::code::Code;
+use crate::gate::NestedRank;
 use crate::link::message::CallHead;
 use crate::placement::run::Placer;
 use crate::placement::{PlaceJob, Placed, SERVICE_UNKNOWN, Verdict};
@@ -255,6 +256,8 @@
         };
         let IncomingCall { mut head, given_ms, repeatable, attempts_max, .. } = call;
         head.made_by_run |= self.placer.is_nested(&head.route);
+        let is_ranked_by_root = in_force.bundle.nested_rank == NestedRank::Root;
+        let watch = is_ranked_by_root.then(|| self.placer.watch_outcome(&mut head, given_ms));
         if let (Some(given_ms), false) = (given_ms, head.made_by_run) {
             let waited_ms = self.placer.waited_ms(&head.route, given_ms);
             // Zero stands for a call without an objective, so one whose objective has passed keeps 1 ms.
@@ -268,6 +271,9 @@
         } else {
             self.place_within_quota(head, body, repeatable, attempts_max).await
         };
+        if let Some(watch) = watch {
+            self.placer.record_outcome(&watch, &placed);
+        }
         if let Placed::Answer(head, _) = &mut placed {
             self.placer.departures.take_from(&mut head.headers);
         }
