Gate: a cold upstream keeps starts for more urgent calls

Cause: after a power loss all callers return at once while every upstream is cold. The calls of the first milliseconds used up the starts of a whole second, and urgent calls, which cannot wait that long, were refused. Change: where the bundle asks for it (`cold_starts_by_rank`; on the managed platform where the configuration has client accounts), a call may use only the starts that the arrivals of more urgent ranks leave within the window. Result (pure test, 24 starts a window, 8 urgent calls and 80 others a second for three seconds): 7 of 24 urgent calls started before, 22 of 24 now; others 65 and 46.

--- a/standin/src/overload/simulation.rs
+++ b/standin/src/overload/simulation.rs
@@ -282,7 +282,7 @@
 fn new_vm(fleet: &Fleet, load: &Load, domain: usize, service: usize, rng: &mut fastrand::Rng) -> Vm {
     let starts_per_s = fleet.cold_starts_per_s;
     let config = GateConfig {
-        cold: ColdRule { starts_per_s, first_second: starts_per_s.unwrap_or(0), length_ms: None },
+        cold: ColdRule { starts_per_s, first_second: starts_per_s.unwrap_or(0), length_ms: None, by_rank: false },
         slots: fleet.slots,
         queue_max_us: 50_000,
         ramp_us: 0,
--- a/valetrack/src/bundle/check.rs
+++ b/valetrack/src/bundle/check.rs
@@ -114,6 +114,7 @@
         starts_per_s: (cold_starts_per_s > 0).then_some(cold_starts_per_s),
         first_second: cold_starts_per_s / 2,
         length_ms: None,
+        by_rank: reader.flag(section, "cold_starts_by_rank", false),
     };
     let claims = read_claims(reader, section);
     let mut routes = Vec::new();
--- a/valetrack/src/gate/cold.rs
+++ b/valetrack/src/gate/cold.rs
@@ -8,6 +8,8 @@
 
 use serde::Serialize;
 
+use super::cold_rank::RankedStarts;
+
 /// Window of the limit: one second, plus a tenth because a node that is short of processor time sends a call to the
 /// upstream some tens of milliseconds after its start.
 const WINDOW_US: u64 = 1_100_000;
@@ -26,6 +28,8 @@
     pub first_second: u32,
     /// How long an upstream is cold after a start; `None` if unknown.
     pub length_ms: Option<u32>,
+    /// Whether starts that more urgent calls need are kept for them.
+    pub by_rank: bool,
 }
 
 /// Limit on the calls that a cold upstream receives, over a sliding window.
@@ -38,12 +42,20 @@
     node_start_us: u64,
     /// Starts within the last window, oldest first.
     starts_us: VecDeque<u64>,
+    /// Arrivals and starts by rank; empty unless the rule shares starts by rank.
+    ranked: RankedStarts,
 }
 
 impl ColdBound {
     /// Creates the limit of a node that starts at `now_us`; nothing is limited yet.
     pub fn new(now_us: u64) -> Self {
-        Self { rule: ColdRule::default(), until_us: 0, node_start_us: now_us, starts_us: VecDeque::with_capacity(64) }
+        Self {
+            rule: ColdRule::default(),
+            until_us: 0,
+            node_start_us: now_us,
+            starts_us: VecDeque::with_capacity(64),
+            ranked: RankedStarts::default(),
+        }
     }
 
     /// Sets how many calls a cold upstream of the service supports.
@@ -67,6 +79,35 @@
         Some(starts_max.saturating_sub(self.recent_starts(now_us).count()))
     }
 
+    /// Returns how many calls of `rank` may start at `now_us`; `None` if starts are not limited.
+    pub fn remaining_for(&self, rank: u8, now_us: u64) -> Option<usize> {
+        let remaining = self.remaining(now_us)?;
+        match (self.rule.by_rank, self.starts_max(now_us)) {
+            (true, Some(starts_max)) => Some(remaining.min(self.ranked.remaining(rank, starts_max, WINDOW_US, now_us))),
+            (true, None) | (false, _) => Some(remaining),
+        }
+    }
+
+    /// Returns how long the call of `rank` behind `ahead` others waits for its start.
+    pub fn wait_for_us(&self, rank: u8, ahead: usize, now_us: u64) -> u64 {
+        let wait_us = self.wait_us(ahead, now_us);
+        match self.starts_max(now_us).filter(|_| self.rule.by_rank) {
+            Some(starts_max) => {
+                let share_us = self.ranked.wait_us(rank, ahead, starts_max, WINDOW_US, now_us);
+                wait_us.max(share_us.min(self.until_us.saturating_sub(now_us)))
+            }
+            None => wait_us,
+        }
+    }
+
+    /// Records the arrival of a call of `rank`.
+    pub fn record_arrival(&mut self, rank: u8, now_us: u64) {
+        match self.rule.by_rank && self.starts_max(now_us).is_some() {
+            true => self.ranked.record_arrival(rank, WINDOW_US, now_us),
+            false => self.ranked.clear(),
+        }
+    }
+
     /// Returns how long the call behind `ahead` others waits for its start.
     pub fn wait_us(&self, ahead: usize, now_us: u64) -> u64 {
         let Some(starts_max) = self.starts_max(now_us) else {
@@ -87,6 +128,14 @@
         free_us.min(warm_us)
     }
 
+    /// Records the start of a call of `rank`.
+    pub fn record_ranked_start(&mut self, rank: u8, now_us: u64) {
+        if self.rule.by_rank && self.starts_max(now_us).is_some() {
+            self.ranked.record_start(rank, WINDOW_US, now_us);
+        }
+        self.record_start(now_us);
+    }
+
     /// Records a start.
     pub fn record_start(&mut self, now_us: u64) {
         while self.starts_us.front().is_some_and(|start_us| start_us + WINDOW_US <= now_us) {
--- a/valetrack/src/gate/mod.rs
+++ b/valetrack/src/gate/mod.rs
@@ -5,6 +5,7 @@
 //! which [`CancelResult::NeverStarted`] was returned, never starts.
 
 mod cold;
+mod cold_rank;
 mod crash;
 mod departure;
 mod header;
@@ -29,6 +30,7 @@
 mod upstream;
 
 pub use cold::{ColdBound, ColdRule};
+pub use cold_rank::RankedStarts;
 pub use crash::CrashWatch;
 pub use departure::{Departure, Departures};
 pub use header::{ACCOUNT_HEADER, REPEAT_HEADER, forwarded_headers};
--- a/valetrack/src/gate/state.rs
+++ b/valetrack/src/gate/state.rs
@@ -218,9 +218,14 @@
         [self.cold.remaining(now_us), by_rate].into_iter().flatten().min()
     }
 
-    /// Returns how long the call behind `ahead` others waits for a start, regardless of slots.
-    fn start_wait_us(&self, ahead: usize, now_us: u64) -> u64 {
-        self.cold.wait_us(ahead, now_us).max(self.rate_limit.wait_us(ahead, now_us))
+    /// Returns whether a call of `rank` may start now regardless of slots.
+    fn may_start_by_rate(&self, rank: u8, now_us: u64) -> bool {
+        self.cold.remaining_for(rank, now_us) != Some(0) && self.rate_limit.remaining(now_us) != Some(0)
+    }
+
+    /// Returns how long the call of `rank` behind `ahead` others waits for a start, regardless of slots.
+    fn start_wait_us(&self, rank: u8, ahead: usize, now_us: u64) -> u64 {
+        self.cold.wait_for_us(rank, ahead, now_us).max(self.rate_limit.wait_us(ahead, now_us))
     }
 
     /// Returns for how long nothing has run.
@@ -352,7 +357,9 @@
         // Calls that wait only because the server is cold need no report of the machine's speed.
         let deferred = free && self.waiting.iter().any(|waiting| self.is_deferred(waiting, now_us));
         let ask = deferred.then(|| self.speed.next_request_us());
-        let start = (free && self.remaining_starts(now_us) == Some(0)).then(|| now_us + self.start_wait_us(0, now_us));
+        let first_rank = self.waiting.front().map_or(0, |waiting| waiting.priority);
+        let start = (free && !self.may_start_by_rate(first_rank, now_us))
+            .then(|| now_us + self.start_wait_us(first_rank, 0, now_us));
         [stall, ask, start].into_iter().flatten().fold(expiry, u64::min).into()
     }
 
--- a/valetrack/src/gate/state/queue.rs
+++ b/valetrack/src/gate/state/queue.rs
@@ -33,6 +33,7 @@
             self.decline(attempt, reason, now_us, out);
             return;
         }
+        self.cold.record_arrival(priority, now_us);
         let work_us = objective.map_or(0, |objective| objective.work_us);
         let run_us = self.run_us(objective, now_us);
         let objective_start_by_us = match objective {
@@ -101,16 +102,16 @@
         }
     }
 
-    /// Returns whether the first call in the queue may start now.
-    fn may_start(&self, now_us: u64) -> bool {
-        self.running.len() < usize::from(self.limit(now_us)) && self.remaining_starts(now_us) != Some(0)
+    /// Returns whether a call of `rank` may start now.
+    fn may_start(&self, rank: u8, now_us: u64) -> bool {
+        self.running.len() < usize::from(self.limit(now_us)) && self.may_start_by_rate(rank, now_us)
     }
 
     /// Returns why an arriving attempt is declined, if it is.
     fn decline_reason(&self, call: &Waiting, objective: Option<Objective>, now_us: u64) -> Option<DeclineReason> {
         let deferred = self.is_deferred(call, now_us);
         let beside_suspect = self.waits_for_suspect(call.attempt);
-        let has_slot = self.may_start(now_us) && self.waiting.is_empty();
+        let has_slot = self.may_start(call.priority, now_us) && self.waiting.is_empty();
         if !has_slot || deferred || beside_suspect {
             let wait_max_us = objective.map_or(self.config.queue_max_us, |objective| objective.wait_max_us);
             if let Some(reason) = self.queue_decline_reason(call, wait_max_us, now_us) {
@@ -150,7 +151,7 @@
         }
         let ahead = self.waiting.iter().filter(|other| other.priority <= call.priority).count();
         let rate_wait_us = self.rate_limit.wait_us(ahead, now_us);
-        let wait_us = self.slot_wait_us(call, now_us).max(self.start_wait_us(ahead, now_us));
+        let wait_us = self.slot_wait_us(call, now_us).max(self.start_wait_us(call.priority, ahead, now_us));
         let timeout_us = match patience {
             QueueTimeout::None => 0,
             QueueTimeout::Short => wait_max_us.min(self.service_us as u64 / 2),
@@ -229,9 +230,12 @@
 
     /// Starts waiting calls while slots are free, except for deferred ones.
     pub(super) fn start_waiting(&mut self, now_us: u64, out: &mut Vec<GateAction>) {
-        while self.may_start(now_us) {
-            let is_ready =
-                |waiting: &Waiting| !self.is_deferred(waiting, now_us) && !self.waits_for_suspect(waiting.attempt);
+        loop {
+            let is_ready = |waiting: &Waiting| {
+                self.may_start(waiting.priority, now_us)
+                    && !self.is_deferred(waiting, now_us)
+                    && !self.waits_for_suspect(waiting.attempt)
+            };
             let next = self.waiting.iter().position(is_ready);
             let Some(waiting) = next.and_then(|at| self.waiting.remove(at)) else {
                 return;
@@ -241,7 +245,7 @@
                 continue;
             }
             self.progress.record_start(now_us);
-            self.cold.record_start(now_us);
+            self.cold.record_ranked_start(waiting.priority, now_us);
             self.over_limit += u64::from(!self.rate_limit.record_start(now_us));
             let busy = self.running.len() as u16 + 1;
             self.running.insert(waiting.attempt, Running { started_us: now_us, busy });
--- a/valetrack/src/gate/tests/cold.rs
+++ b/valetrack/src/gate/tests/cold.rs
@@ -9,7 +9,8 @@
 /// Window in which starts are counted.
 const WINDOW_US: u64 = 1_100_000;
 const STARTS_PER_S: u32 = 24;
-const RULE: ColdRule = ColdRule { starts_per_s: Some(STARTS_PER_S), first_second: 8, length_ms: Some(3_000) };
+const RULE: ColdRule =
+    ColdRule { starts_per_s: Some(STARTS_PER_S), first_second: 8, length_ms: Some(3_000), by_rank: false };
 
 fn gate(now_us: u64) -> Gate {
     let mut gate = Gate::new(GateConfig::default(), 0);
@@ -135,3 +136,42 @@
         }
     }
 }
+
+/// Guards against calls of a low rank that use up a cold upstream's starts right after a power loss: an urgent call
+/// cannot wait for the next window.
+///
+/// An upstream may start 24 calls in a window; 8 urgent calls and 80 others a second arrive for three seconds. The
+/// others use what the urgent calls leave.
+#[test_case(false, "7 of 24 urgent calls, 65 others"; "in the order of arrival")]
+#[test_case(true, "22 of 24 urgent calls, 46 others"; "by rank")]
+fn urgent_calls_get_starts_of_cold_upstream(by_rank: bool, expected: &str) {
+    let from_us = 10 * SECOND_US;
+    let mut gate = gate(from_us);
+    gate.configure(GateConfig {
+        slots: 11,
+        rescue: false,
+        cold: ColdRule { by_rank, ..RULE },
+        ..GateConfig::default()
+    });
+    let (mut urgent, mut others) = (0, 0);
+    let mut out = Vec::new();
+    for step in 0..264 {
+        let now_us = from_us + step * 12_500 * 10 / 11;
+        let is_urgent = step % 11 == 10;
+        let arrive = GateEvent::Arrive {
+            attempt: AttemptId { entry: 1, seq: step },
+            deadline_us: now_us + SECOND_US,
+            patience: QueueTimeout::Long,
+            priority: if is_urgent { 1 } else { 3 },
+            objective: Some(Objective { left_us: 200_000, work_us: 1_000, elsewhere_permille: 0, wait_max_us: 0 }),
+        };
+        gate.handle(arrive, now_us, &mut out);
+        for action in std::mem::take(&mut out) {
+            if let GateAction::Start { attempt } = action {
+                *if is_urgent { &mut urgent } else { &mut others } += 1;
+                gate.handle(GateEvent::Done { attempt, healthy: true }, now_us, &mut Vec::new());
+            }
+        }
+    }
+    assert_eq!(format!("{urgent} of 24 urgent calls, {others} others"), expected);
+}
--- a/valetrack/src/gate/tests/evacuation.rs
+++ b/valetrack/src/gate/tests/evacuation.rs
@@ -31,7 +31,7 @@
 
 #[test]
 fn end_of_evacuation_respects_cold_limit() {
-    let cold = ColdRule { starts_per_s: Some(3), first_second: 3, length_ms: None };
+    let cold = ColdRule { starts_per_s: Some(3), first_second: 3, length_ms: None, by_rank: false };
     let mut gate = Gate::new(GateConfig::default(), 0);
     gate.configure(GateConfig { slots: 50, queue_max_us: 0, rescue: false, cold, ..GateConfig::default() });
     let mut out = Vec::new();
--- a/valetrack/src/gate/tests/steps.rs
+++ b/valetrack/src/gate/tests/steps.rs
@@ -13,7 +13,7 @@
     ramp_us: 0,
     rescue: true,
     learn_limit: false,
-    cold: ColdRule { starts_per_s: None, first_second: 0, length_ms: None },
+    cold: ColdRule { starts_per_s: None, first_second: 0, length_ms: None, by_rank: false },
 };
 
 fn attempt(seq: u64) -> AttemptId {
