Caller listener: pipelined repeatable requests are started ahead of their turn

Cause: hyper starts a request only after it has answered the one before it, so a playback call behind others waits about 200 ms before a node reads it. Change: a stream around the socket hands hyper one message at a time, and starts the calls of complete repeatable requests without a body behind it, through the path of any other call; the service takes their results when hyper delivers them.

--- a/valetrack/src/caller/mod.rs
+++ b/valetrack/src/caller/mod.rs
@@ -5,6 +5,7 @@
 
 mod answer;
 pub mod keyed;
+mod pipeline;
 mod protocol;
 mod request;
 pub mod run;
--- /dev/null
+++ b/valetrack/src/caller/pipeline/mod.rs
@@ -0,0 +1,16 @@
+//! Pipelined requests of a caller's connection: further repeatable requests are started while hyper, which serves the
+//! connection, waits for the answer to an earlier one.
+//!
+//! Contract: hyper receives the bytes of one message at a time, so a started call belongs to the next request that it
+//! delivers; answers keep the order of the requests; a call is started ahead only behind repeatable calls.
+
+mod connection;
+mod framing;
+mod serve;
+mod state;
+mod stream;
+#[cfg(test)]
+mod tests;
+
+pub use connection::{CallService, Delivered};
+pub use serve::serve;
--- /dev/null
+++ b/valetrack/src/caller/pipeline/stream.rs
@@ -0,0 +1,145 @@
+//! Stream of a caller's connection, which hands hyper the bytes of one message at a time.
+
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::BufMut;
+use futures::FutureExt;
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Sleep, sleep};
+
+use super::connection::CallerConnection;
+
+/// Most bytes that are read at once where they are inspected, as in hyper.
+const READ_BYTES: usize = 8 * 1024;
+/// Interval of checks for a closed connection while no more bytes may be held. A fifth of the half second within which
+/// calls of such a connection have to end.
+const CLOSED_CHECK_MS: u64 = 100;
+
+/// Stream of a caller's connection.
+pub struct CallerStream {
+    stream: TcpStream,
+    connection: Rc<CallerConnection>,
+    /// Timer of the next check for a closed connection.
+    closed_check: Option<Pin<Box<Sleep>>>,
+}
+
+impl CallerStream {
+    /// Creates the stream of a connection.
+    pub fn new(stream: TcpStream, connection: Rc<CallerConnection>) -> Self {
+        Self { stream, connection, closed_check: None }
+    }
+
+    /// Hands hyper bytes that are held; returns whether there were any.
+    fn hand(&self, buf: &mut ReadBuf<'_>) -> bool {
+        let mut state = self.connection.state.borrow_mut();
+        state.on_polled();
+        let ready = state.ready();
+        let count = ready.len().min(buf.remaining());
+        buf.put_slice(&ready[..count]);
+        if count > 0 {
+            state.on_handed(count);
+        }
+        count > 0
+    }
+
+    /// Reads up to `passable` bytes directly for hyper, and holds those beyond.
+    fn poll_pass(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>, passable: u64) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        let count = buf.filled().len() - before;
+        let passed = usize::try_from(passable).map_or(count, |passable| count.min(passable));
+        let mut state = self.connection.state.borrow_mut();
+        state.buffer().extend_from_slice(&buf.filled()[before + passed..]);
+        buf.set_filled(before + passed);
+        state.on_passed(passed as u64);
+        Poll::Ready(Ok(()))
+    }
+
+    /// Reads bytes to be held; returns how many, zero at the end of the stream.
+    fn poll_hold(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        let room = self.connection.state.borrow().room();
+        if room == 0 {
+            return self.poll_closed(cx).map(|()| Ok(0));
+        }
+        self.closed_check = None;
+        loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            let mut state = self.connection.state.borrow_mut();
+            match self.stream.try_read_buf(&mut state.buffer().limit(room.min(READ_BYTES))) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                read => {
+                    state.on_received();
+                    return Poll::Ready(read);
+                }
+            }
+        }
+    }
+
+    /// Waits until the client closes the connection, without reading.
+    fn poll_closed(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        loop {
+            let check =
+                self.closed_check.get_or_insert_with(|| Box::pin(sleep(Duration::from_millis(CLOSED_CHECK_MS))));
+            ready!(check.as_mut().poll(cx));
+            self.closed_check = None;
+            let ready = self.stream.ready(Interest::READABLE).now_or_never();
+            if ready.is_some_and(|ready| ready.is_ok_and(|ready| ready.is_read_closed())) {
+                return Poll::Ready(());
+            }
+        }
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        loop {
+            if this.hand(buf) {
+                return Poll::Ready(Ok(()));
+            }
+            let passable = this.connection.state.borrow().passable();
+            if passable > 0 {
+                return this.poll_pass(cx, buf, passable);
+            }
+            // The end of the stream goes to hyper at once, also before held requests: hyper then drops the connection
+            // with all calls, as it does for a single request whose client closes.
+            if ready!(this.poll_hold(cx))? == 0 {
+                return Poll::Ready(Ok(()));
+            }
+            this.connection.start_ahead();
+        }
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        self.connection.state.borrow_mut().on_flushed();
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/valetrack/src/caller/protocol.rs
+++ b/valetrack/src/caller/protocol.rs
@@ -36,6 +36,10 @@
     /// Returns the reason for which the request is rejected.
     fn read(&self, parts: &Parts, cx: &ReadContext<'_>) -> Result<IncomingCall, Rejection>;
 
+    /// Returns whether the work of a request may run more than once. Such a request may be started before those ahead
+    /// of it on its connection are answered.
+    fn is_repeatable(&self, parts: &Parts, bundle: &Bundle) -> bool;
+
     /// Builds the answer to a call that was placed.
     fn of_placed(&self, placed: Placed, call_id: &str) -> Answer;
 
@@ -56,6 +60,10 @@
         request::read(parts, cx.bundle, cx.new_id)
     }
 
+    fn is_repeatable(&self, parts: &Parts, bundle: &Bundle) -> bool {
+        request::is_repeatable(parts, bundle)
+    }
+
     fn of_placed(&self, placed: Placed, call_id: &str) -> Answer {
         answer::of_placed(placed, call_id)
     }
--- a/valetrack/src/caller/request.rs
+++ b/valetrack/src/caller/request.rs
@@ -72,8 +72,7 @@
     let repeat_permille = number(headers, REPEAT_HEADER)?.unwrap_or(0).min(PERMILLE as u64) as u16;
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let route = rule.route(parts.method.as_str(), parts.uri.path());
-    let safe = matches!(parts.method.as_str(), "GET" | "HEAD");
-    let repeatable = route.map_or(safe, |route| route.repeatable);
+    let repeatable = runs_repeatedly(parts, rule);
     let limit_ms = route.map_or(rule.deadline_ms, |route| route.deadline_ms);
     let requested_ms = number(headers, DEADLINE_HEADER)?.unwrap_or(limit_ms.into());
     let key = text(headers, KEY_HEADER, KEY_MAX_BYTES)?;
@@ -120,6 +119,16 @@
     })
 }
 
+/// Returns whether the work of a request may run more than once.
+pub fn is_repeatable(parts: &Parts, bundle: &Bundle) -> bool {
+    service(parts, bundle).is_some_and(|rule| runs_repeatedly(parts, rule))
+}
+
+fn runs_repeatedly(parts: &Parts, rule: &ServiceRule) -> bool {
+    let safe = matches!(parts.method.as_str(), "GET" | "HEAD");
+    rule.route(parts.method.as_str(), parts.uri.path()).map_or(safe, |route| route.repeatable)
+}
+
 /// Returns the id that a caller gave its request.
 ///
 /// # Errors
--- a/valetrack/src/caller/run.rs
+++ b/valetrack/src/caller/run.rs
@@ -2,26 +2,23 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use async_channel::Receiver;
 use bytes::Bytes;
+use futures::future::LocalBoxFuture;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::Request;
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::conn::auto;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::timeout;
 
 use super::answer::{self, Answer};
 use super::keyed::KeyedRouter;
+use super::pipeline::{self, CallService, Delivered};
 use super::protocol::{CallerProtocol, ReadContext};
 use super::request::{IncomingCall, Rejection};
 use crate::bundle::{HostRoute, InForce, SplitPicker};
@@ -33,8 +30,6 @@
 use crate::quota::run::Quotas;
 use crate::timeline::{OrNone, Quoted};
 
-/// Largest head of a request.
-const HEAD_MAX_BYTES: usize = 64 * 1024;
 /// Most concurrent connections of callers; further ones are closed immediately.
 const CONNECTIONS_MAX: usize = 10_000;
 /// Most calls without an answer yet; further ones are rejected immediately.
@@ -191,53 +186,28 @@
 
     async fn serve(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let mut builder = auto::Builder::new(LocalExecutor);
-        builder
-            .http1()
-            .timer(TokioTimer::new())
-            .header_read_timeout(self.parts.head_limit)
-            .max_buf_size(HEAD_MAX_BYTES);
-        builder.http2().timer(TokioTimer::new()).max_header_list_size(HEAD_MAX_BYTES as u32);
-        let listener = self.clone();
-        let service = service_fn(move |request| listener.clone().answer(request));
-        let connection = builder.serve_connection(TokioIo::new(stream), service);
-        let mut connection = std::pin::pin!(connection);
         let mut leaving = self.parts.leaving.clone();
-        let ended = tokio::select! {
-            ended = connection.as_mut() => Some(ended),
-            () = idle_limit(&mut leaving, self.parts.linger) => None,
-        };
-        let ended = match ended {
-            Some(ended) => ended,
-            None => {
-                // Finishes calls in progress and closes the connection, so that the caller connects to another node.
-                connection.as_mut().graceful_shutdown();
-                connection.await
-            }
-        };
+        let idle_limit = idle_limit(&mut leaving, self.parts.linger);
+        let ended = pipeline::serve(stream, self.parts.head_limit, self.clone(), idle_limit).await;
         if ended.is_err() {
             self.placer.metrics.bad_calls.inc();
         }
         self.connections.set(self.connections.get() - 1);
     }
 
-    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Result<Answer, Infallible> {
+    async fn answer(self: Rc<Self>, parts: Parts, delivered: Option<Delivered>) -> Answer {
         let _open = OpenCall::new(self.clone());
         let began = Instant::now();
-        let mut answer = self.clone().handle(request).await;
+        let answer = self.clone().handle(parts, delivered).await;
         let metrics = &self.placer.metrics;
         metrics.call_seconds.observe(began.elapsed().as_secs_f64());
         let outcome = answer.headers().get(answer::OUTCOME_HEADER).and_then(|value| value.to_str().ok());
         metrics.calls.with_label_values(&[outcome.unwrap_or("unknown")]).inc();
-        if *self.parts.leaving.borrow() && answer.version() < hyper::Version::HTTP_2 {
-            answer.headers_mut().insert("connection", hyper::header::HeaderValue::from_static("close"));
-        }
-        Ok(answer)
+        answer
     }
 
-    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Answer {
+    async fn handle(self: Rc<Self>, parts: Parts, delivered: Option<Delivered>) -> Answer {
         let began = Instant::now();
-        let (parts, body) = request.into_parts();
         let given_id = self.parts.protocol.call_id(&parts.headers).unwrap_or(NO_CALL_ID);
         if self.open_calls.get() > OPEN_CALLS_MAX {
             return self.reject(Rejection { code: Code::Overloaded, status: 503 }, given_id);
@@ -246,7 +216,7 @@
         let Some(in_force) = in_force else {
             return self.reject(Rejection { code: Code::NoBundle, status: 503 }, given_id);
         };
-        let (call, body) = match self.read(&parts, body, &in_force).await {
+        let (call, body) = match self.read(&parts, delivered, &in_force).await {
             Ok(read) => read,
             Err(rejection) => {
                 self.placer.metrics.bad_calls.inc();
@@ -301,7 +271,7 @@
     async fn read(
         &self,
         parts: &Parts,
-        body: Incoming,
+        delivered: Option<Delivered>,
         in_force: &InForce,
     ) -> Result<(IncomingCall, Bytes), Rejection> {
         let cx = ReadContext {
@@ -312,7 +282,14 @@
         };
         let mut call = self.parts.protocol.read(parts, &cx)?;
         call.head.origin = self.parts.service.clone();
-        let body = self.read_body(body, call.request_cap_bytes).await?;
+        let body = match delivered {
+            Some(Delivered { body, connection }) => {
+                let body = self.read_body(body, call.request_cap_bytes).await?;
+                connection.on_read(call.repeatable);
+                body
+            }
+            None => Bytes::new(),
+        };
         call.head.body_bytes = body.len() as u32;
         Ok((call, body))
     }
@@ -397,6 +374,27 @@
     }
 }
 
+impl CallService for CallerListener {
+    fn may_start(&self, parts: &Parts) -> bool {
+        let bundle = self.placer.bundle.borrow();
+        let is_repeatable = |in_force: &Arc<InForce>| self.parts.protocol.is_repeatable(parts, &in_force.bundle);
+        !self.is_leaving() && self.open_calls.get() < OPEN_CALLS_MAX && bundle.as_ref().is_some_and(is_repeatable)
+    }
+
+    fn on_started(&self, in_progress: usize) {
+        self.placer.metrics.calls_started_ahead.inc();
+        log::debug!("event=call.started_ahead in_progress={in_progress}");
+    }
+
+    fn run(self: Rc<Self>, parts: Parts, delivered: Option<Delivered>) -> LocalBoxFuture<'static, Answer> {
+        Box::pin(self.answer(parts, delivered))
+    }
+
+    fn is_leaving(&self) -> bool {
+        *self.parts.leaving.borrow()
+    }
+}
+
 /// Returns the code of a call that has one: it failed, or it has no answer of a server.
 fn code_of_placed(placed: &Placed) -> Option<Code> {
     match placed {
@@ -429,13 +427,3 @@
         self.0.open_calls.set(self.0.open_calls.get() - 1);
     }
 }
-
-/// Spawns the tasks of a connection on the thread of the listener.
-#[derive(Debug, Clone, Copy)]
-struct LocalExecutor;
-
-impl<F: Future + 'static> hyper::rt::Executor<F> for LocalExecutor {
-    fn execute(&self, future: F) {
-        tokio::task::spawn_local(future);
-    }
-}
--- a/valetrack/src/metric.rs
+++ b/valetrack/src/metric.rs
@@ -60,6 +60,8 @@
     pub invalid_input: IntCounterVec,
     /// Calls from callers that were refused as invalid.
     pub bad_calls: IntCounter,
+    /// Calls that were started before the calls ahead of them on their connection were answered.
+    pub calls_started_ahead: IntCounter,
     /// Calls that were refused because their client account exceeds its rate.
     pub over_rate: IntCounter,
     /// Credit requests that were sent to homes of client accounts.
@@ -190,6 +192,10 @@
                 "code",
             ),
             bad_calls: counter("valetrack_bad_calls_total", "Calls from callers that were refused as invalid."),
+            calls_started_ahead: counter(
+                "valetrack_calls_started_ahead_total",
+                "Calls started before the calls ahead of them on their connection were answered.",
+            ),
             over_rate: counter(
                 "valetrack_over_rate_calls_total",
                 "Calls refused because their account exceeds its rate.",
