--- a/valetrack/src/caller/pipeline/tests/harness.rs
+++ b/valetrack/src/caller/pipeline/tests/harness.rs
@@ -207,6 +207,12 @@
         }
     }
 
+    /// Reads the next answer if it arrives within this time of the connection's start.
+    pub async fn answer_before(&mut self, until_ms: u64) -> Option<Received> {
+        let until = self.connected + Duration::from_millis(until_ms);
+        timeout(until.saturating_duration_since(Instant::now()), self.answer()).await.ok().flatten()
+    }
+
     fn parse(&self) -> Option<(Received, usize)> {
         let mut headers = [httparse::EMPTY_HEADER; 20];
         let mut response = httparse::Response::new(&mut headers);
--- a/valetrack/src/caller/pipeline/tests/load.rs
+++ b/valetrack/src/caller/pipeline/tests/load.rs
@@ -26,6 +26,50 @@
     });
 }
 
+/// Interval of the requests of a connection, about half the work of one.
+const INTERVAL_MS: u64 = 100;
+/// Requests of a connection.
+const REQUESTS: u64 = 8;
+
+/// Returns how long each request of a connection takes that sends them at an interval, without waiting for answers.
+async fn times_of_connection(addr: &Listener) -> Vec<u64> {
+    let mut client = Client::connect(addr).await;
+    let mut times = Vec::new();
+    for at in 0..REQUESTS {
+        client.send(&get(WORK_MS, "a")).await;
+        let next_ms = (at + 1) * INTERVAL_MS;
+        while let Some(answer) = client.answer_before(next_ms).await {
+            times.push(answer.after_ms - times.len() as u64 * INTERVAL_MS);
+        }
+    }
+    for answer in client.answers(REQUESTS as usize - times.len()).await {
+        times.push(answer.after_ms - times.len() as u64 * INTERVAL_MS);
+    }
+    times
+}
+
+/// Returns the median and the highest time of requests on 20 connections.
+async fn playback_times(reader: Reader) -> (u64, u64) {
+    let listener = Listener::start(reader).await;
+    let connections = (0..20).map(|_| times_of_connection(&listener));
+    let mut times = futures::future::join_all(connections).await.concat();
+    times.sort_unstable();
+    let (median, highest) = (times[times.len() / 2], times[times.len() - 1]);
+    println!("{reader:?}: median {median} ms, highest {highest} ms of {} requests", times.len());
+    (median, highest)
+}
+
+/// Guards against a queue on each connection whose client sends faster than one call at a time is served.
+#[test]
+fn playback_load_is_served_without_a_queue_on_its_connections() {
+    run(async {
+        let before = playback_times(Reader::Hyper).await;
+        let after = playback_times(Reader::Pipeline).await;
+        assert!(before.0 > 2 * WORK_MS && before.1 > 4 * WORK_MS, "{before:?}");
+        assert!(after.1 < WORK_MS * 3 / 2, "{after:?}");
+    });
+}
+
 /// Returns the shortest time of a request among `count`, which other load of the machine changes least.
 async fn shortest(client: &mut Client, count: usize) -> Duration {
     let request = get(0, "a");
