--- a/valetrack/src/caller/pipeline/connection.rs
+++ b/valetrack/src/caller/pipeline/connection.rs
@@ -14,6 +14,7 @@
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
+use super::framing::has_token;
 use super::state::{Candidate, Pipeline};
 use crate::caller::Answer;
 
@@ -134,10 +135,7 @@
 
 /// Returns whether hyper closes the connection after the answer to a request, as its head asks for.
 fn is_last(parts: &Parts) -> bool {
-    let closes = |value: &HeaderValue| {
-        let mut tokens = value.as_bytes().split(|byte| *byte == b',');
-        tokens.any(|token| token.trim_ascii().eq_ignore_ascii_case(b"close"))
-    };
+    let closes = |value: &HeaderValue| has_token(value.as_bytes(), "close");
     parts.version < hyper::Version::HTTP_11 || parts.headers.get_all(CONNECTION).iter().any(closes)
 }
 
--- a/valetrack/src/caller/pipeline/framing.rs
+++ b/valetrack/src/caller/pipeline/framing.rs
@@ -98,6 +98,7 @@
     std::str::from_utf8(value).ok().filter(|_| is_number)?.parse().ok()
 }
 
-fn has_token(value: &[u8], token: &str) -> bool {
+/// Returns whether a header with a list contains a token.
+pub fn has_token(value: &[u8], token: &str) -> bool {
     value.split(|byte| *byte == b',').any(|item| item.trim_ascii().eq_ignore_ascii_case(token.as_bytes()))
 }
