--- a/valetrack/src/gate/cold.rs
+++ b/valetrack/src/gate/cold.rs
@@ -103,7 +103,7 @@
     /// Records the arrival of a call of `rank`.
     pub fn record_arrival(&mut self, rank: u8, now_us: u64) {
         match self.rule.by_rank && self.starts_max(now_us).is_some() {
-            true => self.ranked.record_arrival(rank, WINDOW_US, now_us),
+            true => self.ranked.record_arrival(rank, now_us),
             false => self.ranked.clear(),
         }
     }
@@ -128,6 +128,13 @@
         free_us.min(warm_us)
     }
 
+    /// Records that a call of `rank` is declined; it counts as needing a start if none is left for it.
+    pub fn record_decline(&mut self, rank: u8, now_us: u64) {
+        if self.rule.by_rank && self.remaining_for(rank, now_us) == Some(0) {
+            self.ranked.record_missed_start(rank, WINDOW_US, now_us);
+        }
+    }
+
     /// Records the start of a call of `rank`.
     pub fn record_ranked_start(&mut self, rank: u8, now_us: u64) {
         if self.rule.by_rank && self.starts_max(now_us).is_some() {
--- a/valetrack/src/gate/cold_rank.rs
+++ b/valetrack/src/gate/cold_rank.rs
@@ -9,11 +9,11 @@
 /// Divisor of an upstream's starts that gives those kept for more urgent calls before any arrival was observed.
 const ASSUMED_SHARE: f64 = 2.0;
 
-/// Arrivals and starts of a cold upstream within the last window, by rank.
+/// Starts of a cold upstream within the last window, and calls that found none left, by rank.
 #[derive(Debug, Clone, Default)]
 pub struct RankedStarts {
-    /// Times and ranks of arrivals, oldest first.
-    arrivals: VecDeque<(u64, u8)>,
+    /// Times and ranks of calls that started or were declined for lack of starts, oldest first.
+    demand: VecDeque<(u64, u8)>,
     /// Times and ranks of starts, oldest first.
     starts: VecDeque<(u64, u8)>,
     /// When the first arrival of the present cold period was observed.
@@ -25,23 +25,27 @@
 impl RankedStarts {
     /// Forgets the observations of a cold period, for an upstream that is not cold.
     pub fn clear(&mut self) {
-        self.arrivals.clear();
+        self.demand.clear();
         self.starts.clear();
         self.since_us = None;
     }
 
     /// Records the arrival of a call of `rank`.
-    pub fn record_arrival(&mut self, rank: u8, window_us: u64, now_us: u64) {
+    pub fn record_arrival(&mut self, rank: u8, now_us: u64) {
         self.since_us.get_or_insert(now_us);
         self.most_urgent = Some(self.most_urgent.map_or(rank, |most_urgent| most_urgent.min(rank)));
-        forget_before(&mut self.arrivals, window_us, now_us);
-        self.arrivals.push_back((now_us, rank));
+    }
+
+    /// Records that a call of `rank` was declined for lack of starts.
+    pub fn record_missed_start(&mut self, rank: u8, window_us: u64, now_us: u64) {
+        self.record_demand(rank, window_us, now_us);
     }
 
     /// Records the start of a call of `rank`.
     pub fn record_start(&mut self, rank: u8, window_us: u64, now_us: u64) {
         forget_before(&mut self.starts, window_us, now_us);
         self.starts.push_back((now_us, rank));
+        self.record_demand(rank, window_us, now_us);
     }
 
     /// Returns how many calls of `rank` may start now without taking a start that more urgent calls need, of
@@ -64,6 +68,11 @@
         }
     }
 
+    fn record_demand(&mut self, rank: u8, window_us: u64, now_us: u64) {
+        forget_before(&mut self.demand, window_us, now_us);
+        self.demand.push_back((now_us, rank));
+    }
+
     /// Returns the starts in a window that are left for calls of `rank` and for less urgent ones.
     ///
     /// Nothing is kept for ranks that have never arrived.
@@ -71,10 +80,8 @@
         if self.most_urgent.is_none_or(|most_urgent| rank <= most_urgent) {
             return starts_max;
         }
-        let recent = |times: &VecDeque<(u64, u8)>| {
-            times.iter().filter(|(at_us, other)| *other < rank && at_us + window_us > now_us).count()
-        };
-        let observed = recent(&self.arrivals).max(recent(&self.starts)) as f64;
+        let is_more_urgent = |(at_us, other): &&(u64, u8)| *other < rank && at_us + window_us > now_us;
+        let observed = self.demand.iter().filter(is_more_urgent).count() as f64;
         // The part of the window that was not observed yet counts with the assumed share.
         let observed_us = self.since_us.map_or(0, |since_us| now_us.saturating_sub(since_us).min(window_us));
         let unobserved = 1.0 - observed_us as f64 / window_us as f64;
--- a/valetrack/src/gate/state/queue.rs
+++ b/valetrack/src/gate/state/queue.rs
@@ -59,6 +59,7 @@
             },
         };
         if let Some(reason) = self.decline_reason(&call, objective, now_us) {
+            self.cold.record_decline(priority, now_us);
             self.decline(attempt, reason, now_us, out);
             return;
         }
