Quotas: home and stand-in share an account's rate by promises

Change: the home grants the whole rate only while the stand-in has promised to grant nothing, otherwise each grants half. The message format is unchanged. Even shares that were not used for 5 s no longer keep up to one call per entry.

--- a/valetrack/src/metric.rs
+++ b/valetrack/src/metric.rs
@@ -66,6 +66,8 @@
     pub quota_requests: IntCounter,
     /// Calls for which no home of their client account answered.
     pub quota_unanswered: IntCounter,
+    /// Replies to requests for promises of stand-ins, by direction and reply.
+    pub quota_promises: IntCounterVec,
     /// Bytes that were transferred only for measurements.
     pub measure_bytes: IntCounter,
     /// Measurement budget in bytes per second.
@@ -199,6 +201,11 @@
                 "valetrack_quota_unanswered_total",
                 "Calls for which no home of their account answered.",
             ),
+            quota_promises: counters_by(
+                "valetrack_quota_promises_total",
+                "Replies to requests for the promise of a stand-in to grant no credits.",
+                &["direction", "reply"],
+            ),
             measure_bytes: counter("valetrack_measure_bytes_total", "Bytes transferred only for measurements."),
             measure_budget: gauge("valetrack_measure_budget_bytes_per_second", "Measurement budget."),
             probes: counter("valetrack_probes_total", "Probes sent."),
--- a/valetrack/src/quota/allowance.rs
+++ b/valetrack/src/quota/allowance.rs
@@ -16,6 +16,9 @@
 const CREDITS_MAX: u32 = 256;
 /// Retry delay once an even share is used up.
 const SHARE_RETRY_MS: u32 = 500;
+/// Time without use after which an even share loses what it has saved, which is the window of the limit. Otherwise each
+/// entry of a large fleet could admit a saved call as soon as a partition begins, on top of the home's whole burst.
+const SHARE_IDLE_US: u64 = 5_000_000;
 
 /// Next step for a call of an account.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -43,16 +46,19 @@
     demand: SlidingSum,
     /// Even share, from which the entry admits calls while no home answers.
     share: TokenBucket,
+    /// When the share was last used.
+    share_used_us: u64,
 }
 
 impl Allowance {
-    fn new(now_us: u64) -> Self {
+    fn new(share_phase: f64, now_us: u64) -> Self {
         Self {
             credits: 0,
             expires_us: 0,
             dry_until_us: 0,
             demand: SlidingSum::new(DEMAND_US),
-            share: TokenBucket::new(0.0, 0.0, 0.0, now_us),
+            share: TokenBucket::new(0.0, 1.0, share_phase, now_us),
+            share_used_us: now_us,
         }
     }
 
@@ -73,9 +79,17 @@
     accounts: HashMap<Arc<str>, Allowance>,
     /// Largest number of nodes in the view so far, by which even shares are divided.
     nodes_max: u32,
+    /// Part of a call, below one, with which even shares begin.
+    share_phase: f64,
 }
 
 impl Allowances {
+    /// Creates allowances whose even shares begin with `share_phase` of a call. With phases that are spread evenly over
+    /// the entries, the entries do not all admit their first call at the same time.
+    pub fn with_share_phase(share_phase: f64) -> Self {
+        Self { share_phase: share_phase.clamp(0.0, 1.0), ..Self::default() }
+    }
+
     /// Records the number of nodes in the view.
     pub fn set_nodes(&mut self, nodes: u32) {
         self.nodes_max = self.nodes_max.max(nodes);
@@ -83,7 +97,8 @@
 
     /// Counts a call of an account that arrives at `now_us`, and returns its next step.
     pub fn begin(&mut self, rule: &AccountRule, now_us: u64) -> Step {
-        let allowance = self.accounts.entry(rule.name.clone()).or_insert_with(|| Allowance::new(now_us));
+        let create = || Allowance::new(self.share_phase, now_us);
+        let allowance = self.accounts.entry(rule.name.clone()).or_insert_with(create);
         allowance.demand.add(1.0, now_us);
         if allowance.use_credit(now_us) {
             return Step::Admit;
@@ -122,6 +137,10 @@
             return Step::Refuse { retry_after_ms: SHARE_RETRY_MS };
         };
         allowance.share.configure(rate_per_s, burst.max(1.0), now_us);
+        if now_us.saturating_sub(allowance.share_used_us) >= SHARE_IDLE_US {
+            allowance.share.limit_level(self.share_phase, now_us);
+        }
+        allowance.share_used_us = now_us;
         match allowance.share.take(1, now_us) {
             0 => Step::Refuse { retry_after_ms: SHARE_RETRY_MS },
             _ => Step::Admit,
--- a/valetrack/src/quota/home.rs
+++ b/valetrack/src/quota/home.rs
@@ -27,10 +27,67 @@
     pub retry_after_ms: u32,
 }
 
+/// Part of an account's rate that a node may grant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Right {
+    /// The rate that homes grant, because no other node grants credits of the account.
+    Full {
+        /// Time since which no other node has granted any.
+        since_us: u64,
+    },
+    /// Half of that rate, because another node may grant the other half.
+    Half,
+}
+
+impl Right {
+    /// Returns the rate per second and the burst that a node may grant of an account.
+    fn limits(self, rule: &AccountRule) -> (f64, f64) {
+        let share = match self {
+            Self::Full { .. } => 1.0,
+            Self::Half => 0.5,
+        };
+        let rate_per_s = calls(rule.rate_milli_per_s) * (1.0 - 1.0 / UNGRANTED_SHARE);
+        // An account without a burst may still send one call at a time.
+        (rate_per_s * share, (calls(rule.burst_milli) * share).max(1.0))
+    }
+}
+
 #[derive(Debug)]
 struct HomeAccount {
     bucket: TokenBucket,
     refused: SlidingSum,
+    /// Right at the last grant, and the time of that grant.
+    right: Right,
+    granted_us: u64,
+}
+
+impl HomeAccount {
+    fn new(rule: &AccountRule, right: Right, now_us: u64) -> Self {
+        let (rate_per_s, burst) = right.limits(rule);
+        // A stand-in starts with an empty bucket, since the home may just have granted the whole burst.
+        let level = if matches!(right, Right::Full { .. }) { FIRST_LEVEL } else { 0.0 };
+        Self {
+            bucket: TokenBucket::new(rate_per_s, burst, level, now_us),
+            refused: SlidingSum::new(WAITING_US),
+            right,
+            granted_us: now_us,
+        }
+    }
+
+    /// Fills the bucket up to `now_us` and applies the present limits.
+    fn configure(&mut self, rule: &AccountRule, right: Right, now_us: u64) {
+        let was_full = matches!(self.right, Right::Full { .. });
+        let is_unbroken = matches!(right, Right::Full { since_us } if since_us <= self.granted_us);
+        if was_full && !is_unbroken {
+            // Another node may have granted its half since the last grant of this one.
+            let (half_per_s, _) = Right::Half.limits(rule);
+            self.bucket.set_rate(half_per_s, self.granted_us);
+        }
+        let (rate_per_s, burst) = right.limits(rule);
+        self.bucket.configure(rate_per_s, burst, now_us);
+        self.right = right;
+        self.granted_us = now_us;
+    }
 }
 
 /// Token buckets of the accounts whose home this node is or was.
@@ -40,16 +97,16 @@
 }
 
 impl QuotaHome {
-    /// Grants an entry up to `requested` calls of an account at `now_us`.
+    /// Grants an entry up to `requested` calls of an account at `now_us`, as the only node that grants any.
     pub fn grant(&mut self, rule: &AccountRule, requested: u32, now_us: u64) -> Grant {
-        let rate_per_s = calls(rule.rate_milli_per_s) * (1.0 - 1.0 / UNGRANTED_SHARE);
-        // An account without a burst may still send one call at a time.
-        let burst = calls(rule.burst_milli).max(1.0);
-        let account = self.accounts.entry(rule.name.clone()).or_insert_with(|| HomeAccount {
-            bucket: TokenBucket::new(rate_per_s, burst, FIRST_LEVEL, now_us),
-            refused: SlidingSum::new(WAITING_US),
-        });
-        account.bucket.configure(rate_per_s, burst, now_us);
+        self.grant_within(rule, Right::Full { since_us: 0 }, requested, now_us)
+    }
+
+    /// Grants an entry up to `requested` calls of the part of an account's rate that `right` allows.
+    pub fn grant_within(&mut self, rule: &AccountRule, right: Right, requested: u32, now_us: u64) -> Grant {
+        let create = || HomeAccount::new(rule, right, now_us);
+        let account = self.accounts.entry(rule.name.clone()).or_insert_with(create);
+        account.configure(rule, right, now_us);
         let taken = account.bucket.take(requested, now_us);
         if taken > 0 {
             return Grant { calls: taken, retry_after_ms: 0 };
@@ -60,6 +117,12 @@
         Grant { calls: 0, retry_after_ms: wait_ms.max(WAIT_MIN_MS) }
     }
 
+    /// Empties the buckets of the accounts that match, because another node is promised to be the only one that grants
+    /// their credits.
+    pub fn remove(&mut self, matches: impl Fn(&str) -> bool) {
+        self.accounts.retain(|name, _| !matches(name));
+    }
+
     /// Removes accounts that are not in `current`, the accounts of the bundle in force.
     pub fn retain(&mut self, current: &AccountTable) {
         self.accounts.retain(|name, _| current.get(name).is_some());
--- a/valetrack/src/quota/run.rs
+++ b/valetrack/src/quota/run.rs
@@ -8,11 +8,12 @@
 
 use async_channel::Sender;
 use bytes::Bytes;
-use tokio::sync::watch;
+use tokio::sync::{Mutex, watch};
 
 use super::allowance::{Allowances, Step};
 use super::home::{Grant, QuotaHome};
-use super::rank::HomeRanking;
+use super::promise::{PromiseReply, Promises, Renewal};
+use super::rank::{HomeRanking, Role, ranks_before};
 use crate::bundle::{AccountRule, InForce};
 use crate::clock::{now_us, steady_us};
 use crate::link::message::{Ask, PeerRequest, Reply};
@@ -24,6 +25,11 @@
 const REPLY_TIMEOUT_MS: u64 = 150;
 /// Time for which a home that did not answer is skipped.
 const SKIP_US: u64 = 1_000_000;
+/// Time for which a node that answered that it is not the home is skipped. It is shorter, because the reason is usually
+/// a promise or a view that changes within a second.
+const NO_QUOTA_SKIP_US: u64 = 200_000;
+/// Time after which a reply is ignored although no timeout has elapsed.
+const OUTDATED_US: u64 = 2 * REPLY_TIMEOUT_MS * 1_000;
 
 /// Dependencies of the quotas.
 pub struct QuotaParts {
@@ -47,14 +53,30 @@
     ranking: RefCell<HomeRanking>,
     /// Homes that did not answer, with the time until which they are skipped, in microseconds.
     skipped: RefCell<HashMap<Arc<str>, u64>>,
+    /// Ranking in which this node decides on its own part in granting.
+    own_ranking: RefCell<HomeRanking>,
+    promises: RefCell<Promises>,
+    /// Held during a request for a promise, by stand-in, so that requests for credits wait for the same reply.
+    promise_requests: RefCell<HashMap<Arc<str>, Rc<Mutex<()>>>>,
+}
+
+/// Reply to a request for credits.
+enum CreditReply {
+    Granted(Grant),
+    /// The node answered that it grants nothing.
+    NoQuota,
+    Unanswered,
 }
 
 impl Quotas {
     /// Creates quotas without a record of any account.
     pub fn new(parts: QuotaParts) -> Rc<Self> {
         Rc::new(Self {
+            allowances: RefCell::new(Allowances::with_share_phase(fastrand::f64())),
+            own_ranking: RefCell::new(HomeRanking::including(parts.vm.clone())),
+            promises: RefCell::new(Promises::new(steady_us())),
+            promise_requests: RefCell::default(),
             parts,
-            allowances: RefCell::default(),
             home: RefCell::default(),
             ranking: RefCell::default(),
             skipped: RefCell::default(),
@@ -71,8 +93,10 @@
                 self.home.borrow_mut().retain(&in_force.bundle.accounts);
                 self.allowances.borrow_mut().retain(&in_force.bundle.accounts);
             }
-            let nodes = members.borrow_and_update().iter().filter(|member| member.phase == Phase::Serving).count();
+            let view = members.borrow_and_update().clone();
+            let nodes = view.iter().filter(|member| member.phase == Phase::Serving).count();
             self.allowances.borrow_mut().set_nodes(nodes as u32);
+            self.forget_unknown(&view);
             let changed = tokio::select! {
                 changed = bundle.changed() => changed,
                 changed = members.changed() => changed,
@@ -127,10 +151,14 @@
                 instead_of = Some(home.vm);
                 continue;
             }
-            if let Some(grant) = self.request_from(&home, rule, calls, instead_of.as_ref()).await {
-                return self.allowances.borrow_mut().apply_grant(&rule.name, grant, now_us());
-            }
-            self.skipped.borrow_mut().insert(home.vm.clone(), now_us() + SKIP_US);
+            let skip_us = match self.request_from(&home, rule, calls, instead_of.as_ref()).await {
+                CreditReply::Granted(grant) => {
+                    return self.allowances.borrow_mut().apply_grant(&rule.name, grant, now_us());
+                }
+                CreditReply::NoQuota => NO_QUOTA_SKIP_US,
+                CreditReply::Unanswered => SKIP_US,
+            };
+            self.skip(&home.vm, skip_us);
             instead_of = Some(home.vm);
         }
         log::info!("event=quota.unanswered account={}", rule.name);
@@ -138,6 +166,10 @@
         self.allowances.borrow_mut().admit_by_share(rule, now_us())
     }
 
+    fn skip(&self, vm: &Arc<str>, skip_us: u64) {
+        self.skipped.borrow_mut().insert(vm.clone(), now_us() + skip_us);
+    }
+
     fn is_skipped(&self, vm: &str) -> bool {
         let mut skipped = self.skipped.borrow_mut();
         skipped.retain(|_, until_us| now_us() < *until_us);
@@ -150,52 +182,132 @@
         rule: &AccountRule,
         calls: u32,
         instead_of: Option<&Arc<str>>,
-    ) -> Option<Grant> {
+    ) -> CreditReply {
         if home.vm == self.parts.vm {
-            return self.grant(&rule.name, calls, instead_of).await;
+            let grant = self.grant(&rule.name, calls, instead_of).await;
+            return grant.map_or(CreditReply::NoQuota, CreditReply::Granted);
         }
         self.parts.metrics.quota_requests.inc();
         let ask = Ask::Quota { account: rule.name.clone(), calls, instead_of: instead_of.cloned() };
+        let asked_us = now_us();
+        let reply = self.ask(home.clone(), ask, REPLY_TIMEOUT_MS).await;
+        // Timers are paused while the VM is suspended, and credits that were granted before count as used by then.
+        let is_outdated = now_us().saturating_sub(asked_us) > OUTDATED_US;
+        match reply {
+            Some(Reply::Quota { calls, retry_after_ms }) if !is_outdated => {
+                CreditReply::Granted(Grant { calls, retry_after_ms })
+            }
+            Some(Reply::NoQuota) => CreditReply::NoQuota,
+            _ => CreditReply::Unanswered,
+        }
+    }
+
+    /// Sends a request to another node; returns its reply if there is one within `timeout_ms`.
+    async fn ask(&self, target: Target, ask: Ask, timeout_ms: u64) -> Option<Reply> {
         let request = PeerRequest { ask, body: Bytes::new() };
-        let limit = Duration::from_millis(REPLY_TIMEOUT_MS);
-        let LinkResult::Reply(answered) = peer::ask_within(&self.parts.to_link, home.clone(), request, limit).await
-        else {
-            return None;
-        };
-        match answered.head.reply {
-            Reply::Quota { calls, retry_after_ms } => Some(Grant { calls, retry_after_ms }),
-            _ => None,
+        let limit = Duration::from_millis(timeout_ms);
+        match peer::ask_within(&self.parts.to_link, target, request, limit).await {
+            LinkResult::Reply(answered) => Some(answered.head.reply),
+            LinkResult::Unsent | LinkResult::Broken => None,
         }
     }
 
-    /// Grants credits to an entry that regards this node as the account's home; none if the account is unknown, or if
-    /// `instead_of`, the home that this node would stand in for, answers this node.
+    /// Grants credits to an entry that regards this node as the account's home or as its stand-in. A request for zero
+    /// calls instead of a node is the request of that node for a promise.
+    ///
+    /// Grants none if the account is unknown, if this node's view or a promise leaves the granting to another node, or
+    /// if this node is the stand-in and the home answers it.
     pub async fn grant(&self, account: &Arc<str>, calls: u32, instead_of: Option<&Arc<str>>) -> Option<Grant> {
+        if let (0, Some(receiver)) = (calls, instead_of) {
+            return self.give_promise(account, receiver).to_grant();
+        }
         let rule = self.rule(account)?;
-        if let Some(home) = instead_of
-            && self.is_responsive(home).await
-        {
-            return None;
+        match self.role(account) {
+            Role::Home { stand_in: Some(stand_in) } => self.renew_promise(account, &stand_in).await,
+            Role::StandIn { home } if self.is_responsive(&home).await => return None,
+            Role::Home { stand_in: None } | Role::StandIn { .. } | Role::Unranked => {}
+        }
+        // The view and the promises may have changed meanwhile.
+        let role = self.role(account);
+        let outranks = |vm: &str| ranks_before(account, vm, &self.parts.vm);
+        let mut promises = self.promises.borrow_mut();
+        let right = promises.right(&role, outranks, now_us(), steady_us())?;
+        promises.given.record_grant(outranks);
+        Some(self.home.borrow_mut().grant_within(&rule, right, calls, now_us()))
+    }
+
+    fn role(&self, account: &Arc<str>) -> Role {
+        let members = self.parts.members.borrow().clone();
+        self.own_ranking.borrow_mut().role(&self.parts.vm, account, &members)
+    }
+
+    /// Promises `receiver` not to grant credits of the accounts for which it ranks before this node.
+    fn give_promise(&self, account: &Arc<str>, receiver: &Arc<str>) -> PromiseReply {
+        let own = &self.parts.vm;
+        let members = self.parts.members.borrow();
+        let is_serving = |vm: &str| members.get(vm).is_some_and(|member| member.phase == Phase::Serving);
+        let reply = match () {
+            () if !ranks_before(account, receiver, own) || members.get(receiver).is_none() => PromiseReply::None,
+            // The node that replaces the receiver in this node's view grants the credits.
+            () if is_serving(own) && !is_serving(receiver) => PromiseReply::Denied,
+            () => {
+                self.home.borrow_mut().remove(|name| ranks_before(name, receiver, own));
+                self.promises.borrow_mut().given.give(receiver, steady_us())
+            }
+        };
+        self.parts.metrics.quota_promises.with_label_values(&["sent", reply.as_str()]).inc();
+        reply
+    }
+
+    /// Requests the stand-in's promise if it is due. One request serves all accounts whose home and stand-in are these
+    /// two nodes.
+    async fn renew_promise(&self, account: &Arc<str>, stand_in: &Target) {
+        let renewal = || self.promises.borrow().received.renewal(&stand_in.vm, now_us());
+        let request = self.promise_requests.borrow_mut().entry(stand_in.vm.clone()).or_default().clone();
+        let _request = match renewal() {
+            Renewal::NotDue => return,
+            Renewal::Early => match request.try_lock() {
+                Ok(lock) => lock,
+                Err(_) => return,
+            },
+            Renewal::Required => request.lock().await,
+        };
+        if renewal() == Renewal::NotDue {
+            return;
+        }
+        let asked_us = now_us();
+        self.promises.borrow_mut().received.begin(&stand_in.vm);
+        let ask = Ask::Quota { account: account.clone(), calls: 0, instead_of: Some(self.parts.vm.clone()) };
+        let grant = match self.ask(stand_in.clone(), ask, REPLY_TIMEOUT_MS / 2).await {
+            Some(Reply::Quota { calls, retry_after_ms }) => Some(Grant { calls, retry_after_ms }),
+            _ => None,
+        };
+        let reply = PromiseReply::from_grant(grant);
+        self.promises.borrow_mut().received.record(&stand_in.vm, reply, asked_us);
+        self.parts.metrics.quota_promises.with_label_values(&["received", reply.as_str()]).inc();
+        if !matches!(reply, PromiseReply::Given { .. }) {
+            let (vm, reply) = (&stand_in.vm, reply.as_str());
+            log::info!("event=quota.promise_missing stand_in={vm} reply={reply} account={account}");
         }
-        Some(self.home.borrow_mut().grant(&rule, calls, steady_us()))
+    }
+
+    /// Removes the records of nodes that the view of the members no longer names.
+    fn forget_unknown(&self, members: &Members) {
+        let is_known = |vm: &str| members.get(vm).is_some();
+        let mut promises = self.promises.borrow_mut();
+        promises.given.retain(is_known, steady_us());
+        promises.received.retain(is_known);
+        self.promise_requests.borrow_mut().retain(|vm, _| is_known(vm));
     }
 
     /// Returns whether another node answers a request of this one.
-    async fn is_responsive(&self, vm: &Arc<str>) -> bool {
-        if self.is_skipped(vm) {
+    async fn is_responsive(&self, home: &Target) -> bool {
+        if self.is_skipped(&home.vm) {
             return false;
         }
-        let addr = self.parts.members.borrow().get(vm).map(|member| member.link_addr);
-        let Some(addr) = addr else {
-            return false;
-        };
-        let request = PeerRequest { ask: Ask::Evacuation, body: Bytes::new() };
-        let target = Target { vm: vm.clone(), addr };
-        let limit = Duration::from_millis(REPLY_TIMEOUT_MS / 2);
-        let result = peer::ask_within(&self.parts.to_link, target, request, limit).await;
-        let is_responsive = matches!(result, LinkResult::Reply(_));
+        let is_responsive = self.ask(home.clone(), Ask::Evacuation, REPLY_TIMEOUT_MS / 2).await.is_some();
         if !is_responsive {
-            self.skipped.borrow_mut().insert(vm.clone(), now_us() + SKIP_US);
+            self.skip(&home.vm, SKIP_US);
         }
         is_responsive
     }
--- a/valetrack/src/quota/tests/steps.rs
+++ b/valetrack/src/quota/tests/steps.rs
@@ -6,7 +6,7 @@
 use crate::quota::{Allowances, Grant, QuotaHome, Step};
 use crate::token_bucket::TokenBucket;
 
-fn rule(rate_per_s: u64, burst: u64) -> AccountRule {
+pub(super) fn rule(rate_per_s: u64, burst: u64) -> AccountRule {
     AccountRule {
         name: Arc::from("acme"),
         priority: None,
--- a/valetrack/src/token_bucket.rs
+++ b/valetrack/src/token_bucket.rs
@@ -26,6 +26,17 @@
         self.level = self.level.min(burst);
     }
 
+    /// Sets the rate from `now_us` on.
+    pub fn set_rate(&mut self, rate_per_s: f64, now_us: u64) {
+        self.configure(rate_per_s, self.burst, now_us);
+    }
+
+    /// Drops tokens beyond `level`.
+    pub fn limit_level(&mut self, level: f64, now_us: u64) {
+        self.fill(now_us);
+        self.level = self.level.min(level);
+    }
+
     /// Removes up to `wanted` whole tokens and returns their number.
     pub fn take(&mut self, wanted: u32, now_us: u64) -> u32 {
         self.fill(now_us);
