Gate: fair shares of a full server among client accounts; lowered rates drop credits

Change: among waiting calls of a rank, those of accounts above their share start last, and an arriving call of an account within its share displaces the last one of the account that is furthest above. An entry drops credits when the limits of the account change.

--- a/valetrack/src/bundle/account.rs
+++ b/valetrack/src/bundle/account.rs
@@ -27,6 +27,11 @@
     pub const fn is_limited(&self) -> bool {
         self.rate_milli_per_s > 0
     }
+
+    /// Returns the calls a second over all nodes together; zero for no limit.
+    pub fn rate_per_s(&self) -> f64 {
+        self.rate_milli_per_s as f64 / 1_000.0
+    }
 }
 
 /// Reason for which an account cannot be added to a table.
@@ -89,6 +94,11 @@
         self.by_key.get(&digest(key))
     }
 
+    /// Returns all accounts, in no particular order.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<AccountRule>> {
+        self.accounts.values()
+    }
+
     /// Returns the account of a name.
     pub fn get(&self, name: &str) -> Option<&Arc<AccountRule>> {
         self.accounts.get(name)
--- a/valetrack/src/gate/mod.rs
+++ b/valetrack/src/gate/mod.rs
@@ -4,6 +4,7 @@
 //! never runs more calls than it has slots, an attempt starts at most once, and an attempt that was declined, or for
 //! which [`CancelResult::NeverStarted`] was returned, never starts.
 
+mod account_share;
 mod cold;
 mod crash;
 mod departure;
@@ -28,6 +29,7 @@
 mod tests;
 mod upstream;
 
+pub use account_share::AccountShares;
 pub use cold::{ColdBound, ColdRule};
 pub use crash::CrashWatch;
 pub use departure::{Departure, Departures};
--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -29,6 +29,7 @@
 use super::protocol::Health;
 use super::state::{Gate, GateConfig, INTERNAL_PRIORITY};
 use super::upstream::{Announcement, UpstreamPhase, UpstreamState};
+use crate::bundle::AccountTable;
 use crate::clock::{Moment, SuspensionWatch, steady_us, suspended_us};
 use crate::code::Code;
 use crate::crash::{Admission, CrashDetector, Quarantine, RunningCall};
@@ -194,6 +195,11 @@
         self.pool.warm(usize::from(config.slots)).await;
     }
 
+    /// Applies the client accounts of the bundle in force.
+    pub fn configure_accounts(&self, accounts: &AccountTable) {
+        self.gate.borrow_mut().shares().configure(accounts);
+    }
+
     /// Returns the present load.
     pub fn load(&self) -> LoadReport {
         self.gate.borrow().load(steady_us())
@@ -251,11 +257,15 @@
         let objective = objective(&head, nested);
         self.refresh_speed(head.work_us.into()).await;
         self.check_rate_limit();
+        let account = head.account.clone();
         let call = Rc::new(RunningCall { head, body });
         self.jobs.borrow_mut().insert(attempt, Job { call, admission, observed_nested, deadline_us, reply });
         if matches!(admission, Admission::Alone | Admission::Trial) {
             self.gate.borrow_mut().suspect(attempt);
         }
+        if let Some(account) = account.filter(|_| !nested) {
+            self.gate.borrow_mut().shares().arrive(attempt, &account, steady_us());
+        }
         let mut cancel_guard = CancelGuard { shell: self.clone(), attempt: Some(attempt) };
         self.handle(GateEvent::Arrive { attempt, deadline_us, patience, priority, objective });
         let reply = answered.await;
@@ -324,6 +334,7 @@
         self.metrics.gate_in_flight.set(load.in_flight.into());
         self.metrics.gate_queued.set(load.queued.into());
         self.metrics.upstream_calls_over_limit.inc_by(self.gate.borrow_mut().drain_over_limit());
+        self.metrics.displaced_attempts.inc_by(self.gate.borrow_mut().shares().drain_displaced());
         if load.queued > 0 && event != GateEvent::Tick {
             self.changed.notify_one();
         }
--- a/valetrack/src/gate/state.rs
+++ b/valetrack/src/gate/state.rs
@@ -6,6 +6,7 @@
 
 use std::collections::{HashMap, HashSet, VecDeque};
 
+use super::account_share::AccountShares;
 use super::cold::{ColdBound, ColdRule};
 use super::limit::ConcurrencyLimit;
 use super::message::{
@@ -133,6 +134,7 @@
     evacuated: bool,
     /// Attempts, waiting or running, that may crash the server.
     suspects: HashSet<AttemptId>,
+    shares: AccountShares,
 }
 
 impl Gate {
@@ -156,6 +158,7 @@
             outage: Outage::default(),
             evacuated: false,
             suspects: HashSet::new(),
+            shares: AccountShares::default(),
         }
     }
 
@@ -255,6 +258,11 @@
         &mut self.rate_limit
     }
 
+    /// Returns the shares of client accounts, which have no effect without accounts.
+    pub fn shares(&mut self) -> &mut AccountShares {
+        &mut self.shares
+    }
+
     /// Returns the number of starts beyond the rate limit since the last call of this function.
     pub fn drain_over_limit(&mut self) -> u64 {
         std::mem::take(&mut self.over_limit)
@@ -399,6 +407,7 @@
         let Some(Running { started_us, .. }) = self.running.remove(&attempt) else {
             return;
         };
+        self.shares.end(attempt, now_us.saturating_sub(started_us), now_us);
         self.store_result(attempt, CancelResult::Started, now_us);
         self.progress.record_end(self.running.len(), now_us);
         if healthy {
@@ -416,6 +425,7 @@
         if self.running.remove(&attempt).is_none() {
             return;
         }
+        self.shares.end(attempt, 0, now_us);
         self.progress.record_end(self.running.len(), now_us);
         self.decline(attempt, reason, now_us, out);
         if reason == DeclineReason::Refused && self.outage.record_refusal(now_us) {
@@ -501,6 +511,7 @@
 
     fn store_result(&mut self, attempt: AttemptId, result: CancelResult, now_us: u64) {
         self.suspects.remove(&attempt);
+        self.shares.leave(attempt);
         let until_us = now_us + RESULT_RETENTION_US;
         self.results.insert(attempt, StoredResult { result, until_us });
         self.expirations.push_back((until_us, attempt));
--- a/valetrack/src/gate/state/queue.rs
+++ b/valetrack/src/gate/state/queue.rs
@@ -23,6 +23,7 @@
         }
         if self.results.contains_key(&attempt) {
             self.suspects.remove(&attempt);
+            self.shares.leave(attempt);
             out.push(GateAction::Bounce { attempt, reason: DeclineReason::Cancelled });
             return;
         }
@@ -48,7 +49,10 @@
             work_us,
             margin_us: Waiting::margin_us(work_us, deadline_us.saturating_sub(now_us)),
         };
-        if let Some(reason) = self.decline_reason(&call, objective, now_us) {
+        let reason = self.decline_reason(&call, objective, now_us);
+        if let Some(reason) = reason
+            && !(reason == DeclineReason::Full && self.displace(&call, objective, now_us, out))
+        {
             self.decline(attempt, reason, now_us, out);
             return;
         }
@@ -64,6 +68,48 @@
         self.waiting.insert(at, Waiting { leave_at_us, ..call });
     }
 
+    /// Declines a waiting attempt of an account above its share in favour of an arriving one, if that admits it. Returns
+    /// whether it does.
+    fn displace(
+        &mut self,
+        call: &Waiting,
+        objective: Option<Objective>,
+        now_us: u64,
+        out: &mut Vec<GateAction>,
+    ) -> bool {
+        let same_rank = self.waiting.iter().filter(|other| other.priority == call.priority);
+        let victim = self.shares.displaced(call.attempt, same_rank.map(|other| other.attempt), now_us);
+        let at = victim.and_then(|victim| self.waiting.iter().position(|other| other.attempt == victim));
+        let Some((at, victim)) = at.and_then(|at| Some((at, self.waiting.remove(at)?))) else {
+            return false;
+        };
+        if self.decline_reason(call, objective, now_us).is_some() {
+            self.waiting.insert(at, victim);
+            return false;
+        }
+        self.shares.record_displaced();
+        self.decline(victim.attempt, DeclineReason::Full, now_us, out);
+        true
+    }
+
+    /// Returns the position of the waiting attempt that starts next: the first one of the highest priority whose account
+    /// is least above its share.
+    fn next_start(&self, now_us: u64) -> Option<usize> {
+        let is_ready =
+            |waiting: &Waiting| !self.is_deferred(waiting, now_us) && !self.waits_for_suspect(waiting.attempt);
+        let mut ready = self.waiting.iter().enumerate().filter(|(_, waiting)| is_ready(waiting));
+        let (first, Waiting { priority, .. }) = ready.next()?;
+        let rank = |attempt| self.shares.rank(attempt, now_us);
+        let mut best = (rank(self.waiting[first].attempt), first);
+        for (at, waiting) in ready.take_while(|(_, waiting)| waiting.priority == *priority) {
+            let rank = rank(waiting.attempt);
+            if rank < best.0 {
+                best = (rank, at);
+            }
+        }
+        Some(best.1)
+    }
+
     /// Ranks a waiting attempt as a call made by a run. Otherwise the calls of its route that arrive after the route was
     /// classified would overtake it until its deadline.
     pub fn promote(&mut self, attempt: AttemptId) {
@@ -216,10 +262,7 @@
     /// Starts waiting calls while slots are free, except for deferred ones.
     pub(super) fn start_waiting(&mut self, now_us: u64, out: &mut Vec<GateAction>) {
         while self.may_start(now_us) {
-            let is_ready =
-                |waiting: &Waiting| !self.is_deferred(waiting, now_us) && !self.waits_for_suspect(waiting.attempt);
-            let next = self.waiting.iter().position(is_ready);
-            let Some(waiting) = next.and_then(|at| self.waiting.remove(at)) else {
+            let Some(waiting) = self.next_start(now_us).and_then(|at| self.waiting.remove(at)) else {
                 return;
             };
             if now_us >= waiting.deadline_start_by_us() {
@@ -229,6 +272,7 @@
             self.progress.record_start(now_us);
             self.cold.record_start(now_us);
             self.over_limit += u64::from(!self.rate_limit.record_start(now_us));
+            self.shares.start(waiting.attempt, waiting.run_us, now_us);
             let busy = self.running.len() as u16 + 1;
             self.running.insert(waiting.attempt, Running { started_us: now_us, busy });
             out.push(GateAction::Start { attempt: waiting.attempt });
--- a/valetrack/src/gate/tests.rs
+++ b/valetrack/src/gate/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the gate: its state machine under random events, and connections to a misbehaving server.
 
+mod account_share;
 mod cold;
 mod connection;
 mod crash;
--- a/valetrack/src/link/run.rs
+++ b/valetrack/src/link/run.rs
@@ -416,6 +416,9 @@
                 let answer_cap_bytes = rule.answer_cap_bytes as usize;
                 self.gate.configure(config, answer_cap_bytes, rule.health_path).await;
             }
+            if let Some(in_force) = bundle.borrow().as_ref() {
+                self.gate.configure_accounts(&in_force.bundle.accounts);
+            }
             if bundle.changed().await.is_err() {
                 return;
             }
--- a/valetrack/src/metric.rs
+++ b/valetrack/src/metric.rs
@@ -40,6 +40,8 @@
     pub upstream_rate_limit: Gauge,
     /// Calls sent to the upstream beyond the rate limit that it requests.
     pub upstream_calls_over_limit: IntCounter,
+    /// Waiting attempts that were declined for a call of another client account.
+    pub displaced_attempts: IntCounter,
     /// Starts of the upstream without a preceding announcement that it leaves.
     pub upstream_crashes: IntCounter,
     /// 1 if the upstream crashes repeatedly, otherwise 0.
@@ -162,6 +164,10 @@
                 "valetrack_upstream_calls_over_limit_total",
                 "Calls sent to the upstream beyond the rate limit that it requests.",
             ),
+            displaced_attempts: counter(
+                "valetrack_displaced_attempts_total",
+                "Waiting attempts of a client account above its share that were declined for a call of another account.",
+            ),
             upstream_crashes: counter(
                 "valetrack_upstream_crashes_total",
                 "Starts of the upstream without a preceding announcement that it leaves.",
--- a/valetrack/src/quota/allowance.rs
+++ b/valetrack/src/quota/allowance.rs
@@ -39,6 +39,8 @@
 
 #[derive(Debug)]
 struct Allowance {
+    /// Limits for which the credits were granted, in thousandths.
+    limits: (u64, u64),
     credits: u32,
     expires_us: u64,
     /// Time until which no credits are requested, because the home had none to grant.
@@ -53,6 +55,7 @@
 impl Allowance {
     fn new(share_phase: f64, now_us: u64) -> Self {
         Self {
+            limits: (0, 0),
             credits: 0,
             expires_us: 0,
             dry_until_us: 0,
@@ -100,6 +103,12 @@
         let create = || Allowance::new(self.share_phase, now_us);
         let allowance = self.accounts.entry(rule.name.clone()).or_insert_with(create);
         allowance.demand.add(1.0, now_us);
+        let limits = (rule.rate_milli_per_s, rule.burst_milli);
+        if limits != allowance.limits {
+            // Credits of a higher rate may be more than a window of a lower one allows.
+            allowance.credits = 0;
+            allowance.limits = limits;
+        }
         if allowance.use_credit(now_us) {
             return Step::Admit;
         }
--- a/valetrack/src/quota/tests/partition.rs
+++ b/valetrack/src/quota/tests/partition.rs
@@ -345,6 +345,27 @@
     }
 }
 
+/// A home or an entry that goes on with what it has from the previous rate would exceed a much lower one.
+#[test]
+fn lowered_rate_binds_within_a_window() {
+    for (old_per_s, new_per_s) in [(400, 1), (400, 40), (40, 2), (10, 0)] {
+        for seed in 0..40 {
+            let mut fleet = Fleet::new(rule(old_per_s, old_per_s), seed);
+            let until_us = 8_000_000 + fleet.rng.u64(..1_000_000);
+            fleet.run(0.2, 0..NODES, 5_000_000);
+            fleet.run(8.0, 0..NODES, until_us);
+            let lowered = AccountRule { rate_milli_per_s: (new_per_s * 1_000).max(500), ..rule(0, new_per_s) };
+            let load = 8.0 * old_per_s as f64 * 1_000.0 / lowered.rate_milli_per_s as f64;
+            fleet.rule = lowered;
+            (fleet.admitted, fleet.admitted_max) = (VecDeque::new(), 0);
+            fleet.run(load, 0..NODES, until_us + 30_000_000);
+            let limit = limit(new_per_s, new_per_s);
+            let admitted = fleet.admitted_max;
+            assert!(admitted <= limit, "seed {seed}, {old_per_s}/s to {new_per_s}/s: {admitted} of {limit}");
+        }
+    }
+}
+
 /// Tabulates the share of its rate that an account gets in ten minutes, of 1 and 40 calls a second that sends 0.8 and 5
 /// times its rate. An account whose home answers must keep what a home without a stand-in would grant, and both nodes
 /// together must not grant more.
