--- a/valetrack/src/gate/account_share.rs
+++ b/valetrack/src/gate/account_share.rs
@@ -21,6 +21,8 @@
 /// Most that an account's usual part counts, as a multiple of its part by weight: a fleet has three failure domains, and
 /// surges are four to six times the usual load.
 const USUAL_MAX: f64 = 4.0;
+/// Largest usual part that counts. Among few accounts, one that has had a server to itself would otherwise keep it.
+const USUAL_PART_MAX: f64 = 0.25;
 /// Ratio of usage to share from which a waiting call may be displaced. Of two accounts at their usual load, chance lets
 /// one appear half as large again as the other.
 const DISPLACED_ABOVE: f64 = 1.5;
@@ -208,7 +210,7 @@
         let burst_here = account.burst * starts / (DECAY_US / 1e6) / weights.max(account.weight);
         let by_weight = account.weight / weights.max(account.weight);
         let usual = account.usage.usual_us.value(now_us) / self.total.usual_us.value(now_us).max(1.0);
-        let part = by_weight.max(usual.min(by_weight * USUAL_MAX));
+        let part = by_weight.max(usual.min(by_weight * USUAL_MAX).min(USUAL_PART_MAX));
         let share_us = total_us * part + burst_here.max(1.0) * run_us;
         Some(if share_us > 0.0 { account.usage.slot_us.value(now_us) / share_us } else { 0.0 })
     }
--- a/valetrack/src/gate/tests/account_share.rs
+++ b/valetrack/src/gate/tests/account_share.rs
@@ -6,6 +6,8 @@
 use std::collections::{BinaryHeap, HashMap};
 use std::sync::Arc;
 
+use test_case::test_case;
+
 use crate::bundle::{AccountRule, AccountTable};
 use crate::gate::{AttemptId, DeclineReason, Gate, GateAction, GateConfig, GateEvent, Objective, QueueTimeout};
 
@@ -197,6 +199,65 @@
     service.counts
 }
 
+/// Returns a gate with one slot, which a call of account 14 holds, and in whose queue a call of account 15 waits that has
+/// used the server alone before.
+fn contended_gate(accounts: &AccountTable) -> Gate {
+    let mut gate = Gate::new(GateConfig { slots: 1, rescue: false, ..GateConfig::default() }, 0);
+    gate.shares().configure(accounts);
+    for seq in 100..110 {
+        let now_us = seq * 200_000;
+        assert_eq!(arrive(&mut gate, seq, Some(15), 2, now_us), [GateAction::Start { attempt: attempt(seq) }]);
+        gate.handle(GateEvent::Done { attempt: attempt(seq), healthy: true }, now_us + RUN_US, &mut Vec::new());
+    }
+    assert_eq!(arrive(&mut gate, 1, Some(14), 2, NOW_US).len(), 1);
+    assert_eq!(arrive(&mut gate, 2, Some(15), 2, NOW_US), []);
+    gate
+}
+
+const NOW_US: u64 = 22_000_000;
+
+fn attempt(seq: u64) -> AttemptId {
+    AttemptId { entry: 1, seq }
+}
+
+/// Lets a call arrive that may wait for one run.
+fn arrive(gate: &mut Gate, seq: u64, account: Option<usize>, priority: u8, now_us: u64) -> Vec<GateAction> {
+    if let Some(account) = account {
+        gate.shares().arrive(attempt(seq), &name(account), now_us);
+    }
+    let (left_us, wait_max_us) = (1_000_000, 150_000);
+    let objective = Some(Objective { left_us, work_us: RUN_US, elsewhere_permille: 0, wait_max_us });
+    let (deadline_us, patience) = (now_us + 2_000_000, QueueTimeout::Long);
+    let mut out = Vec::new();
+    gate.handle(
+        GateEvent::Arrive { attempt: attempt(seq), deadline_us, patience, priority, objective },
+        now_us,
+        &mut out,
+    );
+    out
+}
+
+fn full(seq: u64) -> GateAction {
+    GateAction::Bounce { attempt: attempt(seq), reason: DeclineReason::Full }
+}
+
+/// Without the limit to one rank, an account's usage would let less urgent calls displace more urgent ones.
+#[test_case(Some(16), 2, &[full(2)]; "an account within its share displaces the call of one above it")]
+#[test_case(Some(15), 2, &[full(3)]; "an account above its share does not")]
+#[test_case(None, 2, &[full(3)]; "a call without an account does not")]
+#[test_case(Some(16), 3, &[full(3)]; "a call of another rank does not")]
+fn only_account_within_share_displaces(account: Option<usize>, priority: u8, expected: &[GateAction]) {
+    let mut gate = contended_gate(&table(true));
+    assert_eq!(arrive(&mut gate, 3, account, priority, NOW_US), expected);
+}
+
+/// A bundle without accounts must leave the gate as it was.
+#[test]
+fn without_accounts_nothing_is_displaced() {
+    let mut gate = contended_gate(&AccountTable::default());
+    assert_eq!(arrive(&mut gate, 3, Some(16), 2, NOW_US), [full(3)]);
+}
+
 /// Tabulates the share of its calls that an account gets, by group and by the account that surges.
 #[test]
 fn accounts_within_their_share_keep_it_during_a_surge() {
--- a/valetrack/src/quota/tests/partition.rs
+++ b/valetrack/src/quota/tests/partition.rs
@@ -345,7 +345,7 @@
     }
 }
 
-/// A home or an entry that goes on with what it has from the previous rate would exceed a much lower one.
+/// A home that keeps its bucket, or an entry that keeps its credits, would exceed a much lower rate.
 #[test]
 fn lowered_rate_binds_within_a_window() {
     for (old_per_s, new_per_s) in [(400, 1), (400, 40), (40, 2), (10, 0)] {
@@ -353,7 +353,8 @@
             let mut fleet = Fleet::new(rule(old_per_s, old_per_s), seed);
             let until_us = 8_000_000 + fleet.rng.u64(..1_000_000);
             fleet.run(0.2, 0..NODES, 5_000_000);
-            fleet.run(8.0, 0..NODES, until_us);
+            // At a load below the rate, entries hold credits that they have not used.
+            fleet.run(if seed % 2 == 0 { 0.9 } else { 8.0 }, 0..NODES, until_us);
             let lowered = AccountRule { rate_milli_per_s: (new_per_s * 1_000).max(500), ..rule(0, new_per_s) };
             let load = 8.0 * old_per_s as f64 * 1_000.0 / lowered.rate_milli_per_s as f64;
             fleet.rule = lowered;
