--- a/valetrack/src/metric.rs
+++ b/valetrack/src/metric.rs
@@ -44,6 +44,8 @@
     pub upstream_rate_limit: Gauge,
     /// Calls sent to the upstream beyond the rate limit that it requests.
     pub upstream_calls_over_limit: IntCounter,
+    /// Waiting attempts that were declined for a call of another client account.
+    pub displaced_attempts: IntCounter,
     /// Starts of the upstream without a preceding announcement that it leaves.
     pub upstream_crashes: IntCounter,
     /// 1 if the upstream crashes repeatedly, otherwise 0.
@@ -72,6 +74,8 @@
     pub quota_requests: IntCounter,
     /// Calls for which no home of their client account answered.
     pub quota_unanswered: IntCounter,
+    /// Replies to requests for promises of stand-ins, by direction and reply.
+    pub quota_promises: IntCounterVec,
     /// Bytes that were transferred only for measurements.
     pub measure_bytes: IntCounter,
     /// Measurement budget in bytes per second.
@@ -175,6 +179,10 @@
                 "valetrack_upstream_calls_over_limit_total",
                 "Calls sent to the upstream beyond the rate limit that it requests.",
             ),
+            displaced_attempts: counter(
+                "valetrack_displaced_attempts_total",
+                "Waiting attempts of a client account above its share that were declined for a call of another account.",
+            ),
             upstream_crashes: counter(
                 "valetrack_upstream_crashes_total",
                 "Starts of the upstream without a preceding announcement that it leaves.",
@@ -218,6 +226,11 @@
                 "valetrack_quota_unanswered_total",
                 "Calls for which no home of their account answered.",
             ),
+            quota_promises: counters_by(
+                "valetrack_quota_promises_total",
+                "Replies to requests for the promise of a stand-in to grant no credits.",
+                &["direction", "reply"],
+            ),
             measure_bytes: counter("valetrack_measure_bytes_total", "Bytes transferred only for measurements."),
             measure_budget: gauge("valetrack_measure_budget_bytes_per_second", "Measurement budget."),
             probes: counter("valetrack_probes_total", "Probes sent."),
--- a/valetrack/src/placement/tests/nested_load.rs
+++ b/valetrack/src/placement/tests/nested_load.rs
@@ -146,7 +146,7 @@
 
 impl Load {
     fn run(rule: Rule, factor: f64, is_cold: bool, seed: u64) -> Self {
-        let cold = ColdRule { starts_per_s: Some(9), first_second: 9, length_ms: Some(3_000) };
+        let cold = ColdRule { starts_per_s: Some(9), first_second: 9, length_ms: Some(3_000), by_rank: false };
         let config = GateConfig {
             slots: SLOTS,
             queue_max_us: 50_000,
