Settings: regions of failure domains and the capacity of the link between them

Invalid lists are VT102, a domain that is not listed is VT108 and counts as a region of its own. The fixture of flag_takes_precedence_over_environment gives the new setting a valid value.

--- a/valetrack/src/code.rs
+++ b/valetrack/src/code.rs
@@ -37,6 +37,7 @@
     FileUnreadable = 105, "a file could not be read or written";
     AddressBusy = 106, "an address could not be listened on";
     DutyFailed = 107, "a task of the node has failed, and the node leaves";
+    DomainUnlisted = 108, "a failure domain is not in the list of regions and counts as a region of its own";
     ServiceUnknown = 201, "the call names no service of the bundle in force";
     BodyTooLarge = 202, "the body of the call is over the route's cap";
     BodyBroken = 203, "the body of the call ended early or came too slowly";
--- a/valetrack/src/lib.rs
+++ b/valetrack/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod placement;
 pub mod platform;
 pub mod quota;
+pub mod region;
 mod rendezvous;
 pub mod rollout;
 pub mod settings;
--- /dev/null
+++ b/valetrack/src/region.rs
@@ -0,0 +1,109 @@
+//! Regions of a fleet: groups of failure domains that are close to each other.
+
+#[cfg(test)]
+mod tests;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::str::FromStr;
+use std::sync::Arc;
+
+use crate::settings::is_name;
+
+/// Largest number of failure domains in the setting; several times that of the largest supported fleet.
+const DOMAINS_MAX: usize = 256;
+
+/// Distance between two nodes, nearest first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Distance {
+    /// Both are the same VM.
+    SameVm,
+    /// They share a failure domain.
+    SameDomain,
+    /// They are in different failure domains of one region.
+    SameRegion,
+    /// They are in different regions.
+    Beyond,
+}
+
+/// Region of each failure domain, from the settings.
+///
+/// A domain that is not listed counts as a region of its own. With fewer than two regions listed, all domains are in
+/// one region, and placement ignores regions.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Regions {
+    by_domain: BTreeMap<Arc<str>, Arc<str>>,
+    /// Whether two or more regions are listed.
+    has_several: bool,
+}
+
+impl Regions {
+    /// Returns whether two or more regions are listed.
+    pub fn has_several(&self) -> bool {
+        self.has_several
+    }
+
+    /// Returns whether a failure domain is listed.
+    pub fn lists(&self, domain: &str) -> bool {
+        self.by_domain.contains_key(domain)
+    }
+
+    /// Returns the region of a failure domain.
+    pub fn region_of<'a>(&'a self, domain: &'a str) -> &'a str {
+        self.by_domain.get(domain).map_or(domain, |region| region)
+    }
+
+    /// Returns whether two failure domains are in the same region.
+    pub fn is_same_region(&self, domain: &str, other: &str) -> bool {
+        !self.has_several || self.place_of(domain) == self.place_of(other)
+    }
+
+    /// Returns the distance between nodes of two failure domains that are not the same VM.
+    pub fn distance(&self, domain: &str, other: &str) -> Distance {
+        match () {
+            () if domain == other => Distance::SameDomain,
+            () if self.is_same_region(domain, other) => Distance::SameRegion,
+            () => Distance::Beyond,
+        }
+    }
+
+    /// Returns the region of a failure domain, and whether it is a listed one: an unlisted domain differs from a listed
+    /// region of the same name.
+    fn place_of<'a>(&'a self, domain: &'a str) -> (bool, &'a str) {
+        (self.lists(domain), self.region_of(domain))
+    }
+}
+
+/// Error of a list of regions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RegionsError {
+    /// An item is not a failure domain and a region, separated by `=`.
+    NoPair,
+    /// A failure domain is listed twice.
+    Duplicate,
+    /// More failure domains are listed than are supported.
+    TooMany,
+}
+
+impl FromStr for Regions {
+    type Err = RegionsError;
+
+    /// Parses pairs `domain=region` that are separated by commas; an empty text lists none.
+    fn from_str(text: &str) -> Result<Self, RegionsError> {
+        let mut by_domain = BTreeMap::new();
+        for pair in text.split(',').filter(|_| !text.is_empty()) {
+            let (domain, region) = pair.split_once('=').ok_or(RegionsError::NoPair)?;
+            if !is_name(domain) || !is_name(region) {
+                return Err(RegionsError::NoPair);
+            }
+            if by_domain.len() >= DOMAINS_MAX {
+                return Err(RegionsError::TooMany);
+            }
+            if by_domain.insert(Arc::from(domain), Arc::from(region)).is_some() {
+                return Err(RegionsError::Duplicate);
+            }
+        }
+        let regions: BTreeSet<&Arc<str>> = by_domain.values().collect();
+        let has_several = regions.len() > 1;
+        Ok(Self { by_domain, has_several })
+    }
+}
--- a/valetrack/src/settings.rs
+++ b/valetrack/src/settings.rs
@@ -10,6 +10,7 @@
 
 use crate::code::Code;
 use crate::placement::Policy;
+use crate::region::Regions;
 
 /// Prefix of the environment variables of settings.
 pub const ENV_PREFIX: &str = "VALETRACK_";
@@ -93,6 +94,13 @@
     setting("silent-ms", "Time without contact after which a home may be replaced.", "100 to 60000", Some("2500")),
     setting("drain-ms", "Time limit of a planned stop.", "0 to 600000", Some("30000")),
     setting("domain-cost-us", "Round-trip cost of a call to another failure domain.", "0 to 1000000", Some("1000")),
+    setting("regions", "Region of each failure domain; empty for a single region.", REGIONS, Some("")),
+    setting(
+        "region-link-mbps",
+        "Capacity of the link between two regions in each direction, in Mbit/s; 0 for unknown.",
+        "0 to 10000000, with fractions",
+        Some("0"),
+    ),
     setting("call-body-ms", "Time limit for a caller to send a body.", "10 to 60000", Some("5000")),
     setting(
         "policy",
@@ -110,6 +118,11 @@
 /// Allowed values of addresses.
 const ADDRESS: &str = "IP:PORT";
 
+/// Allowed values of `regions`.
+const REGIONS: &str = "domain=region pairs, separated by commas, with each domain once";
+/// Largest capacity of a link between regions.
+const REGION_LINK_MAX_MBPS: f64 = 10_000_000.0;
+
 /// Allowed values of `retry-ratio`.
 const RATIO: &str = "0 to 10, with fractions";
 /// Largest ratio of retries to calls; higher than the number of attempts that any call may make.
@@ -249,6 +262,10 @@
     pub drain_ms: u64,
     /// Round-trip cost of a call to another failure domain.
     pub domain_cost_us: u32,
+    /// Region of each failure domain.
+    pub regions: Arc<Regions>,
+    /// Capacity of the link between two regions in each direction, in Mbit/s; zero if unknown.
+    pub region_link_mbps: f64,
     /// Time limit for a caller to send the body of a call.
     pub call_body_ms: u64,
     /// Policy of choosing an owner.
@@ -395,6 +412,8 @@
         let silent_ms = self.number("silent-ms", 100, 60_000);
         let drain_ms = self.number("drain-ms", 0, 600_000);
         let domain_cost_us = self.number("domain-cost-us", 0, 1_000_000);
+        let regions = self.parsed("regions");
+        let region_link_mbps = self.fraction("region-link-mbps", 0.0..=REGION_LINK_MAX_MBPS);
         let call_body_ms = self.number("call-body-ms", 10, 60_000);
         let policy = self.parsed("policy");
         let log_level = self.parsed("log-level");
@@ -434,6 +453,8 @@
             silent_ms: silent_ms?,
             drain_ms: drain_ms?,
             domain_cost_us: domain_cost_us? as u32,
+            regions: Arc::new(regions?),
+            region_link_mbps: region_link_mbps?,
             call_body_ms: call_body_ms?,
             policy: policy?,
             log_level: log_level?,
--- a/valetrack/src/tests.rs
+++ b/valetrack/src/tests.rs
@@ -41,11 +41,30 @@
     ");
 }
 
+/// Guards against a node that starts without regions since it ignores a list that it cannot read.
+#[test]
+fn invalid_regions_are_a_numbered_fault() {
+    let mut raw = RawSettings::default();
+    raw.set("regions", "kranj=north,loka".into());
+    raw.set("region-link-mbps", "-1".into());
+    let faults = raw.check().expect_err("faults");
+    let ours = faults.iter().filter(|fault| fault.flag.starts_with("region"));
+    let lines: String = ours.map(|fault| format!("{fault}\n")).collect();
+    insta::assert_snapshot!(lines, @r"
+    VT102: --regions: a setting has a value that is not allowed; expected: domain=region pairs, separated by commas, with each domain once
+    VT102: --region-link-mbps: a setting has a value that is not allowed; expected: 0 to 10000000, with fractions
+    ");
+}
+
 #[test]
 fn flag_takes_precedence_over_environment() {
     let mut raw = RawSettings::default();
     for setting in NODE.iter().filter(|setting| setting.default.is_none_or(str::is_empty)) {
-        let value = if setting.expected == "IP:PORT" { "127.0.0.1:1" } else { "flag" };
+        let value = match setting.flag {
+            "regions" => "flag=flag",
+            _ if setting.expected == "IP:PORT" => "127.0.0.1:1",
+            _ => "flag",
+        };
         raw.set(setting.flag, value.into());
     }
     raw.fill_from(|name| match name {
