Placement: distance, cost and link state of other regions

Placement had one cost for any other failure domain and assumed a round trip of a millisecond. An entry now measures the round trip to each other region with declines and rare probes, detects a full link by its growth or by a share of the configured capacity, learns the sizes of a route's answers, and derives time and cost of crossing from them. A call stays in its region unless another one promises more, crosses with a chance that grows with the gain, and is sent across once before it is rejected. Without two regions in the settings the view has no links and decides as before.

--- a/valetrack/src/metric.rs
+++ b/valetrack/src/metric.rs
@@ -21,6 +21,14 @@
     pub attempts: IntCounterVec,
     /// Attempts sent, by service and cause.
     pub sends: IntCounterVec,
+    /// Attempts sent to other regions, by region.
+    pub region_calls: IntCounterVec,
+    /// Bytes of calls, answers and probes between regions, by region and direction.
+    pub region_bytes: IntCounterVec,
+    /// Usual round trip to another region in seconds, by region.
+    pub region_round_trip: GaugeVec,
+    /// Used part of the link to another region, from 0 to 1, by region.
+    pub region_link_load: GaugeVec,
     /// Retries that were not sent because the retry budget was used up, by service and cause.
     pub retries_refused: IntCounterVec,
     /// Calls that retried runs of this node's upstream have made, by service. A call that was made by a retried run
@@ -112,11 +120,12 @@
             registry.register(Box::new(counters.clone())).expect("unique name");
             counters
         };
-        let gauges_by = |name: &str, help: &str| {
-            let gauges = GaugeVec::new(Opts::new(name, help), &["service"]).expect("valid name");
+        let gauges_by_label = |name: &str, help: &str, label: &str| {
+            let gauges = GaugeVec::new(Opts::new(name, help), &[label]).expect("valid name");
             registry.register(Box::new(gauges.clone())).expect("unique name");
             gauges
         };
+        let gauges_by = |name: &str, help: &str| gauges_by_label(name, help, "service");
         let opts =
             Opts::new("valetrack_nested_repeats_total", "Calls that retried runs of this node's upstream have made.");
         let nested_repeats = CounterVec::new(opts, &["service"]).expect("valid name");
@@ -140,6 +149,22 @@
             call_seconds,
             attempts: counters("valetrack_attempts_total", "Attempts, by result.", "result"),
             sends: counters_by("valetrack_sends_total", "Attempts sent, by service and cause.", &["service", "cause"]),
+            region_calls: counters("valetrack_region_calls_total", "Attempts sent to other regions.", "region"),
+            region_bytes: counters_by(
+                "valetrack_region_bytes_total",
+                "Bytes of calls, answers and probes between regions.",
+                &["region", "direction"],
+            ),
+            region_round_trip: gauges_by_label(
+                "valetrack_region_round_trip_seconds",
+                "Usual round trip to another region.",
+                "region",
+            ),
+            region_link_load: gauges_by_label(
+                "valetrack_region_link_load",
+                "Used part of the link to another region, from 0 to 1.",
+                "region",
+            ),
             retries_refused: counters_by(
                 "valetrack_repeats_refused_total",
                 "Retries not sent because the retry budget was used up.",
--- a/valetrack/src/node/start.rs
+++ b/valetrack/src/node/start.rs
@@ -286,6 +286,8 @@
             vm: self.settings.vm.clone(),
             domain: self.settings.domain.clone(),
             domain_cost_us: self.settings.domain_cost_us,
+            regions: self.settings.regions.clone(),
+            region_link_mbps: self.settings.region_link_mbps,
             policy: self.settings.policy,
             seed: self.seed,
             entry: self.incarnation ^ self.seed.rotate_left(32),
--- a/valetrack/src/placement/attempt.rs
+++ b/valetrack/src/placement/attempt.rs
@@ -9,6 +9,7 @@
 
 use super::message::{CallEvent, Dispatch, Outcome, ServerIndex};
 use super::run::{Placer, REPLY_LIMIT_MS};
+use super::traffic::request_bytes;
 use crate::clock::Moment;
 use crate::code::Code;
 use crate::gate::{AttemptId, DeclineReason};
@@ -75,13 +76,24 @@
             self.metrics.sends.with_label_values(&[&*service, cause.as_str()]).inc();
             // The stamp is drawn after the log line above, so that events of the owner are ordered after it.
             head.hlc = events::stamp();
+            let (call_id, sent_bytes) = (head.call_id.clone(), request_bytes(&head, &body));
             let question = PeerRequest { ask: Ask::Run(head), body };
             let limit = Duration::from_millis(u64::from(left_ms) + REPLY_SLACK_MS);
+            let crossing = self.begin_crossing(&service, server, sent_bytes);
+            if let Some(crossing) = &crossing {
+                self.record_crossing(crossing, &call_id, sent_bytes);
+            }
             let result = self.ask(target, question, limit).await;
+            if let Some(crossing) = crossing {
+                self.end_crossing(&crossing, &result, limit);
+            }
             self.apply_piggyback(&service, server, &result);
             let event = attempt_event(attempt, result, &self.metrics);
             match &event {
-                (CallEvent::Ran { .. }, Some((answer, _))) => self.record_nested_route(&route, answer.nested),
+                (CallEvent::Ran { .. }, Some((answer, body))) => {
+                    self.record_nested_route(&route, answer.nested);
+                    self.record_answer_size(&route, answer, body);
+                }
                 (CallEvent::Declined { reason: DeclineReason::Evacuated, .. }, _) => {
                     self.report_evacuation(&service, server);
                 }
--- a/valetrack/src/placement/call.rs
+++ b/valetrack/src/placement/call.rs
@@ -5,11 +5,13 @@
 //! given.
 
 mod choice;
+mod crossing;
 mod end;
 
 use super::message::{CallAction, CallEvent, Demand, QUARANTINED, SendCause, ServerIndex, Verdict};
 use super::repeat::{RetryBudget, RetryGuarantee};
 use super::set::ServerSet;
+use super::traffic::CallTraffic;
 use super::view::ServiceView;
 use crate::code::Code;
 use crate::gate::{AttemptId, PERMILLE, QueueTimeout};
@@ -155,6 +157,10 @@
     slow_declines_left: u8,
     cross_domain_declines_left: u8,
     retries_left: u8,
+    /// Expected traffic between its entry and its server.
+    traffic: CallTraffic,
+    /// Whether it was sent to another region.
+    has_crossed: bool,
     hedged: bool,
     /// When the call arrived.
     began_us: u64,
@@ -189,6 +195,8 @@
             slow_declines_left: SLOW_DECLINES_MAX,
             cross_domain_declines_left: CROSS_DOMAIN_DECLINES_MAX,
             retries_left: rule.retries,
+            traffic: CallTraffic::default(),
+            has_crossed: false,
             hedged: false,
             began_us: 0,
             declined_by_stall: false,
@@ -217,6 +225,12 @@
         Self { made_by_run, ..self }
     }
 
+    /// Sets the expected traffic of the call.
+    #[must_use]
+    pub fn with_traffic(self, traffic: CallTraffic) -> Self {
+        Self { traffic, ..self }
+    }
+
     /// Returns the number of attempts sent.
     pub fn attempts(&self) -> usize {
         self.count
--- a/valetrack/src/placement/call/choice.rs
+++ b/valetrack/src/placement/call/choice.rs
@@ -13,7 +13,7 @@
     pub(super) fn send_first(&mut self, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) -> Option<ServerIndex> {
         self.rollout_excluded = cx.view.servers_without(TrafficShare::Usual);
         let on_trial = cx.view.next_is_trial().then(|| cx.view.servers_without(TrafficShare::Trial));
-        let trial = on_trial.and_then(|others| self.pick(others, cx));
+        let trial = on_trial.and_then(|others| self.pick_with(others, others, cx));
         self.excluded = self.rollout_excluded;
         let Some(server) = trial else {
             return self.send_next(SendCause::First, cx, out);
@@ -57,6 +57,12 @@
         // A queue changes about as fast as the calls in it run.
         let fresh_us =
             self.rule.demand.map_or(FULL_REPORT_VALID_US, |demand| u64::from(demand.work_us).max(FULL_REPORT_VALID_US));
+        let beyond = self.beyond_by_choice(cx);
+        if beyond.contains(server) {
+            // The call goes back to its own region if the other one has no room either.
+            return QueueTimeout::Short;
+        }
+        let tried = tried.union(beyond);
         let another_has_room = self.declines_left > 0 && cx.view.has_room(tried, fresh_us, cx.now_us);
         match () {
             () if another_has_room => QueueTimeout::Short,
@@ -68,10 +74,23 @@
     /// Picks a server outside `excluded`, and outside other failure domains once they have declined the call often
     /// enough and a server of the own domain is open.
     pub(super) fn pick(&self, excluded: ServerSet, cx: &mut CallContext<'_>) -> Option<ServerIndex> {
+        self.pick_with(self.rollout_excluded, excluded, cx)
+    }
+
+    /// Picks a server like [`pick`](Self::pick) for a call that may use no server in `unusable`.
+    fn pick_with(
+        &self,
+        unusable: ServerSet,
+        excluded: ServerSet,
+        cx: &mut CallContext<'_>,
+    ) -> Option<ServerIndex> {
         let excluded = match self.cross_domain_declines_left {
             0 => excluded.union(cx.view.cross_domain_if_own_open(excluded, cx.now_us)),
             _ => excluded,
         };
+        if cx.view.has_regions() {
+            return self.pick_by_region(unusable, excluded, cx);
+        }
         match self.demand_left(cx) {
             Some(demand) => cx.view.pick_in_time(excluded, demand, cx.now_us, cx.rng),
             None => cx.view.pick(excluded, cx.now_us, cx.rng),
@@ -79,7 +98,7 @@
     }
 
     /// Returns the remaining requirements of the call, if it has an objective.
-    fn demand_left(&self, cx: &CallContext<'_>) -> Option<Demand> {
+    pub(super) fn demand_left(&self, cx: &CallContext<'_>) -> Option<Demand> {
         let demand = self.rule.demand?;
         let elapsed_us = cx.now_us.saturating_sub(self.began_us);
         Some(Demand { left_us: demand.left_us.saturating_sub(elapsed_us), ..demand })
@@ -90,7 +109,11 @@
         if patience != QueueTimeout::Short || self.slow_declines_left == 0 {
             return 0;
         }
-        let mut tried = self.excluded;
+        let beyond = self.beyond_by_choice(cx);
+        if beyond.contains(server) {
+            return 0;
+        }
+        let mut tried = self.excluded.union(beyond);
         tried.insert(server);
         let utility =
             self.demand_left(cx).and_then(|demand| cx.view.utility_elsewhere(server, tried, demand, cx.now_us));
@@ -134,6 +157,7 @@
         *cx.next_seq += 1;
         let elsewhere_permille = self.elsewhere_permille(server, patience, cx);
         cx.view.count_sent(server);
+        self.has_crossed |= cx.view.region_link(server).is_some();
         self.last_resort |= patience == QueueTimeout::Last;
         self.repeat_charged |= cause.is_charged();
         self.attempts[self.count] = Some(Attempt { id, server, patience, state: AttemptState::Sent });
--- a/valetrack/src/placement/call/end.rs
+++ b/valetrack/src/placement/call/end.rs
@@ -55,8 +55,10 @@
             return;
         }
         if matches!(self.patience(at), QueueTimeout::Long | QueueTimeout::Last) && is_full {
-            // The attempt was the last resort, so no server has room.
-            self.settle(cx, out);
+            // The attempt was the last resort, so no server of the region has room.
+            if !self.send_across(SendCause::Unreached, cx, out) {
+                self.settle(cx, out);
+            }
             return;
         }
         if reason == DeclineReason::Rejected {
@@ -100,7 +102,7 @@
     /// Charges a decline to the allowances that apply only to some reasons.
     fn charge_allowances(&mut self, server: ServerIndex, reason: DeclineReason, cx: &CallContext<'_>) {
         let is_full = matches!(reason, DeclineReason::Full | DeclineReason::RateLimited);
-        if is_full && cx.view.is_cross_domain(server) {
+        if is_full && cx.view.is_cross_domain(server) && cx.view.region_link(server).is_none() {
             self.cross_domain_declines_left = self.cross_domain_declines_left.saturating_sub(1);
         }
         if reason == DeclineReason::Slow {
@@ -197,7 +199,10 @@
         if !is_uncharged {
             self.declines_left = self.declines_left.saturating_sub(1);
         }
-        if self.send_next(cause, cx, out).is_none() && !self.send_last(cause, cx, out) {
+        if self.send_next(cause, cx, out).is_none()
+            && !self.send_across(cause, cx, out)
+            && !self.send_last(cause, cx, out)
+        {
             self.settle(cx, out);
         }
     }
--- a/valetrack/src/placement/driver.rs
+++ b/valetrack/src/placement/driver.rs
@@ -29,7 +29,10 @@
 ) {
     let deadline = Moment::now() + Duration::from_millis(head.deadline_ms.into());
     let driver = CallDriver {
-        call: Call::new(rule, placer.entry).made_by_repeat(head.repeat_permille).made_by_run(head.made_by_run),
+        call: Call::new(rule, placer.entry)
+            .made_by_repeat(head.repeat_permille)
+            .made_by_run(head.made_by_run)
+            .with_traffic(placer.traffic(&head, &body)),
         probes_before_hedge: rule.demand.is_some(),
         reply: Some(reply),
         pending_operations: FuturesUnordered::new(),
--- a/valetrack/src/placement/network_cost.rs
+++ b/valetrack/src/placement/network_cost.rs
@@ -11,6 +11,13 @@
 /// their domains instead of 18.5 MB, with the same results for callers.
 const OPEN_LINK_COST: f64 = 0.3;
 
+/// Cost of a kilobyte that is sent to another region, at the price that [`CROSS_DOMAIN_COST`] assumes.
+const REGION_KILOBYTE_COST: f64 = CROSS_DOMAIN_COST / 2.0;
+
+/// Cost of a kilobyte of a call that its own region has declined. The call has nothing else to lose, but large bodies
+/// delay the calls behind them on the link: an upload of 60 kB has to have a better than even chance.
+const LAST_RESORT_KILOBYTE_COST: f64 = 0.01;
+
 /// Returns the network cost of a server, as a share of the utility of a timely answer. A server that has reported its
 /// load probably has an open link.
 pub(super) fn network_cost(cross_domain: bool, has_reported: bool) -> f64 {
@@ -20,3 +27,25 @@
         (true, false) => CROSS_DOMAIN_COST + OPEN_LINK_COST,
     }
 }
+
+/// Why a call is sent to another region.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum CrossingReason {
+    /// The other region promises a better chance of an answer within the objective.
+    BetterChance,
+    /// The call's own region has declined it.
+    LastResort,
+}
+
+/// Returns the network cost of a call of `bytes`, request and answer together, at a server in another region. It is at
+/// least that of another failure domain of the same region.
+pub(super) fn region_cost(reason: CrossingReason, bytes: u64, has_reported: bool) -> f64 {
+    let kilobytes = bytes as f64 / 1_000.0;
+    match reason {
+        CrossingReason::BetterChance => {
+            let open_link_cost = if has_reported { 0.0 } else { OPEN_LINK_COST };
+            (kilobytes * REGION_KILOBYTE_COST).max(CROSS_DOMAIN_COST) + open_link_cost
+        }
+        CrossingReason::LastResort => kilobytes * LAST_RESORT_KILOBYTE_COST,
+    }
+}
--- a/valetrack/src/placement/run.rs
+++ b/valetrack/src/placement/run.rs
@@ -3,6 +3,7 @@
 
 mod ledger;
 mod probe;
+mod region;
 
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
@@ -14,6 +15,7 @@
 use bytes::Bytes;
 use tokio::sync::{oneshot, watch};
 
+use self::region::RegionLinks;
 use super::budget::RateBudget;
 use super::call::{CallContext, CallRule};
 use super::driver::drive;
@@ -21,7 +23,8 @@
 use super::nested::NestedCalls;
 use super::policy::Policy;
 use super::repeat::FleetSize;
-use super::service::{ServiceState, call_rule};
+use super::service::{EntryPlace, ServiceState, call_rule};
+use super::traffic::AnswerSize;
 use super::waited::CallerTime;
 use super::work::WorkEstimate;
 use crate::bundle::{InForce, MeasureRule};
@@ -33,6 +36,7 @@
 use crate::link::peer::{self, LinkJob, LinkResult, Target};
 use crate::member::{MemberJob, Members};
 use crate::metric::Metrics;
+use crate::region::Regions;
 use crate::timeline::log as events;
 
 /// Time limit of an owner's reply to a cancel or a probe.
@@ -49,6 +53,10 @@
     /// Runs of the upstream beside this entry, and the calls that it makes during them.
     nested_calls: NestedCalls,
     fleet: FleetSize,
+    /// Links to other regions; empty if the fleet has a single one.
+    links: RegionLinks,
+    /// Usual sizes of answers by route; empty if the fleet has a single region.
+    answer_sizes: HashMap<Arc<str>, AnswerSize>,
     rng: fastrand::Rng,
     next_seq: u64,
     measure: RateBudget,
@@ -62,6 +70,8 @@
     vm: Arc<str>,
     domain: Arc<str>,
     domain_cost_us: u32,
+    regions: Arc<Regions>,
+    region_link_mbps: f64,
     policy: Policy,
     pub(super) to_link: Sender<LinkJob>,
     to_member: Sender<MemberJob>,
@@ -83,6 +93,10 @@
     pub domain: Arc<str>,
     /// Cost of leaving the failure domain.
     pub domain_cost_us: u32,
+    /// Region of each failure domain.
+    pub regions: Arc<Regions>,
+    /// Capacity of the link between two regions, in Mbit/s; zero if unknown.
+    pub region_link_mbps: f64,
     /// Rule of server selection.
     pub policy: Policy,
     /// Seed of random choices.
@@ -112,6 +126,8 @@
             nested_routes: HashSet::new(),
             nested_calls: NestedCalls::default(),
             fleet: FleetSize::default(),
+            links: RegionLinks::default(),
+            answer_sizes: HashMap::new(),
             rng: fastrand::Rng::with_seed(parts.seed),
             next_seq: 1,
             measure: RateBudget::new(0, 0, now_us()),
@@ -123,6 +139,8 @@
             vm: parts.vm,
             domain: parts.domain,
             domain_cost_us: parts.domain_cost_us,
+            regions: parts.regions,
+            region_link_mbps: parts.region_link_mbps,
             policy: parts.policy,
             to_link: parts.to_link,
             to_member: parts.to_member,
@@ -163,7 +181,7 @@
     }
 
     fn apply_config(&self, in_force: &InForce, members: &Members) {
-        let mut inner = self.inner.borrow_mut();
+        let inner = &mut *self.inner.borrow_mut();
         let MeasureRule { bytes_per_s, probes_per_s, .. } = in_force.bundle.measure;
         inner.measure.configure(bytes_per_s.into(), bytes_per_s.into(), now_us());
         inner.probes.configure(probes_per_s.into(), probes_per_s.into(), now_us());
@@ -173,6 +191,14 @@
         inner.caller_times.retain(|route, _| in_force.bundle.routes.contains(route));
         inner.nested_routes.retain(|route| in_force.bundle.routes.contains(route));
         inner.nested_calls.retain(|service| in_force.bundle.service(service).is_some());
+        inner.answer_sizes.retain(|route, _| in_force.bundle.routes.contains(route));
+        let nodes = members.iter().count();
+        let place = EntryPlace {
+            vm: &self.vm,
+            domain: &self.domain,
+            domain_cost_us: self.domain_cost_us,
+            regions: &self.regions,
+        };
         let fleet = inner.fleet.update(members.iter().count() as u32, now_us());
         for rule in &in_force.bundle.services {
             let state = inner
@@ -181,8 +207,10 @@
                 .or_insert_with(|| ServiceState::new(rule, self.policy, now_us()));
             state.configure(rule, fleet);
             self.metrics.repeat_reserve.with_label_values(&[&*rule.name]).set(state.budgets.retry.reserve());
-            state.sync(members.servers_of(&rule.name), &self.domain, &self.vm, self.domain_cost_us);
+            let links = &mut inner.links;
+            state.sync(members.servers_of(&rule.name), &place, |domain| links.index_of(&self.regions, domain));
         }
+        inner.links.configure(self.region_link_mbps, nodes, now_us());
     }
 
     /// Places one call and returns its result. Operations that are still pending then are dropped.
@@ -240,8 +268,9 @@
     /// Runs a decision of a call on the view and the budgets of its service; none if the service is unknown.
     pub(super) fn decide<R>(&self, service: &str, decision: impl FnOnce(&mut CallContext<'_>) -> R) -> Option<R> {
         let mut inner = self.inner.borrow_mut();
-        let Inner { services, rng, next_seq, .. } = &mut *inner;
+        let Inner { services, rng, next_seq, links, .. } = &mut *inner;
         let ServiceState { view, budgets, .. } = services.get_mut(service)?;
+        links.update(view, now_us());
         let decided = decision(&mut CallContext { view, budgets, rng, now_us: now_us(), next_seq });
         for (cause, count) in budgets.refused.drain() {
             self.metrics.retries_refused.with_label_values(&[service, cause.as_str()]).inc_by(count);
--- a/valetrack/src/placement/run/probe.rs
+++ b/valetrack/src/placement/run/probe.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 
-use super::{Placer, REPLY_LIMIT_MS};
+use super::Placer;
 use crate::clock::now_us;
 use crate::link::message::{Ask, PeerRequest};
 use crate::link::peer::LinkResult;
@@ -33,7 +33,9 @@
             let Some(stale_ms) = stale_ms else {
                 continue;
             };
-            while let Some((service, server)) = self.next_probe(u64::from(stale_ms) * 1000) {
+            let stale_us = u64::from(stale_ms) * 1000;
+            let next = || self.next_probe(stale_us).or_else(|| self.next_region_probe(stale_us));
+            while let Some((service, server)) = next() {
                 let placer = self.clone();
                 tokio::task::spawn_local(async move {
                     // A view that stays stale is probed again.
@@ -69,7 +71,13 @@
             return false;
         };
         let question = PeerRequest { ask: Ask::Probe, body: Bytes::new() };
-        let result = self.ask(target, question, Duration::from_millis(REPLY_LIMIT_MS)).await;
+        let limit = self.reply_limit(service, server);
+        let crossing = self.begin_crossing(service, server, PROBE_BYTES as u32 / 2);
+        let result = self.ask(target, question, limit).await;
+        if let Some(crossing) = crossing {
+            // An owner replies to a probe at once, so a reply that is late is a failure too.
+            self.end_crossing(&crossing, &result, Duration::MAX);
+        }
         self.apply_piggyback(service, server, &result);
         matches!(result, LinkResult::Reply(_))
     }
--- a/valetrack/src/placement/service.rs
+++ b/valetrack/src/placement/service.rs
@@ -1,5 +1,6 @@
 //! State of one service at an entry, with a stable index for each server.
 
+use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use super::call::{Budgets, CallRule};
@@ -9,6 +10,7 @@
 use super::view::{MAX_SERVERS, ServiceView};
 use crate::bundle::{FleetRetries, ServiceRule};
 use crate::member::Candidate;
+use crate::region::{Distance, Regions};
 use crate::rollout::TrafficShare;
 
 /// Maximum number of servers of a service that one entry considers. The remaining indexes are for new incarnations of
@@ -19,6 +21,33 @@
 /// Divisor of the cost of leaving the failure domain that gives the cost of reaching another VM of the same domain.
 const SAME_DOMAIN_DIVISOR: u32 = 10;
 
+/// Servers of each other region that an entry considers in any case. Calls that its own region declines need a choice of
+/// a few of them, some of which may be slow or full.
+const REGION_RESERVE: usize = 4;
+/// Largest number of servers of all other regions that are considered in place of closer ones: a quarter of all.
+const REGIONS_RESERVE_MAX: usize = CONSIDERED_MAX / 4;
+
+/// Location of an entry, by which it assesses its distance to servers.
+pub(super) struct EntryPlace<'a> {
+    /// Name of its VM.
+    pub(super) vm: &'a str,
+    /// Its failure domain.
+    pub(super) domain: &'a str,
+    /// Cost of leaving the failure domain.
+    pub(super) domain_cost_us: u32,
+    /// Region of each failure domain.
+    pub(super) regions: &'a Regions,
+}
+
+impl EntryPlace<'_> {
+    fn distance(&self, candidate: &Candidate) -> Distance {
+        match &*candidate.vm == self.vm {
+            true => Distance::SameVm,
+            false => self.regions.distance(self.domain, &candidate.domain),
+        }
+    }
+}
+
 /// State of one service at an entry.
 pub(super) struct ServiceState {
     /// Its servers.
@@ -49,29 +78,31 @@
         }
     }
 
-    /// Assigns a stable index to each server, and a separate one to a new incarnation of a VM.
+    /// Assigns a stable index to each server, and a separate one to a new incarnation of a VM. `link_of` returns the link
+    /// to the region of a failure domain.
     pub(super) fn sync(
         &mut self,
         candidates: impl Iterator<Item = Candidate>,
-        domain: &str,
-        vm: &str,
-        domain_cost_us: u32,
+        place: &EntryPlace<'_>,
+        mut link_of: impl FnMut(&str) -> usize,
     ) {
         let mut kept = vec![false; self.targets.len().max(MAX_SERVERS)];
         let candidates: Vec<Candidate> = candidates.collect();
-        self.share_trial(&candidates, vm);
-        for candidate in considered(candidates, domain, vm) {
+        self.share_trial(&candidates, place.vm);
+        for candidate in considered_by_region(candidates, place.regions, place.domain, place.vm) {
             let Some(server) = self.index_of(&candidate) else {
                 continue;
             };
             kept[server] = true;
-            let network_us = match () {
-                () if &*candidate.vm == vm => 0,
-                () if &*candidate.domain == domain => domain_cost_us / SAME_DOMAIN_DIVISOR,
-                () => domain_cost_us,
+            let distance = place.distance(&candidate);
+            let network_us = match distance {
+                Distance::SameVm => 0,
+                Distance::SameDomain => place.domain_cost_us / SAME_DOMAIN_DIVISOR,
+                Distance::SameRegion | Distance::Beyond => place.domain_cost_us,
             };
             self.view.set_present(server, true, network_us);
-            self.view.set_cross_domain(server, &*candidate.domain != domain);
+            self.view.set_cross_domain(server, &*candidate.domain != place.domain);
+            self.view.set_region(server, (distance == Distance::Beyond).then(|| link_of(&candidate.domain)));
             self.view.set_traffic_share(server, candidate.part);
             self.targets[server] = Some(candidate);
         }
@@ -133,6 +164,44 @@
     candidates
 }
 
+/// Returns the servers that one entry considers in a fleet of several regions: like [`considered`], with those of the own
+/// region before those of other regions, but some of each other region in any case.
+pub fn considered_by_region(
+    mut candidates: Vec<Candidate>,
+    regions: &Regions,
+    domain: &str,
+    vm: &str,
+) -> Vec<Candidate> {
+    if !regions.has_several() || candidates.len() <= CONSIDERED_MAX {
+        return considered(candidates, domain, vm);
+    }
+    candidates.sort_by_cached_key(|candidate| {
+        let mut hasher = DefaultHasher::new();
+        (vm, &*candidate.vm).hash(&mut hasher);
+        (candidate.part != TrafficShare::Trial, regions.distance(domain, &candidate.domain), hasher.finish())
+    });
+    let mut by_region: HashMap<&str, usize> = HashMap::new();
+    let mut reserved_count = 0;
+    let mut reserved = vec![false; candidates.len()];
+    for (candidate, reserved) in candidates.iter().zip(&mut reserved) {
+        let is_beyond = regions.distance(domain, &candidate.domain) == Distance::Beyond;
+        let count = by_region.entry(regions.region_of(&candidate.domain)).or_default();
+        if is_beyond && *count < REGION_RESERVE && reserved_count < REGIONS_RESERVE_MAX {
+            *count += 1;
+            reserved_count += 1;
+            *reserved = true;
+        }
+    }
+    let mut others_left = CONSIDERED_MAX - reserved_count;
+    let mut is_chosen = reserved.into_iter().map(|is_reserved| {
+        let is_chosen = is_reserved || others_left > 0;
+        others_left -= usize::from(is_chosen && !is_reserved);
+        is_chosen
+    });
+    candidates.retain(|_| is_chosen.next() == Some(true));
+    candidates
+}
+
 /// Returns the guarantee on repeats of a service, if its rule has a fleet-wide budget.
 fn retry_guarantee(rule: &ServiceRule) -> Option<RetryGuarantee> {
     let FleetRetries { reserve, window_ms } = rule.fleet_retries?;
--- a/valetrack/src/placement/view.rs
+++ b/valetrack/src/placement/view.rs
@@ -1,10 +1,12 @@
 //! View of the servers of one service at an entry, and server selection.
 
+pub(super) mod region;
 mod utility;
 
 use super::full_owner_share::FullOwnerShare;
 use super::message::{ReceivedLoad, ServerIndex};
 use super::policy::Policy;
+use super::region_link::LinkView;
 use super::set::ServerSet;
 use crate::gate::LoadReport;
 use crate::rollout::{TrafficShare, TrialShare};
@@ -46,6 +48,8 @@
     network_us: u32,
     /// Whether the server is in another failure domain, to which traffic is expensive.
     cross_domain: bool,
+    /// Link to its region; none if it is in the region of the entry.
+    region_link: Option<usize>,
     last_report: Option<ReceivedLoad>,
     /// Attempts of this entry in flight.
     outstanding: u32,
@@ -67,6 +71,7 @@
     leaving: false,
     network_us: 0,
     cross_domain: false,
+    region_link: None,
     last_report: None,
     outstanding: 0,
     outstanding_at_report: 0,
@@ -99,6 +104,8 @@
     trial: TrialShare,
     /// Latest `starts_after_us` of any server.
     last_starts_after_us: u64,
+    /// States of the links to other regions; empty if the fleet has a single region.
+    links: Vec<LinkView>,
 }
 
 impl ServiceView {
@@ -113,6 +120,7 @@
             is_in_rollout: false,
             trial: TrialShare::default(),
             last_starts_after_us: 0,
+            links: Vec::new(),
         }
     }
 
@@ -315,20 +323,25 @@
     /// Returns the server with the oldest report or probe, and the age in microseconds, if the age is over `stale_us`
     /// and the service was used recently.
     pub fn stalest(&self, now_us: u64, stale_us: u64) -> Option<(u64, ServerIndex)> {
-        let is_in_use =
-            self.last_pick_us.is_some_and(|last_pick_us| now_us < last_pick_us + IN_USE_STALE_TIMES * stale_us);
-        if !is_in_use {
+        if !self.is_in_use(now_us, stale_us) {
             return None;
         }
         let age_us = |view: &ServerView| {
             let received_us = view.last_report.map_or(0, |last_report| last_report.received_us).max(view.probed_us);
             now_us.saturating_sub(received_us)
         };
-        let eligible = self.servers.iter().enumerate().filter(|(_, view)| view.present && !view.leaving);
+        // Servers in other regions report with the answers to calls, and their links are probed on their own.
+        let is_probed = |view: &ServerView| view.present && !view.leaving && view.region_link.is_none();
+        let eligible = self.servers.iter().enumerate().filter(|(_, view)| is_probed(view));
         let oldest = eligible.map(|(server, view)| (age_us(view), server)).max()?;
         Some(oldest).filter(|(age_us, _)| *age_us > stale_us)
     }
 
+    /// Returns whether the service was used recently.
+    pub fn is_in_use(&self, now_us: u64, stale_us: u64) -> bool {
+        self.last_pick_us.is_some_and(|last_pick_us| now_us < last_pick_us + IN_USE_STALE_TIMES * stale_us)
+    }
+
     /// Returns when the last load report of a server was received.
     pub fn received_us(&self, server: ServerIndex) -> Option<u64> {
         self.servers.get(server)?.last_report.map(|last_report| last_report.received_us)
--- a/valetrack/src/placement/view/utility.rs
+++ b/valetrack/src/placement/view/utility.rs
@@ -49,7 +49,28 @@
 
     /// Returns the utility of a call at a server, as a share of the utility of a timely answer: the chance of an answer
     /// within the objective, less the network cost.
-    fn utility(&self, server: ServerIndex, demand: Demand, assumed_report: &LoadReport, now_us: u64) -> f64 {
+    pub(super) fn utility(
+        &self,
+        server: ServerIndex,
+        demand: Demand,
+        assumed_report: &LoadReport,
+        now_us: u64,
+    ) -> f64 {
+        let view = &self.servers[server];
+        let timely_chance = self.timely_chance(server, demand, 0.0, assumed_report, now_us);
+        timely_chance - network_cost(view.cross_domain, view.last_report.is_some())
+    }
+
+    /// Returns the chance that a call is answered by a server within its objective, if it loses `further_us` besides
+    /// the time that the server's state lets expect.
+    pub(super) fn timely_chance(
+        &self,
+        server: ServerIndex,
+        demand: Demand,
+        further_us: f64,
+        assumed_report: &LoadReport,
+        now_us: u64,
+    ) -> f64 {
         let view = &self.servers[server];
         let (load, age_us) = match view.last_report {
             Some(last_report) => (last_report.load, now_us.saturating_sub(last_report.received_us)),
@@ -57,9 +78,8 @@
         };
         let speed = SpeedEstimate::of(&load, age_us);
         let weight = 0.5_f64.powf(age_us as f64 / speed.lasts_us);
-        let before_us = self.before_run_us(view, &load, demand, age_us, weight);
-        let timely_chance = speed.expected_utility(demand.work_us.into(), before_us, demand.left_us as f64);
-        timely_chance - network_cost(view.cross_domain, view.last_report.is_some())
+        let before_us = self.before_run_us(view, &load, demand, age_us, weight) + further_us;
+        speed.expected_utility(demand.work_us.into(), before_us, demand.left_us as f64)
     }
 
     /// Returns the time that a call sent now is expected to lose at a server besides its run, by a report that is
@@ -97,7 +117,7 @@
     }
 
     /// Returns the report assumed for servers without one: the average speed of the servers that have reported.
-    fn assumed_report(&self) -> LoadReport {
+    pub(super) fn assumed_report(&self) -> LoadReport {
         if self.servers.iter().all(|view| view.last_report.is_some() || !view.present) {
             // All servers have reported, so the assumed report is not used.
             return LoadReport::default();
