Relays cross to another region once; tests of regions; two regions in the overload simulation

The relays of a region's domains followed the reader each on its own, so changes crossed to a region once per domain. The first relay of a region follows the reader and the others follow it, within the same age of updates. Tests cover choices, the link, considered servers, relays, and that a single region decides as before.

--- a/standin/src/overload/fleet.rs
+++ b/standin/src/overload/fleet.rs
@@ -63,8 +63,34 @@
     pub cold_calls_max: Option<usize>,
     /// Calls a second that an owner admits while its upstream is cold; `None` where they are not bounded.
     pub cold_starts_per_s: Option<u32>,
+    /// Regions of the failure domains.
+    pub regions: RegionShape,
 }
 
+/// Regions of a fleet, and the link between them.
+#[derive(Debug, Clone, Copy)]
+pub struct RegionShape {
+    /// Region of each failure domain.
+    pub of_domain: [usize; DOMAINS],
+    /// Whether the entries know them from their settings.
+    pub is_known: bool,
+    /// One-way delay between two regions, without a queue.
+    pub delay_us: u64,
+    /// Bytes a second of the link in each direction.
+    pub link_bytes_per_s: u64,
+    /// Start and end of a partition between the regions.
+    pub partition_s: (u64, u64),
+}
+
+/// A single region.
+const ONE_REGION: RegionShape = RegionShape {
+    of_domain: [0; DOMAINS],
+    is_known: false,
+    delay_us: 0,
+    link_bytes_per_s: u64::MAX,
+    partition_s: (0, 0),
+};
+
 /// Load on a fleet.
 #[derive(Debug, Clone, Copy)]
 pub struct Load {
@@ -151,6 +177,7 @@
     slots: 9,
     cold_calls_max: None,
     cold_starts_per_s: None,
+    regions: ONE_REGION,
 };
 
 /// A fleet of 69 VMs in three failure domains, whose upstreams crash when they receive more than 32 calls in
@@ -223,8 +250,77 @@
     slots: 11,
     cold_calls_max: Some(32),
     cold_starts_per_s: Some(24),
+    regions: ONE_REGION,
 };
 
+/// A fleet of 81 VMs in two regions with two failure domains each, modelled on a user's. Most callers are in the first
+/// region.
+pub const TWO_REGIONS: Fleet = Fleet {
+    callers_permille: [380, 380, 120, 120, 0],
+    services: &[
+        ServiceShape { per_domain: [11, 11, 11, 10, 0] },
+        ServiceShape { per_domain: [8, 8, 8, 7, 0] },
+        ServiceShape { per_domain: [2, 2, 2, 1, 0] },
+    ],
+    routes: &[
+        RouteShape {
+            name: "playback",
+            service: 0,
+            work_us: 190_000,
+            objective_ms: 1_000,
+            deadline_ms: 2_500,
+            priority: 2,
+            repeatable: true,
+            permille: 672,
+            utility: 1.0,
+            bytes: 2_500,
+            nested: Some(Nested { route: 3, times: 2, share: 0.7 }),
+        },
+        RouteShape {
+            name: "publish",
+            service: 1,
+            work_us: 250_000,
+            objective_ms: 1_200,
+            deadline_ms: 3_000,
+            priority: 1,
+            repeatable: false,
+            permille: 270,
+            utility: 2.0,
+            bytes: 3_000,
+            nested: Some(Nested { route: 4, times: 1, share: 0.7 }),
+        },
+        RouteShape {
+            name: "upload",
+            service: 2,
+            work_us: 220_000,
+            objective_ms: 2_000,
+            deadline_ms: 4_000,
+            priority: 1,
+            repeatable: false,
+            permille: 58,
+            utility: 2.0,
+            bytes: 60_000,
+            nested: None,
+        },
+        RouteShape { work_us: 55_000, objective_ms: 150, deadline_ms: 600, ..inner("catalogue lookup", 1) },
+        RouteShape { work_us: 55_000, objective_ms: 150, deadline_ms: 600, ..inner("media check", 2) },
+    ],
+    slots: 6,
+    cold_calls_max: None,
+    cold_starts_per_s: None,
+    regions: RegionShape {
+        of_domain: [0, 0, 1, 1, 1],
+        is_known: true,
+        delay_us: 30_000,
+        link_bytes_per_s: 7_500_000,
+        partition_s: (0, 0),
+    },
+};
+
+/// [`TWO_REGIONS`] with entries that do not know the regions.
+pub const UNKNOWN_REGIONS: Fleet =
+    Fleet { regions: RegionShape { is_known: false, ..TWO_REGIONS.regions }, ..TWO_REGIONS };
+
 /// Creates a short route that only upstreams call.
 const fn check(name: &'static str, service: usize) -> RouteShape {
     RouteShape { work_us: 40_000, objective_ms: 150, deadline_ms: 500, ..inner(name, service) }
@@ -263,3 +359,7 @@
     Load { name: "burst", per_s: 970, burst: 2.2, burst_s: (6, 10), ..STEADY },
     Load { name: "cold start", per_s: 800, cold_us: 3_000_000, ..STEADY },
 ];
+
+/// Loads on [`TWO_REGIONS`]: within the capacity of each region, and at 1.5 times that of the first region.
+pub const TWO_REGIONS_LOADS: &[Load] =
+    &[Load { per_s: 250, ..STEADY }, Load { name: "one region overloaded", per_s: 460, ..STEADY }];
--- a/standin/src/overload/mod.rs
+++ b/standin/src/overload/mod.rs
@@ -12,13 +12,22 @@
 mod tests;
 mod upstream;
 
-pub use fleet::{Fleet, LARGE, LOADS, Load, ROUNDS, ROUNDS_LOADS, RouteShape, ServiceShape};
+pub use fleet::{
+    Fleet, LARGE, LOADS, Load, ROUNDS, ROUNDS_LOADS, RegionShape, RouteShape, ServiceShape, TWO_REGIONS, TWO_REGIONS_LOADS,
+    UNKNOWN_REGIONS,
+};
 pub use report::{Report, Window};
 pub use simulation::run;
 
 /// Runs every load on its fleet and prints the outcomes of the callers.
 pub fn print(seconds: u64, seed: u64, only: &str) {
-    for (fleet, name, loads) in [(&LARGE, "large", LOADS), (&ROUNDS, "rounds", ROUNDS_LOADS)] {
+    let fleets = [
+        (&LARGE, "large", LOADS),
+        (&ROUNDS, "rounds", ROUNDS_LOADS),
+        (&TWO_REGIONS, "two regions", TWO_REGIONS_LOADS),
+        (&UNKNOWN_REGIONS, "unknown regions", TWO_REGIONS_LOADS),
+    ];
+    for (fleet, name, loads) in fleets {
         for load in loads {
             let title = format!("{name} {}", load.name);
             if title.contains(only) {
--- a/standin/src/overload/simulation.rs
+++ b/standin/src/overload/simulation.rs
@@ -2,6 +2,7 @@
 
 mod entry;
 mod owner;
+mod region;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -10,7 +11,7 @@
 use valetrack::gate::{AttemptId, ColdRule, DeclineReason, Gate, GateConfig, GateEvent, LoadReport};
 use valetrack::member::Candidate;
 use valetrack::placement::{
-    Budgets, Call, CallEvent, Dispatch, Policy, RetryGuarantee, ServiceView, WorkEstimate, considered,
+    Budgets, Call, CallEvent, Dispatch, Policy, RegionLink, RetryGuarantee, ServiceView, WorkEstimate, considered,
 };
 
 use super::fleet::{DOMAINS, Fleet, Load};
@@ -60,6 +61,10 @@
     Refused { vm: usize, attempt: AttemptId },
     /// A crashed upstream restarts.
     Restart { vm: usize },
+    /// A message between regions was lost in a partition, and the entry gives up on it.
+    Lost { call: usize, server: usize, event: CallEvent },
+    /// The reply to a probe of the other region arrives.
+    Probed { entry: usize, sent_us: u64 },
 }
 
 /// The source of a call, which waits for its answer.
@@ -90,6 +95,8 @@
     waited_ms: u32,
     deadline_us: u64,
     work_us: u32,
+    /// When its last attempt was sent.
+    sent_us: u64,
     healthy: bool,
 }
 
@@ -129,6 +136,8 @@
     targets: Vec<Vec<usize>>,
     budgets: Vec<Budgets>,
     works: Vec<WorkEstimate>,
+    /// The entry's link to the other region.
+    region_link: RegionLink,
     tick_us: Option<u64>,
 }
 
@@ -145,6 +154,8 @@
     held: HashMap<AttemptId, Held>,
     /// Last use of each link to another failure domain.
     cross_domain_links: HashMap<(usize, usize), u64>,
+    /// Time until which the link from each region to the other is in use.
+    region_busy_us: [u64; 2],
     /// Generator of the arrivals, which don't depend on any decision.
     arrivals: fastrand::Rng,
     /// Generator of everything else.
@@ -187,6 +198,7 @@
             runs: Vec::new(),
             held: HashMap::new(),
             cross_domain_links: HashMap::new(),
+            region_busy_us: [0; 2],
             arrivals: fastrand::Rng::with_seed(seed ^ 0x1234),
             rng,
             next_seq: 1,
@@ -223,6 +235,10 @@
                     let view = &mut self.vms[entry].views[service];
                     view.set_present(server, true, network_us);
                     view.set_cross_domain(server, is_cross_domain);
+                    let regions = &self.fleet.regions;
+                    let is_beyond = regions.of_domain[self.vms[vm].domain] != regions.of_domain[domain];
+                    let view = &mut self.vms[entry].views[service];
+                    view.set_region(server, (is_beyond && regions.is_known).then_some(0));
                 }
                 self.vms[entry].targets[service] = targets;
             }
@@ -267,6 +283,8 @@
                 self.gate_event(vm, GateEvent::Refused { attempt, reason: DeclineReason::Refused });
             }
             Event::Restart { vm } => self.restart(vm),
+            Event::Lost { call, server, event } => self.handle_lost(call, server, event),
+            Event::Probed { entry, sent_us } => self.handle_probed(entry, sent_us),
         }
     }
 
@@ -305,6 +323,7 @@
         targets: vec![Vec::new(); services],
         budgets: (0..services).map(|_| Budgets::of_fleet(RETRY_GUARANTEE, 0)).collect(),
         works: vec![WorkEstimate::default(); fleet.routes.len()],
+        region_link: RegionLink::default(),
         tick_us: None,
     }
 }
--- a/standin/src/overload/simulation/entry.rs
+++ b/standin/src/overload/simulation/entry.rs
@@ -65,7 +65,8 @@
             demand: Some(demand),
         };
         let number = self.calls.len();
-        let call = Call::new(rule, 1).made_by_run(matches!(source, CallSource::Run(_)));
+        let is_nested = matches!(source, CallSource::Run(_));
+        let call = Call::new(rule, 1).made_by_run(is_nested).with_traffic(self.traffic(route, is_nested));
         self.calls.push(CallRecord {
             call,
             source,
@@ -75,6 +76,7 @@
             waited_ms,
             deadline_us,
             work_us: demand.work_us,
+            sent_us: self.now_us,
             healthy: true,
         });
         self.queue.schedule(deadline_us.max(self.now_us), Event::Deadline { call: number });
@@ -87,6 +89,7 @@
             return;
         }
         let service = self.fleet.routes[self.calls[number].route].service;
+        self.update_region_link(self.calls[number].entry, service);
         let entry = &mut self.vms[self.calls[number].entry];
         let mut cx = CallContext {
             view: &mut entry.views[service],
@@ -112,17 +115,28 @@
             CallAction::Send(dispatch) => {
                 let vm = targets[dispatch.server];
                 self.report.sends += 1;
+                self.calls[call].sent_us = self.now_us;
+                let is_beyond = self.is_beyond(entry, vm);
+                self.report.region_sends += u64::from(is_beyond);
+                if is_beyond && self.is_partitioned() {
+                    self.lose_attempt(call, dispatch.server, dispatch.attempt, vm);
+                    return;
+                }
                 if self.vms[vm].domain != self.vms[entry].domain {
                     self.report.cross_domain_sends += 1;
                     self.report.cross_domain_bytes += self.fleet.routes[route].bytes / 2;
                     self.use_cross_domain_link(entry, vm);
                 }
-                let delay_us = self.delay_us(entry, vm);
+                let delay_us = self.transit_us(entry, vm, Some(self.fleet.routes[route].bytes / 2));
                 self.schedule_after(delay_us, Event::Arrive { call, dispatch, vm });
             }
             CallAction::Cancel { attempt, server } => {
                 let vm = targets[server];
-                let delay_us = self.delay_us(entry, vm);
+                if self.is_beyond(entry, vm) && self.is_partitioned() {
+                    self.lose_cancel(call, server, attempt);
+                    return;
+                }
+                let delay_us = self.transit_us(entry, vm, None);
                 self.schedule_after(delay_us, Event::Cancel { call, attempt, vm });
             }
             CallAction::ArmHedge { after_us } => self.schedule_after(after_us, Event::Hedge { call }),
@@ -151,6 +165,7 @@
         let CallRecord { entry, route, .. } = self.calls[call];
         let service = self.fleet.routes[route].service;
         self.vms[entry].views[service].report(server, load, self.now_us);
+        self.measure_region_link(call, server, event);
         if let CallEvent::Ran { healthy, .. } = event {
             self.calls[call].healthy = healthy;
         }
--- a/standin/src/overload/simulation/owner.rs
+++ b/standin/src/overload/simulation/owner.rs
@@ -224,7 +224,12 @@
             self.report.cross_domain_bytes += self.fleet.routes[route].bytes / 2;
         }
         let load = self.vms[vm].gate.load(self.now_us);
-        let delay_us = self.delay_us(entry, vm);
+        if self.is_beyond(vm, entry) && self.is_partitioned() {
+            self.lose_reply(call, server, event);
+            return;
+        }
+        let answer_bytes = matches!(event, CallEvent::Ran { .. }).then_some(self.fleet.routes[route].bytes / 2);
+        let delay_us = self.transit_us(vm, entry, answer_bytes);
         self.schedule_after(delay_us, Event::Update { call, server, event, load, work_us });
     }
 }
--- a/standin/src/overload/tests.rs
+++ b/standin/src/overload/tests.rs
@@ -3,7 +3,7 @@
 //! The figures in the comments are measured with seed 1: without the rule that a test guards, and with it.
 
 use super::fleet::{LARGE, ROUNDS, ROUNDS_LOADS};
-use super::{Fleet, LOADS, Load, Report, Window, run};
+use super::{Fleet, LOADS, Load, RegionShape, Report, TWO_REGIONS, TWO_REGIONS_LOADS, UNKNOWN_REGIONS, Window, run};
 
 const SEED: u64 = 1;
 
@@ -89,3 +89,25 @@
 fn rounds_load(name: &str) -> &'static Load {
     ROUNDS_LOADS.iter().find(|load| load.name == name).expect("a load of that name")
 }
+
+/// Runs the load of an overloaded first region on a fleet of two regions.
+fn run_regions(fleet: &Fleet, per_s: u64) -> Report {
+    let load = TWO_REGIONS_LOADS.last().expect("a load");
+    run(fleet, &Load { per_s, ..*load }, 10, SEED)
+}
+
+#[test]
+#[ignore = "exploration"]
+fn explore() {
+    let alone = Fleet { regions: RegionShape { partition_s: (0, 100), ..TWO_REGIONS.regions }, ..TWO_REGIONS };
+    let narrow = Fleet { regions: RegionShape { link_bytes_per_s: 60_000, ..TWO_REGIONS.regions }, ..TWO_REGIONS };
+    let narrow_unknown = Fleet { regions: RegionShape { is_known: false, ..narrow.regions }, ..TWO_REGIONS };
+    let cut = Fleet { regions: RegionShape { partition_s: (4, 7), ..TWO_REGIONS.regions }, ..TWO_REGIONS };
+    let cut_unknown = Fleet { regions: RegionShape { is_known: false, ..cut.regions }, ..TWO_REGIONS };
+    for per_s in [300, 400, 460, 520, 600, 700, 800] {
+        for (fleet, name) in [(&TWO_REGIONS, "known"), (&UNKNOWN_REGIONS, "unknown"), (&alone, "alone"), (&narrow, "narrow"), (&narrow_unknown, "narrow unknown"), (&cut, "cut"), (&cut_unknown, "cut unknown")] {
+            let report = run_regions(fleet, per_s);
+            println!("{}", report.line(&format!("{name} {per_s}")));
+        }
+    }
+}
--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -38,6 +38,7 @@
 use crate::link::message::{Ask, PeerRequest, Reply};
 use crate::link::peer::{self, LinkJob, LinkResult, Target};
 use crate::metric::Metrics;
+use crate::region::Regions;
 use crate::rollout::{RolloutFormat, RolloutRegistry};
 use crate::store::{LeaseStore, Position};
 
@@ -52,6 +53,8 @@
 pub struct LeasedParts {
     /// This VM at its start.
     pub me: Member,
+    /// Region of each failure domain.
+    pub regions: Arc<Regions>,
     /// The store.
     pub store: Arc<dyn LeaseStore>,
     /// Parses the bundle in the store.
--- a/valetrack/src/member/leased/relayed.rs
+++ b/valetrack/src/member/leased/relayed.rs
@@ -163,8 +163,10 @@
     async fn request_update(&self, relay: &Target, after: Position, was_behind: bool) -> RelayReply {
         self.parts.metrics.relay_requests.inc();
         let is_relay = self.is_relay();
+        let is_regional = self.follows_regional_relay(relay);
         let wait_ms = match () {
             () if was_behind => AGAIN_WAIT_MS,
+            () if is_relay && self.parts.regions.has_several() => self.log.borrow().region_wait_ms(is_regional),
             () if is_relay => self.log.borrow().reader_wait_ms(),
             () => FOLLOW_WAIT_MS,
         };
@@ -183,7 +185,10 @@
             Reply::FollowersFull => return RelayReply::Full,
             _ => return RelayReply::Behind,
         };
-        let is_late = is_relay && self.log.borrow().is_reader_late(age_ms);
+        let is_late = match is_regional {
+            true => self.log.borrow().is_regional_relay_late(age_ms),
+            false => is_relay && self.log.borrow().is_reader_late(age_ms),
+        };
         if is_late || u64::from(age_ms) * 1_000 > self.log.borrow().age_max_us() {
             return RelayReply::Behind;
         }
--- a/valetrack/src/member/leased/role.rs
+++ b/valetrack/src/member/leased/role.rs
@@ -5,7 +5,7 @@
 use super::Shell;
 use crate::clock::now_us;
 use crate::link::peer::Target;
-use crate::member::role::{AvoidReason, is_candidate, is_needed, is_surplus, joins_relay, relay_of, starts_as_relay};
+use crate::member::role::{AvoidReason, is_candidate, is_needed, is_reader, is_surplus, joins_relay, relay_in_regions, starts_as_relay};
 use crate::member::{GROUP_MAX, Member, Phase, entry_key};
 
 /// How long a relay that did not reply is avoided: about as long as a killed node needs to serve again.
@@ -62,14 +62,21 @@
         if self.failing_since_us.get().is_some() && me.is_relay {
             // The store may fail for this node alone, and another relay may still follow it.
             me.is_relay = false;
-            let other = relay_of(&members, &me, |vm| self.avoided(vm))?;
+            let other = relay_in_regions(&members, &me, &self.parts.regions, |vm| self.avoided(vm))?;
             let is_usable = other.is_relay && self.avoided(&other.vm).is_none();
             return is_usable.then(|| Target { vm: other.vm.clone(), addr: other.link_addr });
         }
-        let relay = relay_of(&members, &me, |vm| self.avoided(vm))?;
+        let relay = relay_in_regions(&members, &me, &self.parts.regions, |vm| self.avoided(vm))?;
         Some(Target { vm: relay.vm.clone(), addr: relay.link_addr })
     }
 
+    /// Returns whether this node is a relay whose log is one step older than usual, since it follows the first relay of
+    /// its region instead of the reader.
+    pub(super) fn follows_regional_relay(&self, relay: &Target) -> bool {
+        let is_regional = self.parts.regions.has_several() && self.is_relay();
+        is_regional && !is_reader(&self.parts.members.borrow(), &relay.vm)
+    }
+
     /// Becomes a relay or resigns as one, depending on the number of relays in the failure domain.
     pub(super) fn choose_role(self: &Rc<Self>) {
         let now = now_us();
--- a/valetrack/src/member/relay.rs
+++ b/valetrack/src/member/relay.rs
@@ -16,6 +16,9 @@
 const POLL_TWELFTHS: u64 = 5;
 /// Time for which changes are collected before they are read, in twelfths of the age limit.
 const GATHER_TWELFTHS: u64 = 2;
+/// Part of a relay's wait for the reader that it uses in a fleet of several regions, in percent; a relay that follows it
+/// uses the rest, so that the third step makes the updates of followers no older.
+const REGION_WAIT_PERCENT: u64 = 60;
 /// Shortest wait of a call for changes.
 const RELAY_WAIT_MIN_MS: u64 = 50;
 /// A relay's call ends this long before its log exceeds the age limit: the answer is in flight for some milliseconds,
@@ -203,6 +206,19 @@
         u64::from(age_ms) > self.twelfths_ms(POLL_TWELFTHS + GATHER_TWELFTHS) + RELAY_AHEAD_MS / 2
     }
 
+    /// Returns whether an update of a relay that follows the reader is older than it would be if the store answered the
+    /// reader.
+    pub fn is_regional_relay_late(&self, age_ms: u32) -> bool {
+        self.is_reader_late(age_ms.saturating_sub(self.region_wait_ms(false) as u32))
+    }
+
+    /// Returns how long a relay's request waits in a fleet of several regions, to the reader or to the first relay of
+    /// its region.
+    pub fn region_wait_ms(&self, to_regional_relay: bool) -> u64 {
+        let percent = if to_regional_relay { 100 - REGION_WAIT_PERCENT } else { REGION_WAIT_PERCENT };
+        (self.reader_wait_ms() * percent / 100).max(RELAY_WAIT_MIN_MS)
+    }
+
     /// Returns how long a relay's request to the reader waits, so that the delays of both together do not exceed the
     /// age limit of followers.
     pub fn reader_wait_ms(&self) -> u64 {
--- a/valetrack/src/member/role.rs
+++ b/valetrack/src/member/role.rs
@@ -8,6 +8,7 @@
 
 use super::message::{Member, Phase};
 use super::state::Members;
+use crate::region::Regions;
 use crate::rendezvous::weight;
 
 /// Target number of nodes per relay; a larger failure domain has several relays.
@@ -41,17 +42,32 @@
     members: &'a Members,
     me: &Member,
     avoided: impl Fn(&str) -> Option<AvoidReason>,
+) -> Option<&'a Member> {
+    relay_in_regions(members, me, &Regions::default(), avoided)
+}
+
+/// Returns the node that `me` follows like [`relay_of`], in a fleet of several regions. Only one relay of each region
+/// follows the reader, so that changes cross to a region once, and nodes prefer relays of their region.
+pub fn relay_in_regions<'a>(
+    members: &'a Members,
+    me: &Member,
+    regions: &Regions,
+    avoided: impl Fn(&str) -> Option<AvoidReason>,
 ) -> Option<&'a Member> {
     let serving: Vec<&Member> =
         members.iter().filter(|member| member.phase == Phase::Serving && member.vm != me.vm).collect();
     let usable = |member: &&&Member| avoided(&member.vm).is_none();
     let relays: Vec<&Member> = serving.iter().filter(|member| member.is_relay).copied().collect();
     if me.is_relay {
-        return reader_of(&relays, me, avoided);
+        let near: Vec<&Member> =
+            relays.iter().filter(|relay| regions.is_same_region(&relay.domain, &me.domain)).copied().collect();
+        return reader_of(&near, me, &avoided).or_else(|| reader_of(&relays, me, &avoided));
     }
     let own = |member: &&&Member| member.domain == me.domain;
     let drawn = |relay: &&&Member| weight(&me.vm, &relay.vm);
     let near = relays.iter().filter(usable).filter(own).max_by_key(drawn);
+    let in_region = |member: &&&Member| regions.is_same_region(&member.domain, &me.domain);
+    let near = near.or_else(|| relays.iter().filter(usable).filter(in_region).max_by_key(drawn));
     let found = near.or_else(|| relays.iter().filter(usable).max_by_key(drawn));
     // A relay that is behind may catch up. It is behind because the store does not answer it, which would affect
     // another relay as well.
@@ -75,6 +91,13 @@
     (rank(&first.vm) < rank(&me.vm) && avoided(&first.vm).is_none()).then_some(*first)
 }
 
+/// Returns whether a relay is the reader by rank, which all other relays follow directly or through the first relay of
+/// their region.
+pub fn is_reader(members: &Members, vm: &str) -> bool {
+    let relays = members.iter().filter(|member| member.phase == Phase::Serving && member.is_relay);
+    relays.min_by_key(|relay| rank(&relay.vm)).is_some_and(|first| *first.vm == *vm)
+}
+
 /// Returns the node that becomes a relay if none is left; none if that is `me`.
 fn relay_successor<'a>(
     serving: &[&'a Member],
--- a/valetrack/src/member/tests/role.rs
+++ b/valetrack/src/member/tests/role.rs
@@ -6,7 +6,10 @@
 use test_case::test_case;
 
 use crate::member::role::{joins_relay, starts_as_relay};
-use crate::member::{AvoidReason, GROUP_MAX, Member, Members, Phase, is_candidate, is_needed, is_surplus, relay_of};
+use crate::member::{
+    AvoidReason, GROUP_MAX, Member, Members, Phase, is_candidate, is_needed, is_surplus, relay_in_regions, relay_of,
+};
+use crate::region::Regions;
 
 fn member(vm: &str, domain: &str, phase: Phase, is_relay: bool) -> Member {
     Member {
@@ -203,3 +206,70 @@
         assert!(relays * GROUP_MAX <= nodes * 8 + 8 * GROUP_MAX, "seed {seed}: {relays} relays of {nodes}");
     }
 }
+
+/// Returns the fleet of a test in two regions, with its relays.
+fn two_regions(nodes: usize) -> (Members, Regions) {
+    let mut members = Members::default();
+    for at in 0..nodes {
+        let domain = ["kranj", "loka", "ptuj", "maribor"][at % 4];
+        members.set(member(&format!("vm-{at}"), domain, Phase::Serving, false));
+    }
+    settle(&mut members);
+    let regions = "kranj=west,loka=west,ptuj=east,maribor=east".parse().expect("regions");
+    (members, regions)
+}
+
+/// Guards against changes that cross between regions once per relay, or once per node.
+#[test_case(81; "two domains in each region")]
+#[test_case(1_200; "several relays in each domain")]
+fn changes_cross_to_another_region_once(nodes: usize) {
+    let (members, regions) = two_regions(nodes);
+    let followed = |me: &Member| relay_in_regions(&members, me, &regions, |_| None).cloned();
+    let readers = members.iter().filter(|me| followed(me).is_none()).count();
+    let crossing = members.iter().filter(|me| {
+        followed(me).is_some_and(|relay| !regions.is_same_region(&relay.domain, &me.domain))
+    });
+    assert_eq!((readers, crossing.count()), (1, 1));
+}
+
+/// Guards against relays that follow each other in a cycle: each step leads to a relay of a lower rank.
+#[test]
+fn every_relay_reaches_the_reader() {
+    let (members, regions) = two_regions(1_200);
+    for me in members.iter() {
+        let mut at = me.clone();
+        let mut steps = 0;
+        while let Some(relay) = relay_in_regions(&members, &at, &regions, |_| None) {
+            at = relay.clone();
+            steps += 1;
+            assert!(steps <= 3, "{} is {steps} steps from the reader", me.vm);
+        }
+    }
+}
+
+/// A relay whose regional relay fails follows the reader itself, and the store only if that one fails too.
+#[test]
+fn relay_without_regional_relay_follows_reader() {
+    let (members, regions) = two_regions(81);
+    let reader = members.iter().find(|me| me.is_relay && relay_in_regions(&members, me, &regions, |_| None).is_none());
+    let reader = reader.expect("a reader");
+    let relay = |me: &Member, failed: &[&str]| {
+        let avoided = |vm: &str| failed.contains(&vm).then_some(AvoidReason::Silent);
+        relay_in_regions(&members, me, &regions, avoided).map(|relay| relay.vm.clone())
+    };
+    let far = |me: &&Member| me.is_relay && !regions.is_same_region(&me.domain, &reader.domain);
+    let last = members.iter().filter(far).find(|me| relay(me, &[]).is_some_and(|vm| vm != reader.vm));
+    let last = last.expect("a relay that follows a regional one");
+    let regional = relay(last, &[]).expect("a regional relay");
+    assert_eq!(relay(last, &[&regional]), Some(reader.vm.clone()));
+    assert_eq!(relay(last, &[&regional, &reader.vm]), None);
+}
+
+#[test]
+fn one_listed_region_changes_no_role() {
+    let (members, _) = two_regions(200);
+    let one: Regions = "kranj=west,loka=west,ptuj=west,maribor=west".parse().expect("regions");
+    for me in members.iter() {
+        assert_eq!(relay_in_regions(&members, me, &one, |_| None), relay_of(&members, me, |_| None));
+    }
+}
--- a/valetrack/src/node/start.rs
+++ b/valetrack/src/node/start.rs
@@ -91,6 +91,7 @@
     ) -> std::io::Result<JoinHandle<()>> {
         let parts = LeasedParts {
             me: self.me(),
+            regions: self.settings.regions.clone(),
             store,
             format: self.format.clone(),
             bundle_key,
--- a/valetrack/src/placement/attempt.rs
+++ b/valetrack/src/placement/attempt.rs
@@ -8,7 +8,7 @@
 use futures::future::LocalBoxFuture;
 
 use super::message::{CallEvent, Dispatch, Outcome, ServerIndex};
-use super::run::{Placer, REPLY_LIMIT_MS};
+use super::run::Placer;
 use super::traffic::request_bytes;
 use crate::clock::Moment;
 use crate::code::Code;
@@ -113,12 +113,12 @@
         sent_at: Option<Moment>,
     ) -> LocalBoxFuture<'static, AttemptEnd> {
         let target = self.target(service, server);
+        let limit = self.reply_limit(service, server);
         Box::pin(async move {
             let (Some(target), Some(sent_at)) = (target, sent_at) else {
                 return (CallEvent::CancelResult { attempt, result: None }, None);
             };
             let question = PeerRequest { ask: Ask::Cancel(attempt), body: Bytes::new() };
-            let limit = Duration::from_millis(REPLY_LIMIT_MS);
             let result = peer::ask_within(&self.to_link, target, question, limit).await;
             (CallEvent::CancelResult { attempt, result: result.cancel_result(sent_at.elapsed()) }, None)
         })
--- a/valetrack/src/placement/region_link.rs
+++ b/valetrack/src/placement/region_link.rs
@@ -167,6 +167,8 @@
         }
         self.floors_us[0] = self.floors_us[0].min(sample_us);
         self.round_trip.record(sample_us, &RULE);
+        // Equal samples lower the estimate of a quantile further and further.
+        self.round_trip.value = self.round_trip.value.max(self.floor_us());
         self.sampled_us = Some(now_us);
     }
 
@@ -223,6 +225,10 @@
         self.unreachable_since_us.is_none_or(|since_us| now_us >= since_us + UNREACHABLE_MAX_US)
     }
 
+    fn floor_us(&self) -> f64 {
+        self.floors_us[0].min(self.floors_us[1])
+    }
+
     fn round_trip_us(&self) -> f64 {
         if self.round_trip.count == 0 { ASSUMED_ROUND_TRIP_US } else { self.round_trip.value }
     }
@@ -233,7 +239,7 @@
         let Some(sampled_us) = self.sampled_us else {
             return 0.0;
         };
-        let floor_us = self.floors_us[0].min(self.floors_us[1]);
+        let floor_us = self.floor_us();
         let growth_us = self.round_trip.value - floor_us;
         let fading = 0.5_f64.powf(now_us.saturating_sub(sampled_us) as f64 / GROWTH_HALF_LIFE_US);
         (growth_us / floor_us.max(GROWTH_MIN_US) * fading).clamp(0.0, 1.0)
--- a/valetrack/src/placement/run.rs
+++ b/valetrack/src/placement/run.rs
@@ -40,7 +40,7 @@
 use crate::timeline::log as events;
 
 /// Time limit of an owner's reply to a cancel or a probe.
-pub(super) const REPLY_LIMIT_MS: u64 = 150;
+const REPLY_LIMIT_MS: u64 = 150;
 
 struct Inner {
     services: HashMap<Arc<str>, ServiceState>,
--- a/valetrack/src/placement/run/region.rs
+++ b/valetrack/src/placement/run/region.rs
@@ -64,8 +64,8 @@
         view.set_links(&self.views);
     }
 
-    /// Returns a link that is due for a probe, and the name of its region.
-    pub(super) fn next_probe(&self, now_us: u64) -> impl Iterator<Item = usize> + '_ {
+    /// Returns the links that are due for a probe.
+    pub(super) fn due_probes(&self, now_us: u64) -> impl Iterator<Item = usize> + '_ {
         (0..self.links.len()).filter(move |at| self.links[*at].needs_probe(now_us))
     }
 
@@ -185,7 +185,7 @@
     pub(super) fn next_region_probe(&self, stale_us: u64) -> Option<(Arc<str>, ServerIndex)> {
         let inner = &mut *self.inner.borrow_mut();
         let now = now_us();
-        let (link, service, server) = inner.links.next_probe(now).find_map(|link| {
+        let (link, service, server) = inner.links.due_probes(now).find_map(|link| {
             let in_use = inner.services.iter().filter(|(_, state)| state.view.is_in_use(now, stale_us));
             let mut targets = in_use.filter_map(|(name, state)| Some((name, state.view.probe_target(link, now)?)));
             targets.next().map(|(name, server)| (link, name.clone(), server))
--- a/valetrack/src/placement/tests.rs
+++ b/valetrack/src/placement/tests.rs
@@ -4,6 +4,8 @@
 mod call;
 mod fleet;
 mod full_owner_share;
+mod region;
+mod region_link;
 mod service;
 mod view;
 mod waited;
--- a/valetrack/src/placement/view/region.rs
+++ b/valetrack/src/placement/view/region.rs
@@ -5,16 +5,19 @@
 //! region do not all send their calls to the same few servers at once.
 
 use super::{MAX_SERVERS, ServiceView, pick_where};
+use crate::gate::LoadReport;
 use crate::placement::message::{Demand, ServerIndex};
 use crate::placement::network_cost::{CrossingReason, region_cost};
 use crate::placement::policy::Policy;
 use crate::placement::region_link::LinkView;
 use crate::placement::set::ServerSet;
 use crate::placement::traffic::CallTraffic;
-use crate::gate::LoadReport;
 
 /// Utilities that differ by less count as equal.
 const TIE_UTILITY: f64 = 0.01;
+/// Smallest utility for which a declined call crosses: a call with a lower chance would mostly take a slot from calls of
+/// the other region that are answered in time.
+const LAST_RESORT_MIN: f64 = 0.25;
 
 /// Requirements of a call that may cross to another region.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -112,7 +115,7 @@
             return self.pick(excluded.union(closed), now_us, rng);
         }
         let (server, utility) = self.best_beyond(excluded, crossing, CrossingReason::LastResort, now_us, rng)?;
-        (utility > 0.0).then_some(server)
+        (utility > LAST_RESORT_MIN).then_some(server)
     }
 
     /// Returns the best server in another region to which a call may cross, with its utility net of the cost.
