Regions: round trips come from the connections' own measurement

Bundles of the managed platform have no budget of probes, and answers include the run, so a full link would have been noticed only by declines. QUIC measures the round trip with every acknowledgement; entries use that. A region that was unreachable is tried again after 3 s and needs one failure to be closed again.

--- a/standin/src/overload/mod.rs
+++ b/standin/src/overload/mod.rs
@@ -13,8 +13,8 @@
 mod upstream;
 
 pub use fleet::{
-    Fleet, LARGE, LOADS, Load, ROUNDS, ROUNDS_LOADS, RegionShape, RouteShape, ServiceShape, TWO_REGIONS, TWO_REGIONS_LOADS,
-    UNKNOWN_REGIONS,
+    Fleet, LARGE, LOADS, Load, ROUNDS, ROUNDS_LOADS, RegionShape, RouteShape, ServiceShape, TWO_REGIONS,
+    TWO_REGIONS_LOADS, UNKNOWN_REGIONS,
 };
 pub use report::{Report, Window};
 pub use simulation::run;
--- a/valetrack/src/link/mod.rs
+++ b/valetrack/src/link/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod codec;
 pub mod message;
+pub mod path;
 pub mod peer;
 pub mod run;
 #[cfg(test)]
--- a/valetrack/src/link/peer.rs
+++ b/valetrack/src/link/peer.rs
@@ -14,6 +14,7 @@
 
 use super::codec::{self, FrameError};
 use super::message::{BODY_MAX_BYTES, HEAD_MAX_BYTES, PeerReply, PeerRequest, Reply, ReplyHead};
+use super::path::PathTimes;
 use crate::clock::{Moment, SuspensionWatch, now_us, suspended_us};
 use crate::gate::CancelResult;
 
@@ -132,12 +133,13 @@
 pub struct Peers {
     endpoint: Endpoint,
     slots: std::cell::RefCell<HashMap<Target, Rc<Mutex<Slot>>>>,
+    paths: Rc<PathTimes>,
 }
 
 impl Peers {
-    /// Returns an empty set of connections on an endpoint.
-    pub fn new(endpoint: Endpoint) -> Self {
-        Self { endpoint, slots: Default::default() }
+    /// Returns an empty set of connections on an endpoint, whose round trips are recorded in `paths`.
+    pub fn new(endpoint: Endpoint, paths: Rc<PathTimes>) -> Self {
+        Self { endpoint, slots: Default::default(), paths }
     }
 
     /// Returns the number of open connections.
@@ -156,7 +158,10 @@
         };
         let exchanged = timeout(limit, exchange(&connection, head, request.body)).await;
         match exchanged {
-            Ok(Ok(answered)) => LinkResult::Reply(Box::new(answered)),
+            Ok(Ok(answered)) => {
+                self.paths.record(target.addr, connection.rtt());
+                LinkResult::Reply(Box::new(answered))
+            }
             Ok(Err(ExchangeError::Unsent)) => LinkResult::Unsent,
             Ok(Err(ExchangeError::Frame(error))) => {
                 log::warn!("event=link.frame_invalid peer={} code={} reason=\"{error}\"", target.vm, error.code());
--- a/valetrack/src/link/run.rs
+++ b/valetrack/src/link/run.rs
@@ -16,6 +16,7 @@
 
 use super::codec;
 use super::message::{AnswerHead, Ask, CallHead, PeerReply, PeerRequest, Piggyback, Reply, ReplyHead};
+use super::path::PathTimes;
 use super::peer::{FRAME_MAX_BYTES, LinkJob, LinkResult, Peers};
 use super::tls::LinkTls;
 use crate::bundle::{InForce, ServiceRule};
@@ -123,6 +124,7 @@
     crashes: Rc<Quarantine>,
     quotas: Rc<Quotas>,
     departures: Rc<Departures>,
+    paths: Rc<PathTimes>,
     parts: LinkParts,
 ) {
     let gate = GateShell::new(GateShellParts {
@@ -136,7 +138,7 @@
         crashes,
         metrics: parts.metrics.clone(),
     });
-    let shell = Rc::new(Shell { gate, quotas, departures, peers: Peers::new(endpoint.clone()), parts });
+    let shell = Rc::new(Shell { gate, quotas, departures, peers: Peers::new(endpoint.clone(), paths), parts });
     let mut tasks = tokio::task::JoinSet::new();
     tasks.spawn_local(shell.gate.clone().run_timer());
     tasks.spawn_local(shell.gate.clone().follow_upstream());
--- a/valetrack/src/member/leased/role.rs
+++ b/valetrack/src/member/leased/role.rs
@@ -5,7 +5,9 @@
 use super::Shell;
 use crate::clock::now_us;
 use crate::link::peer::Target;
-use crate::member::role::{AvoidReason, is_candidate, is_needed, is_reader, is_surplus, joins_relay, relay_in_regions, starts_as_relay};
+use crate::member::role::{
+    AvoidReason, is_candidate, is_needed, is_reader, is_surplus, joins_relay, relay_in_regions, starts_as_relay,
+};
 use crate::member::{GROUP_MAX, Member, Phase, entry_key};
 
 /// How long a relay that did not reply is avoided: about as long as a killed node needs to serve again.
--- a/valetrack/src/node/start.rs
+++ b/valetrack/src/node/start.rs
@@ -25,6 +25,7 @@
 use crate::crash::archive::{CrashArchive, LeasedArchive, StoreArchive};
 use crate::crash::run::CrashParts;
 use crate::gate::{Announcement, CrashWatch, Departures, UpstreamPhase, UpstreamState};
+use crate::link::path::PathTimes;
 use crate::link::run::LinkParts;
 use crate::link::tls::LinkTls;
 use crate::member::leased::LeasedParts;
@@ -223,10 +224,12 @@
             };
             let crashes = Quarantine::new(history, to_crash, metrics);
             let departures = Rc::new(Departures::default());
-            let placer = Placer::new(placer, crashes.clone(), departures.clone());
+            let paths = Rc::new(PathTimes::default());
+            let placer = Placer::new(placer, crashes.clone(), departures.clone(), paths.clone());
             let keyed = KeyedRouter::new(placer.clone(), members);
             let quotas = Quotas::new(quotas);
-            let links = crate::link::run::run(endpoint, placer.clone(), crashes, quotas.clone(), departures, links);
+            let links =
+                crate::link::run::run(endpoint, placer.clone(), crashes, quotas.clone(), departures, paths, links);
             futures::join!(links, crate::caller::run::run(socket, placer, keyed, quotas, callers_parts));
         })
     }
--- a/valetrack/src/placement/call/choice.rs
+++ b/valetrack/src/placement/call/choice.rs
@@ -78,12 +78,7 @@
     }
 
     /// Picks a server like [`pick`](Self::pick) for a call that may use no server in `unusable`.
-    fn pick_with(
-        &self,
-        unusable: ServerSet,
-        excluded: ServerSet,
-        cx: &mut CallContext<'_>,
-    ) -> Option<ServerIndex> {
+    fn pick_with(&self, unusable: ServerSet, excluded: ServerSet, cx: &mut CallContext<'_>) -> Option<ServerIndex> {
         let excluded = match self.cross_domain_declines_left {
             0 => excluded.union(cx.view.cross_domain_if_own_open(excluded, cx.now_us)),
             _ => excluded,
--- a/valetrack/src/placement/region_link.rs
+++ b/valetrack/src/placement/region_link.rs
@@ -27,9 +27,9 @@
 const PROBE_INTERVAL_US: u64 = 10_000_000;
 /// Interval of probes while the region is unreachable: calls that need it wait for about that long.
 const UNREACHABLE_PROBE_INTERVAL_US: u64 = 1_000_000;
-/// Time after which calls are sent to an unreachable region again even if no probe was answered, for entries whose
-/// budget of measurements is used up.
-const UNREACHABLE_MAX_US: u64 = 10_000_000;
+/// Time after which calls are sent to an unreachable region again even if no probe was answered, for entries without a
+/// budget of probes: about as long as callers wait for one call.
+const UNREACHABLE_MAX_US: u64 = 3_000_000;
 /// Seconds of its share of the link that a node may use at once: as long as the objective of a usual upload.
 const BURST_S: f64 = 2.0;
 /// Bytes that a connection sends before the first acknowledgement; the number doubles with each round trip.
@@ -62,9 +62,7 @@
     pub fn admits(&self, traffic: &CallTraffic) -> bool {
         let reserve = RANK_RESERVE * f64::from(traffic.rank.min(RANK_MAX));
         let reserve_bytes = if self.burst_bytes.is_finite() { self.burst_bytes * reserve } else { 0.0 };
-        self.is_reachable
-            && self.load < 1.0 - reserve
-            && traffic.bytes() as f64 + reserve_bytes <= self.left_bytes
+        self.is_reachable && self.load < 1.0 - reserve && traffic.bytes() as f64 + reserve_bytes <= self.left_bytes
     }
 
     /// Returns the time that a call spends on the way in both directions; a link that is not open yet takes one more
@@ -157,10 +155,9 @@
         }
     }
 
-    /// Records the time from a request to its immediate reply. If the link was not open before, the time includes a
-    /// handshake of one round trip.
-    pub fn record_round_trip(&mut self, took_us: u64, was_open: bool, now_us: u64) {
-        let sample_us = if was_open { took_us as f64 } else { took_us as f64 / 2.0 };
+    /// Records a round trip to a node of the region, as its connection measures it.
+    pub fn record_round_trip(&mut self, round_trip_us: u64, now_us: u64) {
+        let sample_us = round_trip_us as f64;
         if now_us >= self.floor_since_us + FLOOR_WINDOW_US {
             self.floors_us = [f64::INFINITY, self.floors_us[0]];
             self.floor_since_us = now_us;
@@ -179,10 +176,10 @@
     }
 
     /// Records that a node of the region was not reached. After two different nodes without a reply in between, the
-    /// region is unreachable; a single node may have failed itself.
+    /// region is unreachable; a single node may have failed itself. A region that is tried again needs only one.
     pub fn record_failure(&mut self, vm: &Arc<str>, now_us: u64) -> Option<LinkChange> {
         let is_second = self.failed.replace(vm.clone()).is_some_and(|failed| failed != *vm);
-        if !is_second {
+        if !is_second && self.unreachable_since_us.is_none() {
             return None;
         }
         let was_reachable = self.is_reachable(now_us);
--- a/valetrack/src/placement/run.rs
+++ b/valetrack/src/placement/run.rs
@@ -33,6 +33,7 @@
 use crate::crash::Quarantine;
 use crate::gate::{AttemptId, Departures, LoadReport};
 use crate::link::message::{CallHead, PeerRequest};
+use crate::link::path::PathTimes;
 use crate::link::peer::{self, LinkJob, LinkResult, Target};
 use crate::member::{MemberJob, Members};
 use crate::metric::Metrics;
@@ -79,6 +80,7 @@
     pub bundle: watch::Receiver<Option<Arc<InForce>>>,
     members: watch::Receiver<Arc<Members>>,
     crashes: Rc<Quarantine>,
+    paths: Rc<PathTimes>,
     /// Upstreams that are known to leave.
     pub departures: Rc<Departures>,
     /// Metrics.
@@ -117,8 +119,13 @@
 
 impl Placer {
     /// Creates a placer without known services; `crashes` is this node's record of calls that crash upstreams, and
-    /// `departures` that of upstreams that leave.
-    pub fn new(parts: PlacerParts, crashes: Rc<Quarantine>, departures: Rc<Departures>) -> Rc<Self> {
+    /// `departures` that of upstreams that leave, and `paths` that of round trips to other nodes.
+    pub fn new(
+        parts: PlacerParts,
+        crashes: Rc<Quarantine>,
+        departures: Rc<Departures>,
+        paths: Rc<PathTimes>,
+    ) -> Rc<Self> {
         let inner = Inner {
             services: HashMap::new(),
             work_estimates: HashMap::new(),
@@ -147,6 +154,7 @@
             bundle: parts.bundle,
             members: parts.members,
             crashes,
+            paths,
             departures,
             metrics: parts.metrics,
         })
--- a/valetrack/src/placement/run/region.rs
+++ b/valetrack/src/placement/run/region.rs
@@ -10,7 +10,7 @@
 use crate::clock::{Moment, now_us};
 use crate::code::Code;
 use crate::link::message::{AnswerHead, CallHead, Reply};
-use crate::link::peer::LinkResult;
+use crate::link::peer::{LinkResult, Target};
 use crate::placement::message::ServerIndex;
 use crate::placement::region_link::{LinkChange, LinkView, RegionLink};
 use crate::placement::run::probe::PROBE_BYTES;
@@ -78,9 +78,7 @@
 /// A request to another region without a result yet.
 pub(in crate::placement) struct OpenCrossing {
     link: usize,
-    vm: Arc<str>,
-    /// Whether the server had reported, so that its connection is probably open.
-    was_open: bool,
+    target: Target,
     began: Moment,
 }
 
@@ -118,12 +116,12 @@
         let inner = &mut *self.inner.borrow_mut();
         let state = inner.services.get(service)?;
         let link = state.view.region_link(server)?;
-        let vm = state.targets.get(server)?.as_ref()?.vm.clone();
-        let was_open = state.view.received_us(server).is_some();
+        let candidate = state.targets.get(server)?.as_ref()?;
+        let target = Target { vm: candidate.vm.clone(), addr: candidate.link_addr };
         inner.links.links[link].charge(bytes, now_us());
         let region = &*inner.links.names[link];
         self.metrics.region_bytes.with_label_values(&[region, "sent"]).inc_by(bytes.into());
-        Some(OpenCrossing { link, vm, was_open, began: Moment::now() })
+        Some(OpenCrossing { link, target, began: Moment::now() })
     }
 
     /// Records the result of a request to another region that was to wait for `limit`.
@@ -135,18 +133,18 @@
             LinkResult::Reply(answered) => {
                 let bytes = match &answered.head.reply {
                     Reply::Answer(head) => answer_bytes(head, &answered.body),
-                    _ => {
-                        link.record_round_trip(took.as_micros() as u64, crossing.was_open, now);
-                        PROBE_BYTES as u32 / 2
-                    }
+                    _ => PROBE_BYTES as u32 / 2,
                 };
+                if let Some(round_trip) = self.paths.round_trip(crossing.target.addr) {
+                    link.record_round_trip(round_trip.as_micros() as u64, now);
+                }
                 link.charge(bytes, now);
                 self.metrics.region_bytes.with_label_values(&[region, "received"]).inc_by(bytes.into());
                 link.record_reply()
             }
             // A run that takes longer than its deadline is no failure of the link.
             LinkResult::Broken if took >= limit => None,
-            LinkResult::Broken | LinkResult::Unsent => link.record_failure(&crossing.vm, now),
+            LinkResult::Broken | LinkResult::Unsent => link.record_failure(&crossing.target.vm, now),
         };
         let LinkView { round_trip_us, load, .. } = link.view(now);
         self.metrics.region_round_trip.with_label_values(&[region]).set(f64::from(round_trip_us) / 1e6);
--- a/valetrack/src/placement/view/region.rs
+++ b/valetrack/src/placement/view/region.rs
@@ -137,8 +137,7 @@
             utilities[at] = self.utility_beyond(server, demand, &crossing.traffic, reason, &assumed_report, now_us);
             best = best.max(utilities[at]);
         }
-        (best > f64::NEG_INFINITY)
-            .then(|| (pick_where(eligible, rng, |at| utilities[at] >= best - TIE_UTILITY), best))
+        (best > f64::NEG_INFINITY).then(|| (pick_where(eligible, rng, |at| utilities[at] >= best - TIE_UTILITY), best))
     }
 
     fn utility_beyond(
--- a/valetrack/src/placement/view/utility.rs
+++ b/valetrack/src/placement/view/utility.rs
@@ -49,13 +49,7 @@
 
     /// Returns the utility of a call at a server, as a share of the utility of a timely answer: the chance of an answer
     /// within the objective, less the network cost.
-    pub(super) fn utility(
-        &self,
-        server: ServerIndex,
-        demand: Demand,
-        assumed_report: &LoadReport,
-        now_us: u64,
-    ) -> f64 {
+    pub(super) fn utility(&self, server: ServerIndex, demand: Demand, assumed_report: &LoadReport, now_us: u64) -> f64 {
         let view = &self.servers[server];
         let timely_chance = self.timely_chance(server, demand, 0.0, assumed_report, now_us);
         timely_chance - network_cost(view.cross_domain, view.last_report.is_some())
