--- a/valetrack/src/placement/tests/region.rs
+++ b/valetrack/src/placement/tests/region.rs
@@ -137,6 +137,9 @@
     counts
 }
 
+/// Name of a case, loads of the regions, links to all but the first one, and the call.
+type Case<'a> = (&'a str, &'a [LoadReport], &'a [LinkView], CallTraffic, Demand);
+
 /// Guards against the costs of a day on which most calls between regions saved only some milliseconds, and against a
 /// region that sends all of its calls across at once.
 #[test]
@@ -145,7 +148,7 @@
     let busy = LinkView { load: 0.8, ..LINK };
     let unreachable = LinkView { is_reachable: false, ..LINK };
     let tight = Demand { left_us: 240_000, ..DEMAND };
-    let cases: &[(&str, &[LoadReport], &[LinkView], CallTraffic, Demand)] = &[
+    let cases: &[Case<'_>] = &[
         ("one region, full", &[FULL], &[], SMALL, DEMAND),
         ("all idle", &[IDLE, IDLE], &[LINK], SMALL, DEMAND),
         ("own region nearly full", &[load(5, 0), IDLE], &[LINK], SMALL, DEMAND),
@@ -353,7 +356,7 @@
 
 fn end_of(attempt: AttemptId, step: u64) -> CallEvent {
     match step % 7 {
-        0 | 1 | 2 => CallEvent::Declined { attempt, reason: DeclineReason::Full },
+        0..=2 => CallEvent::Declined { attempt, reason: DeclineReason::Full },
         3 => CallEvent::Declined { attempt, reason: DeclineReason::Slow },
         4 => CallEvent::Unsent { attempt },
         5 => CallEvent::Failed { attempt, code: Code::ServerFailed },
