--- a/valetrack/src/placement/run.rs
+++ b/valetrack/src/placement/run.rs
@@ -3,6 +3,7 @@
 
 mod ledger;
 mod probe;
+mod region;
 
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
@@ -14,6 +15,7 @@
 use bytes::Bytes;
 use tokio::sync::{oneshot, watch};
 
+use self::region::RegionLinks;
 use super::admission::RootAdmission;
 use super::budget::RateBudget;
 use super::call::{CallContext, CallRule};
@@ -23,7 +25,8 @@
 use super::policy::Policy;
 use super::repeat::FleetSize;
 use super::root::RunsInProgress;
-use super::service::{ServiceState, call_rule};
+use super::service::{EntryPlace, ServiceState, call_rule};
+use super::traffic::AnswerSize;
 use super::waited::CallerTime;
 use super::work::WorkEstimate;
 use crate::bundle::{InForce, MeasureRule};
@@ -32,13 +35,15 @@
 use crate::crash::Quarantine;
 use crate::gate::{AttemptId, Departures, LoadReport};
 use crate::link::message::{CallHead, PeerRequest};
+use crate::link::path::PathTimes;
 use crate::link::peer::{self, LinkJob, LinkResult, Target};
 use crate::member::{MemberJob, Members};
 use crate::metric::Metrics;
+use crate::region::Regions;
 use crate::timeline::log as events;
 
 /// Time limit of an owner's reply to a cancel or a probe.
-pub(super) const REPLY_LIMIT_MS: u64 = 150;
+const REPLY_LIMIT_MS: u64 = 150;
 
 struct Inner {
     services: HashMap<Arc<str>, ServiceState>,
@@ -55,6 +60,10 @@
     /// Admission of callers' calls to that upstream.
     admission: RootAdmission,
     fleet: FleetSize,
+    /// Links to other regions; empty if the fleet has a single one.
+    links: RegionLinks,
+    /// Usual sizes of answers by route; empty if the fleet has a single region.
+    answer_sizes: HashMap<Arc<str>, AnswerSize>,
     rng: fastrand::Rng,
     next_seq: u64,
     measure: RateBudget,
@@ -68,6 +77,8 @@
     vm: Arc<str>,
     domain: Arc<str>,
     domain_cost_us: u32,
+    regions: Arc<Regions>,
+    region_link_mbps: f64,
     policy: Policy,
     pub(super) to_link: Sender<LinkJob>,
     to_member: Sender<MemberJob>,
@@ -75,6 +86,7 @@
     pub bundle: watch::Receiver<Option<Arc<InForce>>>,
     members: watch::Receiver<Arc<Members>>,
     crashes: Rc<Quarantine>,
+    paths: Rc<PathTimes>,
     /// Upstreams that are known to leave.
     pub departures: Rc<Departures>,
     /// Metrics.
@@ -89,6 +101,10 @@
     pub domain: Arc<str>,
     /// Cost of leaving the failure domain.
     pub domain_cost_us: u32,
+    /// Region of each failure domain.
+    pub regions: Arc<Regions>,
+    /// Capacity of the link between two regions, in Mbit/s; zero if unknown.
+    pub region_link_mbps: f64,
     /// Rule of server selection.
     pub policy: Policy,
     /// Seed of random choices.
@@ -109,8 +125,13 @@
 
 impl Placer {
     /// Creates a placer without known services; `crashes` is this node's record of calls that crash upstreams, and
-    /// `departures` that of upstreams that leave.
-    pub fn new(parts: PlacerParts, crashes: Rc<Quarantine>, departures: Rc<Departures>) -> Rc<Self> {
+    /// `departures` that of upstreams that leave, and `paths` that of round trips to other nodes.
+    pub fn new(
+        parts: PlacerParts,
+        crashes: Rc<Quarantine>,
+        departures: Rc<Departures>,
+        paths: Rc<PathTimes>,
+    ) -> Rc<Self> {
         let inner = Inner {
             services: HashMap::new(),
             work_estimates: HashMap::new(),
@@ -120,6 +141,8 @@
             runs: RunsInProgress::default(),
             admission: RootAdmission::default(),
             fleet: FleetSize::default(),
+            links: RegionLinks::default(),
+            answer_sizes: HashMap::new(),
             rng: fastrand::Rng::with_seed(parts.seed),
             next_seq: 1,
             measure: RateBudget::new(0, 0, now_us()),
@@ -131,12 +154,15 @@
             vm: parts.vm,
             domain: parts.domain,
             domain_cost_us: parts.domain_cost_us,
+            regions: parts.regions,
+            region_link_mbps: parts.region_link_mbps,
             policy: parts.policy,
             to_link: parts.to_link,
             to_member: parts.to_member,
             bundle: parts.bundle,
             members: parts.members,
             crashes,
+            paths,
             departures,
             metrics: parts.metrics,
         })
@@ -171,7 +197,7 @@
     }
 
     fn apply_config(&self, in_force: &InForce, members: &Members) {
-        let mut inner = self.inner.borrow_mut();
+        let inner = &mut *self.inner.borrow_mut();
         let MeasureRule { bytes_per_s, probes_per_s, .. } = in_force.bundle.measure;
         inner.measure.configure(bytes_per_s.into(), bytes_per_s.into(), now_us());
         inner.probes.configure(probes_per_s.into(), probes_per_s.into(), now_us());
@@ -183,6 +209,14 @@
         inner.nested_calls.retain(|service| in_force.bundle.service(service).is_some());
         let is_route = |route: &str| in_force.bundle.routes.contains(route);
         inner.admission.retain(is_route, |service| in_force.bundle.service(service).is_some());
+        inner.answer_sizes.retain(|route, _| in_force.bundle.routes.contains(route));
+        let nodes = members.iter().count();
+        let place = EntryPlace {
+            vm: &self.vm,
+            domain: &self.domain,
+            domain_cost_us: self.domain_cost_us,
+            regions: &self.regions,
+        };
         let fleet = inner.fleet.update(members.iter().count() as u32, now_us());
         for rule in &in_force.bundle.services {
             let state = inner
@@ -191,8 +225,10 @@
                 .or_insert_with(|| ServiceState::new(rule, self.policy, now_us()));
             state.configure(rule, fleet);
             self.metrics.repeat_reserve.with_label_values(&[&*rule.name]).set(state.budgets.retry.reserve());
-            state.sync(members.servers_of(&rule.name), &self.domain, &self.vm, self.domain_cost_us);
+            let links = &mut inner.links;
+            state.sync(members.servers_of(&rule.name), &place, |domain| links.index_of(&self.regions, domain));
         }
+        inner.links.configure(self.region_link_mbps, nodes, now_us());
     }
 
     /// Places one call and returns its result. Operations that are still pending then are dropped.
@@ -250,8 +286,9 @@
     /// Runs a decision of a call on the view and the budgets of its service; none if the service is unknown.
     pub(super) fn decide<R>(&self, service: &str, decision: impl FnOnce(&mut CallContext<'_>) -> R) -> Option<R> {
         let mut inner = self.inner.borrow_mut();
-        let Inner { services, rng, next_seq, .. } = &mut *inner;
+        let Inner { services, rng, next_seq, links, .. } = &mut *inner;
         let ServiceState { view, budgets, .. } = services.get_mut(service)?;
+        links.update(view, now_us());
         let decided = decision(&mut CallContext { view, budgets, rng, now_us: now_us(), next_seq });
         for (cause, count) in budgets.refused.drain() {
             self.metrics.retries_refused.with_label_values(&[service, cause.as_str()]).inc_by(count);
--- a/valetrack/src/placement/tests.rs
+++ b/valetrack/src/placement/tests.rs
@@ -6,6 +6,8 @@
 mod fleet;
 mod full_owner_share;
 mod nested_load;
+mod region;
+mod region_link;
 mod root;
 mod service;
 mod view;
