Refused relays: followers that the store serves take over

Cause: all relays were among the nodes that the store refused. Each followed another one in a cycle, their followers asked one relay after the other, and one of all followers on average checked in a round of 0.5 s whether the store serves it; the others did not find a node that became a relay, since its role travels in the store.

Change: followers whose relays are behind for 0.3 s, and without anything new for a second, check the store by the cheapest call, drawn with a chance that doubles with each round. The first one that is served becomes a relay, reads the store itself and announces its role to the relays, which follow it and serve their followers again. A refused relay resigns after a second, once its followers know the entry of the other relay.

--- /dev/null
+++ b/standin/tests/refused_relays.rs
@@ -0,0 +1,125 @@
+//! A store that refuses a third of the nodes while it serves the others and the operator.
+//!
+//! The tests guard against changes that are in force nowhere although most nodes could read them. A store refused a
+//! third of the nodes for 9 s, all three relays among them. Each relay followed another one in a cycle, the followers
+//! asked one relay after the other, and no node read the store: the versions 16 to 33 of the configuration were in
+//! force nowhere for 9 s.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::managed::{Fleet, config};
+use standin::client::Client;
+use standin::managed::store::Mode;
+use test_case::test_case;
+
+/// Nodes of the fleet, in two failure domains with one relay each.
+const NODES: usize = 9;
+/// Nodes that the store refuses: a third.
+const REFUSED: usize = 3;
+/// Longest time until an operator's change is in force at every node.
+const IN_FORCE_MAX: Duration = Duration::from_millis(2_000);
+/// Longest time until it is in force while the store refuses all relays and answers none of their calls: a call without
+/// an answer is noticed only after its wait and the time limit of calls to the store, half a second.
+const IN_FORCE_SILENT_MAX: Duration = Duration::from_millis(2_500);
+/// Time for which no further change is written, longer than entries live without a renewal.
+const ENTRY_LIFE: Duration = Duration::from_millis(3_500);
+
+/// The nodes that the store refuses.
+#[derive(Debug, Clone, Copy)]
+enum Refused {
+    /// The relay that follows the store for the others.
+    Reader,
+    /// All relays, the reader included, and drawn followers.
+    Relays,
+    /// Drawn followers.
+    Followers,
+}
+
+/// Returns the VMs whose entries in the store say that they are relays.
+fn relays(fleet: &Fleet) -> Vec<usize> {
+    let is_relay = |at: &usize| {
+        let entry = fleet.store.text(&format!("valetrack/node/vm-{at}")).unwrap_or_default();
+        entry.contains("\"is_relay\":true")
+    };
+    (0..fleet.vms.len()).filter(is_relay).collect()
+}
+
+/// Returns the relay that has made the most calls to the store which wait for changes.
+async fn reader(fleet: &Fleet) -> usize {
+    let mut most = (0.0, 0);
+    for at in relays(fleet) {
+        let page = Client::new(fleet.vms[at].ready_addr).call("GET", "/metrics", &[], "").await.expect("a page");
+        let page = String::from_utf8_lossy(&page.body).into_owned();
+        let is_watch = |line: &&str| line.starts_with("valetrack_store_calls_total{") && line.contains("\"watch\"");
+        let calls = page.lines().find(is_watch).and_then(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+        if calls.unwrap_or(0.0) > most.0 {
+            most = (calls.unwrap_or(0.0), at);
+        }
+    }
+    most.1
+}
+
+/// Returns the VMs that the store is to refuse.
+async fn draw(fleet: &Fleet, refused: Refused) -> Vec<usize> {
+    let relays = relays(fleet);
+    let mut others: Vec<usize> = (0..fleet.vms.len()).filter(|at| !relays.contains(at)).collect();
+    fastrand::shuffle(&mut others);
+    let (mut drawn, count) = match refused {
+        Refused::Reader => (vec![reader(fleet).await], REFUSED),
+        Refused::Followers => (Vec::new(), REFUSED),
+        Refused::Relays => (relays.clone(), REFUSED.max(relays.len())),
+    };
+    drawn.extend(others);
+    drawn.truncate(count);
+    drawn
+}
+
+/// Returns the version of the configuration in force at a node, or 0 without one.
+async fn version_at(fleet: &Fleet, at: usize) -> u64 {
+    let page = Client::new(fleet.vms[at].ready_addr).call("GET", "/metrics", &[], "").await;
+    let page = page.map(|page| String::from_utf8_lossy(&page.body).into_owned()).unwrap_or_default();
+    let line = page.lines().find_map(|line| line.strip_prefix("valetrack_bundle_number "));
+    line.and_then(|number| number.parse().ok()).unwrap_or(0)
+}
+
+/// Writes a version of the configuration, and returns how long it takes until it is in force at every node.
+async fn time_in_force(fleet: &Fleet, version: u64) -> Duration {
+    fleet.store.put("op/config", &config(version, "ledger"));
+    let acknowledged = Instant::now();
+    for at in 0..fleet.vms.len() {
+        while version_at(fleet, at).await < version {
+            assert!(acknowledged.elapsed() < Duration::from_secs(9), "version {version} is not in force at vm-{at}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+    acknowledged.elapsed()
+}
+
+/// There are no calls between nodes here, which would carry versions as well: they reach a node only over its relay or the
+/// store.
+#[test_case(Refused::Reader, Mode::Refusing; "reader refused")]
+#[test_case(Refused::Reader, Mode::Silent; "reader unanswered")]
+#[test_case(Refused::Relays, Mode::Refusing; "all relays refused")]
+#[test_case(Refused::Relays, Mode::Silent; "all relays unanswered")]
+#[test_case(Refused::Followers, Mode::Refusing; "followers refused")]
+#[tokio::test]
+async fn change_is_in_force_while_store_refuses_a_third(refused: Refused, mode: Mode) {
+    let fleet = Fleet::start(&["rounds"; NODES]).await;
+    // The started nodes choose their relays meanwhile.
+    tokio::time::sleep(Duration::from_millis(4_000)).await;
+    let drawn = draw(&fleet, refused).await;
+    drawn.iter().for_each(|at| fleet.vms[*at].store_access.set(mode));
+    let limit = if mode == Mode::Silent { IN_FORCE_SILENT_MAX } else { IN_FORCE_MAX };
+    let first = time_in_force(&fleet, 4).await;
+    tokio::time::sleep(ENTRY_LIFE).await;
+    let entries = fleet.entries();
+    let second = time_in_force(&fleet, 5).await;
+    println!("{refused:?} {mode:?} {drawn:?}: in force after {first:?} and {second:?}, {entries} entries");
+    assert!(first < limit && second < IN_FORCE_MAX, "in force after {first:?} and {second:?}");
+    assert_eq!(entries, NODES, "every node's entry is kept by a node that the store serves");
+    drawn.iter().for_each(|at| fleet.vms[*at].store_access.set(Mode::Up));
+    let third = time_in_force(&fleet, 6).await;
+    assert!(third < IN_FORCE_MAX, "in force after {third:?} when the store serves all nodes again");
+}
--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -9,6 +9,7 @@
 mod resume;
 mod role;
 mod rollout;
+mod takeover;
 mod wake;
 
 use std::cell::{Cell, RefCell};
@@ -29,6 +30,7 @@
 use super::relay::ChangeLog;
 use super::role::AvoidReason;
 use super::state::Members;
+use super::takeover::Takeover;
 use crate::bundle::{Adopter, BundleFormat};
 use crate::claim::ClaimReport;
 use crate::clock::now_us;
@@ -139,6 +141,16 @@
     was_stored: Cell<bool>,
     /// Since when calls to the store have failed.
     failing_since_us: Cell<Option<u64>>,
+    /// Attempts of this node to replace relays that are behind the store.
+    takeover: RefCell<Takeover>,
+    /// Wakes the task that replaces relays when one is behind the store.
+    relay_behind: Notify,
+    /// Relays that have announced their role to this node, and until when the announcement holds, in microseconds.
+    announced: RefCell<HashMap<Arc<str>, u64>>,
+    /// The relay that this node follows.
+    following: RefCell<Option<Arc<str>>>,
+    /// Number of updates in a row from the relay that this node follows.
+    updates_in_row: Cell<u32>,
     /// Since when this node has been a surplus relay.
     surplus_since_us: Cell<Option<u64>>,
     /// Until when this node does not become a relay again.
@@ -181,6 +193,11 @@
         was_stored: Cell::new(false),
         relay_update_us: Cell::new(None),
         failing_since_us: Cell::new(None),
+        takeover: RefCell::default(),
+        relay_behind: Notify::new(),
+        announced: RefCell::default(),
+        following: RefCell::default(),
+        updates_in_row: Cell::new(0),
         surplus_since_us: Cell::new(None),
         resigned_until_us: Cell::new(0),
         follow_now: Notify::new(),
@@ -198,6 +215,7 @@
     tasks.spawn(shell.clone().probe_domain_peers());
     tasks.spawn(shell.clone().advance_rollouts());
     tasks.spawn(shell.clone().watch_suspensions());
+    tasks.spawn(shell.clone().replace_relays());
     let mut closing = shell.parts.closing.clone();
     while let Some(job) = tasks.next_job(&shell.parts.jobs, &mut closing).await {
         shell.clone().handle(job);
@@ -212,6 +230,9 @@
                 // Evacuations decide where calls are sent, so they are applied before the bundle that admits calls.
                 self.on_evacuation_received(&evacuation);
                 self.learn_members(&members);
+                if let Some(sender) = members.first() {
+                    self.learn_relay(sender);
+                }
                 if let Some(first) = members.first() {
                     let from = Target { vm: first.vm.clone(), addr: first.link_addr };
                     self.clone().on_bundle_announced(bundle, from);
@@ -335,6 +356,7 @@
         for member in self.directory.borrow().members() {
             members.merge(member);
         }
+        self.add_announced_relays(&mut members);
         members.set(self.me.borrow().clone());
         members.merge_evacuation(&self.evacuation.borrow());
         members.set_rollouts(self.rollouts.borrow().view());
--- a/valetrack/src/member/leased/relayed.rs
+++ b/valetrack/src/member/leased/relayed.rs
@@ -16,7 +16,7 @@
 use crate::member::relay::{ApplyOutcome, StoreUpdate};
 use crate::member::role::AvoidReason;
 use crate::member::{FollowerReply, Member, Phase, entry_key};
-use crate::store::{Change, Freshness, Item, Position};
+use crate::store::{Change, Item, Position};
 
 /// Longest wait of one request to a relay, after which a dead relay is detected.
 const FOLLOW_WAIT_MS: u64 = 1_000;
@@ -54,6 +54,8 @@
         log::info!("event=store.following relay={}", relay.vm);
         let mut stored_us = now_us();
         let mut was_behind = false;
+        self.following.replace(Some(relay.vm.clone()));
+        self.updates_in_row.set(0);
         while self.relay().as_ref() == Some(relay) {
             let after = self.log.borrow().position();
             let answer = tokio::select! {
@@ -65,14 +67,17 @@
             match answer {
                 RelayReply::Update(update, age_ms) => {
                     was_behind = false;
+                    self.updates_in_row.set(self.updates_in_row.get().saturating_add(1));
                     self.relay_update_us.set(Some(now_us()));
+                    self.takeover.borrow_mut().on_update(now_us().saturating_sub(u64::from(age_ms) * 1_000));
                     self.store_update_received(update.at.era());
                     self.apply_update(&update, age_ms, after);
-                    self.resign_if_store_unreachable();
+                    self.resign_if_store_unreachable(relay);
                     self.choose_role();
                 }
                 RelayReply::Behind if !was_behind && !self.is_relay() => {
                     was_behind = true;
+                    self.relay_is_behind();
                     self.pause_behind().await;
                     continue;
                 }
@@ -129,31 +134,13 @@
             return;
         }
         self.mark_log_stale();
+        self.relay_is_behind();
         if self.store_reachable.replace(false) {
             log::warn!("event=store.lost call=relay relay={}", relay.vm);
         }
-        if self.draws_store_probe() && self.probe_store().await {
-            self.become_relay("the relays are behind");
-        }
         self.pause_behind().await;
     }
 
-    /// Checks by the cheapest call whether the store answers this node.
-    async fn probe_store(self: &Rc<Self>) -> bool {
-        self.count("list-earlier");
-        let key = entry_key(&self.parts.me.vm);
-        match self.parts.store.list(&key, None, Freshness::Earlier).await {
-            Ok(page) => {
-                self.store_answered(page.at.era());
-                true
-            }
-            Err(error) => {
-                log::info!("event=store.probe_failed code={} reason=\"{error}\"", error.code());
-                false
-            }
-        }
-    }
-
     async fn pause_behind(&self) {
         let pause_ms = self.rng.borrow_mut().u64(BEHIND_PAUSE_MS);
         sleep(Duration::from_millis(pause_ms)).await;
@@ -183,7 +170,7 @@
             Reply::FollowersFull => return RelayReply::Full,
             _ => return RelayReply::Behind,
         };
-        let is_late = is_relay && self.log.borrow().is_reader_late(age_ms);
+        let is_late = is_relay && self.failing_since_us.get().is_none() && self.log.borrow().is_reader_late(age_ms);
         if is_late || u64::from(age_ms) * 1_000 > self.log.borrow().age_max_us() {
             return RelayReply::Behind;
         }
@@ -240,7 +227,7 @@
     }
 
     async fn update_for(self: &Rc<Self>, after: Position, wait_ms: u32, follower: &Member) -> FollowerReply {
-        if !self.accept_relay_role() {
+        if !self.accept_relay_role() || self.declines_relay(follower) {
             return FollowerReply::Behind;
         }
         if !self.admits_follower(follower) {
--- a/valetrack/src/member/leased/role.rs
+++ b/valetrack/src/member/leased/role.rs
@@ -5,8 +5,10 @@
 use super::Shell;
 use crate::clock::now_us;
 use crate::link::peer::Target;
-use crate::member::role::{AvoidReason, is_candidate, is_needed, is_surplus, joins_relay, relay_of, starts_as_relay};
-use crate::member::{GROUP_MAX, Member, Phase, entry_key};
+use crate::member::role::{
+    AvoidReason, is_candidate, is_needed, is_surplus, joins_relay, relay_of, source_of, starts_as_relay,
+};
+use crate::member::{GROUP_MAX, Member, entry_key, resigns};
 
 /// How long a relay that did not reply is avoided: about as long as a killed node needs to serve again.
 const SILENT_US: u64 = 5_000_000;
@@ -27,9 +29,6 @@
 const FOLLOWER_EXPIRY_US: u64 = 3_000_000;
 /// A surplus relay resigns after this long, since the views of nodes differ while a fleet starts.
 const SURPLUS_US: u64 = 3_000_000;
-/// A relay that the store does not answer, while it answers others, resigns after this long: well before the entries
-/// that it keeps expire.
-const STORE_FAILURE_MAX_US: u64 = 2_000_000;
 /// How long a relay that has resigned does not become a relay again.
 const RESIGNED_US: u64 = 10_000_000;
 
@@ -50,7 +49,7 @@
         self.avoided.borrow_mut().insert(relay.vm.clone(), (why, now_us() + pause_us));
     }
 
-    fn avoided(&self, vm: &str) -> Option<AvoidReason> {
+    pub(super) fn avoided(&self, vm: &str) -> Option<AvoidReason> {
         let now = now_us();
         self.avoided.borrow().get(vm).filter(|(_, until_us)| now < *until_us).map(|(why, _)| *why)
     }
@@ -58,15 +57,13 @@
     /// Returns the node that this one follows instead of the store, if there is one.
     pub(super) fn relay(&self) -> Option<Target> {
         let members = self.parts.members.borrow();
-        let mut me = self.me.borrow().clone();
-        if self.failing_since_us.get().is_some() && me.is_relay {
+        let me = self.me.borrow().clone();
+        let avoided = |vm: &str| self.avoided(vm);
+        let relay = match self.failing_since_us.get().is_some() && me.is_relay {
             // The store may fail for this node alone, and another relay may still follow it.
-            me.is_relay = false;
-            let other = relay_of(&members, &me, |vm| self.avoided(vm))?;
-            let is_usable = other.is_relay && self.avoided(&other.vm).is_none();
-            return is_usable.then(|| Target { vm: other.vm.clone(), addr: other.link_addr });
-        }
-        let relay = relay_of(&members, &me, |vm| self.avoided(vm))?;
+            true => self.announced_relay(&members).or_else(|| source_of(&members, &me, avoided))?,
+            false => relay_of(&members, &me, avoided)?,
+        };
         Some(Target { vm: relay.vm.clone(), addr: relay.link_addr })
     }
 
@@ -94,7 +91,7 @@
     }
 
     /// Returns whether this node may become a relay, since it has not resigned as one recently.
-    fn may_be_relay(&self) -> bool {
+    pub(super) fn may_be_relay(&self) -> bool {
         now_us() >= self.resigned_until_us.get()
     }
 
@@ -126,15 +123,6 @@
         self.log.borrow().position_of(&key).is_some()
     }
 
-    /// Draws whether this node, whose relay is behind, probes the store itself: about one of all such nodes does. A
-    /// node whose entry was never stored has a record of too few others for this draw.
-    pub(super) fn draws_store_probe(&self) -> bool {
-        let members = self.parts.members.borrow();
-        let followers = members.iter().filter(|member| member.phase == Phase::Serving && !member.is_relay).count();
-        let may_try = self.may_be_relay() && !self.is_relay() && self.was_stored.get();
-        may_try && self.rng.borrow_mut().usize(..followers.max(1)) == 0
-    }
-
     /// Records that a node follows this one; returns whether this node accepts it. Relays are always accepted, since
     /// there are only a few.
     pub(super) fn admits_follower(&self, member: &Member) -> bool {
@@ -169,9 +157,11 @@
 
     /// Resigns as a relay if the store has failed for this node for some time; called when another relay has shown that
     /// the store answers it.
-    pub(super) fn resign_if_store_unreachable(self: &Rc<Self>) {
-        let since_us = self.failing_since_us.get();
-        if self.is_relay() && since_us.is_some_and(|since_us| now_us() >= since_us + STORE_FAILURE_MAX_US) {
+    pub(super) fn resign_if_store_unreachable(self: &Rc<Self>, other: &Target) {
+        // Followers of this node find the other relay by its entry.
+        let is_stored = self.directory.borrow().members().any(|member| member.vm == other.vm && member.is_relay);
+        let resigns = resigns(self.failing_since_us.get(), self.updates_in_row.get(), now_us());
+        if self.is_relay() && is_stored && resigns {
             self.resign_relay("store unreachable from this node");
         }
     }
@@ -182,6 +172,7 @@
         self.registrar.borrow_mut().forget_all();
         self.followers.borrow_mut().clear();
         self.set_relay(false);
+        self.takeover.borrow_mut().on_update(now_us());
         self.mark_log_stale();
     }
 
--- a/valetrack/src/member/mod.rs
+++ b/valetrack/src/member/mod.rs
@@ -14,6 +14,7 @@
 mod role;
 pub mod run;
 mod state;
+mod takeover;
 #[cfg(test)]
 mod tests;
 
@@ -23,5 +24,6 @@
 pub use message::{Candidate, FollowerReply, GossipReply, ListedVm, Member, MemberJob, Phase};
 pub use registrar::{Batch, Registrar};
 pub use relay::{AGE_MAX_US, ApplyOutcome, ChangeLog, StoreUpdate};
-pub use role::{AvoidReason, GROUP_MAX, is_candidate, is_needed, is_surplus, relay_of};
+pub use role::{AvoidReason, GROUP_MAX, is_candidate, is_needed, is_surplus, relay_of, source_of};
 pub use state::{GONE_AFTER_US, Members};
+pub use takeover::{Takeover, TakeoverStep, resigns};
--- a/valetrack/src/member/role.rs
+++ b/valetrack/src/member/role.rs
@@ -75,6 +75,18 @@
     (rank(&first.vm) < rank(&me.vm) && avoided(&first.vm).is_none()).then_some(*first)
 }
 
+/// Returns the relay that the relay `me` follows while the store refuses it: the first by rank that is not avoided, since
+/// that one follows the store itself.
+pub fn source_of<'a>(
+    members: &'a Members,
+    me: &Member,
+    avoided: impl Fn(&str) -> Option<AvoidReason>,
+) -> Option<&'a Member> {
+    let usable = |member: &&Member| member.is_relay && member.phase == Phase::Serving && member.vm != me.vm;
+    let relays = members.iter().filter(usable).filter(|relay| avoided(&relay.vm).is_none());
+    relays.min_by_key(|relay| rank(&relay.vm))
+}
+
 /// Returns the node that becomes a relay if none is left; none if that is `me`.
 fn relay_successor<'a>(
     serving: &[&'a Member],
--- a/valetrack/src/member/tests.rs
+++ b/valetrack/src/member/tests.rs
@@ -9,6 +9,7 @@
 mod relay;
 mod role;
 mod suspension;
+mod takeover;
 mod view;
 
 use crate::store::{Era, Position};
--- a/valetrack/src/metric.rs
+++ b/valetrack/src/metric.rs
@@ -76,6 +76,8 @@
     pub speed_requests: IntCounter,
     /// Requests to the node that is followed instead of the store.
     pub relay_requests: IntCounter,
+    /// Number of times that this node has become a relay since the relays were behind the store.
+    pub relay_takeovers: IntCounter,
     /// Calls to the store, by kind.
     pub store_calls: IntCounterVec,
     /// Calls to the store that failed, by code.
@@ -206,6 +208,10 @@
                 "valetrack_relay_questions_total",
                 "Requests to the node that is followed instead of the store.",
             ),
+            relay_takeovers: counter(
+                "valetrack_relay_takeovers_total",
+                "Times that this node has become a relay since the relays were behind the store.",
+            ),
             speed_requests: counter("valetrack_speed_questions_total", "Speed requests to the upstream's machine."),
             store_calls: counters("valetrack_store_calls_total", "Calls to the store, by kind.", "kind"),
             store_failures: counters(
