--- a/standin/tests/refused_relays.rs
+++ b/standin/tests/refused_relays.rs
@@ -23,6 +23,9 @@
 /// Longest time until it is in force while the store refuses all relays and answers none of their calls: a call without
 /// an answer is noticed only after its wait and the time limit of calls to the store, half a second.
 const IN_FORCE_SILENT_MAX: Duration = Duration::from_millis(2_500);
+/// Longest time until changed entries are written: a refused relay gives up its role after a second, its followers find
+/// another one within half a second, and that one gathers changes.
+const ENTRY_WRITTEN_MAX: Duration = Duration::from_millis(3_000);
 /// Time for which no further change is written, longer than entries live without a renewal.
 const ENTRY_LIFE: Duration = Duration::from_millis(3_500);
 
@@ -97,6 +100,19 @@
     acknowledged.elapsed()
 }
 
+/// Makes the upstreams of some VMs announce another version, and returns how long it takes until their entries have it.
+async fn time_written(fleet: &Fleet, vms: &[usize], version: &str) -> Duration {
+    vms.iter().for_each(|at| fleet.vms[*at].upstream.set_version(version));
+    let began = Instant::now();
+    let has =
+        |at: usize| fleet.store.text(&format!("valetrack/node/vm-{at}")).is_some_and(|text| text.contains(version));
+    while !vms.iter().all(|at| has(*at)) {
+        assert!(began.elapsed() < Duration::from_secs(9), "entries of {vms:?} are not written");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    began.elapsed()
+}
+
 /// There are no calls between nodes here, which would carry versions as well: they reach a node only over its relay or the
 /// store.
 #[test_case(Refused::Reader, Mode::Refusing; "reader refused")]
@@ -113,10 +129,14 @@
     drawn.iter().for_each(|at| fleet.vms[*at].store_access.set(mode));
     let limit = if mode == Mode::Silent { IN_FORCE_SILENT_MAX } else { IN_FORCE_MAX };
     let first = time_in_force(&fleet, 4).await;
+    // The node that wrote the entries of these nodes may be refused, and one of them is.
+    let served = (0..NODES).find(|at| !drawn.contains(at)).expect("a node that the store serves");
+    let written = time_written(&fleet, &[drawn[0], served], "v2").await;
     tokio::time::sleep(ENTRY_LIFE).await;
     let entries = fleet.entries();
     let second = time_in_force(&fleet, 5).await;
-    println!("{refused:?} {mode:?} {drawn:?}: in force after {first:?} and {second:?}, {entries} entries");
+    println!("{refused:?} {mode:?} {drawn:?}: in force {first:?} {second:?}, written {written:?}, {entries} entries");
+    assert!(written < ENTRY_WRITTEN_MAX, "changed entries are written after {written:?}");
     assert!(first < limit && second < IN_FORCE_MAX, "in force after {first:?} and {second:?}");
     assert_eq!(entries, NODES, "every node's entry is kept by a node that the store serves");
     drawn.iter().for_each(|at| fleet.vms[*at].store_access.set(Mode::Up));
