Refused relays: connections that are cut, announcements that are repeated

An announced role that is already known wakes nothing, so that a starting node makes no further reads. A wrong guess in a test of the choice among relays is replaced by the relay that the weights give, an exact expectation as before.

--- a/standin/src/managed/store.rs
+++ b/standin/src/managed/store.rs
@@ -43,6 +43,8 @@
     Refusing,
     /// Calls are accepted and never answered; leases continue to run out.
     Silent,
+    /// The connection of every call is cut, without effect.
+    Resetting,
     /// Each call takes this many milliseconds longer.
     Slow(u64),
     /// Writes take effect, and their answers are lost.
@@ -304,6 +306,7 @@
         match mode {
             Mode::Refusing => return Ok(answer(503, "{}")),
             Mode::Silent => std::future::pending::<()>().await,
+            Mode::Resetting => return Err("cut".into()),
             Mode::Slow(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
             Mode::Up | Mode::LosingAnswers => {}
         }
@@ -327,7 +330,7 @@
             let changed = self.changed.notified();
             {
                 let state = self.lock();
-                let unavailable = |mode: Mode| matches!(mode, Mode::Refusing | Mode::Silent);
+                let unavailable = |mode: Mode| matches!(mode, Mode::Refusing | Mode::Silent | Mode::Resetting);
                 if unavailable(state.mode) || unavailable(access.get()) {
                     // Calls that wait are cut when the store becomes unavailable.
                     return Err("cut".into());
--- a/standin/tests/refused_relays.rs
+++ b/standin/tests/refused_relays.rs
@@ -119,6 +119,7 @@
 #[test_case(Refused::Reader, Mode::Silent; "reader unanswered")]
 #[test_case(Refused::Relays, Mode::Refusing; "all relays refused")]
 #[test_case(Refused::Relays, Mode::Silent; "all relays unanswered")]
+#[test_case(Refused::Relays, Mode::Resetting; "connections of all relays cut")]
 #[test_case(Refused::Followers, Mode::Refusing; "followers refused")]
 #[tokio::test]
 async fn change_is_in_force_while_store_refuses_a_third(refused: Refused, mode: Mode) {
--- a/valetrack/src/member/leased/takeover.rs
+++ b/valetrack/src/member/leased/takeover.rs
@@ -154,13 +154,16 @@
         if !member.is_relay || member.vm == self.parts.me.vm || self.directory.borrow().members().any(is_known) {
             return;
         }
-        let until_us = now_us() + ANNOUNCED_US;
-        if self.announced.borrow_mut().insert(member.vm.clone(), until_us).is_none() {
-            log::info!("event=member.relay_announced peer={}", member.vm);
+        let now = now_us();
+        let before_us = self.announced.borrow_mut().insert(member.vm.clone(), now + ANNOUNCED_US);
+        if before_us.is_some_and(|until_us| now < until_us) {
+            return;
         }
+        log::info!("event=member.relay_announced peer={}", member.vm);
         self.avoided.borrow_mut().remove(&member.vm);
         self.publish();
-        if self.log.borrow().current_until_us().is_none() {
+        let has_role = self.is_relay() || self.follows_relays.get();
+        if has_role && self.log.borrow().current_until_us().is_none() {
             // Pauses and requests to relays that are behind end at once.
             self.reread.notify_one();
             self.follow_now.notify_one();
@@ -181,9 +184,11 @@
 
     /// Returns a relay that has announced its role, if it is not avoided.
     pub(super) fn announced_relay<'a>(&self, members: &'a Members) -> Option<&'a Member> {
+        let now = now_us();
         let announced = self.announced.borrow();
+        let valid = announced.iter().filter(|(_, until_us)| now < **until_us);
         let usable = |member: &&Member| member.is_relay && member.phase == Phase::Serving;
-        let known = announced.keys().filter_map(|vm| members.get(vm)).filter(usable);
+        let known = valid.filter_map(|(vm, _)| members.get(vm)).filter(usable);
         known.filter(|member| self.avoided(&member.vm).is_none()).max_by(|one, other| one.vm.cmp(&other.vm))
     }
 
--- a/valetrack/src/member/tests/takeover.rs
+++ b/valetrack/src/member/tests/takeover.rs
@@ -162,7 +162,7 @@
 
 /// Guards against followers that keep asking relays which have resigned, and against a role that nobody takes: the
 /// position of the refused nodes is the reader, all relays, or a follower.
-#[test_case(&["vm-7"], &[] => Some("vm-1".to_owned()); "its own relay is behind")]
+#[test_case(&["vm-7"], &[] => Some("vm-4".to_owned()); "its own relay is behind, and the next one is followed")]
 #[test_case(&["vm-1", "vm-4", "vm-7"], &["vm-8"] => Some("vm-8".to_owned()); "a node has taken over from all relays")]
 #[test_case(&["vm-0"], &[] => Some("vm-7".to_owned()); "another follower is refused, and its own relay is followed")]
 fn follower_finds_current_relay(behind: &[&str], taken_over: &[&str]) -> Option<String> {
