Root admission declines only runs that probably get no answer, and only while no slot is free

Cause: calls were declined for what more urgent calls lose deeper down, although the gates there order calls by rank. Change: the admitted share falls only with no slot free and a chance below one half, and grows otherwise.

--- a/valetrack/src/placement/admission.rs
+++ b/valetrack/src/placement/admission.rs
@@ -42,8 +42,9 @@
 const SHARE_HALF_TIME_US: f64 = 200_000.0;
 /// Smallest admitted share, so that outcomes of nested calls remain known.
 const SHARE_MIN: f64 = 0.05;
-/// Share of calling runs of a route from which on its runs probably need an answer to a nested call.
-const PROBABLE_SHARE: f64 = 0.5;
+/// Chance from which on a run probably gets its answers. Such a run is admitted whatever others lose, since gates
+/// order calls by rank, and a declined caller would probably have been served.
+const PROBABLE_CHANCE: f64 = 0.5;
 
 /// Recent outcomes of calls of one priority to one service.
 #[derive(Debug, Clone, Copy)]
@@ -264,10 +265,10 @@
 
     /// Decides whether a caller's call may take a slot or wait for one.
     ///
-    /// The chance of an answer is compared with what others lose. Deeper down, these are more urgent calls that its
-    /// nested calls displace; here, with no free slot, it is a call of another route with a much better chance. While
-    /// slots are free, a run that probably needs no nested call is always admitted, since its caller would lose an
-    /// answer for nothing. `room_share` returns the share of a service's owners that had room lately.
+    /// While a slot is free the admitted share grows, since callers would lose answers for nothing: runs may need no
+    /// nested call, and deeper down the gates order calls by rank. Otherwise the chance of an answer is compared with
+    /// what others lose: calls of another route with a better chance here, and more urgent calls deeper down.
+    /// `room_share` returns the share of a service's owners that had room lately.
     pub fn admits(
         &mut self,
         route: &Arc<str>,
@@ -282,16 +283,16 @@
         counts.priority = priority;
         counts.arrivals.add(1.0, now_us);
         let Prospect { chance, calling_share, displaced } = counts.prospect(outcomes, &cx);
-        if calling_share == 0.0 || (has_room && calling_share < PROBABLE_SHARE) {
+        if calling_share == 0.0 {
             return RootVerdict { is_admitted: true, chance, lost: 0.0, share: 1.0 };
         }
-        let mut lost = displaced * URGENT_WORTH;
-        if !has_room {
-            lost += best_other_chance(routes, outcomes, route, &cx) * OTHERS_FACTOR;
-        }
+        let lost = match has_room {
+            true => 0.0,
+            false => displaced * URGENT_WORTH + best_other_chance(routes, outcomes, route, &cx) * OTHERS_FACTOR,
+        };
         let counts = routes.entry(route.clone()).or_insert_with(RouteCounts::new);
         let share = counts.shares.entry(priority).or_insert(AdmittedShare::new());
-        share.update(chance < lost, now_us);
+        share.update(chance < lost.min(PROBABLE_CHANCE), now_us);
         RootVerdict { is_admitted: share.admits_next(), chance, lost, share: share.share }
     }
 }
