--- a/valetrack/src/quota/promise.rs
+++ b/valetrack/src/quota/promise.rs
@@ -135,8 +135,6 @@
     /// Time since which the promise has been in effect without an interruption in which the giver granted.
     since_us: u64,
     until_us: u64,
-    /// Time until which the giver's view is assumed to lack this node.
-    denied_until_us: u64,
     /// Earliest time of the next request.
     next_request_us: u64,
     /// Whether a request has been sent whose reply was not recorded yet.
@@ -178,7 +176,6 @@
         let received = self.by_giver.entry(giver.clone()).or_insert(Received {
             since_us: 0,
             until_us: 0,
-            denied_until_us: 0,
             next_request_us: 0,
             is_pending: false,
             is_uncertain: true,
@@ -201,13 +198,11 @@
                 }
                 received.is_uncertain = false;
                 received.until_us = received.until_us.max(asked_us + PROMISE_US - MARGIN_US);
-                received.denied_until_us = 0;
                 received.next_request_us = received.until_us - RENEW_BELOW_US;
             }
             PromiseReply::Denied => {
                 received.until_us = 0;
                 received.is_uncertain = true;
-                received.denied_until_us = asked_us + DENIED_RETRY_US;
                 received.next_request_us = asked_us + DENIED_RETRY_US;
             }
             PromiseReply::None => {
@@ -220,7 +215,8 @@
     fn right(&self, giver: &str, now_us: u64) -> Option<Right> {
         match self.by_giver.get(giver) {
             Some(received) if now_us < received.until_us => Some(Right::Full { since_us: received.since_us }),
-            Some(received) if now_us < received.denied_until_us => None,
+            // A home that the giver's view lacks grants half as well: views differ for up to a second at each change of
+            // the members, and without any grant callers within their rate were refused for that long.
             Some(_) | None => Some(Right::Half),
         }
     }
--- a/valetrack/src/quota/run.rs
+++ b/valetrack/src/quota/run.rs
@@ -229,7 +229,10 @@
         }
         // The view and the promises may have changed meanwhile.
         let role = self.role(account);
-        let outranks = |vm: &str| ranks_before(account, vm, &self.parts.vm);
+        let members = self.parts.members.borrow().clone();
+        // A home that leaves grants nothing from the moment at which it announces that, so a promise to it is void.
+        let is_leaving = |vm: &str| members.get(vm).is_some_and(|member| member.phase == Phase::Leaving);
+        let outranks = |vm: &str| ranks_before(account, vm, &self.parts.vm) && !is_leaving(vm);
         let mut promises = self.promises.borrow_mut();
         let right = promises.right(&role, outranks, now_us(), steady_us())?;
         promises.given.record_grant(outranks);
