Relays: an announcement states no bundle

Cause: while the store refuses every node, followers look for relays with a gossip request that stated their bundle. Change: the announcement states bundle 0, so the bundle and the records still come together.

--- a/valetrack/src/member/leased/takeover.rs
+++ b/valetrack/src/member/leased/takeover.rs
@@ -122,7 +122,9 @@
         let ask = Ask::Gossip {
             members: vec![self.me.borrow().clone()],
             evacuation: self.evacuation.borrow().clone(),
-            bundle: self.adopter.number(),
+            // A restarted node that learned the bundle from this message would look complete to its peers, and they would
+            // not send it the crash records that it lacks.
+            bundle: 0,
             claims: ClaimReport::default(),
         };
         PeerRequest { ask, body: Bytes::new() }
