Gate and admission: less work per decision, one record of demand for starts

Cause: a read of the whole change. Admission computed the best chance of all other routes for calls that it admits anyway. Two functions of the cold starts did the same. Change: no call is looked at without a free slot; other routes are looked at only below the chance at which a call may be declined; one function records demand. No bound, check or expectation changes.

--- a/valetrack/src/gate/cold.rs
+++ b/valetrack/src/gate/cold.rs
@@ -131,7 +131,7 @@
     /// Records that a call of `rank` is declined; it counts as needing a start if none is left for it.
     pub fn record_decline(&mut self, rank: u8, now_us: u64) {
         if self.rule.by_rank && self.remaining_for(rank, now_us) == Some(0) {
-            self.ranked.record_missed_start(rank, WINDOW_US, now_us);
+            self.ranked.record_demand(rank, WINDOW_US, now_us);
         }
     }
 
--- a/valetrack/src/gate/cold_rank.rs
+++ b/valetrack/src/gate/cold_rank.rs
@@ -7,7 +7,7 @@
 use std::collections::VecDeque;
 
 /// Divisor of an upstream's starts that gives those kept for more urgent calls before any arrival was observed.
-const ASSUMED_SHARE: f64 = 2.0;
+const ASSUMED_DIVISOR: f64 = 2.0;
 
 /// Starts of a cold upstream within the last window, and calls that found none left, by rank.
 #[derive(Debug, Clone, Default)]
@@ -36,9 +36,10 @@
         self.most_urgent = Some(self.most_urgent.map_or(rank, |most_urgent| most_urgent.min(rank)));
     }
 
-    /// Records that a call of `rank` was declined for lack of starts.
-    pub fn record_missed_start(&mut self, rank: u8, window_us: u64, now_us: u64) {
-        self.record_demand(rank, window_us, now_us);
+    /// Records a call of `rank` that started or was declined for lack of starts.
+    pub fn record_demand(&mut self, rank: u8, window_us: u64, now_us: u64) {
+        forget_before(&mut self.demand, window_us, now_us);
+        self.demand.push_back((now_us, rank));
     }
 
     /// Records the start of a call of `rank`.
@@ -68,11 +69,6 @@
         }
     }
 
-    fn record_demand(&mut self, rank: u8, window_us: u64, now_us: u64) {
-        forget_before(&mut self.demand, window_us, now_us);
-        self.demand.push_back((now_us, rank));
-    }
-
     /// Returns the starts in a window that are left for calls of `rank` and for less urgent ones.
     ///
     /// Nothing is kept for ranks that have never arrived.
@@ -85,7 +81,7 @@
         // The part of the window that was not observed yet counts with the assumed share.
         let observed_us = self.since_us.map_or(0, |since_us| now_us.saturating_sub(since_us).min(window_us));
         let unobserved = 1.0 - observed_us as f64 / window_us as f64;
-        let expected = observed + starts_max as f64 / ASSUMED_SHARE * unobserved;
+        let expected = observed + starts_max as f64 / ASSUMED_DIVISOR * unobserved;
         starts_max.saturating_sub(expected.ceil() as usize)
     }
 
--- a/valetrack/src/gate/state/queue.rs
+++ b/valetrack/src/gate/state/queue.rs
@@ -110,10 +110,13 @@
     /// is least above its share.
     fn next_start(&self, now_us: u64) -> Option<usize> {
         let is_ready = |waiting: &Waiting| {
-            self.may_start(waiting.priority, now_us)
+            self.may_start_by_rate(waiting.priority, now_us)
                 && !self.is_deferred(waiting, now_us)
                 && !self.waits_for_suspect(waiting.attempt)
         };
+        if !self.has_free_slot(now_us) {
+            return None;
+        }
         let mut ready = self.waiting.iter().enumerate().filter(|(_, waiting)| is_ready(waiting));
         let (first, Waiting { priority, .. }) = ready.next()?;
         let rank = |attempt| self.shares.rank(attempt, now_us);
@@ -159,9 +162,14 @@
         }
     }
 
+    /// Returns whether a slot is free.
+    fn has_free_slot(&self, now_us: u64) -> bool {
+        self.running.len() < usize::from(self.limit(now_us))
+    }
+
     /// Returns whether a call of `rank` may start now.
     fn may_start(&self, rank: u8, now_us: u64) -> bool {
-        self.running.len() < usize::from(self.limit(now_us)) && self.may_start_by_rate(rank, now_us)
+        self.has_free_slot(now_us) && self.may_start_by_rate(rank, now_us)
     }
 
     /// Returns why an arriving attempt is declined, if it is.
--- a/valetrack/src/member/takeover.rs
+++ b/valetrack/src/member/takeover.rs
@@ -17,8 +17,7 @@
 /// of two attempts is very likely served, and two are served at most.
 const FIRST_ATTEMPTS: usize = 2;
 /// Most attempts of a failure domain that are expected in one round. While the store answers no watch at all, further
-/// attempts only create relays that are behind as well: with 16, 73 of 76 nodes became relays within 0.8 s. A fleet of
-/// 19 domains also stays far below the
+/// attempts only create relays that are behind as well. A fleet of 19 domains also stays far below the
 /// 6,000 reads per second that the store allows.
 const ATTEMPTS_MAX: usize = 4;
 /// Pause after the first refused attempt; it doubles with each further one, since each attempt costs money.
--- a/valetrack/src/placement/admission.rs
+++ b/valetrack/src/placement/admission.rs
@@ -286,13 +286,13 @@
         if calling_share == 0.0 {
             return RootVerdict { is_admitted: true, chance, lost: 0.0, share: 1.0 };
         }
-        let lost = match has_room {
+        let lost = match has_room || chance >= PROBABLE_CHANCE {
             true => 0.0,
             false => displaced * URGENT_WORTH + best_other_chance(routes, outcomes, route, &cx) * OTHERS_FACTOR,
         };
         let counts = routes.entry(route.clone()).or_insert_with(RouteCounts::new);
         let share = counts.shares.entry(priority).or_insert(AdmittedShare::new());
-        share.update(chance < lost.min(PROBABLE_CHANCE), now_us);
+        share.update(chance < lost, now_us);
         RootVerdict { is_admitted: share.admits_next(), chance, lost, share: share.share }
     }
 }
--- a/valetrack/src/placement/tests/admission.rs
+++ b/valetrack/src/placement/tests/admission.rs
@@ -81,8 +81,8 @@
     assert!((0..20).all(|_| owner.admits("plate", 0, false)), "the share of priority 1 does not bind");
 }
 
-/// Guards against refusals that help nobody: deeper down the gates order calls by rank, so declined runs left their slots
-/// unused, and callers lost 0.013 of the worth at one and a half times the capacity.
+/// Guards against refusals that help nobody: deeper down the gates order calls by rank, so the slots of declined runs
+/// would stay unused.
 #[test]
 fn more_urgent_calls_deeper_down_are_no_reason_while_slots_are_free_or_nested_calls_are_served() {
     assert_eq!(Owner::new(7).admitted(true, true, false), 100);
--- a/valetrack/src/quota/promise.rs
+++ b/valetrack/src/quota/promise.rs
@@ -215,8 +215,8 @@
     fn right(&self, giver: &str, now_us: u64) -> Option<Right> {
         match self.by_giver.get(giver) {
             Some(received) if now_us < received.until_us => Some(Right::Full { since_us: received.since_us }),
-            // A home that the giver's view lacks grants half as well: views differ for up to a second at each change of
-            // the members, and without any grant callers within their rate were refused for that long.
+            // A denied home grants half as well. Views differ for up to a second at each change of the members, and
+            // without any grant, callers within their rate would be refused for that long.
             Some(_) | None => Some(Right::Half),
         }
     }
