Gate: a promoted call keeps its position in the queue

Each arrival of a route that upstreams call promotes the waiting calls of that route, also those that already have the rank, and a promotion moves the call behind all others of its rank. While the route's calls arrive faster than slots become free, such a call never starts. Ruled out: overtaking by rank (the call would have left after 100 ms), deferral in a slow episode and suspects (neither skipped another call of the route at that time). Change: a promotion moves only a call that ranks behind the new rank. Test: repeated_promotion_keeps_position fails before.

--- a/valetrack/src/gate/state/queue.rs
+++ b/valetrack/src/gate/state/queue.rs
@@ -137,8 +137,12 @@
 
     /// Gives a waiting attempt the rank of a call made by a run. Otherwise the calls of its route that arrive after the
     /// route was classified would overtake it until its deadline.
+    ///
+    /// An attempt that already has the rank keeps its position: moving it behind the others of its rank at each arrival
+    /// of its route kept it waiting until its deadline.
     pub fn promote_to(&mut self, attempt: AttemptId, priority: u8) {
-        let position = self.waiting.iter().position(|waiting| waiting.attempt == attempt);
+        let is_behind = |waiting: &Waiting| waiting.attempt == attempt && waiting.priority > priority;
+        let position = self.waiting.iter().position(is_behind);
         let Some(mut call) = position.and_then(|position| self.waiting.remove(position)) else {
             return;
         };
--- a/valetrack/src/gate/tests/steps.rs
+++ b/valetrack/src/gate/tests/steps.rs
@@ -72,6 +72,26 @@
     assert_eq!(started, expected);
 }
 
+/// Guards against a promotion at each arrival of the route that moves the call behind the others of its rank: in a soak
+/// such a call waited until its deadline while 22 ms runs ended beside it.
+#[test]
+fn repeated_promotion_keeps_position() {
+    let mut gate = Gate::new(GateConfig { slots: 1, rescue: false, ..GateConfig::default() }, 0);
+    let arrive = |seq: u64, priority: u8| {
+        let (deadline_us, patience) = (10_000_000, QueueTimeout::Last);
+        GateEvent::Arrive { attempt: attempt(seq), deadline_us, patience, priority, objective: None }
+    };
+    process(&mut gate, arrive(0, 2), 0);
+    process(&mut gate, arrive(1, 2), 0);
+    for seq in 2..5 {
+        gate.promote(attempt(1));
+        process(&mut gate, arrive(seq, 0), seq * 1_000);
+    }
+    gate.promote(attempt(1));
+    let next = process(&mut gate, GateEvent::Done { attempt: attempt(0), healthy: true }, 10_000);
+    assert_eq!(next, [GateAction::Start { attempt: attempt(1) }]);
+}
+
 /// Guards against calls that nested calls overtake until just before their deadline: in a soak, three such calls waited
 /// 0.92 s at a full upstream, were started with 45 to 64 ms left, and ended as work that may have run.
 #[test_case(None, 100_000; "without an objective after twice the queue's limit")]
