Soak: failed connections of a path are printed

Cause: in one run of the soak tests seven calls of two fleets ended 502 within 55 ms, their connections to upstreams reset before the request arrived. The path between node and upstream resets a connection that it cannot forward, without saying why, so the cause could not be found. Change: the path prints the error of a connection that it cannot accept or forward.

--- a/standin/src/soak/path.rs
+++ b/standin/src/soak/path.rs
@@ -32,10 +32,10 @@
         let path = self.clone();
         tokio::spawn(async move {
             loop {
-                let Ok((near, _)) = listener.accept().await else {
-                    continue;
-                };
-                tokio::spawn(path.clone().connect(near, far_end));
+                match listener.accept().await {
+                    Ok((near, _)) => drop(tokio::spawn(path.clone().connect(near, far_end))),
+                    Err(error) => eprintln!("a connection to {listen} was not accepted: {error}"),
+                }
             }
         });
         Ok(())
@@ -58,9 +58,13 @@
             reset(&near);
             return;
         }
-        let Ok(far) = TcpStream::connect(far_end).await else {
-            reset(&near);
-            return;
+        let far = match TcpStream::connect(far_end).await {
+            Ok(far) => far,
+            Err(error) => {
+                eprintln!("a connection to {far_end} failed: {error}");
+                reset(&near);
+                return;
+            }
         };
         // Nagle's algorithm would delay small messages.
         let _ = (near.set_nodelay(true), far.set_nodelay(true));
