Gate: one event for the arrival of an attempt

Cause: ArriveNested had the fields of Arrive and differed in its name alone, so each sender matched on a flag to choose between them, and tests repeated the literal of five fields. Ruled out: deriving the flag from the rank, since with nested_rank = root a nested call has a rank above zero. Change: GateEvent::Arrive has a field is_nested; the tests of the gate build the event with caller_arrival.

--- a/standin/src/bench/simulation.rs
+++ b/standin/src/bench/simulation.rs
@@ -180,7 +180,14 @@
                 let deadline_us = self.callers[call].began_us + DEADLINE_US;
                 self.gate_event(
                     server,
-                    GateEvent::Arrive { attempt, deadline_us, patience, priority: 0, objective: None },
+                    GateEvent::Arrive {
+                        attempt,
+                        deadline_us,
+                        patience,
+                        priority: 0,
+                        objective: None,
+                        is_nested: false,
+                    },
                 );
             }
             Event::Cancel { call, attempt, server } => {
--- a/standin/src/overload/simulation/owner.rs
+++ b/standin/src/overload/simulation/owner.rs
@@ -36,7 +36,10 @@
             machine.gate.on_slowdown_reported(machine.upstream.reported_percent(self.now_us), self.now_us);
         }
         let objective = objective(&head, internal);
-        self.gate_event(vm, GateEvent::Arrive { attempt, deadline_us, patience, priority, objective });
+        self.gate_event(
+            vm,
+            GateEvent::Arrive { attempt, deadline_us, patience, priority, objective, is_nested: false },
+        );
     }
 
     /// Cancels an attempt; a run of a repeatable route is stopped.
--- a/standin/src/rate_limit/fleet.rs
+++ b/standin/src/rate_limit/fleet.rs
@@ -248,7 +248,14 @@
         let wait_max_us = if patience == QueueTimeout::None { 0 } else { left_us / 8 };
         let objective = Objective { left_us, work_us: WORK_US, elsewhere_permille, wait_max_us };
         let deadline_us = self.calls[call].began_us + DEADLINE_US;
-        let arrive = GateEvent::Arrive { attempt, deadline_us, patience, priority: 1, objective: Some(objective) };
+        let arrive = GateEvent::Arrive {
+            attempt,
+            deadline_us,
+            patience,
+            priority: 1,
+            objective: Some(objective),
+            is_nested: false,
+        };
         self.gate_event(server, arrive);
     }
 
--- a/valetrack/benches/decision.rs
+++ b/valetrack/benches/decision.rs
@@ -67,6 +67,7 @@
                 patience: QueueTimeout::Long,
                 priority: 0,
                 objective: None,
+                is_nested: false,
             };
             gate.handle(arrive, now_us, &mut actions);
             gate.handle(GateEvent::Done { attempt, healthy: true }, now_us + 2_000, &mut actions);
--- a/valetrack/src/gate/message.rs
+++ b/valetrack/src/gate/message.rs
@@ -156,19 +156,8 @@
         priority: u8,
         /// Objective and expected duration of the call; `None` if the gate's own limits apply.
         objective: Option<Objective>,
-    },
-    /// An attempt of a call that a run made arrived. The run needs the answer by its deadline, not by an objective.
-    ArriveNested {
-        /// The attempt.
-        attempt: AttemptId,
-        /// Deadline of the call on this process's monotonic clock.
-        deadline_us: u64,
-        /// How long the entry lets the attempt wait.
-        patience: QueueTimeout,
-        /// Rank in the queue; zero goes first.
-        priority: u8,
-        /// Objective and expected duration of the call; `None` if the gate's own limits apply.
-        objective: Option<Objective>,
+        /// Whether a run made the call. Such a run needs the answer by its deadline, not by an objective.
+        is_nested: bool,
     },
     /// A started attempt ended, successfully or not.
     Done {
--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -286,10 +286,7 @@
             self.gate.borrow_mut().shares().arrive(attempt, &account, steady_us());
         }
         let mut cancel_guard = CancelGuard { shell: self.clone(), attempt: Some(attempt) };
-        self.handle(match nested {
-            true => GateEvent::ArriveNested { attempt, deadline_us, patience, priority, objective },
-            false => GateEvent::Arrive { attempt, deadline_us, patience, priority, objective },
-        });
+        self.handle(GateEvent::Arrive { attempt, deadline_us, patience, priority, objective, is_nested: nested });
         let reply = answered.await;
         cancel_guard.attempt = None;
         reply.unwrap_or(GateReply::Bounce(DeclineReason::Cancelled))
--- a/valetrack/src/gate/state.rs
+++ b/valetrack/src/gate/state.rs
@@ -373,7 +373,7 @@
     pub fn handle(&mut self, event: GateEvent, now_us: u64, out: &mut Vec<GateAction>) {
         self.expire(now_us);
         match event {
-            GateEvent::Arrive { .. } | GateEvent::ArriveNested { .. } => self.arrive(event, now_us, out),
+            GateEvent::Arrive { .. } => self.arrive(event, now_us, out),
             GateEvent::Done { attempt, healthy } => self.done(attempt, healthy, now_us),
             GateEvent::Refused { attempt, reason } => self.refused(attempt, reason, now_us, out),
             GateEvent::Cancel { attempt } => self.cancel(attempt, now_us, out),
--- a/valetrack/src/gate/state/queue.rs
+++ b/valetrack/src/gate/state/queue.rs
@@ -16,12 +16,10 @@
 impl Gate {
     /// Admits an attempt, to start or to wait, or declines it.
     pub(super) fn arrive(&mut self, event: GateEvent, now_us: u64, out: &mut Vec<GateAction>) {
-        let (GateEvent::Arrive { attempt, deadline_us, patience, priority, objective }
-        | GateEvent::ArriveNested { attempt, deadline_us, patience, priority, objective }) = event
-        else {
+        let GateEvent::Arrive { attempt, deadline_us, patience, priority, objective, is_nested } = event else {
             return;
         };
-        let is_nested = matches!(event, GateEvent::ArriveNested { .. }) || priority == INTERNAL_PRIORITY;
+        let is_nested = is_nested || priority == INTERNAL_PRIORITY;
         if self.holds(attempt) {
             // A second copy must not run; the first copy gets its own answer.
             return;
--- a/valetrack/src/gate/tests.rs
+++ b/valetrack/src/gate/tests.rs
@@ -19,3 +19,16 @@
 mod suspect;
 mod suspension;
 mod upstream;
+
+use super::{AttemptId, GateEvent, Objective, QueueTimeout};
+
+/// Returns the arrival of an attempt of a call that no run made.
+fn caller_arrival(
+    attempt: AttemptId,
+    deadline_us: u64,
+    patience: QueueTimeout,
+    priority: u8,
+    objective: Option<Objective>,
+) -> GateEvent {
+    GateEvent::Arrive { attempt, deadline_us, patience, priority, objective, is_nested: false }
+}
--- a/valetrack/src/gate/tests/account_share.rs
+++ b/valetrack/src/gate/tests/account_share.rs
@@ -8,6 +8,7 @@
 
 use test_case::test_case;
 
+use super::caller_arrival;
 use crate::bundle::{AccountRule, AccountTable};
 use crate::gate::{AttemptId, DeclineReason, Gate, GateAction, GateConfig, GateEvent, Objective, QueueTimeout};
 
@@ -114,7 +115,7 @@
         let deadline_us = call.arrived_us + 2_000_000;
         self.gates[at].shares().arrive(attempt, &name, self.now_us);
         let objective = Some(objective);
-        self.handle(at, GateEvent::Arrive { attempt, deadline_us, patience, priority: 2, objective });
+        self.handle(at, caller_arrival(attempt, deadline_us, patience, 2, objective));
     }
 
     fn handle(&mut self, gate: usize, event: GateEvent) {
@@ -229,11 +230,7 @@
     let objective = Some(Objective { left_us, work_us: RUN_US, elsewhere_permille: 0, wait_max_us });
     let (deadline_us, patience) = (now_us + 2_000_000, QueueTimeout::Long);
     let mut out = Vec::new();
-    gate.handle(
-        GateEvent::Arrive { attempt: attempt(seq), deadline_us, patience, priority, objective },
-        now_us,
-        &mut out,
-    );
+    gate.handle(caller_arrival(attempt(seq), deadline_us, patience, priority, objective), now_us, &mut out);
     out
 }
 
--- a/valetrack/src/gate/tests/cold.rs
+++ b/valetrack/src/gate/tests/cold.rs
@@ -3,6 +3,7 @@
 use proptest::prelude::*;
 use test_case::test_case;
 
+use super::caller_arrival;
 use crate::gate::{AttemptId, ColdBound, ColdRule, Gate, GateAction, GateConfig, GateEvent, Objective, QueueTimeout};
 
 const SECOND_US: u64 = 1_000_000;
@@ -19,14 +20,10 @@
     gate
 }
 
-fn arrival(seq: u64, now_us: u64, wait_max_us: u64) -> GateEvent {
-    GateEvent::Arrive {
-        attempt: AttemptId { entry: 1, seq },
-        deadline_us: now_us + SECOND_US,
-        patience: QueueTimeout::Long,
-        priority: 1,
-        objective: Some(Objective { left_us: 200_000, work_us: 1_000, elsewhere_permille: 0, wait_max_us }),
-    }
+fn arrival(seq: u64, priority: u8, now_us: u64, wait_max_us: u64) -> GateEvent {
+    let (attempt, deadline_us) = (AttemptId { entry: 1, seq }, now_us + SECOND_US);
+    let objective = Objective { left_us: 200_000, work_us: 1_000, elsewhere_permille: 0, wait_max_us };
+    caller_arrival(attempt, deadline_us, QueueTimeout::Long, priority, Some(objective))
 }
 
 /// Sends the gate one call per millisecond, each of which runs for a millisecond; returns the times of their starts.
@@ -34,7 +31,7 @@
     let mut starts_us = Vec::new();
     let mut out = Vec::new();
     for now_us in (from_us..until_us).step_by(1_000) {
-        gate.handle(arrival(now_us, now_us, 0), now_us, &mut out);
+        gate.handle(arrival(now_us, 1, now_us, 0), now_us, &mut out);
         for action in std::mem::take(&mut out) {
             if let GateAction::Start { attempt } = action {
                 starts_us.push(now_us);
@@ -97,7 +94,7 @@
     send_calls(&mut gate, from_us, from_us + 100_000);
     let late_us = from_us + 1_050_000;
     let mut out = Vec::new();
-    gate.handle(arrival(1, late_us, 100_000), late_us, &mut out);
+    gate.handle(arrival(1, 1, late_us, 100_000), late_us, &mut out);
     assert_eq!(out, [], "the call must wait");
     let tick_us = gate.next_tick_us(late_us).expect("a tick");
     assert_eq!(tick_us, from_us + WINDOW_US, "the call waits until the first start leaves the window");
@@ -158,13 +155,7 @@
     for step in 0..264 {
         let now_us = from_us + step * 12_500 * 10 / 11;
         let is_urgent = step % 11 == 10;
-        let arrive = GateEvent::Arrive {
-            attempt: AttemptId { entry: 1, seq: step },
-            deadline_us: now_us + SECOND_US,
-            patience: QueueTimeout::Long,
-            priority: if is_urgent { 1 } else { 3 },
-            objective: Some(Objective { left_us: 200_000, work_us: 1_000, elsewhere_permille: 0, wait_max_us: 0 }),
-        };
+        let arrive = arrival(step, if is_urgent { 1 } else { 3 }, now_us, 0);
         gate.handle(arrive, now_us, &mut out);
         for action in std::mem::take(&mut out) {
             if let GateAction::Start { attempt } = action {
--- a/valetrack/src/gate/tests/evacuation.rs
+++ b/valetrack/src/gate/tests/evacuation.rs
@@ -1,10 +1,11 @@
 //! The gate of a server whose failure domain is evacuated.
 
+use super::caller_arrival;
 use crate::gate::{AttemptId, ColdRule, DeclineReason, Gate, GateAction, GateConfig, GateEvent, QueueTimeout};
 
 fn arrival(seq: u64) -> GateEvent {
     let attempt = AttemptId { entry: 1, seq };
-    GateEvent::Arrive { attempt, deadline_us: u64::MAX / 2, patience: QueueTimeout::Long, priority: 1, objective: None }
+    caller_arrival(attempt, u64::MAX / 2, QueueTimeout::Long, 1, None)
 }
 
 fn declined(seq: u64) -> GateAction {
--- a/valetrack/src/gate/tests/outage.rs
+++ b/valetrack/src/gate/tests/outage.rs
@@ -1,10 +1,11 @@
 //! Upstreams that refuse connections.
 
+use super::caller_arrival;
 use crate::gate::{AttemptId, DeclineReason, Gate, GateAction, GateConfig, GateEvent, QueueTimeout};
 
 fn arrival(seq: u64) -> GateEvent {
     let attempt = AttemptId { entry: 1, seq };
-    GateEvent::Arrive { attempt, deadline_us: u64::MAX / 2, patience: QueueTimeout::Long, priority: 1, objective: None }
+    caller_arrival(attempt, u64::MAX / 2, QueueTimeout::Long, 1, None)
 }
 
 /// Sends a call to a gate whose upstream refuses every connection; returns whether the gate started it.
--- a/valetrack/src/gate/tests/property.rs
+++ b/valetrack/src/gate/tests/property.rs
@@ -4,6 +4,7 @@
 
 use proptest::prelude::*;
 
+use super::caller_arrival;
 use crate::gate::{AttemptId, CancelResult, DeclineReason, Gate, GateAction, GateConfig, GateEvent, QueueTimeout};
 
 #[derive(Debug, Clone)]
@@ -110,7 +111,7 @@
                     if !observer.started.contains(&attempt) && !observer.ended_unstarted.contains(&attempt) {
                         observer.waiting.insert(attempt);
                     }
-                    GateEvent::Arrive { attempt, deadline_us: now_us + limit_us, patience, priority: 0, objective: None }
+                    caller_arrival(attempt, now_us + limit_us, patience, 0, None)
                 }
                 Choice::End { .. } | Choice::Refuse { .. } if observer.running.is_empty() => GateEvent::Tick,
                 Choice::End { at, healthy } => {
--- a/valetrack/src/gate/tests/rank.rs
+++ b/valetrack/src/gate/tests/rank.rs
@@ -15,10 +15,7 @@
     let objective =
         Some(Objective { left_us: 300_000, work_us: 20_000, elsewhere_permille: 0, wait_max_us: DEADLINE_US });
     let (attempt, deadline_us, patience) = (attempt(seq), DEADLINE_US, QueueTimeout::Long);
-    match is_nested {
-        true => GateEvent::ArriveNested { attempt, deadline_us, patience, priority, objective },
-        false => GateEvent::Arrive { attempt, deadline_us, patience, priority, objective },
-    }
+    GateEvent::Arrive { attempt, deadline_us, patience, priority, objective, is_nested }
 }
 
 fn handle(gate: &mut Gate, event: GateEvent, now_us: u64) -> Vec<GateAction> {
@@ -65,12 +62,8 @@
     assert!(handle(&mut gate, GateEvent::Tick, 450_000).is_empty(), "its objective has passed");
     let bounced = handle(&mut gate, GateEvent::Tick, 480_000);
     assert!(matches!(bounced[..], [GateAction::Bounce { .. }]), "no run would end in time: {bounced:?}");
-    let late = GateEvent::ArriveNested {
-        attempt: attempt(2),
-        deadline_us: 485_000,
-        patience: QueueTimeout::Long,
-        priority: 4,
-        objective: None,
-    };
+    let (deadline_us, patience) = (485_000, QueueTimeout::Long);
+    let late =
+        GateEvent::Arrive { attempt: attempt(2), deadline_us, patience, priority: 4, objective: None, is_nested: true };
     assert!(matches!(handle(&mut gate, late, 484_000)[..], [GateAction::Bounce { .. }]), "it cannot start in time");
 }
--- a/valetrack/src/gate/tests/rate_limited_gate.rs
+++ b/valetrack/src/gate/tests/rate_limited_gate.rs
@@ -3,6 +3,7 @@
 use proptest::prelude::*;
 use test_case::test_case;
 
+use super::caller_arrival;
 use crate::gate::{
     AnswerKind, AttemptId, DeclineReason, Gate, GateAction, GateConfig, GateEvent, LoadReport, Objective, QueueTimeout,
     RequestedRate,
@@ -26,13 +27,7 @@
 
 fn arrive(gate: &mut Gate, seq: u64, priority: u8, wait_max_us: u64, now_us: u64) -> Vec<GateAction> {
     let objective = Objective { left_us: SECOND_US, work_us: RUN_US, elsewhere_permille: 0, wait_max_us };
-    let event = GateEvent::Arrive {
-        attempt: attempt(seq),
-        deadline_us: now_us + 2 * SECOND_US,
-        patience: QueueTimeout::Long,
-        priority,
-        objective: Some(objective),
-    };
+    let event = caller_arrival(attempt(seq), now_us + 2 * SECOND_US, QueueTimeout::Long, priority, Some(objective));
     let mut out = Vec::new();
     gate.handle(event, now_us, &mut out);
     out
--- a/valetrack/src/gate/tests/speed.rs
+++ b/valetrack/src/gate/tests/speed.rs
@@ -2,6 +2,7 @@
 
 use test_case::test_case;
 
+use super::caller_arrival;
 use crate::gate::{
     AttemptId, DeclineReason, Gate, GateAction, GateConfig, GateEvent, KeptSpeedShare, LoadReport, Objective,
     QueueTimeout, RunTimes, SLOWDOWN_DURATION_US, Speed, SpeedEstimate, utility_at,
@@ -135,13 +136,7 @@
     for seq in 0..40 {
         let attempt = AttemptId { entry: 1, seq };
         let now_us = seq * 200_000;
-        let arrive = GateEvent::Arrive {
-            attempt,
-            deadline_us: now_us + 1_000_000,
-            patience: QueueTimeout::Last,
-            priority: 0,
-            objective: None,
-        };
+        let arrive = caller_arrival(attempt, now_us + 1_000_000, QueueTimeout::Last, 0, None);
         gate.handle(arrive, now_us, &mut out);
         gate.ran(attempt, times(190_000, 20_000), true);
         gate.handle(GateEvent::Done { attempt, healthy: true }, now_us + 190_000, &mut out);
@@ -161,13 +156,7 @@
     let mut gate = Gate::new(GateConfig::default(), 0);
     gate.on_slowdown_reported(slowdown_percent, 0);
     let objective = Objective { left_us: 250_000, work_us: WORK_US, elsewhere_permille, wait_max_us: 50_000 };
-    let arrive = GateEvent::Arrive {
-        attempt: ATTEMPT,
-        deadline_us: 1_000_000,
-        patience: QueueTimeout::Short,
-        priority: 0,
-        objective: Some(objective),
-    };
+    let arrive = caller_arrival(ATTEMPT, 1_000_000, QueueTimeout::Short, 0, Some(objective));
     let mut out = Vec::new();
     gate.handle(arrive, 0, &mut out);
     out
@@ -190,13 +179,7 @@
     let mut gate = Gate::new(GateConfig::default(), 0);
     gate.on_slowdown_reported(500, 0);
     let objective = Objective { left_us: 250_000, work_us: WORK_US, elsewhere_permille: 0, wait_max_us: 50_000 };
-    let arrive = GateEvent::Arrive {
-        attempt: ATTEMPT,
-        deadline_us: 5_000_000,
-        patience,
-        priority: 0,
-        objective: Some(objective),
-    };
+    let arrive = caller_arrival(ATTEMPT, 5_000_000, patience, 0, Some(objective));
     let mut out = Vec::new();
     gate.handle(arrive, 0, &mut out);
     (gate, out)
--- a/valetrack/src/gate/tests/steps.rs
+++ b/valetrack/src/gate/tests/steps.rs
@@ -2,6 +2,7 @@
 
 use test_case::test_case;
 
+use super::caller_arrival;
 use crate::gate::{
     AttemptId, CancelResult, ColdRule, DeclineReason, Gate, GateAction, GateConfig, GateEvent, Objective, QueueTimeout,
     RESULT_RETENTION_US,
@@ -21,7 +22,7 @@
 }
 
 fn arrive(seq: u64, patience: QueueTimeout) -> GateEvent {
-    GateEvent::Arrive { attempt: attempt(seq), deadline_us: 1_000_000, patience, priority: 0, objective: None }
+    caller_arrival(attempt(seq), 1_000_000, patience, 0, None)
 }
 
 fn process(gate: &mut Gate, event: GateEvent, now_us: u64) -> Vec<GateAction> {
@@ -37,7 +38,7 @@
     let objective = Objective { left_us: 400_000, work_us: 20_000, elsewhere_permille: 0, wait_max_us: 1_000_000 };
     for number in [1, 2] {
         let (deadline_us, patience, objective) = (500_000, QueueTimeout::Last, Some(objective));
-        let arrive = GateEvent::Arrive { attempt: attempt(number), deadline_us, patience, priority: 1, objective };
+        let arrive = caller_arrival(attempt(number), deadline_us, patience, 1, objective);
         gate.handle(arrive, 0, &mut actions);
     }
     actions.clear();
@@ -51,7 +52,7 @@
     let mut gate = Gate::new(GateConfig { slots: 1, rescue: false, ..GateConfig::default() }, 0);
     let arrive = |seq: u64, priority: u8| {
         let (deadline_us, patience) = (10_000_000, QueueTimeout::Last);
-        GateEvent::Arrive { attempt: attempt(seq), deadline_us, patience, priority, objective: None }
+        caller_arrival(attempt(seq), deadline_us, patience, priority, None)
     };
     process(&mut gate, arrive(0, 2), 0);
     process(&mut gate, arrive(1, 2), 0);
@@ -79,7 +80,7 @@
     let mut gate = Gate::new(GateConfig { slots: 1, rescue: false, ..GateConfig::default() }, 0);
     let arrive = |seq: u64, priority: u8| {
         let (deadline_us, patience) = (10_000_000, QueueTimeout::Last);
-        GateEvent::Arrive { attempt: attempt(seq), deadline_us, patience, priority, objective: None }
+        caller_arrival(attempt(seq), deadline_us, patience, priority, None)
     };
     process(&mut gate, arrive(0, 2), 0);
     process(&mut gate, arrive(1, 2), 0);
@@ -106,7 +107,7 @@
     });
     let arrive = |seq: u64, priority: u8, objective| {
         let (deadline_us, patience) = (1_000_000, QueueTimeout::Last);
-        GateEvent::Arrive { attempt: attempt(seq), deadline_us, patience, priority, objective }
+        caller_arrival(attempt(seq), deadline_us, patience, priority, objective)
     };
     process(&mut gate, arrive(0, 0, None), 0);
     process(&mut gate, arrive(1, 2, objective), 0);
@@ -129,7 +130,7 @@
     let mut gate = Gate::new(GateConfig::default(), 0);
     let mut actions = Vec::new();
     let (deadline_us, patience) = (1_000_000, QueueTimeout::Long);
-    let arrive = GateEvent::Arrive { attempt: attempt(1), deadline_us, patience, priority: 0, objective: None };
+    let arrive = caller_arrival(attempt(1), deadline_us, patience, 0, None);
     gate.handle(arrive, 0, &mut actions);
     gate.handle(GateEvent::Refused { attempt: attempt(1), reason: DeclineReason::Rejected }, 1_000, &mut actions);
     actions.clear();
@@ -164,13 +165,7 @@
 fn call_that_cannot_meet_deadline_is_declined_before_waiting() {
     let mut gate = Gate::new(CONFIG, 0);
     process(&mut gate, arrive(1, QueueTimeout::Long), 0);
-    let urgent = GateEvent::Arrive {
-        attempt: attempt(2),
-        deadline_us: 500,
-        patience: QueueTimeout::Long,
-        priority: 0,
-        objective: None,
-    };
+    let urgent = caller_arrival(attempt(2), 500, QueueTimeout::Long, 0, None);
     let declined = process(&mut gate, urgent, 0);
     assert_eq!(declined, [GateAction::Bounce { attempt: attempt(2), reason: DeclineReason::Full }]);
 }
@@ -242,13 +237,7 @@
 /// Returns the arrival of a call whose run takes `work_us` and which waits at most 100 ms.
 fn arrive_with_work(seq: u64, work_us: u64) -> GateEvent {
     let objective = Objective { left_us: 200_000, work_us, elsewhere_permille: 0, wait_max_us: 100_000 };
-    GateEvent::Arrive {
-        attempt: attempt(seq),
-        deadline_us: 400_000,
-        patience: QueueTimeout::Long,
-        priority: 0,
-        objective: Some(objective),
-    }
+    caller_arrival(attempt(seq), 400_000, QueueTimeout::Long, 0, Some(objective))
 }
 
 #[test_case(1_000, &[]; "short runs ahead")]
--- a/valetrack/src/gate/tests/suspect.rs
+++ b/valetrack/src/gate/tests/suspect.rs
@@ -2,6 +2,7 @@
 
 use proptest::prelude::*;
 
+use super::caller_arrival;
 use crate::gate::{AttemptId, DeclineReason, Gate, GateAction, GateConfig, GateEvent, QueueTimeout};
 
 fn attempt(seq: u64) -> AttemptId {
@@ -17,8 +18,7 @@
     if suspect {
         gate.suspect(attempt(seq));
     }
-    let arrive =
-        GateEvent::Arrive { attempt: attempt(seq), deadline_us: 1_000_000, patience, priority: 0, objective: None };
+    let arrive = caller_arrival(attempt(seq), 1_000_000, patience, 0, None);
     process(gate, arrive, seq)
 }
 
--- a/valetrack/src/gate/tests/suspension.rs
+++ b/valetrack/src/gate/tests/suspension.rs
@@ -4,6 +4,7 @@
 
 use proptest::prelude::*;
 
+use super::caller_arrival;
 use crate::gate::{AttemptId, CancelResult, DeclineReason, Gate, GateAction, GateConfig, GateEvent, QueueTimeout};
 
 /// Slots of the server.
@@ -55,7 +56,7 @@
                 Step::Arrive => {
                     states.insert(attempt(number), AttemptState::Waits);
                     let (deadline_us, patience) = (now_us + 90_000_000, QueueTimeout::Last);
-                    GateEvent::Arrive { attempt: attempt(number), deadline_us, patience, priority: 0, objective: None }
+                    caller_arrival(attempt(number), deadline_us, patience, 0, None)
                 }
                 Step::End(seq) => GateEvent::Done { attempt: attempt(seq), healthy: true },
                 Step::Cancel(seq) => GateEvent::Cancel { attempt: attempt(seq) },
--- a/valetrack/src/placement/tests/nested_load.rs
+++ b/valetrack/src/placement/tests/nested_load.rs
@@ -299,10 +299,7 @@
         };
         let objective = Some(Objective { left_us, work_us, elsewhere_permille: 0, wait_max_us });
         let attempt = AttemptId { entry: 0, seq: call as u64 };
-        let event = match is_nested {
-            true => GateEvent::ArriveNested { attempt, deadline_us, patience, priority, objective },
-            false => GateEvent::Arrive { attempt, deadline_us, patience, priority, objective },
-        };
+        let event = GateEvent::Arrive { attempt, deadline_us, patience, priority, objective, is_nested };
         self.gate_event(service, at, event);
     }
 
