Placement: one sort of considered servers, one choice among ties

Cause: considered and considered_by_region sorted by the same key, once with and once without the distance of regions. best_beyond and pick_in_time had the same loop over utilities, each with its own TIE_UTILITY. Change: considered takes the regions; a default value, of a single region, gives the order of before, since distances then only distinguish the own failure domain from others. pick_highest chooses among servers with about the highest utility; a utility within a region is always finite, so pick_in_time finds a server as before.

--- a/standin/src/overload/simulation.rs
+++ b/standin/src/overload/simulation.rs
@@ -13,6 +13,7 @@
 use valetrack::placement::{
     Budgets, Call, CallEvent, Dispatch, Policy, RegionLink, RetryGuarantee, ServiceView, WorkEstimate, considered,
 };
+use valetrack::region::Regions;
 
 use super::fleet::{DOMAINS, Fleet, Load};
 use super::report::Report;
@@ -220,7 +221,7 @@
                 let serving = (0..self.vms.len()).filter(|&vm| self.vms[vm].service == service && !self.vms[vm].absent);
                 let candidates = serving.map(|vm| self.candidate(vm)).collect();
                 let own = self.candidate(entry);
-                let chosen = considered(candidates, &own.domain, &own.vm);
+                let chosen = considered(candidates, &Regions::default(), &own.domain, &own.vm);
                 let number = |candidate: &Candidate| usize::from(candidate.link_addr.port());
                 let targets: Vec<usize> = chosen.iter().map(number).collect();
                 for (server, &vm) in targets.iter().enumerate() {
--- a/valetrack/src/placement/mod.rs
+++ b/valetrack/src/placement/mod.rs
@@ -42,7 +42,7 @@
 pub use region_link::{LinkChange, LinkView, RegionLink};
 pub use repeat::{FleetSize, RetryBudget, RetryGuarantee};
 pub use root::{EndedRun, Root, RootBasis, RunsInProgress};
-pub use service::{considered, considered_by_region};
+pub use service::considered;
 pub use set::ServerSet;
 pub use sliding::SlidingSum;
 pub use traffic::{AnswerSize, CallTraffic};
--- a/valetrack/src/placement/service.rs
+++ b/valetrack/src/placement/service.rs
@@ -89,7 +89,7 @@
         let mut kept = vec![false; self.targets.len().max(MAX_SERVERS)];
         let candidates: Vec<Candidate> = candidates.collect();
         self.share_trial(&candidates, place.vm);
-        for candidate in considered_by_region(candidates, place.regions, place.domain, place.vm) {
+        for candidate in considered(candidates, place.regions, place.domain, place.vm) {
             let Some(server) = self.index_of(&candidate) else {
                 continue;
             };
@@ -147,10 +147,10 @@
     }
 }
 
-/// Returns the servers that one entry considers if a service has more than [`CONSIDERED_MAX`]: those of its own failure
-/// domain first, then the others by a hash of both VMs, so that entries choose differently and each server is
-/// considered by about the same number of entries.
-pub fn considered(mut candidates: Vec<Candidate>, domain: &str, vm: &str) -> Vec<Candidate> {
+/// Returns the servers that one entry considers if a service has more than [`CONSIDERED_MAX`]: the nearest ones first,
+/// and those of one distance by a hash of both VMs, so that entries choose differently and each server is considered by
+/// about the same number of entries. With several regions, some servers of each other region are considered in any case.
+pub fn considered(mut candidates: Vec<Candidate>, regions: &Regions, domain: &str, vm: &str) -> Vec<Candidate> {
     if candidates.len() <= CONSIDERED_MAX {
         return candidates;
     }
@@ -158,28 +158,12 @@
         let mut hasher = DefaultHasher::new();
         (vm, &*candidate.vm).hash(&mut hasher);
         // Upstreams on trial are few, and every entry has to know them for their traffic share to reach them.
-        (candidate.part != TrafficShare::Trial, &*candidate.domain != domain, hasher.finish())
-    });
-    candidates.truncate(CONSIDERED_MAX);
-    candidates
-}
-
-/// Returns the servers that one entry considers in a fleet of several regions: like [`considered`], with those of the own
-/// region before those of other regions, but some of each other region in any case.
-pub fn considered_by_region(
-    mut candidates: Vec<Candidate>,
-    regions: &Regions,
-    domain: &str,
-    vm: &str,
-) -> Vec<Candidate> {
-    if !regions.has_several() || candidates.len() <= CONSIDERED_MAX {
-        return considered(candidates, domain, vm);
-    }
-    candidates.sort_by_cached_key(|candidate| {
-        let mut hasher = DefaultHasher::new();
-        (vm, &*candidate.vm).hash(&mut hasher);
         (candidate.part != TrafficShare::Trial, regions.distance(domain, &candidate.domain), hasher.finish())
     });
+    if !regions.has_several() {
+        candidates.truncate(CONSIDERED_MAX);
+        return candidates;
+    }
     let mut by_region: HashMap<&str, usize> = HashMap::new();
     let mut reserved_count = 0;
     let mut reserved = vec![false; candidates.len()];
--- a/valetrack/src/placement/tests/region.rs
+++ b/valetrack/src/placement/tests/region.rs
@@ -9,7 +9,7 @@
 use crate::code::Code;
 use crate::gate::{AttemptId, DeclineReason, LoadReport};
 use crate::member::Candidate;
-use crate::placement::service::{CONSIDERED_MAX, EntryPlace, ServiceState, considered_by_region};
+use crate::placement::service::{CONSIDERED_MAX, EntryPlace, ServiceState, considered};
 use crate::placement::{
     Budgets, Call, CallAction, CallContext, CallEvent, CallRule, CallTraffic, Demand, Dispatch, LinkView, Policy,
     RetryBudget, ServerIndex, ServiceView, Verdict,
@@ -270,7 +270,7 @@
         at => ["ptuj", "celje"][at % 2],
     };
     let servers: Vec<Candidate> = (0..own + other).map(|at| candidate(at, domains(at))).collect();
-    let chosen = considered_by_region(servers, &regions, "kranj", "vm-0");
+    let chosen = considered(servers, &regions, "kranj", "vm-0");
     let of = |domain: &str| chosen.iter().filter(|server| &*server.domain == domain).count();
     assert_eq!(chosen.len(), CONSIDERED_MAX);
     assert!(of("ptuj") >= 4 && of("celje") >= 4, "{} {}", of("ptuj"), of("celje"));
--- a/valetrack/src/placement/tests/service.rs
+++ b/valetrack/src/placement/tests/service.rs
@@ -5,6 +5,7 @@
 
 use crate::member::Candidate;
 use crate::placement::service::{CONSIDERED_MAX, considered};
+use crate::region::Regions;
 
 /// Returns servers of one service in three failure domains.
 fn servers(count: usize) -> Vec<Candidate> {
@@ -20,12 +21,12 @@
 
 #[test]
 fn all_servers_of_small_service_are_considered() {
-    assert_eq!(considered(servers(CONSIDERED_MAX), "kranj", "vm-0"), servers(CONSIDERED_MAX));
+    assert_eq!(considered(servers(CONSIDERED_MAX), &Regions::default(), "kranj", "vm-0"), servers(CONSIDERED_MAX));
 }
 
 #[test]
 fn servers_of_own_failure_domain_come_first() {
-    let chosen = considered(servers(126), "kranj", "vm-0");
+    let chosen = considered(servers(126), &Regions::default(), "kranj", "vm-0");
     assert_eq!(chosen.len(), CONSIDERED_MAX);
     assert_eq!(chosen.iter().filter(|server| &*server.domain == "kranj").count(), 42);
 }
@@ -34,7 +35,7 @@
 fn every_server_of_large_service_is_considered() {
     let mut considering: BTreeMap<Arc<str>, usize> = BTreeMap::new();
     for entry in servers(300) {
-        for server in considered(servers(300), &entry.domain, &entry.vm) {
+        for server in considered(servers(300), &Regions::default(), &entry.domain, &entry.vm) {
             *considering.entry(server.vm).or_insert(0) += 1;
         }
     }
--- a/valetrack/src/placement/view/region.rs
+++ b/valetrack/src/placement/view/region.rs
@@ -4,7 +4,8 @@
 //! of the cost of the bytes. The share of the calls that cross grows with the gain, so that the entries of an overloaded
 //! region do not all send their calls to the same few servers at once.
 
-use super::{MAX_SERVERS, ServiceView, pick_where};
+use super::ServiceView;
+use super::utility::pick_highest;
 use crate::gate::LoadReport;
 use crate::placement::message::{Demand, ServerIndex};
 use crate::placement::network_cost::{CrossingReason, region_cost};
@@ -13,8 +14,6 @@
 use crate::placement::set::ServerSet;
 use crate::placement::traffic::CallTraffic;
 
-/// Utilities that differ by less count as equal.
-const TIE_UTILITY: f64 = 0.01;
 /// Smallest utility for which a declined call crosses: a call with a lower chance would mostly take a slot from calls of
 /// the other region that are answered in time.
 const LAST_RESORT_MIN: f64 = 0.25;
@@ -131,13 +130,9 @@
         let (eligible, count) = self.eligible(excluded.union(self.closed_to(&crossing)), now_us);
         let eligible = &eligible[..count];
         let assumed_report = self.assumed_report();
-        let mut utilities = [f64::NEG_INFINITY; MAX_SERVERS];
-        let mut best = f64::NEG_INFINITY;
-        for (at, &server) in eligible.iter().enumerate() {
-            utilities[at] = self.utility_beyond(server, demand, &crossing.traffic, reason, &assumed_report, now_us);
-            best = best.max(utilities[at]);
-        }
-        (best > f64::NEG_INFINITY).then(|| (pick_where(eligible, rng, |at| utilities[at] >= best - TIE_UTILITY), best))
+        pick_highest(eligible, rng, |server| {
+            self.utility_beyond(server, demand, &crossing.traffic, reason, &assumed_report, now_us)
+        })
     }
 
     fn utility_beyond(
--- a/valetrack/src/placement/view/utility.rs
+++ b/valetrack/src/placement/view/utility.rs
@@ -34,17 +34,9 @@
         self.last_pick_us = Some(now_us);
         let (eligible, count) = self.eligible(excluded, now_us);
         let eligible = &eligible[..count];
-        if eligible.is_empty() {
-            return None;
-        }
         let assumed_report = self.assumed_report();
-        let mut utilities = [f64::NEG_INFINITY; MAX_SERVERS];
-        let mut best = f64::NEG_INFINITY;
-        for (at, &server) in eligible.iter().enumerate() {
-            utilities[at] = self.utility(server, demand, &assumed_report, now_us);
-            best = best.max(utilities[at]);
-        }
-        Some(pick_where(eligible, rng, |at| utilities[at] >= best - TIE_UTILITY))
+        let utility = |server| self.utility(server, demand, &assumed_report, now_us);
+        pick_highest(eligible, rng, utility).map(|(server, _)| server)
     }
 
     /// Returns the utility of a call at a server, as a share of the utility of a timely answer: the chance of an answer
@@ -142,3 +134,20 @@
         })
     }
 }
+
+/// Picks uniformly among the servers whose utility is about the highest one, and returns it with the highest utility;
+/// none if `utility` is negative infinity for all of `eligible`.
+pub(super) fn pick_highest(
+    eligible: &[ServerIndex],
+    rng: &mut fastrand::Rng,
+    utility: impl Fn(ServerIndex) -> f64,
+) -> Option<(ServerIndex, f64)> {
+    let mut utilities = [f64::NEG_INFINITY; MAX_SERVERS];
+    let mut highest = f64::NEG_INFINITY;
+    for (at, &server) in eligible.iter().enumerate() {
+        utilities[at] = utility(server);
+        highest = highest.max(utilities[at]);
+    }
+    let is_tie = |at: usize| utilities[at] >= highest - TIE_UTILITY;
+    (highest > f64::NEG_INFINITY).then(|| (pick_where(eligible, rng, is_tie), highest))
+}
