Gate: totals over client accounts computed once per decision

Cause: the ratio of usage to share summed the weights of all accounts, each with an exponential, for every waiting call that a decision looked at: with 80 accounts and a long queue that is thousands of exponentials per start. Ruled out: totals that are kept up to date with each event, since decaying sums updated in another order round differently and could change choices; totals computed ahead of need, since a gate whose calls have no accounts needs none. Change: AccountShares::at gives the usage at one time, which computes the totals when the first ratio needs them. The time of a decision was not measured.

--- a/valetrack/src/gate/account_share.rs
+++ b/valetrack/src/gate/account_share.rs
@@ -6,6 +6,10 @@
 //! whose callers use one entry takes several times its weight at some servers and nothing at others. The share of such
 //! an account is therefore what it has usually taken at this server, up to a multiple of its weight.
 
+#[cfg(test)]
+mod tests;
+
+use std::cell::OnceCell;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -163,26 +167,9 @@
         }
     }
 
-    /// Returns the rank of an attempt among attempts of the same priority: 1 within its account's share, otherwise the
-    /// ratio of usage to share. Attempts without an account rank like those within their share.
-    pub fn rank(&self, attempt: AttemptId, now_us: u64) -> f64 {
-        self.ratio(attempt, now_us).map_or(1.0, |ratio| ratio.max(1.0))
-    }
-
-    /// Returns which of the waiting attempts an arriving attempt displaces: the last one of the account that is furthest
-    /// above its share, if the arriving attempt's account is within its own.
-    pub fn displaced(
-        &self,
-        arriving: AttemptId,
-        waiting: impl Iterator<Item = AttemptId>,
-        now_us: u64,
-    ) -> Option<AttemptId> {
-        self.ratio(arriving, now_us).filter(|ratio| *ratio <= 1.0)?;
-        let above = waiting.filter_map(|attempt| {
-            let ratio = self.ratio(attempt, now_us).filter(|ratio| *ratio > DISPLACED_ABOVE)?;
-            Some((ratio, attempt))
-        });
-        above.max_by(|(one, _), (other, _)| one.total_cmp(other)).map(|(_, attempt)| attempt)
+    /// Returns the usage of the accounts at `now_us`, for one decision.
+    pub fn at(&self, now_us: u64) -> UsageAt<'_> {
+        UsageAt { shares: self, now_us, totals: OnceCell::new() }
     }
 
     /// Counts a displaced attempt.
@@ -195,23 +182,72 @@
         std::mem::take(&mut self.displaced)
     }
 
+    fn totals(&self, now_us: u64) -> Totals {
+        let is_active = |account: &&Account| account.usage.arrivals.value(now_us) >= ARRIVALS_MIN;
+        Totals {
+            weights: self.accounts.values().filter(is_active).map(|account| account.weight).sum(),
+            starts: self.total.starts.value(now_us),
+            start_share: self.total.start_share(now_us),
+            slot_us: self.total.slot_us.value(now_us),
+            usual_us: self.total.usual_us.value(now_us),
+        }
+    }
+}
+
+/// Sums over all accounts at one time.
+struct Totals {
+    /// Weights of the accounts that have called lately.
+    weights: f64,
+    starts: f64,
+    /// Part of arrivals that start.
+    start_share: f64,
+    slot_us: f64,
+    usual_us: f64,
+}
+
+/// Usage of the client accounts at one time.
+///
+/// The sums over all accounts are computed at most once, since a decision compares all waiting calls.
+pub struct UsageAt<'a> {
+    shares: &'a AccountShares,
+    now_us: u64,
+    totals: OnceCell<Totals>,
+}
+
+impl UsageAt<'_> {
+    /// Returns the rank of an attempt among attempts of the same priority: 1 within its account's share, otherwise the
+    /// ratio of usage to share. Attempts without an account rank like those within their share.
+    pub fn rank(&self, attempt: AttemptId) -> f64 {
+        self.ratio(attempt).map_or(1.0, |ratio| ratio.max(1.0))
+    }
+
+    /// Returns which of the waiting attempts an arriving attempt displaces: the last one of the account that is furthest
+    /// above its share, if the arriving attempt's account is within its own.
+    pub fn displaced(&self, arriving: AttemptId, waiting: impl Iterator<Item = AttemptId>) -> Option<AttemptId> {
+        self.ratio(arriving).filter(|ratio| *ratio <= 1.0)?;
+        let above = waiting.filter_map(|attempt| {
+            let ratio = self.ratio(attempt).filter(|ratio| *ratio > DISPLACED_ABOVE)?;
+            Some((ratio, attempt))
+        });
+        above.max_by(|(one, _), (other, _)| one.total_cmp(other)).map(|(_, attempt)| attempt)
+    }
+
     /// Returns the usage of an attempt's account relative to its share.
-    fn ratio(&self, attempt: AttemptId, now_us: u64) -> Option<f64> {
-        let (name, _) = self.attempts.get(&attempt)?;
-        let account = self.accounts.get(name)?;
-        if account.usage.start_share(now_us) < GUARD_SHARE * self.total.start_share(now_us) {
+    fn ratio(&self, attempt: AttemptId) -> Option<f64> {
+        let (name, _) = self.shares.attempts.get(&attempt)?;
+        let Account { weight, burst, usage } = self.shares.accounts.get(name)?;
+        let totals = self.totals.get_or_init(|| self.shares.totals(self.now_us));
+        if usage.start_share(self.now_us) < GUARD_SHARE * totals.start_share {
             return Some(1.0);
         }
-        let is_active = |account: &&Account| account.usage.arrivals.value(now_us) >= ARRIVALS_MIN;
-        let weights: f64 = self.accounts.values().filter(is_active).map(|account| account.weight).sum();
-        let (starts, total_us) = (self.total.starts.value(now_us), self.total.slot_us.value(now_us));
-        let run_us = total_us / starts.max(1.0);
+        let weights = totals.weights.max(*weight);
+        let run_us = totals.slot_us / totals.starts.max(1.0);
         // The part of the account's burst that falls on this server, and at least the one call that is about to start.
-        let burst_here = account.burst * starts / (DECAY_US / 1e6) / weights.max(account.weight);
-        let by_weight = account.weight / weights.max(account.weight);
-        let usual = account.usage.usual_us.value(now_us) / self.total.usual_us.value(now_us).max(1.0);
+        let burst_here = burst * totals.starts / (DECAY_US / 1e6) / weights;
+        let by_weight = weight / weights;
+        let usual = usage.usual_us.value(self.now_us) / totals.usual_us.max(1.0);
         let part = by_weight.max(usual.min(by_weight * USUAL_MAX).min(USUAL_PART_MAX));
-        let share_us = total_us * part + burst_here.max(1.0) * run_us;
-        Some(if share_us > 0.0 { account.usage.slot_us.value(now_us) / share_us } else { 0.0 })
+        let share_us = totals.slot_us * part + burst_here.max(1.0) * run_us;
+        Some(if share_us > 0.0 { usage.slot_us.value(self.now_us) / share_us } else { 0.0 })
     }
 }
--- a/valetrack/src/gate/state/queue.rs
+++ b/valetrack/src/gate/state/queue.rs
@@ -90,7 +90,7 @@
         out: &mut Vec<GateAction>,
     ) -> bool {
         let same_rank = self.waiting.iter().filter(|other| other.priority == call.priority);
-        let victim = self.shares.displaced(call.attempt, same_rank.map(|other| other.attempt), now_us);
+        let victim = self.shares.at(now_us).displaced(call.attempt, same_rank.map(|other| other.attempt));
         let at = victim.and_then(|victim| self.waiting.iter().position(|other| other.attempt == victim));
         let Some((at, victim)) = at.and_then(|at| Some((at, self.waiting.remove(at)?))) else {
             return false;
@@ -117,10 +117,10 @@
         }
         let mut ready = self.waiting.iter().enumerate().filter(|(_, waiting)| is_ready(waiting));
         let (first, Waiting { priority, .. }) = ready.next()?;
-        let rank = |attempt| self.shares.rank(attempt, now_us);
-        let mut best = (rank(self.waiting[first].attempt), first);
+        let usage = self.shares.at(now_us);
+        let mut best = (usage.rank(self.waiting[first].attempt), first);
         for (at, waiting) in ready.take_while(|(_, waiting)| waiting.priority == *priority) {
-            let rank = rank(waiting.attempt);
+            let rank = usage.rank(waiting.attempt);
             if rank < best.0 {
                 best = (rank, at);
             }
