Gate: one server in the tests of connections

Cause: four tests of connections each had an accept loop of their own; two of them differed only in headers and in what follows the first answer. Ruled out: a table of steps per server, which reads worse than the few lines of each. Change: server_with accepts connections and numbers them, and each test states what one connection does. No check changes.

--- a/valetrack/src/gate/tests/connection.rs
+++ b/valetrack/src/gate/tests/connection.rs
@@ -60,28 +60,45 @@
     Request::get("/").header("host", "server").body(Full::default()).expect("a valid request")
 }
 
-/// Sends the given answers on each connection, one per request, then closes it.
-async fn server(answers: &'static [&'static str]) -> SocketAddr {
+/// Starts a server that lets `serve` handle each connection, which gets the connection's number, from one on.
+async fn server_with<F>(mut serve: impl FnMut(TcpStream, usize) -> F + Send + 'static) -> SocketAddr
+where
+    F: Future<Output = ()> + Send + 'static,
+{
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let addr = listener.local_addr().expect("a bound port");
     tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(serve(stream, answers));
+        for number in 1.. {
+            let Ok((stream, _)) = listener.accept().await else {
+                return;
+            };
+            tokio::spawn(serve(stream, number));
         }
     });
     addr
 }
 
-async fn serve(mut stream: TcpStream, answers: &[&str]) {
-    let mut buffer = [0; 4_096];
-    for answer in answers {
-        if stream.read(&mut buffer).await.unwrap_or(0) == 0 {
-            return;
-        }
-        if stream.write_all(answer.as_bytes()).await.is_err() {
-            return;
+/// Sends the given answers on each connection, one per request, then closes it.
+async fn server(answers: &'static [&'static str]) -> SocketAddr {
+    server_with(move |mut stream, _| async move {
+        for answer in answers {
+            if !receive(&mut stream).await || stream.write_all(answer.as_bytes()).await.is_err() {
+                return;
+            }
         }
-    }
+    })
+    .await
+}
+
+/// Receives a request; returns whether there was one.
+async fn receive(stream: &mut TcpStream) -> bool {
+    stream.read(&mut [0; 4_096]).await.unwrap_or(0) > 0
+}
+
+/// Returns an answer with the number of its connection as the body; `headers` are lines of the head.
+fn numbered_answer(number: usize, headers: &str) -> String {
+    let body = format!("con-{number}");
+    format!("HTTP/1.1 200 OK\r\n{headers}content-length: {}\r\n\r\n{body}", body.len())
 }
 
 #[test_case(&["HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf"], ServerError::Broken; "too few bytes")]
@@ -120,24 +137,15 @@
 #[test]
 fn late_bytes_on_idle_connection_close_it() {
     run(async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let addr = listener.local_addr().expect("a bound port");
-        tokio::spawn(async move {
-            let mut number = 0;
-            while let Ok((mut stream, _)) = listener.accept().await {
-                number += 1;
-                let body = format!("con-{number}");
-                tokio::spawn(async move {
-                    let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len());
-                    let mut buffer = [0; 4_096];
-                    let _ = stream.read(&mut buffer).await;
-                    let _ = stream.write_all(answer.as_bytes()).await;
-                    sleep(Duration::from_millis(20)).await;
-                    let _ = stream.write_all(answer.as_bytes()).await;
-                    sleep(Duration::from_secs(5)).await;
-                });
-            }
-        });
+        let addr = server_with(|mut stream, number| async move {
+            let answer = numbered_answer(number, "");
+            receive(&mut stream).await;
+            let _ = stream.write_all(answer.as_bytes()).await;
+            sleep(Duration::from_millis(20)).await;
+            let _ = stream.write_all(answer.as_bytes()).await;
+            sleep(Duration::from_secs(5)).await;
+        })
+        .await;
         let pool = pool(addr);
         let first = pool.exchange(request(), &call(1), CAP_BYTES, &Unobserved).await.expect("an answer");
         assert_eq!(first.body, "con-1");
@@ -163,21 +171,18 @@
 fn connection_of_dropped_call_is_not_reused() {
     run(async {
         const SLOW: &str = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nlate";
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let addr = listener.local_addr().expect("a bound port");
         let (opened, mut connections) = tokio::sync::mpsc::channel(8);
-        tokio::spawn(async move {
-            while let Ok((mut stream, _)) = listener.accept().await {
+        let addr = server_with(move |mut stream, _| {
+            let opened = opened.clone();
+            async move {
                 let _ = opened.send(()).await;
-                tokio::spawn(async move {
-                    let mut buffer = [0; 4_096];
-                    while stream.read(&mut buffer).await.unwrap_or(0) > 0 {
-                        sleep(Duration::from_millis(50)).await;
-                        let _ = stream.write_all(SLOW.as_bytes()).await;
-                    }
-                });
+                while receive(&mut stream).await {
+                    sleep(Duration::from_millis(50)).await;
+                    let _ = stream.write_all(SLOW.as_bytes()).await;
+                }
             }
-        });
+        })
+        .await;
         let pool = pool(addr);
         let dropped =
             timeout(Duration::from_millis(10), pool.exchange(request(), &call(1), CAP_BYTES, &Unobserved)).await;
@@ -198,22 +203,13 @@
 #[test_case("max=100", "con-1"; "no timeout")]
 fn idle_connection_expires_with_keep_alive_timeout(keep_alive: &'static str, expected: &str) {
     run(async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let addr = listener.local_addr().expect("a bound port");
-        tokio::spawn(async move {
-            let mut number = 0;
-            while let Ok((mut stream, _)) = listener.accept().await {
-                number += 1;
-                let body = format!("con-{number}");
-                tokio::spawn(async move {
-                    let head = format!("HTTP/1.1 200 OK\r\nkeep-alive: {keep_alive}\r\ncontent-length: {}", body.len());
-                    let mut buffer = [0; 4_096];
-                    while stream.read(&mut buffer).await.unwrap_or(0) > 0 {
-                        let _ = stream.write_all(format!("{head}\r\n\r\n{body}").as_bytes()).await;
-                    }
-                });
+        let addr = server_with(move |mut stream, number| async move {
+            let answer = numbered_answer(number, &format!("keep-alive: {keep_alive}\r\n"));
+            while receive(&mut stream).await {
+                let _ = stream.write_all(answer.as_bytes()).await;
             }
-        });
+        })
+        .await;
         let pool = pool(addr);
         pool.exchange(request(), &call(1), CAP_BYTES, &Unobserved).await.expect("an answer");
         let second = pool.exchange(request(), &call(2), CAP_BYTES, &Unobserved).await.expect("an answer");
