--- a/standin/tests/account.rs
+++ b/standin/tests/account.rs
@@ -103,7 +103,7 @@
 /// Guards against nested calls that keep the priority of their own route: accounts set the priority of the call at their
 /// root, which upstreams do not pass on.
 #[tokio::test]
-async fn root_of_nested_calls_is_found_once_their_route_is_classified() {
+async fn root_is_found_once_nested_route_is_classified() {
     let fleet = fleet(&["rounds", "ledger"]).await;
     fleet.vms[0].upstream.set_calls(fleet.vms[0].caller_addr, "/check/farm", 2);
     // Calls that enter beside the other service show the owner which calls its own runs make.
--- a/standin/tests/pipelining.rs
+++ b/standin/tests/pipelining.rs
@@ -134,7 +134,7 @@
 /// Guards against a refusal that loses its place, and against work that begins before its turn although it must not be
 /// repeated.
 #[tokio::test]
-async fn refusal_and_work_that_is_not_repeatable_keep_their_turn() {
+async fn refusal_and_unrepeatable_work_keep_their_turn() {
     let fleet = Fleet::start(&["rounds", "ledger"]).await;
     fleet.vms.iter().for_each(|vm| vm.upstream.set_work_ms(WORK_MS));
     let mut caller = Caller::connect(&fleet, 0).await;
--- a/standin/tests/refused_relays.rs
+++ b/standin/tests/refused_relays.rs
@@ -122,7 +122,7 @@
 #[test_case(Refused::Relays, Mode::Resetting; "connections of all relays cut")]
 #[test_case(Refused::Followers, Mode::Refusing; "followers refused")]
 #[tokio::test]
-async fn change_is_in_force_while_store_refuses_a_third(refused: Refused, mode: Mode) {
+async fn change_is_in_force_while_store_refuses_nodes(refused: Refused, mode: Mode) {
     let fleet = Fleet::start(&["rounds"; NODES]).await;
     // The started nodes choose their relays meanwhile.
     tokio::time::sleep(Duration::from_millis(4_000)).await;
--- a/standin/tests/regions.rs
+++ b/standin/tests/regions.rs
@@ -32,7 +32,7 @@
 /// Guards against calls that leave their region without need, and against rejections of calls for which the other region
 /// has room. The upstream of each region runs six calls at a time.
 #[tokio::test]
-async fn calls_cross_to_other_region_only_when_own_one_is_full() {
+async fn calls_cross_only_when_own_region_is_full() {
     let fleet = Fleet::start_with_regions(&["rounds", "rounds", "ledger", "ledger"], TWO_REGIONS).await;
     for vm in &fleet.vms {
         vm.upstream.set_work_ms(100);
@@ -53,7 +53,7 @@
 /// Guards against calls that are rejected because the only upstreams of their service are in the other region, and
 /// against relays of regions that keep changes from their followers.
 #[tokio::test]
-async fn service_of_the_other_region_is_reached_and_changes_arrive() {
+async fn other_region_is_reached_and_changes_arrive() {
     let fleet = Fleet::start_with_regions(&["ledger", "rounds", "ledger", "rounds"], TWO_REGIONS).await;
     assert_eq!(burst(&fleet, 0, "far", 6).await, 6);
     assert!(metric(&fleet, 0, "valetrack_region_calls_total").await >= 6.0);
--- a/valetrack/src/bundle/tests/check.rs
+++ b/valetrack/src/bundle/tests/check.rs
@@ -86,7 +86,7 @@
 }
 
 #[test]
-fn nested_calls_go_first_unless_the_bundle_ranks_them_by_their_root() {
+fn nested_calls_go_first_unless_ranked_by_root() {
     let rank_of = |text: &str| check(&format!("{text}\n{GOOD}")).map(|bundle| bundle.nested_rank);
     assert_eq!(rank_of(""), Ok(NestedRank::First));
     assert_eq!(rank_of("nested_rank = \"first\""), Ok(NestedRank::First));
--- a/valetrack/src/caller/pipeline/tests/answers.rs
+++ b/valetrack/src/caller/pipeline/tests/answers.rs
@@ -28,7 +28,7 @@
 
 /// Guards against a request that only starts with the bytes of a later one, since hyper does not poll for them.
 #[test]
-fn request_that_arrives_during_a_call_starts_at_once() {
+fn request_during_a_call_starts_at_once() {
     run(async {
         let listener = Listener::start(Reader::Pipeline).await;
         let mut client = Client::connect(&listener).await;
@@ -47,7 +47,7 @@
 
 /// Guards against work that is begun and dropped although it must not be repeated.
 #[test]
-fn request_that_is_not_repeatable_starts_in_its_turn() {
+fn unrepeatable_request_starts_in_its_turn() {
     run(async {
         let listener = Listener::start(Reader::Pipeline).await;
         let mut client = Client::connect(&listener).await;
@@ -59,7 +59,7 @@
 }
 
 #[test]
-fn a_thousand_requests_are_answered_sixteen_at_a_time() {
+fn thousand_requests_run_sixteen_at_a_time() {
     run(async {
         let listener = Listener::start(Reader::Pipeline).await;
         let mut client = Client::connect(&listener).await;
@@ -185,7 +185,7 @@
 }
 
 #[test]
-fn start_of_http_2_is_answered_as_by_hyper_alone() {
+fn http_2_preface_is_answered_as_by_hyper() {
     run(async {
         let preface = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\x04\0\0\0\0\0";
         let expected = transcript(Reader::Hyper, preface, false).await;
--- a/valetrack/src/caller/pipeline/tests/closing.rs
+++ b/valetrack/src/caller/pipeline/tests/closing.rs
@@ -50,7 +50,7 @@
 }
 
 #[test]
-fn nothing_starts_behind_a_request_that_closes_the_connection() {
+fn nothing_starts_behind_a_closing_request() {
     run(async {
         let listener = Listener::start(Reader::Pipeline).await;
         let mut client = Client::connect(&listener).await;
--- a/valetrack/src/caller/pipeline/tests/load.rs
+++ b/valetrack/src/caller/pipeline/tests/load.rs
@@ -20,7 +20,7 @@
 
 /// Guards against calls that wait for those before them on their connection: the fourth lost 570 ms.
 #[test]
-fn pipelined_calls_are_answered_after_the_time_of_one() {
+fn pipelined_calls_take_the_time_of_one() {
     run(async {
         let (before, after) = (answer_times(Reader::Hyper).await, answer_times(Reader::Pipeline).await);
         assert!(before[3] >= 4 * WORK_MS, "{before:?}");
@@ -63,7 +63,7 @@
 
 /// Guards against a queue on each connection whose client sends faster than one call at a time is served.
 #[test]
-fn playback_load_is_served_without_a_queue_on_its_connections() {
+fn playback_load_is_served_without_connection_queues() {
     run(async {
         let before = playback_times(Reader::Hyper).await;
         let after = playback_times(Reader::Pipeline).await;
--- a/valetrack/src/caller/pipeline/tests/state.rs
+++ b/valetrack/src/caller/pipeline/tests/state.rs
@@ -240,7 +240,7 @@
 
 /// Guards against a deadlock: hyper waits for bytes that are held back, since it frames a message differently.
 #[test]
-fn all_bytes_are_ready_once_hyper_frames_a_message_differently() {
+fn all_bytes_are_ready_once_hyper_frames_differently() {
     let mut pipeline = Pipeline::<()>::default();
     pipeline.buffer().extend_from_slice(b"GET / HTTP/1.1\r\n\r\nmore");
     pipeline.on_received();
--- a/valetrack/src/gate/tests/account_share.rs
+++ b/valetrack/src/gate/tests/account_share.rs
@@ -257,7 +257,7 @@
 
 /// Tabulates the share of its calls that an account gets, by group and by the account that surges.
 #[test]
-fn accounts_within_their_share_keep_it_during_a_surge() {
+fn accounts_within_share_keep_it_during_surge() {
     let (rates, no_rates) = (table(true), table(false));
     let mut lines = String::from("surge, accounts: all surging large usual one_per_s one_entry worst_tenth lowest\n");
     for (surge, surging) in [("large", 0), ("usual", 30)] {
--- a/valetrack/src/gate/tests/rank.rs
+++ b/valetrack/src/gate/tests/rank.rs
@@ -56,7 +56,7 @@
 }
 
 #[test]
-fn nested_call_outlives_its_objective_but_not_the_deadline_of_its_run() {
+fn nested_call_waits_past_objective_not_past_deadline() {
     let mut gate = busy_gate();
     assert!(handle(&mut gate, arrive(1, 4, true), 0).is_empty(), "it waits");
     assert!(handle(&mut gate, GateEvent::Tick, 450_000).is_empty(), "its objective has passed");
--- a/valetrack/src/member/tests/takeover.rs
+++ b/valetrack/src/member/tests/takeover.rs
@@ -81,7 +81,7 @@
 /// Guards against a fleet that calls a failed store without end, since each call costs money.
 #[test_case(25; "a domain of 25 nodes")]
 #[test_case(984; "a large domain")]
-fn attempts_are_few_in_an_outage_of_the_whole_store(nodes: usize) {
+fn attempts_are_few_while_whole_store_fails(nodes: usize) {
     let outcome = simulate(nodes, |_| true, 0, 30_000_000, 7);
     let per_s = outcome.attempts as f64 / 30.0;
     assert!(per_s <= 110.0 && per_s <= nodes as f64 / 4.0, "{outcome:?}");
@@ -103,7 +103,7 @@
 
 /// Guards against a fleet with a new relay for each node that notices the end of an outage first.
 #[test]
-fn node_that_was_refused_leaves_time_for_relays_to_recover() {
+fn refused_node_leaves_relays_time_to_recover() {
     let mut rng = fastrand::Rng::with_seed(7);
     let mut follower = Takeover::default();
     follower.on_behind(0);
@@ -144,7 +144,7 @@
 
 /// Guards against refused relays that follow each other in a cycle, and against a reader that is replaced by several.
 #[test]
-fn refused_relay_follows_each_other_relay_once_and_the_new_one_at_last() {
+fn refused_relay_follows_others_once_then_new_one() {
     let relays = ["vm-1", "vm-4", "vm-7"];
     let members = fleet(&relays);
     let me = members.get("vm-4").expect("a member");
--- a/valetrack/src/placement/tests/admission.rs
+++ b/valetrack/src/placement/tests/admission.rs
@@ -49,19 +49,19 @@
 }
 
 #[test]
-fn calls_are_admitted_while_their_nested_calls_are_served() {
+fn calls_are_admitted_while_nested_calls_are_served() {
     assert_eq!(Owner::new(7).admitted(true, true, true), 100);
     assert_eq!(Owner::new(7).admitted(false, true, true), 100);
 }
 
 #[test]
-fn calls_that_would_be_lost_leave_slots_to_others_only_if_none_is_free() {
+fn calls_likely_lost_are_declined_only_when_full() {
     assert!(Owner::new(7).admitted(false, false, true) < 20);
     assert_eq!(Owner::new(7).admitted(true, false, true), 100);
 }
 
 #[test]
-fn slightly_lower_chance_than_that_of_another_route_is_no_reason() {
+fn slightly_lower_chance_than_others_declines_nothing() {
     let mut owner = Owner::new(7);
     let lien = Arc::from("lien");
     let admitted = (0..100).filter(|number| {
@@ -74,7 +74,7 @@
 }
 
 #[test]
-fn more_urgent_calls_of_a_route_keep_their_own_share() {
+fn urgent_calls_of_a_route_keep_own_share() {
     let mut owner = Owner::new(7);
     assert!(owner.admitted(false, false, true) < 20);
     owner.now_us += 7 * SECOND_US;
@@ -84,14 +84,14 @@
 /// Guards against refusals that help nobody: deeper down the gates order calls by rank, so the slots of declined runs
 /// would stay unused.
 #[test]
-fn more_urgent_calls_deeper_down_are_no_reason_while_slots_are_free_or_nested_calls_are_served() {
+fn urgent_deeper_calls_decline_only_likely_lost_runs() {
     assert_eq!(Owner::new(7).admitted(true, true, false), 100);
     assert_eq!(Owner::new(7).admitted(false, true, false), 100);
     assert!(Owner::new(7).admitted(false, false, false) < 20);
 }
 
 #[test]
-fn run_that_probably_needs_no_nested_call_is_admitted_while_slots_are_free() {
+fn run_without_likely_nested_calls_fills_free_slots() {
     let mut owner = Owner::new(3);
     owner.admission.record_outcome(&Arc::from("lien"), true, 1, false, owner.now_us);
     (0..20).for_each(|_| owner.admission.record_outcome(&Arc::from("lien"), false, 0, false, owner.now_us));
@@ -114,7 +114,7 @@
 }
 
 #[test]
-fn restarted_node_admits_all_calls_until_it_knows_its_runs() {
+fn restarted_node_admits_all_until_runs_are_known() {
     let mut owner = Owner { admission: RootAdmission::default(), now_us: SECOND_US };
     for _ in 0..20 {
         owner.admission.record_outcome(&Arc::from("lien"), true, 1, false, owner.now_us);
--- a/valetrack/src/placement/tests/region.rs
+++ b/valetrack/src/placement/tests/region.rs
@@ -186,7 +186,7 @@
 /// Guards against a rejection with 728 ms left for 164 ms of work after all owners of the own region declined the call,
 /// and no owner outside of it was asked.
 #[test]
-fn call_declined_by_its_region_crosses_once_before_it_is_rejected() {
+fn declined_call_crosses_once_before_its_rejection() {
     let view = view(&[load(5, 0), IDLE], &[LINK]);
     let (servers, verdict) = Entry::new(view, RULE, SMALL, 1).decline_all();
     let regions: Vec<usize> = servers.iter().map(|server| region(*server)).collect();
@@ -197,7 +197,7 @@
 
 /// A call that crossed before for a better chance does not cross again.
 #[test]
-fn call_declined_by_the_other_region_returns_to_its_own() {
+fn call_declined_beyond_returns_to_own_region() {
     let view = view(&[FULL, IDLE], &[LINK]);
     for seed in 0..50 {
         let (servers, verdict) = Entry::new(view.clone(), RULE, SMALL, seed).decline_all();
--- a/valetrack/src/placement/tests/region_link.rs
+++ b/valetrack/src/placement/tests/region_link.rs
@@ -27,7 +27,7 @@
 
 /// Nodes that are short of processor time reply late at any load of the link.
 #[test]
-fn some_late_replies_do_not_make_a_link_full() {
+fn some_late_replies_do_not_fill_link() {
     let (mut link, now_us) = measured(ROUND_TRIP_US);
     for at in 0..40 {
         let pause_us = if at % 3 == 0 { 100_000 } else { 0 };
@@ -85,7 +85,7 @@
 }
 
 #[test]
-fn region_is_unreachable_after_two_nodes_and_until_a_reply() {
+fn two_failed_nodes_make_region_unreachable_until_reply() {
     let (mut link, now_us) = measured(ROUND_TRIP_US);
     let nodes: Vec<Arc<str>> = ["a", "b"].map(Arc::from).to_vec();
     assert_eq!(link.record_failure(&nodes[0], now_us), None);
--- a/valetrack/src/placement/tests/root.rs
+++ b/valetrack/src/placement/tests/root.rs
@@ -42,7 +42,7 @@
 #[test_case(Some(500), root(0, 1_900, RootBasis::Urgency); "limit of the route, below all runs")]
 #[test_case(Some(5_000), root(0, 1_900, RootBasis::Urgency); "limit above all runs")]
 #[test_case(None, root(0, 1_900, RootBasis::Urgency); "no limit")]
-fn root_follows_the_time_limit_or_the_most_urgent_run(limit_ms: Option<u32>, expected: Option<Root>) {
+fn root_follows_time_limit_or_most_urgent_run(limit_ms: Option<u32>, expected: Option<Root>) {
     assert_eq!(runs().root(limit_ms, NOW_US), expected);
 }
 
--- a/valetrack/src/quota/tests/promise.rs
+++ b/valetrack/src/quota/tests/promise.rs
@@ -31,7 +31,7 @@
 
 /// A restarted stand-in has no record of a promise that is still in effect.
 #[test]
-fn restarted_stand_in_grants_nothing_for_a_promise_time() {
+fn restarted_stand_in_grants_nothing_for_promise_time() {
     let promises = Promises::new(START_US);
     assert_eq!(stand_in_right(&promises, START_US + PROMISE_US - 1), None);
     assert_eq!(stand_in_right(&promises, START_US + PROMISE_US), Some(Right::Half));
@@ -100,7 +100,7 @@
 
 /// A bucket that was filled while another node granted would admit both nodes' shares at once.
 #[test]
-fn home_fills_at_half_rate_while_stand_in_may_grant() {
+fn home_fills_at_half_rate_beside_stand_in() {
     let mut home = QuotaHome::default();
     let rule = rule(32, 320);
     home.grant_within(&rule, Right::Full { since_us: 0 }, 100, START_US);
