Tests: shared set-up, and one table for admission while calls are lost

Cause: eleven tests of pipelining started a listener and a client by the same two lines; tests of the gate, of links between regions and of admission repeated a gate of one slot, a queue on a link and an owner with losses; five tests of real nodes read the page of metrics by hand. Three tests of admission differed only in what is served. Ruled out: merging the tests of a closing request at the state and at the listener, which check different layers. The tests of real nodes were compiled by the linter, not run.

--- a/standin/tests/account.rs
+++ b/standin/tests/account.rs
@@ -112,8 +112,7 @@
             assert_eq!(status(&send(fleet.vms[1].caller_addr, path, &[("authorization", KEY)]).await), 200);
         }
     }
-    let page = Client::new(fleet.vms[0].ready_addr).call("GET", "/metrics", &[], "").await.expect("a page");
-    let page = String::from_utf8_lossy(&page.body).into_owned();
+    let page = fleet.metrics(0).await.expect("a page");
     let roots: Vec<&str> = page.lines().filter(|line| line.starts_with("valetrack_nested_roots_total{")).collect();
     // The runs follow each other, so that only one could have made each call.
     assert!(matches!(roots[..], [line] if line.contains("\"clear\"")), "{roots:?}");
@@ -176,9 +175,8 @@
     let fleet = fleet(&["rounds", "rounds", "ledger"]).await;
     assert!(serve_for_a_second(&fleet, 0).await > 0);
     let mut pages = String::new();
-    for vm in &fleet.vms {
-        let page = Client::new(vm.ready_addr).call("GET", "/metrics", &[], "").await.expect("a page");
-        pages += &String::from_utf8_lossy(&page.body);
+    for at in 0..fleet.vms.len() {
+        pages += &fleet.metrics(at).await.expect("a page");
     }
     let replies = |labels: &str| pages.contains(&format!("valetrack_quota_promises_total{{{labels}}}"));
     assert!(replies("direction=\"sent\",reply=\"given\"") && replies("direction=\"received\",reply=\"given\""));
--- a/standin/tests/common/managed.rs
+++ b/standin/tests/common/managed.rs
@@ -79,6 +79,12 @@
 }
 
 impl Fleet {
+    /// Returns the page of metrics of a node; none if it does not answer.
+    pub async fn metrics(&self, at: usize) -> Option<String> {
+        let page = Client::new(self.vms[at].ready_addr).call("GET", "/metrics", &[], "").await.ok()?;
+        Some(String::from_utf8_lossy(&page.body).into_owned())
+    }
+
     pub async fn start(services: &[&'static str]) -> Self {
         Self::start_with_linger(services, 600).await
     }
--- a/standin/tests/refused_relays.rs
+++ b/standin/tests/refused_relays.rs
@@ -10,7 +10,6 @@
 use std::time::{Duration, Instant};
 
 use common::managed::{Fleet, config};
-use standin::client::Client;
 use standin::managed::store::Mode;
 use test_case::test_case;
 
@@ -53,8 +52,7 @@
 async fn reader(fleet: &Fleet) -> usize {
     let mut most = (0.0, 0);
     for at in relays(fleet) {
-        let page = Client::new(fleet.vms[at].ready_addr).call("GET", "/metrics", &[], "").await.expect("a page");
-        let page = String::from_utf8_lossy(&page.body).into_owned();
+        let page = fleet.metrics(at).await.expect("a page");
         let is_watch = |line: &&str| line.starts_with("valetrack_store_calls_total{") && line.contains("\"watch\"");
         let calls = page.lines().find(is_watch).and_then(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
         if calls.unwrap_or(0.0) > most.0 {
@@ -81,8 +79,7 @@
 
 /// Returns the version of the configuration in force at a node, or 0 without one.
 async fn version_at(fleet: &Fleet, at: usize) -> u64 {
-    let page = Client::new(fleet.vms[at].ready_addr).call("GET", "/metrics", &[], "").await;
-    let page = page.map(|page| String::from_utf8_lossy(&page.body).into_owned()).unwrap_or_default();
+    let page = fleet.metrics(at).await.unwrap_or_default();
     let line = page.lines().find_map(|line| line.strip_prefix("valetrack_bundle_number "));
     line.and_then(|number| number.parse().ok()).unwrap_or(0)
 }
--- a/standin/tests/regions.rs
+++ b/standin/tests/regions.rs
@@ -5,16 +5,14 @@
 use std::time::Duration;
 
 use common::managed::{Fleet, call};
-use standin::client::Client;
 use tokio::task::JoinSet;
 
 const TWO_REGIONS: &str = "kranj=west,loka=east";
 
 /// Returns the sum of a metric over all its labels at a node.
 async fn metric(fleet: &Fleet, at: usize, name: &str) -> f64 {
-    let page = Client::new(fleet.vms[at].ready_addr).call("GET", "/metrics", &[], "").await.expect("a page");
-    let text = String::from_utf8_lossy(&page.body).into_owned();
-    let lines = text.lines().filter(|line| line.starts_with(&format!("{name}{{")));
+    let page = fleet.metrics(at).await.expect("a page");
+    let lines = page.lines().filter(|line| line.starts_with(&format!("{name}{{")));
     lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum()
 }
 
--- a/valetrack/src/caller/pipeline/tests/answers.rs
+++ b/valetrack/src/caller/pipeline/tests/answers.rs
@@ -6,14 +6,13 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::{sleep, timeout};
 
-use super::harness::{Client, Listener, Reader, bodies, get, post, run};
+use super::harness::{Listener, Reader, bodies, get, post, run};
 
 /// Guards against answers that overtake a slow one, and against a refusal that ends the others.
 #[test]
 fn answers_keep_the_order_of_requests() {
     run(async {
-        let listener = Listener::start(Reader::Pipeline).await;
-        let mut client = Client::connect(&listener).await;
+        let (listener, mut client) = Listener::start_with_client(Reader::Pipeline).await;
         let requests = [get(200, "a"), get(20, "b"), get(0, "refused"), get(100, "d"), get(0, "e")];
         client.send(&requests.concat()).await;
         let answers = client.answers(5).await;
@@ -30,8 +29,7 @@
 #[test]
 fn request_during_a_call_starts_at_once() {
     run(async {
-        let listener = Listener::start(Reader::Pipeline).await;
-        let mut client = Client::connect(&listener).await;
+        let (listener, mut client) = Listener::start_with_client(Reader::Pipeline).await;
         client.send(&get(300, "a")).await;
         sleep(Duration::from_millis(50)).await;
         let request = get(0, "b");
@@ -49,8 +47,7 @@
 #[test]
 fn unrepeatable_request_starts_in_its_turn() {
     run(async {
-        let listener = Listener::start(Reader::Pipeline).await;
-        let mut client = Client::connect(&listener).await;
+        let (listener, mut client) = Listener::start_with_client(Reader::Pipeline).await;
         client.send(&[get(100, "a"), get(50, "b"), post(0, "c", b"xyz"), get(0, "d")].concat()).await;
         assert_eq!(bodies(&client.answers(4).await), ["a", "b", "c=3", "d"]);
         let log = listener.calls.log.borrow().clone();
@@ -61,8 +58,7 @@
 #[test]
 fn thousand_requests_run_sixteen_at_a_time() {
     run(async {
-        let listener = Listener::start(Reader::Pipeline).await;
-        let mut client = Client::connect(&listener).await;
+        let (listener, mut client) = Listener::start_with_client(Reader::Pipeline).await;
         let names: Vec<String> = (0..1_000).map(|at| format!("n{at}")).collect();
         let requests: Vec<u8> = names.iter().flat_map(|name| get(1, name)).collect();
         client.send(&requests).await;
@@ -75,8 +71,7 @@
 #[test]
 fn listener_stops_reading_behind_a_slow_call() {
     run(async {
-        let listener = Listener::start(Reader::Pipeline).await;
-        let mut client = Client::connect(&listener).await;
+        let (listener, mut client) = Listener::start_with_client(Reader::Pipeline).await;
         let filler = format!("GET /0/x HTTP/1.1\r\nhost: a\r\nx: {}\r\n\r\n", "y".repeat(4_000)).into_bytes();
         client.send(&get(1_000, "a")).await;
         // More than the buffers of both sockets hold, by the kernel's usual limits.
@@ -93,8 +88,7 @@
 #[test_case(true; "chunked")]
 fn large_body_ahead_of_small_requests(is_chunked: bool) {
     run(async {
-        let listener = Listener::start(Reader::Pipeline).await;
-        let mut client = Client::connect(&listener).await;
+        let (listener, mut client) = Listener::start_with_client(Reader::Pipeline).await;
         let body = get(0, "smuggled").repeat(280_000);
         assert!(body.len() > 10_000_000);
         let mut bytes = post(0, "a", &body);
@@ -114,8 +108,7 @@
 #[test]
 fn connection_looks_ahead_again_once_it_was_idle() {
     run(async {
-        let listener = Listener::start(Reader::Pipeline).await;
-        let mut client = Client::connect(&listener).await;
+        let (listener, mut client) = Listener::start_with_client(Reader::Pipeline).await;
         let chunked = b"POST /50/a HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n3\r\nxyz\r\n0\r\n\r\n";
         client.send(chunked).await;
         assert_eq!(bodies(&client.answers(1).await), ["a=3"]);
@@ -132,8 +125,7 @@
 #[test_case("oversized", 431; "an oversized head")]
 fn requests_before_an_invalid_one_are_answered(invalid: &str, status: u16) {
     run(async {
-        let listener = Listener::start(Reader::Pipeline).await;
-        let mut client = Client::connect(&listener).await;
+        let (listener, mut client) = Listener::start_with_client(Reader::Pipeline).await;
         let oversized = format!("GET /0/x HTTP/1.1\r\nx: {}", "y".repeat(70_000));
         let invalid = if invalid == "oversized" { &oversized } else { invalid };
         client.send(&[get(50, "a"), get(0, "b"), invalid.as_bytes().to_vec(), get(0, "c")].concat()).await;
@@ -145,8 +137,7 @@
 
 /// Returns all that a listener writes after these bytes, without dates, and what it called.
 async fn transcript(reader: Reader, bytes: &[u8], closes: bool) -> (String, Vec<String>) {
-    let listener = Listener::start(reader).await;
-    let mut client = Client::connect(&listener).await;
+    let (listener, mut client) = Listener::start_with_client(reader).await;
     client.send(bytes).await;
     if closes {
         // The call begins before its client closes, on either side.
--- a/valetrack/src/caller/pipeline/tests/closing.rs
+++ b/valetrack/src/caller/pipeline/tests/closing.rs
@@ -6,7 +6,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::time::sleep;
 
-use super::harness::{Client, Listener, Reader, bodies, get, post, run, wait_until};
+use super::harness::{Listener, Reader, bodies, get, post, run, wait_until};
 
 /// Guards against upstreams that go on with calls whose caller is gone. Bytes that hyper holds used to hide the end of
 /// the stream.
@@ -15,8 +15,7 @@
 #[test_case(400, false; "more requests than are held")]
 fn closed_connection_cancels_all_started_calls(behind: usize, is_half: bool) {
     run(async {
-        let listener = Listener::start(Reader::Pipeline).await;
-        let mut client = Client::connect(&listener).await;
+        let (listener, mut client) = Listener::start_with_client(Reader::Pipeline).await;
         client.send(&[get(3_000, "a"), get(3_000, "b"), get(0, "c"), post(0, "d", b"")].concat()).await;
         let filler = format!("GET /0/x HTTP/1.1\r\nx: {}\r\n\r\n", "y".repeat(200));
         client.send(filler.repeat(behind).as_bytes()).await;
@@ -36,8 +35,7 @@
 #[test]
 fn leaving_listener_answers_all_started_calls() {
     run(async {
-        let listener = Listener::start(Reader::Pipeline).await;
-        let mut client = Client::connect(&listener).await;
+        let (listener, mut client) = Listener::start_with_client(Reader::Pipeline).await;
         client.send(&[get(200, "a"), get(300, "b"), get(250, "c")].concat()).await;
         sleep(Duration::from_millis(50)).await;
         listener.leave();
@@ -52,8 +50,7 @@
 #[test]
 fn nothing_starts_behind_a_closing_request() {
     run(async {
-        let listener = Listener::start(Reader::Pipeline).await;
-        let mut client = Client::connect(&listener).await;
+        let (listener, mut client) = Listener::start_with_client(Reader::Pipeline).await;
         let last = b"GET /0/b HTTP/1.1\r\nconnection: close\r\n\r\n".to_vec();
         client.send(&[get(100, "a"), last, get(0, "c")].concat()).await;
         assert_eq!(bodies(&client.answers(3).await), ["a", "b"]);
--- a/valetrack/src/caller/pipeline/tests/harness.rs
+++ b/valetrack/src/caller/pipeline/tests/harness.rs
@@ -144,6 +144,13 @@
         listener
     }
 
+    /// Starts a listener, and connects a client to it.
+    pub async fn start_with_client(reader: Reader) -> (Self, Client) {
+        let listener = Self::start(reader).await;
+        let client = Client::connect(&listener).await;
+        (listener, client)
+    }
+
     /// Leaves; idle connections close 20 ms later.
     pub fn leave(&self) {
         self.calls.leaving.set(true);
--- a/valetrack/src/caller/pipeline/tests/load.rs
+++ b/valetrack/src/caller/pipeline/tests/load.rs
@@ -9,8 +9,7 @@
 
 /// Returns when four playback calls that are sent at once are answered, in milliseconds.
 async fn answer_times(reader: Reader) -> Vec<u64> {
-    let listener = Listener::start(reader).await;
-    let mut client = Client::connect(&listener).await;
+    let (_listener, mut client) = Listener::start_with_client(reader).await;
     client.send(&["a", "b", "c", "d"].map(|name| get(WORK_MS, name)).concat()).await;
     let answers = client.answers(4).await;
     let times = answers.iter().map(|answer| answer.after_ms).collect();
--- a/valetrack/src/gate/tests/steps.rs
+++ b/valetrack/src/gate/tests/steps.rs
@@ -31,9 +31,19 @@
     out
 }
 
+fn one_slot_gate() -> Gate {
+    Gate::new(GateConfig { slots: 1, rescue: false, ..GateConfig::default() }, 0)
+}
+
+/// Returns the running attempt at the arrival of `seq`, in a queue in which 1 waits and all attempts from 2 on overtake
+/// it.
+fn running_before(seq: u64) -> AttemptId {
+    attempt(if seq == 2 { 0 } else { seq - 1 })
+}
+
 #[test]
 fn call_that_would_miss_deadline_is_declined_not_started() {
-    let mut gate = Gate::new(GateConfig { slots: 1, rescue: false, ..GateConfig::default() }, 0);
+    let mut gate = one_slot_gate();
     let mut actions = Vec::new();
     let objective = Objective { left_us: 400_000, work_us: 20_000, elsewhere_permille: 0, wait_max_us: 1_000_000 };
     for number in [1, 2] {
@@ -49,11 +59,8 @@
 #[test_case(false, 20; "unless it is promoted")]
 #[test_case(true, 1; "until it is promoted")]
 fn call_of_a_route_classified_late_is_overtaken(is_promoted: bool, expected: usize) {
-    let mut gate = Gate::new(GateConfig { slots: 1, rescue: false, ..GateConfig::default() }, 0);
-    let arrive = |seq: u64, priority: u8| {
-        let (deadline_us, patience) = (10_000_000, QueueTimeout::Last);
-        caller_arrival(attempt(seq), deadline_us, patience, priority, None)
-    };
+    let mut gate = one_slot_gate();
+    let arrive = |seq: u64, priority: u8| caller_arrival(attempt(seq), 10_000_000, QueueTimeout::Last, priority, None);
     process(&mut gate, arrive(0, 2), 0);
     process(&mut gate, arrive(1, 2), 0);
     if is_promoted {
@@ -64,7 +71,7 @@
     for seq in 2..22 {
         process(&mut gate, arrive(seq, 0), seq * 1_000);
         started += 1;
-        let running = if seq == 2 { attempt(0) } else { attempt(seq - 1) };
+        let running = running_before(seq);
         let next = process(&mut gate, GateEvent::Done { attempt: running, healthy: true }, seq * 1_000);
         if next == [GateAction::Start { attempt: attempt(1) }] {
             break;
@@ -77,11 +84,8 @@
 /// such a call waited until its deadline while 22 ms runs ended beside it.
 #[test]
 fn repeated_promotion_keeps_position() {
-    let mut gate = Gate::new(GateConfig { slots: 1, rescue: false, ..GateConfig::default() }, 0);
-    let arrive = |seq: u64, priority: u8| {
-        let (deadline_us, patience) = (10_000_000, QueueTimeout::Last);
-        caller_arrival(attempt(seq), deadline_us, patience, priority, None)
-    };
+    let mut gate = one_slot_gate();
+    let arrive = |seq: u64, priority: u8| caller_arrival(attempt(seq), 10_000_000, QueueTimeout::Last, priority, None);
     process(&mut gate, arrive(0, 2), 0);
     process(&mut gate, arrive(1, 2), 0);
     for seq in 2..5 {
@@ -98,7 +102,7 @@
 #[test_case(None, 100_000; "without an objective after twice the queue's limit")]
 #[test_case(Some(300_000), 280_000; "once its objective cannot be met")]
 fn overtaken_call_is_declined_long_before_its_deadline(objective_us: Option<u64>, leaves_us: u64) {
-    let mut gate = Gate::new(GateConfig { slots: 1, rescue: false, ..GateConfig::default() }, 0);
+    let mut gate = one_slot_gate();
     let objective = objective_us.map(|left_us| Objective {
         left_us,
         work_us: 20_000,
@@ -115,7 +119,7 @@
     for seq in 2..100 {
         let now_us = seq * 10_000;
         let mut actions = process(&mut gate, arrive(seq, 0, None), now_us - 5_000);
-        let running = if seq == 2 { attempt(0) } else { attempt(seq - 1) };
+        let running = running_before(seq);
         actions.extend(process(&mut gate, GateEvent::Done { attempt: running, healthy: true }, now_us));
         if actions.contains(&GateAction::Bounce { attempt: attempt(1), reason: DeclineReason::Full }) {
             declined_us = Some(now_us);
--- a/valetrack/src/placement/tests/admission.rs
+++ b/valetrack/src/placement/tests/admission.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use test_case::test_case;
+
 use crate::placement::{EndedRun, RootAdmission};
 
 const SECOND_US: u64 = 1_000_000;
@@ -26,6 +28,14 @@
         owner
     }
 
+    /// Creates an owner that declined most calls of `plate` until seven seconds ago.
+    fn after_losses() -> Self {
+        let mut owner = Self::new(7);
+        assert!(owner.admitted(false, false, true) < 20);
+        owner.now_us += 7 * SECOND_US;
+        owner
+    }
+
     fn admits(&mut self, route: &str, priority: u8, has_room: bool) -> bool {
         self.admission.admits(&Arc::from(route), priority, has_room, &|_| 1.0, self.now_us).is_admitted
     }
@@ -48,16 +58,23 @@
     }
 }
 
-#[test]
-fn calls_are_admitted_while_nested_calls_are_served() {
-    assert_eq!(Owner::new(7).admitted(true, true, true), 100);
-    assert_eq!(Owner::new(7).admitted(false, true, true), 100);
-}
-
-#[test]
-fn calls_likely_lost_are_declined_only_when_full() {
-    assert!(Owner::new(7).admitted(false, false, true) < 20);
-    assert_eq!(Owner::new(7).admitted(true, false, true), 100);
+/// Guards against runs that are begun and lost, and against refusals that help nobody: deeper down the gates order calls
+/// by rank, so the slots of declined runs would stay unused.
+#[test_case(true, true, true, true; "nested calls are served")]
+#[test_case(false, true, true, true; "nested calls are served, no slot is free")]
+#[test_case(true, false, true, true; "nested calls are lost, a slot is free")]
+#[test_case(false, false, true, false; "nested calls are lost, no slot is free")]
+#[test_case(true, true, false, true; "more urgent calls are lost deeper down, a slot is free")]
+#[test_case(false, true, false, true; "more urgent calls are lost deeper down, no slot is free")]
+#[test_case(false, false, false, false; "all calls are lost deeper down, no slot is free")]
+fn calls_likely_lost_are_declined_only_when_full(
+    has_room: bool,
+    nested_served: bool,
+    urgent_served: bool,
+    is_admitted: bool,
+) {
+    let admitted = Owner::new(7).admitted(has_room, nested_served, urgent_served);
+    assert!(if is_admitted { admitted == 100 } else { admitted < 20 }, "{admitted} of 100");
 }
 
 #[test]
@@ -75,21 +92,10 @@
 
 #[test]
 fn urgent_calls_of_a_route_keep_own_share() {
-    let mut owner = Owner::new(7);
-    assert!(owner.admitted(false, false, true) < 20);
-    owner.now_us += 7 * SECOND_US;
+    let mut owner = Owner::after_losses();
     assert!((0..20).all(|_| owner.admits("plate", 0, false)), "the share of priority 1 does not bind");
 }
 
-/// Guards against refusals that help nobody: deeper down the gates order calls by rank, so the slots of declined runs
-/// would stay unused.
-#[test]
-fn urgent_deeper_calls_decline_only_likely_lost_runs() {
-    assert_eq!(Owner::new(7).admitted(true, true, false), 100);
-    assert_eq!(Owner::new(7).admitted(false, true, false), 100);
-    assert!(Owner::new(7).admitted(false, false, false) < 20);
-}
-
 #[test]
 fn run_without_likely_nested_calls_fills_free_slots() {
     let mut owner = Owner::new(3);
@@ -100,9 +106,7 @@
 
 #[test]
 fn admission_recovers_within_seconds() {
-    let mut owner = Owner::new(7);
-    assert!(owner.admitted(false, false, true) < 20);
-    owner.now_us += 7 * SECOND_US;
+    let mut owner = Owner::after_losses();
     // The share doubles with each call that costs others nothing, at most once in the time in which it halves.
     let admitted: Vec<bool> = (0..20)
         .map(|_| {
--- a/valetrack/src/placement/tests/region_link.rs
+++ b/valetrack/src/placement/tests/region_link.rs
@@ -18,6 +18,13 @@
     (link, SECOND_US)
 }
 
+/// Returns a measured link whose round trips then took `queue_us` longer for 300 ms, and the time afterwards.
+fn queued(queue_us: u64) -> (RegionLink, u64) {
+    let (mut link, now_us) = measured(ROUND_TRIP_US);
+    (0..30).for_each(|at| link.record_round_trip(ROUND_TRIP_US + queue_us, now_us + at * 10_000));
+    (link, now_us + 300_000)
+}
+
 #[test]
 fn unmeasured_link_has_a_cautious_round_trip() {
     let view = RegionLink::default().view(0);
@@ -43,19 +50,17 @@
 #[test_case(0, 60_000, true; "a longer queue, highest rank")]
 #[test_case(0, 120_000, false; "a full link, highest rank")]
 fn growing_round_trips_close_the_link_by_rank(rank: u8, queue_us: u64, expected: bool) {
-    let (mut link, now_us) = measured(ROUND_TRIP_US);
-    (0..30).for_each(|at| link.record_round_trip(ROUND_TRIP_US + queue_us, now_us + at * 10_000));
-    let view = link.view(now_us + 300_000);
+    let (link, now_us) = queued(queue_us);
+    let view = link.view(now_us);
     assert_eq!(view.admits(&CallTraffic { rank, ..SMALL }), expected, "{view:?}");
 }
 
 /// Guards against a link that stays closed because no call crosses that could measure it.
 #[test]
 fn full_link_is_tried_again() {
-    let (mut link, now_us) = measured(ROUND_TRIP_US);
-    (0..30).for_each(|at| link.record_round_trip(4 * ROUND_TRIP_US, now_us + at * 10_000));
-    assert!(!link.view(now_us + 300_000).admits(&SMALL));
-    assert!(link.view(now_us + 3 * SECOND_US).admits(&SMALL));
+    let (link, now_us) = queued(3 * ROUND_TRIP_US);
+    assert!(!link.view(now_us).admits(&SMALL));
+    assert!(link.view(now_us + 2_700_000).admits(&SMALL));
 }
 
 #[test]
