Quotas, pipelining, regions: clearer names and comments

Comments stood at the wrong function (is_bound spoke of restarts), spoke of empty buckets where they are removed, or could not be parsed (record_grant). A pipelined request was called a candidate, which docs/GLOSSARY.md defines as a node that may become a relay. A function returned an Option that was always Some. Ruled out: names in interfaces (metrics, events, messages), and QuotaHome::grant, which only tests call. Change: Candidate is NextRequest; Mode::Forever and UntilIdle are PassAll and PassUntilIdle; is_past_start is may_stand_in; without_started is all_delivered; is_region is is_region_name; ReceivedPromises::right returns a Right.

--- a/valetrack/src/caller/pipeline/connection.rs
+++ b/valetrack/src/caller/pipeline/connection.rs
@@ -15,7 +15,7 @@
 use tokio::task::JoinHandle;
 
 use super::framing::has_token;
-use super::state::{Candidate, Pipeline};
+use super::state::Pipeline;
 use crate::caller::Answer;
 
 /// Runs the calls of connections.
@@ -96,23 +96,23 @@
     /// Starts the calls of received requests that may be started ahead.
     pub(super) fn start_ahead(&self) {
         loop {
-            let candidate = self.state.borrow_mut().next_request();
-            let Some(candidate) = candidate else {
+            let request = self.state.borrow_mut().next_request();
+            let Some(request) = request else {
                 return;
             };
-            if !self.service.may_start(&candidate.parts) {
+            if !self.service.may_start(&request.parts) {
                 self.state.borrow_mut().wait();
                 return;
             }
-            let call = StartedCall::start(self.service.clone(), &candidate);
+            let call = StartedCall::start(self.service.clone(), request.parts.clone());
             let mut state = self.state.borrow_mut();
-            state.push(&candidate, call);
+            state.push(&request, call);
             self.service.on_started(state.in_progress());
         }
     }
 
     /// Waits until hyper has delivered the requests of all started calls. No call may be started ahead any more.
-    pub async fn without_started(&self) {
+    pub async fn all_delivered(&self) {
         loop {
             let delivered = self.delivered.notified();
             if !self.has_started() {
@@ -147,8 +147,7 @@
 }
 
 impl StartedCall {
-    fn start(service: Rc<dyn CallService>, candidate: &Candidate) -> Self {
-        let parts = candidate.parts.clone();
+    fn start(service: Rc<dyn CallService>, parts: Parts) -> Self {
         let task = tokio::task::spawn_local(service.run(parts.clone(), None));
         Self { parts, task }
     }
--- a/valetrack/src/caller/pipeline/serve.rs
+++ b/valetrack/src/caller/pipeline/serve.rs
@@ -40,7 +40,7 @@
     let idle_limit = async {
         idle_limit.await;
         // After a graceful shutdown, hyper closes the connection with the answer to the request delivered last.
-        caller.without_started().await;
+        caller.all_delivered().await;
     };
     let ended = tokio::select! {
         ended = connection.as_mut() => Some(ended),
--- a/valetrack/src/caller/pipeline/state.rs
+++ b/valetrack/src/caller/pipeline/state.rs
@@ -17,9 +17,9 @@
 /// Most received bytes that are held, as the requirement states it; also the largest head that hyper accepts.
 pub const HELD_MAX_BYTES: usize = 64 * 1024;
 
-/// A request that may be started ahead, as far as its framing shows.
+/// The first request that is not started, if it may be started ahead as far as its framing shows.
 #[derive(Debug)]
-pub struct Candidate {
+pub struct NextRequest {
     /// Head of the request.
     pub parts: Parts,
     /// Its framing.
@@ -31,10 +31,10 @@
 enum Mode {
     /// Messages are followed one by one.
     Framed,
-    /// All bytes go to hyper until it looks for the next message.
-    UntilIdle,
-    /// All bytes go to hyper from now on.
-    Forever,
+    /// All bytes pass to hyper until it looks for the next message.
+    PassUntilIdle,
+    /// All bytes pass to hyper until the connection closes.
+    PassAll,
 }
 
 /// Progress of the front message.
@@ -163,11 +163,11 @@
     /// before it delivers a message that it has got completely, it frames that message differently.
     pub fn on_polled(&mut self) {
         match (self.mode, self.phase, self.left) {
-            (Mode::UntilIdle, Phase::Read { .. }, _) => {
+            (Mode::PassUntilIdle, Phase::Read { .. }, _) => {
                 self.mode = Mode::Framed;
                 self.left = Some(0);
             }
-            (Mode::Framed, Phase::Reading, Some(0)) => self.pass_all(Mode::Forever),
+            (Mode::Framed, Phase::Reading, Some(0)) => self.pass_on(Mode::PassAll),
             _ => {}
         }
     }
@@ -206,17 +206,17 @@
 
     /// Returns the next request if it may be started ahead, as far as its framing shows; [`Self::push`] or
     /// [`Self::wait`] follows.
-    pub fn next_request(&mut self) -> Option<Candidate> {
+    pub fn next_request(&mut self) -> Option<NextRequest> {
         let message = self.next_message()?;
         let bytes = &self.held[self.started_bytes..][..message.head_bytes];
         let parts = request_of(bytes).filter(|_| message.body_bytes == 0);
         self.waits = parts.is_none();
-        Some(Candidate { parts: parts?, message })
+        Some(NextRequest { parts: parts?, message })
     }
 
     /// Records the call that was started for the request that [`Self::next_request`] returned.
-    pub fn push(&mut self, candidate: &Candidate, call: C) {
-        let Message { head_bytes, is_last, .. } = candidate.message;
+    pub fn push(&mut self, request: &NextRequest, call: C) {
+        let Message { head_bytes, is_last, .. } = request.message;
         self.closes |= is_last;
         self.started.push_back((head_bytes, call));
         self.started_bytes += head_bytes;
@@ -241,7 +241,7 @@
 
     /// Stops looking ahead, and returns the calls that were started.
     pub fn close(&mut self) -> impl Iterator<Item = C> {
-        self.mode = Mode::Forever;
+        self.mode = Mode::PassAll;
         self.started_bytes = 0;
         self.front.take().into_iter().chain(std::mem::take(&mut self.started).into_iter().map(|(_, call)| call))
     }
@@ -291,12 +291,13 @@
                 self.drop_handed();
             }
             Framing::Incomplete if self.held.len() < HELD_MAX_BYTES => self.searched = self.held.len(),
-            Framing::Chunked => self.pass_all(Mode::UntilIdle),
-            Framing::Incomplete | Framing::Foreign => self.pass_all(Mode::Forever),
+            Framing::Chunked => self.pass_on(Mode::PassUntilIdle),
+            Framing::Incomplete | Framing::Foreign => self.pass_on(Mode::PassAll),
         }
     }
 
-    fn pass_all(&mut self, mode: Mode) {
+    /// Passes all bytes to hyper for as long as `mode` states.
+    fn pass_on(&mut self, mode: Mode) {
         self.mode = mode;
         self.drop_handed();
     }
--- a/valetrack/src/caller/pipeline/tests/state.rs
+++ b/valetrack/src/caller/pipeline/tests/state.rs
@@ -87,14 +87,14 @@
     }
 
     fn start_ahead(&mut self) {
-        while let Some(candidate) = self.pipeline.next_request() {
-            if candidate.parts.method != "GET" {
+        while let Some(request) = self.pipeline.next_request() {
+            if request.parts.method != "GET" {
                 self.pipeline.wait();
                 return;
             }
-            let path = candidate.parts.uri.to_string();
+            let path = request.parts.uri.to_string();
             self.log.push(format!("start {path}"));
-            self.pipeline.push(&candidate, path);
+            self.pipeline.push(&request, path);
             assert!(self.pipeline.in_progress() <= IN_PROGRESS_MAX);
         }
     }
--- a/valetrack/src/quota/home.rs
+++ b/valetrack/src/quota/home.rs
@@ -79,7 +79,8 @@
         let was_full = matches!(self.right, Right::Full { .. });
         let is_unbroken = matches!(right, Right::Full { since_us } if since_us <= self.granted_us);
         if was_full && !is_unbroken {
-            // Another node may have granted its half since the last grant of this one.
+            // Another node may have granted its half since the last grant of this one, so the bucket fills at the half
+            // rate from that grant to now.
             let (half_per_s, _) = Right::Half.limits(rule);
             self.bucket.set_rate(half_per_s, self.granted_us);
         }
@@ -117,10 +118,10 @@
         Grant { calls: 0, retry_after_ms: wait_ms.max(WAIT_MIN_MS) }
     }
 
-    /// Empties the buckets of the accounts that match, because another node is promised to be the only one that grants
-    /// their credits.
-    pub fn remove(&mut self, matches: impl Fn(&str) -> bool) {
-        self.accounts.retain(|name, _| !matches(name));
+    /// Removes the buckets of the accounts whose credits only another node may grant from now on, because this one has
+    /// promised it.
+    pub fn remove(&mut self, is_promised: impl Fn(&str) -> bool) {
+        self.accounts.retain(|name, _| !is_promised(name));
     }
 
     /// Removes accounts that are not in `current`, the accounts of the bundle in force.
--- a/valetrack/src/quota/promise.rs
+++ b/valetrack/src/quota/promise.rs
@@ -21,8 +21,8 @@
 const RENEW_BELOW_US: u64 = 500_000;
 /// Time until the next request to a node that did not answer, or that runs an older build.
 const RETRY_US: u64 = 1_000_000;
-/// Time until the next request to a node whose view lacks the home. Views differ for about as long as an update of the
-/// store takes to reach all nodes.
+/// Time until the next request to a node that denied a promise because of its view. Views differ for about as long as an
+/// update of the store takes to reach all nodes.
 const DENIED_RETRY_US: u64 = 300_000;
 /// `calls` of a promise after which the receiver must assume that the giver has granted credits in the meantime.
 const INTERRUPTED_CALLS: u32 = 1;
@@ -106,18 +106,20 @@
         PromiseReply::Given { is_unbroken: previous.is_some_and(|given| !given.has_granted) }
     }
 
-    /// Returns whether a promise to a node that `outranks` this one for an account is in effect. A node that has just
-    /// started may have given promises of which it has no record.
+    /// Returns whether a promise is in effect to a node that ranks before this one for an account, which `outranks`
+    /// states.
     pub fn is_bound(&self, outranks: impl Fn(&str) -> bool, now_us: u64) -> bool {
         self.by_receiver.iter().any(|(receiver, given)| now_us < given.until_us && outranks(receiver))
     }
 
-    /// Returns whether the node may stand in for others, because promises from before its start have expired.
-    pub fn is_past_start(&self, now_us: u64) -> bool {
+    /// Returns whether the node may stand in for others: promises from before its start, of which it has no record, have
+    /// expired.
+    pub fn may_stand_in(&self, now_us: u64) -> bool {
         now_us >= self.started_us + PROMISE_US
     }
 
-    /// Records that this node grants credits of an account for which `outranks` other nodes.
+    /// Records that this node grants credits of an account. That interrupts the promises to the nodes that rank before it
+    /// for the account, which `outranks` states.
     pub fn record_grant(&mut self, outranks: impl Fn(&str) -> bool) {
         for (receiver, given) in &mut self.by_receiver {
             given.has_granted |= outranks(receiver);
@@ -212,12 +214,13 @@
         }
     }
 
-    fn right(&self, giver: &str, now_us: u64) -> Option<Right> {
+    /// Returns what part of an account's rate the home may grant beside its stand-in `giver`.
+    fn right(&self, giver: &str, now_us: u64) -> Right {
         match self.by_giver.get(giver) {
-            Some(received) if now_us < received.until_us => Some(Right::Full { since_us: received.since_us }),
+            Some(received) if now_us < received.until_us => Right::Full { since_us: received.since_us },
             // A denied home grants half as well. Views differ for up to a second at each change of the members, and
             // without any grant, callers within their rate would be refused for that long.
-            Some(_) | None => Some(Right::Half),
+            Some(_) | None => Right::Half,
         }
     }
 
@@ -251,9 +254,9 @@
             return None;
         }
         match role {
-            Role::Home { stand_in: Some(stand_in) } => self.received.right(&stand_in.vm, now_us),
+            Role::Home { stand_in: Some(stand_in) } => Some(self.received.right(&stand_in.vm, now_us)),
             Role::Home { stand_in: None } => Some(Right::Full { since_us: 0 }),
-            Role::StandIn { .. } if self.given.is_past_start(steady_us) => Some(Right::Half),
+            Role::StandIn { .. } if self.given.may_stand_in(steady_us) => Some(Right::Half),
             Role::StandIn { .. } | Role::Unranked => None,
         }
     }
--- a/valetrack/src/quota/rank.rs
+++ b/valetrack/src/quota/rank.rs
@@ -65,9 +65,11 @@
 
 /// Returns whether one node ranks before another for an account, independently of the view of the members.
 pub fn ranks_before(account: &str, vm: &str, other: &str) -> bool {
+    // Of two equal weights, the node with the lower name ranks first, as in `rank`.
     (weight(account, vm), other) > (weight(account, other), vm)
 }
 
+/// Returns the home of an account and its stand-in among the serving nodes and `own`.
 fn rank(account: &str, members: &Members, own: Option<&str>) -> Vec<Target> {
     let serving = members.iter().filter(|member| member.phase == Phase::Serving || Some(&*member.vm) == own);
     let mut ranked: Vec<_> = serving.map(|member| (weight(account, &member.vm), member)).collect();
--- a/valetrack/src/quota/run.rs
+++ b/valetrack/src/quota/run.rs
@@ -25,7 +25,7 @@
 const REPLY_TIMEOUT_MS: u64 = 150;
 /// Time for which a home that did not answer is skipped.
 const SKIP_US: u64 = 1_000_000;
-/// Time for which a node that answered that it is not the home is skipped. It is shorter, because the reason is usually
+/// Time for which a node that answered that it grants nothing is skipped. It is shorter, because the reason is usually
 /// a promise or a view that changes within a second.
 const NO_QUOTA_SKIP_US: u64 = 200_000;
 /// Time after which a reply is ignored although no timeout has elapsed.
@@ -51,7 +51,8 @@
     allowances: RefCell<Allowances>,
     home: RefCell<QuotaHome>,
     ranking: RefCell<HomeRanking>,
-    /// Homes that did not answer, with the time until which they are skipped, in microseconds.
+    /// Homes and stand-ins that did not answer or granted nothing, with the time until which they are skipped, in
+    /// microseconds.
     skipped: RefCell<HashMap<Arc<str>, u64>>,
     /// Ranking in which this node decides on its own part in granting.
     own_ranking: RefCell<HomeRanking>,
@@ -213,7 +214,7 @@
     }
 
     /// Grants credits to an entry that regards this node as the account's home or as its stand-in. A request for zero
-    /// calls instead of a node is the request of that node for a promise.
+    /// calls is the request for a promise of the node that `instead_of` names.
     ///
     /// Grants none if the account is unknown, if this node's view or a promise leaves the granting to another node, or
     /// if this node is the stand-in and the home answers it.
@@ -266,15 +267,16 @@
     /// two nodes.
     async fn renew_promise(&self, account: &Arc<str>, stand_in: &Target) {
         let renewal = || self.promises.borrow().received.renewal(&stand_in.vm, now_us());
-        let request = self.promise_requests.borrow_mut().entry(stand_in.vm.clone()).or_default().clone();
-        let _request = match renewal() {
+        let lock = self.promise_requests.borrow_mut().entry(stand_in.vm.clone()).or_default().clone();
+        let _guard = match renewal() {
             Renewal::NotDue => return,
-            Renewal::Early => match request.try_lock() {
-                Ok(lock) => lock,
+            Renewal::Early => match lock.try_lock() {
+                Ok(guard) => guard,
                 Err(_) => return,
             },
-            Renewal::Required => request.lock().await,
+            Renewal::Required => lock.lock().await,
         };
+        // Another request for credits may have renewed the promise while this one waited for the lock.
         if renewal() == Renewal::NotDue {
             return;
         }
@@ -303,11 +305,12 @@
         self.promise_requests.borrow_mut().retain(|vm, _| is_known(vm));
     }
 
-    /// Returns whether another node answers a request of this one.
+    /// Returns whether the home answers this node.
     async fn is_responsive(&self, home: &Target) -> bool {
         if self.is_skipped(&home.vm) {
             return false;
         }
+        // The content of the reply is not used, and the request changes nothing at the home.
         let is_responsive = self.ask(home.clone(), Ask::Evacuation, REPLY_TIMEOUT_MS / 2).await.is_some();
         if !is_responsive {
             self.skip(&home.vm, SKIP_US);
--- a/valetrack/src/region.rs
+++ b/valetrack/src/region.rs
@@ -50,7 +50,7 @@
         self.by_domain.contains_key(domain)
     }
 
-    /// Returns the region of a failure domain.
+    /// Returns the region of a failure domain; that of an unlisted domain has the domain's name.
     pub fn region_of<'a>(&'a self, domain: &'a str) -> &'a str {
         self.by_domain.get(domain).map_or(domain, |region| region)
     }
@@ -60,7 +60,7 @@
         !self.has_several || self.place_of(domain) == self.place_of(other)
     }
 
-    /// Returns the distance between nodes of two failure domains that are not the same VM.
+    /// Returns the distance between nodes on different VMs, by their failure domains.
     pub fn distance(&self, domain: &str, other: &str) -> Distance {
         match () {
             () if domain == other => Distance::SameDomain,
@@ -69,8 +69,8 @@
         }
     }
 
-    /// Returns the region of a failure domain, and whether it is a listed one: an unlisted domain differs from a listed
-    /// region of the same name.
+    /// Returns whether a failure domain is listed, and its region. Without the former, an unlisted domain would count as
+    /// part of a listed region of the same name.
     fn place_of<'a>(&'a self, domain: &'a str) -> (bool, &'a str) {
         (self.lists(domain), self.region_of(domain))
     }
@@ -78,7 +78,7 @@
 
 /// Returns whether a text may name a region. Platforms choose these names, and a node that refused one would not start,
 /// so all printable names are accepted.
-fn is_region(name: &str) -> bool {
+fn is_region_name(name: &str) -> bool {
     let allowed = |byte: u8| byte == b' ' || byte.is_ascii_graphic() && byte != b'=';
     !name.is_empty() && name.len() <= REGION_MAX_BYTES && name.bytes().all(allowed)
 }
@@ -86,7 +86,7 @@
 /// Error of a list of regions.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RegionsError {
-    /// An item is not a failure domain and a region, separated by `=`.
+    /// An item is not a valid failure domain and a valid region, separated by `=`.
     NoPair,
     /// A failure domain is listed twice.
     Duplicate,
@@ -100,9 +100,10 @@
     /// Parses pairs `domain=region` that are separated by commas; an empty text lists none.
     fn from_str(text: &str) -> Result<Self, RegionsError> {
         let mut by_domain = BTreeMap::new();
+        // An empty text would otherwise be split into one empty pair.
         for pair in text.split(',').filter(|_| !text.is_empty()) {
             let (domain, region) = pair.split_once('=').ok_or(RegionsError::NoPair)?;
-            if !is_name(domain) || !is_region(region) {
+            if !is_name(domain) || !is_region_name(region) {
                 return Err(RegionsError::NoPair);
             }
             if by_domain.len() >= DOMAINS_MAX {
