tests: the next call is sent after the simulated suspension

Cause: in_flight_call_at_suspended_entry_runs_at_most_once sent SIGUSR2 and then a call at once. The node handles the signal in a task, on a busy machine after it has read the call. The call was then itself in flight when the clock advanced by 10 s, so its deadline of 1.5 s had passed and 504 was the right answer. In both failed runs beside six busy loops the entry sent the call with 3 and 4 repeats left; in the eight that passed it had 9, the budget having been refilled by the 10 s.

Ruled out: links that stay closed after a suspension (the call went to the node's own upstream), and a slow upstream (answered after 230 ms).

Change: the node logs event=node.suspension_simulated after the clock has advanced, fleets on the managed platform's stand-in write their nodes' logs to a folder that is kept after a panic, and Fleet::suspend waits for the event before the next call, in both tests that send a call right after the signal.

--- a/standin/tests/common/managed.rs
+++ b/standin/tests/common/managed.rs
@@ -3,8 +3,10 @@
 #![allow(dead_code, reason = "each test binary uses its own part of the fleet")]
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::Child;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use serde_json::{Value, json};
@@ -37,8 +39,11 @@
     pub node: Option<Child>,
 }
 
-/// Nodes of two services over two domains, and their store. Dropping it kills all nodes.
+/// Nodes of two services over two domains, and their store. Dropping it kills all nodes, and keeps their logs only
+/// after a panic.
 pub struct Fleet {
+    /// Folder of the nodes' logs.
+    dir: PathBuf,
     pub store: ManagedStore,
     pub store_addr: SocketAddr,
     pub vms: Vec<Vm>,
@@ -96,7 +101,11 @@
         let store = ManagedStore::default();
         let store_addr = store.start().await.expect("a free port");
         store.put("op/config", &config(3, "rounds"));
-        let mut fleet = Self { store, store_addr, vms: Vec::new(), linger_ms, regions };
+        static COUNT: AtomicU32 = AtomicU32::new(0);
+        let number = COUNT.fetch_add(1, Ordering::Relaxed);
+        let dir = std::env::temp_dir().join(format!("valetrack-managed-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&dir).expect("a folder");
+        let mut fleet = Self { dir, store, store_addr, vms: Vec::new(), linger_ms, regions };
         for service in services {
             fleet.add(service).await;
         }
@@ -140,6 +149,7 @@
             ("test-suspension-ms", SUSPENSION_MS.to_string()),
             ("regions", self.regions.to_owned()),
         ];
+        let log = self.log_path(at);
         let vm = &mut self.vms[at];
         let line = NodeCommand {
             vm: &vm.name,
@@ -152,7 +162,19 @@
             link_addr: vm.link_addr,
             store_addr: vm.store_addr,
         };
-        vm.node = Some(line.command(&valetrack(), extra_flags).spawn().expect("the program"));
+        let log = std::fs::File::options().create(true).append(true).open(log).expect("a log file");
+        let log_copy = log.try_clone().expect("a second handle");
+        let mut command = line.command(&valetrack(), extra_flags);
+        vm.node = Some(command.stdout(log_copy).stderr(log).spawn().expect("the program"));
+    }
+
+    fn log_path(&self, at: usize) -> PathBuf {
+        self.dir.join(format!("{}.log", self.vms[at].name))
+    }
+
+    /// Returns the log of a node, over all its starts.
+    pub fn log(&self, at: usize) -> String {
+        std::fs::read_to_string(self.log_path(at)).unwrap_or_default()
     }
 
     pub fn kill_node(&mut self, at: usize) {
@@ -163,6 +185,15 @@
         send_signal(self.vms[at].node.as_ref(), signal);
     }
 
+    /// Simulates a suspension of a node's VM and waits until the node has been suspended. The process handles the signal
+    /// some time after it was sent, on a busy machine after the calls that follow it.
+    pub async fn suspend(&self, at: usize) {
+        let suspensions = || self.log(at).matches("event=node.suspension_simulated").count();
+        let before = suspensions();
+        self.signal(at, "-USR2");
+        wait_for("the suspension", async || suspensions() > before).await;
+    }
+
     pub async fn wait_ready(&self) {
         for at in 0..self.vms.len() {
             wait_for("readiness", async || self.readiness(at).await == 200).await;
@@ -215,6 +246,11 @@
                 let _ = node.wait();
             }
         }
+        if std::thread::panicking() {
+            eprintln!("the logs are in {}", self.dir.display());
+        } else {
+            let _ = std::fs::remove_dir_all(&self.dir);
+        }
     }
 }
 
--- a/standin/tests/suspension.rs
+++ b/standin/tests/suspension.rs
@@ -20,7 +20,7 @@
                 let warm = fleet.call(at, "GET", "/sheet/", &format!("warm-{round}-{suspended}-{at}")).await;
                 assert_eq!(status(&warm), 200);
             }
-            fleet.signal(suspended, "-USR2");
+            fleet.suspend(suspended).await;
             for at in 0..3 {
                 let id = format!("after-{round}-{suspended}-{at}");
                 let read = fleet.call(at, "GET", "/sheet/", &id).await;
@@ -47,6 +47,8 @@
     assert_eq!(status(&fleet.call(1, "GET", "/sheet/", "back").await), 200);
 }
 
+/// Guards against a second run of calls that are in flight while their entry is suspended, and against a lost call after
+/// the suspension, which the entry sent over links that its peers had abandoned.
 #[tokio::test]
 async fn in_flight_call_at_suspended_entry_runs_at_most_once() {
     let fleet = Fleet::start(&["rounds", "ledger", "ledger"]).await;
@@ -57,7 +59,7 @@
     let calls = ids.iter().map(|id| fleet.call(0, "POST", "/pickup/", id));
     let suspended = async {
         tokio::time::sleep(Duration::from_millis(120)).await;
-        fleet.signal(0, "-USR2");
+        fleet.suspend(0).await;
         // The next call finds the links closed and opens new ones.
         status(&fleet.call(0, "GET", "/sheet/", "next").await)
     };
--- a/valetrack/src/node/leave.rs
+++ b/valetrack/src/node/leave.rs
@@ -47,6 +47,7 @@
     {
         while suspend.recv().await.is_some() {
             simulate_suspension(Duration::from_millis(suspension_ms));
+            log::info!("event=node.suspension_simulated suspended_ms={suspension_ms}");
         }
     }
     std::future::pending().await
