Bundle: a publication follows one that a node has renumbered

Cause: after a store rollback, two bundles were published one after the other. The first got number 2, which was in force as another bundle, and a node renumbered it to 3 between the read and the write of the second publication. publish_at found number 3, which is neither below its own number nor marked as restored, and returned VT508 with the first publication as the winner, although the second one followed exactly that one.

Ruled out: a second operator (both were published by one command after the other), and a lost write (the store answered).

Change: if the document found is the publication that the next one follows under a higher number, the next one is published on top of it.

--- a/valetrack/src/bundle/operator.rs
+++ b/valetrack/src/bundle/operator.rs
@@ -291,9 +291,9 @@
                 next.evacuation = doc.evacuation;
                 expected = position;
             }
-            Some(doc) if doc.restored => {
-                // No operator was faster: a node has rewritten a publication that the store had lost, and this one
-                // follows it.
+            Some(doc) if doc.restored || is_predecessor_renumbered(&doc, &next) => {
+                // No operator was faster: a node has rewritten a publication that the store had lost, or given the one
+                // that this one follows a higher number.
                 let onto = next_current(&found, &next.operator, &next.version);
                 next = CurrentDoc { number: onto.number.max(next.number), rolled_ms: next.rolled_ms, ..onto };
                 expected = position;
@@ -312,6 +312,13 @@
     (doc.number, doc.rolled_ms, &doc.operator) == (next.number, next.rolled_ms, &next.operator)
 }
 
+/// Returns whether a document holds the publication that the next one follows, under a higher number.
+fn is_predecessor_renumbered(doc: &CurrentDoc, next: &CurrentDoc) -> bool {
+    next.before.first().is_some_and(|last| {
+        doc.number > last.number && PublishedDoc { number: last.number, ..doc.published() } == *last
+    })
+}
+
 fn is_same_publication(old: &PublishedDoc, next: &CurrentDoc) -> bool {
     old.number == next.number && old.rolled_ms == next.rolled_ms && old.operator == next.operator
 }
--- a/valetrack/src/bundle/tests/operator.rs
+++ b/valetrack/src/bundle/tests/operator.rs
@@ -4,6 +4,7 @@
 
 use super::fake::{FakeStore, WriteOutcome};
 use crate::bundle::operator::{OperatorError, approve, current, publish, set_evacuated, write};
+use crate::bundle::recover::PublishedHistory;
 use crate::bundle::{CURRENT_KEY, CurrentDoc};
 use crate::code::Code;
 use crate::member::Evacuation;
@@ -163,6 +164,31 @@
     assert_eq!((doc.version, doc.before.len(), doc.restored), (first, 2, false));
 }
 
+/// Guards against a publication that is refused in favour of the one that it follows. After a store rollback, two
+/// bundles were published one after the other. Between the read and the write of the second publication, a node gave the
+/// first one a higher number, and the second was refused with VT508 although no other operator had published anything.
+#[tokio::test]
+async fn publication_follows_one_that_node_renumbered() {
+    let store = FakeStore::default();
+    let first = approved(&store, TEXT).await;
+    let second = approved(&store, OTHER).await;
+    publish(&store, "ana", &first).await.expect("published");
+    let before = current(&store).await.expect("read").expect("a bundle in force");
+    publish(&store, "ana", &second).await.expect("published");
+    let lost = current(&store).await.expect("read").expect("a bundle in force");
+    store.put(CURRENT_KEY, serde_json::to_vec(&before).expect("a document"));
+    let mut node = PublishedHistory::default();
+    node.remember(&lost);
+    assert_eq!(publish(&store, "cene", &first).await.ok(), Some(2), "the copy lacks number 2");
+    let diverged = current(&store).await.expect("read").expect("a bundle in force");
+    let renumbered = node.reconcile(Some(&diverged), 2, diverged.history).expect("a higher number");
+    assert_eq!(renumbered.number, 3);
+    store.set_competing_write(CURRENT_KEY, serde_json::to_vec(&renumbered).expect("a document"));
+    assert_eq!(publish(&store, "ana", &second).await.ok(), Some(4), "no operator was faster");
+    let doc = current(&store).await.expect("read").expect("a bundle in force");
+    assert_eq!((doc.version, &doc.before[0]), (second, &renumbered.published()));
+}
+
 /// Guards against a publication that is confirmed and comes into force nowhere. Its number followed the one in the
 /// store, which had been restored from a copy without the publication in force. Both got number 2, and nodes accept no
 /// other bundle under a number that was in force. The document therefore has the name of the store's history. If the
