Soak: client accounts, pipelined callers and two regions

Ruled out: drawing accounts or pipelined calls from the fault schedule, which would change the faults of existing seeds; schedule.rs is unchanged. httparse for the answers, which the stand-in does not declare. Connections that are kept over several series of pipelined requests (tried first): more state in the caller for a case that the callers with single requests cover.

The judge checks the runs of each account in any 5 s, that no account is served less than a quarter as often as all calls (calls beyond the account's rate are not counted, since the quota refuses them), and that no key reaches an upstream. The judge checks the order by the ids of all answers, refusals included, and counts a run of a refused pipelined call as a breach also if it is repeatable.

--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -27,8 +27,12 @@
 standin rate-limit
 standin rollback
 standin soak   [--seed N] [--seeds N] [--seconds N] [--vms N] [--program FILE] [--logs DIR] [--crashes] [--rollbacks] [--limits]
+               [--accounts] [--pipelined] [--regions]
 ";
 
+/// Flags of `soak` without a value.
+const SOAK_SWITCHES: [&str; 6] = ["crashes", "rollbacks", "limits", "accounts", "pipelined", "regions"];
+
 #[derive(Default)]
 struct Args {
     words: Vec<String>,
@@ -42,9 +46,8 @@
         while let Some(arg) = parser.next()? {
             match arg {
                 Value(word) => args.words.push(word.string()?),
-                Long(name @ ("json" | "direct" | "help" | "crashes" | "rollbacks" | "limits")) => {
-                    args.flags.push((name.to_owned(), "1".into()))
-                }
+                Long(name @ ("json" | "direct" | "help")) => args.flags.push((name.to_owned(), "1".into())),
+                Long(name) if SOAK_SWITCHES.contains(&name) => args.flags.push((name.to_owned(), "1".into())),
                 Long(name) => {
                     let name = name.to_owned();
                     args.flags.push((name, parser.value()?.string()?));
@@ -145,6 +148,9 @@
             crashes: args.get("crashes").is_some(),
             rollbacks: args.get("rollbacks").is_some(),
             limits: args.get("limits").is_some(),
+            accounts: args.get("accounts").is_some(),
+            pipelined: args.get("pipelined").is_some(),
+            regions: args.get("regions").is_some(),
             logs: std::path::Path::new(args.get("logs").unwrap_or("target/soak")).join(seed.to_string()),
         };
         // Dropping the runtime ends the stand-ins of the seed and frees their ports.
--- a/standin/src/managed/server.rs
+++ b/standin/src/managed/server.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
@@ -105,6 +106,11 @@
     calls: Mutex<Option<(SocketAddr, String, usize)>>,
     /// Arrival time and id of each request, whatever its outcome.
     arrivals: Mutex<Vec<(Instant, String)>>,
+    /// Start time and id of each run.
+    run_starts: Mutex<Vec<(Instant, String)>>,
+    /// Text that no request may contain in its headers or its path, if it is set.
+    secret: Mutex<Option<String>>,
+    secrets_seen: AtomicU64,
     /// Headers of the last request.
     seen: Mutex<BTreeMap<String, String>>,
     acknowledged: AtomicU64,
@@ -157,6 +163,9 @@
             runs: Mutex::default(),
             calls: Mutex::default(),
             arrivals: Mutex::default(),
+            run_starts: Mutex::default(),
+            secret: Mutex::default(),
+            secrets_seen: AtomicU64::new(0),
             seen: Mutex::default(),
             acknowledged: AtomicU64::new(0),
             abandoned: AtomicU64::new(0),
@@ -413,6 +422,21 @@
         self.arrivals.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Returns the start time and id of each run.
+    pub fn run_starts(&self) -> Vec<(Instant, String)> {
+        self.run_starts.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Sets a text that no request may contain, such as a part of all keys.
+    pub fn set_secret(&self, text: &str) {
+        *self.secret.lock().unwrap_or_else(PoisonError::into_inner) = Some(text.to_owned());
+    }
+
+    /// Returns the number of requests whose headers or path contained the secret text.
+    pub fn secrets_seen(&self) -> u64 {
+        self.secrets_seen.load(Ordering::Relaxed)
+    }
+
     /// Returns the headers of the last request.
     pub fn seen(&self) -> BTreeMap<String, String> {
         self.seen.lock().unwrap_or_else(PoisonError::into_inner).clone()
@@ -507,6 +531,13 @@
     };
     let id = text("x-request-id");
     server.arrivals.lock().map_err(|_| "poisoned")?.push((Instant::now(), id.clone()));
+    let headers = request.headers().iter();
+    let seen: BTreeMap<String, String> =
+        headers.map(|(name, value)| (name.to_string(), value.to_str().unwrap_or("").to_owned())).collect();
+    let secret = server.secret.lock().map_err(|_| "poisoned")?.clone().unwrap_or_default();
+    let has_secret = |text: &str| !secret.is_empty() && text.contains(&secret);
+    let leaked = has_secret(request.uri().path()) || seen.values().any(|value| has_secret(value));
+    server.secrets_seen.fetch_add(u64::from(leaked), Ordering::Relaxed);
     let instance = server.id();
     if text("x-expected-instance") != instance {
         let mut reply = answer(421, "");
@@ -520,8 +551,7 @@
         || server.acknowledged_drain().is_some_and(|since| since.elapsed() > Duration::from_millis(DRAIN_MS));
     server.late_arrivals.fetch_add(u64::from(drained), Ordering::Relaxed);
     let deadly_down = server.deadly_down(request.uri().path());
-    let headers = request.headers().iter();
-    let seen = headers.map(|(name, value)| (name.to_string(), value.to_str().unwrap_or("").to_owned())).collect();
+    let query = request.uri().query().map(|query| Bytes::from(query.to_owned()));
     *server.seen.lock().map_err(|_| "poisoned")? = seen;
     let body = request.into_body().collect().await?.to_bytes();
     let spoil = *server.spoil.lock().map_err(|_| "poisoned")?;
@@ -535,6 +565,7 @@
     let running = server.running.fetch_add(1, Ordering::Relaxed) + 1;
     let mut run = Run { server: &server, ended: false };
     *server.runs.lock().map_err(|_| "poisoned")?.entry(id.clone()).or_insert(0) += 1;
+    server.run_starts.lock().map_err(|_| "poisoned")?.push((Instant::now(), id.clone()));
     if deadly_down.is_some() {
         server.deadly_runs.lock().map_err(|_| "poisoned")?.push(Instant::now());
     }
@@ -550,6 +581,8 @@
         return Err("closed".into());
     }
     let status = if server.fails_next() { 500 } else { 200 };
+    // A request without a body is recognized by the query in its answer.
+    let body = if body.is_empty() { query.unwrap_or_default() } else { body };
     let mut reply = answer(status, body);
     let headers = reply.headers_mut();
     let id = if spoil == Spoil::OtherId { "another".to_owned() } else { id };
--- a/standin/src/soak/deadly.rs
+++ b/standin/src/soak/deadly.rs
@@ -6,6 +6,7 @@
 
 use tokio::time::{Instant, sleep};
 
+use super::account::ACCOUNTS;
 use super::fleet::Fleet;
 use super::judge::Breach;
 use super::schedule::{Fault, Step};
@@ -41,10 +42,17 @@
     for vm in &fleet.borrow().vms {
         vm.upstream.set_deadly(PATH, Duration::from_millis(DOWN_MS));
     }
+    let with_accounts = fleet.borrow().settings.accounts;
     for (number, addr) in addrs.into_iter().cycle().enumerate() {
         tokio::task::spawn_local(async move {
             let id = format!("{DEADLY_PREFIX}{number}");
-            let headers = [("host", "farm.example"), ("x-request-id", &*id), ("x-deadline-milliseconds", "800")];
+            let mut headers =
+                vec![("host", "farm.example"), ("x-request-id", &*id), ("x-deadline-milliseconds", "800")];
+            // The last account has no limit.
+            let authorization = ACCOUNTS[ACCOUNTS.len() - 1].authorization();
+            if with_accounts {
+                headers.push(("authorization", &authorization));
+            }
             // The result doesn't matter: the request is sent again anyway.
             let _ = Client::new(addr).call("GET", PATH, &headers, "the same body").await;
         });
--- a/standin/src/soak/fleet.rs
+++ b/standin/src/soak/fleet.rs
@@ -2,7 +2,6 @@
 
 use std::fs::File;
 use std::net::SocketAddr;
-use std::path::{Path as FilePath, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -10,6 +9,8 @@
 use serde_json::json;
 use valetrack::placement::RetryGuarantee;
 
+use super::SoakSettings;
+use super::account::{ACCOUNTS, Account, KEY_MARK};
 use super::path::Path;
 use super::schedule::{Fault, PathFault};
 use crate::managed::node::NodeCommand;
@@ -34,11 +35,14 @@
 /// The fleet's retry budget: the ratio that the platform's sites require, with a window so short that a short run
 /// contains two, and a reserve that is small compared with the ratio's share of a window.
 pub(super) const RETRY_GUARANTEE: RetryGuarantee = RetryGuarantee { percent: 20, reserve: 20, window_us: 5_000_000 };
+/// Region of each failure domain, for fleets over two regions.
+const REGIONS: &str = "kranj=west,loka=east";
 /// Number of nested calls to the second service in each run of the first one.
 const NESTED_CALLS: usize = 2;
 
-/// Returns the configuration of a version; it has a route for the version that is served only while it is in force.
-pub fn configuration(version: u64) -> String {
+/// Returns the configuration of a version, with client accounts on request; it has a route for the version that is
+/// served only while it is in force.
+fn configuration(version: u64, with_accounts: bool) -> String {
     let route = |name: &str, prefix: String, repeat: &str, service: &str| {
         json!({
             "name": name, "host": "farm.example", "path_prefix": prefix, "repeat": repeat, "timeout_ms": 1_500,
@@ -46,7 +50,7 @@
         })
     };
     let service = |name: &str| json!({ "name": name, "health_path": "/health", "connections_max": 220 });
-    json!({
+    let mut configuration = json!({
         "version": version,
         "routes": [
             route("sheet", "/sheet/".into(), "safe", "rounds"),
@@ -55,8 +59,13 @@
             route("version", format!("/version/{version}/"), "safe", "rounds"),
         ],
         "services": [service("rounds"), service("ledger")],
-    })
-    .to_string()
+    });
+    if with_accounts {
+        configuration["accounts"] = ACCOUNTS.iter().map(Account::to_json).collect();
+        // Version checks belong to no account, so that they use no credits.
+        configuration["routes"][3]["anonymous"] = true.into();
+    }
+    configuration.to_string()
 }
 
 /// Returns a loopback host that no other fleet uses, in this process or in another one.
@@ -102,25 +111,23 @@
     store_addr: SocketAddr,
     /// Loopback host that only this fleet uses.
     host: [u8; 4],
-    program: PathBuf,
-    logs: PathBuf,
+    /// Settings of the run.
+    pub settings: SoakSettings,
 }
 
 impl Fleet {
-    /// Starts `count` VMs of two services over two failure domains; `program` is the path of the node's program, and
-    /// `logs` the folder for the nodes' log files.
+    /// Starts VMs of two services over two failure domains.
     ///
     /// # Errors
     ///
     /// Returns an error if a port can't be bound, the folder can't be created or the program can't be started.
-    pub async fn start(program: &FilePath, logs: &FilePath, count: usize) -> std::io::Result<Self> {
-        std::fs::create_dir_all(logs)?;
+    pub async fn start(settings: &SoakSettings) -> std::io::Result<Self> {
+        std::fs::create_dir_all(&settings.logs)?;
         let store = ManagedStore::default();
         let store_addr = store.start().await?;
-        store.put("op/config", &configuration(1));
-        let (program, logs) = (program.to_owned(), logs.to_owned());
-        let mut fleet = Self { store, vms: Vec::new(), store_addr, host: own_host(), program, logs };
-        for at in 0..count {
+        let mut fleet = Self { store, vms: Vec::new(), store_addr, host: own_host(), settings: settings.clone() };
+        fleet.configure(1);
+        for at in 0..settings.vms {
             let vm = fleet.make_vm(at).await?;
             fleet.vms.push(vm);
             fleet.start_node(at)?;
@@ -128,6 +135,11 @@
         Ok(fleet)
     }
 
+    /// Writes the configuration of a version to the store.
+    pub fn configure(&self, version: u64) {
+        self.store.put("op/config", &configuration(version, self.settings.accounts));
+    }
+
     async fn make_vm(&self, at: usize) -> std::io::Result<Vm> {
         let addr = |port: u16| SocketAddr::from((self.host, FIRST_PORT + at as u16 * PORTS + port));
         let service = ["rounds", "ledger"][at / 2 % 2];
@@ -152,6 +164,7 @@
         };
         vm.store_path.start(vm.store_path_addr, self.store_addr).await?;
         vm.upstream_path.start(vm.upstream_path_addr, vm.upstream.addr).await?;
+        vm.upstream.set_secret(KEY_MARK);
         if service == "rounds" {
             vm.upstream.set_calls(vm.caller_addr, "/check/", NESTED_CALLS);
         }
@@ -176,7 +189,7 @@
             link_addr: vm.link_addr,
             store_addr: vm.store_path_addr,
         };
-        let further = vec![
+        let mut further = vec![
             ("link-advertise", vm.advertise_addr.to_string()),
             ("test-suspension-ms", SUSPENSION_MS.to_owned()),
             ("linger-ms", LINGER_MS.to_owned()),
@@ -185,9 +198,13 @@
             ("retry-reserve", RETRY_GUARANTEE.reserve.to_string()),
             ("retry-window-s", (RETRY_GUARANTEE.window_us as f64 / 1_000_000.0).to_string()),
         ];
-        let log = File::options().create(true).append(true).open(self.logs.join(format!("{}.log", vm.name)))?;
+        if self.settings.regions {
+            further.push(("regions", REGIONS.to_owned()));
+        }
+        let log =
+            File::options().create(true).append(true).open(self.settings.logs.join(format!("{}.log", vm.name)))?;
         let errors = log.try_clone()?;
-        vm.node = Some(line.command(&self.program, further).stdout(log).stderr(errors).spawn()?);
+        vm.node = Some(line.command(&self.settings.program, further).stdout(log).stderr(errors).spawn()?);
         vm.incarnations += 1;
         Ok(())
     }
--- a/standin/src/soak/judge.rs
+++ b/standin/src/soak/judge.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use super::account::Account;
+
 /// Maximum number of servers that run one call: the routes of the soak allow two attempts.
 const RUNS_MAX: u64 = 2;
 
@@ -30,6 +32,10 @@
     pub began_ms: u64,
     /// Whether the call may run more than once.
     pub repeatable: bool,
+    /// Client account of the call.
+    pub account: Option<&'static Account>,
+    /// Whether the call was sent on a connection together with others.
+    pub pipelined: bool,
     /// Result of the call.
     pub outcome: CallOutcome,
 }
@@ -68,7 +74,9 @@
         }
         match call.outcome {
             CallOutcome::Answer { status: 200, own: false } => breach("an answer is complete and belongs to its call"),
-            CallOutcome::Answer { status: 408 | 421 | 429 | 503, .. } if ran > 0 && !call.repeatable => {
+            CallOutcome::Answer { status: 408 | 421 | 429 | 503, .. }
+                if ran > 0 && (!call.repeatable || call.pipelined) =>
+            {
                 breach("a refused call has not run");
             }
             CallOutcome::Answer { status: 400..=407 | 409..=420, .. } => breach("a valid call is not denied"),
--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -1,11 +1,13 @@
 //! The fault soak: real nodes under load with faults injected from outside by a seeded schedule. The guarantees are
 //! checked against the observations of callers and upstreams.
 
+mod account;
 mod caller;
 mod deadly;
 mod fleet;
 mod judge;
 mod path;
+mod pipeline;
 mod repeat;
 mod schedule;
 #[cfg(test)]
@@ -19,13 +21,14 @@
 
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
+pub use self::account::{check_account_limits, check_account_shares};
 pub use self::deadly::{DeadlyRun, check_deadly_runs};
 pub use self::judge::{Breach, CallOutcome, CallRecord, Versions, check_calls};
 pub use self::repeat::{Arrival, check_retries};
 pub use self::schedule::{Fault, Kind, PathFault, Step, limits, rollbacks, schedule, suspensions};
 
 use self::caller::Callers;
-use self::fleet::{Fleet, RETRY_GUARANTEE, configuration};
+use self::fleet::{Fleet, RETRY_GUARANTEE, Vm};
 use crate::client::Client;
 
 /// Time within which all nodes of a new fleet become ready.
@@ -58,6 +61,12 @@
     pub rollbacks: bool,
     /// Whether upstreams state limits and departures in their answers.
     pub limits: bool,
+    /// Whether the configuration has client accounts, and callers send their keys.
+    pub accounts: bool,
+    /// Whether some callers send several requests on one connection before the first answer.
+    pub pipelined: bool,
+    /// Whether the failure domains are two regions.
+    pub regions: bool,
 }
 
 /// Result of one run.
@@ -77,7 +86,7 @@
 ///
 /// Returns why the fleet could not be started.
 pub async fn run(settings: &SoakSettings) -> Result<SoakReport, String> {
-    let fleet = Fleet::start(&settings.program, &settings.logs, settings.vms).await;
+    let fleet = Fleet::start(settings).await;
     let fleet = Rc::new(RefCell::new(fleet.map_err(|error| error.to_string())?));
     let ready = timeout(Duration::from_secs(START_S), all_ready(&fleet)).await;
     ready.map_err(|_| format!("not all nodes are ready after {START_S} s"))?;
@@ -98,7 +107,7 @@
     }
     steps.sort_by_key(|step| step.at_ms);
     let mut report = SoakReport { faults: steps.len(), ..SoakReport::default() };
-    let callers = Rc::new(Callers::new(settings.seed));
+    let callers = Rc::new(Callers::new(settings));
     let mut load = callers.clone().start(&fleet);
     let restarting = tokio::task::spawn_local(restart_exited_nodes(fleet.clone()));
     let deadly = settings.crashes.then(|| tokio::task::spawn_local(deadly::repeat(fleet.clone())));
@@ -110,6 +119,7 @@
     }
     callers.stop();
     while load.join_next().await.is_some() {}
+    let length_ms = callers.began().elapsed().as_millis() as u64;
     sleep(Duration::from_millis(SETTLE_MS)).await;
     restarting.abort();
     if let Some(deadly) = deadly {
@@ -122,8 +132,13 @@
     let planned = Kind::of_seed(settings.seed) == Kind::Planned && !settings.crashes;
     report.breaches.extend(callers.breaches());
     report.breaches.extend(check_calls(&calls, &runs(&fleet), planned));
-    report.breaches.extend(late_arrival_breaches(&fleet));
+    report.breaches.extend(upstream_breaches(&fleet));
     report.breaches.extend(limit_breaches(&fleet));
+    if settings.accounts {
+        let run_starts: Vec<_> = fleet.borrow().vms.iter().flat_map(|vm| vm.upstream.run_starts()).collect();
+        report.breaches.extend(check_account_limits(&calls, &arrivals(run_starts, callers.began())));
+        report.breaches.extend(check_account_shares(&calls, length_ms));
+    }
     let services = [true, false].map(caller::service_of);
     report
         .breaches
@@ -154,7 +169,7 @@
         fleet.borrow_mut().begin(step.vm, step.fault);
         if step.fault == Fault::Configure {
             let version = callers.next_version();
-            fleet.borrow().store.put("op/config", &configuration(version));
+            fleet.borrow().configure(version);
         }
         let (fleet, callers) = (fleet.clone(), callers.clone());
         ends.spawn_local(async move {
@@ -163,7 +178,7 @@
             if matches!(step.fault, Fault::RollBack { .. }) {
                 // The operator notices the missing configuration after about as long as the store was unavailable.
                 sleep(Duration::from_millis(step.lasts_ms)).await;
-                fleet.borrow().store.put("op/config", &configuration(callers.version()));
+                fleet.borrow().configure(callers.version());
             }
         });
     }
@@ -220,16 +235,20 @@
     id.starts_with(caller::VERSION_CHECK_PREFIX) || id.starts_with(deadly::DEADLY_PREFIX)
 }
 
+/// Converts times of requests to times relative to the start of the run.
+fn arrivals(times: impl IntoIterator<Item = (std::time::Instant, String)>, began: Instant) -> Vec<Arrival> {
+    let at_ms = |at: std::time::Instant| at.saturating_duration_since(began.into_std()).as_millis() as u64;
+    times.into_iter().map(|(at, id)| Arrival { at_ms: at_ms(at), id }).collect()
+}
+
 fn retry_breach(service: &str, calls: &[CallRecord], fleet: &Rc<RefCell<Fleet>>, began: Instant) -> Option<Breach> {
     let fleet = fleet.borrow();
     let of_service = fleet.vms.iter().filter(|vm| vm.service == service);
-    let arrivals = of_service.flat_map(|vm| vm.upstream.arrivals());
-    let arrivals = arrivals
-        .filter(|(_, id)| !is_auxiliary(id))
-        .map(|(at, id)| Arrival { at_ms: at.saturating_duration_since(began.into_std()).as_millis() as u64, id });
+    let mut arrivals = arrivals(of_service.flat_map(|vm| vm.upstream.arrivals()), began);
+    arrivals.retain(|arrival| !is_auxiliary(&arrival.id));
     let of_service = calls.iter().filter(|call| caller::service_of(call.repeatable) == service);
     let began_ms: Vec<u64> = of_service.map(|call| call.began_ms).collect();
-    check_retries(service, arrivals.collect(), &began_ms, RETRY_GUARANTEE)
+    check_retries(service, arrivals, &began_ms, RETRY_GUARANTEE)
 }
 
 fn limit_breaches(fleet: &Rc<RefCell<Fleet>>) -> Vec<Breach> {
@@ -244,13 +263,18 @@
         .collect()
 }
 
-fn late_arrival_breaches(fleet: &Rc<RefCell<Fleet>>) -> Vec<Breach> {
+/// Returns the breaches that upstreams counted by themselves.
+fn upstream_breaches(fleet: &Rc<RefCell<Fleet>>) -> Vec<Breach> {
     let fleet = fleet.borrow();
-    let late = fleet.vms.iter().filter(|vm| vm.upstream.late_arrivals() > 0);
-    late.map(|vm| Breach {
-        guarantee: "a draining upstream receives no new work",
-        subject: vm.name.clone(),
-        detail: format!("{} arrivals after the drain timeout", vm.upstream.late_arrivals()),
-    })
-    .collect()
+    let counts = fleet.vms.iter().flat_map(|vm| {
+        let (late, leaked) = (vm.upstream.late_arrivals(), vm.upstream.secrets_seen());
+        [
+            (vm, late, "a draining upstream receives no new work", "arrivals after the drain timeout"),
+            (vm, leaked, "no key reaches an upstream", "requests with a key"),
+        ]
+    });
+    let breach = |(vm, count, guarantee, what): (&Vm, u64, &'static str, &str)| {
+        (count > 0).then(|| Breach { guarantee, subject: vm.name.clone(), detail: format!("{count} {what}") })
+    };
+    counts.filter_map(breach).collect()
 }
--- a/standin/src/soak/tests.rs
+++ b/standin/src/soak/tests.rs
@@ -5,7 +5,13 @@
 use test_case::test_case;
 use valetrack::placement::RetryGuarantee;
 
-use super::{Arrival, CallOutcome, CallRecord, Fault, Kind, Versions, check_calls, check_retries, schedule};
+use super::account::ACCOUNTS;
+use super::pipeline::check_order;
+use super::{
+    Arrival, CallOutcome, CallRecord, Fault, Kind, Versions, check_account_limits, check_account_shares, check_calls,
+    check_retries, schedule,
+};
+use crate::client::Reply;
 
 #[test]
 fn schedule_depends_on_seed_alone() {
@@ -34,6 +40,10 @@
 const FAILED: CallOutcome = CallOutcome::Answer { status: 502, own: false };
 const DENIED: CallOutcome = CallOutcome::Answer { status: 404, own: false };
 
+fn record(id: &str, repeatable: bool, outcome: CallOutcome) -> CallRecord {
+    CallRecord { id: id.to_owned(), began_ms: 0, repeatable, account: None, pipelined: false, outcome }
+}
+
 #[test_case(false, &OWN, 1, false, None; "a call that ran once")]
 #[test_case(false, &OWN, 2, false, Some("a call that is not repeatable runs at most once"); "a second run")]
 #[test_case(true, &OWN, 2, false, None; "a second run of a repeatable call")]
@@ -53,7 +63,7 @@
     planned: bool,
     breach: Option<&str>,
 ) {
-    let calls = [CallRecord { id: "a".to_owned(), began_ms: 0, repeatable, outcome: outcome.clone() }];
+    let calls = [record("a", repeatable, outcome.clone())];
     let runs = BTreeMap::from([("a".to_owned(), ran)]);
     let breaches = check_calls(&calls, &runs, planned);
     assert_eq!(breaches.first().map(|breach| breach.guarantee), breach, "{breaches:?}");
@@ -64,7 +74,7 @@
 fn run_without_a_sent_call_is_a_breach(id: &str) {
     let runs = BTreeMap::from([(id.to_owned(), 1)]);
     assert_eq!(check_calls(&[], &runs, false).len(), 1);
-    let sent = CallRecord { id: "a".to_owned(), began_ms: 0, repeatable: true, outcome: OWN };
+    let sent = record("a", true, OWN);
     assert_eq!(check_calls(&[sent], &runs, false), []);
 }
 
@@ -94,3 +104,44 @@
     let arrivals = ["a.0", "a.1", "a.0", "a.1"].map(|id| Arrival { at_ms: 0, id: id.to_owned() });
     assert!(check_retries("ledger", arrivals.to_vec(), &[], guarantee).is_some());
 }
+
+#[test]
+fn refused_pipelined_call_that_ran_is_a_breach() {
+    let call = CallRecord { pipelined: true, ..record("a", true, REFUSED) };
+    let runs = BTreeMap::from([("a".to_owned(), 1)]);
+    assert_eq!(check_calls(&[call], &runs, false).len(), 1);
+}
+
+// The surging account may run (20 x 5 + 20) x 1.1 + 20 calls in 5 s.
+#[test_case(152, 4_999, 0; "as many as allowed")]
+#[test_case(153, 4_999, 1; "one more")]
+#[test_case(153, 5_000, 0; "one more after the window")]
+fn runs_of_an_account_are_limited_in_every_window(count: u64, last_ms: u64, breaches: usize) {
+    let call = |number| CallRecord { account: Some(&ACCOUNTS[0]), ..record(&format!("call-{number}"), true, OWN) };
+    let calls: Vec<CallRecord> = (0..count).map(call).collect();
+    let at_ms = |number| 700 + if number + 1 == count { last_ms } else { 0 };
+    let runs: Vec<Arrival> =
+        (0..count).map(|number| Arrival { at_ms: at_ms(number), id: format!("call-{number}") }).collect();
+    assert_eq!(check_account_limits(&calls, &runs).len(), breaches);
+}
+
+// In 5 s, 120 calls of the surging account are within its rate and burst; the quota refuses the others.
+#[test_case(0, 600, 30, 0; "a surging account that gets a quarter of its rate")]
+#[test_case(0, 600, 20, 1; "a surging account that gets less")]
+#[test_case(1, 100, 20, 1; "a usual account that gets a fifth")]
+#[test_case(1, 100, 30, 0; "a usual account that gets more than a quarter")]
+fn account_is_served_a_quarter_as_often(account: usize, sent: u64, served: u64, breaches: usize) {
+    let outcome = |number| if number < served { OWN } else { REFUSED };
+    let call = |number| CallRecord { account: Some(&ACCOUNTS[account]), ..record("a", true, outcome(number)) };
+    let others = (0..10_000).map(|_| record("b", true, OWN));
+    let calls: Vec<CallRecord> = (0..sent).map(call).chain(others).collect();
+    assert_eq!(check_account_shares(&calls, 5_000).len(), breaches);
+}
+
+#[test_case("a", 0; "the answer of the request")]
+#[test_case("b", 1; "the answer of another request")]
+fn answer_out_of_turn_is_a_breach(id: &'static str, breaches: usize) {
+    let headers = [("x-request-id".parse().expect("a name"), id.parse().expect("a value"))].into_iter().collect();
+    let reply = Reply { status: 503, headers, body: bytes::Bytes::new() };
+    assert_eq!(check_order("a", &reply).into_iter().count(), breaches);
+}
--- a/standin/tests/soak.rs
+++ b/standin/tests/soak.rs
@@ -38,6 +38,29 @@
     assert_no_breaches(SoakSettings { seed, seconds, vms, limits: true, ..settings() });
 }
 
+#[test_case(13, 8, 6; "faults of every kind")]
+fn no_promise_is_broken_among_client_accounts(seed: u64, seconds: u64, vms: usize) {
+    assert_no_breaches(SoakSettings { seed, seconds, vms, accounts: true, ..settings() });
+}
+
+#[test_case(15, 8, 6; "planned work")]
+fn no_promise_is_broken_among_pipelined_calls(seed: u64, seconds: u64, vms: usize) {
+    assert_no_breaches(SoakSettings { seed, seconds, vms, pipelined: true, ..settings() });
+}
+
+#[test_case(16, 8, 6; "faults of every kind")]
+fn no_promise_is_broken_over_two_regions(seed: u64, seconds: u64, vms: usize) {
+    assert_no_breaches(SoakSettings {
+        seed,
+        seconds,
+        vms,
+        accounts: true,
+        pipelined: true,
+        regions: true,
+        ..settings()
+    });
+}
+
 /// Returns the settings that all runs share.
 fn settings() -> SoakSettings {
     SoakSettings {
@@ -49,13 +72,17 @@
         crashes: false,
         rollbacks: false,
         limits: false,
+        accounts: false,
+        pipelined: false,
+        regions: false,
     }
 }
 
 fn assert_no_breaches(settings: SoakSettings) {
-    let SoakSettings { seed, crashes, rollbacks, limits, .. } = settings;
+    let SoakSettings { seed, crashes, rollbacks, limits, accounts, pipelined, regions, .. } = settings;
+    let switches = [crashes, rollbacks, limits, accounts, pipelined, regions].map(u8::from);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    let name = format!("valetrack-soak-{}-{seed}-{crashes}-{rollbacks}-{limits}", std::process::id());
+    let name = format!("valetrack-soak-{}-{seed}-{switches:?}", std::process::id());
     let settings = SoakSettings { logs: settings.logs.join(name), ..settings };
     let report = runtime.block_on(run(&settings)).expect("a fleet");
     assert!(report.ends.get("200").is_some_and(|&served| served > 100), "{:?}", report.ends);
