Placement: planned returns of refused callers

Cause: retry delays were random up to half of the time that the objective leaves beyond a usual run. In an overload most returns were refused again, and calls with tight objectives returned too late, ran and ended late.

Change: with `nested_rank = "root"` or several regions, the entry plans the return of each call that it refuses for lack of room (placement/return_plan.rs): at the rate at which its own calls of the same and less urgent priorities were served lately, after the returns reserved before, and only if a run of the mean time that the upstreams report still fits in the objective. Otherwise `Retry-After` states the next capacity that is expected. A recognised return (account, route and request identifier) uses `QueueTimeout::Last` in place of `Long` while its objective leaves two runs, so gates admit it where new calls of its rank are declined; no message changes. Without the switch, delays and random draws are as before.

Not measured: real nodes, several regions.

--- a/valetrack/src/metric.rs
+++ b/valetrack/src/metric.rs
@@ -38,6 +38,10 @@
     pub nested_roots: IntCounterVec,
     /// Callers' calls declined at their owner for the nested calls that their runs would make.
     pub root_declined: IntCounter,
+    /// Refused callers by service and by what was planned for their returns.
+    pub planned_returns: IntCounterVec,
+    /// Callers that have returned after a refusal, by service and result.
+    pub caller_returns: IntCounterVec,
     /// Retries that this node may still send now, by service.
     pub repeats_left: GaugeVec,
     /// This node's share of the fleet's retry reserve, by service.
@@ -192,6 +196,16 @@
                 "Calls of this node's upstream by how the call at their root was determined.",
                 "basis",
             ),
+            planned_returns: counters_by(
+                "valetrack_planned_returns_total",
+                "Refused callers by what was planned for their returns.",
+                &["service", "plan"],
+            ),
+            caller_returns: counters_by(
+                "valetrack_caller_returns_total",
+                "Callers that returned after a refusal, by result.",
+                &["service", "result"],
+            ),
             repeats_left: gauges_by("valetrack_repeats_left", "Retries that this node may still send now."),
             repeat_reserve: gauges_by("valetrack_repeat_reserve", "This node's share of the fleet's retry reserve."),
             declined_attempts: counters(
--- a/valetrack/src/placement/call.rs
+++ b/valetrack/src/placement/call.rs
@@ -10,6 +10,7 @@
 
 use super::message::{CallAction, CallEvent, Demand, QUARANTINED, SendCause, ServerIndex, Verdict};
 use super::repeat::{RetryBudget, RetryGuarantee};
+use super::return_plan::{RETURN_LEFT_RUNS, Refusal};
 use super::set::ServerSet;
 use super::traffic::CallTraffic;
 use super::view::ServiceView;
@@ -49,6 +50,17 @@
     pub demand: Option<Demand>,
 }
 
+/// A caller's call, as the plan of returns distinguishes it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerCall {
+    /// Hash of its identifier.
+    pub id: u64,
+    /// Its priority.
+    pub priority: u8,
+    /// Time from its arrival to its deadline.
+    pub deadline_us: u64,
+}
+
 /// Budgets shared by all calls of one service at one entry.
 #[derive(Debug, Clone, Copy)]
 pub struct Budgets {
@@ -157,6 +169,10 @@
     slow_declines_left: u8,
     cross_domain_declines_left: u8,
     retries_left: u8,
+    /// The caller's call that it is; none if a run made it.
+    caller: Option<CallerCall>,
+    /// Whether its caller has returned after a refusal.
+    is_return: bool,
     /// Expected traffic between its entry and its server.
     traffic: CallTraffic,
     /// Whether it was sent to another region.
@@ -195,6 +211,8 @@
             slow_declines_left: SLOW_DECLINES_MAX,
             cross_domain_declines_left: CROSS_DOMAIN_DECLINES_MAX,
             retries_left: rule.retries,
+            caller: None,
+            is_return: false,
             traffic: CallTraffic::default(),
             has_crossed: false,
             hedged: false,
@@ -231,6 +249,12 @@
         Self { traffic, ..self }
     }
 
+    /// Sets the caller's call that it is, so that the return of its caller can be planned.
+    #[must_use]
+    pub fn of_caller(self, caller: CallerCall) -> Self {
+        Self { caller: Some(caller), ..self }
+    }
+
     /// Returns the number of attempts sent.
     pub fn attempts(&self) -> usize {
         self.count
@@ -285,6 +309,9 @@
         }
         self.began_us = cx.now_us;
         cx.budgets.begin(self.repeat_permille, cx.now_us);
+        if let (Some(caller), Some(plan)) = (self.caller, cx.view.return_plan()) {
+            self.is_return = plan.take_return(caller.id);
+        }
         if !self.made_by_run {
             self.declines_left = cx.view.allowed_declines(self.rule.bounces, cx.now_us);
         }
@@ -363,6 +390,9 @@
         match self.last_code {
             Code::Quarantined => QUARANTINED,
             code => {
+                if let Some(retry_after_ms) = self.planned_return_ms(code, cx) {
+                    return Verdict::NotRun { code, retry_after_ms };
+                }
                 // The random part spreads the callers that return once rate limits admit calls again.
                 let start_delay_ms = cx.view.start_delay_us(cx.now_us).div_ceil(1000) as u32;
                 let retry_after_ms = start_delay_ms + retry_after_ms(self.rule.demand, cx.rng);
@@ -371,6 +401,46 @@
         }
     }
 
+    /// Plans the return of the caller if the call is refused for lack of capacity, and returns its delay; none if returns
+    /// to the service are not planned, or too little is known.
+    fn planned_return_ms(&self, code: Code, cx: &mut CallContext<'_>) -> Option<u32> {
+        let caller = self.caller.filter(|_| code == Code::Overloaded)?;
+        let demand = self.demand_left(cx).filter(|_| self.rule.demand.is_some_and(|demand| demand.left_us > 0))?;
+        let run_us = cx.view.expected_run_us(demand.work_us, cx.now_us);
+        let elapsed_us = cx.now_us.saturating_sub(self.began_us);
+        let refusal = Refusal {
+            call: caller.id,
+            priority: caller.priority,
+            is_return: self.is_return,
+            work_us: demand.work_us.into(),
+            run_us,
+            left_us: demand.left_us,
+            deadline_left_us: caller.deadline_us.saturating_sub(elapsed_us),
+        };
+        // Rate limits that the upstreams request state by themselves when a call is admitted.
+        if cx.view.start_delay_us(cx.now_us) > 0 {
+            return None;
+        }
+        let planned = cx.view.return_plan()?.refuse(&refusal, cx.now_us, cx.rng)?;
+        Some(planned.delay_us.div_ceil(1000) as u32)
+    }
+
+    /// Records that the call of a caller was served, for the plan of returns.
+    fn record_served(&self, cx: &mut CallContext<'_>) {
+        if let (Some(caller), Some(plan)) = (self.caller, cx.view.return_plan()) {
+            plan.record_served(caller.priority, self.is_return, cx.now_us);
+        }
+    }
+
+    /// Returns whether the call goes before new ones of its rank: its caller has returned, and there is time for a longer
+    /// wait.
+    fn goes_before_new(&self, cx: &CallContext<'_>) -> bool {
+        self.is_return
+            && self.demand_left(cx).is_some_and(|demand| {
+                demand.left_us >= RETURN_LEFT_RUNS * cx.view.expected_run_us(demand.work_us, cx.now_us)
+            })
+    }
+
     /// Returns whether the rate limits of all servers admit the call too late for its objective. A call made by a run
     /// is sent anyway: it ranks first in the queues, and the work of the run is lost with it.
     fn is_rate_limited(&self, cx: &CallContext<'_>) -> bool {
--- a/valetrack/src/placement/call/choice.rs
+++ b/valetrack/src/placement/call/choice.rs
@@ -66,7 +66,9 @@
         let another_has_room = self.declines_left > 0 && cx.view.has_room(tried, fresh_us, cx.now_us);
         match () {
             () if another_has_room => QueueTimeout::Short,
-            () if self.declined_by_stall => QueueTimeout::Last,
+            // The message has no field for a return. With the extended limit of the last resort, a return is admitted
+            // where new calls of its rank are declined.
+            () if self.declined_by_stall || self.goes_before_new(cx) => QueueTimeout::Last,
             () => QueueTimeout::Long,
         }
     }
--- a/valetrack/src/placement/call/end.rs
+++ b/valetrack/src/placement/call/end.rs
@@ -17,6 +17,9 @@
         if self.finished {
             return;
         }
+        if healthy {
+            self.record_served(cx);
+        }
         if !healthy && !self.past_deadline && self.may_repeat(SendCause::Retry, cx) {
             self.failing_answer = Some(id);
             self.excluded.insert(server);
--- a/valetrack/src/placement/driver.rs
+++ b/valetrack/src/placement/driver.rs
@@ -1,6 +1,7 @@
 //! Drives one call: performs the actions of its state machine and passes the results back to it.
 
 use std::future::pending;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,7 +12,7 @@
 use tokio::time::sleep;
 
 use super::attempt::AttemptEnd;
-use super::call::{Call, CallRule};
+use super::call::{Call, CallRule, CallerCall};
 use super::message::{CallAction, CallEvent, Placed, SERVICE_UNKNOWN, Verdict};
 use super::run::Placer;
 use crate::clock::Moment;
@@ -28,11 +29,15 @@
     reply: oneshot::Sender<Placed>,
 ) {
     let deadline = Moment::now() + Duration::from_millis(head.deadline_ms.into());
+    let mut call = Call::new(rule, placer.entry)
+        .made_by_repeat(head.repeat_permille)
+        .made_by_run(head.made_by_run)
+        .with_traffic(placer.traffic(&head, &body));
+    if !head.made_by_run {
+        call = call.of_caller(caller_call(&head));
+    }
     let driver = CallDriver {
-        call: Call::new(rule, placer.entry)
-            .made_by_repeat(head.repeat_permille)
-            .made_by_run(head.made_by_run)
-            .with_traffic(placer.traffic(&head, &body)),
+        call,
         probes_before_hedge: rule.demand.is_some(),
         reply: Some(reply),
         pending_operations: FuturesUnordered::new(),
@@ -49,6 +54,12 @@
     driver.run().await;
 }
 
+fn caller_call(head: &CallHead) -> CallerCall {
+    let mut hasher = DefaultHasher::new();
+    (&head.route, &head.account, &head.call_id).hash(&mut hasher);
+    CallerCall { id: hasher.finish(), priority: head.priority, deadline_us: u64::from(head.deadline_ms) * 1000 }
+}
+
 /// One call with its pending operations.
 struct CallDriver {
     call: Call,
--- a/valetrack/src/placement/mod.rs
+++ b/valetrack/src/placement/mod.rs
@@ -17,6 +17,7 @@
 mod quantile;
 mod region_link;
 mod repeat;
+mod return_plan;
 mod root;
 pub mod run;
 mod service;
@@ -31,7 +32,7 @@
 
 pub use admission::{RootAdmission, RootVerdict};
 pub use budget::RateBudget;
-pub use call::{Budgets, Call, CallContext, CallRule, RepeatsRefused};
+pub use call::{Budgets, Call, CallContext, CallRule, CallerCall, RepeatsRefused};
 pub use full_owner_share::FullOwnerShare;
 pub use message::{
     CallAction, CallEvent, Demand, Dispatch, Outcome, PlaceJob, Placed, ReceivedLoad, SERVICE_UNKNOWN, SendCause,
@@ -41,6 +42,7 @@
 pub use policy::Policy;
 pub use region_link::{LinkChange, LinkView, RegionLink};
 pub use repeat::{FleetSize, RetryBudget, RetryGuarantee};
+pub use return_plan::{PlannedReturn, RETURN_LEFT_RUNS, Refusal, ReturnCounts, ReturnPlan};
 pub use root::{EndedRun, Root, RootBasis, RunsInProgress};
 pub use service::{considered, considered_by_region};
 pub use set::ServerSet;
--- a/valetrack/src/placement/run.rs
+++ b/valetrack/src/placement/run.rs
@@ -24,6 +24,7 @@
 use super::nested::NestedCalls;
 use super::policy::Policy;
 use super::repeat::FleetSize;
+use super::return_plan::ReturnCounts;
 use super::root::RunsInProgress;
 use super::service::{EntryPlace, ServiceState, call_rule};
 use super::traffic::AnswerSize;
@@ -33,7 +34,7 @@
 use crate::clock::now_us;
 use crate::code::Code;
 use crate::crash::Quarantine;
-use crate::gate::{AttemptId, Departures, LoadReport};
+use crate::gate::{AttemptId, Departures, LoadReport, NestedRank};
 use crate::link::message::{CallHead, PeerRequest};
 use crate::link::path::PathTimes;
 use crate::link::peer::{self, LinkJob, LinkResult, Target};
@@ -218,12 +219,14 @@
             regions: &self.regions,
         };
         let fleet = inner.fleet.update(members.iter().count() as u32, now_us());
+        let plans_returns = in_force.bundle.nested_rank == NestedRank::Root || self.regions.has_several();
         for rule in &in_force.bundle.services {
             let state = inner
                 .services
                 .entry(rule.name.clone())
                 .or_insert_with(|| ServiceState::new(rule, self.policy, now_us()));
             state.configure(rule, fleet);
+            state.view.plan_returns(plans_returns);
             self.metrics.repeat_reserve.with_label_values(&[&*rule.name]).set(state.budgets.retry.reserve());
             let links = &mut inner.links;
             state.sync(members.servers_of(&rule.name), &place, |domain| links.index_of(&self.regions, domain));
@@ -293,9 +296,29 @@
         for (cause, count) in budgets.refused.drain() {
             self.metrics.retries_refused.with_label_values(&[service, cause.as_str()]).inc_by(count);
         }
+        if let Some(plan) = view.return_plan() {
+            self.count_returns(service, plan.drain_counts());
+        }
         Some(decided)
     }
 
+    fn count_returns(&self, service: &str, counts: ReturnCounts) {
+        let ReturnCounts { reserved, not_reserved, unknown, returns_served, returns_refused } = counts;
+        if reserved + not_reserved + unknown > 0 {
+            log::debug!(
+                "event=call.return_planned service={service} reserved={reserved} none={not_reserved} unknown={unknown}"
+            );
+        }
+        let plans = [("reserved", reserved), ("none", not_reserved), ("unknown", unknown)];
+        for (plan, count) in plans.into_iter().filter(|(_, count)| *count > 0) {
+            self.metrics.planned_returns.with_label_values(&[service, plan]).inc_by(count);
+        }
+        let results = [("served", returns_served), ("refused", returns_refused)];
+        for (result, count) in results.into_iter().filter(|(_, count)| *count > 0) {
+            self.metrics.caller_returns.with_label_values(&[service, result]).inc_by(count);
+        }
+    }
+
     /// Returns the node of a server, if the server is still known.
     pub(super) fn target(&self, service: &str, server: ServerIndex) -> Option<Target> {
         let inner = self.inner.borrow();
--- a/valetrack/src/placement/tests.rs
+++ b/valetrack/src/placement/tests.rs
@@ -8,6 +8,8 @@
 mod nested_load;
 mod region;
 mod region_link;
+mod return_load;
+mod return_plan;
 mod root;
 mod service;
 mod view;
--- a/valetrack/src/placement/view.rs
+++ b/valetrack/src/placement/view.rs
@@ -7,6 +7,7 @@
 use super::message::{ReceivedLoad, ServerIndex};
 use super::policy::Policy;
 use super::region_link::LinkView;
+use super::return_plan::{ReturnPlan, WINDOW_US};
 use super::set::ServerSet;
 use crate::gate::LoadReport;
 use crate::rollout::{TrafficShare, TrialShare};
@@ -106,6 +107,8 @@
     last_starts_after_us: u64,
     /// States of the links to other regions; empty if the fleet has a single region.
     links: Vec<LinkView>,
+    /// Plan of refused callers' returns; none if retry delays are random.
+    return_plan: Option<ReturnPlan>,
 }
 
 impl ServiceView {
@@ -121,6 +124,7 @@
             trial: TrialShare::default(),
             last_starts_after_us: 0,
             links: Vec::new(),
+            return_plan: None,
         }
     }
 
@@ -223,6 +227,31 @@
         view.outstanding_at_report = view.outstanding;
     }
 
+    /// Sets whether the returns of refused callers are planned.
+    pub fn plan_returns(&mut self, is_planned: bool) {
+        match is_planned {
+            true => drop(self.return_plan.get_or_insert_with(ReturnPlan::default)),
+            false => self.return_plan = None,
+        }
+    }
+
+    /// Returns the plan of refused callers' returns; none if retry delays are random.
+    pub fn return_plan(&mut self) -> Option<&mut ReturnPlan> {
+        self.return_plan.as_mut()
+    }
+
+    /// Returns the expected duration of a run whose usual duration is `work_us`: at least the mean of what the servers in
+    /// rotation reported lately, which includes their slow episodes and their load.
+    pub fn expected_run_us(&self, work_us: u32, now_us: u64) -> u64 {
+        let rotation = self.rotation(now_us);
+        let in_rotation = self.servers.iter().enumerate().filter(|(server, _)| rotation.contains(*server));
+        let reports = in_rotation.filter_map(|(_, view)| view.last_report);
+        let fresh = reports.filter(|last_report| now_us < last_report.received_us + WINDOW_US);
+        let (sum_us, count) =
+            fresh.fold((0, 0), |(sum_us, count), report| (sum_us + u64::from(report.load.service_us), count + 1));
+        u64::from(work_us).max(sum_us / count.max(1))
+    }
+
     /// Counts an attempt sent to a server.
     pub fn count_sent(&mut self, server: ServerIndex) {
         if let Some(view) = self.servers.get_mut(server) {
