--- a/valetrack/src/caller/pipeline/tests/load.rs
+++ b/valetrack/src/caller/pipeline/tests/load.rs
@@ -9,8 +9,7 @@
 
 /// Returns when four playback calls that are sent at once are answered, in milliseconds.
 async fn answer_times(reader: Reader) -> Vec<u64> {
-    let listener = Listener::start(reader).await;
-    let mut client = Client::connect(&listener).await;
+    let (_listener, mut client) = Listener::start_with_client(reader).await;
     client.send(&["a", "b", "c", "d"].map(|name| get(WORK_MS, name)).concat()).await;
     let answers = client.answers(4).await;
     let times = answers.iter().map(|answer| answer.after_ms).collect();
@@ -20,7 +19,7 @@
 
 /// Guards against calls that wait for those before them on their connection: the fourth lost 570 ms.
 #[test]
-fn pipelined_calls_are_answered_after_the_time_of_one() {
+fn pipelined_calls_take_the_time_of_one() {
     run(async {
         let (before, after) = (answer_times(Reader::Hyper).await, answer_times(Reader::Pipeline).await);
         assert!(before[3] >= 4 * WORK_MS, "{before:?}");
@@ -63,7 +62,7 @@
 
 /// Guards against a queue on each connection whose client sends faster than one call at a time is served.
 #[test]
-fn playback_load_is_served_without_a_queue_on_its_connections() {
+fn playback_load_is_served_without_connection_queues() {
     run(async {
         let before = playback_times(Reader::Hyper).await;
         let after = playback_times(Reader::Pipeline).await;
--- a/valetrack/src/caller/pipeline/tests/state.rs
+++ b/valetrack/src/caller/pipeline/tests/state.rs
@@ -87,14 +87,14 @@
     }
 
     fn start_ahead(&mut self) {
-        while let Some(candidate) = self.pipeline.next_request() {
-            if candidate.parts.method != "GET" {
+        while let Some(request) = self.pipeline.next_request() {
+            if request.parts.method != "GET" {
                 self.pipeline.wait();
                 return;
             }
-            let path = candidate.parts.uri.to_string();
+            let path = request.parts.uri.to_string();
             self.log.push(format!("start {path}"));
-            self.pipeline.push(&candidate, path);
+            self.pipeline.push(&request, path);
             assert!(self.pipeline.in_progress() <= IN_PROGRESS_MAX);
         }
     }
@@ -240,7 +240,7 @@
 
 /// Guards against a deadlock: hyper waits for bytes that are held back, since it frames a message differently.
 #[test]
-fn all_bytes_are_ready_once_hyper_frames_a_message_differently() {
+fn all_bytes_are_ready_once_hyper_frames_differently() {
     let mut pipeline = Pipeline::<()>::default();
     pipeline.buffer().extend_from_slice(b"GET / HTTP/1.1\r\n\r\nmore");
     pipeline.on_received();
--- a/valetrack/src/gate/state/queue.rs
+++ b/valetrack/src/gate/state/queue.rs
@@ -16,12 +16,10 @@
 impl Gate {
     /// Admits an attempt, to start or to wait, or declines it.
     pub(super) fn arrive(&mut self, event: GateEvent, now_us: u64, out: &mut Vec<GateAction>) {
-        let (GateEvent::Arrive { attempt, deadline_us, patience, priority, objective }
-        | GateEvent::ArriveNested { attempt, deadline_us, patience, priority, objective }) = event
-        else {
+        let GateEvent::Arrive { attempt, deadline_us, patience, priority, objective, is_nested } = event else {
             return;
         };
-        let is_nested = matches!(event, GateEvent::ArriveNested { .. }) || priority == INTERNAL_PRIORITY;
+        let is_nested = is_nested || priority == INTERNAL_PRIORITY;
         if self.holds(attempt) {
             // A second copy must not run; the first copy gets its own answer.
             return;
@@ -92,7 +90,7 @@
         out: &mut Vec<GateAction>,
     ) -> bool {
         let same_rank = self.waiting.iter().filter(|other| other.priority == call.priority);
-        let victim = self.shares.displaced(call.attempt, same_rank.map(|other| other.attempt), now_us);
+        let victim = self.shares.at(now_us).displaced(call.attempt, same_rank.map(|other| other.attempt));
         let at = victim.and_then(|victim| self.waiting.iter().position(|other| other.attempt == victim));
         let Some((at, victim)) = at.and_then(|at| Some((at, self.waiting.remove(at)?))) else {
             return false;
@@ -119,10 +117,10 @@
         }
         let mut ready = self.waiting.iter().enumerate().filter(|(_, waiting)| is_ready(waiting));
         let (first, Waiting { priority, .. }) = ready.next()?;
-        let rank = |attempt| self.shares.rank(attempt, now_us);
-        let mut best = (rank(self.waiting[first].attempt), first);
+        let usage = self.shares.at(now_us);
+        let mut best = (usage.rank(self.waiting[first].attempt), first);
         for (at, waiting) in ready.take_while(|(_, waiting)| waiting.priority == *priority) {
-            let rank = rank(waiting.attempt);
+            let rank = usage.rank(waiting.attempt);
             if rank < best.0 {
                 best = (rank, at);
             }
--- a/valetrack/src/gate/tests/account_share.rs
+++ b/valetrack/src/gate/tests/account_share.rs
@@ -8,6 +8,7 @@
 
 use test_case::test_case;
 
+use super::caller_arrival;
 use crate::bundle::{AccountRule, AccountTable};
 use crate::gate::{AttemptId, DeclineReason, Gate, GateAction, GateConfig, GateEvent, Objective, QueueTimeout};
 
@@ -114,7 +115,7 @@
         let deadline_us = call.arrived_us + 2_000_000;
         self.gates[at].shares().arrive(attempt, &name, self.now_us);
         let objective = Some(objective);
-        self.handle(at, GateEvent::Arrive { attempt, deadline_us, patience, priority: 2, objective });
+        self.handle(at, caller_arrival(attempt, deadline_us, patience, 2, objective));
     }
 
     fn handle(&mut self, gate: usize, event: GateEvent) {
@@ -229,11 +230,7 @@
     let objective = Some(Objective { left_us, work_us: RUN_US, elsewhere_permille: 0, wait_max_us });
     let (deadline_us, patience) = (now_us + 2_000_000, QueueTimeout::Long);
     let mut out = Vec::new();
-    gate.handle(
-        GateEvent::Arrive { attempt: attempt(seq), deadline_us, patience, priority, objective },
-        now_us,
-        &mut out,
-    );
+    gate.handle(caller_arrival(attempt(seq), deadline_us, patience, priority, objective), now_us, &mut out);
     out
 }
 
@@ -260,7 +257,7 @@
 
 /// Tabulates the share of its calls that an account gets, by group and by the account that surges.
 #[test]
-fn accounts_within_their_share_keep_it_during_a_surge() {
+fn accounts_within_share_keep_it_during_surge() {
     let (rates, no_rates) = (table(true), table(false));
     let mut lines = String::from("surge, accounts: all surging large usual one_per_s one_entry worst_tenth lowest\n");
     for (surge, surging) in [("large", 0), ("usual", 30)] {
--- a/valetrack/src/placement/mod.rs
+++ b/valetrack/src/placement/mod.rs
@@ -44,7 +44,7 @@
 pub use repeat::{FleetSize, RetryBudget, RetryGuarantee};
 pub use return_plan::{PlannedReturn, RETURN_LEFT_RUNS, Refusal, ReturnCounts, ReturnPlan};
 pub use root::{EndedRun, Root, RootBasis, RunsInProgress};
-pub use service::{considered, considered_by_region};
+pub use service::considered;
 pub use set::ServerSet;
 pub use sliding::SlidingSum;
 pub use traffic::{AnswerSize, CallTraffic};
