--- a/valetrack/src/placement/tests/return_load.rs
+++ b/valetrack/src/placement/tests/return_load.rs
@@ -279,7 +279,11 @@
         let priority = NestedRank::Root.rank(priority, false);
         let deadline_us = began_us + deadline_us;
         let attempt = self.attempt(call);
-        self.gate_event(service, at, GateEvent::Arrive { attempt, deadline_us, patience, priority, objective });
+        self.gate_event(
+            service,
+            at,
+            GateEvent::Arrive { attempt, deadline_us, patience, priority, objective, is_nested: false },
+        );
     }
 
     /// Returns the identifier of a call's present attempt.
