--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -127,9 +127,6 @@
     entry_update: Notify,
     /// Wakes the task that follows the store, since its call may hang after an outage of the store.
     reread: Notify,
-    /// When a failed store is read again, in microseconds; none if that has not been determined since the last read or
-    /// update.
-    reread_us: Cell<Option<u64>>,
     store_reachable: Cell<bool>,
     /// When this thread started.
     started_us: u64,
@@ -190,7 +187,6 @@
         role_changed: Notify::new(),
         entry_update: Notify::new(),
         reread: Notify::new(),
-        reread_us: Cell::new(None),
         store_reachable: Cell::new(false),
         started_us: now_us(),
         log: RefCell::new(ChangeLog::with_age_max(parts.news_within_ms * AGE_SHARE_PERCENT * 10)),
--- a/valetrack/src/member/leased/follow.rs
+++ b/valetrack/src/member/leased/follow.rs
@@ -67,25 +67,11 @@
         self.rng.borrow_mut().u64(longest_ms / 2..=longest_ms)
     }
 
-    /// Pauses before a failed store is read again; returns whether it is due to be read. The pause also ends when an
-    /// avoided relay may be followed again. The time of the next read then stays the same, since in a large fleet
-    /// avoidances that end one after the other would postpone it without limit.
-    async fn pause_before_reread(&self) -> bool {
-        let reread_us = self.reread_us.get().unwrap_or_else(|| now_us() + self.reread_pause_ms() * 1_000);
-        self.reread_us.set(Some(reread_us));
-        let pause = Duration::from_micros(self.pause_until_us(reread_us).saturating_sub(now_us()) + 1);
-        let is_notified = timeout(pause, self.reread.notified()).await.is_ok();
-        let is_due = is_notified || now_us() >= reread_us;
-        if is_due {
-            self.reread_us.set(None);
-        }
-        is_due
-    }
-
     /// Follows the store itself until it fails or this node has another relay to follow.
     async fn follow_directly(self: &Rc<Self>) {
-        if self.failing_since_us.get().is_some() && !self.pause_before_reread().await {
-            return;
+        if self.failing_since_us.get().is_some() {
+            // The store is read again after the pause or the notification.
+            let _ = timeout(Duration::from_millis(self.reread_pause_ms()), self.reread.notified()).await;
         }
         let mut wait = CATCH_UP_WAIT;
         while self.is_relay() && self.relay().is_none() {
@@ -141,7 +127,6 @@
     /// Records that the store has answered this node, or a relay that has just sent an update.
     pub(super) fn store_update_received(self: &Rc<Self>, era: Era) {
         self.observe_era(era);
-        self.reread_us.set(None);
         if self.store_reachable.replace(true) {
             return;
         }
--- a/valetrack/src/member/leased/role.rs
+++ b/valetrack/src/member/leased/role.rs
@@ -6,8 +6,8 @@
 use crate::clock::now_us;
 use crate::link::peer::Target;
 use crate::member::role::{
-    AvoidReason, is_candidate, is_needed, is_reader, is_surplus, joins_relay, pause_until_us, relay_in_regions,
-    source_of, starts_as_relay,
+    AvoidReason, is_candidate, is_needed, is_reader, is_surplus, joins_relay, relay_in_regions, source_of,
+    starts_as_relay,
 };
 use crate::member::{GROUP_MAX, Member, entry_key, resigns};
 
@@ -55,16 +55,6 @@
         self.avoided.borrow().get(vm).filter(|(_, until_us)| now < *until_us).map(|(why, _)| *why)
     }
 
-    /// Returns when the pause of a relay that the store refuses ends, given when the store is read again.
-    pub(super) fn pause_until_us(&self, reread_us: u64) -> u64 {
-        let members = self.parts.members.borrow();
-        let avoided = self.avoided.borrow();
-        let now_us = now_us();
-        // An avoidance that is over ends no pause: its relay can be followed, or is not followed for another reason.
-        let until_us = |vm: &str| avoided.get(vm).map(|(_, until_us)| *until_us).filter(|until_us| *until_us > now_us);
-        pause_until_us(&members, &self.me.borrow(), reread_us, until_us)
-    }
-
     /// Returns the node that this one follows instead of the store, if there is one.
     pub(super) fn relay(&self) -> Option<Target> {
         let members = self.parts.members.borrow();
--- a/valetrack/src/member/role.rs
+++ b/valetrack/src/member/role.rs
@@ -105,26 +105,9 @@
     me: &Member,
     avoided: impl Fn(&str) -> Option<AvoidReason>,
 ) -> Option<&'a Member> {
-    let relays = other_relays(members, me).filter(|relay| avoided(&relay.vm).is_none());
-    relays.min_by_key(|relay| rank(&relay.vm))
-}
-
-/// Returns when the relay `me`, which the store refuses and which avoids all other relays, ends its pause: at
-/// `reread_us`, when it reads the store again, or earlier when it may follow one of the relays again.
-/// `avoided_until_us` returns until when a relay is avoided.
-pub fn pause_until_us(
-    members: &Members,
-    me: &Member,
-    reread_us: u64,
-    avoided_until_us: impl Fn(&str) -> Option<u64>,
-) -> u64 {
-    other_relays(members, me).filter_map(|relay| avoided_until_us(&relay.vm)).fold(reread_us, u64::min)
-}
-
-/// Returns the serving relays other than `me`.
-fn other_relays<'a>(members: &'a Members, me: &Member) -> impl Iterator<Item = &'a Member> {
     let usable = |member: &&Member| member.is_relay && member.phase == Phase::Serving && member.vm != me.vm;
-    members.iter().filter(usable)
+    let relays = members.iter().filter(usable).filter(|relay| avoided(&relay.vm).is_none());
+    relays.min_by_key(|relay| rank(&relay.vm))
 }
 
 /// Returns the node that becomes a relay if none is left; none if that is `me`.
