Observability of the retry guarantee: highest use by service, index of the owner's incarnation

Cause: a test or a play showed only whether a window broke the guarantee, not how near it was; and call.send named the owner, so two sends to one VM in a row could not be told from sends to its two incarnations. Change: the soak and the fleet in virtual time report the highest used share of any window, by service; the soak's check is the same, made from that peak.

--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -24,7 +24,7 @@
 pub use self::account::{check_account_limits, check_account_shares};
 pub use self::deadly::{DeadlyRun, check_deadly_runs};
 pub use self::judge::{Breach, CallOutcome, CallRecord, Versions, check_calls};
-pub use self::repeat::{Arrival, check_retries};
+pub use self::repeat::{Arrival, RetryPeak, check_retries, retry_peak};
 pub use self::schedule::{Fault, Kind, PathFault, Step, limits, rollbacks, schedule, suspensions};
 
 use self::caller::Callers;
@@ -76,6 +76,8 @@
     pub ends: BTreeMap<String, u64>,
     /// Number of injected faults.
     pub faults: usize,
+    /// Highest use of the retry budget of each service.
+    pub retry_peaks: BTreeMap<&'static str, RetryPeak>,
     /// Guarantees that were broken.
     pub breaches: Vec<Breach>,
 }
@@ -139,10 +141,11 @@
         report.breaches.extend(check_account_limits(&calls, &arrivals(run_starts, callers.began())));
         report.breaches.extend(check_account_shares(&calls, length_ms));
     }
-    let services = [true, false].map(caller::service_of);
-    report
-        .breaches
-        .extend(services.iter().filter_map(|service| retry_breach(service, &calls, &fleet, callers.began())));
+    for service in [true, false].map(caller::service_of) {
+        let peak = retry_peak_of(service, &calls, &fleet, callers.began());
+        report.breaches.extend(check_retries(service, peak));
+        report.retry_peaks.insert(service, peak);
+    }
     Ok(report)
 }
 
@@ -241,14 +244,14 @@
     times.into_iter().map(|(at, id)| Arrival { at_ms: at_ms(at), id }).collect()
 }
 
-fn retry_breach(service: &str, calls: &[CallRecord], fleet: &Rc<RefCell<Fleet>>, began: Instant) -> Option<Breach> {
+fn retry_peak_of(service: &str, calls: &[CallRecord], fleet: &Rc<RefCell<Fleet>>, began: Instant) -> RetryPeak {
     let fleet = fleet.borrow();
     let of_service = fleet.vms.iter().filter(|vm| vm.service == service);
     let mut arrivals = arrivals(of_service.flat_map(|vm| vm.upstream.arrivals()), began);
     arrivals.retain(|arrival| !is_auxiliary(&arrival.id));
     let of_service = calls.iter().filter(|call| caller::service_of(call.repeatable) == service);
     let began_ms: Vec<u64> = of_service.map(|call| call.began_ms).collect();
-    check_retries(service, arrivals, &began_ms, RETRY_GUARANTEE)
+    retry_peak(arrivals, &began_ms, RETRY_GUARANTEE)
 }
 
 fn limit_breaches(fleet: &Rc<RefCell<Fleet>>) -> Vec<Breach> {
--- a/standin/src/soak/repeat.rs
+++ b/standin/src/soak/repeat.rs
@@ -15,13 +15,33 @@
     pub id: String,
 }
 
-/// Checks the arrivals at one service against the retry budget; `began_ms` holds the start times of the callers' calls.
-pub fn check_retries(
-    service: &str,
-    mut arrivals: Vec<Arrival>,
-    began_ms: &[u64],
-    guarantee: RetryGuarantee,
-) -> Option<Breach> {
+/// The window in which the retries at a service came closest to the retry budget.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct RetryPeak {
+    /// Start of the window, relative to the start of the run.
+    pub from_ms: u64,
+    /// Arrivals beyond the first of their call.
+    pub retries: u64,
+    /// Calls that the budget of the window is based on.
+    pub calls: u64,
+    /// Retries that the budget allows.
+    pub allowed: u64,
+}
+
+impl RetryPeak {
+    /// Returns the used share of the budget, as a percentage.
+    pub fn used_percent(&self) -> u64 {
+        self.retries * 100 / self.allowed.max(1)
+    }
+
+    /// Returns whether this window uses a larger share of its budget than another one.
+    fn is_closer_than(&self, other: &Self) -> bool {
+        self.retries * other.allowed > other.retries * self.allowed
+    }
+}
+
+/// Returns the peak of the arrivals at one service; `began_ms` holds the start times of the callers' calls.
+pub fn retry_peak(mut arrivals: Vec<Arrival>, began_ms: &[u64], guarantee: RetryGuarantee) -> RetryPeak {
     arrivals.sort();
     let mut seen_ids = BTreeSet::new();
     let (first, retries): (Vec<&Arrival>, Vec<&Arrival>) =
@@ -34,15 +54,23 @@
     let within = |times: &[u64], from_ms: u64| {
         times.iter().filter(|at_ms| (from_ms..from_ms + window_ms).contains(at_ms)).count() as u64
     };
-    retries_ms.iter().find_map(|&from_ms| {
-        let count = within(&retries_ms, from_ms);
-        let windows = [0, window_ms / 2, window_ms];
-        let calls = windows.iter().map(|earlier_ms| within(&calls_ms, from_ms.saturating_sub(*earlier_ms))).max()?;
+    let window = |from_ms: u64| {
+        let earlier_ms = [0, window_ms / 2, window_ms];
+        let calls = earlier_ms.map(|earlier_ms| within(&calls_ms, from_ms.saturating_sub(earlier_ms)));
+        let calls = calls.into_iter().max().unwrap_or(0);
         let allowed = calls * u64::from(guarantee.percent) / 100 + u64::from(guarantee.reserve);
-        (count > allowed).then(|| Breach {
-            guarantee: "retries stay within their budget",
-            subject: service.to_owned(),
-            detail: format!("from {from_ms} ms: {count} for {calls} calls, allowed {allowed}"),
-        })
+        RetryPeak { from_ms, retries: within(&retries_ms, from_ms), calls, allowed }
+    };
+    let windows = retries_ms.iter().map(|&from_ms| window(from_ms));
+    windows.reduce(|peak, window| if window.is_closer_than(&peak) { window } else { peak }).unwrap_or_default()
+}
+
+/// Checks the peak of the arrivals at one service against the retry budget.
+pub fn check_retries(service: &str, peak: RetryPeak) -> Option<Breach> {
+    let RetryPeak { from_ms, retries, calls, allowed } = peak;
+    (retries > allowed).then(|| Breach {
+        guarantee: "retries stay within their budget",
+        subject: service.to_owned(),
+        detail: format!("from {from_ms} ms: {retries} for {calls} calls, allowed {allowed}"),
     })
 }
--- a/standin/src/soak/tests.rs
+++ b/standin/src/soak/tests.rs
@@ -9,7 +9,7 @@
 use super::pipeline::check_order;
 use super::{
     Arrival, CallOutcome, CallRecord, Fault, Kind, Versions, check_account_limits, check_account_shares, check_calls,
-    check_retries, schedule,
+    check_retries, retry_peak, schedule,
 };
 use crate::client::Reply;
 
@@ -94,15 +94,36 @@
     let first = (0..10).map(|number| (number * 100, number));
     let later = (0..repeats).map(|number| (1_000 + number * 200, number));
     let arrivals = first.chain(later).map(|(at_ms, number)| Arrival { at_ms, id: format!("call-{number}") });
-    let breach_found = check_retries("ledger", arrivals.collect(), &began_ms, guarantee);
+    let breach_found = check_retries("ledger", retry_peak(arrivals.collect(), &began_ms, guarantee));
     assert_eq!(breach_found.map(|breach| breach.detail).as_deref(), breach);
 }
 
+#[test]
+fn retry_peak_is_window_with_highest_used_share() {
+    let guarantee = RetryGuarantee { percent: 50, reserve: 2, window_us: 1_000_000 };
+    let began_ms: Vec<u64> = (0..20).map(|number| number * 50).chain([5_000]).collect();
+    let at = |at_ms: u64, id: &str| Arrival { at_ms, id: id.to_owned() };
+    let many_calls = (0..4).flat_map(|number| [at(number, "a"), at(900 + number, "a")]);
+    let few_calls = [at(5_000, "b"), at(5_100, "b"), at(5_200, "b")];
+    let peak = retry_peak(many_calls.chain(few_calls).collect(), &began_ms, guarantee);
+    insta::assert_debug_snapshot!((peak, peak.used_percent()), @r"
+    (
+        RetryPeak {
+            from_ms: 5100,
+            retries: 2,
+            calls: 1,
+            allowed: 2,
+        },
+        100,
+    )
+    ");
+}
+
 #[test]
 fn nested_calls_of_a_retry_count_as_retries() {
     let guarantee = RetryGuarantee { percent: 0, reserve: 1, window_us: 3_000_000 };
     let arrivals = ["a.0", "a.1", "a.0", "a.1"].map(|id| Arrival { at_ms: 0, id: id.to_owned() });
-    assert!(check_retries("ledger", arrivals.to_vec(), &[], guarantee).is_some());
+    assert!(check_retries("ledger", retry_peak(arrivals.to_vec(), &[], guarantee)).is_some());
 }
 
 #[test]
--- a/valetrack/src/placement/attempt.rs
+++ b/valetrack/src/placement/attempt.rs
@@ -63,7 +63,7 @@
             self.departures.attach(Some(&target.vm), &mut head.headers);
             let age_ms = self.report_age_ms(&service, server);
             log::info!(
-                "event=call.send call={} attempt={attempt} owner={} cause={} repeats_left={} \
+                "event=call.send call={} attempt={attempt} owner={} server={server} cause={} repeats_left={} \
                  repeat_permille={repeat_permille} patience={patience:?} left_ms={left_ms} work_us={} \
                  elsewhere_permille={elsewhere_permille} load_age_ms={}",
                 head.call_id,
--- a/valetrack/src/placement/tests/fleet.rs
+++ b/valetrack/src/placement/tests/fleet.rs
@@ -15,7 +15,6 @@
 use std::sync::Arc;
 
 use proptest::prelude::*;
-use test_case::test_case;
 
 use crate::gate::{AttemptId, CancelResult, DeclineReason};
 use crate::placement::{
@@ -353,41 +352,107 @@
         self.later(RUN_US + LATENCY_US, report_to_call(report));
     }
 
-    /// Returns a description of the first window with more repeats at a service than the guarantee allows.
-    fn violation(&self) -> Option<String> {
-        [FRONT, BACK].into_iter().find_map(|service| self.violation_at(service))
+    /// Returns the first window with more repeats at a service than the guarantee allows.
+    fn violation(&self) -> Option<Window> {
+        [FRONT, BACK].into_iter().find_map(|service| self.windows(service).find(Window::is_violation))
     }
 
-    fn violation_at(&self, service: usize) -> Option<String> {
+    /// Returns the highest used share of what the guarantee allows at a service in any window, as a percentage.
+    fn peak_percent(&self, service: usize) -> usize {
+        self.windows(service).map(|window| window.repeats * 100 / window.allowed).max().unwrap_or(0)
+    }
+
+    /// Returns windows that begin at repeats.
+    fn windows(&self, service: usize) -> impl Iterator<Item = Window> + '_ {
         let within = |times: &[u64], from_us: u64| {
             let until_us = from_us + GUARANTEE.window_us;
             times.iter().filter(|at_us| (from_us..until_us).contains(at_us)).count()
         };
-        self.repeats_us[service].iter().step_by(5).find_map(|&from_us| {
-            let repeats = within(&self.repeats_us[service], from_us);
-            let windows =
-                [from_us, from_us.saturating_sub(GUARANTEE.window_us / 2), from_us.saturating_sub(GUARANTEE.window_us)];
-            let calls = windows.into_iter().map(|from_us| within(&self.began_us[service], from_us)).max()?;
+        self.repeats_us[service].iter().step_by(5).map(move |&from_us| {
+            let earlier_us = [0, GUARANTEE.window_us / 2, GUARANTEE.window_us];
+            let calls =
+                earlier_us.map(|earlier_us| within(&self.began_us[service], from_us.saturating_sub(earlier_us)));
+            let calls = calls.into_iter().max().unwrap_or(0);
             let allowed = calls * GUARANTEE.percent as usize / 100 + GUARANTEE.reserve as usize;
-            (repeats > allowed)
-                .then(|| format!("service {service} from {from_us} us: {repeats} of {calls} calls, allowed {allowed}"))
+            Window { service, from_us, repeats: within(&self.repeats_us[service], from_us), calls, allowed }
         })
     }
 }
 
-#[test_case(Faults { rate_per_s: [120, 60], rejected_percent: [50, 50], ..NO_FAULTS }; "both services reject half of what arrives")]
-#[test_case(Faults { rejected_percent: [0, 100], ..NO_FAULTS }; "one service rejects everything")]
-#[test_case(Faults { failing_percent: [60, 60], ..NO_FAULTS }; "runs fail")]
-#[test_case(Faults { rate_per_s: [120, 60], rejected_percent: [50, 50], lost_percent: 30, ..NO_FAULTS }; "rejections are lost with their link")]
-#[test_case(Faults { rate_per_s: [120, 0], nested: 3, rejected_percent: [0, 50], failing_percent: [60, 0], ..NO_FAULTS }; "repeated runs call a service that rejects")]
-#[test_case(Faults { rate_per_s: [16, 0], nested: 5, failing_percent: [100, 0], ..NO_FAULTS }; "repeated runs of a quiet service make many calls")]
-#[test_case(Faults { rate_per_s: [12, 12], nested: 0, rejected_percent: [70, 70], restart_interval_us: Some(300_000), ..NO_FAULTS }; "nodes restart one after the other")]
-#[test_case(Faults { rate_per_s: [60, 60], nested: 0, rejected_percent: [70, 70], restart_interval_us: Some(500_000), members_delay_us: 3_000_000, ..NO_FAULTS }; "restarted nodes have no record of others")]
-fn fleet_keeps_retry_guarantee_under_single_faults(faults: Faults) {
-    for seed in 1..=3 {
-        let fleet = Fleet::run(faults, seed);
-        assert_eq!(fleet.violation(), None, "seed {seed}");
+/// The repeats at one service within one window.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Window {
+    service: usize,
+    from_us: u64,
+    repeats: usize,
+    calls: usize,
+    /// Repeats that the guarantee allows.
+    allowed: usize,
+}
+
+impl Window {
+    fn is_violation(&self) -> bool {
+        self.repeats > self.allowed
+    }
+}
+
+const SINGLE_FAULTS: [(&str, Faults); 8] = [
+    (
+        "both services reject half of what arrives",
+        Faults { rate_per_s: [120, 60], rejected_percent: [50, 50], ..NO_FAULTS },
+    ),
+    ("one service rejects everything", Faults { rejected_percent: [0, 100], ..NO_FAULTS }),
+    ("runs fail", Faults { failing_percent: [60, 60], ..NO_FAULTS }),
+    (
+        "rejections are lost with their link",
+        Faults { rate_per_s: [120, 60], rejected_percent: [50, 50], lost_percent: 30, ..NO_FAULTS },
+    ),
+    (
+        "repeated runs call a service that rejects",
+        Faults { rate_per_s: [120, 0], nested: 3, rejected_percent: [0, 50], failing_percent: [60, 0], ..NO_FAULTS },
+    ),
+    (
+        "repeated runs of a quiet service make many calls",
+        Faults { rate_per_s: [16, 0], nested: 5, failing_percent: [100, 0], ..NO_FAULTS },
+    ),
+    (
+        "nodes restart one after the other",
+        Faults {
+            rate_per_s: [12, 12],
+            nested: 0,
+            rejected_percent: [70, 70],
+            restart_interval_us: Some(300_000),
+            ..NO_FAULTS
+        },
+    ),
+    (
+        "restarted nodes have no record of others",
+        Faults {
+            rate_per_s: [60, 60],
+            nested: 0,
+            rejected_percent: [70, 70],
+            restart_interval_us: Some(500_000),
+            members_delay_us: 3_000_000,
+            ..NO_FAULTS
+        },
+    ),
+];
+
+#[test]
+fn fleet_keeps_retry_guarantee_under_single_faults() {
+    let mut peaks = String::new();
+    for (name, faults) in SINGLE_FAULTS {
+        let mut peak_percents = [0; 2];
+        for seed in 1..=3 {
+            let fleet = Fleet::run(faults, seed);
+            assert_eq!(fleet.violation(), None, "{name}, seed {seed}");
+            for service in [FRONT, BACK] {
+                peak_percents[service] = peak_percents[service].max(fleet.peak_percent(service));
+            }
+        }
+        peaks += &format!("{name}: front {}%, back {}%\n", peak_percents[FRONT], peak_percents[BACK]);
     }
+    insta::assert_snapshot!("used_share_of_retry_guarantee", peaks);
 }
 
 fn faults() -> impl Strategy<Value = Faults> {
