A call is not sent again to a VM whose upstream has rejected it

Callers saw: one call reached an upstream twice within ten milliseconds of a rejection, twice over, and was refused in the end: five arrivals at three upstreams, two of which had just restarted (record of repeats over budget). Cause: an entry gives a new incarnation of a VM an index of its own, so the VM counted as not tried; and the last resort picked among all servers, also those that had just rejected the call. Both were charged, so neither breaks the guarantee; each takes a repeat that another call could have used. Evidence: with three upstreams that reject, and VMs that restart once they have received the call, the new test received vm-0, vm-1, vm-1, vm-2, vm-2 before; the last resort went to server 0 a second time. Both tests failed on the code before. Ruled out: the pair as two sends of the gate. The gate sends a request again only if no byte of it was written. Change: an attempt records its VM and that it was rejected; no later attempt of the call goes to any incarnation of that VM. By index alone the exclusion was lost when the index of an old incarnation was used again for another VM.

--- a/valetrack/src/placement/call.rs
+++ b/valetrack/src/placement/call.rs
@@ -141,6 +141,8 @@
     CancelSent,
     /// The owner declined it, or confirmed that it never starts.
     NeverStarted,
+    /// The upstream rejected it, so it never starts either.
+    Rejected,
     /// It may have run, and no answer will arrive.
     Lost,
 }
@@ -149,6 +151,8 @@
 struct Attempt {
     id: AttemptId,
     server: ServerIndex,
+    /// Number of the server's VM.
+    vm: u64,
     patience: QueueTimeout,
     state: AttemptState,
 }
@@ -342,7 +346,7 @@
         if idle || self.outstanding() != 1 || self.count >= MAX_ATTEMPTS {
             return;
         }
-        let mut tried = self.excluded;
+        let mut tried = self.excluded.union(self.rejecting_vms(cx));
         for attempt in self.attempts.iter().flatten() {
             tried.insert(attempt.server);
         }
--- a/valetrack/src/placement/call/choice.rs
+++ b/valetrack/src/placement/call/choice.rs
@@ -37,12 +37,12 @@
     }
 
     /// Sends a last attempt to the best of the servers that were tried, to wait in its queue, unless one was sent
-    /// already.
+    /// already. A server that has rejected the call is as full some milliseconds later.
     pub(super) fn send_last(&mut self, cause: SendCause, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) -> bool {
         if self.last_resort || self.count >= MAX_ATTEMPTS {
             return false;
         }
-        let Some(server) = self.pick(self.rollout_excluded, cx) else {
+        let Some(server) = self.pick(self.rollout_excluded.union(self.rejecting_vms(cx)), cx) else {
             return false;
         };
         self.send(server, QueueTimeout::Last, cause, cx, out);
@@ -122,7 +122,14 @@
         if self.count >= MAX_ATTEMPTS {
             return None;
         }
-        self.pick(self.excluded, cx)
+        self.pick(self.excluded.union(self.rejecting_vms(cx)), cx)
+    }
+
+    /// Returns the servers on VMs whose upstreams have rejected the call, in any incarnation.
+    pub(super) fn rejecting_vms(&self, cx: &CallContext<'_>) -> ServerSet {
+        let attempts = self.attempts.iter().flatten();
+        let rejected = attempts.filter(|attempt| attempt.state == AttemptState::Rejected);
+        rejected.fold(ServerSet::default(), |all, attempt| all.union(cx.view.incarnations_of(attempt.vm)))
     }
 
     /// Returns whether a hedge at `server` pays off, and charges it to its budget if so.
@@ -157,7 +164,8 @@
         self.has_crossed |= cx.view.region_link(server).is_some();
         self.last_resort |= patience == QueueTimeout::Last;
         self.repeat_charged |= cause.is_charged();
-        self.attempts[self.count] = Some(Attempt { id, server, patience, state: AttemptState::Sent });
+        self.attempts[self.count] =
+            Some(Attempt { id, server, vm: cx.view.vm(server), patience, state: AttemptState::Sent });
         self.count += 1;
         let repeat_permille = if self.repeat_charged { PERMILLE as u16 } else { self.repeat_permille };
         out.push(CallAction::Send(Dispatch {
--- a/valetrack/src/placement/call/crossing.rs
+++ b/valetrack/src/placement/call/crossing.rs
@@ -39,7 +39,8 @@
             return false;
         }
         let crossing = Crossing { demand: self.demand_left(cx), traffic: self.traffic };
-        let Some(server) = cx.view.pick_last_resort(self.excluded, crossing, cx.now_us, cx.rng) else {
+        let excluded = self.excluded.union(self.rejecting_vms(cx));
+        let Some(server) = cx.view.pick_last_resort(excluded, crossing, cx.now_us, cx.rng) else {
             return false;
         };
         self.send(server, QueueTimeout::Long, cause, cx, out);
--- a/valetrack/src/placement/call/end.rs
+++ b/valetrack/src/placement/call/end.rs
@@ -38,7 +38,9 @@
         cx: &mut CallContext<'_>,
         out: &mut Vec<CallAction>,
     ) {
-        let Some(at) = self.close(id, AttemptState::NeverStarted, cx) else {
+        let is_rejected = reason == DeclineReason::Rejected;
+        let state = if is_rejected { AttemptState::Rejected } else { AttemptState::NeverStarted };
+        let Some(at) = self.close(id, state, cx) else {
             return;
         };
         let server = self.server(at);
@@ -64,7 +66,7 @@
             }
             return;
         }
-        if reason == DeclineReason::Rejected {
+        if is_rejected {
             self.after_rejection(server, cx, out);
             return;
         }
@@ -170,7 +172,8 @@
             return;
         }
         let state = match result {
-            Some(CancelResult::NeverStarted | CancelResult::Rejected) => AttemptState::NeverStarted,
+            Some(CancelResult::NeverStarted) => AttemptState::NeverStarted,
+            Some(CancelResult::Rejected) => AttemptState::Rejected,
             Some(CancelResult::Started) | None => AttemptState::Lost,
         };
         self.close(id, state, cx);
--- a/valetrack/src/placement/service.rs
+++ b/valetrack/src/placement/service.rs
@@ -101,6 +101,7 @@
                 Distance::SameRegion | Distance::Beyond => place.domain_cost_us,
             };
             self.view.set_present(server, true, network_us);
+            self.view.set_vm(server, vm_number(&candidate.vm));
             self.view.set_cross_domain(server, &*candidate.domain != place.domain);
             self.view.set_region(server, (distance == Distance::Beyond).then(|| link_of(&candidate.domain)));
             self.view.set_traffic_share(server, candidate.part);
@@ -117,9 +118,7 @@
     fn share_trial(&mut self, candidates: &[Candidate], vm: &str) {
         let count = |part| candidates.iter().filter(|candidate| candidate.part == part).count();
         // Entries start at different points of the cycle, so that not all of them begin with the new version.
-        let mut hasher = DefaultHasher::new();
-        vm.hash(&mut hasher);
-        let start_permille = (hasher.finish() % 1_000) as u32;
+        let start_permille = (vm_number(vm) % 1_000) as u32;
         self.view.set_trial_share(count(TrafficShare::Trial), count(TrafficShare::Usual), start_permille);
     }
 
@@ -147,6 +146,13 @@
     }
 }
 
+/// Returns a number that stands for a VM.
+fn vm_number(vm: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    vm.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Returns the servers that one entry considers if a service has more than [`CONSIDERED_MAX`]: the nearest ones first,
 /// and those of one distance by a hash of both VMs, so that entries choose differently and each server is considered by
 /// about the same number of entries. With several regions, some servers of each other region are considered in any case.
--- a/valetrack/src/placement/tests/call.rs
+++ b/valetrack/src/placement/tests/call.rs
@@ -26,6 +26,7 @@
 #[derive(Debug)]
 struct Attempt {
     id: AttemptId,
+    server: ServerIndex,
     progress: Progress,
     cancel_sent: bool,
     /// Whether the entry has received the end of the attempt.
@@ -82,12 +83,13 @@
 
     fn perform(&mut self, action: CallAction) -> Result<(), TestCaseError> {
         match action {
-            CallAction::Send(Dispatch { attempt, .. }) => {
+            CallAction::Send(Dispatch { attempt, server, .. }) => {
                 prop_assert!(self.verdict.is_none(), "an attempt after the verdict");
                 let may_run = self.attempts.iter().any(|attempt| attempt.progress != Progress::NeverStarts);
                 prop_assert!(self.repeatable || !may_run, "a second attempt that may run");
                 self.attempts.push(Attempt {
                     id: attempt,
+                    server,
                     progress: Progress::Sent,
                     cancel_sent: false,
                     closed: false,
@@ -128,7 +130,7 @@
 
     /// Performs one step of one attempt.
     fn step_attempt(&mut self, at: usize, what: u8) -> Result<(), TestCaseError> {
-        let Attempt { id, progress, cancel_sent, closed } = self.attempts[at];
+        let Attempt { id, progress, cancel_sent, closed, .. } = self.attempts[at];
         let attempt = id;
         let (after, event) = match (what % 8, progress) {
             (0, Progress::Sent) => (Progress::Started, None),
@@ -290,6 +292,24 @@
     assert!(repeats + 6 >= calls * percent as usize / 100, "{repeats}");
 }
 
+#[test_case(0; "no other reason")]
+#[test_case(2; "two servers without room")]
+fn rejecting_server_does_not_receive_same_call_again(full: usize) {
+    let mut world = single(CallRule { bounces: 8, ..ONCE });
+    let mut rejecting = Vec::new();
+    while world.verdict.is_none() {
+        let Attempt { id: attempt, server, .. } = *world.attempts.last().expect("an attempt");
+        world.attempts.last_mut().expect("an attempt").progress = Progress::NeverStarts;
+        assert!(!rejecting.contains(&server), "server {server} received the call again");
+        let reason = if server < full { DeclineReason::Full } else { DeclineReason::Rejected };
+        if reason == DeclineReason::Rejected {
+            rejecting.push(server);
+        }
+        world.handle_event(CallEvent::Declined { attempt, reason }).expect("no violated invariant");
+    }
+    assert_eq!(rejecting.len(), SERVERS - full, "every other server is tried");
+}
+
 #[test]
 fn owner_is_queried_after_broken_link() {
     let mut world = single(ONCE);
--- a/valetrack/src/placement/tests/service.rs
+++ b/valetrack/src/placement/tests/service.rs
@@ -3,8 +3,12 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use crate::gate::DeclineReason;
 use crate::member::Candidate;
-use crate::placement::service::{CONSIDERED_MAX, considered};
+use crate::placement::service::{CONSIDERED_MAX, EntryPlace, ServiceState, considered};
+use crate::placement::{
+    Budgets, Call, CallAction, CallContext, CallEvent, CallRule, Dispatch, Policy, RetryBudget, ServiceView,
+};
 use crate::region::Regions;
 
 /// Returns servers of one service in three failure domains.
@@ -44,3 +48,39 @@
     let (least, most) = (considering.values().min(), considering.values().max());
     assert!(least.is_some_and(|&least| least > 28) && most.is_some_and(|&most| most < 112), "{least:?} {most:?}");
 }
+
+#[test]
+fn rejecting_upstream_does_not_receive_same_call_again_as_new_incarnation() {
+    let regions = Regions::default();
+    let place = EntryPlace { vm: "vm-9", domain: "kranj", domain_cost_us: 0, regions: &regions };
+    let retry = RetryBudget::new(100, 20);
+    let mut state = ServiceState {
+        view: ServiceView::new(Policy::Valetrack),
+        budgets: Budgets::new(retry, retry),
+        targets: Vec::new(),
+    };
+    state.sync(servers(3).into_iter(), &place, |_| 0);
+    let rule = CallRule { repeatable: false, bounces: 8, retries: 1, hedge_after_percent: None, demand: None };
+    let mut call = Call::new(rule, 1);
+    let (mut rng, mut next_seq) = (fastrand::Rng::with_seed(1), 1);
+    let mut receiving: Vec<Arc<str>> = Vec::new();
+    let mut event = CallEvent::Begin;
+    while !call.finished() {
+        let mut actions = Vec::new();
+        let ServiceState { view, budgets, .. } = &mut state;
+        let mut cx = CallContext { view, budgets, rng: &mut rng, now_us: 0, next_seq: &mut next_seq };
+        call.handle(event, &mut cx, &mut actions);
+        for action in actions {
+            if let CallAction::Send(Dispatch { attempt, server, .. }) = action {
+                receiving.push(state.targets[server].as_ref().expect("a target").vm.clone());
+                event = CallEvent::Declined { attempt, reason: DeclineReason::Rejected };
+            }
+        }
+        // Each VM that has received the call starts again meanwhile.
+        let incarnation = |server: &Candidate| 1 + u64::from(receiving.contains(&server.vm));
+        let restarted = servers(3).into_iter().map(|server| Candidate { incarnation: incarnation(&server), ..server });
+        state.sync(restarted, &place, |_| 0);
+    }
+    receiving.sort();
+    assert_eq!(receiving.iter().map(|vm| &**vm).collect::<Vec<_>>(), ["vm-0", "vm-1", "vm-2"]);
+}
--- a/valetrack/src/placement/view.rs
+++ b/valetrack/src/placement/view.rs
@@ -65,6 +65,8 @@
     probed_us: u64,
     /// Traffic share while its service is rolled out.
     traffic_share: TrafficShare,
+    /// Number of its VM, which all incarnations of the VM share.
+    vm: u64,
 }
 
 const EMPTY: ServerView = ServerView {
@@ -83,6 +85,7 @@
     ejections: 0,
     probed_us: 0,
     traffic_share: TrafficShare::Usual,
+    vm: 0,
 };
 
 impl ServerView {
@@ -140,7 +143,7 @@
         }
         let view = &mut self.servers[server];
         if present && !view.present {
-            *view = EMPTY;
+            *view = ServerView { vm: server as u64, ..EMPTY };
         }
         view.present = present;
         view.network_us = network_us;
@@ -161,6 +164,27 @@
         self.is_in_rollout = self.servers.iter().any(|view| view.present && view.traffic_share != TrafficShare::Usual);
     }
 
+    /// Sets the number of a server's VM, which is the server's index otherwise.
+    pub fn set_vm(&mut self, server: ServerIndex, vm: u64) {
+        if let Some(view) = self.servers.get_mut(server) {
+            view.vm = vm;
+        }
+    }
+
+    /// Returns the number of a server's VM.
+    pub fn vm(&self, server: ServerIndex) -> u64 {
+        self.servers.get(server).map_or(server as u64, |view| view.vm)
+    }
+
+    /// Returns all incarnations of a VM.
+    pub fn incarnations_of(&self, vm: u64) -> ServerSet {
+        let mut incarnations = ServerSet::default();
+        for (server, _) in self.servers.iter().enumerate().filter(|(_, view)| view.vm == vm) {
+            incarnations.insert(server);
+        }
+        incarnations
+    }
+
     /// Sets the numbers of servers on trial and of other servers. `start_permille` is the point at which this entry
     /// begins in the cycle of the trial's share.
     pub fn set_trial_share(&mut self, trial: usize, usual: usize, start_permille: u32) {
