A repeat is charged only if it is sent

Callers saw: calls refused or answered with a failure although the budget of their service had paid for another attempt. Cause: after a rejection, a loss or a failing answer the budget and the call's own allowance were charged before a server was looked for. Where none was left, the charge bought nothing; since a call is not sent again to a VM that has rejected it, that is usual where a whole service rejects. Change: the budget is asked first, the attempt is sent, then the charge is made. Nothing else runs in between.

--- a/valetrack/src/placement/call.rs
+++ b/valetrack/src/placement/call.rs
@@ -92,13 +92,18 @@
         }
     }
 
-    /// Charges a repeat to the retry budget if it has one left, and counts it as refused otherwise.
-    fn take_repeat(&mut self, cause: SendCause, now_us: u64) -> bool {
-        let granted = self.retry.take(now_us);
-        if !granted {
+    /// Returns whether the retry budget has a repeat left, and counts it as refused otherwise.
+    fn has_repeat(&mut self, cause: SendCause, now_us: u64) -> bool {
+        let is_left = self.retry.has_left(now_us);
+        if !is_left {
             self.refused.count(cause);
         }
-        granted
+        is_left
+    }
+
+    /// Charges a repeat that is sent to the retry budget.
+    fn charge_repeat(&mut self, now_us: u64) {
+        self.retry.charge(now_us);
     }
 }
 
--- a/valetrack/src/placement/call/choice.rs
+++ b/valetrack/src/placement/call/choice.rs
@@ -137,7 +137,7 @@
         if self.rule.demand.is_none() {
             return match &mut cx.budgets.hedge {
                 Some(hedge) => hedge.take(cx.now_us),
-                None => self.may_repeat(SendCause::Hedge, cx),
+                None => self.take_hedge(cx),
             };
         }
         let first = self.attempts.iter().flatten().find(|attempt| attempt.state == AttemptState::Sent);
@@ -145,7 +145,16 @@
             cx.view.is_slow(attempt.server, cx.now_us) || cx.view.is_ejected(attempt.server, cx.now_us)
         });
         // A hedge is one more run like a retry, so both are charged to one budget.
-        slow && !cx.view.is_slow(server, cx.now_us) && self.may_repeat(SendCause::Hedge, cx)
+        slow && !cx.view.is_slow(server, cx.now_us) && self.take_hedge(cx)
+    }
+
+    /// Charges a hedge like a retry, if one is left.
+    fn take_hedge(&mut self, cx: &mut CallContext<'_>) -> bool {
+        let is_granted = self.may_repeat(SendCause::Hedge, cx);
+        if is_granted {
+            self.charge_repeat(cx);
+        }
+        is_granted
     }
 
     /// Sends one attempt to a server.
--- a/valetrack/src/placement/call/end.rs
+++ b/valetrack/src/placement/call/end.rs
@@ -20,10 +20,10 @@
         if healthy {
             self.record_served(cx);
         }
-        if !healthy && !self.past_deadline && self.may_repeat(SendCause::Retry, cx) {
-            self.failing_answer = Some(id);
+        if !healthy && !self.past_deadline {
             self.excluded.insert(server);
-            if self.send_next(SendCause::Retry, cx, out).is_some() {
+            if self.send_retry(cx, out) {
+                self.failing_answer = Some(id);
                 return;
             }
         }
@@ -97,7 +97,7 @@
     /// and a service that rejects everywhere is overloaded. Without the charge, 1,249 repeats of 1,200 calls arrived in
     /// ten seconds where 298 are allowed, with half of all arrivals rejected.
     fn after_rejection(&mut self, server: ServerIndex, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) {
-        if !cx.budgets.take_repeat(SendCause::Rejected, cx.now_us) {
+        if !cx.budgets.has_repeat(SendCause::Rejected, cx.now_us) {
             self.settle(cx, out);
             return;
         }
@@ -192,7 +192,7 @@
         }
     }
 
-    /// Sends another attempt after one that certainly did not start.
+    /// Sends another attempt after one that certainly did not start, and charges it if it may arrive after an earlier one.
     fn try_next_server(
         &mut self,
         server: ServerIndex,
@@ -205,11 +205,13 @@
         if !is_uncharged {
             self.declines_left = self.declines_left.saturating_sub(1);
         }
-        if self.send_next(cause, cx, out).is_none()
-            && !self.send_across(cause, cx, out)
-            && !self.send_last(cause, cx, out)
-        {
-            self.settle(cx, out);
+        let is_sent = self.send_next(cause, cx, out).is_some()
+            || self.send_across(cause, cx, out)
+            || self.send_last(cause, cx, out);
+        match is_sent {
+            true if cause.is_charged() => cx.budgets.charge_repeat(cx.now_us),
+            true => {}
+            false => self.settle(cx, out),
         }
     }
 
@@ -219,23 +221,30 @@
             return;
         }
         self.excluded.insert(server);
-        if !self.past_deadline
-            && self.may_repeat(SendCause::Retry, cx)
-            && self.send_next(SendCause::Retry, cx, out).is_some()
-        {
-            return;
+        if self.past_deadline || !self.send_retry(cx, out) {
+            self.settle(cx, out);
         }
-        self.settle(cx, out);
     }
 
-    /// Charges a repeat to the call's own allowance and its service's budget, if both have one left.
-    pub(super) fn may_repeat(&mut self, cause: SendCause, cx: &mut CallContext<'_>) -> bool {
-        if !self.rule.repeatable || self.retries_left == 0 || !cx.budgets.take_repeat(cause, cx.now_us) {
+    /// Sends a retry if there is a server for it and one is left; returns whether it was sent.
+    fn send_retry(&mut self, cx: &mut CallContext<'_>, out: &mut Vec<CallAction>) -> bool {
+        if !self.may_repeat(SendCause::Retry, cx) || self.send_next(SendCause::Retry, cx, out).is_none() {
             return false;
         }
-        self.retries_left -= 1;
+        self.charge_repeat(cx);
         true
     }
+
+    /// Returns whether the call's own allowance and its service's budget have a repeat left.
+    pub(super) fn may_repeat(&mut self, cause: SendCause, cx: &mut CallContext<'_>) -> bool {
+        self.rule.repeatable && self.retries_left > 0 && cx.budgets.has_repeat(cause, cx.now_us)
+    }
+
+    /// Charges a repeat that is sent to the call's own allowance and its service's budget.
+    pub(super) fn charge_repeat(&mut self, cx: &mut CallContext<'_>) {
+        self.retries_left = self.retries_left.saturating_sub(1);
+        cx.budgets.charge_repeat(cx.now_us);
+    }
 }
 
 /// Updates the view of a server by the reason of a decline.
--- a/valetrack/src/placement/repeat.rs
+++ b/valetrack/src/placement/repeat.rs
@@ -95,13 +95,23 @@
 
     /// Charges one repeat to the budget and returns true if there is one left.
     pub fn take(&mut self, now_us: u64) -> bool {
-        let granted = self.left(now_us) >= 1.0;
+        let granted = self.has_left(now_us);
         if granted {
-            self.repeats.add(1.0, now_us);
+            self.charge(now_us);
         }
         granted
     }
 
+    /// Returns whether a whole repeat is left.
+    pub fn has_left(&mut self, now_us: u64) -> bool {
+        self.left(now_us) >= 1.0
+    }
+
+    /// Charges one repeat.
+    pub fn charge(&mut self, now_us: u64) {
+        self.repeats.add(1.0, now_us);
+    }
+
     /// Returns the number of repeats left; negative if calls of repeated runs have exceeded the budget.
     pub fn left(&mut self, now_us: u64) -> f64 {
         self.share * self.calls.lower_bound(now_us) + self.reserve_at(now_us) - self.repeats.upper_bound(now_us)
--- a/valetrack/src/placement/tests/call.rs
+++ b/valetrack/src/placement/tests/call.rs
@@ -310,6 +310,21 @@
     assert_eq!(rejecting.len(), SERVERS - full, "every other server is tried");
 }
 
+#[test]
+fn repeat_without_server_left_is_not_charged() {
+    let mut world = single(CallRule { bounces: 8, ..ONCE });
+    let left = world.budgets.retry.left(0);
+    while world.verdict.is_none() {
+        let attempt = world.attempts.last().expect("an attempt").id;
+        world.attempts.last_mut().expect("an attempt").progress = Progress::NeverStarts;
+        world
+            .handle_event(CallEvent::Declined { attempt, reason: DeclineReason::Rejected })
+            .expect("no violated invariant");
+    }
+    let charged = left - world.budgets.retry.left(0);
+    assert_eq!(charged, (world.attempts.len() - 1) as f64);
+}
+
 #[test]
 fn owner_is_queried_after_broken_link() {
     let mut world = single(ONCE);
