An entry spends its part of the retry reserve only one window after it knows the whole fleet

Class of fault: a limit of the whole fleet that each node divides by what it knows, without knowing whether that is all. Cause: an entry divided the reserve by the members it knew, and its part grew from its start on. A node that restarts in an outage learns of some nodes from a peer; with three known it took a third of what all may spend together. Change: members say whether the whole list was ever read, from the store, a relay or the platform's list. The part may be spent one window after that, whole; before, it grew from the start. So neither an earlier incarnation nor a list that the store shows too short for less than a window matters. VMs that are listed and were not heard of count as well. Two tests of the budget are replaced: the part of a restarted node was 0, 2, 4 at half a window and a window of age, and is 0, 0, 4 now; a node that knew nobody had the whole reserve after a window, and has none until its list is complete. Cost: a restarted node has only its share of its own calls for ten seconds longer.

--- a/standin/tests/managed.rs
+++ b/standin/tests/managed.rs
@@ -248,6 +248,28 @@
     assert_eq!(status(&fleet.call(0, "GET", "/pickup/", "h-3").await), 200, "the node has received its peers as well");
 }
 
+#[tokio::test]
+async fn node_restarted_in_store_outage_has_no_part_of_retry_reserve() {
+    let mut fleet = Fleet::start(&["rounds", "ledger"]).await;
+    let reserve = async |fleet: &Fleet| {
+        let page = fleet.metrics(0).await.unwrap_or_default();
+        let line = page.lines().find(|line| line.starts_with("valetrack_repeat_reserve{service=\"rounds\"}"));
+        line.and_then(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+    };
+    wait_for("a part of the reserve", async || reserve(&fleet).await.is_some_and(|part| part > 0.0)).await;
+    fleet.store.set_mode(Mode::Refusing);
+    fleet.kill_node(0);
+    fleet.start_node(0);
+    wait_for("readiness", async || {
+        let _ = fleet.call(1, "GET", "/sheet/", "h-1").await;
+        fleet.readiness(0).await == 200
+    })
+    .await;
+    assert_eq!(reserve(&fleet).await, Some(0.0), "its peer may know only a part of the fleet");
+    fleet.store.set_mode(Mode::Up);
+    wait_for("a part of the reserve", async || reserve(&fleet).await.is_some_and(|part| part > 0.0)).await;
+}
+
 #[tokio::test]
 async fn restarted_node_is_reached_over_new_link() {
     let mut fleet = Fleet::start(&["rounds", "ledger"]).await;
--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -363,6 +363,8 @@
         members.set(self.me.borrow().clone());
         members.merge_evacuation(&self.evacuation.borrow());
         members.set_rollouts(self.rollouts.borrow().view());
+        // The log starts with a read of all entries, by this node or by the relay that it follows.
+        members.set_complete(!self.log.borrow().position().is_start());
         self.parts.members.send_replace(Arc::new(members));
     }
 
--- a/valetrack/src/member/state.rs
+++ b/valetrack/src/member/state.rs
@@ -19,6 +19,8 @@
 pub struct Members {
     all: BTreeMap<Arc<str>, Member>,
     listed: BTreeMap<Arc<str>, ListedVm>,
+    /// Whether the whole list of VMs was ever read, from the platform or from the store.
+    is_complete: bool,
     last_contact_us: BTreeMap<Arc<str>, u64>,
     evacuation: Evacuation,
     rollouts: RolloutView,
@@ -47,6 +49,21 @@
         self.all.insert(member.vm.clone(), member);
     }
 
+    /// Sets whether the whole list of VMs was ever read.
+    pub fn set_complete(&mut self, is_complete: bool) {
+        self.is_complete = is_complete;
+    }
+
+    /// Returns whether the whole list of VMs was ever read. Until then, only some of the VMs may be known.
+    pub fn is_complete(&self) -> bool {
+        self.is_complete
+    }
+
+    /// Returns the number of VMs that are recorded or listed.
+    pub fn vm_count(&self) -> usize {
+        self.all.len() + self.unheard().count()
+    }
+
     /// Returns the reports of nodes on their pages of claims.
     pub fn claims(&self) -> &PeerClaims {
         &self.claims
@@ -83,6 +100,7 @@
     /// Since the list lags, it is used only for the addresses of nodes, to learn that a VM leaves, and to declare a VM
     /// dead that was listed before and is unresponsive as well.
     pub fn apply_list(&mut self, list: &[ListedVm], now_us: u64) -> Vec<Member> {
+        self.is_complete = true;
         self.ever_listed.extend(list.iter().map(|row| row.vm.clone()));
         self.listed = list.iter().map(|row| (row.vm.clone(), row.clone())).collect();
         let mut advanced = Vec::new();
--- a/valetrack/src/member/tests/view.rs
+++ b/valetrack/src/member/tests/view.rs
@@ -104,6 +104,14 @@
     assert_eq!(vms, [Arc::from("vm-1")]);
 }
 
+#[test]
+fn list_is_complete_once_read_and_counts_unheard_vms() {
+    let mut members = merged(&[member(1, 1, Phase::Serving)]);
+    assert_eq!((members.is_complete(), members.vm_count()), (false, 1));
+    members.apply_list(&[row(1, false), row(2, false)], 0);
+    assert_eq!((members.is_complete(), members.vm_count()), (true, 2));
+}
+
 #[test]
 fn new_vm_that_was_never_listed_is_not_gone() {
     let mut members = merged(&[member(1, 1, Phase::Serving)]);
--- a/valetrack/src/placement/mod.rs
+++ b/valetrack/src/placement/mod.rs
@@ -41,7 +41,7 @@
 pub use nested::NestedCalls;
 pub use policy::Policy;
 pub use region_link::{LinkChange, LinkView, RegionLink};
-pub use repeat::{FleetSize, RetryBudget, RetryGuarantee};
+pub use repeat::{FleetSize, KnownFleet, RetryBudget, RetryGuarantee};
 pub use return_plan::{PlannedReturn, RETURN_LEFT_RUNS, Refusal, ReturnCounts, ReturnPlan};
 pub use root::{EndedRun, Root, RootBasis, RunsInProgress};
 pub use service::considered;
--- a/valetrack/src/placement/repeat.rs
+++ b/valetrack/src/placement/repeat.rs
@@ -13,8 +13,8 @@
 /// second after it was granted, a few hundredths of a window. The rest is left for calls of repeated runs, of which
 /// only the average number is known beforehand.
 const SHARE_SPENT_PERCENT: f64 = 90.0;
-/// Part of a fleet's reserve that its entries spend: half of the figure for the share, since two incarnations of one
-/// node may each spend theirs within one window.
+/// Part of a fleet's reserve that its entries spend: half of the figure for the share, since nodes that are cut off
+/// from the store for long spend their parts although the others no longer count them.
 const RESERVE_SPENT_PERCENT: f64 = SHARE_SPENT_PERCENT / 2.0;
 
 /// Upper limit of the repeats that may arrive at a service, over the whole fleet.
@@ -33,15 +33,19 @@
 /// It counts recent calls and repeats instead of accumulating tokens. With tokens, a node that was idle spends the
 /// tokens of earlier windows in one window, and a restarted node has a full bucket again: ten nodes that restarted one
 /// after the other made 245 repeats of 600 calls in ten seconds, where 178 are allowed.
+///
+/// An entry spends its part of the fleet's reserve only if its list of members has been complete for a window. An
+/// earlier incarnation of its node may have spent the part within this window, and an entry that knows few members would
+/// take too large a part.
 #[derive(Debug, Clone, Copy)]
 pub struct RetryBudget {
     share: f64,
     /// This entry's part of the reserve.
     reserve: f64,
-    /// Whether no other node is known, so that this part is the whole reserve.
-    is_alone: bool,
-    /// When the entry started; none if no earlier incarnation has spent its part.
-    started_us: Option<u64>,
+    /// When the entry started.
+    started_us: u64,
+    /// Time from which the reserve may be spent; none as long as the list of members is incomplete.
+    reserve_from_us: Option<u64>,
     window_us: u64,
     calls: SlidingSum,
     repeats: SlidingSum,
@@ -53,35 +57,33 @@
         Self {
             share: f64::from(percent) / 100.0,
             reserve: reserve.into(),
-            is_alone: false,
-            started_us: None,
+            started_us: 0,
+            reserve_from_us: Some(0),
             window_us: WINDOW_US,
             calls: SlidingSum::new(WINDOW_US),
             repeats: SlidingSum::new(WINDOW_US),
         }
     }
 
-    /// Creates an entry's part of a fleet's guarantee at the start of the entry.
-    ///
-    /// An earlier incarnation may have spent its part of the reserve, so the part of this one grows to its full size
-    /// over one window. It is empty until [`configure`](Self::configure) is called for the first time.
+    /// Creates an entry's part of a fleet's guarantee at the start of the entry. It has no reserve until
+    /// [`configure`](Self::configure) is called with a complete list of members.
     pub fn of_fleet(guarantee: RetryGuarantee, now_us: u64) -> Self {
         Self {
             share: spent_share(guarantee),
             reserve: 0.0,
-            is_alone: true,
-            started_us: Some(now_us),
+            started_us: now_us,
+            reserve_from_us: None,
             window_us: guarantee.window_us.max(1),
             calls: SlidingSum::new(guarantee.window_us),
             repeats: SlidingSum::new(guarantee.window_us),
         }
     }
 
-    /// Applies a guarantee to an entry of a fleet of `members` nodes.
-    pub fn configure(&mut self, guarantee: RetryGuarantee, members: u32) {
+    /// Applies a guarantee to an entry of a fleet.
+    pub fn configure(&mut self, guarantee: RetryGuarantee, fleet: KnownFleet) {
         self.share = spent_share(guarantee);
-        self.is_alone = members <= 1;
-        self.reserve = f64::from(guarantee.reserve) * RESERVE_SPENT_PERCENT / 100.0 / f64::from(members.max(1));
+        self.reserve = f64::from(guarantee.reserve) * RESERVE_SPENT_PERCENT / 100.0 / f64::from(fleet.members.max(1));
+        self.reserve_from_us = fleet.complete_since_us.map(|since_us| since_us.max(self.started_us) + self.window_us);
     }
 
     /// Records a call with the chance (0 to 1) that the call is itself a repeat, because a repeated run made it. Such a
@@ -117,21 +119,14 @@
         self.share * self.calls.lower_bound(now_us) + self.reserve_at(now_us) - self.repeats.upper_bound(now_us)
     }
 
-    /// Returns this entry's part of the reserve at its full size.
+    /// Returns this entry's part of the reserve; zero as long as the list of members is incomplete.
     pub fn reserve(&self) -> f64 {
-        self.reserve
+        if self.reserve_from_us.is_some() { self.reserve } else { 0.0 }
     }
 
     fn reserve_at(&self, now_us: u64) -> f64 {
-        let Some(started_us) = self.started_us else {
-            return self.reserve;
-        };
-        let age_us = now_us.saturating_sub(started_us).min(self.window_us);
-        if self.is_alone && age_us < self.window_us {
-            // The entry has no record of the other nodes yet, and they rely on their parts.
-            return 0.0;
-        }
-        self.reserve * age_us as f64 / self.window_us as f64
+        let may_spend = self.reserve_from_us.is_some_and(|from_us| now_us >= from_us);
+        if may_spend { self.reserve } else { 0.0 }
     }
 }
 
@@ -145,25 +140,45 @@
 /// that shrinks for good only spends less during this time.
 const SHRINK_DELAY_US: u64 = 60_000_000;
 
+/// Nodes that share a fleet's guarantees, as one entry knows them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KnownFleet {
+    /// Number of nodes, this one included.
+    pub members: u32,
+    /// Since when the list of members is complete; none if it never was.
+    pub complete_since_us: Option<u64>,
+}
+
 /// Number of nodes that share a fleet's guarantees.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct FleetSize {
     members: u32,
     /// Since when fewer members are known.
     fewer_since_us: Option<u64>,
+    complete_since_us: Option<u64>,
 }
 
 impl FleetSize {
-    /// Records the number of known members, and returns the number of nodes that share the guarantees.
-    pub fn update(&mut self, members: u32, now_us: u64) -> u32 {
+    /// Records the number of known members and whether the whole list was ever read, and returns the nodes that share
+    /// the guarantees.
+    pub fn update(&mut self, members: u32, is_complete: bool, now_us: u64) -> KnownFleet {
+        if is_complete {
+            self.complete_since_us.get_or_insert(now_us);
+        }
+        self.update_members(members, now_us);
+        KnownFleet { members: self.members, complete_since_us: self.complete_since_us }
+    }
+
+    fn update_members(&mut self, members: u32, now_us: u64) {
         if members >= self.members {
-            *self = Self { members, fewer_since_us: None };
-            return members;
+            self.members = members;
+            self.fewer_since_us = None;
+            return;
         }
         let since_us = *self.fewer_since_us.get_or_insert(now_us);
         if now_us.saturating_sub(since_us) >= SHRINK_DELAY_US {
-            *self = Self { members, fewer_since_us: None };
+            self.members = members;
+            self.fewer_since_us = None;
         }
-        self.members
     }
 }
--- a/valetrack/src/placement/run.rs
+++ b/valetrack/src/placement/run.rs
@@ -218,7 +218,7 @@
             domain_cost_us: self.domain_cost_us,
             regions: &self.regions,
         };
-        let fleet = inner.fleet.update(members.iter().count() as u32, now_us());
+        let fleet = inner.fleet.update(members.vm_count() as u32, members.is_complete(), now_us());
         let plans_returns = in_force.bundle.nested_rank == NestedRank::Root || self.regions.has_several();
         for rule in &in_force.bundle.services {
             let state = inner
--- a/valetrack/src/placement/service.rs
+++ b/valetrack/src/placement/service.rs
@@ -6,7 +6,7 @@
 use super::call::{Budgets, CallRule};
 use super::message::ServerIndex;
 use super::policy::Policy;
-use super::repeat::{RetryBudget, RetryGuarantee};
+use super::repeat::{KnownFleet, RetryBudget, RetryGuarantee};
 use super::view::{MAX_SERVERS, ServiceView};
 use crate::bundle::{FleetRetries, ServiceRule};
 use crate::member::Candidate;
@@ -71,10 +71,10 @@
         Self { view: ServiceView::new(policy), budgets, targets: Vec::new() }
     }
 
-    /// Applies the guarantee on repeats of the service, if it has one, in a fleet of `members` nodes.
-    pub(super) fn configure(&mut self, rule: &ServiceRule, members: u32) {
+    /// Applies the guarantee on repeats of the service in a fleet, if it has one.
+    pub(super) fn configure(&mut self, rule: &ServiceRule, fleet: KnownFleet) {
         if let Some(guarantee) = retry_guarantee(rule) {
-            self.budgets.retry.configure(guarantee, members);
+            self.budgets.retry.configure(guarantee, fleet);
         }
     }
 
--- a/valetrack/src/placement/tests.rs
+++ b/valetrack/src/placement/tests.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod call;
 mod fleet;
+mod fleet_views;
 mod full_owner_share;
 mod nested_load;
 mod region;
--- a/valetrack/src/placement/tests/budget.rs
+++ b/valetrack/src/placement/tests/budget.rs
@@ -2,11 +2,16 @@
 
 use proptest::prelude::*;
 
-use crate::placement::{FleetSize, RateBudget, RetryBudget, RetryGuarantee};
+use crate::placement::{FleetSize, KnownFleet, RateBudget, RetryBudget, RetryGuarantee};
 
 /// Window of the budgets under test.
 const WINDOW_US: u64 = 10_000_000;
 
+/// Returns a fleet whose list of members is complete from the start.
+const fn whole_fleet(members: u32) -> KnownFleet {
+    KnownFleet { members, complete_since_us: Some(0) }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 1_000,
@@ -63,7 +68,7 @@
     ) {
         let guarantee = RetryGuarantee { percent, reserve, window_us: WINDOW_US };
         let mut budget = RetryBudget::of_fleet(guarantee, 0);
-        budget.configure(guarantee, members);
+        budget.configure(guarantee, whole_fleet(members));
         let mut now_us = 0u64;
         let (mut calls, mut repeats) = (Vec::new(), Vec::new());
         for (pause_us, begun, asked) in steps {
@@ -94,23 +99,26 @@
 }
 
 #[test]
-fn reserve_of_restarted_node_grows_over_one_window() {
+fn restarted_node_spends_no_reserve_for_one_window() {
     let guarantee = RetryGuarantee { percent: 0, reserve: 100, window_us: WINDOW_US };
     let spent_until = |age_us: u64| {
         let mut budget = RetryBudget::of_fleet(guarantee, 5_000_000);
-        budget.configure(guarantee, 10);
+        budget.configure(guarantee, whole_fleet(10));
         (0..10).filter(|_| budget.take(5_000_000 + age_us)).count()
     };
-    assert_eq!([0, WINDOW_US / 2, WINDOW_US, WINDOW_US * 9].map(spent_until), [0, 2, 4, 4]);
+    assert_eq!([0, WINDOW_US / 2, WINDOW_US - 1, WINDOW_US, WINDOW_US * 9].map(spent_until), [0, 0, 0, 4, 4]);
 }
 
 #[test]
-fn new_node_without_known_members_spends_no_reserve() {
+fn node_without_complete_list_of_members_spends_no_reserve() {
     let guarantee = RetryGuarantee { percent: 0, reserve: 100, window_us: WINDOW_US };
     let mut budget = RetryBudget::of_fleet(guarantee, 0);
-    budget.configure(guarantee, 1);
-    assert!(!budget.take(WINDOW_US - 1));
-    assert!(budget.take(WINDOW_US), "a fleet of one node has the whole reserve");
+    let mut fleet = FleetSize::default();
+    budget.configure(guarantee, fleet.update(3, false, 0));
+    assert!(!budget.take(WINDOW_US * 5));
+    budget.configure(guarantee, fleet.update(1, true, WINDOW_US * 5));
+    assert!(!budget.take(WINDOW_US * 6 - 1));
+    assert!(budget.take(WINDOW_US * 6), "it spends its part one window after the list is complete");
 }
 
 #[test]
@@ -134,7 +142,7 @@
 fn large_fleet_spends_share_with_fractional_reserve() {
     let guarantee = RetryGuarantee { percent: 20, reserve: 58, window_us: WINDOW_US };
     let mut budget = RetryBudget::of_fleet(guarantee, 0);
-    budget.configure(guarantee, 12_000);
+    budget.configure(guarantee, whole_fleet(12_000));
     (0..6).for_each(|_| budget.begin(0.0, WINDOW_US));
     assert!(budget.take(WINDOW_US));
     assert!(!budget.take(WINDOW_US));
@@ -144,7 +152,8 @@
 fn short_member_loss_does_not_shrink_fleet() {
     let mut fleet = FleetSize::default();
     let known = [(1, 0), (13, 200_000), (2, 10_000_000), (13, 30_000_000), (5, 40_000_000), (5, 101_000_000)];
-    let shared: Vec<u32> = known.into_iter().map(|(members, at_us)| fleet.update(members, at_us)).collect();
+    let shared: Vec<u32> =
+        known.into_iter().map(|(members, at_us)| fleet.update(members, true, at_us).members).collect();
     assert_eq!(shared, [1, 13, 13, 13, 13, 5]);
 }
 
--- a/valetrack/src/placement/tests/fleet.rs
+++ b/valetrack/src/placement/tests/fleet.rs
@@ -18,8 +18,8 @@
 
 use crate::gate::{AttemptId, CancelResult, DeclineReason};
 use crate::placement::{
-    Budgets, Call, CallAction, CallContext, CallEvent, CallRule, Demand, Dispatch, NestedCalls, Policy, RetryGuarantee,
-    ServerIndex, ServiceView,
+    Budgets, Call, CallAction, CallContext, CallEvent, CallRule, Demand, Dispatch, KnownFleet, NestedCalls, Policy,
+    RetryGuarantee, ServerIndex, ServiceView,
 };
 
 /// VMs of the fleet, each with an entry.
@@ -141,9 +141,9 @@
         Self { views: [view(FRONT), view(BACK)], budgets, nested: NestedCalls::default(), incarnation }
     }
 
-    fn set_members(&mut self, members: u32) {
+    fn set_members(&mut self, members: u32, complete_since_us: Option<u64>) {
         for budgets in &mut self.budgets {
-            budgets.retry.configure(GUARANTEE, members);
+            budgets.retry.configure(GUARANTEE, KnownFleet { members, complete_since_us });
         }
     }
 
@@ -195,7 +195,7 @@
             began_us: [Vec::new(), Vec::new()],
             repeats_us: [Vec::new(), Vec::new()],
         };
-        fleet.entries.iter_mut().for_each(|entry| entry.set_members(VMS as u32));
+        fleet.entries.iter_mut().for_each(|entry| entry.set_members(VMS as u32, Some(0)));
         fleet.schedule();
         while let Some(Reverse((at_us, _, fleet_event))) = fleet.fleet_events.pop() {
             fleet.now_us = at_us;
@@ -255,11 +255,11 @@
             FleetEvent::NodeRestarts { vm } => {
                 let incarnation = self.entries[vm].incarnation + 1;
                 self.entries[vm] = Entry::new(incarnation, self.now_us);
-                self.entries[vm].set_members(1);
+                self.entries[vm].set_members(1, None);
                 self.later(self.faults.members_delay_us, FleetEvent::MembersReceived { vm, incarnation });
             }
             FleetEvent::MembersReceived { vm, incarnation } if self.entries[vm].incarnation == incarnation => {
-                self.entries[vm].set_members(VMS as u32)
+                self.entries[vm].set_members(VMS as u32, Some(self.now_us));
             }
             FleetEvent::MembersReceived { .. } => {}
         }
