The part of the retry reserve grows over one window again, from when the list of members is complete

With no reserve at all for a window, an entry with few calls had no repeat for them. Change: only an incomplete list keeps the part at zero; from then on it grows as it did before, and a node that knows nobody else still waits for a window.

--- a/valetrack/src/placement/repeat.rs
+++ b/valetrack/src/placement/repeat.rs
@@ -13,8 +13,8 @@
 /// second after it was granted, a few hundredths of a window. The rest is left for calls of repeated runs, of which
 /// only the average number is known beforehand.
 const SHARE_SPENT_PERCENT: f64 = 90.0;
-/// Part of a fleet's reserve that its entries spend: half of the figure for the share, since nodes that are cut off
-/// from the store for long spend their parts although the others no longer count them.
+/// Part of a fleet's reserve that its entries spend: half of the figure for the share, since two incarnations of one
+/// node may each spend theirs within one window.
 const RESERVE_SPENT_PERCENT: f64 = SHARE_SPENT_PERCENT / 2.0;
 
 /// Upper limit of the repeats that may arrive at a service, over the whole fleet.
@@ -34,31 +34,41 @@
 /// tokens of earlier windows in one window, and a restarted node has a full bucket again: ten nodes that restarted one
 /// after the other made 245 repeats of 600 calls in ten seconds, where 178 are allowed.
 ///
-/// An entry spends its part of the fleet's reserve only if its list of members has been complete for a window. An
-/// earlier incarnation of its node may have spent the part within this window, and an entry that knows few members would
-/// take too large a part.
+/// An entry has no part of the fleet's reserve before its list of members is complete: an entry that knows few members
+/// would take too large a part. From then on the part grows to its full size over one window, since an earlier
+/// incarnation of the node may have spent it.
 #[derive(Debug, Clone, Copy)]
 pub struct RetryBudget {
     share: f64,
     /// This entry's part of the reserve.
     reserve: f64,
-    /// When the entry started.
-    started_us: u64,
-    /// Time from which the reserve may be spent; none as long as the list of members is incomplete.
-    reserve_from_us: Option<u64>,
+    /// Whether no other node is known, so that this part is the whole reserve.
+    is_alone: bool,
+    reserve_phase: ReservePhase,
     window_us: u64,
     calls: SlidingSum,
     repeats: SlidingSum,
 }
 
+/// How much of an entry's part of the reserve may be spent.
+#[derive(Debug, Clone, Copy)]
+enum ReservePhase {
+    /// All of it: the entry is no part of a fleet.
+    Full,
+    /// Nothing: the list of members has not been read since the start of the entry.
+    Incomplete { started_us: u64 },
+    /// A share that grows over one window.
+    Growing { since_us: u64 },
+}
+
 impl RetryBudget {
     /// Creates the budget of a single entry: `percent` repeats per hundred calls, and `reserve` repeats beyond that.
     pub fn new(percent: u32, reserve: u32) -> Self {
         Self {
             share: f64::from(percent) / 100.0,
             reserve: reserve.into(),
-            started_us: 0,
-            reserve_from_us: Some(0),
+            is_alone: false,
+            reserve_phase: ReservePhase::Full,
             window_us: WINDOW_US,
             calls: SlidingSum::new(WINDOW_US),
             repeats: SlidingSum::new(WINDOW_US),
@@ -71,8 +81,8 @@
         Self {
             share: spent_share(guarantee),
             reserve: 0.0,
-            started_us: now_us,
-            reserve_from_us: None,
+            is_alone: true,
+            reserve_phase: ReservePhase::Incomplete { started_us: now_us },
             window_us: guarantee.window_us.max(1),
             calls: SlidingSum::new(guarantee.window_us),
             repeats: SlidingSum::new(guarantee.window_us),
@@ -83,7 +93,11 @@
     pub fn configure(&mut self, guarantee: RetryGuarantee, fleet: KnownFleet) {
         self.share = spent_share(guarantee);
         self.reserve = f64::from(guarantee.reserve) * RESERVE_SPENT_PERCENT / 100.0 / f64::from(fleet.members.max(1));
-        self.reserve_from_us = fleet.complete_since_us.map(|since_us| since_us.max(self.started_us) + self.window_us);
+        self.is_alone = fleet.members <= 1;
+        if let (ReservePhase::Incomplete { started_us }, Some(since_us)) = (self.reserve_phase, fleet.complete_since_us)
+        {
+            self.reserve_phase = ReservePhase::Growing { since_us: since_us.max(started_us) };
+        }
     }
 
     /// Records a call with the chance (0 to 1) that the call is itself a repeat, because a repeated run made it. Such a
@@ -119,14 +133,26 @@
         self.share * self.calls.lower_bound(now_us) + self.reserve_at(now_us) - self.repeats.upper_bound(now_us)
     }
 
-    /// Returns this entry's part of the reserve; zero as long as the list of members is incomplete.
+    /// Returns this entry's part of the reserve at its full size; zero as long as the list of members is incomplete.
     pub fn reserve(&self) -> f64 {
-        if self.reserve_from_us.is_some() { self.reserve } else { 0.0 }
+        match self.reserve_phase {
+            ReservePhase::Full | ReservePhase::Growing { .. } => self.reserve,
+            ReservePhase::Incomplete { .. } => 0.0,
+        }
     }
 
     fn reserve_at(&self, now_us: u64) -> f64 {
-        let may_spend = self.reserve_from_us.is_some_and(|from_us| now_us >= from_us);
-        if may_spend { self.reserve } else { 0.0 }
+        let since_us = match self.reserve_phase {
+            ReservePhase::Full => return self.reserve,
+            ReservePhase::Incomplete { .. } => return 0.0,
+            ReservePhase::Growing { since_us } => since_us,
+        };
+        let age_us = now_us.saturating_sub(since_us).min(self.window_us);
+        if self.is_alone && age_us < self.window_us {
+            // Other nodes may be about to write their entries again, and they rely on their parts.
+            return 0.0;
+        }
+        self.reserve * age_us as f64 / self.window_us as f64
     }
 }
 
