Nodes that have restarted replace relays which the store refuses

Cause: only a node whose entry had been seen in the store since its start took part in replacing relays. The store turned away half of the nodes, all four relays among them; the other half had all restarted, and their entries could not be written, since their relays write them. So no node that the store served ever asked it, and the change was in force nowhere until 8.2 s. The survivors' attempts were all refused (2 or 3 each in the log). Class of fault: a condition that stands for 'knows the fleet' but is something else; the whole list is read at the start. Evidence: the new test with real nodes, relays refused or unanswered: not in force after 9 s before, 0.03 and 0.22 s now. Change: a node takes part once it has read the list; that read counts as news, so it waits a second for its relay.

--- a/standin/tests/refused_relays.rs
+++ b/standin/tests/refused_relays.rs
@@ -140,3 +140,24 @@
     let third = time_in_force(&fleet, 6).await;
     assert!(third < IN_FORCE_MAX, "in force after {third:?} when the store serves all nodes again");
 }
+
+#[test_case(Mode::Refusing; "relays refused")]
+#[test_case(Mode::Silent; "relays unanswered")]
+#[tokio::test]
+async fn change_is_in_force_when_all_nodes_that_store_serves_have_restarted(mode: Mode) {
+    let mut fleet = Fleet::start(&["rounds"; NODES]).await;
+    // The started nodes choose their relays meanwhile.
+    tokio::time::sleep(Duration::from_millis(4_000)).await;
+    let drawn = draw(&fleet, Refused::Relays).await;
+    drawn.iter().for_each(|at| fleet.vms[*at].store_access.set(mode));
+    for at in (0..NODES).filter(|at| !drawn.contains(at)) {
+        fleet.kill_node(at);
+        fleet.start_node(at);
+    }
+    fleet.wait_ready().await;
+    // The restarted nodes have chosen a relay and found that it is behind.
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    let in_force = time_in_force(&fleet, 4).await;
+    println!("{mode:?} {drawn:?}: in force {in_force:?}");
+    assert!(in_force < IN_FORCE_SILENT_MAX, "in force after {in_force:?}");
+}
--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -140,8 +140,6 @@
     follows_relays: Cell<bool>,
     /// When the last update from a relay was received.
     relay_update_us: Cell<Option<u64>>,
-    /// Whether this node's entry was ever seen in the store.
-    was_stored: Cell<bool>,
     /// Since when calls to the store have failed.
     failing_since_us: Cell<Option<u64>>,
     /// Attempts of this node to replace relays that are behind the store.
@@ -193,7 +191,6 @@
         packed: RefCell::default(),
         log_changed: Notify::new(),
         follows_relays: Cell::new(false),
-        was_stored: Cell::new(false),
         relay_update_us: Cell::new(None),
         failing_since_us: Cell::new(None),
         takeover: RefCell::default(),
--- a/valetrack/src/member/leased/read.rs
+++ b/valetrack/src/member/leased/read.rs
@@ -17,7 +17,9 @@
     /// Reads all items in a state that is at most some seconds old; later changes come from the relay or the store that
     /// this node follows afterwards.
     pub(super) async fn read_earlier(self: &Rc<Self>) -> Result<(), StoreError> {
+        let sent_us = now_us();
         self.read_all(Freshness::Earlier).await?;
+        self.takeover.borrow_mut().on_update(sent_us);
         // Later changes may be missing.
         self.mark_log_stale();
         Ok(())
--- a/valetrack/src/member/leased/relayed.rs
+++ b/valetrack/src/member/leased/relayed.rs
@@ -90,7 +90,6 @@
             }
             let now = now_us();
             if self.entry_is_stored() {
-                self.was_stored.set(true);
                 stored_us = now;
             } else if now >= stored_us + ENTRY_WAIT_US {
                 log::warn!("event=member.entry_not_kept relay={}", relay.vm);
--- a/valetrack/src/member/leased/takeover.rs
+++ b/valetrack/src/member/leased/takeover.rs
@@ -45,8 +45,8 @@
     }
 
     fn takeover_step(&self) -> TakeoverStep {
-        // A node whose entry was never stored has a record of too few others for the draw.
-        if self.is_relay() || !self.was_stored.get() || !self.may_be_relay() {
+        // A node that has not read the list of members has a record of too few others for the draw.
+        if self.is_relay() || self.log.borrow().position().is_start() || !self.may_be_relay() {
             return TakeoverStep::Idle;
         }
         let nodes = {
