--- a/valetrack/src/placement/tests/call.rs
+++ b/valetrack/src/placement/tests/call.rs
@@ -6,8 +6,8 @@
 use crate::code::Code;
 use crate::gate::{AttemptId, CancelResult, DeclineReason, LoadReport};
 use crate::placement::{
-    Budgets, Call, CallAction, CallContext, CallEvent, CallRule, Demand, Dispatch, Policy, RetryBudget, ServerIndex,
-    ServiceView, Verdict,
+    Budgets, Call, CallAction, CallContext, CallEvent, CallRule, Demand, Dispatch, KnownFleet, Policy, RetryBudget,
+    RetryGuarantee, ServerIndex, ServiceView, Verdict,
 };
 
 const SERVERS: usize = 4;
@@ -381,6 +381,28 @@
     assert_eq!(world.attempts.len(), 2);
 }
 
+#[test_case(Some(Demand { work_us: 20_000, left_us: 400_000 }); "with an objective")]
+#[test_case(None; "without one")]
+fn hedges_stay_within_retry_budget_of_fleet(demand: Option<Demand>) {
+    let guarantee = RetryGuarantee { percent: 20, reserve: 10, window_us: 10_000_000 };
+    let now_us = guarantee.window_us;
+    let mut budgets = Budgets::of_fleet(guarantee, 0);
+    budgets.retry.configure(guarantee, KnownFleet { members: 1, complete_since_us: Some(0) });
+    let (calls, mut hedges) = (200, 0);
+    for _ in 0..calls {
+        let mut world = World::new(CallRule { repeatable: true, demand, ..ONCE }, 1);
+        world.budgets = budgets;
+        world.now_us = now_us;
+        world.handle_event(CallEvent::Begin).expect("a first attempt");
+        let unresponsive = world.call.server_in_flight().expect("one attempt");
+        world.view.suspect(unresponsive, now_us);
+        world.handle_event(CallEvent::HedgeDue).expect("no violated invariant");
+        hedges += world.attempts.len() - 1;
+        budgets = world.budgets;
+    }
+    assert!((30..=50).contains(&hedges), "{hedges} hedges of {calls} calls");
+}
+
 #[test_case(DeclineReason::Full; "no room")]
 #[test_case(DeclineReason::RepeatRefused; "no repeat left")]
 fn failure_answer_is_returned_without_second_run(reason: DeclineReason) {
--- a/valetrack/src/placement/tests/fleet_views.rs
+++ b/valetrack/src/placement/tests/fleet_views.rs
@@ -69,15 +69,19 @@
         (left + rewritten as u32, true)
     }
 
-    /// Returns the most repeats beyond the guarantee in any window; zero if it holds.
-    fn excess(&self) -> usize {
+    /// Returns whether a node restarts within the step that begins at `now_us`.
+    fn restarts(&self, number: usize, now_us: u64) -> bool {
+        let restart = self.restarts_us.iter().position(|at_us| (now_us..now_us + STEP_US).contains(at_us));
+        restart.is_some_and(|restart| (number * 41 + restart * 17) % 100 < self.restarted_percent)
+    }
+
+    /// Returns the start times of all calls and the times of all repeats.
+    fn play(&self) -> (Vec<u64>, Vec<u64>) {
         let mut entries: Vec<Entry> = (0..self.entries).map(|_| Entry::new(0)).collect();
         let (mut calls_us, mut repeats_us) = (Vec::new(), Vec::new());
-        let steps = LENGTH_US / STEP_US;
-        for now_us in (0..steps).map(|step| step * STEP_US) {
-            let restart = self.restarts_us.iter().position(|at_us| (now_us..now_us + STEP_US).contains(at_us));
+        for now_us in (0..LENGTH_US).step_by(STEP_US as usize) {
             for (number, entry) in entries.iter_mut().enumerate() {
-                if restart.is_some_and(|first| (number + first) % 100 < self.restarted_percent) && now_us > 0 {
+                if now_us > 0 && self.restarts(number, now_us) {
                     *entry = Entry::new(now_us);
                 }
                 let (members, is_complete) = self.members(entry, now_us);
@@ -95,12 +99,17 @@
                 }
             }
         }
+        (calls_us, repeats_us)
+    }
+
+    /// Returns the most repeats beyond the guarantee in any window; zero if it holds.
+    fn excess(&self) -> usize {
+        let (calls_us, repeats_us) = self.play();
         let within = |times: &[u64], from_us: u64| {
             let start = times.partition_point(|at_us| *at_us < from_us);
             times[start..].partition_point(|at_us| *at_us < from_us + GUARANTEE.window_us)
         };
-        let windows = (0..steps).map(|step| step * STEP_US);
-        let excess = windows.map(|from_us| {
+        let excess = (0..LENGTH_US).step_by(STEP_US as usize).map(|from_us| {
             let earlier = [0, GUARANTEE.window_us / 2, GUARANTEE.window_us];
             let calls = earlier.iter().map(|earlier_us| within(&calls_us, from_us.saturating_sub(*earlier_us))).max();
             let allowed = calls.unwrap_or(0) * GUARANTEE.percent as usize / 100 + GUARANTEE.reserve as usize;
