--- a/standin/tests/managed.rs
+++ b/standin/tests/managed.rs
@@ -249,7 +249,7 @@
 }
 
 #[tokio::test]
-async fn node_restarted_in_store_outage_has_no_part_of_retry_reserve() {
+async fn restarted_node_without_store_claims_no_reserve() {
     let mut fleet = Fleet::start(&["rounds", "ledger"]).await;
     let reserve = async |fleet: &Fleet| {
         let page = fleet.metrics(0).await.unwrap_or_default();
--- a/standin/tests/refused_relays.rs
+++ b/standin/tests/refused_relays.rs
@@ -144,7 +144,7 @@
 #[test_case(Mode::Refusing; "relays refused")]
 #[test_case(Mode::Silent; "relays unanswered")]
 #[tokio::test]
-async fn change_is_in_force_when_all_nodes_that_store_serves_have_restarted(mode: Mode) {
+async fn restarted_nodes_replace_refused_relays(mode: Mode) {
     let mut fleet = Fleet::start(&["rounds"; NODES]).await;
     // The started nodes choose their relays meanwhile.
     tokio::time::sleep(Duration::from_millis(4_000)).await;
--- a/valetrack/src/member/tests/view.rs
+++ b/valetrack/src/member/tests/view.rs
@@ -105,7 +105,7 @@
 }
 
 #[test]
-fn list_is_complete_once_read_and_counts_unheard_vms() {
+fn read_list_is_complete_with_unheard_vms() {
     let mut members = merged(&[member(1, 1, Phase::Serving)]);
     assert_eq!((members.is_complete(), members.vm_count()), (false, 1));
     members.apply_list(&[row(1, false), row(2, false)], 0);
--- a/valetrack/src/placement/tests.rs
+++ b/valetrack/src/placement/tests.rs
@@ -9,6 +9,7 @@
 mod nested_load;
 mod region;
 mod region_link;
+mod retry_window;
 mod return_load;
 mod return_plan;
 mod root;
--- a/valetrack/src/placement/tests/budget.rs
+++ b/valetrack/src/placement/tests/budget.rs
@@ -119,7 +119,7 @@
 }
 
 #[test]
-fn node_without_complete_list_of_members_spends_no_reserve() {
+fn node_with_incomplete_list_spends_no_reserve() {
     let guarantee = RetryGuarantee { percent: 0, reserve: 100, window_us: WINDOW_US };
     let mut budget = RetryBudget::of_fleet(guarantee, 0);
     let mut fleet = FleetSize::default();
--- a/valetrack/src/placement/tests/fleet.rs
+++ b/valetrack/src/placement/tests/fleet.rs
@@ -16,6 +16,7 @@
 
 use proptest::prelude::*;
 
+use super::retry_window::RetryWindow;
 use crate::gate::{AttemptId, CancelResult, DeclineReason};
 use crate::placement::{
     Budgets, Call, CallAction, CallContext, CallEvent, CallRule, Demand, Dispatch, KnownFleet, NestedCalls, Policy,
@@ -352,9 +353,12 @@
         self.later(RUN_US + LATENCY_US, report_to_call(report));
     }
 
-    /// Returns the first window with more repeats at a service than the guarantee allows.
-    fn violation(&self) -> Option<Window> {
-        [FRONT, BACK].into_iter().find_map(|service| self.windows(service).find(Window::is_violation))
+    /// Returns the first window with more repeats than the guarantee allows, and its service.
+    fn violation(&self) -> Option<(usize, RetryWindow)> {
+        [FRONT, BACK].into_iter().find_map(|service| {
+            let violation = self.windows(service).find(|window| window.excess() > 0);
+            violation.map(|window| (service, window))
+        })
     }
 
     /// Returns the highest used share of what the guarantee allows at a service in any window, as a percentage.
@@ -363,36 +367,10 @@
     }
 
     /// Returns windows that begin at repeats.
-    fn windows(&self, service: usize) -> impl Iterator<Item = Window> + '_ {
-        let within = |times: &[u64], from_us: u64| {
-            let until_us = from_us + GUARANTEE.window_us;
-            times.iter().filter(|at_us| (from_us..until_us).contains(at_us)).count()
-        };
-        self.repeats_us[service].iter().step_by(5).map(move |&from_us| {
-            let earlier_us = [0, GUARANTEE.window_us / 2, GUARANTEE.window_us];
-            let calls =
-                earlier_us.map(|earlier_us| within(&self.began_us[service], from_us.saturating_sub(earlier_us)));
-            let calls = calls.into_iter().max().unwrap_or(0);
-            let allowed = calls * GUARANTEE.percent as usize / 100 + GUARANTEE.reserve as usize;
-            Window { service, from_us, repeats: within(&self.repeats_us[service], from_us), calls, allowed }
-        })
-    }
-}
-
-/// The repeats at one service within one window.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Window {
-    service: usize,
-    from_us: u64,
-    repeats: usize,
-    calls: usize,
-    /// Repeats that the guarantee allows.
-    allowed: usize,
-}
-
-impl Window {
-    fn is_violation(&self) -> bool {
-        self.repeats > self.allowed
+    fn windows(&self, service: usize) -> impl Iterator<Item = RetryWindow> + '_ {
+        let (calls_us, repeats_us) = (&self.began_us[service], &self.repeats_us[service]);
+        let starts_us = repeats_us.iter().step_by(5);
+        starts_us.map(|from_us| RetryWindow::count(GUARANTEE, *from_us, calls_us, repeats_us))
     }
 }
 
--- a/valetrack/src/placement/tests/fleet_views.rs
+++ b/valetrack/src/placement/tests/fleet_views.rs
@@ -6,6 +6,7 @@
 use proptest::prelude::*;
 use test_case::test_case;
 
+use super::retry_window::RetryWindow;
 use crate::member::{MISSING_US, REWRITES_PER_S};
 use crate::placement::{FleetSize, RetryBudget, RetryGuarantee};
 
@@ -105,16 +106,8 @@
     /// Returns the most repeats beyond the guarantee in any window; zero if it holds.
     fn excess(&self) -> usize {
         let (calls_us, repeats_us) = self.play();
-        let within = |times: &[u64], from_us: u64| {
-            let start = times.partition_point(|at_us| *at_us < from_us);
-            times[start..].partition_point(|at_us| *at_us < from_us + GUARANTEE.window_us)
-        };
-        let excess = (0..LENGTH_US).step_by(STEP_US as usize).map(|from_us| {
-            let earlier = [0, GUARANTEE.window_us / 2, GUARANTEE.window_us];
-            let calls = earlier.iter().map(|earlier_us| within(&calls_us, from_us.saturating_sub(*earlier_us))).max();
-            let allowed = calls.unwrap_or(0) * GUARANTEE.percent as usize / 100 + GUARANTEE.reserve as usize;
-            within(&repeats_us, from_us).saturating_sub(allowed)
-        });
+        let starts_us = (0..LENGTH_US).step_by(STEP_US as usize);
+        let excess = starts_us.map(|from_us| RetryWindow::count(GUARANTEE, from_us, &calls_us, &repeats_us).excess());
         excess.max().unwrap_or(0)
     }
 }
@@ -135,7 +128,7 @@
 
 #[test_case(40)]
 #[test_case(1_000)]
-fn restarted_entries_with_few_known_members_keep_retry_guarantee(entries: usize) {
+fn restarted_entries_knowing_few_keep_guarantee(entries: usize) {
     assert_eq!(restarts_in_long_outage(entries).excess(), 0);
 }
 
--- a/valetrack/src/placement/tests/service.rs
+++ b/valetrack/src/placement/tests/service.rs
@@ -50,7 +50,7 @@
 }
 
 #[test]
-fn rejecting_upstream_does_not_receive_same_call_again_as_new_incarnation() {
+fn restarted_upstream_gets_no_call_it_rejected() {
     let regions = Regions::default();
     let place = EntryPlace { vm: "vm-9", domain: "kranj", domain_cost_us: 0, regions: &regions };
     let retry = RetryBudget::new(100, 20);
