Observability of rejected calls: route, bundle, age and source of its last confirmation

A 404 could not be traced: the line had the number of the bundle, but neither its hash nor the host and path of the call, nor when the bundle was last confirmed and by whom. call.rejected has them now, at most 128 bytes of the caller's text each; valetrack_rejected_calls_total counts by code; bundle.in_force has the number of routes; bundle.ignored shows an offer under a lower number, or under the same number with another hash. No decision is changed.

With these the three hypotheses differ: a lower number and a large or small confirmed_ms (late), the same number with another hash or bundle.refused (another text), a confirmation that is missing soon after node.start (old first read).

--- a/valetrack/src/bundle/adopt.rs
+++ b/valetrack/src/bundle/adopt.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use tokio::sync::watch;
 
+use super::confirmation::{Confirmation, ConfirmedBy};
 use super::format::BundleFormat;
 use super::message::{InForce, version_of};
 use super::state::Adoption;
@@ -17,6 +18,7 @@
     adoption: RefCell<Adoption>,
     format: Arc<dyn BundleFormat>,
     in_force: watch::Sender<Option<Arc<InForce>>>,
+    confirmation: watch::Sender<Confirmation>,
     metrics: Arc<Metrics>,
 }
 
@@ -25,9 +27,10 @@
     pub fn new(
         format: Arc<dyn BundleFormat>,
         in_force: watch::Sender<Option<Arc<InForce>>>,
+        confirmation: watch::Sender<Confirmation>,
         metrics: Arc<Metrics>,
     ) -> Self {
-        Self { adoption: RefCell::new(Adoption::default()), format, in_force, metrics }
+        Self { adoption: RefCell::new(Adoption::default()), format, in_force, confirmation, metrics }
     }
 
     /// Returns the number of the bundle in force; zero if there is none.
@@ -42,7 +45,16 @@
 
     /// Records that a bundle of this number was published; returns whether it is later than the one in force.
     pub fn record_number(&self, number: u64) -> bool {
-        number > self.number() && self.adoption.borrow_mut().record_published(number)
+        if number <= self.number() {
+            return false;
+        }
+        self.confirmation.send_modify(|confirmation| confirmation.record_published(number));
+        self.adoption.borrow_mut().record_published(number)
+    }
+
+    /// Records that this node had been offered the latest publication as of `at_us`.
+    pub fn confirm(&self, at_us: u64, by: ConfirmedBy) {
+        self.confirmation.send_modify(|confirmation| confirmation.confirm(at_us, by));
     }
 
     /// Returns a receiver that is notified of every bundle that comes into force.
@@ -63,6 +75,7 @@
     /// Adopts a bundle if its text has the hash `version` and it is valid and later.
     pub fn offer(&self, number: u64, version: &str, text: &str, from: &str) {
         if number <= self.number() {
+            self.log_ignored(number, version, from);
             return;
         }
         if version_of(text) != version {
@@ -78,13 +91,30 @@
                 return;
             }
         };
+        let routes = bundle.routes.len();
         let in_force = InForce { number, version: Arc::from(version), text: Arc::from(text), bundle };
         if !self.adoption.borrow_mut().offer(in_force) {
             return;
         }
-        log::info!("event=bundle.in_force number={number} version={version} from={from}");
+        log::info!("event=bundle.in_force number={number} version={version} routes={routes} from={from}");
+        self.confirmation.send_modify(|confirmation| confirmation.record_published(number));
         self.metrics.bundle_number.set(number as i64);
         let current = self.adoption.borrow().current().cloned();
         self.in_force.send_replace(current);
     }
+
+    /// Logs an offer that changes nothing, unless it is the bundle in force.
+    fn log_ignored(&self, number: u64, version: &str, from: &str) {
+        let Some(in_force) = self.in_force() else {
+            return;
+        };
+        if number == in_force.number && *version == *in_force.version {
+            return;
+        }
+        log::info!(
+            "event=bundle.ignored number={number} version={version} in_force={} in_force_version={} from={from}",
+            in_force.number,
+            in_force.version
+        );
+    }
 }
--- a/valetrack/src/bundle/mod.rs
+++ b/valetrack/src/bundle/mod.rs
@@ -7,6 +7,7 @@
 mod account;
 mod adopt;
 mod check;
+mod confirmation;
 mod format;
 mod message;
 pub mod operator;
@@ -21,6 +22,7 @@
 pub use account::{AccountFault, AccountRule, AccountTable};
 pub use adopt::Adopter;
 pub use check::{TEXT_MAX_BYTES, check};
+pub use confirmation::{Confirmation, ConfirmedBy};
 pub use format::{BundleFormat, TomlFormat};
 pub use message::{
     Bundle, CURRENT_KEY, CallerLimits, ClaimMode, CurrentDoc, Fault, FleetRetries, InForce, MeasureRule, PublishedDoc,
--- a/valetrack/src/bundle/route.rs
+++ b/valetrack/src/bundle/route.rs
@@ -67,6 +67,11 @@
         self.by_host.is_empty()
     }
 
+    /// Returns the number of routes.
+    pub fn len(&self) -> usize {
+        self.names.len()
+    }
+
     /// Returns whether a route has this name.
     pub fn contains(&self, name: &str) -> bool {
         self.names.contains(name)
--- a/valetrack/src/bundle/run.rs
+++ b/valetrack/src/bundle/run.rs
@@ -9,9 +9,11 @@
 use tokio::time::sleep;
 
 use super::adopt::Adopter;
+use super::confirmation::ConfirmedBy;
 use super::message::{CURRENT_KEY, CurrentDoc};
 use super::operator::{self, read_text};
 use super::recover::PublishedHistory;
+use crate::clock::now_us;
 use crate::code::Code;
 use crate::member::{Evacuation, Members};
 use crate::metric::Metrics;
@@ -89,6 +91,7 @@
     }
 
     async fn read_current(&self) -> Result<u64, ()> {
+        let sent_us = now_us();
         self.metrics.store_calls.with_label_values(&["read"]).inc();
         let found = match self.store.read(CURRENT_KEY).await {
             Ok(found) => found,
@@ -112,6 +115,7 @@
             (Some(next), doc) => self.recover(&found, doc.as_ref(), next).await,
             (None, Some(doc)) => {
                 self.apply_doc(&doc).await;
+                self.adopter.confirm(sent_us, ConfirmedBy::Store);
                 Ok(found.position().wire_revision())
             }
             (None, None) => Ok(0),
--- a/valetrack/src/caller/run.rs
+++ b/valetrack/src/caller/run.rs
@@ -21,8 +21,8 @@
 use super::pipeline::{self, CallService, Delivered};
 use super::protocol::{CallerProtocol, ReadContext};
 use super::request::{IncomingCall, Rejection};
-use crate::bundle::{HostRoute, InForce, SplitPicker};
-use crate::clock::Moment;
+use crate::bundle::{Confirmation, HostRoute, InForce, SplitPicker};
+use crate::clock::{Moment, now_us};
 use crate::code::Code;
 use crate::gate::NestedRank;
 use crate::link::message::CallHead;
@@ -35,6 +35,8 @@
 const CONNECTIONS_MAX: usize = 10_000;
 /// Most calls without an answer yet; further ones are rejected immediately.
 const OPEN_CALLS_MAX: usize = 2_048;
+/// Longest part of a caller's host or path in a log line.
+const LOGGED_MAX_BYTES: usize = 128;
 /// Id of a rejected request whose caller gave it none.
 const NO_CALL_ID: &str = "-";
 /// Retry delay of a call that a leaving node does not accept: about as long as it takes callers to find another node or
@@ -51,6 +53,8 @@
     pub jobs: Receiver<PlaceJob>,
     /// Protocol between this node and its callers.
     pub protocol: Arc<dyn CallerProtocol>,
+    /// When the bundle in force was last confirmed.
+    pub confirmation: watch::Receiver<Confirmation>,
     /// Service of the upstream beside this node.
     pub service: Arc<str>,
     /// Time that a caller has to send a head, and for which its connection may be idle.
@@ -211,17 +215,17 @@
         let began = Instant::now();
         let given_id = self.parts.protocol.call_id(&parts.headers).unwrap_or(NO_CALL_ID);
         if self.open_calls.get() > OPEN_CALLS_MAX {
-            return self.reject(Rejection { code: Code::Overloaded, status: 503 }, given_id);
+            return self.reject(Rejection { code: Code::Overloaded, status: 503 }, given_id, &parts);
         }
         let in_force = self.placer.bundle.borrow().clone();
         let Some(in_force) = in_force else {
-            return self.reject(Rejection { code: Code::NoBundle, status: 503 }, given_id);
+            return self.reject(Rejection { code: Code::NoBundle, status: 503 }, given_id, &parts);
         };
         let (call, body) = match self.read(&parts, delivered, &in_force).await {
             Ok(read) => read,
             Err(rejection) => {
                 self.placer.metrics.bad_calls.inc();
-                return self.reject(rejection, given_id);
+                return self.reject(rejection, given_id, &parts);
             }
         };
         let IncomingCall { mut head, given_ms, repeatable, attempts_max, .. } = call;
@@ -347,13 +351,24 @@
         placed
     }
 
-    fn reject(&self, rejection: Rejection, call_id: &str) -> Answer {
-        let bundle = self.placer.bundle.borrow().as_ref().map_or(0, |bundle| bundle.number);
+    fn reject(&self, rejection: Rejection, call_id: &str, parts: &Parts) -> Answer {
+        let in_force = self.placer.bundle.borrow().clone();
+        let confirmation = self.parts.confirmation.borrow().clone();
+        let host = parts.headers.get("host").and_then(|host| host.to_str().ok()).or(parts.uri.host()).unwrap_or("");
         log::warn!(
-            "event=call.rejected call={call_id} code={} status={} bundle={bundle}",
+            "event=call.rejected call={call_id} code={} status={} host={} path={} bundle={} version={} published={} \
+             confirmed_ms={} confirmed_by={}",
             rejection.code,
-            rejection.status
+            rejection.status,
+            Quoted(abbreviated(host)),
+            Quoted(abbreviated(parts.uri.path())),
+            in_force.as_ref().map_or(0, |in_force| in_force.number),
+            OrNone(in_force.as_ref().map(|in_force| &in_force.version)),
+            confirmation.published(),
+            OrNone(confirmation.age(now_us()).map(|age| age.as_millis())),
+            OrNone(confirmation.confirmed_by())
         );
+        self.placer.metrics.rejected_calls.with_label_values(&[&rejection.code.to_string()]).inc();
         self.parts.protocol.of_rejection(rejection, call_id)
     }
 
@@ -401,6 +416,11 @@
     }
 }
 
+/// Returns the beginning of a caller's text, up to the length that a log line may contain.
+fn abbreviated(text: &str) -> &str {
+    &text[..text.floor_char_boundary(LOGGED_MAX_BYTES)]
+}
+
 /// Returns the code of a call that has one: it failed, or it has no answer of a server.
 fn code_of_placed(placed: &Placed) -> Option<Code> {
     match placed {
--- a/valetrack/src/member/leased/read.rs
+++ b/valetrack/src/member/leased/read.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use super::Shell;
+use crate::bundle::ConfirmedBy;
 use crate::clock::now_us;
 use crate::code::Code;
 use crate::crash::CrashJob;
@@ -66,6 +67,8 @@
             // A read of an earlier state may be older than the log.
             self.parts.metrics.store_outdated.inc();
             log::info!("event=store.read_outdated freshness={freshness:?} position={at} known={known}");
+        } else if freshness == Freshness::Current {
+            self.adopter.confirm(sent_us, ConfirmedBy::Store);
         }
         Ok(())
     }
@@ -122,7 +125,10 @@
         let waited_us = if changes.changes.is_empty() { wait.as_micros() as u64 } else { 0 };
         let confirmed_us = (sent_us + waited_us).min(now_us());
         match self.apply_changes(&changes.changes, after, changes.at, confirmed_us) {
-            ApplyOutcome::Newest => Ok(!changes.changes.is_empty()),
+            ApplyOutcome::Newest => {
+                self.adopter.confirm(confirmed_us, ConfirmedBy::Store);
+                Ok(!changes.changes.is_empty())
+            }
             ApplyOutcome::Outdated | ApplyOutcome::Disconnected => self.read_again().await.map(|()| true),
         }
     }
--- a/valetrack/src/member/leased/relayed.rs
+++ b/valetrack/src/member/leased/relayed.rs
@@ -9,6 +9,7 @@
 
 use super::Shell;
 use super::follow::CATCH_UP_WAIT;
+use crate::bundle::ConfirmedBy;
 use crate::clock::now_us;
 use crate::link::codec;
 use crate::link::message::{Ask, PeerRequest, Reply};
@@ -71,7 +72,7 @@
                     self.relay_update_us.set(Some(now_us()));
                     self.takeover.borrow_mut().on_update(now_us().saturating_sub(u64::from(age_ms) * 1_000));
                     self.store_update_received(update.at.era());
-                    self.apply_update(&update, age_ms, after);
+                    self.apply_update(relay, &update, age_ms, after);
                     self.resign_if_store_unreachable(relay);
                     self.choose_role();
                 }
@@ -202,7 +203,7 @@
     }
 
     /// Applies the update that a relay has sent for a position.
-    fn apply_update(self: &Rc<Self>, update: &StoreUpdate, age_ms: u32, after: Position) {
+    fn apply_update(self: &Rc<Self>, relay: &Target, update: &StoreUpdate, age_ms: u32, after: Position) {
         let confirmed_us = now_us().saturating_sub(u64::from(age_ms) * 1000);
         let outcome = match update.whole {
             true => {
@@ -211,7 +212,9 @@
             }
             false => self.apply_changes(&update.changes, after, update.at, confirmed_us),
         };
-        if outcome != ApplyOutcome::Newest {
+        if outcome == ApplyOutcome::Newest {
+            self.adopter.confirm(confirmed_us, ConfirmedBy::Relay(relay.vm.clone()));
+        } else {
             let known = self.log.borrow().position();
             log::info!("event=store.news_dropped taken={outcome:?} position={} known={known}", update.at);
         }
--- a/valetrack/src/metric.rs
+++ b/valetrack/src/metric.rs
@@ -78,6 +78,8 @@
     pub invalid_input: IntCounterVec,
     /// Calls from callers that were refused as invalid.
     pub bad_calls: IntCounter,
+    /// Calls from callers that were rejected before they were placed, by code.
+    pub rejected_calls: IntCounterVec,
     /// Calls that were started before the calls ahead of them on their connection were answered.
     pub calls_started_ahead: IntCounter,
     /// Calls that were refused because their client account exceeds its rate.
@@ -254,6 +256,11 @@
                 "code",
             ),
             bad_calls: counter("valetrack_bad_calls_total", "Calls from callers that were refused as invalid."),
+            rejected_calls: counters(
+                "valetrack_rejected_calls_total",
+                "Calls from callers that were rejected before they were placed, by code.",
+                "code",
+            ),
             calls_started_ahead: counter(
                 "valetrack_calls_started_ahead_total",
                 "Calls started before the calls ahead of them on their connection were answered.",
--- a/valetrack/src/node/part.rs
+++ b/valetrack/src/node/part.rs
@@ -6,7 +6,7 @@
 use tokio::sync::{Notify, watch};
 
 use super::stage::Stages;
-use crate::bundle::{BundleFormat, InForce};
+use crate::bundle::{BundleFormat, Confirmation, InForce};
 use crate::caller::CallerProtocol;
 use crate::claim::{ClaimJob, ClaimState};
 use crate::clock::wall_us;
@@ -45,6 +45,7 @@
     pub(super) stages: Stages,
     pub(super) metrics: Arc<Metrics>,
     pub(super) bundle: watch::Sender<Option<Arc<InForce>>>,
+    pub(super) confirmation: watch::Sender<Confirmation>,
     pub(super) members: watch::Sender<Arc<Members>>,
     pub(super) link: Ring<LinkJob>,
     pub(super) claim: Ring<ClaimJob>,
@@ -95,6 +96,7 @@
             stages: Stages::new(),
             metrics: Arc::new(Metrics::new()),
             bundle: watch::Sender::new(None),
+            confirmation: watch::Sender::default(),
             members: watch::Sender::new(Arc::new(Members::default())),
             link: Ring::new(),
             claim: Ring::new(),
--- a/valetrack/src/node/start.rs
+++ b/valetrack/src/node/start.rs
@@ -80,7 +80,7 @@
     }
 
     fn adopter(&self) -> Adopter {
-        Adopter::new(self.format.clone(), self.bundle.clone(), self.metrics.clone())
+        Adopter::new(self.format.clone(), self.bundle.clone(), self.confirmation.clone(), self.metrics.clone())
     }
 
     fn start_leased(
@@ -239,6 +239,7 @@
         ListenerParts {
             jobs: self.place.from.clone(),
             protocol: self.caller_protocol.clone(),
+            confirmation: self.confirmation.subscribe(),
             service: settings.service.clone(),
             head_limit: Duration::from_millis(settings.caller_rest_ms),
             linger: Duration::from_millis(settings.linger_ms),
