--- a/standin/tests/final_answers.rs
+++ b/standin/tests/final_answers.rs
@@ -44,7 +44,21 @@
     config
 }
 
+/// Returns a configuration with a limit on bodies.
+fn with_body_limit(version: u64, body_max_bytes: u64) -> String {
+    let mut config = with_routes(version, &[]);
+    config["limits"] = json!({
+        "head_max_bytes": 16_384, "body_max_bytes": body_max_bytes,
+        "head_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
+    });
+    config.to_string()
+}
+
 async fn call(fleet: &Fleet, at: usize, path: &str, key: &str) -> Reply {
+    call_with_body(fleet, at, path, key, 0).await
+}
+
+async fn call_with_body(fleet: &Fleet, at: usize, path: &str, key: &str, body_bytes: usize) -> Reply {
     let id = format!("{:016x}", fastrand::u64(..));
     let authorization = format!("Bearer {key}");
     let headers = [
@@ -53,7 +67,7 @@
         ("x-deadline-milliseconds", "1500"),
         ("authorization", &authorization),
     ];
-    Client::new(fleet.vms[at].caller_addr).call("GET", path, &headers, "").await.expect("an answer")
+    Client::new(fleet.vms[at].caller_addr).call("GET", path, &headers, "x".repeat(body_bytes)).await.expect("an answer")
 }
 
 async fn status_at(fleet: &Fleet, at: usize, path: &str) -> u16 {
@@ -187,3 +201,42 @@
     }
     assert_eq!(call(&fleet, LAST, "/sheet/", "26tta828m82thhkmgjqx").await.status, 401);
 }
+
+#[tokio::test]
+async fn body_over_limit_gets_413_at_every_node_and_never_runs() {
+    let fleet = Fleet::start(&["rounds", "ledger"]).await;
+    fleet.store.put("op/config", &with_body_limit(5, 1_000));
+    for at in 0..fleet.vms.len() {
+        let is_over = async || call_with_body(&fleet, at, "/sheet/", KEY, 1_001).await.status == 413;
+        wait_for("the limit", is_over).await;
+    }
+    let before = fleet.vms[0].upstream.arrivals().len();
+    for at in 0..fleet.vms.len() {
+        assert_eq!(call_with_body(&fleet, at, "/sheet/", KEY, 1_001).await.status, 413);
+    }
+    assert_eq!(fleet.vms[0].upstream.arrivals().len(), before);
+    assert_eq!(call_with_body(&fleet, 0, "/sheet/", KEY, 1_000).await.status, 200);
+}
+
+/// Calls an address, and returns the status of the answer.
+async fn status_of(addr: std::net::SocketAddr, method: &str, path: &str, body: &str) -> u16 {
+    Client::new(addr).call(method, path, &[], body.to_owned()).await.expect("an answer").status
+}
+
+/// These answers depend on the request alone, so they are the same while the store is away.
+#[test_case(Mode::Up; "store up")]
+#[test_case(Mode::Silent; "store silent")]
+#[tokio::test]
+async fn invalid_announcement_and_operator_request_get_final_status(mode: Mode) {
+    let fleet = Fleet::start(&["rounds"]).await;
+    fleet.store.set_mode(mode);
+    let (control, ready) = (fleet.vms[0].control_addr, fleet.vms[0].ready_addr);
+    let of_other_service = r#"{"service":"ledger","slots":6,"state":"ready","sequence":1}"#;
+    assert_eq!(status_of(control, "POST", "/api/instances/i-0/heartbeat", of_other_service).await, 400);
+    assert_eq!(status_of(control, "POST", "/api/instances/i-0/nothing", "{}").await, 404);
+    assert_eq!(status_of(control, "POST", "/api/nothing", "{}").await, 404);
+    assert_eq!(status_of(control, "GET", "/api/instances/i-0/heartbeat", "").await, 405);
+    assert_eq!(status_of(ready, "GET", "/nothing", "").await, 404);
+    assert_eq!(status_of(ready, "POST", "/metrics", "").await, 405);
+    assert_eq!(status_of(ready, "GET", "/api/readiness", "").await, 200);
+}
--- a/valetrack/src/caller/tests.rs
+++ b/valetrack/src/caller/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of request parsing (service, limits, keys and rejections) and of leaving.
 
+mod answer;
+
 use std::time::Duration;
 
 use hyper::Request;
