Failing test: nodes reject a body by a limit that nobody confirms

The same fault as with routes and keys: a node whose store and relays are away for 6 s answers 413, final to a caller, to a body that is within the limit the operator raised meanwhile. The test asks for 503 with Retry-After. Both cases fail on this code.

--- a/standin/tests/final_answers.rs
+++ b/standin/tests/final_answers.rs
@@ -202,6 +202,30 @@
     assert_eq!(call(&fleet, LAST, "/sheet/", "26tta828m82thhkmgjqx").await.status, 401);
 }
 
+/// Guards against the rejection of a valid body for the same reason.
+#[test_case(Away::Store(Mode::Refusing); "store refuses")]
+#[test_case(Away::StoreAndNodes; "store refuses and relays suspended")]
+#[tokio::test]
+async fn unconfirmed_node_does_not_answer_413_on_limit_raised_meanwhile(away: Away) {
+    let fleet = Fleet::start(&SERVICES).await;
+    let body_status = async |at: usize| call_with_body(&fleet, at, "/sheet/", KEY, 1_500).await.status;
+    fleet.store.put("op/config", &with_body_limit(5, 1_000));
+    for at in 0..fleet.vms.len() {
+        wait_for("the limit", async || body_status(at).await == 413).await;
+    }
+    away.begin(&fleet);
+    fleet.store.put("op/config", &with_body_limit(7, 2_000));
+    tokio::time::sleep(UNCONFIRMED_AFTER).await;
+    for at in away.running() {
+        let reply = call_with_body(&fleet, at, "/sheet/", KEY, 1_500).await;
+        assert_try_again(&reply, &format!("a body within the raised limit at vm-{at}"));
+    }
+    away.end(&fleet);
+    for at in 0..fleet.vms.len() {
+        wait_for("the raised limit", async || body_status(at).await == 200).await;
+    }
+}
+
 #[tokio::test]
 async fn body_over_limit_gets_413_at_every_node_and_never_runs() {
     let fleet = Fleet::start(&["rounds", "ledger"]).await;
