Calls are rejected for good only by a bundle that was confirmed lately

What callers saw: 404 on valid routes, 401 with valid keys and 413 on valid bodies from nodes whose bundle was superseded. A caller gives up after these, while it repeats a 503 elsewhere. Cause: the answer is based on the absence of an item from the bundle in force, however old that bundle is. The worst case is a restarted node: it puts a stale first read in force and answers by it before anything has confirmed it. Evidence: nine cases of final_answers fail on the code before (404, 401 and 413 in place of 503): outages of the store for all nodes, for one while the others are suspended, and a stale first read. A rejection by the bundle is final only if no later number is known, also one whose text was refused, and the last confirmation is at most news-within-ms old: the time after which a change must be in force, so what such a node denies may be denied. Otherwise it is 503 VT209 with Retry-After. With a VM list nothing confirms the bundle at regular intervals, so there only a later number makes it inconclusive.

--- a/standin/src/managed/store.rs
+++ b/standin/src/managed/store.rs
@@ -49,6 +49,8 @@
     Slow(u64),
     /// Writes take effect, and their answers are lost.
     LosingAnswers,
+    /// Reads with `allow_stale` show the store as it was when this mode was set; every other call is refused.
+    StaleReadsOnly,
 }
 
 #[derive(Clone)]
@@ -174,7 +176,12 @@
 
     /// Sets how calls are handled from now on; calls that wait are cut if the store becomes unavailable.
     pub fn set_mode(&self, mode: Mode) {
-        self.lock().mode = mode;
+        let mut state = self.lock();
+        if mode == Mode::StaleReadsOnly {
+            state.earlier = Some(state.present());
+        }
+        state.mode = mode;
+        drop(state);
         self.changed.notify_waiters();
     }
 
@@ -305,10 +312,11 @@
         };
         match mode {
             Mode::Refusing => return Ok(answer(503, "{}")),
+            Mode::StaleReadsOnly if !query.contains_key("allow_stale") => return Ok(answer(503, "{}")),
             Mode::Silent => std::future::pending::<()>().await,
             Mode::Resetting => return Err("cut".into()),
             Mode::Slow(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
-            Mode::Up | Mode::LosingAnswers => {}
+            Mode::Up | Mode::LosingAnswers | Mode::StaleReadsOnly => {}
         }
         if path == "/api/kv-watch" {
             return self.watch(&query, &access).await;
@@ -330,7 +338,8 @@
             let changed = self.changed.notified();
             {
                 let state = self.lock();
-                let unavailable = |mode: Mode| matches!(mode, Mode::Refusing | Mode::Silent | Mode::Resetting);
+                let unavailable =
+                    |mode: Mode| matches!(mode, Mode::Refusing | Mode::Silent | Mode::Resetting | Mode::StaleReadsOnly);
                 if unavailable(state.mode) || unavailable(access.get()) {
                     // Calls that wait are cut when the store becomes unavailable.
                     return Err("cut".into());
@@ -451,10 +460,11 @@
         Snapshot { taken: Instant::now(), items, revision: self.revision }
     }
 
-    /// Returns a snapshot that is no older than [`STALE_MS`].
+    /// Returns a snapshot that is no older than [`STALE_MS`], or the one of [`Mode::StaleReadsOnly`].
     fn earlier(&mut self) -> &Snapshot {
         let previous = self.earlier.take();
-        let kept = previous.filter(|earlier| earlier.taken.elapsed() < Duration::from_millis(STALE_MS));
+        let is_fixed = self.mode == Mode::StaleReadsOnly;
+        let kept = previous.filter(|earlier| is_fixed || earlier.taken.elapsed() < Duration::from_millis(STALE_MS));
         let state = kept.unwrap_or_else(|| self.present());
         self.earlier.insert(state)
     }
--- a/standin/tests/final_answers.rs
+++ b/standin/tests/final_answers.rs
@@ -123,6 +123,15 @@
     StoreAndNodes,
 }
 
+/// Waits until a node is suspended: a busy process handles the signal some time after it was sent.
+fn wait_until_stopped(fleet: &Fleet, at: usize) {
+    let pid = fleet.vms[at].node.as_ref().expect("a running node").id();
+    let is_stopped = || std::fs::read_to_string(format!("/proc/{pid}/stat")).is_ok_and(|stat| stat.contains(") T "));
+    while !is_stopped() {
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
 /// Nodes of a fleet of which the last keeps running in every case.
 const SERVICES: [&str; 3] = ["ledger", "ledger", "rounds"];
 const LAST: usize = SERVICES.len() - 1;
@@ -134,6 +143,7 @@
             Self::StoreAndNodes => {
                 fleet.vms[LAST].store_access.set(Mode::Refusing);
                 (0..LAST).for_each(|at| fleet.signal(at, "-STOP"));
+                (0..LAST).for_each(|at| wait_until_stopped(fleet, at));
             }
         }
     }
@@ -177,6 +187,26 @@
     assert_denied(&fleet, NEVER).await;
 }
 
+/// Guards against 404 by a first bundle from a stale read, which no later read has confirmed.
+#[tokio::test]
+async fn restarted_node_does_not_answer_404_by_stale_first_read() {
+    let mut fleet = Fleet::start(&SERVICES).await;
+    fleet.store.set_mode(Mode::StaleReadsOnly);
+    fleet.store.put("op/config", &with_routes(5, &[ADDED]).to_string());
+    (0..SERVICES.len()).for_each(|at| fleet.kill_node(at));
+    (0..SERVICES.len()).for_each(|at| fleet.start_node(at));
+    for at in 0..SERVICES.len() {
+        let adoptions = || fleet.log(at).matches("event=bundle.in_force number=3").count();
+        wait_for("the earlier bundle", async || adoptions() == 2).await;
+        assert_try_again(&call(&fleet, at, ADDED, KEY).await, &format!("an added route at vm-{at}"));
+    }
+    fleet.store.set_mode(Mode::Up);
+    for at in 0..SERVICES.len() {
+        wait_for("the added route", async || status_at(&fleet, at, ADDED).await == 200).await;
+    }
+    assert_denied(&fleet, NEVER).await;
+}
+
 /// Guards against the rejection of a valid key for the same reason.
 #[test_case(Away::Store(Mode::Refusing); "store refuses")]
 #[test_case(Away::StoreAndNodes; "store refuses and relays suspended")]
--- a/valetrack/src/bundle/adopt.rs
+++ b/valetrack/src/bundle/adopt.rs
@@ -86,6 +86,7 @@
             Ok(bundle) => bundle,
             Err(faults) => {
                 // A later release may have written it; the bundle in force stays.
+                self.record_number(number);
                 let first = faults.first().map(ToString::to_string).unwrap_or_default();
                 log::error!("event=bundle.refused number={number} faults={} first=\"{first}\"", faults.len());
                 return;
--- a/valetrack/src/bundle/confirmation.rs
+++ b/valetrack/src/bundle/confirmation.rs
@@ -45,6 +45,16 @@
         }
     }
 
+    /// Returns whether the absence of an item from the bundle of this number means that it is not configured: no later
+    /// publication is known, and the last confirmation is at most `age_max` old. Without `age_max`, confirmations do
+    /// not expire.
+    pub fn is_conclusive(&self, number: u64, age_max: Option<Duration>, now_us: u64) -> bool {
+        if self.published > number {
+            return false;
+        }
+        age_max.is_none_or(|age_max| self.age(now_us).is_some_and(|age| age <= age_max))
+    }
+
     /// Returns the highest number of a publication that this node has a record of.
     pub fn published(&self) -> u64 {
         self.published
--- a/valetrack/src/bundle/tests/confirmation.rs
+++ b/valetrack/src/bundle/tests/confirmation.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use test_case::test_case;
+
 use crate::bundle::{Confirmation, ConfirmedBy};
 
 #[test]
@@ -24,3 +26,27 @@
     confirmation.record_published(5);
     assert_eq!(confirmation.published(), 7);
 }
+
+const AGE_MAX: Duration = Duration::from_millis(3);
+
+#[test_case(None, 4, 0, false; "without a confirmation")]
+#[test_case(Some(5_000), 4, 8_000, true; "with a confirmation of the greatest age")]
+#[test_case(Some(5_000), 4, 8_001, false; "with a confirmation that has expired")]
+#[test_case(Some(5_000), 5, 5_000, false; "with a record of a later publication")]
+fn bundle_is_conclusive(confirmed_us: Option<u64>, published: u64, now_us: u64, expected: bool) {
+    let mut confirmation = Confirmation::default();
+    confirmation.record_published(published);
+    if let Some(confirmed_us) = confirmed_us {
+        confirmation.confirm(confirmed_us, ConfirmedBy::Store);
+    }
+    assert_eq!(confirmation.is_conclusive(4, Some(AGE_MAX), now_us), expected);
+}
+
+#[test]
+fn bundle_without_age_limit_is_conclusive_until_later_one_is_published() {
+    let mut confirmation = Confirmation::default();
+    confirmation.record_published(4);
+    assert!(confirmation.is_conclusive(4, None, 1_000_000));
+    confirmation.record_published(5);
+    assert!(!confirmation.is_conclusive(4, None, 1_000_000));
+}
--- a/valetrack/src/caller/request.rs
+++ b/valetrack/src/caller/request.rs
@@ -37,6 +37,19 @@
     pub status: u16,
 }
 
+impl Rejection {
+    /// Returns the rejection to answer with if the bundle in force is not conclusive: one that is based on the absence of
+    /// an item from the bundle is final to its caller, although a later bundle may contain the item.
+    pub fn by_inconclusive_bundle(self) -> Self {
+        match self.code {
+            Code::ServiceUnknown | Code::KeyUnknown | Code::BodyTooLarge => {
+                Self { code: Code::BundleUnconfirmed, status: 503 }
+            }
+            _ => self,
+        }
+    }
+}
+
 /// A call whose head has been read.
 #[derive(Debug, Clone)]
 pub struct IncomingCall {
--- a/valetrack/src/caller/run.rs
+++ b/valetrack/src/caller/run.rs
@@ -55,6 +55,8 @@
     pub protocol: Arc<dyn CallerProtocol>,
     /// When the bundle in force was last confirmed.
     pub confirmation: watch::Receiver<Confirmation>,
+    /// Age of the last confirmation up to which a call may be rejected for good; none if confirmations do not expire.
+    pub confirmation_age_max: Option<Duration>,
     /// Service of the upstream beside this node.
     pub service: Arc<str>,
     /// Time that a caller has to send a head, and for which its connection may be idle.
@@ -225,6 +227,8 @@
             Ok(read) => read,
             Err(rejection) => {
                 self.placer.metrics.bad_calls.inc();
+                let is_conclusive = self.is_conclusive(&in_force);
+                let rejection = if is_conclusive { rejection } else { rejection.by_inconclusive_bundle() };
                 return self.reject(rejection, given_id, &parts);
             }
         };
@@ -267,6 +271,12 @@
         answer
     }
 
+    /// Returns whether an item that the bundle in force lacks is not configured.
+    fn is_conclusive(&self, in_force: &InForce) -> bool {
+        let ListenerParts { confirmation, confirmation_age_max, .. } = &self.parts;
+        confirmation.borrow().is_conclusive(in_force.number, *confirmation_age_max, now_us())
+    }
+
     /// Returns whether a call that is accepted now may still run when this node exits.
     fn outlasts_exit(&self, deadline_ms: u32) -> bool {
         let left_at = self.left_at.get();
--- a/valetrack/src/node/start.rs
+++ b/valetrack/src/node/start.rs
@@ -236,10 +236,16 @@
 
     fn listener_parts(&self) -> ListenerParts {
         let settings = &self.settings;
+        let confirmation_age_max = match &self.membership {
+            // Watches of the store and gossip do not confirm the bundle at regular intervals.
+            Membership::Listed { .. } => None,
+            Membership::Leased { .. } => Some(Duration::from_millis(settings.news_within_ms)),
+        };
         ListenerParts {
             jobs: self.place.from.clone(),
             protocol: self.caller_protocol.clone(),
             confirmation: self.confirmation.subscribe(),
+            confirmation_age_max,
             service: settings.service.clone(),
             head_limit: Duration::from_millis(settings.caller_rest_ms),
             linger: Duration::from_millis(settings.linger_ms),
