Confirmations by a relay exclude the transit of its update; review of the rejection rule

A confirmation was dated by the arrival of the relay's update, so that time in transit, or a suspension of the VM while the reply was pending, counted as fresh: up to 1.3 s, 2.5 s for a first request. A bundle that is held back after a store rollback is recorded as published at once. Texts and names by a review; VT209 no longer counts as an invalid call.

--- a/valetrack/src/bundle/confirmation.rs
+++ b/valetrack/src/bundle/confirmation.rs
@@ -27,8 +27,7 @@
 pub struct Confirmation {
     /// Highest number of a publication that this node has a record of, with or without its text.
     published: u64,
-    /// When the store was last known to hold no publication that this node had not been offered, in microseconds, and
-    /// the source.
+    /// As of when this node had been offered the latest publication, in microseconds, and the source.
     confirmed: Option<(u64, ConfirmedBy)>,
 }
 
@@ -45,9 +44,8 @@
         }
     }
 
-    /// Returns whether the absence of an item from the bundle of this number means that it is not configured: no later
-    /// publication is known, and the last confirmation is at most `age_max` old. Without `age_max`, confirmations do
-    /// not expire.
+    /// Returns whether the bundle of this number may be taken for the latest one: no later publication is known, and the
+    /// last confirmation is at most `age_max` old. Without `age_max`, confirmations do not expire.
     pub fn is_conclusive(&self, number: u64, age_max: Option<Duration>, now_us: u64) -> bool {
         if self.published > number {
             return false;
--- a/valetrack/src/caller/request.rs
+++ b/valetrack/src/caller/request.rs
@@ -38,9 +38,9 @@
 }
 
 impl Rejection {
-    /// Returns the rejection to answer with if the bundle in force is not conclusive: one that is based on the absence of
-    /// an item from the bundle is final to its caller, although a later bundle may contain the item.
-    pub fn by_inconclusive_bundle(self) -> Self {
+    /// Returns the rejection to answer with if the bundle in force may be superseded: what it lacks or does not allow, a
+    /// later one may, so the caller is asked to try again.
+    pub fn under_inconclusive_bundle(self) -> Self {
         match self.code {
             Code::ServiceUnknown | Code::KeyUnknown | Code::BodyTooLarge => {
                 Self { code: Code::BundleUnconfirmed, status: 503 }
--- a/valetrack/src/caller/run.rs
+++ b/valetrack/src/caller/run.rs
@@ -226,9 +226,9 @@
         let (call, body) = match self.read(&parts, delivered, &in_force).await {
             Ok(read) => read,
             Err(rejection) => {
-                self.placer.metrics.bad_calls.inc();
                 let is_conclusive = self.is_conclusive(&in_force);
-                let rejection = if is_conclusive { rejection } else { rejection.by_inconclusive_bundle() };
+                let rejection = if is_conclusive { rejection } else { rejection.under_inconclusive_bundle() };
+                self.placer.metrics.bad_calls.inc_by(u64::from(rejection.code != Code::BundleUnconfirmed));
                 return self.reject(rejection, given_id, &parts);
             }
         };
@@ -271,7 +271,7 @@
         answer
     }
 
-    /// Returns whether an item that the bundle in force lacks is not configured.
+    /// Returns whether calls may be rejected for good because of what a bundle lacks.
     fn is_conclusive(&self, in_force: &InForce) -> bool {
         let ListenerParts { confirmation, confirmation_age_max, .. } = &self.parts;
         confirmation.borrow().is_conclusive(in_force.number, *confirmation_age_max, now_us())
--- a/valetrack/src/code.rs
+++ b/valetrack/src/code.rs
@@ -46,7 +46,7 @@
     KeyReused = 206, "the idempotency key was used before with a different call";
     NoBundle = 207, "this node has no bundle in force yet";
     KeyUnknown = 208, "the call brings no key of a client account";
-    BundleUnconfirmed = 209, "the bundle in force was not confirmed lately, so it is not known whether it lacks what the call needs";
+    BundleUnconfirmed = 209, "the bundle in force may be superseded by one that allows the call";
     Overloaded = 301, "no server has room for the call before its deadline";
     NoServer = 302, "no server of the service is in rotation";
     DeadlinePassed = 303, "the deadline passed";
--- a/valetrack/src/member/leased/older.rs
+++ b/valetrack/src/member/leased/older.rs
@@ -133,6 +133,7 @@
             self.adopter.offer(number, &version_of(text), text, "store");
             return;
         }
+        self.adopter.record_number(number);
         log::info!("event=bundle.held_back number={number} reason=\"the store may have been rolled back\"");
         let (shell, text): (_, Arc<str>) = (self.clone(), Arc::from(text));
         tokio::task::spawn_local(async move {
--- a/valetrack/src/member/leased/relayed.rs
+++ b/valetrack/src/member/leased/relayed.rs
@@ -14,7 +14,7 @@
 use crate::link::codec;
 use crate::link::message::{Ask, PeerRequest, Reply};
 use crate::link::peer::{self, LinkResult, Target};
-use crate::member::relay::{ApplyOutcome, StoreUpdate};
+use crate::member::relay::{ApplyOutcome, StoreUpdate, UpdateAge};
 use crate::member::role::AvoidReason;
 use crate::member::{FollowerReply, Member, Phase, entry_key};
 use crate::store::{Change, Item, Position};
@@ -39,8 +39,8 @@
 
 /// Outcome of a request to a relay.
 enum RelayReply {
-    /// Changes in the store, and their age in milliseconds.
-    Update(StoreUpdate, u32),
+    /// Changes in the store, and their age.
+    Update(StoreUpdate, UpdateAge),
     /// The relay is behind the store.
     Behind,
     /// The relay accepts no more followers.
@@ -66,13 +66,14 @@
                 () = self.entry_update.notified() => continue,
             };
             match answer {
-                RelayReply::Update(update, age_ms) => {
+                RelayReply::Update(update, age) => {
+                    let age_ms = age.at_relay_ms;
                     was_behind = false;
                     self.updates_in_row.set(self.updates_in_row.get().saturating_add(1));
                     self.relay_update_us.set(Some(now_us()));
                     self.takeover.borrow_mut().on_update(now_us().saturating_sub(u64::from(age_ms) * 1_000));
                     self.store_update_received(update.at.era());
-                    self.apply_update(relay, &update, age_ms, after);
+                    self.apply_update(relay, &update, age, after);
                     self.resign_if_store_unreachable(relay);
                     self.choose_role();
                 }
@@ -159,6 +160,7 @@
         };
         let me = self.me.borrow().clone();
         let ask = Ask::Follow { after, wait_ms: wait_ms as u32, me };
+        let replied_by_us = now_us() + wait_ms * 1_000;
         let request = PeerRequest { ask, body: Bytes::new() };
         // A relay that many nodes start to follow at once takes longer for its first replies.
         let slack_ms = if self.relay_update_us.get().is_none() { FIRST_SLACK_MS } else { FOLLOW_SLACK_MS };
@@ -183,7 +185,7 @@
             return RelayReply::Behind;
         }
         match codec::unpack_store_update(&answered.body) {
-            Ok(update) => RelayReply::Update(update, age_ms),
+            Ok(update) => RelayReply::Update(update, UpdateAge { at_relay_ms: age_ms, replied_by_us }),
             Err(error) => {
                 log::warn!("event=store.news_invalid relay={} code={} reason=\"{error}\"", relay.vm, error.code());
                 RelayReply::NoReply
@@ -203,8 +205,9 @@
     }
 
     /// Applies the update that a relay has sent for a position.
-    fn apply_update(self: &Rc<Self>, relay: &Target, update: &StoreUpdate, age_ms: u32, after: Position) {
-        let confirmed_us = now_us().saturating_sub(u64::from(age_ms) * 1000);
+    fn apply_update(self: &Rc<Self>, relay: &Target, update: &StoreUpdate, age: UpdateAge, after: Position) {
+        let now = now_us();
+        let confirmed_us = now.saturating_sub(u64::from(age.at_relay_ms) * 1000);
         let outcome = match update.whole {
             true => {
                 let items: Vec<Item> = update.changes.iter().filter_map(Change::item).cloned().collect();
@@ -213,7 +216,7 @@
             false => self.apply_changes(&update.changes, after, update.at, confirmed_us),
         };
         if outcome == ApplyOutcome::Newest {
-            self.adopter.confirm(confirmed_us, ConfirmedBy::Relay(relay.vm.clone()));
+            self.adopter.confirm(age.confirmed_us(now), ConfirmedBy::Relay(relay.vm.clone()));
         } else {
             let known = self.log.borrow().position();
             log::info!("event=store.news_dropped taken={outcome:?} position={} known={known}", update.at);
--- a/valetrack/src/member/relay.rs
+++ b/valetrack/src/member/relay.rs
@@ -38,6 +38,23 @@
     pub at: Position,
 }
 
+/// Age of an update when its follower receives it.
+#[derive(Debug, Clone, Copy)]
+pub struct UpdateAge {
+    /// Age of the relay's log when it replied.
+    pub at_relay_ms: u32,
+    /// Latest time at which the relay can have replied if the request reached it at once, in microseconds.
+    pub replied_by_us: u64,
+}
+
+impl UpdateAge {
+    /// Returns the time of the relay's last confirmation, without the time that the reply was in transit or lay here
+    /// while the VM was suspended.
+    pub fn confirmed_us(self, now_us: u64) -> u64 {
+        now_us.min(self.replied_by_us).saturating_sub(u64::from(self.at_relay_ms) * 1_000)
+    }
+}
+
 /// Outcome of applying a read to the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ApplyOutcome {
--- a/valetrack/src/member/tests/relay.rs
+++ b/valetrack/src/member/tests/relay.rs
@@ -4,6 +4,7 @@
 use test_case::test_case;
 
 use super::at;
+use crate::member::relay::UpdateAge;
 use crate::member::{AGE_MAX_US, ChangeLog};
 use crate::store::{Change, Item};
 
@@ -77,3 +78,10 @@
 fn all(log: &ChangeLog) -> Vec<Change> {
     log.since(at(u64::MAX)).changes
 }
+
+#[test_case(1_400_000, 1_100_000; "reply at the end of the wait")]
+#[test_case(4_000_000, 1_200_000; "reply that was in transit for long")]
+fn confirmation_by_update_excludes_transit_after_the_wait(received_us: u64, expected_us: u64) {
+    let age = UpdateAge { at_relay_ms: 300, replied_by_us: 1_500_000 };
+    assert_eq!(age.confirmed_us(received_us), expected_us);
+}
