A restarted node asks whether its upstream leaves or limits its rate before it sends calls

What callers saw: nothing; an upstream that leaves got new work. Cause: a node that starts beside a running upstream allows two calls at once until the first answer, and its health check runs beside them. If there is no answer, two calls run at once as before. Reports of load still name one slot, since they outlive the check.

--- a/standin/src/managed/server.rs
+++ b/standin/src/managed/server.rs
@@ -94,6 +94,8 @@
     pub addr: SocketAddr,
     slots: usize,
     work_ms: AtomicU64,
+    /// Delay of the answers to health checks.
+    health_ms: AtomicU64,
     running: AtomicUsize,
     draining: AtomicBool,
     /// When an answer of the present incarnation first stated that the server leaves; `None` if it does not leave.
@@ -155,6 +157,7 @@
             addr,
             slots,
             work_ms: AtomicU64::new(20),
+            health_ms: AtomicU64::new(0),
             running: AtomicUsize::new(0),
             draining: AtomicBool::new(false),
             leaving: Mutex::default(),
@@ -264,6 +267,11 @@
         self.work_ms.store(work_ms, Ordering::Relaxed);
     }
 
+    /// Sets the delay of the answers to health checks.
+    pub fn set_health_ms(&self, health_ms: u64) {
+        self.health_ms.store(health_ms, Ordering::Relaxed);
+    }
+
     /// Makes each run send `count` nested calls for `path` to the caller listener of a node.
     pub fn set_calls(&self, node: SocketAddr, path: &str, count: usize) {
         let calls = Some((node, path.to_owned(), count));
@@ -516,6 +524,7 @@
 
 async fn handle_request(server: Arc<ManagedServer>, request: Request<Incoming>) -> Answer {
     if request.uri().path() == "/health" {
+        tokio::time::sleep(Duration::from_millis(server.health_ms.load(Ordering::Relaxed))).await;
         let status = if server.draining.load(Ordering::Relaxed) { 503 } else { 200 };
         let mut reply = answer(status, "");
         reply.headers_mut().insert("x-instance-id", HeaderValue::from_str(&server.id())?);
--- a/standin/tests/upstream_limit.rs
+++ b/standin/tests/upstream_limit.rs
@@ -172,6 +172,24 @@
     assert_eq!(leaving.late_arrivals(), 0);
 }
 
+#[tokio::test]
+async fn restarted_node_asks_whether_upstream_leaves_before_it_sends_calls() {
+    let mut fleet = Fleet::start(&["rounds", "ledger"]).await;
+    let leaving = fleet.vms[0].upstream.clone();
+    leaving.leave_by_answer();
+    // The call may be refused, since its request for the machine's speed already shows the departure. No answer is passed
+    // on to the other entry, so that one attaches no departure to its calls.
+    let _ = fleet.call(0, "GET", "/sheet/", "told").await;
+    wait_for("the departure", async || fleet.log(0).contains("event=upstream.leaving")).await;
+    fleet.kill_node(0);
+    leaving.set_health_ms(100);
+    tokio::time::sleep(Duration::from_millis(2_100)).await;
+    fleet.start_node(0);
+    load(&fleet, "late", Duration::from_millis(3_000)).await;
+    assert_eq!(leaving.late_arrivals(), 0);
+    assert_eq!(fleet.log(0).matches("event=upstream.leaving").count(), 2, "the restarted node has learned it");
+}
+
 #[tokio::test]
 async fn new_start_with_id_of_departed_upstream_serves() {
     let fleet = Fleet::start(&["rounds", "ledger"]).await;
--- a/valetrack/src/gate/rate_limit.rs
+++ b/valetrack/src/gate/rate_limit.rs
@@ -80,6 +80,8 @@
     bucket: TokenBucket,
     /// Whether no answer has shown yet if an upstream that started before the node limits its rate.
     is_unconfirmed: bool,
+    /// Whether a health check that may show it is in progress.
+    is_confirming: bool,
     /// Whether one call may start regardless of the bucket, to find out whether the limit still applies.
     trial: bool,
     /// When an answer last confirmed the limit.
@@ -99,6 +101,7 @@
             rate_per_s: None,
             bucket: TokenBucket::new(0.0, 0.0, 0.0, 0),
             is_unconfirmed: false,
+            is_confirming: false,
             trial: false,
             confirmed_us: 0,
             checked_us: 0,
@@ -121,8 +124,20 @@
     }
 
     /// Returns how many calls may run at once because the limit is unknown; `None` if it is known.
+    ///
+    /// None may run during the health check. Its answer also shows whether the upstream leaves.
     pub fn unconfirmed_calls_max(&self) -> Option<u16> {
-        self.is_unconfirmed.then_some(UNCONFIRMED_CALLS_MAX)
+        self.is_unconfirmed.then_some(if self.is_confirming { 0 } else { UNCONFIRMED_CALLS_MAX })
+    }
+
+    /// Records the start of a health check that may show an unknown limit.
+    pub fn begin_confirmation(&mut self) {
+        self.is_confirming = true;
+    }
+
+    /// Records the end of that health check, answered or not.
+    pub fn end_confirmation(&mut self) {
+        self.is_confirming = false;
     }
 
     /// Applies the limit in an answer to a request that began at `begun_us`.
--- a/valetrack/src/gate/run/signal.rs
+++ b/valetrack/src/gate/run/signal.rs
@@ -56,14 +56,18 @@
         }
     }
 
-    /// Finds out by a health check whether an upstream that may have started earlier than this node limits its rate.
+    /// Finds out by a health check whether an upstream that may have started earlier than this node limits its rate or
+    /// leaves; no call starts meanwhile.
     pub(super) fn confirm_rate_limit(self: &Rc<Self>) {
         let is_unconfirmed = self.gate.borrow_mut().rate_limit().unconfirmed_calls_max().is_some();
         if is_unconfirmed && self.upstream.borrow().phase == UpstreamPhase::Ready {
+            self.gate.borrow_mut().rate_limit().begin_confirmation();
             let shell = self.clone();
             tokio::task::spawn_local(async move {
                 // Without an answer, the first answer to a call shows the limit.
                 let _is_answered = shell.request_health().await;
+                shell.gate.borrow_mut().rate_limit().end_confirmation();
+                shell.changed.notify_one();
             });
         }
     }
--- a/valetrack/src/gate/state.rs
+++ b/valetrack/src/gate/state.rs
@@ -185,14 +185,15 @@
             return slots;
         }
         let ramped = u64::from(slots) * age_us / self.config.ramp_us;
-        (ramped as u16).max(1)
+        (ramped as u16).max(1).min(slots)
     }
 
     /// Returns the load at `now_us`.
     pub fn load(&self, now_us: u64) -> LoadReport {
         let in_flight = self.running.len() as u16;
         let limit = match self.remaining_starts(now_us) {
-            None => self.limit(now_us),
+            // A check whether the upstream limits its rate ends soon, usually before this report arrives.
+            None => self.limit(now_us).max(1),
             // No start is left, so the end of a run does not allow another one.
             Some(0) => 0,
             // Slots that may not be filled now do not count as free.
