Stand-in: the nested calls of a run end at the deadline of the call that runs

Fault of the set-up: each nested call of the stand-in's upstream had 1 s of its own, however little its run had left, while the platform's nested calls end at their parent's deadline. Change: a run passes on what is left of its call.

--- a/standin/src/managed/server.rs
+++ b/standin/src/managed/server.rs
@@ -28,6 +28,9 @@
 /// Pause before another attempt to bind a port that is still in use.
 const REBIND_MS: u64 = 5;
 
+/// Time limit of a request that states none.
+const DEADLINE_DEFAULT_MS: u64 = 1_000;
+
 /// How a server spoils its answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Spoil {
@@ -278,15 +281,20 @@
         *self.calls.lock().unwrap_or_else(PoisonError::into_inner) = calls;
     }
 
-    /// Makes the nested calls of one run, one after the other.
-    async fn make_nested_calls(&self, id: &str) {
+    /// Makes the nested calls of one run, one after the other. They end at the deadline of the call that runs.
+    async fn make_nested_calls(&self, id: &str, deadline: Instant) {
         let calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner).clone();
         let Some((node, path, count)) = calls else {
             return;
         };
         for number in 0..count {
             let id = format!("{id}.{number}");
-            let headers = [("host", "farm.example"), ("x-request-id", &*id), ("x-deadline-milliseconds", "1000")];
+            let left_ms = deadline.saturating_duration_since(Instant::now()).as_millis();
+            if left_ms == 0 {
+                return;
+            }
+            let left_ms = left_ms.to_string();
+            let headers = [("host", "farm.example"), ("x-request-id", &*id), ("x-deadline-milliseconds", &*left_ms)];
             // A failed nested call doesn't end the run.
             let _ = Client::new(node).call("GET", &path, &headers, String::new()).await;
         }
@@ -539,6 +547,8 @@
         value.unwrap_or("").to_owned()
     };
     let id = text("x-request-id");
+    let limit_ms = text("x-deadline-milliseconds").parse().unwrap_or(DEADLINE_DEFAULT_MS);
+    let deadline = Instant::now() + Duration::from_millis(limit_ms);
     server.arrivals.lock().map_err(|_| "poisoned")?.push((Instant::now(), id.clone()));
     let headers = request.headers().iter();
     let seen: BTreeMap<String, String> =
@@ -578,7 +588,7 @@
     if deadly_down.is_some() {
         server.deadly_runs.lock().map_err(|_| "poisoned")?.push(Instant::now());
     }
-    server.make_nested_calls(&id).await;
+    server.make_nested_calls(&id, deadline).await;
     tokio::time::sleep(Duration::from_millis(server.work_ms.load(Ordering::Relaxed))).await;
     if let Some(down) = deadly_down {
         server.crash(down);
--- a/standin/tests/managed.rs
+++ b/standin/tests/managed.rs
@@ -423,6 +423,17 @@
     sum
 }
 
+#[tokio::test]
+async fn nested_call_of_stand_in_ends_at_deadline_of_its_run() {
+    let fleet = Fleet::start(&["rounds", "ledger"]).await;
+    fleet.vms[0].upstream.set_calls(fleet.vms[0].caller_addr, "/check/farm", 1);
+    // The route limits its calls to 150 ms.
+    let _ = fleet.call(1, "GET", "/hasty/", "hasty").await;
+    let left_ms = async || fleet.vms[1].upstream.seen().get("x-deadline-milliseconds")?.parse::<u64>().ok();
+    wait_for("the nested call", async || left_ms().await.is_some()).await;
+    assert!(left_ms().await <= Some(150), "{:?}", left_ms().await);
+}
+
 #[tokio::test]
 async fn nested_calls_of_retried_run_are_counted() {
     let fleet = Fleet::start(&["rounds", "rounds", "ledger"]).await;
