Soak: signals to nodes are system calls, and its longest stall is named

Fault of the set-up: the soak sent each signal by a `kill` process and waited for it on the one thread that runs all upstreams, the paths between nodes, the store and the callers. Signals explain a part only: other stalls lay where no signal was sent, so a machine short of processor time still causes them. Change: signals go by a system call (rustix, with its feature `process`), and each run names its longest stall. Test: longest_stall_of_the_process_is_recorded.

--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -156,6 +156,7 @@
         // Dropping the runtime ends the stand-ins of the seed and frees their ports.
         let report = new_runtime()?.block_on(soak::run(&settings))?;
         println!("seed={seed} faults={} breaches={} ends={:?}", report.faults, report.breaches.len(), report.ends);
+        println!("  seed={seed} longest_stall={:?}", report.longest_stall);
         for (service, peak) in &report.retry_peaks {
             println!("  seed={seed} service={service} retry_budget_used_percent={} {peak:?}", peak.used_percent());
         }
--- a/standin/src/soak/fleet.rs
+++ b/standin/src/soak/fleet.rs
@@ -2,10 +2,11 @@
 
 use std::fs::File;
 use std::net::SocketAddr;
-use std::process::{Child, Command, Stdio};
+use std::process::Child;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, Ordering};
 
+use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
 use valetrack::placement::RetryGuarantee;
 
@@ -223,9 +224,9 @@
     pub fn begin(&mut self, at: usize, fault: Fault) {
         let vm = &mut self.vms[at];
         match fault {
-            Fault::Term => vm.signal("-TERM"),
-            Fault::Hangup => vm.signal("-HUP"),
-            Fault::Pause | Fault::Suspend => vm.signal("-STOP"),
+            Fault::Term => vm.signal(Signal::TERM),
+            Fault::Hangup => vm.signal(Signal::HUP),
+            Fault::Pause | Fault::Suspend => vm.signal(Signal::STOP),
             Fault::Kill => vm.kill(),
             Fault::StorePath(fault) => vm.store_path.set(Some(fault)),
             Fault::UpstreamPath(fault) => vm.upstream_path.set(Some(fault)),
@@ -251,10 +252,10 @@
     pub fn end(&mut self, at: usize, fault: Fault) {
         let vm = &mut self.vms[at];
         match fault {
-            Fault::Pause => vm.signal("-CONT"),
+            Fault::Pause => vm.signal(Signal::CONT),
             Fault::Suspend => {
-                vm.signal("-USR2");
-                vm.signal("-CONT");
+                vm.signal(Signal::USR2);
+                vm.signal(Signal::CONT);
             }
             Fault::StorePath(_) => vm.store_path.set(None),
             Fault::UpstreamPath(_) => vm.upstream_path.set(None),
@@ -301,14 +302,16 @@
 }
 
 impl Vm {
-    fn signal(&mut self, signal: &str) {
+    /// Sends a signal by a system call. Waiting for a process that sends it would stall all stand-ins and callers, which
+    /// run on the same thread, by up to seconds on a busy machine.
+    fn signal(&mut self, signal: Signal) {
         let Some(node) = &mut self.node else {
             return;
         };
         // After `try_wait` has reaped the process, its id may belong to another one.
         if matches!(node.try_wait(), Ok(None)) {
             // The process may exit right now; then there is nothing to signal.
-            let _ = Command::new("kill").args([signal, &node.id().to_string()]).stderr(Stdio::null()).status();
+            let _ = kill_process(Pid::from_child(node), signal);
         }
     }
 
--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -10,10 +10,11 @@
 mod pipeline;
 mod repeat;
 mod schedule;
+mod stall;
 #[cfg(test)]
 mod tests;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -26,6 +27,7 @@
 pub use self::judge::{Breach, CallOutcome, CallRecord, Versions, check_calls};
 pub use self::repeat::{Arrival, RetryPeak, check_retries, retry_peak};
 pub use self::schedule::{Fault, Kind, PathFault, Step, limits, rollbacks, schedule, suspensions};
+pub use self::stall::Stall;
 
 use self::caller::Callers;
 use self::fleet::{Fleet, RETRY_GUARANTEE, Vm};
@@ -78,6 +80,8 @@
     pub faults: usize,
     /// Highest use of the retry budget of each service.
     pub retry_peaks: BTreeMap<&'static str, RetryPeak>,
+    /// Longest time for which the process of the stand-ins and callers did not run.
+    pub longest_stall: Stall,
     /// Guarantees that were broken.
     pub breaches: Vec<Breach>,
 }
@@ -111,6 +115,8 @@
     let mut report = SoakReport { faults: steps.len(), ..SoakReport::default() };
     let callers = Rc::new(Callers::new(settings));
     let mut load = callers.clone().start(&fleet);
+    let longest_stall = Rc::new(Cell::new(Stall::default()));
+    let watching = tokio::task::spawn_local(stall::watch(callers.began(), longest_stall.clone()));
     let restarting = tokio::task::spawn_local(restart_exited_nodes(fleet.clone()));
     let deadly = settings.crashes.then(|| tokio::task::spawn_local(deadly::repeat(fleet.clone())));
     inject(&steps, &fleet, &callers).await;
@@ -124,6 +130,8 @@
     let length_ms = callers.began().elapsed().as_millis() as u64;
     sleep(Duration::from_millis(SETTLE_MS)).await;
     restarting.abort();
+    watching.abort();
+    report.longest_stall = longest_stall.get();
     if let Some(deadly) = deadly {
         deadly.abort();
         report.breaches.extend(check_deadly_runs(&deadly::runs(&fleet, callers.began()), &steps));
--- a/standin/src/soak/tests.rs
+++ b/standin/src/soak/tests.rs
@@ -1,15 +1,19 @@
 //! Tests of the fault schedule and of the checks of the guarantees.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
 
 use test_case::test_case;
 use valetrack::placement::RetryGuarantee;
 
 use super::account::ACCOUNTS;
 use super::pipeline::check_order;
+use super::stall;
 use super::{
-    Arrival, CallOutcome, CallRecord, Fault, Kind, Versions, check_account_limits, check_account_shares, check_calls,
-    check_retries, retry_peak, schedule,
+    Arrival, CallOutcome, CallRecord, Fault, Kind, Stall, Versions, check_account_limits, check_account_shares,
+    check_calls, check_retries, retry_peak, schedule,
 };
 use crate::client::Reply;
 
@@ -166,3 +170,18 @@
     let reply = Reply { status: 503, headers, body: bytes::Bytes::new() };
     assert_eq!(check_order("a", &reply).into_iter().count(), breaches);
 }
+
+#[tokio::test]
+async fn longest_stall_of_the_process_is_recorded() {
+    let longest = Rc::new(Cell::new(Stall::default()));
+    let blocking = async {
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        std::thread::sleep(Duration::from_millis(200));
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    };
+    tokio::select! {
+        () = stall::watch(tokio::time::Instant::now(), longest.clone()) => {}
+        () = blocking => {}
+    }
+    assert!(longest.get().ms >= 180, "{:?}", longest.get());
+}
--- a/standin/tests/soak.rs
+++ b/standin/tests/soak.rs
@@ -87,5 +87,6 @@
     let report = runtime.block_on(run(&settings)).expect("a fleet");
     assert!(report.ends.get("200").is_some_and(|&served| served > 100), "{:?}", report.ends);
     let breaches: Vec<String> = report.breaches.iter().map(ToString::to_string).collect();
-    assert!(breaches.is_empty(), "{breaches:#?}\nthe nodes' logs: {}", settings.logs.display());
+    let (stall, logs) = (report.longest_stall, settings.logs.display());
+    assert!(breaches.is_empty(), "{breaches:#?}\nthe soak's {stall:?}\nthe nodes' logs: {logs}");
 }
