Nodes that have resigned as relays replace relays that are behind

Cause: a node that has resigned took no part in replacing relays for ten seconds (RESIGNED_US). The pause is to keep roles from going back and forth; an attempt needs none, since it first checks whether the store serves the node. Class of fault: a condition that stands for 'the store refuses me' but is a timer.

--- a/standin/tests/refused_relays.rs
+++ b/standin/tests/refused_relays.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use common::managed::{Fleet, config};
+use common::wait_for;
 use standin::managed::store::Mode;
 use test_case::test_case;
 
@@ -161,3 +162,17 @@
     println!("{mode:?} {drawn:?}: in force {in_force:?}");
     assert!(in_force < IN_FORCE_SILENT_MAX, "in force after {in_force:?}");
 }
+
+/// Guards against a fleet whose only served node has resigned as a relay and does not replace the refused one for ten
+/// seconds.
+#[tokio::test]
+async fn resigned_relay_replaces_refused_relay() {
+    let fleet = Fleet::start(&["rounds", "rounds"]).await;
+    wait_for("a relay in each failure domain", async || relays(&fleet).len() == 2).await;
+    fleet.vms[0].store_access.set(Mode::Refusing);
+    wait_for("the stored resignation", async || relays(&fleet) == [1] && fleet.entries() == 2).await;
+    fleet.vms[0].store_access.set(Mode::Up);
+    fleet.vms[1].store_access.set(Mode::Refusing);
+    let in_force = time_in_force(&fleet, 4).await;
+    assert!(in_force < IN_FORCE_MAX, "in force after {in_force:?}");
+}
--- a/valetrack/src/member/leased/takeover.rs
+++ b/valetrack/src/member/leased/takeover.rs
@@ -46,7 +46,8 @@
 
     fn takeover_step(&self) -> TakeoverStep {
         // A node that has not read the list of members has a record of too few others for the draw.
-        if self.is_relay() || !self.has_read_all.get() || !self.may_be_relay() {
+        // One that has resigned takes part, since the store serves each node that takes over.
+        if self.is_relay() || !self.has_read_all.get() {
             return TakeoverStep::Idle;
         }
         let nodes = {
@@ -65,7 +66,7 @@
             return self.look_for_relay().await;
         }
         let takes_over = self.takeover.borrow_mut().on_served(now_us());
-        if takes_over && !self.is_relay() && self.may_be_relay() {
+        if takes_over && !self.is_relay() {
             self.take_over();
         }
     }
