Restarted nodes read the store if no relay replies

Cause: after a relay that does not reply, the store was read only if a relay had sent an update since the start. Class of fault: an unknown time taken for a recent one. Change: without an update the time since the start counts. A restarted fleet makes none in its first second. Not bounded: a first reply may take 2.5 s, and a node waits that long before it reads the store.

--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -142,6 +142,8 @@
     has_read_all: Cell<bool>,
     /// When the last update from a relay was received.
     relay_update_us: Cell<Option<u64>>,
+    /// When the store was last read since relays had not replied.
+    unresponsive_read_us: Cell<Option<u64>>,
     /// Since when calls to the store have failed.
     failing_since_us: Cell<Option<u64>>,
     /// Attempts of this node to replace relays that are behind the store.
@@ -195,6 +197,7 @@
         follows_relays: Cell::new(false),
         has_read_all: Cell::new(false),
         relay_update_us: Cell::new(None),
+        unresponsive_read_us: Cell::new(None),
         failing_since_us: Cell::new(None),
         takeover: RefCell::default(),
         relay_behind: Notify::new(),
--- a/valetrack/src/member/leased/relayed.rs
+++ b/valetrack/src/member/leased/relayed.rs
@@ -110,14 +110,18 @@
         self.mark_log_stale();
     }
 
-    /// Leaves a relay that does not reply. If several relays in a row have not replied, the node reads the store once:
-    /// a change may have to be in force before the next relay replies.
+    /// Leaves a relay that does not reply. If none has replied for some time, the node reads the store: a change may have
+    /// to be in force before the next relay replies.
     async fn leave_relay_unresponsive(self: &Rc<Self>, relay: &Target) {
         self.leave_relay(relay, AvoidReason::Silent);
-        let longest_us = self.parts.news_within_ms * 1_000 / 2;
-        if self.relay_update_us.get().is_none_or(|relay_update_us| now_us() < relay_update_us + longest_us) {
+        let now = now_us();
+        let news_within_us = self.parts.news_within_ms * 1_000;
+        let updated_us = self.relay_update_us.get().unwrap_or(self.started_us);
+        let read_again_us = self.unresponsive_read_us.get().map_or(0, |read_us| read_us + news_within_us / 4);
+        if now < (updated_us + news_within_us / 2).max(read_again_us) {
             return;
         }
+        self.unresponsive_read_us.set(Some(now));
         if let Err(error) = self.read_changes(CATCH_UP_WAIT).await {
             self.store_failed("catch-up", &error);
         }
