--- a/standin/tests/evacuation.rs
+++ b/standin/tests/evacuation.rs
@@ -20,8 +20,21 @@
     fleet.vms[at].upstream.arrivals().len()
 }
 
-/// Waits until ten calls in a row, at all nodes in turn, are answered by the wanted upstream.
+/// Returns whether a node sends no calls to upstreams of the failure domain `kranj`.
+async fn has_evacuated(fleet: &Fleet, at: usize) -> bool {
+    let Ok(page) = Client::new(fleet.vms[at].ready_addr).call("GET", "/status", &[], "").await else {
+        return false;
+    };
+    let status: serde_json::Value = serde_json::from_slice(&page.body).expect("json");
+    status["evacuated"].as_array().is_some_and(|domains| domains.iter().any(|domain| domain == "kranj"))
+}
+
+/// Waits until all nodes have evacuated `kranj`, and ten calls in a row, at all nodes in turn, are answered by the wanted
+/// upstream. The calls alone may be answered by it by chance, while a node has not received the evacuation.
 async fn wait_answered_by(fleet: &Fleet, wanted: usize) {
+    for at in 0..fleet.vms.len() {
+        wait_for("the evacuation", async || has_evacuated(fleet, at).await).await;
+    }
     let in_row = Cell::new(0);
     wait_for("answers from one upstream alone", async || {
         for at in 0..fleet.vms.len() {
