Fleets of member threads in virtual time, with a store and links of their own

Nothing tested how a whole fleet follows an operator's changes while the store or nodes are disturbed, except with real processes in real time. The new test runs the member threads of 40 nodes in four domains of two regions on the paused clock of the runtime, with a store that answers stale reads, refuses, loses or delays answers, forgets its history, and links that may be cut between regions. Nodes are killed and restarted.

--- a/valetrack/src/clock.rs
+++ b/valetrack/src/clock.rs
@@ -39,14 +39,42 @@
     START.get_or_init(|| Start { steady: Instant::now(), boot: boot_time() })
 }
 
+#[cfg(test)]
+thread_local! {
+    /// Start of the paused clock of the runtime that replaces both clocks in this thread.
+    static PAUSED_START: std::cell::Cell<Option<tokio::time::Instant>> = const { std::cell::Cell::new(None) };
+}
+
+/// Replaces both clocks of this thread by the paused clock of its runtime, for tests in virtual time.
+#[cfg(test)]
+pub fn use_paused_clock() {
+    PAUSED_START.set(Some(tokio::time::Instant::now()));
+}
+
+#[cfg(test)]
+fn paused_us() -> Option<u64> {
+    PAUSED_START.get().map(|start| start.elapsed().as_micros() as u64)
+}
+
+#[cfg(not(test))]
+const fn paused_us() -> Option<u64> {
+    None
+}
+
 /// Returns microseconds since the first use of the clocks, suspensions of the VM included.
 pub fn now_us() -> u64 {
+    if let Some(paused_us) = paused_us() {
+        return paused_us;
+    }
     let since = boot_time().saturating_sub(start().boot);
     since.as_micros() as u64 + AHEAD_US.load(Ordering::Relaxed)
 }
 
 /// Returns microseconds since the first use of the clocks, suspensions of the VM excluded.
 pub fn steady_us() -> u64 {
+    if let Some(paused_us) = paused_us() {
+        return paused_us;
+    }
     start().steady.elapsed().as_micros() as u64
 }
 
--- a/valetrack/src/member/tests.rs
+++ b/valetrack/src/member/tests.rs
@@ -3,6 +3,7 @@
 mod directory;
 mod entry;
 mod evacuation;
+mod fleet;
 mod older;
 mod other_writer;
 mod registrar;
