--- a/valetrack/src/member/tests/fleet/mod.rs
+++ b/valetrack/src/member/tests/fleet/mod.rs
@@ -335,3 +335,10 @@
     }
     assert!(faults.is_empty(), "{faults}");
 }
+
+/// Guards against followers that stay on an older bundle after the store has answered all relays again.
+#[test]
+fn followers_catch_up_after_relays_were_unanswered() {
+    let report = run(81, Case::StoreSilentToRelays, 100);
+    assert!(report.late_ms <= NEWS_WITHIN_MS, "{report:?}");
+}
