Followers try every relay before they ask one again that was behind

Callers saw: a route that a change had added was still answered 404 by a node seconds after the store answered all nodes again. In a fleet of 81 nodes in virtual time whose store was silent to all relays for 6 s, change 4 came into force at east-b-12 7.9 s after it was written (test followers_catch_up_after_relays_were_unanswered, late_ms 6223 of 3000).

Cause: a follower avoids a relay that was behind for 1 s, and then prefers it again by domain and weight. Each relay costs about 0.2 s (two requests and two pauses), so with more than five relays behind the first ones are usable again before the later ones were tried. In the run, 30 nodes had replaced the silent relays, and most resigned at 14.4 to 15.3 s as too many. From 14.8 to 22.9 s east-b-12 asked east-b-6, -9, -11, -14, -7 and sometimes -4 in turn, all of which had resigned, since its view was of 13.8 s. It never asked east-b-13 of its own domain, which was current throughout. It could not replace the relays itself before 22.8 s, since it had resigned as a relay at 12.8 s.

A follower whose log is stale now avoids the relays that were behind until no other one is left, or until a relay sends an update. The first avoidance of 1 s is unchanged, so a round over a few relays takes the same course as before.

Before, the late cases with 81 nodes were StoreSilent 5772, StoreSlow 9712, StoreSilentToRelays 7051, WatchSilentToRelays 8837, SeveralAtOnce 6492.

--- a/valetrack/src/member/leased/relayed.rs
+++ b/valetrack/src/member/leased/relayed.rs
@@ -56,6 +56,10 @@
         let mut was_behind = false;
         self.following.replace(Some(relay.vm.clone()));
         self.updates_in_row.set(0);
+        if self.avoided(&relay.vm).is_some() {
+            // No other relay is left to try.
+            self.forget_ended_avoidances();
+        }
         while self.relay().as_ref() == Some(relay) {
             let after = self.log.borrow().position();
             let answer = tokio::select! {
@@ -72,6 +76,7 @@
                     self.takeover.borrow_mut().on_update(now_us().saturating_sub(u64::from(age_ms) * 1_000));
                     self.store_update_received(update.at.era());
                     self.apply_update(&update, age_ms, after);
+                    self.forget_ended_avoidances();
                     self.resign_if_store_unreachable(relay);
                     self.choose_role();
                 }
--- a/valetrack/src/member/leased/role.rs
+++ b/valetrack/src/member/leased/role.rs
@@ -50,9 +50,19 @@
         self.avoided.borrow_mut().insert(relay.vm.clone(), (why, now_us() + pause_us));
     }
 
+    /// Returns why a node is avoided, if it is. A follower without a current relay avoids the relays that were behind
+    /// until it has tried all others: a round takes longer than one avoidance if there are more than a few.
     pub(super) fn avoided(&self, vm: &str) -> Option<AvoidReason> {
         let now = now_us();
-        self.avoided.borrow().get(vm).filter(|(_, until_us)| now < *until_us).map(|(why, _)| *why)
+        let searches = !self.is_relay() && self.log.borrow().current_until_us().is_none();
+        let holds = |why: AvoidReason, until_us: u64| now < until_us || (searches && why == AvoidReason::Behind);
+        self.avoided.borrow().get(vm).filter(|(why, until_us)| holds(*why, *until_us)).map(|(why, _)| *why)
+    }
+
+    /// Forgets the avoidances whose time has ended, since a relay is current or all of them were tried.
+    pub(super) fn forget_ended_avoidances(&self) {
+        let now = now_us();
+        self.avoided.borrow_mut().retain(|_, (_, until_us)| now < *until_us);
     }
 
     /// Returns the node that this one follows instead of the store, if there is one.
