--- a/valetrack/src/member/tests/fleet/node.rs
+++ b/valetrack/src/member/tests/fleet/node.rs
@@ -257,7 +257,7 @@
         let (departed, departed_seen) = watch::channel(false);
         let metrics = Arc::new(Metrics::new());
         let format: Arc<dyn BundleFormat> = Arc::new(NumberFormat);
-        let adopter = Adopter::new(format.clone(), in_force, metrics.clone());
+        let adopter = Adopter::new(format.clone(), in_force, watch::Sender::default(), metrics.clone());
         let parts = LeasedParts {
             me,
             regions: Arc::new(REGIONS.parse::<Regions>().expect("regions")),
