Fleets in virtual time: no superseded bundle is conclusive

The property behind the rejection rule: a node rejects no call for good because of a bundle that was superseded longer ago than a change may take (3 s, and 24 ms that an update is in transit).

--- a/valetrack/src/member/tests/fleet/mod.rs
+++ b/valetrack/src/member/tests/fleet/mod.rs
@@ -4,7 +4,7 @@
 mod node;
 mod store;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::rc::Rc;
@@ -17,7 +17,7 @@
 
 use super::at;
 use crate::clock::{now_us, use_paused_clock};
-use node::{Node, Wires};
+use node::{AGE_ERROR_US, Node, Wires};
 use store::{CALM, FleetStore, Treatment};
 
 /// Failure domains, in two regions.
@@ -253,10 +253,30 @@
     worst: Option<(Arc<str>, u64)>,
     /// Longest time until a change was in force at a node that was never killed, the disturbance included.
     throughout_ms: u64,
+    /// Longest time for which a bundle was superseded while calls could be rejected for good because of it.
+    conclusive_late_ms: u64,
+    /// The same while any bundle in force was conclusive.
+    any_late_ms: u64,
     /// Updates that lack a change of the bundle which was made before they were confirmed by their age.
     false_updates: Vec<String>,
 }
 
+/// Pause between two looks at the bundles in force.
+const LOOK_MS: u64 = 50;
+
+/// Records for how long bundles in force had been superseded: those that were conclusive, and all.
+async fn watch_superseded(fleet: Rc<Fleet>, published: Rc<RefCell<BTreeMap<u64, u64>>>, worst: Rc<Cell<(u64, u64)>>) {
+    loop {
+        sleep(Duration::from_millis(LOOK_MS)).await;
+        for (number, is_conclusive) in fleet.nodes.borrow().values().filter_map(Node::in_force) {
+            let next_us = published.borrow().range(number + 1..).next().map(|(_, written_us)| *written_us);
+            let late_ms = next_us.map_or(0, |next_us| (now_us() - next_us) / 1_000);
+            let (conclusive_ms, any_ms) = worst.get();
+            worst.set((conclusive_ms.max(if is_conclusive { late_ms } else { 0 }), any_ms.max(late_ms)));
+        }
+    }
+}
+
 /// Publishes bundles while a fleet is disturbed and afterwards.
 async fn play(size: usize, case: Case, seed: u64) -> Report {
     let fleet = Fleet::new(size, seed);
@@ -276,11 +296,16 @@
             }
         })
     };
+    let superseded = Rc::new(Cell::new((0, 0)));
+    let watch = tokio::task::spawn_local(watch_superseded(fleet.clone(), published.clone(), superseded.clone()));
     case.disturb(&fleet).await;
     let calm_us = now_us() + CONTACT_MS * 1_000;
     sleep(Duration::from_millis(CONTACT_MS + NEWS_WITHIN_MS + 8_000)).await;
     operator.abort();
-    let mut report = Report { false_updates: fleet.wires.false_updates(), ..Report::default() };
+    watch.abort();
+    let (conclusive_late_ms, any_late_ms) = superseded.get();
+    let false_updates = fleet.wires.false_updates();
+    let mut report = Report { conclusive_late_ms, any_late_ms, false_updates, ..Report::default() };
     let end_us = now_us();
     for node in fleet.nodes.borrow().values() {
         let adopted = node.adopted();
@@ -336,6 +361,20 @@
     assert!(faults.is_empty(), "{faults}");
 }
 
+/// Guards against final answers by a bundle that was superseded longer ago than a change may take.
+#[test]
+fn no_superseded_bundle_is_conclusive() {
+    let bound_ms = NEWS_WITHIN_MS + AGE_ERROR_US / 1_000;
+    let mut any_late_ms = 0;
+    for case in Case::ALL {
+        let report = run(setting("FLEET_SIZE", 40) as usize, case, setting("FLEET_FIRST_SEED", 0));
+        println!("{case:?} {report:?}");
+        assert!(report.conclusive_late_ms <= bound_ms, "{case:?} {report:?}");
+        any_late_ms = any_late_ms.max(report.any_late_ms);
+    }
+    assert!(any_late_ms > bound_ms, "no bundle in force was late in any case");
+}
+
 /// Guards against followers that stay on an older bundle after the store has answered all relays again.
 #[test]
 fn followers_catch_up_after_relays_were_unanswered() {
--- a/valetrack/src/member/tests/fleet/node.rs
+++ b/valetrack/src/member/tests/fleet/node.rs
@@ -15,7 +15,7 @@
 
 use super::store::{BUNDLE_KEY, FleetStore, NodeStore};
 use super::{NEWS_WITHIN_MS, REGIONS};
-use crate::bundle::{Adopter, Bundle, BundleFormat, Fault, InForce, check};
+use crate::bundle::{Adopter, Bundle, BundleFormat, Confirmation, Fault, InForce, check};
 use crate::clock::now_us;
 use crate::crash::CrashJob;
 use crate::gate::{LoadReport, UpstreamState};
@@ -37,7 +37,7 @@
 const STARTUP_MS: u64 = 300;
 /// Largest error of an age, in microseconds: an age includes neither the transit of the update nor parts of a
 /// millisecond, and updates pass a link between regions and another one.
-const AGE_ERROR_US: u64 = 24_000;
+pub const AGE_ERROR_US: u64 = 24_000;
 
 /// A format whose texts are just the numbers of bundles.
 struct NumberFormat;
@@ -220,6 +220,8 @@
     pub vm: Arc<str>,
     pub started_us: u64,
     members: watch::Receiver<Arc<Members>>,
+    bundle: watch::Receiver<Option<Arc<InForce>>>,
+    confirmation: watch::Receiver<Confirmation>,
     adopted: Rc<RefCell<Vec<(u64, u64)>>>,
     tasks: Vec<JoinHandle<()>>,
     _kept: Kept,
@@ -249,6 +251,7 @@
         let (to_crash, crashes) = async_channel::bounded(16);
         let (members, members_seen) = watch::channel(Arc::new(Members::default()));
         let (in_force, mut bundle) = watch::channel(None);
+        let (confirmation, confirmation_seen) = watch::channel(Confirmation::default());
         let (upstream, upstream_seen) = watch::channel(UpstreamState::unannounced());
         let (serving, serving_seen) = watch::channel(false);
         let (leaving, leaving_seen) = watch::channel(false);
@@ -257,7 +260,7 @@
         let (departed, departed_seen) = watch::channel(false);
         let metrics = Arc::new(Metrics::new());
         let format: Arc<dyn BundleFormat> = Arc::new(NumberFormat);
-        let adopter = Adopter::new(format.clone(), in_force, watch::Sender::default(), metrics.clone());
+        let adopter = Adopter::new(format.clone(), in_force, confirmation, metrics.clone());
         let parts = LeasedParts {
             me,
             regions: Arc::new(REGIONS.parse::<Regions>().expect("regions")),
@@ -284,6 +287,7 @@
         };
         let port = Port { jobs: to_member, members: members_seen.clone(), bundle: bundle.clone() };
         wires.ports.borrow_mut().insert(vm.clone(), port);
+        let in_force_seen = bundle.clone();
         let adopted: Rc<RefCell<Vec<(u64, u64)>>> = Rc::default();
         let record = {
             let adopted = adopted.clone();
@@ -321,7 +325,16 @@
             _departed: departed_seen,
             _crash: crashes,
         };
-        Self { vm: vm.clone(), started_us: now_us(), members: members_seen, adopted, tasks, _kept: kept }
+        Self {
+            vm: vm.clone(),
+            started_us: now_us(),
+            members: members_seen,
+            bundle: in_force_seen,
+            confirmation: confirmation_seen,
+            adopted,
+            tasks,
+            _kept: kept,
+        }
     }
 
     /// Returns the bundles that came into force at this node, with the time of each.
@@ -329,6 +342,14 @@
         self.adopted.borrow().clone()
     }
 
+    /// Returns the number of the bundle in force, if there is one, and whether calls may be rejected for good because of
+    /// what it lacks.
+    pub fn in_force(&self) -> Option<(u64, bool)> {
+        let number = self.bundle.borrow().as_ref()?.number;
+        let age_max = Duration::from_millis(NEWS_WITHIN_MS);
+        Some((number, self.confirmation.borrow().is_conclusive(number, Some(age_max), now_us())))
+    }
+
     /// Returns whether the node is a relay.
     pub fn is_relay(&self) -> bool {
         self.members.borrow().get(&self.vm).is_some_and(|member| member.is_relay)
