A departure stated before the upstream's first announcement is applied to that announcement

What callers saw: an upstream that had stated its departure got new work after its node had restarted, or the restarted node itself left. Cause: the health check of a starting node may be answered before the first announcement is processed. Then the id of the upstream is not known, and the node left with it, as one without announcements does; or the check had begun before the first start was recorded, so its answer counted as that of an earlier start and was dropped, while its limit was applied and calls began. In the first log the check began 23 ms before `upstream.state`, and late-6 started as soon as it was answered. Fix: the first start that a node observes does not invalidate answers, unless the upstream began with the node; a departure stated before the first announcement is kept and applied with it.

--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -121,7 +121,9 @@
     to_upstream: Option<Sender<Announcement>>,
     /// Incarnations of upstreams that are known to leave.
     departures: Rc<Departures>,
-    /// When the present start of the server was observed.
+    /// Whether an answer has stated that the server leaves before its first announcement.
+    has_left_unannounced: Cell<bool>,
+    /// When the present start of the server was observed, unless it may have been running before the node.
     start_since_us: Cell<u64>,
     metrics: Arc<Metrics>,
 }
@@ -178,6 +180,7 @@
             vm,
             to_upstream,
             departures,
+            has_left_unannounced: Cell::new(false),
             start_since_us: Cell::new(0),
             metrics,
         })
--- a/valetrack/src/gate/run/follow.rs
+++ b/valetrack/src/gate/run/follow.rs
@@ -32,8 +32,7 @@
             let state = upstream.borrow_and_update().clone();
             if state.start != previous.start {
                 self.pool.clear();
-                self.start_since_us.set(steady_us());
-                self.restart_rate_limit(&state, previous.start == 0);
+                self.follow_start(&state, previous.start == 0);
                 self.runs.borrow_mut().set_start(state.start);
                 self.exchanges.borrow_mut().record_up();
             }
@@ -43,6 +42,9 @@
             if (state.start, state.phase) != (previous.start, previous.phase) {
                 self.follow_phase(state.phase);
             }
+            if state.id.is_some() && self.has_left_unannounced.take() {
+                self.on_leaving("answer");
+            }
             if state.cold_until_us != previous.cold_until_us {
                 self.gate.borrow_mut().set_cold(state.cold_until_us, steady_us());
             }
@@ -53,9 +55,9 @@
         }
     }
 
-    /// Resets the rate limit for a new start of the upstream. The first one that the node observes may have been running
-    /// before the node.
-    fn restart_rate_limit(self: &Rc<Self>, state: &UpstreamState, is_first: bool) {
+    /// Resets what answers have stated for a new start of the upstream. The first one that the node observes may have been
+    /// running before the node, and answers that were requested before count.
+    fn follow_start(self: &Rc<Self>, state: &UpstreamState, is_first: bool) {
         let is_new = {
             let mut gate = self.gate.borrow_mut();
             gate.set_cold(state.cold_until_us, steady_us());
@@ -65,6 +67,8 @@
             self.confirm_rate_limit();
             return;
         }
+        self.start_since_us.set(steady_us());
+        self.has_left_unannounced.set(false);
         self.gate.borrow_mut().rate_limit().restart(true, steady_us());
         self.metrics.upstream_rate_limit.set(f64::INFINITY);
         if self.logged_rate_per_s.take().is_some() {
--- a/valetrack/src/gate/run/signal.rs
+++ b/valetrack/src/gate/run/signal.rs
@@ -92,12 +92,16 @@
 
     /// Stops sending calls to an upstream that leaves. Without announcements, nothing would show its next start, so the
     /// node leaves with it.
-    fn on_leaving(self: &Rc<Self>, by: &str) {
+    pub(super) fn on_leaving(self: &Rc<Self>, by: &str) {
         let state = self.upstream.borrow().clone();
-        let (Some(id), Some(to_upstream)) = (state.id, &self.to_upstream) else {
+        let Some(to_upstream) = &self.to_upstream else {
             self.leaving.notify_one();
             return;
         };
+        let Some(id) = state.id else {
+            self.has_left_unannounced.set(true);
+            return;
+        };
         if state.phase == UpstreamPhase::Leaving || self.gate.borrow().is_leaving() {
             return;
         }
