--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -504,10 +504,10 @@
     return json.dumps({"version": version, "routes": routes, "services": rows, "limits": limits})
 
 
-def main(case, folder):
+def main(case, folder, record_name="record.txt"):
     """Runs a case to its end, whatever happens; exits with 1 if the rule was broken, 0 if it held, else 2."""
     signal.signal(signal.SIGTERM, lambda *_: (_ for _ in ()).throw(KeyboardInterrupt()))
-    record = Record(Path(folder) / "record.txt")
+    record = Record(Path(folder) / record_name)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     fleet = None
     code = 2
