A call in flight keeps the state of its service and whom its attempts were sent to

If the service was back 0.33 s later and the node of one of its servers was killed, requests ran on a second server as well (TWICE).

Cause: `Placer::apply_config` dropped the state of a service that the bundle lacks, with attempts in flight. The next event of such a call, its answer included, found no state, and the driver took that for "never sent". A state that was created anew numbered the servers anew; attempts in flight kept the old numbers, so a cancel asked another node, which truthfully had never started the attempt.

Evidence: the log of the entry ended such calls with VT201 while the owner's log had the run end with 200; a cancel left no line at all, so `call.cancelled` names the node that was asked and its reply from now on. Ruled out: the owner's word (its results were right), the check of its uptime (the node that was asked had been up for long).

Change: a removed service keeps its state while attempts are in flight and for one window of its retry budget, without a server in rotation, so nothing new begins. An attempt carries its recipient (VM, address, incarnation); cancels, load reports and suspicions use that and are dropped if the index has another server by now. `Verdict::NotRun` needs a `NeverRuns`, which is made only for a call that was never sent or from the states of all its attempts.

Why it works: no event can meet a missing state while an attempt is open, and no question about an attempt is addressed by a number any more.

--- a/valetrack/src/caller/answer.rs
+++ b/valetrack/src/caller/answer.rs
@@ -29,7 +29,7 @@
 pub fn of_placed(placed: Placed, call_id: &str) -> Answer {
     match placed {
         Placed::Answer(head, body) => of_head(head, body, call_id),
-        Placed::Verdict(Verdict::NotRun { code, retry_after_ms }) => {
+        Placed::Verdict(Verdict::NotRun { code, retry_after_ms, .. }) => {
             line(Outcome::NotRun, code, status_of(code, Outcome::NotRun), retry_after_ms, call_id)
         }
         Placed::Verdict(Verdict::Unknown { code }) => {
--- a/valetrack/src/caller/run.rs
+++ b/valetrack/src/caller/run.rs
@@ -27,7 +27,7 @@
 use crate::gate::NestedRank;
 use crate::link::message::CallHead;
 use crate::placement::run::Placer;
-use crate::placement::{PlaceJob, Placed, SERVICE_UNKNOWN, Verdict};
+use crate::placement::{NeverRuns, PlaceJob, Placed, SERVICE_UNKNOWN, Verdict};
 use crate::quota::run::Quotas;
 use crate::timeline::{OrNone, Quoted};
 
@@ -43,7 +43,8 @@
 /// the next incarnation of this one.
 const LEAVING_RETRY_MS: u32 = 200;
 /// Verdict on a call that may still run when this node exits.
-const LEAVING: Verdict = Verdict::NotRun { code: Code::Leaving, retry_after_ms: LEAVING_RETRY_MS };
+const LEAVING: Verdict =
+    Verdict::NotRun { proof: NeverRuns::unsent(), code: Code::Leaving, retry_after_ms: LEAVING_RETRY_MS };
 /// Shortest time for which an idle connection stays open once the node leaves.
 const IDLE_MIN_MS: u64 = 500;
 
@@ -326,7 +327,8 @@
         if let Some(account) = &account {
             let began = Instant::now();
             if let Err(retry_after_ms) = self.quotas.admit(account).await {
-                return Placed::Verdict(Verdict::NotRun { code: Code::OverRate, retry_after_ms });
+                let proof = NeverRuns::unsent();
+                return Placed::Verdict(Verdict::NotRun { proof, code: Code::OverRate, retry_after_ms });
             }
             let waited_ms = began.elapsed().as_millis() as u32;
             head.deadline_ms = head.deadline_ms.saturating_sub(waited_ms);
--- a/valetrack/src/caller/tests/answer.rs
+++ b/valetrack/src/caller/tests/answer.rs
@@ -4,7 +4,7 @@
 
 use crate::caller::{Answer, CallerProtocol, NativeCaller, RETRY_HEADER, Rejection};
 use crate::code::{ALL, Code};
-use crate::placement::{Outcome, Placed, SERVICE_UNKNOWN, Verdict};
+use crate::placement::{NeverRuns, Outcome, Placed, SERVICE_UNKNOWN, Verdict};
 
 /// Returns whether callers give up after this status.
 fn is_final(status: u16) -> bool {
@@ -21,7 +21,7 @@
     let mut found = Vec::new();
     for code in ALL.iter().copied() {
         let verdicts = [
-            (Outcome::NotRun, Verdict::NotRun { code, retry_after_ms: 0 }),
+            (Outcome::NotRun, Verdict::NotRun { proof: NeverRuns::unsent(), code, retry_after_ms: 0 }),
             (Outcome::Unknown, Verdict::Unknown { code }),
         ];
         for (outcome, verdict) in verdicts {
--- a/valetrack/src/placement/attempt.rs
+++ b/valetrack/src/placement/attempt.rs
@@ -7,8 +7,9 @@
 use bytes::Bytes;
 use futures::future::LocalBoxFuture;
 
-use super::message::{CallEvent, Dispatch, Outcome, ServerIndex};
+use super::message::{CallEvent, Dispatch, Outcome};
 use super::run::Placer;
+use super::service::Recipient;
 use super::traffic::request_bytes;
 use crate::clock::Moment;
 use crate::code::Code;
@@ -21,6 +22,17 @@
 /// Time after the deadline of an attempt for which its reply is still awaited.
 const REPLY_SLACK_MS: u64 = 50;
 
+/// An attempt, and whom it was sent to.
+#[derive(Debug, Clone)]
+pub(super) struct SentAttempt {
+    /// The attempt.
+    pub(super) attempt: AttemptId,
+    /// When it was sent.
+    pub(super) sent_at: Moment,
+    /// The server that it was sent to.
+    pub(super) recipient: Recipient,
+}
+
 /// Result of a pending operation of a call, with the answer if there is one.
 pub(super) type AttemptEnd = (CallEvent, Option<(AnswerHead, Bytes)>);
 
@@ -31,6 +43,7 @@
         head: &CallHead,
         body: &Bytes,
         dispatch: Dispatch,
+        recipient: Recipient,
         deadline: Moment,
     ) -> LocalBoxFuture<'static, AttemptEnd> {
         let Dispatch { attempt, server, patience, elsewhere_permille, cause, repeat_permille } = dispatch;
@@ -40,10 +53,8 @@
         let body = body.clone();
         Box::pin(async move {
             let (service, route) = (head.service.clone(), head.route.clone());
-            let Some(target) = self.target(&service, server) else {
-                return (CallEvent::Unsent { attempt }, None);
-            };
-            if probes_first && !self.is_own(&target) && !self.probe_one(&service, server).await {
+            let target = &recipient.target;
+            if probes_first && !self.is_own(target) && !self.probe_one(&service, &recipient).await {
                 log::info!("event=call.owner_silent call={} attempt={attempt} owner={}", head.call_id, target.vm);
                 return (CallEvent::Unsent { attempt }, None);
             }
@@ -61,7 +72,7 @@
                 ..head
             };
             self.departures.attach(Some(&target.vm), &mut head.headers);
-            let age_ms = self.report_age_ms(&service, server);
+            let age_ms = self.report_age_ms(&service, &recipient);
             log::info!(
                 "event=call.send call={} attempt={attempt} owner={} server={server} cause={} repeats_left={} \
                  repeat_permille={repeat_permille} patience={patience:?} left_ms={left_ms} work_us={} \
@@ -79,15 +90,15 @@
             let (call_id, sent_bytes) = (head.call_id.clone(), request_bytes(&head, &body));
             let question = PeerRequest { ask: Ask::Run(head), body };
             let limit = Duration::from_millis(u64::from(left_ms) + REPLY_SLACK_MS);
-            let crossing = self.begin_crossing(&service, server, sent_bytes);
+            let crossing = self.begin_crossing(&service, &recipient, sent_bytes);
             if let Some(crossing) = &crossing {
                 self.record_crossing(crossing, &call_id, sent_bytes);
             }
-            let result = self.ask(target, question, limit).await;
+            let result = self.ask(target.clone(), question, limit).await;
             if let Some(crossing) = crossing {
                 self.end_crossing(&crossing, &result, limit);
             }
-            self.apply_piggyback(&service, server, &result);
+            self.apply_piggyback(&service, &recipient, &result);
             let event = attempt_event(attempt, result, &self.metrics);
             match &event {
                 (CallEvent::Ran { .. }, Some((answer, body))) => {
@@ -95,7 +106,7 @@
                     self.record_answer_size(&route, answer, body);
                 }
                 (CallEvent::Declined { reason: DeclineReason::Evacuated, .. }, _) => {
-                    self.report_evacuation(&service, server);
+                    self.report_evacuation(target);
                 }
                 _ => {}
             }
@@ -104,23 +115,19 @@
         })
     }
 
-    /// Asks the owner of a server to cancel an attempt.
-    pub(super) fn cancel(
-        self: Rc<Self>,
-        service: &Arc<str>,
-        attempt: AttemptId,
-        server: ServerIndex,
-        sent_at: Option<Moment>,
-    ) -> LocalBoxFuture<'static, AttemptEnd> {
-        let target = self.target(service, server);
-        let limit = self.reply_limit(service, server);
+    /// Asks the node to which an attempt was sent to cancel it.
+    pub(super) fn cancel(self: Rc<Self>, head: &CallHead, sent: &SentAttempt) -> LocalBoxFuture<'static, AttemptEnd> {
+        let limit = self.reply_limit(&head.service, &sent.recipient);
+        let (call_id, sent) = (head.call_id.clone(), sent.clone());
         Box::pin(async move {
-            let (Some(target), Some(sent_at)) = (target, sent_at) else {
-                return (CallEvent::CancelResult { attempt, result: None }, None);
-            };
+            let SentAttempt { attempt, sent_at, recipient } = sent;
+            let target = recipient.target;
+            let owner = target.vm.clone();
             let question = PeerRequest { ask: Ask::Cancel(attempt), body: Bytes::new() };
             let result = peer::ask_within(&self.to_link, target, question, limit).await;
-            (CallEvent::CancelResult { attempt, result: result.cancel_result(sent_at.elapsed()) }, None)
+            let result = result.cancel_result(sent_at.elapsed());
+            log::info!("event=call.cancelled call={call_id} attempt={attempt} owner={owner} result={result:?}");
+            (CallEvent::CancelResult { attempt, result }, None)
         })
     }
 
@@ -128,13 +135,13 @@
     pub(super) fn probe_before_hedge(
         self: Rc<Self>,
         service: Arc<str>,
-        server: ServerIndex,
+        recipient: Recipient,
     ) -> LocalBoxFuture<'static, AttemptEnd> {
         Box::pin(async move {
             self.metrics.probes.inc();
-            if !self.probe_one(&service, server).await {
-                log::info!("event=call.owner_silent service={service} server={server}");
-                self.suspect(&service, server);
+            if !self.probe_one(&service, &recipient).await {
+                log::info!("event=call.owner_silent service={service} owner={}", recipient.target.vm);
+                self.suspect(&service, &recipient);
             }
             (CallEvent::HedgeDue, None)
         })
--- a/valetrack/src/placement/call.rs
+++ b/valetrack/src/placement/call.rs
@@ -1,14 +1,15 @@
 //! State machine of one call at its entry, without I/O.
 //!
 //! Invariants: work that is not repeatable has at most one attempt that may have started; `NotRun` is returned only if
-//! each attempt that was sent was declined or has its owner's confirmation that it never starts; exactly one verdict is
-//! given.
+//! each attempt that was sent was declined or has its owner's confirmation that it never starts, which its
+//! [`NeverRuns`] proves; exactly one verdict is given.
 
 mod choice;
 mod crossing;
 mod end;
 
-use super::message::{CallAction, CallEvent, Demand, QUARANTINED, SendCause, ServerIndex, Verdict};
+use super::message::{CallAction, CallEvent, Demand, SendCause, ServerIndex, Verdict, quarantined};
+use super::never_runs::{AttemptState, NeverRuns};
 use super::repeat::{RetryBudget, RetryGuarantee};
 use super::return_plan::{RETURN_LEFT_RUNS, Refusal};
 use super::set::ServerSet;
@@ -139,19 +140,6 @@
     pub next_seq: &'a mut u64,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum AttemptState {
-    Sent,
-    /// The link broke or the deadline passed, and the owner was sent a cancel.
-    CancelSent,
-    /// The owner declined it, or confirmed that it never starts.
-    NeverStarted,
-    /// The upstream rejected it, so it never starts either.
-    Rejected,
-    /// It may have run, and no answer will arrive.
-    Lost,
-}
-
 #[derive(Debug, Clone, Copy)]
 struct Attempt {
     id: AttemptId,
@@ -290,8 +278,7 @@
     pub fn abandon(&mut self, cx: &mut CallContext<'_>) {
         self.finished = true;
         for at in 0..self.count {
-            let open = matches!(self.state(at), AttemptState::Sent | AttemptState::CancelSent);
-            if let (true, Some(attempt)) = (open, self.attempts[at]) {
+            if let (true, Some(attempt)) = (self.state(at).is_open(), self.attempts[at]) {
                 self.close(attempt.id, AttemptState::Lost, cx);
             }
         }
@@ -380,32 +367,45 @@
         if self.finished || self.outstanding() > 0 {
             return;
         }
-        let lost = self.attempts.iter().flatten().any(|attempt| attempt.state == AttemptState::Lost);
-        let verdict = if let Some(answer) = self.failing_answer {
+        let verdict = match (self.failing_answer, self.never_runs()) {
             // The upstream's own failure answer is more useful to the caller than the report that the work may have
             // run.
-            Verdict::Answer(answer)
-        } else if lost {
+            (Some(answer), _) => Verdict::Answer(answer),
+            (None, Some(proof)) => self.not_run(proof, cx),
             // Events after the loss, such as a full server, are not the reason why the work may have run.
-            Verdict::Unknown { code: self.lost_code.unwrap_or(self.last_code) }
-        } else {
-            self.not_run(cx)
+            (None, None) => Verdict::Unknown { code: self.lost_code.unwrap_or(self.last_code) },
         };
         self.finish(verdict, out);
     }
 
+    /// Returns the proof that the call has not run and never will; none if an attempt may have started.
+    fn never_runs(&self) -> Option<NeverRuns> {
+        NeverRuns::of_attempts(self.attempts.iter().flatten().map(|attempt| attempt.state))
+    }
+
+    /// Returns the verdict if the state of the service is missing.
+    pub fn verdict_without_service(&self) -> Verdict {
+        let code = Code::ServiceUnknown;
+        match self.never_runs() {
+            Some(proof) => Verdict::NotRun { proof, code, retry_after_ms: RETRY_AFTER_MAX_MS },
+            None => Verdict::Unknown { code },
+        }
+    }
+
     /// Returns the verdict on a call without a started attempt, with its retry delay.
-    fn not_run(&self, cx: &mut CallContext<'_>) -> Verdict {
-        match self.last_code {
-            Code::Quarantined => QUARANTINED,
+    fn not_run(&self, proof: NeverRuns, cx: &mut CallContext<'_>) -> Verdict {
+        // Whatever ended the last attempt, no other one may be sent to a service that is being removed.
+        let code = if cx.view.is_removed() { Code::ServiceUnknown } else { self.last_code };
+        match code {
+            Code::Quarantined => quarantined(proof),
             code => {
                 if let Some(retry_after_ms) = self.planned_return_ms(code, cx) {
-                    return Verdict::NotRun { code, retry_after_ms };
+                    return Verdict::NotRun { proof, code, retry_after_ms };
                 }
                 // The random part spreads the callers that return once rate limits admit calls again.
                 let start_delay_ms = cx.view.start_delay_us(cx.now_us).div_ceil(1000) as u32;
                 let retry_after_ms = start_delay_ms + retry_after_ms(self.rule.demand, cx.rng);
-                Verdict::NotRun { code, retry_after_ms }
+                Verdict::NotRun { proof, code, retry_after_ms }
             }
         }
     }
@@ -488,7 +488,7 @@
     fn close(&mut self, id: AttemptId, state: AttemptState, cx: &mut CallContext<'_>) -> Option<usize> {
         let at = self.find(id)?;
         let attempt = self.attempts[at].as_mut()?;
-        if !matches!(attempt.state, AttemptState::Sent | AttemptState::CancelSent) {
+        if !attempt.state.is_open() {
             return None;
         }
         attempt.state = state;
@@ -513,8 +513,7 @@
     }
 
     fn outstanding(&self) -> usize {
-        let open = |attempt: &&Attempt| matches!(attempt.state, AttemptState::Sent | AttemptState::CancelSent);
-        self.attempts.iter().flatten().filter(open).count()
+        self.attempts.iter().flatten().filter(|attempt| attempt.state.is_open()).count()
     }
 }
 
--- a/valetrack/src/placement/call/choice.rs
+++ b/valetrack/src/placement/call/choice.rs
@@ -1,8 +1,9 @@
 //! Server and queue timeout of a call's next attempt.
 
-use super::{Attempt, AttemptState, Call, CallContext, MAX_ATTEMPTS};
+use super::{Attempt, Call, CallContext, MAX_ATTEMPTS};
 use crate::gate::{AttemptId, PERMILLE, QueueTimeout};
 use crate::placement::message::{CallAction, Demand, Dispatch, SendCause, ServerIndex};
+use crate::placement::never_runs::AttemptState;
 use crate::placement::set::ServerSet;
 use crate::placement::view::FULL_REPORT_VALID_US;
 use crate::rollout::TrafficShare;
--- a/valetrack/src/placement/call/end.rs
+++ b/valetrack/src/placement/call/end.rs
@@ -1,9 +1,10 @@
 //! End of a call's attempts, and the decision that follows.
 
-use super::{AttemptState, Call, CallContext};
+use super::{Call, CallContext};
 use crate::code::Code;
 use crate::gate::{AttemptId, CancelResult, DeclineReason, QueueTimeout};
 use crate::placement::message::{CallAction, SendCause, ServerIndex, Verdict};
+use crate::placement::never_runs::AttemptState;
 
 impl Call {
     /// Handles a complete answer of an attempt. It becomes the verdict unless it is a failure that may be retried.
--- a/valetrack/src/placement/driver.rs
+++ b/valetrack/src/placement/driver.rs
@@ -6,14 +6,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::future::LocalBoxFuture;
+use futures::future::{LocalBoxFuture, ready};
 use futures::stream::{FuturesUnordered, StreamExt};
 use tokio::sync::oneshot;
 use tokio::time::sleep;
 
-use super::attempt::AttemptEnd;
+use super::attempt::{AttemptEnd, SentAttempt};
 use super::call::{Call, CallRule, CallerCall};
-use super::message::{CallAction, CallEvent, Placed, SERVICE_UNKNOWN, Verdict};
+use super::message::{CallAction, CallEvent, Dispatch, Placed, Verdict};
 use super::run::Placer;
 use crate::clock::Moment;
 use crate::code::Code;
@@ -69,8 +69,8 @@
     reply: Option<oneshot::Sender<Placed>>,
     pending_operations: FuturesUnordered<LocalBoxFuture<'static, AttemptEnd>>,
     answers: Vec<(AnswerHead, Bytes)>,
-    /// Send time of each attempt.
-    sent: Vec<(AttemptId, Moment)>,
+    /// Attempts that were sent.
+    sent: Vec<SentAttempt>,
     /// Reused buffer; empty between two events.
     actions: Vec<CallAction>,
     hedge_at: Option<Moment>,
@@ -89,7 +89,8 @@
             if let Some(event) = event
                 && !self.handle(event)
             {
-                self.finish(Placed::Verdict(SERVICE_UNKNOWN));
+                let verdict = self.call.verdict_without_service();
+                self.finish(Placed::Verdict(verdict));
                 return;
             }
             if self.is_over() {
@@ -112,15 +113,8 @@
 
     fn perform(&mut self, action: CallAction) {
         match action {
-            CallAction::Send(dispatch) => {
-                self.sent.push((dispatch.attempt, Moment::now()));
-                let sending = self.placer.clone().send(&self.head, &self.body, dispatch, self.deadline);
-                self.pending_operations.push(sending);
-            }
-            CallAction::Cancel { attempt, server } => {
-                let sent_at = self.sent.iter().find(|(sent_attempt, _)| *sent_attempt == attempt).map(|(_, at)| *at);
-                self.pending_operations.push(self.placer.clone().cancel(&self.head.service, attempt, server, sent_at));
-            }
+            CallAction::Send(dispatch) => self.send(dispatch),
+            CallAction::Cancel { attempt, .. } => self.cancel(attempt),
             CallAction::ArmHedge { after_us } => {
                 self.hedge_at = Some(Moment::now() + Duration::from_micros(after_us));
             }
@@ -131,6 +125,26 @@
         }
     }
 
+    /// Sends an attempt. Its server is looked up now, before any other event can change the view.
+    fn send(&mut self, dispatch: Dispatch) {
+        let attempt = dispatch.attempt;
+        let Some(recipient) = self.placer.recipient(&self.head.service, dispatch.server) else {
+            self.pending_operations.push(Box::pin(ready((CallEvent::Unsent { attempt }, None))));
+            return;
+        };
+        self.sent.push(SentAttempt { attempt, sent_at: Moment::now(), recipient: recipient.clone() });
+        let sending = self.placer.clone().send(&self.head, &self.body, dispatch, recipient, self.deadline);
+        self.pending_operations.push(sending);
+    }
+
+    fn cancel(&mut self, attempt: AttemptId) {
+        let cancelling = match self.sent.iter().find(|sent| sent.attempt == attempt) {
+            Some(sent) => self.placer.clone().cancel(&self.head, sent),
+            None => Box::pin(ready((CallEvent::CancelResult { attempt, result: None }, None))),
+        };
+        self.pending_operations.push(cancelling);
+    }
+
     /// Returns whether the call is over. Attempts that are still in flight are abandoned then.
     fn is_over(&mut self) -> bool {
         if self.call.closed() {
@@ -171,12 +185,14 @@
     /// Returns the event of a due hedge. Where the owner is probed first, returns none, and the end of the probe brings
     /// the event.
     fn hedge_event(&mut self) -> Option<CallEvent> {
-        match self.call.server_in_flight() {
-            Some(server) if self.probes_before_hedge => {
-                self.pending_operations.push(self.placer.clone().probe_before_hedge(self.head.service.clone(), server));
+        let service = &self.head.service;
+        let in_flight = self.call.server_in_flight().filter(|_| self.probes_before_hedge);
+        match in_flight.and_then(|server| self.placer.recipient(service, server)) {
+            Some(recipient) => {
+                self.pending_operations.push(self.placer.clone().probe_before_hedge(service.clone(), recipient));
                 None
             }
-            Some(_) | None => Some(CallEvent::HedgeDue),
+            None => Some(CallEvent::HedgeDue),
         }
     }
 
--- a/valetrack/src/placement/message.rs
+++ b/valetrack/src/placement/message.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use tokio::sync::oneshot;
 
+use super::never_runs::NeverRuns;
 use crate::code::Code;
 use crate::gate::{AttemptId, CancelResult, DeclineReason, LoadReport, QueueTimeout};
 use crate::link::message::{AnswerHead, CallHead};
@@ -166,6 +167,8 @@
     Answer(AttemptId),
     /// Report that the work did not run, and when to call again.
     NotRun {
+        /// Proof that the work has not run and never will.
+        proof: NeverRuns,
         /// Cause.
         code: Code,
         /// Delay after which the caller may call again.
@@ -180,14 +183,17 @@
 
 /// Retry delay for a call to an unknown service: a bundle that names the service may be in flight.
 const UNKNOWN_RETRY_MS: u32 = 1_000;
-/// Verdict on a call to an unknown service.
-pub const SERVICE_UNKNOWN: Verdict = Verdict::NotRun { code: Code::ServiceUnknown, retry_after_ms: UNKNOWN_RETRY_MS };
+/// Verdict on a call to an unknown service, which was not sent.
+pub const SERVICE_UNKNOWN: Verdict =
+    Verdict::NotRun { proof: NeverRuns::unsent(), code: Code::ServiceUnknown, retry_after_ms: UNKNOWN_RETRY_MS };
 
 /// Retry delay for a call that crashes upstreams: its next trial is minutes later at the earliest, and until then it
 /// would only be refused again.
 const QUARANTINED_RETRY_MS: u32 = 60_000;
-/// Verdict on a call that crashes upstreams.
-pub const QUARANTINED: Verdict = Verdict::NotRun { code: Code::Quarantined, retry_after_ms: QUARANTINED_RETRY_MS };
+/// Returns the verdict on a call that crashes upstreams.
+pub const fn quarantined(proof: NeverRuns) -> Verdict {
+    Verdict::NotRun { proof, code: Code::Quarantined, retry_after_ms: QUARANTINED_RETRY_MS }
+}
 
 /// Requirements of a call on its server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/valetrack/src/placement/mod.rs
+++ b/valetrack/src/placement/mod.rs
@@ -13,6 +13,7 @@
 mod message;
 mod nested;
 mod network_cost;
+mod never_runs;
 mod policy;
 mod quantile;
 mod region_link;
@@ -21,6 +22,7 @@
 mod root;
 pub mod run;
 mod service;
+mod services;
 mod set;
 mod sliding;
 #[cfg(test)]
@@ -39,6 +41,7 @@
     ServerIndex, Verdict,
 };
 pub use nested::NestedCalls;
+pub use never_runs::NeverRuns;
 pub use policy::Policy;
 pub use region_link::{LinkChange, LinkView, RegionLink};
 pub use repeat::{FleetSize, KnownFleet, RetryBudget, RetryGuarantee};
--- a/valetrack/src/placement/repeat.rs
+++ b/valetrack/src/placement/repeat.rs
@@ -100,6 +100,11 @@
         }
     }
 
+    /// Returns the length of its windows.
+    pub fn window_us(&self) -> u64 {
+        self.window_us
+    }
+
     /// Records a call with the chance (0 to 1) that the call is itself a repeat, because a repeated run made it. Such a
     /// call earns nothing and is charged, since its caller can't be refused.
     pub fn begin(&mut self, repeat: f64, now_us: u64) {
--- a/valetrack/src/placement/run.rs
+++ b/valetrack/src/placement/run.rs
@@ -20,14 +20,17 @@
 use super::budget::RateBudget;
 use super::call::{CallContext, CallRule};
 use super::driver::drive;
-use super::message::{Demand, Placed, QUARANTINED, ServerIndex, Verdict};
+use super::message::{Demand, Placed, ServerIndex, Verdict, quarantined};
 use super::nested::NestedCalls;
+use super::never_runs::NeverRuns;
 use super::policy::Policy;
 use super::repeat::FleetSize;
 use super::return_plan::ReturnCounts;
 use super::root::RunsInProgress;
-use super::service::{EntryPlace, ServiceState, call_rule};
+use super::service::{EntryPlace, Recipient, ServiceState, call_rule};
+use super::services::Services;
 use super::traffic::AnswerSize;
+use super::view::ServiceView;
 use super::waited::CallerTime;
 use super::work::WorkEstimate;
 use crate::bundle::{InForce, MeasureRule};
@@ -47,7 +50,7 @@
 const REPLY_LIMIT_MS: u64 = 150;
 
 struct Inner {
-    services: HashMap<Arc<str>, ServiceState>,
+    services: Services,
     /// Usual run times by route.
     work_estimates: HashMap<Arc<str>, WorkEstimate>,
     /// Usual time limits of callers by route.
@@ -80,7 +83,6 @@
     domain_cost_us: u32,
     regions: Arc<Regions>,
     region_link_mbps: f64,
-    policy: Policy,
     pub(super) to_link: Sender<LinkJob>,
     to_member: Sender<MemberJob>,
     /// The bundle in force.
@@ -134,7 +136,7 @@
         paths: Rc<PathTimes>,
     ) -> Rc<Self> {
         let inner = Inner {
-            services: HashMap::new(),
+            services: Services::new(parts.policy),
             work_estimates: HashMap::new(),
             caller_times: HashMap::new(),
             nested_routes: HashSet::new(),
@@ -157,7 +159,6 @@
             domain_cost_us: parts.domain_cost_us,
             regions: parts.regions,
             region_link_mbps: parts.region_link_mbps,
-            policy: parts.policy,
             to_link: parts.to_link,
             to_member: parts.to_member,
             bundle: parts.bundle,
@@ -203,7 +204,7 @@
         inner.measure.configure(bytes_per_s.into(), bytes_per_s.into(), now_us());
         inner.probes.configure(probes_per_s.into(), probes_per_s.into(), now_us());
         self.metrics.measure_budget.set(bytes_per_s.into());
-        inner.services.retain(|name, _| in_force.bundle.service(name).is_some());
+        inner.services.remove_others(|name| in_force.bundle.service(name).is_some(), now_us());
         inner.work_estimates.retain(|route, _| in_force.bundle.routes.contains(route));
         inner.caller_times.retain(|route, _| in_force.bundle.routes.contains(route));
         inner.nested_routes.retain(|route| in_force.bundle.routes.contains(route));
@@ -221,10 +222,7 @@
         let fleet = inner.fleet.update(members.vm_count() as u32, members.is_complete(), now_us());
         let plans_returns = in_force.bundle.nested_rank == NestedRank::Root || self.regions.has_several();
         for rule in &in_force.bundle.services {
-            let state = inner
-                .services
-                .entry(rule.name.clone())
-                .or_insert_with(|| ServiceState::new(rule, self.policy, now_us()));
+            let state = inner.services.configured(rule, now_us());
             state.configure(rule, fleet);
             state.view.plan_returns(plans_returns);
             self.metrics.repeat_reserve.with_label_values(&[&*rule.name]).set(state.budgets.retry.reserve());
@@ -237,7 +235,7 @@
     /// Places one call and returns its result. Operations that are still pending then are dropped.
     pub async fn place(self: Rc<Self>, mut head: CallHead, body: Bytes, rule: CallRule) -> Placed {
         if self.crashes.refuses(&head, &body) {
-            return Placed::Verdict(QUARANTINED);
+            return Placed::Verdict(quarantined(NeverRuns::unsent()));
         }
         let (reply, placed) = oneshot::channel();
         head.work_us = rule.demand.map_or(0, |demand| demand.work_us);
@@ -319,11 +317,22 @@
         }
     }
 
-    /// Returns the node of a server, if the server is still known.
-    pub(super) fn target(&self, service: &str, server: ServerIndex) -> Option<Target> {
-        let inner = self.inner.borrow();
-        let candidate = inner.services.get(service)?.targets.get(server)?.as_ref()?;
-        Some(Target { vm: candidate.vm.clone(), addr: candidate.link_addr })
+    /// Returns the server that has an index now, if its service is still known.
+    pub(super) fn recipient(&self, service: &str, server: ServerIndex) -> Option<Recipient> {
+        self.inner.borrow().services.get(service)?.recipient(server)
+    }
+
+    /// Updates the view of a server, unless its service or its index has been dropped since the request to it.
+    fn update_view<R>(
+        &self,
+        service: &str,
+        recipient: &Recipient,
+        update: impl FnOnce(&mut ServiceView, ServerIndex) -> R,
+    ) -> Option<R> {
+        let mut inner = self.inner.borrow_mut();
+        let state = inner.services.get_mut(service)?;
+        let server = state.present_index(recipient)?;
+        Some(update(&mut state.view, server))
     }
 
     /// Returns whether a target is this node.
@@ -332,9 +341,8 @@
     }
 
     /// Returns the age of the last load report of a server.
-    pub(super) fn report_age_ms(&self, service: &str, server: ServerIndex) -> Option<u64> {
-        let inner = self.inner.borrow();
-        let received_us = inner.services.get(service)?.view.received_us(server)?;
+    pub(super) fn report_age_ms(&self, service: &str, recipient: &Recipient) -> Option<u64> {
+        let received_us = self.update_view(service, recipient, |view, server| view.received_us(server))??;
         Some(now_us().saturating_sub(received_us) / 1000)
     }
 
@@ -344,20 +352,18 @@
     }
 
     /// Applies the state that is piggybacked on a reply.
-    pub(super) fn apply_piggyback(&self, service: &str, server: ServerIndex, result: &LinkResult) {
+    pub(super) fn apply_piggyback(&self, service: &str, recipient: &Recipient, result: &LinkResult) {
         let LinkResult::Reply(answered) = result else {
             return;
         };
         let piggyback = answered.head.riding;
         events::observe(piggyback.hlc);
-        self.report(service, server, piggyback.load);
+        self.report(service, recipient, piggyback.load);
         let number = self.bundle.borrow().as_ref().map_or(0, |bundle| bundle.number);
         if number == piggyback.bundle {
             return;
         }
-        let Some(target) = self.target(service, server) else {
-            return;
-        };
+        let target = recipient.target.clone();
         let job = match number < piggyback.bundle {
             true => MemberJob::Bundle { number: piggyback.bundle, from: target },
             // Only a node that has just started lacks a bundle for long; others are about to receive it.
@@ -370,25 +376,17 @@
 
     /// Has the members query an owner that has declined a call because its failure domain is evacuated: a node whose
     /// requests the store refuses has no other way to learn of the evacuation.
-    pub(super) fn report_evacuation(&self, service: &str, server: ServerIndex) {
-        if let Some(from) = self.target(service, server) {
-            // If the channel is full, the next decline triggers the job again.
-            let _ = self.to_member.try_send(MemberJob::Evacuation { from });
-        }
+    pub(super) fn report_evacuation(&self, owner: &Target) {
+        // If the channel is full, the next decline triggers the job again.
+        let _ = self.to_member.try_send(MemberJob::Evacuation { from: owner.clone() });
     }
 
-    fn report(&self, service: &str, server: ServerIndex, load: LoadReport) {
-        let mut inner = self.inner.borrow_mut();
-        if let Some(state) = inner.services.get_mut(service) {
-            state.view.report(server, load, now_us());
-        }
+    fn report(&self, service: &str, recipient: &Recipient, load: LoadReport) {
+        self.update_view(service, recipient, |view, server| view.report(server, load, now_us()));
     }
 
     /// Ejects a server temporarily because its owner does not reply.
-    pub(super) fn suspect(&self, service: &str, server: ServerIndex) {
-        let mut inner = self.inner.borrow_mut();
-        if let Some(state) = inner.services.get_mut(service) {
-            state.view.suspect(server, now_us());
-        }
+    pub(super) fn suspect(&self, service: &str, recipient: &Recipient) {
+        self.update_view(service, recipient, |view, server| view.suspect(server, now_us()));
     }
 }
--- a/valetrack/src/placement/run/probe.rs
+++ b/valetrack/src/placement/run/probe.rs
@@ -11,7 +11,7 @@
 use crate::link::message::{Ask, PeerRequest};
 use crate::link::peer::LinkResult;
 use crate::placement::message::ServerIndex;
-use crate::placement::service::ServiceState;
+use crate::placement::service::{Recipient, ServiceState};
 
 /// Bytes on the wire of one probe and its reply, including the headers of UDP and QUIC.
 pub const PROBE_BYTES: u64 = 220;
@@ -36,10 +36,13 @@
             let stale_us = u64::from(stale_ms) * 1000;
             let next = || self.next_probe(stale_us).or_else(|| self.next_region_probe(stale_us));
             while let Some((service, server)) = next() {
+                let Some(recipient) = self.recipient(&service, server) else {
+                    continue;
+                };
                 let placer = self.clone();
                 tokio::task::spawn_local(async move {
                     // A view that stays stale is probed again.
-                    placer.probe_one(&service, server).await;
+                    placer.probe_one(&service, &recipient).await;
                 });
             }
         }
@@ -66,19 +69,16 @@
     }
 
     /// Probes a server's owner and returns whether it replied.
-    pub(in crate::placement) async fn probe_one(&self, service: &str, server: ServerIndex) -> bool {
-        let Some(target) = self.target(service, server) else {
-            return false;
-        };
+    pub(in crate::placement) async fn probe_one(&self, service: &str, recipient: &Recipient) -> bool {
         let question = PeerRequest { ask: Ask::Probe, body: Bytes::new() };
-        let limit = self.reply_limit(service, server);
-        let crossing = self.begin_crossing(service, server, PROBE_BYTES as u32 / 2);
-        let result = self.ask(target, question, limit).await;
+        let limit = self.reply_limit(service, recipient);
+        let crossing = self.begin_crossing(service, recipient, PROBE_BYTES as u32 / 2);
+        let result = self.ask(recipient.target.clone(), question, limit).await;
         if let Some(crossing) = crossing {
             // An owner replies to a probe at once, so a reply that is late is a failure too.
             self.end_crossing(&crossing, &result, Duration::MAX);
         }
-        self.apply_piggyback(service, server, &result);
+        self.apply_piggyback(service, recipient, &result);
         matches!(result, LinkResult::Reply(_))
     }
 }
--- a/valetrack/src/placement/run/region.rs
+++ b/valetrack/src/placement/run/region.rs
@@ -14,6 +14,7 @@
 use crate::placement::message::ServerIndex;
 use crate::placement::region_link::{LinkChange, LinkView, RegionLink};
 use crate::placement::run::probe::PROBE_BYTES;
+use crate::placement::service::Recipient;
 use crate::placement::traffic::{CallTraffic, answer_bytes, request_bytes};
 use crate::placement::view::ServiceView;
 use crate::region::Regions;
@@ -111,20 +112,22 @@
     pub(in crate::placement) fn begin_crossing(
         &self,
         service: &str,
-        server: ServerIndex,
+        recipient: &Recipient,
         bytes: u32,
     ) -> Option<OpenCrossing> {
+        let link = self.region_link(service, recipient)?;
         let inner = &mut *self.inner.borrow_mut();
-        let state = inner.services.get(service)?;
-        let link = state.view.region_link(server)?;
-        let candidate = state.targets.get(server)?.as_ref()?;
-        let target = Target { vm: candidate.vm.clone(), addr: candidate.link_addr };
+        let target = recipient.target.clone();
         inner.links.links[link].charge(bytes, now_us());
         let region = &*inner.links.names[link];
         self.metrics.region_bytes.with_label_values(&[region, "sent"]).inc_by(bytes.into());
         Some(OpenCrossing { link, target, began: Moment::now() })
     }
 
+    fn region_link(&self, service: &str, recipient: &Recipient) -> Option<usize> {
+        self.update_view(service, recipient, |view, server| view.region_link(server))?
+    }
+
     /// Records the result of a request to another region that was to wait for `limit`.
     pub(in crate::placement) fn end_crossing(&self, crossing: &OpenCrossing, result: &LinkResult, limit: Duration) {
         let inner = &mut *self.inner.borrow_mut();
@@ -174,9 +177,9 @@
     }
 
     /// Returns the time limit of a reply that a server sends at once.
-    pub(in crate::placement) fn reply_limit(&self, service: &str, server: ServerIndex) -> Duration {
+    pub(in crate::placement) fn reply_limit(&self, service: &str, recipient: &Recipient) -> Duration {
+        let link = self.region_link(service, recipient);
         let inner = self.inner.borrow();
-        let link = inner.services.get(service).and_then(|state| state.view.region_link(server));
         let round_trip_us = link.map_or(0, |link| inner.links.links[link].view(now_us()).round_trip_us);
         Duration::from_millis(REPLY_LIMIT_MS) + Duration::from_micros(round_trip_us.into())
     }
--- a/valetrack/src/placement/service.rs
+++ b/valetrack/src/placement/service.rs
@@ -9,6 +9,7 @@
 use super::repeat::{KnownFleet, RetryBudget, RetryGuarantee};
 use super::view::{MAX_SERVERS, ServiceView};
 use crate::bundle::{FleetRetries, ServiceRule};
+use crate::link::peer::Target;
 use crate::member::Candidate;
 use crate::region::{Distance, Regions};
 use crate::rollout::TrafficShare;
@@ -58,6 +59,16 @@
     pub(super) targets: Vec<Option<Candidate>>,
 }
 
+/// A server as it was when a request was sent to it. When the reply arrives, its index may belong to another server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Recipient {
+    /// Its index when the request was sent.
+    pub(super) server: ServerIndex,
+    /// Its node.
+    pub(super) target: Target,
+    incarnation: u64,
+}
+
 impl ServiceState {
     /// Creates the state of a service without known servers.
     pub(super) fn new(rule: &ServiceRule, policy: Policy, now_us: u64) -> Self {
@@ -71,13 +82,37 @@
         Self { view: ServiceView::new(policy), budgets, targets: Vec::new() }
     }
 
-    /// Applies the guarantee on repeats of the service in a fleet, if it has one.
+    /// Applies the rule of the service in the bundle in force, with its guarantee on repeats in a fleet if it has one.
     pub(super) fn configure(&mut self, rule: &ServiceRule, fleet: KnownFleet) {
+        self.view.restore();
         if let Some(guarantee) = retry_guarantee(rule) {
             self.budgets.retry.configure(guarantee, fleet);
         }
     }
 
+    /// Records that the bundle in force lacks the service, and returns whether the state is still needed: by attempts in
+    /// flight, or by the window of its budgets, in which the repeats of a service that returns still count.
+    pub(super) fn remove(&mut self, now_us: u64) -> bool {
+        let removed_us = self.view.remove(now_us);
+        self.view.has_outstanding() || now_us < removed_us + self.budgets.retry.window_us()
+    }
+
+    /// Returns the server that has an index now.
+    pub(super) fn recipient(&self, server: ServerIndex) -> Option<Recipient> {
+        let candidate = self.targets.get(server)?.as_ref()?;
+        let target = Target { vm: candidate.vm.clone(), addr: candidate.link_addr };
+        Some(Recipient { server, target, incarnation: candidate.incarnation })
+    }
+
+    /// Returns the index of a server, unless the index belongs to another one by now.
+    pub(super) fn present_index(&self, recipient: &Recipient) -> Option<ServerIndex> {
+        let Recipient { server, target, incarnation } = recipient;
+        let candidate = self.targets.get(*server)?.as_ref()?;
+        let is_same = candidate.vm == target.vm && candidate.link_addr == target.addr;
+        // The incarnation is zero until the VM has reported it.
+        (is_same && (*incarnation == 0 || candidate.incarnation == *incarnation)).then_some(*server)
+    }
+
     /// Assigns a stable index to each server, and a separate one to a new incarnation of a VM. `link_of` returns the link
     /// to the region of a failure domain.
     pub(super) fn sync(
--- a/valetrack/src/placement/tests/return_plan.rs
+++ b/valetrack/src/placement/tests/return_plan.rs
@@ -115,7 +115,7 @@
             [CallAction::Send(dispatch)] => {
                 event = CallEvent::Declined { attempt: dispatch.attempt, reason: DeclineReason::Full };
             }
-            [CallAction::Finish(Verdict::NotRun { code: Code::Overloaded, retry_after_ms })] => {
+            [CallAction::Finish(Verdict::NotRun { code: Code::Overloaded, retry_after_ms, .. })] => {
                 return (retry_after_ms, rng.u64(..));
             }
             _ => panic!("{actions:?}"),
--- a/valetrack/src/placement/view.rs
+++ b/valetrack/src/placement/view.rs
@@ -112,6 +112,8 @@
     links: Vec<LinkView>,
     /// Plan of refused callers' returns; none if retry delays are random.
     return_plan: Option<ReturnPlan>,
+    /// Since when the bundle lacks the service.
+    removed_us: Option<u64>,
 }
 
 impl ServiceView {
@@ -128,9 +130,30 @@
             last_starts_after_us: 0,
             links: Vec::new(),
             return_plan: None,
+            removed_us: None,
         }
     }
 
+    /// Records that the bundle in force lacks the service, and returns since when. No server is in rotation then.
+    pub fn remove(&mut self, now_us: u64) -> u64 {
+        *self.removed_us.get_or_insert(now_us)
+    }
+
+    /// Records that the bundle in force has the service.
+    pub fn restore(&mut self) {
+        self.removed_us = None;
+    }
+
+    /// Returns whether the bundle in force lacks the service.
+    pub fn is_removed(&self) -> bool {
+        self.removed_us.is_some()
+    }
+
+    /// Returns whether attempts of this entry are in flight at any server.
+    pub fn has_outstanding(&self) -> bool {
+        self.servers.iter().any(|view| view.outstanding > 0)
+    }
+
     /// Sets whether a server is in the roster, and its network round-trip time.
     ///
     /// # Panics
@@ -353,6 +376,9 @@
     /// most of them look unhealthy, the fault is in the view.
     pub fn rotation(&self, now_us: u64) -> ServerSet {
         let mut all = ServerSet::default();
+        if self.is_removed() {
+            return all;
+        }
         let mut not_ejected = ServerSet::default();
         for (server, view) in self.servers.iter().enumerate() {
             if !view.present || view.leaving {
@@ -397,7 +423,8 @@
 
     /// Returns whether the service was used recently.
     pub fn is_in_use(&self, now_us: u64, stale_us: u64) -> bool {
-        self.last_pick_us.is_some_and(|last_pick_us| now_us < last_pick_us + IN_USE_STALE_TIMES * stale_us)
+        let is_recent = |last_pick_us| now_us < last_pick_us + IN_USE_STALE_TIMES * stale_us;
+        !self.is_removed() && self.last_pick_us.is_some_and(is_recent)
     }
 
     /// Returns when the last load report of a server was received.
