Calls that wait at an owner are declined once the bundle lacks their service

What callers saw: after a configuration had taken a service out, calls that waited for a slot at its servers went on waiting, and started on a service that no route leads to any more.

Cause: the gate learns its limits from the rule of its service and keeps the last ones if the bundle has none. An evacuated domain and an upstream that leaves close the gate; a service that leaves did not.

Change: the gate declines waiting and arriving attempts while the bundle in force lacks its service (`ServiceRemoved`, a decline that never started), and opens again when the service returns. Running attempts end as usual.

Why it works: the word comes from the gate that holds the attempt, which never starts it afterwards; the property of the gate now has removals and returns in any order.

--- a/standin/tests/service_removal.rs
+++ b/standin/tests/service_removal.rs
@@ -96,3 +96,26 @@
         assert!(!matches!(status, 429 | 503) || runs == 0, "{id} ran and was answered {status}");
     }
 }
+
+/// Guards against calls that wait at their owner and start after the service has left.
+#[tokio::test]
+async fn waiting_calls_of_removed_service_are_rejected_at_once() {
+    let fleet = Fleet::start(&["ledger", "rounds"]).await;
+    let mut patient: Value = serde_json::from_str(&config(5, "rounds")).expect("valid JSON");
+    patient["routes"][1]["objective_ms"] = 1_400.into();
+    fleet.store.put("op/config", &patient.to_string());
+    sleep(Duration::from_millis(1_000)).await;
+    set_work_ms(&fleet, 600);
+    let calls = send_calls(&fleet, &[0, 1], 18);
+    sleep(Duration::from_millis(100)).await;
+    let removed = Instant::now();
+    fleet.store.put("op/config", &config_without_ledger(7));
+    let ends = calls.join_all().await;
+    assert_results_true(&fleet, &ends);
+    // The calls that run have ended by then, and those that wait would have started.
+    let in_force = removed + Duration::from_millis(450);
+    let rejected: Vec<Instant> = ends.iter().filter(|(_, status, _)| *status == 503).map(|(_, _, end)| *end).collect();
+    assert!(rejected.len() >= 6 && rejected.iter().all(|end| *end < in_force), "{ends:?}");
+    let started = fleet.vms[0].upstream.run_starts();
+    assert!(started.iter().all(|(at, _)| *at < in_force), "{started:?}");
+}
--- a/valetrack/src/gate/message.rs
+++ b/valetrack/src/gate/message.rs
@@ -93,6 +93,8 @@
     Quarantined,
     /// The server limits the rate of its calls, and the call would wait too long.
     RateLimited,
+    /// The bundle in force at the owner lacks the service.
+    ServiceRemoved,
 }
 
 /// How long an entry lets an attempt wait for a slot.
@@ -189,6 +191,10 @@
         /// End of the period in which the server counts as cold, on this process's monotonic clock.
         cold_until_us: u64,
     },
+    /// The bundle in force lacks the server's service.
+    Remove,
+    /// The bundle in force has the server's service again.
+    Restore,
     /// A new start of the server accepts work.
     Open,
     /// The VM was suspended until now.
--- a/valetrack/src/gate/run.rs
+++ b/valetrack/src/gate/run.rs
@@ -202,6 +202,11 @@
         self.pool.warm(usize::from(config.slots)).await;
     }
 
+    /// Closes or reopens the gate, depending on whether the bundle in force has the server's service.
+    pub fn set_configured(self: &Rc<Self>, is_configured: bool) {
+        self.handle(if is_configured { GateEvent::Restore } else { GateEvent::Remove });
+    }
+
     /// Sets the rank of calls that upstreams make, according to the bundle in force.
     pub fn set_nested_rank(&self, nested_rank: NestedRank) {
         self.nested_rank.set(nested_rank);
@@ -532,6 +537,7 @@
         DeclineReason::RepeatRefused => "repeat-refused",
         DeclineReason::Quarantined => "quarantined",
         DeclineReason::RateLimited => "rate-limited",
+        DeclineReason::ServiceRemoved => "service-removed",
     }
 }
 
--- a/valetrack/src/gate/state.rs
+++ b/valetrack/src/gate/state.rs
@@ -132,6 +132,8 @@
     outage: Outage,
     /// Whether the server's failure domain is evacuated.
     evacuated: bool,
+    /// Whether the bundle in force lacks the server's service.
+    removed: bool,
     /// Attempts, waiting or running, that may crash the server.
     suspects: HashSet<AttemptId>,
     shares: AccountShares,
@@ -157,6 +159,7 @@
             over_limit: 0,
             outage: Outage::default(),
             evacuated: false,
+            removed: false,
             suspects: HashSet::new(),
             shares: AccountShares::default(),
         }
@@ -382,6 +385,8 @@
             GateEvent::Drain => self.drain(now_us, out),
             GateEvent::Evacuate => self.evacuate(now_us, out),
             GateEvent::Return { cold_until_us } => self.return_to_service(cold_until_us),
+            GateEvent::Remove => self.remove(now_us, out),
+            GateEvent::Restore => self.removed = false,
             GateEvent::Open => self.open(now_us),
             // Deadlines kept running during the suspension, and the entries have abandoned these attempts. Running
             // attempts were paused with the server and end normally.
@@ -480,6 +485,11 @@
         self.decline_all(DeclineReason::Evacuated, now_us, out);
     }
 
+    fn remove(&mut self, now_us: u64, out: &mut Vec<GateAction>) {
+        self.removed = true;
+        self.decline_all(DeclineReason::ServiceRemoved, now_us, out);
+    }
+
     fn return_to_service(&mut self, cold_until_us: u64) {
         self.evacuated = false;
         // The learned speed still applies; only the number of calls that the server supports is uncertain.
--- a/valetrack/src/gate/state/queue.rs
+++ b/valetrack/src/gate/state/queue.rs
@@ -158,6 +158,7 @@
         match () {
             () if self.leaving => Some(DeclineReason::Leaving),
             () if self.evacuated => Some(DeclineReason::Evacuated),
+            () if self.removed => Some(DeclineReason::ServiceRemoved),
             () if self.outage.is_active(now_us) => Some(DeclineReason::NotReady),
             () => None,
         }
--- a/valetrack/src/gate/tests/property.rs
+++ b/valetrack/src/gate/tests/property.rs
@@ -1,4 +1,4 @@
-//! Random sequences of arrivals, duplicates, cancellations, ends, pauses and a drain.
+//! Random sequences of arrivals, duplicates, cancellations, ends, pauses, removals of the service and a drain.
 
 use std::collections::{HashMap, HashSet};
 
@@ -15,6 +15,8 @@
     Cancel { seq: u64 },
     Tick,
     Drain,
+    Remove,
+    Restore,
 }
 
 fn choice() -> impl Strategy<Value = Choice> {
@@ -26,6 +28,8 @@
         3 => (0..40u64).prop_map(|seq| Choice::Cancel { seq }),
         3 => Just(Choice::Tick),
         1 => Just(Choice::Drain),
+        1 => Just(Choice::Remove),
+        1 => Just(Choice::Restore),
     ]
 }
 
@@ -37,6 +41,7 @@
     ended_unstarted: HashSet<AttemptId>,
     waiting: HashSet<AttemptId>,
     drained: bool,
+    removed: bool,
     max_running: usize,
 }
 
@@ -51,6 +56,7 @@
                         "{attempt} started after it was declined or cancelled"
                     );
                     prop_assert!(!self.drained, "{attempt} started after the drain");
+                    prop_assert!(!self.removed, "{attempt} started after the removal of the service");
                     self.waiting.remove(&attempt);
                     self.running.push(attempt);
                 }
@@ -133,9 +139,18 @@
                     observer.drained = true;
                     GateEvent::Drain
                 }
+                Choice::Remove => {
+                    observer.removed = true;
+                    GateEvent::Remove
+                }
+                Choice::Restore => {
+                    observer.removed = false;
+                    GateEvent::Restore
+                }
             };
             gate.handle(event, now_us, &mut actions);
             observer.record(&actions)?;
+            prop_assert!(!observer.removed || observer.waiting.is_empty(), "attempts wait though the service has left");
             prop_assert!(observer.running.len() <= usize::from(slots), "{} are running", observer.running.len());
             let load = gate.load(now_us);
             prop_assert_eq!(usize::from(load.in_flight), observer.running.len());
--- a/valetrack/src/link/run.rs
+++ b/valetrack/src/link/run.rs
@@ -441,6 +441,7 @@
             bundle.mark_unchanged();
             if let Some(in_force) = &*self.parts.bundle.borrow() {
                 self.gate.set_nested_rank(in_force.bundle.nested_rank);
+                self.gate.set_configured(in_force.bundle.service(&self.parts.service).is_some());
             }
             if let Some(rule) = self.service_rule() {
                 let config = GateConfig {
--- a/valetrack/src/placement/call/end.rs
+++ b/valetrack/src/placement/call/end.rs
@@ -88,6 +88,7 @@
                 | DeclineReason::Stalled
                 | DeclineReason::NotReady
                 | DeclineReason::Slow
+                | DeclineReason::ServiceRemoved
         );
         self.try_next_server(server, is_uncharged, SendCause::Unreached, cx, out);
     }
@@ -261,7 +262,8 @@
         | DeclineReason::Cancelled
         | DeclineReason::RepeatRefused
         | DeclineReason::Quarantined
-        | DeclineReason::RateLimited => {}
+        | DeclineReason::RateLimited
+        | DeclineReason::ServiceRemoved => {}
     }
 }
 
@@ -275,6 +277,7 @@
         DeclineReason::Leaving | DeclineReason::Evacuated => Code::Leaving,
         DeclineReason::Cancelled => Code::Cancelled,
         DeclineReason::Quarantined => Code::Quarantined,
+        DeclineReason::ServiceRemoved => Code::ServiceUnknown,
         DeclineReason::Refused | DeclineReason::Rejected | DeclineReason::NotReady => Code::ServerRefused,
     }
 }
