A server that is considered again keeps the count of its attempts in flight

Suspected by reading in the review, now shown: over 56 servers, or when a server leaves and returns under the same incarnation, `ServiceView::set_present` began its state anew, with no attempts in flight. When it left once more, its index counted as free and was given to another server while attempts still referred to it: a health result or the end of an attempt was then counted at the other one.

Change: the count stays. The property of all interleavings (versions with and without the service, servers that leave, return or come anew, up to 70 of them, answers, breaks, cancels, a node's end) checks at most once, the truth of "not run", that no answer is lost that has arrived, that no index is given away while an attempt is open, and that a state goes once nothing needs it.

--- a/valetrack/src/placement/tests.rs
+++ b/valetrack/src/placement/tests.rs
@@ -14,6 +14,7 @@
 mod return_plan;
 mod root;
 mod service;
+mod services;
 mod upstreams;
 mod view;
 mod waited;
--- a/valetrack/src/placement/view.rs
+++ b/valetrack/src/placement/view.rs
@@ -166,7 +166,8 @@
         }
         let view = &mut self.servers[server];
         if present && !view.present {
-            *view = ServerView { vm: server as u64, ..EMPTY };
+            // A server that is considered again still has the attempts that were sent to it before.
+            *view = ServerView { vm: server as u64, outstanding: view.outstanding, ..EMPTY };
         }
         view.present = present;
         view.network_us = network_us;
