A restarted node relies on no heartbeat that may be older than the node

What callers saw: a server deregistered, its node acknowledged that, was killed and started again.

Cause: what the node has acknowledged lived in the process alone. For a new process the first heartbeat with `ready` put the upstream into service, whatever its sequence, and nothing in a heartbeat says when it was sent. An established process had the like: the leaving of an earlier start, or of one that it had not seen, was acknowledged and dropped.

Evidence: in the log of the second process, `upstream.state phase=Ready` follows the late heartbeat at once; `is_confirmed` in that line now tells which kind of announcement it was. Ruled out: entries (they sent nothing until the node's entry said serving), a health answer (503 all along).

Weighed: the node's former entry in the store (gone after its lease, up to seconds old, absent if the store is away), its peers (may all be gone), the order of sequences (two late heartbeats look like a live one), the upstream itself. Only the last is present whenever it matters and cannot be older than the question.

Change: for 10 s after its start, the longest delay of an announcement, a node holds the readiness of a start that it does not know until the upstream's answer to a health check names that start. After that an announcement is younger than the node and counts by itself. Not ready counts at once, as before. A leaving that belongs to an earlier start is recorded, and that start never returns.

The test `late_announcements_of_earlier_start_change_nothing` compared the whole state. It was wrong in that a leaving has to be remembered; it now compares all that callers of the state see, and that the earlier start does not return after a silence.

Why it works: an answer to a health check is given after the question, and by its rule is 200 only from an upstream that does not leave.

--- a/standin/src/managed/server.rs
+++ b/standin/src/managed/server.rs
@@ -12,7 +12,7 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{Request, Response};
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio::task::AbortHandle;
 
@@ -101,6 +101,12 @@
     health_ms: AtomicU64,
     running: AtomicUsize,
     draining: AtomicBool,
+    /// Whether the server sends no heartbeats.
+    silent: AtomicBool,
+    /// Whether health checks succeed while the server is draining.
+    health_lies: AtomicBool,
+    /// Address to which the server sends announcements.
+    control: SocketAddr,
     /// When an answer of the present incarnation first stated that the server leaves; `None` if it does not leave.
     leaving: Mutex<Option<Leaving>>,
     limits: Mutex<NamedLimits>,
@@ -163,6 +169,9 @@
             health_ms: AtomicU64::new(0),
             running: AtomicUsize::new(0),
             draining: AtomicBool::new(false),
+            silent: AtomicBool::new(false),
+            health_lies: AtomicBool::new(false),
+            control,
             leaving: Mutex::default(),
             limits: Mutex::default(),
             spoil: Mutex::new(Spoil::Nothing),
@@ -185,7 +194,7 @@
             crashes: AtomicU64::new(0),
         });
         server.clone().serve(listener);
-        tokio::spawn(server.clone().announce(control));
+        tokio::spawn(server.clone().announce());
         Ok(server)
     }
 
@@ -351,6 +360,53 @@
         self.draining.store(true, Ordering::Relaxed);
     }
 
+    /// Makes health checks succeed even while the server is draining.
+    pub fn set_health_lies(&self) {
+        self.health_lies.store(true, Ordering::Relaxed);
+    }
+
+    /// Deregisters the server, which sends no heartbeats from now on and serves on; returns whether the node has
+    /// acknowledged it.
+    pub async fn deregister(&self) -> bool {
+        self.silent.store(true, Ordering::Relaxed);
+        self.drain();
+        let path = format!("/api/instances/{}/deregister", self.id());
+        let sent = Client::new(self.control).call("POST", &path, &[], String::new()).await;
+        let is_acknowledged = sent.is_ok_and(|reply| reply.status == 200);
+        if is_acknowledged {
+            self.acknowledged_drain().get_or_insert_with(Instant::now);
+        }
+        is_acknowledged
+    }
+
+    /// Returns the next heartbeat of a server that is ready, for a test that delivers it late.
+    pub fn make_heartbeat(&self) -> Value {
+        let mut incarnation = self.incarnation();
+        incarnation.sequence += 1;
+        self.heartbeat(*incarnation, "ready")
+    }
+
+    /// Sends a heartbeat of the current incarnation; returns whether it was acknowledged.
+    pub async fn deliver(&self, heartbeat: &Value) -> bool {
+        self.deliver_as(&self.id(), heartbeat).await
+    }
+
+    /// Sends a heartbeat of the incarnation with this id; returns whether it was acknowledged.
+    pub async fn deliver_as(&self, id: &str, heartbeat: &Value) -> bool {
+        let path = format!("/api/instances/{id}/heartbeat");
+        let sent = Client::new(self.control).call("POST", &path, &[], heartbeat.to_string()).await;
+        sent.is_ok_and(|reply| reply.status == 200)
+    }
+
+    fn heartbeat(&self, incarnation: Incarnation, state: &str) -> Value {
+        let version = self.version.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        json!({
+            "service": self.service, "address": self.addr, "zone": "kranj", "version": version,
+            "slots": self.slots, "state": state, "cold_ms": self.cold_left().as_millis() as u64,
+            "sequence": incarnation.sequence, "born": incarnation.born_ms,
+        })
+    }
+
     /// Returns the id of the current incarnation.
     pub fn id(&self) -> String {
         self.id_of(*self.incarnation())
@@ -384,6 +440,8 @@
         let mut incarnation = self.incarnation();
         *incarnation = Incarnation::after(*incarnation, generation);
         self.draining.store(false, Ordering::Relaxed);
+        self.silent.store(false, Ordering::Relaxed);
+        self.health_lies.store(false, Ordering::Relaxed);
         *self.leaving.lock().unwrap_or_else(PoisonError::into_inner) = None;
         self.set_limit(None);
     }
@@ -473,9 +531,9 @@
         self.rejected.load(Ordering::Relaxed)
     }
 
-    async fn announce(self: Arc<Self>, control: SocketAddr) {
+    async fn announce(self: Arc<Self>) {
         loop {
-            if self.down.load(Ordering::Relaxed) {
+            if self.down.load(Ordering::Relaxed) || self.silent.load(Ordering::Relaxed) {
                 tokio::time::sleep(Duration::from_millis(REBIND_MS)).await;
                 continue;
             }
@@ -485,16 +543,8 @@
                 (*incarnation, self.is_draining())
             };
             let id = self.id_of(incarnation);
-            let state = if draining { "draining" } else { "ready" };
-            let version = self.version.lock().unwrap_or_else(PoisonError::into_inner).clone();
-            let heartbeat = json!({
-                "service": self.service, "address": self.addr, "zone": "kranj", "version": version,
-                "slots": self.slots, "state": state, "cold_ms": self.cold_left().as_millis() as u64,
-                "sequence": incarnation.sequence, "born": incarnation.born_ms,
-            });
-            let path = format!("/api/instances/{}/heartbeat", id);
-            let sent = Client::new(control).call("POST", &path, &[], heartbeat.to_string()).await;
-            if sent.is_ok_and(|reply| reply.status == 200) {
+            let heartbeat = self.heartbeat(incarnation, if draining { "draining" } else { "ready" });
+            if self.deliver_as(&id, &heartbeat).await {
                 self.acknowledged.fetch_add(1, Ordering::Relaxed);
                 if draining && id == self.id() {
                     self.acknowledged_drain().get_or_insert_with(Instant::now);
@@ -533,7 +583,8 @@
 async fn handle_request(server: Arc<ManagedServer>, request: Request<Incoming>) -> Answer {
     if request.uri().path() == "/health" {
         tokio::time::sleep(Duration::from_millis(server.health_ms.load(Ordering::Relaxed))).await;
-        let status = if server.draining.load(Ordering::Relaxed) { 503 } else { 200 };
+        let refuses = server.draining.load(Ordering::Relaxed) && !server.health_lies.load(Ordering::Relaxed);
+        let status = if refuses { 503 } else { 200 };
         let mut reply = answer(status, "");
         reply.headers_mut().insert("x-instance-id", HeaderValue::from_str(&server.id())?);
         let cold_ms = server.cold_left().as_millis() as u64;
--- /dev/null
+++ b/standin/tests/node_restart.rs
@@ -0,0 +1,92 @@
+//! Nodes that are killed beside an upstream that leaves, with announcements that arrive late.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::managed::{Fleet, call, status};
+use common::wait_for;
+use serde_json::Value;
+use test_case::test_case;
+use tokio::time::sleep;
+
+/// Sends calls by the nodes of `ledger` until `length` has passed; returns how many were not served.
+async fn count_failed_calls(fleet: &Fleet, length: Duration) -> usize {
+    let entries: Vec<_> = fleet.vms.iter().filter(|vm| vm.service == "ledger").map(|vm| vm.caller_addr).collect();
+    let began = Instant::now();
+    let (mut number, mut failed) = (0, 0);
+    while began.elapsed() < length {
+        number += 1;
+        let reply = call(entries[number % entries.len()], "GET", "/sheet/", &format!("sheet-{number}")).await;
+        failed += usize::from(status(&reply) != 200);
+        sleep(Duration::from_millis(10)).await;
+    }
+    failed
+}
+
+/// Kills and starts the first node `count` times, with this downtime.
+async fn restart_node(fleet: &mut Fleet, count: usize, down_ms: u64) {
+    for _ in 0..count {
+        fleet.kill_node(0);
+        sleep(Duration::from_millis(down_ms)).await;
+        fleet.start_node(0);
+        wait_for("readiness", async || fleet.readiness(0).await == 200).await;
+    }
+}
+
+async fn deliver(fleet: &Fleet, late: &[Value]) {
+    for heartbeat in late {
+        assert!(fleet.vms[0].upstream.deliver(heartbeat).await, "a late heartbeat is acknowledged");
+    }
+}
+
+/// Guards against a restarted node that relies on a heartbeat from before an acknowledged deregistration.
+#[test_case(1, 200; "killed once")]
+#[test_case(2, 200; "killed twice")]
+#[test_case(1, 9_000; "down for longer than its lease")]
+fn leaving_upstream_gets_no_calls_after_late_heartbeats(kills: usize, down_ms: u64) {
+    run(async move {
+        let mut fleet = Fleet::start(&["rounds", "rounds", "ledger", "ledger"]).await;
+        let leaving = fleet.vms[0].upstream.clone();
+        let late = [leaving.make_heartbeat(), leaving.make_heartbeat()];
+        assert!(leaving.deregister().await, "the deregistration is acknowledged");
+        sleep(Duration::from_millis(500)).await;
+        restart_node(&mut fleet, kills, down_ms).await;
+        deliver(&fleet, &late).await;
+        sleep(Duration::from_millis(1_500)).await;
+        let failed = count_failed_calls(&fleet, Duration::from_millis(2_500)).await;
+        assert_eq!((leaving.late_arrivals(), failed), (0, 0), "late arrivals and failed calls");
+    });
+}
+
+/// Guards against a start that becomes slower for upstreams that do not leave.
+#[tokio::test]
+async fn upstream_serves_soon_after_restart_of_its_node() {
+    let mut fleet = Fleet::start(&["rounds", "ledger", "ledger"]).await;
+    restart_node(&mut fleet, 1, 200).await;
+    let since = Instant::now();
+    wait_for("a served call", async || fleet.answering_vm(1, "back").await == Some(0)).await;
+    assert!(since.elapsed() < Duration::from_millis(2_000), "{:?}", since.elapsed());
+}
+
+/// Guards against a late heartbeat of an ended start that takes the place of the present one.
+#[tokio::test]
+async fn new_start_serves_despite_late_heartbeat_of_ended_one() {
+    let mut fleet = Fleet::start(&["rounds", "ledger", "ledger"]).await;
+    let upstream = fleet.vms[0].upstream.clone();
+    let ended = (upstream.id(), upstream.make_heartbeat());
+    assert!(upstream.deregister().await, "the deregistration is acknowledged");
+    fleet.kill_node(0);
+    upstream.restart_with_new_id();
+    fleet.start_node(0);
+    wait_for("a served call", async || status(&fleet.call(1, "GET", "/sheet/", "new").await) == 200).await;
+    assert!(upstream.deliver_as(&ended.0, &ended.1).await, "the late heartbeat is acknowledged");
+    let failed = count_failed_calls(&fleet, Duration::from_millis(2_000)).await;
+    assert_eq!(failed, 0);
+}
+
+/// Runs a test on a runtime of its own.
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("a runtime").block_on(test);
+}
--- a/valetrack/src/gate/run/signal.rs
+++ b/valetrack/src/gate/run/signal.rs
@@ -107,8 +107,16 @@
         }
         log::info!("event=upstream.leaving id={id} by={by}");
         self.handle(GateEvent::Drain);
-        let stated =
-            Announcement { id, born_ms: None, sequence: None, ready: false, slots: None, version: None, cold_ms: 0 };
+        let stated = Announcement {
+            id,
+            born_ms: None,
+            sequence: None,
+            ready: false,
+            slots: None,
+            version: None,
+            cold_ms: 0,
+            is_solicited: true,
+        };
         if let Err(error) = to_upstream.try_send(stated) {
             // The gate stays closed, and the next answer states it again.
             log::warn!("event=upstream.leaving_unreported reason=\"{error}\"");
--- a/valetrack/src/gate/tests.rs
+++ b/valetrack/src/gate/tests.rs
@@ -8,6 +8,7 @@
 mod evacuation;
 mod life;
 mod limit;
+mod node_start;
 mod origin;
 mod outage;
 mod property;
--- a/valetrack/src/gate/tests/life.rs
+++ b/valetrack/src/gate/tests/life.rs
@@ -19,11 +19,12 @@
         slots: Some(12),
         version: None,
         cold_ms: 0,
+        is_solicited: false,
     }
 }
 
 fn deregistration(born_ms: Option<u64>) -> Announcement {
-    Announcement { id: Arc::from("a"), born_ms, sequence: None, ready: false, slots: None, version: None, cold_ms: 0 }
+    Announcement { sequence: None, ready: false, slots: None, ..heartbeat(born_ms, 0, false) }
 }
 
 #[test]
@@ -51,9 +52,16 @@
     state.take(&heartbeat(Some(100), 7, true), 0);
     state.take(&heartbeat(Some(200), 1, true), 0);
     let before = state.clone();
+    assert!(!state.take(&heartbeat(Some(100), 8, true), 1_000));
+    assert_eq!(state, before);
     assert!(!state.take(&heartbeat(Some(100), 8, false), 1_000));
     assert!(!state.take(&deregistration(Some(100)), 1_000));
-    assert_eq!(state, before);
+    let visible = |state: &UpstreamState| {
+        let UpstreamState { id, start, phase, slots, version, cold_until_us, .. } = state.clone();
+        (id, start, phase, slots, version, cold_until_us)
+    };
+    assert_eq!(visible(&state), visible(&before));
+    assert!(!state.take(&heartbeat(Some(100), 9, true), 60_000_000), "the earlier start has left for good");
 }
 
 #[test]
--- a/valetrack/src/gate/tests/upstream.rs
+++ b/valetrack/src/gate/tests/upstream.rs
@@ -13,6 +13,7 @@
         slots: Some(12),
         version: None,
         cold_ms: 0,
+        is_solicited: false,
     }
 }
 
@@ -25,6 +26,7 @@
         slots: None,
         version: None,
         cold_ms: 0,
+        is_solicited: false,
     }
 }
 
--- a/valetrack/src/gate/upstream.rs
+++ b/valetrack/src/gate/upstream.rs
@@ -13,6 +13,8 @@
 /// Two reported ends of a cold period within this distance belong to the same period: announcements take some
 /// milliseconds, and a node that is short of processor time reads them late.
 const COLD_JITTER_US: u64 = 200_000;
+/// Longest delay of an announcement. Heartbeats may arrive seconds late; several times as long is certain to cover it.
+const DELAY_MAX_US: u64 = 10_000_000;
 
 /// Whether the upstream accepts work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -43,6 +45,15 @@
     pub version: Option<Arc<str>>,
     /// Remaining time for which the upstream is cold.
     pub cold_ms: u64,
+    /// Whether it answers a request of this node, and so cannot be older than the node.
+    pub is_solicited: bool,
+}
+
+impl Announcement {
+    /// Returns whether both may come from the same start.
+    fn is_of_start(&self, other: &Self) -> bool {
+        self.id == other.id && is_same_start(self.born_ms, other.born_ms)
+    }
 }
 
 /// An earlier start of the upstream.
@@ -77,6 +88,11 @@
     received_us: u64,
     /// Earlier starts, oldest first. Announcements from them are outdated.
     earlier: Vec<EarlierStart>,
+    /// Time until which an announcement may have been sent before this node started. An earlier process of the node may
+    /// have acknowledged since that the upstream leaves.
+    may_be_late_until_us: u64,
+    /// Latest announcement of readiness that may have been sent before this node started.
+    unconfirmed: Option<Announcement>,
 }
 
 impl UpstreamState {
@@ -85,6 +101,11 @@
         Self { phase: UpstreamPhase::Ready, ..Self::unknown() }
     }
 
+    /// Returns the state of the upstream of a node that has started at `now_us`.
+    pub fn at_node_start(now_us: u64) -> Self {
+        Self { may_be_late_until_us: now_us + DELAY_MAX_US, ..Self::unknown() }
+    }
+
     /// Returns the state of an upstream from which no announcement was received yet.
     pub fn unknown() -> Self {
         Self {
@@ -98,6 +119,8 @@
             sequence: 0,
             received_us: 0,
             earlier: Vec::new(),
+            may_be_late_until_us: 0,
+            unconfirmed: None,
         }
     }
 
@@ -107,19 +130,77 @@
         Some(Departure { vm: vm.clone(), id, born_ms: self.born_ms })
     }
 
+    /// Returns whether no announcement awaits confirmation.
+    pub fn is_confirmed(&self) -> bool {
+        self.unconfirmed.is_none()
+    }
+
+    /// Returns whether a health check of the upstream would decide whether it accepts work.
+    pub fn awaits_health_check(&self, now_us: u64) -> bool {
+        let is_doubted = self.unconfirmed.is_some() && now_us < self.may_be_late_until_us;
+        self.phase == UpstreamPhase::Unknown || is_doubted
+    }
+
     /// Applies an announcement that arrived at `now_us`; returns whether the state changed.
     ///
     /// A start that has left never returns to service: the phase of one start only moves forward, and announcements
-    /// that later ones have overtaken change nothing.
+    /// that later ones have overtaken change nothing. A start that this node does not know counts as ready only once an
+    /// announcement of it is certainly no older than the node.
     pub fn take(&mut self, announcement: &Announcement, now_us: u64) -> bool {
         let is_other = !self.is_present(announcement);
         if is_other && self.is_outdated(announcement, now_us) {
+            self.record_departure(announcement);
+            return false;
+        }
+        if is_other && self.may_be_late(announcement, now_us) {
+            return self.hold(announcement);
+        }
+        let confirmed = self.take_unconfirmed(announcement);
+        let is_changed = self.apply(announcement, is_other, now_us);
+        match confirmed {
+            Some(confirmed) => self.apply(&confirmed, false, now_us) || is_changed,
+            None => is_changed,
+        }
+    }
+
+    /// Returns whether an announcement of readiness may have been sent before this node started.
+    fn may_be_late(&self, announcement: &Announcement, now_us: u64) -> bool {
+        announcement.ready && !announcement.is_solicited && now_us < self.may_be_late_until_us
+    }
+
+    /// Keeps an announcement until the upstream's answer to a health check confirms it; returns whether it is the first
+    /// one of its start.
+    fn hold(&mut self, announcement: &Announcement) -> bool {
+        let known = self.unconfirmed.as_ref().filter(|known| known.is_of_start(announcement));
+        if known.is_some_and(|known| known.sequence >= announcement.sequence) {
             return false;
         }
+        let is_first = known.is_none();
+        self.unconfirmed = Some(announcement.clone());
+        is_first
+    }
+
+    /// Removes the unconfirmed announcement if this one decides about it, and returns it if this one confirms it.
+    fn take_unconfirmed(&mut self, announcement: &Announcement) -> Option<Announcement> {
+        let is_same = self.unconfirmed.as_ref().is_some_and(|held| held.is_of_start(announcement));
+        if !is_same && !announcement.is_solicited {
+            return None;
+        }
+        self.unconfirmed.take().filter(|_| is_same && announcement.ready)
+    }
+
+    fn apply(&mut self, announcement: &Announcement, is_other: bool, now_us: u64) -> bool {
         let before = self.clone();
         if is_other {
             let earlier = self.updated_earlier_starts(announcement);
-            *self = Self { id: Some(announcement.id.clone()), start: self.start + 1, earlier, ..Self::unknown() };
+            *self = Self {
+                id: Some(announcement.id.clone()),
+                start: self.start + 1,
+                earlier,
+                may_be_late_until_us: self.may_be_late_until_us,
+                unconfirmed: self.unconfirmed.take(),
+                ..Self::unknown()
+            };
         }
         self.born_ms = announcement.born_ms.or(self.born_ms);
         self.received_us = now_us;
@@ -176,18 +257,38 @@
         }
     }
 
+    /// Records that an earlier start has announced that it leaves, which is final and acknowledged.
+    fn record_departure(&mut self, announcement: &Announcement) {
+        if announcement.ready {
+            return;
+        }
+        let Announcement { id, born_ms, .. } = announcement;
+        let same = |start: &&mut EarlierStart| start.id == *id && is_same_start(start.born_ms, *born_ms);
+        match self.earlier.iter_mut().find(same) {
+            Some(start) => start.left = true,
+            None => {
+                self.earlier.push(EarlierStart { id: id.clone(), born_ms: *born_ms, left: true });
+                drop_oldest(&mut self.earlier);
+            }
+        }
+    }
+
     /// Returns the earlier starts with the present one appended and the announcing one removed.
     fn updated_earlier_starts(&mut self, announcement: &Announcement) -> Vec<EarlierStart> {
         let mut earlier = std::mem::take(&mut self.earlier);
         earlier.retain(|start| start.id != announcement.id || !is_same_start(start.born_ms, announcement.born_ms));
         let left = self.phase == UpstreamPhase::Leaving;
         earlier.extend(self.id.take().map(|id| EarlierStart { id, born_ms: self.born_ms, left }));
-        let excess = earlier.len().saturating_sub(EARLIER_STARTS_MAX);
-        earlier.drain(..excess);
+        drop_oldest(&mut earlier);
         earlier
     }
 }
 
+fn drop_oldest(earlier: &mut Vec<EarlierStart>) {
+    let excess = earlier.len().saturating_sub(EARLIER_STARTS_MAX);
+    earlier.drain(..excess);
+}
+
 /// Returns whether two announcements with the same id may come from the same start.
 fn is_same_start(recorded_ms: Option<u64>, reported_ms: Option<u64>) -> bool {
     match (recorded_ms, reported_ms) {
--- a/valetrack/src/link/run.rs
+++ b/valetrack/src/link/run.rs
@@ -21,13 +21,12 @@
 use super::tls::LinkTls;
 use crate::bundle::{InForce, PackedTexts, Receiver as TextReceiver, ServiceRule, TextServer};
 use crate::claim::ClaimJob;
-use crate::clock::{SuspensionWatch, now_us, suspended_us};
+use crate::clock::{SuspensionWatch, now_us, steady_us, suspended_us};
 use crate::crash::{CrashJob, Quarantine};
 use crate::gate::pool::ServerPool;
 use crate::gate::run::{GateReply, GateShell, GateShellParts};
 use crate::gate::{
-    Announcement, DeclineReason, Departures, GateConfig, Health, RunLedger, UpstreamPhase, UpstreamProtocol,
-    UpstreamState,
+    Announcement, DeclineReason, Departures, GateConfig, Health, RunLedger, UpstreamProtocol, UpstreamState,
 };
 use crate::jobs::next_job;
 use crate::member::{Evacuation, FollowerReply, GossipReply, Member, MemberJob, Members};
@@ -190,35 +189,51 @@
         let _ = reply.send(result);
     }
 
-    /// Checks the health of the upstream until its state is known. A restarted node thus doesn't wait for the next
-    /// announcement.
+    /// Checks the health of the upstream whenever that decides whether it accepts work. A restarted node thus doesn't
+    /// wait for the next announcement, and doesn't rely on one that is older than the node.
     async fn check_upstream(self: Rc<Self>) {
         let Some(to_upstream) = self.parts.to_upstream.clone() else {
             return;
         };
-        while self.parts.upstream.borrow().phase == UpstreamPhase::Unknown {
-            let path = self.service_rule().and_then(|rule| rule.health_path);
-            if let Some(path) = path
-                && let Some(Health { id, ready: true, cold_ms }) = self.gate.health(&path).await
-            {
-                let cold_ms = cold_ms.unwrap_or(0);
-                let found = Announcement {
-                    id,
-                    born_ms: None,
-                    sequence: Some(0),
-                    ready: true,
-                    slots: None,
-                    version: None,
-                    cold_ms,
-                };
+        let mut upstream = self.parts.upstream.clone();
+        let mut bundle = self.parts.bundle.clone();
+        loop {
+            bundle.mark_unchanged();
+            let is_due = upstream.borrow_and_update().awaits_health_check(steady_us());
+            if is_due && let Some(found) = self.request_readiness().await {
                 // The ring is read until the node stops.
                 let _ = to_upstream.send(found).await;
+            }
+            let changed = tokio::select! {
+                changed = upstream.changed() => changed,
+                // The bundle names the path of the health check.
+                changed = bundle.changed(), if is_due => changed,
+                () = tokio::time::sleep(Duration::from_millis(HEALTH_CHECK_INTERVAL_MS)), if is_due => Ok(()),
+            };
+            if changed.is_err() {
                 return;
             }
-            tokio::time::sleep(Duration::from_millis(HEALTH_CHECK_INTERVAL_MS)).await;
         }
     }
 
+    /// Returns the announcement that the upstream's answer to a health check amounts to; none unless it is ready.
+    async fn request_readiness(&self) -> Option<Announcement> {
+        let path = self.service_rule()?.health_path?;
+        let Health { id, ready, cold_ms } = self.gate.health(&path).await?;
+        let cold_ms = cold_ms.unwrap_or(0);
+        let found = Announcement {
+            id,
+            born_ms: None,
+            sequence: Some(0),
+            ready,
+            slots: None,
+            version: None,
+            cold_ms,
+            is_solicited: true,
+        };
+        ready.then_some(found)
+    }
+
     fn service_rule(&self) -> Option<ServiceRule> {
         let bundle = self.parts.bundle.borrow();
         bundle.as_ref()?.bundle.service(&self.parts.service).cloned()
--- a/valetrack/src/node/part.rs
+++ b/valetrack/src/node/part.rs
@@ -9,7 +9,7 @@
 use crate::bundle::{BundleFormat, Confirmation, InForce, PackedTexts};
 use crate::caller::CallerProtocol;
 use crate::claim::{ClaimJob, ClaimState};
-use crate::clock::wall_us;
+use crate::clock::{steady_us, wall_us};
 use crate::crash::{CrashHistory, CrashJob};
 use crate::gate::{Announcement, UpstreamProtocol, UpstreamState};
 use crate::link::peer::LinkJob;
@@ -72,7 +72,7 @@
     pub(super) fn new(settings: NodeSettings, platform: Platform) -> (Option<Box<dyn Announcements>>, Self) {
         let Platform { caller, upstream, format, membership, announcements, ready_path } = platform;
         let state = match announcements {
-            Some(_) => UpstreamState::unknown(),
+            Some(_) => UpstreamState::at_node_start(steady_us()),
             None => UpstreamState::unannounced(),
         };
         let seed = if settings.seed == 0 { fastrand::u64(1..) } else { settings.seed };
--- a/valetrack/src/node/start.rs
+++ b/valetrack/src/node/start.rs
@@ -380,8 +380,9 @@
         let cold_ms = state.cold_until_us.saturating_sub(now) / 1000;
         let UpstreamState { start, phase, .. } = *state;
         log::info!(
-            "event=upstream.state id={} start={start} phase={phase:?} slots={slots} cold_ms={cold_ms}",
-            announcement.id
+            "event=upstream.state id={} start={start} phase={phase:?} slots={slots} cold_ms={cold_ms} is_confirmed={}",
+            announcement.id,
+            state.is_confirmed()
         );
     }
     if state.start != start && phase == UpstreamPhase::Ready {
