A departure told in an announcement outlives the node like one told in an answer

Departures that upstreams state in answers were remembered by entries, by incarnation, and attached to later calls. Those told in announcements were not.

Change: one mechanism for both. A node's entry names the incarnation of its upstream that leaves (`departure`), so it is in the store and at all nodes. Every node remembers it for ten minutes and attaches it to calls for that VM; a restarted node finds it in its former entry, or in the state that its peers send it, and takes its upstream out of service. The start time of the departed incarnation goes with it, so a new start under the same id is not mistaken for it. Departures are kept by VM: looking them up for a call does not grow with the fleet. Messages between nodes have version 12.

--- a/standin/src/slope.rs
+++ b/standin/src/slope.rs
@@ -73,6 +73,7 @@
         link_addr: ([10, 0, (number >> 8) as u8, number as u8], 7_001).into(),
         version: None,
         is_relay: false,
+        departure: None,
     }
 }
 
--- a/standin/tests/node_restart.rs
+++ b/standin/tests/node_restart.rs
@@ -41,14 +41,19 @@
 }
 
 /// Guards against a restarted node that relies on a heartbeat from before an acknowledged deregistration.
-#[test_case(1, 200; "killed once")]
-#[test_case(2, 200; "killed twice")]
-#[test_case(1, 9_000; "down for longer than its lease")]
-fn leaving_upstream_gets_no_calls_after_late_heartbeats(kills: usize, down_ms: u64) {
+#[test_case(1, 200, false; "killed once")]
+#[test_case(2, 200, false; "killed twice")]
+#[test_case(1, 9_000, false; "down for longer than its lease")]
+#[test_case(1, 200, true; "while its health check succeeds")]
+#[test_case(1, 9_000, true; "down for longer than its lease while its health check succeeds")]
+fn leaving_upstream_gets_no_calls_after_late_heartbeats(kills: usize, down_ms: u64, health_lies: bool) {
     run(async move {
         let mut fleet = Fleet::start(&["rounds", "rounds", "ledger", "ledger"]).await;
         let leaving = fleet.vms[0].upstream.clone();
         let late = [leaving.make_heartbeat(), leaving.make_heartbeat()];
+        if health_lies {
+            leaving.set_health_lies();
+        }
         assert!(leaving.deregister().await, "the deregistration is acknowledged");
         sleep(Duration::from_millis(500)).await;
         restart_node(&mut fleet, kills, down_ms).await;
--- a/valetrack/src/claim/tests/continuity.rs
+++ b/valetrack/src/claim/tests/continuity.rs
@@ -82,6 +82,7 @@
         link_addr,
         version: None,
         is_relay: false,
+        departure: None,
     }
 }
 
--- a/valetrack/src/gate/departure.rs
+++ b/valetrack/src/gate/departure.rs
@@ -1,10 +1,11 @@
-//! Incarnations of upstreams that have stated in an answer that they leave.
+//! Incarnations of upstreams that have stated that they leave, in an answer or in an announcement.
 //!
-//! An entry remembers them from the answers that it passed on and attaches them to later calls, so an owner that has
-//! restarted, and relies on a late announcement, does not send such a call to an upstream that leaves.
+//! Every node remembers them from the answers that it passed on and from the entries of other nodes, and attaches them to
+//! later calls. An owner that has restarted, and has only a late announcement or a health check that succeeds, does not
+//! send such a call to an upstream that leaves.
 
 use std::cell::RefCell;
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -12,8 +13,8 @@
 use super::header::LEAVING_HEADER;
 use crate::clock::now_us;
 
-/// Largest number of remembered departures.
-const DEPARTURES_MAX: usize = 64;
+/// Largest number of remembered departures of one VM.
+const DEPARTURES_MAX: usize = 8;
 /// Largest number of departures that are attached to a call whose owner is not known yet.
 const ATTACHED_MAX: usize = 16;
 /// How long a departure is remembered. An upstream that leaves ends within minutes.
@@ -38,10 +39,10 @@
     }
 }
 
-/// Departures that one node remembers, oldest first.
+/// Departures that one node remembers, by VM and oldest first, with the time of each record.
 #[derive(Debug, Default)]
 pub struct Departures {
-    known: RefCell<VecDeque<(u64, Departure)>>,
+    known: RefCell<HashMap<Arc<str>, VecDeque<(u64, Departure)>>>,
 }
 
 impl Departures {
@@ -52,7 +53,7 @@
                 return true;
             }
             match postcard::from_bytes(value) {
-                Ok(departure) => self.record(departure),
+                Ok(departure) => self.record(&departure),
                 Err(error) => log::warn!("event=departure.invalid reason=\"{error}\""),
             }
             false
@@ -66,31 +67,46 @@
             return;
         }
         let now_us = now_us();
-        let is_current = |(since_us, _): &&(u64, Departure)| now_us < since_us + RETENTION_US;
-        let current = known.iter().rev().filter(is_current).map(|(_, departure)| departure);
-        let attached = current.filter(|departure| vm.is_none_or(|vm| *departure.vm == *vm)).take(ATTACHED_MAX);
-        headers.extend(attached.filter_map(header));
+        let mut attached: Vec<&(u64, Departure)> = match vm {
+            Some(vm) => known.get(vm).into_iter().flatten().collect(),
+            None => known.values().flatten().collect(),
+        };
+        attached.retain(|(since_us, _)| is_current(*since_us, now_us));
+        attached.sort_by_key(|(since_us, _)| std::cmp::Reverse(*since_us));
+        headers.extend(attached.into_iter().take(ATTACHED_MAX).filter_map(|(_, departure)| header(departure)));
     }
 
     /// Remembers a departure.
-    pub fn record(&self, departure: Departure) {
+    pub fn record(&self, departure: &Departure) {
         let mut known = self.known.borrow_mut();
-        if known.iter().any(|(_, other)| *other == departure) {
+        if known.get(&departure.vm).is_some_and(|of_vm| of_vm.iter().any(|(_, other)| other == departure)) {
             return;
         }
         log::info!("event=departure.recorded peer={} id={}", departure.vm, departure.id);
-        if known.len() >= DEPARTURES_MAX {
-            known.pop_front();
+        let now_us = now_us();
+        known.retain(|_, of_vm| {
+            of_vm.retain(|(since_us, _)| is_current(*since_us, now_us));
+            !of_vm.is_empty()
+        });
+        let of_vm = known.entry(departure.vm.clone()).or_default();
+        if of_vm.len() >= DEPARTURES_MAX {
+            of_vm.pop_front();
         }
-        known.push_back((now_us(), departure));
+        of_vm.push_back((now_us, departure.clone()));
     }
 
-    /// Returns whether an incarnation of an upstream is known to leave.
-    pub fn includes(&self, incarnation: &Departure) -> bool {
-        self.known.borrow().iter().any(|(_, departure)| departure.matches(incarnation))
+    /// Returns the departure of an incarnation of an upstream, if it is known to leave.
+    pub fn of(&self, incarnation: &Departure) -> Option<Departure> {
+        let known = self.known.borrow();
+        let mut of_vm = known.get(&incarnation.vm)?.iter().map(|(_, departure)| departure);
+        of_vm.find(|departure| departure.matches(incarnation)).cloned()
     }
 }
 
+fn is_current(since_us: u64, now_us: u64) -> bool {
+    now_us < since_us + RETENTION_US
+}
+
 /// Returns the header of a message between nodes that states a departure.
 pub fn header(departure: &Departure) -> Option<(String, Vec<u8>)> {
     // Encoding fails only for lack of memory.
--- a/valetrack/src/gate/run/follow.rs
+++ b/valetrack/src/gate/run/follow.rs
@@ -41,9 +41,10 @@
             }
             if (state.start, state.phase) != (previous.start, previous.phase) {
                 self.follow_phase(state.phase);
+                self.follow_departures();
             }
             if state.id.is_some() && self.has_left_unannounced.take() {
-                self.on_leaving("answer");
+                self.on_leaving("answer", None);
             }
             if state.cold_until_us != previous.cold_until_us {
                 self.gate.borrow_mut().set_cold(state.cold_until_us, steady_us());
@@ -106,15 +107,18 @@
         }
     }
 
-    /// Closes the gate while the upstream's failure domain is evacuated, according to the membership.
+    /// Closes the gate while the upstream's failure domain is evacuated, and remembers the upstreams that leave, according to
+    /// the membership.
     pub async fn follow_members(self: Rc<Self>, domain: Arc<str>, mut members: watch::Receiver<Arc<Members>>) {
         let mut evacuated = false;
         loop {
             let covered = {
                 let members = members.borrow_and_update();
                 self.origins.borrow_mut().set_vms(members.vms_by_service());
+                members.departures().for_each(|departure| self.departures.record(departure));
                 members.evacuation().covers(&domain)
             };
+            self.follow_departures();
             if covered != evacuated {
                 evacuated = covered;
                 self.set_evacuated(evacuated).await;
--- a/valetrack/src/gate/run/signal.rs
+++ b/valetrack/src/gate/run/signal.rs
@@ -33,7 +33,7 @@
             self.changed.notify_one();
         }
         if begun_us >= self.start_since_us.get() && self.pool.protocol().is_leaving(headers) {
-            self.on_leaving("answer");
+            self.on_leaving("answer", None);
         }
     }
 }
@@ -81,18 +81,19 @@
         }
     }
 
-    /// Stops sending calls to the upstream if an entry has passed on an answer in which its present start stated that it
-    /// leaves. This node may have restarted since.
+    /// Stops sending calls to the upstream if its present start has stated before that it leaves, to an earlier process
+    /// of this node or in an answer that an entry has passed on.
     pub(super) fn follow_departures(self: &Rc<Self>) {
         let incarnation = self.upstream.borrow().incarnation(&self.vm);
-        if incarnation.is_some_and(|incarnation| self.departures.includes(&incarnation)) {
-            self.on_leaving("entry");
+        if let Some(departure) = incarnation.and_then(|incarnation| self.departures.of(&incarnation)) {
+            self.on_leaving("departure", departure.born_ms);
         }
     }
 
     /// Stops sending calls to an upstream that leaves. Without announcements, nothing would show its next start, so the
-    /// node leaves with it.
-    pub(super) fn on_leaving(self: &Rc<Self>, by: &str) {
+    /// node leaves with it. The time at which the leaving start began, if it is known, tells a later start under the same
+    /// id from it.
+    pub(super) fn on_leaving(self: &Rc<Self>, by: &str, born_ms: Option<u64>) {
         let state = self.upstream.borrow().clone();
         let Some(to_upstream) = &self.to_upstream else {
             self.leaving.notify_one();
@@ -109,7 +110,7 @@
         self.handle(GateEvent::Drain);
         let stated = Announcement {
             id,
-            born_ms: None,
+            born_ms,
             sequence: None,
             ready: false,
             slots: None,
--- a/valetrack/src/gate/tests/departure.rs
+++ b/valetrack/src/gate/tests/departure.rs
@@ -15,21 +15,22 @@
 #[test_case(departure("b", "i-1", Some(5)), false; "another VM")]
 fn departure_holds_for_its_incarnation_alone(other: Departure, expected: bool) {
     let departures = Departures::default();
-    departures.record(departure("a", "i-1", Some(5)));
-    assert_eq!(departures.includes(&other), expected);
+    departures.record(&departure("a", "i-1", Some(5)));
+    assert_eq!(departures.of(&other).is_some(), expected);
 }
 
 #[test]
 fn departures_pass_between_nodes_in_headers_only() {
     let (entry, owner) = (Departures::default(), Departures::default());
-    entry.record(departure("a", "i-1", Some(5)));
-    entry.record(departure("b", "i-2", None));
+    entry.record(&departure("a", "i-1", Some(5)));
+    entry.record(&departure("b", "i-2", None));
     let mut headers = vec![("accept".to_owned(), b"*/*".to_vec())];
     entry.attach(Some("a"), &mut headers);
     assert_eq!(headers.len(), 2, "only the departure of the owner's VM");
     owner.take_from(&mut headers);
     assert_eq!(headers, [("accept".to_owned(), b"*/*".to_vec())]);
-    assert!(owner.includes(&departure("a", "i-1", Some(5))) && !owner.includes(&departure("b", "i-2", None)));
+    assert!(owner.of(&departure("a", "i-1", Some(5))).is_some());
+    assert!(owner.of(&departure("b", "i-2", None)).is_none());
     entry.attach(None, &mut headers);
     assert_eq!(headers.len(), 3, "all of them while the owner is unknown");
 }
--- a/valetrack/src/link/message.rs
+++ b/valetrack/src/link/message.rs
@@ -18,7 +18,7 @@
 use crate::store::Position;
 
 /// Version of the messages. The TLS handshake fails between nodes of different versions.
-pub const ALPN: &[u8] = b"valetrack/11";
+pub const ALPN: &[u8] = b"valetrack/12";
 /// Largest head.
 pub const HEAD_MAX_BYTES: usize = 64 * 1024;
 /// Largest body; the limits of routes are lower.
--- a/valetrack/src/link/tests.rs
+++ b/valetrack/src/link/tests.rs
@@ -252,6 +252,7 @@
         link_addr: ([127, 0, 0, 1], 9).into(),
         version: None,
         is_relay: false,
+        departure: None,
     }
 }
 
--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -35,7 +35,7 @@
 use crate::claim::ClaimReport;
 use crate::clock::now_us;
 use crate::crash::CrashJob;
-use crate::gate::{UpstreamPhase, UpstreamState};
+use crate::gate::{Departure, UpstreamPhase, UpstreamState};
 use crate::jobs::BackgroundTasks;
 use crate::link::message::{Ask, PeerRequest, Reply};
 use crate::link::peer::{self, LinkJob, LinkResult, Target};
@@ -113,6 +113,8 @@
     evacuation: RefCell<Evacuation>,
     /// The operators' keys that `evacuation` is derived from.
     evacuation_keys: RefCell<EvacuationKeys>,
+    /// Departure of the upstream that an earlier process of this node has acknowledged, as other nodes have reported it.
+    earlier_departure: RefCell<Option<Departure>>,
     /// Whether a request for evacuations to another node is pending.
     fetching_evacuation: Cell<bool>,
     rng: RefCell<fastrand::Rng>,
@@ -186,6 +188,7 @@
         me: RefCell::new(parts.me.clone()),
         evacuation: RefCell::default(),
         evacuation_keys: RefCell::default(),
+        earlier_departure: RefCell::default(),
         fetching_evacuation: Cell::new(false),
         rng: RefCell::new(fastrand::Rng::with_seed(parts.seed)),
         rollouts: RefCell::default(),
@@ -244,6 +247,7 @@
             MemberJob::Heard { members, evacuation, bundle, reply, .. } => {
                 // Evacuations decide where calls are sent, so they are applied before the bundle that admits calls.
                 self.on_evacuation_received(&evacuation);
+                self.learn_departure(&members);
                 self.learn_members(&members);
                 if let Some(sender) = members.first() {
                     self.learn_relay(sender);
@@ -270,6 +274,18 @@
         }
     }
 
+    /// Records the departure of this node's upstream that another node has recorded from an earlier process of this one.
+    fn learn_departure(&self, members: &[Member]) {
+        let own = members.iter().find(|member| member.vm == self.parts.me.vm);
+        let Some(departure) = own.and_then(|own| own.departure.as_ref()) else {
+            return;
+        };
+        let known = self.earlier_departure.replace(Some(departure.clone()));
+        if known.as_ref() != Some(departure) {
+            self.publish();
+        }
+    }
+
     /// Adds nodes reported by another node that have no entry here, while the store is unreachable.
     fn learn_members(&self, members: &[Member]) {
         if self.store_reachable.get() {
@@ -381,6 +397,8 @@
             members.merge(member);
         }
         self.add_announced_relays(&mut members);
+        let stored = members.get(&self.parts.me.vm).and_then(|stored| stored.departure.clone());
+        members.set_earlier_departure(stored.or_else(|| self.earlier_departure.borrow().clone()));
         members.set(self.me.borrow().clone());
         members.merge_evacuation(&self.evacuation.borrow());
         members.set_rollouts(self.rollouts.borrow().view());
@@ -417,7 +435,8 @@
                 self.me.borrow_mut().incarnation = self.rng.borrow_mut().u64(1..);
                 start = state.start;
             }
-            self.set_phase(phase, state.version.clone());
+            let departure = state.incarnation(&self.parts.me.vm).filter(|_| state.phase == UpstreamPhase::Leaving);
+            self.set_phase(phase, state.version.clone(), departure);
             let changed = tokio::select! {
                 changed = upstream.changed() => changed,
                 changed = serving.changed() => changed,
@@ -429,11 +448,11 @@
         }
     }
 
-    fn set_phase(&self, phase: Phase, version: Option<Arc<str>>) {
+    fn set_phase(&self, phase: Phase, version: Option<Arc<str>>, departure: Option<Departure>) {
         let changed = {
             let mut me = self.me.borrow_mut();
-            let changed = (me.phase, &me.version) != (phase, &version);
-            (me.phase, me.version) = (phase, version);
+            let changed = (me.phase, &me.version, &me.departure) != (phase, &version, &departure);
+            (me.phase, me.version, me.departure) = (phase, version, departure);
             changed
         };
         if !changed {
--- a/valetrack/src/member/message.rs
+++ b/valetrack/src/member/message.rs
@@ -9,6 +9,7 @@
 
 use super::evacuation::Evacuation;
 use crate::claim::ClaimReport;
+use crate::gate::Departure;
 use crate::link::peer::Target;
 use crate::rollout::TrafficShare;
 use crate::store::Position;
@@ -60,6 +61,10 @@
     /// Whether its node follows the store on behalf of other nodes and keeps their entries in it.
     #[serde(default)]
     pub is_relay: bool,
+    /// Present incarnation of its server, if that has announced that it leaves. The entry states it so that it outlives the
+    /// node that has acknowledged it.
+    #[serde(default)]
+    pub departure: Option<Departure>,
 }
 
 /// One row of the platform's list of VMs.
--- a/valetrack/src/member/state.rs
+++ b/valetrack/src/member/state.rs
@@ -6,6 +6,7 @@
 use super::evacuation::Evacuation;
 use super::message::{Candidate, ListedVm, Member, Phase};
 use crate::claim::PeerClaims;
+use crate::gate::Departure;
 use crate::rollout::{RolloutView, TrafficShare};
 
 /// A VM that is no longer listed and has been unresponsive for this long is dead.
@@ -28,6 +29,8 @@
     ever_listed: BTreeSet<Arc<str>>,
     /// Reports of nodes on their pages of claims.
     claims: PeerClaims,
+    /// Departure of this VM's upstream that an earlier process of this node has acknowledged.
+    earlier_departure: Option<Departure>,
 }
 
 impl Members {
@@ -170,6 +173,16 @@
         self.listed.values().filter(|row| !self.all.contains_key(&row.vm))
     }
 
+    /// Sets the departure of this VM's upstream that an earlier process of this node has acknowledged.
+    pub fn set_earlier_departure(&mut self, departure: Option<Departure>) {
+        self.earlier_departure = departure;
+    }
+
+    /// Returns the upstreams that are known to leave.
+    pub fn departures(&self) -> impl Iterator<Item = &Departure> {
+        self.all.values().filter_map(|member| member.departure.as_ref()).chain(&self.earlier_departure)
+    }
+
     /// Returns whether an incarnation of a VM is known to have ended.
     pub fn is_over(&self, vm: &str, incarnation: u64) -> bool {
         self.all.get(vm).is_some_and(|member| {
--- a/valetrack/src/member/tests/directory.rs
+++ b/valetrack/src/member/tests/directory.rs
@@ -18,6 +18,7 @@
         link_addr: ([127, 0, 0, 1], 7_000).into(),
         version: None,
         is_relay: false,
+        departure: None,
     }
 }
 
--- a/valetrack/src/member/tests/evacuation.rs
+++ b/valetrack/src/member/tests/evacuation.rs
@@ -23,6 +23,7 @@
         link_addr: ([10, 0, 0, 1], 7_620).into(),
         version: None,
         is_relay: false,
+        departure: None,
     }
 }
 
--- a/valetrack/src/member/tests/fleet/node.rs
+++ b/valetrack/src/member/tests/fleet/node.rs
@@ -307,6 +307,7 @@
             link_addr: LINK_ADDR,
             version: None,
             is_relay: false,
+            departure: None,
         };
         let (to_link, links) = async_channel::bounded::<LinkJob>(256);
         let (to_member, jobs) = async_channel::bounded(256);
--- a/valetrack/src/member/tests/older.rs
+++ b/valetrack/src/member/tests/older.rs
@@ -103,6 +103,7 @@
             link_addr: ([127, 0, 0, 1], 7_000).into(),
             version: None,
             is_relay: false,
+            departure: None,
         }
     }
 
--- a/valetrack/src/member/tests/registrar.rs
+++ b/valetrack/src/member/tests/registrar.rs
@@ -27,6 +27,7 @@
         link_addr: "127.0.0.1:9".parse().expect("an address"),
         version: None,
         is_relay: false,
+        departure: None,
     }
 }
 
--- a/valetrack/src/member/tests/role.rs
+++ b/valetrack/src/member/tests/role.rs
@@ -21,6 +21,7 @@
         link_addr: "127.0.0.1:9".parse().expect("an address"),
         version: None,
         is_relay,
+        departure: None,
     }
 }
 
--- a/valetrack/src/member/tests/takeover.rs
+++ b/valetrack/src/member/tests/takeover.rs
@@ -137,6 +137,7 @@
             link_addr: "127.0.0.1:9".parse().expect("an address"),
             version: None,
             is_relay: relays.contains(&&*vm),
+            departure: None,
         });
     }
     members
--- a/valetrack/src/member/tests/view.rs
+++ b/valetrack/src/member/tests/view.rs
@@ -17,6 +17,7 @@
         link_addr: ([127, 0, 0, 1], 7_000 + u16::from(vm)).into(),
         version: None,
         is_relay: false,
+        departure: None,
     }
 }
 
--- a/valetrack/src/node/start.rs
+++ b/valetrack/src/node/start.rs
@@ -70,6 +70,7 @@
             link_addr: settings.advertise_addr,
             version: None,
             is_relay: false,
+            departure: None,
         }
     }
 
--- a/valetrack/src/rollout/tests.rs
+++ b/valetrack/src/rollout/tests.rs
@@ -25,6 +25,7 @@
         link_addr: "127.0.0.1:9".parse().expect("an address"),
         version: version.map(Arc::from),
         is_relay: false,
+        departure: None,
     }
 }
 
