An account that is away from the bundle for a moment has no second burst

The home of a client account dropped its bucket with the account, and a new one starts with four calls; 25 versions that drop and restore an account let 100 calls pass beyond its rate.

Change: a bucket goes once it is full, when nothing is left of what was granted. Credits at entries are dropped as before, which only loses them.

--- a/valetrack/src/quota/home.rs
+++ b/valetrack/src/quota/home.rs
@@ -124,9 +124,10 @@
         self.accounts.retain(|name, _| !is_promised(name));
     }
 
-    /// Removes accounts that are not in `current`, the accounts of the bundle in force.
-    pub fn retain(&mut self, current: &AccountTable) {
-        self.accounts.retain(|name, _| current.get(name).is_some());
+    /// Removes accounts that are not in `current`, the accounts of the bundle in force, once nothing is left of what was
+    /// granted: an account that returns at once has no second burst.
+    pub fn retain(&mut self, current: &AccountTable, now_us: u64) {
+        self.accounts.retain(|name, account| current.get(name).is_some() || !account.bucket.is_full(now_us));
     }
 }
 
--- a/valetrack/src/quota/run.rs
+++ b/valetrack/src/quota/run.rs
@@ -91,7 +91,7 @@
         let mut members = self.parts.members.clone();
         loop {
             if let Some(in_force) = bundle.borrow_and_update().as_ref() {
-                self.home.borrow_mut().retain(&in_force.bundle.accounts);
+                self.home.borrow_mut().retain(&in_force.bundle.accounts, now_us());
                 self.allowances.borrow_mut().retain(&in_force.bundle.accounts);
             }
             let view = members.borrow_and_update().clone();
--- a/valetrack/src/quota/tests/steps.rs
+++ b/valetrack/src/quota/tests/steps.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::bundle::AccountRule;
+use crate::bundle::{AccountRule, AccountTable};
 use crate::quota::{Allowances, Grant, QuotaHome, Step};
 use crate::token_bucket::TokenBucket;
 
@@ -97,3 +97,20 @@
     entry.restore_credit(&rule.name, 1_000);
     assert_eq!(entry.begin(&rule, 2_000), Step::Admit);
 }
+
+/// Guards against an account that has its burst again after the bundle lacked it for a moment.
+#[test]
+fn account_that_returns_has_no_second_burst() {
+    let mut home = QuotaHome::default();
+    let rule = rule(10, 8);
+    let none = AccountTable::default();
+    home.grant(&rule, 100, 0);
+    let mut granted = 0;
+    for moment in 1..=20 {
+        home.retain(&none, moment * 10_000);
+        granted += home.grant(&rule, 100, moment * 10_000).calls;
+    }
+    assert!(granted <= 2, "{granted} calls in 0.2 s");
+    home.retain(&none, 60_000_000);
+    assert_eq!(home.grant(&rule, 100, 60_000_000).calls, 4, "an account without recent grants is forgotten");
+}
--- a/valetrack/src/token_bucket.rs
+++ b/valetrack/src/token_bucket.rs
@@ -51,6 +51,11 @@
         (self.level + passed_us * self.rate_per_s / SECOND_US).min(self.burst)
     }
 
+    /// Returns whether the bucket holds its whole burst at `now_us`.
+    pub fn is_full(&self, now_us: u64) -> bool {
+        self.level(now_us) >= self.burst
+    }
+
     /// Returns the time from `now_us` until the bucket would hold `calls` with an unlimited burst, in microseconds;
     /// `u64::MAX` if it never does, for lack of a rate.
     pub fn wait_us(&self, calls: f64, now_us: u64) -> u64 {
