Calls of runs still count when a service or a route is away for a moment

Whether a repeated run may start is decided by how often runs call each service lately. The counts were dropped with the service, and the mark that runs make the calls of a route with the route, so after 0.3 s repeats were admitted, and their calls not counted, until runs had shown them anew.

Change: both go once they no longer count, a window after the removal.

--- a/valetrack/src/placement/mod.rs
+++ b/valetrack/src/placement/mod.rs
@@ -40,7 +40,7 @@
     CallAction, CallEvent, Demand, Dispatch, Outcome, PlaceJob, Placed, ReceivedLoad, SERVICE_UNKNOWN, SendCause,
     ServerIndex, Verdict,
 };
-pub use nested::NestedCalls;
+pub use nested::{NestedCalls, NestedRoutes};
 pub use never_runs::NeverRuns;
 pub use policy::Policy;
 pub use region_link::{LinkChange, LinkView, RegionLink};
--- a/valetrack/src/placement/nested.rs
+++ b/valetrack/src/placement/nested.rs
@@ -58,9 +58,9 @@
         (self.repeats_permille / running).min(PERMILLE as u64) as u16
     }
 
-    /// Removes the services for which `is_configured` returns false.
-    pub fn retain(&mut self, is_configured: impl Fn(&str) -> bool) {
-        self.calls.retain(|service, _| is_configured(service));
+    /// Removes the services for which `is_configured` returns false, once their calls no longer count.
+    pub fn retain(&mut self, is_configured: impl Fn(&str) -> bool, now_us: u64) {
+        self.calls.retain(|service, calls| is_configured(service) || calls.upper_bound(now_us) > 0.0);
     }
 
     /// Returns whether a repeated run may start: each service that it calls must have enough repeats left for this run
@@ -77,3 +77,35 @@
         })
     }
 }
+
+/// Routes that upstreams call during their runs, and since when the bundle lacks them.
+#[derive(Debug, Default)]
+pub struct NestedRoutes(HashMap<Arc<str>, Option<u64>>);
+
+impl NestedRoutes {
+    /// Adds a route.
+    pub fn insert(&mut self, route: &Arc<str>) {
+        self.0.entry(route.clone()).or_default();
+    }
+
+    /// Removes a route.
+    pub fn remove(&mut self, route: &str) {
+        self.0.remove(route);
+    }
+
+    /// Returns whether upstreams call a route during their runs.
+    pub fn contains(&self, route: &str) -> bool {
+        self.0.contains_key(route)
+    }
+
+    /// Removes the routes for which `is_configured` has returned false for as long as their calls count.
+    pub fn retain(&mut self, is_configured: impl Fn(&str) -> bool, now_us: u64) {
+        self.0.retain(|route, removed_us| {
+            if is_configured(route) {
+                *removed_us = None;
+                return true;
+            }
+            now_us < *removed_us.get_or_insert(now_us) + COUNT_WINDOW_US
+        });
+    }
+}
--- a/valetrack/src/placement/run.rs
+++ b/valetrack/src/placement/run.rs
@@ -6,7 +6,7 @@
 mod region;
 
 use std::cell::RefCell;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,7 +21,7 @@
 use super::call::{CallContext, CallRule};
 use super::driver::drive;
 use super::message::{Demand, Placed, ServerIndex, Verdict, quarantined};
-use super::nested::NestedCalls;
+use super::nested::{NestedCalls, NestedRoutes};
 use super::never_runs::NeverRuns;
 use super::policy::Policy;
 use super::repeat::FleetSize;
@@ -56,7 +56,7 @@
     /// Usual time limits of callers by route.
     caller_times: HashMap<Arc<str>, CallerTime>,
     /// Routes that upstreams call during their runs.
-    nested_routes: HashSet<Arc<str>>,
+    nested_routes: NestedRoutes,
     /// Runs of the upstream beside this entry, and the calls that it makes during them.
     nested_calls: NestedCalls,
     /// Runs of that upstream that are in progress.
@@ -139,7 +139,7 @@
             services: Services::new(parts.policy),
             work_estimates: HashMap::new(),
             caller_times: HashMap::new(),
-            nested_routes: HashSet::new(),
+            nested_routes: NestedRoutes::default(),
             nested_calls: NestedCalls::default(),
             runs: RunsInProgress::default(),
             admission: RootAdmission::default(),
@@ -207,8 +207,8 @@
         inner.services.remove_others(|name| in_force.bundle.service(name).is_some(), now_us());
         inner.work_estimates.retain(|route, _| in_force.bundle.routes.contains(route));
         inner.caller_times.retain(|route, _| in_force.bundle.routes.contains(route));
-        inner.nested_routes.retain(|route| in_force.bundle.routes.contains(route));
-        inner.nested_calls.retain(|service| in_force.bundle.service(service).is_some());
+        inner.nested_routes.retain(|route| in_force.bundle.routes.contains(route), now_us());
+        inner.nested_calls.retain(|service| in_force.bundle.service(service).is_some(), now_us());
         let is_route = |route: &str| in_force.bundle.routes.contains(route);
         inner.admission.retain(is_route, |service| in_force.bundle.service(service).is_some());
         inner.answer_sizes.retain(|route, _| in_force.bundle.routes.contains(route));
--- a/valetrack/src/placement/run/ledger.rs
+++ b/valetrack/src/placement/run/ledger.rs
@@ -45,10 +45,10 @@
     pub(in crate::placement) fn record_nested_route(&self, route: &Arc<str>, nested: Option<bool>) {
         let mut inner = self.inner.borrow_mut();
         match nested {
-            Some(true) => inner.nested_routes.insert(route.clone()),
+            Some(true) => inner.nested_routes.insert(route),
             Some(false) => inner.nested_routes.remove(route),
-            None => false,
-        };
+            None => {}
+        }
     }
 
     /// Returns whether owners have reported that upstreams call a route during their runs.
--- a/valetrack/src/placement/tests/budget.rs
+++ b/valetrack/src/placement/tests/budget.rs
@@ -1,8 +1,10 @@
 //! Budgets hold in every window, in any order of calls and repeats.
 
+use std::sync::Arc;
+
 use proptest::prelude::*;
 
-use crate::placement::{FleetSize, KnownFleet, RateBudget, RetryBudget, RetryGuarantee};
+use crate::placement::{FleetSize, KnownFleet, NestedCalls, NestedRoutes, RateBudget, RetryBudget, RetryGuarantee};
 
 /// Window of the budgets under test.
 const WINDOW_US: u64 = 10_000_000;
@@ -170,3 +172,22 @@
 fn retry_budget_size_matches_capacity_page() {
     assert_eq!(size_of::<RetryBudget>(), 256);
 }
+
+/// Guards against repeated runs that are admitted since the calls that runs make were forgotten with a service or a route.
+#[test]
+fn nested_calls_count_after_removal_of_service() {
+    let (service, route) = (Arc::from("ledger"), Arc::from("check"));
+    let (mut calls, mut routes) = (NestedCalls::default(), NestedRoutes::default());
+    routes.insert(&route);
+    for run in 0..20 {
+        calls.run_began(0, run * 10_000);
+        calls.record_call(&service, run * 10_000);
+        calls.run_ended(0);
+    }
+    calls.retain(|_| false, 300_000);
+    routes.retain(|_| false, 300_000);
+    assert!(!calls.admits_repeat(|_| 0.0, 600_000), "no repeat is left");
+    assert!(routes.contains(&route));
+    routes.retain(|_| false, WINDOW_US + 300_000);
+    assert!(!routes.contains(&route), "its calls no longer count");
+}
