Soak: a service that leaves and returns, late heartbeats, nodes killed beside departures

Change: `--churn` draws, apart from the other faults of a seed, removals of the service of calls that must not be repeated (50 to 1,500 ms, half of them with a node killed meanwhile), and departures by deregistration with one to three heartbeats from before that arrive up to 3.5 s late while the node is killed once or twice.

--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -27,11 +27,11 @@
 standin rate-limit
 standin rollback
 standin soak   [--seed N] [--seeds N] [--seconds N] [--vms N] [--program FILE] [--logs DIR] [--crashes] [--rollbacks] [--limits]
-               [--accounts] [--pipelined] [--regions]
+               [--accounts] [--pipelined] [--regions] [--churn]
 ";
 
 /// Flags of `soak` without a value.
-const SOAK_SWITCHES: [&str; 6] = ["crashes", "rollbacks", "limits", "accounts", "pipelined", "regions"];
+const SOAK_SWITCHES: [&str; 7] = ["crashes", "rollbacks", "limits", "accounts", "pipelined", "regions", "churn"];
 
 #[derive(Default)]
 struct Args {
@@ -151,6 +151,7 @@
             accounts: args.get("accounts").is_some(),
             pipelined: args.get("pipelined").is_some(),
             regions: args.get("regions").is_some(),
+            churn: args.get("churn").is_some(),
             logs: std::path::Path::new(args.get("logs").unwrap_or("target/soak")).join(seed.to_string()),
         };
         // Dropping the runtime ends the stand-ins of the seed and frees their ports.
--- a/standin/src/soak/fleet.rs
+++ b/standin/src/soak/fleet.rs
@@ -42,8 +42,9 @@
 const NESTED_CALLS: usize = 2;
 
 /// Returns the configuration of a version, with client accounts on request; it has a route for the version that is
-/// served only while it is in force.
-fn configuration(version: u64, with_accounts: bool) -> String {
+/// served only while it is in force. Without the service `ledger`, its routes lead to `rounds`.
+fn configuration(version: u64, with_accounts: bool, without_ledger: bool) -> String {
+    let ledger = if without_ledger { "rounds" } else { "ledger" };
     let route = |name: &str, prefix: String, repeat: &str, service: &str| {
         json!({
             "name": name, "host": "farm.example", "path_prefix": prefix, "repeat": repeat, "timeout_ms": 1_500,
@@ -55,12 +56,15 @@
         "version": version,
         "routes": [
             route("sheet", "/sheet/".into(), "safe", "rounds"),
-            route("pickup", "/pickup/".into(), "non_idempotent", "ledger"),
-            route("check", "/check/".into(), "safe", "ledger"),
+            route("pickup", "/pickup/".into(), "non_idempotent", ledger),
+            route("check", "/check/".into(), "safe", ledger),
             route("version", format!("/version/{version}/"), "safe", "rounds"),
         ],
-        "services": [service("rounds"), service("ledger")],
+        "services": [service("rounds")],
     });
+    if !without_ledger {
+        configuration["services"].as_array_mut().into_iter().for_each(|services| services.push(service(ledger)));
+    }
     if with_accounts {
         configuration["accounts"] = ACCOUNTS.iter().map(Account::to_json).collect();
         // Version checks belong to no account, so that they use no credits.
@@ -112,6 +116,8 @@
     store_addr: SocketAddr,
     /// Loopback host that only this fleet uses.
     host: [u8; 4],
+    /// Whether the configuration lacks a service.
+    is_service_removed: bool,
     /// Settings of the run.
     pub settings: SoakSettings,
 }
@@ -126,9 +132,10 @@
         std::fs::create_dir_all(&settings.logs)?;
         let store = ManagedStore::default();
         let store_addr = store.start().await?;
-        let mut fleet = Self { store, vms: Vec::new(), store_addr, host: own_host(), settings: settings.clone() };
+        let (host, settings) = (own_host(), settings.clone());
+        let mut fleet = Self { store, vms: Vec::new(), store_addr, host, is_service_removed: false, settings };
         fleet.configure(1);
-        for at in 0..settings.vms {
+        for at in 0..fleet.settings.vms {
             let vm = fleet.make_vm(at).await?;
             fleet.vms.push(vm);
             fleet.start_node(at)?;
@@ -138,7 +145,8 @@
 
     /// Writes the configuration of a version to the store.
     pub fn configure(&self, version: u64) {
-        self.store.put("op/config", &configuration(version, self.settings.accounts));
+        let configuration = configuration(version, self.settings.accounts, self.is_service_removed);
+        self.store.put("op/config", &configuration);
     }
 
     async fn make_vm(&self, at: usize) -> std::io::Result<Vm> {
@@ -166,7 +174,8 @@
         vm.store_path.start(vm.store_path_addr, self.store_addr).await?;
         vm.upstream_path.start(vm.upstream_path_addr, vm.upstream.addr).await?;
         vm.upstream.set_secret(KEY_MARK);
-        if service == "rounds" {
+        // While the configuration lacks the other service, the nested calls would lead to the service that makes them.
+        if service == "rounds" && !self.settings.churn {
             vm.upstream.set_calls(vm.caller_addr, "/check/", NESTED_CALLS);
         }
         Ok(vm)
@@ -243,8 +252,14 @@
             Fault::Revoke => self.store.revoke("valetrack/"),
             Fault::Lapse => self.store.expire_leases(),
             Fault::Compact => self.store.compact(),
-            // The caller of this function writes the configuration, since it counts the versions.
-            Fault::Configure => {}
+            Fault::RemoveService => self.is_service_removed = true,
+            Fault::Deregister => {
+                let upstream = vm.upstream.clone();
+                tokio::task::spawn_local(async move { upstream.deregister().await });
+            }
+            // The caller of this function writes the configuration, since it counts the versions, and delivers the
+            // heartbeat at the end of the fault.
+            Fault::Configure | Fault::LateHeartbeat => {}
         }
     }
 
@@ -261,7 +276,8 @@
             Fault::UpstreamPath(_) => vm.upstream_path.set(None),
             Fault::Links { .. } => vm.cuts.set(false, false),
             Fault::Spoil(_) => self.spoil(at, Spoil::Nothing),
-            Fault::Drain | Fault::Leave => vm.upstream.restart_with_new_id(),
+            Fault::Drain | Fault::Leave | Fault::Deregister => vm.upstream.restart_with_new_id(),
+            Fault::RemoveService => self.is_service_removed = false,
             Fault::Limit { .. } => vm.upstream.set_limit(None),
             Fault::Store(_) => self.store.set_mode(Mode::Up),
             Fault::RollBack { changes } => {
@@ -274,7 +290,8 @@
             | Fault::Revoke
             | Fault::Lapse
             | Fault::Compact
-            | Fault::Configure => {}
+            | Fault::Configure
+            | Fault::LateHeartbeat => {}
         }
     }
 
--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -26,7 +26,7 @@
 pub use self::deadly::{DeadlyRun, check_deadly_runs};
 pub use self::judge::{Breach, CallOutcome, CallRecord, Versions, check_calls};
 pub use self::repeat::{Arrival, RetryPeak, check_retries, retry_peak};
-pub use self::schedule::{Fault, Kind, PathFault, Step, limits, rollbacks, schedule, suspensions};
+pub use self::schedule::{Fault, Kind, PathFault, Step, churn, limits, rollbacks, schedule, suspensions};
 pub use self::stall::Stall;
 
 use self::caller::Callers;
@@ -69,6 +69,8 @@
     pub pipelined: bool,
     /// Whether the failure domains are two regions.
     pub regions: bool,
+    /// Whether a service leaves the configuration and returns, and upstreams deregister beside nodes that are killed.
+    pub churn: bool,
 }
 
 /// Result of one run.
@@ -111,6 +113,9 @@
     if settings.limits {
         steps.extend(limits(settings.seed, settings.vms, settings.seconds * 1000));
     }
+    if settings.churn {
+        steps.extend(churn(settings.seed, settings.vms, settings.seconds * 1000));
+    }
     steps.sort_by_key(|step| step.at_ms);
     let mut report = SoakReport { faults: steps.len(), ..SoakReport::default() };
     let callers = Rc::new(Callers::new(settings));
@@ -138,8 +143,8 @@
     }
     let calls = callers.calls();
     report.ends = count_results(&calls);
-    // Crashes and suspensions aren't planned work; a store rollback cuts no call.
-    let planned = Kind::of_seed(settings.seed) == Kind::Planned && !settings.crashes;
+    // Crashes, suspensions and kills aren't planned work; a store rollback cuts no call.
+    let planned = Kind::of_seed(settings.seed) == Kind::Planned && !settings.crashes && !settings.churn;
     report.breaches.extend(callers.breaches());
     report.breaches.extend(check_calls(&calls, &runs(&fleet), planned));
     report.breaches.extend(upstream_breaches(&fleet));
@@ -178,14 +183,23 @@
     for step in steps.iter().copied() {
         sleep_until(began + Duration::from_millis(step.at_ms)).await;
         fleet.borrow_mut().begin(step.vm, step.fault);
-        if step.fault == Fault::Configure {
-            let version = callers.next_version();
-            fleet.borrow().configure(version);
+        let is_configuration = matches!(step.fault, Fault::Configure | Fault::RemoveService);
+        if is_configuration {
+            fleet.borrow().configure(callers.next_version());
         }
+        let upstream = fleet.borrow().vms[step.vm].upstream.clone();
+        let late = (step.fault == Fault::LateHeartbeat).then(|| (upstream.id(), upstream.make_heartbeat()));
         let (fleet, callers) = (fleet.clone(), callers.clone());
         ends.spawn_local(async move {
             sleep(Duration::from_millis(step.lasts_ms)).await;
             fleet.borrow_mut().end(step.vm, step.fault);
+            if step.fault == Fault::RemoveService {
+                fleet.borrow().configure(callers.next_version());
+            }
+            if let Some((id, heartbeat)) = late {
+                // The node may be down.
+                let _is_acknowledged = upstream.deliver_as(&id, &heartbeat).await;
+            }
             if matches!(step.fault, Fault::RollBack { .. }) {
                 // The operator notices the missing configuration after about as long as the store was unavailable.
                 sleep(Duration::from_millis(step.lasts_ms)).await;
--- a/standin/src/soak/schedule.rs
+++ b/standin/src/soak/schedule.rs
@@ -17,6 +17,14 @@
 const LOST_MAX: usize = 60;
 /// Average pause between two limits or departures of each VM.
 const LIMIT_PAUSE_MS: u64 = 8_000;
+/// Average pause between two removals of the service and two departures beside a node that is killed.
+const CHURN_PAUSE_MS: u64 = 2_500;
+/// Shortest and longest time for which the configuration lacks the service.
+const REMOVED_MS: std::ops::RangeInclusive<u64> = 50..=1_500;
+/// Shortest and longest time for which a deregistered upstream serves on; the shortest one exceeds the drain timeout.
+const SERVES_ON_MS: std::ops::RangeInclusive<u64> = 2_500..=6_000;
+/// Shortest and longest time for which a node stays down after a kill beside a leaving upstream.
+const DOWN_MS: std::ops::RangeInclusive<u64> = 50..=600;
 /// Shortest and longest time for which a limit or a departure is stated; the longest one exceeds the window of a limit.
 const LIMIT_LASTS_MS: std::ops::RangeInclusive<u64> = 500..=7_000;
 /// Limits that are drawn, in thousandths of a request per second.
@@ -77,6 +85,13 @@
     },
     /// The upstream states in its answers that it leaves, stops, and starts again under another id.
     Leave,
+    /// The operator writes a configuration without the service of calls that must not be repeated, whose routes lead to
+    /// the other one, and later one with it.
+    RemoveService,
+    /// The upstream sends a heartbeat that arrives at the end of the fault.
+    LateHeartbeat,
+    /// The upstream deregisters, sends no more heartbeats, serves on, and starts again under another id.
+    Deregister,
 }
 
 /// A fault of a TCP path.
@@ -153,6 +168,40 @@
     steps
 }
 
+/// Returns the removals of the service, and the departures whose nodes are killed, of a run; they are drawn separately, so
+/// the other faults of the seed don't change.
+pub fn churn(seed: u64, vms: usize, length_ms: u64) -> Vec<Step> {
+    let mut rng = fastrand::Rng::with_seed(seed.rotate_left(53));
+    let mut steps: Vec<Step> = Vec::new();
+    for _ in 0..(length_ms / CHURN_PAUSE_MS).max(1) {
+        let (at_ms, vm) = (rng.u64(..length_ms), rng.usize(..vms));
+        steps.push(Step { at_ms, lasts_ms: rng.u64(REMOVED_MS), vm, fault: Fault::RemoveService });
+        // The node is killed while calls run, in half of the cases.
+        let kill_ms = at_ms + rng.u64(..=1_500);
+        if rng.bool() {
+            steps.push(Step { at_ms: kill_ms, lasts_ms: 0, vm: rng.usize(..vms), fault: Fault::Kill });
+        }
+        let departs_ms = rng.u64(..length_ms);
+        steps.extend(departure(&mut rng, departs_ms, vms));
+    }
+    steps
+}
+
+/// Returns a departure whose node is killed once or twice, and heartbeats from before it that arrive late.
+fn departure(rng: &mut fastrand::Rng, at_ms: u64, vms: usize) -> Vec<Step> {
+    let vm = rng.usize(..vms);
+    let late = |rng: &mut fastrand::Rng| Step { at_ms, lasts_ms: rng.u64(LASTS_MS), vm, fault: Fault::LateHeartbeat };
+    let mut steps: Vec<Step> = (0..rng.usize(1..=3)).map(|_| late(rng)).collect();
+    let lasts_ms = rng.u64(SERVES_ON_MS);
+    steps.push(Step { at_ms: at_ms + 20, lasts_ms, vm, fault: Fault::Deregister });
+    let mut kill_ms = at_ms + 40;
+    for _ in 0..rng.usize(1..=2) {
+        kill_ms += rng.u64(DOWN_MS);
+        steps.push(Step { at_ms: kill_ms, lasts_ms: 0, vm, fault: Fault::Kill });
+    }
+    steps
+}
+
 /// Returns the store rollbacks of a run; they are drawn separately, so the other faults of the seed don't change. About
 /// one in three starts shortly after the previous one ends.
 pub fn rollbacks(seed: u64, length_ms: u64) -> Vec<Step> {
--- a/standin/tests/soak.rs
+++ b/standin/tests/soak.rs
@@ -61,6 +61,12 @@
     });
 }
 
+#[test_case(17, 10, 6; "faults of every kind")]
+#[test_case(18, 10, 6; "planned work besides")]
+fn no_promise_is_broken_while_services_and_upstreams_leave(seed: u64, seconds: u64, vms: usize) {
+    assert_no_breaches(SoakSettings { seed, seconds, vms, churn: true, ..settings() });
+}
+
 /// Returns the settings that all runs share.
 fn settings() -> SoakSettings {
     SoakSettings {
@@ -75,12 +81,13 @@
         accounts: false,
         pipelined: false,
         regions: false,
+        churn: false,
     }
 }
 
 fn assert_no_breaches(settings: SoakSettings) {
-    let SoakSettings { seed, crashes, rollbacks, limits, accounts, pipelined, regions, .. } = settings;
-    let switches = [crashes, rollbacks, limits, accounts, pipelined, regions].map(u8::from);
+    let SoakSettings { seed, crashes, rollbacks, limits, accounts, pipelined, regions, churn, .. } = settings;
+    let switches = [crashes, rollbacks, limits, accounts, pipelined, regions, churn].map(u8::from);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     let name = format!("valetrack-soak-{}-{seed}-{switches:?}", std::process::id());
     let settings = SoakSettings { logs: settings.logs.join(name), ..settings };
