A health check names no start that no announcement has named, once one is known

Found in reading: a node asks for the upstream's health now while an earlier start is in service and a late heartbeat waits for its confirmation. An answer with a third id would have put that one in service; its address may belong to another service by then, whose id no heartbeat of this node's service has announced. Such an answer now only refutes the heartbeat that waits. While nothing is known, an answer is enough, as before.

Also: `with_view` reads or updates, so its name says neither.

--- a/valetrack/src/gate/tests/node_start.rs
+++ b/valetrack/src/gate/tests/node_start.rs
@@ -70,6 +70,16 @@
     assert!(!state.awaits_health_check(700_000), "the answer names the start that is present");
 }
 
+/// Guards against a start that only a health check has named, at an address that another service may use by now.
+#[test]
+fn health_answer_replaces_no_start_by_unannounced_one() {
+    let mut state = UpstreamState::at_node_start(0);
+    state.take(&health_answer("b"), 500_000);
+    state.take(&heartbeat("a", 90), 600_000);
+    assert!(!state.take(&health_answer("c"), 700_000));
+    assert_eq!((state.id.as_deref(), state.is_confirmed()), (Some("b"), true));
+}
+
 #[test]
 fn upstream_without_health_answer_is_accepted_after_longest_delay() {
     let mut state = UpstreamState::at_node_start(0);
--- a/valetrack/src/gate/upstream.rs
+++ b/valetrack/src/gate/upstream.rs
@@ -13,7 +13,7 @@
 /// Two reported ends of a cold period within this distance belong to the same period: announcements take some
 /// milliseconds, and a node that is short of processor time reads them late.
 const COLD_JITTER_US: u64 = 200_000;
-/// Longest delay of an announcement. Heartbeats may arrive seconds late; several times as long is certain to cover it.
+/// Longest delay of an announcement: several times the seconds by which heartbeats may be late.
 const DELAY_MAX_US: u64 = 10_000_000;
 
 /// Whether the upstream accepts work.
@@ -156,6 +156,10 @@
             return self.hold(announcement);
         }
         let confirmed = self.take_unconfirmed(announcement);
+        if is_other && announcement.is_solicited && confirmed.is_none() && self.phase != UpstreamPhase::Unknown {
+            // An id that no heartbeat has announced may be that of another service's upstream at this address.
+            return false;
+        }
         let is_changed = self.apply(announcement, is_other, now_us);
         match confirmed {
             Some(confirmed) => self.apply(&confirmed, false, now_us) || is_changed,
--- a/valetrack/src/placement/run.rs
+++ b/valetrack/src/placement/run.rs
@@ -322,17 +322,17 @@
         self.inner.borrow().services.get(service)?.recipient(server)
     }
 
-    /// Updates the view of a server, unless its service or its index has been dropped since the request to it.
-    fn update_view<R>(
+    /// Reads or updates the view of a server, unless its index has got another server since the request to it.
+    fn with_view<R>(
         &self,
         service: &str,
         recipient: &Recipient,
-        update: impl FnOnce(&mut ServiceView, ServerIndex) -> R,
+        use_view: impl FnOnce(&mut ServiceView, ServerIndex) -> R,
     ) -> Option<R> {
         let mut inner = self.inner.borrow_mut();
         let state = inner.services.get_mut(service)?;
         let server = state.present_index(recipient)?;
-        Some(update(&mut state.view, server))
+        Some(use_view(&mut state.view, server))
     }
 
     /// Returns whether a target is this node.
@@ -342,7 +342,7 @@
 
     /// Returns the age of the last load report of a server.
     pub(super) fn report_age_ms(&self, service: &str, recipient: &Recipient) -> Option<u64> {
-        let received_us = self.update_view(service, recipient, |view, server| view.received_us(server))??;
+        let received_us = self.with_view(service, recipient, |view, server| view.received_us(server))??;
         Some(now_us().saturating_sub(received_us) / 1000)
     }
 
@@ -382,11 +382,11 @@
     }
 
     fn report(&self, service: &str, recipient: &Recipient, load: LoadReport) {
-        self.update_view(service, recipient, |view, server| view.report(server, load, now_us()));
+        self.with_view(service, recipient, |view, server| view.report(server, load, now_us()));
     }
 
     /// Ejects a server temporarily because its owner does not reply.
     pub(super) fn suspect(&self, service: &str, recipient: &Recipient) {
-        self.update_view(service, recipient, |view, server| view.suspect(server, now_us()));
+        self.with_view(service, recipient, |view, server| view.suspect(server, now_us()));
     }
 }
--- a/valetrack/src/placement/run/region.rs
+++ b/valetrack/src/placement/run/region.rs
@@ -125,7 +125,7 @@
     }
 
     fn region_link(&self, service: &str, recipient: &Recipient) -> Option<usize> {
-        self.update_view(service, recipient, |view, server| view.region_link(server))?
+        self.with_view(service, recipient, |view, server| view.region_link(server))?
     }
 
     /// Records the result of a request to another region that was to wait for `limit`.
