A start later than the known one needs no confirmation, and a health check may show a departure

- An upstream that had left restarted under its id within 10 s of the start of its node and was never served again.
Its heartbeat waited for a health check; the answer states no start time, so both were applied to the start that had left.
A start with a later start time than a known one began after this node and needs no confirmation, and a confirmed announcement is applied to its own start.
- A node that restarts beside an upstream that leaves by its answers held the heartbeat, so it never learned of the departure and checked the health again and again.
An answer to a health check that states a departure is an announcement of it now; one that is only refused is none, as an unhealthy upstream gives it too.

--- a/valetrack/src/gate/protocol.rs
+++ b/valetrack/src/gate/protocol.rs
@@ -42,6 +42,8 @@
     pub id: Arc<str>,
     /// Whether the upstream accepts work.
     pub ready: bool,
+    /// Whether the answer states that the upstream leaves. One that is not ready may just be unhealthy.
+    pub is_leaving: bool,
     /// Remaining time for which the upstream is cold; `None` if not reported.
     pub cold_ms: Option<u64>,
 }
--- a/valetrack/src/gate/tests/node_start.rs
+++ b/valetrack/src/gate/tests/node_start.rs
@@ -80,6 +80,31 @@
     assert_eq!((state.id.as_deref(), state.is_confirmed()), (Some("b"), true));
 }
 
+/// Guards against a new start under the id of one that has left, which is taken for that one.
+#[test]
+fn new_start_under_departed_id_is_ready() {
+    let born = |born_ms, announcement| Announcement { born_ms: Some(born_ms), ..announcement };
+    let mut state = UpstreamState::at_node_start(0);
+    state.take(&health_answer("a"), 500_000);
+    state.take(&born(100, heartbeat("a", 7)), 600_000);
+    state.take(&born(100, announcement("a", None, false)), 700_000);
+    assert_eq!(state.phase, UpstreamPhase::Leaving);
+    assert!(state.take(&born(200, heartbeat("a", 1)), 900_000));
+    assert_eq!((state.start, state.phase), (2, UpstreamPhase::Ready));
+}
+
+#[test]
+fn health_answer_of_leaving_upstream_is_final_for_its_start() {
+    let born = |born_ms, announcement| Announcement { born_ms: Some(born_ms), ..announcement };
+    let mut state = UpstreamState::at_node_start(0);
+    state.take(&born(100, heartbeat("a", 7)), 400_000);
+    assert!(state.take(&Announcement { ready: false, ..health_answer("a") }, 500_000));
+    state.take(&born(100, heartbeat("a", 8)), 600_000);
+    assert_eq!(state.phase, UpstreamPhase::Leaving);
+    assert!(state.take(&born(200, heartbeat("a", 1)), 700_000));
+    assert_eq!(state.phase, UpstreamPhase::Ready);
+}
+
 #[test]
 fn upstream_without_health_answer_is_accepted_after_longest_delay() {
     let mut state = UpstreamState::at_node_start(0);
--- a/valetrack/src/gate/upstream.rs
+++ b/valetrack/src/gate/upstream.rs
@@ -155,21 +155,27 @@
         if is_other && self.may_be_late(announcement, now_us) {
             return self.hold(announcement);
         }
-        let confirmed = self.take_unconfirmed(announcement);
-        if is_other && announcement.is_solicited && confirmed.is_none() && self.phase != UpstreamPhase::Unknown {
+        let unconfirmed = self.take_unconfirmed(announcement);
+        if is_other && announcement.is_solicited && unconfirmed.is_none() && self.phase != UpstreamPhase::Unknown {
             // An id that no heartbeat has announced may be that of another service's upstream at this address.
             return false;
         }
-        let is_changed = self.apply(announcement, is_other, now_us);
-        match confirmed {
-            Some(confirmed) => self.apply(&confirmed, false, now_us) || is_changed,
-            None => is_changed,
+        match unconfirmed {
+            // Health answers state no start time.
+            Some(Announcement { born_ms, .. }) if !announcement.ready => {
+                let born_ms = announcement.born_ms.or(born_ms);
+                self.apply(&Announcement { born_ms, ..announcement.clone() }, now_us)
+            }
+            Some(confirmed) => self.apply(announcement, now_us) | self.apply(&confirmed, now_us),
+            None => self.apply(announcement, now_us),
         }
     }
 
-    /// Returns whether an announcement of readiness may have been sent before this node started.
+    /// Returns whether an announcement of readiness may have been sent before this node started. That of a start later
+    /// than one that this node knows was not.
     fn may_be_late(&self, announcement: &Announcement, now_us: u64) -> bool {
-        announcement.ready && !announcement.is_solicited && now_us < self.may_be_late_until_us
+        let is_later_start = matches!((self.born_ms, announcement.born_ms), (Some(known), Some(born)) if born > known);
+        announcement.ready && !announcement.is_solicited && !is_later_start && now_us < self.may_be_late_until_us
     }
 
     /// Keeps an announcement until the upstream's answer to a health check confirms it; returns whether it is the first
@@ -184,18 +190,19 @@
         is_first
     }
 
-    /// Removes the unconfirmed announcement if this one decides about it, and returns it if this one confirms it.
+    /// Removes the unconfirmed announcement if this one decides about it, and returns it if both are of one start.
     fn take_unconfirmed(&mut self, announcement: &Announcement) -> Option<Announcement> {
         let is_same = self.unconfirmed.as_ref().is_some_and(|held| held.is_of_start(announcement));
         if !is_same && !announcement.is_solicited {
             return None;
         }
-        self.unconfirmed.take().filter(|_| is_same && announcement.ready)
+        self.unconfirmed.take().filter(|_| is_same)
     }
 
-    fn apply(&mut self, announcement: &Announcement, is_other: bool, now_us: u64) -> bool {
+    /// Applies an announcement that is neither outdated nor unconfirmed; returns whether the state changed.
+    fn apply(&mut self, announcement: &Announcement, now_us: u64) -> bool {
         let before = self.clone();
-        if is_other {
+        if !self.is_present(announcement) {
             let earlier = self.updated_earlier_starts(announcement);
             *self = Self {
                 id: Some(announcement.id.clone()),
--- a/valetrack/src/link/run.rs
+++ b/valetrack/src/link/run.rs
@@ -200,7 +200,9 @@
         loop {
             bundle.mark_unchanged();
             let is_due = upstream.borrow_and_update().awaits_health_check(steady_us());
-            if is_due && let Some(found) = self.request_readiness().await {
+            if is_due && let Some(found) = self.request_announcement().await {
+                // Heartbeats that arrived during the check call for no other one.
+                upstream.mark_unchanged();
                 // The ring is read until the node stops.
                 let _ = to_upstream.send(found).await;
             }
@@ -216,22 +218,26 @@
         }
     }
 
-    /// Returns the announcement that the upstream's answer to a health check amounts to; none unless it is ready.
-    async fn request_readiness(&self) -> Option<Announcement> {
+    /// Returns the announcement that the upstream's answer to a health check amounts to; none if it states neither that the
+    /// upstream is ready nor that it leaves.
+    async fn request_announcement(&self) -> Option<Announcement> {
         let path = self.service_rule()?.health_path?;
-        let Health { id, ready, cold_ms } = self.gate.health(&path).await?;
-        let cold_ms = cold_ms.unwrap_or(0);
-        let found = Announcement {
+        let Health { id, ready, is_leaving, cold_ms } = self.gate.health(&path).await?;
+        if is_leaving {
+            log::info!("event=upstream.leaving id={id} by=health-check");
+        } else if !ready {
+            return None;
+        }
+        Some(Announcement {
             id,
             born_ms: None,
-            sequence: Some(0),
+            sequence: ready.then_some(0),
             ready,
             slots: None,
             version: None,
-            cold_ms,
+            cold_ms: cold_ms.unwrap_or(0),
             is_solicited: true,
-        };
-        ready.then_some(found)
+        })
     }
 
     fn service_rule(&self) -> Option<ServiceRule> {
