--- a/valetrack/src/gate/departure.rs
+++ b/valetrack/src/gate/departure.rs
@@ -39,10 +39,13 @@
     }
 }
 
-/// Departures that one node remembers, by VM and oldest first, with the time of each record.
+/// Departures of one VM, oldest first, with the time of each record.
+type RecordedDepartures = VecDeque<(u64, Departure)>;
+
+/// Departures that one node remembers, by VM.
 #[derive(Debug, Default)]
 pub struct Departures {
-    known: RefCell<HashMap<Arc<str>, VecDeque<(u64, Departure)>>>,
+    known: RefCell<HashMap<Arc<str>, RecordedDepartures>>,
 }
 
 impl Departures {
