The rollback test waits for the store before the operator publishes

Traced: the set-up waited 730 ms for a stand-in that is away for 700 ms, answers within 20 ms before that and tries to bind again every 5 ms, so it had 10 ms to spare. No product code is involved.

Change: the set-up waits until the port accepts. The operator publishes no later than before on an idle machine, so the test is as strict.

--- a/standin/tests/roll_rollback.rs
+++ b/standin/tests/roll_rollback.rs
@@ -13,6 +13,7 @@
 use serde_json::Value;
 use standin::client::Client;
 use test_case::test_case;
+use tokio::net::TcpStream;
 use tokio::time::sleep;
 
 const VMS: usize = 4;
@@ -71,6 +72,8 @@
 async fn roll_back_store(fleet: &Fleet, options: &str) {
     fleet.store_command(&format!("_return?away_ms=700{options}")).await;
     sleep(Duration::from_millis(730)).await;
+    // The stand-in binds its port again some milliseconds late on a busy machine.
+    wait_for("the store", async || TcpStream::connect(fleet.store_addr).await.is_ok()).await;
 }
 
 #[test_case("", 0; "at once")]
