Log lines tell why an upstream is served and which departures a node knows

Now one node's log states

- upstream.state: by which announcement (heartbeat, health check, answer, deregistration), its sequence number, and whether it is certainly younger than the node (outlasts_delays);
- departure.found: at a start, in the own entry (is_own) or from a peer;

No logic changes.

--- a/valetrack/src/caller/run.rs
+++ b/valetrack/src/caller/run.rs
@@ -24,7 +24,7 @@
 use crate::bundle::{Confirmation, HostRoute, InForce, SplitPicker};
 use crate::clock::{Moment, now_us};
 use crate::code::Code;
-use crate::gate::NestedRank;
+use crate::gate::{DepartureSource, NestedRank};
 use crate::link::message::CallHead;
 use crate::placement::run::Placer;
 use crate::placement::{NeverRuns, PlaceJob, Placed, SERVICE_UNKNOWN, Verdict};
@@ -254,7 +254,7 @@
             self.placer.record_outcome(&watch, &placed);
         }
         if let Placed::Answer(head, _) = &mut placed {
-            self.placer.departures.take_from(&mut head.headers);
+            self.placer.departures.take_from(&mut head.headers, DepartureSource::Answer);
         }
         let code = code_of_placed(&placed);
         let answer = self.parts.protocol.of_placed(placed, &call_id);
--- a/valetrack/src/gate/mod.rs
+++ b/valetrack/src/gate/mod.rs
@@ -35,7 +35,7 @@
 pub use cold::{ColdBound, ColdRule};
 pub use cold_rank::RankedStarts;
 pub use crash::CrashWatch;
-pub use departure::{Departure, Departures};
+pub use departure::{Departure, DepartureSource, Departures};
 pub use header::{ACCOUNT_HEADER, REPEAT_HEADER, forwarded_headers};
 pub use kept::KeptSpeedShare;
 pub use ledger::{RunLedger, StartedRun};
--- a/valetrack/src/gate/run/follow.rs
+++ b/valetrack/src/gate/run/follow.rs
@@ -9,6 +9,7 @@
 
 use super::GateShell;
 use crate::clock::steady_us;
+use crate::gate::departure::DepartureSource;
 use crate::gate::message::GateEvent;
 use crate::gate::protocol::Health;
 use crate::gate::upstream::{UpstreamPhase, UpstreamState};
@@ -115,7 +116,7 @@
             let covered = {
                 let members = members.borrow_and_update();
                 self.origins.borrow_mut().set_vms(members.vms_by_service());
-                members.departures().for_each(|departure| self.departures.record(departure));
+                members.departures().for_each(|departure| self.departures.record(departure, DepartureSource::Entry));
                 members.evacuation().covers(&domain)
             };
             self.follow_departures();
--- a/valetrack/src/gate/upstream.rs
+++ b/valetrack/src/gate/upstream.rs
@@ -50,6 +50,16 @@
 }
 
 impl Announcement {
+    /// Returns how the upstream was heard of, in the format of log lines.
+    pub fn source(&self) -> &'static str {
+        match (self.is_solicited, self.sequence) {
+            (true, Some(_)) => "health-check",
+            (true, None) => "answer",
+            (false, Some(_)) => "heartbeat",
+            (false, None) => "deregistration",
+        }
+    }
+
     /// Returns whether both may come from the same start.
     fn is_of_start(&self, other: &Self) -> bool {
         self.id == other.id && is_same_start(self.born_ms, other.born_ms)
@@ -130,6 +140,11 @@
         Some(Departure { vm: vm.clone(), id, born_ms: self.born_ms })
     }
 
+    /// Returns whether an announcement that arrives at `now_us` was certainly sent after this node started.
+    pub fn outlasts_delays(&self, now_us: u64) -> bool {
+        now_us >= self.may_be_late_until_us
+    }
+
     /// Returns whether no announcement awaits confirmation.
     pub fn is_confirmed(&self) -> bool {
         self.unconfirmed.is_none()
@@ -137,7 +152,7 @@
 
     /// Returns whether a health check of the upstream would decide whether it accepts work.
     pub fn awaits_health_check(&self, now_us: u64) -> bool {
-        let is_doubted = self.unconfirmed.is_some() && now_us < self.may_be_late_until_us;
+        let is_doubted = self.unconfirmed.is_some() && !self.outlasts_delays(now_us);
         self.phase == UpstreamPhase::Unknown || is_doubted
     }
 
@@ -175,7 +190,7 @@
     /// than one that this node knows was not.
     fn may_be_late(&self, announcement: &Announcement, now_us: u64) -> bool {
         let is_later_start = matches!((self.born_ms, announcement.born_ms), (Some(known), Some(born)) if born > known);
-        announcement.ready && !announcement.is_solicited && !is_later_start && now_us < self.may_be_late_until_us
+        announcement.ready && !announcement.is_solicited && !is_later_start && !self.outlasts_delays(now_us)
     }
 
     /// Keeps an announcement until the upstream's answer to a health check confirms it; returns whether it is the first
--- a/valetrack/src/link/run.rs
+++ b/valetrack/src/link/run.rs
@@ -26,7 +26,8 @@
 use crate::gate::pool::ServerPool;
 use crate::gate::run::{GateReply, GateShell, GateShellParts};
 use crate::gate::{
-    Announcement, DeclineReason, Departures, GateConfig, Health, RunLedger, UpstreamProtocol, UpstreamState,
+    Announcement, DeclineReason, DepartureSource, Departures, GateConfig, Health, RunLedger, UpstreamProtocol,
+    UpstreamState,
 };
 use crate::jobs::next_job;
 use crate::member::{Evacuation, FollowerReply, GossipReply, Member, MemberJob, Members};
@@ -377,7 +378,7 @@
 
     async fn run_call(&self, mut head: CallHead, body: Bytes) -> (Reply, Bytes) {
         events::observe(head.hlc);
-        self.departures.take_from(&mut head.headers);
+        self.departures.take_from(&mut head.headers, DepartureSource::Call);
         let attempt = head.attempt;
         if head.service != self.parts.service {
             // Another service has this address now; the sender's view of the members is outdated.
@@ -391,7 +392,7 @@
 
     async fn run_keyed(&self, mut head: CallHead, body: Bytes) -> (Reply, Bytes) {
         events::observe(head.hlc);
-        self.departures.take_from(&mut head.headers);
+        self.departures.take_from(&mut head.headers, DepartureSource::Call);
         let attempt = head.attempt;
         let (reply, answered) = oneshot::channel();
         let job = ClaimJob { head, body, reply };
--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -115,6 +115,8 @@
     evacuation_keys: RefCell<EvacuationKeys>,
     /// Departure of the upstream that an earlier process of this node has acknowledged, as other nodes have reported it.
     earlier_departure: RefCell<Option<Departure>>,
+    /// Departure that this node's entry in the store names, as last read.
+    stored_departure: RefCell<Option<Departure>>,
     /// Whether a request for evacuations to another node is pending.
     fetching_evacuation: Cell<bool>,
     rng: RefCell<fastrand::Rng>,
@@ -189,6 +191,7 @@
         evacuation: RefCell::default(),
         evacuation_keys: RefCell::default(),
         earlier_departure: RefCell::default(),
+        stored_departure: RefCell::default(),
         fetching_evacuation: Cell::new(false),
         rng: RefCell::new(fastrand::Rng::with_seed(parts.seed)),
         rollouts: RefCell::default(),
@@ -282,6 +285,7 @@
         };
         let known = self.earlier_departure.replace(Some(departure.clone()));
         if known.as_ref() != Some(departure) {
+            log::info!("event=departure.found id={} by=peer", departure.id);
             self.publish();
         }
     }
@@ -398,6 +402,7 @@
         }
         self.add_announced_relays(&mut members);
         let stored = members.get(&self.parts.me.vm).and_then(|stored| stored.departure.clone());
+        self.log_stored_departure(stored.as_ref());
         members.set_earlier_departure(stored.or_else(|| self.earlier_departure.borrow().clone()));
         members.set(self.me.borrow().clone());
         members.merge_evacuation(&self.evacuation.borrow());
@@ -406,6 +411,18 @@
         self.parts.members.send_replace(Arc::new(members));
     }
 
+    /// Logs when this node's entry in the store first names a departure, or another one.
+    fn log_stored_departure(&self, stored: Option<&Departure>) {
+        if *self.stored_departure.borrow() == stored.cloned() {
+            return;
+        }
+        self.stored_departure.replace(stored.cloned());
+        if let Some(Departure { id, .. }) = stored {
+            let is_own = self.me.borrow().departure.as_ref() == stored;
+            log::info!("event=departure.found id={id} by=store is_own={is_own}");
+        }
+    }
+
     /// Derives this node's phase from its upstream and its own startup and shutdown, and publishes each change.
     async fn follow_phase(self: Rc<Self>) {
         let mut upstream = self.parts.upstream.clone();
--- a/valetrack/src/node/start.rs
+++ b/valetrack/src/node/start.rs
@@ -381,10 +381,17 @@
         let cold_ms = state.cold_until_us.saturating_sub(now) / 1000;
         let UpstreamState { start, phase, .. } = *state;
         log::info!(
-            "event=upstream.state id={} start={start} phase={phase:?} slots={slots} cold_ms={cold_ms} is_confirmed={}",
+            "event=upstream.state id={} start={start} phase={phase:?} slots={slots} cold_ms={cold_ms} is_confirmed={} \
+             by={} sequence={} ready={} outlasts_delays={}",
             announcement.id,
-            state.is_confirmed()
+            state.is_confirmed(),
+            announcement.source(),
+            announcement.sequence.unwrap_or(0),
+            announcement.ready,
+            state.outlasts_delays(now)
         );
+    } else if !announcement.ready && state.id.as_ref() != Some(&announcement.id) {
+        log::info!("event=departure.of_earlier_start id={} by={}", announcement.id, announcement.source());
     }
     if state.start != start && phase == UpstreamPhase::Ready {
         metrics.upstream_crashes.inc();
