--- a/standin/src/managed/server.rs
+++ b/standin/src/managed/server.rs
@@ -365,10 +365,15 @@
         self.health_lies.store(true, Ordering::Relaxed);
     }
 
+    /// Stops sending heartbeats.
+    pub fn fall_silent(&self) {
+        self.silent.store(true, Ordering::Relaxed);
+    }
+
     /// Deregisters the server, which sends no heartbeats from now on and serves on; returns whether the node has
     /// acknowledged it.
     pub async fn deregister(&self) -> bool {
-        self.silent.store(true, Ordering::Relaxed);
+        self.fall_silent();
         self.drain();
         let path = format!("/api/instances/{}/deregister", self.id());
         let sent = Client::new(self.control).call("POST", &path, &[], String::new()).await;
--- a/standin/tests/node_restart.rs
+++ b/standin/tests/node_restart.rs
@@ -7,6 +7,7 @@
 use common::managed::{Fleet, call, status};
 use common::wait_for;
 use serde_json::Value;
+use standin::managed::store::Mode;
 use test_case::test_case;
 use tokio::time::sleep;
 
@@ -34,6 +35,24 @@
     }
 }
 
+/// Kills all nodes at the same moment, the first one before the others, and starts them.
+async fn restart_all_nodes(fleet: &mut Fleet) {
+    let count = fleet.vms.len();
+    (0..count).for_each(|at| fleet.kill_node(at));
+    sleep(Duration::from_millis(200)).await;
+    (0..count).for_each(|at| fleet.start_node(at));
+    for at in 0..count {
+        wait_for("readiness", async || fleet.readiness(at).await == 200).await;
+    }
+}
+
+/// Sends calls for some seconds, which the upstream that has left must not get.
+async fn assert_no_late_arrivals(fleet: &Fleet) {
+    sleep(Duration::from_millis(1_500)).await;
+    let failed = count_failed_calls(fleet, Duration::from_millis(2_500)).await;
+    assert_eq!((fleet.vms[0].upstream.late_arrivals(), failed), (0, 0), "late arrivals and failed calls");
+}
+
 async fn deliver(fleet: &Fleet, late: &[Value]) {
     for heartbeat in late {
         assert!(fleet.vms[0].upstream.deliver(heartbeat).await, "a late heartbeat is acknowledged");
@@ -58,12 +77,52 @@
         sleep(Duration::from_millis(500)).await;
         restart_node(&mut fleet, kills, down_ms).await;
         deliver(&fleet, &late).await;
-        sleep(Duration::from_millis(1_500)).await;
-        let failed = count_failed_calls(&fleet, Duration::from_millis(2_500)).await;
-        assert_eq!((leaving.late_arrivals(), failed), (0, 0), "late arrivals and failed calls");
+        assert_no_late_arrivals(&fleet).await;
     });
 }
 
+/// Guards against departures that nothing outside the ended processes has recorded.
+#[test_case(0, 0, false; "at the acknowledgement")]
+#[test_case(0, 0, true; "at the acknowledgement while the health check succeeds")]
+#[test_case(100, 0, true; "at the acknowledgement while the health check succeeds and the store is slow")]
+#[test_case(100, 500, true; "later while the health check succeeds and the store is slow")]
+fn departed_upstream_gets_no_calls_after_all_nodes_end(store_ms: u64, ended_after_ms: u64, health_lies: bool) {
+    run(async move {
+        let mut fleet = Fleet::start(&["rounds", "rounds", "ledger", "ledger"]).await;
+        let leaving = fleet.vms[0].upstream.clone();
+        let late = [leaving.make_heartbeat(), leaving.make_heartbeat()];
+        if health_lies {
+            leaving.set_health_lies();
+        }
+        if store_ms > 0 {
+            fleet.store.set_mode(Mode::Slow(store_ms));
+        }
+        assert!(leaving.deregister().await, "the deregistration is acknowledged");
+        sleep(Duration::from_millis(ended_after_ms)).await;
+        restart_all_nodes(&mut fleet).await;
+        deliver(&fleet, &late).await;
+        assert_no_late_arrivals(&fleet).await;
+    });
+}
+
+/// Guards against a departure that is not recorded since the node has never served.
+#[tokio::test]
+async fn departure_acknowledged_before_first_call_outlives_all_nodes() {
+    let mut fleet = Fleet::start(&["rounds", "rounds", "ledger", "ledger"]).await;
+    let leaving = fleet.vms[0].upstream.clone();
+    let late = [leaving.make_heartbeat(), leaving.make_heartbeat()];
+    leaving.fall_silent();
+    leaving.drain();
+    fleet.kill_node(0);
+    fleet.start_node(0);
+    wait_for("an acknowledgement", async || leaving.deregister().await).await;
+    sleep(Duration::from_millis(500)).await;
+    leaving.set_health_lies();
+    restart_all_nodes(&mut fleet).await;
+    deliver(&fleet, &late).await;
+    assert_no_late_arrivals(&fleet).await;
+}
+
 /// Guards against a start that becomes slower for upstreams that do not leave.
 #[tokio::test]
 async fn upstream_serves_soon_after_restart_of_its_node() {
