A node that has never served records the departure of its upstream

Callers saw: calls reach an upstream after its departure was acknowledged, once all nodes have ended at the same moment and the health check says 200.

Cause: a node writes its first entry when it begins to serve, so that a node that was started beside a leaving upstream acknowledges the departure and records it nowhere. Class: what a process has acknowledged lives in that process alone.

Change: a departure is a reason to write an entry as well.

--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -482,8 +482,12 @@
 
     /// Schedules a write of this node's entry with its current state.
     fn entry_changed(&self) {
-        // A node that has never served has no entry.
-        if self.me.borrow().phase == Phase::Serving || self.keeper.borrow().wanted() > 0 {
+        // A node that has never served has no entry, unless it has a departure to record.
+        let is_wanted = {
+            let me = self.me.borrow();
+            me.phase == Phase::Serving || me.departure.is_some() || self.keeper.borrow().wanted() > 0
+        };
+        if is_wanted {
             self.keeper.borrow_mut().change();
             self.entry_due.notify_one();
             self.entry_update.notify_one();
