A departure is acknowledged once the store or a peer has recorded it

Callers saw: calls reach an upstream after its departure was acknowledged, when all nodes end at or soon after the acknowledgement and the health check says 200 (30 to 36 late arrivals in 2.5 s).

Cause: the answer was sent as soon as the announcement was queued. The entry that names the departure is written later: by a relay with its next call, by a follower through its relay, which gathers changes first. With a store of 100 ms a call the follower's departure was not stored 0.5 s after the acknowledgement (log: departure.acknowledged, member.leaving, no departure.found before the end, then upstream.state by=health-check phase=Ready). Class: what a process has acknowledged lives in that process alone.

Change: the acknowledgement waits for a record outside the process: the entry in the store; after 300 ms a peer, of which three are told at once; it is sent after 600 ms at the latest, since an upstream repeats an announcement after a second and leaves in any case. The gate closes at once, as before. A relay writes a batch that names a departure without gathering. A departure that the store names already is acknowledged at once.

--- a/standin/tests/node_restart.rs
+++ b/standin/tests/node_restart.rs
@@ -105,6 +105,26 @@
     });
 }
 
+/// Guards against acknowledgements that depend on the store: an upstream repeats an announcement after a second.
+#[test_case(Mode::Up; "the store answers")]
+#[test_case(Mode::Slow(100); "the store is slow")]
+#[test_case(Mode::Slow(1_500); "the store is too slow")]
+#[test_case(Mode::Refusing; "the store refuses calls")]
+#[test_case(Mode::Silent; "the store does not answer")]
+fn departure_is_acknowledged_within_a_second(mode: Mode) {
+    run(async move {
+        let fleet = Fleet::start(&["rounds", "rounds", "ledger", "ledger"]).await;
+        fleet.store.set_mode(mode);
+        for vm in &fleet.vms {
+            let begun = Instant::now();
+            assert!(vm.upstream.deregister().await, "the deregistration is acknowledged");
+            let elapsed = begun.elapsed();
+            println!("{} {mode:?} acknowledged_ms={}", vm.name, elapsed.as_millis());
+            assert!(elapsed < Duration::from_secs(1), "{elapsed:?}");
+        }
+    });
+}
+
 /// Guards against a departure that is not recorded since the node has never served.
 #[tokio::test]
 async fn departure_acknowledged_before_first_call_outlives_all_nodes() {
--- a/valetrack/src/gate/departure.rs
+++ b/valetrack/src/gate/departure.rs
@@ -50,6 +50,8 @@
     Answer,
     /// The entry of the VM's node.
     Entry,
+    /// A message of the VM's node.
+    Peer,
 }
 
 impl DepartureSource {
@@ -59,6 +61,7 @@
             Self::Call => "call",
             Self::Answer => "answer",
             Self::Entry => "entry",
+            Self::Peer => "peer",
         }
     }
 }
--- a/valetrack/src/gate/mod.rs
+++ b/valetrack/src/gate/mod.rs
@@ -5,6 +5,7 @@
 //! which [`CancelResult::NeverStarted`] was returned, never starts.
 
 mod account_share;
+mod acknowledgement;
 mod cold;
 mod cold_rank;
 mod crash;
@@ -32,6 +33,7 @@
 mod upstream;
 
 pub use account_share::AccountShares;
+pub use acknowledgement::{DepartureAcknowledger, DepartureRecord, RecordedBy};
 pub use cold::{ColdBound, ColdRule};
 pub use cold_rank::RankedStarts;
 pub use crash::CrashWatch;
--- a/valetrack/src/gate/tests.rs
+++ b/valetrack/src/gate/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the gate: its state machine under random events, and connections to a misbehaving server.
 
 mod account_share;
+mod acknowledgement;
 mod cold;
 mod connection;
 mod crash;
--- a/valetrack/src/link/codec.rs
+++ b/valetrack/src/link/codec.rs
@@ -69,7 +69,8 @@
             | Self::Follow { .. }
             | Self::Runs
             | Self::Quota { .. }
-            | Self::Crashes { .. } => Some(0),
+            | Self::Crashes { .. }
+            | Self::Departure(_) => Some(0),
         }
     }
 }
--- a/valetrack/src/link/message.rs
+++ b/valetrack/src/link/message.rs
@@ -11,7 +11,7 @@
 
 use crate::claim::ClaimReport;
 use crate::crash::CrashReport;
-use crate::gate::{AttemptId, CancelResult, DeclineReason, LoadReport, QueueTimeout};
+use crate::gate::{AttemptId, CancelResult, DeclineReason, Departure, LoadReport, QueueTimeout};
 use crate::member::{Evacuation, Member};
 use crate::placement::Outcome;
 use crate::rollout::RouteRuns;
@@ -182,6 +182,8 @@
         /// Reported crashes.
         reports: Vec<CrashReport>,
     },
+    /// States that an upstream leaves; the reply is [`Reply::Load`].
+    Departure(Departure),
 }
 
 /// Reply to a request, on the same stream.
--- a/valetrack/src/link/run.rs
+++ b/valetrack/src/link/run.rs
@@ -372,6 +372,10 @@
                 let _ = self.parts.to_crash.send(CrashJob::Heard { from, reports }).await;
                 (Reply::Load, Bytes::new())
             }
+            Ask::Departure(departure) => {
+                self.departures.record(&departure, DepartureSource::Peer);
+                (Reply::Load, Bytes::new())
+            }
         };
         PeerReply { head: ReplyHead { reply, riding: self.piggyback() }, body }
     }
--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -1,6 +1,7 @@
 //! The member thread on a platform whose store has leases: keeps this node's entry, the view of the other nodes, and
 //! the operators' bundle.
 
+mod departure;
 mod follow;
 mod keep;
 mod older;
@@ -35,7 +36,7 @@
 use crate::claim::ClaimReport;
 use crate::clock::now_us;
 use crate::crash::CrashJob;
-use crate::gate::{Departure, UpstreamPhase, UpstreamState};
+use crate::gate::{Departure, DepartureRecord, RecordedBy, UpstreamPhase, UpstreamState};
 use crate::jobs::BackgroundTasks;
 use crate::link::message::{Ask, PeerRequest, Reply};
 use crate::link::peer::{self, LinkJob, LinkResult, Target};
@@ -86,6 +87,8 @@
     pub members: watch::Sender<Arc<Members>>,
     /// State of the upstream beside this node.
     pub upstream: watch::Receiver<UpstreamState>,
+    /// Latest departure of this VM's upstream, and who has recorded it.
+    pub departure_record: watch::Sender<DepartureRecord>,
     /// Becomes true when this node accepts calls.
     pub serving: watch::Receiver<bool>,
     /// Becomes true when this node starts to leave.
@@ -417,9 +420,10 @@
             return;
         }
         self.stored_departure.replace(stored.cloned());
-        if let Some(Departure { id, .. }) = stored {
+        if let Some(departure) = stored {
             let is_own = self.me.borrow().departure.as_ref() == stored;
-            log::info!("event=departure.found id={id} by=store is_own={is_own}");
+            log::info!("event=departure.found id={} by=store is_own={is_own}", departure.id);
+            self.departure_recorded(departure, RecordedBy::Store);
         }
     }
 
@@ -465,7 +469,7 @@
         }
     }
 
-    fn set_phase(&self, phase: Phase, version: Option<Arc<str>>, departure: Option<Departure>) {
+    fn set_phase(self: &Rc<Self>, phase: Phase, version: Option<Arc<str>>, departure: Option<Departure>) {
         let changed = {
             let mut me = self.me.borrow_mut();
             let changed = (me.phase, &me.version, &me.departure) != (phase, &version, &departure);
@@ -478,6 +482,7 @@
         log::info!("event=member.{} peer={} prefix={ENTRY_PREFIX}", phase.as_str(), self.parts.me.vm);
         self.publish();
         self.entry_changed();
+        self.tell_departure();
     }
 
     /// Schedules a write of this node's entry with its current state.
--- /dev/null
+++ b/valetrack/src/member/leased/departure.rs
@@ -0,0 +1,62 @@
+//! Makes others record the departure of this node's upstream before it is acknowledged.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use super::Shell;
+use crate::gate::{Departure, DepartureRecord, RecordedBy};
+use crate::link::message::{Ask, PeerRequest};
+use crate::link::peer::{self, LinkResult, Target};
+use crate::member::Phase;
+
+/// Number of nodes that a departure is sent to. The others read it in the store.
+const TOLD_MAX: usize = 3;
+/// Time limit of such a request; the acknowledgement does not wait longer.
+const TELL_MS: u64 = 500;
+
+impl Shell {
+    /// Sends a departure that this node has just learned of to some other nodes; its entry in the store names it as well.
+    pub(super) fn tell_departure(self: &Rc<Self>) {
+        let Some(departure) = self.me.borrow().departure.clone() else {
+            return;
+        };
+        let record = DepartureRecord::new(departure.clone());
+        let is_new = self.parts.departure_record.send_if_modified(|known| {
+            let is_new = !known.is_of(&departure);
+            if is_new {
+                *known = record;
+            }
+            is_new
+        });
+        if !is_new {
+            return;
+        }
+        if self.stored_departure.borrow().as_ref() == Some(&departure) {
+            self.departure_recorded(&departure, RecordedBy::Store);
+        }
+        for target in self.told_nodes() {
+            let (shell, departure) = (self.clone(), departure.clone());
+            tokio::task::spawn_local(async move {
+                let request = PeerRequest { ask: Ask::Departure(departure.clone()), body: Bytes::new() };
+                let limit = Duration::from_millis(TELL_MS);
+                if let LinkResult::Reply(_) = peer::ask_within(&shell.parts.to_link, target, request, limit).await {
+                    shell.departure_recorded(&departure, RecordedBy::Peer);
+                }
+            });
+        }
+    }
+
+    /// Records who knows a departure of this node's upstream.
+    pub(super) fn departure_recorded(&self, departure: &Departure, by: RecordedBy) {
+        self.parts.departure_record.send_if_modified(|record| record.confirm(departure, by));
+    }
+
+    fn told_nodes(&self) -> Vec<Target> {
+        let members = self.parts.members.borrow();
+        let others = members.iter().filter(|member| member.phase == Phase::Serving && member.vm != self.parts.me.vm);
+        let others = others.map(|member| Target { vm: member.vm.clone(), addr: member.link_addr });
+        self.rng.borrow_mut().choose_multiple(others, TOLD_MAX)
+    }
+}
--- a/valetrack/src/member/leased/keep.rs
+++ b/valetrack/src/member/leased/keep.rs
@@ -9,6 +9,7 @@
 use super::{Shell, WATCH_MS};
 use crate::clock::now_us;
 use crate::code::Code;
+use crate::gate::RecordedBy;
 use crate::member::{Batch, EntryDoc, EntryStep, entry_key};
 use crate::store::{CommitOutcome, Era, Freshness, LeasedWrite, Position, StoreError, TransactionOutcome};
 
@@ -132,6 +133,9 @@
                 log::info!("event=member.entry_written phase={phase} position={position} lease={lease}");
                 self.call_answered(position.era());
                 self.keeper.borrow_mut().wrote(version, position);
+                if let Some(departure) = &entry.member.departure {
+                    self.departure_recorded(departure, RecordedBy::Store);
+                }
             }
             CommitOutcome::Conflict(position) => {
                 let known = self.keeper.borrow().era();
@@ -144,17 +148,19 @@
 
     /// Writes the entries of followers that are due; returns whether there were any.
     async fn keep_followers(self: &Rc<Self>) -> bool {
-        match self.due_batch() {
+        let names_departure = match self.due_batch() {
             Ok(batch) if batch.is_empty() => return false,
-            Ok(_) => {}
+            Ok(batch) => batch.names_departure,
             Err(error) => {
                 log::error!("event=member.entries_unwritable code={} reason=\"{error}\"", error.code());
                 return false;
             }
+        };
+        if !names_departure {
+            // Followers tend to start and change at the same time, and each call costs money.
+            let gather_ms = self.log.borrow().gather_ms();
+            sleep(Duration::from_millis(gather_ms)).await;
         }
-        // Followers tend to start and change at the same time, and each call costs money.
-        let gather_ms = self.log.borrow().gather_ms();
-        sleep(Duration::from_millis(gather_ms)).await;
         let result = self.write_batch().await;
         self.handle_result(result);
         true
--- a/valetrack/src/member/registrar.rs
+++ b/valetrack/src/member/registrar.rs
@@ -35,6 +35,8 @@
     /// The followers, in the order of the changes, each with the version of the entry that is written; none if the
     /// entry is removed.
     pub followers: Vec<(Arc<str>, Option<u64>)>,
+    /// Whether an entry that is written names a departure, whose acknowledgement waits for it.
+    pub names_departure: bool,
 }
 
 /// The nodes that follow this one and the state of their entries.
@@ -164,6 +166,7 @@
             if let Some(expected) = follower.due(lease, confirmed_us, now_us) {
                 let version = follower.keeper.wanted();
                 batch.push(vm, follower.put(lease, expected)?, Some(version));
+                batch.names_departure |= follower.member.departure.is_some();
             }
         }
         for vm in expired {
--- a/valetrack/src/member/tests/fleet/node.rs
+++ b/valetrack/src/member/tests/fleet/node.rs
@@ -340,6 +340,7 @@
             to_crash,
             members,
             upstream: upstream_seen,
+            departure_record: watch::Sender::default(),
             serving: serving_seen,
             leaving: leaving_seen,
             drain_after: Duration::from_secs(1),
--- a/valetrack/src/node/part.rs
+++ b/valetrack/src/node/part.rs
@@ -11,7 +11,7 @@
 use crate::claim::{ClaimJob, ClaimState};
 use crate::clock::{steady_us, wall_us};
 use crate::crash::{CrashHistory, CrashJob};
-use crate::gate::{Announcement, UpstreamProtocol, UpstreamState};
+use crate::gate::{Announcement, DepartureRecord, UpstreamProtocol, UpstreamState};
 use crate::link::peer::LinkJob;
 use crate::member::{MemberJob, Members};
 use crate::metric::Metrics;
@@ -57,6 +57,7 @@
     pub(super) crash_history: watch::Sender<Arc<CrashHistory>>,
     pub(super) announcement: Ring<Announcement>,
     pub(super) upstream: watch::Sender<UpstreamState>,
+    pub(super) departure_record: watch::Sender<DepartureRecord>,
     pub(super) caller_protocol: Arc<dyn CallerProtocol>,
     pub(super) upstream_protocol: Arc<dyn UpstreamProtocol>,
     pub(super) format: Arc<dyn BundleFormat>,
@@ -88,6 +89,7 @@
             incarnation,
             announcement: Ring::new(),
             upstream: watch::Sender::new(state),
+            departure_record: watch::Sender::default(),
             caller_protocol: caller,
             upstream_protocol: upstream,
             format,
--- a/valetrack/src/node/start.rs
+++ b/valetrack/src/node/start.rs
@@ -24,7 +24,7 @@
 use crate::crash::Quarantine;
 use crate::crash::archive::{CrashArchive, LeasedArchive, StoreArchive};
 use crate::crash::run::CrashParts;
-use crate::gate::{Announcement, CrashWatch, Departures, UpstreamPhase, UpstreamState};
+use crate::gate::{Announcement, CrashWatch, DepartureAcknowledger, Departures, UpstreamPhase, UpstreamState};
 use crate::link::path::PathTimes;
 use crate::link::run::LinkParts;
 use crate::link::tls::LinkTls;
@@ -112,6 +112,7 @@
             to_crash: self.crash.to.clone(),
             members: self.members.clone(),
             upstream: self.upstream.subscribe(),
+            departure_record: self.departure_record.clone(),
             serving: self.stages.serving.subscribe(),
             leaving: self.stages.leaving.subscribe(),
             drain_after: self.drain_after(),
@@ -134,6 +135,7 @@
         let ring = self.announcement.from.clone();
         let to = self.announcement.to.clone();
         let upstream = self.upstream.clone();
+        let acknowledger = DepartureAcknowledger::new(self.departure_record.subscribe());
         let metrics = self.metrics.clone();
         let mut closing = self.stages.closing.subscribe();
         spawn("announcement", move || async move {
@@ -148,7 +150,7 @@
                 }
             };
             tokio::select! {
-                () = announcements.listen(listener, to, metrics) => {}
+                () = announcements.listen(listener, to, acknowledger, metrics) => {}
                 () = apply => {}
                 _ = closing.wait_for(|closing| *closing) => {}
             }
--- a/valetrack/src/platform.rs
+++ b/valetrack/src/platform.rs
@@ -9,7 +9,7 @@
 
 use crate::bundle::{BundleFormat, TomlFormat};
 use crate::caller::{CallerProtocol, NativeCaller};
-use crate::gate::{Announcement, NativeUpstream, UpstreamProtocol};
+use crate::gate::{Announcement, DepartureAcknowledger, NativeUpstream, UpstreamProtocol};
 use crate::member::list::{HttpList, VmList};
 use crate::metric::Metrics;
 use crate::rollout::RolloutFormat;
@@ -42,12 +42,13 @@
 
 /// Receives the announcements of this node's upstream.
 pub trait Announcements: Send {
-    /// Listens until dropped and sends every announcement to `to`; must run on a local task set. Unreadable
-    /// announcements are counted in `metrics` and otherwise ignored.
+    /// Listens until dropped and sends every announcement to `to`; must run on a local task set. A departure is
+    /// acknowledged once `acknowledger` allows it. Unreadable announcements are counted in `metrics` and otherwise ignored.
     fn listen(
         self: Box<Self>,
         listener: TcpListener,
         to: Sender<Announcement>,
+        acknowledger: DepartureAcknowledger,
         metrics: Arc<Metrics>,
     ) -> LocalBoxFuture<'static, ()>;
 }
