Answers of the store end at a lowest rate

What was at stake: a store in trouble that sends bytes without end, slowly, held a call until 4 MiB had come: at 20 pieces of five bytes a second some 12 hours. Such a call keeps the node's entry from being renewed or its configuration from being read.

Cause: after the head only the pause between two parts was limited, for large answers on narrow links.

Change: one reader for both clients of the store, which also ends a body that arrives at less than 64 KiB a second after four pauses. The connection closes with it. A page of 1 MB on a link of 10 Mbit/s takes a second.

Bytes after a complete answer close the connection and reach no later call.

--- a/valetrack/src/store/client.rs
+++ b/valetrack/src/store/client.rs
@@ -6,11 +6,10 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures::future::BoxFuture;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::Request;
-use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
@@ -18,6 +17,7 @@
 use tokio::sync::{Mutex, mpsc};
 use tokio::time::timeout;
 
+use super::body::read_body;
 use super::message::{HistoryName, ReadResult, Store, StoreError, SwapOutcome, Versioned, WatchUpdate};
 use super::position::{Era, Position};
 
@@ -123,7 +123,8 @@
         let (mut connection, sender, answer) =
             timeout(self.limit, exchange).await.unwrap_or_else(|_| Err(timed_out()))?;
         let status = answer.status();
-        let bytes = self.read_body(answer.into_body()).await?;
+        let read = read_body(answer.into_body(), ANSWER_MAX_BYTES, self.limit).await;
+        let bytes = read.map_err(|error| CallError::Unanswered(error.to_string()))?;
         if !status.is_success() {
             // A store that is shutting down or starting up may answer with an error status. The connection is dropped, so
             // that later answers count as a new era.
@@ -135,21 +136,6 @@
         Ok(Answer { era, body })
     }
 
-    async fn read_body(&self, body: Incoming) -> Result<Bytes, CallError> {
-        let mut body = Limited::new(body, ANSWER_MAX_BYTES);
-        let mut received = BytesMut::new();
-        loop {
-            let frame = timeout(self.limit, body.frame()).await.map_err(|_| timed_out())?;
-            let Some(frame) = frame else {
-                return Ok(received.freeze());
-            };
-            let frame = frame.map_err(|error| CallError::Unanswered(error.to_string()))?;
-            if let Ok(data) = frame.into_data() {
-                received.extend_from_slice(&data);
-            }
-        }
-    }
-
     async fn read_once(&self, key: &str) -> Result<ReadResult, StoreError> {
         let answer = self.call("/v3/kv/range", json!({ "key": STANDARD.encode(key) }), None).await;
         let Answer { era, body } = answer.map_err(read_error)?;
--- a/valetrack/src/store/mod.rs
+++ b/valetrack/src/store/mod.rs
@@ -3,6 +3,7 @@
 //! Contract: a call ends within its time limit, and its caller counts it by kind. A write whose answer was lost is
 //! reported differently from one that was refused.
 
+mod body;
 mod client;
 mod lease;
 mod message;
@@ -10,6 +11,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use body::{BodyError, read_body};
 pub use client::HttpStore;
 pub use lease::{
     Change, Changes, CommitOutcome, Freshness, Item, Lease, LeaseStore, LeasedChange, LeasedWrite, Page,
