--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -27,11 +27,12 @@
 standin rate-limit
 standin rollback
 standin soak   [--seed N] [--seeds N] [--seconds N] [--vms N] [--program FILE] [--logs DIR] [--crashes] [--rollbacks] [--limits]
-               [--accounts] [--pipelined] [--regions] [--churn]
+               [--accounts] [--pipelined] [--regions] [--churn] [--fleet-ends]
 ";
 
 /// Flags of `soak` without a value.
-const SOAK_SWITCHES: [&str; 7] = ["crashes", "rollbacks", "limits", "accounts", "pipelined", "regions", "churn"];
+const SOAK_SWITCHES: [&str; 8] =
+    ["crashes", "rollbacks", "limits", "accounts", "pipelined", "regions", "churn", "fleet-ends"];
 
 #[derive(Default)]
 struct Args {
@@ -152,6 +153,7 @@
             pipelined: args.get("pipelined").is_some(),
             regions: args.get("regions").is_some(),
             churn: args.get("churn").is_some(),
+            fleet_ends: args.get("fleet-ends").is_some(),
             logs: std::path::Path::new(args.get("logs").unwrap_or("target/soak")).join(seed.to_string()),
         };
         // Dropping the runtime ends the stand-ins of the seed and frees their ports.
--- a/standin/src/managed/server.rs
+++ b/standin/src/managed/server.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -60,9 +60,11 @@
 }
 
 impl Incarnation {
-    /// Returns an incarnation that follows an earlier one.
-    fn after(earlier: Self, generation: u64) -> Self {
-        Self { generation, born_ms: wall_ms().max(earlier.born_ms + 1), sequence: 0 }
+    /// Returns an incarnation that follows an earlier one and starts at a time of the VM's clock, which may have been set
+    /// back.
+    fn after(earlier: Self, generation: u64, now_ms: u64) -> Self {
+        let born_ms = if now_ms == earlier.born_ms { now_ms + 1 } else { now_ms };
+        Self { generation, born_ms, sequence: 0 }
     }
 }
 
@@ -85,6 +87,8 @@
     /// Id of the first incarnation.
     id: String,
     incarnation: Mutex<Incarnation>,
+    /// Difference of the VM's clock to the time of day.
+    clock_ahead_ms: AtomicI64,
     /// End of the cold phase.
     cold_until: Mutex<Option<Instant>>,
     /// Arrival times of the requests that arrived while the server was cold.
@@ -158,6 +162,7 @@
         let server = Arc::new(Self {
             id: id.to_owned(),
             incarnation: Mutex::new(Incarnation { generation: 0, born_ms: wall_ms(), sequence: 0 }),
+            clock_ahead_ms: AtomicI64::new(0),
             cold_until: Mutex::default(),
             cold_arrivals: Mutex::default(),
             drain_acknowledged: Mutex::new(None),
@@ -440,10 +445,16 @@
         self.begin_incarnation(generation);
     }
 
+    /// Sets the VM's clock, from which later incarnations take the time of their start.
+    pub fn set_clock(&self, ahead_ms: i64) {
+        self.clock_ahead_ms.store(ahead_ms, Ordering::Relaxed);
+    }
+
     fn begin_incarnation(&self, generation: u64) {
         *self.acknowledged_drain() = None;
         let mut incarnation = self.incarnation();
-        *incarnation = Incarnation::after(*incarnation, generation);
+        let now_ms = wall_ms().saturating_add_signed(self.clock_ahead_ms.load(Ordering::Relaxed));
+        *incarnation = Incarnation::after(*incarnation, generation, now_ms);
         self.draining.store(false, Ordering::Relaxed);
         self.silent.store(false, Ordering::Relaxed);
         self.health_lies.store(false, Ordering::Relaxed);
--- a/standin/src/soak/fleet.rs
+++ b/standin/src/soak/fleet.rs
@@ -253,6 +253,10 @@
             Fault::Lapse => self.store.expire_leases(),
             Fault::Compact => self.store.compact(),
             Fault::RemoveService => self.is_service_removed = true,
+            Fault::LyingHealth => vm.upstream.set_health_lies(),
+            Fault::EndAll { by_signal: true } => self.vms.iter_mut().for_each(|vm| vm.signal(Signal::TERM)),
+            Fault::EndAll { by_signal: false } => self.vms.iter_mut().for_each(Vm::kill),
+            Fault::StepClock { ahead_ms } => vm.upstream.set_clock(ahead_ms),
             Fault::Deregister => {
                 let upstream = vm.upstream.clone();
                 tokio::task::spawn_local(async move { upstream.deregister().await });
@@ -279,6 +283,7 @@
             Fault::Drain | Fault::Leave | Fault::Deregister => vm.upstream.restart_with_new_id(),
             Fault::RemoveService => self.is_service_removed = false,
             Fault::Limit { .. } => vm.upstream.set_limit(None),
+            Fault::StepClock { .. } => vm.upstream.set_clock(0),
             Fault::Store(_) => self.store.set_mode(Mode::Up),
             Fault::RollBack { changes } => {
                 self.store.roll_back(changes);
@@ -291,6 +296,8 @@
             | Fault::Lapse
             | Fault::Compact
             | Fault::Configure
+            | Fault::LyingHealth
+            | Fault::EndAll { .. }
             | Fault::LateHeartbeat => {}
         }
     }
--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -26,7 +26,7 @@
 pub use self::deadly::{DeadlyRun, check_deadly_runs};
 pub use self::judge::{Breach, CallOutcome, CallRecord, Versions, check_calls};
 pub use self::repeat::{Arrival, RetryPeak, check_retries, retry_peak};
-pub use self::schedule::{Fault, Kind, PathFault, Step, churn, limits, rollbacks, schedule, suspensions};
+pub use self::schedule::{Fault, Kind, PathFault, Step, churn, fleet_ends, limits, rollbacks, schedule, suspensions};
 pub use self::stall::Stall;
 
 use self::caller::Callers;
@@ -71,6 +71,8 @@
     pub regions: bool,
     /// Whether a service leaves the configuration and returns, and upstreams deregister beside nodes that are killed.
     pub churn: bool,
+    /// Whether all nodes end at the same moment beside upstreams that leave.
+    pub fleet_ends: bool,
 }
 
 /// Result of one run.
@@ -116,6 +118,9 @@
     if settings.churn {
         steps.extend(churn(settings.seed, settings.vms, settings.seconds * 1000));
     }
+    if settings.fleet_ends {
+        steps.extend(fleet_ends(settings.seed, settings.vms, settings.seconds * 1000));
+    }
     steps.sort_by_key(|step| step.at_ms);
     let mut report = SoakReport { faults: steps.len(), ..SoakReport::default() };
     let callers = Rc::new(Callers::new(settings));
@@ -144,7 +149,8 @@
     let calls = callers.calls();
     report.ends = count_results(&calls);
     // Crashes, suspensions and kills aren't planned work; a store rollback cuts no call.
-    let planned = Kind::of_seed(settings.seed) == Kind::Planned && !settings.crashes && !settings.churn;
+    let has_kills = settings.crashes || settings.churn || settings.fleet_ends;
+    let planned = Kind::of_seed(settings.seed) == Kind::Planned && !has_kills;
     report.breaches.extend(callers.breaches());
     report.breaches.extend(check_calls(&calls, &runs(&fleet), planned));
     report.breaches.extend(upstream_breaches(&fleet));
--- a/standin/src/soak/schedule.rs
+++ b/standin/src/soak/schedule.rs
@@ -25,6 +25,14 @@
 const SERVES_ON_MS: std::ops::RangeInclusive<u64> = 2_500..=6_000;
 /// Shortest and longest time for which a node stays down after a kill beside a leaving upstream.
 const DOWN_MS: std::ops::RangeInclusive<u64> = 50..=600;
+/// Average pause between two ends of all nodes.
+const END_ALL_PAUSE_MS: u64 = 5_000;
+/// Longest time from the departure of an upstream to the end of all nodes.
+const END_ALL_AFTER_MS: u64 = 1_500;
+/// Pause between two ends of all nodes in series: some meet nodes that have not served yet.
+const END_ALL_AGAIN_MS: std::ops::RangeInclusive<u64> = 200..=2_500;
+/// Longest step of an upstream's clock, in either direction.
+const CLOCK_STEP_MAX_MS: i64 = 10_000;
 /// Shortest and longest time for which a limit or a departure is stated; the longest one exceeds the window of a limit.
 const LIMIT_LASTS_MS: std::ops::RangeInclusive<u64> = 500..=7_000;
 /// Limits that are drawn, in thousandths of a request per second.
@@ -92,6 +100,18 @@
     LateHeartbeat,
     /// The upstream deregisters, sends no more heartbeats, serves on, and starts again under another id.
     Deregister,
+    /// The upstream's health check succeeds even while the upstream leaves.
+    LyingHealth,
+    /// All nodes end at the same moment and are started again.
+    EndAll {
+        /// Whether they are stopped by SIGTERM instead of killed.
+        by_signal: bool,
+    },
+    /// The clock of the upstream's VM is set.
+    StepClock {
+        /// Difference to the time of day.
+        ahead_ms: i64,
+    },
 }
 
 /// A fault of a TCP path.
@@ -202,6 +222,31 @@
     steps
 }
 
+/// Returns the departures beside ends of all nodes of a run; they are drawn separately, so the other faults of the seed don't
+/// change.
+pub fn fleet_ends(seed: u64, vms: usize, length_ms: u64) -> Vec<Step> {
+    let mut rng = fastrand::Rng::with_seed(seed.rotate_left(7));
+    let mut steps: Vec<Step> = Vec::new();
+    for _ in 0..(length_ms / END_ALL_PAUSE_MS).max(1) {
+        let (at_ms, vm) = (rng.u64(..length_ms), rng.usize(..vms));
+        let step = |at_ms, lasts_ms, fault| Step { at_ms, lasts_ms, vm, fault };
+        let ahead_ms = rng.i64(-CLOCK_STEP_MAX_MS..=CLOCK_STEP_MAX_MS);
+        steps.push(step(at_ms.saturating_sub(20), rng.u64(SERVES_ON_MS), Fault::StepClock { ahead_ms }));
+        steps.extend((0..rng.usize(1..=3)).map(|_| step(at_ms, rng.u64(LASTS_MS), Fault::LateHeartbeat)));
+        if rng.bool() {
+            steps.push(step(at_ms, 0, Fault::LyingHealth));
+        }
+        let departure = if rng.bool() { Fault::Deregister } else { Fault::Drain };
+        steps.push(step(at_ms + 20, rng.u64(SERVES_ON_MS), departure));
+        let mut end_ms = at_ms + 20 + rng.u64(..=END_ALL_AFTER_MS);
+        for _ in 0..rng.usize(1..=2) {
+            steps.push(step(end_ms, 0, Fault::EndAll { by_signal: rng.bool() }));
+            end_ms += rng.u64(END_ALL_AGAIN_MS);
+        }
+    }
+    steps
+}
+
 /// Returns the store rollbacks of a run; they are drawn separately, so the other faults of the seed don't change. About
 /// one in three starts shortly after the previous one ends.
 pub fn rollbacks(seed: u64, length_ms: u64) -> Vec<Step> {
--- a/standin/tests/soak.rs
+++ b/standin/tests/soak.rs
@@ -67,6 +67,12 @@
     assert_no_breaches(SoakSettings { seed, seconds, vms, churn: true, ..settings() });
 }
 
+#[test_case(19, 12, 6; "faults of every kind")]
+#[test_case(21, 12, 6; "planned work besides")]
+fn no_promise_is_broken_while_all_nodes_end(seed: u64, seconds: u64, vms: usize) {
+    assert_no_breaches(SoakSettings { seed, seconds, vms, fleet_ends: true, ..settings() });
+}
+
 /// Returns the settings that all runs share.
 fn settings() -> SoakSettings {
     SoakSettings {
@@ -82,12 +88,14 @@
         pipelined: false,
         regions: false,
         churn: false,
+        fleet_ends: false,
     }
 }
 
 fn assert_no_breaches(settings: SoakSettings) {
-    let SoakSettings { seed, crashes, rollbacks, limits, accounts, pipelined, regions, churn, .. } = settings;
-    let switches = [crashes, rollbacks, limits, accounts, pipelined, regions, churn].map(u8::from);
+    let SoakSettings { seed, crashes, rollbacks, limits, accounts, pipelined, regions, churn, fleet_ends, .. } =
+        settings;
+    let switches = [crashes, rollbacks, limits, accounts, pipelined, regions, churn, fleet_ends].map(u8::from);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     let name = format!("valetrack-soak-{}-{seed}-{switches:?}", std::process::id());
     let settings = SoakSettings { logs: settings.logs.join(name), ..settings };
