A new process reports no departed upstream as serving

What was at stake: the entry of a restarted node lacked the departure that its former entry had named, from the first answer of a health check until the gate had told the departure back. An end of all nodes in that moment forgets it.

Cause: the entry's departure came from the announcements alone.

Change: the node derives its phase and its entry's departure from what an earlier process has recorded as well. A later start under another id, or with another start time, is not affected.

Evidence: recorded_departure_holds_for_ready_upstream for the decision.

--- a/valetrack/src/gate/departure.rs
+++ b/valetrack/src/gate/departure.rs
@@ -35,7 +35,7 @@
 
 impl Departure {
     /// Returns whether both may be the same incarnation; a later one may reuse the id with another start time.
-    fn matches(&self, other: &Self) -> bool {
+    pub fn matches(&self, other: &Self) -> bool {
         let is_other_start = matches!((self.born_ms, other.born_ms), (Some(born), Some(other)) if born != other);
         self.vm == other.vm && self.id == other.id && !is_other_start
     }
--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -1,7 +1,7 @@
 //! The member thread on a platform whose store has leases: keeps this node's entry, the view of the other nodes, and
 //! the operators' bundle.
 
-mod departure;
+pub mod departure;
 mod follow;
 mod keep;
 mod older;
@@ -23,6 +23,7 @@
 use bytes::Bytes;
 use tokio::sync::{Notify, watch};
 
+use self::departure::present_departure;
 use super::directory::{Directory, ENTRY_PREFIX};
 use super::evacuation::{Evacuation, EvacuationKeys};
 use super::lease::EntryKeeper;
@@ -445,8 +446,12 @@
         let mut start = 0;
         loop {
             let state = upstream.borrow_and_update().clone();
+            let departure = {
+                let (stored, earlier) = (self.stored_departure.borrow(), self.earlier_departure.borrow());
+                present_departure(&state, &self.parts.me.vm, stored.iter().chain(earlier.iter()))
+            };
             let phase = match state.phase {
-                _ if drained.get() => Phase::Leaving,
+                _ if drained.get() || departure.is_some() => Phase::Leaving,
                 UpstreamPhase::Ready if *serving.borrow_and_update() => Phase::Serving,
                 UpstreamPhase::Ready | UpstreamPhase::Unknown => Phase::Joining,
                 UpstreamPhase::Leaving => Phase::Leaving,
@@ -456,7 +461,6 @@
                 self.me.borrow_mut().incarnation = self.rng.borrow_mut().u64(1..);
                 start = state.start;
             }
-            let departure = state.incarnation(&self.parts.me.vm).filter(|_| state.phase == UpstreamPhase::Leaving);
             self.set_phase(phase, state.version.clone(), departure);
             let changed = tokio::select! {
                 changed = upstream.changed() => changed,
--- a/valetrack/src/member/leased/departure.rs
+++ b/valetrack/src/member/leased/departure.rs
@@ -1,12 +1,13 @@
 //! Makes others record the departure of this node's upstream before it is acknowledged.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 
 use super::Shell;
-use crate::gate::{Departure, DepartureRecord, RecordedBy};
+use crate::gate::{Departure, DepartureRecord, RecordedBy, UpstreamPhase, UpstreamState};
 use crate::link::message::{Ask, PeerRequest};
 use crate::link::peer::{self, LinkResult, Target};
 use crate::member::Phase;
@@ -60,3 +61,15 @@
         self.rng.borrow_mut().choose_multiple(others, TOLD_MAX)
     }
 }
+
+/// Returns the departure of the upstream's present start, if that leaves. What an earlier process of this node has recorded
+/// counts as well, so that this node's entry does not lack it for a moment.
+pub fn present_departure<'a>(
+    state: &UpstreamState,
+    vm: &Arc<str>,
+    mut recorded: impl Iterator<Item = &'a Departure>,
+) -> Option<Departure> {
+    let incarnation = state.incarnation(vm)?;
+    let recorded = recorded.find(|departure| departure.matches(&incarnation)).cloned();
+    recorded.or_else(|| (state.phase == UpstreamPhase::Leaving).then_some(incarnation))
+}
--- a/valetrack/src/member/tests.rs
+++ b/valetrack/src/member/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of membership: views, a node's own entry, and the entries of other nodes.
 
+mod departure;
 mod directory;
 mod entry;
 mod evacuation;
