Stand-in: an acknowledged deregistration counts for its own incarnation

The server recorded the acknowledgement for whichever incarnation was present when the answer came. Heartbeats already compared the ids; the check on late arrivals is unchanged.

--- a/standin/src/managed/server.rs
+++ b/standin/src/managed/server.rs
@@ -380,10 +380,12 @@
     pub async fn deregister(&self) -> bool {
         self.fall_silent();
         self.drain();
-        let path = format!("/api/instances/{}/deregister", self.id());
+        let id = self.id();
+        let path = format!("/api/instances/{id}/deregister");
         let sent = Client::new(self.control).call("POST", &path, &[], String::new()).await;
         let is_acknowledged = sent.is_ok_and(|reply| reply.status == 200);
-        if is_acknowledged {
+        // The next incarnation may have begun meanwhile.
+        if is_acknowledged && id == self.id() {
             self.acknowledged_drain().get_or_insert_with(Instant::now);
         }
         is_acknowledged
