A node without a relay records a departure itself

Callers saw: calls reach an upstream after its departure was acknowledged, when all nodes end within seconds of a start of the fleet and the health check says 200 (36 late arrivals).

Cause: a node that has found no relay yet, which takes up to some seconds after a start of the whole fleet, keeps no entry.

Change: such a node becomes a relay, which keeps its own entry, as soon as it has a departure to record. It resigns like any surplus one.

--- a/standin/tests/node_restart.rs
+++ b/standin/tests/node_restart.rs
@@ -131,6 +131,26 @@
     });
 }
 
+/// Guards against a departure that is not recorded while its node has found no relay yet.
+#[test]
+fn departure_acknowledged_soon_after_start_outlives_all_nodes() {
+    run(async {
+        let mut fleet = Fleet::start(&["rounds", "rounds", "ledger", "ledger"]).await;
+        let leaving = fleet.vms[0].upstream.clone();
+        let late = [leaving.make_heartbeat(), leaving.make_heartbeat()];
+        leaving.set_health_lies();
+        (0..fleet.vms.len()).for_each(|at| fleet.kill_node(at));
+        // Leases run out, and with them what the nodes would know of each other.
+        wait_for("no entries", async || fleet.entries() == 0).await;
+        (0..fleet.vms.len()).for_each(|at| fleet.start_node(at));
+        wait_for("an acknowledgement", async || leaving.deregister().await).await;
+        restart_all_nodes(&mut fleet).await;
+        deliver(&fleet, &late).await;
+        fleet.wait_ready().await;
+        assert_no_late_arrivals(&fleet).await;
+    });
+}
+
 /// Guards against acknowledgements that depend on the store: an upstream repeats an announcement after a second.
 #[test_case(Mode::Up; "the store answers")]
 #[test_case(Mode::Slow(100); "the store is slow")]
--- a/valetrack/src/member/leased/follow.rs
+++ b/valetrack/src/member/leased/follow.rs
@@ -45,7 +45,11 @@
             }
         };
         let may_serve = self.keeper.borrow().wanted() > 0;
-        if self.store_reachable.get() && may_serve && self.draws_relay_role(round) {
+        let has_departure = self.me.borrow().departure.is_some();
+        if self.store_reachable.get() && may_serve && has_departure {
+            // Relays keep their own entries; the acknowledgement waits for this one.
+            self.become_relay("departure to record");
+        } else if self.store_reachable.get() && may_serve && self.draws_relay_role(round) {
             self.become_relay("few relays to follow");
         } else if self.draws_follower_role(round, may_serve) {
             self.follows_relays.set(true);
@@ -53,10 +57,11 @@
         if self.is_relay() || self.follows_relays.get() {
             return 0;
         }
-        // The pause ends early when another node follows this one or the store is reachable again.
+        // The pause ends early when another node follows this one, the entry changes or the store is reachable again.
         tokio::select! {
             () = sleep(Duration::from_millis(pause_ms)) => {}
             () = self.follow_now.notified() => {}
+            () = self.entry_update.notified() => {}
             () = self.reread.notified() => {}
         }
         round + u32::from(may_serve)
