--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -1,7 +1,7 @@
 //! The member thread on a platform whose store has leases: keeps this node's entry, the view of the other nodes, and
 //! the operators' bundle.
 
-pub mod departure;
+pub(super) mod departure;
 mod follow;
 mod keep;
 mod older;
@@ -37,7 +37,7 @@
 use crate::claim::ClaimReport;
 use crate::clock::now_us;
 use crate::crash::CrashJob;
-use crate::gate::{Departure, DepartureRecord, RecordedBy, UpstreamPhase, UpstreamState};
+use crate::gate::{Departure, DepartureRecord, UpstreamPhase, UpstreamState};
 use crate::jobs::BackgroundTasks;
 use crate::link::message::{Ask, PeerRequest, Reply};
 use crate::link::peer::{self, LinkJob, LinkResult, Target};
@@ -406,7 +406,7 @@
         }
         self.add_announced_relays(&mut members);
         let stored = members.get(&self.parts.me.vm).and_then(|stored| stored.departure.clone());
-        self.log_stored_departure(stored.as_ref());
+        self.on_entry_read(stored.as_ref());
         members.set_earlier_departure(stored.or_else(|| self.earlier_departure.borrow().clone()));
         members.set(self.me.borrow().clone());
         members.merge_evacuation(&self.evacuation.borrow());
@@ -415,19 +415,6 @@
         self.parts.members.send_replace(Arc::new(members));
     }
 
-    /// Logs when this node's entry in the store first names a departure, or another one.
-    fn log_stored_departure(&self, stored: Option<&Departure>) {
-        if *self.stored_departure.borrow() == stored.cloned() {
-            return;
-        }
-        self.stored_departure.replace(stored.cloned());
-        if let Some(departure) = stored {
-            let is_own = self.me.borrow().departure.as_ref() == stored;
-            log::info!("event=departure.found id={} by=store is_own={is_own}", departure.id);
-            self.departure_recorded(departure, RecordedBy::Store);
-        }
-    }
-
     /// Derives this node's phase from its upstream and its own startup and shutdown, and publishes each change.
     async fn follow_phase(self: Rc<Self>) {
         let mut upstream = self.parts.upstream.clone();
--- a/valetrack/src/member/leased/departure.rs
+++ b/valetrack/src/member/leased/departure.rs
@@ -49,11 +49,25 @@
         }
     }
 
+    /// Handles the departure that this node's entry in the store names, as last read.
+    pub(super) fn on_entry_read(&self, stored: Option<&Departure>) {
+        if *self.stored_departure.borrow() == stored.cloned() {
+            return;
+        }
+        self.stored_departure.replace(stored.cloned());
+        if let Some(departure) = stored {
+            let is_own = self.me.borrow().departure.as_ref() == stored;
+            log::info!("event=departure.found id={} by=store is_own={is_own}", departure.id);
+            self.departure_recorded(departure, RecordedBy::Store);
+        }
+    }
+
     /// Records who knows a departure of this node's upstream.
     pub(super) fn departure_recorded(&self, departure: &Departure, by: RecordedBy) {
         self.parts.departure_record.send_if_modified(|record| record.confirm(departure, by));
     }
 
+    /// Returns the nodes that a departure is sent to.
     fn told_nodes(&self) -> Vec<Target> {
         let members = self.parts.members.borrow();
         let others = members.iter().filter(|member| member.phase == Phase::Serving && member.vm != self.parts.me.vm);
