--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -473,7 +473,7 @@
         log::info!("event=member.{} peer={} prefix={ENTRY_PREFIX}", phase.as_str(), self.parts.me.vm);
         self.publish();
         self.entry_changed();
-        self.tell_departure();
+        self.report_departure();
     }
 
     /// Schedules a write of this node's entry with its current state.
--- a/valetrack/src/member/leased/departure.rs
+++ b/valetrack/src/member/leased/departure.rs
@@ -1,4 +1,4 @@
-//! Makes others record the departure of this node's upstream before it is acknowledged.
+//! Departures of this node's upstream: reports them to other nodes, and follows who has recorded them.
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -12,14 +12,14 @@
 use crate::link::peer::{self, LinkResult, Target};
 use crate::member::Phase;
 
-/// Number of nodes that a departure is sent to. The others read it in the store.
-const TOLD_MAX: usize = 3;
+/// Number of nodes that a departure is sent to; the others read it in the store.
+const TARGETS_MAX: usize = 3;
 /// Time limit of such a request; the acknowledgement does not wait longer.
-const TELL_MS: u64 = 500;
+const REPORT_MS: u64 = 500;
 
 impl Shell {
     /// Sends a departure that this node has just learned of to some other nodes; its entry in the store names it as well.
-    pub(super) fn tell_departure(self: &Rc<Self>) {
+    pub(super) fn report_departure(self: &Rc<Self>) {
         let Some(departure) = self.me.borrow().departure.clone() else {
             return;
         };
@@ -37,11 +37,11 @@
         if self.stored_departure.borrow().as_ref() == Some(&departure) {
             self.departure_recorded(&departure, RecordedBy::Store);
         }
-        for target in self.told_nodes() {
+        for target in self.report_targets() {
             let (shell, departure) = (self.clone(), departure.clone());
             tokio::task::spawn_local(async move {
                 let request = PeerRequest { ask: Ask::Departure(departure.clone()), body: Bytes::new() };
-                let limit = Duration::from_millis(TELL_MS);
+                let limit = Duration::from_millis(REPORT_MS);
                 if let LinkResult::Reply(_) = peer::ask_within(&shell.parts.to_link, target, request, limit).await {
                     shell.departure_recorded(&departure, RecordedBy::Peer);
                 }
@@ -68,11 +68,11 @@
     }
 
     /// Returns the nodes that a departure is sent to.
-    fn told_nodes(&self) -> Vec<Target> {
+    fn report_targets(&self) -> Vec<Target> {
         let members = self.parts.members.borrow();
         let others = members.iter().filter(|member| member.phase == Phase::Serving && member.vm != self.parts.me.vm);
         let others = others.map(|member| Target { vm: member.vm.clone(), addr: member.link_addr });
-        self.rng.borrow_mut().choose_multiple(others, TOLD_MAX)
+        self.rng.borrow_mut().choose_multiple(others, TARGETS_MAX)
     }
 }
 
