Departures: one way to draw peers, one source of what is recorded

Read-through, no change of behaviour meant. The reader of bodies names its unit, and the acknowledger returns who has recorded a departure instead of a log text.

Evidence: library tests of valetrack and platform pass.

--- a/valetrack/src/gate/acknowledgement.rs
+++ b/valetrack/src/gate/acknowledgement.rs
@@ -30,7 +30,7 @@
 
 impl RecordedBy {
     /// Returns the name used in log lines.
-    const fn as_str(self) -> &'static str {
+    pub const fn as_str(self) -> &'static str {
         match self {
             Self::Nobody => "nobody",
             Self::Peer => "peer",
@@ -94,20 +94,19 @@
         Self { record }
     }
 
-    /// Waits until the departure of an id that has just arrived may be acknowledged; returns the name of who has recorded
-    /// it.
-    pub async fn wait(&self, id: &str) -> &'static str {
+    /// Waits until the departure of an id that has just arrived may be acknowledged; returns who has recorded it.
+    pub async fn wait(&self, id: &str) -> RecordedBy {
         let arrived = Instant::now();
         let mut record = self.record.clone();
         loop {
             let by = record.borrow_and_update().of(id);
             let until = arrived + by.acknowledgement_delay();
             if Instant::now() >= until {
-                return by.as_str();
+                return by;
             }
             // The record is read again after the timeout or the change; without a member thread nothing changes it.
             if let Ok(Err(_)) = timeout_at(until, record.changed()).await {
-                return by.as_str();
+                return by;
             }
         }
     }
--- a/valetrack/src/gate/tests/acknowledgement.rs
+++ b/valetrack/src/gate/tests/acknowledgement.rs
@@ -17,7 +17,7 @@
 
 /// Waits for an acknowledgement while `confirmations` arrive, each after its delay in milliseconds; returns the delay of
 /// the acknowledgement in milliseconds and who has recorded the departure.
-fn acknowledge(recorded_id: &str, confirmations: &'static [(u64, RecordedBy)]) -> (u64, &'static str) {
+fn acknowledge(recorded_id: &str, confirmations: &'static [(u64, RecordedBy)]) -> (u64, RecordedBy) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
     runtime.expect("a runtime").block_on(async {
         let record = watch::Sender::new(DepartureRecord::new(departure(recorded_id)));
@@ -39,25 +39,25 @@
     })
 }
 
-#[test_case(&[], (600, "nobody"); "nobody answers")]
-#[test_case(&[(20, RecordedBy::Store)], (20, "store"); "the store is fast")]
-#[test_case(&[(5, RecordedBy::Peer), (120, RecordedBy::Store)], (120, "store"); "a peer is faster than the store")]
-#[test_case(&[(5, RecordedBy::Peer)], (300, "peer"); "the store is away")]
-#[test_case(&[(400, RecordedBy::Peer)], (400, "peer"); "a slow peer")]
-#[test_case(&[(450, RecordedBy::Store), (500, RecordedBy::Peer)], (450, "store"); "a slow store")]
-fn acknowledgement_waits_for_record(confirmations: &'static [(u64, RecordedBy)], expected: (u64, &str)) {
+#[test_case(&[], (600, RecordedBy::Nobody); "nobody answers")]
+#[test_case(&[(20, RecordedBy::Store)], (20, RecordedBy::Store); "the store is fast")]
+#[test_case(&[(5, RecordedBy::Peer), (120, RecordedBy::Store)], (120, RecordedBy::Store); "a peer is faster than the store")]
+#[test_case(&[(5, RecordedBy::Peer)], (300, RecordedBy::Peer); "the store is away")]
+#[test_case(&[(400, RecordedBy::Peer)], (400, RecordedBy::Peer); "a slow peer")]
+#[test_case(&[(450, RecordedBy::Store), (500, RecordedBy::Peer)], (450, RecordedBy::Store); "a slow store")]
+fn acknowledgement_waits_for_record(confirmations: &'static [(u64, RecordedBy)], expected: (u64, RecordedBy)) {
     assert_eq!(acknowledge("i-1", confirmations), expected);
 }
 
 /// Guards against an acknowledgement by the record of another start.
 #[test]
 fn record_of_another_start_acknowledges_nothing() {
-    assert_eq!(acknowledge("i-0", &[(5, RecordedBy::Store)]), (600, "nobody"));
+    assert_eq!(acknowledge("i-0", &[(5, RecordedBy::Store)]), (600, RecordedBy::Nobody));
 }
 
 #[test]
 fn record_that_stands_already_acknowledges_at_once() {
-    assert_eq!(acknowledge("i-1", &[(0, RecordedBy::Store)]), (0, "store"));
+    assert_eq!(acknowledge("i-1", &[(0, RecordedBy::Store)]), (0, RecordedBy::Store));
 }
 
 /// Guards against a peer's late reply that takes the place of the store's record.
--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -433,10 +433,7 @@
         let mut start = 0;
         loop {
             let state = upstream.borrow_and_update().clone();
-            let departure = {
-                let (stored, earlier) = (self.stored_departure.borrow(), self.earlier_departure.borrow());
-                present_departure(&state, &self.parts.me.vm, stored.iter().chain(earlier.iter()))
-            };
+            let departure = present_departure(&state, &self.parts.me.vm, self.parts.members.borrow().departures());
             let phase = match state.phase {
                 _ if drained.get() || departure.is_some() => Phase::Leaving,
                 UpstreamPhase::Ready if *serving.borrow_and_update() => Phase::Serving,
--- a/valetrack/src/member/leased/older.rs
+++ b/valetrack/src/member/leased/older.rs
@@ -121,7 +121,7 @@
     }
 
     /// Returns some other nodes, drawn at random.
-    fn random_peers(&self) -> Vec<Target> {
+    pub(super) fn random_peers(&self) -> Vec<Target> {
         let me = &self.parts.me.vm;
         let directory = self.directory.borrow();
         let others = directory.members().filter(|member| member.vm != *me);
--- a/valetrack/src/store/body.rs
+++ b/valetrack/src/store/body.rs
@@ -10,8 +10,8 @@
 
 /// Time that a body of any size may take, as a multiple of the longest pause within it.
 const PAUSES_MAX: u32 = 4;
-/// Lowest rate, in bytes per second, at which the rest of a body may arrive: a twentieth of a link of 10 Mbit/s.
-const RATE_MIN: f64 = 64.0 * 1024.0;
+/// Lowest rate at which the rest of a body may arrive.
+const RATE_MIN_BYTES_PER_S: f64 = 64.0 * 1024.0;
 
 /// Error of reading the body of an answer.
 #[derive(Debug, Snafu)]
@@ -39,7 +39,7 @@
     let mut received = BytesMut::new();
     let slowest = Instant::now() + pause_max * PAUSES_MAX;
     loop {
-        let rate_limit = slowest + Duration::from_secs_f64(received.len() as f64 / RATE_MIN);
+        let rate_limit = slowest + Duration::from_secs_f64(received.len() as f64 / RATE_MIN_BYTES_PER_S);
         let until = rate_limit.min(Instant::now() + pause_max);
         let frame = timeout_at(until, body.frame()).await.map_err(|_| BodyError::Stalled)?;
         let Some(frame) = frame else {
