Stand-in: announcements of the server in a module of their own

The restart tests share their start; names of nine words or more are shorter. No check, bound or expectation changes.

--- a/standin/src/managed/server.rs
+++ b/standin/src/managed/server.rs
@@ -1,21 +1,23 @@
 //! Stand-in of a server on the managed platform: it sends heartbeats to the node beside it, puts its id, stamp and load
 //! on answers, and has faults injected by method calls.
 
+mod announcement;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{Request, Response};
-use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio::task::AbortHandle;
 
+use self::announcement::{Incarnation, wall_ms};
 use super::limit::{LimitBreach, NamedLimits};
 use crate::client::Client;
 use crate::web::{self, Answer, answer};
@@ -23,8 +25,6 @@
 /// Time after the acknowledgement of a drain in which work may still arrive: the platform's `drainTimeout` of the small
 /// sites.
 const DRAIN_MS: u64 = 2_000;
-/// Pause between two heartbeats.
-const HEARTBEAT_MS: u64 = 200;
 /// Pause before another attempt to bind a port that is still in use.
 const REBIND_MS: u64 = 5;
 
@@ -48,26 +48,6 @@
     Reject,
 }
 
-/// Identity of one incarnation of the server, and its heartbeat counter.
-#[derive(Debug, Clone, Copy)]
-struct Incarnation {
-    /// Number of earlier ids; incarnations under the same id share it.
-    generation: u64,
-    /// Start time of the incarnation, in milliseconds since 1970.
-    born_ms: u64,
-    /// Number of heartbeats so far.
-    sequence: u64,
-}
-
-impl Incarnation {
-    /// Returns an incarnation that follows an earlier one and starts at a time of the VM's clock, which may have been set
-    /// back.
-    fn after(earlier: Self, generation: u64, now_ms: u64) -> Self {
-        let born_ms = if now_ms == earlier.born_ms { now_ms + 1 } else { now_ms };
-        Self { generation, born_ms, sequence: 0 }
-    }
-}
-
 /// A departure that the server states in its answers.
 #[derive(Debug, Clone, Copy, Default)]
 struct Leaving {
@@ -360,110 +340,6 @@
         Ok(())
     }
 
-    /// Announces from now on that the server is draining.
-    pub fn drain(&self) {
-        self.draining.store(true, Ordering::Relaxed);
-    }
-
-    /// Makes health checks succeed even while the server is draining.
-    pub fn set_health_lies(&self) {
-        self.health_lies.store(true, Ordering::Relaxed);
-    }
-
-    /// Stops sending heartbeats.
-    pub fn fall_silent(&self) {
-        self.silent.store(true, Ordering::Relaxed);
-    }
-
-    /// Deregisters the server, which sends no heartbeats from now on and serves on; returns whether the node has
-    /// acknowledged it.
-    pub async fn deregister(&self) -> bool {
-        self.fall_silent();
-        self.drain();
-        let id = self.id();
-        let path = format!("/api/instances/{id}/deregister");
-        let sent = Client::new(self.control).call("POST", &path, &[], String::new()).await;
-        let is_acknowledged = sent.is_ok_and(|reply| reply.status == 200);
-        // The next incarnation may have begun meanwhile.
-        if is_acknowledged && id == self.id() {
-            self.acknowledged_drain().get_or_insert_with(Instant::now);
-        }
-        is_acknowledged
-    }
-
-    /// Returns the next heartbeat of a server that is ready, for a test that delivers it late.
-    pub fn make_heartbeat(&self) -> Value {
-        let mut incarnation = self.incarnation();
-        incarnation.sequence += 1;
-        self.heartbeat(*incarnation, "ready")
-    }
-
-    /// Sends a heartbeat of the current incarnation; returns whether it was acknowledged.
-    pub async fn deliver(&self, heartbeat: &Value) -> bool {
-        self.deliver_as(&self.id(), heartbeat).await
-    }
-
-    /// Sends a heartbeat of the incarnation with this id; returns whether it was acknowledged.
-    pub async fn deliver_as(&self, id: &str, heartbeat: &Value) -> bool {
-        let path = format!("/api/instances/{id}/heartbeat");
-        let sent = Client::new(self.control).call("POST", &path, &[], heartbeat.to_string()).await;
-        sent.is_ok_and(|reply| reply.status == 200)
-    }
-
-    fn heartbeat(&self, incarnation: Incarnation, state: &str) -> Value {
-        let version = self.version.lock().unwrap_or_else(PoisonError::into_inner).clone();
-        json!({
-            "service": self.service, "address": self.addr, "zone": "kranj", "version": version,
-            "slots": self.slots, "state": state, "cold_ms": self.cold_left().as_millis() as u64,
-            "sequence": incarnation.sequence, "born": incarnation.born_ms,
-        })
-    }
-
-    /// Returns the id of the current incarnation.
-    pub fn id(&self) -> String {
-        self.id_of(*self.incarnation())
-    }
-
-    fn id_of(&self, incarnation: Incarnation) -> String {
-        match incarnation.generation {
-            0 => self.id.clone(),
-            generation => format!("{}-{generation}", self.id),
-        }
-    }
-
-    fn incarnation(&self) -> MutexGuard<'_, Incarnation> {
-        self.incarnation.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Restarts the server under another id; runs in progress complete.
-    pub fn restart_with_new_id(&self) {
-        let generation = self.incarnation().generation + 1;
-        self.begin_incarnation(generation);
-    }
-
-    /// Restarts the server under the same id, as after a crash that lost its state.
-    pub fn restart_with_same_id(&self) {
-        let generation = self.incarnation().generation;
-        self.begin_incarnation(generation);
-    }
-
-    /// Sets the VM's clock, from which later incarnations take the time of their start.
-    pub fn set_clock(&self, ahead_ms: i64) {
-        self.clock_ahead_ms.store(ahead_ms, Ordering::Relaxed);
-    }
-
-    fn begin_incarnation(&self, generation: u64) {
-        *self.acknowledged_drain() = None;
-        let mut incarnation = self.incarnation();
-        let now_ms = wall_ms().saturating_add_signed(self.clock_ahead_ms.load(Ordering::Relaxed));
-        *incarnation = Incarnation::after(*incarnation, generation, now_ms);
-        self.draining.store(false, Ordering::Relaxed);
-        self.silent.store(false, Ordering::Relaxed);
-        self.health_lies.store(false, Ordering::Relaxed);
-        *self.leaving.lock().unwrap_or_else(PoisonError::into_inner) = None;
-        self.set_limit(None);
-    }
-
     /// Makes the server cold for this long from now on.
     pub fn turn_cold(&self, cold: Duration) {
         *self.cold_until.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now() + cold);
@@ -495,10 +371,6 @@
         self.late_arrivals.load(Ordering::Relaxed)
     }
 
-    fn acknowledged_drain(&self) -> MutexGuard<'_, Option<Instant>> {
-        self.drain_acknowledged.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Sets how answers are spoilt.
     pub fn set_spoil(&self, spoil: Spoil) {
         *self.spoil.lock().unwrap_or_else(PoisonError::into_inner) = spoil;
@@ -548,33 +420,6 @@
     pub fn rejected(&self) -> u64 {
         self.rejected.load(Ordering::Relaxed)
     }
-
-    async fn announce(self: Arc<Self>) {
-        loop {
-            if self.down.load(Ordering::Relaxed) || self.silent.load(Ordering::Relaxed) {
-                tokio::time::sleep(Duration::from_millis(REBIND_MS)).await;
-                continue;
-            }
-            let (incarnation, draining) = {
-                let mut incarnation = self.incarnation();
-                incarnation.sequence += 1;
-                (*incarnation, self.is_draining())
-            };
-            let id = self.id_of(incarnation);
-            let heartbeat = self.heartbeat(incarnation, if draining { "draining" } else { "ready" });
-            if self.deliver_as(&id, &heartbeat).await {
-                self.acknowledged.fetch_add(1, Ordering::Relaxed);
-                if draining && id == self.id() {
-                    self.acknowledged_drain().get_or_insert_with(Instant::now);
-                }
-            }
-            tokio::time::sleep(Duration::from_millis(HEARTBEAT_MS)).await;
-        }
-    }
-}
-
-fn wall_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
 }
 
 /// A run in progress; counted as abandoned if it is dropped before `ended` is set.
--- a/standin/tests/node_restart.rs
+++ b/standin/tests/node_restart.rs
@@ -2,11 +2,13 @@
 
 mod common;
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use common::managed::{Fleet, call, status};
 use common::wait_for;
 use serde_json::Value;
+use standin::managed::server::ManagedServer;
 use standin::managed::store::Mode;
 use test_case::test_case;
 use tokio::time::sleep;
@@ -25,6 +27,14 @@
     failed
 }
 
+/// Starts a fleet; returns it with the upstream that is about to leave and heartbeats of it for later delivery.
+async fn start_fleet() -> (Fleet, Arc<ManagedServer>, [Value; 2]) {
+    let fleet = Fleet::start(&["rounds", "rounds", "ledger", "ledger"]).await;
+    let leaving = fleet.vms[0].upstream.clone();
+    let late = [leaving.make_heartbeat(), leaving.make_heartbeat()];
+    (fleet, leaving, late)
+}
+
 /// Kills and starts the first node `count` times, with this downtime.
 async fn restart_node(fleet: &mut Fleet, count: usize, down_ms: u64) {
     for _ in 0..count {
@@ -67,9 +77,7 @@
 #[test_case(1, 9_000, true; "down for longer than its lease while its health check succeeds")]
 fn leaving_upstream_gets_no_calls_after_late_heartbeats(kills: usize, down_ms: u64, health_lies: bool) {
     run(async move {
-        let mut fleet = Fleet::start(&["rounds", "rounds", "ledger", "ledger"]).await;
-        let leaving = fleet.vms[0].upstream.clone();
-        let late = [leaving.make_heartbeat(), leaving.make_heartbeat()];
+        let (mut fleet, leaving, late) = start_fleet().await;
         if health_lies {
             leaving.set_health_lies();
         }
@@ -86,11 +94,9 @@
 #[test_case(0, 0, true; "at the acknowledgement while the health check succeeds")]
 #[test_case(100, 0, true; "at the acknowledgement while the health check succeeds and the store is slow")]
 #[test_case(100, 500, true; "later while the health check succeeds and the store is slow")]
-fn departed_upstream_gets_no_calls_after_all_nodes_end(store_ms: u64, ended_after_ms: u64, health_lies: bool) {
+fn departed_upstream_is_unused_after_all_nodes_end(store_ms: u64, ended_after_ms: u64, health_lies: bool) {
     run(async move {
-        let mut fleet = Fleet::start(&["rounds", "rounds", "ledger", "ledger"]).await;
-        let leaving = fleet.vms[0].upstream.clone();
-        let late = [leaving.make_heartbeat(), leaving.make_heartbeat()];
+        let (mut fleet, leaving, late) = start_fleet().await;
         if health_lies {
             leaving.set_health_lies();
         }
@@ -107,11 +113,9 @@
 
 /// Guards against a departure that is removed from the store by a planned stop of its node.
 #[test]
-fn departed_upstream_gets_no_calls_after_all_nodes_stop() {
+fn departed_upstream_is_unused_after_all_nodes_stop() {
     run(async {
-        let mut fleet = Fleet::start(&["rounds", "rounds", "ledger", "ledger"]).await;
-        let leaving = fleet.vms[0].upstream.clone();
-        let late = [leaving.make_heartbeat(), leaving.make_heartbeat()];
+        let (mut fleet, leaving, late) = start_fleet().await;
         leaving.set_health_lies();
         assert!(leaving.deregister().await, "the deregistration is acknowledged");
         let count = fleet.vms.len();
@@ -133,9 +137,7 @@
 #[test]
 fn departure_acknowledged_soon_after_start_outlives_all_nodes() {
     run(async {
-        let mut fleet = Fleet::start(&["rounds", "rounds", "ledger", "ledger"]).await;
-        let leaving = fleet.vms[0].upstream.clone();
-        let late = [leaving.make_heartbeat(), leaving.make_heartbeat()];
+        let (mut fleet, leaving, late) = start_fleet().await;
         leaving.set_health_lies();
         (0..fleet.vms.len()).for_each(|at| fleet.kill_node(at));
         // Leases run out, and with them what the nodes would know of each other.
@@ -172,9 +174,7 @@
 /// Guards against a departure that is not recorded since the node has never served.
 #[tokio::test]
 async fn departure_acknowledged_before_first_call_outlives_all_nodes() {
-    let mut fleet = Fleet::start(&["rounds", "rounds", "ledger", "ledger"]).await;
-    let leaving = fleet.vms[0].upstream.clone();
-    let late = [leaving.make_heartbeat(), leaving.make_heartbeat()];
+    let (mut fleet, leaving, late) = start_fleet().await;
     leaving.fall_silent();
     leaving.drain();
     fleet.kill_node(0);
