Links: metrics and log lines name the request that needed a link

Neither told who opens links to nearly every node: the only figure was the number of links that a node had opened itself. Counted by the kind of request now, also those that could not be opened.

No change of behaviour.

--- a/valetrack/src/link/message.rs
+++ b/valetrack/src/link/message.rs
@@ -186,6 +186,26 @@
     Departure(Departure),
 }
 
+impl Ask {
+    /// Returns the kind of the request, as used in metrics and log lines.
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Run(_) => "run",
+            Self::RunKeyed(_) => "run-keyed",
+            Self::Cancel(_) => "cancel",
+            Self::Probe => "probe",
+            Self::Gossip { .. } => "gossip",
+            Self::Bundle { .. } => "bundle",
+            Self::Evacuation => "evacuation",
+            Self::Follow { .. } => "follow",
+            Self::Runs => "runs",
+            Self::Quota { .. } => "quota",
+            Self::Crashes { .. } => "crashes",
+            Self::Departure(_) => "departure",
+        }
+    }
+}
+
 /// Reply to a request, on the same stream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
--- a/valetrack/src/link/peer.rs
+++ b/valetrack/src/link/peer.rs
@@ -17,6 +17,7 @@
 use super::path::PathTimes;
 use crate::clock::{Moment, SuspensionWatch, now_us, suspended_us};
 use crate::gate::CancelResult;
+use crate::metric::Metrics;
 
 /// Timeout of a handshake.
 const HANDSHAKE_MS: u64 = 400;
@@ -154,12 +155,13 @@
     endpoint: Endpoint,
     slots: std::cell::RefCell<HashMap<Target, Rc<Mutex<Slot>>>>,
     paths: Rc<PathTimes>,
+    metrics: Arc<Metrics>,
 }
 
 impl Peers {
     /// Returns an empty set of connections on an endpoint, whose round trips are recorded in `paths`.
-    pub fn new(endpoint: Endpoint, paths: Rc<PathTimes>) -> Self {
-        Self { endpoint, slots: Default::default(), paths }
+    pub fn new(endpoint: Endpoint, paths: Rc<PathTimes>, metrics: Arc<Metrics>) -> Self {
+        Self { endpoint, slots: Default::default(), paths, metrics }
     }
 
     /// Returns the number of open connections.
@@ -174,7 +176,7 @@
             return LinkResult::Unsent;
         };
         let from = Moment::now();
-        let Some(connection) = self.connection(target).await else {
+        let Some(connection) = self.connection(target, request.ask.kind()).await else {
             return LinkResult::Unsent;
         };
         let exchanged = match limit {
@@ -198,7 +200,8 @@
         }
     }
 
-    async fn connection(&self, target: &Target) -> Option<Connection> {
+    /// Returns the open connection to a node, or opens one; `purpose` is the kind of the request that needs it.
+    async fn connection(&self, target: &Target, purpose: &'static str) -> Option<Connection> {
         let slot = self.slots.borrow_mut().entry(target.clone()).or_default().clone();
         // Concurrent requests wait here for the result of a handshake in progress.
         let mut slot = slot.lock().await;
@@ -212,15 +215,20 @@
         let connected = timeout(Duration::from_millis(HANDSHAKE_MS), connecting).await;
         match connected {
             Ok(Ok(connection)) => {
+                log::debug!("event=link.opened peer={} purpose={purpose}", target.vm);
+                self.metrics.links_opened.with_label_values(&[purpose]).inc();
                 slot.opened(connection.clone());
                 Some(connection)
             }
             Ok(Err(error)) => {
-                log::debug!("event=link.refused peer={} reason=\"{error}\"", target.vm);
+                log::debug!("event=link.refused peer={} purpose={purpose} reason=\"{error}\"", target.vm);
+                self.metrics.links_failed.with_label_values(&[purpose]).inc();
                 slot.failed_us = Some(now_us());
                 None
             }
             Err(_) => {
+                log::debug!("event=link.timed_out peer={} purpose={purpose}", target.vm);
+                self.metrics.links_failed.with_label_values(&[purpose]).inc();
                 slot.failed_us = Some(now_us());
                 None
             }
--- a/valetrack/src/link/run.rs
+++ b/valetrack/src/link/run.rs
@@ -147,7 +147,7 @@
         crashes,
         metrics: parts.metrics.clone(),
     });
-    let peers = Peers::new(endpoint.clone(), paths);
+    let peers = Peers::new(endpoint.clone(), paths, parts.metrics.clone());
     let texts = TextServer::new(parts.texts.clone());
     let shell = Rc::new(Shell { gate, quotas, departures, peers, texts, parts });
     let mut tasks = tokio::task::JoinSet::new();
--- a/valetrack/src/metric.rs
+++ b/valetrack/src/metric.rs
@@ -122,6 +122,10 @@
     pub presses: IntCounterVec,
     /// Open links that this node has opened.
     pub links: IntGauge,
+    /// Links that this node has opened, by the kind of the request that needed them.
+    pub links_opened: IntCounterVec,
+    /// Links that could not be opened, by the kind of the request that needed them.
+    pub links_failed: IntCounterVec,
     /// Dropped log lines.
     log_dropped: IntGauge,
 }
@@ -324,6 +328,16 @@
             ),
             presses: counters("valetrack_presses_total", "Keyed calls, by reply.", "reply"),
             links: gauge("valetrack_links_open", "Links that this node has opened."),
+            links_opened: counters(
+                "valetrack_links_opened_total",
+                "Links opened by this node, by the kind of the request that needed them.",
+                "purpose",
+            ),
+            links_failed: counters(
+                "valetrack_links_failed_total",
+                "Links that could not be opened, by the kind of the request that needed them.",
+                "purpose",
+            ),
             log_dropped: gauge("valetrack_log_lines_dropped", "Log lines dropped since the start."),
             registry,
         }
