Links: a closed link is dropped when the next one is opened

A node kept the handle of each link that it had opened until it asked the same node again, also after the link had closed after 30 s of idleness, so the 180 kB of each stayed for as long as the process ran: with time, one link for each node that was ever asked. Found by reading while tracing the memory of nodes on the whole fleet; valetrack_links_open counted closed links as well.

--- a/valetrack/src/link/peer.rs
+++ b/valetrack/src/link/peer.rs
@@ -143,6 +143,15 @@
         Some(connection)
     }
 
+    fn is_open(&self) -> bool {
+        self.connection.as_ref().is_some_and(|connection| connection.close_reason().is_none())
+    }
+
+    /// Returns whether a handshake has failed too recently for another one.
+    fn has_just_failed(&self, now_us: u64) -> bool {
+        self.failed_us.is_some_and(|failed_us| now_us < failed_us + REDIAL_US)
+    }
+
     fn opened(&mut self, connection: Connection) {
         self.failed_us = None;
         self.since = SuspensionWatch::from_now();
@@ -166,8 +175,25 @@
 
     /// Returns the number of open connections.
     pub fn open_count(&self) -> usize {
-        let open = |slot: &&Rc<Mutex<Slot>>| slot.try_lock().is_ok_and(|slot| slot.connection.is_some());
-        self.slots.borrow().values().filter(open).count()
+        let is_open = |slot: &&Rc<Mutex<Slot>>| slot.try_lock().is_ok_and(|slot| slot.is_open());
+        self.slots.borrow().values().filter(is_open).count()
+    }
+
+    /// Drops the connections that have closed and the records of failed handshakes that have expired, unless a request
+    /// uses them.
+    fn drop_closed(&self) {
+        let now_us = now_us();
+        self.slots.borrow_mut().retain(|_, slot| {
+            let is_used = Rc::strong_count(slot) > 1;
+            is_used || slot.try_lock().is_ok_and(|slot| slot.is_open() || slot.has_just_failed(now_us))
+        });
+    }
+
+    /// Returns the number of connections that are kept, open or closed.
+    #[cfg(test)]
+    pub fn kept_count(&self) -> usize {
+        let is_kept = |slot: &&Rc<Mutex<Slot>>| slot.try_lock().is_ok_and(|slot| slot.connection.is_some());
+        self.slots.borrow().values().filter(is_kept).count()
     }
 
     /// Sends a request and waits for the reply within `limit`.
@@ -208,9 +234,11 @@
         if let Some(connection) = slot.open() {
             return Some(connection);
         }
-        if slot.failed_us.is_some_and(|failed_us| now_us() < failed_us + REDIAL_US) {
+        if slot.has_just_failed(now_us()) {
             return None;
         }
+        // A closed connection keeps its buffers until its last handle is dropped.
+        self.drop_closed();
         let connecting = self.endpoint.connect(target.addr, &target.vm).ok()?;
         let connected = timeout(Duration::from_millis(HANDSHAKE_MS), connecting).await;
         match connected {
