Relays: the reply to an announcement names relays only

That is some 14 of the 20 Mbit/s of a relay for 15 s, so updates of followers were late, which made more nodes replace relays.

Cause: since, announcements are gossip requests with the sender's state alone, small in a fleet of any size, but the reply still carried the record of every node. Class: work for being late that grows with the fleet and is put on the nodes that are late.

Change: the reply names this node and the relays that it has a record of, which is all that a node that looks for a relay uses. An announcement is repeated only to relays that have not replied; before, all got it three times.

Tests: reply_to_announcement_is_small_in_large_fleet failed before (11,367 bytes at 300 nodes, for at most 2,500).

--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -265,7 +265,7 @@
                 }
                 if let Some(reply) = reply {
                     // The receiver may have been dropped.
-                    let _ = reply.send(GossipReply { members: self.digest(), claims: ClaimReport::default() });
+                    let _ = reply.send(GossipReply { members: self.known_relays(), claims: ClaimReport::default() });
                 }
             }
             MemberJob::Bundle { number, from } => self.on_bundle_announced(number, from),
@@ -367,6 +367,15 @@
         std::iter::once(me.clone()).chain(others).collect()
     }
 
+    /// Returns the relays that this node has a record of, this VM first. A node that looks for a relay needs no others,
+    /// and the states of all nodes would fill the link of a relay in a large fleet.
+    fn known_relays(&self) -> Vec<Member> {
+        let me = self.me.borrow();
+        let members = self.parts.members.borrow();
+        let relays = members.iter().filter(|member| member.is_relay && member.vm != me.vm);
+        std::iter::once(&*me).chain(relays).cloned().collect()
+    }
+
     /// Requests the text of a bundle that another node has announced, unless it is here.
     fn on_bundle_announced(&self, number: u64, from: Target) {
         let is_near = self.is_near(&from.vm);
--- a/valetrack/src/member/leased/takeover.rs
+++ b/valetrack/src/member/leased/takeover.rs
@@ -17,7 +17,7 @@
 
 /// Time limit of an attempt: many times the store's response time, and a fraction of the time that a change may take.
 const ATTEMPT_MS: u64 = 300;
-/// Pauses after which a node that has replaced relays announces its role again, since a message may be lost.
+/// Pauses after which a node that has replaced relays announces its role again to those that have not replied.
 const ANNOUNCE_AGAIN_MS: [u64; 3] = [0, 500, 1_500];
 /// How long an announced role holds without its entry in the store: longer than a write under a lease takes.
 const ANNOUNCED_US: u64 = 5_000_000;
@@ -106,15 +106,17 @@
     }
 
     /// Announces this node's role to relays that are behind: they follow this node, and their followers with them.
-    async fn announce_role(self: Rc<Self>, relays: Vec<Target>) {
+    async fn announce_role(self: Rc<Self>, mut relays: Vec<Target>) {
         for pause_ms in ANNOUNCE_AGAIN_MS {
             sleep(Duration::from_millis(pause_ms)).await;
             if !self.is_relay() {
                 return;
             }
-            // A lost announcement is repeated.
             let sent = relays.iter().map(|relay| self.request(relay.clone(), self.announcement()));
-            futures::future::join_all(sent).await;
+            let results = futures::future::join_all(sent).await;
+            let mut results = results.into_iter();
+            // An announcement without a reply may be lost and is repeated.
+            relays.retain(|_| !matches!(results.next(), Some(LinkResult::Reply(_))));
         }
     }
 
--- a/valetrack/src/member/tests/fleet/link.rs
+++ b/valetrack/src/member/tests/fleet/link.rs
@@ -15,7 +15,7 @@
 const BORDER_BYTES_PER_S: u64 = 60_000_000 / 8;
 /// Transfers share a link in pieces of this size.
 const PIECE_BYTES: u64 = 16_384;
-/// Bytes of a message besides its body.
+/// Bytes of a message besides its frame.
 const HEAD_BYTES: u64 = 200;
 
 /// State of one direction of a link.
@@ -59,12 +59,12 @@
         Self { are_narrow: true, ..Self::default() }
     }
 
-    /// Carries a message with a body of this size from one machine to another.
-    pub async fn carry(&self, from: &str, to: &str, body_bytes: usize) {
+    /// Carries a message with a frame of this size from one machine to another.
+    pub async fn carry(&self, from: &str, to: &str, frame_bytes: usize) {
         let mut lanes = vec![LaneName::Sending(Arc::from(from))];
         lanes.extend(border(from, to));
         lanes.push(LaneName::Receiving(Arc::from(to)));
-        self.carry_over(&lanes, body_bytes).await;
+        self.carry_over(&lanes, frame_bytes).await;
     }
 
     /// Carries an answer of the store, which has a wide link in the first region, to a machine.
@@ -74,11 +74,11 @@
         self.carry_over(&lanes, body_bytes).await;
     }
 
-    async fn carry_over(&self, lanes: &[LaneName], body_bytes: usize) {
+    async fn carry_over(&self, lanes: &[LaneName], frame_bytes: usize) {
         if !self.are_narrow {
             return;
         }
-        let mut left_bytes = body_bytes as u64 + HEAD_BYTES;
+        let mut left_bytes = frame_bytes as u64 + HEAD_BYTES;
         let mut arrived_us = now_us();
         while left_bytes > 0 {
             let piece_bytes = left_bytes.min(PIECE_BYTES);
--- a/valetrack/src/member/tests/fleet/mod.rs
+++ b/valetrack/src/member/tests/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod large;
 mod link;
 mod node;
+mod start;
 mod store;
 
 use std::cell::{Cell, RefCell};
--- a/valetrack/src/member/tests/fleet/node.rs
+++ b/valetrack/src/member/tests/fleet/node.rs
@@ -168,6 +168,14 @@
         self.false_updates.borrow().clone()
     }
 
+    /// Returns the size of the head of a node's reply to a request.
+    pub async fn reply_bytes(&self, to: &str, ask: Ask) -> usize {
+        let port = self.ports.borrow().get(to).cloned().expect("a running node");
+        let (reply, _) = port.answer(ask).await;
+        let riding = Piggyback { load: LoadReport::default(), bundle: 0, hlc: 0 };
+        head_bytes(&ReplyHead { reply, riding })
+    }
+
     /// Returns whether the node that a request was sent to still runs.
     fn is_open(&self, vm: &str, port: &Port) -> bool {
         self.ports.borrow().get(vm).is_some_and(|open| open.jobs.same_channel(&port.jobs))
@@ -187,7 +195,7 @@
                 return LinkResult::Unsent;
             };
             let PeerRequest { ask, .. } = job.request;
-            self.links.carry(&from, &job.target.vm, 0).await;
+            self.links.carry(&from, &job.target.vm, head_bytes(&ask)).await;
             let text_receiver = match &ask {
                 Ask::Bundle { vm, addr, .. } => Some(Target { vm: vm.clone(), addr: *addr }),
                 _ => None,
@@ -199,8 +207,11 @@
             }
             self.check_update(&job.target.vm, &reply, &body);
             is_begun.set(true);
-            self.links.carry(&job.target.vm, &from, body.len()).await;
+            let riding = Piggyback { load: LoadReport::default(), bundle: 0, hlc: 0 };
+            let head = ReplyHead { reply, riding };
+            self.links.carry(&job.target.vm, &from, head_bytes(&head) + body.len()).await;
             sleep(transit).await;
+            let ReplyHead { reply, .. } = head;
             if let Some(to) = text_receiver {
                 port.texts.on_arrived(&reply, body.len(), &to);
             }
@@ -255,6 +266,11 @@
     }
 }
 
+/// Returns the size of a message without its body.
+fn head_bytes(head: &impl codec::Head) -> usize {
+    codec::pack(head).expect("a head below its limit").len()
+}
+
 /// Returns when a request is given up whose reply has begun to arrive, and ends.
 async fn lost_halfway(limit: TimeLimit) -> LinkResult {
     match limit {
--- a/valetrack/src/member/tests/fleet/store.rs
+++ b/valetrack/src/member/tests/fleet/store.rs
@@ -12,6 +12,7 @@
 use super::at;
 use super::link::Links;
 use crate::clock::now_us;
+use crate::member::ENTRY_PREFIX;
 use crate::store::{
     Change, Changes, CommitOutcome, Era, Freshness, Item, Lease, LeaseStore, LeasedChange, LeasedWrite, Page, Position,
     StoreError, TransactionOutcome,
@@ -188,6 +189,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns the number of nodes that have an entry.
+    pub fn entries(&self) -> usize {
+        self.contents().items.keys().filter(|key| key.starts_with(ENTRY_PREFIX)).count()
+    }
+
     /// Expires leases; runs as long as the store.
     pub async fn expire_leases(self: Arc<Self>) {
         loop {
