Links: a closed link releases its memory at the node that opened it

Cause: the table of outgoing connections kept the handle of a connection after it had closed, until the next request to the same node. `valetrack_links_open` counted closed links as open, and counting them went over all nodes at each request.

Change: a task for each link waits for its end, drops the connection and its entry in the table, and keeps the gauge exact.

--- a/standin/tests/link_memory.rs
+++ b/standin/tests/link_memory.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use standin::slope::{CountingAllocator, allocated_bytes};
+use tokio::sync::{Mutex, watch};
 use tokio::task::{LocalSet, spawn_local};
 use valetrack::gate::LoadReport;
 use valetrack::link::accept::{AcceptedLink, RequestStream};
@@ -14,12 +15,19 @@
 use valetrack::link::path::PathTimes;
 use valetrack::link::peer::{LinkResult, Peers, Target, TimeLimit};
 use valetrack::link::{run, tls};
+use valetrack::metric::Metrics;
 
 #[global_allocator]
 static ALLOCATOR: CountingAllocator = CountingAllocator;
 
+/// Held by a test while it runs, since the allocations of all tests are counted together.
+static COUNTED: Mutex<()> = Mutex::const_new(());
+
 /// Memory of both ends of a link: the ends of links with 2,000 nodes may take half of the 160 MB of a node.
 const LINK_MAX_BYTES: u64 = 2 * 160_000_000 / 2 / 2_000;
+/// Memory that remains of a link that is closed, mostly its session ticket: a node may contact each of 12,000 others
+/// once, with a quarter of its 160 MB for what remains.
+const CLOSED_LINK_MAX_BYTES: u64 = 160_000_000 / 4 / 12_000;
 const LINKS: usize = 64;
 const LIMIT: TimeLimit = TimeLimit::Whole(Duration::from_secs(20));
 
@@ -34,23 +42,43 @@
     drop(open);
 }
 
-/// Starts a node that replies to every request, and returns its address with the links of another node.
-fn start_nodes() -> (SocketAddr, Peers) {
+/// A node with links to another one, which replies to every request.
+struct Nodes {
+    addr: SocketAddr,
+    peers: Peers,
+    metrics: Metrics,
+    /// Closes all links at the other node when it becomes true.
+    closing: watch::Sender<bool>,
+}
+
+fn start_nodes() -> Nodes {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let owner = run::bind(any, "owner", tls::generate("owner").expect("keys")).expect("an endpoint");
     let entry = run::bind(any, "entry", tls::generate("entry").expect("keys")).expect("an endpoint");
     let addr = owner.local_addr().expect("an address");
+    let (closing, is_closing) = watch::channel(false);
     spawn_local(async move {
         while let Some(incoming) = owner.accept().await {
+            let mut is_closing = is_closing.clone();
             spawn_local(async move {
-                let link = AcceptedLink::new(incoming.await.expect("a link"));
-                while let Some(stream) = link.accept().await {
-                    spawn_local(serve(stream));
+                let connection = incoming.await.expect("a link");
+                let link = AcceptedLink::new(connection.clone());
+                loop {
+                    tokio::select! {
+                        stream = link.accept() => match stream {
+                            Some(stream) => spawn_local(serve(stream)),
+                            None => return,
+                        },
+                        _ = is_closing.wait_for(|closing| *closing) => break,
+                    };
                 }
+                connection.close(0u32.into(), b"");
             });
         }
     });
-    (addr, Peers::new(entry, Rc::new(PathTimes::default())))
+    let metrics = Metrics::new();
+    let peers = Peers::new(entry, Rc::new(PathTimes::default()), metrics.links.clone());
+    Nodes { addr, peers, metrics, closing }
 }
 
 fn target(addr: SocketAddr, number: usize) -> Target {
@@ -76,9 +104,10 @@
 
 #[tokio::test]
 async fn links_to_all_nodes_of_a_large_fleet_fit_into_memory() {
+    let _counted = COUNTED.lock().await;
     let local = LocalSet::new();
     let measured = local.run_until(async {
-        let (addr, peers) = start_nodes();
+        let Nodes { addr, peers, closing: _closing, .. } = start_nodes();
         ask(&peers, target(addr, LINKS)).await;
         let before = allocated_bytes();
         for requests in [1, 200] {
@@ -95,3 +124,24 @@
     });
     measured.await;
 }
+
+#[tokio::test]
+async fn closed_links_release_their_memory_at_the_node_that_opened_them() {
+    let _counted = COUNTED.lock().await;
+    let local = LocalSet::new();
+    let measured = local.run_until(async {
+        let Nodes { addr, peers, metrics, closing } = start_nodes();
+        let before = allocated_bytes();
+        for number in 0..LINKS {
+            ask(&peers, target(addr, number)).await;
+        }
+        assert_eq!(metrics.links.get(), LINKS as i64);
+        closing.send_replace(true);
+        let after = settle(before + LINKS as u64 * CLOSED_LINK_MAX_BYTES).await;
+        let bytes = after.saturating_sub(before) / LINKS as u64;
+        println!("a closed link keeps {bytes} bytes");
+        assert!(bytes <= CLOSED_LINK_MAX_BYTES, "{bytes} bytes");
+        assert_eq!(metrics.links.get(), 0);
+    });
+    measured.await;
+}
--- a/valetrack/src/link/peer.rs
+++ b/valetrack/src/link/peer.rs
@@ -1,5 +1,6 @@
 //! Connections to other nodes, which stay open and are shared by all requests.
 
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -8,6 +9,7 @@
 
 use async_channel::Sender;
 use bytes::{Bytes, BytesMut};
+use prometheus::IntGauge;
 use quinn::{Connection, Endpoint, RecvStream, SendStream};
 use tokio::sync::{Mutex, oneshot};
 use tokio::time::timeout;
@@ -149,23 +151,22 @@
     }
 }
 
+type Slots = Rc<RefCell<HashMap<Target, Rc<Mutex<Slot>>>>>;
+
 /// Outgoing connections of this node.
 pub struct Peers {
     endpoint: Endpoint,
-    slots: std::cell::RefCell<HashMap<Target, Rc<Mutex<Slot>>>>,
+    slots: Slots,
     paths: Rc<PathTimes>,
+    /// Number of open connections.
+    open_links: IntGauge,
 }
 
 impl Peers {
-    /// Returns an empty set of connections on an endpoint, whose round trips are recorded in `paths`.
-    pub fn new(endpoint: Endpoint, paths: Rc<PathTimes>) -> Self {
-        Self { endpoint, slots: Default::default(), paths }
-    }
-
-    /// Returns the number of open connections.
-    pub fn open_count(&self) -> usize {
-        let open = |slot: &&Rc<Mutex<Slot>>| slot.try_lock().is_ok_and(|slot| slot.connection.is_some());
-        self.slots.borrow().values().filter(open).count()
+    /// Returns an empty set of connections on an endpoint, whose round trips are recorded in `paths`, and whose number
+    /// in `open_links`.
+    pub fn new(endpoint: Endpoint, paths: Rc<PathTimes>, open_links: IntGauge) -> Self {
+        Self { endpoint, slots: Slots::default(), paths, open_links }
     }
 
     /// Sends a request and waits for the reply within `limit`.
@@ -199,9 +200,9 @@
     }
 
     async fn connection(&self, target: &Target) -> Option<Connection> {
-        let slot = self.slots.borrow_mut().entry(target.clone()).or_default().clone();
+        let shared = self.slots.borrow_mut().entry(target.clone()).or_default().clone();
         // Concurrent requests wait here for the result of a handshake in progress.
-        let mut slot = slot.lock().await;
+        let mut slot = shared.lock().await;
         if let Some(connection) = slot.open() {
             return Some(connection);
         }
@@ -213,6 +214,10 @@
         match connected {
             Ok(Ok(connection)) => {
                 slot.opened(connection.clone());
+                self.open_links.inc();
+                let (slots, open_links) = (self.slots.clone(), self.open_links.clone());
+                let release = release_closed(slots, target.clone(), shared.clone(), connection.clone(), open_links);
+                tokio::task::spawn_local(release);
                 Some(connection)
             }
             Ok(Err(error)) => {
@@ -228,6 +233,28 @@
     }
 }
 
+/// Drops a connection once it is closed, together with its slot if nothing else uses the slot. A closed connection keeps
+/// all its memory until its last handle is dropped.
+async fn release_closed(
+    slots: Slots,
+    target: Target,
+    shared: Rc<Mutex<Slot>>,
+    connection: Connection,
+    open_links: IntGauge,
+) {
+    connection.closed().await;
+    open_links.dec();
+    drop(connection);
+    let mut slot = shared.lock().await;
+    slot.connection.take_if(|connection| connection.close_reason().is_some());
+    let is_empty = slot.connection.is_none() && slot.failed_us.is_none();
+    drop(slot);
+    // The map and this task hold the slot, and so does each request that waits for it.
+    if is_empty && Rc::strong_count(&shared) == 2 {
+        slots.borrow_mut().remove(&target);
+    }
+}
+
 enum ExchangeError {
     Unsent,
     Broken,
--- a/valetrack/src/link/run.rs
+++ b/valetrack/src/link/run.rs
@@ -148,7 +148,7 @@
         crashes,
         metrics: parts.metrics.clone(),
     });
-    let peers = Peers::new(endpoint.clone(), paths);
+    let peers = Peers::new(endpoint.clone(), paths, parts.metrics.links.clone());
     let texts = TextServer::new(parts.texts.clone());
     let shell = Rc::new(Shell { gate, quotas, departures, peers, texts, parts });
     let mut tasks = tokio::task::JoinSet::new();
@@ -186,7 +186,6 @@
             // Dropping the request resets its stream, which makes the owner stop.
             () = reply.closed() => return,
         };
-        self.parts.metrics.links.set(self.peers.open_count() as i64);
         // Sending fails if the requester has just dropped its receiver.
         let _ = reply.send(result);
     }
--- a/valetrack/src/link/tests/streams.rs
+++ b/valetrack/src/link/tests/streams.rs
@@ -16,6 +16,7 @@
 use crate::link::path::PathTimes;
 use crate::link::peer::{LinkResult, Peers, Target, TimeLimit};
 use crate::link::{run, tls};
+use crate::metric::Metrics;
 
 /// Time limit of requests that wait for a slow peer.
 const HELD: TimeLimit = TimeLimit::Whole(Duration::from_secs(120));
@@ -110,7 +111,7 @@
 }
 
 fn peers() -> Rc<Peers> {
-    Rc::new(Peers::new(endpoint("entry"), Rc::new(PathTimes::default())))
+    Rc::new(Peers::new(endpoint("entry"), Rc::new(PathTimes::default()), Metrics::new().links))
 }
 
 fn send(peers: &Rc<Peers>, node: &SlowNode, ask: Ask, limit: TimeLimit) -> JoinHandle<LinkResult> {
