Metrics: number of open links that other nodes have opened

`valetrack_links_open` counts the links that a node has opened, while each accepted link costs as much memory. `valetrack_links_accepted_open` counts those. The test of closed links holds both to 64 while the links are open and to 0 after they are closed.

--- a/standin/tests/link_memory.rs
+++ b/standin/tests/link_memory.rs
@@ -57,12 +57,14 @@
     let entry = run::bind(any, "entry", tls::generate("entry").expect("keys")).expect("an endpoint");
     let addr = owner.local_addr().expect("an address");
     let (closing, is_closing) = watch::channel(false);
+    let metrics = Metrics::new();
+    let accepted_links = metrics.accepted_links.clone();
     spawn_local(async move {
         while let Some(incoming) = owner.accept().await {
-            let mut is_closing = is_closing.clone();
+            let (mut is_closing, accepted_links) = (is_closing.clone(), accepted_links.clone());
             spawn_local(async move {
                 let connection = incoming.await.expect("a link");
-                let link = AcceptedLink::new(connection.clone());
+                let link = AcceptedLink::new(connection.clone(), accepted_links);
                 loop {
                     tokio::select! {
                         stream = link.accept() => match stream {
@@ -76,7 +78,6 @@
             });
         }
     });
-    let metrics = Metrics::new();
     let peers = Peers::new(entry, Rc::new(PathTimes::default()), metrics.links.clone());
     Nodes { addr, peers, metrics, closing }
 }
@@ -135,13 +136,13 @@
         for number in 0..LINKS {
             ask(&peers, target(addr, number)).await;
         }
-        assert_eq!(metrics.links.get(), LINKS as i64);
+        assert_eq!((metrics.links.get(), metrics.accepted_links.get()), (LINKS as i64, LINKS as i64));
         closing.send_replace(true);
         let after = settle(before + LINKS as u64 * CLOSED_LINK_MAX_BYTES).await;
         let bytes = after.saturating_sub(before) / LINKS as u64;
         println!("a closed link keeps {bytes} bytes");
         assert!(bytes <= CLOSED_LINK_MAX_BYTES, "{bytes} bytes");
-        assert_eq!(metrics.links.get(), 0);
+        assert_eq!((metrics.links.get(), metrics.accepted_links.get()), (0, 0));
     });
     measured.await;
 }
--- a/valetrack/src/link/accept.rs
+++ b/valetrack/src/link/accept.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
+use prometheus::IntGauge;
 use quinn::{Connection, RecvStream, SendStream, VarInt};
 
 /// Streams that a peer may have open on a new link. The QUIC library keeps an entry in two hash tables for each of
@@ -53,12 +54,15 @@
 pub struct AcceptedLink {
     connection: Connection,
     limit: Rc<RefCell<StreamLimit>>,
+    /// Number of open links that other nodes have opened.
+    open_links: IntGauge,
 }
 
 impl AcceptedLink {
-    /// Returns the link of an accepted connection.
-    pub fn new(connection: Connection) -> Self {
-        Self { connection, limit: Rc::default() }
+    /// Returns the link of an accepted connection, which `open_links` counts until it is dropped.
+    pub fn new(connection: Connection, open_links: IntGauge) -> Self {
+        open_links.inc();
+        Self { connection, limit: Rc::default(), open_links }
     }
 
     /// Returns the next request stream, or `None` once the link is closed.
@@ -73,6 +77,12 @@
     }
 }
 
+impl Drop for AcceptedLink {
+    fn drop(&mut self) {
+        self.open_links.dec();
+    }
+}
+
 /// A stream with one request, and for its reply.
 pub struct RequestStream {
     /// The link of the stream.
--- a/valetrack/src/link/run.rs
+++ b/valetrack/src/link/run.rs
@@ -262,7 +262,7 @@
             }
         };
         let since = SuspensionWatch::from_now();
-        let link = AcceptedLink::new(connection);
+        let link = AcceptedLink::new(connection, self.parts.metrics.accepted_links.clone());
         while let Some(stream) = link.accept().await {
             tokio::task::spawn_local(self.clone().serve_stream(stream, since));
         }
--- a/valetrack/src/link/tests/streams.rs
+++ b/valetrack/src/link/tests/streams.rs
@@ -67,7 +67,7 @@
             while let Some(incoming) = owner.accept().await {
                 let (held_count, is_released) = (held_count.clone(), is_released.clone());
                 spawn_local(async move {
-                    let link = AcceptedLink::new(incoming.await.expect("a link"));
+                    let link = AcceptedLink::new(incoming.await.expect("a link"), Metrics::new().accepted_links);
                     while let Some(stream) = link.accept().await {
                         spawn_local(serve(stream, held_count.clone(), is_released.clone()));
                     }
--- a/valetrack/src/metric.rs
+++ b/valetrack/src/metric.rs
@@ -122,6 +122,8 @@
     pub presses: IntCounterVec,
     /// Open links that this node has opened.
     pub links: IntGauge,
+    /// Open links that other nodes have opened.
+    pub accepted_links: IntGauge,
     /// Dropped log lines.
     log_dropped: IntGauge,
 }
@@ -324,6 +326,7 @@
             ),
             presses: counters("valetrack_presses_total", "Keyed calls, by reply.", "reply"),
             links: gauge("valetrack_links_open", "Links that this node has opened."),
+            accepted_links: gauge("valetrack_links_accepted_open", "Links that other nodes have opened to this one."),
             log_dropped: gauge("valetrack_log_lines_dropped", "Log lines dropped since the start."),
             registry,
         }
