--- a/valetrack/src/link/peer.rs
+++ b/valetrack/src/link/peer.rs
@@ -1,5 +1,6 @@
 //! Connections to other nodes, which stay open and are shared by all requests.
 
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -8,6 +9,7 @@
 
 use async_channel::Sender;
 use bytes::{Bytes, BytesMut};
+use prometheus::IntGauge;
 use quinn::{Connection, Endpoint, RecvStream, SendStream};
 use tokio::sync::{Mutex, oneshot};
 use tokio::time::timeout;
@@ -143,10 +145,6 @@
         Some(connection)
     }
 
-    fn is_open(&self) -> bool {
-        self.connection.as_ref().is_some_and(|connection| connection.close_reason().is_none())
-    }
-
     /// Returns whether a handshake has failed too recently for another one.
     fn has_just_failed(&self, now_us: u64) -> bool {
         self.failed_us.is_some_and(|failed_us| now_us < failed_us + REDIAL_US)
@@ -159,10 +157,12 @@
     }
 }
 
+type Slots = Rc<RefCell<HashMap<Target, Rc<Mutex<Slot>>>>>;
+
 /// Outgoing connections of this node.
 pub struct Peers {
     endpoint: Endpoint,
-    slots: std::cell::RefCell<HashMap<Target, Rc<Mutex<Slot>>>>,
+    slots: Slots,
     paths: Rc<PathTimes>,
     metrics: Arc<Metrics>,
 }
@@ -170,23 +170,7 @@
 impl Peers {
     /// Returns an empty set of connections on an endpoint, whose round trips are recorded in `paths`.
     pub fn new(endpoint: Endpoint, paths: Rc<PathTimes>, metrics: Arc<Metrics>) -> Self {
-        Self { endpoint, slots: Default::default(), paths, metrics }
-    }
-
-    /// Returns the number of open connections.
-    pub fn open_count(&self) -> usize {
-        let is_open = |slot: &&Rc<Mutex<Slot>>| slot.try_lock().is_ok_and(|slot| slot.is_open());
-        self.slots.borrow().values().filter(is_open).count()
-    }
-
-    /// Drops the connections that have closed and the records of failed handshakes that have expired, unless a request
-    /// uses them.
-    fn drop_closed(&self) {
-        let now_us = now_us();
-        self.slots.borrow_mut().retain(|_, slot| {
-            let is_used = Rc::strong_count(slot) > 1;
-            is_used || slot.try_lock().is_ok_and(|slot| slot.is_open() || slot.has_just_failed(now_us))
-        });
+        Self { endpoint, slots: Slots::default(), paths, metrics }
     }
 
     /// Returns the number of connections that are kept, open or closed.
@@ -228,17 +212,15 @@
 
     /// Returns the open connection to a node, or opens one; `purpose` is the kind of the request that needs it.
     async fn connection(&self, target: &Target, purpose: &'static str) -> Option<Connection> {
-        let slot = self.slots.borrow_mut().entry(target.clone()).or_default().clone();
+        let shared = self.slots.borrow_mut().entry(target.clone()).or_default().clone();
         // Concurrent requests wait here for the result of a handshake in progress.
-        let mut slot = slot.lock().await;
+        let mut slot = shared.lock().await;
         if let Some(connection) = slot.open() {
             return Some(connection);
         }
         if slot.has_just_failed(now_us()) {
             return None;
         }
-        // A closed connection keeps its buffers until its last handle is dropped.
-        self.drop_closed();
         let connecting = self.endpoint.connect(target.addr, &target.vm).ok()?;
         let connected = timeout(Duration::from_millis(HANDSHAKE_MS), connecting).await;
         match connected {
@@ -246,6 +228,10 @@
                 log::debug!("event=link.opened peer={} purpose={purpose}", target.vm);
                 self.metrics.links_opened.with_label_values(&[purpose]).inc();
                 slot.opened(connection.clone());
+                self.metrics.links.inc();
+                let (slots, open_links) = (self.slots.clone(), self.metrics.links.clone());
+                let release = release_closed(slots, target.clone(), shared.clone(), connection.clone(), open_links);
+                tokio::task::spawn_local(release);
                 Some(connection)
             }
             Ok(Err(error)) => {
@@ -264,6 +250,28 @@
     }
 }
 
+/// Drops a connection once it is closed, together with its slot if nothing else uses the slot. A closed connection keeps
+/// all its memory until its last handle is dropped.
+async fn release_closed(
+    slots: Slots,
+    target: Target,
+    shared: Rc<Mutex<Slot>>,
+    connection: Connection,
+    open_links: IntGauge,
+) {
+    connection.closed().await;
+    open_links.dec();
+    drop(connection);
+    let mut slot = shared.lock().await;
+    slot.connection.take_if(|connection| connection.close_reason().is_some());
+    let is_empty = slot.connection.is_none() && slot.failed_us.is_none();
+    drop(slot);
+    // The map and this task hold the slot, and so does each request that waits for it.
+    if is_empty && Rc::strong_count(&shared) == 2 {
+        slots.borrow_mut().remove(&target);
+    }
+}
+
 enum ExchangeError {
     Unsent,
     Broken,
--- a/valetrack/src/link/tests.rs
+++ b/valetrack/src/link/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of frames, of keys and of cancellation results.
 
 mod closed;
+mod streams;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/valetrack/src/metric.rs
+++ b/valetrack/src/metric.rs
@@ -126,6 +126,8 @@
     pub links_opened: IntCounterVec,
     /// Links that could not be opened, by the kind of the request that needed them.
     pub links_failed: IntCounterVec,
+    /// Open links that other nodes have opened.
+    pub accepted_links: IntGauge,
     /// Dropped log lines.
     log_dropped: IntGauge,
 }
@@ -338,6 +340,7 @@
                 "Links that could not be opened, by the kind of the request that needed them.",
                 "purpose",
             ),
+            accepted_links: gauge("valetrack_links_accepted_open", "Links that other nodes have opened to this one."),
             log_dropped: gauge("valetrack_log_lines_dropped", "Log lines dropped since the start."),
             registry,
         }
