Callers: record why a connection ended, and each request without its whole answer

Cause: no log line said that a caller's connection had ended, why, or with how many calls open.

Change: a connection keeps its requests until their answers are written. Its end, also by a dropped or panicking task, gives `event=caller.connection_ended` and one `event=call.unanswered` for each request that was delivered, started ahead or completely received and has no whole answer; cancelled HTTP/2 streams give the latter alone. `valetrack_caller_connections_ended_total` and `valetrack_unanswered_calls_total` count both by reason. `event=caller.refused`, at most once a second, says that a connection was not accepted. Connections that clients close no longer count as invalid calls. What callers get is unchanged.

Limits: an answer counts as written once the socket has it; over HTTP/2 also while it waits for flow control.

--- a/valetrack/src/caller/pipeline/connection.rs
+++ b/valetrack/src/caller/pipeline/connection.rs
@@ -1,19 +1,24 @@
 //! I/O shell of a caller's connection: starts the calls that may be started ahead, and gives hyper their answers.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::pending;
 use std::panic::resume_unwind;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::thread::panicking;
+use std::time::{Duration, Instant};
 
 use futures::future::LocalBoxFuture;
-use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::http::request::Parts;
+use hyper::{Request, Response};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
+use super::body::AnswerBody;
+use super::end::{ConnectionEnd, EndReason, OpenRequest, OpenRequests, Progress, Unanswered};
 use super::framing::has_token;
 use super::state::Pipeline;
 use crate::caller::Answer;
@@ -26,11 +31,28 @@
     /// Records that a call is started ahead while `in_progress` calls of its connection are.
     fn on_started(&self, in_progress: usize);
 
-    /// Runs a call to its answer; `delivered` is none for one that is started ahead.
-    fn run(self: Rc<Self>, parts: Parts, delivered: Option<Delivered>) -> LocalBoxFuture<'static, Answer>;
+    /// Returns the id that the client gave a call.
+    fn call_id(&self, parts: &Parts) -> Option<Arc<str>>;
+
+    /// Runs the call of `request` to its answer; `delivered` is none for one that is started ahead.
+    fn run(
+        self: Rc<Self>,
+        parts: Parts,
+        delivered: Option<Delivered>,
+        request: Rc<OpenRequest>,
+    ) -> LocalBoxFuture<'static, Answer>;
 
     /// Returns whether connections close after the answers that are due.
     fn is_leaving(&self) -> bool;
+
+    /// Returns whether the tasks of connections are about to be dropped.
+    fn is_closing(&self) -> bool;
+
+    /// Records that a request has ended without its whole answer.
+    fn on_unanswered(&self, request: &Unanswered);
+
+    /// Records that a connection has ended.
+    fn on_ended(&self, end: &ConnectionEnd);
 }
 
 /// What hyper delivers beside the head of a request.
@@ -47,43 +69,70 @@
     pub(super) state: RefCell<Pipeline<StartedCall>>,
     /// Notified whenever hyper delivers a request.
     delivered: Notify,
+    requests: OpenRequests,
+    /// What the client did to end the connection, with the error if there was one.
+    client_end: RefCell<Option<(EndReason, Option<String>)>>,
+    accepted: Instant,
+    has_ended: Cell<bool>,
 }
 
 impl CallerConnection {
     /// Creates the state of a new connection.
     pub fn new(service: Rc<dyn CallService>) -> Rc<Self> {
-        Rc::new(Self { service, state: RefCell::default(), delivered: Notify::new() })
+        Rc::new(Self {
+            service,
+            state: RefCell::default(),
+            delivered: Notify::new(),
+            requests: OpenRequests::default(),
+            client_end: RefCell::default(),
+            accepted: Instant::now(),
+            has_ended: Cell::new(false),
+        })
     }
 
     /// Answers a request that hyper delivers, with the result of its call if that was started ahead.
     ///
     /// The delivery is recorded before the answer is first polled, since hyper polls the read side in between.
-    pub fn deliver(self: Rc<Self>, request: Request<Incoming>) -> impl Future<Output = Result<Answer, Infallible>> {
+    pub fn deliver(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+    ) -> impl Future<Output = Result<Response<AnswerBody>, Infallible>> {
         let (parts, body) = request.into_parts();
         let started = self.state.borrow_mut().on_delivered(is_last(&parts));
         self.delivered.notify_waiters();
-        let is_for = |call: &StartedCall| call.is_for(&parts);
-        if started.as_ref().is_some_and(|call| !is_for(call)) {
+        let (matching, other): (Option<_>, Option<_>) = match started {
+            Some(call) if call.is_for(&parts) => (Some(call), None),
+            other => (None, other),
+        };
+        if let Some(other) = other {
             // The request is framed differently than assumed, so none of the calls may be used.
-            self.close();
+            self.discard_started(other);
         }
-        let started = started.filter(is_for);
+        let request = match &matching {
+            Some(call) => call.request.clone(),
+            None => self.open(&parts, Progress::Delivered),
+        };
+        request.on_delivered();
+        let delivery = Delivery { connection: self, request };
         async move {
-            let mut answer = match started {
+            let Delivery { connection, request } = &delivery;
+            let mut answer = match matching {
                 Some(call) => {
-                    self.start_ahead();
+                    connection.start_ahead();
                     call.answer().await
                 }
                 None => {
-                    let delivered = Delivered { body, connection: self.clone() };
-                    self.service.clone().run(parts, Some(delivered)).await
+                    let delivered = Delivered { body, connection: connection.clone() };
+                    connection.service.clone().run(parts, Some(delivered), request.clone()).await
                 }
             };
-            if self.service.is_leaving() && !self.has_started() && answer.version() < hyper::Version::HTTP_2 {
+            let is_leaving = connection.service.is_leaving();
+            if is_leaving && !connection.has_started() && answer.version() < hyper::Version::HTTP_2 {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            self.state.borrow_mut().on_answered();
-            Ok(answer)
+            connection.state.borrow_mut().on_answered();
+            request.on_answered();
+            Ok(answer.map(|body| AnswerBody::new(body, request.clone(), connection.clone())))
         }
     }
 
@@ -104,7 +153,8 @@
                 self.state.borrow_mut().wait();
                 return;
             }
-            let call = StartedCall::start(self.service.clone(), request.parts.clone());
+            let open = self.open(&request.parts, Progress::StartedAhead);
+            let call = StartedCall::start(self.service.clone(), request.parts.clone(), open);
             let mut state = self.state.borrow_mut();
             state.push(&request, call);
             self.service.on_started(state.in_progress());
@@ -128,11 +178,123 @@
         drop(started);
     }
 
+    /// Records that hyper has written all that it had to write.
+    pub(super) fn on_flushed(&self) {
+        self.state.borrow_mut().on_flushed();
+        self.requests.on_flushed();
+    }
+
+    /// Records that the client ends the connection; the first reason counts.
+    pub(super) fn on_client_end(&self, reason: EndReason, error: Option<&std::io::Error>) {
+        let mut end = self.client_end.borrow_mut();
+        end.get_or_insert_with(|| (reason, error.map(ToString::to_string)));
+    }
+
+    /// Returns how the client has ended the connection, with the error if there was one; none if it hasn't.
+    pub(super) fn client_end(&self) -> Option<(EndReason, Option<String>)> {
+        self.client_end.borrow().clone()
+    }
+
+    /// Records that one stream of an HTTP/2 connection was dropped before its answer was complete.
+    pub(super) fn on_stream_dropped(&self, request: &OpenRequest) {
+        let reason = match self.client_end() {
+            _ if panicking() => EndReason::Panic,
+            Some((reason, _)) => reason,
+            None if self.service.is_closing() => EndReason::Exit,
+            None => EndReason::StreamReset,
+        };
+        if let Some(unanswered) = request.end(reason) {
+            self.service.on_unanswered(&unanswered);
+        }
+    }
+
+    /// Ends the connection with all requests and started calls.
+    pub(super) fn end(&self, reason: EndReason, error: Option<String>) {
+        if self.has_ended.replace(true) {
+            return;
+        }
+        let requests = self.requests.opened();
+        let mut unanswered = self.requests.end(reason);
+        let is_unwritten = |request: &Unanswered| matches!(request.progress, Progress::Answered | Progress::Writing);
+        let unwritten = unanswered.iter().filter(|request| is_unwritten(request)).count();
+        let open = unanswered.len() - unwritten;
+        let unstarted = self.state.borrow().unstarted();
+        let end =
+            ConnectionEnd { reason, error, requests, open, unwritten, unstarted: unstarted.len(), age: self.age() };
+        unanswered.extend(unstarted.iter().map(|parts| self.unstarted(parts.as_ref(), reason)));
+        self.service.on_ended(&end);
+        for request in &unanswered {
+            self.service.on_unanswered(request);
+        }
+        self.close();
+    }
+
+    fn unstarted(&self, parts: Option<&Parts>, reason: EndReason) -> Unanswered {
+        Unanswered {
+            call_id: parts.and_then(|parts| self.service.call_id(parts)),
+            reason,
+            progress: Progress::Received,
+            is_body_read: false,
+            is_placed: false,
+            after: Duration::ZERO,
+        }
+    }
+
+    fn age(&self) -> Duration {
+        self.accepted.elapsed()
+    }
+
+    fn open(&self, parts: &Parts, progress: Progress) -> Rc<OpenRequest> {
+        let request = self.requests.add(parts, progress);
+        if let Some(call_id) = self.service.call_id(parts) {
+            request.set_call_id(call_id);
+        }
+        request
+    }
+
+    /// Cancels all started calls, whose requests hyper delivers as other ones.
+    fn discard_started(&self, first: StartedCall) {
+        let started: Vec<_> = std::iter::once(first).chain(self.state.borrow_mut().close()).collect();
+        log::warn!("event=caller.started_discarded calls={}", started.len());
+        for call in &started {
+            self.requests.withdraw(&call.request);
+        }
+    }
+
+    /// Returns whether the client has begun to send a request that hyper has not delivered.
+    pub(super) fn has_partial_request(&self) -> bool {
+        self.state.borrow().has_partial_request()
+    }
+
+    /// Returns whether a request asked for the connection to close after its answer.
+    pub(super) fn closes(&self) -> bool {
+        self.state.borrow().closes()
+    }
+
+    pub(super) fn is_leaving(&self) -> bool {
+        self.service.is_leaving()
+    }
+
     fn has_started(&self) -> bool {
         self.state.borrow().has_started()
     }
 }
 
+/// A request that hyper has delivered and whose answer it waits for.
+struct Delivery {
+    connection: Rc<CallerConnection>,
+    request: Rc<OpenRequest>,
+}
+
+impl Drop for Delivery {
+    fn drop(&mut self) {
+        // Over HTTP/1, the request ends together with its connection.
+        if self.request.is_stream() && self.request.progress() == Progress::Delivered {
+            self.connection.on_stream_dropped(&self.request);
+        }
+    }
+}
+
 /// Returns whether hyper closes the connection after the answer to a request, as its head asks for.
 fn is_last(parts: &Parts) -> bool {
     let closes = |value: &HeaderValue| has_token(value.as_bytes(), "close");
@@ -143,13 +305,14 @@
 pub(super) struct StartedCall {
     /// Head of its request.
     parts: Parts,
+    request: Rc<OpenRequest>,
     task: JoinHandle<Answer>,
 }
 
 impl StartedCall {
-    fn start(service: Rc<dyn CallService>, parts: Parts) -> Self {
-        let task = tokio::task::spawn_local(service.run(parts.clone(), None));
-        Self { parts, task }
+    fn start(service: Rc<dyn CallService>, parts: Parts, request: Rc<OpenRequest>) -> Self {
+        let task = tokio::task::spawn_local(service.run(parts.clone(), None, request.clone()));
+        Self { parts, request, task }
     }
 
     /// Returns whether this is the call of a request that hyper delivers.
--- a/valetrack/src/caller/pipeline/framing.rs
+++ b/valetrack/src/caller/pipeline/framing.rs
@@ -30,6 +30,13 @@
     pub is_last: bool,
 }
 
+impl Message {
+    /// Returns its length.
+    pub const fn length(&self) -> u64 {
+        (self.head_bytes as u64).saturating_add(self.body_bytes)
+    }
+}
+
 /// Returns the framing of the message at the start of `bytes`, of which an earlier call has found the first `searched`
 /// incomplete.
 pub fn frame(bytes: &[u8], searched: usize) -> Framing {
--- a/valetrack/src/caller/pipeline/mod.rs
+++ b/valetrack/src/caller/pipeline/mod.rs
@@ -4,7 +4,9 @@
 //! Contract: hyper receives the bytes of one message at a time, so a started call belongs to the next request that it
 //! delivers; answers keep the order of the requests; a call is started ahead only behind repeatable calls.
 
+mod body;
 mod connection;
+mod end;
 mod framing;
 mod serve;
 mod state;
@@ -13,4 +15,5 @@
 mod tests;
 
 pub use connection::{CallService, Delivered};
+pub use end::{ConnectionEnd, EndReason, OpenRequest, Progress, Unanswered};
 pub use serve::serve;
--- a/valetrack/src/caller/pipeline/serve.rs
+++ b/valetrack/src/caller/pipeline/serve.rs
@@ -1,6 +1,8 @@
 //! Serves one connection of a caller with hyper.
 
+use std::error::Error;
 use std::rc::Rc;
+use std::thread::panicking;
 use std::time::Duration;
 
 use hyper::service::service_fn;
@@ -9,29 +11,30 @@
 use tokio::net::TcpStream;
 
 use super::connection::{CallService, CallerConnection};
+use super::end::EndReason;
 use super::state::HELD_MAX_BYTES;
 use super::stream::CallerStream;
 
 /// Largest head of a request.
 const HEAD_MAX_BYTES: usize = HELD_MAX_BYTES;
 
-/// Result of a connection.
-pub type Ended = Result<(), Box<dyn std::error::Error + Send + Sync>>;
+/// Result of a connection from hyper.
+type HyperResult = Result<(), Box<dyn Error + Send + Sync>>;
 
 /// Serves a connection until it closes; `head_limit` is the time that its client has to send a head, and for which it
 /// may be idle. Once `idle_limit` completes and the started calls are answered, the connection closes as soon as it is
 /// idle.
 ///
-/// # Errors
-///
-/// Returns the reason for which the connection ended early.
+/// The service gets a record of the end of the connection and of each request without its whole answer, also if the
+/// returned future is dropped.
 pub async fn serve(
     stream: TcpStream,
     head_limit: Duration,
     service: Rc<dyn CallService>,
     idle_limit: impl Future<Output = ()>,
-) -> Ended {
+) {
     let caller = CallerConnection::new(service);
+    let _ending = Ending(caller.clone());
     let answering = caller.clone();
     let service = service_fn(move |request| answering.clone().deliver(request));
     let builder = builder(head_limit);
@@ -46,6 +49,7 @@
         ended = connection.as_mut() => Some(ended),
         () = idle_limit => None,
     };
+    let is_graceful = ended.is_none();
     let ended = match ended {
         Some(ended) => ended,
         None => {
@@ -54,8 +58,53 @@
             connection.await
         }
     };
-    caller.close();
-    ended
+    let (reason, error) = reason_of(&caller, ended, is_graceful);
+    caller.end(reason, error);
+}
+
+/// Ends a connection whose task is dropped or panics.
+struct Ending(Rc<CallerConnection>);
+
+impl Drop for Ending {
+    fn drop(&mut self) {
+        self.0.end(if panicking() { EndReason::Panic } else { EndReason::Exit }, None);
+    }
+}
+
+/// Returns the reason for which a connection has ended, with the text of an error; `is_graceful` states that hyper was
+/// asked to close it.
+fn reason_of(caller: &CallerConnection, ended: HyperResult, is_graceful: bool) -> (EndReason, Option<String>) {
+    if let Some(end) = caller.client_end() {
+        return end;
+    }
+    let error = match ended {
+        Err(error) => error,
+        Ok(()) if is_graceful || caller.is_leaving() => return (EndReason::Leaving, None),
+        Ok(()) if caller.closes() => return (EndReason::LastRequest, None),
+        Ok(()) => return (EndReason::AfterAnswer, None),
+    };
+    let reason = match error.downcast_ref::<hyper::Error>() {
+        Some(error) if error.is_timeout() && caller.has_partial_request() => EndReason::HeadLimit,
+        Some(error) if error.is_timeout() => EndReason::IdleLimit,
+        Some(error) if error.is_parse() => EndReason::InvalidRequest,
+        Some(error) if error.is_incomplete_message() => EndReason::ClientClosed,
+        // A connection without a first byte is cancelled before hyper serves it.
+        None if is_graceful => return (EndReason::Leaving, None),
+        _ => EndReason::Error,
+    };
+    (reason, Some(text_of(&*error)))
+}
+
+/// Returns the text of an error with its causes.
+fn text_of(error: &(dyn Error + 'static)) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text.push_str(": ");
+        text.push_str(&cause.to_string());
+        source = cause.source();
+    }
+    text
 }
 
 /// Returns hyper's settings for connections of callers.
--- a/valetrack/src/caller/pipeline/state.rs
+++ b/valetrack/src/caller/pipeline/state.rs
@@ -233,6 +233,48 @@
         self.front.is_some() || !self.started.is_empty()
     }
 
+    /// Returns whether the client has begun to send a request that hyper has not delivered.
+    pub fn has_partial_request(&self) -> bool {
+        self.phase == Phase::Reading && (self.left.is_some() || !self.held.is_empty())
+    }
+
+    /// Returns whether a request asked for the connection to close after its answer.
+    pub fn closes(&self) -> bool {
+        self.closes
+    }
+
+    /// Returns the heads of the requests that were received completely, and that are neither delivered nor started; none
+    /// for a head that may not be what hyper would deliver.
+    ///
+    /// Requests behind one that asks for the connection to close don't count, and requests behind a chunked body are
+    /// left to hyper.
+    pub fn unstarted(&self) -> Vec<Option<Parts>> {
+        let mut heads = Vec::new();
+        let left = self.left.and_then(|left| usize::try_from(left).ok());
+        let (Mode::Framed, Some(left)) = (self.mode, left) else {
+            return heads;
+        };
+        let is_front_unstarted = self.phase == Phase::Reading && self.front.is_none();
+        if is_front_unstarted && left > 0 && self.held.len() >= left {
+            // hyper may already have the start of a long head.
+            let is_complete =
+                matches!(frame(&self.held, 0), Framing::Known(message) if message.length() == left as u64);
+            heads.push(request_of(&self.held).filter(|_| is_complete));
+        }
+        let mut rest = self.held.get(left + self.started_bytes..).unwrap_or_default();
+        let mut closes = self.closes;
+        while !closes && let Framing::Known(message) = frame(rest, 0) {
+            let end = usize::try_from(message.length()).unwrap_or(usize::MAX);
+            let Some(next) = rest.get(end..) else {
+                break;
+            };
+            heads.push(request_of(rest));
+            rest = next;
+            closes = message.is_last;
+        }
+        heads
+    }
+
     /// Returns how many calls are in progress.
     pub fn in_progress(&self) -> usize {
         let is_front_running = matches!(self.phase, Phase::Running | Phase::Read { .. });
@@ -287,7 +329,7 @@
         match frame(&self.held, self.searched) {
             Framing::Known(message) => {
                 self.closes |= message.is_last;
-                self.left = Some((message.head_bytes as u64).saturating_add(message.body_bytes) - self.handed as u64);
+                self.left = Some(message.length() - self.handed as u64);
                 self.drop_handed();
             }
             Framing::Incomplete if self.held.len() < HELD_MAX_BYTES => self.searched = self.held.len(),
--- a/valetrack/src/caller/pipeline/stream.rs
+++ b/valetrack/src/caller/pipeline/stream.rs
@@ -13,6 +13,7 @@
 use tokio::time::{Sleep, sleep};
 
 use super::connection::CallerConnection;
+use super::end::EndReason;
 
 /// Most bytes that are read at once where they are inspected, as in hyper.
 const READ_BYTES: usize = 8 * 1024;
@@ -34,6 +35,11 @@
         Self { stream, connection, closed_check: None }
     }
 
+    /// Passes on the result of an operation on the socket, and records one that failed as an end by the client.
+    fn check<T>(&self, result: io::Result<T>) -> io::Result<T> {
+        result.inspect_err(|error| self.connection.on_client_end(EndReason::ClientReset, Some(error)))
+    }
+
     /// Hands hyper bytes that are held; returns whether there were any.
     fn hand(&self, buf: &mut ReadBuf<'_>) -> bool {
         let mut state = self.connection.state.borrow_mut();
@@ -50,8 +56,12 @@
     /// Reads up to `passable` bytes directly for hyper, and holds those beyond.
     fn poll_pass(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>, passable: u64) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        let read = ready!(Pin::new(&mut self.stream).poll_read(cx, buf));
+        self.check(read)?;
         let count = buf.filled().len() - before;
+        if count == 0 && buf.remaining() > 0 {
+            self.connection.on_client_end(EndReason::ClientClosed, None);
+        }
         let passed = usize::try_from(passable).map_or(count, |passable| count.min(passable));
         let mut state = self.connection.state.borrow_mut();
         state.buffer().extend_from_slice(&buf.filled()[before + passed..]);
@@ -69,7 +79,8 @@
         self.closed_check = None;
         let mut chunk = [const { MaybeUninit::uninit() }; READ_BYTES];
         let mut read = ReadBuf::uninit(&mut chunk[..room.min(READ_BYTES)]);
-        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut read))?;
+        let result = ready!(Pin::new(&mut self.stream).poll_read(cx, &mut read));
+        self.check(result)?;
         let mut state = self.connection.state.borrow_mut();
         state.buffer().extend_from_slice(read.filled());
         state.on_received();
@@ -105,6 +116,7 @@
             // The end of the stream goes to hyper at once, also before held requests: hyper then drops the connection
             // with all calls, as it does for a single request whose client closes.
             if ready!(this.poll_hold(cx))? == 0 {
+                this.connection.on_client_end(EndReason::ClientClosed, None);
                 return Poll::Ready(Ok(()));
             }
             this.connection.start_ahead();
@@ -114,7 +126,8 @@
 
 impl AsyncWrite for CallerStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, buf));
+        Poll::Ready(self.check(written))
     }
 
     fn poll_write_vectored(
@@ -122,7 +135,8 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, bufs));
+        Poll::Ready(self.check(written))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -130,8 +144,9 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
-        self.connection.state.borrow_mut().on_flushed();
+        let flushed = ready!(Pin::new(&mut self.stream).poll_flush(cx));
+        self.check(flushed)?;
+        self.connection.on_flushed();
         Poll::Ready(Ok(()))
     }
 
--- a/valetrack/src/caller/pipeline/tests.rs
+++ b/valetrack/src/caller/pipeline/tests.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod closing;
+mod ends;
 mod framing;
 mod harness;
 mod load;
--- a/valetrack/src/caller/pipeline/tests/harness.rs
+++ b/valetrack/src/caller/pipeline/tests/harness.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -15,10 +16,12 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
 use crate::caller::Answer;
 use crate::caller::pipeline::connection::{CallService, CallerConnection, Delivered};
+use crate::caller::pipeline::end::{ConnectionEnd, EndReason, OpenRequest, Progress, Unanswered};
 use crate::caller::pipeline::serve::{builder, serve};
 
 /// Time limit for a head.
@@ -35,8 +38,12 @@
     Pipeline,
 }
 
+/// Length of the answer to a call with the name `large`, which is more than the buffers of both sockets hold.
+const LARGE_BYTES: usize = 32 << 20;
+
 /// Fake of the calls: `GET /MS/NAME` is repeatable and answers `NAME` after that time, or status 503 for the name
-/// `refused`; a POST answers with the length of its body.
+/// `refused`; the name `panic` panics instead, and `large` answers with many bytes; a POST answers with the length of its
+/// body.
 #[derive(Default)]
 pub struct Calls {
     /// Begin, end and cancellation of calls.
@@ -44,9 +51,21 @@
     pub running: Cell<usize>,
     pub running_max: Cell<usize>,
     leaving: Cell<bool>,
+    closing: Cell<bool>,
+    /// Calls without their whole answer, with reason and progress.
+    pub unanswered: RefCell<Vec<(String, EndReason, Progress)>>,
+    /// Reasons of ended connections, with the requests of each that were open, unwritten and unstarted.
+    pub ends: RefCell<Vec<(EndReason, [usize; 3])>>,
 }
 
 impl Calls {
+    /// Returns the names of calls without their whole answer, in order, with reason and progress.
+    pub fn unanswered(&self) -> Vec<(String, EndReason, Progress)> {
+        let mut unanswered = self.unanswered.borrow().clone();
+        unanswered.sort_by(|one, other| one.0.cmp(&other.0));
+        unanswered
+    }
+
     pub fn began(&self, name: &str) -> bool {
         self.log.borrow().contains(&format!("begin {name}"))
     }
@@ -85,7 +104,16 @@
 
     fn on_started(&self, _in_progress: usize) {}
 
-    fn run(self: Rc<Self>, parts: Parts, delivered: Option<Delivered>) -> LocalBoxFuture<'static, Answer> {
+    fn call_id(&self, parts: &Parts) -> Option<Arc<str>> {
+        parts.uri.path().rsplit('/').next().map(Arc::from)
+    }
+
+    fn run(
+        self: Rc<Self>,
+        parts: Parts,
+        delivered: Option<Delivered>,
+        _request: Rc<OpenRequest>,
+    ) -> LocalBoxFuture<'static, Answer> {
         Box::pin(async move {
             let mut path = parts.uri.path().trim_start_matches('/').split('/');
             let wait_ms = path.next().and_then(|text| text.parse().ok()).unwrap_or(0);
@@ -99,7 +127,11 @@
             if wait_ms > 0 {
                 sleep(Duration::from_millis(wait_ms)).await;
             }
+            assert_ne!(name, "panic");
             running.is_complete = true;
+            if name == "large" {
+                return Response::new(Full::new(Bytes::from(vec![b'x'; LARGE_BYTES])));
+            }
             let text = if parts.method == "POST" { format!("{name}={}", body.len()) } else { name.clone() };
             let mut answer = Response::new(Full::new(Bytes::from(text)));
             if name == "refused" {
@@ -112,6 +144,19 @@
     fn is_leaving(&self) -> bool {
         self.leaving.get()
     }
+
+    fn is_closing(&self) -> bool {
+        self.closing.get()
+    }
+
+    fn on_unanswered(&self, request: &Unanswered) {
+        let name = request.call_id.as_deref().unwrap_or("none").to_owned();
+        self.unanswered.borrow_mut().push((name, request.reason, request.progress));
+    }
+
+    fn on_ended(&self, end: &ConnectionEnd) {
+        self.ends.borrow_mut().push((end.reason, [end.open, end.unwritten, end.unstarted]));
+    }
 }
 
 /// A listener.
@@ -121,24 +166,26 @@
     leave: watch::Sender<bool>,
     /// Connections that are open.
     pub open: Rc<Cell<usize>>,
+    tasks: Rc<RefCell<Vec<JoinHandle<()>>>>,
 }
 
 impl Listener {
     pub async fn start(reader: Reader) -> Self {
         let socket = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let (leave, leaving) = watch::channel(false);
-        let listener =
-            Self { addr: socket.local_addr().expect("its address"), calls: Rc::default(), leave, open: Rc::default() };
-        let (calls, open) = (listener.calls.clone(), listener.open.clone());
+        let addr = socket.local_addr().expect("its address");
+        let listener = Self { addr, calls: Rc::default(), leave, open: Rc::default(), tasks: Rc::default() };
+        let (calls, open, tasks) = (listener.calls.clone(), listener.open.clone(), listener.tasks.clone());
         tokio::task::spawn_local(async move {
             while let Ok((stream, _)) = socket.accept().await {
                 let _ = stream.set_nodelay(true);
                 let (calls, open, leaving) = (calls.clone(), open.clone(), leaving.clone());
-                tokio::task::spawn_local(async move {
+                let task = tokio::task::spawn_local(async move {
                     open.set(open.get() + 1);
                     serve_with(reader, stream, calls, leaving).await;
                     open.set(open.get() - 1);
                 });
+                tasks.borrow_mut().push(task);
             }
         });
         listener
@@ -156,6 +203,20 @@
         self.calls.leaving.set(true);
         self.leave.send_replace(true);
     }
+
+    /// Drops the tasks of all connections, as at the exit of a node.
+    pub async fn exit(&self) {
+        self.calls.closing.set(true);
+        for task in self.tasks.take() {
+            task.abort();
+            let _ = task.await;
+        }
+    }
+
+    /// Waits until `count` connections have ended.
+    pub async fn wait_for_ends(&self, count: usize) {
+        wait_until("the connections have ended", || self.calls.ends.borrow().len() >= count).await;
+    }
 }
 
 async fn serve_with(reader: Reader, stream: TcpStream, calls: Rc<Calls>, mut leaving: watch::Receiver<bool>) {
@@ -169,7 +230,7 @@
         let _ = leaving.wait_for(|leaving| *leaving).await;
         sleep(Duration::from_millis(20)).await;
     };
-    let _ = serve(stream, HEAD_LIMIT, calls, idle_limit).await;
+    serve(stream, HEAD_LIMIT, calls, idle_limit).await;
 }
 
 /// An answer that a client has read.
--- a/valetrack/src/caller/pipeline/tests/state.rs
+++ b/valetrack/src/caller/pipeline/tests/state.rs
@@ -135,6 +135,23 @@
         }
     }
 
+    /// Returns how many requests are delivered, started ahead or reported as unstarted.
+    fn accounted(&self) -> usize {
+        let count = |what: &str| self.log.iter().filter(|line| line.starts_with(what)).count();
+        let started = count("start") - count("take");
+        self.at + usize::from(self.is_delivered) + started + self.pipeline.unstarted().len()
+    }
+
+    /// Returns how many requests the first `received` bytes of the wire hold, with a delivered one whose body is not
+    /// complete.
+    fn complete(&self, received: usize) -> usize {
+        let ends = self.messages.iter().scan(0, |end, sent| {
+            *end += sent.bytes.len();
+            Some(*end)
+        });
+        ends.filter(|end| *end <= received).count().max(self.at + usize::from(self.is_delivered))
+    }
+
     /// Answers the present request if it is read.
     fn answer(&mut self) {
         if self.is_read {
@@ -224,6 +241,28 @@
         let runs = connection.log.iter().filter(|line| !line.starts_with("start")).count();
         prop_assert_eq!(runs, kinds.len());
     }
+
+    /// Guards against a received request that is in no record at the end of its connection.
+    #[test]
+    fn any_received_request_is_delivered_started_or_unstarted(
+        kinds in prop::collection::vec(kind(), 1..40),
+        steps in prop::collection::vec((1..3_000_usize, 1..9_000_usize, any::<bool>()), 1..100),
+    ) {
+        let mut connection = Connection::new(&kinds);
+        let wire = connection.wire();
+        let mut received = 0;
+        for (piece, most, answers) in &steps {
+            let end = wire.len().min(received + piece);
+            received += connection.receive(&wire[received..end]);
+            prop_assert_eq!(connection.accounted(), connection.complete(received));
+            connection.poll(*most);
+            prop_assert_eq!(connection.accounted(), connection.complete(received));
+            if *answers {
+                connection.answer();
+                prop_assert_eq!(connection.accounted(), connection.complete(received));
+            }
+        }
+    }
 }
 
 /// Guards against calls that are started behind an answer that closes the connection: they would be lost.
--- a/valetrack/src/caller/run.rs
+++ b/valetrack/src/caller/run.rs
@@ -18,7 +18,7 @@
 
 use super::answer::{self, Answer};
 use super::keyed::KeyedRouter;
-use super::pipeline::{self, CallService, Delivered};
+use super::pipeline::{self, CallService, ConnectionEnd, Delivered, EndReason, OpenRequest, Progress, Unanswered};
 use super::protocol::{CallerProtocol, ReadContext};
 use super::request::{IncomingCall, Rejection};
 use crate::bundle::{Confirmation, HostRoute, InForce, SplitPicker};
@@ -45,6 +45,8 @@
 /// Verdict on a call that may still run when this node exits.
 const LEAVING: Verdict =
     Verdict::NotRun { proof: NeverRuns::unsent(), code: Code::Leaving, retry_after_ms: LEAVING_RETRY_MS };
+/// Shortest time between two log lines on refused connections.
+const REFUSAL_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Shortest time for which an idle connection stays open once the node leaves.
 const IDLE_MIN_MS: u64 = 500;
 
@@ -89,6 +91,8 @@
     open_calls: Cell<usize>,
     /// Time at which leaving began.
     left_at: Cell<Option<Moment>>,
+    /// Time of the last log line on a connection that was refused.
+    refusal_logged_at: Cell<Option<Instant>>,
     splits: RefCell<Splits>,
 }
 
@@ -117,6 +121,7 @@
         connections: Cell::new(0),
         open_calls: Cell::new(0),
         left_at: Cell::new(None),
+        refusal_logged_at: Cell::new(None),
         splits: RefCell::new(splits),
     });
     let mut tasks = tokio::task::JoinSet::new();
@@ -133,9 +138,16 @@
                 listener.connections.set(listener.connections.get() + 1);
                 tokio::task::spawn_local(listener.clone().serve(stream));
             }
-            Ok(_) => listener.placer.metrics.bad_calls.inc(),
-            // The process may be out of file descriptors; a short pause lets some connections close.
-            Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
+            Ok(_) => {
+                listener.placer.metrics.bad_calls.inc();
+                listener.placer.metrics.connections_ended.with_label_values(&["limit"]).inc();
+                listener.on_refused("limit", None);
+            }
+            Err(error) => {
+                listener.on_refused("error", Some(&error));
+                // The process may be out of file descriptors; a short pause lets some connections close.
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
         }
     }
     drop(socket);
@@ -192,21 +204,32 @@
         self.parts.emptied.send_replace(true);
     }
 
+    /// Logs that a connection was refused, unless another one was a moment ago.
+    fn on_refused(&self, reason: &str, error: Option<&std::io::Error>) {
+        if self.refusal_logged_at.get().is_some_and(|at| at.elapsed() < REFUSAL_LOG_INTERVAL) {
+            return;
+        }
+        self.refusal_logged_at.set(Some(Instant::now()));
+        let error = error.map(ToString::to_string);
+        log::warn!(
+            "event=caller.refused reason={reason} error={} connections={}",
+            OrNone(error.as_ref().map(|error| Quoted(error))),
+            self.connections.get()
+        );
+    }
+
     async fn serve(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut leaving = self.parts.leaving.clone();
         let idle_limit = idle_limit(&mut leaving, self.parts.linger);
-        let ended = pipeline::serve(stream, self.parts.head_limit, self.clone(), idle_limit).await;
-        if ended.is_err() {
-            self.placer.metrics.bad_calls.inc();
-        }
+        pipeline::serve(stream, self.parts.head_limit, self.clone(), idle_limit).await;
         self.connections.set(self.connections.get() - 1);
     }
 
-    async fn answer(self: Rc<Self>, parts: Parts, delivered: Option<Delivered>) -> Answer {
+    async fn answer(self: Rc<Self>, parts: Parts, delivered: Option<Delivered>, request: Rc<OpenRequest>) -> Answer {
         let _open = OpenCall::new(self.clone());
         let began = Instant::now();
-        let answer = self.clone().handle(parts, delivered).await;
+        let answer = self.clone().handle(parts, delivered, &request).await;
         let metrics = &self.placer.metrics;
         metrics.call_seconds.observe(began.elapsed().as_secs_f64());
         let outcome = answer.headers().get(answer::OUTCOME_HEADER).and_then(|value| value.to_str().ok());
@@ -214,7 +237,7 @@
         answer
     }
 
-    async fn handle(self: Rc<Self>, parts: Parts, delivered: Option<Delivered>) -> Answer {
+    async fn handle(self: Rc<Self>, parts: Parts, delivered: Option<Delivered>, request: &OpenRequest) -> Answer {
         let began = Instant::now();
         let given_id = self.parts.protocol.call_id(&parts.headers).unwrap_or(NO_CALL_ID);
         if self.open_calls.get() > OPEN_CALLS_MAX {
@@ -224,7 +247,7 @@
         let Some(in_force) = in_force else {
             return self.reject(Rejection { code: Code::NoBundle, status: 503 }, given_id, &parts);
         };
-        let (call, body) = match self.read(&parts, delivered, &in_force).await {
+        let (call, body) = match self.read(&parts, delivered, request, &in_force).await {
             Ok(read) => read,
             Err(rejection) => {
                 let is_conclusive = self.is_conclusive(&in_force);
@@ -243,6 +266,7 @@
             head.objective_ms = head.objective_ms.saturating_sub(waited_ms).max(head.objective_ms.min(1));
         }
         let call_id = head.call_id.clone();
+        request.on_placed();
         let (route, service) = (head.route.clone(), head.service.clone());
         log::debug!("event=call.begin call={call_id} service={}", head.service);
         let mut placed = if self.outlasts_exit(head.deadline_ms) {
@@ -293,6 +317,7 @@
         &self,
         parts: &Parts,
         delivered: Option<Delivered>,
+        request: &OpenRequest,
         in_force: &InForce,
     ) -> Result<(IncomingCall, Bytes), Rejection> {
         let cx = ReadContext {
@@ -303,6 +328,7 @@
         };
         let mut call = self.parts.protocol.read(parts, &cx)?;
         call.head.origin = self.parts.service.clone();
+        request.set_call_id(call.head.call_id.clone());
         let body = match delivered {
             Some(Delivered { body, connection }) => {
                 let body = self.read_body(body, call.request_cap_bytes).await?;
@@ -311,6 +337,7 @@
             }
             None => Bytes::new(),
         };
+        request.on_body_read();
         call.head.body_bytes = body.len() as u32;
         Ok((call, body))
     }
@@ -419,13 +446,81 @@
         log::debug!("event=call.started_ahead in_progress={in_progress}");
     }
 
-    fn run(self: Rc<Self>, parts: Parts, delivered: Option<Delivered>) -> LocalBoxFuture<'static, Answer> {
-        Box::pin(self.answer(parts, delivered))
+    fn call_id(&self, parts: &Parts) -> Option<Arc<str>> {
+        self.parts.protocol.call_id(&parts.headers).map(Arc::from)
+    }
+
+    fn run(
+        self: Rc<Self>,
+        parts: Parts,
+        delivered: Option<Delivered>,
+        request: Rc<OpenRequest>,
+    ) -> LocalBoxFuture<'static, Answer> {
+        Box::pin(self.answer(parts, delivered, request))
     }
 
     fn is_leaving(&self) -> bool {
         *self.parts.leaving.borrow()
     }
+
+    fn is_closing(&self) -> bool {
+        *self.parts.closing.borrow()
+    }
+
+    fn on_unanswered(&self, request: &Unanswered) {
+        self.placer.metrics.unanswered_calls.with_label_values(&[request.reason.as_str()]).inc();
+        log::log!(
+            level_of_unanswered(request),
+            "event=call.unanswered call={} reason={} progress={} body_read={} placed={} after_ms={} leaving={}",
+            request.call_id.as_deref().unwrap_or(NO_CALL_ID),
+            request.reason,
+            request.progress.as_str(),
+            request.is_body_read,
+            request.is_placed,
+            request.after.as_millis(),
+            self.is_leaving()
+        );
+    }
+
+    fn on_ended(&self, end: &ConnectionEnd) {
+        let metrics = &self.placer.metrics;
+        metrics.connections_ended.with_label_values(&[end.reason.as_str()]).inc();
+        let is_invalid = matches!(end.reason, EndReason::InvalidRequest | EndReason::Error);
+        metrics.bad_calls.inc_by(u64::from(is_invalid));
+        log::log!(
+            level_of_end(end),
+            "event=caller.connection_ended reason={} error={} open_calls={} unwritten={} unstarted={} age_ms={} \
+             requests={} leaving={}",
+            end.reason,
+            OrNone(end.error.as_ref().map(|error| Quoted(error))),
+            end.open,
+            end.unwritten,
+            end.unstarted,
+            end.age.as_millis(),
+            end.requests,
+            self.is_leaving()
+        );
+    }
+}
+
+/// Returns the log level of a request without its whole answer: clients that give up are common, and a closed
+/// connection may have thousands of requests that no call was started for.
+fn level_of_unanswered(request: &Unanswered) -> log::Level {
+    match (request.reason.is_by_client(), request.progress) {
+        (false, _) => log::Level::Warn,
+        (true, Progress::Received) => log::Level::Debug,
+        (true, _) => log::Level::Info,
+    }
+}
+
+/// Returns the log level of the end of a connection.
+fn level_of_end(end: &ConnectionEnd) -> log::Level {
+    match (end.unanswered() > 0, end.reason.is_by_client()) {
+        (true, false) => log::Level::Warn,
+        (true, true) => log::Level::Info,
+        (false, _) if end.reason.is_failure() => log::Level::Info,
+        (false, _) => log::Level::Debug,
+    }
 }
 
 /// Returns the beginning of a caller's text, up to the length that a log line may contain.
--- a/valetrack/src/metric.rs
+++ b/valetrack/src/metric.rs
@@ -78,6 +78,10 @@
     pub invalid_input: IntCounterVec,
     /// Calls from callers that were refused as invalid.
     pub bad_calls: IntCounter,
+    /// Connections of callers that have ended, by reason.
+    pub connections_ended: IntCounterVec,
+    /// Requests of callers that ended without their whole answer, by reason.
+    pub unanswered_calls: IntCounterVec,
     /// Calls from callers that were rejected before they were placed, by code.
     pub rejected_calls: IntCounterVec,
     /// Calls that were started before the calls ahead of them on their connection were answered.
@@ -262,6 +266,16 @@
                 "code",
             ),
             bad_calls: counter("valetrack_bad_calls_total", "Calls from callers that were refused as invalid."),
+            connections_ended: counters(
+                "valetrack_caller_connections_ended_total",
+                "Connections of callers that have ended, by reason.",
+                "reason",
+            ),
+            unanswered_calls: counters(
+                "valetrack_unanswered_calls_total",
+                "Requests of callers that ended without their whole answer, by reason.",
+                "reason",
+            ),
             rejected_calls: counters(
                 "valetrack_rejected_calls_total",
                 "Calls from callers that were rejected before they were placed, by code.",
