Soak: a call that was passed on is answered

A node that cuts a call while only the store, links or upstreams have faults broke no check.

Change: each call records the VM and its end, the fleet records when a node's process was killed or stopped, and a cut call whose id arrived at an upstream is a breach unless the process of its node was disrupted from three seconds (the platform's contact) before the call until its end. The present checks stay as they are.

--- a/standin/src/soak/caller.rs
+++ b/standin/src/soak/caller.rs
@@ -128,7 +128,16 @@
                 Ok(Err(_)) => CallOutcome::Cut,
                 Err(_) => CallOutcome::GivenUp,
             };
-            self.calls.borrow_mut().push(CallRecord { id, began_ms, repeatable, account, pipelined: false, outcome });
+            self.calls.borrow_mut().push(CallRecord {
+                id,
+                vm,
+                began_ms,
+                ended_ms: self.began.elapsed().as_millis() as u64,
+                repeatable,
+                account,
+                pipelined: false,
+                outcome,
+            });
             sleep(Duration::from_millis(rng.u64(PAUSE_MS))).await;
         }
     }
@@ -157,6 +166,7 @@
                 requests.iter().map(|(id, repeatable)| request_text(id, *repeatable, account)).collect();
             let limit = Duration::from_millis(DEADLINE_MS + SLACK_MS);
             let (replies, rest) = send_at_once(addr, &texts, requests.len(), limit).await;
+            let ended_ms = self.began.elapsed().as_millis() as u64;
             for (at, (id, repeatable)) in requests.into_iter().enumerate() {
                 let outcome = replies.get(at).map_or(rest.clone(), |reply| {
                     self.breaches.borrow_mut().extend(check_order(&id, reply));
@@ -166,7 +176,9 @@
                 });
                 self.calls.borrow_mut().push(CallRecord {
                     id,
+                    vm,
                     began_ms,
+                    ended_ms,
                     repeatable,
                     account,
                     pipelined: true,
--- a/standin/src/soak/fleet.rs
+++ b/standin/src/soak/fleet.rs
@@ -8,6 +8,7 @@
 
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
+use tokio::time::Instant;
 use valetrack::placement::RetryGuarantee;
 
 use super::SoakSettings;
@@ -103,6 +104,8 @@
     upstream_path: Path,
     cuts: Arc<Cuts>,
     node: Option<Child>,
+    /// Times in which the node's process was killed or stopped from outside; none as the end of one that lasts.
+    disruptions: Vec<(Instant, Option<Instant>)>,
     /// Number of incarnations of the node so far.
     pub incarnations: u64,
 }
@@ -169,6 +172,7 @@
             upstream_path: Path::default(),
             cuts,
             node: None,
+            disruptions: Vec::new(),
             incarnations: 0,
         };
         vm.store_path.start(vm.store_path_addr, self.store_addr).await?;
@@ -235,7 +239,10 @@
         match fault {
             Fault::Term => vm.signal(Signal::TERM),
             Fault::Hangup => vm.signal(Signal::HUP),
-            Fault::Pause | Fault::Suspend => vm.signal(Signal::STOP),
+            Fault::Pause | Fault::Suspend => {
+                vm.disruptions.push((Instant::now(), None));
+                vm.signal(Signal::STOP);
+            }
             Fault::Kill => vm.kill(),
             Fault::StorePath(fault) => vm.store_path.set(Some(fault)),
             Fault::UpstreamPath(fault) => vm.upstream_path.set(Some(fault)),
@@ -271,10 +278,10 @@
     pub fn end(&mut self, at: usize, fault: Fault) {
         let vm = &mut self.vms[at];
         match fault {
-            Fault::Pause => vm.signal(Signal::CONT),
+            Fault::Pause => vm.resume(),
             Fault::Suspend => {
                 vm.signal(Signal::USR2);
-                vm.signal(Signal::CONT);
+                vm.resume();
             }
             Fault::StorePath(_) => vm.store_path.set(None),
             Fault::UpstreamPath(_) => vm.upstream_path.set(None),
@@ -339,7 +346,20 @@
         }
     }
 
+    /// Continues the process, and ends all of its disruptions.
+    fn resume(&mut self) {
+        self.signal(Signal::CONT);
+        self.disruptions.iter_mut().for_each(|(_, to)| _ = to.get_or_insert_with(Instant::now));
+    }
+
+    /// Returns the times in which the node's process was killed or stopped from outside.
+    pub fn disruptions(&self) -> impl Iterator<Item = (Instant, Instant)> {
+        self.disruptions.iter().map(|(from, to)| (*from, to.unwrap_or_else(Instant::now)))
+    }
+
     fn kill(&mut self) {
+        let now = Instant::now();
+        self.disruptions.push((now, Some(now)));
         if let Some(node) = &mut self.node {
             // Fails if the node has already exited.
             let _ = node.kill();
--- a/standin/src/soak/judge.rs
+++ b/standin/src/soak/judge.rs
@@ -1,12 +1,15 @@
 //! Checks the guarantees against the observations of callers and upstreams.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::account::Account;
 
 /// Maximum number of servers that run one call: the routes of the soak allow two attempts.
 const RUNS_MAX: u64 = 2;
 
+/// Time after a fault of a node's process in which the node may still cut calls: the platform's `contact`.
+const CONTACT_MS: u64 = 3_000;
+
 /// Result of a call, as its caller observed it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CallOutcome {
@@ -28,8 +31,12 @@
 pub struct CallRecord {
     /// Id of the call.
     pub id: String,
+    /// Number of the VM whose node the call was sent to.
+    pub vm: usize,
     /// Start of the call, relative to the start of the run.
     pub began_ms: u64,
+    /// End of the call, relative to the start of the run.
+    pub ended_ms: u64,
     /// Whether the call may run more than once.
     pub repeatable: bool,
     /// Client account of the call.
@@ -97,6 +104,37 @@
     breaches
 }
 
+/// Time in which a node's process was killed or stopped from outside, relative to the start of the run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Disruption {
+    /// Number of the VM.
+    pub vm: usize,
+    /// Start of the disruption.
+    pub from_ms: u64,
+    /// End of the disruption.
+    pub to_ms: u64,
+}
+
+impl Disruption {
+    /// Returns whether a call may have been cut because of the disruption.
+    fn excuses(&self, call: &CallRecord) -> bool {
+        self.vm == call.vm && self.from_ms <= call.ended_ms && call.began_ms <= self.to_ms + CONTACT_MS
+    }
+}
+
+/// Checks that no call that arrived at an upstream was cut by a node whose process was neither killed nor stopped from
+/// outside; faults of the store, of links and of upstreams are no reason to close a caller's connection.
+pub fn check_cuts(calls: &[CallRecord], arrived: &BTreeSet<String>, disruptions: &[Disruption]) -> Vec<Breach> {
+    let is_excused = |call: &CallRecord| disruptions.iter().any(|disruption| disruption.excuses(call));
+    let is_lost = |call: &&CallRecord| call.outcome == CallOutcome::Cut && arrived.contains(&call.id);
+    let breach = |call: &CallRecord| Breach {
+        guarantee: "a call that was passed on is answered",
+        subject: call.id.clone(),
+        detail: format!("cut by vm-{} after {} ms", call.vm, call.ended_ms.saturating_sub(call.began_ms)),
+    };
+    calls.iter().filter(is_lost).filter(|call| !is_excused(call)).map(breach).collect()
+}
+
 /// Latest configuration version that was observed in force on one incarnation of a node.
 #[derive(Debug, Clone, Default)]
 pub struct Versions {
--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -15,7 +15,7 @@
 mod tests;
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -24,7 +24,7 @@
 
 pub use self::account::{check_account_limits, check_account_shares};
 pub use self::deadly::{DeadlyRun, check_deadly_runs};
-pub use self::judge::{Breach, CallOutcome, CallRecord, Versions, check_calls};
+pub use self::judge::{Breach, CallOutcome, CallRecord, Disruption, Versions, check_calls, check_cuts};
 pub use self::repeat::{Arrival, RetryPeak, check_retries, retry_peak};
 pub use self::schedule::{Fault, Kind, PathFault, Step, churn, fleet_ends, limits, rollbacks, schedule, suspensions};
 pub use self::stall::Stall;
@@ -153,6 +153,7 @@
     let planned = Kind::of_seed(settings.seed) == Kind::Planned && !has_kills;
     report.breaches.extend(callers.breaches());
     report.breaches.extend(check_calls(&calls, &runs(&fleet), planned));
+    report.breaches.extend(check_cuts(&calls, &arrived(&fleet), &disruptions(&fleet, callers.began())));
     report.breaches.extend(upstream_breaches(&fleet));
     report.breaches.extend(limit_breaches(&fleet));
     if settings.accounts {
@@ -261,6 +262,23 @@
     runs
 }
 
+/// Returns the ids of all requests that arrived at an upstream.
+fn arrived(fleet: &Rc<RefCell<Fleet>>) -> BTreeSet<String> {
+    let fleet = fleet.borrow();
+    fleet.vms.iter().flat_map(|vm| vm.upstream.arrivals()).map(|(_, id)| id).collect()
+}
+
+/// Returns the times in which processes of nodes were killed or stopped from outside.
+fn disruptions(fleet: &Rc<RefCell<Fleet>>, began: Instant) -> Vec<Disruption> {
+    let since_ms = |at: Instant| at.saturating_duration_since(began).as_millis() as u64;
+    let fleet = fleet.borrow();
+    let of_vm = |(vm, node): (usize, &Vm)| {
+        let times: Vec<_> = node.disruptions().collect();
+        times.into_iter().map(move |(from, to)| Disruption { vm, from_ms: since_ms(from), to_ms: since_ms(to) })
+    };
+    fleet.vms.iter().enumerate().flat_map(of_vm).collect()
+}
+
 /// Returns whether a request id belongs to a request other than the callers' calls.
 fn is_auxiliary(id: &str) -> bool {
     id.starts_with(caller::VERSION_CHECK_PREFIX) || id.starts_with(deadly::DEADLY_PREFIX)
--- a/standin/src/soak/tests.rs
+++ b/standin/src/soak/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of the fault schedule and of the checks of the guarantees.
 
 use std::cell::Cell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,8 +12,8 @@
 use super::pipeline::check_order;
 use super::stall;
 use super::{
-    Arrival, CallOutcome, CallRecord, Fault, Kind, Stall, Versions, check_account_limits, check_account_shares,
-    check_calls, check_retries, retry_peak, schedule,
+    Arrival, CallOutcome, CallRecord, Disruption, Fault, Kind, Stall, Versions, check_account_limits,
+    check_account_shares, check_calls, check_cuts, check_retries, retry_peak, schedule,
 };
 use crate::client::Reply;
 
@@ -45,7 +45,16 @@
 const DENIED: CallOutcome = CallOutcome::Answer { status: 404, own: false };
 
 fn record(id: &str, repeatable: bool, outcome: CallOutcome) -> CallRecord {
-    CallRecord { id: id.to_owned(), began_ms: 0, repeatable, account: None, pipelined: false, outcome }
+    CallRecord {
+        id: id.to_owned(),
+        vm: 0,
+        began_ms: 0,
+        ended_ms: 0,
+        repeatable,
+        account: None,
+        pipelined: false,
+        outcome,
+    }
 }
 
 #[test_case(false, &OWN, 1, false, None; "a call that ran once")]
@@ -73,6 +82,27 @@
     assert_eq!(breaches.first().map(|breach| breach.guarantee), breach, "{breaches:?}");
 }
 
+#[test_case(&CallOutcome::Cut, "a", None, true; "a call that was passed on")]
+#[test_case(&CallOutcome::Cut, "b", None, false; "a call that was not passed on")]
+#[test_case(&CallOutcome::GivenUp, "a", None, false; "a call that its caller gave up")]
+#[test_case(&CallOutcome::Cut, "a", Some((0, 5_200, 5_200)), false; "a kill during the call")]
+#[test_case(&CallOutcome::Cut, "a", Some((1, 5_200, 5_200)), true; "a kill of another node")]
+#[test_case(&CallOutcome::Cut, "a", Some((0, 1_000, 2_100)), false; "a stop shortly before the call")]
+#[test_case(&CallOutcome::Cut, "a", Some((0, 1_000, 1_900)), true; "a stop long before the call")]
+#[test_case(&CallOutcome::Cut, "a", Some((0, 5_401, 5_500)), true; "a stop after the call")]
+fn cut_check_reports_calls_without_answer(
+    outcome: &CallOutcome,
+    arrived: &str,
+    disruption: Option<(usize, u64, u64)>,
+    is_breach: bool,
+) {
+    let call = CallRecord { began_ms: 5_000, ended_ms: 5_400, ..record("a", true, outcome.clone()) };
+    let arrived = BTreeSet::from([arrived.to_owned()]);
+    let disruptions = disruption.map(|(vm, from_ms, to_ms)| Disruption { vm, from_ms, to_ms });
+    let breaches = check_cuts(&[call], &arrived, disruptions.as_slice());
+    assert_eq!(breaches.len(), usize::from(is_breach), "{breaches:?}");
+}
+
 #[test_case("a"; "a call")]
 #[test_case("a.0"; "a nested call")]
 fn run_without_a_sent_call_is_a_breach(id: &str) {
