Links: requests in flight stay on a link whose peer is silent

Callers saw 502 for calls that their upstream was at work on, also after a stop signal to their node, when the node beside the upstream, or their own one, got no processor time for half a second to a second.

Cause: a request that was dropped unanswered after 0.5 s without a packet, or that had waited 1 s, closed its link under all other calls on it. Both limits are wall time. A call that must not be repeated has no other owner, so giving it up early only replaces its upstream's answer by a failure.

Change: a silent link is not closed but used for no further request; it closes with its last request. A call that must not be repeated isn't given up for silence, only when its link is lost or its time is over. Requests that may be sent again still are, after two silent checks on a link that is no longer used. A link that is closed after a suspension is logged.

--- a/valetrack/src/link/peer.rs
+++ b/valetrack/src/link/peer.rs
@@ -1,5 +1,6 @@
 //! Connections to other nodes, which stay open and are shared by all requests.
 
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,7 +14,7 @@
 use tokio::time::timeout;
 
 use super::codec::{self, FrameError};
-use super::message::{BODY_MAX_BYTES, HEAD_MAX_BYTES, PeerReply, PeerRequest, Reply, ReplyHead};
+use super::message::{Ask, BODY_MAX_BYTES, HEAD_MAX_BYTES, PeerReply, PeerRequest, Reply, ReplyHead};
 use super::path::PathTimes;
 use crate::clock::{Moment, SuspensionWatch, now_us, suspended_us};
 use crate::gate::CancelResult;
@@ -25,8 +26,10 @@
 /// Checks in a row without a received packet after which the peer counts as unresponsive. They take one second, ten
 /// times as long as a VM is paused after it has used up its share of a core.
 const SILENT_CHECKS_MAX: u32 = 4;
-/// Time without a packet from the peer after which an abandoned request closes the link. It is five times as long as
-/// a VM is paused after it has used up its share of a core.
+/// Checks after which a peer counts as unresponsive on a link that is no longer used.
+const SILENT_CHECKS_UNUSED: u32 = 2;
+/// Time without a packet from the peer after which an abandoned request ends the use of the link. It is five times as
+/// long as a VM is paused after it has used up its share of a core.
 const SILENT_MS: u64 = 500;
 /// Error code of a stream or link that this node abandons.
 const ABANDONED: u32 = 1;
@@ -121,31 +124,62 @@
     result.await.unwrap_or(LinkResult::Broken)
 }
 
+/// A connection to a peer. It closes once it is neither used for further requests nor has any in flight.
+struct Link {
+    connection: Connection,
+    /// Whether the peer seemed unresponsive, so that further requests use another link. Requests in flight stay on this
+    /// one: the peer may only be short of processor time, and their replies arrive on no other link.
+    is_silent: Cell<bool>,
+}
+
+impl Link {
+    /// Ends the use of the link for further requests, since a request that was sent at `since` found the peer
+    /// unresponsive.
+    fn stop_use(&self, since: Moment) {
+        if self.is_silent.replace(true) {
+            return;
+        }
+        log::info!(
+            "event=link.silent peer={} after_ms={}",
+            self.connection.remote_address(),
+            since.elapsed().as_millis()
+        );
+    }
+}
+
 #[derive(Default)]
 struct Slot {
-    connection: Option<Connection>,
+    link: Option<Rc<Link>>,
     /// Detects suspensions of this VM since the connection was opened.
     since: SuspensionWatch,
     failed_us: Option<u64>,
 }
 
 impl Slot {
-    /// Returns the connection if it is open and this VM was not suspended since it was opened. The peer abandons the
-    /// connection during a suspension, and packets sent on it afterwards are lost.
-    fn open(&mut self) -> Option<Connection> {
-        let connection = self.connection.take().filter(|connection| connection.close_reason().is_none())?;
-        if self.since.take(suspended_us()).is_some() {
-            connection.close(ABANDONED.into(), b"suspended");
+    /// Returns the link if it is open, its peer responds, and this VM was not suspended since it was opened. The peer
+    /// abandons the connection during a suspension, and packets sent on it afterwards are lost.
+    fn open(&mut self) -> Option<Rc<Link>> {
+        let is_usable = |link: &Rc<Link>| link.connection.close_reason().is_none() && !link.is_silent.get();
+        let link = self.link.take().filter(is_usable)?;
+        if let Some(suspended) = self.since.take(suspended_us()) {
+            log::info!(
+                "event=link.closed_after_suspension peer={} suspended_ms={}",
+                link.connection.remote_address(),
+                suspended.as_millis()
+            );
+            link.connection.close(ABANDONED.into(), b"suspended");
             return None;
         }
-        self.connection = Some(connection.clone());
-        Some(connection)
+        self.link = Some(link.clone());
+        Some(link)
     }
 
-    fn opened(&mut self, connection: Connection) {
+    fn opened(&mut self, connection: Connection) -> Rc<Link> {
         self.failed_us = None;
         self.since = SuspensionWatch::from_now();
-        self.connection = Some(connection);
+        let link = Rc::new(Link { connection, is_silent: Cell::new(false) });
+        self.link = Some(link.clone());
+        link
     }
 }
 
@@ -164,7 +198,7 @@
 
     /// Returns the number of open connections.
     pub fn open_count(&self) -> usize {
-        let open = |slot: &&Rc<Mutex<Slot>>| slot.try_lock().is_ok_and(|slot| slot.connection.is_some());
+        let open = |slot: &&Rc<Mutex<Slot>>| slot.try_lock().is_ok_and(|slot| slot.link.is_some());
         self.slots.borrow().values().filter(open).count()
     }
 
@@ -174,19 +208,22 @@
             return LinkResult::Unsent;
         };
         let from = Moment::now();
-        let Some(connection) = self.connection(target).await else {
+        let Some(link) = self.link(target).await else {
             return LinkResult::Unsent;
         };
+        let outlasts_silence = is_only_run(&request.ask);
         let exchanged = match limit {
-            TimeLimit::Whole(limit) => timeout(limit, exchange(&connection, head, request.body, None)).await,
+            TimeLimit::Whole(limit) => {
+                timeout(limit, exchange(&link, head, request.body, None, outlasts_silence)).await
+            }
             TimeLimit::Progress { first, idle } => {
                 let pace = Pace { first: first.saturating_sub(from.elapsed()), idle };
-                Ok(exchange(&connection, head, request.body, Some(pace)).await)
+                Ok(exchange(&link, head, request.body, Some(pace), outlasts_silence).await)
             }
         };
         match exchanged {
             Ok(Ok(answered)) => {
-                self.paths.record(target.addr, connection.rtt());
+                self.paths.record(target.addr, link.connection.rtt());
                 LinkResult::Reply(Box::new(answered))
             }
             Ok(Err(ExchangeError::Unsent)) => LinkResult::Unsent,
@@ -198,12 +235,12 @@
         }
     }
 
-    async fn connection(&self, target: &Target) -> Option<Connection> {
+    async fn link(&self, target: &Target) -> Option<Rc<Link>> {
         let slot = self.slots.borrow_mut().entry(target.clone()).or_default().clone();
         // Concurrent requests wait here for the result of a handshake in progress.
         let mut slot = slot.lock().await;
-        if let Some(connection) = slot.open() {
-            return Some(connection);
+        if let Some(link) = slot.open() {
+            return Some(link);
         }
         if slot.failed_us.is_some_and(|failed_us| now_us() < failed_us + REDIAL_US) {
             return None;
@@ -211,10 +248,7 @@
         let connecting = self.endpoint.connect(target.addr, &target.vm).ok()?;
         let connected = timeout(Duration::from_millis(HANDSHAKE_MS), connecting).await;
         match connected {
-            Ok(Ok(connection)) => {
-                slot.opened(connection.clone());
-                Some(connection)
-            }
+            Ok(Ok(connection)) => Some(slot.opened(connection)),
             Ok(Err(error)) => {
                 log::debug!("event=link.refused peer={} reason=\"{error}\"", target.vm);
                 slot.failed_us = Some(now_us());
@@ -228,6 +262,12 @@
     }
 }
 
+/// Returns whether a request is a call that may not be repeated. Another owner can't run it, so that its caller would
+/// get a failure while the upstream of an owner that is short of processor time is still at work on it.
+const fn is_only_run(ask: &Ask) -> bool {
+    matches!(ask, Ask::Run(head) if !head.repeatable)
+}
+
 enum ExchangeError {
     Unsent,
     Broken,
@@ -239,7 +279,7 @@
 /// If it is dropped before the reply is received, it resets the stream. No copy of a call then reaches the owner after
 /// the entry has abandoned the call.
 struct OpenRequest {
-    connection: Connection,
+    link: Rc<Link>,
     send: SendStream,
     answered: bool,
     sent_at: Moment,
@@ -250,25 +290,9 @@
 }
 
 impl OpenRequest {
-    fn new(connection: &Connection, send: SendStream) -> Self {
-        let packets_before = connection.stats().udp_rx.datagrams;
-        Self {
-            connection: connection.clone(),
-            send,
-            answered: false,
-            sent_at: Moment::now(),
-            packets_before,
-            received_bytes: 0,
-        }
-    }
-
-    fn close_silent_link(&self) {
-        log::info!(
-            "event=link.silent peer={} after_ms={}",
-            self.connection.remote_address(),
-            self.sent_at.elapsed().as_millis()
-        );
-        self.connection.close(ABANDONED.into(), b"silent");
+    fn new(link: &Rc<Link>, send: SendStream) -> Self {
+        let packets_before = link.connection.stats().udp_rx.datagrams;
+        Self { link: link.clone(), send, answered: false, sent_at: Moment::now(), packets_before, received_bytes: 0 }
     }
 }
 
@@ -280,7 +304,7 @@
         if self.received_bytes > 0 {
             log::info!(
                 "event=link.reply_abandoned peer={} received_bytes={} after_ms={}",
-                self.connection.remote_address(),
+                self.link.connection.remote_address(),
                 self.received_bytes,
                 self.sent_at.elapsed().as_millis()
             );
@@ -288,13 +312,12 @@
         // The reset fails only if the stream is already closed.
         let _ = self.send.reset(ABANDONED.into());
         // A live peer acknowledges a request within some milliseconds. The timeout of this request may be shorter than
-        // the checks in `silence` take, so the link is closed here to keep the next request from being lost as well.
-        let silent = self.connection.stats().udp_rx.datagrams == self.packets_before;
-        if silent
-            && self.sent_at.elapsed() >= Duration::from_millis(SILENT_MS)
-            && self.connection.close_reason().is_none()
-        {
-            self.close_silent_link();
+        // the checks in `silence` take, so the use of the link ends here to keep the next request from being lost as
+        // well.
+        let connection = &self.link.connection;
+        let silent = connection.stats().udp_rx.datagrams == self.packets_before;
+        if silent && self.sent_at.elapsed() >= Duration::from_millis(SILENT_MS) && connection.close_reason().is_none() {
+            self.link.stop_use(self.sent_at);
         }
     }
 }
@@ -306,22 +329,30 @@
     idle: Duration,
 }
 
+/// Sends a request and returns the reply; unless the request `outlasts_silence`, it ends when the peer is unresponsive.
 async fn exchange(
-    connection: &Connection,
+    link: &Rc<Link>,
     head: Bytes,
     body: Bytes,
     pace: Option<Pace>,
+    outlasts_silence: bool,
 ) -> Result<PeerReply, ExchangeError> {
-    let (send, mut receive) = connection.open_bi().await.map_err(|_| ExchangeError::Unsent)?;
-    let mut request = OpenRequest::new(connection, send);
+    let (send, mut receive) = link.connection.open_bi().await.map_err(|_| ExchangeError::Unsent)?;
+    let mut request = OpenRequest::new(link, send);
     let mut chunks = [head, body];
     request.send.write_all_chunks(&mut chunks).await.map_err(|_| ExchangeError::Broken)?;
     request.send.finish().map_err(|_| ExchangeError::Broken)?;
-    let frame = tokio::select! {
-        frame = read_frame(&mut receive, pace, &mut request.received_bytes) => frame?,
-        () = silence(connection) => {
-            request.close_silent_link();
-            return Err(ExchangeError::Broken);
+    let sent_at = request.sent_at;
+    let frame = {
+        let mut reading = std::pin::pin!(read_frame(&mut receive, pace, &mut request.received_bytes));
+        loop {
+            tokio::select! {
+                frame = &mut reading => break frame?,
+                () = silence(link) => link.stop_use(sent_at),
+            }
+            if !outlasts_silence {
+                return Err(ExchangeError::Broken);
+            }
         }
     };
     request.answered = true;
@@ -355,17 +386,17 @@
 }
 
 /// Sends empty datagrams to the peer, and returns after [`SILENT_CHECKS_MAX`] checks in a row have found no new packet
-/// from it.
-async fn silence(connection: &Connection) {
-    let mut packets_before = connection.stats().udp_rx.datagrams;
+/// from it; on a link that is no longer used, after [`SILENT_CHECKS_UNUSED`].
+async fn silence(link: &Link) {
+    let mut packets_before = link.connection.stats().udp_rx.datagrams;
     let mut silent_checks = 0;
-    while silent_checks < SILENT_CHECKS_MAX {
+    while silent_checks < if link.is_silent.get() { SILENT_CHECKS_UNUSED } else { SILENT_CHECKS_MAX } {
         tokio::time::sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
-        let packets = connection.stats().udp_rx.datagrams;
+        let packets = link.connection.stats().udp_rx.datagrams;
         silent_checks = if packets == packets_before { silent_checks + 1 } else { 0 };
         packets_before = packets;
         // A live peer acknowledges the datagram. Sending fails only if the link is closed, which also ends the wait
         // for the reply.
-        let _ = connection.send_datagram(Bytes::new());
+        let _ = link.connection.send_datagram(Bytes::new());
     }
 }
--- a/valetrack/src/link/tests.rs
+++ b/valetrack/src/link/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of frames, of keys and of cancellation results.
 
+mod stall;
+
 use std::sync::Arc;
 use std::time::Duration;
 
