Callers: serve the calls of runs in progress while the node leaves

An upstream whose node was stopped while it ran a call got no connection for the nested calls that it made later, and failed the run.

Cause: the listener closed as soon as no caller was connected after the linger time, whether or not the upstream beside it still ran calls.

Change: the listener stays open until the gate is idle as well. The exit waits for both already, so it is no later.

The stand-in can make its nested calls after its own work for that.

--- a/standin/src/managed/server.rs
+++ b/standin/src/managed/server.rs
@@ -99,6 +99,8 @@
     runs: Mutex<BTreeMap<String, u64>>,
     /// Nested calls of each run: the address they are sent to, their path and their number.
     calls: Mutex<Option<(SocketAddr, String, usize)>>,
+    /// Whether a run makes its nested calls after its own work.
+    calls_last: AtomicBool,
     /// Arrival time and id of each request, whatever its outcome.
     arrivals: Mutex<Vec<(Instant, String)>>,
     /// Start time and id of each run.
@@ -162,6 +164,7 @@
             spoil: Mutex::new(Spoil::Nothing),
             runs: Mutex::default(),
             calls: Mutex::default(),
+            calls_last: AtomicBool::new(false),
             arrivals: Mutex::default(),
             run_starts: Mutex::default(),
             secret: Mutex::default(),
@@ -275,6 +278,11 @@
         *self.calls.lock().unwrap_or_else(PoisonError::into_inner) = calls;
     }
 
+    /// Makes each run send its nested calls after its own work.
+    pub fn set_calls_last(&self) {
+        self.calls_last.store(true, Ordering::Relaxed);
+    }
+
     /// Makes the nested calls of one run, one after the other. They end at the deadline of the call that runs.
     async fn make_nested_calls(&self, id: &str, deadline: Instant) {
         let calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner).clone();
@@ -502,8 +510,14 @@
     if deadly_down.is_some() {
         server.deadly_runs.lock().map_err(|_| "poisoned")?.push(Instant::now());
     }
-    server.make_nested_calls(&id, deadline).await;
+    let calls_last = server.calls_last.load(Ordering::Relaxed);
+    if !calls_last {
+        server.make_nested_calls(&id, deadline).await;
+    }
     tokio::time::sleep(Duration::from_millis(server.work_ms.load(Ordering::Relaxed))).await;
+    if calls_last {
+        server.make_nested_calls(&id, deadline).await;
+    }
     if let Some(down) = deadly_down {
         server.crash(down);
         return Err("crashed".into());
--- a/standin/tests/stalled_node.rs
+++ b/standin/tests/stalled_node.rs
@@ -37,6 +37,22 @@
     assert_eq!((status(&reply), fleet.runs("s-1")), (200, 1), "{}", fleet.log(1));
 }
 
+/// Guards against a listener that closes before the runs of its upstream have made their calls.
+#[tokio::test]
+async fn leaving_node_serves_calls_of_runs_in_progress() {
+    let fleet = Fleet::start(&["rounds", "ledger"]).await;
+    let upstream = &fleet.vms[0].upstream;
+    upstream.set_work_ms(900);
+    upstream.set_calls(fleet.vms[0].caller_addr, "/check/", 1);
+    upstream.set_calls_last();
+    let client = Client::new(fleet.vms[1].caller_addr);
+    let calling = tokio::spawn(async move { call_within(&client, "GET", "/sheet/", "n-1", 2_000).await });
+    wait_for("the run", async || fleet.runs("n-1") == 1).await;
+    fleet.signal(0, "-TERM");
+    assert_eq!(status(&calling.await.expect("a result")), 200);
+    assert_eq!(fleet.runs("n-1.0"), 1, "{}", fleet.log(0));
+}
+
 /// Part of the time for which a node runs, and of the time for which it is stopped: a tenth of a core.
 const TURN: (Duration, Duration) = (Duration::from_millis(10), Duration::from_millis(90));
 /// Callers with a kept connection at each node.
--- a/valetrack/src/caller/run.rs
+++ b/valetrack/src/caller/run.rs
@@ -74,6 +74,8 @@
     pub leaving: watch::Receiver<bool>,
     /// Becomes true when the listener has to close.
     pub closing: watch::Receiver<bool>,
+    /// Becomes true once the upstream runs no call any more after leaving has begun.
+    pub drained: watch::Receiver<bool>,
     /// Set to true once no caller is connected any more after leaving has begun.
     pub emptied: watch::Sender<bool>,
 }
@@ -186,6 +188,11 @@
         }
         self.left_at.set(Some(Moment::now()));
         tokio::time::sleep(self.parts.linger).await;
+        // The runs of the upstream beside this node may still call other services through it.
+        let mut drained = self.parts.drained.clone();
+        if drained.wait_for(|drained| *drained).await.is_err() {
+            return;
+        }
         while self.connections.get() > 0 || self.open_calls.get() > 0 {
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
--- a/valetrack/src/node/start.rs
+++ b/valetrack/src/node/start.rs
@@ -263,6 +263,7 @@
             body_limit: Duration::from_millis(settings.call_body_ms),
             leaving: self.stages.leaving.subscribe(),
             closing: self.stages.closing.subscribe(),
+            drained: self.stages.drained.subscribe(),
             emptied: self.stages.emptied.clone(),
         }
     }
