Clock: a pause between two readings is no suspension

Cause: a suspension is seen by the difference of two clocks that are read one after the other. A thread that loses the processor in between for 150 ms, two pauses of a tenth of a core, saw one, closed its links under all calls on them and declined all that waited at its gate.

Change: both clocks are read again until the steady clock shows that less than 1 ms passed meanwhile, at most eight times.

Evidence: interrupted_reading_of_both_clocks_is_no_suspension states the rule; by the first reading alone it gives 200,000 in place of 1.

--- a/valetrack/src/clock.rs
+++ b/valetrack/src/clock.rs
@@ -15,9 +15,14 @@
 
 use rustix::time::{ClockId, clock_gettime};
 
-/// Minimum growth of the difference between both clocks that counts as a suspension: a thread that is short of
-/// processor time takes some tens of milliseconds to read one after the other.
+/// Minimum growth of the difference between both clocks that counts as a suspension. It exceeds the error of readings by
+/// a thread that is short of processor time.
 const SUSPENSION_MIN_US: u64 = 150_000;
+/// Longest time between two readings of the steady clock with one of the other clock in between for which the three are
+/// used. A thread that loses the processor meanwhile would take the time until it continues for a suspension.
+const READING_MAX_US: u64 = 1_000;
+/// Most attempts to read both clocks that quickly; the quickest one is used if none is quick enough.
+const READINGS_MAX: usize = 8;
 
 /// Time by which simulated suspensions have advanced [`now_us`].
 static AHEAD_US: AtomicU64 = AtomicU64::new(0);
@@ -81,8 +86,36 @@
 /// Returns for how many microseconds the VM was suspended since the first use of the clocks. A result below the minimum
 /// of [`SuspensionWatch`] may be a reading error.
 pub fn suspended_us() -> u64 {
-    let steady_us = steady_us();
-    now_us().saturating_sub(steady_us)
+    let reading = |_| Reading { before_us: steady_us(), now_us: now_us(), after_us: steady_us() };
+    suspended_by((0..READINGS_MAX).map(reading))
+}
+
+/// Reading of the clock that continues during a suspension, between two of the steady clock.
+#[derive(Debug, Clone, Copy)]
+struct Reading {
+    before_us: u64,
+    now_us: u64,
+    after_us: u64,
+}
+
+impl Reading {
+    const fn width_us(&self) -> u64 {
+        self.after_us.saturating_sub(self.before_us)
+    }
+}
+
+/// Returns the suspended time by the first reading that is quick enough, or by the quickest one.
+fn suspended_by(readings: impl Iterator<Item = Reading>) -> u64 {
+    let mut quickest: Option<Reading> = None;
+    for reading in readings {
+        if quickest.is_none_or(|quickest| reading.width_us() < quickest.width_us()) {
+            quickest = Some(reading);
+        }
+        if reading.width_us() <= READING_MAX_US {
+            break;
+        }
+    }
+    quickest.map_or(0, |reading| reading.now_us.saturating_sub(reading.before_us))
 }
 
 /// Returns microseconds since 1970 by the wall clock, which may jump.
--- a/valetrack/src/clock/tests.rs
+++ b/valetrack/src/clock/tests.rs
@@ -17,6 +17,19 @@
     assert_eq!(watch.take(5_000_000), Some(Duration::from_secs(3)));
 }
 
+/// Guards against a suspension that is seen since the thread lost the processor between the readings of both clocks.
+#[test]
+fn interrupted_reading_of_both_clocks_is_no_suspension() {
+    let reading = |before_us, now_us, after_us| Reading { before_us, now_us, after_us };
+    let interrupted = [reading(0, 200_000, 200_001), reading(200_002, 200_003, 400_000)];
+    let quick = reading(400_001, 400_002, 400_003);
+    assert_eq!(suspended_by(interrupted.into_iter().chain([quick])), 1);
+    assert_eq!(suspended_by([quick, reading(400_004, 900_000, 900_001)].into_iter()), 1);
+    let suspended = reading(1_000_000, 6_000_001, 1_000_002);
+    assert_eq!(suspended_by(interrupted.into_iter().chain([suspended])), 5_000_001);
+    assert_eq!(suspended_by([reading(0, 300_000, 300_001), reading(300_002, 350_000, 350_001)].into_iter()), 49_998);
+}
+
 #[test]
 fn moment_left_and_elapsed_are_never_negative() {
     let moment = Moment::now() + Duration::from_secs(60);
