Callers: read a request that has arrived before its connection closes

Cause: when a leaving node's idle limit was due after a pause of the thread, the connection was asked to close before or after it was polled, at random. A request that had arrived before was reset unread.

Change: the connection is polled first.

--- a/valetrack/src/caller/pipeline/serve.rs
+++ b/valetrack/src/caller/pipeline/serve.rs
@@ -43,6 +43,8 @@
         caller.all_delivered().await;
     };
     let ended = tokio::select! {
+        // After a pause of the thread, a request that has arrived meanwhile is read before its connection closes.
+        biased;
         ended = connection.as_mut() => Some(ended),
         () = idle_limit => None,
     };
--- a/valetrack/src/caller/pipeline/tests/closing.rs
+++ b/valetrack/src/caller/pipeline/tests/closing.rs
@@ -47,6 +47,24 @@
     });
 }
 
+/// Guards against a request that is reset although it arrived in time, since the thread got no processor time until
+/// its idle connection had to close.
+#[test]
+fn request_that_arrived_before_its_connection_closes_is_answered() {
+    run(async {
+        for _ in 0..20 {
+            let (listener, mut client) = Listener::start_with_client(Reader::Pipeline).await;
+            client.send(&get(0, "a")).await;
+            assert_eq!(bodies(&client.answers(1).await), ["a"]);
+            listener.leave();
+            sleep(Duration::from_millis(5)).await;
+            client.send(&get(0, "b")).await;
+            std::thread::sleep(Duration::from_millis(60));
+            assert_eq!(bodies(&client.answers(1).await), ["b"]);
+        }
+    });
+}
+
 #[test]
 fn nothing_starts_behind_a_closing_request() {
     run(async {
