Stand-in of the store: a watch returns each version as it was written

The protocol has a watch answer items as they were written. The stand-in left out the versions of a key that a later one had replaced, so that its watch never returned two versions of a configuration, and no test of processes could find answers that grow with each version.

Changes are serialized once, when they are written.

--- a/standin/src/managed/store.rs
+++ b/standin/src/managed/store.rs
@@ -61,6 +61,14 @@
     lease: u64,
 }
 
+/// A change as a watch returns it.
+struct Event {
+    revision: u64,
+    key: String,
+    /// The serialized item as it was written, or the removal.
+    json: String,
+}
+
 /// A snapshot of the items.
 struct Snapshot {
     taken: Instant,
@@ -85,8 +93,8 @@
     copies: VecDeque<Copy>,
     revision: u64,
     items: BTreeMap<String, Item>,
-    /// Changed keys with the revision of the change.
-    history: Vec<(u64, String)>,
+    /// Changes in the order in which they were written.
+    history: Vec<Event>,
     /// Revision up to which the history is discarded.
     discarded_revision: u64,
     leases: BTreeMap<u64, (Instant, Duration)>,
@@ -349,8 +357,8 @@
                 }
                 let events = state.events(&prefix, after);
                 if !events.is_empty() || tokio::time::Instant::now() >= until {
-                    let reply = json!({ "events": events, "at_revision": state.revision });
-                    return Ok(answer(200, reply.to_string()));
+                    let reply = format!(r#"{{"events":[{}],"at_revision":{}}}"#, events.join(","), state.revision);
+                    return Ok(answer(200, reply));
                 }
             }
             // Either a change or the time limit ends the wait; the loop checks the state for both.
@@ -379,7 +387,8 @@
         let revision = self.revision;
         let created_revision = self.items.get(key).map_or(revision, |item| item.created_revision);
         self.items.insert(key.to_owned(), Item { value, revision, created_revision, lease });
-        self.history.push((revision, key.to_owned()));
+        let event = self.item(key);
+        self.record(key, event);
         self.keep_copy();
         revision
     }
@@ -400,7 +409,7 @@
         self.items = copy.items;
         self.leases = copy.leases.into_iter().map(|(id, ttl)| (id, (now + ttl, ttl))).collect();
         self.next_lease = copy.next_lease;
-        self.history.retain(|(revision, _)| *revision <= copy.revision);
+        self.history.retain(|event| event.revision <= copy.revision);
         self.discarded_revision = self.discarded_revision.min(copy.revision);
         self.earlier = None;
     }
@@ -408,7 +417,8 @@
     fn remove(&mut self, key: &str) {
         if self.items.remove(key).is_some() {
             self.revision += 1;
-            self.history.push((self.revision, key.to_owned()));
+            let event = json!({ "key": key, "revision": self.revision, "deleted": true });
+            self.record(key, Some(event));
             self.keep_copy();
         }
     }
@@ -430,15 +440,16 @@
         }))
     }
 
-    fn events(&self, prefix: &str, after: u64) -> Vec<Value> {
-        let fits = |(revision, key): &&(u64, String)| *revision > after && key.starts_with(prefix);
-        let event = |(revision, key): &(u64, String)| match self.items.get(key) {
-            Some(item) if item.revision == *revision => self.item(key),
-            // An earlier write of a key that was written again: the later event supersedes it.
-            Some(_) => None,
-            None => Some(json!({ "key": key, "revision": revision, "deleted": true })),
-        };
-        self.history.iter().filter(fits).filter_map(event).collect()
+    /// Adds the latest change, which is of this key, to the history.
+    fn record(&mut self, key: &str, event: Option<Value>) {
+        let json = event.map_or_else(String::new, |event| event.to_string());
+        self.history.push(Event { revision: self.revision, key: key.to_owned(), json });
+    }
+
+    /// Returns the serialized changes after a revision, each item as it was written then.
+    fn events(&self, prefix: &str, after: u64) -> Vec<&str> {
+        let fits = |event: &&Event| event.revision > after && event.key.starts_with(prefix);
+        self.history.iter().filter(fits).map(|event| event.json.as_str()).collect()
     }
 
     fn range(&mut self, query: &BTreeMap<String, String>) -> Value {
