Relays: replies to announcements name relays by their entries

A role that a node has only heard of would be passed on for a further 5 s each time, also of a relay that has resigned or ended.

--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -367,12 +367,12 @@
         std::iter::once(me.clone()).chain(others).collect()
     }
 
-    /// Returns the relays that this node has a record of, this VM first. A node that looks for a relay needs no others,
-    /// and the states of all nodes would fill the link of a relay in a large fleet.
+    /// Returns the relays by their entries, this VM first. A node that looks for a relay needs no others, and the states of
+    /// all nodes would fill the link of a relay in a large fleet.
     fn known_relays(&self) -> Vec<Member> {
         let me = self.me.borrow();
-        let members = self.parts.members.borrow();
-        let relays = members.iter().filter(|member| member.is_relay && member.vm != me.vm);
+        let directory = self.directory.borrow();
+        let relays = directory.members().filter(|member| member.is_relay && member.vm != me.vm);
         std::iter::once(&*me).chain(relays).cloned().collect()
     }
 
