Callers: a leaving node answers the requests that it has received

Callers saw: a client that sends requests behind others got no answer to those whose calls were not started yet when the node began to leave, and its connection was closed, however long ago they had been received (LOST, around planned work).

Cause: the stream of a connection reads ahead, but `Connection: close` and the graceful shutdown only waited for calls that were started ahead. Requests that must not be started ahead, and all that arrive while the node leaves, were dropped.

Change: both wait for every request that was received completely. From the graceful shutdown on, the stream reads nothing behind the front message, so that a client that goes on sending does not keep its connection. Since closing with unread bytes resets a connection, a leaving node shuts its write side first and waits up to 500 ms for the client to close.

leaving_listener_answers_all_started_calls expected that two requests sent at the start of leaving get no answer although the node holds them for another 250 ms. It now expects their answers, in turn and not started ahead, and that the connection closes with the last one.

--- a/valetrack/src/caller/pipeline/connection.rs
+++ b/valetrack/src/caller/pipeline/connection.rs
@@ -127,7 +127,7 @@
                 }
             };
             let is_leaving = connection.service.is_leaving();
-            if is_leaving && !connection.has_started() && answer.version() < hyper::Version::HTTP_2 {
+            if is_leaving && !connection.has_received() && answer.version() < hyper::Version::HTTP_2 {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             connection.state.borrow_mut().on_answered();
@@ -161,11 +161,12 @@
         }
     }
 
-    /// Waits until hyper has delivered the requests of all started calls. No call may be started ahead any more.
+    /// Receives no further requests, and waits until hyper has delivered those that are received completely.
     pub async fn all_delivered(&self) {
+        self.state.borrow_mut().seal();
         loop {
             let delivered = self.delivered.notified();
-            if !self.has_started() {
+            if !self.has_received() {
                 return;
             }
             delivered.await;
@@ -275,8 +276,8 @@
         self.service.is_leaving()
     }
 
-    fn has_started(&self) -> bool {
-        self.state.borrow().has_started()
+    fn has_received(&self) -> bool {
+        self.state.borrow().has_received()
     }
 }
 
--- a/valetrack/src/caller/pipeline/serve.rs
+++ b/valetrack/src/caller/pipeline/serve.rs
@@ -22,8 +22,8 @@
 type HyperResult = Result<(), Box<dyn Error + Send + Sync>>;
 
 /// Serves a connection until it closes; `head_limit` is the time that its client has to send a head, and for which it
-/// may be idle. Once `idle_limit` completes and the started calls are answered, the connection closes as soon as it is
-/// idle.
+/// may be idle. Once `idle_limit` completes, no further requests are received, and the connection closes as soon as
+/// those that are received completely are answered.
 ///
 /// The service gets a record of the end of the connection and of each request without its whole answer, also if the
 /// returned future is dropped.
--- a/valetrack/src/caller/pipeline/state.rs
+++ b/valetrack/src/caller/pipeline/state.rs
@@ -78,6 +78,8 @@
     waits: bool,
     /// Whether the connection closes after the last started message, or after the front.
     closes: bool,
+    /// Whether no bytes behind the front message are received any more.
+    is_sealed: bool,
 }
 
 impl<C> Default for Pipeline<C> {
@@ -94,6 +96,7 @@
             searched: 0,
             waits: false,
             closes: false,
+            is_sealed: false,
         }
     }
 }
@@ -101,9 +104,22 @@
 impl<C> Pipeline<C> {
     /// Returns how many more bytes may be received.
     pub fn room(&self) -> usize {
+        if self.is_sealed && self.left.is_some() {
+            return 0;
+        }
         HELD_MAX_BYTES.saturating_sub(self.held.len())
     }
 
+    /// Stops receiving bytes behind the front message.
+    pub fn seal(&mut self) {
+        self.is_sealed = true;
+    }
+
+    /// Returns whether no bytes behind the front message are received any more.
+    pub fn is_sealed(&self) -> bool {
+        self.is_sealed
+    }
+
     /// Returns the buffer to which received bytes are appended; [`Self::on_received`] follows.
     pub fn buffer(&mut self) -> &mut BytesMut {
         &mut self.held
@@ -275,6 +291,11 @@
         heads
     }
 
+    /// Returns whether requests are received completely that hyper has not delivered.
+    pub fn has_received(&self) -> bool {
+        self.has_started() || !self.unstarted().is_empty()
+    }
+
     /// Returns how many calls are in progress.
     pub fn in_progress(&self) -> usize {
         let is_front_running = matches!(self.phase, Phase::Running | Phase::Read { .. });
--- a/valetrack/src/caller/pipeline/stream.rs
+++ b/valetrack/src/caller/pipeline/stream.rs
@@ -20,6 +20,9 @@
 /// Interval of checks for a closed connection while no more bytes may be held. A fifth of the half second within which
 /// calls of such a connection have to end.
 const CLOSED_CHECK_MS: u64 = 100;
+/// Longest wait for the client to close a connection on which it has sent bytes that are not read. Closing it would
+/// reset it, and the client could lose the last answer.
+const UNREAD_LINGER_MS: u64 = 500;
 
 /// Stream of a caller's connection.
 pub struct CallerStream {
@@ -27,12 +30,14 @@
     connection: Rc<CallerConnection>,
     /// Timer of the next check for a closed connection.
     closed_check: Option<Pin<Box<Sleep>>>,
+    /// End of the wait for the client to close the connection.
+    linger: Option<Pin<Box<Sleep>>>,
 }
 
 impl CallerStream {
     /// Creates the stream of a connection.
     pub fn new(stream: TcpStream, connection: Rc<CallerConnection>) -> Self {
-        Self { stream, connection, closed_check: None }
+        Self { stream, connection, closed_check: None, linger: None }
     }
 
     /// Passes on the result of an operation on the socket, and records one that failed as an end by the client.
@@ -70,6 +75,37 @@
         Poll::Ready(Ok(()))
     }
 
+    /// Reads up to `most` bytes of the front message for hyper, and none behind it.
+    fn poll_pass_front(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>, most: u64) -> Poll<io::Result<()>> {
+        let most = usize::try_from(most).unwrap_or(usize::MAX).min(buf.remaining());
+        let mut chunk = [const { MaybeUninit::uninit() }; READ_BYTES];
+        let mut read = ReadBuf::uninit(&mut chunk[..most.min(READ_BYTES)]);
+        let result = ready!(Pin::new(&mut self.stream).poll_read(cx, &mut read));
+        self.check(result)?;
+        let count = read.filled().len();
+        if count == 0 && most > 0 {
+            self.connection.on_client_end(EndReason::ClientClosed, None);
+        }
+        buf.put_slice(read.filled());
+        self.connection.state.borrow_mut().on_passed(count as u64);
+        Poll::Ready(Ok(()))
+    }
+
+    /// Waits until the client closes the connection if it has sent bytes that are not read, but not for long.
+    fn poll_linger(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut byte = [MaybeUninit::uninit()];
+        let mut peeked = ReadBuf::uninit(&mut byte);
+        let is_unread = matches!(self.stream.poll_peek(cx, &mut peeked), Poll::Ready(Ok(1..)));
+        if !is_unread {
+            return Poll::Ready(());
+        }
+        let linger = self.linger.get_or_insert_with(|| Box::pin(sleep(Duration::from_millis(UNREAD_LINGER_MS))));
+        if linger.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(());
+        }
+        self.poll_closed(cx)
+    }
+
     /// Reads bytes to be held; returns how many, zero at the end of the stream.
     fn poll_hold(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
         let room = self.connection.state.borrow().room();
@@ -109,7 +145,13 @@
             if this.hand(buf) {
                 return Poll::Ready(Ok(()));
             }
-            let passable = this.connection.state.borrow().passable();
+            let (passable, is_sealed) = {
+                let state = this.connection.state.borrow();
+                (state.passable(), state.is_sealed())
+            };
+            if is_sealed && (1..u64::MAX).contains(&passable) {
+                return this.poll_pass_front(cx, buf, passable);
+            }
             if passable > 0 {
                 return this.poll_pass(cx, buf, passable);
             }
@@ -151,6 +193,12 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        if self.linger.is_none() {
+            ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+        }
+        if self.connection.is_leaving() {
+            ready!(self.poll_linger(cx));
+        }
+        Poll::Ready(Ok(()))
     }
 }
--- a/valetrack/src/caller/pipeline/tests/closing.rs
+++ b/valetrack/src/caller/pipeline/tests/closing.rs
@@ -31,19 +31,21 @@
     });
 }
 
-/// Guards against started calls that get no answer since the node leaves, and against calls that start when it does.
+/// Guards against received requests that get no answer since the node leaves, and against calls that start ahead when it
+/// does.
 #[test]
-fn leaving_listener_answers_all_started_calls() {
+fn leaving_listener_answers_all_received_requests() {
     run(async {
         let (listener, mut client) = Listener::start_with_client(Reader::Pipeline).await;
         client.send(&[get(200, "a"), get(300, "b"), get(250, "c")].concat()).await;
         sleep(Duration::from_millis(50)).await;
         listener.leave();
         client.send(&[get(0, "d"), get(0, "e")].concat()).await;
-        let answers = client.answers(5).await;
-        assert_eq!(bodies(&answers), ["a", "b", "c"]);
-        assert_eq!(answers.iter().map(|answer| answer.closes).collect::<Vec<_>>(), [false, false, true]);
-        assert!(!listener.calls.began("d"));
+        let answers = client.answers(6).await;
+        assert_eq!(bodies(&answers), ["a", "b", "c", "d", "e"]);
+        assert_eq!(answers.iter().map(|answer| answer.closes).collect::<Vec<_>>(), [false, false, false, false, true]);
+        let log = listener.calls.log.borrow().clone();
+        assert_eq!(log[6..], ["begin d", "end d", "begin e", "end e"]);
     });
 }
 
--- a/valetrack/src/caller/pipeline/tests/ends.rs
+++ b/valetrack/src/caller/pipeline/tests/ends.rs
@@ -8,12 +8,12 @@
 use hyper_util::rt::TokioIo;
 use proptest::prelude::*;
 use test_case::test_case;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
-use super::harness::{Client, Listener, Reader, bodies, get, post, run, wait_until};
+use super::harness::{Client, LARGE_BYTES, Listener, Reader, bodies, get, post, run, wait_until};
 use crate::caller::pipeline::end::EndReason::{
     ClientClosed, ClientReset, Exit, HeadLimit, IdleLimit, InvalidRequest, LastRequest, Leaving, Panic, StreamReset,
 };
@@ -125,6 +125,38 @@
     });
 }
 
+/// Guards against requests that a leaving node has received and drops with their connection, since it starts no calls ahead.
+#[test]
+fn received_requests_of_a_leaving_node_are_answered() {
+    run(async {
+        let (listener, mut client) = Listener::start_with_client(Reader::Pipeline).await;
+        client.send(&[get(300, "a"), post(0, "b", b"xyz"), get(0, "c")].concat()).await;
+        wait_until("the call has begun", || listener.calls.began("a")).await;
+        listener.leave();
+        let answers = client.answers(4).await;
+        assert_eq!(bodies(&answers), ["a", "b=3", "c"], "{:?}", listener.calls.unanswered());
+        assert_eq!(answers.iter().map(|answer| answer.closes).collect::<Vec<_>>(), [false, false, true]);
+    });
+}
+
+/// Guards against a client that keeps its connection to a leaving node by sending on, and against a reset that costs it the
+/// end of its last answer, since the node does not read what it sends.
+#[test]
+fn client_that_sends_on_gets_its_last_answer_from_a_leaving_node() {
+    run(async {
+        let (listener, mut client) = Listener::start_with_client(Reader::Pipeline).await;
+        client.send(&[get(200, "a"), post(0, "large", b"")].concat()).await;
+        wait_until("the call has begun", || listener.calls.began("a")).await;
+        listener.leave();
+        sleep(Duration::from_millis(100)).await;
+        client.send(&get(0, "c").repeat(1_000)).await;
+        let mut written = Vec::new();
+        let ended = client.stream.read_to_end(&mut written).await.map_err(|error| error.kind());
+        assert!(ended.is_ok() && written.len() > LARGE_BYTES, "{ended:?} after {} bytes", written.len());
+        assert!(!listener.calls.began("c"));
+    });
+}
+
 /// An HTTP/2 connection.
 struct Http2 {
     sender: hyper::client::conn::http2::SendRequest<Empty<Bytes>>,
@@ -342,6 +374,13 @@
         }
     }
 
+    /// Guards against a leaving node that receives a request and closes its connection without the answer.
+    #[test]
+    fn received_request_of_a_client_that_stays_is_answered(steps in steps()) {
+        let outcome = outcome_of(&steps, Finish::Read);
+        prop_assert!(outcome.unanswered.is_empty(), "{:?}", outcome);
+    }
+
     /// Guards against a leaving node that passes on a request and closes its connection without the answer.
     #[test]
     fn begun_request_of_a_client_that_stays_is_answered(steps in steps()) {
--- a/valetrack/src/caller/pipeline/tests/harness.rs
+++ b/valetrack/src/caller/pipeline/tests/harness.rs
@@ -39,7 +39,7 @@
 }
 
 /// Length of the answer to a call with the name `large`, which is more than the buffers of both sockets hold.
-const LARGE_BYTES: usize = 32 << 20;
+pub const LARGE_BYTES: usize = 32 << 20;
 
 /// Fake of the calls: `GET /MS/NAME` is repeatable and answers `NAME` after that time, or status 503 for the name
 /// `refused`; the name `panic` panics instead, and `large` answers with many bytes; a POST answers with the length of its
