Links: the last raise of the stream limit is announced to the peer

Cause: the QUIC library announces a new limit only if it rises by more than an eighth. The last raise went from 1,792 to 2,048, exactly an eighth, so a peer with 1,792 open streams got no further one until some of them ended.

Change: the last step goes from 896 to 2,048.

The test here holds each raise to the library's rule.

--- a/valetrack/src/link/accept.rs
+++ b/valetrack/src/link/accept.rs
@@ -33,7 +33,8 @@
         self.open += 1;
         let before = self.limit;
         while self.limit < STREAMS_MAX && self.open * HEADROOM > self.limit {
-            self.limit = (2 * self.limit).min(STREAMS_MAX);
+            // The QUIC library announces a new limit only if it rises by more than an eighth, so the last step is not short.
+            self.limit = if self.limit > STREAMS_MAX / 4 { STREAMS_MAX } else { 2 * self.limit };
         }
         (self.limit > before).then_some(self.limit)
     }
--- a/valetrack/src/link/tests/streams.rs
+++ b/valetrack/src/link/tests/streams.rs
@@ -40,6 +40,18 @@
     assert!(round_trips <= 4, "{round_trips} round trips");
 }
 
+#[test]
+fn each_raise_of_the_limit_is_large_enough_to_be_announced() {
+    let (mut limit, mut announced) = (StreamLimit::new(), STREAMS_INITIAL);
+    for _ in 0..STREAMS_MAX {
+        if let Some(raised) = limit.open() {
+            assert!(raised - announced > raised / 8, "{announced} to {raised}");
+            announced = raised;
+        }
+    }
+    assert_eq!(announced, STREAMS_MAX);
+}
+
 #[test]
 fn requests_in_a_row_do_not_raise_the_limit() {
     let mut limit = StreamLimit::new();
