Links: a request that finds no free stream is unsent, after a short wait

What callers saw: a request waited for a free stream of a link for its whole time limit, and then counted as broken, so possibly run, although nothing had been sent. A call that is not repeatable could not be placed elsewhere.

Change: the wait for a stream is limited to 100 ms and four round trips, the time in which a peer raises its limit for a burst, and to the time limit of the request. It ends as unsent with the line `event=link.no_free_stream`. The rest of the time limit holds for the exchange, as before.

--- a/valetrack/src/link/peer.rs
+++ b/valetrack/src/link/peer.rs
@@ -30,6 +30,11 @@
 /// Time without a packet from the peer after which an abandoned request closes the link. It is five times as long as
 /// a VM is paused after it has used up its share of a core.
 const SILENT_MS: u64 = 500;
+/// Longest wait for a free stream of an open link, in addition to [`STREAM_WAIT_ROUND_TRIPS`]. It is as long as a VM is
+/// paused after it has used up its share of a core.
+const STREAM_WAIT_MS: u64 = 100;
+/// Round trips in which the peer raises the number of streams from its first to its largest value.
+const STREAM_WAIT_ROUND_TRIPS: u32 = 4;
 /// Error code of a stream or link that this node abandons.
 const ABANDONED: u32 = 1;
 /// Shortest time between a failed handshake and the next one with the same peer.
@@ -178,11 +183,19 @@
         let Some(connection) = self.connection(target).await else {
             return LinkResult::Unsent;
         };
+        let connected = Moment::now();
+        let (TimeLimit::Whole(longest) | TimeLimit::Progress { first: longest, .. }) = limit;
+        let Some(stream) = open_stream(&connection, longest).await else {
+            return LinkResult::Unsent;
+        };
         let exchanged = match limit {
-            TimeLimit::Whole(limit) => timeout(limit, exchange(&connection, head, request.body, None)).await,
+            TimeLimit::Whole(limit) => {
+                let left = limit.saturating_sub(connected.elapsed());
+                timeout(left, exchange(&connection, stream, head, request.body, None)).await
+            }
             TimeLimit::Progress { first, idle } => {
                 let pace = Pace { first: first.saturating_sub(from.elapsed()), idle };
-                Ok(exchange(&connection, head, request.body, Some(pace)).await)
+                Ok(exchange(&connection, stream, head, request.body, Some(pace)).await)
             }
         };
         match exchanged {
@@ -190,7 +203,6 @@
                 self.paths.record(target.addr, connection.rtt());
                 LinkResult::Reply(Box::new(answered))
             }
-            Ok(Err(ExchangeError::Unsent)) => LinkResult::Unsent,
             Ok(Err(ExchangeError::Frame(error))) => {
                 log::warn!("event=link.frame_invalid peer={} code={} reason=\"{error}\"", target.vm, error.code());
                 LinkResult::Broken
@@ -256,7 +268,6 @@
 }
 
 enum ExchangeError {
-    Unsent,
     Broken,
     Frame(FrameError),
 }
@@ -333,13 +344,26 @@
     idle: Duration,
 }
 
+/// Opens a stream within `longest` or a shorter time. Returns `None` if the link is closed or has no free stream, in which
+/// case nothing is sent and another node may get the request.
+async fn open_stream(connection: &Connection, longest: Duration) -> Option<(SendStream, RecvStream)> {
+    let wait = Duration::from_millis(STREAM_WAIT_MS) + connection.rtt() * STREAM_WAIT_ROUND_TRIPS;
+    match timeout(wait.min(longest), connection.open_bi()).await {
+        Ok(opened) => opened.ok(),
+        Err(_) => {
+            log::info!("event=link.no_free_stream peer={}", connection.remote_address());
+            None
+        }
+    }
+}
+
 async fn exchange(
     connection: &Connection,
+    (send, mut receive): (SendStream, RecvStream),
     head: Bytes,
     body: Bytes,
     pace: Option<Pace>,
 ) -> Result<PeerReply, ExchangeError> {
-    let (send, mut receive) = connection.open_bi().await.map_err(|_| ExchangeError::Unsent)?;
     let mut request = OpenRequest::new(connection, send);
     let mut chunks = [head, body];
     request.send.write_all_chunks(&mut chunks).await.map_err(|_| ExchangeError::Broken)?;
--- a/valetrack/src/link/tests/streams.rs
+++ b/valetrack/src/link/tests/streams.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use quinn::Endpoint;
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
@@ -149,6 +151,28 @@
     }
 }
 
+#[tokio::test]
+async fn requests_without_a_free_stream_are_unsent_and_not_broken() {
+    let played = async {
+        let (mut node, peers) = (SlowNode::start(), peers());
+        let held = send_held(&peers, &mut node, STREAMS_MAX as usize).await;
+        let limit = TimeLimit::Whole(Duration::from_secs(5));
+        let mut further: FuturesUnordered<_> = (0..20).map(|_| send(&peers, &node, Ask::Runs, limit)).collect();
+        // A limit below the wait for a stream also ends before anything is sent.
+        let short = TimeLimit::Whole(Duration::from_millis(20));
+        further.extend((0..20).map(|_| send(&peers, &node, Ask::Probe, short)));
+        while let Some(result) = further.next().await {
+            let result = result.expect("no panic");
+            assert!(matches!(result, LinkResult::Unsent), "{result:?}");
+        }
+        assert_eq!(*node.held.borrow(), STREAMS_MAX as usize);
+        node.released.send_replace(true);
+        assert_replies(held).await;
+        assert_replies(vec![send(&peers, &node, Ask::Probe, HELD)]).await;
+    };
+    LocalSet::new().run_until(played).await;
+}
+
 #[tokio::test]
 async fn long_requests_do_not_starve_calls_on_the_same_link() {
     let played = async {
