--- a/valetrack/src/link/peer.rs
+++ b/valetrack/src/link/peer.rs
@@ -33,6 +33,11 @@
 /// Time without a packet from the peer after which an abandoned request ends the use of the link. It is five times as
 /// long as a VM is paused after it has used up its share of a core.
 const SILENT_MS: u64 = 500;
+/// Longest wait for a free stream of an open link, in addition to [`STREAM_WAIT_ROUND_TRIPS`]. It is as long as a VM is
+/// paused after it has used up its share of a core.
+const STREAM_WAIT_MS: u64 = 100;
+/// Round trips in which the peer raises the number of streams from its first to its largest value.
+const STREAM_WAIT_ROUND_TRIPS: u32 = 4;
 /// Error code of a stream or link that this node abandons.
 const ABANDONED: u32 = 1;
 /// Shortest time between a failed handshake and the next one with the same peer.
@@ -229,14 +234,20 @@
         let Some(link) = self.link(target, request.ask.kind()).await else {
             return LinkResult::Unsent;
         };
+        let connected = Moment::now();
+        let (TimeLimit::Whole(longest) | TimeLimit::Progress { first: longest, .. }) = limit;
+        let Some(stream) = open_stream(&link.connection, longest).await else {
+            return LinkResult::Unsent;
+        };
         let outlasts_silence = is_only_run(&request.ask);
         let exchanged = match limit {
             TimeLimit::Whole(limit) => {
-                timeout(limit, exchange(&link, head, request.body, None, outlasts_silence)).await
+                let left = limit.saturating_sub(connected.elapsed());
+                timeout(left, exchange(&link, stream, head, request.body, None, outlasts_silence)).await
             }
             TimeLimit::Progress { first, idle } => {
                 let pace = Pace { first: first.saturating_sub(from.elapsed()), idle };
-                Ok(exchange(&link, head, request.body, Some(pace), outlasts_silence).await)
+                Ok(exchange(&link, stream, head, request.body, Some(pace), outlasts_silence).await)
             }
         };
         match exchanged {
@@ -244,7 +255,6 @@
                 self.paths.record(target.addr, link.connection.rtt());
                 LinkResult::Reply(Box::new(answered))
             }
-            Ok(Err(ExchangeError::Unsent)) => LinkResult::Unsent,
             Ok(Err(ExchangeError::Frame(error))) => {
                 log::warn!("event=link.frame_invalid peer={} code={} reason=\"{error}\"", target.vm, error.code());
                 LinkResult::Broken
@@ -321,7 +331,6 @@
 }
 
 enum ExchangeError {
-    Unsent,
     Broken,
     Frame(FrameError),
 }
@@ -381,15 +390,28 @@
     idle: Duration,
 }
 
+/// Opens a stream within `longest` or a shorter time. Returns `None` if the link is closed or has no free stream, in which
+/// case nothing is sent and another node may get the request.
+async fn open_stream(connection: &Connection, longest: Duration) -> Option<(SendStream, RecvStream)> {
+    let wait = Duration::from_millis(STREAM_WAIT_MS) + connection.rtt() * STREAM_WAIT_ROUND_TRIPS;
+    match timeout(wait.min(longest), connection.open_bi()).await {
+        Ok(opened) => opened.ok(),
+        Err(_) => {
+            log::info!("event=link.no_free_stream peer={}", connection.remote_address());
+            None
+        }
+    }
+}
+
 /// Sends a request and returns the reply; unless the request `outlasts_silence`, it ends when the peer is unresponsive.
 async fn exchange(
     link: &Rc<Link>,
+    (send, mut receive): (SendStream, RecvStream),
     head: Bytes,
     body: Bytes,
     pace: Option<Pace>,
     outlasts_silence: bool,
 ) -> Result<PeerReply, ExchangeError> {
-    let (send, mut receive) = link.connection.open_bi().await.map_err(|_| ExchangeError::Unsent)?;
     let mut request = OpenRequest::new(link, send);
     let mut chunks = [head, body];
     request.send.write_all_chunks(&mut chunks).await.map_err(|_| ExchangeError::Broken)?;
--- a/valetrack/src/link/tests/streams.rs
+++ b/valetrack/src/link/tests/streams.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use quinn::Endpoint;
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
@@ -41,6 +43,18 @@
     assert!(round_trips <= 4, "{round_trips} round trips");
 }
 
+#[test]
+fn each_raise_of_the_limit_is_large_enough_to_be_announced() {
+    let (mut limit, mut announced) = (StreamLimit::new(), STREAMS_INITIAL);
+    for _ in 0..STREAMS_MAX {
+        if let Some(raised) = limit.open() {
+            assert!(raised - announced > raised / 8, "{announced} to {raised}");
+            announced = raised;
+        }
+    }
+    assert_eq!(announced, STREAMS_MAX);
+}
+
 #[test]
 fn requests_in_a_row_do_not_raise_the_limit() {
     let mut limit = StreamLimit::new();
@@ -138,6 +152,28 @@
     }
 }
 
+#[tokio::test]
+async fn requests_without_a_free_stream_are_unsent_and_not_broken() {
+    let played = async {
+        let (mut node, peers) = (SlowNode::start(), peers());
+        let held = send_held(&peers, &mut node, STREAMS_MAX as usize).await;
+        let limit = TimeLimit::Whole(Duration::from_secs(5));
+        let mut further: FuturesUnordered<_> = (0..20).map(|_| send(&peers, &node, Ask::Runs, limit)).collect();
+        // A limit below the wait for a stream also ends before anything is sent.
+        let short = TimeLimit::Whole(Duration::from_millis(20));
+        further.extend((0..20).map(|_| send(&peers, &node, Ask::Probe, short)));
+        while let Some(result) = further.next().await {
+            let result = result.expect("no panic");
+            assert!(matches!(result, LinkResult::Unsent), "{result:?}");
+        }
+        assert_eq!(*node.held.borrow(), STREAMS_MAX as usize);
+        node.released.send_replace(true);
+        assert_replies(held).await;
+        assert_replies(vec![send(&peers, &node, Ask::Probe, HELD)]).await;
+    };
+    LocalSet::new().run_until(played).await;
+}
+
 #[tokio::test]
 async fn long_requests_do_not_starve_calls_on_the_same_link() {
     let played = async {
