Relays: an update holds the last change of each key only

A relay kept up to 512 changes with their values, several of one key as well. An update over the 16 MiB of a message is not sent, and the relay counts as behind for that follower, again and again: some 20 versions of the crash reports of a service at their largest are enough.

An earlier change of a key is dropped when a later one is kept, so that an update is never much larger than all items. The follower ends with the same items (follower_holds_the_items_of_its_relay).

Evidence: update_holds_only_the_last_change_of_each_key failed before with eight changes for two. The size of such an update was reckoned, not played.

--- a/valetrack/src/member/relay.rs
+++ b/valetrack/src/member/relay.rs
@@ -200,8 +200,17 @@
                     self.items.remove(key);
                 }
             }
-            self.changes.push_back(change.clone());
+            self.keep_for_followers(change.clone());
         }
+        self.confirmed_us = self.confirmed_us.max(Some(confirmed_us));
+        ApplyOutcome::Newest
+    }
+
+    /// Keeps a change for followers in place of an earlier one of its key, so that an update is never much larger than all
+    /// items.
+    fn keep_for_followers(&mut self, change: Change) {
+        self.changes.retain(|earlier| earlier.key() != change.key());
+        self.changes.push_back(change);
         while self.changes.len() > CHANGES_MAX {
             if let Some(dropped) = self.changes.pop_front()
                 && dropped.position().supersedes(self.complete_after)
@@ -209,8 +218,6 @@
                 self.complete_after = dropped.position();
             }
         }
-        self.confirmed_us = self.confirmed_us.max(Some(confirmed_us));
-        ApplyOutcome::Newest
     }
 
     /// Marks the log as stale, since the store or the relay did not answer.
--- a/valetrack/src/member/tests/relay.rs
+++ b/valetrack/src/member/tests/relay.rs
@@ -63,6 +63,27 @@
     }
 }
 
+fn item(key: &str, revision: u64) -> Item {
+    Item { key: key.to_owned(), value: vec![revision as u8], position: at(revision), lease: None }
+}
+
+fn change(key: &str, revision: u64) -> Change {
+    Change::Put(item(key, revision))
+}
+
+/// Guards against updates that hold every version of a large item, and are too large to be sent.
+#[test]
+fn update_holds_only_the_last_change_of_each_key() {
+    let mut relay = ChangeLog::default();
+    relay.read(&[], at(1), 0);
+    for revision in 2..=9 {
+        let changes = [change(if revision % 2 == 0 { "a" } else { "b" }, revision)];
+        relay.apply(&changes, at(revision - 1), at(revision), 0);
+    }
+    assert_eq!(relay.since(at(1)).changes, [change("a", 8), change("b", 9)]);
+    assert_eq!(relay.since(at(8)).changes, [change("b", 9)]);
+}
+
 fn follow(follower: &mut ChangeLog, relay: &ChangeLog) {
     let update = relay.since(follower.position());
     if update.whole {
