Relays: followers are sent the difference after all items were read again

A relay that reads all items again, since the history is gone or the changes are too large, dropped the changes that it keeps, and sent all items to each of its followers: with large configurations in quick succession once for each read.

Within an era, what differs between both states is kept instead. Items of a later page may be newer than the position of the read; the watch returns their changes again, which changes nothing.

Evidence: followers_are_sent_the_difference_after_all_items_were_read_again failed before with "assertion failed: !update.whole"; follower_holds_the_items_of_its_relay also reads all items now, and compares with the store.

--- a/valetrack/src/member/relay.rs
+++ b/valetrack/src/member/relay.rs
@@ -159,7 +159,8 @@
         true
     }
 
-    /// Replaces all items by those that the store held at position `at` and time `confirmed_us`.
+    /// Replaces all items by those that the store held at position `at` and time `confirmed_us`. Within an era, what differs
+    /// from the items before is kept for followers, which would otherwise all be sent all items.
     ///
     /// A later era supersedes an earlier one, whatever the revisions are: after a rollback the store is at a lower
     /// revision than was read before, and a comparison by revision would drop its reads until it reaches that one
@@ -168,10 +169,15 @@
         if self.at.supersedes(at) {
             return ApplyOutcome::Outdated;
         }
-        self.items = items.iter().map(|item| (item.key.clone(), item.clone())).collect();
-        self.changes.clear();
+        let items: BTreeMap<String, Item> = items.iter().map(|item| (item.key.clone(), item.clone())).collect();
+        if self.at.is_start() || self.at.era() != at.era() {
+            self.changes.clear();
+            self.complete_after = at;
+        } else {
+            difference(&self.items, &items, at).into_iter().for_each(|change| self.keep_for_followers(change));
+        }
+        self.items = items;
         self.bundle = None;
-        self.complete_after = at;
         self.at = at;
         self.confirmed_us = Some(confirmed_us);
         ApplyOutcome::Newest
@@ -320,3 +326,13 @@
         StoreUpdate { whole: !is_continuous, changes, bundle, at: self.at }
     }
 }
+
+/// Returns the changes that lead from the items of one state to those of a later one at position `at`, in order.
+fn difference(before: &BTreeMap<String, Item>, after: &BTreeMap<String, Item>, at: Position) -> Vec<Change> {
+    let removed = before.keys().filter(|key| !after.contains_key(*key));
+    let is_written = |item: &&Item| before.get(&item.key).is_none_or(|known| known.position != item.position);
+    let mut changes: Vec<Change> = removed.map(|key| Change::Gone { key: key.clone(), position: at }).collect();
+    changes.extend(after.values().filter(is_written).cloned().map(Change::Put));
+    changes.sort_by_key(|change| change.position().wire_revision());
+    changes
+}
--- a/valetrack/src/member/tests/relay.rs
+++ b/valetrack/src/member/tests/relay.rs
@@ -1,5 +1,7 @@
 //! Nodes that follow a relay read the contents of the store and their age.
 
+use std::collections::BTreeMap;
+
 use proptest::prelude::*;
 use test_case::test_case;
 
@@ -30,9 +32,10 @@
     assert_eq!(log.relay_wait_ms(1_000 + age_us), wait_ms);
 }
 
-/// Steps of the store, each a write or a removal of one of a few keys, and whether the follower then sends a request.
-fn steps() -> impl Strategy<Value = Vec<(u8, bool, bool)>> {
-    prop::collection::vec((0..6u8, any::<bool>(), prop::bool::weighted(0.3)), 1..900)
+/// Steps of the store, each a write or a removal of one of a few keys, whether the follower then sends a request, and
+/// whether the relay reads all items in place of the changes since its last read.
+fn steps() -> impl Strategy<Value = Vec<(u8, bool, bool, bool)>> {
+    prop::collection::vec((0..6u8, any::<bool>(), prop::bool::weighted(0.3), prop::bool::weighted(0.1)), 1..900)
 }
 
 proptest! {
@@ -43,8 +46,9 @@
     fn follower_holds_the_items_of_its_relay(steps in steps()) {
         let mut relay = ChangeLog::default();
         let mut follower = ChangeLog::default();
+        let mut store = BTreeMap::new();
         relay.read(&[], at(1), 0);
-        for (step, (key, put, requests)) in steps.into_iter().enumerate() {
+        for (step, (key, put, requests, rereads)) in steps.into_iter().enumerate() {
             let revision = step as u64 + 2;
             let position = at(revision);
             let key = format!("node/{key}");
@@ -52,12 +56,22 @@
                 true => Change::Put(Item { key, value: vec![step as u8], position, lease: None }),
                 false => Change::Gone { key, position },
             };
+            match &change {
+                Change::Put(item) => store.insert(item.key.clone(), item.clone()),
+                Change::Gone { key, .. } => store.remove(key),
+            };
             let after = relay.position();
-            relay.apply(&[change], after, position, revision);
+            if rereads {
+                let items: Vec<Item> = store.values().cloned().collect();
+                relay.read(&items, position, revision);
+            } else {
+                relay.apply(&[change], after, position, revision);
+            }
             if requests {
                 follow(&mut follower, &relay);
                 prop_assert_eq!(follower.position(), position);
                 prop_assert_eq!(all(&follower), all(&relay));
+                prop_assert!(store.values().cloned().map(Change::Put).eq(all(&follower)));
             }
         }
     }
@@ -71,6 +85,20 @@
     Change::Put(item(key, revision))
 }
 
+/// Guards against relays that send all items to all followers after they have read all items again.
+#[test]
+fn followers_are_sent_the_difference_after_all_items_were_read_again() {
+    let mut relay = ChangeLog::default();
+    relay.read(&[item("a", 2), item("b", 3), item("c", 4)], at(4), 0);
+    // The store was at 8 when it read the first page, and at 9 when it read the one of `d`.
+    relay.read(&[item("a", 2), item("c", 7), item("d", 9)], at(8), 0);
+    let update = relay.since(at(4));
+    assert!(!update.whole);
+    let gone = Change::Gone { key: "b".into(), position: at(8) };
+    assert_eq!(update.changes, [change("c", 7), gone, change("d", 9)]);
+    assert!(relay.since(at(3)).whole, "changes before the first read are not known");
+}
+
 /// Guards against updates that hold every version of a large item, and are too large to be sent.
 #[test]
 fn update_holds_only_the_last_change_of_each_key() {
