Departures: a refused write reads the entry that it then replaces

Cause: a starting node reads a state that may be seconds old. Where that lacks the entry of its former process, its first write expects none, is refused, and was repeated over the entry that the store holds: the node took the position from the answer and not the departure. By the log vm-0 had the departure at 1.11 and wrote over it at 1.12, 25 ms after its start. The play held when the watch of the new relay was faster.

A conflict returns the items as they stand, which the store sends anyway. A relay applies the departure in its own entry before the next write, and sends a follower its entry back. A departure that was read takes effect at once instead of with the next change of the upstream. No further call to the store.

--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -281,19 +281,6 @@
         }
     }
 
-    /// Records the departure of this node's upstream that another node has recorded from an earlier process of this one.
-    fn learn_departure(&self, members: &[Member]) {
-        let own = members.iter().find(|member| member.vm == self.parts.me.vm);
-        let Some(departure) = own.and_then(|own| own.departure.as_ref()) else {
-            return;
-        };
-        let known = self.earlier_departure.replace(Some(departure.clone()));
-        if known.as_ref() != Some(departure) {
-            log::info!("event=departure.found id={} by=peer", departure.id);
-            self.publish();
-        }
-    }
-
     /// Adds nodes reported by another node that have no entry here, while the store is unreachable.
     fn learn_members(&self, members: &[Member]) {
         if self.store_reachable.get() {
--- a/valetrack/src/member/leased/departure.rs
+++ b/valetrack/src/member/leased/departure.rs
@@ -6,9 +6,12 @@
 use bytes::Bytes;
 
 use super::Shell;
+use crate::claim::ClaimReport;
 use crate::gate::{Departure, DepartureRecord, RecordedBy, UpstreamPhase, UpstreamState};
 use crate::link::message::{Ask, PeerRequest};
-use crate::link::peer::LinkResult;
+use crate::link::peer::{LinkResult, Target};
+use crate::member::{EntryDoc, Member, Phase};
+use crate::store::Item;
 
 impl Shell {
     /// Sends a departure that this node has just learned of to some other nodes; its entry in the store names it as well.
@@ -55,6 +58,67 @@
         }
     }
 
+    /// Records the departure of this node's upstream that another node has recorded from an earlier process of this one.
+    pub(super) fn learn_departure(self: &Rc<Self>, members: &[Member]) {
+        let own = members.iter().find(|member| member.vm == self.parts.me.vm);
+        if let Some(departure) = own.and_then(|own| own.departure.as_ref()) {
+            self.earlier_departure_found(departure, "peer");
+        }
+    }
+
+    /// Handles this node's entry that a write has found in place of the expected one. An earlier process may have recorded
+    /// a departure there after the state that this one has read.
+    pub(super) fn former_entry_found(self: &Rc<Self>, item: &Item) {
+        if let Ok(EntryDoc { member: Member { departure: Some(departure), .. }, .. }) = EntryDoc::read(item) {
+            self.earlier_departure_found(&departure, "store");
+        }
+    }
+
+    /// Sends a follower its entry that a write has found in place of the expected one, if the entry names a departure: the
+    /// next write replaces it, and the follower may not have read it.
+    pub(super) fn follower_entry_found(self: &Rc<Self>, item: &Item) {
+        let Ok(EntryDoc { member: former, .. }) = EntryDoc::read(item) else {
+            return;
+        };
+        let target = match self.registrar.borrow().member(&former.vm) {
+            Some(follower) if former.departure.is_some() && follower.departure != former.departure => {
+                Target { vm: follower.vm.clone(), addr: follower.link_addr }
+            }
+            Some(_) | None => return,
+        };
+        log::info!("event=departure.returned peer={}", former.vm);
+        let ask = Ask::Gossip {
+            members: vec![self.me.borrow().clone(), former],
+            evacuation: self.evacuation.borrow().clone(),
+            bundle: self.adopter.number(),
+            claims: ClaimReport::default(),
+        };
+        let shell = self.clone();
+        tokio::task::spawn_local(async move {
+            // Without a reply, the follower has ended, or reads the departure in a later update.
+            let _ = shell.request(target, PeerRequest { ask, body: Bytes::new() }).await;
+        });
+    }
+
+    fn earlier_departure_found(self: &Rc<Self>, departure: &Departure, by: &str) {
+        let known = self.earlier_departure.replace(Some(departure.clone()));
+        if known.as_ref() == Some(departure) || self.me.borrow().departure.as_ref() == Some(departure) {
+            return;
+        }
+        log::info!("event=departure.found id={} by={by}", departure.id);
+        self.publish();
+        self.follow_recorded_departure();
+    }
+
+    /// Makes this node leave if its upstream's present start is recorded to leave, so that its next entry names that.
+    pub(super) fn follow_recorded_departure(self: &Rc<Self>) {
+        let state = self.parts.upstream.borrow().clone();
+        let departure = present_departure(&state, &self.parts.me.vm, self.parts.members.borrow().departures());
+        if departure.is_some() && self.me.borrow().departure != departure {
+            self.set_phase(Phase::Leaving, state.version, departure);
+        }
+    }
+
     /// Records who knows a departure of this node's upstream.
     pub(super) fn departure_recorded(&self, departure: &Departure, by: RecordedBy) {
         self.parts.departure_record.send_if_modified(|record| record.confirm(departure, by));
--- a/valetrack/src/member/leased/keep.rs
+++ b/valetrack/src/member/leased/keep.rs
@@ -137,10 +137,14 @@
                     self.departure_recorded(departure, RecordedBy::Store);
                 }
             }
-            CommitOutcome::Conflict(position) => {
+            CommitOutcome::Conflict(found) => {
+                let position = found.as_ref().map(|item| item.position);
                 let known = self.keeper.borrow().era();
                 self.call_answered(position.map_or(known, Position::era));
                 self.keeper.borrow_mut().conflicted(position);
+                if let Some(item) = found {
+                    self.former_entry_found(&item);
+                }
             }
         }
         Ok(())
@@ -187,9 +191,12 @@
             }
             TransactionOutcome::Conflict(found) => {
                 let known = self.keeper.borrow().era();
-                let era = found.iter().find_map(|(_, position)| *position).map_or(known, Position::era);
+                let positions: Vec<(String, Option<Position>)> =
+                    found.iter().map(|(key, item)| (key.clone(), item.as_ref().map(|item| item.position))).collect();
+                let era = positions.iter().find_map(|(_, position)| *position).map_or(known, Position::era);
                 self.call_answered(era);
-                self.registrar.borrow_mut().conflicted(&batch, &found);
+                self.registrar.borrow_mut().conflicted(&batch, &positions);
+                found.iter().filter_map(|(_, item)| item.as_ref()).for_each(|item| self.follower_entry_found(item));
             }
         }
         Ok(())
@@ -232,7 +239,7 @@
             self.count("remove");
             expected = match self.parts.store.remove(&key, position).await? {
                 CommitOutcome::At(_) => None,
-                CommitOutcome::Conflict(found) => found,
+                CommitOutcome::Conflict(found) => found.map(|item| item.position),
             };
         }
         Ok(())
--- a/valetrack/src/member/leased/read.rs
+++ b/valetrack/src/member/leased/read.rs
@@ -136,6 +136,7 @@
         self.remove_expired();
         self.count_invalid();
         self.publish();
+        self.follow_recorded_departure();
         for item in items {
             self.forward_crashes(item);
         }
@@ -229,6 +230,7 @@
         self.count_invalid();
         if self.remove_expired() || changed {
             self.publish();
+            self.follow_recorded_departure();
         }
         outcome
     }
--- a/valetrack/src/member/registrar.rs
+++ b/valetrack/src/member/registrar.rs
@@ -91,6 +91,11 @@
         self.followers.contains_key(vm)
     }
 
+    /// Returns the state that a follower has sent last.
+    pub fn member(&self, vm: &str) -> Option<&Member> {
+        self.followers.get(vm).map(|follower| &follower.member)
+    }
+
     /// Removes a follower whose entry is kept by another node or by the follower itself.
     pub fn forget(&mut self, vm: &str) {
         self.followers.remove(vm);
--- a/valetrack/src/member/tests/fleet/mod.rs
+++ b/valetrack/src/member/tests/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Fleets of nodes in virtual time: the member threads of all nodes run on one paused clock, with a store and links of
 //! their own.
 
+mod departure;
 mod large;
 mod link;
 mod node;
--- a/valetrack/src/member/tests/fleet/node.rs
+++ b/valetrack/src/member/tests/fleet/node.rs
@@ -269,7 +269,6 @@
 
 /// Channels that a node needs as long as it runs.
 struct Kept {
-    _upstream: watch::Sender<UpstreamState>,
     _leaving: watch::Sender<bool>,
     _exiting: watch::Sender<bool>,
     _closing: watch::Sender<bool>,
@@ -285,6 +284,7 @@
     bundle: watch::Receiver<Option<Arc<InForce>>>,
     confirmation: watch::Receiver<Confirmation>,
     adopted: Rc<RefCell<Vec<(u64, u64)>>>,
+    upstream: watch::Sender<UpstreamState>,
     tasks: Vec<JoinHandle<()>>,
     _kept: Kept,
 }
@@ -384,14 +384,8 @@
             tokio::task::spawn_local(carry),
             tokio::task::spawn_local(serve),
         ];
-        let kept = Kept {
-            _upstream: upstream,
-            _leaving: leaving,
-            _exiting: exiting,
-            _closing: closing,
-            _departed: departed_seen,
-            _crash: crashes,
-        };
+        let kept =
+            Kept { _leaving: leaving, _exiting: exiting, _closing: closing, _departed: departed_seen, _crash: crashes };
         Self {
             vm: vm.clone(),
             started_us: now_us(),
@@ -399,6 +393,7 @@
             bundle: in_force_seen,
             confirmation: confirmation_seen,
             adopted,
+            upstream,
             tasks,
             _kept: kept,
         }
@@ -417,6 +412,11 @@
         Some((number, self.confirmation.borrow().is_conclusive(number, Some(age_max), now_us())))
     }
 
+    /// Sets the state of the node's upstream.
+    pub fn set_upstream(&self, state: UpstreamState) {
+        self.upstream.send_replace(state);
+    }
+
     /// Returns whether the node is a relay.
     pub fn is_relay(&self) -> bool {
         self.members.borrow().get(&self.vm).is_some_and(|member| member.is_relay)
--- a/valetrack/src/member/tests/fleet/store.rs
+++ b/valetrack/src/member/tests/fleet/store.rs
@@ -12,6 +12,8 @@
 use super::at;
 use super::link::Links;
 use crate::clock::now_us;
+use crate::gate::Departure;
+use crate::member::{EntryDoc, entry_key};
 use crate::store::{
     Change, Changes, CommitOutcome, Era, Freshness, Item, Lease, LeaseStore, LeasedChange, LeasedWrite, Page, Position,
     StoreError, TransactionOutcome,
@@ -199,6 +201,13 @@
         }
     }
 
+    /// Returns the departure that the entry of a node names.
+    pub fn stored_departure(&self, vm: &str) -> Option<Departure> {
+        let contents = self.contents();
+        let item = contents.items.get(&entry_key(vm))?;
+        EntryDoc::read(item).expect("an entry").member.departure
+    }
+
     /// Returns the latest position of the bundle at a time.
     pub fn bundle_at(&self, us: u64) -> Position {
         let contents = self.contents();
@@ -295,9 +304,9 @@
     fn run(&self, changes: &[LeasedChange]) -> Result<TransactionOutcome, StoreError> {
         let mut contents = self.store.contents();
         contents.expire();
-        let current = |contents: &Contents, key: &str| contents.items.get(key).map(|item| item.position);
-        if changes.iter().any(|change| current(&contents, change.key()) != change.expected()) {
-            let found = changes.iter().map(|change| (change.key().to_owned(), current(&contents, change.key())));
+        let current = |change: &LeasedChange| contents.items.get(change.key());
+        if changes.iter().any(|change| current(change).map(|item| item.position) != change.expected()) {
+            let found = changes.iter().map(|change| (change.key().to_owned(), current(change).cloned()));
             return Ok(TransactionOutcome::Conflict(found.collect()));
         }
         let is_over = |change: &LeasedChange| match change {
@@ -331,7 +340,7 @@
         Ok(match done {
             TransactionOutcome::At(position) => CommitOutcome::At(position),
             TransactionOutcome::Conflict(found) => {
-                CommitOutcome::Conflict(found.into_iter().find_map(|(_, position)| position))
+                CommitOutcome::Conflict(found.into_iter().find_map(|(_, item)| item))
             }
         })
     }
--- a/valetrack/src/store/lease.rs
+++ b/valetrack/src/store/lease.rs
@@ -140,21 +140,21 @@
 pub enum TransactionOutcome {
     /// All changes took effect at this position.
     At(Position),
-    /// A condition failed and nothing changed. Lists the current position of each key in the transaction; `None` for a
-    /// key that doesn't exist.
-    Conflict(Vec<(String, Option<Position>)>),
+    /// A condition failed and nothing changed. Lists each key in the transaction with its current item; `None` for a key
+    /// that doesn't exist.
+    Conflict(Vec<(String, Option<Item>)>),
 }
 
 /// Most changes in one transaction. The platform accepts 32 entries, and each change needs a condition as well.
 pub const TRANSACTION_MAX: usize = 16;
 
 /// Outcome of a conditional write.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CommitOutcome {
     /// The write took effect at this position.
     At(Position),
-    /// The condition failed and nothing changed. Holds the key's current position; `None` if the key doesn't exist.
-    Conflict(Option<Position>),
+    /// The condition failed and nothing changed. Holds the current item; `None` if the key doesn't exist.
+    Conflict(Option<Item>),
 }
 
 /// How old the result of a read may be.
