Callers: a connection whose task panics no longer counts as open

Cause: by reading, the count of connections was decremented at the end of the connection's task, which a panic skips. A node with such a connection would never count as empty, and its stop would last until the drain is cut.

Change: connections are counted as open calls are, until a value that the task owns is dropped.

Result: the test covers the counter with a task that panics; no panic of a real connection was brought about.

--- a/valetrack/src/caller/run.rs
+++ b/valetrack/src/caller/run.rs
@@ -86,9 +86,9 @@
     keyed: KeyedRouter,
     quotas: Rc<Quotas>,
     parts: ListenerParts,
-    connections: Cell<usize>,
+    connections: Rc<Cell<usize>>,
     /// Calls without an answer yet.
-    open_calls: Cell<usize>,
+    open_calls: Rc<Cell<usize>>,
     /// Time at which leaving began.
     left_at: Cell<Option<Moment>>,
     /// Time of the last log line on a connection that was refused.
@@ -118,8 +118,8 @@
         keyed,
         quotas,
         parts,
-        connections: Cell::new(0),
-        open_calls: Cell::new(0),
+        connections: Rc::default(),
+        open_calls: Rc::default(),
         left_at: Cell::new(None),
         refusal_logged_at: Cell::new(None),
         splits: RefCell::new(splits),
@@ -135,8 +135,8 @@
             Ok(stream) if listener.connections.get() < CONNECTIONS_MAX => {
                 // The connection is counted before its task runs, so that the listener does not count as empty in
                 // between.
-                listener.connections.set(listener.connections.get() + 1);
-                tokio::task::spawn_local(listener.clone().serve(stream));
+                let counted = Counted::new(listener.connections.clone());
+                tokio::task::spawn_local(listener.clone().serve(stream, counted));
             }
             Ok(_) => {
                 listener.placer.metrics.bad_calls.inc();
@@ -218,16 +218,15 @@
         );
     }
 
-    async fn serve(self: Rc<Self>, stream: TcpStream) {
+    async fn serve(self: Rc<Self>, stream: TcpStream, _counted: Counted) {
         let _ = stream.set_nodelay(true);
         let mut leaving = self.parts.leaving.clone();
         let idle_limit = idle_limit(&mut leaving, self.parts.linger);
         pipeline::serve(stream, self.parts.head_limit, self.clone(), idle_limit).await;
-        self.connections.set(self.connections.get() - 1);
     }
 
     async fn answer(self: Rc<Self>, parts: Parts, delivered: Option<Delivered>, request: Rc<OpenRequest>) -> Answer {
-        let _open = OpenCall::new(self.clone());
+        let _open = Counted::new(self.open_calls.clone());
         let began = Instant::now();
         let answer = self.clone().handle(parts, delivered, &request).await;
         let metrics = &self.placer.metrics;
@@ -545,18 +544,19 @@
     tokio::time::sleep(linger.max(Duration::from_millis(IDLE_MIN_MS))).await;
 }
 
-/// Counts a call as open until it is dropped, also when its caller disconnects before the answer.
-struct OpenCall(Rc<CallerListener>);
+/// Counts a call or a connection as open until it is dropped, also when its task is cancelled or panics.
+pub(super) struct Counted(Rc<Cell<usize>>);
 
-impl OpenCall {
-    fn new(listener: Rc<CallerListener>) -> Self {
-        listener.open_calls.set(listener.open_calls.get() + 1);
-        Self(listener)
+impl Counted {
+    /// Increments `open`.
+    pub(super) fn new(open: Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self(open)
     }
 }
 
-impl Drop for OpenCall {
+impl Drop for Counted {
     fn drop(&mut self) {
-        self.0.open_calls.set(self.0.open_calls.get() - 1);
+        self.0.set(self.0.get() - 1);
     }
 }
--- a/valetrack/src/caller/tests.rs
+++ b/valetrack/src/caller/tests.rs
@@ -2,6 +2,8 @@
 
 mod answer;
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use hyper::Request;
@@ -10,7 +12,7 @@
 use tokio::sync::watch;
 
 use super::request::{self, IncomingCall, Rejection};
-use super::run::{next_caller, outlasts};
+use super::run::{Counted, next_caller, outlasts};
 use crate::bundle::{Bundle, check};
 use crate::code::Code;
 
@@ -127,6 +129,21 @@
     }
 }
 
+/// Guards against a node whose stop lasts until the drain is cut, since a connection that panicked counts as open.
+#[tokio::test]
+async fn connection_that_panics_is_no_longer_counted() {
+    async fn serve(_counted: Counted) {
+        panic!("a fault")
+    }
+    let open = Rc::new(Cell::new(0));
+    let counted = Counted::new(open.clone());
+    assert_eq!(open.get(), 1);
+    let tasks = tokio::task::LocalSet::new();
+    let ended = tasks.run_until(async { tokio::task::spawn_local(serve(counted)).await }).await;
+    assert!(ended.is_err_and(|error| error.is_panic()));
+    assert_eq!(open.get(), 0);
+}
+
 #[test_case(0, 1_000, false; "at the start of leaving")]
 #[test_case(4_100, 1_000, false; "a call that ends before the exit")]
 #[test_case(4_850, 1_000, true; "a call that the exit would abort")]
