--- a/standin/tests/stalled_node.rs
+++ b/standin/tests/stalled_node.rs
@@ -69,8 +69,7 @@
 impl Throttle {
     fn start(fleet: &Fleet) -> Self {
         let ended = Arc::new(AtomicBool::new(false));
-        let nodes: Vec<Pid> =
-            fleet.vms.iter().filter_map(|vm| vm.node.as_ref()).map(|node| Pid::from_child(node)).collect();
+        let nodes: Vec<Pid> = fleet.vms.iter().filter_map(|vm| vm.node.as_ref()).map(Pid::from_child).collect();
         let is_ended = ended.clone();
         let thread = std::thread::spawn(move || {
             // A node that has exited is not reaped before the throttle ends, so its id stays its own.
