KNOWN-RED: the states of a large fleet do not fit into a message

Not fixed: the states belong into the body of the message, which changes what nodes of both versions send each other.

--- a/valetrack/src/link/tests.rs
+++ b/valetrack/src/link/tests.rs
@@ -15,8 +15,9 @@
 use super::message::{Ask, CallHead, HEAD_MAX_BYTES, PeerReply, Piggyback, Reply, ReplyHead};
 use super::peer::LinkResult;
 use super::{run, tls};
+use crate::claim::ClaimReport;
 use crate::gate::{AttemptId, CancelResult, LoadReport, QueueTimeout};
-use crate::member::{Member, Phase};
+use crate::member::{Evacuation, Member, Phase};
 use crate::store::{Era, Position};
 
 fn call(path: String, headers: Vec<(String, Vec<u8>)>, body_bytes: usize, key: Option<String>) -> Ask {
@@ -260,6 +261,15 @@
     }
 }
 
+/// Guards against nodes without a bundle that get no state from others, since the states of all nodes exceed a message.
+#[test]
+fn states_of_large_fleet_fit_into_a_message() {
+    let members = (0..2_000).map(|at| Member { vm: format!("sidecar-kranj-{at}").into(), ..member() }).collect();
+    let claims = ClaimReport::default();
+    let ask = Ask::Gossip { members, evacuation: Evacuation::default(), bundle: 1, claims };
+    assert_eq!(pack(&ask).map(|_| ()), Ok(()));
+}
+
 #[test]
 fn messages_keep_their_positions_on_the_wire() {
     let frame = |ask: &Ask| pack(ask).expect("a frame")[LENGTH_BYTES..].to_vec();
