Membership: one builder of gossip requests, and a returned entry states no bundle

Three places built the same request. The copy that returns a departure to a restarted follower stated the bundle in force: a node that learns it from such a message looks complete to its peers, which then do not send it the crash records that it lacks, as the announcement of a relay says and avoids. Callers have not been seen to notice; found by reading.

The announcement of a relay may now have the state of another node, and states no bundle in either case.

--- a/valetrack/src/member/leased.rs
+++ b/valetrack/src/member/leased.rs
@@ -333,19 +333,19 @@
 
     /// Sends this node's state to a node that lacks the bundle in force.
     async fn send_state(self: Rc<Self>, peer: Target) {
-        let evacuation = self.evacuation.borrow().clone();
-        let ask = Ask::Gossip {
-            members: self.digest(),
-            evacuation,
-            bundle: self.adopter.number(),
-            claims: ClaimReport::default(),
-        };
         // A lost request is harmless: the peer's next reply shows again that it lacks the bundle.
-        let _ = self.request(peer.clone(), PeerRequest { ask, body: Bytes::new() }).await;
+        let _ = self.request(peer.clone(), self.gossip(self.digest(), self.adopter.number())).await;
         // The peer cannot read crash reports from the store either. A full channel is harmless for the same reason.
         let _ = self.parts.to_crash.try_send(CrashJob::SendReports { target: peer });
     }
 
+    /// Returns a gossip request with these states and the evacuations recorded here; a `bundle` of zero announces none.
+    fn gossip(&self, members: Vec<Member>, bundle: u64) -> PeerRequest {
+        let evacuation = self.evacuation.borrow().clone();
+        let ask = Ask::Gossip { members, evacuation, bundle, claims: ClaimReport::default() };
+        PeerRequest { ask, body: Bytes::new() }
+    }
+
     /// Returns the states of all recorded VMs, this VM first.
     fn digest(&self) -> Vec<Member> {
         let me = self.me.borrow().clone();
--- a/valetrack/src/member/leased/departure.rs
+++ b/valetrack/src/member/leased/departure.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 
 use super::Shell;
-use crate::claim::ClaimReport;
 use crate::gate::{Departure, DepartureRecord, RecordedBy, UpstreamPhase, UpstreamState};
 use crate::link::message::{Ask, PeerRequest};
 use crate::link::peer::{LinkResult, Target};
@@ -87,16 +86,10 @@
             Some(_) | None => return,
         };
         log::info!("event=departure.returned peer={}", former.vm);
-        let ask = Ask::Gossip {
-            members: vec![self.me.borrow().clone(), former],
-            evacuation: self.evacuation.borrow().clone(),
-            bundle: self.adopter.number(),
-            claims: ClaimReport::default(),
-        };
-        let shell = self.clone();
+        let (shell, request) = (self.clone(), self.announcement_with(Some(former)));
         tokio::task::spawn_local(async move {
             // Without a reply, the follower has ended, or reads the departure in a later update.
-            let _ = shell.request(target, PeerRequest { ask, body: Bytes::new() }).await;
+            let _ = shell.request(target, request).await;
         });
     }
 
--- a/valetrack/src/member/leased/takeover.rs
+++ b/valetrack/src/member/leased/takeover.rs
@@ -3,13 +3,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use tokio::time::{sleep, timeout};
 
 use super::Shell;
-use crate::claim::ClaimReport;
 use crate::clock::now_us;
-use crate::link::message::{Ask, PeerRequest, Reply};
+use crate::link::message::{PeerRequest, Reply};
 use crate::link::peer::{LinkResult, Target};
 use crate::member::role::AvoidReason;
 use crate::member::{Member, Members, Phase, TakeoverStep, entry_key};
@@ -122,15 +120,15 @@
 
     /// Returns a gossip request with this node's own state alone, which is small in a fleet of any size.
     fn announcement(&self) -> PeerRequest {
-        let ask = Ask::Gossip {
-            members: vec![self.me.borrow().clone()],
-            evacuation: self.evacuation.borrow().clone(),
-            // A restarted node that learned the bundle from this message would look complete to its peers, and they would
-            // not send it the crash records that it lacks.
-            bundle: 0,
-            claims: ClaimReport::default(),
-        };
-        PeerRequest { ask, body: Bytes::new() }
+        self.announcement_with(None)
+    }
+
+    /// Returns a gossip request with this node's own state and that of another node.
+    pub(super) fn announcement_with(&self, other: Option<Member>) -> PeerRequest {
+        let members = std::iter::once(self.me.borrow().clone()).chain(other).collect();
+        // A restarted node that learned the bundle from this message would look complete to its peers, and they would not
+        // send it the crash records that it lacks.
+        self.gossip(members, 0)
     }
 
     /// Asks another node, drawn at random, for relays that this node has no record of.
