--- a/standin/tests/link_memory.rs
+++ b/standin/tests/link_memory.rs
@@ -105,7 +105,7 @@
 }
 
 #[tokio::test]
-async fn links_to_all_nodes_of_a_large_fleet_fit_into_memory() {
+async fn links_of_large_fleet_fit_into_memory() {
     let _counted = COUNTED.lock().await;
     let local = LocalSet::new();
     let measured = local.run_until(async {
@@ -128,7 +128,7 @@
 }
 
 #[tokio::test]
-async fn closed_links_release_their_memory_at_the_node_that_opened_them() {
+async fn closed_link_releases_memory_at_opener() {
     let _counted = COUNTED.lock().await;
     let local = LocalSet::new();
     let measured = local.run_until(async {
--- a/standin/tests/stalled_node.rs
+++ b/standin/tests/stalled_node.rs
@@ -23,7 +23,7 @@
 
 /// Guards against a failure in place of a running upstream's answer, since the node beside that upstream is silent.
 #[tokio::test]
-async fn leaving_entry_waits_for_call_at_node_that_stalls() {
+async fn leaving_entry_waits_for_stalled_owner() {
     let fleet = Fleet::start(&["ledger", "rounds"]).await;
     fleet.vms[0].upstream.set_work_ms(1_000);
     let client = Client::new(fleet.vms[1].caller_addr);
@@ -131,7 +131,7 @@
 /// Guards against calls on kept connections that are cut, or answered by a node in place of the upstream that runs them,
 /// during planned work at nodes with a tenth of a core.
 #[tokio::test]
-async fn planned_work_at_a_tenth_of_a_core_loses_no_call() {
+async fn planned_work_on_throttled_nodes_loses_no_call() {
     let mut fleet =
         Fleet::start_with_linger(&["rounds", "ledger", "rounds", "ledger", "rounds", "ledger"], 1_500).await;
     fleet.vms.iter().for_each(|vm| vm.upstream.set_work_ms(150));
--- a/valetrack/src/caller/pipeline/tests/closing.rs
+++ b/valetrack/src/caller/pipeline/tests/closing.rs
@@ -52,7 +52,7 @@
 /// Guards against a request that is reset although it arrived in time, since the thread got no processor time until
 /// its idle connection had to close.
 #[test]
-fn request_that_arrived_before_its_connection_closes_is_answered() {
+fn request_received_before_close_is_answered() {
     run(async {
         for _ in 0..20 {
             let (listener, mut client) = Listener::start_with_client(Reader::Pipeline).await;
--- a/valetrack/src/caller/pipeline/tests/ends.rs
+++ b/valetrack/src/caller/pipeline/tests/ends.rs
@@ -77,7 +77,7 @@
 
 /// Guards against an answer that counts as written while a part of it waits for the client to read.
 #[test]
-fn answer_that_the_client_does_not_read_is_recorded() {
+fn unread_answer_is_recorded() {
     run(async {
         let (listener, mut client) = Listener::start_with_client(Reader::Pipeline).await;
         client.send(&get(0, "large")).await;
@@ -112,7 +112,7 @@
 }
 
 #[test]
-fn idle_connection_of_a_leaving_node_ends_by_leaving() {
+fn idle_connection_ends_by_leaving() {
     run(async {
         let (listener, mut client) = Listener::start_with_client(Reader::Pipeline).await;
         let silent = Client::connect(&listener).await;
@@ -142,7 +142,7 @@
 /// Guards against a client that keeps its connection to a leaving node by sending on, and against a reset that costs it the
 /// end of its last answer, since the node does not read what it sends.
 #[test]
-fn client_that_sends_on_gets_its_last_answer_from_a_leaving_node() {
+fn leaving_node_finishes_answer_to_sending_client() {
     run(async {
         let (listener, mut client) = Listener::start_with_client(Reader::Pipeline).await;
         client.send(&[get(200, "a"), post(0, "large", b"")].concat()).await;
@@ -221,7 +221,7 @@
     Leave,
 }
 
-/// How a connection ends once all steps are played.
+/// How a connection ends once all steps are done.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Finish {
     /// The client reads until the connection closes, or until all requests are answered.
@@ -293,7 +293,7 @@
     }
 }
 
-async fn play(steps: &[Step], finish: Finish) -> Outcome {
+async fn run_steps(steps: &[Step], finish: Finish) -> Outcome {
     let (listener, mut client) = Listener::start_with_client(Reader::Pipeline).await;
     let mut sent = Vec::new();
     let mut split = None;
@@ -343,10 +343,10 @@
     }
 }
 
-/// Plays steps on a runtime of their own.
+/// Runs steps on a runtime of their own.
 fn outcome_of(steps: &[Step], finish: Finish) -> Outcome {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    tokio::task::LocalSet::new().block_on(&runtime, play(steps, finish))
+    tokio::task::LocalSet::new().block_on(&runtime, run_steps(steps, finish))
 }
 
 fn config() -> ProptestConfig {
@@ -376,14 +376,14 @@
 
     /// Guards against a leaving node that receives a request and closes its connection without the answer.
     #[test]
-    fn received_request_of_a_client_that_stays_is_answered(steps in steps()) {
+    fn received_request_of_staying_client_is_answered(steps in steps()) {
         let outcome = outcome_of(&steps, Finish::Read);
         prop_assert!(outcome.unanswered.is_empty(), "{:?}", outcome);
     }
 
     /// Guards against a leaving node that passes on a request and closes its connection without the answer.
     #[test]
-    fn begun_request_of_a_client_that_stays_is_answered(steps in steps()) {
+    fn begun_request_of_staying_client_is_answered(steps in steps()) {
         let outcome = outcome_of(&steps, Finish::Read);
         for name in &outcome.began {
             prop_assert!(outcome.answered.contains(name), "{} in {:?}", name, outcome);
--- a/valetrack/src/link/tests.rs
+++ b/valetrack/src/link/tests.rs
@@ -20,6 +20,12 @@
 use crate::member::{Evacuation, Member, Phase};
 use crate::store::{Era, Position};
 
+/// Returns an endpoint on loopback.
+fn endpoint(vm: &str) -> quinn::Endpoint {
+    let any = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
+    run::bind(any, vm, tls::generate(vm).expect("keys")).expect("an endpoint")
+}
+
 fn call(path: String, headers: Vec<(String, Vec<u8>)>, body_bytes: usize, key: Option<String>) -> Ask {
     Ask::Run(CallHead {
         attempt: AttemptId { entry: 1, seq: 2 },
@@ -158,9 +164,7 @@
 
 #[tokio::test]
 async fn link_for_one_request_costs_little_beyond_its_handshake() {
-    let any = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
-    let owner = run::bind(any, "vm-2", tls::generate("vm-2").expect("keys")).expect("an endpoint");
-    let entry = run::bind(any, "vm-1", tls::generate("vm-1").expect("keys")).expect("an endpoint");
+    let (owner, entry) = (endpoint("vm-2"), endpoint("vm-1"));
     let addr = owner.local_addr().expect("an address");
     let echo = tokio::spawn(async move {
         let connection = owner.accept().await.expect("a peer").await.expect("a link");
--- a/valetrack/src/link/tests/closed.rs
+++ b/valetrack/src/link/tests/closed.rs
@@ -1,28 +1,21 @@
 //! Tests of links that are closed while no request uses them.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use quinn::Endpoint;
 use tokio::time::{sleep, timeout};
 
+use super::endpoint;
 use crate::link::message::{Ask, PeerRequest};
 use crate::link::path::PathTimes;
 use crate::link::peer::{Peers, Target, TimeLimit};
-use crate::link::{run, tls};
 use crate::metric::Metrics;
 
 /// Peers whose links are closed.
 const CLOSED: usize = 8;
 
-fn endpoint(vm: &str) -> Endpoint {
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    run::bind(any, vm, tls::generate(vm).expect("keys")).expect("an endpoint")
-}
-
 /// Starts a peer that accepts links and closes each of them at its first request.
 fn start_peer(vm: &str) -> Target {
     let peer = endpoint(vm);
--- a/valetrack/src/link/tests/stall.rs
+++ b/valetrack/src/link/tests/stall.rs
@@ -13,23 +13,18 @@
 use tokio::task::LocalSet;
 use tokio::time::{sleep, timeout};
 
-use super::call;
+use super::{call, endpoint};
 use crate::gate::LoadReport;
 use crate::link::codec::{pack, unpack};
 use crate::link::message::{Ask, PeerRequest, Piggyback, Reply, ReplyHead};
 use crate::link::path::PathTimes;
 use crate::link::peer::{LinkResult, Peers, Target, TimeLimit};
-use crate::link::{run, tls};
 
 /// Longest frame of a request in these tests.
 const FRAME_MAX_BYTES: usize = 10_000;
 /// Time for a request to reach the owner.
 const ARRIVAL_MS: u64 = 200;
 
-fn endpoint(vm: &str) -> quinn::Endpoint {
-    run::bind(([127, 0, 0, 1], 0).into(), vm, tls::generate(vm).expect("keys")).expect("an endpoint")
-}
-
 /// An owner on a thread of its own, which replies to calls after a while and to probes at once.
 struct Owner {
     addr: SocketAddr,
--- a/valetrack/src/link/tests/streams.rs
+++ b/valetrack/src/link/tests/streams.rs
@@ -8,17 +8,16 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use quinn::Endpoint;
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
 
+use super::endpoint;
 use crate::gate::LoadReport;
 use crate::link::accept::{AcceptedLink, RequestStream, STREAMS_INITIAL, STREAMS_MAX, StreamLimit};
 use crate::link::codec::{pack, unpack};
 use crate::link::message::{Ask, PeerRequest, Piggyback, Reply, ReplyHead};
 use crate::link::path::PathTimes;
 use crate::link::peer::{LinkResult, Peers, Target, TimeLimit};
-use crate::link::{run, tls};
 use crate::metric::Metrics;
 
 /// Time limit of requests that wait for a slow peer.
@@ -27,7 +26,7 @@
 const STEP: usize = 8;
 
 #[test]
-fn burst_on_new_link_does_not_wait_for_earlier_streams_to_end() {
+fn burst_raises_limit_without_ended_streams() {
     let mut limit = StreamLimit::new();
     let (mut open, mut permitted, mut round_trips) = (0, STREAMS_INITIAL, 0);
     while permitted < STREAMS_MAX {
@@ -44,7 +43,7 @@
 }
 
 #[test]
-fn each_raise_of_the_limit_is_large_enough_to_be_announced() {
+fn raised_limit_is_always_announced() {
     let (mut limit, mut announced) = (StreamLimit::new(), STREAMS_INITIAL);
     for _ in 0..STREAMS_MAX {
         if let Some(raised) = limit.open() {
@@ -56,7 +55,7 @@
 }
 
 #[test]
-fn requests_in_a_row_do_not_raise_the_limit() {
+fn sequential_requests_keep_limit() {
     let mut limit = StreamLimit::new();
     for _ in 0..10 * STREAMS_MAX {
         assert_eq!(limit.open(), None);
@@ -120,11 +119,6 @@
     pack(&ReplyHead { reply: Reply::Load, riding }).expect("a small head")
 }
 
-fn endpoint(vm: &str) -> Endpoint {
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    run::bind(any, vm, tls::generate(vm).expect("keys")).expect("an endpoint")
-}
-
 fn peers() -> Rc<Peers> {
     Rc::new(Peers::new(endpoint("entry"), Rc::new(PathTimes::default()), Arc::new(Metrics::new())))
 }
@@ -153,7 +147,7 @@
 }
 
 #[tokio::test]
-async fn requests_without_a_free_stream_are_unsent_and_not_broken() {
+async fn request_without_free_stream_is_unsent() {
     let played = async {
         let (mut node, peers) = (SlowNode::start(), peers());
         let held = send_held(&peers, &mut node, STREAMS_MAX as usize).await;
@@ -175,7 +169,7 @@
 }
 
 #[tokio::test]
-async fn long_requests_do_not_starve_calls_on_the_same_link() {
+async fn long_requests_starve_no_calls() {
     let played = async {
         let (mut node, peers) = (SlowNode::start(), peers());
         let held = send_held(&peers, &mut node, 10 * STREAMS_INITIAL as usize).await;
@@ -189,7 +183,7 @@
 }
 
 #[tokio::test]
-async fn burst_on_new_link_gets_streams_while_the_peer_replies_to_none() {
+async fn burst_gets_streams_without_any_reply() {
     let played = async {
         let mut node = SlowNode::start();
         let entry = endpoint("entry");
--- a/valetrack/src/member/tests/departure.rs
+++ b/valetrack/src/member/tests/departure.rs
@@ -12,7 +12,7 @@
 }
 
 /// Returns the state of an upstream that a health check of a new process has found.
-fn found_by_health_check(id: &str, ready: bool) -> UpstreamState {
+pub(super) fn found_by_health_check(id: &str, ready: bool) -> UpstreamState {
     let mut state = UpstreamState::at_node_start(0);
     let answer = Announcement {
         id: id.into(),
--- a/valetrack/src/member/tests/fleet/departure.rs
+++ b/valetrack/src/member/tests/fleet/departure.rs
@@ -6,7 +6,7 @@
 
 use super::link::Links;
 use super::{Fleet, LOOK_MS, START_MS, in_virtual_time, setting};
-use crate::gate::{Announcement, UpstreamState};
+use crate::member::tests::departure::found_by_health_check;
 
 /// Nodes of a fleet.
 const SIZE: usize = 6;
@@ -15,25 +15,6 @@
 /// Time after which each node has written its entry, and has read those of all others.
 const SETTLE_MS: u64 = 6_000;
 
-/// Returns the state of an upstream as its health check names it.
-fn upstream(ready: bool) -> UpstreamState {
-    let mut state = UpstreamState::at_node_start(0);
-    state.take(
-        &Announcement {
-            id: "i-1".into(),
-            born_ms: None,
-            sequence: ready.then_some(0),
-            ready,
-            slots: None,
-            version: None,
-            cold_ms: 0,
-            is_solicited: true,
-        },
-        1,
-    );
-    state
-}
-
 /// Records the departure of one node's upstream and ends all nodes at once; returns whether the departure is still recorded
 /// after all of them have started again.
 async fn end_after_departure(seed: u64) -> bool {
@@ -42,7 +23,7 @@
     fleet.start_all().await;
     sleep(Duration::from_millis(START_MS)).await;
     let vm = fleet.name(seed as usize % SIZE);
-    let set_upstream = |ready| fleet.nodes.borrow()[&vm].set_upstream(upstream(ready));
+    let set_upstream = |ready| fleet.nodes.borrow()[&vm].set_upstream(found_by_health_check("i-1", ready));
     set_upstream(true);
     sleep(Duration::from_millis(START_MS)).await;
     set_upstream(false);
--- a/valetrack/src/member/tests/fleet/large.rs
+++ b/valetrack/src/member/tests/fleet/large.rs
@@ -150,7 +150,7 @@
 
 /// Guards against a watch that is repeated after its changes were too large to read, until the store has dropped its history.
 #[test]
-fn large_bundles_in_quick_succession_are_in_force_in_time() {
+fn successive_large_bundles_are_in_force_in_time() {
     for seed in setting("FLEET_FIRST_SEED", 0)..setting("FLEET_SEEDS", 3) {
         let (late_ms, relays) = in_virtual_time(publish_in_succession(setting("FLEET_SIZE", 24) as usize, seed));
         println!("seed={seed} late_ms={late_ms} relays={relays:?}");
--- a/valetrack/src/member/tests/fleet/start.rs
+++ b/valetrack/src/member/tests/fleet/start.rs
@@ -69,7 +69,7 @@
 
 /// Guards against nodes of a starting fleet that find no relay to keep their entries.
 #[test]
-fn all_nodes_of_fleet_that_starts_at_once_have_entries() {
+fn fleet_started_at_once_has_all_entries() {
     let size = setting("FLEET_SIZE", 300) as usize;
     for seed in setting("FLEET_FIRST_SEED", 0)..setting("FLEET_SEEDS", 2) {
         let report = in_virtual_time(async { start_at_once(size, seed).await.1 });
--- a/valetrack/src/member/tests/relay.rs
+++ b/valetrack/src/member/tests/relay.rs
@@ -87,7 +87,7 @@
 
 /// Guards against relays that send all items to all followers after they have read all items again.
 #[test]
-fn followers_are_sent_the_difference_after_all_items_were_read_again() {
+fn followers_get_difference_after_whole_read() {
     let mut relay = ChangeLog::default();
     relay.read(&[item("a", 2), item("b", 3), item("c", 4)], at(4), 0);
     // The store was at 8 when it read the first page, and at 9 when it read the one of `d`.
@@ -101,7 +101,7 @@
 
 /// Guards against updates that hold every version of a large item, and are too large to be sent.
 #[test]
-fn update_holds_only_the_last_change_of_each_key() {
+fn update_holds_last_change_of_each_key() {
     let mut relay = ChangeLog::default();
     relay.read(&[], at(1), 0);
     for revision in 2..=9 {
