Review case 8: an acknowledged departure that only nodes knew is forgotten

A departure is acknowledged after 0.3 s if another node knows it, and an end of all nodes takes that record while the store is down.

--- a/review/lab-2/lab.py
+++ b/review/lab-2/lab.py
@@ -403,15 +403,20 @@
             store_reader, store_writer = await asyncio.open_connection(*self.lab.store.addr, limit=8 << 20)
         except OSError:
             return writer.close()
-        await asyncio.gather(self.pass_on(reader, store_writer), self.pass_on(store_reader, writer))
+        # A store that is down takes no calls, and a connection on which it has missed one stays silent.
+        silent = asyncio.Event()
+        await asyncio.gather(self.pass_on(reader, store_writer, silent), self.pass_on(store_reader, writer, silent))
 
-    async def pass_on(self, reader, writer):
+    async def pass_on(self, reader, writer, silent):
         try:
             while data := await reader.read(65536):
+                if self.lab.store_is_silent:
+                    silent.set()
                 while self.lab.is_cut(self.ip, "store"):
                     await asyncio.sleep(0.05)
-                writer.write(data)
-                await writer.drain()
+                if not silent.is_set():
+                    writer.write(data)
+                    await writer.drain()
         except ATTEMPT_LOST:
             pass
         finally:
@@ -508,6 +513,7 @@
         self.bounds, self.with_paths = bounds, with_paths
         self.nodes, self.zones = [], []
         self.cut = set()
+        self.store_is_silent = False
         self.store = Store(self.record)
         self.number = 0
 
